Serve a prompt the whole way, thin

Cause: the project was empty; every later duty needs a path to live in. Change: entry nodes over aiohttp, engine and service stand-ins, the platform's table and object store, two-person-signed bundles accepted by one conditional write, run decisions without I/O, authenticated Thrift frames between nodes, settings, logs, metrics, traces and a demo that loses an engine and a node. Conclusion: the path stands; each duty grows from here.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,25 @@
+VENV = .venv
+PYTHON = $(VENV)/bin/python
+STAMP = $(VENV)/.installed
+
+.PHONY: run test faults fuzz bench format clean
+
+$(STAMP): requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	touch $(STAMP)
+
+run: $(STAMP)
+	$(PYTHON) -m fireflyward demo
+
+test: $(STAMP)
+	$(PYTHON) -m ruff format --check .
+	$(PYTHON) -m ruff check .
+	$(PYTHON) -W error::ResourceWarning -m unittest discover -s tests -t .
+
+format: $(STAMP)
+	$(PYTHON) -m ruff format .
+	$(PYTHON) -m ruff check --fix .
+
+clean:
+	rm -rf build .ruff_cache .hypothesis
--- /dev/null
+++ b/fireflyward/__init__.py
@@ -0,0 +1,10 @@
+"""Fireflyward serves prompts whose callers come back after long gaps.
+
+The package is a library with thin daemons: each duty is a sub-package with its
+own state, messages and decisions, and ``fireflyward.daemon`` puts them together
+into the one program that every entry VM runs.
+"""
+
+__version__ = "0.1.0"
+
+__all__ = ["__version__"]
--- /dev/null
+++ b/fireflyward/bench/measures/__init__.py
@@ -0,0 +1,1 @@
+"""One module for each measurement; each has a ``BENCH`` (see ``Bench``)."""
--- /dev/null
+++ b/fireflyward/daemon/_node.py
@@ -0,0 +1,193 @@
+"""A node: every duty of an entry VM, put together."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+
+from fireflyward.bundles import Bundle, BundleHolder, BundleStore, verify_bundle
+from fireflyward.clock import Clock
+from fireflyward.entry import EntryParts, build_app
+from fireflyward.kept import BlockNames
+from fireflyward.limits import Admission
+from fireflyward.observe import Metrics, Tracing
+from fireflyward.peers import PeerCodec, PeerLink
+from fireflyward.platform import HttpObjects, HttpTable, Missing, Unavailable
+from fireflyward.routing import Candidate, Router
+from fireflyward.runs import RunRecords
+from fireflyward.settings import Settings
+from fireflyward.upstreams import (
+    Broken,
+    Engine,
+    HttpEngine,
+    HttpService,
+    PlainService,
+)
+
+log = logging.getLogger("fireflyward.daemon")
+
+_LOAD_POLL_MS = 250
+_DRAIN_POLL_MS = 20
+_CONNECTIONS = 2_000
+ENGINE = "engine"
+SERVICE = "service"
+
+
+class Node:
+    """Owns the sockets, the periodic tasks and the parts of one entry VM."""
+
+    def __init__(self, settings: Settings, *, clock: Clock | None = None) -> None:
+        self.settings = settings
+        self.clock = clock or Clock()
+        self.holder = BundleHolder()
+        self.router = Router(settings["failure_domain"])
+        self.admission = Admission()
+        self.metrics = Metrics()
+        self.engine_by_name: dict[str, Engine] = {}
+        self.service_by_name: dict[str, PlainService] = {}
+        self.port = settings["port"]
+        self.link = PeerLink(
+            node_name=settings["node_name"],
+            incarnation=self.clock.wall_ms(),
+            codec=PeerCodec(settings["peer_keys"]),
+            host=settings["peer_host"],
+            port=settings["peer_port"],
+        )
+        self._stopping = False
+        self._tasks: list[asyncio.Task[None]] = []
+        self._session: aiohttp.ClientSession | None = None
+        self._runner: web.AppRunner | None = None
+        self._store: BundleStore | None = None
+
+    def __repr__(self) -> str:
+        return f"Node({self.settings['node_name']!r}, port={self.port})"
+
+    async def start(self) -> None:
+        """Open the sockets and begin the periodic tasks."""
+        connector = aiohttp.TCPConnector(limit=_CONNECTIONS)
+        self._session = aiohttp.ClientSession(connector=connector)
+        table = HttpTable(self._session, self.settings["table_url"])
+        objects = HttpObjects(self._session, self.settings["objects_url"])
+        self._store = BundleStore(table, objects)
+        app = build_app(self._entry_parts(RunRecords(table)))
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, self.settings["host"], self.port)
+        await site.start()
+        self.port = self._runner.addresses[0][1]
+        await self.link.start()
+        await self._look_for_bundle()
+        self._every(self.settings["bundle_poll_ms"], self._look_for_bundle)
+        self._every(_LOAD_POLL_MS, self._poll_loads)
+        await self._poll_loads()
+        log.info(
+            "daemon: %s serves callers on port %d and peers on port %d",
+            self.settings["node_name"],
+            self.port,
+            self.link.address[1],
+        )
+
+    async def stop(self) -> None:
+        """Shut down gracefully: no new requests, and those in flight run out."""
+        self._stopping = True
+        limit_ms = self.clock.now_ms() + self.settings["drain_limit_ms"]
+        while self.admission.total() and self.clock.now_ms() < limit_ms:
+            await self.clock.sleep_ms(_DRAIN_POLL_MS)
+        if self.admission.total():
+            log.warning("daemon: hard limit cuts %d requests", self.admission.total())
+        await self.close()
+
+    async def close(self) -> None:
+        """Close everything at once."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._runner:
+            await self._runner.cleanup()
+        await self.link.stop()
+        if self._session:
+            await self._session.close()
+
+    def is_ready(self) -> bool:
+        """Tell the balancer whether new requests may come here."""
+        return not self._stopping and self.holder.bundle is not None
+
+    def _entry_parts(self, records: RunRecords) -> EntryParts:
+        return EntryParts(
+            clock=self.clock,
+            holder=self.holder,
+            router=self.router,
+            engine_by_name=self.engine_by_name,
+            service_by_name=self.service_by_name,
+            admission=self.admission,
+            records=records,
+            block_names=BlockNames(self.settings["kept_key"]),
+            metrics=self.metrics,
+            tracing=Tracing(self.settings["trace_share"]),
+            request_limit_bytes=self.settings["request_limit_bytes"],
+            deadline_ms=self.settings["request_deadline_ms"],
+            ready=self.is_ready,
+        )
+
+    def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
+        self._tasks.append(asyncio.create_task(self._repeat(period_ms, step)))
+
+    async def _repeat(
+        self, period_ms: int, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await self.clock.sleep_ms(period_ms)
+            await step()
+
+    async def _look_for_bundle(self) -> None:
+        current = await self._store.head()
+        if isinstance(current, Missing | Unavailable):
+            return
+        head, _ = current
+        if head.number <= self.holder.number:
+            return
+        signed = await self._store.fetch(head)
+        if isinstance(signed, Missing | Unavailable):
+            return
+        roots = dict(self.settings["trust_roots"])
+        bundle = verify_bundle(signed, roots, self.settings["deployment"])
+        if not isinstance(bundle, Bundle):
+            log.error("daemon: bundle %d refused, %s", head.number, bundle)
+            return
+        self.apply(bundle)
+
+    def apply(self, bundle: Bundle) -> None:
+        """Serve by ``bundle`` from now on, unless it is not newer."""
+        if not self.holder.offer(bundle):
+            return
+        self._connect_upstreams(bundle)
+        log.info(
+            "daemon: bundle %d in force", bundle.number, extra={"bundle": bundle.number}
+        )
+
+    def _connect_upstreams(self, bundle: Bundle) -> None:
+        self.engine_by_name.clear()
+        self.service_by_name.clear()
+        candidates = []
+        silence_limit_ms = self.settings["silence_limit_ms"]
+        for name, upstream in bundle.upstreams.items():
+            if upstream.kind == ENGINE:
+                self.engine_by_name[name] = HttpEngine(
+                    self._session, upstream.url, silence_limit_ms=silence_limit_ms
+                )
+                candidates.append(
+                    Candidate(name, upstream.failure_domain, upstream.models)
+                )
+            elif upstream.kind == SERVICE:
+                self.service_by_name[name] = HttpService(self._session, upstream.url)
+        self.router.set_replicas(candidates)
+
+    async def _poll_loads(self) -> None:
+        await asyncio.gather(*(self._poll_load(name) for name in self.router.names()))
+
+    async def _poll_load(self, name: str) -> None:
+        report = await self.engine_by_name[name].load()
+        if not isinstance(report, Broken):
+            self.router.on_report(self.clock.now_ms(), name, report)
--- /dev/null
+++ b/fireflyward/demo/_deployment.py
@@ -0,0 +1,150 @@
+"""A small deployment on loopback: stand-ins, nodes and a signed bundle."""
+
+import hashlib
+
+import aiohttp
+
+from fireflyward.bundles import (
+    Account,
+    Bundle,
+    BundleStore,
+    Caller,
+    Model,
+    Service,
+    SigningKey,
+    Upstream,
+    sign_bundle,
+)
+from fireflyward.daemon import Node
+from fireflyward.platform import Committed, HttpObjects, HttpTable
+from fireflyward.settings import SERVE_SETTINGS, Settings, load
+from fireflyward.standins import (
+    EngineCosts,
+    EngineModel,
+    EngineServer,
+    PlatformServer,
+    ServiceServer,
+)
+
+DOMAINS = ("sala-norte", "sala-sur")
+MODEL = "clauses"
+VERSION = "v1"
+SERVICE = "drafting"
+KEY_BY_ACCOUNT = {"bridge-team": "key-bridge", "tower-team": "key-tower"}
+_PEER_KEY = "11" * 32
+_AUTHOR_SEED = b"a" * 32
+_APPROVER_SEED = b"b" * 32
+
+
+class DemoDeployment:
+    """Starts and stops everything; ``node_by_name`` and ``engine_by_name`` are
+    there to be stopped in the middle.
+    """
+
+    def __init__(
+        self,
+        *,
+        nodes_per_domain: int = 2,
+        engines_per_domain: int = 2,
+        costs: EngineCosts | None = None,
+    ) -> None:
+        self.platform = PlatformServer()
+        self.service = ServiceServer()
+        self.engine_by_name = {
+            f"engine-{domain}-{index}": EngineServer(
+                EngineModel({MODEL: VERSION}, costs or EngineCosts())
+            )
+            for domain in DOMAINS
+            for index in range(engines_per_domain)
+        }
+        self.node_by_name: dict[str, Node] = {}
+        self._nodes_per_domain = nodes_per_domain
+        self.author = SigningKey.from_seed("ana", _AUTHOR_SEED)
+        self.approver = SigningKey.from_seed("bruno", _APPROVER_SEED)
+
+    async def __aenter__(self) -> "DemoDeployment":
+        await self.platform.start()
+        await self.service.start()
+        for engine in self.engine_by_name.values():
+            await engine.start()
+        await self.accept(self.make_bundle(1))
+        for domain in DOMAINS:
+            for index in range(self._nodes_per_domain):
+                await self._start_node(f"entry-{domain}-{index}", domain)
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        for node in self.node_by_name.values():
+            await node.close()
+        for engine in self.engine_by_name.values():
+            await engine.stop()
+        await self.service.stop()
+        await self.platform.stop()
+
+    async def accept(self, bundle: Bundle) -> None:
+        """Sign a bundle by both people and have the platform accept it."""
+        signed = sign_bundle(bundle, author=self.author, approver=self.approver)
+        async with aiohttp.ClientSession() as session:
+            store = BundleStore(
+                HttpTable(session, self.platform.url),
+                HttpObjects(session, self.platform.url),
+            )
+            result = await store.accept(bundle, signed)
+        assert isinstance(result, Committed), result
+
+    def make_bundle(self, number: int) -> Bundle:
+        """Return the demo's bundle under a number."""
+        upstreams = {
+            name: Upstream("engine", engine.url, _domain_of(name), (MODEL,))
+            for name, engine in self.engine_by_name.items()
+        }
+        upstreams["drafting-1"] = Upstream(
+            "service", self.service.url, DOMAINS[0], service=SERVICE
+        )
+        accounts = {
+            name: Account((MODEL,), {"portal": Caller(_digest(key), (SERVICE,))})
+            for name, key in KEY_BY_ACCOUNT.items()
+        }
+        services = {SERVICE: Service(("POST /revisions*",))}
+        return Bundle(
+            "demo", number, {MODEL: Model(VERSION)}, accounts, upstreams, services
+        )
+
+    def make_settings(self, name: str, domain: str) -> Settings:
+        """Return the settings of one node."""
+        roots = ",".join(
+            f"{key.person}={key.public_bytes().hex()}"
+            for key in (self.author, self.approver)
+        )
+        settings = load(
+            SERVE_SETTINGS,
+            {
+                "node_name": name,
+                "failure_domain": domain,
+                "port": "0",
+                "peer_port": "0",
+                "peer_keys": _PEER_KEY,
+                "table_url": self.platform.url,
+                "objects_url": self.platform.url,
+                "weights_url": self.platform.url,
+                "vms_url": self.platform.url,
+                "trust_roots": roots,
+                "bundle_poll_ms": "200",
+            },
+            {},
+        )
+        assert isinstance(settings, Settings), settings
+        return settings
+
+    async def _start_node(self, name: str, domain: str) -> None:
+        node = Node(self.make_settings(name, domain))
+        await node.start()
+        self.node_by_name[name] = node
+
+
+def _domain_of(engine_name: str) -> str:
+    return engine_name.removeprefix("engine-").rpartition("-")[0]
+
+
+def _digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
--- /dev/null
+++ b/fireflyward/entry/_app.py
@@ -0,0 +1,181 @@
+"""The aiohttp application of an entry VM."""
+
+import re
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import msgspec
+from aiohttp import web
+
+from fireflyward.bundles import Account, BundleHolder
+from fireflyward.clock import Clock
+from fireflyward.kept import BlockNames
+from fireflyward.limits import Admission
+from fireflyward.observe import Metrics, Tracing
+from fireflyward.outcomes import NotRun, Reason, Unknown
+from fireflyward.routing import Router
+from fireflyward.runs import RunRecords
+from fireflyward.upstreams import Engine, PlainService
+
+from ._errors import error_bytes, headers_of, status_of
+from ._requests import ModelEntry, ModelsBody
+
+_BEARER = re.compile(r"^Bearer ([\x21-\x7e]{1,512})$")
+_IDEMPOTENCY_KEY = re.compile(r"^[\x21-\x7e]{1,200}$")
+JSON = "application/json"
+
+
+@dataclass(slots=True)
+class EntryParts:
+    """What the HTTP interface needs of the node around it."""
+
+    clock: Clock
+    holder: BundleHolder
+    router: Router
+    engine_by_name: dict[str, Engine]
+    service_by_name: dict[str, PlainService]
+    admission: Admission
+    records: RunRecords
+    block_names: BlockNames
+    metrics: Metrics
+    tracing: Tracing
+    request_limit_bytes: int
+    deadline_ms: int
+    ready: Callable[[], bool]
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who asks, under which request id, by which bundle."""
+
+    request_id: str
+    account_name: str
+    caller_name: str
+    account: Account
+    idempotency_key: str
+    is_non_idempotent: bool
+    bundle_number: int
+    trace_parent: str
+
+
+PARTS: web.AppKey[EntryParts] = web.AppKey("parts", EntryParts)
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+def build_app(parts: EntryParts) -> web.Application:
+    """Return the application that serves callers by ``parts``."""
+    from . import _completions, _services
+
+    app = web.Application(
+        client_max_size=parts.request_limit_bytes, middlewares=[_refuse_in_form]
+    )
+    app[PARTS] = parts
+    app.router.add_post("/v1/completions", _completions.handle_completion)
+    app.router.add_post("/v1/chat/completions", _completions.handle_chat)
+    app.router.add_get("/v1/models", _handle_models)
+    app.router.add_route("*", "/services/{name}/{path:.*}", _services.handle_service)
+    app.router.add_get("/healthz", _handle_health)
+    app.router.add_get("/readyz", _handle_ready)
+    app.router.add_get("/metrics", _handle_metrics)
+    return app
+
+
+def identify(request: web.Request) -> Identity | NotRun:
+    """Tell who the caller is from its key, in time that tells nothing of keys."""
+    parts = request.app[PARTS]
+    if parts.holder.bundle is None:
+        return NotRun(Reason.NO_BUNDLE, "this node has no bundle yet", 1_000)
+    match = _BEARER.match(request.headers.get("Authorization", ""))
+    found = parts.holder.account_of_key(match[1]) if match else None
+    if found is None:
+        return NotRun(Reason.WRONG_KEY, "the key is missing or not known")
+    key = request.headers.get("Idempotency-Key", "")
+    if key and not _IDEMPOTENCY_KEY.match(key):
+        return NotRun(
+            Reason.BAD_REQUEST, "Idempotency-Key: 1 to 200 visible characters"
+        )
+    account_name, caller_name, account = found
+    return Identity(
+        new_request_id(),
+        account_name,
+        caller_name,
+        account,
+        key,
+        request.headers.get("X-Non-Idempotent", "").lower() == "true",
+        parts.holder.number,
+        request.headers.get("traceparent", ""),
+    )
+
+
+def new_request_id() -> str:
+    """Return a name for one request that no other has."""
+    return uuid.uuid4().hex
+
+
+def refuse(
+    request: web.Request, outcome: NotRun | Unknown, request_id: str
+) -> web.Response:
+    """Return the response of a request that was not answered."""
+    parts = request.app[PARTS]
+    parts.metrics.count(
+        "requests_total", outcome=outcome.tag, reason=outcome.reason.value
+    )
+    headers = headers_of(
+        outcome.tag,
+        request_id,
+        parts.holder.number,
+        retry_after_ms=outcome.retry_after_ms,
+    )
+    return web.Response(
+        status=status_of(outcome),
+        body=error_bytes(outcome, request_id),
+        headers=headers,
+        content_type=JSON,
+    )
+
+
+@web.middleware
+async def _refuse_in_form(request: web.Request, handler: Handler) -> web.StreamResponse:
+    """Give the library's own refusals (404, 405, 413) the form of the others."""
+    try:
+        return await handler(request)
+    except web.HTTPRequestEntityTooLarge:
+        outcome = NotRun(Reason.TOO_LARGE, "the body is larger than this node reads")
+    except web.HTTPNotFound:
+        outcome = NotRun(Reason.UNKNOWN_ROUTE, f"no route {request.path}")
+    except web.HTTPMethodNotAllowed:
+        outcome = NotRun(Reason.BAD_REQUEST, f"{request.method} is not allowed here")
+    return refuse(request, outcome, new_request_id())
+
+
+async def _handle_models(request: web.Request) -> web.Response:
+    identity = identify(request)
+    if isinstance(identity, NotRun):
+        return refuse(request, identity, new_request_id())
+    bundle = request.app[PARTS].holder.bundle
+    entries = []
+    for name in identity.account.models:
+        entries.append(ModelEntry(name))
+        adapters = bundle.models[name].adapters
+        entries.extend(ModelEntry(f"{name}:{adapter}") for adapter in adapters)
+    return web.Response(
+        body=msgspec.json.encode(ModelsBody(entries)),
+        headers=headers_of("answered", identity.request_id, identity.bundle_number),
+        content_type=JSON,
+    )
+
+
+async def _handle_health(request: web.Request) -> web.Response:
+    return web.Response(text="alive\n")
+
+
+async def _handle_ready(request: web.Request) -> web.Response:
+    ready = request.app[PARTS].ready()
+    return web.Response(
+        status=200 if ready else 503, text="ready\n" if ready else "not ready\n"
+    )
+
+
+async def _handle_metrics(request: web.Request) -> web.Response:
+    return web.Response(text=request.app[PARTS].metrics.text())
--- /dev/null
+++ b/fireflyward/peers/__init__.py
@@ -0,0 +1,14 @@
+"""Messages between nodes: Thrift in authenticated frames over UDP and TCP."""
+
+from ._codec import PeerCodec, load_structs, pack, unpack
+from ._link import Address, CallFailed, PeerLink
+
+__all__ = [
+    "Address",
+    "CallFailed",
+    "PeerCodec",
+    "PeerLink",
+    "load_structs",
+    "pack",
+    "unpack",
+]
--- /dev/null
+++ b/fireflyward/peers/_codec.py
@@ -0,0 +1,73 @@
+"""Frames between nodes: a tag that proves the key, then a Thrift envelope."""
+
+import hashlib
+import hmac
+from pathlib import Path
+from types import ModuleType
+from typing import Any
+
+import thriftpy2
+from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
+from thriftpy2.utils import deserialize, serialize
+
+TAG_BYTES = 16
+MAX_FRAME_BYTES = 4 << 20
+_FACTORY = TCyBinaryProtocolFactory()
+
+
+def load_structs(directory: str | Path, name: str) -> ModuleType:
+    """Load ``name``.thrift beside a module and return its structs.
+
+    thriftpy2 reads the definition when the process starts, so nothing is
+    generated and nothing generated can be out of date.
+    """
+    path = Path(directory) / f"{name}.thrift"
+    return thriftpy2.load(str(path), module_name=f"{name}_thrift")
+
+
+_structs = load_structs(Path(__file__).parent, "node")
+Envelope = _structs.Envelope
+
+
+def pack(struct: Any) -> bytes:
+    """Encode a Thrift struct."""
+    return serialize(struct, _FACTORY)
+
+
+def unpack(struct_type: type, body: bytes) -> Any | None:
+    """Decode a Thrift struct; None when the bytes are not one."""
+    try:
+        return deserialize(struct_type(), body, _FACTORY)
+    except Exception:  # The decoder raises many types on foreign bytes.
+        return None
+
+
+class PeerCodec:
+    """Seals envelopes with the first key and opens those of either key.
+
+    While keys are rotated nodes hold two. A frame whose tag fits neither is
+    dropped, so a stranger on the network can neither speak nor be answered.
+    """
+
+    __slots__ = ("_keys",)
+
+    def __init__(self, keys: tuple[bytes, ...]) -> None:
+        self._keys = keys or (b"\0" * TAG_BYTES,)
+
+    def seal(self, envelope: Any) -> bytes:
+        """Return the frame of an envelope."""
+        payload = pack(envelope)
+        return _tag(self._keys[0], payload) + payload
+
+    def open(self, frame: bytes) -> Any | None:
+        """Return the envelope of a frame, or None if it is not a peer's."""
+        if not TAG_BYTES < len(frame) <= MAX_FRAME_BYTES:
+            return None
+        tag, payload = frame[:TAG_BYTES], frame[TAG_BYTES:]
+        if not any(hmac.compare_digest(tag, _tag(key, payload)) for key in self._keys):
+            return None
+        return unpack(Envelope, payload)
+
+
+def _tag(key: bytes, payload: bytes) -> bytes:
+    return hashlib.blake2b(payload, key=key[:64], digest_size=TAG_BYTES).digest()
--- /dev/null
+++ b/fireflyward/platform/_http.py
@@ -0,0 +1,205 @@
+"""Adapters of the platform's services over HTTP, as docs/PLATFORM.md writes them.
+
+Each call has a deadline. A write whose request may have left this process ends as
+``Uncertain`` when no answer comes: the service may have applied it, and only a
+read can tell. A refused connection or a 503 is ``Unavailable``: nothing happened.
+"""
+
+from collections.abc import Mapping
+
+import aiohttp
+import msgspec
+
+from ._messages import (
+    Committed,
+    Conflict,
+    Missing,
+    Row,
+    Stored,
+    Unavailable,
+    Uncertain,
+    VmEntry,
+    VmList,
+)
+
+_CALL_DEADLINE_S = 2.0
+
+
+class RowBody(msgspec.Struct):
+    """A row as JSON; ``value`` travels in base64."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+class CommitBody(msgspec.Struct):
+    """A transaction as JSON."""
+
+    expected: dict[str, int]
+    puts: dict[str, bytes]
+    deletes: list[str] = []
+
+
+class VersionsBody(msgspec.Struct):
+    """Row versions as JSON, after a commit or in a conflict."""
+
+    versions: dict[str, int]
+
+
+class VmBody(msgspec.Struct):
+    """One VM as JSON."""
+
+    name: str
+    state: str
+    failure_domain: str = ""
+    address: str = ""
+
+
+class VmListBody(msgspec.Struct):
+    """The list of VMs as JSON."""
+
+    entries: list[VmBody]
+    as_of_ms: int
+
+
+class _HttpService:
+    """A base URL and the session that its calls go through."""
+
+    __slots__ = ("_base", "_deadline", "_session")
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        *,
+        deadline_s: float = _CALL_DEADLINE_S,
+    ) -> None:
+        self._session = session
+        self._base = base_url
+        self._deadline = aiohttp.ClientTimeout(total=deadline_s)
+
+    def __repr__(self) -> str:
+        return f"{type(self).__name__}({self._base!r})"
+
+    async def _read(self, path: str, **query: str) -> tuple[int, bytes] | Unavailable:
+        """GET ``path``; reads have no effect, so every failure is Unavailable."""
+        url = self._base + path
+        try:
+            async with self._session.get(
+                url, params=query, timeout=self._deadline
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Unavailable(_describe(error))
+        if response.status >= 500:
+            return Unavailable(f"status {response.status}")
+        return response.status, body
+
+    async def _write(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes] | Unavailable | Uncertain:
+        url = self._base + path
+        try:
+            async with self._session.request(
+                method, url, data=body, timeout=self._deadline
+            ) as response:
+                answer = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Unavailable(_describe(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return Uncertain(_describe(error))
+        if response.status == 503:
+            return Unavailable("status 503")
+        if response.status >= 500:
+            return Uncertain(f"status {response.status}")
+        return response.status, answer
+
+
+class HttpTable(_HttpService):
+    """The table service over HTTP."""
+
+    __slots__ = ()
+
+    async def get(self, key: str) -> Row | Missing | Unavailable:
+        result = await self._read("/rows", key=key)
+        if isinstance(result, Unavailable):
+            return result
+        status, body = result
+        if status == 404:
+            return Missing(key)
+        row = msgspec.json.decode(body, type=RowBody)
+        return Row(row.key, row.value, row.version)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...] | Unavailable:
+        result = await self._read("/scan", prefix=prefix)
+        if isinstance(result, Unavailable):
+            return result
+        rows = msgspec.json.decode(result[1], type=list[RowBody])
+        return tuple(Row(row.key, row.value, row.version) for row in rows)
+
+    async def commit(
+        self,
+        *,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        deletes: tuple[str, ...] = (),
+    ) -> Committed | Conflict | Unavailable | Uncertain:
+        body = CommitBody(dict(expected), dict(puts), list(deletes))
+        result = await self._write("POST", "/commit", msgspec.json.encode(body))
+        if isinstance(result, Unavailable | Uncertain):
+            return result
+        status, answer = result
+        versions = msgspec.json.decode(answer, type=VersionsBody).versions
+        return Conflict(versions) if status == 409 else Committed(versions)
+
+
+class HttpObjects(_HttpService):
+    """The object store over HTTP."""
+
+    __slots__ = ()
+
+    async def get(self, name: str) -> bytes | Missing | Unavailable:
+        result = await self._read(f"/objects/{name}")
+        if isinstance(result, Unavailable):
+            return result
+        return Missing(name) if result[0] == 404 else result[1]
+
+    async def put(self, name: str, body: bytes) -> Stored | Unavailable | Uncertain:
+        result = await self._write("PUT", f"/objects/{name}", body)
+        if isinstance(result, Unavailable | Uncertain):
+            return result
+        return Stored(name)
+
+
+class HttpWeights(_HttpService):
+    """The weight store's list of versions over HTTP."""
+
+    __slots__ = ()
+
+    async def versions(self) -> dict[str, tuple[str, ...]] | Unavailable:
+        result = await self._read("/weights")
+        if isinstance(result, Unavailable):
+            return result
+        return msgspec.json.decode(result[1], type=dict[str, tuple[str, ...]])
+
+
+class HttpVms(_HttpService):
+    """The platform's list of VMs over HTTP."""
+
+    __slots__ = ()
+
+    async def list(self) -> VmList | Unavailable:
+        result = await self._read("/vms")
+        if isinstance(result, Unavailable):
+            return result
+        body = msgspec.json.decode(result[1], type=VmListBody)
+        entries = tuple(
+            VmEntry(entry.name, entry.state, entry.failure_domain, entry.address)
+            for entry in body.entries
+        )
+        return VmList(entries, body.as_of_ms)
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/fireflyward/platform/_messages.py
@@ -0,0 +1,72 @@
+"""Results of calls to the platform, as tagged values."""
+
+from dataclasses import dataclass, field
+
+
+@dataclass(frozen=True, slots=True)
+class Row:
+    """One row of the table: ``version`` grows by one with every write to it."""
+
+    key: str
+    value: bytes
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class Missing:
+    """There is nothing under this key; its version counts as 0."""
+
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class Committed:
+    """Every write of the transaction took effect, with these new versions."""
+
+    version_by_key: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Conflict:
+    """Nothing was written: these keys had other versions than were expected."""
+
+    version_by_key: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class Stored:
+    """The object is in the store, by this call or by an equal earlier one."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Unavailable:
+    """The service did not take the call; nothing was written."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class Uncertain:
+    """The answer was lost; the write may have taken effect. Read back to know."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class VmEntry:
+    """One VM of the platform's list: ``state`` is ``live`` or ``leaving``."""
+
+    name: str
+    state: str
+    failure_domain: str = ""
+    address: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class VmList:
+    """The list as of ``as_of_ms`` (wall clock of the platform); it lags."""
+
+    entries: tuple[VmEntry, ...]
+    as_of_ms: int
--- /dev/null
+++ b/fireflyward/standins/_engine_server.py
@@ -0,0 +1,122 @@
+"""The engine stand-in behind the HTTP interface of docs/PLATFORM.md."""
+
+import msgspec
+from aiohttp import web
+
+from fireflyward.clock import Clock
+from fireflyward.upstreams import EngineCall, Refused
+from fireflyward.upstreams._engine_http import (
+    CancelBody,
+    GenerateBody,
+    LoadBody,
+    RefusalBody,
+    StreamLine,
+)
+
+from ._engine_model import EngineModel, EngineRun
+from ._http_server import HttpServer
+
+_KEEP_ALIVE_MS = 500
+_STEP_MS = 2
+
+
+class EngineServer(HttpServer):
+    """Serves one ``EngineModel``."""
+
+    def __init__(
+        self, model: EngineModel, *, clock: Clock | None = None, port: int = 0
+    ) -> None:
+        super().__init__(port=port)
+        self.model = model
+        self._clock = clock or Clock()
+
+    def build_app(self) -> web.Application:
+        app = web.Application(client_max_size=64 << 20)
+        app.router.add_post("/v1/completions", self._generate)
+        app.router.add_get("/v1/runs/{run_id}", self._resume)
+        app.router.add_delete("/v1/runs/{run_id}", self._cancel)
+        app.router.add_get("/load", self._load)
+        return app
+
+    async def _generate(self, request: web.Request) -> web.StreamResponse:
+        body = msgspec.json.decode(await request.read(), type=GenerateBody)
+        call = EngineCall(
+            body.run_id,
+            body.model,
+            body.version,
+            body.prompt,
+            body.max_tokens,
+            body.adapter,
+            body.priority,
+            tuple(body.block_keys),
+        )
+        result = self.model.submit(self._clock.now_ms(), call)
+        if isinstance(result, Refused):
+            refusal = RefusalBody(
+                result.reason.value, result.detail, result.retry_after_ms
+            )
+            return web.Response(status=409, body=msgspec.json.encode(refusal))
+        return await self._stream(request, self.model.run_by_id[call.run_id], 0)
+
+    async def _resume(self, request: web.Request) -> web.StreamResponse:
+        run = self.model.run_by_id.get(request.match_info["run_id"])
+        if run is None or run.cancelled:
+            return web.Response(status=404, body=b"{}")
+        return await self._stream(request, run, int(request.query.get("offset", "0")))
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        state = self.model.cancel(self._clock.now_ms(), request.match_info["run_id"])
+        return web.Response(body=msgspec.json.encode(CancelBody(state.value)))
+
+    async def _load(self, request: web.Request) -> web.Response:
+        report = self.model.report(self._clock.now_ms())
+        body = LoadBody(
+            report.queued,
+            report.running,
+            report.queued_prefill_tokens,
+            report.free_blocks,
+            report.version_by_model,
+            report.leaving,
+            report.epoch,
+            report.age_ms,
+        )
+        return web.Response(body=msgspec.json.encode(body))
+
+    async def _stream(
+        self, request: web.Request, run: EngineRun, sent: int
+    ) -> web.StreamResponse:
+        """Send a run's tokens as they come into being, then the end marker."""
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        first = StreamLine(version=run.call.version, cached_tokens=run.cached_tokens)
+        await _send(response, first)
+        quiet_since_ms = self._clock.now_ms()
+        while sent < run.call.max_tokens and not run.cancelled:
+            now_ms = self._clock.now_ms()
+            ready = self.model.tokens_ready(now_ms, run)
+            if ready > sent:
+                text = run.answer.text(sent, ready)
+                await _send(response, StreamLine(sent, ready - sent, text))
+                sent, quiet_since_ms = ready, now_ms
+            elif now_ms - quiet_since_ms >= _KEEP_ALIVE_MS:
+                await response.write(b": waiting\n\n")
+                quiet_since_ms = now_ms
+            await self._clock.sleep_ms(_STEP_MS)
+        if not run.cancelled:
+            await self._send_end(response, run)
+        return response
+
+    async def _send_end(self, response: web.StreamResponse, run: EngineRun) -> None:
+        usage = self.model.usage(run)
+        line = StreamLine(
+            done=True,
+            prompt_tokens=usage.prompt_tokens,
+            completion_tokens=usage.completion_tokens,
+            cached_tokens=usage.cached_tokens,
+        )
+        await _send(response, line)
+        await response.write_eof()
+
+
+async def _send(response: web.StreamResponse, line: StreamLine) -> None:
+    await response.write(b"data: %s\n\n" % msgspec.json.encode(line))
--- /dev/null
+++ b/fireflyward/standins/_platform_memory.py
@@ -0,0 +1,120 @@
+"""The platform's services in memory, with the faults that they have."""
+
+from collections.abc import Mapping
+
+from fireflyward.platform import (
+    Committed,
+    Conflict,
+    Missing,
+    Row,
+    Stored,
+    Unavailable,
+    Uncertain,
+    VmEntry,
+    VmList,
+)
+
+_AWAY = Unavailable("away")
+_LOST = Uncertain("answer lost")
+
+
+class MemoryTable:
+    """A table service; ``away`` and ``lose_answers`` bring its faults about.
+
+    ``lose_answers`` counts the commits to come that take effect though their
+    answer is lost.
+    """
+
+    def __init__(self) -> None:
+        self.row_by_key: dict[str, Row] = {}
+        self.away = False
+        self.lose_answers = 0
+        self.reads = 0
+        self.writes = 0
+
+    async def get(self, key: str) -> Row | Missing | Unavailable:
+        if self.away:
+            return _AWAY
+        self.reads += 1
+        return self.row_by_key.get(key) or Missing(key)
+
+    async def scan(self, prefix: str) -> tuple[Row, ...] | Unavailable:
+        if self.away:
+            return _AWAY
+        self.reads += 1
+        return tuple(
+            row
+            for key, row in sorted(self.row_by_key.items())
+            if key.startswith(prefix)
+        )
+
+    async def commit(
+        self,
+        *,
+        expected: Mapping[str, int],
+        puts: Mapping[str, bytes],
+        deletes: tuple[str, ...] = (),
+    ) -> Committed | Conflict | Unavailable | Uncertain:
+        if self.away:
+            return _AWAY
+        found = {key: self._version(key) for key in expected}
+        if found != dict(expected):
+            return Conflict(found)
+        self.writes += 1
+        for key, value in puts.items():
+            self.row_by_key[key] = Row(key, value, self._version(key) + 1)
+        for key in deletes:
+            self.row_by_key.pop(key, None)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return _LOST
+        return Committed({key: self._version(key) for key in puts})
+
+    def _version(self, key: str) -> int:
+        row = self.row_by_key.get(key)
+        return row.version if row else 0
+
+
+class MemoryObjects:
+    """An object store."""
+
+    def __init__(self) -> None:
+        self.body_by_name: dict[str, bytes] = {}
+        self.away = False
+
+    async def get(self, name: str) -> bytes | Missing | Unavailable:
+        if self.away:
+            return _AWAY
+        body = self.body_by_name.get(name)
+        return Missing(name) if body is None else body
+
+    async def put(self, name: str, body: bytes) -> Stored | Unavailable | Uncertain:
+        if self.away:
+            return _AWAY
+        self.body_by_name[name] = body
+        return Stored(name)
+
+
+class MemoryWeights:
+    """A weight store's list of versions."""
+
+    def __init__(self, versions_by_model: dict[str, tuple[str, ...]]) -> None:
+        self.versions_by_model = versions_by_model
+        self.away = False
+
+    async def versions(self) -> dict[str, tuple[str, ...]] | Unavailable:
+        return _AWAY if self.away else dict(self.versions_by_model)
+
+
+class MemoryVms:
+    """The platform's list of VMs."""
+
+    def __init__(self) -> None:
+        self.entry_by_name: dict[str, VmEntry] = {}
+        self.as_of_ms = 0
+        self.away = False
+
+    async def list(self) -> VmList | Unavailable:
+        if self.away:
+            return _AWAY
+        return VmList(tuple(self.entry_by_name.values()), self.as_of_ms)
--- /dev/null
+++ b/fireflyward/upstreams/_engine_http.py
@@ -0,0 +1,222 @@
+"""A model engine over HTTP, as docs/PLATFORM.md writes its interface."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import msgspec
+
+from fireflyward.outcomes import Reason, Usage
+
+from ._messages import (
+    Accepted,
+    Broken,
+    CancelState,
+    EngineCall,
+    EngineEvent,
+    Finished,
+    LoadReport,
+    Piece,
+    Refused,
+)
+
+_CONNECT_LIMIT_S = 2.0
+_SHORT_CALL_LIMIT_S = 2.0
+_DATA_PREFIX = b"data: "
+
+
+class GenerateBody(msgspec.Struct):
+    """The request of a run as JSON."""
+
+    run_id: str
+    model: str
+    version: str
+    prompt: str
+    max_tokens: int
+    adapter: str = ""
+    priority: int = 5
+    block_keys: list[str] = []
+
+
+class StreamLine(msgspec.Struct):
+    """One event of a run's stream as JSON; the fields that are set tell which."""
+
+    offset: int = -1
+    tokens: int = 0
+    text: str = ""
+    version: str = ""
+    cached_tokens: int = 0
+    done: bool = False
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+
+
+class RefusalBody(msgspec.Struct):
+    """Why an engine did not run a call."""
+
+    reason: str
+    detail: str = ""
+    retry_after_ms: int = 0
+
+
+class LoadBody(msgspec.Struct):
+    """A load report as JSON."""
+
+    queued: int
+    running: int
+    queued_prefill_tokens: int
+    free_blocks: int
+    version_by_model: dict[str, str]
+    leaving: bool
+    epoch: str
+    age_ms: int
+
+
+class CancelBody(msgspec.Struct):
+    """The answer to a cancel as JSON."""
+
+    state: str
+
+
+_decode_line = msgspec.json.Decoder(StreamLine).decode
+
+
+class HttpEngine:
+    """One replica behind a base URL.
+
+    ``silence_limit_ms`` bounds the time without a byte on a stream. The engine
+    sends a comment line while a run waits or prefills, so a longer silence means
+    a lost connection and not a slow answer.
+    """
+
+    __slots__ = ("_base", "_session", "_silence_limit_s")
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        *,
+        silence_limit_ms: int = 3_000,
+    ) -> None:
+        self._session = session
+        self._base = base_url
+        self._silence_limit_s = silence_limit_ms / 1_000
+
+    def __repr__(self) -> str:
+        return f"HttpEngine({self._base!r})"
+
+    async def generate(self, call: EngineCall) -> AsyncIterator[EngineEvent]:
+        body = GenerateBody(
+            call.run_id,
+            call.model,
+            call.version,
+            call.prompt,
+            call.max_tokens,
+            call.adapter,
+            call.priority,
+            list(call.block_keys),
+        )
+        headers = {"Content-Type": "application/json"}
+        if call.trace_parent:
+            headers["traceparent"] = call.trace_parent
+        request = self._session.post(
+            f"{self._base}/v1/completions",
+            data=msgspec.json.encode(body),
+            headers=headers,
+            timeout=self._stream_timeout(),
+        )
+        async for event in self._events(request):
+            yield event
+
+    async def resume(self, run_id: str, offset: int) -> AsyncIterator[EngineEvent]:
+        request = self._session.get(
+            f"{self._base}/v1/runs/{run_id}",
+            params={"offset": str(offset)},
+            timeout=self._stream_timeout(),
+        )
+        async for event in self._events(request):
+            yield event
+
+    async def cancel(self, run_id: str) -> CancelState:
+        try:
+            async with self._session.delete(
+                f"{self._base}/v1/runs/{run_id}", timeout=_short_timeout()
+            ) as response:
+                body = msgspec.json.decode(await response.read(), type=CancelBody)
+                return CancelState(body.state)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
+            return CancelState.NO_ANSWER
+
+    async def load(self) -> LoadReport | Broken:
+        try:
+            async with self._session.get(
+                f"{self._base}/load", timeout=_short_timeout()
+            ) as response:
+                body = msgspec.json.decode(await response.read(), type=LoadBody)
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            return Broken(False, _describe(error))
+        return LoadReport(
+            body.queued,
+            body.running,
+            body.queued_prefill_tokens,
+            body.free_blocks,
+            body.version_by_model,
+            body.leaving,
+            body.epoch,
+            body.age_ms,
+        )
+
+    def _stream_timeout(self) -> aiohttp.ClientTimeout:
+        return aiohttp.ClientTimeout(
+            total=None,
+            sock_connect=_CONNECT_LIMIT_S,
+            sock_read=self._silence_limit_s,
+        )
+
+    async def _events(self, request) -> AsyncIterator[EngineEvent]:
+        """Turn a streamed response into events; a loss ends as ``Broken``."""
+        try:
+            async with request as response:
+                if response.status != 200:
+                    yield _refusal(response.status, await response.read())
+                    return
+                async for line in response.content:
+                    if not line.startswith(_DATA_PREFIX):
+                        continue
+                    event = _event_of(_decode_line(line[len(_DATA_PREFIX) :]))
+                    yield event
+                    if isinstance(event, Finished):
+                        return
+        except aiohttp.ClientConnectorError as error:
+            yield Broken(False, _describe(error))
+            return
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            yield Broken(True, _describe(error))
+            return
+        yield Broken(True, "stream ended without its end marker")
+
+
+def _short_timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(total=_SHORT_CALL_LIMIT_S)
+
+
+def _event_of(line: StreamLine) -> EngineEvent:
+    if line.done:
+        usage = Usage(line.prompt_tokens, line.completion_tokens, line.cached_tokens)
+        return Finished(usage)
+    if line.offset < 0:
+        return Accepted(line.version, line.cached_tokens)
+    return Piece(line.offset, line.tokens, line.text)
+
+
+def _refusal(status: int, body: bytes) -> EngineEvent:
+    """Read a refusal; an answer that is not one leaves open whether it ran."""
+    try:
+        refusal = msgspec.json.decode(body, type=RefusalBody)
+        reason = Reason(refusal.reason)
+    except ValueError:
+        return Broken(True, f"status {status}")
+    return Refused(reason, refusal.detail, refusal.retry_after_ms)
+
+
+def _describe(error: BaseException) -> str:
+    return f"{type(error).__name__}: {error}"
--- /dev/null
+++ b/fireflyward/upstreams/_protocols.py
@@ -0,0 +1,35 @@
+"""What the product needs of an engine and of a plain service."""
+
+from collections.abc import AsyncIterator
+from typing import Protocol
+
+from ._messages import (
+    Broken,
+    CancelState,
+    EngineCall,
+    EngineEvent,
+    LoadReport,
+    Refused,
+    ServiceCall,
+    ServiceReply,
+)
+
+
+class Engine(Protocol):
+    """One replica of a model engine."""
+
+    def generate(self, call: EngineCall) -> AsyncIterator[EngineEvent]:
+        """Start a run and yield its events, ending with one that is final."""
+
+    def resume(self, run_id: str, offset: int) -> AsyncIterator[EngineEvent]:
+        """Yield the events of a run that was started before, from ``offset``."""
+
+    async def cancel(self, run_id: str) -> CancelState: ...
+
+    async def load(self) -> LoadReport | Broken: ...
+
+
+class PlainService(Protocol):
+    """One replica of a plain service."""
+
+    async def call(self, call: ServiceCall) -> ServiceReply | Refused | Broken: ...
