Give each subcommand its own module, and add standins

Cause: the command's one file would have grown with every part, and a node could only be tried inside the demo's process. Conclusion: several real processes can now be put together by hand.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: run test faults fuzz bench format clean
+.PHONY: run test settings-page faults fuzz bench format clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -17,6 +17,12 @@
 	$(PYTHON) -m ruff check .
 	$(PYTHON) -W error::ResourceWarning -m unittest discover -s tests -t .
 
+bench: $(STAMP)
+	$(PYTHON) -m fireflyward bench --report build/report
+
+settings-page: $(STAMP)
+	$(PYTHON) -m fireflyward settings --reference > docs/SETTINGS.md
+
 format: $(STAMP)
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
--- a/fireflyward/bench/__init__.py
+++ b/fireflyward/bench/__init__.py
@@ -1,6 +1,7 @@
 """Measurements with regression bounds: ``fireflyward bench``."""
 
 from ._bench import Bench, Bound, Figure, Row, find_benches, load_bounds, run_benches
+from ._report import write_report
 
 __all__ = [
     "Bench",
@@ -10,4 +11,5 @@
     "find_benches",
     "load_bounds",
     "run_benches",
+    "write_report",
 ]
--- a/fireflyward/bench/_bench.py
+++ b/fireflyward/bench/_bench.py
@@ -3,7 +3,7 @@
 import importlib
 import pkgutil
 import tomllib
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 
@@ -56,6 +56,12 @@
         met = self.bound.lowest <= self.figure.value <= self.bound.highest
         return "met" if met else "missed"
 
+    @property
+    def bound_text(self) -> str:
+        if self.bound is None:
+            return "-"
+        return f"{self.bound.lowest:g} to {self.bound.highest:g}"
+
 
 def find_benches() -> dict[str, Bench]:
     """Return every measurement by name."""
@@ -81,10 +87,8 @@
 
 def run_benches(
     benches: Iterable[Bench], bound_by_figure: dict[str, Bound]
-) -> list[Row]:
-    """Run measurements one after the other and judge their figures."""
-    return [
-        Row(figure, bound_by_figure.get(figure.name))
-        for bench in benches
-        for figure in bench.run()
-    ]
+) -> Iterator[Row]:
+    """Run measurements one after the other, judging each figure as it comes."""
+    for bench in benches:
+        for figure in bench.run():
+            yield Row(figure, bound_by_figure.get(figure.name))
--- /dev/null
+++ b/fireflyward/commands/_common.py
@@ -0,0 +1,26 @@
+"""What the subcommands share."""
+
+import argparse
+import os
+import sys
+
+from fireflyward.settings import SERVE_SETTINGS, Settings, load
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def load_settings(options: argparse.Namespace) -> Settings | None:
+    """Check the settings of a node; print every refusal and return None if any."""
+    result = load(SERVE_SETTINGS, vars(options), os.environ)
+    if isinstance(result, Settings):
+        return result
+    for refused in result:
+        complain(str(refused))
+    return None
+
+
+def complain(text: str) -> None:
+    """Write one line to standard error in the command's name."""
+    print(f"fireflyward: {text}", file=sys.stderr)
--- /dev/null
+++ b/fireflyward/commands/_demo.py
@@ -0,0 +1,28 @@
+"""``fireflyward demo``: the whole system at work in one process."""
+
+import argparse
+
+from ._common import EXIT_FAILED, EXIT_OK
+
+
+def add(commands) -> None:
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        "demo",
+        help="see the whole system at work, with stand-ins, in one process",
+        description="Starts stand-ins and nodes, serves prompts through losses, and "
+        "tells what was reused. Exits 1 if anything was lost, doubled or mixed.",
+    )
+    parser.add_argument(
+        "--json", action="store_true", help="end with one JSON object on the last line"
+    )
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Run the demo to its end."""
+    import asyncio
+
+    from fireflyward.demo import run_demo
+
+    return EXIT_OK if asyncio.run(run_demo(as_json=options.json)) else EXIT_FAILED
--- /dev/null
+++ b/fireflyward/commands/_serve.py
@@ -0,0 +1,38 @@
+"""``fireflyward serve``: one entry VM's node."""
+
+import argparse
+
+from fireflyward.settings import SERVE_SETTINGS, add_flags
+
+from ._common import EXIT_FAILED, EXIT_OK, EXIT_USAGE, complain, load_settings
+
+
+def add(commands) -> None:
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        "serve",
+        help="run one entry VM's node",
+        description="Runs one node until SIGTERM, which it obeys without cutting "
+        "a request. Every entry VM runs this same command.",
+    )
+    add_flags(parser, SERVE_SETTINGS)
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Serve until a signal."""
+    settings = load_settings(options)
+    if settings is None:
+        return EXIT_USAGE
+    import asyncio
+
+    from fireflyward.daemon import serve
+    from fireflyward.observe import set_up_logs
+
+    set_up_logs(settings["log_level"], settings["log_format"])
+    try:
+        asyncio.run(serve(settings))
+    except OSError as error:
+        complain(f"cannot serve: {error}")
+        return EXIT_FAILED
+    return EXIT_OK
--- /dev/null
+++ b/fireflyward/commands/_settings.py
@@ -0,0 +1,59 @@
+"""``fireflyward settings``: what is in force and where it comes from."""
+
+import argparse
+
+from fireflyward.settings import SERVE_SETTINGS, add_flags
+
+from ._common import EXIT_OK, EXIT_USAGE, load_settings
+
+
+def add(commands) -> None:
+    """Add the subcommand."""
+    parser = commands.add_parser(
+        "settings",
+        help="print the settings in force and where each comes from",
+        description="Checks flags and variables as serve would, and prints them. "
+        "Secrets are shown only as set or not set.",
+    )
+    parser.add_argument(
+        "--reference",
+        action="store_true",
+        help="print the reference of all settings in Markdown instead",
+    )
+    add_flags(parser, SERVE_SETTINGS)
+    parser.set_defaults(run=run)
+
+
+def run(options: argparse.Namespace) -> int:
+    """Print the settings or their reference."""
+    if options.reference:
+        print(reference())
+        return EXIT_OK
+    settings = load_settings(options)
+    if settings is None:
+        return EXIT_USAGE
+    for name, shown, source in settings.rows():
+        print(f"{name} = {shown}  ({source})")
+    return EXIT_OK
+
+
+def reference() -> str:
+    """Return docs/SETTINGS.md; a test holds the committed page against it."""
+    lines = [
+        "# Settings",
+        "",
+        "Every setting is a flag and an environment variable; the flag goes first,",
+        "then the variable, then the default. A wrong value stops the command with",
+        "exit code 2 before any socket opens. This page is the output of",
+        "`fireflyward settings --reference`.",
+        "",
+        "| Flag | Variable | Default | Allowed | For |",
+        "| --- | --- | --- | --- | --- |",
+    ]
+    for item in sorted(SERVE_SETTINGS, key=lambda setting: setting.name):
+        default = "(secret)" if item.secret else item.default or "none"
+        lines.append(
+            f"| `{item.flag}` | `{item.variable}` | {default} | {item.allowed} "
+            f"| {item.help} |"
+        )
+    return "\n".join(lines)
--- a/fireflyward/demo/__init__.py
+++ b/fireflyward/demo/__init__.py
@@ -1,6 +1,6 @@
 """The whole system in one process, with stand-ins around it."""
 
 from ._demo import run_demo
-from ._deployment import DemoDeployment
+from ._deployment import DemoDeployment, node_command
 
-__all__ = ["DemoDeployment", "run_demo"]
+__all__ = ["DemoDeployment", "node_command", "run_demo"]
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: stand-ins, nodes and a signed bundle."""
 
 import hashlib
+import itertools
 
 import aiohttp
 
@@ -47,12 +48,15 @@
         nodes_per_domain: int = 2,
         engines_per_domain: int = 2,
         costs: EngineCosts | None = None,
+        first_port: int = 0,
     ) -> None:
-        self.platform = PlatformServer()
-        self.service = ServiceServer()
+        ports = itertools.count(first_port) if first_port else itertools.repeat(0)
+        self.platform = PlatformServer(port=next(ports))
+        self.service = ServiceServer(port=next(ports))
         self.engine_by_name = {
             f"engine-{domain}-{index}": EngineServer(
-                EngineModel({MODEL: VERSION}, costs or EngineCosts())
+                EngineModel({MODEL: VERSION}, costs or EngineCosts()),
+                port=next(ports),
             )
             for domain in DOMAINS
             for index in range(engines_per_domain)
@@ -110,29 +114,27 @@
             "demo", number, {MODEL: Model(VERSION)}, accounts, upstreams, services
         )
 
-    def make_settings(self, name: str, domain: str) -> Settings:
-        """Return the settings of one node."""
+    def flag_values(self, name: str, domain: str) -> dict[str, str]:
+        """Return the settings of one node as text by name."""
         roots = ",".join(
             f"{key.person}={key.public_bytes().hex()}"
             for key in (self.author, self.approver)
         )
-        settings = load(
-            SERVE_SETTINGS,
-            {
-                "node_name": name,
-                "failure_domain": domain,
-                "port": "0",
-                "peer_port": "0",
-                "peer_keys": _PEER_KEY,
-                "table_url": self.platform.url,
-                "objects_url": self.platform.url,
-                "weights_url": self.platform.url,
-                "vms_url": self.platform.url,
-                "trust_roots": roots,
-                "bundle_poll_ms": "200",
-            },
-            {},
-        )
+        return {
+            "node_name": name,
+            "failure_domain": domain,
+            "peer_keys": _PEER_KEY,
+            "table_url": self.platform.url,
+            "objects_url": self.platform.url,
+            "weights_url": self.platform.url,
+            "vms_url": self.platform.url,
+            "trust_roots": roots,
+        }
+
+    def make_settings(self, name: str, domain: str) -> Settings:
+        """Return the settings of one node of this process."""
+        ports = {"port": "0", "peer_port": "0", "bundle_poll_ms": "200"}
+        settings = load(SERVE_SETTINGS, self.flag_values(name, domain) | ports, {})
         assert isinstance(settings, Settings), settings
         return settings
 
@@ -142,6 +144,15 @@
         self.node_by_name[name] = node
 
 
+def node_command(deployment: DemoDeployment) -> str:
+    """Return the shell command that starts a node against the stand-ins."""
+    values = deployment.flag_values("entry-1", DOMAINS[0])
+    flags = [
+        f"--{name.replace('_', '-')} {value}" for name, value in values.items() if value
+    ]
+    return " \\\n  ".join(["fireflyward serve", *flags])
+
+
 def _domain_of(engine_name: str) -> str:
     return engine_name.removeprefix("engine-").rpartition("-")[0]
 
