Name the members of a deployment and the owner of a key

Cause: load sharing and bundle distribution need one answer to who lives in a failure domain and which node does a piece of work.

Change: the membership slice's public face (Members, Member, MemberState), rendezvous hashing, and the named steps of a node's start and planned stop.

Result: the tests show that only the keys of a member that goes move, and that the second owner takes over. Nothing keeps the members up to date yet.

--- a/fireflyward/daemon/__init__.py
+++ b/fireflyward/daemon/__init__.py
@@ -1,6 +1,7 @@
 """The one program that every entry VM runs."""
 
+from ._lifecycle_steps import StartStep, StopStep
 from ._node import Node
 from ._serve import serve
 
-__all__ = ["Node", "serve"]
+__all__ = ["Node", "StartStep", "StopStep", "serve"]
--- /dev/null
+++ b/fireflyward/daemon/_lifecycle_steps.py
@@ -0,0 +1,27 @@
+"""The named points of a node's start and of its planned stop."""
+
+from fireflyward.steps import Step
+
+
+class StartStep(Step):
+    """Start of a node, in order."""
+
+    LINK_OPEN = "start: peer link open"
+    PORT_OPEN = "start: port for callers open"
+    DUTIES_BEGUN = "start: duties begun"
+    READY = "start: ready"
+
+
+class StopStep(Step):
+    """Planned stop of a node, in order; a hard limit or second signal jumps to
+    ``CUT``.
+    """
+
+    READINESS_GONE = "stop: readiness gone"
+    PEERS_TOLD = "stop: peers told"
+    BALANCER_WAITED = "stop: balancer had its time"
+    KEEP_ALIVE_ENDED = "stop: keep-alive connections close"
+    DRAINED = "stop: requests ran out"
+    CUT = "stop: requests cut"
+    HANDED_ON = "stop: duties handed on"
+    CLOSED = "stop: closed"
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -12,6 +12,7 @@
 from fireflyward.entry import EntryParts, build_app
 from fireflyward.kept import BlockNames
 from fireflyward.limits import Admission
+from fireflyward.membership import Member, Members
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.peers import PeerCodec, PeerLink
 from fireflyward.platform import HttpObjects, HttpTable, Missing, Unavailable
@@ -55,6 +56,7 @@
             host=settings["peer_host"],
             port=settings["peer_port"],
         )
+        self.members = Members(self._own_member())
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self._session: aiohttp.ClientSession | None = None
@@ -114,6 +116,15 @@
         """Tell the balancer whether new requests may come here."""
         return not self._stopping and self.holder.bundle is not None
 
+    def _own_member(self) -> Member:
+        return Member(
+            self.settings["node_name"],
+            self.link.address,
+            self.settings["failure_domain"],
+            self.settings["region"],
+            self.link.incarnation,
+        )
+
     def _entry_parts(self, records: RunRecords) -> EntryParts:
         return EntryParts(
             clock=self.clock,
--- /dev/null
+++ b/tests/membership/test_rendezvous.py
@@ -0,0 +1,36 @@
+import unittest
+
+from fireflyward.membership import Member, owner_of, owners_of
+
+KEYS = [f"key-{index}" for index in range(2_000)]
+MEMBERS = [
+    Member(f"entry-{index}", ("127.0.0.1", index), "d1", "r", 1) for index in range(35)
+]
+
+
+class OwnerTests(unittest.TestCase):
+    def test_nobody_owns_a_key_without_members(self):
+        self.assertIsNone(owner_of("key", []))
+
+    def test_order_of_members_does_not_matter(self):
+        for key in KEYS[:100]:
+            self.assertEqual(owner_of(key, MEMBERS), owner_of(key, MEMBERS[::-1]))
+
+    def test_only_keys_of_the_member_that_goes_move(self):
+        before = {key: owner_of(key, MEMBERS) for key in KEYS}
+        for key in KEYS:
+            after = owner_of(key, MEMBERS[1:])
+            if before[key] is not MEMBERS[0]:
+                self.assertIs(after, before[key])
+
+    def test_second_owner_takes_over(self):
+        for key in KEYS[:200]:
+            first, second = owners_of(key, MEMBERS, 2)
+            left = [member for member in MEMBERS if member is not first]
+            self.assertIs(owner_of(key, left), second)
+
+    def test_every_member_owns_its_share(self):
+        owners = [owner_of(key, MEMBERS).name for key in KEYS]
+        shares = [owners.count(member.name) for member in MEMBERS]
+        self.assertGreater(min(shares), 0.5 * len(KEYS) / len(MEMBERS))
+        self.assertLess(max(shares), 1.6 * len(KEYS) / len(MEMBERS))
