Judge a run by what was seen from outside it

The fault matrix, the load tool and the long run need one judge that does not trust the system's own word. The checker takes typed observations of callers, upstreams, stores and the platform, and names each of the nine promises that broke, and every request that was lost. 20 hand-made histories break each promise at least once and are caught as that promise; 9 lawful ones (a retry after a refusal, a run across a swap, a crash during a stop, a node that was cut off) are let through.

--- /dev/null
+++ b/fireflyward/checker/_bundles.py
@@ -0,0 +1,83 @@
+"""Checks the bundle numbers that callers met against the accepted ones."""
+
+from functools import singledispatchmethod
+
+from ._observations import BundleAccepted, BundleServed, Observation, Reachable
+from ._promises import Promise, Violation
+
+
+class BundleChecker:
+    """Keeps the time of each acceptance and the highest number of each node.
+
+    A node that could not reach the platform has its limit counted from the time
+    at which it could again. Number 0 is what a node without a bundle refuses by.
+    """
+
+    __slots__ = (
+        "_accepted_ms_by_number",
+        "_cut_off",
+        "_digest_by_number",
+        "_force_limit_ms",
+        "_highest_by_node",
+        "_reachable_ms",
+        "violations",
+    )
+
+    def __init__(self, force_limit_ms: int) -> None:
+        self.violations: list[Violation] = []
+        self._force_limit_ms = force_limit_ms
+        self._accepted_ms_by_number: dict[int, int] = {}
+        self._digest_by_number: dict[int, str] = {}
+        self._highest_by_node: dict[str, int] = {}
+        self._cut_off: set[str] = set()
+        self._reachable_ms: dict[str, int] = {}
+
+    @singledispatchmethod
+    def see(self, observation: Observation) -> None:
+        """Take one observation of the table service or of a caller."""
+        raise TypeError(f"no check takes {observation!r}")
+
+    @see.register
+    def _(self, observation: BundleAccepted) -> None:
+        number = observation.number
+        highest = max(self._accepted_ms_by_number, default=number - 1)
+        known = self._digest_by_number.setdefault(number, observation.digest)
+        if known != observation.digest:
+            self._add(observation.at_ms, f"number {number} was accepted twice")
+        elif number < highest:
+            self._add(observation.at_ms, f"{number} was accepted after {highest}")
+        self._accepted_ms_by_number.setdefault(number, observation.at_ms)
+
+    @see.register
+    def _(self, observation: Reachable) -> None:
+        if not observation.is_reachable:
+            self._cut_off.add(observation.node)
+        elif observation.node in self._cut_off:
+            self._cut_off.discard(observation.node)
+            self._reachable_ms[observation.node] = observation.at_ms
+
+    @see.register
+    def _(self, observation: BundleServed) -> None:
+        node, number = observation.node, observation.number
+        if not number:
+            return
+        highest = self._highest_by_node.get(node, 0)
+        if number < highest:
+            self._add(observation.at_ms, f"{node} went from {highest} to {number}")
+        self._highest_by_node[node] = max(number, highest)
+        if number not in self._accepted_ms_by_number:
+            self._add(observation.at_ms, f"{node} serves {number}, accepted by none")
+        if node not in self._cut_off:
+            self._check_force(observation)
+
+    def _check_force(self, observation: BundleServed) -> None:
+        reachable_ms = self._reachable_ms.get(observation.node, 0)
+        for number, accepted_ms in self._accepted_ms_by_number.items():
+            due_ms = max(accepted_ms, reachable_ms) + self._force_limit_ms
+            if number > observation.number and observation.at_ms > due_ms:
+                detail = f"{observation.node} still serves {observation.number}"
+                self._add(observation.at_ms, f"{detail}, {number} was due at {due_ms}")
+                return
+
+    def _add(self, at_ms: int, detail: str) -> None:
+        self.violations.append(Violation(Promise.BUNDLE_IN_FORCE, at_ms, detail))
--- /dev/null
+++ b/fireflyward/checker/_checker.py
@@ -0,0 +1,95 @@
+"""The one checker behind the fault matrix, the load tool and the long run."""
+
+from functools import singledispatchmethod
+
+from ._blocks import BlockChecker
+from ._bundles import BundleChecker
+from ._observations import (
+    Asked,
+    BlockFreed,
+    BlockRead,
+    BlockSealed,
+    BundleAccepted,
+    BundleServed,
+    CallerLeft,
+    Ended,
+    NodeLost,
+    Observation,
+    Ran,
+    Reachable,
+    StopBegan,
+    UpstreamLeaving,
+)
+from ._promises import Promise, Violation
+from ._requests import RequestChecker
+
+_LEAVING_LIMIT_MS = 3_000
+_FORCE_LIMIT_MS = 9_000
+
+
+class Checker:
+    """Takes observations in the order of time and says which promises broke.
+
+    >>> from fireflyward.checker import Asked, Checker, Ended, Ending
+    >>> checker = Checker()
+    >>> checker.see(Asked(0, "r", "a", ("yes",)))
+    >>> checker.see(Ended(9, "r", Ending.ANSWERED, "yes"))
+    >>> checker.finish(10)
+    ()
+    """
+
+    __slots__ = ("_blocks", "_bundles", "_leaving_limit_ms", "_leaving_ms", "_requests")
+
+    def __init__(
+        self,
+        *,
+        leaving_limit_ms: int = _LEAVING_LIMIT_MS,
+        force_limit_ms: int = _FORCE_LIMIT_MS,
+    ) -> None:
+        self._requests = RequestChecker()
+        self._blocks = BlockChecker()
+        self._bundles = BundleChecker(force_limit_ms)
+        self._leaving_limit_ms = leaving_limit_ms
+        self._leaving_ms: dict[str, int] = {}
+
+    def finish(self, now_ms: int) -> tuple[Violation, ...]:
+        """Return every violation, those of unended requests included."""
+        found = [
+            *self._requests.finish(now_ms),
+            *self._blocks.violations,
+            *self._bundles.violations,
+        ]
+        return tuple(sorted(found, key=lambda violation: violation.at_ms))
+
+    @singledispatchmethod
+    def see(self, observation: Observation) -> None:
+        """Take one observation."""
+        raise TypeError(f"no check takes {observation!r}")
+
+    @see.register(Asked | Ended | CallerLeft | StopBegan | NodeLost)
+    def _(self, observation: Observation) -> None:
+        self._requests.see(observation)
+
+    @see.register
+    def _(self, observation: Ran) -> None:
+        self._requests.see(observation)
+        left_ms = self._leaving_ms.get(observation.upstream)
+        if left_ms is None or observation.at_ms <= left_ms + self._leaving_limit_ms:
+            return
+        late_ms = observation.at_ms - left_ms
+        detail = f"{observation.upstream} got {observation.request} {late_ms} ms after"
+        self._requests.violations.append(
+            Violation(Promise.LEAVING_UPSTREAM, observation.at_ms, detail)
+        )
+
+    @see.register
+    def _(self, observation: UpstreamLeaving) -> None:
+        self._leaving_ms.setdefault(observation.upstream, observation.at_ms)
+
+    @see.register(BlockSealed | BlockFreed | BlockRead)
+    def _(self, observation: Observation) -> None:
+        self._blocks.see(observation)
+
+    @see.register(BundleAccepted | BundleServed | Reachable)
+    def _(self, observation: Observation) -> None:
+        self._bundles.see(observation)
--- /dev/null
+++ b/fireflyward/checker/_requests.py
@@ -0,0 +1,142 @@
+"""Checks what callers got against what they asked and what upstreams ran."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from functools import singledispatchmethod
+
+from ._observations import (
+    Asked,
+    CallerLeft,
+    Ended,
+    Ending,
+    NodeLost,
+    Observation,
+    Ran,
+    StopBegan,
+)
+from ._promises import Promise, Violation
+
+_SHOWN_CHARACTERS = 40
+
+
+@dataclass(slots=True)
+class _Request:
+    asked: Asked
+    runs: Counter[str] = field(default_factory=Counter)
+    refused_run_ids: set[str] = field(default_factory=set)
+    was_refused: bool = False
+    is_over: bool = False
+
+
+class RequestChecker:
+    """Keeps one small record for each request."""
+
+    __slots__ = ("_owner_by_answer", "_request_by_name", "_stopping", "violations")
+
+    def __init__(self) -> None:
+        self.violations: list[Violation] = []
+        self._request_by_name: dict[str, _Request] = {}
+        self._owner_by_answer: dict[str, str] = {}
+        self._stopping: set[str] = set()
+
+    def finish(self, now_ms: int) -> list[Violation]:
+        """Return all violations; a request without an outcome is lost by now."""
+        lost = [
+            Violation(Promise.NOTHING_LOST, now_ms, f"{name} never got an outcome")
+            for name, request in self._request_by_name.items()
+            if not request.is_over
+        ]
+        return self.violations + lost
+
+    @singledispatchmethod
+    def see(self, observation: Observation) -> None:
+        """Take one observation of a caller, an upstream or a node's end."""
+        raise TypeError(f"no check takes {observation!r}")
+
+    @see.register
+    def _(self, observation: Asked) -> None:
+        if observation.request in self._request_by_name:
+            return
+        self._request_by_name[observation.request] = _Request(observation)
+        for answer in observation.answers:
+            self._owner_by_answer.setdefault(answer, observation.request)
+
+    @see.register
+    def _(self, observation: CallerLeft) -> None:
+        self._request_by_name[observation.request].is_over = True
+
+    @see.register
+    def _(self, observation: StopBegan) -> None:
+        self._stopping.add(observation.node)
+
+    @see.register
+    def _(self, observation: NodeLost) -> None:
+        self._stopping.discard(observation.node)
+
+    @see.register
+    def _(self, observation: Ran) -> None:
+        request = self._request_by_name.get(observation.request)
+        if request is None:
+            detail = (
+                f"{observation.upstream} ran {observation.request!r}, asked by none"
+            )
+            self._add(Promise.OWN_ACCOUNT, observation.at_ms, detail)
+            return
+        request.runs[observation.run_id] += 1
+        if request.asked.is_non_idempotent:
+            self._check_once(observation, request)
+        elif observation.run_id in request.refused_run_ids:
+            self._add_false_refusal(observation.at_ms, observation.request)
+
+    def _check_once(self, observation: Ran, request: _Request) -> None:
+        if request.runs.total() > 1:
+            detail = f"{observation.request} ran {request.runs.total()} times"
+            self._add(Promise.AT_MOST_ONCE, observation.at_ms, detail)
+        if request.was_refused:
+            self._add_false_refusal(observation.at_ms, observation.request)
+
+    @see.register
+    def _(self, observation: Ended) -> None:
+        request = self._request_by_name[observation.request]
+        request.is_over = request.is_over or observation.is_final
+        self._check_text(observation, request)
+        if observation.ending is Ending.NOT_RUN:
+            self._check_refusal(observation, request)
+        if observation.ending is Ending.CUT and observation.node in self._stopping:
+            detail = f"{observation.node} cut {observation.request}"
+            self._add(Promise.GRACEFUL_STOP, observation.at_ms, detail)
+
+    def _check_refusal(self, observation: Ended, request: _Request) -> None:
+        """Hold "not run" against the runs so far, and remember it for later ones.
+
+        An idempotent request may run for another attempt of its caller, so only
+        this attempt's run counts; of a non-idempotent one any run does.
+        """
+        request.refused_run_ids.add(observation.run_id)
+        request.was_refused = request.asked.is_non_idempotent
+        ran = request.runs[observation.run_id] if observation.run_id else 0
+        if request.asked.is_non_idempotent:
+            ran = request.runs.total()
+        if ran:
+            self._add_false_refusal(observation.at_ms, observation.request)
+
+    def _check_text(self, observation: Ended, request: _Request) -> None:
+        text = observation.text
+        if observation.ending is Ending.ANSWERED:
+            if text in request.asked.answers:
+                return
+        elif any(answer.startswith(text) for answer in request.asked.answers):
+            return
+        owner = self._owner_by_answer.get(text)
+        other = self._request_by_name[owner].asked.account if owner else None
+        shown = f"{observation.request} got {text[:_SHOWN_CHARACTERS]!r}"
+        if other is not None and other != request.asked.account:
+            self._add(Promise.OWN_ACCOUNT, observation.at_ms, f"{shown} of {owner}")
+        else:
+            self._add(Promise.WHOLE_ANSWER, observation.at_ms, shown)
+
+    def _add_false_refusal(self, at_ms: int, name: str) -> None:
+        self._add(Promise.TRUE_REFUSAL, at_ms, f"{name} was refused and did run")
+
+    def _add(self, promise: Promise, at_ms: int, detail: str) -> None:
+        self.violations.append(Violation(promise, at_ms, detail))
--- /dev/null
+++ b/tests/checker/test_checker.py
@@ -0,0 +1,177 @@
+import unittest
+
+from fireflyward.checker import (
+    Asked,
+    BlockFreed,
+    BlockRead,
+    BlockSealed,
+    BundleAccepted,
+    BundleServed,
+    CallerLeft,
+    Checker,
+    Ended,
+    Ending,
+    NodeLost,
+    Promise,
+    Ran,
+    Reachable,
+    StopBegan,
+    UpstreamLeaving,
+)
+
+ASKED = Asked(0, "r", "bridge", ("whole answer",))
+OTHER = Asked(0, "s", "tower", ("its answer",))
+CALL = Asked(0, "c", "bridge", ("done",), is_non_idempotent=True)
+ANSWERED = Ended(9, "r", Ending.ANSWERED, "whole answer", "id", "n1")
+SEALED = BlockSealed(1, "store", "b", 1, "bridge", "v1", "sum")
+
+
+def read(**changes):
+    fields = {
+        "at_ms": 9,
+        "read_at_ms": 8,
+        "store": "store",
+        "block": "b",
+        "generation": 1,
+        "checksum": "sum",
+        "request": "r",
+        "account": "bridge",
+        "version": "v1",
+    }
+    return BlockRead(**{**fields, **changes})
+
+
+KEPT = {
+    "a whole answer": [ASKED, Ran(1, "e", "r", "id"), ANSWERED],
+    "a true refusal": [CALL, Ended(2, "c", Ending.NOT_RUN, run_id="id")],
+    "a caller that left": [ASKED, CallerLeft(3, "r")],
+    "a second attempt that ran": [
+        ASKED,
+        Ended(2, "r", Ending.NOT_RUN, run_id="id1", is_final=False),
+        Ran(3, "e", "r", "id2"),
+        ANSWERED,
+    ],
+    "a block freed after it was read": [SEALED, BlockFreed(9, "store", "b", 1), read()],
+    "a run that goes on across a swap": [SEALED, read(version="v2", is_continued=True)],
+    "work soon after an upstream's leaving": [
+        ASKED,
+        UpstreamLeaving(0, "e"),
+        Ran(3_000, "e", "r", "id"),
+        ANSWERED,
+    ],
+    "a crash during a stop": [
+        ASKED,
+        StopBegan(1, "n1"),
+        NodeLost(2, "n1"),
+        Ended(3, "r", Ending.CUT, "whole", "id", "n1", is_final=False),
+        ANSWERED,
+    ],
+    "a node that was cut off": [
+        BundleAccepted(0, 1, "d1"),
+        Reachable(1, "n1", False),
+        BundleAccepted(2, 2, "d2"),
+        BundleServed(20_000, "n1", 1),
+        Reachable(20_001, "n1", True),
+        BundleServed(29_001, "n1", 1),
+    ],
+}
+BROKEN = {
+    "a block freed before": (
+        Promise.WHOLE_BLOCKS,
+        [SEALED, BlockFreed(7, "store", "b", 1), read()],
+    ),
+    "a block never sealed": (Promise.WHOLE_BLOCKS, [read()]),
+    "other bytes in its place": (Promise.WHOLE_BLOCKS, [SEALED, read(checksum="x")]),
+    "another account's block": (Promise.OWN_ACCOUNT, [SEALED, read(account="tower")]),
+    "another account's answer": (
+        Promise.OWN_ACCOUNT,
+        [ASKED, OTHER, ANSWERED, Ended(3, "s", Ending.ANSWERED, "whole answer")],
+    ),
+    "work that nobody asked for": (Promise.OWN_ACCOUNT, [Ran(1, "e", "?", "id")]),
+    "another version's block": (Promise.OWN_VERSION, [SEALED, read(version="v2")]),
+    "a short answer": (
+        Promise.WHOLE_ANSWER,
+        [ASKED, Ended(3, "r", Ending.ANSWERED, "whole")],
+    ),
+    "a gap in a cut stream": (
+        Promise.WHOLE_ANSWER,
+        [ASKED, Ended(3, "r", Ending.CUT, "whole wer")],
+    ),
+    "a repeat in a stream": (
+        Promise.WHOLE_ANSWER,
+        [ASKED, Ended(3, "r", Ending.UNKNOWN, "whole whole")],
+    ),
+    "a refusal after the run": (
+        Promise.TRUE_REFUSAL,
+        [ASKED, Ran(1, "e", "r", "id"), Ended(2, "r", Ending.NOT_RUN, run_id="id")],
+    ),
+    "a refusal before the run": (
+        Promise.TRUE_REFUSAL,
+        [CALL, Ended(1, "c", Ending.NOT_RUN, run_id="id"), Ran(2, "e", "c", "id2")],
+    ),
+    "a call that ran twice": (
+        Promise.AT_MOST_ONCE,
+        [
+            CALL,
+            Ran(1, "e", "c", "id"),
+            Ran(2, "f", "c", "id2"),
+            Ended(3, "c", Ending.UNKNOWN),
+        ],
+    ),
+    "work long after an upstream's leaving": (
+        Promise.LEAVING_UPSTREAM,
+        [ASKED, UpstreamLeaving(0, "e"), Ran(3_001, "e", "r", "id"), ANSWERED],
+    ),
+    "a request cut by a stop": (
+        Promise.GRACEFUL_STOP,
+        [ASKED, StopBegan(1, "n1"), Ended(2, "r", Ending.CUT, "whole", "id", "n1")],
+    ),
+    "a node that steps back": (
+        Promise.BUNDLE_IN_FORCE,
+        [
+            BundleAccepted(0, 1, "d1"),
+            BundleAccepted(1, 2, "d2"),
+            BundleServed(2, "n1", 2),
+            BundleServed(3, "n1", 1),
+        ],
+    ),
+    "a node that stays behind": (
+        Promise.BUNDLE_IN_FORCE,
+        [
+            BundleAccepted(0, 1, "d1"),
+            BundleAccepted(1, 2, "d2"),
+            BundleServed(9_002, "n1", 1),
+        ],
+    ),
+    "two bundles of one number": (
+        Promise.BUNDLE_IN_FORCE,
+        [BundleAccepted(0, 1, "d1"), BundleAccepted(1, 1, "d2")],
+    ),
+    "a bundle that nobody accepted": (
+        Promise.BUNDLE_IN_FORCE,
+        [BundleServed(1, "n1", 3)],
+    ),
+    "a request without an outcome": (Promise.NOTHING_LOST, [ASKED]),
+}
+
+
+def promises_broken_by(observations):
+    checker = Checker()
+    for observation in observations:
+        checker.see(observation)
+    return {violation.promise for violation in checker.finish(30_000)}
+
+
+class CheckerTests(unittest.TestCase):
+    def test_what_is_kept_is_not_reported(self):
+        for name, observations in KEPT.items():
+            with self.subTest(name):
+                self.assertEqual(promises_broken_by(observations), set())
+
+    def test_what_is_broken_is_reported_as_that(self):
+        for name, (promise, observations) in BROKEN.items():
+            with self.subTest(name):
+                self.assertEqual(promises_broken_by(observations), {promise})
+
+    def test_every_promise_is_broken_by_some_case(self):
+        self.assertEqual({promise for promise, _ in BROKEN.values()}, set(Promise))
