Name the values of kept work

Cause: the placement of prompts, the stores and the engines need one vocabulary before any of them can be built. Change: descriptors, orders and reports of KV blocks in fireflyward.upstreams; the protocol of a store VM in fireflyward.kept. No behaviour yet.

--- /dev/null
+++ b/fireflyward/kept/_stores.py
@@ -0,0 +1,129 @@
+"""What the product needs of a store VM, and the values that pass."""
+
+import enum
+from dataclasses import dataclass
+from typing import Protocol
+
+from fireflyward.upstreams import BlockRef, Miss
+
+
+class SlotState(enum.StrEnum):
+    """How far the write of a slot has come; only published blocks are read."""
+
+    FREE = "free"
+    RESERVED = "reserved"
+    SEALED = "sealed"
+    PUBLISHED = "published"
+
+
+@dataclass(frozen=True, slots=True)
+class Wanted:
+    """A block for which a slot is asked; ``position`` counts from 1."""
+
+    key: str
+    position: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reserved:
+    """Slots for the blocks that are not kept yet; fewer than asked when full."""
+
+    refs: tuple[BlockRef, ...]
+    already_kept: tuple[BlockRef, ...] = ()
+    is_full: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """The descriptors for which the call took effect; the others were misses."""
+
+    refs: tuple[BlockRef, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Fenced:
+    """Nothing was done: the store has seen a newer fencing number."""
+
+    highest: int
+
+
+@dataclass(frozen=True, slots=True)
+class StoreAway:
+    """No answer. ``may_have_acted`` is false only if the call never arrived."""
+
+    detail: str
+    may_have_acted: bool = True
+
+
+@dataclass(frozen=True, slots=True)
+class StoreChange:
+    """One line of a store's listing: a block that is kept, or no longer is."""
+
+    key: str
+    position: int
+    is_kept: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """Published blocks, or what changed after the asked sequence.
+
+    ``epoch`` is new when the store has lost its content. ``is_whole`` means that
+    the listing replaces what was known before: the asked epoch or sequence was
+    too old for the store to tell only the changes. ``next_sequence`` is to be
+    asked for next; ``has_more`` tells whether anything is there already.
+    """
+
+    epoch: int
+    next_sequence: int
+    changes: tuple[StoreChange, ...]
+    is_whole: bool = False
+    has_more: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Unfinished:
+    """A slot whose write was begun and not published, and how long ago."""
+
+    ref: BlockRef
+    state: SlotState
+    age_ms: int
+
+
+class StoreClient(Protocol):
+    """One store VM; docs/platform/store.md writes the contract."""
+
+    name: str
+
+    async def reserve(self, wanted: tuple[Wanted, ...]) -> Reserved | StoreAway: ...
+
+    async def write(self, ref: BlockRef, payload: bytes) -> Done | StoreAway: ...
+
+    async def seal(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway: ...
+
+    async def publish(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway: ...
+
+    async def describe(self, keys: tuple[str, ...]) -> Done | StoreAway:
+        """Return descriptors of the longest prefix of ``keys`` that is kept."""
+
+    async def read(self, ref: BlockRef) -> bytes | Miss | StoreAway: ...
+
+    async def abandon(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        """Give back slots of this generation that were not published."""
+
+    async def raise_fence(self, fencing: int) -> Done | Fenced | StoreAway:
+        """Have the store refuse every smaller fencing number from now on."""
+
+    async def free(
+        self, refs: tuple[BlockRef, ...], *, state: SlotState, fencing: int
+    ) -> Done | Fenced | StoreAway:
+        """Free slots that still have this generation and this state."""
+
+    async def unfinished(
+        self, min_age_ms: int
+    ) -> tuple[Unfinished, ...] | StoreAway: ...
+
+    async def list(
+        self, epoch: int, after: int, *, stride: int = 1
+    ) -> Listing | StoreAway:
+        """List blocks whose position is a multiple of ``stride``."""
--- a/fireflyward/upstreams/__init__.py
+++ b/fireflyward/upstreams/__init__.py
@@ -1,6 +1,19 @@
 """Upstreams: model engines and plain services, behind narrow protocols."""
 
 from ._engine_http import HttpEngine
+from ._kv import (
+    BlockRef,
+    CacheChange,
+    CacheEvent,
+    CacheEvents,
+    ExportOrder,
+    ExportReport,
+    ImportOrder,
+    ImportReport,
+    Miss,
+    MissReason,
+    block_checksum,
+)
 from ._messages import (
     Accepted,
     Broken,
@@ -15,28 +28,40 @@
     ServiceCall,
     ServiceReply,
 )
-from ._protocols import Engine, PlainService
+from ._protocols import Engine, KvEngine, PlainService
 from ._service_http import HttpService
 from ._tokens import BLOCK_TOKENS, count_tokens, split_tokens
 
 __all__ = [
     "BLOCK_TOKENS",
     "Accepted",
+    "BlockRef",
     "Broken",
+    "CacheChange",
+    "CacheEvent",
+    "CacheEvents",
     "CancelState",
     "Engine",
     "EngineCall",
     "EngineEvent",
     "EngineState",
+    "ExportOrder",
+    "ExportReport",
     "Finished",
     "HttpEngine",
     "HttpService",
+    "ImportOrder",
+    "ImportReport",
+    "KvEngine",
     "LoadReport",
+    "Miss",
+    "MissReason",
     "Piece",
     "PlainService",
     "Refused",
     "ServiceCall",
     "ServiceReply",
+    "block_checksum",
     "count_tokens",
     "split_tokens",
 ]
--- a/fireflyward/upstreams/_protocols.py
+++ b/fireflyward/upstreams/_protocols.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from typing import Protocol
 
+from ._kv import CacheEvents, ExportOrder, ExportReport, ImportOrder, ImportReport
 from ._messages import (
     Broken,
     CancelState,
@@ -29,6 +30,20 @@
     async def load(self) -> LoadReport | Broken: ...
 
 
+class KvEngine(Protocol):
+    """The KV cache of one replica; docs/platform/engine-kv.md writes the contract."""
+
+    async def export_blocks(
+        self, order: ExportOrder
+    ) -> ExportReport | Refused | Broken: ...
+
+    async def import_blocks(
+        self, order: ImportOrder
+    ) -> ImportReport | Refused | Broken: ...
+
+    async def cache_events(self, after: int) -> CacheEvents | Broken: ...
+
+
 class PlainService(Protocol):
     """One replica of a plain service."""
 
