--- /dev/null
+++ b/tests/placement/test_watch.py
@@ -0,0 +1,40 @@
+import unittest
+
+from hypothesis import given, settings, strategies as st
+
+from fireflyward.placement import Import, ImportWatch
+
+BLOCK_MS = 16.0
+ALLOWANCE_MS = 50.0
+
+
+class ImportWatchTests(unittest.TestCase):
+    def test_dead_store_costs_the_allowance_and_no_more(self):
+        """Symptom: first tokens late by a whole timeout. Sequence: the store dies
+        after the plan was made. Cause: the prompt waited for blocks that never
+        come."""
+        watch = ImportWatch(0, Import("s", 0, 100, BLOCK_MS, ALLOWANCE_MS))
+        self.assertEqual(watch.give_up_ms(), ALLOWANCE_MS)
+        self.assertFalse(watch.is_whole())
+
+    def test_queue_that_would_be_waited_for_anyway_is_not_lost_time(self):
+        plan = Import("s", 0, 100, BLOCK_MS, ALLOWANCE_MS)
+        watch = ImportWatch(0, plan, queue_ms=400)
+        self.assertEqual(watch.give_up_ms(), 400 + ALLOWANCE_MS)
+
+    @settings(derandomize=True, database=None, deadline=None)
+    @given(st.lists(st.floats(0.1, 500), min_size=1, max_size=40))
+    def test_never_later_than_computing_by_more_than_the_allowance(self, gaps):
+        """Blocks arrive after any gaps; whenever the watch gives up, computing what
+        is missing ends within the allowance of computing everything."""
+        watch = ImportWatch(0, Import("s", 0, len(gaps), BLOCK_MS, ALLOWANCE_MS))
+        now_ms, arrived = 0.0, 0
+        for gap in gaps:
+            if now_ms + gap > watch.give_up_ms():
+                now_ms = watch.give_up_ms()
+                break
+            now_ms += gap
+            arrived += 1
+            watch.on_blocks(1)
+        ends_ms = now_ms + (len(gaps) - arrived) * BLOCK_MS
+        self.assertLessEqual(ends_ms, len(gaps) * BLOCK_MS + ALLOWANCE_MS + 1e-6)
