Give a node its sockets from one object, and name its start and stop

A node made its clients and servers itself, so no test could run a whole node on a faked clock without sockets. Outside now makes them all; a test hands in one in memory. Node and EntryParts take a step observer, and the node's start and its planned stop report their steps to it.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -4,9 +4,6 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-import aiohttp
-from aiohttp import web
-
 from fireflyward.bundles import Bundle, BundleHolder, BundleStore, verify_bundle
 from fireflyward.clock import Clock
 from fireflyward.entry import EntryParts, build_app
@@ -14,24 +11,20 @@
 from fireflyward.limits import Admission
 from fireflyward.membership import Member, Members
 from fireflyward.observe import Metrics, Tracing
-from fireflyward.peers import PeerCodec, PeerLink
-from fireflyward.platform import HttpObjects, HttpTable, Missing, Unavailable
+from fireflyward.platform import Missing, Unavailable
 from fireflyward.routing import Candidate, Router
 from fireflyward.runs import RunRecords
 from fireflyward.settings import Settings
-from fireflyward.upstreams import (
-    Broken,
-    Engine,
-    HttpEngine,
-    HttpService,
-    PlainService,
-)
+from fireflyward.steps import StepObserver, ignore_step
+from fireflyward.upstreams import Broken, Engine, PlainService
+
+from ._outside import Outside
+from ._steps import StartStep, StopStep
 
 log = logging.getLogger("fireflyward.daemon")
 
 _LOAD_POLL_MS = 250
 _DRAIN_POLL_MS = 20
-_CONNECTIONS = 2_000
 ENGINE = "engine"
 SERVICE = "service"
 
@@ -39,9 +32,18 @@
 class Node:
     """Owns the sockets, the periodic tasks and the parts of one entry VM."""
 
-    def __init__(self, settings: Settings, *, clock: Clock | None = None) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        clock: Clock | None = None,
+        outside: Outside | None = None,
+        observe: StepObserver = ignore_step,
+    ) -> None:
         self.settings = settings
         self.clock = clock or Clock()
+        self.outside = outside or Outside(settings)
+        self.observe = observe
         self.holder = BundleHolder()
         self.router = Router(settings["failure_domain"])
         self.admission = Admission()
@@ -49,18 +51,10 @@
         self.engine_by_name: dict[str, Engine] = {}
         self.service_by_name: dict[str, PlainService] = {}
         self.port = settings["port"]
-        self.link = PeerLink(
-            node_name=settings["node_name"],
-            incarnation=self.clock.wall_ms(),
-            codec=PeerCodec(settings["peer_keys"]),
-            host=settings["peer_host"],
-            port=settings["peer_port"],
-        )
+        self.link = self.outside.make_link(self.clock.wall_ms())
         self.members = Members(self._own_member())
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._session: aiohttp.ClientSession | None = None
-        self._runner: web.AppRunner | None = None
         self._store: BundleStore | None = None
 
     def __repr__(self) -> str:
@@ -68,22 +62,20 @@
 
     async def start(self) -> None:
         """Open the sockets and begin the periodic tasks."""
-        connector = aiohttp.TCPConnector(limit=_CONNECTIONS)
-        self._session = aiohttp.ClientSession(connector=connector)
-        table = HttpTable(self._session, self.settings["table_url"])
-        objects = HttpObjects(self._session, self.settings["objects_url"])
-        self._store = BundleStore(table, objects)
+        await self.outside.open()
+        table = self.outside.make_table()
+        self._store = BundleStore(table, self.outside.make_objects())
         app = build_app(self._entry_parts(RunRecords(table)))
-        self._runner = web.AppRunner(app, access_log=None)
-        await self._runner.setup()
-        site = web.TCPSite(self._runner, self.settings["host"], self.port)
-        await site.start()
-        self.port = self._runner.addresses[0][1]
+        self.port = await self.outside.listen(app)
+        self.observe(StartStep.LISTENING)
         await self.link.start()
+        self.observe(StartStep.LINKED)
         await self._look_for_bundle()
+        self.observe(StartStep.BUNDLE_SOUGHT)
         self._every(self.settings["bundle_poll_ms"], self._look_for_bundle)
         self._every(_LOAD_POLL_MS, self._poll_loads)
         await self._poll_loads()
+        self.observe(StartStep.LOADS_KNOWN)
         log.info(
             "daemon: %s serves callers on port %d and peers on port %d",
             self.settings["node_name"],
@@ -94,11 +86,13 @@
     async def stop(self) -> None:
         """Shut down gracefully: no new requests, and those in flight run out."""
         self._stopping = True
+        self.observe(StopStep.UNREADY)
         limit_ms = self.clock.now_ms() + self.settings["drain_limit_ms"]
         while self.admission.total() and self.clock.now_ms() < limit_ms:
             await self.clock.sleep_ms(_DRAIN_POLL_MS)
         if self.admission.total():
             log.warning("daemon: hard limit cuts %d requests", self.admission.total())
+        self.observe(StopStep.DRAINED)
         await self.close()
 
     async def close(self) -> None:
@@ -106,11 +100,12 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._runner:
-            await self._runner.cleanup()
+        self.observe(StopStep.TASKS_ENDED)
+        await self.outside.stop_listening()
+        self.observe(StopStep.LISTENER_CLOSED)
         await self.link.stop()
-        if self._session:
-            await self._session.close()
+        self.observe(StopStep.LINK_CLOSED)
+        await self.outside.close()
 
     def is_ready(self) -> bool:
         """Tell the balancer whether new requests may come here."""
@@ -140,6 +135,7 @@
             request_limit_bytes=self.settings["request_limit_bytes"],
             deadline_ms=self.settings["request_deadline_ms"],
             ready=self.is_ready,
+            observe=self.observe,
         )
 
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
@@ -182,17 +178,14 @@
         self.engine_by_name.clear()
         self.service_by_name.clear()
         candidates = []
-        silence_limit_ms = self.settings["silence_limit_ms"]
         for name, upstream in bundle.upstreams.items():
             if upstream.kind == ENGINE:
-                self.engine_by_name[name] = HttpEngine(
-                    self._session, upstream.url, silence_limit_ms=silence_limit_ms
-                )
+                self.engine_by_name[name] = self.outside.make_engine(name, upstream)
                 candidates.append(
                     Candidate(name, upstream.failure_domain, upstream.models)
                 )
             elif upstream.kind == SERVICE:
-                self.service_by_name[name] = HttpService(self._session, upstream.url)
+                self.service_by_name[name] = self.outside.make_service(name, upstream)
         self.router.set_replicas(candidates)
 
     async def _poll_loads(self) -> None:
--- /dev/null
+++ b/fireflyward/daemon/_outside.py
@@ -0,0 +1,90 @@
+"""Everything through which a node meets others: its sockets and its clients."""
+
+import aiohttp
+from aiohttp import web
+
+from fireflyward.bundles import Upstream
+from fireflyward.peers import PeerCodec, PeerLink
+from fireflyward.platform import (
+    HttpObjects,
+    HttpTable,
+    HttpVms,
+    HttpWeights,
+    Objects,
+    Table,
+    Vms,
+    Weights,
+)
+from fireflyward.settings import Settings
+from fireflyward.upstreams import Engine, HttpEngine, HttpService, PlainService
+
+_CONNECTIONS = 2_000
+
+
+class Outside:
+    """Opens real sockets by the settings; tests give a node one in memory.
+
+    ``open`` comes before everything else, since the clients share a session that
+    belongs to the running event loop.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        self._session: aiohttp.ClientSession | None = None
+        self._runner: web.AppRunner | None = None
+
+    def make_link(self, incarnation: int) -> PeerLink:
+        """Return the link to other nodes, not yet started."""
+        return PeerLink(
+            node_name=self._settings["node_name"],
+            incarnation=incarnation,
+            codec=PeerCodec(self._settings["peer_keys"]),
+            host=self._settings["peer_host"],
+            port=self._settings["peer_port"],
+        )
+
+    async def open(self) -> None:
+        """Begin the session that all clients share."""
+        connector = aiohttp.TCPConnector(limit=_CONNECTIONS)
+        self._session = aiohttp.ClientSession(connector=connector)
+
+    async def listen(self, app: web.Application) -> int:
+        """Serve callers and return the port."""
+        self._runner = web.AppRunner(app, access_log=None)
+        await self._runner.setup()
+        host, port = self._settings["host"], self._settings["port"]
+        await web.TCPSite(self._runner, host, port).start()
+        return self._runner.addresses[0][1]
+
+    async def stop_listening(self) -> None:
+        """Close the connections of callers."""
+        if self._runner:
+            await self._runner.cleanup()
+
+    async def close(self) -> None:
+        """Close the connections of all clients."""
+        if self._session:
+            await self._session.close()
+
+    def make_table(self) -> Table:
+        return HttpTable(self._session, self._settings["table_url"])
+
+    def make_objects(self) -> Objects:
+        return HttpObjects(self._session, self._settings["objects_url"])
+
+    def make_weights(self) -> Weights:
+        return HttpWeights(self._session, self._settings["weights_url"])
+
+    def make_vms(self) -> Vms:
+        return HttpVms(self._session, self._settings["vms_url"])
+
+    def make_engine(self, name: str, upstream: Upstream) -> Engine:
+        """Return the client of the replica ``name``."""
+        silence_limit_ms = self._settings["silence_limit_ms"]
+        return HttpEngine(
+            self._session, upstream.url, silence_limit_ms=silence_limit_ms
+        )
+
+    def make_service(self, name: str, upstream: Upstream) -> PlainService:
+        """Return the client of the plain service's replica ``name``."""
+        return HttpService(self._session, upstream.url)
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -16,6 +16,7 @@
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.routing import Router
 from fireflyward.runs import RunRecords
+from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Engine, PlainService
 
 from ._errors import error_bytes, headers_of, status_of
@@ -43,6 +44,7 @@
     request_limit_bytes: int
     deadline_ms: int
     ready: Callable[[], bool]
+    observe: StepObserver = ignore_step
 
 
 @dataclass(frozen=True, slots=True)
