--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -18,8 +18,8 @@
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Broken, Engine, PlainService
 
+from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
-from ._steps import StartStep, StopStep
 
 log = logging.getLogger("fireflyward.daemon")
 
@@ -67,15 +67,15 @@
         self._store = BundleStore(table, self.outside.make_objects())
         app = build_app(self._entry_parts(RunRecords(table)))
         self.port = await self.outside.listen(app)
-        self.observe(StartStep.LISTENING)
+        self.observe(StartStep.PORT_OPEN)
         await self.link.start()
-        self.observe(StartStep.LINKED)
+        self.observe(StartStep.LINK_OPEN)
         await self._look_for_bundle()
-        self.observe(StartStep.BUNDLE_SOUGHT)
         self._every(self.settings["bundle_poll_ms"], self._look_for_bundle)
         self._every(_LOAD_POLL_MS, self._poll_loads)
+        self.observe(StartStep.DUTIES_BEGUN)
         await self._poll_loads()
-        self.observe(StartStep.LOADS_KNOWN)
+        self.observe(StartStep.READY)
         log.info(
             "daemon: %s serves callers on port %d and peers on port %d",
             self.settings["node_name"],
@@ -86,7 +86,7 @@
     async def stop(self) -> None:
         """Shut down gracefully: no new requests, and those in flight run out."""
         self._stopping = True
-        self.observe(StopStep.UNREADY)
+        self.observe(StopStep.READINESS_GONE)
         limit_ms = self.clock.now_ms() + self.settings["drain_limit_ms"]
         while self.admission.total() and self.clock.now_ms() < limit_ms:
             await self.clock.sleep_ms(_DRAIN_POLL_MS)
@@ -100,11 +100,9 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
-        self.observe(StopStep.TASKS_ENDED)
         await self.outside.stop_listening()
-        self.observe(StopStep.LISTENER_CLOSED)
         await self.link.stop()
-        self.observe(StopStep.LINK_CLOSED)
+        self.observe(StopStep.CLOSED)
         await self.outside.close()
 
     def is_ready(self) -> bool:
