Decide which kept blocks get a link, a place in a store, and for how long

Cause: links and stores are limited; one large account or a burst of exports must not take them from the callers who wait. Change: LinkBudget orders transfers, LinkRates learns what a link gives and leaves a dead store alone, KeepPolicy offers pieces by expected reuse, StoreSpace admits, demotes and evicts with a bounded share per account, Placement estimates the time to first token of each way.

--- a/fireflyward/placement/__init__.py
+++ b/fireflyward/placement/__init__.py
@@ -1,5 +1,8 @@
 """Which way of serving a prompt gives its first token soonest, and what to keep."""
 
+from ._budget import BudgetAction, Dropped, Grant, LinkBudget, Transfer, Urgency
+from ._keep import PIECE_BLOCKS, KeepOffer, KeepPolicy, Piece, PromptSeen
+from ._placement import Placement, PlacementCosts, PrefixIndex
 from ._plans import (
     Estimate,
     Import,
@@ -10,16 +13,41 @@
     StoredRun,
     Tier,
 )
+from ._rates import LinkRates
+from ._returns import ReturnClass, ReturnTimes
+from ._sketch import FrequencySketch
+from ._space import Admit, Decline, StoreSpace
 from ._watch import ImportWatch
 
 __all__ = [
+    "PIECE_BLOCKS",
+    "Admit",
+    "BudgetAction",
+    "Decline",
+    "Dropped",
     "Estimate",
+    "FrequencySketch",
+    "Grant",
     "Import",
     "ImportWatch",
+    "KeepOffer",
+    "KeepPolicy",
     "KnownPrefixes",
+    "LinkBudget",
+    "LinkRates",
+    "Piece",
+    "Placement",
+    "PlacementCosts",
     "Plan",
+    "PrefixIndex",
+    "PromptSeen",
     "Recompute",
+    "ReturnClass",
+    "ReturnTimes",
     "Reuse",
+    "StoreSpace",
     "StoredRun",
     "Tier",
+    "Transfer",
+    "Urgency",
 ]
--- a/fireflyward/placement/_plans.py
+++ b/fireflyward/placement/_plans.py
@@ -84,8 +84,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Estimate:
-    """A way of serving a prompt and the expected time to its first token."""
+    """A way of serving a prompt and what it is expected to take.
+
+    ``first_token_ms`` is made of ``queue_ms``, loading beyond that, and
+    ``compute_ms``; ``reused_blocks`` are the prompt's blocks that are not computed.
+    """
 
     replica: str
     first_token_ms: float
     plan: Plan
+    reused_blocks: int
+    compute_ms: float
+    queue_ms: float
--- /dev/null
+++ b/tests/placement/test_keep.py
@@ -0,0 +1,61 @@
+import hashlib
+import unittest
+
+from fireflyward.placement import PIECE_BLOCKS, KeepPolicy, PromptSeen
+
+MINUTE_MS = 60_000.0
+
+
+def chain(name, blocks, parent=()):
+    keys = list(parent)
+    for number in range(blocks):
+        seed = f"{keys[-1] if keys else ''}/{name}/{number}"
+        keys.append(hashlib.blake2b(seed.encode(), digest_size=16).hexdigest())
+    return tuple(keys)
+
+
+class KeepPolicyTests(unittest.TestCase):
+    def setUp(self):
+        self.policy = KeepPolicy()
+        self.clauses = chain("clauses", 16)
+
+    def see(self, keys, account="a", now_ms=0.0, **options):
+        return self.policy.on_prompt(now_ms, PromptSeen(account, keys, **options))
+
+    def test_shared_prefix_comes_before_tails_and_goes_to_every_store(self):
+        for number in range(4):
+            offers = self.see(chain(number, 8, self.clauses))
+        self.assertEqual([o.piece.first for o in offers[:4]], [0, 4, 8, 12])
+        self.assertTrue(all(offer.is_shared for offer in offers[:4]))
+        self.assertFalse(any(offer.is_shared for offer in offers[4:]))
+
+    def test_what_a_store_has_is_not_offered_again(self):
+        offers = self.see(self.clauses, kept_blocks=8)
+        self.assertEqual({offer.piece.first for offer in offers}, {8, 12})
+
+    def test_account_that_never_returns_soon_exports_nothing(self):
+        """Symptom: kept work of everybody else is gone. Sequence: one account
+        sends thousands of prompts once each. Cause: every new prompt was exported
+        on the hope that it returns."""
+        first = self.see(chain("scan", 32), "scanner")
+        self.assertTrue(first)
+        for number in range(600):
+            last = self.see(chain(("scan", number), 32), "scanner", number)
+        self.assertEqual(last, [])
+        self.assertTrue(self.see(chain("b", 32), "b"))
+
+    def test_prompts_that_do_return_are_offered_at_first_sight(self):
+        for number in range(100):
+            keys = chain(number, 32)
+            self.see(keys, now_ms=number * MINUTE_MS)
+            self.see(keys, now_ms=(number + 30) * MINUTE_MS)
+        offers = self.see(chain("new", 32), now_ms=200 * MINUTE_MS)
+        self.assertEqual(len(offers), 32 // PIECE_BLOCKS)
+        self.assertGreater(offers[0].reuses, 0.8)
+        self.assertAlmostEqual(offers[0].gap_ms / MINUTE_MS, 30, delta=2)
+
+    def test_hint_outweighs_what_was_learnt(self):
+        for number in range(600):
+            self.see(chain(("scan", number), 32), "scanner", number)
+        offers = self.see(chain("named", 32), "scanner", hinted_blocks=16)
+        self.assertEqual({offer.piece.first for offer in offers}, {0, 4, 8, 12})
