Keep blocks in a store whose slots have generations

Cause: accelerator memory forgets a prompt before it returns, and a store that names a block by its slot alone would hand out another prompt's KV after a free. Change: the store's contract, its model without I/O and its server; export, import and cache events of the engine stand-in; HTTP adapters of both; a wait that follows our clock. Block names are hashed from blocks instead of tokens with a hash that has taken the key in, roots under a personality of their own, and per caller where an account does not share its prefixes.

--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -126,7 +126,12 @@
 ) -> RunTask:
     version = parts.holder.bundle.models[prompt.model].version
     block_keys = parts.block_names.of_prompt(
-        identity.account_name, prompt.model, version, prompt.adapter, prompt.text
+        identity.account_name,
+        prompt.model,
+        version,
+        prompt.adapter,
+        prompt.text,
+        caller="" if identity.account.share_prefixes else identity.caller_name,
     )
     call = EngineCall(
         identity.request_id,
--- a/fireflyward/kept/__init__.py
+++ b/fireflyward/kept/__init__.py
@@ -3,10 +3,13 @@
 from fireflyward.upstreams import BlockRef
 
 from ._keys import BlockNames
+from ._store_http import HttpStore
 from ._stores import (
+    SHARDS,
     Done,
     Fenced,
     Listing,
+    ListQuery,
     Reserved,
     SlotState,
     StoreAway,
@@ -14,13 +17,17 @@
     StoreClient,
     Unfinished,
     Wanted,
+    shard_of,
 )
 
 __all__ = [
+    "SHARDS",
     "BlockNames",
     "BlockRef",
     "Done",
     "Fenced",
+    "HttpStore",
+    "ListQuery",
     "Listing",
     "Reserved",
     "SlotState",
@@ -29,4 +36,5 @@
     "StoreClient",
     "Unfinished",
     "Wanted",
+    "shard_of",
 ]
--- a/fireflyward/kept/_keys.py
+++ b/fireflyward/kept/_keys.py
@@ -2,9 +2,13 @@
 
 import hashlib
 
-from fireflyward.upstreams import BLOCK_TOKENS, split_tokens
+from fireflyward.upstreams import split_blocks
 
 _NAME_BYTES = 16
+_LENGTH_BYTES = 4
+_MAX_KEY_BYTES = 64
+_ROOT = b"root"
+_BLOCK = b"block"
 
 
 class BlockNames:
@@ -12,7 +16,8 @@
 
     The chain starts from the deployment's secret, the client account, the model,
     the weight version and the adapter, so a block of another account or version
-    cannot even be named; each key covers all tokens before it.
+    cannot even be named; each key covers all tokens before it. Where an account
+    does not share prefixes among its callers, ``caller`` is part of the start too.
 
     >>> names = BlockNames(b"secret")
     >>> names.of_prompt("a", "m", "v1", "", "x" * 256) == names.of_prompt(
@@ -20,29 +25,51 @@
     False
     """
 
-    __slots__ = ("_key",)
+    __slots__ = ("_block_hash", "_root_hash")
 
     def __init__(self, key: bytes) -> None:
-        self._key = key[:64]
+        key = key[:_MAX_KEY_BYTES]
+        self._root_hash = _keyed(key, _ROOT)
+        self._block_hash = _keyed(key, _BLOCK)
 
     def of_prompt(
-        self, account: str, model: str, version: str, adapter: str, prompt: str
+        self,
+        account: str,
+        model: str,
+        version: str,
+        adapter: str,
+        prompt: str,
+        *,
+        caller: str = "",
     ) -> tuple[str, ...]:
-        """Return the keys of the full blocks of ``prompt``, first to last."""
-        tokens = split_tokens(prompt)
-        parent = self._digest(_root(account, model, version, adapter))
+        """Return the keys of the full blocks of ``prompt``, first to last.
+
+        An empty ``caller`` means that all callers of the account share.
+        """
+        parent = self._root(account, caller, model, version, adapter)
         keys = []
-        for start in range(0, len(tokens) - BLOCK_TOKENS + 1, BLOCK_TOKENS):
-            block = b"".join(tokens[start : start + BLOCK_TOKENS])
-            parent = self._digest(parent + block)
+        for block in split_blocks(prompt):
+            # Copying a hash that has taken the key in already saves hashing the
+            # key once for each block, a quarter of the work.
+            block_hash = self._block_hash.copy()
+            block_hash.update(parent)
+            block_hash.update(block)
+            parent = block_hash.digest()
             keys.append(parent.hex())
         return tuple(keys)
 
-    def _digest(self, data: bytes) -> bytes:
-        return hashlib.blake2b(data, key=self._key, digest_size=_NAME_BYTES).digest()
+    def _root(self, *parts: str) -> bytes:
+        """Hash the parts so that no two different lists are hashed alike.
+
+        Roots and blocks are hashed under different personalities; otherwise an
+        account with a long name could stand for a parent with a block.
+        """
+        root_hash = self._root_hash.copy()
+        for part in parts:
+            data = part.encode()
+            root_hash.update(len(data).to_bytes(_LENGTH_BYTES, "big") + data)
+        return root_hash.digest()
 
 
-def _root(*parts: str) -> bytes:
-    """Join the parts so that no two different lists give the same bytes."""
-    encoded = [part.encode() for part in parts]
-    return b"".join(len(part).to_bytes(4, "big") + part for part in encoded)
+def _keyed(key: bytes, purpose: bytes) -> "hashlib.blake2b":
+    return hashlib.blake2b(key=key, digest_size=_NAME_BYTES, person=purpose)
--- /dev/null
+++ b/fireflyward/kept/_store_http.py
@@ -0,0 +1,169 @@
+"""A store VM over HTTP, as docs/platform/store.md writes its interface."""
+
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from fireflyward.upstreams import BlockRef, Miss, MissReason
+
+from ._stores import (
+    Done,
+    Fenced,
+    Listing,
+    ListQuery,
+    Reserved,
+    SlotState,
+    StoreAway,
+    Unfinished,
+    Wanted,
+)
+
+_CONNECT_LIMIT_S = 1.0
+_CALL_LIMIT_MS = 2_000
+_MS_PER_SECOND = 1_000
+FENCED_STATUS = 412
+MISS_STATUS = 409
+
+
+class RefsBody(msgspec.Struct):
+    """Descriptors, asked or done."""
+
+    refs: tuple[BlockRef, ...]
+
+
+class ReserveBody(msgspec.Struct):
+    """Blocks for which slots are asked."""
+
+    wanted: tuple[Wanted, ...]
+
+
+class DescribeBody(msgspec.Struct):
+    """Keys of a prompt's blocks, first to last."""
+
+    keys: tuple[str, ...]
+
+
+class FreeBody(msgspec.Struct):
+    """A conditional delete."""
+
+    refs: tuple[BlockRef, ...]
+    state: SlotState
+    fencing: int
+
+
+class FenceBody(msgspec.Struct):
+    """A fencing number: one to be raised to, or the highest seen."""
+
+    fencing: int
+
+
+class MissBody(msgspec.Struct):
+    """Why a read found nothing."""
+
+    reason: MissReason
+
+
+class HttpStore:
+    """One store VM behind a base URL.
+
+    A call that gets no whole answer within ``limit_ms`` ends as ``StoreAway``; a
+    write may have taken effect then, and the sweep finds what it left.
+    """
+
+    __slots__ = ("_base", "_session", "_timeout", "name")
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        name: str,
+        base_url: str,
+        *,
+        limit_ms: int = _CALL_LIMIT_MS,
+    ) -> None:
+        self.name = name
+        self._session = session
+        self._base = base_url
+        self._timeout = aiohttp.ClientTimeout(
+            total=limit_ms / _MS_PER_SECOND, sock_connect=_CONNECT_LIMIT_S
+        )
+
+    def __repr__(self) -> str:
+        return f"HttpStore({self.name!r}, {self._base!r})"
+
+    async def reserve(self, wanted: tuple[Wanted, ...]) -> Reserved | StoreAway:
+        return await self._post("/reserve", ReserveBody(wanted), Reserved)
+
+    async def write(self, ref: BlockRef, payload: bytes) -> Done | StoreAway:
+        return await self._call("PUT", _block_path(ref), payload, Done)
+
+    async def seal(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        return await self._post("/seal", RefsBody(refs), Done)
+
+    async def publish(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        return await self._post("/publish", RefsBody(refs), Done)
+
+    async def describe(self, keys: tuple[str, ...]) -> Done | StoreAway:
+        return await self._post("/describe", DescribeBody(keys), Done)
+
+    async def read(self, ref: BlockRef) -> bytes | Miss | StoreAway:
+        result = await self._exchange("GET", _block_path(ref), b"")
+        if isinstance(result, StoreAway):
+            return result
+        status, body = result
+        if status == MISS_STATUS:
+            return Miss(ref.key, msgspec.json.decode(body, type=MissBody).reason)
+        return body
+
+    async def abandon(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        return await self._post("/abandon", RefsBody(refs), Done)
+
+    async def raise_fence(self, fencing: int) -> Done | Fenced | StoreAway:
+        return await self._post("/fence", FenceBody(fencing), Done)
+
+    async def free(
+        self, refs: tuple[BlockRef, ...], *, state: SlotState, fencing: int
+    ) -> Done | Fenced | StoreAway:
+        return await self._post("/free", FreeBody(refs, state, fencing), Done)
+
+    async def unfinished(self, min_age_ms: int) -> tuple[Unfinished, ...] | StoreAway:
+        path = f"/unfinished?min_age_ms={min_age_ms}"
+        return await self._call("GET", path, b"", tuple[Unfinished, ...])
+
+    async def list(self, query: ListQuery) -> Listing | StoreAway:
+        return await self._post("/list", query, Listing)
+
+    async def _post(self, path: str, body: object, answer_type: Any) -> Any:
+        return await self._call("POST", path, msgspec.json.encode(body), answer_type)
+
+    async def _call(self, method: str, path: str, body: bytes, answer_type: Any) -> Any:
+        result = await self._exchange(method, path, body)
+        if isinstance(result, StoreAway):
+            return result
+        status, answer = result
+        try:
+            if status == FENCED_STATUS:
+                return Fenced(msgspec.json.decode(answer, type=FenceBody).fencing)
+            return msgspec.json.decode(answer, type=answer_type)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return StoreAway(f"answer could not be read: {error}")
+
+    async def _exchange(
+        self, method: str, path: str, body: bytes
+    ) -> tuple[int, bytes] | StoreAway:
+        try:
+            async with self._session.request(
+                method, self._base + path, data=body, timeout=self._timeout
+            ) as response:
+                answer = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return StoreAway(f"{type(error).__name__}: {error}", False)
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return StoreAway(f"{type(error).__name__}: {error}")
+        if response.status in (200, FENCED_STATUS, MISS_STATUS):
+            return response.status, answer
+        return StoreAway(f"status {response.status}")
+
+
+def _block_path(ref: BlockRef) -> str:
+    return f"/blocks/{ref.slot}/{ref.generation}/{ref.key}"
--- a/fireflyward/kept/_stores.py
+++ b/fireflyward/kept/_stores.py
@@ -6,6 +6,14 @@
 
 from fireflyward.upstreams import BlockRef, Miss
 
+SHARDS = 256
+_SHARD_DIGITS = 2
+
+
+def shard_of(key: str) -> int:
+    """Return the shard of a block key, 0 to 255; keys are evenly spread."""
+    return int(key[:_SHARD_DIGITS], 16)
+
 
 class SlotState(enum.StrEnum):
     """How far the write of a slot has come; only published blocks are read."""
@@ -64,14 +72,37 @@
     is_kept: bool
 
 
+@dataclass(frozen=True, slots=True)
+class ListQuery:
+    """What of a store's listing is asked.
+
+    Only blocks whose position is a multiple of ``stride`` and whose shard is in
+    ``shards`` are listed; an empty set means all. ``epoch`` and ``after`` come
+    from the last listing, ``start_slot`` from its page when it was whole.
+    """
+
+    epoch: int = 0
+    after: int = 0
+    stride: int = 1
+    shards: frozenset[int] = frozenset()
+    start_slot: int = 0
+
+    def wants(self, change: StoreChange) -> bool:
+        """Tell whether a line belongs into the answer."""
+        if change.position % self.stride:
+            return False
+        return not self.shards or shard_of(change.key) in self.shards
+
+
 @dataclass(frozen=True, slots=True)
 class Listing:
     """Published blocks, or what changed after the asked sequence.
 
     ``epoch`` is new when the store has lost its content. ``is_whole`` means that
-    the listing replaces what was known before: the asked epoch or sequence was
-    too old for the store to tell only the changes. ``next_sequence`` is to be
-    asked for next; ``has_more`` tells whether anything is there already.
+    the listing replaces what was known before, because the asked sequence was too
+    old for the store to tell only the changes; it then goes on at ``next_slot``
+    unless that is 0. ``next_sequence`` is to be asked for next, and ``has_more``
+    tells whether anything is there already.
     """
 
     epoch: int
@@ -79,6 +110,7 @@
     changes: tuple[StoreChange, ...]
     is_whole: bool = False
     has_more: bool = False
+    next_slot: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,7 +155,4 @@
         self, min_age_ms: int
     ) -> tuple[Unfinished, ...] | StoreAway: ...
 
-    async def list(
-        self, epoch: int, after: int, *, stride: int = 1
-    ) -> Listing | StoreAway:
-        """List blocks whose position is a multiple of ``stride``."""
+    async def list(self, query: ListQuery) -> Listing | StoreAway: ...
--- a/fireflyward/standins/__init__.py
+++ b/fireflyward/standins/__init__.py
@@ -5,22 +5,37 @@
 them behind the interface that docs/PLATFORM.md describes.
 """
 
+from ._engine_kv import EngineCache, EngineKv, EventFaults, check_block, kv_payload
 from ._engine_model import EngineCosts, EngineModel, answer_text, answer_token
 from ._engine_server import EngineServer
 from ._platform_memory import MemoryObjects, MemoryTable, MemoryVms, MemoryWeights
 from ._platform_server import PlatformServer
 from ._service_server import ServiceServer
+from ._store_memory import MemoryStore
+from ._store_model import StoreModel
+from ._store_server import StoreServer
+from ._store_slots import StoreCosts, StoreFaults
 
 __all__ = [
+    "EngineCache",
     "EngineCosts",
+    "EngineKv",
     "EngineModel",
     "EngineServer",
+    "EventFaults",
     "MemoryObjects",
+    "MemoryStore",
     "MemoryTable",
     "MemoryVms",
     "MemoryWeights",
     "PlatformServer",
     "ServiceServer",
+    "StoreCosts",
+    "StoreFaults",
+    "StoreModel",
+    "StoreServer",
     "answer_text",
     "answer_token",
+    "check_block",
+    "kv_payload",
 ]
--- a/fireflyward/standins/_engine_model.py
+++ b/fireflyward/standins/_engine_model.py
@@ -1,7 +1,6 @@
 """A model engine without a model: its queue, its costs and its cache."""
 
 import hashlib
-from collections import OrderedDict
 from dataclasses import dataclass, field
 
 from fireflyward.outcomes import Reason, Usage
@@ -15,6 +14,8 @@
     count_tokens,
 )
 
+from ._engine_kv import EngineCache
+
 _RETRY_AFTER_MS = 500
 
 
@@ -28,6 +29,7 @@
     max_queued: int = 256
     cache_blocks: int = 4_096
     load_ms: float = 1_200.0
+    import_ms_per_block: float = 0.5
 
 
 @dataclass(slots=True)
@@ -108,10 +110,13 @@
     cached_tokens: int = 0
     _queue: list[tuple[int, int, str]] = field(default_factory=list)
     _running: set[str] = field(default_factory=set)
-    _cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
+    cache: EngineCache = field(init=False)
     _prefill_free_ms: float = 0.0
     _arrivals: int = 0
 
+    def __post_init__(self) -> None:
+        self.cache = EngineCache(self.costs.cache_blocks, self.epoch)
+
     def submit(self, now_ms: float, call: EngineCall) -> Accepted | Refused:
         """Take a run or say why it is not run."""
         self.advance(now_ms)
@@ -184,7 +189,7 @@
             len(self._queue),
             len(self._running),
             sum(run.prompt_tokens - run.cached_tokens for run in waiting),
-            self.costs.cache_blocks - len(self._cache),
+            self.costs.cache_blocks - len(self.cache),
             dict(self.version_by_model),
             self.leaving,
             self.epoch,
@@ -207,17 +212,9 @@
         starts_ms = max(now_ms, self._prefill_free_ms)
         self._prefill_free_ms = starts_ms + to_compute * self.costs.prefill_ms_per_token
         run.first_token_ms = self._prefill_free_ms
-        for key in run.call.block_keys:
-            self._cache[key] = None
-            self._cache.move_to_end(key)
-        while len(self._cache) > self.costs.cache_blocks:
-            self._cache.popitem(last=False)
+        for position, key in enumerate(run.call.block_keys, start=1):
+            self.cache.store(key, position)
 
     def _cached_tokens(self, block_keys: tuple[str, ...]) -> int:
         """Count the tokens of the longest prefix whose blocks are cached."""
-        blocks = 0
-        for key in block_keys:
-            if key not in self._cache:
-                break
-            blocks += 1
-        return blocks * BLOCK_TOKENS
+        return self.cache.prefix_blocks(block_keys) * BLOCK_TOKENS
--- a/fireflyward/standins/_engine_server.py
+++ b/fireflyward/standins/_engine_server.py
@@ -13,6 +13,7 @@
     StreamLine,
 )
 
+from ._engine_kv_server import EngineKvRoutes
 from ._engine_model import EngineModel, EngineRun
 from ._http_server import HttpServer
 
@@ -29,6 +30,7 @@
         super().__init__(port=port)
         self.model = model
         self._clock = clock or Clock()
+        self.kv = EngineKvRoutes(model, self._clock)
 
     def build_app(self) -> web.Application:
         app = web.Application(client_max_size=64 << 20)
@@ -36,6 +38,7 @@
         app.router.add_get("/v1/runs/{run_id}", self._resume)
         app.router.add_delete("/v1/runs/{run_id}", self._cancel)
         app.router.add_get("/load", self._load)
+        self.kv.add_to(app)
         return app
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
--- /dev/null
+++ b/fireflyward/standins/_store_memory.py
@@ -0,0 +1,95 @@
+"""A store client without sockets, over a ``StoreModel`` and a clock."""
+
+from fireflyward.clock import Clock
+from fireflyward.kept import (
+    BlockRef,
+    Done,
+    Fenced,
+    Listing,
+    ListQuery,
+    Reserved,
+    SlotState,
+    StoreAway,
+    Unfinished,
+    Wanted,
+)
+from fireflyward.upstreams import Miss
+
+from ._store_model import StoreModel
+
+_REFUSED = StoreAway("dead", may_have_acted=False)
+_LOST = StoreAway("answer lost")
+
+
+class MemoryStore:
+    """Calls a model directly, with its faults and the times of its links."""
+
+    def __init__(self, model: StoreModel, clock: Clock) -> None:
+        self.name = model.name
+        self.model = model
+        self._clock = clock
+
+    async def reserve(self, wanted: tuple[Wanted, ...]) -> Reserved | StoreAway:
+        return await self._call(
+            lambda: self.model.reserve(self._clock.now_ms(), wanted)
+        )
+
+    async def write(self, ref: BlockRef, payload: bytes) -> Done | StoreAway:
+        result = await self._call(lambda: self.model.write(ref, payload))
+        return await self._after_transfer(ref, result)
+
+    async def seal(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        return await self._call(lambda: self.model.seal(refs))
+
+    async def publish(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        return await self._call(lambda: self.model.publish(refs))
+
+    async def describe(self, keys: tuple[str, ...]) -> Done | StoreAway:
+        return await self._call(lambda: self.model.describe(keys))
+
+    async def read(self, ref: BlockRef) -> bytes | Miss | StoreAway:
+        wait_ms = self.model.transfer_ms(self._clock.now_ms(), ref)
+        result = await self._call(lambda: self.model.read(ref))
+        if isinstance(result, bytes):
+            await self._clock.sleep_ms(wait_ms)
+        return result
+
+    async def abandon(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
+        return await self._call(lambda: self.model.abandon(refs))
+
+    async def raise_fence(self, fencing: int) -> Done | Fenced | StoreAway:
+        return await self._call(lambda: self.model.raise_fence(fencing))
+
+    async def free(
+        self, refs: tuple[BlockRef, ...], *, state: SlotState, fencing: int
+    ) -> Done | Fenced | StoreAway:
+        return await self._call(
+            lambda: self.model.free(refs, state=state, fencing=fencing)
+        )
+
+    async def unfinished(self, min_age_ms: int) -> tuple[Unfinished, ...] | StoreAway:
+        return await self._call(
+            lambda: self.model.unfinished(self._clock.now_ms(), min_age_ms)
+        )
+
+    async def list(self, query: ListQuery) -> Listing | StoreAway:
+        return await self._call(lambda: self.model.list(query))
+
+    async def _call(self, act):
+        faults = self.model.faults
+        if faults.late_ms:
+            await self._clock.sleep_ms(faults.late_ms)
+        if faults.dead:
+            return _REFUSED
+        result = act()
+        if faults.lose_answers:
+            faults.lose_answers -= 1
+            return _LOST
+        return result
+
+    async def _after_transfer(self, ref: BlockRef, result):
+        if isinstance(result, Done) and result.refs:
+            await self._clock.sleep_ms(
+                self.model.transfer_ms(self._clock.now_ms(), ref)
+            )
+        return result
--- /dev/null
+++ b/fireflyward/standins/_store_model.py
@@ -0,0 +1,322 @@
+"""A store VM without sockets: its slots, its two tiers, its links and its faults."""
+
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from fireflyward.kept import (
+    BlockRef,
+    Done,
+    Fenced,
+    Listing,
+    ListQuery,
+    Reserved,
+    SlotState,
+    StoreChange,
+    Unfinished,
+    Wanted,
+)
+from fireflyward.upstreams import Miss, MissReason, block_checksum
+
+from ._store_slots import Slot, StoreCosts, StoreFaults
+
+_EPOCH_BITS = 32
+_MAX_UNFINISHED = 1_000
+
+
+@dataclass(slots=True)
+class StoreModel:
+    """Decides what a store does; its caller gives the time.
+
+    A block goes through reserve, write, seal and publish, and only a published
+    one is read. Every step names slot and generation, and is a miss if the slot
+    has another generation by then. New blocks go to memory; the least recently
+    read ones move to disk when memory is full.
+    """
+
+    name: str
+    costs: StoreCosts = field(default_factory=StoreCosts)
+    epoch: int = 1
+    faults: StoreFaults = field(default_factory=StoreFaults)
+    link_bytes: int = 0
+    reads: int = 0
+    missed_reads: int = 0
+    _slot_by_number: dict[int, Slot] = field(default_factory=dict)
+    _free_numbers: list[int] = field(default_factory=list)
+    _published_by_key: dict[str, Slot] = field(default_factory=dict)
+    _memory: OrderedDict[int, None] = field(default_factory=OrderedDict)
+    _changes: deque[tuple[int, StoreChange]] = field(default_factory=deque)
+    _sequence: int = 0
+    _generations: int = 0
+    _highest_fencing: int = 0
+    _link_free_ms: float = 0.0
+    _disk_free_ms: float = 0.0
+
+    def restart_empty(self, epoch: int) -> None:
+        """Lose everything, as a VM that was replaced; ``epoch`` must be new."""
+        self.epoch = epoch
+        self._slot_by_number.clear()
+        self._free_numbers.clear()
+        self._published_by_key.clear()
+        self._memory.clear()
+        self._changes.clear()
+        self._sequence = self._generations = self._highest_fencing = 0
+
+    def used_slots(self) -> int:
+        """Return how many slots are not free."""
+        return len(self._slot_by_number) - len(self._free_numbers)
+
+    def capacity(self) -> int:
+        """Return how many slots both tiers have."""
+        return self.costs.memory_slots + self.costs.disk_slots
+
+    def reserve(self, now_ms: float, wanted: tuple[Wanted, ...]) -> Reserved:
+        """Give each block that is not kept yet a slot in a new generation."""
+        refs, kept = [], []
+        for item in wanted:
+            published = self._published_by_key.get(item.key)
+            if published is not None:
+                kept.append(published.ref(self.name))
+                continue
+            slot = self._take_slot()
+            if slot is None:
+                return Reserved(tuple(refs), tuple(kept), is_full=True)
+            slot.state = SlotState.RESERVED
+            slot.key, slot.position = item.key, item.position
+            slot.reserved_at_ms = now_ms
+            refs.append(slot.ref(self.name))
+        return Reserved(tuple(refs), tuple(kept))
+
+    def write(self, ref: BlockRef, payload: bytes) -> Done:
+        """Put bytes into a reserved slot; a second write replaces the first."""
+        slot = self._slot(ref)
+        if slot is None or slot.state is not SlotState.RESERVED:
+            return Done(())
+        slot.payload = payload
+        self._memory[slot.number] = None
+        self._demote()
+        self.link_bytes += self.costs.block_bytes
+        return Done((slot.ref(self.name),))
+
+    def seal(self, refs: tuple[BlockRef, ...]) -> Done:
+        """Close slots whose bytes are whole by the length and checksum of each."""
+        return self._each(refs, self._seal_slot)
+
+    def publish(self, refs: tuple[BlockRef, ...]) -> Done:
+        """Let sealed blocks be read; of two copies of a block the first stays."""
+        return self._each(refs, self._publish_slot)
+
+    def abandon(self, refs: tuple[BlockRef, ...]) -> Done:
+        """Free slots of exactly these generations that were not published."""
+        return self._each(refs, self._abandon_slot)
+
+    def describe(self, keys: tuple[str, ...]) -> Done:
+        """Return the descriptors of the longest prefix of ``keys`` that is kept."""
+        refs = []
+        for key in keys:
+            slot = self._published_by_key.get(key)
+            if slot is None:
+                break
+            refs.append(slot.ref(self.name))
+        return Done(tuple(refs))
+
+    def read(self, ref: BlockRef) -> bytes | Miss:
+        """Return the bytes of a published block of exactly this generation.
+
+        A slot that was freed and used again holds another block's bytes. The
+        reader's descriptor still names the slot, but not its generation, so it
+        gets a miss; without the comparison it would compute on foreign KV.
+        """
+        self.reads += 1
+        slot = self._slot(ref)
+        if slot is None or slot.state is not SlotState.PUBLISHED:
+            self.missed_reads += 1
+            return Miss(ref.key, MissReason.OLD_GENERATION)
+        if slot.key != ref.key:
+            self.missed_reads += 1
+            return Miss(ref.key, MissReason.WRONG_KEY)
+        self.link_bytes += self.costs.block_bytes
+        self._promote(slot)
+        return self._faulty(slot)
+
+    def raise_fence(self, fencing: int) -> Done | Fenced:
+        """Refuse every smaller fencing number from now on."""
+        if fencing < self._highest_fencing:
+            return Fenced(self._highest_fencing)
+        self._highest_fencing = fencing
+        return Done(())
+
+    def free(
+        self, refs: tuple[BlockRef, ...], *, state: SlotState, fencing: int
+    ) -> Done | Fenced:
+        """Free slots that still have this generation and state.
+
+        A sweeper that was paused past its lease acts on an old listing. Its
+        fencing number is smaller than that of the lease's next holder, so it
+        frees nothing; and a slot that went on since it was listed has another
+        state or generation, so even the first holder cannot free it by mistake.
+        """
+        fence = self.raise_fence(fencing)
+        if isinstance(fence, Fenced):
+            return fence
+        return self._each(refs, lambda slot, _: self._free_slot(slot, state))
+
+    def unfinished(self, now_ms: float, min_age_ms: int) -> tuple[Unfinished, ...]:
+        """Return slots that were reserved at least this long ago, oldest first."""
+        found = [
+            Unfinished(
+                slot.ref(self.name), slot.state, int(now_ms - slot.reserved_at_ms)
+            )
+            for slot in self._slot_by_number.values()
+            if slot.state in (SlotState.RESERVED, SlotState.SEALED)
+            and now_ms - slot.reserved_at_ms >= min_age_ms
+        ]
+        found.sort(key=lambda item: -item.age_ms)
+        return tuple(found[:_MAX_UNFINISHED])
+
+    def list(self, query: ListQuery) -> Listing:
+        """Return the changes after a sequence, or everything if they are gone."""
+        oldest = self._changes[0][0] if self._changes else self._sequence + 1
+        is_known = query.epoch == self.epoch and oldest - 1 <= query.after
+        if query.start_slot or not is_known or query.after > self._sequence:
+            return self._whole_listing(query)
+        pending = [item for item in self._changes if item[0] > query.after]
+        page = pending[: self.costs.page]
+        last = page[-1][0] if page else self._sequence
+        changes = tuple(item for _, item in page if query.wants(item))
+        return Listing(self.epoch, last, changes, has_more=len(pending) > len(page))
+
+    def transfer_ms(self, now_ms: float, ref: BlockRef) -> float:
+        """Return how long a block's bytes take on the store's links from now on."""
+        size = self.costs.block_bytes
+        start_ms = max(now_ms, self._link_free_ms)
+        if ref.slot not in self._memory:
+            disk_start_ms = max(now_ms, self._disk_free_ms)
+            self._disk_free_ms = disk_start_ms + size / self.costs.disk_bytes_per_ms
+            start_ms = max(start_ms, self._disk_free_ms)
+        self._link_free_ms = start_ms + size / self.costs.link_bytes_per_ms
+        return self._link_free_ms - now_ms + self.faults.late_ms
+
+    def _whole_listing(self, query: ListQuery) -> Listing:
+        end = query.start_slot + self.costs.page
+        numbers = range(query.start_slot, min(end, len(self._slot_by_number)))
+        slots = [self._slot_by_number[number] for number in numbers]
+        changes = [
+            StoreChange(slot.key, slot.position, True)
+            for slot in slots
+            if slot.state is SlotState.PUBLISHED
+        ]
+        return Listing(
+            self.epoch,
+            self._sequence,
+            tuple(change for change in changes if query.wants(change)),
+            is_whole=True,
+            next_slot=end if end < len(self._slot_by_number) else 0,
+        )
+
+    def _take_slot(self) -> Slot | None:
+        if self.faults.full:
+            return None
+        if self._free_numbers:
+            slot = self._slot_by_number[self._free_numbers.pop()]
+        elif len(self._slot_by_number) < self.capacity():
+            slot = Slot(len(self._slot_by_number), 0)
+            self._slot_by_number[slot.number] = slot
+        else:
+            return None
+        slot.generation = self._next_generation()
+        return slot
+
+    def _next_generation(self) -> int:
+        """Return a generation that no slot had, in this epoch or another."""
+        self._generations += 1
+        return (self.epoch << _EPOCH_BITS) + self._generations
+
+    def _slot(self, ref: BlockRef) -> Slot | None:
+        slot = self._slot_by_number.get(ref.slot)
+        if slot is None or slot.generation != ref.generation:
+            return None
+        return slot
+
+    def _each(
+        self, refs: tuple[BlockRef, ...], act: Callable[[Slot, BlockRef], bool]
+    ) -> Done:
+        done = []
+        for ref in refs:
+            slot = self._slot(ref)
+            if slot is not None and act(slot, ref):
+                done.append(slot.ref(self.name) if slot.key else ref)
+        return Done(tuple(done))
+
+    def _seal_slot(self, slot: Slot, ref: BlockRef) -> bool:
+        if slot.state is SlotState.SEALED:
+            return (ref.length, ref.checksum) == (len(slot.payload), slot.checksum)
+        if slot.state is not SlotState.RESERVED or slot.payload is None:
+            return False
+        checksum = block_checksum(slot.key, slot.generation, slot.payload)
+        if (len(slot.payload), checksum) != (ref.length, ref.checksum):
+            return False
+        slot.checksum = checksum
+        slot.state = SlotState.SEALED
+        return True
+
+    def _publish_slot(self, slot: Slot, ref: BlockRef) -> bool:
+        if slot.state is SlotState.PUBLISHED:
+            return True
+        if slot.state is not SlotState.SEALED:
+            return False
+        if slot.key in self._published_by_key:
+            self._clear(slot)
+            return False
+        slot.state = SlotState.PUBLISHED
+        self._published_by_key[slot.key] = slot
+        self._log(StoreChange(slot.key, slot.position, True))
+        return True
+
+    def _abandon_slot(self, slot: Slot, ref: BlockRef) -> bool:
+        if slot.state not in (SlotState.RESERVED, SlotState.SEALED):
+            return False
+        self._clear(slot)
+        return True
+
+    def _free_slot(self, slot: Slot, state: SlotState) -> bool:
+        if slot.state is not state or state is SlotState.FREE:
+            return False
+        if state is SlotState.PUBLISHED:
+            del self._published_by_key[slot.key]
+            self._log(StoreChange(slot.key, slot.position, False))
+        self._clear(slot)
+        return True
+
+    def _clear(self, slot: Slot) -> None:
+        slot.generation = self._next_generation()
+        slot.state = SlotState.FREE
+        slot.key, slot.position, slot.checksum = "", 0, ""
+        slot.payload = None
+        self._memory.pop(slot.number, None)
+        self._free_numbers.append(slot.number)
+
+    def _promote(self, slot: Slot) -> None:
+        self._memory[slot.number] = None
+        self._memory.move_to_end(slot.number)
+        self._demote()
+
+    def _demote(self) -> None:
+        while len(self._memory) > self.costs.memory_slots:
+            self._memory.popitem(last=False)
+
+    def _log(self, change: StoreChange) -> None:
+        self._sequence += 1
+        self._changes.append((self._sequence, change))
+        while len(self._changes) > self.costs.log_changes:
+            self._changes.popleft()
+
+    def _faulty(self, slot: Slot) -> bytes:
+        """Return the slot's bytes, or others if a fault is switched on."""
+        if self.faults.damaged_bytes:
+            return slot.payload[:-1] + bytes([slot.payload[-1] ^ 1])
+        if self.faults.wrong_bytes:
+            for other in self._published_by_key.values():
+                if other is not slot and other.payload:
+                    return other.payload
+        return slot.payload
--- a/fireflyward/upstreams/__init__.py
+++ b/fireflyward/upstreams/__init__.py
@@ -14,6 +14,7 @@
     MissReason,
     block_checksum,
 )
+from ._kv_http import HttpKvEngine
 from ._messages import (
     Accepted,
     Broken,
@@ -30,7 +31,7 @@
 )
 from ._protocols import Engine, KvEngine, PlainService
 from ._service_http import HttpService
-from ._tokens import BLOCK_TOKENS, count_tokens, split_tokens
+from ._tokens import BLOCK_TOKENS, count_tokens, split_blocks, split_tokens
 
 __all__ = [
     "BLOCK_TOKENS",
@@ -49,6 +50,7 @@
     "ExportReport",
     "Finished",
     "HttpEngine",
+    "HttpKvEngine",
     "HttpService",
     "ImportOrder",
     "ImportReport",
@@ -63,5 +65,6 @@
     "ServiceReply",
     "block_checksum",
     "count_tokens",
+    "split_blocks",
     "split_tokens",
 ]
--- a/fireflyward/upstreams/_tokens.py
+++ b/fireflyward/upstreams/_tokens.py
@@ -24,3 +24,12 @@
         data[start : start + BYTES_PER_TOKEN]
         for start in range(0, len(data), BYTES_PER_TOKEN)
     ]
+
+
+def split_blocks(text: str) -> list[bytes]:
+    """Return the tokens of each full block of ``text``, joined, in order."""
+    data = text.encode()
+    size = BLOCK_TOKENS * BYTES_PER_TOKEN
+    return [
+        data[start : start + size] for start in range(0, len(data) - size + 1, size)
+    ]
