Refuse hostile input in one form, in bounded time

Cause: the library's own refusals and failures inside the node came as bare text without an outcome, a body could trickle for ever, and a failure after dispatch looked like a plain 500 that a caller may take for 'not run'. Change: read_body bounds the time of a body (408, not run); idle and unfinished connections are closed after 75 s; pooled connections to upstreams are dropped after 15 s of idling; an exception becomes 'unknown', logged; refusals are logged with request and bundle.

--- a/fireflyward/daemon/_outside.py
+++ b/fireflyward/daemon/_outside.py
@@ -19,6 +19,10 @@
 from fireflyward.upstreams import Engine, HttpEngine, HttpService, PlainService
 
 _CONNECTIONS = 2_000
+# Something between two ends may forget a connection. An idle one that is older
+# than this is closed and not used, so that no request is written into the void.
+_POOLED_LIMIT_S = 15.0
+_IDLE_LIMIT_S = 75.0
 
 
 class Outside:
@@ -45,12 +49,20 @@
 
     async def open(self) -> None:
         """Begin the session that all clients share."""
-        connector = aiohttp.TCPConnector(limit=_CONNECTIONS)
+        connector = aiohttp.TCPConnector(
+            limit=_CONNECTIONS, keepalive_timeout=_POOLED_LIMIT_S
+        )
         self._session = aiohttp.ClientSession(connector=connector)
 
     async def listen(self, app: web.Application) -> int:
-        """Serve callers and return the port."""
-        self._runner = web.AppRunner(app, access_log=None)
+        """Serve callers and return the port.
+
+        A connection that stays without a whole request for the idle limit is
+        closed, whether it never sent one or has finished its last.
+        """
+        self._runner = web.AppRunner(
+            app, access_log=None, keepalive_timeout=_IDLE_LIMIT_S
+        )
         await self._runner.setup()
         host, port = self._settings["host"], self._settings["port"]
         await web.TCPSite(self._runner, host, port).start()
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -1,5 +1,7 @@
 """The aiohttp application of an entry VM."""
 
+import asyncio
+import logging
 import re
 import uuid
 from collections.abc import Awaitable, Callable
@@ -22,6 +24,8 @@
 from ._errors import error_bytes, headers_of, status_of
 from ._requests import ModelEntry, ModelsBody
 
+log = logging.getLogger("fireflyward.entry")
+
 _BEARER = re.compile(r"^Bearer ([\x21-\x7e]{1,512})$")
 _IDEMPOTENCY_KEY = re.compile(r"^[\x21-\x7e]{1,200}$")
 JSON = "application/json"
@@ -123,6 +127,12 @@
     parts.metrics.count(
         "requests_total", outcome=outcome.tag, reason=outcome.reason.value
     )
+    log.info(
+        "entry: %s, %s",
+        outcome.tag,
+        outcome.reason.value,
+        extra={"request": request_id, "bundle": parts.holder.number},
+    )
     headers = headers_of(
         outcome.tag,
         request_id,
@@ -148,6 +158,13 @@
         outcome = NotRun(Reason.UNKNOWN_ROUTE, f"no route {request.path}")
     except web.HTTPMethodNotAllowed:
         outcome = NotRun(Reason.BAD_REQUEST, f"{request.method} is not allowed here")
+    except web.HTTPException:
+        raise
+    except (ConnectionError, asyncio.CancelledError):
+        raise
+    except Exception:
+        log.exception("entry: %s %s failed", request.method, request.path)
+        outcome = Unknown(Reason.INTERNAL, "this node failed; it may have run")
     return refuse(request, outcome, new_request_id())
 
 
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -11,6 +11,7 @@
 from fireflyward.upstreams import EngineCall, count_tokens
 
 from ._app import JSON, PARTS, EntryParts, Identity, identify, new_request_id, refuse
+from ._body import read_body
 from ._errors import error_bytes, headers_of
 from ._requests import (
     ChatDelta,
@@ -40,7 +41,9 @@
     identity = identify(request)
     if isinstance(identity, NotRun):
         return refuse(request, identity, new_request_id())
-    body = await request.read()
+    body = await read_body(request)
+    if isinstance(body, NotRun):
+        return refuse(request, body, identity.request_id)
     prompt = read_prompt(body, is_chat=is_chat)
     refusal = (
         prompt if isinstance(prompt, NotRun) else _allowed(parts, identity, prompt)
--- a/fireflyward/entry/_errors.py
+++ b/fireflyward/entry/_errors.py
@@ -21,6 +21,7 @@
     Reason.UNKNOWN_ROUTE: 404,
     Reason.KEY_REUSED: 422,
     Reason.DUPLICATE_RUNNING: 409,
+    Reason.BODY_TIMEOUT: 408,
     Reason.TOO_LARGE: 413,
     Reason.OVER_LIMIT: 429,
 }
--- a/fireflyward/entry/_services.py
+++ b/fireflyward/entry/_services.py
@@ -10,6 +10,7 @@
 from fireflyward.upstreams import Broken, Refused, ServiceCall, ServiceReply
 
 from ._app import PARTS, Identity, identify, new_request_id, refuse
+from ._body import read_body
 from ._errors import headers_of
 
 _MAX_ATTEMPTS = 3
@@ -28,7 +29,9 @@
     if name not in bundle.services or name not in caller.services:
         outcome = NotRun(Reason.UNKNOWN_ROUTE, f"no service {name!r} for this caller")
         return refuse(request, outcome, identity.request_id)
-    body = await request.read()
+    body = await read_body(request)
+    if isinstance(body, NotRun):
+        return refuse(request, body, identity.request_id)
     path = "/" + request.match_info["path"]
     only_once = identity.is_non_idempotent or is_non_idempotent(
         bundle, name, request.method, path
--- a/fireflyward/outcomes/_outcomes.py
+++ b/fireflyward/outcomes/_outcomes.py
@@ -9,6 +9,7 @@
 
     BAD_REQUEST = "bad_request"
     TOO_LARGE = "too_large"
+    BODY_TIMEOUT = "body_timeout"
     WRONG_KEY = "wrong_key"
     NOT_ALLOWED = "not_allowed"
     UNKNOWN_MODEL = "unknown_model"
