Carry a request's trace through every task below it

Cause: a span had to be handed from function to function, and the exporter ran in the request's own turn of the event loop. Change: observe.hop opens a span below the current request's from any task that the request began, and is a no-op without one; finished spans go through the SDK's bounded queue and thread, which drops rather than waits. Conclusion: each slice can now name its hops with one line.

--- a/fireflyward/observe/__init__.py
+++ b/fireflyward/observe/__init__.py
@@ -2,6 +2,6 @@
 
 from ._logs import set_up_logs
 from ._metrics import Metrics
-from ._traces import Tracing
+from ._traces import Tracing, current_trace_parent, hop
 
-__all__ = ["Metrics", "Tracing", "set_up_logs"]
+__all__ = ["Metrics", "Tracing", "current_trace_parent", "hop", "set_up_logs"]
