Serve callers over TLS with certificates renewed under way

Change: tls_certificate and tls_key, checked at start; the files are looked at each minute, tried in a context apart, and taken for new handshakes. Conclusion: towards callers only. Frames between nodes are authenticated, not encrypted.

--- a/fireflyward/commands/_serve.py
+++ b/fireflyward/commands/_serve.py
@@ -32,7 +32,7 @@
     set_up_logs(settings["log_level"], settings["log_format"])
     try:
         asyncio.run(serve(settings))
-    except OSError as error:
+    except (OSError, ValueError) as error:
         complain(f"cannot serve: {error}")
         return EXIT_FAILED
     return EXIT_OK
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -25,6 +25,7 @@
 
 _LOAD_POLL_MS = 250
 _DRAIN_POLL_MS = 20
+_CERTIFICATE_POLL_MS = 60_000
 ENGINE = "engine"
 SERVICE = "service"
 
@@ -73,6 +74,7 @@
         await self._look_for_bundle()
         self._every(self.settings["bundle_poll_ms"], self._look_for_bundle)
         self._every(_LOAD_POLL_MS, self._poll_loads)
+        self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
         self.observe(StartStep.DUTIES_BEGUN)
         await self._poll_loads()
         self.observe(StartStep.READY)
@@ -109,6 +111,9 @@
         """Tell the balancer whether new requests may come here."""
         return not self._stopping and self.holder.bundle is not None
 
+    async def _renew_certificate(self) -> None:
+        self.outside.tls.renew()
+
     def _own_member(self) -> Member:
         return Member(
             self.settings["node_name"],
--- a/fireflyward/daemon/_outside.py
+++ b/fireflyward/daemon/_outside.py
@@ -18,6 +18,8 @@
 from fireflyward.settings import Settings
 from fireflyward.upstreams import Engine, HttpEngine, HttpService, PlainService
 
+from ._tls import CallerTls
+
 _CONNECTIONS = 2_000
 # Something between two ends may forget a connection. An idle one that is older
 # than this is closed and not used, so that no request is written into the void.
@@ -34,6 +36,7 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
+        self.tls = CallerTls(settings["tls_certificate"], settings["tls_key"])
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.AppRunner | None = None
 
@@ -65,7 +68,8 @@
         )
         await self._runner.setup()
         host, port = self._settings["host"], self._settings["port"]
-        await web.TCPSite(self._runner, host, port).start()
+        site = web.TCPSite(self._runner, host, port, ssl_context=self.tls.context)
+        await site.start()
         return self._runner.addresses[0][1]
 
     async def stop_listening(self) -> None:
--- a/fireflyward/settings/_settings.py
+++ b/fireflyward/settings/_settings.py
@@ -1,6 +1,7 @@
 """Declared settings, checked once before any socket opens."""
 
 import argparse
+import os
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -213,6 +214,12 @@
     return tuple(_address(part) for part in text.split(",") if part)
 
 
+def _readable_file(text: str) -> str:
+    if text and not os.access(text, os.R_OK):
+        raise ValueError(text)
+    return text
+
+
 def _hex_keys(text: str) -> tuple[bytes, ...]:
     keys = tuple(bytes.fromhex(part) for part in text.split(",") if part)
     if len(keys) > 2 or any(len(key) < 16 for key in keys):
@@ -366,6 +373,20 @@
         "0 to 86400000",
         "Hard limit of a planned stop; what it cuts is logged.",
     ),
+    Setting(
+        "tls_certificate",
+        "",
+        _readable_file,
+        "a readable PEM file, or nothing for plain HTTP",
+        "Certificate chain of the caller port; read again when it changes.",
+    ),
+    Setting(
+        "tls_key",
+        "",
+        _readable_file,
+        "a readable PEM file, given together with the certificate",
+        "Private key of the certificate.",
+    ),
     Setting(
         "trace_share",
         "0.01",
