Make a bundle of parts, signed by its root and verified by every node

Cause: a whole bundle for each change and accounts as objects do not fit 19,000 accounts; any pair of known keys could sign anything; nodes only polled. Change: a signed statement names the root over hashed parts, a change carries the changed parts and the digest of what it was made for; trust with roles, rotation and revocation is a part and is followed from the roots; nodes tell one another and take changes from whoever told them; X-Bundle is honoured. Conclusion: bytes, memory and time to force are measured next.

--- a/fireflyward/bundles/__init__.py
+++ b/fireflyward/bundles/__init__.py
@@ -6,40 +6,96 @@
     BundleError,
     Caller,
     Model,
+    Person,
     Service,
     Upstream,
-    parse_bundle,
+)
+from ._checks import cross_errors, weight_errors
+from ._exchange import BundleShelf, collect_whole, decode_changes
+from ._follow import (
+    BundleFollower,
+    FetchFromPeer,
+    FetchFromStore,
+    ReadHead,
+    Tell,
 )
 from ._holder import BundleHolder
+from ._loader import BundleLoader
+from ._parts import ChunkedAccounts, canonical_bytes, digest_of
 from ._signing import (
     Signature,
     SignedBundle,
     SigningKey,
-    canonical_bytes,
-    digest_of,
+    Statement,
+    key_error,
+    public_hex,
+    root_people,
+)
+from ._state import (
+    BundleState,
+    draft,
     sign_bundle,
-    verify_bundle,
+    with_approver,
+    with_author,
+)
+from ._store import (
+    AcceptStep,
+    BundleStore,
+    Head,
+    Whole,
+    decode_signed,
+    encode_signed,
+    statement_of,
 )
-from ._store import AcceptStep, BundleStore, Head
+from ._toml import parse_bundle, to_toml
+from ._verify import verify_bundle, verify_change, verify_whole
 
 __all__ = [
     "AcceptStep",
     "Account",
     "Bundle",
     "BundleError",
+    "BundleFollower",
     "BundleHolder",
+    "BundleLoader",
+    "BundleShelf",
+    "BundleState",
     "BundleStore",
     "Caller",
+    "ChunkedAccounts",
+    "FetchFromPeer",
+    "FetchFromStore",
     "Head",
     "Model",
+    "Person",
+    "ReadHead",
     "Service",
     "Signature",
     "SignedBundle",
     "SigningKey",
+    "Statement",
+    "Tell",
     "Upstream",
+    "Whole",
     "canonical_bytes",
+    "collect_whole",
+    "cross_errors",
+    "decode_changes",
+    "decode_signed",
     "digest_of",
+    "draft",
+    "encode_signed",
+    "key_error",
     "parse_bundle",
+    "public_hex",
+    "root_people",
     "sign_bundle",
+    "statement_of",
+    "to_toml",
     "verify_bundle",
+    "verify_change",
+    "verify_whole",
+    "weight_errors",
+    "with_approver",
+    "with_author",
 ]
--- /dev/null
+++ b/fireflyward/bundles/_exchange.py
@@ -0,0 +1,123 @@
+"""What a node gives its peers of the bundle that it serves by."""
+
+import asyncio
+from collections import deque
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from fireflyward.peers import load_structs
+
+from ._bundle import BundleError
+from ._signing import SignedBundle
+from ._state import BundleState
+from ._store import Whole, decode_signed, encode_signed
+
+_CHANGES_KEPT = 64
+_PARTS_PER_PAGE = 64
+_MOST_PAGES = 200
+_MOST_REPLY_BYTES = 1 << 20
+NEWS_KIND = "bundle.news"
+CHANGES_KIND = "bundle.changes"
+WHOLE_KIND = "bundle.whole"
+STATE_KIND = "bundle.state"
+
+_structs = load_structs(Path(__file__).parent, "bundle")
+BundleNews = _structs.BundleNews
+ChangesRequest = _structs.ChangesRequest
+ChangesReply = _structs.ChangesReply
+WholeRequest = _structs.WholeRequest
+WholeReply = _structs.WholeReply
+StateRequest = _structs.StateRequest
+StateReply = _structs.StateReply
+
+AskPage = Callable[[Any], Awaitable[Any]]
+
+
+class BundleShelf:
+    """The state in force at this node and the last changes, ready to hand out."""
+
+    __slots__ = ("_changes", "state")
+
+    def __init__(self) -> None:
+        self.state: BundleState | None = None
+        self._changes: deque[tuple[int, bytes]] = deque(maxlen=_CHANGES_KEPT)
+
+    def put(self, state: BundleState, changes: tuple[SignedBundle, ...] = ()) -> None:
+        """Take a newer state and the changes that led to it, oldest first."""
+        first = state.number - len(changes) + 1
+        for number, change in enumerate(changes, first):
+            self._changes.append((number, encode_signed(change)))
+        self.state = state
+
+    def changes_after(self, number: int) -> Any:
+        """Return the changes after ``number``; none if they are not all kept."""
+        current = self.state.number if self.state else 0
+        bodies: list[bytes] = []
+        size = 0
+        for kept_number, body in self._changes:
+            size += len(body) if kept_number > number else 0
+            if kept_number == number + 1 + len(bodies) and size <= _MOST_REPLY_BYTES:
+                bodies.append(body)
+        return ChangesReply(number=current, changes=bodies)
+
+    def page(self, digest: str, after_part: str) -> Any | None:
+        """Return one page of all parts; the first if ``digest`` is another's."""
+        if self.state is None:
+            return None
+        if digest != self.state.digest:
+            after_part = ""
+        names = sorted(name for name in self.state.part_by_name if name > after_part)
+        chosen = names[:_PARTS_PER_PAGE]
+        signed = self.state.signed
+        page = SignedBundle(
+            signed.document,
+            signed.signatures,
+            {name: self.state.part_by_name[name] for name in chosen},
+        )
+        return WholeReply(
+            number=self.state.number,
+            digest=self.state.digest,
+            page=encode_signed(page),
+            links=[encode_signed(link) for link in self.state.links],
+            is_last=len(names) <= _PARTS_PER_PAGE,
+        )
+
+
+def decode_changes(reply: Any) -> tuple[SignedBundle, ...] | BundleError:
+    """Read the changes of a peer's reply."""
+    try:
+        return tuple(decode_signed(body) for body in reply.changes)
+    except msgspec.DecodeError as error:
+        return BundleError("changes", str(error), code="unreadable")
+
+
+async def collect_whole(ask: AskPage) -> Whole | BundleError:
+    """Ask a peer for page after page until all parts are here.
+
+    A peer that takes a newer bundle in between starts over with that one.
+    """
+    digest, after_part = "", ""
+    parts: dict[str, bytes] = {}
+    for _ in range(_MOST_PAGES):
+        reply = await ask(WholeRequest(digest=digest, after_part=after_part))
+        if not isinstance(reply, WholeReply):
+            return BundleError("whole", f"no page: {reply}", code="unreadable")
+        try:
+            page = decode_signed(reply.page)
+            links = tuple(decode_signed(body) for body in reply.links)
+        except msgspec.DecodeError as error:
+            return BundleError("whole", str(error), code="unreadable")
+        if reply.digest != digest:
+            digest, parts = reply.digest, {}
+        parts.update(page.parts)
+        if reply.is_last:
+            snapshot = SignedBundle(page.document, page.signatures, parts)
+            return Whole(links, snapshot, ())
+        if not page.parts:
+            break
+        after_part = max(page.parts)
+        await asyncio.sleep(0)
+    return BundleError("whole", "the peer's pages do not end", code="unreadable")
--- a/fireflyward/bundles/_holder.py
+++ b/fireflyward/bundles/_holder.py
@@ -1,18 +1,22 @@
 """The bundle that a node serves by; it never steps back."""
 
 import hashlib
+from collections.abc import Callable
 
 from ._bundle import Account, Bundle
+from ._parts import ChunkedAccounts
+
+_KeyFinder = Callable[[str], tuple[str, str] | None]
 
 
 class BundleHolder:
     """Holds the bundle in force at this node and answers lookups in it."""
 
-    __slots__ = ("_account_by_key_digest", "_bundle")
+    __slots__ = ("_bundle", "_find_key")
 
     def __init__(self) -> None:
         self._bundle: Bundle | None = None
-        self._account_by_key_digest: dict[str, tuple[str, str]] = {}
+        self._find_key: _KeyFinder = {}.get
 
     def __repr__(self) -> str:
         return f"BundleHolder(number={self.number})"
@@ -36,20 +40,25 @@
         if bundle.number <= self.number:
             return False
         self._bundle = bundle
-        self._account_by_key_digest = {
-            caller.key_sha256: (account_name, caller_name)
-            for account_name, account in bundle.accounts.items()
-            for caller_name, caller in account.callers.items()
-        }
+        self._find_key = _finder(bundle)
         return True
 
     def account_of_key(self, key: str) -> tuple[str, str, Account] | None:
         """Return account name, caller name and account of a caller's key."""
         if self._bundle is None:
             return None
-        digest = hashlib.sha256(key.encode()).hexdigest()
-        found = self._account_by_key_digest.get(digest)
+        found = self._find_key(hashlib.sha256(key.encode()).hexdigest())
         if found is None:
             return None
         account_name, caller_name = found
         return account_name, caller_name, self._bundle.accounts[account_name]
+
+
+def _finder(bundle: Bundle) -> _KeyFinder:
+    if isinstance(bundle.accounts, ChunkedAccounts):
+        return bundle.accounts.find_key
+    return {
+        caller.key_sha256: (account_name, caller_name)
+        for account_name, account in bundle.accounts.items()
+        for caller_name, caller in account.callers.items()
+    }.get
--- /dev/null
+++ b/fireflyward/bundles/_loader.py
@@ -0,0 +1,59 @@
+"""Brings a node from the number that it holds to the one in the platform."""
+
+import asyncio
+from collections.abc import Mapping
+
+from fireflyward.platform import Missing, Unavailable
+
+from ._bundle import BundleError, Person
+from ._signing import SignedBundle
+from ._state import BundleState
+from ._store import BundleStore, Head, Whole
+from ._verify import verify_change, verify_whole
+
+
+class BundleLoader:
+    """Fetches and verifies; a node that is far behind starts from a snapshot."""
+
+    __slots__ = ("_deployment", "_roots", "_store")
+
+    def __init__(
+        self, store: BundleStore, *, roots: Mapping[str, Person], deployment: str
+    ) -> None:
+        self._store = store
+        self._roots = roots
+        self._deployment = deployment
+
+    async def load(
+        self, head: Head, state: BundleState | None
+    ) -> BundleState | BundleError | Missing | Unavailable:
+        """Return the verified state of ``head``, from ``state`` if that is near."""
+        if state is not None:
+            changes = await self._store.fetch_changes(head, state.number)
+            if isinstance(changes, tuple):
+                return await self.follow(state, changes)
+        whole = await self._store.fetch_whole(head)
+        if not isinstance(whole, Whole):
+            return whole
+        return await self.begin(whole)
+
+    async def begin(self, whole: Whole) -> BundleState | BundleError:
+        """Verify a snapshot by its links and then each change after it."""
+        state = verify_whole(
+            whole.snapshot, whole.links, roots=self._roots, deployment=self._deployment
+        )
+        if isinstance(state, BundleError):
+            return state
+        return await self.follow(state, whole.changes)
+
+    async def follow(
+        self, state: BundleState, changes: tuple[SignedBundle, ...]
+    ) -> BundleState | BundleError:
+        """Verify changes one after the other, letting requests in between."""
+        for change in changes:
+            after = verify_change(change, state, deployment=self._deployment)
+            if isinstance(after, BundleError):
+                return after
+            state = after
+            await asyncio.sleep(0)
+        return state
--- a/fireflyward/bundles/_signing.py
+++ b/fireflyward/bundles/_signing.py
@@ -1,6 +1,5 @@
-"""Two people sign the canonical bytes of a bundle; every node checks both."""
+"""Two people sign the statement of a bundle; every node checks both."""
 
-import hashlib
 from collections.abc import Mapping
 
 import msgspec
@@ -10,14 +9,15 @@
     Ed25519PublicKey,
 )
 
-from ._bundle import Bundle, BundleError
+from ._bundle import ALL, BundleError, Person
 
-_DOMAIN_SEPARATOR = b"fireflyward bundle 1\n"
+_DOMAIN_SEPARATOR = b"fireflyward bundle 2\n"
 AUTHOR = "author"
 APPROVER = "approver"
+_SIGNING_ROLES = (AUTHOR, APPROVER)
 
 
-class Signature(msgspec.Struct, frozen=True):
+class Signature(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """One person's Ed25519 signature in a role, ``author`` or ``approver``."""
 
     person: str
@@ -25,11 +25,46 @@
     value: bytes
 
 
-class SignedBundle(msgspec.Struct, frozen=True):
-    """A bundle's canonical bytes with the signatures over them."""
+class TrustRef(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """The number that last changed who may sign, and the hash of that part.
+
+    ``since`` is 0 while the roots of the settings sign.
+    """
+
+    since: int = 0
+    digest: str = ""
+
+
+class Statement(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What is signed: which parts become which number, after which bundle.
+
+    ``based_on`` is the digest of the statement before it, so a bundle made for
+    another predecessor cannot be replayed. ``trust_before`` is the trust by which
+    this statement's own signatures are judged.
+    """
+
+    deployment: str
+    number: int
+    based_on: str
+    author: str
+    note: str
+    chunks: int
+    upstream_chunks: int
+    root: str
+    trust: TrustRef
+    trust_before: TrustRef
+
+
+class SignedBundle(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A statement's canonical bytes, the signatures over them, and parts.
+
+    ``parts`` holds the parts that changed; one that went away is empty. For the
+    first bundle, or as a snapshot, it holds all of them.
+    """
 
     document: bytes
     signatures: tuple[Signature, ...] = ()
+    parts: dict[str, bytes] = {}
 
 
 class SigningKey:
@@ -58,54 +93,72 @@
         value = self._private.sign(_signed_bytes(role, document))
         return Signature(self.person, role, value)
 
-
-def canonical_bytes(bundle: Bundle) -> bytes:
-    """Return the one byte form of a bundle that is signed and digested."""
-    return msgspec.json.encode(bundle, order="sorted")
+    def sign_bytes(self, message: bytes) -> bytes:
+        """Sign bytes that carry a separator of their own."""
+        return self._private.sign(message)
+
+
+def root_people(public_key_by_person: Mapping[str, bytes]) -> dict[str, Person]:
+    """Return the people of the settings' trust roots, who may sign everything."""
+    return {
+        name: Person((key.hex(),), (), (ALL,), (ALL,))
+        for name, key in public_key_by_person.items()
+    }
+
+
+def key_error(
+    person_name: str, value: bytes, message: bytes, people: Mapping[str, Person]
+) -> BundleError | str:
+    """Return the public key under which a signature holds, or why none does."""
+    person = people.get(person_name)
+    if person is None:
+        return _refused("unknown_person", f"{person_name!r} is no known person")
+    for key in person.keys:
+        if _holds(key, value, message):
+            return key
+    if any(_holds(key, value, message) for key in person.revoked):
+        return _refused("revoked_key", f"{person_name}'s key is revoked")
+    return _refused("bad_signature", f"{person_name}'s signature does not hold")
+
+
+def signers_of(
+    signed: SignedBundle, people: Mapping[str, Person]
+) -> tuple[str, str] | BundleError:
+    """Return author and approver if both signatures hold and are two people's.
+
+    Exactly these two signatures are allowed, in this order, so that a signed
+    bundle has one byte form and nothing unchecked trails behind.
+    """
+    roles = tuple(signature.role for signature in signed.signatures)
+    if roles != _SIGNING_ROLES:
+        detail = f"an author's and an approver's are needed, not {list(roles)}"
+        return _refused("wrong_signatures", detail)
+    keys = []
+    for signature in signed.signatures:
+        message = _signed_bytes(signature.role, signed.document)
+        key = key_error(signature.person, signature.value, message, people)
+        if isinstance(key, BundleError):
+            return key
+        keys.append(key)
+    author, approver = (signature.person for signature in signed.signatures)
+    if author == approver or keys[0] == keys[1]:
+        return _refused("same_person", "author and approver are the same person")
+    return author, approver
 
 
-def digest_of(document: bytes) -> str:
-    """Return the SHA-256 of canonical bytes, in hexadecimal."""
-    return hashlib.sha256(document).hexdigest()
+def public_hex(key: SigningKey) -> str:
+    """Return the public key as it stands in bundles and settings."""
+    return key.public_bytes().hex()
 
 
-def sign_bundle(
-    bundle: Bundle, *, author: SigningKey, approver: SigningKey
-) -> SignedBundle:
-    """Sign a bundle by both people at once, as the demo and the tests do."""
-    document = canonical_bytes(bundle)
-    signatures = (author.sign(AUTHOR, document), approver.sign(APPROVER, document))
-    return SignedBundle(document, signatures)
+def _refused(code: str, detail: str) -> BundleError:
+    return BundleError("signatures", detail, code=code)
 
 
-def verify_bundle(
-    signed: SignedBundle, public_key_by_person: Mapping[str, bytes], deployment: str
-) -> Bundle | BundleError:
-    """Return the bundle if an author and another person's approval both hold."""
-    person_by_role: dict[str, str] = {}
-    for signature in signed.signatures:
-        key = public_key_by_person.get(signature.person)
-        if key is None:
-            return BundleError("signatures", f"unknown person {signature.person!r}")
-        if not _holds(signature, key, signed.document):
-            return BundleError("signatures", f"{signature.person}'s does not hold")
-        person_by_role[signature.role] = signature.person
-    if set(person_by_role) != {AUTHOR, APPROVER}:
-        return BundleError("signatures", "an author and an approver must sign")
-    first, second = person_by_role[AUTHOR], person_by_role[APPROVER]
-    if first == second or (public_key_by_person[first] == public_key_by_person[second]):
-        return BundleError("signatures", "author and approver are the same person")
-    bundle = msgspec.json.decode(signed.document, type=Bundle)
-    if bundle.deployment != deployment:
-        return BundleError("deployment", f"{bundle.deployment!r} is not this one")
-    return bundle
-
-
-def _holds(signature: Signature, key: bytes, document: bytes) -> bool:
-    public = Ed25519PublicKey.from_public_bytes(key)
+def _holds(key: str, value: bytes, message: bytes) -> bool:
     try:
-        public.verify(signature.value, _signed_bytes(signature.role, document))
-    except InvalidSignature:
+        Ed25519PublicKey.from_public_bytes(bytes.fromhex(key)).verify(value, message)
+    except (InvalidSignature, ValueError):
         return False
     return True
 
--- a/fireflyward/bundles/_store.py
+++ b/fireflyward/bundles/_store.py
@@ -16,11 +16,15 @@
 from fireflyward.steps import Step, StepObserver, ignore_step
 
 from ._bundle import Bundle
-from ._signing import SignedBundle, digest_of
+from ._parts import digest_of
+from ._signing import SignedBundle, Statement, TrustRef
+from ._state import BundleState
 
 HEAD_KEY = "bundle/head"
 HISTORY_PREFIX = "bundle/history/"
 HISTORY_KEPT = 2_000
+SNAPSHOT_EVERY = 64
+_MOST_CHANGES = 2 * SNAPSHOT_EVERY
 _SETTLE_ATTEMPTS = 4
 _SETTLE_PAUSE_MS = 250
 
@@ -37,13 +41,28 @@
 
 
 class Head(msgspec.Struct, frozen=True):
-    """The number in force, the digest of its bytes, and whose write it was."""
+    """The number in force, the digest of its statement, and whose write it was.
+
+    The snapshot is the newest number kept whole; a node that starts reads it and
+    the changes after it. ``note`` is what the author wrote about the change.
+    """
 
     number: int
     digest: str
     author: str = ""
     approver: str = ""
     accepted_wall_ms: int = 0
+    snapshot_number: int = 0
+    snapshot_digest: str = ""
+    note: str = ""
+
+
+class Whole(msgspec.Struct, frozen=True):
+    """All that a node needs to start from nothing: links, a snapshot, changes."""
+
+    links: tuple[SignedBundle, ...]
+    snapshot: SignedBundle
+    changes: tuple[SignedBundle, ...]
 
 
 class BundleStore:
@@ -86,7 +105,7 @@
         return msgspec.json.decode(row.value, type=Head)
 
     async def accept(
-        self, bundle: Bundle, signed: SignedBundle
+        self, bundle: Bundle, signed: SignedBundle, *, base: BundleState | None = None
     ) -> Committed | Conflict | Unavailable | Uncertain:
         """Make ``bundle`` the next number, if nobody else did so first.
 
@@ -94,33 +113,121 @@
         them, so a reader of the head always finds them. The head and the row of
         this number in the history are written together. ``Uncertain`` says that
         the write may still take effect; asking again with the same bytes is safe.
+        ``base`` is the bundle in force, if the caller holds it: every so often it
+        is kept whole for nodes that start.
         """
         self._observe(AcceptStep.BEGUN)
         digest = digest_of(signed.document)
-        stored = await self._store(
-            object_name(bundle.number, digest), msgspec.json.encode(signed)
-        )
-        if not isinstance(stored, bool):
+        stored = await self._store_change(signed, digest)
+        if stored is not None:
             return stored
         self._observe(AcceptStep.CHANGE_STORED)
         current = await self.head()
         if isinstance(current, Unavailable):
             return current
-        number, version = (
-            (0, 0) if isinstance(current, Missing) else (current[0].number, current[1])
-        )
+        before, version = (Head(0, ""), 0) if isinstance(current, Missing) else current
         self._observe(AcceptStep.HEAD_READ)
-        if bundle.number != number + 1:
-            return await self._judge_number(bundle.number, digest, number)
-        head = self._head_of(bundle.number, digest, signed)
+        based_on = statement_of(signed).based_on
+        if bundle.number != before.number + 1 or based_on != before.digest:
+            return await self._judge_number(bundle.number, digest, before.number)
+        head = self._head_of(signed, digest, before)
+        head = await self._with_snapshot(head, before, base)
         return await self._commit(head, version)
 
     async def fetch(self, head: Head) -> SignedBundle | Missing | Unavailable:
-        """Return the signed bytes that ``head`` names."""
-        body = await self._objects.get(object_name(head.number, head.digest))
+        """Return the signed change that ``head`` names."""
+        return await self._get(change_name(head.number, head.digest))
+
+    async def fetch_changes(
+        self, head: Head, after: int
+    ) -> tuple[SignedBundle, ...] | Missing | Unavailable:
+        """Return the changes that lead from number ``after`` to ``head``.
+
+        Each change names the one before it, so no row has to be read for them.
+        """
+        changes: list[SignedBundle] = []
+        number, digest = head.number, head.digest
+        while number > after and len(changes) < _MOST_CHANGES:
+            change = await self._get(change_name(number, digest))
+            if not isinstance(change, SignedBundle):
+                return change
+            changes.append(change)
+            number, digest = number - 1, statement_of(change).based_on
+        if number > after:
+            return Missing(f"more than {_MOST_CHANGES} changes before {head.number}")
+        return tuple(reversed(changes))
+
+    async def fetch_whole(self, head: Head) -> Whole | Missing | Unavailable:
+        """Return what leads from nothing to ``head``: a snapshot and changes."""
+        changes = await self.fetch_changes(head, head.snapshot_number)
+        if isinstance(changes, Missing | Unavailable):
+            return changes
+        name = snapshot_name(head.snapshot_number, head.snapshot_digest)
+        snapshot = await self._get(name)
+        if not isinstance(snapshot, SignedBundle):
+            return snapshot
+        links = await self._fetch_links(statement_of(snapshot))
+        if isinstance(links, Missing | Unavailable):
+            return links
+        return Whole(links, snapshot, changes)
+
+    async def _fetch_links(
+        self, statement: Statement
+    ) -> tuple[SignedBundle, ...] | Missing | Unavailable:
+        links: list[SignedBundle] = []
+        wanted = statement.trust_before
+        while wanted.since:
+            link = await self._get(link_name(wanted))
+            if not isinstance(link, SignedBundle):
+                return link
+            links.append(link)
+            wanted = statement_of(link).trust_before
+        return tuple(reversed(links))
+
+    async def _get(self, name: str) -> SignedBundle | Missing | Unavailable:
+        body = await self._objects.get(name)
         if not isinstance(body, bytes):
             return body
-        return msgspec.json.decode(body, type=SignedBundle)
+        try:
+            return decode_signed(body)
+        except msgspec.DecodeError as error:
+            return Unavailable(f"{name} is unreadable: {error}")
+
+    async def _store_change(
+        self, signed: SignedBundle, digest: str
+    ) -> Unavailable | None:
+        statement = statement_of(signed)
+        body = encode_signed(signed)
+        body_by_name = {change_name(statement.number, digest): body}
+        if statement.trust.since == statement.number:
+            link = SignedBundle(
+                signed.document,
+                signed.signatures,
+                {"trust": signed.parts.get("trust", b"")},
+            )
+            body_by_name[link_name(statement.trust)] = encode_signed(link)
+        if statement.number == 1:
+            body_by_name[snapshot_name(1, digest)] = body
+        for name, inner in body_by_name.items():
+            stored = await self._store(name, inner)
+            if isinstance(stored, Unavailable):
+                return stored
+        return None
+
+    async def _with_snapshot(
+        self, head: Head, before: Head, base: BundleState | None
+    ) -> Head:
+        """Keep the bundle in force whole if it is time; go on without if not."""
+        is_due = head.number - head.snapshot_number > SNAPSHOT_EVERY
+        if not is_due or base is None or base.digest != before.digest:
+            return head
+        name = snapshot_name(base.number, base.digest)
+        stored = await self._store(name, encode_signed(base.snapshot()))
+        if isinstance(stored, Unavailable):
+            return head
+        return msgspec.structs.replace(
+            head, snapshot_number=base.number, snapshot_digest=base.digest
+        )
 
     async def _store(self, name: str, body: bytes) -> bool | Unavailable:
         """Put an object; a lost answer is settled by reading the object back.
@@ -139,10 +246,21 @@
             await self._clock.sleep_ms(_SETTLE_PAUSE_MS)
         return Unavailable("object store: its answers are lost; nothing was accepted")
 
-    def _head_of(self, number: int, digest: str, signed: SignedBundle) -> Head:
+    def _head_of(self, signed: SignedBundle, digest: str, before: Head) -> Head:
         people = [signature.person for signature in signed.signatures]
         author, approver = (people + ["", ""])[:2]
-        return Head(number, digest, author, approver, self._clock.wall_ms())
+        statement = statement_of(signed)
+        is_first = statement.number == 1
+        return Head(
+            statement.number,
+            digest,
+            author,
+            approver,
+            self._clock.wall_ms(),
+            1 if is_first else before.snapshot_number,
+            digest if is_first else before.snapshot_digest,
+            statement.note,
+        )
 
     async def _judge_number(
         self, number: int, digest: str, current: int
@@ -210,6 +328,31 @@
     return f"{HISTORY_PREFIX}{number:012d}"
 
 
-def object_name(number: int, digest: str) -> str:
-    """Return the name under which a bundle's signed bytes are kept."""
-    return f"bundles/{number}-{digest}"
+def statement_of(signed: SignedBundle) -> Statement:
+    """Return the statement of a bundle whose bytes were read before."""
+    return msgspec.json.decode(signed.document, type=Statement)
+
+
+def encode_signed(signed: SignedBundle) -> bytes:
+    """Return the bytes of a signed bundle in the object store and between nodes."""
+    return msgspec.msgpack.encode(signed)
+
+
+def decode_signed(body: bytes) -> SignedBundle:
+    """Read what ``encode_signed`` wrote; raises ``msgspec.DecodeError``."""
+    return msgspec.msgpack.decode(body, type=SignedBundle)
+
+
+def change_name(number: int, digest: str) -> str:
+    """Return the name under which a signed change is kept."""
+    return f"bundles/changes/{number}-{digest}"
+
+
+def snapshot_name(number: int, digest: str) -> str:
+    """Return the name under which a number is kept whole."""
+    return f"bundles/snapshots/{number}-{digest}"
+
+
+def link_name(trust: TrustRef) -> str:
+    """Return the name under which a change of trust is kept."""
+    return f"bundles/trust/{trust.since}-{trust.digest}"
--- /dev/null
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -0,0 +1,339 @@
+"""The duty that brings accepted bundles into force at this node."""
+
+import asyncio
+import logging
+from collections.abc import Callable, Coroutine, Mapping
+from functools import singledispatchmethod
+from typing import Any
+
+from fireflyward.bundles import (
+    Bundle,
+    BundleError,
+    BundleFollower,
+    BundleLoader,
+    BundleShelf,
+    BundleState,
+    BundleStore,
+    FetchFromPeer,
+    FetchFromStore,
+    Head,
+    ReadHead,
+    Tell,
+    Whole,
+    collect_whole,
+    decode_changes,
+    root_people,
+)
+from fireflyward.bundles.messages import (
+    CHANGES_KIND,
+    NEWS_KIND,
+    STATE_KIND,
+    WHOLE_KIND,
+    BundleNews,
+    ChangesReply,
+    ChangesRequest,
+    StateReply,
+    StateRequest,
+    WholeReply,
+    WholeRequest,
+)
+from fireflyward.clock import Clock
+from fireflyward.membership import Members
+from fireflyward.peers import Address, PeerLink
+from fireflyward.platform import Missing, Objects, Table, Unavailable
+from fireflyward.settings import Settings
+
+log = logging.getLogger("fireflyward.bundles")
+
+_TICK_MS = 100
+_CATCH_UP_MS = 500
+_CATCH_UP_STEP_MS = 20
+_START_LIMIT_S = 5.0
+_UNCONFIRMED = -1
+PeerAddresses = Callable[[], Mapping[str, Address]]
+
+
+def make_bundle_duty(
+    settings: Settings,
+    *,
+    link: PeerLink,
+    clock: Clock,
+    table: Table,
+    objects: Objects,
+    members: Members,
+    apply: Callable[[Bundle], None],
+) -> "BundleDuty":
+    """Return the duty of a node with these settings."""
+    store = BundleStore(table, objects, clock=clock)
+    loader = BundleLoader(
+        store,
+        roots=root_people(dict(settings["trust_roots"])),
+        deployment=settings["deployment"],
+    )
+
+    def peers() -> dict[str, Address]:
+        asked_first = {
+            f"{host}:{port}": (host, port) for host, port in settings["peers"]
+        }
+        live = {member.name: member.address for member in members.all_live()}
+        return live if len(live) > 1 else {**asked_first, **live}
+
+    return BundleDuty(
+        link=link,
+        clock=clock,
+        follower=BundleFollower(poll_ms=settings["bundle_poll_ms"]),
+        store=store,
+        loader=loader,
+        failure_domain=settings["failure_domain"],
+        peers=peers,
+        apply=apply,
+    )
+
+
+class BundleDuty:
+    """Owns the follower, the shelf and the calls that they lead to.
+
+    ``peers`` gives the addresses of the other live nodes by name, and ``apply``
+    is called with each newer bundle. ``refused`` holds why the last one that
+    came was not taken.
+    """
+
+    def __init__(
+        self,
+        *,
+        link: PeerLink,
+        clock: Clock,
+        follower: BundleFollower,
+        store: BundleStore,
+        loader: BundleLoader,
+        failure_domain: str,
+        peers: PeerAddresses,
+        apply: Callable[[Bundle], None],
+    ) -> None:
+        self.shelf = BundleShelf()
+        self.refused: BundleError | None = None
+        self._link = link
+        self._clock = clock
+        self._follower = follower
+        self._store = store
+        self._loader = loader
+        self._failure_domain = failure_domain
+        self._peers = peers
+        self._apply = apply
+        self._heard_by_name: dict[str, Address] = {}
+        self._head: Head | None = None
+        self._refused_digest = ""
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._ticker: asyncio.Task[None] | None = None
+        link.register(NEWS_KIND, BundleNews, self._on_news)
+        link.register(CHANGES_KIND, ChangesRequest, self._on_changes_request)
+        link.register(WHOLE_KIND, WholeRequest, self._on_whole_request)
+        link.register(STATE_KIND, StateRequest, self._on_state_request)
+
+    def __repr__(self) -> str:
+        return f"BundleDuty({self._follower!r})"
+
+    async def start(self) -> None:
+        """Learn a first bundle if one can be had soon, then keep following.
+
+        A node in a failure domain that is cut off from the platform learns from
+        its peers. It cannot know whether something newer was accepted outside:
+        it serves by the highest number that any of them has.
+        """
+        self._ticker = asyncio.create_task(self._tick_always())
+        try:
+            async with asyncio.timeout(_START_LIMIT_S):
+                await self._read_head()
+                await asyncio.gather(*self._tasks, return_exceptions=True)
+                if self.shelf.state is None:
+                    await self._ask_peers()
+        except TimeoutError:
+            log.warning("bundles: none found yet, neither platform nor peers answer")
+
+    async def stop(self) -> None:
+        """End the ticking and every call under way."""
+        tasks = [*self._tasks, *([self._ticker] if self._ticker else [])]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def catch_up(self, number: int) -> bool:
+        """Wait shortly for ``number``, which a caller saw elsewhere."""
+        ends_ms = self._clock.now_ms() + _CATCH_UP_MS
+        while self._follower.number < number and self._clock.now_ms() < ends_ms:
+            self._do(self._follower.on_asked(self._clock.now_ms(), number))
+            await self._clock.sleep_ms(_CATCH_UP_STEP_MS)
+        return self._follower.number >= number
+
+    def on_member_number(self, name: str, number: int) -> None:
+        """Take note of the number that a member's heartbeat carried."""
+        if number != self._follower.number:
+            self._do(self._follower.on_news(self._clock.now_ms(), name, number))
+
+    def look(self) -> None:
+        """Read the head now, as after an acceptance through this node."""
+        self._spawn(self._read_head())
+
+    def own_state(self) -> Any:
+        """Return what this node tells an operator who asks for its state."""
+        confirmed_at_ms = self._follower.confirmed_at_ms
+        is_confirmed = confirmed_at_ms is not None
+        return StateReply(
+            node_name=self._link.node_name,
+            failure_domain=self._failure_domain,
+            number=self._follower.number,
+            head_number=self._follower.head_number,
+            confirmed_ms_ago=self._clock.now_ms() - confirmed_at_ms
+            if is_confirmed
+            else _UNCONFIRMED,
+            refused=str(self.refused or ""),
+        )
+
+    def take(self, state: BundleState, changes: tuple[Any, ...] = ()) -> None:
+        """Serve by a verified state from now on, unless it is not newer."""
+        if self.shelf.state is not None and state.number <= self.shelf.state.number:
+            return
+        self.shelf.put(state, changes)
+        self.refused = None
+        self._apply(state.bundle)
+        names = list(self._addresses())
+        now_ms = self._clock.now_ms()
+        self._do(self._follower.on_taken(now_ms, state.number, names))
+
+    async def _tick_always(self) -> None:
+        while True:
+            now_ms = self._clock.now_ms()
+            self._do(self._follower.on_tick(now_ms, list(self._addresses())))
+            await self._clock.sleep_ms(_TICK_MS)
+
+    def _addresses(self) -> dict[str, Address]:
+        addresses = {**self._heard_by_name, **self._peers()}
+        addresses.pop(self._link.node_name, None)
+        return addresses
+
+    def _do(self, actions: list[Any]) -> None:
+        for action in actions:
+            self._act(action)
+
+    @singledispatchmethod
+    def _act(self, action: Any) -> None:
+        raise TypeError(f"unknown action {action!r}")
+
+    @_act.register
+    def _(self, action: ReadHead) -> None:
+        self._spawn(self._read_head())
+
+    @_act.register
+    def _(self, action: FetchFromStore) -> None:
+        self._spawn(self._fetch_from_store())
+
+    @_act.register
+    def _(self, action: FetchFromPeer) -> None:
+        self._spawn(self._fetch_from_peer(action.peer))
+
+    @_act.register
+    def _(self, action: Tell) -> None:
+        address = self._addresses().get(action.peer)
+        if address:
+            host, port = self._link.address
+            news = BundleNews(number=action.number, host=host, port=port)
+            self._link.send(address, NEWS_KIND, news)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _read_head(self) -> None:
+        current = await self._store.head()
+        if isinstance(current, Missing | Unavailable):
+            return
+        head = current[0]
+        if self._head is None or head.number >= self._head.number:
+            self._head = head
+        if head.digest != self._refused_digest:
+            self._do(self._follower.on_head(self._clock.now_ms(), head.number))
+
+    async def _fetch_from_store(self) -> None:
+        head = self._head
+        if head is None or head.number <= self._follower.number:
+            await self._read_head()
+            self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
+            return
+        before = self.shelf.state
+        loaded = await self._loader.load(head, before)
+        if not isinstance(loaded, BundleState):
+            self._failed(loaded, head.digest)
+            return
+        is_next = before is not None and loaded.number == before.number + 1
+        self.take(loaded, (loaded.signed,) if is_next else ())
+
+    async def _fetch_from_peer(self, name: str) -> None:
+        address = self._addresses().get(name)
+        state = self.shelf.state
+        if address is None:
+            self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
+            return
+        if state is None:
+            await self._whole_from_peer(address)
+            return
+        request = ChangesRequest(after=state.number)
+        reply = await self._link.call(address, CHANGES_KIND, request, ChangesReply)
+        changes = decode_changes(reply) if isinstance(reply, ChangesReply) else ()
+        if not isinstance(changes, tuple) or not changes:
+            self._failed(changes or "the peer has no changes to give")
+            return
+        loaded = await self._loader.follow(state, changes)
+        if not isinstance(loaded, BundleState):
+            self._failed(loaded)
+            return
+        self.take(loaded, changes)
+
+    async def _whole_from_peer(self, address: Address) -> None:
+        async def ask(request: Any) -> Any:
+            return await self._link.call(address, WHOLE_KIND, request, WholeReply)
+
+        whole = await collect_whole(ask)
+        loaded = await self._loader.begin(whole) if isinstance(whole, Whole) else whole
+        if not isinstance(loaded, BundleState):
+            self._failed(loaded)
+            return
+        self.take(loaded)
+
+    def _failed(self, why: Any, digest: str = "") -> None:
+        if isinstance(why, BundleError):
+            self.refused = why
+            self._refused_digest = digest or self._refused_digest
+            log.error("bundles: refused, %s", why)
+        self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
+
+    async def _ask_peers(self) -> None:
+        """Ask every known peer at once which number it serves by."""
+        addresses = self._addresses()
+        request = StateRequest(asker=self._link.node_name)
+        replies = await asyncio.gather(
+            *(
+                self._link.call(address, STATE_KIND, request, StateReply)
+                for address in addresses.values()
+            )
+        )
+        for address, reply in zip(addresses.values(), replies, strict=True):
+            if isinstance(reply, StateReply) and reply.number:
+                self._heard_by_name[reply.node_name] = address
+                now_ms = self._clock.now_ms()
+                self._do(self._follower.on_news(now_ms, reply.node_name, reply.number))
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _on_news(self, sender: str, news: Any) -> None:
+        self._heard_by_name[sender] = (news.host, news.port)
+        now_ms = self._clock.now_ms()
+        self._do(self._follower.on_news(now_ms, sender, news.number))
+
+    async def _on_changes_request(self, sender: str, request: Any) -> Any:
+        return self.shelf.changes_after(request.after)
+
+    async def _on_whole_request(self, sender: str, request: Any) -> Any:
+        return self.shelf.page(request.digest, request.after_part)
+
+    async def _on_state_request(self, sender: str, request: Any) -> Any:
+        return self.own_state()
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -4,20 +4,20 @@
 import logging
 from collections.abc import Awaitable, Callable
 
-from fireflyward.bundles import Bundle, BundleHolder, BundleStore, verify_bundle
+from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
 from fireflyward.entry import EntryParts, build_app
 from fireflyward.kept import BlockNames
 from fireflyward.limits import Admission
 from fireflyward.membership import Member, Members
 from fireflyward.observe import Metrics, Tracing
-from fireflyward.platform import Missing, Unavailable
 from fireflyward.routing import Candidate, Router
 from fireflyward.runs import RunRecords
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Broken, Engine, PlainService
 
+from ._bundle_duty import BundleDuty, make_bundle_duty
 from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
 
@@ -56,7 +56,7 @@
         self.members = Members(self._own_member())
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
-        self._store: BundleStore | None = None
+        self.bundles: BundleDuty | None = None
 
     def __repr__(self) -> str:
         return f"Node({self.settings['node_name']!r}, port={self.port})"
@@ -65,14 +65,21 @@
         """Open the sockets and begin the periodic tasks."""
         await self.outside.open()
         table = self.outside.make_table()
-        self._store = BundleStore(table, self.outside.make_objects())
+        self.bundles = make_bundle_duty(
+            self.settings,
+            link=self.link,
+            clock=self.clock,
+            table=table,
+            objects=self.outside.make_objects(),
+            members=self.members,
+            apply=self.apply,
+        )
         app = build_app(self._entry_parts(RunRecords(table)))
         self.port = await self.outside.listen(app)
         self.observe(StartStep.PORT_OPEN)
         await self.link.start()
         self.observe(StartStep.LINK_OPEN)
-        await self._look_for_bundle()
-        self._every(self.settings["bundle_poll_ms"], self._look_for_bundle)
+        await self.bundles.start()
         self._every(_LOAD_POLL_MS, self._poll_loads)
         self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
         self.observe(StartStep.DUTIES_BEGUN)
@@ -102,6 +109,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.bundles:
+            await self.bundles.stop()
         await self.outside.stop_listening()
         await self.link.stop()
         self.observe(StopStep.CLOSED)
@@ -139,6 +148,7 @@
             deadline_ms=self.settings["request_deadline_ms"],
             ready=self.is_ready,
             observe=self.observe,
+            catch_up=self.bundles.catch_up,
         )
 
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
@@ -151,23 +161,6 @@
             await self.clock.sleep_ms(period_ms)
             await step()
 
-    async def _look_for_bundle(self) -> None:
-        current = await self._store.head()
-        if isinstance(current, Missing | Unavailable):
-            return
-        head, _ = current
-        if head.number <= self.holder.number:
-            return
-        signed = await self._store.fetch(head)
-        if isinstance(signed, Missing | Unavailable):
-            return
-        roots = dict(self.settings["trust_roots"])
-        bundle = verify_bundle(signed, roots, self.settings["deployment"])
-        if not isinstance(bundle, Bundle):
-            log.error("daemon: bundle %d refused, %s", head.number, bundle)
-            return
-        self.apply(bundle)
-
     def apply(self, bundle: Bundle) -> None:
         """Serve by ``bundle`` from now on, unless it is not newer."""
         if not self.holder.offer(bundle):
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -8,13 +8,18 @@
 from fireflyward.bundles import (
     Account,
     Bundle,
+    BundleState,
     BundleStore,
     Caller,
     Model,
     Service,
+    SignedBundle,
     SigningKey,
     Upstream,
+    root_people,
     sign_bundle,
+    verify_change,
+    verify_whole,
 )
 from fireflyward.daemon import Node
 from fireflyward.platform import Committed, HttpObjects, HttpTable
@@ -64,6 +69,7 @@
         self.node_by_name: dict[str, Node] = {}
         self._nodes_per_domain = nodes_per_domain
         self.author = SigningKey.from_seed("ana", _AUTHOR_SEED)
+        self._accepted: BundleState | None = None
         self.approver = SigningKey.from_seed("bruno", _APPROVER_SEED)
 
     async def __aenter__(self) -> "DemoDeployment":
@@ -87,14 +93,27 @@
 
     async def accept(self, bundle: Bundle) -> None:
         """Sign a bundle by both people and have the platform accept it."""
-        signed = sign_bundle(bundle, author=self.author, approver=self.approver)
+        signed = sign_bundle(
+            bundle, author=self.author, approver=self.approver, base=self._accepted
+        )
         async with aiohttp.ClientSession() as session:
             store = BundleStore(
                 HttpTable(session, self.platform.url),
                 HttpObjects(session, self.platform.url),
             )
-            result = await store.accept(bundle, signed)
+            result = await store.accept(bundle, signed, base=self._accepted)
         assert isinstance(result, Committed), result
+        self._accepted = self._state_after(signed)
+
+    def _state_after(self, signed: SignedBundle) -> BundleState:
+        if self._accepted is not None:
+            state = verify_change(signed, self._accepted, deployment="demo")
+        else:
+            keys = (self.author, self.approver)
+            roots = root_people({key.person: key.public_bytes() for key in keys})
+            state = verify_whole(signed, (), roots=roots, deployment="demo")
+        assert isinstance(state, BundleState), state
+        return state
 
     def make_bundle(self, number: int) -> Bundle:
         """Return the demo's bundle under a number."""
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -21,6 +21,7 @@
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Engine, PlainService
 
+from ._behind import refuse_while_behind
 from ._errors import error_bytes, headers_of, status_of
 from ._requests import ModelEntry, ModelsBody
 
@@ -48,6 +49,7 @@
     request_limit_bytes: int
     deadline_ms: int
     ready: Callable[[], bool]
+    catch_up: Callable[[int], Awaitable[bool]]
     observe: StepObserver = ignore_step
 
 
@@ -74,7 +76,8 @@
     from . import _completions, _services
 
     app = web.Application(
-        client_max_size=parts.request_limit_bytes, middlewares=[_refuse_in_form]
+        client_max_size=parts.request_limit_bytes,
+        middlewares=[_refuse_in_form, refuse_while_behind],
     )
     app[PARTS] = parts
     app.router.add_post("/v1/completions", _completions.handle_completion)
@@ -174,9 +177,9 @@
         return refuse(request, identity, new_request_id())
     bundle = request.app[PARTS].holder.bundle
     entries = []
-    for name in identity.account.models:
+    for name in bundle.models_of(identity.account, identity.caller_name):
         entries.append(ModelEntry(name))
-        adapters = bundle.models[name].adapters
+        adapters = bundle.adapters_of(identity.account, name)
         entries.extend(ModelEntry(f"{name}:{adapter}") for adapter in adapters)
     return web.Response(
         body=msgspec.json.encode(ModelsBody(entries)),
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -66,11 +66,13 @@
 
 def _allowed(parts: EntryParts, identity: Identity, prompt: Prompt) -> NotRun | None:
     bundle = parts.holder.bundle
-    if prompt.model not in bundle.models or prompt.model not in identity.account.models:
-        detail = f"model {prompt.model!r} is not served to this account"
+    models = bundle.models_of(identity.account, identity.caller_name)
+    if prompt.model not in bundle.models or prompt.model not in models:
+        detail = f"model {prompt.model!r} is not served to this caller"
         return NotRun(Reason.UNKNOWN_MODEL, detail)
-    if prompt.adapter and prompt.adapter not in bundle.models[prompt.model].adapters:
-        detail = f"adapter {prompt.adapter!r} is not served"
+    adapters = bundle.adapters_of(identity.account, prompt.model)
+    if prompt.adapter and prompt.adapter not in adapters:
+        detail = f"adapter {prompt.adapter!r} is not served to this account"
         return NotRun(Reason.UNKNOWN_MODEL, detail)
     return None
 
@@ -127,7 +129,9 @@
 def _make_task(
     parts: EntryParts, identity: Identity, prompt: Prompt, trace_parent: str
 ) -> RunTask:
-    version = parts.holder.bundle.models[prompt.model].version
+    version = parts.holder.bundle.version_for(
+        identity.account, identity.caller_name, prompt.model
+    )
     block_keys = parts.block_names.of_prompt(
         identity.account_name,
         prompt.model,
--- a/tests/bundles/test_store.py
+++ b/tests/bundles/test_store.py
@@ -6,7 +6,10 @@
     BundleStore,
     Model,
     SigningKey,
+    root_people,
     sign_bundle,
+    verify_change,
+    verify_whole,
 )
 from fireflyward.clock import Clock
 from fireflyward.platform import Committed, Conflict, Unavailable, Uncertain
@@ -15,6 +18,7 @@
 ANA = SigningKey.from_seed("ana", b"1" * 32)
 BRUNO = SigningKey.from_seed("bruno", b"2" * 32)
 CARLA = SigningKey.from_seed("carla", b"3" * 32)
+ROOTS = root_people({key.person: key.public_bytes() for key in (ANA, BRUNO, CARLA)})
 
 
 class Died(Exception):
@@ -66,10 +70,18 @@
         return Uncertain("answer lost")
 
 
-def signed(number, author=ANA, models=None):
-    models = {f"of-{author.person}": Model("v1")} if models is None else models
+def signed(number, author=ANA):
+    base = None if number == 1 else state_of(signed(number - 1)[1], number - 1)
+    models = {f"of-{author.person}": Model("v1")}
     bundle = Bundle("demo", number, models, {}, {})
-    return bundle, sign_bundle(bundle, author=author, approver=BRUNO)
+    return bundle, sign_bundle(bundle, author=author, approver=BRUNO, base=base)
+
+
+def state_of(change, number):
+    if number == 1:
+        return verify_whole(change, (), roots=ROOTS, deployment="demo")
+    base = state_of(signed(number - 1)[1], number - 1)
+    return verify_change(change, base, deployment="demo")
 
 
 class StoreTestCase(unittest.IsolatedAsyncioTestCase):
