Decide runs by what is proven, and cut pieces that straddle the offset

Cause: a stream that moved to another replica repeated the part of a piece before the caller's offset (shown on the code before: after 'one two three ' it delivered 'three four '). A non-idempotent run was started again on another replica after a lost connection. A run whose bytes had left but that was not yet accepted ended as not run. A second silence of a slow prefill counted as a dead replica.

Change: pieces are cut by characters under a checksum of the skipped text; a run that may have run is dispatched again only if it is idempotent; dispatching itself makes the outcome unknown; silence is measured by the project's clock over events, keep-alive lines among them, and a resume on a new connection that is answered keeps the run. RunTask takes prepare, once, budget, mark and observe. Steps of prompts, streams and non-idempotent runs are named. MemoryEngine and EngineFaults bring the faults about without sockets.

--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -7,7 +7,7 @@
 
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
 from fireflyward.routing import RunShape
-from fireflyward.runs import Deliver, RecordKept, RunTask
+from fireflyward.runs import Deliver, End, RecordKept, RunTask
 from fireflyward.upstreams import EngineCall, count_tokens
 
 from ._app import JSON, PARTS, EntryParts, Identity, identify, new_request_id, refuse
@@ -119,7 +119,7 @@
         async for result in results:
             if isinstance(result, Deliver):
                 await answer.piece(result)
-            else:
+            elif isinstance(result, End):
                 return await answer.end(result.outcome)
     finally:
         await results.aclose()
--- a/fireflyward/runs/__init__.py
+++ b/fireflyward/runs/__init__.py
@@ -1,19 +1,32 @@
 """Runs: from an admitted request to its one outcome."""
 
-from ._records import RecordKept, RunRecords
-from ._run import (
+from ._attempt import Prepare
+from ._budget import RetryBudget
+from ._messages import (
     AttemptEvent,
     Begin,
     CallerGone,
     Cancel,
     Choose,
     Chosen,
+    DeadlinePassed,
     Deliver,
+    Denied,
+    Dispatching,
     End,
+    Mark,
+    Placed,
     Resume,
-    Run,
+    RunsElsewhere,
     Start,
+    Stored,
+    Wait,
+    Waited,
 )
+from ._once import ClaimResult, EarlierAnswer, EarlierRun, Once, Permit
+from ._records import RecordKept, RunRecords
+from ._run import Run
+from ._steps import OnceStep, PromptStep, StreamStep
 from ._task import RunTask
 
 __all__ = [
@@ -23,12 +36,31 @@
     "Cancel",
     "Choose",
     "Chosen",
+    "ClaimResult",
+    "DeadlinePassed",
     "Deliver",
+    "Denied",
+    "Dispatching",
+    "EarlierAnswer",
+    "EarlierRun",
     "End",
+    "Mark",
+    "Once",
+    "OnceStep",
+    "Permit",
+    "Placed",
+    "Prepare",
+    "PromptStep",
     "RecordKept",
     "Resume",
+    "RetryBudget",
     "Run",
     "RunRecords",
     "RunTask",
+    "RunsElsewhere",
     "Start",
+    "Stored",
+    "StreamStep",
+    "Wait",
+    "Waited",
 ]
--- /dev/null
+++ b/fireflyward/runs/_attempt.py
@@ -0,0 +1,191 @@
+"""One attempt at a time: what happens between choosing and the last event."""
+
+import asyncio
+from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+
+from fireflyward.clock import Clock
+from fireflyward.connections import Heard, SilenceLimits, was_silent, within
+from fireflyward.outcomes import NotRun, Reason, Unknown
+from fireflyward.routing import Router, RunShape
+from fireflyward.steps import StepObserver
+from fireflyward.upstreams import (
+    Accepted,
+    Broken,
+    Engine,
+    EngineCall,
+    EngineEvent,
+    Finished,
+    Refused,
+)
+
+from ._messages import (
+    AttemptEvent,
+    Denied,
+    Dispatching,
+    Message,
+    RunsElsewhere,
+    Stored,
+)
+from ._once import ClaimResult, EarlierAnswer, EarlierRun, Once, Permit
+from ._steps import OnceStep, PromptStep, StreamStep
+
+_PREPARE_LIMIT_MS = 2_000
+_RETRY_AFTER_MS = 1_000
+
+Prepare = Callable[[str, EngineCall, RunShape], Awaitable[None]]
+
+
+class Attempt:
+    """Owns the connection of a run's current attempt; a new one ends the old."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        router: Router,
+        call: EngineCall,
+        shape: RunShape,
+        inbox: "asyncio.Queue[Message | Exception]",
+        take: Callable[[Message], None],
+        prepare: Prepare | None,
+        once: Once | None,
+        limits: SilenceLimits,
+        observe: StepObserver,
+    ) -> None:
+        self._clock = clock
+        self._router = router
+        self._call = call
+        self._shape = shape
+        self._inbox = inbox
+        self._take = take
+        self._prepare = prepare
+        self._once = once
+        self._limits = limits
+        self._observe = observe
+        self._permit: Permit | None = None
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self, number: int, replica: str, engine: Engine) -> None:
+        """Prepare the replica, claim the record if there is one, and dispatch."""
+        self._become(self._start(number, replica, engine))
+
+    def resume(
+        self, number: int, replica: str, engine: Engine | None, offset: int
+    ) -> None:
+        """Read the run from ``offset``; without an engine it is lost at once."""
+        self._become(self._resume(number, replica, engine, offset))
+
+    def stop(self) -> None:
+        """Stop reading."""
+        if self._task and not self._task.done():
+            self._task.cancel()
+
+    def _become(self, work: Coroutine[None, None, None]) -> None:
+        self.stop()
+        self._task = asyncio.ensure_future(self._report(work))
+
+    async def _report(self, work: Coroutine[None, None, None]) -> None:
+        """Hand an exception to the run's task, which ends by it."""
+        try:
+            await work
+        except Exception as error:
+            await self._inbox.put(error)
+
+    async def _start(self, number: int, replica: str, engine: Engine) -> None:
+        if self._prepare:
+            await self._prepare_replica(replica)
+        self._observe(PromptStep.PREPARED)
+        if self._once and not await self._is_permitted(number, replica):
+            return
+        self._observe(PromptStep.DISPATCHING)
+        # Taken at once and not through the inbox: a caller that closes now would
+        # otherwise overtake it, and a run that left would be called not run.
+        self._take(Dispatching(number))
+        events = engine.generate(self._call)
+        await self._watch(number, replica, events, self._limits.silence_ms)
+
+    async def _resume(
+        self, number: int, replica: str, engine: Engine | None, offset: int
+    ) -> None:
+        if engine is None:
+            gone = Broken(True, f"replica {replica} is not served any more")
+            await self._inbox.put(AttemptEvent(number, gone))
+            return
+        events = engine.resume(self._call.run_id, offset)
+        await self._watch(number, replica, events, self._limits.probe_ms)
+
+    async def _prepare_replica(self, replica: str) -> None:
+        """Prepare in bounded time; a run without it is slower and not wrong."""
+        work = self._prepare(replica, self._call, self._shape)
+        try:
+            await within(self._clock, _PREPARE_LIMIT_MS, work)
+        except TimeoutError:
+            return
+
+    async def _is_permitted(self, number: int, replica: str) -> bool:
+        if self._permit is None:
+            self._observe(OnceStep.CLAIMING)
+            result = await self._once.claim(replica)
+            self._observe(OnceStep.CLAIMED)
+            if not isinstance(result, Permit):
+                await self._inbox.put(_told(result, number))
+                return False
+            self._permit = result
+        self._observe(OnceStep.DISPATCHING)
+        if self._clock.now_ms() < self._permit.valid_until_ms:
+            return True
+        # A process that was paused after its claim wakes here believing that it may
+        # still dispatch. Its caller has given up, and the record may have been
+        # swept meanwhile, so a second request with the key would run beside this
+        # one: a doubled effect. The monotonic clock kept counting during the pause.
+        outcome = NotRun(Reason.DEADLINE, "its permit ran out", _RETRY_AFTER_MS)
+        await self._inbox.put(Denied(number, outcome))
+        return False
+
+    async def _watch(
+        self,
+        number: int,
+        replica: str,
+        events: AsyncIterator[EngineEvent],
+        first_limit_ms: int,
+    ) -> None:
+        heard = Heard(self._clock, first_limit_ms)
+        pump = asyncio.ensure_future(self._pump(number, replica, events, heard))
+        if await was_silent(self._clock, pump, heard):
+            self._observe(StreamStep.SILENT)
+            await self._inbox.put(AttemptEvent(number, Broken(True, "silent")))
+            return
+        pump.result()
+
+    async def _pump(
+        self,
+        number: int,
+        replica: str,
+        events: AsyncIterator[EngineEvent],
+        heard: Heard,
+    ) -> None:
+        failed = True
+        self._router.on_start(replica)
+        try:
+            async for event in events:
+                failed = not isinstance(event, Finished | Refused)
+                if isinstance(event, Accepted):
+                    self._observe(PromptStep.ACCEPTED)
+                heard.pause()
+                await self._inbox.put(AttemptEvent(number, event))
+                heard.hear(self._limits.silence_ms)
+        except asyncio.CancelledError:
+            failed = heard.left_ms() <= 0
+            raise
+        finally:
+            self._router.on_end(self._clock.now_ms(), replica, failed=failed)
+
+
+def _told(result: ClaimResult, number: int) -> Message:
+    """Return what the run is told when the record is not its own."""
+    if isinstance(result, EarlierAnswer):
+        return Stored(number, result.body, result.usage)
+    if isinstance(result, EarlierRun):
+        return RunsElsewhere(number, result.replica)
+    assert isinstance(result, NotRun | Unknown)
+    return Denied(number, result)
--- /dev/null
+++ b/fireflyward/runs/_delivered.py
@@ -0,0 +1,92 @@
+"""Where a caller stands in its answer, over all attempts of a run."""
+
+import zlib
+from dataclasses import dataclass
+
+from fireflyward.upstreams import Piece
+
+from ._messages import Deliver, Mark
+
+
+@dataclass(frozen=True, slots=True)
+class Gap:
+    """The piece does not follow the one before it on its connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Diverged:
+    """This attempt's text is not the text that the caller already has."""
+
+
+class Delivered:
+    """Cuts each attempt's pieces so that the caller sees one answer.
+
+    A new attempt on another replica starts at the first token and in pieces of
+    other sizes, so one of them usually straddles the point that the caller has
+    reached. Delivered whole it repeats text, dropped it leaves a gap. The cut is
+    made by characters, and only when the checksum of what is skipped is that of
+    what was delivered; a replica that answers differently would leave a seam.
+    """
+
+    __slots__ = ("_at", "_goal", "replica")
+
+    def __init__(self, mark: Mark | None = None) -> None:
+        self._goal = mark or Mark("")
+        self._at = self._goal
+        self.replica = self._goal.replica
+
+    def __repr__(self) -> str:
+        return f"Delivered({self._goal!r})"
+
+    @property
+    def tokens(self) -> int:
+        return self._goal.tokens
+
+    def mark(self) -> Mark:
+        """Return where the caller stands."""
+        goal = self._goal
+        return Mark(self.replica, goal.tokens, goal.chars, goal.checksum)
+
+    def begin(self, replica: str) -> None:
+        """An attempt starts on ``replica`` at the answer's first token."""
+        self.replica = replica
+        self._at = Mark(replica)
+
+    def resume(self, replica: str) -> None:
+        """An attempt goes on at the point that the caller has reached."""
+        self.replica = replica
+        self._at = self._goal
+
+    def take(self, piece: Piece) -> Deliver | Gap | Diverged | None:
+        """Return what of a piece is new; None when the caller has all of it."""
+        if piece.offset != self._at.tokens:
+            return Gap()
+        goal = self._goal
+        after = self._after(piece)
+        if after.tokens < goal.tokens:
+            self._at = after
+            return None
+        cut = goal.chars - self._at.chars
+        if not 0 <= cut <= len(piece.text):
+            return Diverged()
+        if _checksum(piece.text[:cut], self._at.checksum) != goal.checksum:
+            return Diverged()
+        self._at = after
+        if after.tokens == goal.tokens:
+            return None if cut == len(piece.text) else Diverged()
+        self._goal = after
+        new_tokens = after.tokens - goal.tokens
+        return Deliver(piece.text[cut:], goal.tokens, new_tokens, after)
+
+    def _after(self, piece: Piece) -> Mark:
+        at = self._at
+        return Mark(
+            self.replica,
+            at.tokens + piece.tokens,
+            at.chars + len(piece.text),
+            _checksum(piece.text, at.checksum),
+        )
+
+
+def _checksum(text: str, value: int) -> int:
+    return zlib.crc32(text.encode(), value)
--- /dev/null
+++ b/fireflyward/runs/_once.py
@@ -0,0 +1,41 @@
+"""What a non-idempotent run needs of its record."""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from fireflyward.outcomes import NotRun, Outcome, Unknown, Usage
+
+
+@dataclass(frozen=True, slots=True)
+class Permit:
+    """The request may be dispatched until ``valid_until_ms`` of this clock."""
+
+    valid_until_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierAnswer:
+    """An earlier request with this key ended, and this is its answer."""
+
+    body: str
+    usage: Usage = Usage()
+
+
+@dataclass(frozen=True, slots=True)
+class EarlierRun:
+    """An earlier request with this key was dispatched to ``replica``."""
+
+    replica: str
+
+
+ClaimResult = Permit | EarlierAnswer | EarlierRun | NotRun | Unknown
+
+
+class Once(Protocol):
+    """The record of one non-idempotent request."""
+
+    async def claim(self, replica: str) -> ClaimResult:
+        """Write the record, or say what an earlier request left."""
+
+    async def settle(self, outcome: Outcome, body: str) -> None:
+        """Write down how the request ended."""
--- a/fireflyward/runs/_run.py
+++ b/fireflyward/runs/_run.py
@@ -1,6 +1,5 @@
 """Decisions of one run: messages in, actions out, no I/O."""
 
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -9,123 +8,115 @@
     Broken,
     EngineEvent,
     Finished,
+    KeepAlive,
     Piece,
     Refused,
 )
 
-_MAX_ATTEMPTS = 4
-_RETRY_AFTER_MS = 1_000
-
-
-@dataclass(frozen=True, slots=True)
-class Begin:
-    """The request is admitted."""
-
-
-@dataclass(frozen=True, slots=True)
-class Chosen:
-    """Routing's answer to ``Choose``; None when no replica can take the run."""
-
-    replica: str | None
-
-
-@dataclass(frozen=True, slots=True)
-class AttemptEvent:
-    """An event of attempt number ``attempt``."""
-
-    attempt: int
-    event: EngineEvent
-
-
-@dataclass(frozen=True, slots=True)
-class CallerGone:
-    """The caller closed its connection."""
-
-
-Message = Begin | Chosen | AttemptEvent | CallerGone
-
-
-@dataclass(frozen=True, slots=True)
-class Choose:
-    """Ask routing for a replica other than those that failed."""
-
-    without: frozenset[str]
-
-
-@dataclass(frozen=True, slots=True)
-class Start:
-    """Start the run on a replica."""
-
-    attempt: int
-    replica: str
-
-
-@dataclass(frozen=True, slots=True)
-class Resume:
-    """Read the run again on the same replica from an offset."""
-
-    attempt: int
-    replica: str
-    offset: int
-
-
-@dataclass(frozen=True, slots=True)
-class Deliver:
-    """Give text to the caller."""
-
-    text: str
-    offset: int
-    tokens: int
-
-
-@dataclass(frozen=True, slots=True)
-class Cancel:
-    """Tell a replica to stop a run that nobody waits for."""
-
-    replica: str
-
-
-@dataclass(frozen=True, slots=True)
-class End:
-    """The run's one outcome."""
-
-    outcome: Outcome
-
+from ._budget import RetryBudget
+from ._delivered import Delivered, Diverged, Gap
+from ._messages import (
+    Action,
+    AttemptEvent,
+    Begin,
+    CallerGone,
+    Cancel,
+    Choose,
+    Chosen,
+    DeadlinePassed,
+    Deliver,
+    Denied,
+    Dispatching,
+    End,
+    Mark,
+    Message,
+    Placed,
+    Resume,
+    RunsElsewhere,
+    Start,
+    Stored,
+    Wait,
+    Waited,
+)
 
-Action = Choose | Start | Resume | Deliver | Cancel | End
+_MAX_REPLICAS = 4
+_MAX_QUIET_RESUMES = 10
+_RETRY_AFTER_MS = 1_000
 
 
 class Run:
     """One run's state.
 
-    A stream that breaks is resumed once on its replica at the offset that the
-    caller has; after that the run goes to another replica of the same weight
-    version, and the tokens that the caller already has are skipped there.
+    A stream that breaks or falls silent is resumed over a new connection at the
+    offset that the caller has. An answer to that tells a slow replica from a lost
+    connection; only a replica that gives none is left, for another that holds
+    the same weight version, where the answer is made again and cut to fit.
+
+    A run that is ``is_once`` is dispatched again only after a replica said, or the
+    connection proved, that the dispatch before did not run.
     """
 
     __slots__ = (
         "_attempt",
+        "_budget",
         "_deadline_ms",
         "_delivered",
         "_ended",
         "_failed",
-        "_replica",
-        "_resumed",
-        "may_have_run",
+        "_heard",
+        "_is_once",
+        "_is_resume",
+        "_is_streamed",
+        "_mark",
+        "_may_run",
+        "_quiet_resumes",
+        "_ran_before",
+        "_reads_only",
+        "_refusal",
+        "_retries",
+        "_version",
     )
 
-    def __init__(self, deadline_ms: int) -> None:
-        self._deadline_ms = deadline_ms
+    def __init__(
+        self,
+        deadline_ms: int,
+        *,
+        version: str = "",
+        is_once: bool = False,
+        is_streamed: bool = True,
+        budget: RetryBudget | None = None,
+        mark: Mark | None = None,
+    ) -> None:
         self._attempt = 0
-        self._delivered = 0
+        self._budget = budget or RetryBudget()
+        self._deadline_ms = deadline_ms
+        self._delivered = Delivered(mark)
         self._ended = False
         self._failed: frozenset[str] = frozenset()
-        self._replica = ""
-        self._resumed = False
-        self.may_have_run = False
+        self._heard = False
+        self._is_once = is_once
+        self._is_resume = False
+        self._is_streamed = is_streamed
+        self._mark = mark
+        self._may_run = False
+        self._quiet_resumes = 0
+        self._ran_before = mark is not None
+        self._reads_only = False
+        self._refusal: Refused | None = None
+        self._retries = 0
+        self._version = version
 
     def __repr__(self) -> str:
-        return f"Run(attempt={self._attempt}, delivered={self._delivered})"
+        return f"Run(attempt={self._attempt}, delivered={self._delivered.tokens})"
+
+    @property
+    def may_have_run(self) -> bool:
+        """Tell whether any replica may have run any of it."""
+        return self._may_run or self._ran_before
+
+    @property
+    def has_ended(self) -> bool:
+        return self._ended
 
     def decide(self, now_ms: int, message: Message) -> list[Action]:
         """Return what is to be done after ``message``."""
@@ -139,21 +130,67 @@
 
     @_on.register
     def _(self, message: Begin, now_ms: int) -> list[Action]:
-        return [Choose(self._failed)]
+        self._budget.on_request()
+        if self._mark is None:
+            return [Choose(self._failed)]
+        self._reads_only = self._is_once
+        self._delivered.replica = self._mark.replica
+        return self._resume()
 
     @_on.register
     def _(self, message: Chosen, now_ms: int) -> list[Action]:
         if message.replica is None:
-            return self._give_up(Reason.NO_UPSTREAM, "no replica can take it now")
+            return self._give_up_unplaced()
         self._attempt += 1
-        self._replica = message.replica
-        self._resumed = False
+        self._is_resume = False
+        self._heard = False
+        self._quiet_resumes = 0
+        self._delivered.begin(message.replica)
         return [Start(self._attempt, message.replica)]
 
+    @_on.register
+    def _(self, message: Dispatching, now_ms: int) -> list[Action]:
+        self._may_run = self._may_run or message.attempt == self._attempt
+        return []
+
+    @_on.register
+    def _(self, message: Denied, now_ms: int) -> list[Action]:
+        if message.attempt != self._attempt:
+            return []
+        self._ended = True
+        return [End(message.outcome)]
+
+    @_on.register
+    def _(self, message: Stored, now_ms: int) -> list[Action]:
+        if message.attempt != self._attempt:
+            return []
+        self._ended = True
+        tokens = message.usage.completion_tokens
+        return [Deliver(message.text, 0, tokens), End(Answered(message.usage))]
+
+    @_on.register
+    def _(self, message: RunsElsewhere, now_ms: int) -> list[Action]:
+        """Read the run of the earlier request; never dispatch a second one."""
+        if message.attempt != self._attempt:
+            return []
+        self._reads_only = True
+        self._ran_before = True
+        self._delivered.replica = message.replica
+        return self._resume()
+
+    @_on.register
+    def _(self, message: Waited, now_ms: int) -> list[Action]:
+        return [Choose(self._failed)]
+
+    @_on.register
+    def _(self, message: DeadlinePassed, now_ms: int) -> list[Action]:
+        return self._abandon(Reason.DEADLINE, "the deadline has passed")
+
     @_on.register
     def _(self, message: CallerGone, now_ms: int) -> list[Action]:
-        actions = self._give_up(Reason.CALLER_GONE, "the caller closed")
-        return [Cancel(self._replica), *actions] if self._replica else actions
+        if self._is_once and self._may_run:
+            return []
+        return self._abandon(Reason.CALLER_GONE, "the caller closed")
 
     @_on.register
     def _(self, message: AttemptEvent, now_ms: int) -> list[Action]:
@@ -168,52 +205,136 @@
 
     @_event.register
     def _(self, event: Accepted, now_ms: int) -> list[Action]:
-        self.may_have_run = True
+        self._heard = True
+        self._may_run = True
+        if self._version and event.version and event.version != self._version:
+            return self._leave(now_ms, f"answered by version {event.version}")
+        return [Placed(self._delivered.mark())]
+
+    @_event.register
+    def _(self, event: KeepAlive, now_ms: int) -> list[Action]:
+        self._heard = True
         return []
 
     @_event.register
     def _(self, event: Piece, now_ms: int) -> list[Action]:
-        if event.offset > self._delivered:
-            return self._broken(now_ms)
-        if event.offset + event.tokens <= self._delivered:
+        self._heard = True
+        self._may_run = True
+        result = self._delivered.take(event)
+        if isinstance(result, Gap):
+            return self._broken(now_ms, "a piece was missing")
+        if isinstance(result, Diverged):
+            return self._diverged()
+        if result is None:
             return []
-        self._delivered = event.offset + event.tokens
-        return [Deliver(event.text, event.offset, event.tokens)]
+        self._quiet_resumes = 0
+        return [result]
 
     @_event.register
     def _(self, event: Finished, now_ms: int) -> list[Action]:
-        if event.usage.completion_tokens != self._delivered:
-            return self._broken(now_ms)
+        if event.usage.completion_tokens != self._delivered.tokens:
+            return self._broken(now_ms, "the end came before the last piece")
         self._ended = True
         return [End(Answered(event.usage))]
 
     @_event.register
     def _(self, event: Refused, now_ms: int) -> list[Action]:
-        return self._elsewhere(now_ms)
+        if self._is_resume:
+            return self._leave(now_ms, event.detail)
+        if event.reason is Reason.DUPLICATE_RUNNING:
+            self._may_run = True
+            return self._resume()
+        self._may_run = False
+        self._refusal = event
+        is_overloaded = event.reason is Reason.OVERLOADED
+        return self._elsewhere(now_ms, event.detail, costs_budget=is_overloaded)
 
     @_event.register
     def _(self, event: Broken, now_ms: int) -> list[Action]:
-        self.may_have_run = self.may_have_run or event.may_have_run
-        if not event.may_have_run:
-            return self._elsewhere(now_ms)
-        return self._broken(now_ms)
-
-    def _broken(self, now_ms: int) -> list[Action]:
-        if self._resumed:
-            return [Cancel(self._replica), *self._elsewhere(now_ms)]
-        self._resumed = True
+        if event.may_have_run or self._is_resume or self._heard:
+            return self._broken(now_ms, event.detail)
+        self._may_run = False
+        return self._elsewhere(now_ms, event.detail)
+
+    def _broken(self, now_ms: int, detail: str) -> list[Action]:
+        """Resume, unless the replica did not even answer the last resume."""
+        is_lost = self._is_resume and not self._heard
+        if is_lost or self._quiet_resumes >= _MAX_QUIET_RESUMES:
+            return self._leave(now_ms, detail)
+        self._quiet_resumes += 1
+        return self._resume()
+
+    def _resume(self) -> list[Action]:
         self._attempt += 1
-        return [Resume(self._attempt, self._replica, self._delivered)]
-
-    def _elsewhere(self, now_ms: int) -> list[Action]:
-        self._failed = self._failed | {self._replica}
-        if now_ms >= self._deadline_ms:
-            return self._give_up(Reason.DEADLINE, "the deadline has passed")
-        if len(self._failed) >= _MAX_ATTEMPTS:
-            return self._give_up(Reason.UPSTREAM_FAILED, "no replica answered")
-        return [Choose(self._failed)]
-
-    def _give_up(self, reason: Reason, detail: str) -> list[Action]:
+        self._is_resume = True
+        self._heard = False
+        replica = self._delivered.replica
+        self._delivered.resume(replica)
+        return [Resume(self._attempt, replica, self._delivered.tokens)]
+
+    def _leave(self, now_ms: int, detail: str) -> list[Action]:
+        """Go on at another replica, stopping what may still run at this one."""
+        if self._reads_only:
+            what = "an earlier request with this key was dispatched; its run is lost"
+            return self._give_up(Reason.DUPLICATE_RUNNING, what)
+        if self._is_once and self.may_have_run:
+            return self._give_up(Reason.UPSTREAM_FAILED, detail)
+        cancel = Cancel(self._delivered.replica)
+        self._ran_before = self.may_have_run
+        self._may_run = False
+        if not self._is_streamed:
+            self._delivered = Delivered(Mark(self._delivered.replica))
+        return [cancel, *self._elsewhere(now_ms, detail, costs_budget=True)]
+
+    def _elsewhere(
+        self, now_ms: int, detail: str, *, costs_budget: bool = False
+    ) -> list[Action]:
+        """Ask for another replica after a pause.
+
+        A retry of what a replica may have worked on costs budget, and so does one
+        after an overloaded replica's refusal. A dispatch that never arrived put no
+        load anywhere; leaving it free keeps the budget for the retries that can
+        grow into a storm.
+        """
+        self._failed = self._failed | {self._delivered.replica}
+        if len(self._failed) >= _MAX_REPLICAS:
+            return self._give_up_refused(f"no replica answered, last: {detail}")
+        if costs_budget and not self._budget.take():
+            return self._give_up_refused(f"no budget for a retry, last: {detail}")
+        self._retries += 1
+        pause_ms = self._budget.pause_ms(self._retries)
+        if now_ms + pause_ms >= self._deadline_ms:
+            return self._give_up(Reason.DEADLINE, "no time is left for a retry")
+        return [Wait(pause_ms)]
+
+    def _diverged(self) -> list[Action]:
+        detail = "another replica's answer is not the one that was begun"
+        replica = self._delivered.replica
+        return [Cancel(replica), *self._give_up(Reason.UPSTREAM_FAILED, detail)]
+
+    def _abandon(self, reason: Reason, detail: str) -> list[Action]:
+        """End a run that nobody waits for; what must be known is not stopped."""
+        actions = self._give_up(reason, detail)
+        if self._may_run and not self._is_once:
+            return [Cancel(self._delivered.replica), *actions]
+        return actions
+
+    def _give_up_unplaced(self) -> list[Action]:
+        if self._refusal:
+            return self._give_up_refused(self._refusal.detail)
+        return self._give_up(Reason.NO_UPSTREAM, "no replica can take it now")
+
+    def _give_up_refused(self, detail: str) -> list[Action]:
+        """Pass on why the last replica refused, and when asking again may help."""
+        if self._refusal is None:
+            return self._give_up(Reason.UPSTREAM_FAILED, detail)
+        wait_ms = self._refusal.retry_after_ms or _RETRY_AFTER_MS
+        return self._give_up(self._refusal.reason, detail, retry_after_ms=wait_ms)
+
+    def _give_up(
+        self, reason: Reason, detail: str, *, retry_after_ms: int = _RETRY_AFTER_MS
+    ) -> list[Action]:
         self._ended = True
         kind = Unknown if self.may_have_run else NotRun
-        return [End(kind(reason, detail, _RETRY_AFTER_MS))]
+        outcome: Outcome = kind(reason, detail, retry_after_ms)
+        return [End(outcome)]
--- a/fireflyward/runs/_task.py
+++ b/fireflyward/runs/_task.py
@@ -1,47 +1,64 @@
 """The task that carries out what a run decides."""
 
 import asyncio
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Coroutine, Mapping
 from functools import singledispatchmethod
 
 from fireflyward.clock import Clock
+from fireflyward.connections import SilenceLimits, within
+from fireflyward.outcomes import Outcome
 from fireflyward.routing import Router, RunShape
-from fireflyward.upstreams import Engine, EngineCall, EngineEvent, Finished, Refused
+from fireflyward.steps import StepObserver, ignore_step
+from fireflyward.upstreams import CancelState, Engine, EngineCall
 
-from ._run import (
+from ._attempt import Attempt, Prepare
+from ._budget import RetryBudget
+from ._messages import (
     Action,
-    AttemptEvent,
     Begin,
     CallerGone,
     Cancel,
     Choose,
     Chosen,
+    DeadlinePassed,
     Deliver,
     End,
+    Mark,
     Message,
+    Placed,
     Resume,
-    Run,
     Start,
+    Wait,
+    Waited,
 )
+from ._once import Once
+from ._run import Run
+from ._steps import OnceStep, PromptStep, StreamStep
 
-_PENDING_EVENTS = 64
+_PENDING_EVENTS = 16
+_PENDING_PIECES = 64
+_SLOW_CALLER_MS = 30_000
+_CANCEL_TRIES = 2
+
+Result = Placed | Deliver | End
+
+# Tasks that outlive their caller; the event loop itself holds only weak references,
+# and a run that was collected half-way would stay unsettled for no visible reason.
+_detached: "set[asyncio.Task[None]]" = set()
 
 
 class RunTask:
-    """Owns the connections of one run; yields ``Deliver`` and then one ``End``."""
-
-    __slots__ = (
-        "_background",
-        "_call",
-        "_clock",
-        "_engine_by_name",
-        "_inbox",
-        "_out",
-        "_reader",
-        "_router",
-        "_run",
-        "_shape",
-    )
+    """Owns the connections of one run.
+
+    ``results`` yields ``Placed`` and ``Deliver`` and then one ``End``. The task
+    holds at most ``_PENDING_PIECES`` pieces that the caller has not read; after
+    that it stops reading the replica, and a caller that reads nothing for
+    ``_SLOW_CALLER_MS`` counts as gone.
+
+    ``prepare(replica, call, shape)`` is awaited between choosing and starting, for
+    at most its own limit; ``once`` is the record of a non-idempotent request;
+    ``mark`` is where a caller that comes back stands in its answer.
+    """
 
     def __init__(
         self,
@@ -52,35 +69,115 @@
         call: EngineCall,
         shape: RunShape,
         deadline_ms: int,
+        prepare: Prepare | None = None,
+        once: Once | None = None,
+        budget: RetryBudget | None = None,
+        mark: Mark | None = None,
+        is_streamed: bool = True,
+        limits: SilenceLimits | None = None,
+        observe: StepObserver = ignore_step,
     ) -> None:
         self._clock = clock
         self._router = router
         self._engine_by_name = engine_by_name
         self._call = call
         self._shape = shape
-        self._run = Run(deadline_ms)
-        self._inbox: asyncio.Queue[Message] = asyncio.Queue(_PENDING_EVENTS)
-        self._out: list[Deliver | End] = []
-        self._reader: asyncio.Task[None] | None = None
-        self._background: set[asyncio.Task[object]] = set()
+        self._deadline_ms = deadline_ms
+        self._once = once
+        self._observe = observe
+        self._run = Run(
+            deadline_ms,
+            version=call.version,
+            is_once=once is not None,
+            is_streamed=is_streamed,
+            budget=budget,
+            mark=mark,
+        )
+        self._inbox: asyncio.Queue[Message | Exception] = asyncio.Queue(_PENDING_EVENTS)
+        self._attempts = Attempt(
+            clock=clock,
+            router=router,
+            call=call,
+            shape=shape,
+            inbox=self._inbox,
+            take=self._take,
+            prepare=prepare,
+            once=once,
+            limits=limits or SilenceLimits(),
+            observe=observe,
+        )
+        self._out: list[Result] = []
+        self._outbox: asyncio.Queue[Result | Exception] = asyncio.Queue()
+        self._room = asyncio.Semaphore(_PENDING_PIECES)
+        self._is_gone = False
+        self._timers: set[asyncio.Task[None]] = set()
+        self._texts: list[str] = []
 
-    async def results(self) -> AsyncIterator[Deliver | End]:
+    async def results(self) -> AsyncIterator[Result]:
         """Yield the answer's pieces and its outcome.
 
         Closing this iterator early means that the caller is gone.
         """
+        worker = _detach(self._work())
         try:
-            self._take(Begin())
             while True:
-                while self._out:
-                    result = self._out.pop(0)
-                    yield result
-                    if isinstance(result, End):
-                        return
-                self._take(await self._inbox.get())
+                result = await self._outbox.get()
+                if isinstance(result, Exception):
+                    raise result
+                if isinstance(result, Deliver):
+                    self._room.release()
+                yield result
+                if isinstance(result, End):
+                    return
+        finally:
+            self._on_caller_gone(worker)
+
+    def _on_caller_gone(self, worker: "asyncio.Task[None]") -> None:
+        """Cancel the run, unless it must go on to be known."""
+        if worker.done() or self._run.has_ended:
+            return
+        self._is_gone = True
+        self._room.release()
+        self._observe(StreamStep.CALLER_GONE)
+        self._take(CallerGone())
+        if self._run.has_ended:
+            worker.cancel()
+
+    async def _work(self) -> None:
+        self._after(self._deadline_ms - self._clock.now_ms(), DeadlinePassed())
+        try:
+            self._take(Begin())
+            await self._flush()
+            while not self._run.has_ended:
+                message = await self._inbox.get()
+                if isinstance(message, Exception):
+                    raise message
+                self._take(message)
+                await self._flush()
+        except Exception as error:
+            self._outbox.put_nowait(error)
         finally:
+            self._attempts.stop()
+            for timer in self._timers:
+                timer.cancel()
+
+    async def _flush(self) -> None:
+        """Hand on what was decided, waiting while the caller reads too slowly."""
+        out, self._out = self._out, []
+        for result in out:
+            if isinstance(result, Deliver) and not self._is_gone:
+                await self._wait_for_room()
+            if not self._is_gone:
+                self._outbox.put_nowait(result)
+
+    async def _wait_for_room(self) -> None:
+        if not self._room.locked():
+            await self._room.acquire()
+            return
+        try:
+            await within(self._clock, _SLOW_CALLER_MS, self._room.acquire())
+        except TimeoutError:
             self._take(CallerGone())
-            self._stop_reading()
 
     def _take(self, message: Message) -> None:
         for action in self._run.decide(self._clock.now_ms(), message):
@@ -90,51 +187,76 @@
     def _perform(self, action: Action) -> None:
         self._out.append(action)
 
+    @_perform.register
+    def _(self, action: Deliver) -> None:
+        self._observe(PromptStep.DELIVERING)
+        if self._once:
+            self._texts.append(action.text)
+        self._out.append(action)
+
+    @_perform.register
+    def _(self, action: End) -> None:
+        self._observe(PromptStep.ENDED)
+        if self._once:
+            _detach(self._settle(self._once, action.outcome))
+        self._out.append(action)
+
     @_perform.register
     def _(self, action: Choose) -> None:
+        self._observe(PromptStep.CHOOSING)
         now_ms = self._clock.now_ms()
         name = self._router.choose(now_ms, self._shape, without=action.without)
+        self._observe(PromptStep.CHOSEN)
         self._take(Chosen(name))
 
     @_perform.register
     def _(self, action: Start) -> None:
         engine = self._engine_by_name[action.replica]
-        self._read(action.attempt, action.replica, engine.generate(self._call))
+        self._attempts.start(action.attempt, action.replica, engine)
 
     @_perform.register
     def _(self, action: Resume) -> None:
-        engine = self._engine_by_name[action.replica]
-        events = engine.resume(self._call.run_id, action.offset)
-        self._read(action.attempt, action.replica, events)
+        engine = self._engine_by_name.get(action.replica)
+        self._observe(StreamStep.RESUMING)
+        self._attempts.resume(action.attempt, action.replica, engine, action.offset)
+
+    @_perform.register
+    def _(self, action: Wait) -> None:
+        self._observe(StreamStep.WAITING)
+        self._attempts.stop()
+        self._after(action.duration_ms, Waited())
 
     @_perform.register
     def _(self, action: Cancel) -> None:
-        engine = self._engine_by_name[action.replica]
-        task = asyncio.ensure_future(engine.cancel(self._call.run_id))
-        self._background.add(task)
-        task.add_done_callback(self._background.discard)
+        engine = self._engine_by_name.get(action.replica)
+        if engine:
+            self._observe(StreamStep.CANCELLING)
+            _detach(_cancel(engine, self._call.run_id))
 
-    def _read(
-        self, attempt: int, replica: str, events: AsyncIterator[EngineEvent]
-    ) -> None:
-        self._stop_reading()
-        self._reader = asyncio.ensure_future(self._pump(attempt, replica, events))
+    def _after(self, duration_ms: int, message: Message) -> None:
+        timer = asyncio.ensure_future(self._tell_later(duration_ms, message))
+        self._timers.add(timer)
+        timer.add_done_callback(self._timers.discard)
+
+    async def _tell_later(self, duration_ms: int, message: Message) -> None:
+        await self._clock.sleep_ms(duration_ms)
+        await self._inbox.put(message)
+
+    async def _settle(self, once: Once, outcome: Outcome) -> None:
+        self._observe(OnceStep.SETTLING)
+        await once.settle(outcome, "".join(self._texts))
+        self._observe(OnceStep.SETTLED)
+
+
+def _detach(work: Coroutine[None, None, None]) -> "asyncio.Task[None]":
+    task = asyncio.ensure_future(work)
+    _detached.add(task)
+    task.add_done_callback(_detached.discard)
+    return task
 
-    async def _pump(
-        self, attempt: int, replica: str, events: AsyncIterator[EngineEvent]
-    ) -> None:
-        failed = True
-        self._router.on_start(replica)
-        try:
-            async for event in events:
-                failed = not isinstance(event, Finished | Refused)
-                await self._inbox.put(AttemptEvent(attempt, event))
-        except asyncio.CancelledError:
-            failed = False
-            raise
-        finally:
-            self._router.on_end(self._clock.now_ms(), replica, failed=failed)
 
-    def _stop_reading(self) -> None:
-        if self._reader and not self._reader.done():
-            self._reader.cancel()
+async def _cancel(engine: Engine, run_id: str) -> None:
+    """Cancel a run; one more try, since the first may meet a lost connection."""
+    for _ in range(_CANCEL_TRIES):
+        if await engine.cancel(run_id) is not CancelState.NO_ANSWER:
+            return
--- a/fireflyward/standins/__init__.py
+++ b/fireflyward/standins/__init__.py
@@ -5,7 +5,9 @@
 them behind the interface that docs/PLATFORM.md describes.
 """
 
+from ._engine_faults import EngineFaults
 from ._engine_kv import EngineCache, EngineKv, EventFaults, check_block, kv_payload
+from ._engine_memory import MemoryEngine
 from ._engine_model import EngineCosts, EngineModel, answer_text, answer_token
 from ._engine_server import EngineServer
 from ._platform_memory import MemoryObjects, MemoryTable, MemoryVms, MemoryWeights
@@ -19,10 +21,12 @@
 __all__ = [
     "EngineCache",
     "EngineCosts",
+    "EngineFaults",
     "EngineKv",
     "EngineModel",
     "EngineServer",
     "EventFaults",
+    "MemoryEngine",
     "MemoryObjects",
     "MemoryStore",
     "MemoryTable",
--- /dev/null
+++ b/fireflyward/standins/_engine_memory.py
@@ -0,0 +1,123 @@
+"""The engine stand-in without sockets, for a run on a faked clock."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+from fireflyward.clock import Clock
+from fireflyward.upstreams import (
+    Accepted,
+    Broken,
+    CancelState,
+    EngineCall,
+    EngineEvent,
+    Finished,
+    KeepAlive,
+    LoadReport,
+    Piece,
+    Refused,
+)
+
+from ._engine_faults import EngineFaults
+from ._engine_model import EngineModel, EngineRun
+
+_STEP_MS = 10
+_KEEP_ALIVE_MS = 500
+
+
+class MemoryEngine:
+    """An ``Engine`` over an ``EngineModel``; ``faults`` strike its connections.
+
+    ``piece_tokens`` is how many tokens it waits for before it sends a piece, so
+    that two replicas cut the same answer differently. ``started_run_ids`` lists
+    what really reached the model, so that doubles can be counted.
+    """
+
+    def __init__(
+        self, model: EngineModel, clock: Clock, *, piece_tokens: int = 1
+    ) -> None:
+        self.model = model
+        self.faults = EngineFaults()
+        self.dispatches = 0
+        self.started_run_ids: list[str] = []
+        self.cancelled_run_ids: list[str] = []
+        self._clock = clock
+        self._piece_tokens = piece_tokens
+
+    async def generate(self, call: EngineCall) -> AsyncIterator[EngineEvent]:
+        self.dispatches += 1
+        if self.faults.unreachable:
+            yield Broken(False, "connection refused")
+            return
+        if self.faults.paused or self.faults.take("lost_requests"):
+            await _silence()
+        result = self.model.submit(self._clock.now_ms(), call)
+        if isinstance(result, Refused):
+            yield result
+            return
+        self.started_run_ids.append(call.run_id)
+        if self.faults.take("lost_answers"):
+            await _silence()
+        async for event in self._stream(self.model.run_by_id[call.run_id], 0):
+            yield event
+
+    async def resume(self, run_id: str, offset: int) -> AsyncIterator[EngineEvent]:
+        if self.faults.unreachable:
+            yield Broken(False, "connection refused")
+            return
+        if self.faults.paused:
+            await _silence()
+        run = self.model.run_by_id.get(run_id)
+        if run is None or run.cancelled:
+            yield Broken(True, "status 404")
+            return
+        async for event in self._stream(run, offset):
+            yield event
+
+    async def cancel(self, run_id: str) -> CancelState:
+        if self.faults.unreachable or self.faults.paused:
+            return CancelState.NO_ANSWER
+        self.cancelled_run_ids.append(run_id)
+        return self.model.cancel(self._clock.now_ms(), run_id)
+
+    async def load(self) -> LoadReport | Broken:
+        if self.faults.unreachable or self.faults.paused:
+            return Broken(False, "no answer")
+        return self.model.report(self._clock.now_ms())
+
+    async def _stream(self, run: EngineRun, sent: int) -> AsyncIterator[EngineEvent]:
+        if self.faults.late_ms:
+            await self._clock.sleep_ms(self.faults.late_ms)
+        if self.faults.take("crossed_streams"):
+            yield Broken(True, "answer of another run")
+            return
+        yield Accepted(run.call.version, run.cached_tokens)
+        quiet_since_ms = self._clock.now_ms()
+        while sent < run.call.max_tokens and not run.cancelled:
+            if self.faults.unreachable:
+                yield Broken(True, "connection reset")
+                return
+            if self.faults.paused:
+                await _silence()
+            if sent >= self.faults.after_tokens:
+                if self.faults.take("silent_streams"):
+                    await _silence()
+                if self.faults.take("cut_streams"):
+                    yield Broken(True, "cut")
+                    return
+            now_ms = self._clock.now_ms()
+            ready = self.model.tokens_ready(now_ms, run)
+            new = ready - sent
+            if new >= min(self._piece_tokens, run.call.max_tokens - sent):
+                yield Piece(sent, new, run.answer.text(sent, ready))
+                sent, quiet_since_ms = ready, now_ms
+            elif now_ms - quiet_since_ms >= _KEEP_ALIVE_MS:
+                yield KeepAlive()
+                quiet_since_ms = now_ms
+            await self._clock.sleep_ms(_STEP_MS)
+        if not run.cancelled:
+            yield Finished(self.model.usage(run))
+
+
+async def _silence() -> None:
+    """Say nothing for good, as a connection that something forgot."""
+    await asyncio.get_running_loop().create_future()
--- a/fireflyward/upstreams/_messages.py
+++ b/fireflyward/upstreams/_messages.py
@@ -70,7 +70,12 @@
     detail: str
 
 
-EngineEvent = Accepted | Piece | Finished | Refused | Broken
+@dataclass(frozen=True, slots=True)
+class KeepAlive:
+    """The replica has the run and nothing new of it yet: slow, not silent."""
+
+
+EngineEvent = Accepted | KeepAlive | Piece | Finished | Refused | Broken
 
 
 class CancelState(enum.StrEnum):
