--- /dev/null
+++ b/fireflyward/bench/measures/bundle_cost.py
@@ -0,0 +1,96 @@
+"""Processor time and memory of a bundle at a node, by number of accounts.
+
+Times are ratios to a run of SHA-256 over a megabyte, measured in the same call;
+memory is what Python allocated for the state and the holder.
+"""
+
+import gc
+import hashlib
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from fireflyward.bench import Bench, Figure
+from fireflyward.bundles import BundleHolder, BundleState, sign_bundle, verify_change
+
+from .bundle_bytes import APPROVER, AUTHOR, DEPLOYMENT, first_state, make_bundle
+
+_MEBIBYTE = bytes(1 << 20)
+_REPEATS = 7
+_LOOKUPS = 2_000
+
+
+def _run() -> list[Figure]:
+    baseline_s = _best_of(lambda: hashlib.sha256(_MEBIBYTE).digest())
+    figures = []
+    for accounts in (100, 1_000, 5_000, 19_000):
+        figures += _time_figures(accounts, baseline_s) + _memory_figures(accounts)
+    return figures
+
+
+def _best_of(work: Callable[[], Any]) -> float:
+    times = []
+    for _ in range(_REPEATS):
+        began_s = time.perf_counter()
+        work()
+        times.append(time.perf_counter() - began_s)
+    return min(times)
+
+
+def _time_figures(accounts: int, baseline_s: float) -> list[Figure]:
+    base = first_state(accounts)
+    following = make_bundle(accounts, 2, weight_of_first=7)
+    signed = sign_bundle(following, author=AUTHOR, approver=APPROVER, base=base)
+    verify_s = _best_of(lambda: verify_change(signed, base, deployment=DEPLOYMENT))
+    holder = BundleHolder()
+    holder.offer(base.bundle)
+    lookup_s = _best_of(lambda: _look_up(holder, accounts)) / _LOOKUPS
+    prefix = f"bundle_cost.accounts_{accounts}"
+    return [
+        Figure(f"{prefix}.verify_change_ms", verify_s * 1_000, "ms"),
+        Figure(f"{prefix}.verify_change_ratio", verify_s / baseline_s, "×"),
+        Figure(f"{prefix}.lookup_us", lookup_s * 1_000_000, "µs"),
+    ]
+
+
+def _look_up(holder: BundleHolder, accounts: int) -> None:
+    for index in range(_LOOKUPS):
+        holder.account_of_key(f"key-{index * 7_919 % accounts}")
+
+
+def _memory_figures(accounts: int) -> list[Figure]:
+    gc.collect()
+    tracemalloc.start()
+    state = first_state(accounts)
+    holder = BundleHolder()
+    holder.offer(state.bundle)
+    _look_up(holder, accounts)
+    state = _next(state, accounts)
+    holder.offer(state.bundle)
+    gc.collect()
+    held, _ = tracemalloc.get_traced_memory()
+    objects = make_bundle(accounts)
+    with_objects, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    assert holder.number == state.number and objects.number == 1
+    prefix = f"bundle_cost.accounts_{accounts}"
+    return [
+        Figure(f"{prefix}.memory_per_account", held / accounts, "B"),
+        Figure(f"{prefix}.as_objects", (with_objects - held) / accounts, "B"),
+    ]
+
+
+def _next(state: BundleState, accounts: int) -> BundleState:
+    signed = sign_bundle(
+        make_bundle(accounts, 2, weight_of_first=7),
+        author=AUTHOR,
+        approver=APPROVER,
+        base=state,
+    )
+    after = verify_change(signed, state, deployment=DEPLOYMENT)
+    assert isinstance(after, BundleState), after
+    return after
+
+
+BENCH = Bench("bundle_cost", _run, is_count=False)
--- /dev/null
+++ b/tests/bundles/test_follow.py
@@ -0,0 +1,120 @@
+import unittest
+
+from fireflyward.bundles import (
+    BundleFollower,
+    FetchFromPeer,
+    FetchFromStore,
+    ReadHead,
+    Tell,
+)
+
+PEERS = [f"peer-{index}" for index in range(8)]
+
+
+def follower(number=1):
+    made = BundleFollower(poll_ms=2_000, seed=1)
+    made.on_tick(0, PEERS)
+    made.on_head(0, number)
+    made.on_taken(0, number, PEERS)
+    return made
+
+
+def kinds(actions):
+    return [type(action) for action in actions]
+
+
+class NeverBackTests(unittest.TestCase):
+    def test_nothing_that_is_told_lowers_the_number(self):
+        """Symptom: rules that were withdrawn are back. Sequence: a lagging table
+        replica or a restarted peer tells an old number. Cause: the last word was
+        taken for the newest."""
+        node = follower(7)
+        node.on_head(100, 3)
+        node.on_news(100, "peer-1", 2)
+        node.on_taken(100, 6, PEERS)
+        self.assertEqual((node.number, node.head_number, node.wanted), (7, 7, 7))
+
+    def test_lagging_replica_does_not_count_as_a_confirmation(self):
+        node = follower(7)
+        node.on_head(5_000, 6)
+        self.assertEqual(node.confirmed_at_ms, 0)
+
+    def test_peer_that_is_behind_is_told(self):
+        self.assertEqual(follower(7).on_news(1, "peer-1", 5), [Tell("peer-1", 7)])
+
+
+class FetchTests(unittest.TestCase):
+    def test_newer_head_is_fetched_once(self):
+        node = follower()
+        self.assertEqual(kinds(node.on_head(10, 2)), [FetchFromStore])
+        self.assertEqual(node.on_head(20, 2), [])
+
+    def test_news_are_fetched_from_who_told_them(self):
+        self.assertEqual(
+            follower().on_news(10, "peer-3", 2), [FetchFromPeer("peer-3", 2)]
+        )
+
+    def test_peer_that_lies_is_left_for_the_store(self):
+        node = follower()
+        node.on_head(5, 1)
+        node.on_news(10, "peer-3", 999)
+        self.assertEqual(node.on_fetch_failed(20), [])
+        self.assertEqual(node.wanted, 1)
+
+    def test_peer_that_stays_silent_is_given_up(self):
+        node = follower()
+        node.on_news(10, "peer-3", 2)
+        node.on_news(11, "peer-4", 2)
+        actions = node.on_tick(2_600, PEERS)
+        self.assertIn(FetchFromPeer("peer-4", 2), actions)
+
+    def test_store_that_fails_is_asked_less_and_less_often(self):
+        node = follower()
+        node.on_head(0, 2)
+        asked_ms = []
+        now_ms = 0
+        while now_ms < 10_000:
+            if FetchFromStore in kinds(node.on_tick(now_ms, PEERS)):
+                asked_ms.append(now_ms)
+            if node._fetching:
+                node.on_fetch_failed(now_ms)
+            now_ms += 50
+        gaps = [b - a for a, b in zip(asked_ms, asked_ms[1:], strict=False)]
+        self.assertEqual(gaps, sorted(gaps))
+        self.assertLessEqual(gaps[-1], 2_000)
+
+    def test_taken_number_is_told_to_a_few(self):
+        node = follower()
+        told = node.on_taken(10, 2, PEERS)
+        self.assertEqual(len({action.peer for action in told}), 5)
+
+    def test_newer_number_heard_while_fetching_is_fetched_next(self):
+        node = follower()
+        node.on_news(10, "peer-1", 2)
+        node.on_news(11, "peer-2", 3)
+        actions = node.on_taken(20, 2, PEERS)
+        self.assertIn(FetchFromPeer("peer-2", 3), actions)
+
+
+class PollTests(unittest.TestCase):
+    def test_polls_of_all_nodes_together_stay_within_the_rate(self):
+        node = follower()
+        self.assertEqual(node.poll_period_ms(9), 2_000)
+        self.assertEqual(node.poll_period_ms(180), 3_000)
+        self.assertEqual(node.poll_period_ms(350), 4_000)
+
+    def test_many_callers_asking_cause_few_reads(self):
+        """Symptom: the table service is overrun. Sequence: callers send numbers
+        that do not exist. Cause: one read for each request."""
+        node = follower()
+        reads = 0
+        for now_ms in range(3_000, 4_000):
+            reads += kinds(node.on_asked(now_ms, 10**9)).count(ReadHead)
+        self.assertEqual(reads, 5)
+
+    def test_caller_that_saw_what_a_peer_told_causes_a_fetch(self):
+        node = follower()
+        node.on_news(10, "peer-1", 2)
+        node.on_fetch_failed(11)
+        node.on_news(12, "peer-1", 2)
+        self.assertEqual(node.on_asked(3_000, 1), [])
--- /dev/null
+++ b/tests/bundles/test_holder.py
@@ -0,0 +1,32 @@
+import unittest
+
+from fireflyward.bundles import BundleHolder
+from tests.bundles.makers import bundle, first_state, next_state
+
+
+class HolderTests(unittest.TestCase):
+    def test_number_never_steps_back(self):
+        """Symptom: a withdrawn key works again. Sequence: an older bundle comes
+        from a lagging peer. Cause: whatever came last was taken."""
+        holder = BundleHolder()
+        self.assertTrue(holder.offer(bundle(5, ("tower-team",))))
+        self.assertFalse(holder.offer(bundle(4)))
+        self.assertFalse(holder.offer(bundle(5)))
+        self.assertIsNone(holder.account_of_key("key-bridge-team"))
+
+    def test_lookups_of_a_verified_bundle_and_of_a_plain_one_agree(self):
+        for offered in (bundle(), first_state().bundle):
+            holder = BundleHolder()
+            self.assertIsNone(holder.account_of_key("key-tower-team"))
+            holder.offer(offered)
+            name, caller, account = holder.account_of_key("key-tower-team")
+            self.assertEqual((name, caller), ("tower-team", "portal"))
+            self.assertEqual(account, offered.accounts["tower-team"])
+            self.assertIsNone(holder.account_of_key("key-other"))
+
+    def test_withdrawn_key_stops_working_with_the_next_number(self):
+        holder = BundleHolder()
+        first = first_state()
+        holder.offer(first.bundle)
+        holder.offer(next_state(first, bundle(2, ("bridge-team",))).bundle)
+        self.assertIsNone(holder.account_of_key("key-tower-team"))
