--- a/fireflyward/bundles/__init__.py
+++ b/fireflyward/bundles/__init__.py
@@ -11,6 +11,7 @@
     Upstream,
 )
 from ._checks import cross_errors, weight_errors
+from ._diff import Difference, diff
 from ._exchange import BundleShelf, collect_whole, decode_changes
 from ._follow import (
     BundleFollower,
@@ -20,8 +21,10 @@
     Tell,
 )
 from ._holder import BundleHolder
+from ._keys import KeyProblem, create_key, load_key
 from ._loader import BundleLoader
 from ._parts import ChunkedAccounts, canonical_bytes, digest_of
+from ._plan import Plan, make_plan
 from ._signing import (
     Signature,
     SignedBundle,
@@ -63,11 +66,14 @@
     "BundleStore",
     "Caller",
     "ChunkedAccounts",
+    "Difference",
     "FetchFromPeer",
     "FetchFromStore",
     "Head",
+    "KeyProblem",
     "Model",
     "Person",
+    "Plan",
     "ReadHead",
     "Service",
     "Signature",
@@ -79,13 +85,17 @@
     "Whole",
     "canonical_bytes",
     "collect_whole",
+    "create_key",
     "cross_errors",
     "decode_changes",
     "decode_signed",
+    "diff",
     "digest_of",
     "draft",
     "encode_signed",
     "key_error",
+    "load_key",
+    "make_plan",
     "parse_bundle",
     "public_hex",
     "root_people",
