Route by what is known and how old it is

Cause: the router took the better of two random replicas by queue length, knew nothing of prefixes and believed reports in full whatever their age. Change: an estimate of the time to first token for each replica from own unfinished runs, an aged share of the report, learnt prefill speed and the blocks that it likely holds; prefix record and rendezvous homes; leaving and suspicion from any sign. The engine stand-in's report counts the prefill in progress too, which it left out.

--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -157,6 +157,7 @@
         version,
         count_tokens(prompt.text),
         block_keys,
+        identity.request_id,
     )
     return RunTask(
         clock=parts.clock,
--- /dev/null
+++ b/fireflyward/routing/_affinity.py
@@ -0,0 +1,165 @@
+"""Which replica most likely holds a prompt's first blocks in its cache."""
+
+import hashlib
+from collections import OrderedDict
+
+from fireflyward.upstreams import BLOCK_TOKENS
+
+from ._candidate import RunShape
+
+_STRIDE = 4
+_SESSION_BLOCK = 7
+_KEPT_ENTRIES = 65_536
+_REPLICAS_AT_ONCE = 4
+_HOMES = 2
+_LEARNING_RATE = 0.05
+_FIRST_HOME_SHARE = 0.5
+_REMEMBERED_HOMES = 4_096
+
+
+class PrefixRecord:
+    """Remembers which replicas were recently given which prefixes.
+
+    Block keys form a chain, so a key that is known for a replica stands for every
+    block before it. Every fourth key and the last are kept, which is exact to 256
+    tokens and keeps a prompt of 1,500 blocks at 375 entries. The least recently
+    used entries go first.
+
+    >>> record = PrefixRecord()
+    >>> record.add("a", ("k0", "k1", "k2"))
+    >>> record.cached_tokens(("k0", "k1", "k2", "k3"))
+    {'a': 192}
+    """
+
+    __slots__ = ("_kept_entries", "_replicas_by_key")
+
+    def __init__(self, *, kept_entries: int = _KEPT_ENTRIES) -> None:
+        self._kept_entries = kept_entries
+        self._replicas_by_key: OrderedDict[str, tuple[str, ...]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._replicas_by_key)
+
+    def add(self, replica: str, block_keys: tuple[str, ...]) -> None:
+        """Note that a replica has been given a prompt of these blocks."""
+        last = len(block_keys) - 1
+        for depth in range(last, -1, -1):
+            if depth % _STRIDE == _STRIDE - 1 or depth == last:
+                self._note(replica, block_keys[depth])
+        while len(self._replicas_by_key) > self._kept_entries:
+            self._replicas_by_key.popitem(last=False)
+
+    def cached_tokens(self, block_keys: tuple[str, ...]) -> dict[str, int]:
+        """Return by replica the tokens of the longest known prefix."""
+        tokens_by_replica: dict[str, int] = {}
+        for depth in range(len(block_keys) - 1, -1, -1):
+            for replica in self._replicas_by_key.get(block_keys[depth], ()):
+                tokens_by_replica.setdefault(replica, (depth + 1) * BLOCK_TOKENS)
+        return tokens_by_replica
+
+    def forget(self, replica: str) -> None:
+        """Forget a replica whose cache is gone, for example after its restart."""
+        for key, replicas in list(self._replicas_by_key.items()):
+            if replica in replicas:
+                left = tuple(name for name in replicas if name != replica)
+                if left:
+                    self._replicas_by_key[key] = left
+                else:
+                    del self._replicas_by_key[key]
+
+    def _note(self, replica: str, key: str) -> None:
+        known = self._replicas_by_key.pop(key, ())
+        others = tuple(name for name in known if name != replica)
+        self._replicas_by_key[key] = (replica, *others[: _REPLICAS_AT_ONCE - 1])
+
+
+def session_key(block_keys: tuple[str, ...]) -> str | None:
+    """Return the key by which prompts with one long beginning are recognised.
+
+    Prompts that share fewer than 512 tokens share too little to travel for.
+    """
+    if not block_keys:
+        return None
+    return block_keys[min(_SESSION_BLOCK, len(block_keys) - 1)]
+
+
+def rendezvous_rank(key: str, name: str) -> int:
+    """Return the rank of ``name`` for ``key``; the highest of a set is its home.
+
+    Every node computes the same, so nodes agree on a home without a message, and
+    one name that comes or goes moves only the keys that it holds.
+    """
+    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def rendezvous_order(key: str, names: list[str]) -> list[str]:
+    """Return names by their rank for a key, the home first."""
+    return sorted(names, key=lambda name: rendezvous_rank(key, name), reverse=True)
+
+
+class PrefixAffinity:
+    """Expects how much of a prompt each replica has cached.
+
+    For a prefix that this node sent before, its own record says where. Of one
+    that it never sent, the rendezvous homes hold as much as such homes turned out
+    to hold on average (``home_share``), since every other node prefers them too.
+    """
+
+    __slots__ = (
+        "_expected_by_replica",
+        "_homes_by_key",
+        "_names_by_model",
+        "_shape",
+        "home_share",
+        "record",
+    )
+
+    def __init__(self, record: PrefixRecord | None = None) -> None:
+        self.record = record or PrefixRecord()
+        self.home_share = _FIRST_HOME_SHARE
+        self._names_by_model: dict[str, list[str]] = {}
+        self._homes_by_key: dict[tuple[str, str], list[str]] = {}
+        self._shape: RunShape | None = None
+        self._expected_by_replica: dict[str, float] = {}
+
+    def set_names(self, names_by_model: dict[str, list[str]]) -> None:
+        """Take the replicas among which prefixes have their homes."""
+        self._names_by_model = names_by_model
+        self._homes_by_key.clear()
+        self._shape = None
+
+    def expected_tokens(self, shape: RunShape) -> dict[str, float]:
+        """Return by replica the tokens that it likely need not compute."""
+        if shape is not self._shape:
+            self._shape = shape
+            self._expected_by_replica = self._look_up(shape)
+        return self._expected_by_replica
+
+    def on_cached(self, name: str, shape: RunShape, cached_tokens: int) -> None:
+        """Learn from a replica's own word what a home holds on average."""
+        homes = self._homes(shape)
+        if not homes or homes[0] != name or not shape.prompt_tokens:
+            return
+        seen = min(1.0, cached_tokens / shape.prompt_tokens)
+        self.home_share += _LEARNING_RATE * (seen - self.home_share)
+
+    def _look_up(self, shape: RunShape) -> dict[str, float]:
+        expected: dict[str, float] = dict(self.record.cached_tokens(shape.block_keys))
+        guessed = shape.prompt_tokens * self.home_share
+        for place, name in enumerate(self._homes(shape), start=1):
+            expected.setdefault(name, guessed / place)
+        return expected
+
+    def _homes(self, shape: RunShape) -> list[str]:
+        key = session_key(shape.block_keys)
+        if key is None:
+            return []
+        known = self._homes_by_key.get((shape.model, key))
+        if known is None:
+            names = self._names_by_model.get(shape.model, [])
+            known = rendezvous_order(key, names)[:_HOMES]
+            if len(self._homes_by_key) >= _REMEMBERED_HOMES:
+                self._homes_by_key.clear()
+            self._homes_by_key[shape.model, key] = known
+        return known
--- a/fireflyward/runs/_attempt.py
+++ b/fireflyward/runs/_attempt.py
@@ -168,6 +168,8 @@
         self._router.on_start(replica)
         try:
             async for event in events:
+                now_ms = self._clock.now_ms()
+                self._router.on_event(now_ms, replica, self._call.run_id, event)
                 failed = not isinstance(event, Finished | Refused)
                 if isinstance(event, Accepted):
                     self._observe(PromptStep.ACCEPTED)
--- a/fireflyward/standins/_engine_model.py
+++ b/fireflyward/standins/_engine_model.py
@@ -188,13 +188,19 @@
         return LoadReport(
             len(self._queue),
             len(self._running),
-            sum(run.prompt_tokens - run.cached_tokens for run in waiting),
+            sum(run.prompt_tokens - run.cached_tokens for run in waiting)
+            + self._tokens_in_prefill(now_ms),
             self.costs.cache_blocks - len(self.cache),
             dict(self.version_by_model),
             self.leaving,
             self.epoch,
         )
 
+    def _tokens_in_prefill(self, now_ms: float) -> int:
+        """Return the tokens of begun runs that are still to be computed."""
+        left_ms = max(0.0, self._prefill_free_ms - now_ms)
+        return int(left_ms / self.costs.prefill_ms_per_token)
+
     def _ends_ms(self, run_id: str) -> float:
         return self.run_by_id[run_id].ends_ms(self.costs.decode_ms_per_token)
 
