Learn nothing from events that tell nothing of a replica

Cause: the router refused keep-alive events, which streams now carry. Change: events without news are passed over; the believed backlog is a question that a candidate answers, so that placement asks the same.

--- a/fireflyward/routing/_candidate.py
+++ b/fireflyward/routing/_candidate.py
@@ -1,10 +1,13 @@
 """What a node knows of one replica, and how old it is."""
 
+import math
 from dataclasses import dataclass, field
 
 from fireflyward.upstreams import LoadReport
 
 DEFAULT_MS_PER_TOKEN = 0.05
+_REPORT_SHARE = 0.25
+_REPORT_LIFE_MS = 100.0
 _RATE_DOWN = 0.3
 _RATE_UP = 0.005
 _LEAST_TOKENS_TO_LEARN = 128
@@ -66,6 +69,21 @@
         self.version_by_model = report.version_by_model
         return True
 
+    def backlog_tokens(self, now_ms: float) -> float:
+        """Return the tokens that a new run is taken to wait for here.
+
+        This node's own runs count in full, since they are known exactly. What the
+        report adds counts for less the older it is, and never for more than a
+        quarter: all nodes see the same report, and if each acted on the whole of
+        it, they would together move several times the load that is out of balance,
+        and move it back on the next report. docs/design/routing.md has figures.
+        """
+        if self.report is None:
+            return self.pending_tokens
+        faded = math.exp(-max(0.0, now_ms - self.reported_at_ms) / _REPORT_LIFE_MS)
+        believed = _REPORT_SHARE * faded * self.report.queued_prefill_tokens
+        return self.pending_tokens + believed
+
     def learn_speed(self, elapsed_ms: float, tokens: float) -> None:
         """Learn from the time to one first token and the tokens computed for it.
 
--- a/fireflyward/routing/_router.py
+++ b/fireflyward/routing/_router.py
@@ -249,7 +249,7 @@
     def _learn(
         self, event: EngineEvent, now_ms: int, candidate: Candidate, run_id: str
     ) -> None:
-        raise TypeError(f"nothing to learn from {event!r}")
+        """Learn nothing from events that say nothing of a replica's load."""
 
     @_learn.register
     def _(
