--- /dev/null
+++ b/tests/faults/_matrix.py
@@ -0,0 +1,115 @@
+"""Crosses faults with steps, one small world for each cell."""
+
+import asyncio
+import random
+from dataclasses import dataclass, field
+
+from fireflyward.steps import Step
+
+from ._faults import FAULT_BY_NAME
+from ._procedures import PROCEDURE_BY_NAME
+from ._world import ACCOUNTS, World
+
+_LIMIT_MS = 120_000
+_TICK_MS = 200
+_SETTLE_MS = 8_000
+
+Struck = tuple[Step, str]
+
+
+@dataclass(frozen=True, slots=True)
+class Cell:
+    """Faults that strike in turn, each when its step is next reached."""
+
+    procedure: str
+    strikes: tuple[Struck, ...] = ()
+
+    def __str__(self) -> str:
+        struck = ", ".join(f"{fault} at {step.value!r}" for step, fault in self.strikes)
+        return f"{self.procedure}: {struck or 'no fault'}"
+
+
+@dataclass(slots=True)
+class Result:
+    """What came of a cell; ``steps`` are those reached after the last strike."""
+
+    cell: Cell
+    problems: tuple[str, ...] = ()
+    unstruck: tuple[Struck, ...] = ()
+    steps: set[Step] = field(default_factory=set)
+
+
+def run_cell(cell: Cell) -> Result:
+    """Run one cell in an event loop of its own."""
+    return asyncio.run(_run(cell))
+
+
+async def _run(cell: Cell) -> Result:
+    world = World()
+    result = Result(cell)
+    waiting = list(cell.strikes)
+
+    def on_step(step: Step, process) -> None:
+        if not waiting:
+            result.steps.add(step)
+        elif step is waiting[0][0]:
+            _, name = waiting.pop(0)
+            _strike(world, process, name)
+
+    try:
+        await world.begin()
+        world.on_step = on_step
+        work = world.spawn(PROCEDURE_BY_NAME[cell.procedure](world))
+        background = world.ask("background", ACCOUNTS[1])
+        await _advance(world, work, background)
+        await world.clock.advance_ms(_SETTLE_MS)
+        await _advance(world, world.ask("recovered", ACCOUNTS[1]))
+        result.unstruck = tuple(waiting)
+        result.problems = _problems(world, work)
+    finally:
+        await world.end()
+    return result
+
+
+def _strike(world: World, process, name: str) -> None:
+    fault = FAULT_BY_NAME[name]
+    heal = fault.strike(world, process)
+    if heal:
+        world.spawn(_heal_later(world, heal, fault.heal_ms))
+
+
+async def _heal_later(world: World, heal, after_ms: int) -> None:
+    await world.clock.sleep_ms(after_ms)
+    heal()
+
+
+async def _advance(world: World, *tasks: asyncio.Task) -> None:
+    limit_ms = world.clock.now_ms() + _LIMIT_MS
+    while not all(task.done() for task in tasks) and world.clock.now_ms() < limit_ms:
+        await world.clock.advance_ms(_TICK_MS)
+
+
+def _problems(world: World, work: asyncio.Task) -> tuple[str, ...]:
+    problems = [str(found) for found in world.checker.finish(world.clock.now_ms())]
+    if not work.done():
+        problems.append("the procedure never ended")
+    elif work.exception():
+        problems.append(f"the procedure failed: {work.exception()!r}")
+    return tuple(problems + world.errors)
+
+
+def all_steps() -> set[Step]:
+    """Return every step that the code names."""
+    return {step for kind in Step.__subclasses__() for step in kind}
+
+
+def pick_pairs(steps_by_procedure: dict[str, list[Step]], seed: int, count: int):
+    """Draw cells of two faults from a fixed seed."""
+    drawn = random.Random(seed)
+    names = sorted(FAULT_BY_NAME)
+    procedures = sorted(name for name, steps in steps_by_procedure.items() if steps)
+    for _ in range(count):
+        procedure = drawn.choice(procedures)
+        steps = steps_by_procedure[procedure]
+        strikes = tuple((drawn.choice(steps), drawn.choice(names)) for _ in range(2))
+        yield Cell(procedure, strikes)
--- /dev/null
+++ b/tests/faults/_procedures.py
@@ -0,0 +1,77 @@
+"""One driver for each procedure; each returns when its part is over."""
+
+import asyncio
+
+from fireflyward.platform import Committed, Conflict
+
+from ._world import ACCOUNTS, World
+
+_FORCE_MS = 9_100
+_PAUSE_MS = 800
+_ATTEMPTS = 40
+
+
+async def _prompt(world: World) -> None:
+    await world.ask("prompt")
+
+
+async def _stream(world: World) -> None:
+    await world.ask("stream", is_stream=True)
+
+
+async def _call(world: World) -> None:
+    await world.ask("call", is_call=True)
+
+
+async def _once(world: World) -> None:
+    await world.ask("once", is_once=True)
+
+
+async def _acceptance(world: World) -> None:
+    """An operator accepts bundles until one of them is his, then it is in force."""
+    asking = world.ask("during")
+    for attempt in range(_ATTEMPTS):
+        operator = world.network.add(f"operator-{attempt}", "office")
+        bundle = world.make_bundle(world.accepted_number() + 1, share=7)
+        task = operator.spawn(world.accept(bundle, operator))
+        await asyncio.wait({task})
+        result = None if task.cancelled() else task.result()
+        if isinstance(result, Committed):
+            break
+        if isinstance(result, Conflict) or result is None:
+            await world.clock.sleep_ms(_PAUSE_MS)
+    else:
+        world.errors.append("no bundle was accepted")
+    await world.clock.sleep_ms(_FORCE_MS)
+    await asyncio.gather(asking, *(world.ask(f"after-{n}") for n in range(2)))
+
+
+async def _stop(world: World) -> None:
+    """A node stops as planned with a stream, a prompt and a call in flight."""
+    asked = [
+        world.ask("stream", is_stream=True),
+        world.ask("prompt", ACCOUNTS[1]),
+        world.ask("call", is_call=True),
+    ]
+    await world.clock.sleep_ms(60)
+    await world.stop_node("node-norte")
+    await asyncio.gather(*asked)
+
+
+async def _start(world: World) -> None:
+    """A third node starts while prompts are served."""
+    asked = [world.ask(f"prompt-{index}") for index in range(3)]
+    await world.start_node("node-third", "sur")
+    asked.append(world.ask("last"))
+    await asyncio.gather(*asked)
+
+
+PROCEDURE_BY_NAME = {
+    "a prompt": _prompt,
+    "a stream": _stream,
+    "a non-idempotent call": _call,
+    "a non-idempotent prompt": _once,
+    "a bundle's acceptance": _acceptance,
+    "a planned stop": _stop,
+    "a node's start": _start,
+}
--- /dev/null
+++ b/tests/faults/_world.py
@@ -0,0 +1,227 @@
+"""A whole deployment in one process on a faked clock."""
+
+import asyncio
+import hashlib
+from collections import Counter
+
+import msgspec
+
+from fireflyward.bundles import (
+    Account,
+    Bundle,
+    BundleStore,
+    Caller as BundleCaller,
+    Model,
+    Service,
+    SigningKey,
+    Upstream,
+    sign_bundle,
+)
+from fireflyward.bundles._store import HEAD_KEY, Head
+from fireflyward.checker import Checker, NodeLost, Reachable, StopBegan
+from fireflyward.clock import ManualClock
+from fireflyward.daemon import Node
+from fireflyward.settings import SERVE_SETTINGS, load
+from fireflyward.standins import MemoryObjects, MemoryVms, MemoryWeights
+
+from ._callers import MODEL, Ask, Caller
+from ._fakes import EngineVm, MemoryOutside, Remote, WatchedTable
+from ._network import Network, Process, ProcessClock
+
+DOMAINS = ("norte", "sur")
+ACCOUNTS = ("bridge", "tower")
+_AUTHOR = SigningKey.from_seed("ana", b"a" * 32)
+_APPROVER = SigningKey.from_seed("bruno", b"b" * 32)
+_ROOTS = ",".join(
+    f"{key.person}={key.public_bytes().hex()}" for key in (_AUTHOR, _APPROVER)
+)
+_PLATFORM = ("table", "objects", "weights", "vms")
+
+
+class World:
+    """Two failure domains, each with a node, an engine and a service replica."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.network = Network(self.clock)
+        self.checker = Checker()
+        self.errors: list[str] = []
+        self.full: set[str] = set()
+        self.versions = ("v1",)
+        self.table = WatchedTable(self)
+        self.objects = MemoryObjects()
+        self.weights = MemoryWeights({MODEL: ("v1", "v2")})
+        self.vms = MemoryVms()
+        self.engine_by_name: dict[str, EngineVm] = {}
+        self.node_by_name: dict[str, Node] = {}
+        self.callers: list[Caller] = []
+        self.on_step = lambda step, process: None
+        self.lost_answers: Counter[str] = Counter()
+        self._turn = 0
+        self._handlers: dict[asyncio.Task, Process] = {}
+        self._tasks: set[asyncio.Task] = set()
+        for name in _PLATFORM:
+            self.network.add(name, "platform")
+        self.operator = self.network.add("operator", "office")
+        for domain in DOMAINS:
+            name = f"engine-{domain}"
+            self.network.add(name, domain)
+            self.engine_by_name[name] = EngineVm(self, name, {MODEL: "v1"})
+            self.network.add(f"service-{domain}", domain)
+
+    def see(self, observation) -> None:
+        self.checker.see(observation)
+
+    async def begin(self) -> None:
+        """Accept the first bundle and start the nodes."""
+        await self.finish_soon(self.accept(self.make_bundle(1)))
+        for domain in DOMAINS:
+            await self.finish_soon(self.start_node(f"node-{domain}", domain))
+
+    async def finish_soon(self, work) -> None:
+        """Run ``work`` to its end, moving time as far as it needs."""
+        task = self.spawn(work)
+        for _ in range(1_000):
+            if task.done():
+                break
+            await self.clock.advance_ms(20)
+        task.result()
+
+    def spawn(self, work) -> asyncio.Task:
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        return task
+
+    def accepted_number(self) -> int:
+        row = self.table.row_by_key.get(HEAD_KEY)
+        return msgspec.json.decode(row.value, type=Head).number if row else 0
+
+    def make_bundle(
+        self, number: int, *, version: str = "v1", share: int = 1
+    ) -> Bundle:
+        upstreams = {
+            f"engine-{domain}": Upstream("engine", "http://e", domain, (MODEL,))
+            for domain in DOMAINS
+        }
+        for domain in DOMAINS:
+            upstreams[f"service-{domain}"] = Upstream(
+                "service", "http://s", domain, service="drafting"
+            )
+        accounts = {
+            name: Account(
+                (MODEL,),
+                {"portal": BundleCaller(_digest(f"key-{name}"), ("drafting",))},
+                weight=share,
+            )
+            for name in ACCOUNTS
+        }
+        services = {"drafting": Service(("POST /revisions*",))}
+        return Bundle(
+            "demo", number, {MODEL: Model(version)}, accounts, upstreams, services
+        )
+
+    async def accept(self, bundle: Bundle, process: Process | None = None):
+        """Have an operator's process make ``bundle`` the one in force."""
+        process = process or self.operator
+        signed = sign_bundle(bundle, author=_AUTHOR, approver=_APPROVER)
+        store = BundleStore(
+            Remote(self, process, "table", self.table),
+            Remote(self, process, "objects", self.objects),
+            clock=ProcessClock(self.network, process),
+            observe=lambda step: self.on_step(step, process),
+        )
+        return await store.accept(bundle, signed)
+
+    async def start_node(self, name: str, domain: str) -> Node:
+        process = self.network.add(name, domain)
+        settings = load(SERVE_SETTINGS, _flags(name, domain), {})
+        node = Node(
+            settings,
+            clock=ProcessClock(self.network, process),
+            outside=MemoryOutside(self, process, settings),
+            observe=lambda step: self.on_step(step, process),
+        )
+        node.process = process
+        self.node_by_name[name] = node
+        starting = process.spawn(node.start())
+        await asyncio.wait({starting})
+        if not starting.cancelled():
+            starting.result()
+        process.tasks.update(node._tasks)
+        return node
+
+    def ready_node(self) -> Node | None:
+        """Return the next ready node, as the platform's balancer would."""
+        names = sorted(self.node_by_name)
+        self._turn += 1
+        for index in range(len(names)):
+            node = self.node_by_name[names[(self._turn + index) % len(names)]]
+            process = node.process
+            is_paused = process.paused_until_ms > self.clock.now_ms()
+            if process.is_alive and node.outside.is_listening and not is_paused:
+                if node.is_ready():
+                    return node
+        return None
+
+    def handle(self, node: Node, work) -> asyncio.Task:
+        """Run a request's handler in a node's process."""
+        task = node.process.spawn(work)
+        self._handlers[task] = node.process
+        task.add_done_callback(lambda done: self._handlers.pop(done, None))
+        return task
+
+    def handlers_of(self, process: Process) -> list[asyncio.Task]:
+        return [task for task, owner in self._handlers.items() if owner is process]
+
+    def ask(self, name: str, account: str = ACCOUNTS[0], **kind) -> asyncio.Task:
+        caller = Caller(self, Ask(name, account, **kind))
+        self.callers.append(caller)
+        return self.spawn(caller.run())
+
+    def kill_node(self, node: Node) -> None:
+        self.see(NodeLost(self.clock.now_ms(), node.settings["node_name"]))
+        node.outside.is_listening = False
+        node.process.die()
+        for task in node._tasks:
+            task.cancel()
+
+    async def restart_node(self, name: str) -> None:
+        await self.start_node(name, self.node_by_name[name].settings["failure_domain"])
+
+    async def stop_node(self, name: str) -> None:
+        node = self.node_by_name[name]
+        self.see(StopBegan(self.clock.now_ms(), name))
+        node.process.spawn(node.stop())
+
+    def set_reachable(self, domain: str, is_reachable: bool) -> None:
+        for name, node in self.node_by_name.items():
+            if node.settings["failure_domain"] == domain:
+                self.see(Reachable(self.clock.now_ms(), name, is_reachable))
+
+    async def end(self) -> None:
+        """Let nothing of this world go on."""
+        for node in self.node_by_name.values():
+            node.process.die()
+            for task in node._tasks:
+                task.cancel()
+        for task in self._tasks:
+            task.cancel()
+        self.operator.die()
+        await asyncio.sleep(0)
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _flags(name: str, domain: str) -> dict[str, str]:
+    return {
+        "node_name": name,
+        "failure_domain": domain,
+        "peer_keys": "11" * 32,
+        "trust_roots": _ROOTS,
+        "trace_share": "0",
+        "port": "0",
+        "peer_port": "0",
+    }
+
+
+def _digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
