--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,9 @@
 settings-page: $(STAMP)
 	$(PYTHON) -m fireflyward settings --reference > docs/SETTINGS.md
 
+faults: $(STAMP)
+	$(PYTHON) -m tests.faults
+
 format: $(STAMP)
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
--- a/tests/faults/_fakes.py
+++ b/tests/faults/_fakes.py
@@ -1,13 +1,18 @@
 """Upstreams and the platform at their interfaces, behind the network in memory."""
 
+from dataclasses import replace
+
+import msgspec
+
 from fireflyward.bundles import Upstream
 from fireflyward.bundles._store import HEAD_KEY, Head
-from fireflyward.checker import BundleAccepted, Ran
+from fireflyward.checker import BlockRead, BlockSealed, BundleAccepted, Ran
 from fireflyward.daemon import Outside
 from fireflyward.outcomes import Reason
 from fireflyward.platform import Unavailable, Uncertain
 from fireflyward.standins import EngineCosts, EngineModel, MemoryTable
 from fireflyward.upstreams import (
+    BLOCK_TOKENS,
     Accepted,
     Broken,
     CancelState,
@@ -17,8 +22,6 @@
     ServiceReply,
 )
 
-import msgspec
-
 from ._network import CALL_LIMIT_MS, LinkDown, LinkLost, MemoryLink, Network, Process
 
 COSTS = EngineCosts(prefill_ms_per_token=0.2, decode_ms_per_token=20.0, load_ms=1_200)
@@ -93,8 +96,9 @@
         self.restart()
 
     def restart(self) -> None:
-        epoch = str(self.world.clock.now_ms())
-        self.model = EngineModel(dict(self.versions), COSTS, epoch)
+        self.epoch = self.world.clock.now_ms()
+        self.model = EngineModel(dict(self.versions), COSTS, str(self.epoch))
+        self.is_leaving = False
 
     def submit(self, call) -> Accepted | Refused:
         now_ms = self.world.clock.now_ms()
@@ -103,11 +107,28 @@
             request = request_of(call.prompt)
             seen = Ran(now_ms, self.name, request, call.run_id, result.version)
             self.world.see(seen)
+            self._see_cache(now_ms, call, request, result)
         return result
 
+    def _see_cache(self, now_ms, call, request, result) -> None:
+        """Tell the checker which blocks of its own cache the engine used again."""
+        account = self.world.account_of(request)
+        cached = result.cached_tokens // BLOCK_TOKENS
+        for index, key in enumerate(call.block_keys):
+            place = self.name, key, self.epoch
+            if index < cached:
+                read = BlockRead(
+                    now_ms, now_ms, *place, "", request, account, call.version
+                )
+                self.world.see(read)
+            else:
+                sealed = BlockSealed(now_ms, *place, account, call.version, "")
+                self.world.see(sealed)
+
     def report(self):
         now_ms = self.world.clock.now_ms()
-        self.reports.append((now_ms, self.model.report(now_ms)))
+        report = replace(self.model.report(now_ms), leaving=self.is_leaving)
+        self.reports.append((now_ms, report))
         if not self.reports_lag:
             return self.reports[-1][1]
         lagging = [item for at, item in self.reports if at <= now_ms - _REPORT_LAG_MS]
--- a/tests/faults/_faults.py
+++ b/tests/faults/_faults.py
@@ -88,9 +88,7 @@
     def strike(world, process):
         slow = world.network.slow_ms_by_name
         names = [
-            name
-            for name in world.network.process_by_name
-            if name.startswith(prefixes)
+            name for name in world.network.process_by_name if name.startswith(prefixes)
         ]
         slow.update(dict.fromkeys(names, by_ms))
         return lambda: [slow.pop(name, None) for name in names]
@@ -186,9 +184,9 @@
 
 @_fault("engine leaves", _RESTART_MS * 4)
 def _engine_leaves(world, process):
+    """An engine says that it leaves, and would still take what it is given."""
     vm = _busiest_engine(world)
-    model = vm.model
-    model.leaving = True
+    vm.is_leaving = True
     world.see(UpstreamLeaving(world.clock.now_ms(), vm.name))
 
 
@@ -224,3 +222,6 @@
 @_fault("caller asks twice")
 def _caller_asks_twice(world, process):
     world.spawn(world.callers[0].ask_again())
+
+
+IMPOSSIBLE: dict[tuple[str, str], str] = {}
--- a/tests/faults/_matrix.py
+++ b/tests/faults/_matrix.py
@@ -23,6 +23,7 @@
 
     procedure: str
     strikes: tuple[Struck, ...] = ()
+    is_pair: bool = False
 
     def __str__(self) -> str:
         struck = ", ".join(f"{fault} at {step.value!r}" for step, fault in self.strikes)
@@ -38,6 +39,13 @@
     unstruck: tuple[Struck, ...] = ()
     steps: set[Step] = field(default_factory=set)
 
+    @property
+    def verdict(self) -> str:
+        """Return ``passed``, ``failed`` or, of pairs only, ``impossible``."""
+        if self.problems:
+            return "failed"
+        return "impossible" if self.unstruck else "passed"
+
 
 def run_cell(cell: Cell) -> Result:
     """Run one cell in an event loop of its own."""
@@ -62,10 +70,13 @@
         work = world.spawn(PROCEDURE_BY_NAME[cell.procedure](world))
         background = world.ask("background", ACCOUNTS[1])
         await _advance(world, work, background)
-        await world.clock.advance_ms(_SETTLE_MS)
+        if cell.strikes:
+            await world.clock.advance_ms(_SETTLE_MS)
         await _advance(world, world.ask("recovered", ACCOUNTS[1]))
         result.unstruck = tuple(waiting)
         result.problems = _problems(world, work)
+        if waiting and not cell.is_pair:
+            result.problems += (f"{waiting[0][0].value!r} was never reached",)
     finally:
         await world.end()
     return result
@@ -112,4 +123,4 @@
         procedure = drawn.choice(procedures)
         steps = steps_by_procedure[procedure]
         strikes = tuple((drawn.choice(steps), drawn.choice(names)) for _ in range(2))
-        yield Cell(procedure, strikes)
+        yield Cell(procedure, strikes, is_pair=True)
--- a/tests/faults/_network.py
+++ b/tests/faults/_network.py
@@ -85,7 +85,9 @@
 
     def is_open(self, source: Process, target: Process) -> bool:
         ends = {source.name, source.domain}, {target.name, target.domain}
-        is_cut = any(frozenset((one, two)) in self.cut for one in ends[0] for two in ends[1])
+        is_cut = any(
+            frozenset((one, two)) in self.cut for one in ends[0] for two in ends[1]
+        )
         return source.is_alive and target.is_alive and not is_cut
 
     async def connect(self, source: Process, target_name: str) -> "Connection":
--- a/tests/faults/_procedures.py
+++ b/tests/faults/_procedures.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from fireflyward.platform import Committed, Conflict
+from fireflyward.platform import Committed
 
 from ._world import ACCOUNTS, World
 
@@ -38,8 +38,7 @@
         result = None if task.cancelled() else task.result()
         if isinstance(result, Committed):
             break
-        if isinstance(result, Conflict) or result is None:
-            await world.clock.sleep_ms(_PAUSE_MS)
+        await world.clock.sleep_ms(_PAUSE_MS)
     else:
         world.errors.append("no bundle was accepted")
     await world.clock.sleep_ms(_FORCE_MS)
@@ -66,6 +65,12 @@
     await asyncio.gather(*asked)
 
 
+# Steps of these kinds belong to one procedure, though others pass them at times.
+OWNER_BY_KIND = {
+    "AcceptStep": "a bundle's acceptance",
+    "StartStep": "a node's start",
+    "StopStep": "a planned stop",
+}
 PROCEDURE_BY_NAME = {
     "a prompt": _prompt,
     "a stream": _stream,
--- /dev/null
+++ b/tests/faults/_report.py
@@ -0,0 +1,104 @@
+"""The matrix as a table for the terminal and as docs/FAULTS.md."""
+
+from collections import Counter
+
+from ._explore import Found
+from ._faults import FAULT_BY_NAME
+from ._matrix import Result
+
+_SHOWN = 40
+_ABOUT = """Written by `make faults`; do not edit. Each cell is a small deployment in
+one process on a faked clock (`tests/faults`): a fault strikes when a step is
+reached, most faults heal after a while, and `fireflyward.checker` then judges only
+what callers, upstreams, stores and the platform saw. A cell passes if no promise
+broke and every caller had an outcome. See docs/design/proof.md.
+"""
+
+
+def table(found: Found) -> str:
+    """Return one line for each procedure and step, then what failed."""
+    lines = [f"{'step':<74} {'passed':>7} {'failed':>7} {'impossible':>11}"]
+    for place, counts in _counts(found).items():
+        name = f"{place[0]}, {place[1]}"
+        row = (counts["passed"], counts["failed"], counts["impossible"])
+        lines.append(f"{name:<74} {row[0]:>7} {row[1]:>7} {row[2]:>11}")
+    for result in found.failed[:_SHOWN]:
+        lines.append(f"FAILED {result.cell}")
+        lines += [f"    {problem}" for problem in result.problems]
+    lines += [f"NO CELL reaches {step!r}" for step in found.unreached]
+    total = _totals(found)
+    lines.append(
+        f"{total['passed']} passed, {total['failed']} failed, "
+        f"{total['impossible']} impossible; {len(found.unreached)} steps unreached"
+    )
+    return "\n".join(lines)
+
+
+def page(found: Found) -> str:
+    """Return docs/FAULTS.md."""
+    total = _totals(found)
+    lines = [
+        "# Fault matrix",
+        "",
+        _ABOUT,
+        f"{total['passed']} cells passed, {total['failed']} failed and "
+        f"{total['impossible']} are impossible.",
+        "",
+        "| Procedure | Step | Reached by | Passed | Failed | Impossible |",
+        "| --- | --- | --- | ---: | ---: | ---: |",
+    ]
+    for (procedure, step), counts in _counts(found).items():
+        lead = found.lead_by_place.get((procedure, step), ())
+        way = ", then ".join(f"{name} at `{at.value}`" for at, name in lead) or "itself"
+        lines.append(
+            f"| {procedure} | `{step}` | {way} | {counts['passed']} "
+            f"| {counts['failed']} | {counts['impossible']} |"
+        )
+    lines += ["", "## Faults", ""]
+    lines += [f"- {name}" for name in FAULT_BY_NAME]
+    lines += ["", "## Cells that failed", ""]
+    lines += [_failure(result) for result in found.failed] or ["None."]
+    lines += ["", "## Steps without a cell", ""]
+    lines += [f"- `{step.value}`" for step in found.unreached] or ["None."]
+    lines += ["", "## Impossible cells", ""]
+    reasons = Counter(
+        f"{name}: {reason}" for (_, _, name), reason in found.impossible.items()
+    )
+    reasons.update(
+        "pairs: the first fault kept the second step from being reached"
+        for result in found.results
+        if result.verdict == "impossible"
+    )
+    lines += [
+        f"- {reason} ({count} cells)" for reason, count in sorted(reasons.items())
+    ] or ["None."]
+    return "\n".join(lines) + "\n"
+
+
+def _failure(result: Result) -> str:
+    return f"- {result.cell}: " + "; ".join(result.problems)
+
+
+def _counts(found: Found) -> dict[tuple[str, str], Counter]:
+    """Count the cells of each place, and of all pairs of a procedure together."""
+    counts: dict[tuple[str, str], Counter] = {}
+    for procedure, step in found.lead_by_place:
+        counts[procedure, step] = Counter()
+    for result in found.results:
+        place = _place(found, result)
+        counts.setdefault(place, Counter())[result.verdict] += 1
+    for procedure, step, _ in found.impossible:
+        counts[procedure, step]["impossible"] += 1
+    return counts
+
+
+def _place(found: Found, result: Result) -> tuple[str, str]:
+    *lead, (step, _) = result.cell.strikes
+    place = result.cell.procedure, step
+    if found.lead_by_place.get(place) == tuple(lead):
+        return place
+    return result.cell.procedure, "pairs of faults"
+
+
+def _totals(found: Found) -> Counter:
+    return sum(_counts(found).values(), Counter())
--- a/tests/faults/_world.py
+++ b/tests/faults/_world.py
@@ -178,6 +178,11 @@
         self.callers.append(caller)
         return self.spawn(caller.run())
 
+    def account_of(self, request: str) -> str:
+        """Return the account of the caller that asked ``request``."""
+        asks = (caller.ask for caller in self.callers)
+        return next((ask.account for ask in asks if ask.name == request), "")
+
     def kill_node(self, node: Node) -> None:
         self.see(NodeLost(self.clock.now_ms(), node.settings["node_name"]))
         node.outside.is_listening = False
--- /dev/null
+++ b/tests/faults/test_matrix.py
@@ -0,0 +1,31 @@
+import unittest
+
+from tests.faults._explore import read_leads
+from tests.faults._faults import FAULT_BY_NAME, IMPOSSIBLE
+from tests.faults._matrix import Cell, all_steps, run_cell
+
+LEADS = read_leads()
+
+
+def quick_cells():
+    """Return one cell for each step, the faults taking turns."""
+    place_by_step = {}
+    for procedure, step in LEADS:
+        place_by_step.setdefault(step, (procedure, step))
+    impossible = {name for name, _ in IMPOSSIBLE}
+    names = [name for name in FAULT_BY_NAME if name not in impossible]
+    for index, (step, place) in enumerate(sorted(place_by_step.items())):
+        strike = step, names[index % len(names)]
+        yield Cell(place[0], (*LEADS[place], strike))
+
+
+class MatrixTests(unittest.TestCase):
+    def test_every_step_of_the_code_has_cells(self):
+        reached = {step for _, step in LEADS}
+        missing = sorted(step.value for step in all_steps() - reached)
+        self.assertEqual(missing, [], "run `make faults`; no cell reaches these")
+
+    def test_one_cell_of_each_step_passes(self):
+        for cell in quick_cells():
+            with self.subTest(str(cell)):
+                self.assertEqual(run_cell(cell).problems, ())
