Give operators an administration API that submits, checks and shows

Change: an aiohttp application on a port of its own (off unless set), requests signed by the operator's key and bound to one node, proposals that wait for a colleague, status with since when a node is behind or unreachable; a lost race tells who won, when, and what differs.

--- /dev/null
+++ b/fireflyward/admin/__init__.py
@@ -0,0 +1,42 @@
+"""The administration API: it submits, checks, shows and signs, nothing else."""
+
+from ._app import build_admin_app
+from ._auth import RequestJudge, sign_request
+from ._client import AdminClient, AdminFailed
+from ._desk import BundleDesk, ServingNode
+from ._messages import (
+    About,
+    CheckReply,
+    ErrorReply,
+    HistoryReply,
+    PlanReply,
+    Problem,
+    Proposal,
+    ProposalsReply,
+    StatusReply,
+    SubmitOutcome,
+    SubmitReply,
+)
+from ._proposals import ProposalBook
+
+__all__ = [
+    "About",
+    "AdminClient",
+    "AdminFailed",
+    "BundleDesk",
+    "CheckReply",
+    "ErrorReply",
+    "HistoryReply",
+    "PlanReply",
+    "Problem",
+    "Proposal",
+    "ProposalBook",
+    "ProposalsReply",
+    "RequestJudge",
+    "ServingNode",
+    "StatusReply",
+    "SubmitOutcome",
+    "SubmitReply",
+    "build_admin_app",
+    "sign_request",
+]
--- /dev/null
+++ b/fireflyward/admin/_auth.py
@@ -0,0 +1,125 @@
+"""Requests to the administration API are signed by the operator's own key."""
+
+import hashlib
+import re
+import secrets
+from collections.abc import Mapping
+
+from fireflyward.bundles import BundleError, Person, SigningKey, key_error
+
+from ._messages import ErrorReply
+
+_SEPARATOR = b"fireflyward admin 1"
+_MOST_SKEW_MS = 120_000
+_MOST_NONCES = 10_000
+_NONCE = re.compile(r"^[0-9a-f]{32}$")
+PERSON_HEADER = "X-Operator"
+TIME_HEADER = "X-Operator-Time"
+NONCE_HEADER = "X-Operator-Nonce"
+SIGNATURE_HEADER = "X-Operator-Signature"
+
+
+def sign_request(
+    key: SigningKey,
+    *,
+    wall_ms: int,
+    deployment: str,
+    node_name: str,
+    method: str,
+    target: str,
+    body: bytes,
+) -> dict[str, str]:
+    """Return the headers that say who asks; ``target`` is the path with its query."""
+    nonce = secrets.token_hex(16)
+    time_text = str(wall_ms)
+    message = _message(deployment, node_name, method, target, time_text, nonce, body)
+    return {
+        PERSON_HEADER: key.person,
+        TIME_HEADER: time_text,
+        NONCE_HEADER: nonce,
+        SIGNATURE_HEADER: key.sign_bytes(message).hex(),
+    }
+
+
+class RequestJudge:
+    """Tells who signed a request, and refuses one that came before.
+
+    A request names the node that it is for, so one that was listened to cannot
+    be sent to another node; this one remembers it for as long as its time is
+    accepted. After a restart it could be repeated within that time, which shows
+    or submits the same thing again.
+    """
+
+    __slots__ = ("_deployment", "_ends_by_nonce", "_node_name")
+
+    def __init__(self, deployment: str, node_name: str) -> None:
+        self._deployment = deployment
+        self._node_name = node_name
+        self._ends_by_nonce: dict[str, int] = {}
+
+    def __repr__(self) -> str:
+        return f"RequestJudge({self._node_name!r})"
+
+    def judge(
+        self,
+        *,
+        wall_ms: int,
+        method: str,
+        target: str,
+        headers: Mapping[str, str],
+        body: bytes,
+        people: Mapping[str, Person],
+    ) -> str | ErrorReply:
+        """Return the person's name, or why the request is refused."""
+        person = headers.get(PERSON_HEADER, "")
+        time_text = headers.get(TIME_HEADER, "")
+        nonce = headers.get(NONCE_HEADER, "")
+        if not time_text.isascii() or not time_text.isdigit() or len(time_text) > 15:
+            return ErrorReply("not_signed", f"{TIME_HEADER}: milliseconds since 1970")
+        if not _NONCE.match(nonce):
+            return ErrorReply("not_signed", f"{NONCE_HEADER}: 32 hexadecimal digits")
+        message = _message(
+            self._deployment, self._node_name, method, target, time_text, nonce, body
+        )
+        key = key_error(person, _signature(headers), message, people)
+        if isinstance(key, BundleError):
+            return ErrorReply(key.code, key.detail)
+        if abs(wall_ms - int(time_text)) > _MOST_SKEW_MS:
+            seconds = (wall_ms - int(time_text)) / 1_000
+            detail = f"the request's clock is {seconds:.0f} s from this node's"
+            return ErrorReply("wrong_time", detail)
+        if not self._is_new(nonce, wall_ms):
+            return ErrorReply("repeated", "this very request came before")
+        return person
+
+    def _is_new(self, nonce: str, wall_ms: int) -> bool:
+        ended = [kept for kept, ends in self._ends_by_nonce.items() if ends < wall_ms]
+        for kept in ended:
+            del self._ends_by_nonce[kept]
+        if nonce in self._ends_by_nonce or len(self._ends_by_nonce) >= _MOST_NONCES:
+            return False
+        self._ends_by_nonce[nonce] = wall_ms + 2 * _MOST_SKEW_MS
+        return True
+
+
+def _signature(headers: Mapping[str, str]) -> bytes:
+    try:
+        return bytes.fromhex(headers.get(SIGNATURE_HEADER, ""))
+    except ValueError:
+        return b""
+
+
+def _message(
+    deployment: str,
+    node_name: str,
+    method: str,
+    target: str,
+    time_text: str,
+    nonce: str,
+    body: bytes,
+) -> bytes:
+    fields = (deployment, node_name, method, target, time_text, nonce)
+    digest = hashlib.sha256(body).hexdigest()
+    return b"\n".join(
+        [_SEPARATOR, *(field.encode() for field in fields), digest.encode()]
+    )
--- a/fireflyward/bundles/__init__.py
+++ b/fireflyward/bundles/__init__.py
@@ -22,7 +22,7 @@
 )
 from ._holder import BundleHolder
 from ._keys import KeyProblem, create_key, load_key
-from ._loader import BundleLoader
+from ._loader import BundleLoader, Loaded
 from ._parts import ChunkedAccounts, canonical_bytes, digest_of
 from ._plan import Plan, make_plan
 from ._signing import (
@@ -51,7 +51,14 @@
     statement_of,
 )
 from ._toml import parse_bundle, to_toml
-from ._verify import verify_bundle, verify_change, verify_whole
+from ._verify import read_state, verify_bundle, verify_change, verify_whole
+from ._watch import (
+    BundleWatch,
+    Condition,
+    NodeStatus,
+    Seen,
+    is_in_force_everywhere,
+)
 
 __all__ = [
     "AcceptStep",
@@ -64,17 +71,22 @@
     "BundleShelf",
     "BundleState",
     "BundleStore",
+    "BundleWatch",
     "Caller",
     "ChunkedAccounts",
+    "Condition",
     "Difference",
     "FetchFromPeer",
     "FetchFromStore",
     "Head",
     "KeyProblem",
+    "Loaded",
     "Model",
+    "NodeStatus",
     "Person",
     "Plan",
     "ReadHead",
+    "Seen",
     "Service",
     "Signature",
     "SignedBundle",
@@ -93,11 +105,13 @@
     "digest_of",
     "draft",
     "encode_signed",
+    "is_in_force_everywhere",
     "key_error",
     "load_key",
     "make_plan",
     "parse_bundle",
     "public_hex",
+    "read_state",
     "root_people",
     "sign_bundle",
     "statement_of",
--- a/fireflyward/bundles/_loader.py
+++ b/fireflyward/bundles/_loader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Mapping
+from dataclasses import dataclass
 
 from fireflyward.platform import Missing, Unavailable
 
@@ -12,6 +13,14 @@
 from ._verify import verify_change, verify_whole
 
 
+@dataclass(frozen=True, slots=True)
+class Loaded:
+    """A verified state, and the changes that led to it from the one before."""
+
+    state: BundleState
+    changes: tuple[SignedBundle, ...] = ()
+
+
 class BundleLoader:
     """Fetches and verifies; a node that is far behind starts from a snapshot."""
 
@@ -26,7 +35,7 @@
 
     async def load(
         self, head: Head, state: BundleState | None
-    ) -> BundleState | BundleError | Missing | Unavailable:
+    ) -> Loaded | BundleError | Missing | Unavailable:
         """Return the verified state of ``head``, from ``state`` if that is near."""
         if state is not None:
             changes = await self._store.fetch_changes(head, state.number)
@@ -37,18 +46,19 @@
             return whole
         return await self.begin(whole)
 
-    async def begin(self, whole: Whole) -> BundleState | BundleError:
+    async def begin(self, whole: Whole) -> Loaded | BundleError:
         """Verify a snapshot by its links and then each change after it."""
         state = verify_whole(
             whole.snapshot, whole.links, roots=self._roots, deployment=self._deployment
         )
         if isinstance(state, BundleError):
             return state
-        return await self.follow(state, whole.changes)
+        loaded = await self.follow(state, whole.changes)
+        return Loaded(loaded.state) if isinstance(loaded, Loaded) else loaded
 
     async def follow(
         self, state: BundleState, changes: tuple[SignedBundle, ...]
-    ) -> BundleState | BundleError:
+    ) -> Loaded | BundleError:
         """Verify changes one after the other, letting requests in between."""
         for change in changes:
             after = verify_change(change, state, deployment=self._deployment)
@@ -56,4 +66,4 @@
                 return after
             state = after
             await asyncio.sleep(0)
-        return state
+        return Loaded(state, changes)
--- a/fireflyward/bundles/_verify.py
+++ b/fireflyward/bundles/_verify.py
@@ -63,6 +63,24 @@
     return _verify(signed, statement, None, people, _links_before(statement, links))
 
 
+def read_state(
+    signed: SignedBundle, base: BundleState | None, *, deployment: str
+) -> BundleState | BundleError:
+    """Return what a draft or a signed bundle says, without judging who signed.
+
+    For showing and planning only: nothing may be served by it.
+    """
+    statement = _read_statement(signed.document, deployment)
+    if isinstance(statement, BundleError):
+        return statement
+    if base is not None:
+        error = _order_error(statement, base)
+        if error:
+            return error
+    people = base.people if base else {}
+    return _build(signed, statement, base, people, base.links if base else ())
+
+
 def _read_statement(document: bytes, deployment: str) -> Statement | BundleError:
     try:
         statement = msgspec.json.decode(document, type=Statement)
@@ -105,6 +123,33 @@
     if signers[0] != statement.author:
         detail = f"{signers[0]} signed what {statement.author} wrote"
         return BundleError("author", detail, code="other_author")
+    if base is not None:
+        error = _change_error(signed, statement, base, signers)
+        if error:
+            return error
+    return _build(signed, statement, base, people, links)
+
+
+def _change_error(
+    signed: SignedBundle,
+    statement: Statement,
+    base: BundleState,
+    signers: tuple[str, str],
+) -> BundleError | None:
+    table_by_name = decode_parts(statement, signed.parts)
+    if isinstance(table_by_name, BundleError):
+        return table_by_name
+    entities = changed_entities(table_by_name, base)
+    return _role_error(signers, base.people, entities)
+
+
+def _build(
+    signed: SignedBundle,
+    statement: Statement,
+    base: BundleState | None,
+    people: Mapping[str, Person],
+    links: tuple[SignedBundle, ...],
+) -> BundleState | BundleError:
     part_by_name, leaf_by_name = place_parts(statement, signed.parts, base)
     if root_of(leaf_by_name) != statement.root:
         detail = "the parts are not those that were signed"
@@ -112,12 +157,9 @@
     table_by_name = decode_parts(statement, signed.parts)
     if isinstance(table_by_name, BundleError):
         return table_by_name
-    if base is not None:
-        error = _role_error(
-            signers, people, changed_entities(table_by_name, base)
-        ) or _rechunk_error(statement, signed, base)
-        if error:
-            return error
+    error = _rechunk_error(statement, signed, base) if base else None
+    if error:
+        return error
     bundle = assemble(statement, part_by_name, table_by_name, base)
     if isinstance(bundle, BundleError):
         return bundle
--- /dev/null
+++ b/fireflyward/daemon/_admin_duty.py
@@ -0,0 +1,68 @@
+"""The administration API of a node, on its own port."""
+
+import logging
+
+from aiohttp import web
+
+from fireflyward.admin import BundleDesk, ProposalBook, RequestJudge, build_admin_app
+from fireflyward.bundles import BundleStore, root_people
+from fireflyward.clock import Clock
+from fireflyward.platform import Objects, Table, Weights
+from fireflyward.settings import Settings
+
+from ._bundle_duty import BundleDuty
+
+log = logging.getLogger("fireflyward.admin")
+
+
+class AdminDuty:
+    """Owns the port; ``port`` is the one that was opened, 0 while none is."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        clock: Clock,
+        bundles: BundleDuty,
+        table: Table,
+        objects: Objects,
+        weights: Weights,
+    ) -> None:
+        self.port = 0
+        self._host = settings["admin_host"]
+        self._wanted_port = settings["admin_port"]
+        self._runner: web.AppRunner | None = None
+        store = BundleStore(table, objects, clock=clock)
+        desk = BundleDesk(
+            deployment=settings["deployment"],
+            node=bundles,
+            store=store,
+            weights=weights,
+            roots=root_people(dict(settings["trust_roots"])),
+        )
+        proposals = ProposalBook(store=store, table=table, objects=objects, clock=clock)
+        self._app = build_admin_app(
+            desk,
+            proposals,
+            judge=RequestJudge(settings["deployment"], settings["node_name"]),
+            node_name=settings["node_name"],
+            clock=clock,
+        )
+
+    def __repr__(self) -> str:
+        return f"AdminDuty(port={self.port})"
+
+    async def start(self) -> None:
+        """Open the port, unless the settings leave it off."""
+        if self._wanted_port is None:
+            return
+        self._runner = web.AppRunner(self._app, access_log=None)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, self._host, self._wanted_port).start()
+        self.port = self._runner.addresses[0][1]
+        log.info("admin: operators are served on port %d", self.port)
+
+    async def stop(self) -> None:
+        """Close the port."""
+        if self._runner:
+            await self._runner.cleanup()
--- a/fireflyward/daemon/_bundle_duty.py
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -14,10 +14,14 @@
     BundleShelf,
     BundleState,
     BundleStore,
+    BundleWatch,
     FetchFromPeer,
     FetchFromStore,
     Head,
+    Loaded,
+    NodeStatus,
     ReadHead,
+    Seen,
     Tell,
     Whole,
     collect_whole,
@@ -50,6 +54,7 @@
 _CATCH_UP_STEP_MS = 20
 _START_LIMIT_S = 5.0
 _UNCONFIRMED = -1
+_CALLS_AT_ONCE = 64
 PeerAddresses = Callable[[], Mapping[str, Address]]
 
 
@@ -111,6 +116,7 @@
         apply: Callable[[Bundle], None],
     ) -> None:
         self.shelf = BundleShelf()
+        self.watch = BundleWatch()
         self.refused: BundleError | None = None
         self._link = link
         self._clock = clock
@@ -170,9 +176,27 @@
         if number != self._follower.number:
             self._do(self._follower.on_news(self._clock.now_ms(), name, number))
 
-    def look(self) -> None:
-        """Read the head now, as after an acceptance through this node."""
-        self._spawn(self._read_head())
+    def state(self) -> BundleState | None:
+        """Return the bundle in force at this node."""
+        return self.shelf.state
+
+    async def node_statuses(self) -> tuple[NodeStatus, ...]:
+        """Ask every known node which number it serves by."""
+        addresses = self._addresses()
+        known = {status.name for status in self.watch.statuses()}
+        seen = [_seen(self.own_state())]
+        replies = await self._ask_states(addresses)
+        for name, reply in replies.items():
+            if isinstance(reply, StateReply):
+                seen.append(_seen(reply))
+            elif name in known:
+                seen.append(Seen(name, "", 0, is_reached=False))
+        answered = {node.name for node in seen}
+        for name in known - answered:
+            seen.append(Seen(name, "", 0, is_reached=False))
+        number = max(self._follower.wanted, *(node.number for node in seen))
+        self.watch.observe(self._clock.wall_ms(), number, seen)
+        return self.watch.statuses()
 
     def own_state(self) -> Any:
         """Return what this node tells an operator who asks for its state."""
@@ -260,13 +284,11 @@
             await self._read_head()
             self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
             return
-        before = self.shelf.state
-        loaded = await self._loader.load(head, before)
-        if not isinstance(loaded, BundleState):
+        loaded = await self._loader.load(head, self.shelf.state)
+        if isinstance(loaded, Loaded):
+            self.take(loaded.state, loaded.changes)
+        else:
             self._failed(loaded, head.digest)
-            return
-        is_next = before is not None and loaded.number == before.number + 1
-        self.take(loaded, (loaded.signed,) if is_next else ())
 
     async def _fetch_from_peer(self, name: str) -> None:
         address = self._addresses().get(name)
@@ -283,22 +305,23 @@
         if not isinstance(changes, tuple) or not changes:
             self._failed(changes or "the peer has no changes to give")
             return
-        loaded = await self._loader.follow(state, changes)
-        if not isinstance(loaded, BundleState):
-            self._failed(loaded)
-            return
-        self.take(loaded, changes)
+        self._take_or_fail(await self._loader.follow(state, changes))
 
     async def _whole_from_peer(self, address: Address) -> None:
         async def ask(request: Any) -> Any:
             return await self._link.call(address, WHOLE_KIND, request, WholeReply)
 
         whole = await collect_whole(ask)
-        loaded = await self._loader.begin(whole) if isinstance(whole, Whole) else whole
-        if not isinstance(loaded, BundleState):
+        if isinstance(whole, Whole):
+            self._take_or_fail(await self._loader.begin(whole))
+        else:
+            self._failed(whole)
+
+    def _take_or_fail(self, loaded: Loaded | BundleError) -> None:
+        if isinstance(loaded, Loaded):
+            self.take(loaded.state, loaded.changes)
+        else:
             self._failed(loaded)
-            return
-        self.take(loaded)
 
     def _failed(self, why: Any, digest: str = "") -> None:
         if isinstance(why, BundleError):
@@ -310,20 +333,24 @@
     async def _ask_peers(self) -> None:
         """Ask every known peer at once which number it serves by."""
         addresses = self._addresses()
-        request = StateRequest(asker=self._link.node_name)
-        replies = await asyncio.gather(
-            *(
-                self._link.call(address, STATE_KIND, request, StateReply)
-                for address in addresses.values()
-            )
-        )
-        for address, reply in zip(addresses.values(), replies, strict=True):
+        for name, reply in (await self._ask_states(addresses)).items():
             if isinstance(reply, StateReply) and reply.number:
-                self._heard_by_name[reply.node_name] = address
+                self._heard_by_name[reply.node_name] = addresses[name]
                 now_ms = self._clock.now_ms()
                 self._do(self._follower.on_news(now_ms, reply.node_name, reply.number))
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    async def _ask_states(self, addresses: Mapping[str, Address]) -> dict[str, Any]:
+        request = StateRequest(asker=self._link.node_name)
+        at_once = asyncio.Semaphore(_CALLS_AT_ONCE)
+
+        async def ask(address: Address) -> Any:
+            async with at_once:
+                return await self._link.call(address, STATE_KIND, request, StateReply)
+
+        replies = await asyncio.gather(*map(ask, addresses.values()))
+        return dict(zip(addresses, replies, strict=True))
+
     async def _on_news(self, sender: str, news: Any) -> None:
         self._heard_by_name[sender] = (news.host, news.port)
         now_ms = self._clock.now_ms()
@@ -337,3 +364,13 @@
 
     async def _on_state_request(self, sender: str, request: Any) -> Any:
         return self.own_state()
+
+
+def _seen(reply: Any) -> Seen:
+    return Seen(
+        reply.node_name,
+        reply.failure_domain,
+        reply.number,
+        is_reached=True,
+        refused=reply.refused,
+    )
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -17,6 +17,7 @@
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Broken, Engine, PlainService
 
+from ._admin_duty import AdminDuty
 from ._bundle_duty import BundleDuty, make_bundle_duty
 from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
@@ -57,6 +58,7 @@
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self.bundles: BundleDuty | None = None
+        self.admin: AdminDuty | None = None
 
     def __repr__(self) -> str:
         return f"Node({self.settings['node_name']!r}, port={self.port})"
@@ -65,21 +67,31 @@
         """Open the sockets and begin the periodic tasks."""
         await self.outside.open()
         table = self.outside.make_table()
+        objects = self.outside.make_objects()
         self.bundles = make_bundle_duty(
             self.settings,
             link=self.link,
             clock=self.clock,
             table=table,
-            objects=self.outside.make_objects(),
+            objects=objects,
             members=self.members,
             apply=self.apply,
         )
+        self.admin = AdminDuty(
+            self.settings,
+            clock=self.clock,
+            bundles=self.bundles,
+            table=table,
+            objects=objects,
+            weights=self.outside.make_weights(),
+        )
         app = build_app(self._entry_parts(RunRecords(table)))
         self.port = await self.outside.listen(app)
         self.observe(StartStep.PORT_OPEN)
         await self.link.start()
         self.observe(StartStep.LINK_OPEN)
         await self.bundles.start()
+        await self.admin.start()
         self._every(_LOAD_POLL_MS, self._poll_loads)
         self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
         self.observe(StartStep.DUTIES_BEGUN)
@@ -109,6 +121,8 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self.admin:
+            await self.admin.stop()
         if self.bundles:
             await self.bundles.stop()
         await self.outside.stop_listening()
--- a/fireflyward/settings/__init__.py
+++ b/fireflyward/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from ._settings import (
     ENVIRONMENT_PREFIX,
+    OPERATOR_SETTINGS,
     SERVE_SETTINGS,
     BadSetting,
     Setting,
@@ -12,6 +13,7 @@
 
 __all__ = [
     "ENVIRONMENT_PREFIX",
+    "OPERATOR_SETTINGS",
     "SERVE_SETTINGS",
     "BadSetting",
     "Setting",
--- a/fireflyward/settings/_settings.py
+++ b/fireflyward/settings/_settings.py
@@ -151,7 +151,8 @@
 def _undeclared(
     declared: tuple[Setting, ...], environment: Mapping[str, str]
 ) -> list[BadSetting]:
-    known = {setting.variable for setting in declared}
+    every = (*declared, *SERVE_SETTINGS, *OPERATOR_SETTINGS)
+    known = {setting.variable for setting in every}
     return [
         BadSetting(name, "(not shown)", "a declared setting", f"variable {name}")
         for name in sorted(environment)
@@ -220,6 +221,10 @@
     return text
 
 
+def _port_or_off(text: str) -> int | None:
+    return None if text == "off" else _number(0, _MAX_PORT)(text)
+
+
 def _hex_keys(text: str) -> tuple[bytes, ...]:
     keys = tuple(bytes.fromhex(part) for part in text.split(",") if part)
     if len(keys) > 2 or any(len(key) < 16 for key in keys):
@@ -270,6 +275,20 @@
     ),
     Setting("host", "127.0.0.1", _text, "an IP number", "Address for callers."),
     Setting("port", "8480", _number(0, _MAX_PORT), "0 to 65535", "Port for callers."),
+    Setting(
+        "admin_host",
+        "127.0.0.1",
+        _text,
+        "an IP number",
+        "Address for operators' commands.",
+    ),
+    Setting(
+        "admin_port",
+        "off",
+        _port_or_off,
+        "off, or 0 to 65535",
+        "Port for operators' commands.",
+    ),
     Setting(
         "peer_host", "127.0.0.1", _text, "an IP number", "Address for other nodes."
     ),
@@ -409,3 +428,28 @@
         "Least level that is logged.",
     ),
 )
+
+OPERATOR_SETTINGS: tuple[Setting, ...] = (
+    Setting(
+        "admin_url",
+        "http://127.0.0.1:8482",
+        _url,
+        "an http or https URL",
+        "Administration API of any node.",
+    ),
+    Setting(
+        "key_file",
+        "",
+        _text,
+        "a path",
+        "Your private key, as made by 'fireflyward key new'.",
+    ),
+    Setting(
+        "key_passphrase",
+        "",
+        _text,
+        "text",
+        "Passphrase of the key file; better given as a variable than as a flag.",
+        secret=True,
+    ),
+)
--- /dev/null
+++ b/tests/admin/test_desk.py
@@ -0,0 +1,209 @@
+import unittest
+
+from fireflyward.admin import BundleDesk, SubmitOutcome
+from fireflyward.bundles import (
+    BundleLoader,
+    BundleStore,
+    Loaded,
+    Model,
+    draft,
+    sign_bundle,
+    to_toml,
+    with_author,
+)
+from fireflyward.clock import Clock
+from fireflyward.platform import Uncertain
+from fireflyward.standins import MemoryObjects, MemoryTable, MemoryWeights
+from tests.bundles.makers import ANA, BRUNO, CARLA, DEPLOYMENT, ROOTS, bundle
+
+
+class QuickClock(Clock):
+    """A clock whose sleeps take no time."""
+
+    __slots__ = ()
+
+    async def sleep_ms(self, duration_ms):
+        return None
+
+
+class FakeNode:
+    """A node that follows the store at once."""
+
+    def __init__(self, store):
+        self.store = store
+        self.loader = BundleLoader(store, roots=ROOTS, deployment=DEPLOYMENT)
+        self.current = None
+        self.statuses = ()
+
+    def state(self):
+        return self.current
+
+    async def catch_up(self, number):
+        head, _ = await self.store.head()
+        loaded = await self.loader.load(head, self.current)
+        if isinstance(loaded, Loaded):
+            self.current = loaded.state
+        return isinstance(loaded, Loaded)
+
+    def take(self, state, changes):
+        self.current = state
+
+    async def node_statuses(self):
+        return self.statuses
+
+
+class DeskTestCase(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.table = MemoryTable()
+        self.store = BundleStore(self.table, MemoryObjects(), clock=QuickClock())
+        self.weights = MemoryWeights({"clauses": ("v1", "v2")})
+        self.desk = self.make_desk()
+
+    def make_desk(self):
+        return BundleDesk(
+            deployment=DEPLOYMENT,
+            node=FakeNode(self.store),
+            store=self.store,
+            weights=self.weights,
+            roots=ROOTS,
+        )
+
+    def base(self, desk=None):
+        return (desk or self.desk)._node.current
+
+    async def submit(self, following, author=ANA, approver=BRUNO, desk=None):
+        desk = desk or self.desk
+        signed = sign_bundle(
+            following, author=author, approver=approver, base=self.base(desk)
+        )
+        return await desk.submit(signed)
+
+    def assert_outcome(self, reply, outcome, *codes):
+        self.assertEqual(reply.outcome, outcome, reply)
+        self.assertEqual(tuple(problem.code for problem in reply.problems), codes)
+
+
+class SubmitTests(DeskTestCase):
+    async def test_first_and_following_bundles(self):
+        self.assert_outcome(await self.submit(bundle()), SubmitOutcome.ACCEPTED)
+        following = bundle(2, ("bridge-team",))
+        self.assert_outcome(await self.submit(following), SubmitOutcome.ACCEPTED)
+        self.assertEqual(self.desk.number(), 2)
+
+    async def test_refusals_carry_their_code_and_write_nothing(self):
+        await self.submit(bundle())
+        writes = self.table.writes
+        for author, approver, following, code in (
+            (ANA, ANA, bundle(2), "same_person"),
+            (CARLA, BRUNO, bundle(2, ("tower-team",)), "outside_role"),
+            (ANA, BRUNO, bundle(9), "other_base"),
+        ):
+            with self.subTest(code=code):
+                reply = await self.submit(following, author, approver)
+                self.assert_outcome(reply, SubmitOutcome.REFUSED, code)
+        self.assertEqual(self.table.writes, writes)
+
+    async def test_version_that_the_weight_store_lacks(self):
+        following = bundle(models={"clauses": Model("v9", ("beams",))})
+        reply = await self.submit(following)
+        self.assert_outcome(reply, SubmitOutcome.REFUSED, "invalid")
+        self.assertIn("weight store", str(reply.problems[0]))
+
+    async def test_weight_store_away_refuses_and_says_so(self):
+        self.weights.away = True
+        reply = await self.submit(bundle())
+        self.assert_outcome(reply, SubmitOutcome.REFUSED, "platform_away")
+
+    async def test_loser_of_a_race_sees_who_when_and_what_differs(self):
+        """Symptom: an operator's change undoes a colleague's. Sequence: both
+        start from number 1 through different nodes and submit number 2."""
+        await self.submit(bundle())
+        other = self.make_desk()
+        await other._node.catch_up(1)
+        mine = sign_bundle(
+            bundle(2, ("bridge-team", "tower-team", "tower-two")),
+            author=CARLA,
+            approver=ANA,
+            base=self.base(other),
+        )
+        await self.submit(bundle(2, ("bridge-team", "tower-team", "tower-x")))
+        reply = await other.submit(mine)
+        self.assert_outcome(reply, SubmitOutcome.RACED)
+        self.assertEqual((reply.winner.author, reply.winner.approver), ("ana", "bruno"))
+        self.assertGreater(reply.winner.accepted_wall_ms, 0)
+        told = [str(item) for item in reply.differs]
+        self.assertEqual(told, ["account:tower-two added", "account:tower-x removed"])
+        again = await self.submit(
+            bundle(3, ("bridge-team", "tower-team", "tower-two", "tower-x")),
+            CARLA,
+            ANA,
+            other,
+        )
+        self.assert_outcome(again, SubmitOutcome.ACCEPTED)
+
+    async def test_submitting_the_same_again_says_accepted(self):
+        signed = sign_bundle(bundle(), author=ANA, approver=BRUNO)
+        for _ in range(2):
+            reply = await self.desk.submit(signed)
+            self.assert_outcome(reply, SubmitOutcome.ACCEPTED)
+        await self.submit(bundle(2, ("bridge-team",)))
+        self.assert_outcome(await self.desk.submit(signed), SubmitOutcome.ACCEPTED)
+
+    async def test_answer_that_stays_lost_is_told_and_settled_by_asking_again(self):
+        real, signed = (
+            self.table.commit,
+            sign_bundle(bundle(), author=ANA, approver=BRUNO),
+        )
+
+        async def lose(**write):
+            return Uncertain("answer lost")
+
+        self.table.commit = lose
+        reply = await self.desk.submit(signed)
+        self.assert_outcome(reply, SubmitOutcome.UNCERTAIN)
+        self.table.commit = real
+        self.assert_outcome(await self.desk.submit(signed), SubmitOutcome.ACCEPTED)
+
+    async def test_table_away_is_told_as_not_accepted(self):
+        signed = sign_bundle(bundle(), author=ANA, approver=BRUNO)
+        self.table.away = True
+        self.assert_outcome(await self.desk.submit(signed), SubmitOutcome.UNAVAILABLE)
+
+
+class ShowTests(DeskTestCase):
+    async def test_check_names_every_problem(self):
+        await self.submit(bundle())
+        ready = to_toml(bundle(2))
+        self.assertEqual((await self.desk.check(ready)).problems, ())
+        stale = await self.desk.check(to_toml(bundle(1)))
+        self.assertEqual([item.code for item in stale.problems], ["other_base"])
+        wrong = await self.desk.check(ready.replace('"v1"', '"v9"'))
+        self.assertEqual(
+            [item.field for item in wrong.problems], ["models.clauses.version"]
+        )
+        self.assertTrue((await self.desk.check("number = true")).problems)
+
+    async def test_plan_of_a_draft_needs_no_signature(self):
+        await self.submit(bundle())
+        drafted = draft(bundle(2, ("bridge-team",)), author="ana", base=self.base())
+        reply = await self.desk.plan(with_author(drafted, ANA))
+        self.assertEqual(reply.problems, ())
+        self.assertTrue(any("tower-team" in item for item in reply.plan.dangers))
+        self.assertEqual(len(reply.differences), 1)
+
+    async def test_earlier_numbers_can_be_shown(self):
+        await self.submit(bundle())
+        await self.submit(bundle(2, ("bridge-team",)))
+        await self.submit(bundle(3))
+        second = await self.desk.at(2)
+        self.assertEqual(second.document, (await self.desk.at(2)).document)
+        heads = (await self.desk.history()).heads
+        self.assertEqual([head.number for head in heads], [3, 2, 1])
+
+    async def test_status_without_the_table_is_unconfirmed(self):
+        await self.submit(bundle())
+        self.assertTrue((await self.desk.status()).is_confirmed)
+        self.table.away = True
+        status = await self.desk.status()
+        self.assertFalse(status.is_confirmed)
+        self.assertEqual(status.number, 1)
--- /dev/null
+++ b/tests/bundles/test_watch.py
@@ -0,0 +1,61 @@
+import unittest
+
+from fireflyward.bundles import BundleWatch, Condition, Seen, is_in_force_everywhere
+
+
+def seen(name, number=2, **options):
+    options.setdefault("is_reached", True)
+    return Seen(name, "norte", number, **options)
+
+
+class WatchTests(unittest.TestCase):
+    def setUp(self):
+        self.watch = BundleWatch()
+
+    def conditions(self):
+        return {item.name: item.condition for item in self.watch.statuses()}
+
+    def test_each_condition(self):
+        self.watch.observe(
+            100,
+            2,
+            [
+                seen("a"),
+                seen("b", 1),
+                seen("c", 0, is_reached=False),
+                seen("d", is_leaving=True),
+                seen("e", 1, refused="signatures"),
+            ],
+        )
+        self.assertEqual(
+            list(self.conditions().values()),
+            [
+                Condition.IN_FORCE,
+                Condition.BEHIND,
+                Condition.UNREACHABLE,
+                Condition.LEAVING,
+                Condition.REFUSING,
+            ],
+        )
+
+    def test_since_is_when_the_condition_began(self):
+        for wall_ms, number in ((100, 1), (200, 1), (300, 2), (400, 2)):
+            self.watch.observe(wall_ms, 2, [seen("a", number)])
+        self.assertEqual(self.watch.statuses()[0].since_wall_ms, 300)
+
+    def test_unreachable_node_keeps_the_number_last_heard(self):
+        self.watch.observe(100, 2, [seen("a")])
+        self.watch.observe(200, 3, [seen("a", 0, is_reached=False)])
+        (status,) = self.watch.statuses()
+        self.assertEqual((status.number, status.failure_domain), (2, "norte"))
+
+    def test_in_force_everywhere_it_can_be(self):
+        self.watch.observe(1, 2, [seen("a"), seen("b", 0, is_reached=False)])
+        self.assertTrue(is_in_force_everywhere(self.watch.statuses()))
+        self.watch.observe(2, 2, [seen("c", 1)])
+        self.assertFalse(is_in_force_everywhere(self.watch.statuses()))
+
+    def test_forgotten_node_is_gone(self):
+        self.watch.observe(1, 2, [seen("a"), seen("b")])
+        self.watch.forget(["a"])
+        self.assertEqual(list(self.conditions()), ["b"])
