Ask nodes as many good callers would, and check every answer

There was no way to see under real load whether answers are whole. fireflyward load draws prompts, streams and non-idempotent calls of several accounts from a seed, asks again after cuts and refusals, resumes streams by the last event's id, and holds every answer against the only right one; it ends with one JSON object.

--- a/fireflyward/__main__.py
+++ b/fireflyward/__main__.py
@@ -7,7 +7,7 @@
 
 from fireflyward import __version__
 
-_COMMANDS = ("serve", "settings", "demo", "bench", "standins")
+_COMMANDS = ("serve", "settings", "demo", "bench", "standins", "load")
 _DESCRIPTION = (
     "Serves prompts whose callers come back after long gaps. "
     "Operators drive it only through signed bundles."
--- a/fireflyward/checker/_bundles.py
+++ b/fireflyward/checker/_bundles.py
@@ -20,12 +20,14 @@
         "_force_limit_ms",
         "_highest_by_node",
         "_reachable_ms",
+        "_sees_platform",
         "violations",
     )
 
-    def __init__(self, force_limit_ms: int) -> None:
+    def __init__(self, force_limit_ms: int, *, sees_platform: bool = True) -> None:
         self.violations: list[Violation] = []
         self._force_limit_ms = force_limit_ms
+        self._sees_platform = sees_platform
         self._accepted_ms_by_number: dict[int, int] = {}
         self._digest_by_number: dict[int, str] = {}
         self._highest_by_node: dict[str, int] = {}
@@ -65,7 +67,7 @@
         if number < highest:
             self._add(observation.at_ms, f"{node} went from {highest} to {number}")
         self._highest_by_node[node] = max(number, highest)
-        if number not in self._accepted_ms_by_number:
+        if self._sees_platform and number not in self._accepted_ms_by_number:
             self._add(observation.at_ms, f"{node} serves {number}, accepted by none")
         if node not in self._cut_off:
             self._check_force(observation)
--- a/fireflyward/checker/_observations.py
+++ b/fireflyward/checker/_observations.py
@@ -38,7 +38,7 @@
 
     ``CUT`` means that the connection ended without an outcome. ``node`` is the
     node that the caller was connected to. ``is_final`` is false when the caller
-    is going to ask again.
+    is going to ask again. ``begun_ms`` is when the attempt began, if that is known.
     """
 
     at_ms: int
@@ -48,6 +48,7 @@
     run_id: str = ""
     node: str = ""
     is_final: bool = True
+    begun_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,13 +61,17 @@
 
 @dataclass(frozen=True, slots=True)
 class Ran:
-    """An upstream took a request up; from here on it may have had an effect."""
+    """An upstream took a request up; from here on it may have had an effect.
+
+    ``node`` is where the connection came from, if the upstream can tell.
+    """
 
     at_ms: int
     upstream: str
     request: str
     run_id: str
     version: str = ""
+    node: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/checker/_requests.py
+++ b/fireflyward/checker/_requests.py
@@ -1,6 +1,5 @@
 """Checks what callers got against what they asked and what upstreams ran."""
 
-from collections import Counter
 from dataclasses import dataclass, field
 from functools import singledispatchmethod
 
@@ -22,7 +21,7 @@
 @dataclass(slots=True)
 class _Request:
     asked: Asked
-    runs: Counter[str] = field(default_factory=Counter)
+    runs: list[Ran] = field(default_factory=list)
     refused_run_ids: set[str] = field(default_factory=set)
     was_refused: bool = False
     is_over: bool = False
@@ -82,15 +81,15 @@
             )
             self._add(Promise.OWN_ACCOUNT, observation.at_ms, detail)
             return
-        request.runs[observation.run_id] += 1
+        request.runs.append(observation)
         if request.asked.is_non_idempotent:
             self._check_once(observation, request)
         elif observation.run_id in request.refused_run_ids:
             self._add_false_refusal(observation.at_ms, observation.request)
 
     def _check_once(self, observation: Ran, request: _Request) -> None:
-        if request.runs.total() > 1:
-            detail = f"{observation.request} ran {request.runs.total()} times"
+        if len(request.runs) > 1:
+            detail = f"{observation.request} ran {len(request.runs)} times"
             self._add(Promise.AT_MOST_ONCE, observation.at_ms, detail)
         if request.was_refused:
             self._add_false_refusal(observation.at_ms, observation.request)
@@ -110,14 +109,14 @@
         """Hold "not run" against the runs so far, and remember it for later ones.
 
         An idempotent request may run for another attempt of its caller, so only
-        this attempt's run counts; of a non-idempotent one any run does.
+        this attempt's runs count; of a non-idempotent one any run does.
         """
         request.refused_run_ids.add(observation.run_id)
         request.was_refused = request.asked.is_non_idempotent
-        ran = request.runs[observation.run_id] if observation.run_id else 0
-        if request.asked.is_non_idempotent:
-            ran = request.runs.total()
-        if ran:
+        if any(
+            request.asked.is_non_idempotent or _is_of_attempt(run, observation)
+            for run in request.runs
+        ):
             self._add_false_refusal(observation.at_ms, observation.request)
 
     def _check_text(self, observation: Ended, request: _Request) -> None:
@@ -140,3 +139,11 @@
 
     def _add(self, promise: Promise, at_ms: int, detail: str) -> None:
         self.violations.append(Violation(promise, at_ms, detail))
+
+
+def _is_of_attempt(run: Ran, ended: Ended) -> bool:
+    """Tell whether a run is the attempt's, by its id or by node and time."""
+    if run.run_id == ended.run_id:
+        return True
+    has_window = ended.begun_ms >= 0 and run.node == ended.node != ""
+    return has_window and ended.begun_ms <= run.at_ms <= ended.at_ms
--- /dev/null
+++ b/fireflyward/load/__init__.py
@@ -0,0 +1,16 @@
+"""Seeded load from many good callers, with every answer checked."""
+
+from ._caller import LoadCaller
+from ._plan import LoadPlan, LoadRequest, Way, draw_requests
+from ._report import LoadReport
+from ._run import LoadRun
+
+__all__ = [
+    "LoadCaller",
+    "LoadPlan",
+    "LoadReport",
+    "LoadRequest",
+    "LoadRun",
+    "Way",
+    "draw_requests",
+]
--- a/tests/checker/test_checker.py
+++ b/tests/checker/test_checker.py
@@ -51,6 +51,12 @@
         Ran(3, "e", "r", "id2"),
         ANSWERED,
     ],
+    "a run of an earlier attempt under way": [
+        ASKED,
+        Ran(1, "e", "r", "key", node="n1"),
+        Ended(4, "r", Ending.NOT_RUN, run_id="id", node="n2", begun_ms=0),
+        Ended(6, "r", Ending.NOT_RUN, run_id="id", node="n1", begun_ms=5),
+    ],
     "a block freed after it was read": [SEALED, BlockFreed(9, "store", "b", 1), read()],
     "a run that goes on across a swap": [SEALED, read(version="v2", is_continued=True)],
     "work soon after an upstream's leaving": [
@@ -105,6 +111,14 @@
         Promise.TRUE_REFUSAL,
         [ASKED, Ran(1, "e", "r", "id"), Ended(2, "r", Ending.NOT_RUN, run_id="id")],
     ),
+    "a refusal after a run under another id": (
+        Promise.TRUE_REFUSAL,
+        [
+            ASKED,
+            Ran(2, "e", "r", "key", node="n1"),
+            Ended(3, "r", Ending.NOT_RUN, run_id="id", node="n1", begun_ms=1),
+        ],
+    ),
     "a refusal before the run": (
         Promise.TRUE_REFUSAL,
         [CALL, Ended(1, "c", Ending.NOT_RUN, run_id="id"), Ran(2, "e", "c", "id2")],
--- a/tests/faults/_callers.py
+++ b/tests/faults/_callers.py
@@ -196,6 +196,7 @@
             await self._send(node)
 
     async def _attempt(self, node, only_once: bool, is_late: bool) -> None:
+        begun_ms = self._clock.now_ms()
         writer = await self._send(node)
         if self._has_left:
             return
@@ -208,7 +209,7 @@
         run_id = writer.headers.get("X-Request-Id", "")
         now_ms, name = self._clock.now_ms(), node.settings["node_name"]
         self._world.see(
-            Ended(now_ms, self.ask.name, ending, text, run_id, name, is_final)
+            Ended(now_ms, self.ask.name, ending, text, run_id, name, is_final, begun_ms)
         )
         self.ending = ending if is_final else None
         if ending is not Ending.CUT:
--- a/tests/faults/_fakes.py
+++ b/tests/faults/_fakes.py
@@ -99,13 +99,13 @@
         self.model = EngineModel(dict(self.versions), COSTS, str(self.epoch))
         self.is_leaving = False
 
-    def submit(self, call) -> Accepted | Refused:
+    def submit(self, call, node: str) -> Accepted | Refused:
         now_ms = self.world.clock.now_ms()
         result = self.model.submit(now_ms, call)
         if isinstance(result, Accepted):
             request = request_of(call.prompt)
-            seen = Ran(now_ms, self.name, request, call.run_id, result.version)
-            self.world.see(seen)
+            ran = (now_ms, self.name, request, call.run_id, result.version, node)
+            self.world.see(Ran(*ran))
             self._see_cache(now_ms, call, request, result)
         return result
 
@@ -159,7 +159,7 @@
         try:
             await connection.carry()
             model = self._vm.model
-            result = self._vm.submit(call) if call else None
+            result = self._vm.submit(call, self._process.name) if call else None
             run = model.run_by_id.get(run_id)
             if isinstance(result, Refused) or run is None or run.cancelled:
                 await connection.carry()
