Admit by fair queueing, a learnt window and a bounded wait

Cause: a node only counted requests by account; an overload went to the engines' own queues, which serve first come, first served, and at 150% of capacity first tokens came after 8.9 s in the median. Change: per model a start-time fair queue by account weight before a window of runs that wait for a first token, learnt from how late first tokens come; a wait of at most 2 s, never past the deadline, refused on arrival where the account's share of the rate would not reach it. Entry waits at the gate.

--- a/fireflyward/bench/_balancing.py
+++ b/fireflyward/bench/_balancing.py
@@ -254,13 +254,13 @@
                 first_ms = max(now_ms, run.first_token_ms + way_ms)
                 end_ms = run.ends_ms(engine.model.costs.decode_ms_per_token) + way_ms
                 self._at(first_ms, self._first_token, node, name, run_id)
-                self._at(max(now_ms, end_ms), self._end, node, name)
+                self._at(max(now_ms, end_ms), self._end, node, name, run_id)
 
     def _first_token(self, now_ms: float, node: int, name: str, run_id: str) -> None:
         balancer = self._balancers[node]
         balancer.on_event(int(now_ms), name, run_id, Piece(0, 1, ""))
 
-    def _end(self, now_ms: float, node: int, name: str) -> None:
+    def _end(self, now_ms: float, node: int, name: str, run_id: str) -> None:
         self._balancers[node].on_end(int(now_ms), name, failed=False)
 
     def _way_ms(self, node: int, name: str) -> float:
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -8,7 +8,7 @@
 from fireflyward.clock import Clock
 from fireflyward.entry import EntryParts, build_app
 from fireflyward.kept import BlockNames
-from fireflyward.limits import Admission
+from fireflyward.limits import AdmissionGate
 from fireflyward.membership import Member, Members
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.routing import Candidate, Router
@@ -48,7 +48,7 @@
         self.observe = observe
         self.holder = BundleHolder()
         self.router = Router(settings["failure_domain"])
-        self.admission = Admission()
+        self.admission = AdmissionGate(self.clock)
         self.metrics = Metrics()
         self.engine_by_name: dict[str, Engine] = {}
         self.service_by_name: dict[str, PlainService] = {}
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -13,7 +13,7 @@
 from fireflyward.bundles import Account, BundleHolder
 from fireflyward.clock import Clock
 from fireflyward.kept import BlockNames
-from fireflyward.limits import Admission
+from fireflyward.limits import AdmissionGate
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.routing import Router
@@ -41,7 +41,7 @@
     router: Router
     engine_by_name: dict[str, Engine]
     service_by_name: dict[str, PlainService]
-    admission: Admission
+    admission: AdmissionGate
     records: RunRecords
     block_names: BlockNames
     metrics: Metrics
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -5,6 +5,7 @@
 import msgspec
 from aiohttp import web
 
+from fireflyward.limits import Ask
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
 from fireflyward.routing import RunShape
 from fireflyward.runs import Deliver, End, RecordKept, RunTask
@@ -23,6 +24,9 @@
 )
 
 _MS_PER_SECOND = 1_000
+# Making a token takes about as long as prefilling this many.
+_TOKENS_PER_DECODED = 4
+_TICKET = "admission_ticket"
 _LAST_LINE = b"data: [DONE]\n\n"
 
 
@@ -50,18 +54,39 @@
     )
     if refusal:
         return refuse(request, refusal, identity.request_id)
-    refusal = parts.admission.enter(
-        identity.account_name, identity.account.max_in_flight
-    )
-    if refusal:
-        return refuse(request, refusal, identity.request_id)
+    ticket = await parts.admission.enter(_ask(parts, identity, prompt))
+    if isinstance(ticket, NotRun):
+        return refuse(request, ticket, identity.request_id)
+    request[_TICKET] = ticket
     try:
         refusal = await _claim(parts, identity, body)
         if refusal:
             return refuse(request, refusal, identity.request_id)
         return await _serve(request, identity, prompt)
     finally:
-        parts.admission.leave(identity.account_name)
+        _on_first_token(request, identity)
+        parts.admission.leave(ticket)
+
+
+def _ask(parts: EntryParts, identity: Identity, prompt: Prompt) -> Ask:
+    cost = count_tokens(prompt.text) + _TOKENS_PER_DECODED * prompt.max_tokens
+    return Ask(
+        identity.account_name,
+        prompt.model,
+        cost,
+        identity.account.max_in_flight,
+        parts.clock.now_ms() + parts.deadline_ms,
+        identity.account.weight,
+    )
+
+
+def _on_first_token(request: web.Request, identity: Identity) -> None:
+    """Tell admission once that this run no longer waits for its first token."""
+    parts = request.app[PARTS]
+    ticket = request[_TICKET]
+    if ticket.is_pending:
+        late_ms = parts.router.take_late_ms(identity.request_id)
+        parts.admission.on_first_token(ticket, late_ms)
 
 
 def _allowed(parts: EntryParts, identity: Identity, prompt: Prompt) -> NotRun | None:
@@ -118,6 +143,7 @@
     try:
         async for result in results:
             if isinstance(result, Deliver):
+                _on_first_token(request, identity)
                 await answer.piece(result)
             elif isinstance(result, End):
                 return await answer.end(result.outcome)
--- a/fireflyward/limits/__init__.py
+++ b/fireflyward/limits/__init__.py
@@ -1,5 +1,16 @@
-"""How much of each client account's work runs at once."""
+"""How much of each client account's work runs at once, and what waits for it."""
 
-from ._admission import Admission
+from ._admission import Admission, Ask, Ticket
+from ._fair_queue import FairQueue, Waiter
+from ._gate import AdmissionGate
+from ._window import Window
 
-__all__ = ["Admission"]
+__all__ = [
+    "Admission",
+    "AdmissionGate",
+    "Ask",
+    "FairQueue",
+    "Ticket",
+    "Waiter",
+    "Window",
+]
--- a/fireflyward/routing/_router.py
+++ b/fireflyward/routing/_router.py
@@ -26,6 +26,7 @@
 _SPREAD_MS = 0.5
 _NEGLIGIBLE = 20.0
 _PENDING_LIMIT_MS = 60_000
+_REMEMBERED_LATE = 4_096
 
 
 class _Pending:
@@ -60,6 +61,7 @@
         "_candidate_by_name",
         "_estimate",
         "_failure_domain",
+        "_late_by_run",
         "_pending_by_run",
         "_random",
         "affinity",
@@ -78,6 +80,7 @@
         self._failure_domain = failure_domain
         self._candidate_by_name: dict[str, Candidate] = {}
         self._pending_by_run: dict[str, _Pending] = {}
+        self._late_by_run: dict[str, float] = {}
         self._random = random.Random(seed)
 
     def __repr__(self) -> str:
@@ -181,6 +184,13 @@
         self._note_choice(now_ms, chosen, shape)
         return chosen.name
 
+    def take_late_ms(self, run_id: str) -> float | None:
+        """Return by how much a run's first token came later than its prefill alone.
+
+        It is infinite after a refusal for overload, None when nothing is known.
+        """
+        return self._late_by_run.pop(run_id, None)
+
     def prefill_ms(self, shape: RunShape) -> float:
         """Return the usual time to prefill a prompt of which nothing is cached."""
         speeds = sorted(
@@ -272,7 +282,10 @@
             return
         pending = self._settle(run_id)
         if pending.name == candidate.name and not event.offset:
-            candidate.learn_speed(now_ms - pending.chosen_ms, pending.to_compute)
+            elapsed_ms = now_ms - pending.chosen_ms
+            candidate.learn_speed(elapsed_ms, pending.to_compute)
+            alone_ms = pending.to_compute * candidate.ms_per_token
+            self._note_late(run_id, elapsed_ms - alone_ms)
             self._lend_speed(candidate)
 
     @_learn.register(Finished)
@@ -294,6 +307,12 @@
             candidate.leaving = True
         elif event.reason is Reason.OVERLOADED:
             self.on_failure(now_ms, candidate.name)
+            self._note_late(run_id, math.inf)
+
+    def _note_late(self, run_id: str, late_ms: float) -> None:
+        if len(self._late_by_run) >= _REMEMBERED_LATE:
+            self._late_by_run.pop(next(iter(self._late_by_run)))
+        self._late_by_run[run_id] = late_ms
 
 
 def _merged(known: Candidate | None, wanted: Candidate) -> Candidate:
--- /dev/null
+++ b/tests/limits/test_admission.py
@@ -0,0 +1,191 @@
+import unittest
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from fireflyward.limits import Admission, Ask, Ticket
+from fireflyward.outcomes import NotRun, Reason
+
+FAR_MS = 1_000_000
+
+
+def ask(account="a", *, model="m", limit=1_000, deadline_ms=FAR_MS, weight=1):
+    return Ask(account, model, 100.0, limit, deadline_ms, weight)
+
+
+class AdmissionTests(unittest.TestCase):
+    def setUp(self):
+        self.admission = Admission(queue_limit_ms=2_000)
+
+    def enter(self, now_ms, count, account="a", **changes):
+        return [
+            self.admission.enter(now_ms, ask(account, **changes)) for _ in range(count)
+        ]
+
+    def test_window_admits_at_once_and_the_rest_waits(self):
+        tickets = self.enter(0, 20)
+        admitted = self.admission.decide(0)
+        self.assertEqual(admitted, tickets[:8])
+        self.admission.on_first_token(100, admitted[0], 0.0)
+        self.assertEqual(self.admission.decide(100), [tickets[8]])
+
+    def test_models_do_not_wait_for_each_other(self):
+        self.enter(0, 20)
+        self.admission.decide(0)
+        other = self.enter(0, 1, model="n")
+        self.assertEqual(self.admission.decide(0), other)
+
+    def test_late_ticket_is_refused_when_its_time_is_over(self):
+        tickets = self.enter(0, 9)
+        self.admission.decide(0)
+        self.assertEqual(self.admission.decide(1_999), [])
+        self.assertEqual(self.admission.decide(2_000), [tickets[8]])
+        self.assertEqual(tickets[8].refusal.reason, Reason.OVERLOADED)
+        self.assertGreater(tickets[8].refusal.retry_after_ms, 0)
+
+    def test_nothing_waits_past_its_deadline(self):
+        self.enter(0, 8)
+        self.admission.decide(0)
+        (ticket,) = self.enter(0, 1, deadline_ms=300)
+        self.assertEqual(self.admission.decide(300), [ticket])
+        self.assertEqual(ticket.refusal.reason, Reason.DEADLINE)
+
+    def test_hopeless_request_is_refused_on_arrival(self):
+        """Symptom: callers wait two seconds to be told that they came in vain.
+        Sequence: far more arrives than is served. Cause: only the wait itself
+        showed that the queue was too long."""
+        running = []
+        refused = None
+        for now_ms in range(0, 2_000, 10):
+            result = self.admission.enter(now_ms, ask())
+            refused = refused or (result if isinstance(result, NotRun) else None)
+            running.extend(t for t in self.admission.decide(now_ms) if not t.refusal)
+            if now_ms % 100 == 0 and running:
+                self.admission.on_first_token(now_ms, running.pop(0), 0.0)
+        self.assertEqual(refused.reason, Reason.OVERLOADED)
+        self.assertGreaterEqual(refused.retry_after_ms, 2_000)
+
+    def test_burst_after_a_quiet_time_is_not_taken_for_overload(self):
+        """Symptom: the first requests of the morning are refused. Sequence: a busy
+        evening, a quiet night, then some requests at once. Cause: the admissions
+        of the evening were spread over the night."""
+        for now_ms in range(0, 20_000, 100):
+            for ticket in [self.admission.enter(now_ms, ask())]:
+                self.admission.decide(now_ms)
+                self.admission.on_first_token(now_ms, ticket, 0.0)
+                self.admission.leave(ticket)
+        night_ms = 40_000_000
+        tickets = self.enter(night_ms, 60, deadline_ms=night_ms + 60_000)
+        self.assertTrue(all(isinstance(item, Ticket) for item in tickets))
+
+    def test_account_at_its_limit_is_refused_and_others_are_not(self):
+        self.enter(0, 3, limit=3)
+        (refused,) = self.enter(0, 1, limit=3)
+        self.assertEqual(refused.reason, Reason.OVER_LIMIT)
+        self.assertIsInstance(self.enter(0, 1, "b", limit=3)[0], Ticket)
+
+    def test_flooding_account_leaves_a_place_for_one_that_was_here(self):
+        """Symptom: a small account always waits for a prefill to end. Sequence: a
+        large account holds the whole window when the small one asks. Cause: what
+        was admitted cannot be taken back."""
+        (small,) = self.enter(0, 1, "small")
+        self.admission.decide(0)
+        self.admission.on_first_token(0, small, 0.0)
+        self.admission.leave(small)
+        self.enter(0, 50, "large")
+        self.admission.decide(0)
+        (again,) = self.enter(10, 1, "small")
+        self.assertEqual(self.admission.decide(10), [again])
+
+    def test_account_alone_uses_the_whole_window(self):
+        self.enter(0, 50, "large")
+        self.assertEqual(len(self.admission.decide(0)), 8)
+
+    def test_whoever_leaves_in_the_queue_is_not_admitted_later(self):
+        tickets = self.enter(0, 10)
+        admitted = self.admission.decide(0)
+        self.admission.leave(tickets[8])
+        self.admission.on_first_token(1, admitted[0], 0.0)
+        self.assertEqual(self.admission.decide(1), [tickets[9]])
+
+
+class AdmissionMachine(RuleBasedStateMachine):
+    """Requests of three accounts enter, get first tokens and leave at any time;
+    every ticket is settled at most once and in time, and nothing is left counted."""
+
+    def __init__(self):
+        super().__init__()
+        self.admission = Admission(queue_limit_ms=500)
+        self.now_ms = 0
+        self.waiting = []
+        self.running = []
+
+    @rule(
+        account=st.sampled_from(("a", "b", "c")),
+        within_ms=st.integers(-5, 900),
+        limit=st.integers(1, 12),
+    )
+    def enter(self, account, within_ms, limit):
+        before = self.admission.in_flight(account)
+        deadline_ms = self.now_ms + within_ms
+        asked = ask(account, limit=limit, deadline_ms=deadline_ms)
+        result = self.admission.enter(self.now_ms, asked)
+        if isinstance(result, NotRun):
+            assert result.retry_after_ms > 0
+            assert self.admission.in_flight(account) == before
+        else:
+            assert before < limit
+            self.waiting.append(result)
+        self.decide()
+
+    @rule(by_ms=st.integers(1, 400))
+    def pass_time(self, by_ms):
+        self.now_ms += by_ms
+        self.decide()
+
+    @rule(data=st.data(), late_ms=st.sampled_from((None, 0.0, 200.0)))
+    @precondition(lambda self: self.running)
+    def first_token(self, data, late_ms):
+        ticket = data.draw(st.sampled_from(self.running))
+        self.admission.on_first_token(self.now_ms, ticket, late_ms)
+        self.decide()
+
+    @rule(data=st.data())
+    @precondition(lambda self: self.waiting or self.running)
+    def leave(self, data):
+        ticket = data.draw(st.sampled_from(self.waiting + self.running))
+        (self.waiting if ticket in self.waiting else self.running).remove(ticket)
+        self.admission.leave(ticket)
+        self.decide()
+
+    def decide(self):
+        for ticket in self.admission.decide(self.now_ms):
+            assert ticket in self.waiting, "settled twice or after it left"
+            self.waiting.remove(ticket)
+            if ticket.refusal:
+                assert self.now_ms >= ticket.refuse_at_ms
+                self.admission.leave(ticket)
+            else:
+                assert self.now_ms < ticket.ask.deadline_ms
+                self.running.append(ticket)
+
+    @invariant()
+    def counts_agree(self):
+        assert self.admission.total() == len(self.waiting) + len(self.running)
+
+    @invariant()
+    def nothing_waits_too_long(self):
+        for ticket in self.waiting:
+            assert self.now_ms < ticket.refuse_at_ms
+
+    def teardown(self):
+        for ticket in self.waiting + self.running:
+            self.admission.leave(ticket)
+        assert self.admission.total() == 0
+        assert self.admission.decide(self.now_ms) == []
+
+
+AdmissionMachineTests = AdmissionMachine.TestCase
+AdmissionMachineTests.settings = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None
+)
