Keep track of the nodes of a deployment

Cause: load sharing, bundle distribution and stopping need to know which nodes live, leave or are gone, on which incarnation and with which bundle.

Change: probing with suspicion and refutation inside a failure domain, thin exchanges between domains, digests that repair what news missed; a task over the peer link; a small driver of many decisions on a faked clock.

Result: focused tests for loss, pauses, cuts, clock set back, replays and two nodes with one name, and a stateful property test.

--- a/fireflyward/membership/__init__.py
+++ b/fireflyward/membership/__init__.py
@@ -1,12 +1,61 @@
 """Which nodes there are, in what state, and who of them owns a key."""
 
-from ._members import Member, Members, MemberState
+from ._members import Address, Member, Members, MemberState
+from ._membership import Membership
+from ._messages import (
+    Action,
+    AddressKnown,
+    Alarm,
+    AlarmKind,
+    BundleTaken,
+    DomainAge,
+    DomainDigest,
+    IncarnationRaised,
+    LeaveBegun,
+    LeaveDone,
+    Message,
+    Packet,
+    PacketKind,
+    Received,
+    SeedsFound,
+    Send,
+    SetIncarnation,
+    Tick,
+)
+from ._probing import Timings
 from ._rendezvous import owner_of, owners_of
+from ._task import MembershipTask
+from ._wire import PacketStruct, from_struct, to_struct
 
 __all__ = [
+    "Action",
+    "AddressKnown",
+    "Address",
+    "Alarm",
+    "AlarmKind",
+    "BundleTaken",
+    "DomainAge",
+    "DomainDigest",
+    "IncarnationRaised",
+    "LeaveBegun",
+    "LeaveDone",
     "Member",
     "MemberState",
     "Members",
+    "Membership",
+    "MembershipTask",
+    "Message",
+    "Packet",
+    "PacketKind",
+    "PacketStruct",
+    "Received",
+    "SeedsFound",
+    "Send",
+    "SetIncarnation",
+    "Tick",
+    "Timings",
+    "from_struct",
     "owner_of",
     "owners_of",
+    "to_struct",
 ]
--- a/fireflyward/membership/_members.py
+++ b/fireflyward/membership/_members.py
@@ -10,7 +10,8 @@
     """What is known of a node; at one incarnation a higher value replaces a lower.
 
     ``UNHEARD`` is never told to others: it is what a node makes of the members of
-    a failure domain from which nothing has come for a while.
+    a failure domain from which nothing has come for a while, and of every node
+    while it hears nobody at all and so cannot tell who of them is at fault.
     """
 
     LIVE = 0
@@ -52,12 +53,13 @@
     ['entry-1']
     """
 
-    __slots__ = ("_member_by_name", "_own_name", "_unheard_domains")
+    __slots__ = ("_member_by_name", "_own_name", "_unheard_domains", "_unheard_names")
 
     def __init__(self, own: Member) -> None:
         self._own_name = own.name
         self._member_by_name = {own.name: own}
         self._unheard_domains: frozenset[str] = frozenset()
+        self._unheard_names: set[str] = set()
 
     def __repr__(self) -> str:
         return f"Members({self._own_name!r}, {len(self._member_by_name)})"
@@ -93,15 +95,35 @@
         """Replace what is known of a member; only ``Membership`` calls this."""
         self._member_by_name[member.name] = member
 
+    def stored(self, name: str) -> Member | None:
+        """Return a member's row as it is told to others, never ``UNHEARD``."""
+        return self._member_by_name.get(name)
+
+    def stored_all(self) -> tuple[Member, ...]:
+        """Return every row as it is told to others, in no certain order."""
+        return tuple(self._member_by_name.values())
+
     def forget(self, name: str) -> None:
         """Drop a member that has been dead for long."""
         del self._member_by_name[name]
+        self._unheard_names.discard(name)
+
+    def set_heard(self, name: str, *, heard: bool) -> None:
+        """Note whether anything comes from one member, whatever others say."""
+        if heard:
+            self._unheard_names.discard(name)
+        else:
+            self._unheard_names.add(name)
 
     def set_unheard(self, failure_domains: frozenset[str]) -> None:
         """Name the failure domains from which nothing comes any more."""
         self._unheard_domains = failure_domains
 
     def _as_heard(self, member: Member) -> Member:
-        if member.failure_domain not in self._unheard_domains:
+        unheard = (
+            member.name in self._unheard_names
+            or member.failure_domain in self._unheard_domains
+        )
+        if not unheard or member.state is MemberState.DEAD:
             return member
         return replace(member, state=MemberState.UNHEARD)
--- /dev/null
+++ b/fireflyward/membership/_membership.py
@@ -0,0 +1,422 @@
+"""The decisions of membership: what to send, whom to suspect, what to believe."""
+
+import random
+from dataclasses import dataclass
+from functools import singledispatchmethod
+
+from ._domains import DomainWatch
+from ._members import Member, Members, MemberState
+from ._messages import (
+    Action,
+    AddressKnown,
+    Alarm,
+    AlarmKind,
+    BundleTaken,
+    IncarnationRaised,
+    LeaveBegun,
+    LeaveDone,
+    Message,
+    Packet,
+    PacketKind,
+    Received,
+    SeedsFound,
+    Send,
+    SetIncarnation,
+    Tick,
+)
+from ._probing import Probing, Timings
+from ._roster import Roster
+from ._sync import Sync
+
+_ROWS_IN_DATAGRAM = 4
+_PUSH_NEAR = 3
+_PUSH_FAR = 1
+_PUSH_BURST = 8.0
+_NAME_TAKEN_DEFENCES = 3
+_NAME_TAKEN_WINDOW_MS = 60_000
+_NUMBER_MODULUS = 1 << 31
+
+
+@dataclass(frozen=True, slots=True)
+class _Relay:
+    requester: str
+    number: int
+    until_ms: int
+
+
+class Membership:
+    """Knows the nodes of the deployment: ``decide(now_ms, message) -> actions``.
+
+    Within a failure domain it is SWIM: one member is probed each period, directly,
+    then through others; who answers neither is suspected, and dead when it has not
+    refuted that in time. Across failure domains a node only exchanges news with
+    one other now and then: nobody is suspected there, and a failure domain that
+    falls silent counts as unheard as a whole until it is heard again.
+
+    ``members`` is the view for other slices; it changes only inside ``decide``.
+    """
+
+    __slots__ = (
+        "_defences_ms",
+        "_domains",
+        "_last_ms",
+        "_next_remote_ms",
+        "_probing",
+        "_push_tokens",
+        "_random",
+        "_relay_by_number",
+        "_roster",
+        "_sync",
+        "_timings",
+        "_unheard",
+        "_urgent",
+    )
+
+    def __init__(
+        self,
+        now_ms: int,
+        own: Member,
+        *,
+        seed: int | None = None,
+        timings: Timings | None = None,
+    ) -> None:
+        self._timings = timings or Timings()
+        self._random = random.Random(seed)
+        self._roster = Roster(own)
+        self._domains = DomainWatch(own.failure_domain, self._timings.unheard_ms)
+        self._probing = Probing(now_ms, self._timings, self._random)
+        self._sync = Sync(
+            now_ms,
+            roster=self._roster,
+            domains=self._domains,
+            timings=self._timings,
+            rng=self._random,
+        )
+        self._relay_by_number: dict[int, _Relay] = {}
+        self._push_tokens = _PUSH_BURST
+        self._last_ms = now_ms
+        self._next_remote_ms = now_ms + self._remote_wait_ms()
+        self._unheard: frozenset[str] = frozenset()
+        self._defences_ms: list[int] = []
+        self._urgent = False
+
+    def __repr__(self) -> str:
+        return f"Membership({self.members!r})"
+
+    @property
+    def members(self) -> Members:
+        return self._roster.members
+
+    def decide(self, now_ms: int, message: Message) -> list[Action]:
+        """Take a message or the passing of time; return what to do now."""
+        actions = self._pass_time(now_ms)
+        actions += self._decide(message, now_ms)
+        if self._urgent:
+            self._urgent = False
+            actions += self._push(now_ms)
+        return actions
+
+    def take_known(self, now_ms: int, rows: tuple[Member, ...]) -> None:
+        """Start from rows that are known already, without telling them again."""
+        for row in rows:
+            if row.name != self.members.own.name:
+                self._roster.merge(now_ms, row)
+                self._roster.news.drop(row.name)
+                self._domains.on_heard(now_ms, row.failure_domain)
+
+    @singledispatchmethod
+    def _decide(self, message: Message, now_ms: int) -> list[Action]:
+        raise AssertionError(f"no rule for {message!r}")
+
+    @_decide.register
+    def _(self, message: Tick, now_ms: int) -> list[Action]:
+        actions = self._probe(now_ms)
+        actions += self._settle_suspicions(now_ms)
+        if now_ms >= self._next_remote_ms:
+            self._next_remote_ms = now_ms + self._remote_wait_ms()
+            actions += self._probe_other_domain(now_ms)
+        actions += self._sync.due(now_ms)
+        actions += self._watch_domains(now_ms)
+        return actions
+
+    @_decide.register
+    def _(self, message: Received, now_ms: int) -> list[Action]:
+        packet = message.packet
+        if packet.sender.name == self.members.own.name:
+            return self._defend(now_ms, packet.sender)
+        count = len(self.members.stored_all())
+        actions = self._hear(now_ms, packet.sender)
+        for row in packet.rows:
+            actions += self._take_row(now_ms, row)
+        if packet.kind is PacketKind.ROWS and len(self.members.stored_all()) > count:
+            self._sync.on_learned()
+        for age in packet.ages:
+            self._domains.on_heard(now_ms, age.failure_domain, max(0, age.age_ms))
+        return actions + self._answer(now_ms, packet)
+
+    @_decide.register
+    def _(self, message: AddressKnown, now_ms: int) -> list[Action]:
+        self._roster.set_own(address=message.address)
+        return []
+
+    @_decide.register
+    def _(self, message: SeedsFound, now_ms: int) -> list[Action]:
+        self._sync.set_seeds(message.addresses)
+        return []
+
+    @_decide.register
+    def _(self, message: BundleTaken, now_ms: int) -> list[Action]:
+        self._roster.set_own(bundle_number=message.number)
+        return []
+
+    @_decide.register
+    def _(self, message: LeaveBegun, now_ms: int) -> list[Action]:
+        self._roster.set_own(state=MemberState.LEAVING)
+        self._urgent = True
+        return []
+
+    @_decide.register
+    def _(self, message: LeaveDone, now_ms: int) -> list[Action]:
+        self._roster.set_own(state=MemberState.DEAD)
+        self._urgent = True
+        return []
+
+    @_decide.register
+    def _(self, message: IncarnationRaised, now_ms: int) -> list[Action]:
+        if message.incarnation > self.members.own.incarnation:
+            self._roster.set_own(incarnation=message.incarnation)
+        return []
+
+    def _pass_time(self, now_ms: int) -> list[Action]:
+        """Refill what time refills, and notice when this process stood still.
+
+        After a pause every deadline has passed although nobody else failed. A
+        node that believed its timers then would declare its whole failure domain
+        dead; moving them on by the pause gives the others their time back.
+        """
+        passed_ms = now_ms - self._last_ms
+        self._last_ms = now_ms
+        refill = passed_ms * self._timings.push_per_second / 1_000
+        self._push_tokens = min(_PUSH_BURST, self._push_tokens + refill)
+        if passed_ms <= self._timings.pause_ms:
+            return []
+        self._probing.on_pause(now_ms, passed_ms)
+        self._domains.on_pause(passed_ms)
+        return [Alarm(AlarmKind.PAUSED, self.members.own.name)]
+
+    def _probe(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for attempt in self._probing.due(now_ms, self._roster):
+            if attempt.failed:
+                actions += self._suspect(now_ms, attempt.name)
+                continue
+            target = self.members.stored(attempt.name)
+            if target is None:
+                continue
+            actions.append(self._send(now_ms, target, PacketKind.PROBE, attempt.number))
+            for name in attempt.helpers:
+                helper = self.members.stored(name)
+                request = self._send(
+                    now_ms, helper, PacketKind.PROBE_REQUEST, attempt.number, target
+                )
+                actions.append(request)
+        return actions
+
+    def _suspect(self, now_ms: int, name: str) -> list[Action]:
+        member = self.members.stored(name)
+        if member is None or member.state is MemberState.DEAD:
+            return []
+        self._probing.suspect(now_ms, name)
+        if member.state is MemberState.SUSPECTED:
+            return []
+        self._roster.set_state(now_ms, name, MemberState.SUSPECTED)
+        return [Alarm(AlarmKind.NODE_SUSPECTED, name)]
+
+    def _settle_suspicions(self, now_ms: int) -> list[Action]:
+        actions: list[Action] = []
+        for name, witnessed in self._probing.expired(now_ms):
+            member = self.members.stored(name)
+            if member is None or member.state is not MemberState.SUSPECTED:
+                continue
+            if not witnessed:
+                self.members.set_heard(name, heard=False)
+                continue
+            self._roster.set_state(now_ms, name, MemberState.DEAD)
+            self._urgent = True
+            actions.append(Alarm(AlarmKind.NODE_DEAD, name))
+        return actions
+
+    def _hear(self, now_ms: int, sender: Member) -> list[Action]:
+        actions = self._take_row(now_ms, sender)
+        known = self.members.stored(sender.name)
+        if known is not None and sender.incarnation >= known.incarnation:
+            self.members.set_heard(sender.name, heard=True)
+            self._domains.on_heard(now_ms, known.failure_domain)
+            for name in self._probing.on_witness(now_ms, sender.name):
+                self._roster.excuse(name)
+                self.members.set_heard(name, heard=True)
+        return actions
+
+    def _take_row(self, now_ms: int, row: Member) -> list[Action]:
+        if row.name == self.members.own.name:
+            return self._defend(now_ms, row)
+        old = self.members.stored(row.name)
+        member = self._roster.merge(now_ms, row)
+        if member is None:
+            return []
+        if member.state is not MemberState.SUSPECTED:
+            self._probing.clear(member.name)
+        if old is None or old.state is member.state:
+            return []
+        self._urgent = self._urgent or member.state is not MemberState.SUSPECTED
+        if member.state is MemberState.DEAD:
+            return [Alarm(AlarmKind.NODE_DEAD, member.name)]
+        if old.state is MemberState.DEAD:
+            return [Alarm(AlarmKind.NODE_LIVE, member.name)]
+        return []
+
+    def _defend(self, now_ms: int, row: Member) -> list[Action]:
+        above = self._roster.threat_to_own(row)
+        if above is None:
+            return []
+        self._roster.set_own(incarnation=above + 1)
+        self._urgent = True
+        actions: list[Action] = [SetIncarnation(above + 1)]
+        if row.failure_domain and row.address != self.members.own.address:
+            actions += self._count_defence(now_ms)
+        return actions
+
+    def _count_defence(self, now_ms: int) -> list[Action]:
+        """Notice two nodes that were given one name: each keeps outbidding."""
+        since_ms = now_ms - _NAME_TAKEN_WINDOW_MS
+        self._defences_ms = [at for at in self._defences_ms if at > since_ms]
+        self._defences_ms.append(now_ms)
+        if len(self._defences_ms) < _NAME_TAKEN_DEFENCES:
+            return []
+        self._defences_ms.clear()
+        return [Alarm(AlarmKind.NAME_TAKEN, self.members.own.name)]
+
+    def _answer(self, now_ms: int, packet: Packet) -> list[Action]:
+        sender = self.members.stored(packet.sender.name)
+        if sender is None:
+            return []
+        if packet.sender.incarnation < sender.incarnation:
+            return self._tell_behind(packet, sender)
+        if packet.kind is PacketKind.PROBE:
+            return [self._send(now_ms, sender, PacketKind.ACK, packet.number)]
+        if packet.kind is PacketKind.ACK:
+            return self._take_ack(now_ms, packet)
+        if packet.kind is PacketKind.PROBE_REQUEST:
+            return self._relay(now_ms, packet)
+        if packet.kind is PacketKind.SYNC:
+            return self._sync.answer(packet)
+        return []
+
+    def _tell_behind(self, packet: Packet, known: Member) -> list[Action]:
+        """Tell a node that a later life of it is known, so that it rises above.
+
+        It restarted after its wall clock was set back. Without this every row
+        about it would count as old and it would stay dead for all others. If it
+        is only an old datagram, the answer changes nothing.
+        """
+        if packet.kind not in (PacketKind.PROBE, PacketKind.SYNC):
+            return []
+        news = Packet(PacketKind.NEWS, self.members.own, rows=(known,))
+        return [Send(packet.sender.address, news)]
+
+    def _take_ack(self, now_ms: int, packet: Packet) -> list[Action]:
+        relay = self._relay_by_number.pop(packet.number, None)
+        if relay is None:
+            self._probing.on_ack(packet.number)
+            return []
+        requester = self.members.stored(relay.requester)
+        if requester is None:
+            return []
+        return [self._send(now_ms, requester, PacketKind.ACK, relay.number)]
+
+    def _relay(self, now_ms: int, packet: Packet) -> list[Action]:
+        target = self.members.stored(packet.target)
+        if target is None:
+            return []
+        self._drop_old_relays(now_ms)
+        number = self._new_number()
+        until_ms = now_ms + self._timings.probe_period_ms
+        relay = _Relay(packet.sender.name, packet.number, until_ms)
+        self._relay_by_number[number] = relay
+        return [self._send(now_ms, target, PacketKind.PROBE, number)]
+
+    def _drop_old_relays(self, now_ms: int) -> None:
+        self._relay_by_number = {
+            number: relay
+            for number, relay in self._relay_by_number.items()
+            if relay.until_ms > now_ms
+        }
+
+    def _probe_other_domain(self, now_ms: int) -> list[Action]:
+        names = self._domains.names()
+        if not names:
+            return []
+        domain = self._random.choice(names)
+        able = [item for item in self._roster.far() if item.failure_domain == domain]
+        if not able:
+            return []
+        target = self._random.choice(able)
+        return [self._send(now_ms, target, PacketKind.PROBE, self._new_number())]
+
+    def _watch_domains(self, now_ms: int) -> list[Action]:
+        unheard = self._domains.unheard(now_ms)
+        if unheard == self._unheard:
+            return []
+        lost = sorted(unheard - self._unheard)
+        found = sorted(self._unheard - unheard)
+        self._unheard = unheard
+        self.members.set_unheard(unheard)
+        return [Alarm(AlarmKind.DOMAIN_UNHEARD, name) for name in lost] + [
+            Alarm(AlarmKind.DOMAIN_HEARD, name) for name in found
+        ]
+
+    def _push(self, now_ms: int) -> list[Action]:
+        """Tell a few nodes at once what should not wait for the next probe."""
+        if self._push_tokens < 1 and self.members.own.state is MemberState.LIVE:
+            return []
+        self._push_tokens -= 1
+        near = self._roster.near()
+        far = self._roster.far()
+        targets = self._random.sample(near, min(_PUSH_NEAR, len(near)))
+        targets += self._random.sample(far, min(_PUSH_FAR, len(far)))
+        return [self._send(now_ms, target, PacketKind.NEWS) for target in targets]
+
+    def _send(
+        self,
+        now_ms: int,
+        target: Member,
+        kind: PacketKind,
+        number: int = 0,
+        asked: Member | None = None,
+    ) -> Send:
+        rows = [
+            member
+            for member in (target, asked)
+            if member and member.state in (MemberState.SUSPECTED, MemberState.DEAD)
+        ]
+        far = target.failure_domain != self.members.own.failure_domain
+        rows += self._roster.news.take(
+            _ROWS_IN_DATAGRAM - len(rows),
+            for_other_domain=far,
+            without=frozenset({target.name, *(row.name for row in rows)}),
+        )
+        packet = Packet(
+            kind,
+            self.members.own,
+            number,
+            asked.name if asked else "",
+            tuple(rows),
+            self._domains.ages(now_ms),
+        )
+        return Send(target.address, packet)
+
+    def _remote_wait_ms(self) -> int:
+        return int(self._timings.remote_period_ms * self._random.uniform(0.8, 1.2))
+
+    def _new_number(self) -> int:
+        return self._random.randrange(1, _NUMBER_MODULUS)
--- /dev/null
+++ b/fireflyward/membership/_task.py
@@ -0,0 +1,152 @@
+"""The task that carries out what membership decides."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from fireflyward.clock import Clock
+from fireflyward.observe import Metrics
+from fireflyward.peers import PeerLink
+from fireflyward.platform import VmList, Vms
+
+from ._members import Address, Members, MemberState
+from ._membership import Membership
+from ._messages import (
+    Action,
+    AddressKnown,
+    Alarm,
+    BundleTaken,
+    LeaveBegun,
+    LeaveDone,
+    Message,
+    Received,
+    SeedsFound,
+    Send,
+    SetIncarnation,
+    Tick,
+)
+from ._probing import Timings
+from ._wire import PacketStruct, from_struct, to_struct
+
+log = logging.getLogger("fireflyward.membership")
+
+KIND = "membership"
+_SEED_PERIOD_MS = 10_000
+_MEASURE_PERIOD_MS = 5_000
+
+
+class MembershipTask:
+    """Owns the datagrams of membership of one node.
+
+    ``seeds`` come from settings; the platform's list, when there is one, adds to
+    them. Neither is waited for: a node starts alone and meets the others when any
+    of them can be reached.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        clock: Clock,
+        link: PeerLink,
+        metrics: Metrics,
+        bundle_number: Callable[[], int],
+        seeds: tuple[Address, ...] = (),
+        vms: Vms | None = None,
+    ) -> None:
+        self._membership = membership
+        self._clock = clock
+        self._link = link
+        self._metrics = metrics
+        self._bundle_number = bundle_number
+        self._seeds = seeds
+        self._vms = vms
+        self._tasks: list[asyncio.Task[None]] = []
+        link.register(KIND, PacketStruct, self._on_datagram)
+
+    @property
+    def members(self) -> Members:
+        return self._membership.members
+
+    def start(self) -> None:
+        """Begin, once the peer link is open."""
+        self._tell(AddressKnown(self._link.address))
+        self._tell(SeedsFound(self._seeds))
+        self._tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._look_for_seeds()),
+            asyncio.create_task(self._measure()),
+        ]
+
+    def leave(self) -> None:
+        """Tell the others that a planned stop of this node has begun."""
+        self._tell(LeaveBegun())
+
+    async def stop(self) -> None:
+        """Tell the others that this node goes now, and end."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if self._tasks:
+            self._tell(LeaveDone())
+        self._tasks = []
+
+    async def _tick(self) -> None:
+        while True:
+            if self._bundle_number() != self.members.own.bundle_number:
+                self._tell(BundleTaken(self._bundle_number()))
+            self._tell(Tick())
+            await self._clock.sleep_ms(Timings().tick_ms)
+
+    async def _look_for_seeds(self) -> None:
+        while self._vms is not None:
+            found = await self._vms.list()
+            if isinstance(found, VmList):
+                listed = [_address(entry.address) for entry in found.entries]
+                addresses = {address for address in listed if address}
+                self._tell(SeedsFound(tuple(sorted(addresses | set(self._seeds)))))
+            await self._clock.sleep_ms(_SEED_PERIOD_MS)
+
+    async def _on_datagram(self, sender: str, struct: Any) -> None:
+        packet = from_struct(struct)
+        if packet is None or packet.sender.name != sender:
+            log.warning("membership: datagram from %s refused", sender)
+            return
+        self._tell(Received(packet))
+
+    def _tell(self, message: Message) -> None:
+        for action in self._membership.decide(self._clock.now_ms(), message):
+            self._perform(action)
+
+    @singledispatchmethod
+    def _perform(self, action: Action) -> None:
+        raise AssertionError(f"no rule for {action!r}")
+
+    @_perform.register
+    def _(self, action: Send) -> None:
+        if not self._link.send(action.address, KIND, to_struct(action.packet)):
+            self._metrics.count("membership_unsent_total")
+
+    @_perform.register
+    def _(self, action: Alarm) -> None:
+        self._metrics.count("membership_alarms_total", kind=action.kind.value)
+        log.warning("membership: %s %s", action.kind.value, action.name)
+
+    @_perform.register
+    def _(self, action: SetIncarnation) -> None:
+        self._link.incarnation = action.incarnation
+
+    async def _measure(self) -> None:
+        while True:
+            states = [member.state for member in self.members.known()]
+            for state in MemberState:
+                name = f"members_{state.name.lower()}"
+                self._metrics.gauge(name, states.count(state))
+            await self._clock.sleep_ms(_MEASURE_PERIOD_MS)
+
+
+def _address(text: str) -> Address | None:
+    host, _, port = text.rpartition(":")
+    return (host, int(port)) if host and port.isdigit() else None
