Run membership in every node

Cause: the members that slices read were only the node itself.

Change: a node starts membership when its peer link is open, tells the others when it stops, and hands the bundle number of each heartbeat to bundle distribution. Nothing waits for seeds or for the platform's list.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -9,7 +9,7 @@
 from fireflyward.entry import EntryParts, build_app
 from fireflyward.kept import BlockNames
 from fireflyward.limits import AdmissionGate
-from fireflyward.membership import Member, Members
+from fireflyward.membership import Member, Membership, MembershipTask
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.routing import Candidate, Router
 from fireflyward.runs import RunRecords
@@ -54,11 +54,13 @@
         self.service_by_name: dict[str, PlainService] = {}
         self.port = settings["port"]
         self.link = self.outside.make_link(self.clock.wall_ms())
-        self.members = Members(self._own_member())
+        self._membership = Membership(self.clock.now_ms(), self._own_member())
+        self.members = self._membership.members
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self.bundles: BundleDuty | None = None
         self.admin: AdminDuty | None = None
+        self.membership: MembershipTask | None = None
 
     def __repr__(self) -> str:
         return f"Node({self.settings['node_name']!r}, port={self.port})"
@@ -89,6 +91,8 @@
         self.port = await self.outside.listen(app)
         self.observe(StartStep.PORT_OPEN)
         await self.link.start()
+        self.membership = self._make_membership(self.bundles)
+        self.membership.start()
         self.observe(StartStep.LINK_OPEN)
         await self.bundles.start()
         await self.admin.start()
@@ -125,6 +129,8 @@
             await self.admin.stop()
         if self.bundles:
             await self.bundles.stop()
+        if self.membership:
+            await self.membership.stop()
         await self.outside.stop_listening()
         await self.link.stop()
         self.observe(StopStep.CLOSED)
@@ -146,6 +152,18 @@
             self.link.incarnation,
         )
 
+    def _make_membership(self, bundles: BundleDuty) -> MembershipTask:
+        return MembershipTask(
+            self._membership,
+            clock=self.clock,
+            link=self.link,
+            metrics=self.metrics,
+            bundle_number=lambda: self.holder.number,
+            on_number=bundles.on_member_number,
+            seeds=self.settings["peers"],
+            vms=self.outside.make_vms(),
+        )
+
     def _entry_parts(self, records: RunRecords) -> EntryParts:
         return EntryParts(
             clock=self.clock,
--- a/fireflyward/membership/_task.py
+++ b/fireflyward/membership/_task.py
@@ -53,6 +53,7 @@
         link: PeerLink,
         metrics: Metrics,
         bundle_number: Callable[[], int],
+        on_number: Callable[[str, int], None] = lambda name, number: None,
         seeds: tuple[Address, ...] = (),
         vms: Vms | None = None,
     ) -> None:
@@ -61,6 +62,7 @@
         self._link = link
         self._metrics = metrics
         self._bundle_number = bundle_number
+        self._on_number = on_number
         self._seeds = seeds
         self._vms = vms
         self._tasks: list[asyncio.Task[None]] = []
@@ -115,6 +117,7 @@
             log.warning("membership: datagram from %s refused", sender)
             return
         self._tell(Received(packet))
+        self._on_number(sender, packet.sender.bundle_number)
 
     def _tell(self, message: Message) -> None:
         for action in self._membership.decide(self._clock.now_ms(), message):
