Stop the process when an invariant of its own state is broken

A wrong state had no check: leaving an account's count once too often raised a KeyError that became a response, and the node went on. require() now says what broke, counts it in /metrics and raises what no handler of errors catches; serve hears of it and stops at once with exit code 3. In force so far: the bundle never steps back, and no account has fewer than no requests in flight. Faults of others stay outcomes.

The matrix also gives handlers the time that the HTTP library gives them at a stop, and stops the node while a call is in flight.

--- a/fireflyward/__main__.py
+++ b/fireflyward/__main__.py
@@ -12,7 +12,10 @@
     "Serves prompts whose callers come back after long gaps. "
     "Operators drive it only through signed bundles."
 )
-_EXIT_CODES = "Exit codes: 0 done; 1 tried and failed; 2 refused before anything began."
+_EXIT_CODES = (
+    "Exit codes: 0 done; 1 tried and failed; 2 refused before anything began; "
+    "3 stopped by a broken invariant."
+)
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/fireflyward/bundles/_holder.py
+++ b/fireflyward/bundles/_holder.py
@@ -3,6 +3,8 @@
 import hashlib
 from collections.abc import Callable
 
+from fireflyward.invariants import Invariant, require
+
 from ._bundle import Account, Bundle
 from ._parts import ChunkedAccounts
 
@@ -39,9 +41,19 @@
         """
         if bundle.number <= self.number:
             return False
+        self._serve_by(bundle)
+        return True
+
+    def _serve_by(self, bundle: Bundle) -> None:
+        require(
+            bundle.number > self.number,
+            Invariant.BUNDLE_FORWARD,
+            "%d after %d",
+            bundle.number,
+            self.number,
+        )
         self._bundle = bundle
         self._find_key = _finder(bundle)
-        return True
 
     def account_of_key(self, key: str) -> tuple[str, str, Account] | None:
         """Return account name, caller name and account of a caller's key."""
--- a/fireflyward/commands/_common.py
+++ b/fireflyward/commands/_common.py
@@ -9,6 +9,7 @@
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_USAGE = 2
+EXIT_BROKEN = 3
 
 
 def load_settings(options: argparse.Namespace) -> Settings | None:
--- a/fireflyward/commands/_serve.py
+++ b/fireflyward/commands/_serve.py
@@ -4,7 +4,14 @@
 
 from fireflyward.settings import SERVE_SETTINGS, add_flags
 
-from ._common import EXIT_FAILED, EXIT_OK, EXIT_USAGE, complain, load_settings
+from ._common import (
+    EXIT_BROKEN,
+    EXIT_FAILED,
+    EXIT_OK,
+    EXIT_USAGE,
+    complain,
+    load_settings,
+)
 
 
 def add(commands) -> None:
@@ -31,8 +38,8 @@
 
     set_up_logs(settings["log_level"], settings["log_format"])
     try:
-        asyncio.run(serve(settings))
+        stopped_as_planned = asyncio.run(serve(settings))
     except (OSError, ValueError) as error:
         complain(f"cannot serve: {error}")
         return EXIT_FAILED
-    return EXIT_OK
+    return EXIT_OK if stopped_as_planned else EXIT_BROKEN
--- /dev/null
+++ b/fireflyward/invariants/__init__.py
@@ -0,0 +1,5 @@
+"""What can only be false if the program is wrong; then the process stops."""
+
+from ._invariants import Invariant, InvariantBroken, listen, require
+
+__all__ = ["Invariant", "InvariantBroken", "listen", "require"]
--- a/fireflyward/limits/_admission.py
+++ b/fireflyward/limits/_admission.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from fireflyward.invariants import Invariant, require
 from fireflyward.outcomes import NotRun, Reason
 
 from ._fair_queue import FairQueue, Waiter
@@ -147,11 +148,13 @@
         if lane.ticket_by_waiter.pop(id(ticket.waiter), None):
             lane.queue.remove(ticket.waiter)
         self._end_pending(lane, ticket)
-        left = self._in_flight_by_account[ticket.ask.account] - 1
+        account = ticket.ask.account
+        left = self.in_flight(account) - 1
+        require(left >= 0, Invariant.IN_FLIGHT, "%s left once too often", account)
         if left:
-            self._in_flight_by_account[ticket.ask.account] = left
+            self._in_flight_by_account[account] = left
         else:
-            del self._in_flight_by_account[ticket.ask.account]
+            del self._in_flight_by_account[account]
 
     def _refusal(self, now_ms: int, lane: _Lane, ask: Ask) -> NotRun | None:
         in_flight = self.in_flight(ask.account)
--- a/tests/faults/_fakes.py
+++ b/tests/faults/_fakes.py
@@ -26,6 +26,7 @@
 
 COSTS = EngineCosts(prefill_ms_per_token=0.2, decode_ms_per_token=20.0, load_ms=1_200)
 _POLL_MS = 20
+_LIBRARY_WAIT_MS = 60_000
 _KEEP_ALIVE_MS = 500
 _SERVICE_WORK_MS = 40
 _REPORT_LAG_MS = 5_000
@@ -265,8 +266,13 @@
         return 1
 
     async def stop_listening(self) -> None:
+        """Wait for handlers as the library does, and then cut them."""
         self.is_listening = False
-        for task in list(self._world.handlers_of(self._process)):
+        clock = self._world.clock
+        limit_ms = clock.now_ms() + _LIBRARY_WAIT_MS
+        while self._world.handlers_of(self._process) and clock.now_ms() < limit_ms:
+            await clock.sleep_ms(_POLL_MS)
+        for task in self._world.handlers_of(self._process):
             task.cancel()
 
     def _remote(self, name: str, service) -> Remote:
--- a/tests/faults/_procedures.py
+++ b/tests/faults/_procedures.py
@@ -9,6 +9,7 @@
 _FORCE_MS = 9_100
 _PAUSE_MS = 800
 _ATTEMPTS = 40
+_STOP_AFTER_MS = 20
 
 
 async def _prompt(world: World) -> None:
@@ -52,7 +53,7 @@
         world.ask("prompt", ACCOUNTS[1]),
         world.ask("call", is_call=True),
     ]
-    await world.clock.sleep_ms(60)
+    await world.clock.sleep_ms(_STOP_AFTER_MS)
     await world.stop_node("node-norte")
     await asyncio.gather(*asked)
 
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -21,6 +21,7 @@
     _engine_kv,
 )
 from fireflyward.upstreams import BlockRef, ImportOrder
+from tests.faults import _fakes
 from tests.faults._callers import MODEL
 from tests.faults._matrix import repeatable
 from tests.faults._stores import WatchedKv, WatchedStore
@@ -188,6 +189,10 @@
     return mock.patch.object(Node, "stop", Node.close)
 
 
+def library_that_waits_for_nobody():
+    return mock.patch.object(_fakes, "_LIBRARY_WAIT_MS", 0)
+
+
 def offers_that_are_never_taken():
     def offer(self, bundle):
         return not self.number and original(self, bundle)
@@ -256,7 +261,7 @@
     "draining": (
         Promise.GRACEFUL_STOP,
         stream_through_a_planned_stop,
-        [stop_without_draining],
+        [stop_without_draining, library_that_waits_for_nobody],
     ),
     "taking of new bundles": (
         Promise.BUNDLE_IN_FORCE,
