--- a/benchmarks/_fast_engine.py
+++ b/benchmarks/_fast_engine.py
@@ -6,26 +6,25 @@
 import msgspec
 from aiohttp import web
 
-from fireflyward.upstreams._engine_http import LoadBody, StreamLine
+from fireflyward.upstreams._engine_http import GenerateBody, LoadBody, StreamLine
 
 TOKENS = 20
 
 
-def _lines() -> list[bytes]:
-    lines = [StreamLine(version="v1")]
-    lines += [StreamLine(index, 1, "token ") for index in range(TOKENS)]
-    lines.append(StreamLine(done=True, prompt_tokens=4, completion_tokens=TOKENS))
-    return [b"data: %s\n\n" % msgspec.json.encode(line) for line in lines]
-
-
-LINES = _lines()
+def _lines(run_id: str) -> list[bytes]:
+    lines = [StreamLine(version="v1", run_id=run_id)]
+    lines += [StreamLine(index, 1, "token ", run_id=run_id) for index in range(TOKENS)]
+    end = StreamLine(
+        done=True, prompt_tokens=4, completion_tokens=TOKENS, run_id=run_id
+    )
+    return [b"data: %s\n\n" % msgspec.json.encode(line) for line in [*lines, end]]
 
 
 async def _generate(request: web.Request) -> web.StreamResponse:
-    await request.read()
+    body = msgspec.json.decode(await request.read(), type=GenerateBody)
     response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
     await response.prepare(request)
-    for line in LINES:
+    for line in _lines(body.run_id):
         await response.write(line)
         await asyncio.sleep(0)
     await response.write_eof()
--- a/fireflyward/connections/__init__.py
+++ b/fireflyward/connections/__init__.py
@@ -1,5 +1,16 @@
 """When a connection is doubted, and on which connections requests go."""
 
+from ._guard import GuardedBody, PermitExpired
+from ._sessions import Sessions, make_socket
 from ._watch import Heard, SilenceLimits, was_silent, within
 
-__all__ = ["Heard", "SilenceLimits", "was_silent", "within"]
+__all__ = [
+    "GuardedBody",
+    "Heard",
+    "PermitExpired",
+    "Sessions",
+    "SilenceLimits",
+    "make_socket",
+    "was_silent",
+    "within",
+]
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -6,13 +6,14 @@
 
 from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
+from fireflyward.connections import SilenceLimits
 from fireflyward.entry import EntryParts, build_app
 from fireflyward.kept import BlockNames
 from fireflyward.limits import AdmissionGate
 from fireflyward.membership import Member, Membership, MembershipTask
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.routing import Candidate, Router
-from fireflyward.runs import RunRecords
+from fireflyward.runs import RunIds, RunRecords, finish_detached
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Broken, Engine, PlainService
@@ -26,6 +27,7 @@
 
 _LOAD_POLL_MS = 250
 _DRAIN_POLL_MS = 20
+_DETACHED_LIMIT_S = 30.0
 _CERTIFICATE_POLL_MS = 60_000
 ENGINE = "engine"
 SERVICE = "service"
@@ -61,6 +63,7 @@
         self.bundles: BundleDuty | None = None
         self.admin: AdminDuty | None = None
         self.membership: MembershipTask | None = None
+        self.records: RunRecords | None = None
 
     def __repr__(self) -> str:
         return f"Node({self.settings['node_name']!r}, port={self.port})"
@@ -87,7 +90,10 @@
             objects=objects,
             weights=self.outside.make_weights(),
         )
-        app = build_app(self._entry_parts(RunRecords(table)))
+        self.records = RunRecords(
+            table, self.clock, node_name=self.settings["node_name"]
+        )
+        app = build_app(self._entry_parts(self.records))
         self.port = await self.outside.listen(app)
         self.observe(StartStep.PORT_OPEN)
         await self.link.start()
@@ -117,6 +123,7 @@
             await self.clock.sleep_ms(_DRAIN_POLL_MS)
         if self.admission.total():
             log.warning("daemon: hard limit cuts %d requests", self.admission.total())
+        await finish_detached(_DETACHED_LIMIT_S)
         self.observe(StopStep.DRAINED)
         await self.close()
 
@@ -131,6 +138,8 @@
             await self.bundles.stop()
         if self.membership:
             await self.membership.stop()
+        if self.records:
+            await self.records.stop()
         await self.outside.stop_listening()
         await self.link.stop()
         self.observe(StopStep.CLOSED)
@@ -181,6 +190,8 @@
             ready=self.is_ready,
             observe=self.observe,
             catch_up=self.bundles.catch_up,
+            run_ids=RunIds(self.settings["kept_key"]),
+            limits=SilenceLimits(silence_ms=self.settings["silence_limit_ms"]),
         )
 
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
--- a/fireflyward/daemon/_outside.py
+++ b/fireflyward/daemon/_outside.py
@@ -1,9 +1,9 @@
 """Everything through which a node meets others: its sockets and its clients."""
 
-import aiohttp
 from aiohttp import web
 
 from fireflyward.bundles import Upstream
+from fireflyward.connections import Sessions
 from fireflyward.peers import PeerCodec, PeerLink
 from fireflyward.platform import (
     HttpObjects,
@@ -20,10 +20,6 @@
 
 from ._tls import CallerTls
 
-_CONNECTIONS = 2_000
-# Something between two ends may forget a connection. An idle one that is older
-# than this is closed and not used, so that no request is written into the void.
-_POOLED_LIMIT_S = 15.0
 _IDLE_LIMIT_S = 75.0
 
 
@@ -37,7 +33,7 @@
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
         self.tls = CallerTls(settings["tls_certificate"], settings["tls_key"])
-        self._session: aiohttp.ClientSession | None = None
+        self._sessions: Sessions | None = None
         self._runner: web.AppRunner | None = None
 
     def make_link(self, incarnation: int) -> PeerLink:
@@ -51,11 +47,8 @@
         )
 
     async def open(self) -> None:
-        """Begin the session that all clients share."""
-        connector = aiohttp.TCPConnector(
-            limit=_CONNECTIONS, keepalive_timeout=_POOLED_LIMIT_S
-        )
-        self._session = aiohttp.ClientSession(connector=connector)
+        """Begin the sessions that all clients share."""
+        self._sessions = Sessions()
 
     async def listen(self, app: web.Application) -> int:
         """Serve callers and return the port.
@@ -79,28 +72,29 @@
 
     async def close(self) -> None:
         """Close the connections of all clients."""
-        if self._session:
-            await self._session.close()
+        if self._sessions:
+            await self._sessions.close()
 
     def make_table(self) -> Table:
-        return HttpTable(self._session, self._settings["table_url"])
+        return HttpTable(self._sessions.pooled, self._settings["table_url"])
 
     def make_objects(self) -> Objects:
-        return HttpObjects(self._session, self._settings["objects_url"])
+        return HttpObjects(self._sessions.pooled, self._settings["objects_url"])
 
     def make_weights(self) -> Weights:
-        return HttpWeights(self._session, self._settings["weights_url"])
+        return HttpWeights(self._sessions.pooled, self._settings["weights_url"])
 
     def make_vms(self) -> Vms:
-        return HttpVms(self._session, self._settings["vms_url"])
+        return HttpVms(self._sessions.pooled, self._settings["vms_url"])
 
     def make_engine(self, name: str, upstream: Upstream) -> Engine:
         """Return the client of the replica ``name``."""
-        silence_limit_ms = self._settings["silence_limit_ms"]
         return HttpEngine(
-            self._session, upstream.url, silence_limit_ms=silence_limit_ms
+            self._sessions.pooled, upstream.url, fresh=self._sessions.fresh
         )
 
     def make_service(self, name: str, upstream: Upstream) -> PlainService:
         """Return the client of the plain service's replica ``name``."""
-        return HttpService(self._session, upstream.url)
+        return HttpService(
+            self._sessions.pooled, upstream.url, fresh=self._sessions.fresh
+        )
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -5,19 +5,20 @@
 import re
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import msgspec
 from aiohttp import web
 
 from fireflyward.bundles import Account, BundleHolder
 from fireflyward.clock import Clock
+from fireflyward.connections import SilenceLimits
 from fireflyward.kept import BlockNames
 from fireflyward.limits import AdmissionGate
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.routing import Router
-from fireflyward.runs import RunRecords
+from fireflyward.runs import Prepare, RetryBudget, RunIds, RunRecords
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Engine, PlainService
 
@@ -29,6 +30,8 @@
 
 _BEARER = re.compile(r"^Bearer ([\x21-\x7e]{1,512})$")
 _IDEMPOTENCY_KEY = re.compile(r"^[\x21-\x7e]{1,200}$")
+_DEADLINE = re.compile(r"^[0-9]{1,9}$", re.ASCII)
+DEADLINE_HEADER = "X-Deadline-Ms"
 JSON = "application/json"
 
 
@@ -50,7 +53,11 @@
     deadline_ms: int
     ready: Callable[[], bool]
     catch_up: Callable[[int], Awaitable[bool]]
+    run_ids: RunIds
     observe: StepObserver = ignore_step
+    prepare: Prepare | None = None
+    limits: SilenceLimits = SilenceLimits()
+    budget: RetryBudget = field(default_factory=RetryBudget)
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +72,7 @@
     is_non_idempotent: bool
     bundle_number: int
     trace_parent: str
+    deadline_ms: int
 
 
 PARTS: web.AppKey[EntryParts] = web.AppKey("parts", EntryParts)
@@ -104,6 +112,9 @@
         return NotRun(
             Reason.BAD_REQUEST, "Idempotency-Key: 1 to 200 visible characters"
         )
+    deadline_ms = read_deadline(request, parts.deadline_ms)
+    if isinstance(deadline_ms, NotRun):
+        return deadline_ms
     account_name, caller_name, account = found
     return Identity(
         new_request_id(),
@@ -114,9 +125,21 @@
         request.headers.get("X-Non-Idempotent", "").lower() == "true",
         parts.holder.number,
         request.headers.get("traceparent", ""),
+        parts.clock.now_ms() + deadline_ms,
     )
 
 
+def read_deadline(request: web.Request, longest_ms: int) -> int | NotRun:
+    """Return the time that the caller gives, at most ``longest_ms``."""
+    text = request.headers.get(DEADLINE_HEADER, "")
+    if not text:
+        return longest_ms
+    if not _DEADLINE.match(text):
+        detail = f"{DEADLINE_HEADER}: milliseconds from now, 1 to 9 digits"
+        return NotRun(Reason.BAD_REQUEST, detail)
+    return min(longest_ms, int(text))
+
+
 def new_request_id() -> str:
     """Return a name for one request that no other has."""
     return uuid.uuid4().hex
--- /dev/null
+++ b/fireflyward/entry/_asked.py
@@ -0,0 +1,127 @@
+"""What a caller asks of a run: a new one, or the rest of an earlier one."""
+
+import hashlib
+from dataclasses import dataclass
+
+from aiohttp import web
+
+from fireflyward.outcomes import NotRun, Reason
+from fireflyward.routing import RunShape
+from fireflyward.runs import Mark, RecordOfRun, RunTask
+from fireflyward.upstreams import EngineCall, count_tokens
+
+from ._app import EntryParts, Identity
+from ._requests import Prompt
+
+_MARK_HEADER = "Last-Event-ID"
+
+
+@dataclass(frozen=True, slots=True)
+class Asked:
+    """One request for a run.
+
+    ``is_resumable`` says that it has an Idempotency-Key, from which its ``run_id``
+    follows at every node; ``mark`` is where a caller that comes back stands, and
+    ``version`` then is the weight version that its answer was begun with.
+    """
+
+    identity: Identity
+    prompt: Prompt
+    run_id: str
+    version: str
+    fingerprint: str
+    is_resumable: bool
+    mark: Mark | None = None
+
+
+def read_asked(
+    parts: EntryParts,
+    request: web.Request,
+    identity: Identity,
+    prompt: Prompt,
+    body: bytes,
+) -> Asked | NotRun:
+    """Read which run a request is about."""
+    version = parts.holder.bundle.version_for(
+        identity.account, identity.caller_name, prompt.model
+    )
+    fingerprint = hashlib.sha256(body).hexdigest()
+    key = identity.idempotency_key
+    text = request.headers.get(_MARK_HEADER, "")
+    if not key:
+        if identity.is_non_idempotent or text:
+            detail = "a request that is non-idempotent or resumed needs its key"
+            return NotRun(Reason.BAD_REQUEST, f"{detail} (Idempotency-Key)")
+        run_id = identity.request_id
+        return Asked(identity, prompt, run_id, version, fingerprint, False)
+    run_id = parts.run_ids.of_request(identity.account_name, key, fingerprint)
+    if not text:
+        return Asked(identity, prompt, run_id, version, fingerprint, True)
+    opened = parts.run_ids.open(run_id, text)
+    if opened is None:
+        detail = f"{_MARK_HEADER} is not from an answer to this request and key"
+        return NotRun(Reason.BAD_REQUEST, detail)
+    mark, version = opened
+    return Asked(identity, prompt, run_id, version, fingerprint, True, mark)
+
+
+def make_task(parts: EntryParts, asked: Asked, trace_parent: str) -> RunTask:
+    """Return the task that serves what is asked."""
+    identity, prompt = asked.identity, asked.prompt
+    is_private = not identity.account.share_prefixes
+    block_keys = parts.block_names.of_prompt(
+        identity.account_name,
+        prompt.model,
+        asked.version,
+        prompt.adapter,
+        prompt.text,
+        caller=identity.caller_name if is_private else "",
+    )
+    call = EngineCall(
+        asked.run_id,
+        prompt.model,
+        asked.version,
+        prompt.text,
+        prompt.max_tokens,
+        prompt.adapter,
+        identity.account.priority,
+        block_keys,
+        trace_parent,
+    )
+    shape = RunShape(
+        identity.account_name,
+        prompt.model,
+        asked.version,
+        count_tokens(prompt.text),
+        block_keys,
+        asked.run_id,
+    )
+    return RunTask(
+        clock=parts.clock,
+        router=parts.router,
+        engine_by_name=parts.engine_by_name,
+        call=call,
+        shape=shape,
+        deadline_ms=identity.deadline_ms,
+        prepare=parts.prepare,
+        once=_record(parts, asked),
+        budget=parts.budget,
+        mark=asked.mark,
+        is_streamed=prompt.stream,
+        limits=parts.limits,
+        observe=parts.observe,
+    )
+
+
+def _record(parts: EntryParts, asked: Asked) -> RecordOfRun | None:
+    """Return the record of a non-idempotent request."""
+    identity = asked.identity
+    if not identity.is_non_idempotent:
+        return None
+    return RecordOfRun(
+        parts.records,
+        account=identity.account_name,
+        request_key=identity.idempotency_key,
+        owner=identity.request_id,
+        fingerprint=asked.fingerprint,
+    )
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -1,17 +1,15 @@
 """Prompts: from the request's body to the last byte of its answer."""
 
-import hashlib
-
 import msgspec
 from aiohttp import web
 
 from fireflyward.limits import Ask
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
-from fireflyward.routing import RunShape
-from fireflyward.runs import Deliver, End, RecordKept, RunTask
-from fireflyward.upstreams import EngineCall, count_tokens
+from fireflyward.runs import Deliver, Mark, Placed
+from fireflyward.upstreams import count_tokens
 
 from ._app import JSON, PARTS, EntryParts, Identity, identify, new_request_id, refuse
+from ._asked import Asked, make_task, read_asked
 from ._body import read_body
 from ._errors import error_bytes, headers_of
 from ._requests import (
@@ -54,38 +52,39 @@
     )
     if refusal:
         return refuse(request, refusal, identity.request_id)
-    ticket = await parts.admission.enter(_ask(parts, identity, prompt))
+    asked = read_asked(parts, request, identity, prompt, body)
+    if isinstance(asked, NotRun):
+        return refuse(request, asked, identity.request_id)
+    ticket = await parts.admission.enter(_ask(asked))
     if isinstance(ticket, NotRun):
         return refuse(request, ticket, identity.request_id)
     request[_TICKET] = ticket
     try:
-        refusal = await _claim(parts, identity, body)
-        if refusal:
-            return refuse(request, refusal, identity.request_id)
-        return await _serve(request, identity, prompt)
+        return await _serve(request, asked)
     finally:
-        _on_first_token(request, identity)
+        _on_first_token(request, asked)
         parts.admission.leave(ticket)
 
 
-def _ask(parts: EntryParts, identity: Identity, prompt: Prompt) -> Ask:
+def _ask(asked: Asked) -> Ask:
+    identity, prompt = asked.identity, asked.prompt
     cost = count_tokens(prompt.text) + _TOKENS_PER_DECODED * prompt.max_tokens
     return Ask(
         identity.account_name,
         prompt.model,
         cost,
         identity.account.max_in_flight,
-        parts.clock.now_ms() + parts.deadline_ms,
+        identity.deadline_ms,
         identity.account.weight,
     )
 
 
-def _on_first_token(request: web.Request, identity: Identity) -> None:
+def _on_first_token(request: web.Request, asked: Asked) -> None:
     """Tell admission once that this run no longer waits for its first token."""
     parts = request.app[PARTS]
     ticket = request[_TICKET]
     if ticket.is_pending:
-        late_ms = parts.router.take_late_ms(identity.request_id)
+        late_ms = parts.router.take_late_ms(asked.run_id)
         parts.admission.on_first_token(ticket, late_ms)
 
 
@@ -102,126 +101,75 @@
     return None
 
 
-async def _claim(
-    parts: EntryParts, identity: Identity, body: bytes
-) -> NotRun | Unknown | None:
-    """Record a non-idempotent request before anything of it is dispatched."""
-    if not identity.is_non_idempotent:
-        return None
-    if not identity.idempotency_key:
-        detail = "a non-idempotent request needs an Idempotency-Key"
-        return NotRun(Reason.BAD_REQUEST, detail)
-    result = await parts.records.keep(
-        identity.account_name,
-        identity.idempotency_key,
-        identity.request_id,
-        hashlib.sha256(body).hexdigest(),
-    )
-    return None if isinstance(result, RecordKept) else result
-
-
-async def _serve(
-    request: web.Request, identity: Identity, prompt: Prompt
-) -> web.StreamResponse:
+async def _serve(request: web.Request, asked: Asked) -> web.StreamResponse:
     parts = request.app[PARTS]
+    identity = asked.identity
     trace_parent = identity.trace_parent
     if not parts.tracing.is_sampled(trace_parent):
-        return await _run(request, identity, prompt, trace_parent)
+        return await _run(request, asked, trace_parent)
     with parts.tracing.span(
         "entry", trace_parent, account=identity.account_name
     ) as inner:
-        return await _run(request, identity, prompt, inner)
+        return await _run(request, asked, inner)
 
 
 async def _run(
-    request: web.Request, identity: Identity, prompt: Prompt, trace_parent: str
+    request: web.Request, asked: Asked, trace_parent: str
 ) -> web.StreamResponse:
-    parts = request.app[PARTS]
-    task = _make_task(parts, identity, prompt, trace_parent)
-    answer = _Answer(request, identity, prompt)
+    task = make_task(request.app[PARTS], asked, trace_parent)
+    answer = _Answer(request, asked)
     results = task.results()
     try:
         async for result in results:
             if isinstance(result, Deliver):
-                _on_first_token(request, identity)
+                _on_first_token(request, asked)
                 await answer.piece(result)
-            elif isinstance(result, End):
+            elif isinstance(result, Placed):
+                await answer.placed(result)
+            else:
                 return await answer.end(result.outcome)
     finally:
         await results.aclose()
     raise AssertionError("a run ended without an outcome")
 
 
-def _make_task(
-    parts: EntryParts, identity: Identity, prompt: Prompt, trace_parent: str
-) -> RunTask:
-    version = parts.holder.bundle.version_for(
-        identity.account, identity.caller_name, prompt.model
-    )
-    block_keys = parts.block_names.of_prompt(
-        identity.account_name,
-        prompt.model,
-        version,
-        prompt.adapter,
-        prompt.text,
-        caller="" if identity.account.share_prefixes else identity.caller_name,
-    )
-    call = EngineCall(
-        identity.request_id,
-        prompt.model,
-        version,
-        prompt.text,
-        prompt.max_tokens,
-        prompt.adapter,
-        identity.account.priority,
-        block_keys,
-        trace_parent,
-    )
-    shape = RunShape(
-        identity.account_name,
-        prompt.model,
-        version,
-        count_tokens(prompt.text),
-        block_keys,
-        identity.request_id,
-    )
-    return RunTask(
-        clock=parts.clock,
-        router=parts.router,
-        engine_by_name=parts.engine_by_name,
-        call=call,
-        shape=shape,
-        deadline_ms=parts.clock.now_ms() + parts.deadline_ms,
-    )
-
-
 class _Answer:
     """Writes one answer, streamed or whole, to its caller."""
 
-    def __init__(
-        self, request: web.Request, identity: Identity, prompt: Prompt
-    ) -> None:
+    def __init__(self, request: web.Request, asked: Asked) -> None:
         self._request = request
         self._parts = request.app[PARTS]
-        self._identity = identity
-        self._prompt = prompt
+        self._asked = asked
+        self._identity = asked.identity
+        self._prompt = asked.prompt
         self._began_ms = self._parts.clock.now_ms()
         self._last_ms = 0
         self._created = self._parts.clock.wall_ms() // _MS_PER_SECOND
         self._texts: list[str] = []
         self._response: web.StreamResponse | None = None
 
+    async def placed(self, placed: Placed) -> None:
+        """Tell a caller that may come back where its run is, before any text."""
+        if self._prompt.stream and self._asked.is_resumable:
+            response = await self._open_stream()
+            await response.write(b"id: %s\n\n" % self._event_id(placed.mark))
+
     async def piece(self, piece: Deliver) -> None:
-        """Pass a piece on at once, or keep it for the whole answer."""
+        """Pass a piece on at once, or keep it for the whole answer.
+
+        An answer that is not streamed starts anew when its run moves to another
+        replica; its first piece then comes a second time.
+        """
         self._time_piece()
         if not self._prompt.stream:
+            if not piece.offset:
+                self._texts.clear()
             self._texts.append(piece.text)
             return
         response = await self._open_stream()
         body = msgspec.json.encode(self._body(piece.text, None))
-        await response.write(
-            b"id: %d\ndata: %s\n\n" % (piece.offset + piece.tokens, body)
-        )
+        event_id = self._event_id(piece.mark)
+        await response.write(b"id: %s\ndata: %s\n\n" % (event_id, body))
 
     async def end(self, outcome: Answered | NotRun | Unknown) -> web.StreamResponse:
         """Write the end; a stream that failed ends with an error event."""
@@ -239,6 +187,12 @@
         await self._response.write(b"event: error\ndata: %s\n\n" % body)
         return self._response
 
+    def _event_id(self, mark: Mark) -> bytes:
+        if not self._asked.is_resumable:
+            return b"%d" % mark.tokens
+        asked = self._asked
+        return self._parts.run_ids.seal(asked.run_id, mark, asked.version).encode()
+
     async def _open_stream(self) -> web.StreamResponse:
         if self._response is None:
             headers = self._headers()
--- a/fireflyward/entry/_services.py
+++ b/fireflyward/entry/_services.py
@@ -5,15 +5,14 @@
 from aiohttp import web
 
 from fireflyward.bundles import Bundle
-from fireflyward.outcomes import NotRun, Reason, Unknown
-from fireflyward.runs import RecordKept
-from fireflyward.upstreams import Broken, Refused, ServiceCall, ServiceReply
+from fireflyward.outcomes import NotRun, Reason
+from fireflyward.runs import RecordOfRun, ServiceTask
+from fireflyward.upstreams import ServiceCall, ServiceReply
 
-from ._app import PARTS, Identity, identify, new_request_id, refuse
+from ._app import PARTS, EntryParts, Identity, identify, new_request_id, refuse
 from ._body import read_body
 from ._errors import headers_of
 
-_MAX_ATTEMPTS = 3
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
 
@@ -36,6 +35,10 @@
     only_once = identity.is_non_idempotent or is_non_idempotent(
         bundle, name, request.method, path
     )
+    if only_once and not identity.idempotency_key:
+        detail = "a call that may not be repeated needs an Idempotency-Key"
+        refusal = NotRun(Reason.BAD_REQUEST, detail)
+        return refuse(request, refusal, identity.request_id)
     call = ServiceCall(
         request.method,
         path,
@@ -44,11 +47,8 @@
         identity.request_id,
         identity.trace_parent,
     )
-    if only_once:
-        refusal = await _claim(request, identity, call, name)
-        if refusal:
-            return refuse(request, refusal, identity.request_id)
-    outcome = await _attempt(request, bundle, name, call, only_once=only_once)
+    record = _record(parts, identity, call, name) if only_once else None
+    outcome = await _make_task(parts, identity, call, name, record).outcome()
     if not isinstance(outcome, ServiceReply):
         return refuse(request, outcome, identity.request_id)
     parts.metrics.count("requests_total", outcome="answered", reason="")
@@ -75,50 +75,38 @@
     return False
 
 
-async def _claim(
-    request: web.Request, identity: Identity, call: ServiceCall, name: str
-) -> NotRun | Unknown | None:
-    if not identity.idempotency_key:
-        detail = "this route may not be repeated and needs an Idempotency-Key"
-        return NotRun(Reason.BAD_REQUEST, detail)
+def _record(
+    parts: EntryParts, identity: Identity, call: ServiceCall, name: str
+) -> RecordOfRun:
     described = f"{name} {call.method} {call.path}\n".encode() + call.body
-    result = await request.app[PARTS].records.keep(
-        identity.account_name,
-        identity.idempotency_key,
-        identity.request_id,
-        hashlib.sha256(described).hexdigest(),
+    return RecordOfRun(
+        parts.records,
+        account=identity.account_name,
+        request_key=identity.idempotency_key,
+        owner=identity.request_id,
+        fingerprint=hashlib.sha256(described).hexdigest(),
     )
-    return None if isinstance(result, RecordKept) else result
 
 
-async def _attempt(
-    request: web.Request,
-    bundle: Bundle,
-    name: str,
+def _make_task(
+    parts: EntryParts,
+    identity: Identity,
     call: ServiceCall,
-    *,
-    only_once: bool,
-) -> ServiceReply | NotRun | Unknown:
-    """Call replicas in turn while the call certainly did not run or may repeat."""
-    parts = request.app[PARTS]
+    name: str,
+    record: RecordOfRun | None,
+) -> ServiceTask:
     replicas = [
         upstream_name
-        for upstream_name, upstream in sorted(bundle.upstreams.items())
+        for upstream_name, upstream in sorted(parts.holder.bundle.upstreams.items())
         if upstream.service == name
     ]
-    may_have_run = False
-    detail = "no replica of the service"
-    for upstream_name in replicas[:_MAX_ATTEMPTS]:
-        result = await parts.service_by_name[upstream_name].call(call)
-        if isinstance(result, ServiceReply):
-            return result
-        detail = result.detail
-        if isinstance(result, Refused):
-            continue
-        assert isinstance(result, Broken)
-        may_have_run = may_have_run or result.may_have_run
-        if result.may_have_run and only_once:
-            break
-    if may_have_run:
-        return Unknown(Reason.UPSTREAM_FAILED, detail)
-    return NotRun(Reason.NO_UPSTREAM, detail, 1_000)
+    return ServiceTask(
+        clock=parts.clock,
+        service_by_name=parts.service_by_name,
+        replicas=replicas,
+        call=call,
+        deadline_ms=identity.deadline_ms,
+        record=record,
+        budget=parts.budget,
+        observe=parts.observe,
+    )
--- a/fireflyward/outcomes/_outcomes.py
+++ b/fireflyward/outcomes/_outcomes.py
@@ -22,6 +22,7 @@
     NO_UPSTREAM = "no_upstream"
     PLATFORM_AWAY = "platform_away"
     DUPLICATE_RUNNING = "duplicate_running"
+    ALREADY_RUN = "already_run"
     KEY_REUSED = "key_reused"
     STOPPING = "stopping"
     UPSTREAM_FAILED = "upstream_failed"
--- a/fireflyward/runs/__init__.py
+++ b/fireflyward/runs/__init__.py
@@ -2,6 +2,8 @@
 
 from ._attempt import Prepare
 from ._budget import RetryBudget
+from ._detached import finish_detached
+from ._ids import RunIds
 from ._messages import (
     AttemptEvent,
     Begin,
@@ -24,8 +26,10 @@
     Waited,
 )
 from ._once import ClaimResult, EarlierAnswer, EarlierRun, Once, Permit
-from ._records import RecordKept, RunRecords
+from ._record_of_run import RecordOfRun
+from ._records import RunRecords
 from ._run import Run
+from ._service_task import ServiceTask
 from ._steps import OnceStep, PromptStep, StreamStep
 from ._task import RunTask
 
@@ -51,16 +55,19 @@
     "Placed",
     "Prepare",
     "PromptStep",
-    "RecordKept",
+    "RecordOfRun",
     "Resume",
     "RetryBudget",
     "Run",
+    "RunIds",
     "RunRecords",
     "RunTask",
     "RunsElsewhere",
+    "ServiceTask",
     "Start",
     "Stored",
     "StreamStep",
     "Wait",
     "Waited",
+    "finish_detached",
 ]
--- a/fireflyward/runs/_attempt.py
+++ b/fireflyward/runs/_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from dataclasses import replace
 
 from fireflyward.clock import Clock
 from fireflyward.connections import Heard, SilenceLimits, was_silent, within
@@ -21,7 +22,6 @@
 from ._messages import (
     AttemptEvent,
     Denied,
-    Dispatching,
     Message,
     RunsElsewhere,
     Stored,
@@ -46,7 +46,7 @@
         call: EngineCall,
         shape: RunShape,
         inbox: "asyncio.Queue[Message | Exception]",
-        take: Callable[[Message], None],
+        on_dispatch: Callable[[int], None],
         prepare: Prepare | None,
         once: Once | None,
         limits: SilenceLimits,
@@ -57,7 +57,7 @@
         self._call = call
         self._shape = shape
         self._inbox = inbox
-        self._take = take
+        self._on_dispatch = on_dispatch
         self._prepare = prepare
         self._once = once
         self._limits = limits
@@ -98,10 +98,11 @@
         if self._once and not await self._is_permitted(number, replica):
             return
         self._observe(PromptStep.DISPATCHING)
-        # Taken at once and not through the inbox: a caller that closes now would
-        # otherwise overtake it, and a run that left would be called not run.
-        self._take(Dispatching(number))
-        events = engine.generate(self._call)
+        self._on_dispatch(number)
+        call = self._call
+        if self._permit:
+            call = replace(call, may_send=self._is_permit_valid)
+        events = engine.generate(call)
         await self._watch(number, replica, events, self._limits.silence_ms)
 
     async def _resume(
@@ -132,7 +133,7 @@
                 return False
             self._permit = result
         self._observe(OnceStep.DISPATCHING)
-        if self._clock.now_ms() < self._permit.valid_until_ms:
+        if self._is_permit_valid():
             return True
         # A process that was paused after its claim wakes here believing that it may
         # still dispatch. Its caller has given up, and the record may have been
@@ -142,6 +143,9 @@
         await self._inbox.put(Denied(number, outcome))
         return False
 
+    def _is_permit_valid(self) -> bool:
+        return self._clock.now_ms() < self._permit.valid_until_ms
+
     async def _watch(
         self,
         number: int,
--- /dev/null
+++ b/fireflyward/runs/_group_commit.py
@@ -0,0 +1,250 @@
+"""Writes of many requests in one transaction of the table service."""
+
+import asyncio
+import itertools
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+import msgspec
+
+from fireflyward.clock import Clock
+from fireflyward.connections import within
+from fireflyward.platform import Committed, Conflict, Table, Unavailable, Uncertain
+
+from ._periods import PERIOD_KEY, Period, marker_key, period_of
+
+_MAX_WRITES = 128
+_GAP_MS = 30
+_CALL_LIMIT_MS = 1_500
+_GIVE_UP_MS = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class Written:
+    """The row is written and has this version now."""
+
+    version: int
+
+
+@dataclass(frozen=True, slots=True)
+class RowMoved:
+    """Nothing was written: the row has another version than was expected."""
+
+
+@dataclass(frozen=True, slots=True)
+class NotWritten:
+    """The table did not take the write, and no earlier try can still land."""
+
+    detail: str
+
+
+@dataclass(frozen=True, slots=True)
+class MayLand:
+    """The answer was lost; the write may have taken effect, or may do so later."""
+
+    detail: str
+
+
+WriteResult = Written | RowMoved | NotWritten | MayLand
+
+
+@dataclass(eq=False, slots=True)
+class Write:
+    """One row to be written if it has ``expected`` as its version."""
+
+    key: str
+    expected: int
+    value: bytes
+    done: "asyncio.Future[WriteResult]"
+
+
+@dataclass(eq=False, slots=True)
+class Batch:
+    """Writes that go into one transaction.
+
+    ``marker`` is a row that only this batch writes. It lists the batch's keys for
+    the sweep, and it is what a second try meets when the first had landed: either
+    every write of the batch took effect or none.
+    """
+
+    marker: str
+    writes: list[Write]
+    began_ms: int
+    may_have_landed: bool = False
+
+
+class WriteQueue:
+    """Decides which writes go together and when.
+
+    One transaction is under way at a time and ``gap_ms`` lies between the starts
+    of two, so that a node's share of the table's writes is bounded whatever its
+    traffic; a write that comes alone after a pause goes at once.
+    """
+
+    __slots__ = ("_gap_ms", "_last_ms", "_max_writes", "_waiting")
+
+    def __init__(self, *, gap_ms: int = _GAP_MS, max_writes: int = _MAX_WRITES) -> None:
+        self._gap_ms = gap_ms
+        self._last_ms = -gap_ms
+        self._max_writes = max_writes
+        self._waiting: deque[Write] = deque()
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def add(self, write: Write) -> None:
+        """Queue a write."""
+        self._waiting.append(write)
+
+    def wait_ms(self, now_ms: int) -> int:
+        """Return how long the next transaction has to wait."""
+        return max(0, self._last_ms + self._gap_ms - now_ms)
+
+    def take(self, now_ms: int) -> list[Write]:
+        """Return the next transaction's writes, each of another row."""
+        self._last_ms = now_ms
+        taken: dict[str, Write] = {}
+        left: deque[Write] = deque()
+        for write in self._waiting:
+            if write.done.done():
+                continue
+            if write.key in taken or len(taken) == self._max_writes:
+                left.append(write)
+            else:
+                taken[write.key] = write
+        self._waiting = left
+        return list(taken.values())
+
+
+@dataclass(slots=True)
+class GroupCommit:
+    """Owns the transactions of one node's records.
+
+    Each is conditional on the retention period that its marker names, so that no
+    record can be filed under a period that the sweep has left behind.
+    """
+
+    table: Table
+    clock: Clock
+    writer_name: str
+    period: Period = field(default_factory=Period)
+    queue: WriteQueue = field(default_factory=WriteQueue)
+    commits: int = 0
+    _numbers: "itertools.count[int]" = field(default_factory=itertools.count)
+    _task: "asyncio.Task[None] | None" = None
+
+    async def write(self, key: str, expected: int, value: bytes) -> WriteResult:
+        """Write one row together with others; give the result of this row."""
+        done: asyncio.Future[WriteResult] = asyncio.get_running_loop().create_future()
+        self.queue.add(Write(key, expected, value, done))
+        if self._task is None or self._task.done():
+            self._task = asyncio.ensure_future(self._flush())
+        return await asyncio.shield(done)
+
+    def stop(self) -> None:
+        """Stop writing at once."""
+        if self._task:
+            self._task.cancel()
+
+    async def _flush(self) -> None:
+        while len(self.queue):
+            await self.clock.sleep_ms(self.queue.wait_ms(self.clock.now_ms()))
+            now_ms = self.clock.now_ms()
+            writes = self.queue.take(now_ms)
+            if writes:
+                await self._commit(Batch(self._marker(), writes, now_ms))
+
+    def _marker(self) -> str:
+        number = next(self._numbers)
+        return marker_key(self.period.number, f"{self.writer_name}-{number}")
+
+    async def _commit(self, batch: Batch) -> None:
+        while batch.writes:
+            result = await self._try(batch)
+            if isinstance(result, Committed):
+                _finish(batch, result.version_by_key)
+            elif isinstance(result, Conflict):
+                await self._on_conflict(batch, result.version_by_key)
+            elif isinstance(result, Unavailable) and not batch.may_have_landed:
+                _resolve_all(batch, NotWritten(result.detail))
+            else:
+                batch.may_have_landed |= not isinstance(result, Unavailable)
+                if self.clock.now_ms() - batch.began_ms >= _GIVE_UP_MS:
+                    _resolve_all(batch, MayLand(result.detail))
+                else:
+                    await self.clock.sleep_ms(self.queue.wait_ms(self.clock.now_ms()))
+
+    async def _on_conflict(
+        self, batch: Batch, version_by_key: Mapping[str, int]
+    ) -> None:
+        """Take out what moved; the rest is tried again under the same marker.
+
+        The marker stays the same so that an earlier try which is still on its way
+        cannot land beside a later one.
+        """
+        if version_by_key.get(batch.marker, 0):
+            _finish(batch, {})
+            return
+        found = version_by_key.get(PERIOD_KEY, self.period.version)
+        is_old_period = found != self.period.version
+        if _drop_moved(batch, version_by_key):
+            return
+        if not is_old_period or not await self.read_period():
+            _resolve_all(batch, MayLand("its conflict could not be settled"))
+
+    async def read_period(self) -> bool:
+        """Learn the current retention period; return whether the table told it."""
+        row = await self.table.get(PERIOD_KEY)
+        if isinstance(row, Unavailable):
+            return False
+        self.period = period_of(row)
+        return True
+
+    async def _try(
+        self, batch: Batch
+    ) -> Committed | Conflict | Unavailable | Uncertain:
+        """Commit a batch once, in bounded time."""
+        self.commits += 1
+        expected = {write.key: write.expected for write in batch.writes}
+        puts = {write.key: write.value for write in batch.writes}
+        puts[batch.marker] = msgspec.json.encode([*puts])
+        expected[batch.marker] = 0
+        expected[PERIOD_KEY] = self.period.version
+        work = self.table.commit(expected=expected, puts=puts)
+        try:
+            return await within(self.clock, _CALL_LIMIT_MS, work)
+        except TimeoutError as error:
+            return Uncertain(str(error))
+
+
+def _finish(batch: Batch, version_by_key: Mapping[str, int]) -> None:
+    for write in batch.writes:
+        version = version_by_key.get(write.key, write.expected + 1)
+        _resolve(write, Written(version))
+    batch.writes = []
+
+
+def _drop_moved(batch: Batch, version_by_key: Mapping[str, int]) -> bool:
+    """Take the moved rows out of a batch; return whether there were any."""
+    moved = {
+        write.key
+        for write in batch.writes
+        if version_by_key.get(write.key, write.expected) != write.expected
+    }
+    for write in batch.writes:
+        if write.key in moved:
+            _resolve(write, RowMoved())
+    batch.writes = [write for write in batch.writes if write.key not in moved]
+    return bool(moved)
+
+
+def _resolve_all(batch: Batch, result: WriteResult) -> None:
+    for write in batch.writes:
+        _resolve(write, result)
+    batch.writes = []
+
+
+def _resolve(write: Write, result: WriteResult) -> None:
+    if not write.done.done():
+        write.done.set_result(result)
--- a/fireflyward/runs/_once.py
+++ b/fireflyward/runs/_once.py
@@ -19,6 +19,8 @@
 
     body: str
     usage: Usage = Usage()
+    status: int = 200
+    content_type: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/fireflyward/runs/_record_of_run.py
@@ -0,0 +1,61 @@
+"""The record of one arrival of a non-idempotent request."""
+
+import asyncio
+
+from fireflyward.outcomes import NotRun, Outcome, Unknown
+
+from ._once import ClaimResult, Permit
+from ._records import Record, RunRecords, fill, record_key
+
+
+class RecordOfRun:
+    """The record of one arrival of a non-idempotent request (a ``Once``)."""
+
+    __slots__ = ("_claim", "_key", "_record", "_records")
+
+    def __init__(
+        self,
+        records: RunRecords,
+        *,
+        account: str,
+        request_key: str,
+        owner: str,
+        fingerprint: str,
+    ) -> None:
+        self._records = records
+        self._key = record_key(account, request_key)
+        self._record = Record(owner, fingerprint)
+        self._claim: asyncio.Task[tuple[ClaimResult, int]] | None = None
+
+    async def claim(self, replica: str) -> ClaimResult:
+        """Claim the record; a cancelled caller does not undo what is on its way."""
+        self._record.replica = replica
+        work = self._records.claim(self._key, self._record)
+        self._claim = asyncio.ensure_future(work)
+        result, _ = await asyncio.shield(self._claim)
+        return result
+
+    async def settle(
+        self,
+        outcome: Outcome,
+        body: str | None,
+        *,
+        status: int = 200,
+        content_type: str = "",
+    ) -> None:
+        """Write down the end, if the record is this request's own.
+
+        Without a ``body`` duplicates are told that it ran, and not its answer.
+        """
+        if self._claim is None:
+            return
+        result, version = await self._claim
+        if not isinstance(result, Permit) or isinstance(outcome, Unknown):
+            return
+        if isinstance(outcome, NotRun):
+            self._records.release(self._key, version, self._record)
+            return
+        self._record.status = status
+        self._record.content_type = content_type
+        fill(self._record, outcome, body)
+        await self._records.settle(self._key, version, self._record)
--- a/fireflyward/runs/_records.py
+++ b/fireflyward/runs/_records.py
@@ -1,60 +1,206 @@
 """Records that keep a non-idempotent request from running twice."""
 
-from dataclasses import dataclass
+import asyncio
+import enum
+import hashlib
 
 import msgspec
 
-from fireflyward.outcomes import NotRun, Reason, Unknown
-from fireflyward.platform import Committed, Conflict, Row, Table, Unavailable
+from fireflyward.clock import Clock
+from fireflyward.outcomes import (
+    Answered,
+    NotRun,
+    Reason,
+    Unknown,
+    Usage,
+)
+from fireflyward.platform import Missing, Row, Table, Unavailable
+
+from ._group_commit import GroupCommit, MayLand, NotWritten, RowMoved, Written
+from ._once import ClaimResult, EarlierAnswer, EarlierRun, Permit
 
 _RETRY_AFTER_MS = 1_000
+_PERMIT_MS = 10_000
+_MAX_BODY_BYTES = 16 << 10
+_MAX_RELEASES = 1_000
+_RELEASE_TRIES = 8
+_RELEASE_PAUSE_MS = 1_000
+_CLAIM_TRIES = 3
+_KEY_BYTES = 16
 
 
-class Record(msgspec.Struct):
-    """What the table keeps of a non-idempotent request."""
+class RecordState(enum.StrEnum):
+    """How far a request came, as far as its record tells."""
+
+    STARTED = "started"
+    ANSWERED = "answered"
+    NOT_RUN = "not_run"
 
-    owner: str
-    fingerprint: str
-    state: str = "started"
 
+class Record(msgspec.Struct, omit_defaults=True):
+    """What the table keeps of a non-idempotent request.
 
-@dataclass(frozen=True, slots=True)
-class RecordKept:
-    """The record is this request's own; it may be dispatched once."""
+    ``owner`` names one arrival of the request at one node; ``replica`` is where a
+    prompt was to be dispatched first; ``body`` is the answer if it is short enough.
+    """
 
-    key: str
+    owner: str
+    fingerprint: str
+    period: int = 0
+    state: RecordState = RecordState.STARTED
+    replica: str = ""
+    has_body: bool = False
+    body: str = ""
+    status: int = 200
+    content_type: str = ""
+    usage: tuple[int, int, int] = (0, 0, 0)
 
 
 class RunRecords:
-    """Writes the record of a request before the request is dispatched."""
+    """Writes the record of a request before the request is dispatched.
 
-    __slots__ = ("_table",)
+    Safety rests on the table alone: a row is claimed by writing it at the version
+    that was read, so of two claims one wins, whichever nodes make them. Nothing
+    takes over a record whose owner may have dispatched.
+    """
 
-    def __init__(self, table: Table) -> None:
+    def __init__(self, table: Table, clock: Clock, *, node_name: str = "node") -> None:
         self._table = table
-
-    async def keep(
-        self, account: str, request_key: str, owner: str, fingerprint: str
-    ) -> RecordKept | NotRun | Unknown:
-        """Claim ``request_key`` for the run ``owner``, or say what is known of it."""
-        key = f"runs/{account}/{request_key}"
-        body = msgspec.json.encode(Record(owner, fingerprint))
-        result = await self._table.commit(expected={key: 0}, puts={key: body})
-        if isinstance(result, Committed):
-            return RecordKept(key)
-        if isinstance(result, Unavailable):
-            return NotRun(Reason.PLATFORM_AWAY, result.detail, _RETRY_AFTER_MS)
-        return await self._settle(key, owner, lost=not isinstance(result, Conflict))
-
-    async def _settle(
-        self, key: str, owner: str, *, lost: bool
-    ) -> RecordKept | NotRun | Unknown:
-        """Read back whose record it is, after a conflict or a lost answer."""
-        row = await self._table.get(key)
-        if isinstance(row, Row):
-            if msgspec.json.decode(row.value, type=Record).owner == owner:
-                return RecordKept(key)
-            detail = "an earlier request with this key was dispatched"
-            return Unknown(Reason.DUPLICATE_RUNNING, detail, _RETRY_AFTER_MS)
-        detail = "its record could not be settled" if lost else "record moved"
+        self._clock = clock
+        self._releases: set[asyncio.Task[None]] = set()
+        self.group = GroupCommit(table, clock, f"{node_name}-{clock.wall_ms()}")
+
+    def __repr__(self) -> str:
+        return f"RunRecords(commits={self.group.commits})"
+
+    async def claim(self, key: str, record: Record) -> tuple[ClaimResult, int]:
+        """Claim ``key`` for ``record.owner``, or tell what an earlier claim left.
+
+        Return the result and, with a ``Permit``, the record's version. A permit is
+        valid from before the write was sent, by this process's monotonic clock.
+        """
+        began_ms = self._clock.now_ms()
+        expected = 0
+        for _ in range(_CLAIM_TRIES):
+            record.period = self.group.period.number
+            result = await self.group.write(key, expected, _encode(record))
+            if isinstance(result, Written):
+                return Permit(began_ms + _PERMIT_MS), result.version
+            if not isinstance(result, RowMoved):
+                return self._unsettled(key, record, result), 0
+            row = await self._table.get(key)
+            if isinstance(row, Unavailable):
+                detail = "an earlier request with this key exists; its record is away"
+                return Unknown(Reason.DUPLICATE_RUNNING, detail, _RETRY_AFTER_MS), 0
+            if isinstance(row, Row) and _is_owned(row, record.owner):
+                return Permit(began_ms + _PERMIT_MS), row.version
+            earlier = _earlier(row, record)
+            if not isinstance(earlier, int):
+                return earlier, 0
+            expected = earlier
+        detail = "other requests with this key come at the same time"
+        return Unknown(Reason.DUPLICATE_RUNNING, detail, _RETRY_AFTER_MS), 0
+
+    async def settle(self, key: str, version: int, record: Record) -> bool:
+        """Write down how a claimed request ended; return whether that is known.
+
+        A record that stays ``STARTED`` for want of this write is still true: it
+        says that the request may have run.
+        """
+        result = await self.group.write(key, version, _encode(record))
+        return isinstance(result, Written)
+
+    def release(self, key: str, version: int, record: Record) -> None:
+        """Say in the background that a claimed request was never dispatched."""
+        record.state = RecordState.NOT_RUN
+        if len(self._releases) >= _MAX_RELEASES:
+            return
+        task = asyncio.ensure_future(self._release(key, version, record))
+        self._releases.add(task)
+        task.add_done_callback(self._releases.discard)
+
+    async def stop(self) -> None:
+        """Stop writing at once."""
+        for task in list(self._releases):
+            task.cancel()
+        self.group.stop()
+
+    def _unsettled(
+        self, key: str, record: Record, result: NotWritten | MayLand
+    ) -> NotRun:
+        """Refuse a request whose record could not be written.
+
+        It is not dispatched, so "not run" is true even if the write lands later.
+        Landed, it would tell duplicates that the request may have run, which is
+        why it is released.
+        """
+        if isinstance(result, MayLand):
+            self.release(key, 0, record)
+        detail = f"its record could not be written: {result.detail}"
         return NotRun(Reason.PLATFORM_AWAY, detail, _RETRY_AFTER_MS)
+
+    async def _release(self, key: str, version: int, record: Record) -> None:
+        for attempt in range(_RELEASE_TRIES):
+            result = await self.group.write(key, version, _encode(record))
+            if isinstance(result, Written):
+                return
+            if isinstance(result, RowMoved):
+                row = await self._table.get(key)
+                if isinstance(row, Row) and not _is_owned(row, record.owner):
+                    return
+                version = row.version if isinstance(row, Row) else version
+            await self._clock.sleep_ms(_RELEASE_PAUSE_MS << attempt)
+
+
+def record_key(account: str, request_key: str) -> str:
+    """Return the row of a request; keys of two accounts never meet."""
+    name = f"{len(account)}:{account}{request_key}".encode()
+    return f"runs/records/{hashlib.blake2b(name, digest_size=_KEY_BYTES).hexdigest()}"
+
+
+def fill(record: Record, outcome: Answered, body: str | None) -> None:
+    """Put the end of a request into its record, with its answer if short."""
+    usage = outcome.usage
+    record.state = RecordState.ANSWERED
+    record.usage = (usage.prompt_tokens, usage.completion_tokens, usage.cached_tokens)
+    record.has_body = body is not None and len(body.encode()) <= _MAX_BODY_BYTES
+    record.body = body if record.has_body else ""
+
+
+def _earlier(row: Row | Missing, record: Record) -> int | ClaimResult:
+    """Tell a duplicate what became of the earlier request.
+
+    An int is the version at which the row may be claimed after all: it was swept,
+    or its request was never dispatched.
+    """
+    if isinstance(row, Missing):
+        return 0
+    found = msgspec.json.decode(row.value, type=Record)
+    if found.fingerprint != record.fingerprint:
+        return NotRun(Reason.KEY_REUSED, "this key names another request")
+    if found.state is RecordState.NOT_RUN:
+        return row.version
+    if found.state is RecordState.STARTED:
+        return _still_started(found)
+    if found.has_body:
+        return EarlierAnswer(
+            found.body, Usage(*found.usage), found.status, found.content_type
+        )
+    detail = "it was answered; the answer is not kept with its record"
+    return Unknown(Reason.ALREADY_RUN, detail)
+
+
+def _still_started(found: Record) -> ClaimResult:
+    if found.replica:
+        return EarlierRun(found.replica)
+    detail = "an earlier request with this key was dispatched; its end is not known"
+    return Unknown(Reason.DUPLICATE_RUNNING, detail, _RETRY_AFTER_MS)
+
+
+def _is_owned(row: Row, owner: str) -> bool:
+    found = msgspec.json.decode(row.value, type=Record)
+    return found.owner == owner and found.state is RecordState.STARTED
+
+
+def _encode(record: Record) -> bytes:
+    return msgspec.json.encode(record)
--- a/fireflyward/runs/_task.py
+++ b/fireflyward/runs/_task.py
@@ -1,7 +1,7 @@
 """The task that carries out what a run decides."""
 
 import asyncio
-from collections.abc import AsyncIterator, Coroutine, Mapping
+from collections.abc import AsyncIterator, Mapping
 from functools import singledispatchmethod
 
 from fireflyward.clock import Clock
@@ -13,6 +13,7 @@
 
 from ._attempt import Attempt, Prepare
 from ._budget import RetryBudget
+from ._detached import detach, keep
 from ._messages import (
     Action,
     Begin,
@@ -22,6 +23,7 @@
     Chosen,
     DeadlinePassed,
     Deliver,
+    Dispatching,
     End,
     Mark,
     Message,
@@ -42,10 +44,6 @@
 
 Result = Placed | Deliver | End
 
-# Tasks that outlive their caller; the event loop itself holds only weak references,
-# and a run that was collected half-way would stay unsettled for no visible reason.
-_detached: "set[asyncio.Task[None]]" = set()
-
 
 class RunTask:
     """Owns the connections of one run.
@@ -100,7 +98,7 @@
             call=call,
             shape=shape,
             inbox=self._inbox,
-            take=self._take,
+            on_dispatch=self._on_dispatch,
             prepare=prepare,
             once=once,
             limits=limits or SilenceLimits(),
@@ -118,7 +116,7 @@
 
         Closing this iterator early means that the caller is gone.
         """
-        worker = _detach(self._work())
+        worker = asyncio.ensure_future(self._work())
         try:
             while True:
                 result = await self._outbox.get()
@@ -142,6 +140,7 @@
         self._take(CallerGone())
         if self._run.has_ended:
             worker.cancel()
+        keep(worker)
 
     async def _work(self) -> None:
         self._after(self._deadline_ms - self._clock.now_ms(), DeadlinePassed())
@@ -179,6 +178,15 @@
         except TimeoutError:
             self._take(CallerGone())
 
+    def _on_dispatch(self, attempt: int) -> None:
+        """Count a dispatch before its bytes leave.
+
+        This goes to the decisions at once and not through the inbox. A caller that
+        closes now would otherwise overtake it, and a run that left would be called
+        not run.
+        """
+        self._take(Dispatching(attempt))
+
     def _take(self, message: Message) -> None:
         for action in self._run.decide(self._clock.now_ms(), message):
             self._perform(action)
@@ -197,8 +205,9 @@
     @_perform.register
     def _(self, action: End) -> None:
         self._observe(PromptStep.ENDED)
+        self._attempts.stop()
         if self._once:
-            _detach(self._settle(self._once, action.outcome))
+            detach(self._settle(self._once, action.outcome))
         self._out.append(action)
 
     @_perform.register
@@ -231,7 +240,7 @@
         engine = self._engine_by_name.get(action.replica)
         if engine:
             self._observe(StreamStep.CANCELLING)
-            _detach(_cancel(engine, self._call.run_id))
+            detach(_cancel(engine, self._call.run_id))
 
     def _after(self, duration_ms: int, message: Message) -> None:
         timer = asyncio.ensure_future(self._tell_later(duration_ms, message))
@@ -248,13 +257,6 @@
         self._observe(OnceStep.SETTLED)
 
 
-def _detach(work: Coroutine[None, None, None]) -> "asyncio.Task[None]":
-    task = asyncio.ensure_future(work)
-    _detached.add(task)
-    task.add_done_callback(_detached.discard)
-    return task
-
-
 async def _cancel(engine: Engine, run_id: str) -> None:
     """Cancel a run; one more try, since the first may meet a lost connection."""
     for _ in range(_CANCEL_TRIES):
--- a/fireflyward/standins/__init__.py
+++ b/fireflyward/standins/__init__.py
@@ -10,6 +10,7 @@
 from ._engine_memory import MemoryEngine
 from ._engine_model import EngineCosts, EngineModel, answer_text, answer_token
 from ._engine_server import EngineServer
+from ._fault_gate import FaultGate, ServiceFaults
 from ._platform_memory import MemoryObjects, MemoryTable, MemoryVms, MemoryWeights
 from ._platform_server import PlatformServer
 from ._service_server import ServiceServer
@@ -26,6 +27,7 @@
     "EngineModel",
     "EngineServer",
     "EventFaults",
+    "FaultGate",
     "MemoryEngine",
     "MemoryObjects",
     "MemoryStore",
@@ -33,6 +35,7 @@
     "MemoryVms",
     "MemoryWeights",
     "PlatformServer",
+    "ServiceFaults",
     "ServiceServer",
     "StoreCosts",
     "StoreFaults",
--- a/fireflyward/standins/_engine_memory.py
+++ b/fireflyward/standins/_engine_memory.py
@@ -1,6 +1,5 @@
 """The engine stand-in without sockets, for a run on a faked clock."""
 
-import asyncio
 from collections.abc import AsyncIterator
 
 from fireflyward.clock import Clock
@@ -17,8 +16,8 @@
     Refused,
 )
 
-from ._engine_faults import EngineFaults
 from ._engine_model import EngineModel, EngineRun
+from ._fault_gate import FaultGate
 
 _STEP_MS = 10
 _KEEP_ALIVE_MS = 500
@@ -36,7 +35,8 @@
         self, model: EngineModel, clock: Clock, *, piece_tokens: int = 1
     ) -> None:
         self.model = model
-        self.faults = EngineFaults()
+        self.gate = FaultGate(clock)
+        self.faults = self.gate.faults
         self.dispatches = 0
         self.started_run_ids: list[str] = []
         self.cancelled_run_ids: list[str] = []
@@ -48,15 +48,13 @@
         if self.faults.unreachable:
             yield Broken(False, "connection refused")
             return
-        if self.faults.paused or self.faults.take("lost_requests"):
-            await _silence()
+        await self.gate.on_request()
         result = self.model.submit(self._clock.now_ms(), call)
         if isinstance(result, Refused):
             yield result
             return
         self.started_run_ids.append(call.run_id)
-        if self.faults.take("lost_answers"):
-            await _silence()
+        await self.gate.on_submitted()
         async for event in self._stream(self.model.run_by_id[call.run_id], 0):
             yield event
 
@@ -64,8 +62,7 @@
         if self.faults.unreachable:
             yield Broken(False, "connection refused")
             return
-        if self.faults.paused:
-            await _silence()
+        await self.gate.on_read()
         run = self.model.run_by_id.get(run_id)
         if run is None or run.cancelled:
             yield Broken(True, "status 404")
@@ -85,9 +82,7 @@
         return self.model.report(self._clock.now_ms())
 
     async def _stream(self, run: EngineRun, sent: int) -> AsyncIterator[EngineEvent]:
-        if self.faults.late_ms:
-            await self._clock.sleep_ms(self.faults.late_ms)
-        if self.faults.take("crossed_streams"):
+        if await self.gate.on_stream(run.call.run_id) != run.call.run_id:
             yield Broken(True, "answer of another run")
             return
         yield Accepted(run.call.version, run.cached_tokens)
@@ -96,14 +91,9 @@
             if self.faults.unreachable:
                 yield Broken(True, "connection reset")
                 return
-            if self.faults.paused:
-                await _silence()
-            if sent >= self.faults.after_tokens:
-                if self.faults.take("silent_streams"):
-                    await _silence()
-                if self.faults.take("cut_streams"):
-                    yield Broken(True, "cut")
-                    return
+            if await self.gate.is_cut(sent):
+                yield Broken(True, "cut")
+                return
             now_ms = self._clock.now_ms()
             ready = self.model.tokens_ready(now_ms, run)
             new = ready - sent
@@ -116,8 +106,3 @@
             await self._clock.sleep_ms(_STEP_MS)
         if not run.cancelled:
             yield Finished(self.model.usage(run))
-
-
-async def _silence() -> None:
-    """Say nothing for good, as a connection that something forgot."""
-    await asyncio.get_running_loop().create_future()
--- a/fireflyward/standins/_engine_server.py
+++ b/fireflyward/standins/_engine_server.py
@@ -15,6 +15,7 @@
 
 from ._engine_kv_server import EngineKvRoutes
 from ._engine_model import EngineModel, EngineRun
+from ._fault_gate import FaultGate
 from ._http_server import HttpServer
 
 _KEEP_ALIVE_MS = 500
@@ -31,6 +32,8 @@
         self.model = model
         self._clock = clock or Clock()
         self.kv = EngineKvRoutes(model, self._clock)
+        self.gate = FaultGate(self._clock)
+        self.faults = self.gate.faults
 
     def build_app(self) -> web.Application:
         app = web.Application(client_max_size=64 << 20)
@@ -53,25 +56,30 @@
             body.priority,
             tuple(body.block_keys),
         )
+        await self.gate.on_request()
         result = self.model.submit(self._clock.now_ms(), call)
         if isinstance(result, Refused):
             refusal = RefusalBody(
                 result.reason.value, result.detail, result.retry_after_ms
             )
             return web.Response(status=409, body=msgspec.json.encode(refusal))
-        return await self._stream(request, self.model.run_by_id[call.run_id], 0)
+        await self.gate.on_submitted()
+        return await self._answer(request, self.model.run_by_id[call.run_id], 0)
 
     async def _resume(self, request: web.Request) -> web.StreamResponse:
+        await self.gate.on_read()
         run = self.model.run_by_id.get(request.match_info["run_id"])
         if run is None or run.cancelled:
             return web.Response(status=404, body=b"{}")
-        return await self._stream(request, run, int(request.query.get("offset", "0")))
+        return await self._answer(request, run, int(request.query.get("offset", "0")))
 
     async def _cancel(self, request: web.Request) -> web.Response:
+        await self.gate.on_read()
         state = self.model.cancel(self._clock.now_ms(), request.match_info["run_id"])
         return web.Response(body=msgspec.json.encode(CancelBody(state.value)))
 
     async def _load(self, request: web.Request) -> web.Response:
+        await self.gate.on_read()
         report = self.model.report(self._clock.now_ms())
         body = LoadBody(
             report.queued,
@@ -85,21 +93,41 @@
         )
         return web.Response(body=msgspec.json.encode(body))
 
-    async def _stream(
+    async def _answer(
         self, request: web.Request, run: EngineRun, sent: int
     ) -> web.StreamResponse:
-        """Send a run's tokens as they come into being, then the end marker."""
+        """Stream a run until its reader is gone; the run itself goes on."""
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
-        first = StreamLine(version=run.call.version, cached_tokens=run.cached_tokens)
+        try:
+            return await self._stream(request, response, run, sent)
+        except ConnectionResetError:
+            return response
+
+    async def _stream(
+        self,
+        request: web.Request,
+        response: web.StreamResponse,
+        run: EngineRun,
+        sent: int,
+    ) -> web.StreamResponse:
+        """Send a run's tokens as they come into being, then the end marker."""
+        run_id = await self.gate.on_stream(run.call.run_id)
+        first = StreamLine(
+            version=run.call.version, cached_tokens=run.cached_tokens, run_id=run_id
+        )
         await _send(response, first)
         quiet_since_ms = self._clock.now_ms()
         while sent < run.call.max_tokens and not run.cancelled:
+            if await self.gate.is_cut(sent):
+                request.transport.close()
+                return response
             now_ms = self._clock.now_ms()
             ready = self.model.tokens_ready(now_ms, run)
             if ready > sent:
                 text = run.answer.text(sent, ready)
-                await _send(response, StreamLine(sent, ready - sent, text))
+                line = StreamLine(sent, ready - sent, text, run_id=run_id)
+                await _send(response, line)
                 sent, quiet_since_ms = ready, now_ms
             elif now_ms - quiet_since_ms >= _KEEP_ALIVE_MS:
                 await response.write(b": waiting\n\n")
@@ -116,6 +144,7 @@
             prompt_tokens=usage.prompt_tokens,
             completion_tokens=usage.completion_tokens,
             cached_tokens=usage.cached_tokens,
+            run_id=run.call.run_id,
         )
         await _send(response, line)
         await response.write_eof()
--- a/fireflyward/standins/_service_server.py
+++ b/fireflyward/standins/_service_server.py
@@ -4,6 +4,9 @@
 
 from aiohttp import web
 
+from fireflyward.clock import Clock
+
+from ._fault_gate import ServiceFaults, silence
 from ._http_server import HttpServer
 
 
@@ -14,6 +17,7 @@
         super().__init__(port=port)
         self.times_by_run: Counter[str] = Counter()
         self.bodies: list[bytes] = []
+        self.faults = ServiceFaults()
 
     def build_app(self) -> web.Application:
         app = web.Application(client_max_size=64 << 20)
@@ -22,7 +26,24 @@
 
     async def _handle(self, request: web.Request) -> web.Response:
         body = await request.read()
-        self.times_by_run[request.headers.get("X-Run-Id", "")] += 1
+        if self.faults.take("lost_requests"):
+            await silence()
+        if self.faults.take("refusals"):
+            return web.Response(status=503, headers={"X-Not-Run": "1"})
+        run_id = request.headers.get("X-Run-Id", "")
+        self.times_by_run[run_id] += 1
         self.bodies.append(body)
+        if self.faults.take("lost_answers"):
+            await silence()
+        if self.faults.take("redirects"):
+            return web.Response(status=307, headers={"Location": request.path})
+        if self.faults.late_ms:
+            await Clock().sleep_ms(self.faults.late_ms)
+        if self.faults.take("crossed_replies"):
+            run_id = "another"
         head = f"{request.method} {request.path}\n".encode()
-        return web.Response(body=head + body, content_type="text/plain")
+        return web.Response(
+            body=head + body,
+            content_type="text/plain",
+            headers={"X-Run-Id": run_id},
+        )
--- a/fireflyward/upstreams/_engine_http.py
+++ b/fireflyward/upstreams/_engine_http.py
@@ -1,10 +1,12 @@
 """A model engine over HTTP, as docs/PLATFORM.md writes its interface."""
 
 from collections.abc import AsyncIterator
+from contextlib import AbstractAsyncContextManager
 
 import aiohttp
 import msgspec
 
+from fireflyward.connections import GuardedBody
 from fireflyward.outcomes import Reason, Usage
 
 from ._messages import (
@@ -14,6 +16,7 @@
     EngineCall,
     EngineEvent,
     Finished,
+    KeepAlive,
     LoadReport,
     Piece,
     Refused,
@@ -22,6 +25,9 @@
 _CONNECT_LIMIT_S = 2.0
 _SHORT_CALL_LIMIT_S = 2.0
 _DATA_PREFIX = b"data: "
+_COMMENT_PREFIX = b":"
+_STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_LIMIT_S)
+RequestContext = AbstractAsyncContextManager[aiohttp.ClientResponse]
 
 
 class GenerateBody(msgspec.Struct):
@@ -38,7 +44,11 @@
 
 
 class StreamLine(msgspec.Struct):
-    """One event of a run's stream as JSON; the fields that are set tell which."""
+    """One event of a run's stream as JSON; the fields that are set tell which.
+
+    ``run_id`` is on every line, so that an answer that comes late or crossed with
+    another is recognised before any of it reaches a caller.
+    """
 
     offset: int = -1
     tokens: int = 0
@@ -48,6 +58,7 @@
     done: bool = False
     prompt_tokens: int = 0
     completion_tokens: int = 0
+    run_id: str = ""
 
 
 class RefusalBody(msgspec.Struct):
@@ -83,23 +94,24 @@
 class HttpEngine:
     """One replica behind a base URL.
 
-    ``silence_limit_ms`` bounds the time without a byte on a stream. The engine
-    sends a comment line while a run waits or prefills, so a longer silence means
-    a lost connection and not a slow answer.
+    A stream has no limit of its own here: the engine's comment lines come out as
+    ``KeepAlive`` events, and whoever reads the events watches their silence.
+    Resumes and cancels go over new connections, and so does a run that comes with
+    ``may_send``.
     """
 
-    __slots__ = ("_base", "_session", "_silence_limit_s")
+    __slots__ = ("_base", "_fresh", "_session")
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         base_url: str,
         *,
-        silence_limit_ms: int = 3_000,
+        fresh: aiohttp.ClientSession | None = None,
     ) -> None:
         self._session = session
+        self._fresh = fresh or session
         self._base = base_url
-        self._silence_limit_s = silence_limit_ms / 1_000
 
     def __repr__(self) -> str:
         return f"HttpEngine({self._base!r})"
@@ -118,27 +130,46 @@
         headers = {"Content-Type": "application/json"}
         if call.trace_parent:
             headers["traceparent"] = call.trace_parent
-        request = self._session.post(
-            f"{self._base}/v1/completions",
-            data=msgspec.json.encode(body),
-            headers=headers,
-            timeout=self._stream_timeout(),
-        )
-        async for event in self._events(request):
+        data = msgspec.json.encode(body)
+        url = f"{self._base}/v1/completions"
+        if call.may_send is None:
+            request = self._session.post(
+                url, data=data, headers=headers, timeout=_STREAM_TIMEOUT
+            )
+            events = self._events(request, call.run_id)
+        else:
+            events = self._guarded(url, headers, data, call)
+        async for event in events:
             yield event
 
     async def resume(self, run_id: str, offset: int) -> AsyncIterator[EngineEvent]:
-        request = self._session.get(
+        request = self._fresh.get(
             f"{self._base}/v1/runs/{run_id}",
             params={"offset": str(offset)},
-            timeout=self._stream_timeout(),
+            timeout=_STREAM_TIMEOUT,
         )
-        async for event in self._events(request):
+        async for event in self._events(request, run_id):
+            yield event
+
+    async def _guarded(
+        self, url: str, headers: dict[str, str], data: bytes, call: EngineCall
+    ) -> AsyncIterator[EngineEvent]:
+        """Start a run whose body leaves only while it may."""
+        guarded = GuardedBody(data, call.may_send)
+        request = self._fresh.post(
+            url,
+            data=guarded.chunks(),
+            headers=headers | guarded.headers(),
+            timeout=_STREAM_TIMEOUT,
+        )
+        async for event in self._events(request, call.run_id):
+            if guarded.was_withheld and isinstance(event, Broken):
+                event = Broken(False, "its permit ran out before it left")
             yield event
 
     async def cancel(self, run_id: str) -> CancelState:
         try:
-            async with self._session.delete(
+            async with self._fresh.delete(
                 f"{self._base}/v1/runs/{run_id}", timeout=_short_timeout()
             ) as response:
                 body = msgspec.json.decode(await response.read(), type=CancelBody)
@@ -165,14 +196,9 @@
             body.age_ms,
         )
 
-    def _stream_timeout(self) -> aiohttp.ClientTimeout:
-        return aiohttp.ClientTimeout(
-            total=None,
-            sock_connect=_CONNECT_LIMIT_S,
-            sock_read=self._silence_limit_s,
-        )
-
-    async def _events(self, request) -> AsyncIterator[EngineEvent]:
+    async def _events(
+        self, request: RequestContext, run_id: str
+    ) -> AsyncIterator[EngineEvent]:
         """Turn a streamed response into events; a loss ends as ``Broken``."""
         try:
             async with request as response:
@@ -183,11 +209,11 @@
                 async for chunk in response.content.iter_any():
                     lines = (rest + chunk).split(b"\n")
                     rest = lines.pop()
-                    for event in _events_of(lines):
+                    for event in _events_of(lines, run_id):
                         yield event
-                        if isinstance(event, Finished):
+                        if isinstance(event, Finished | Broken):
                             return
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             yield Broken(False, _describe(error))
             return
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
@@ -200,7 +226,7 @@
     return aiohttp.ClientTimeout(total=_SHORT_CALL_LIMIT_S)
 
 
-def _events_of(lines: list[bytes]) -> list[EngineEvent]:
+def _events_of(lines: list[bytes], run_id: str) -> list[EngineEvent]:
     """Decode lines that came together, joining pieces that follow each other.
 
     Under load many tokens come with one read of the socket. Passing them on as
@@ -208,9 +234,11 @@
     """
     events: list[EngineEvent] = []
     for line in lines:
+        if line.startswith(_COMMENT_PREFIX):
+            events.append(KeepAlive())
         if not line.startswith(_DATA_PREFIX):
             continue
-        event = _event_of(_decode_line(line[len(_DATA_PREFIX) :]))
+        event = _event_of(_decode_line(line[len(_DATA_PREFIX) :]), run_id)
         last = events[-1] if events else None
         if _follows(last, event):
             events[-1] = Piece(
@@ -229,7 +257,9 @@
     )
 
 
-def _event_of(line: StreamLine) -> EngineEvent:
+def _event_of(line: StreamLine, run_id: str) -> EngineEvent:
+    if line.run_id != run_id:
+        return Broken(True, f"a line of run {line.run_id!r} came instead")
     if line.done:
         usage = Usage(line.prompt_tokens, line.completion_tokens, line.cached_tokens)
         return Finished(usage)
--- a/fireflyward/upstreams/_messages.py
+++ b/fireflyward/upstreams/_messages.py
@@ -1,6 +1,7 @@
 """What passes between a node and an upstream."""
 
 import enum
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from fireflyward.outcomes import Reason, Usage
@@ -13,6 +14,8 @@
     ``run_id`` is the same for all attempts of a run; ``block_keys`` name the full
     blocks of the prompt, first to last, for the engine's own prefix cache;
     ``priority`` is 0 (first) to 9; ``trace_parent`` is the W3C header or empty.
+    ``may_send`` comes with a non-idempotent run: it goes on a new connection, and
+    its body leaves only if ``may_send()`` is still true when it is written.
     """
 
     run_id: str
@@ -24,6 +27,7 @@
     priority: int = 5
     block_keys: tuple[str, ...] = ()
     trace_parent: str = ""
+    may_send: Callable[[], bool] | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +117,12 @@
 
 @dataclass(frozen=True, slots=True)
 class ServiceCall:
-    """A request to a plain service."""
+    """A request to a plain service.
+
+    ``needs_fresh`` asks for a new connection. ``may_send`` comes with a call that
+    may not be repeated: it goes on a new connection too, and its body leaves only
+    if ``may_send()`` is still true when it is written.
+    """
 
     method: str
     path: str
@@ -121,6 +130,8 @@
     content_type: str = ""
     run_id: str = ""
     trace_parent: str = ""
+    needs_fresh: bool = False
+    may_send: Callable[[], bool] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/demo/test_deployment.py
+++ b/tests/demo/test_deployment.py
@@ -68,6 +68,8 @@
         path = "/services/drafting/revisions"
         async with await self.post(path, b"r7", **{"Idempotency-Key": "k1"}) as first:
             self.assertEqual(first.status, 200)
+            wanted = await first.read()
         async with await self.post(path, b"r7", **{"Idempotency-Key": "k1"}) as again:
-            self.assertNotEqual(again.status, 200)
+            self.assertEqual(again.status, 200)
+            self.assertEqual(await again.read(), wanted)
         self.assertEqual(self.deployment.service.bodies, [b"r7"])
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -9,11 +9,11 @@
 from fireflyward.bundles import BundleHolder
 from fireflyward.checker import BundleServed, Promise, UpstreamLeaving
 from fireflyward.daemon import Node
-from fireflyward.entry import _completions, _services
+from fireflyward.entry import _completions
 from fireflyward.kept import BlockNames, SlotState, Wanted
 from fireflyward.outcomes import Answered, NotRun
 from fireflyward.routing import Router
-from fireflyward.runs import RecordKept, RunRecords
+from fireflyward.runs import Permit, RunRecords, _service_task
 from fireflyward.standins import (
     EngineModel,
     MemoryStore,
@@ -166,14 +166,14 @@
 
 
 def every_failure_called_not_run():
-    return mock.patch.object(_services, "Unknown", NotRun)
+    return mock.patch.object(_service_task, "Unknown", NotRun)
 
 
 def records_that_are_always_new():
-    async def keep(self, account, request_key, owner, fingerprint):
-        return RecordKept(request_key)
+    async def claim(self, key, record):
+        return Permit(1 << 60), 1
 
-    return mock.patch.object(RunRecords, "keep", keep)
+    return mock.patch.object(RunRecords, "claim", claim)
 
 
 def reports_without_leaving():
--- a/tests/runs/test_task.py
+++ b/tests/runs/test_task.py
@@ -6,7 +6,7 @@
 from fireflyward.clock import ManualClock
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
 from fireflyward.routing import Candidate, Router, RunShape
-from fireflyward.runs import Deliver, End, RunTask
+from fireflyward.runs import Deliver, End, PromptStep, RunTask
 from fireflyward.standins import EngineCosts, EngineModel, MemoryEngine, answer_text
 from fireflyward.upstreams import EngineCall
 
@@ -181,3 +181,24 @@
 
         with self.assertRaises(RuntimeError):
             await self.run_for(self.make(observe=observe), 100)
+
+    async def test_caller_that_goes_at_the_dispatch_is_not_told_not_run(self):
+        """Symptom: a run is logged as not run and its replica ran it. Sequence: the
+        caller closes between the dispatch and the next turn of the event loop.
+        Cause: the note of the dispatch waited in a queue behind the caller's end."""
+        task = self.make()
+        ends = []
+
+        def end_here(step):
+            if step is PromptStep.ENDED:
+                ends.append(task._run.may_have_run)
+
+        task._observe = end_here
+        results = task.results()
+        reader = asyncio.ensure_future(anext(results))
+        while not self.a.dispatches:
+            await asyncio.sleep(0)
+        reader.cancel()
+        await asyncio.wait({reader})
+        await results.aclose()
+        self.assertEqual(ends, [True])
--- /dev/null
+++ b/tests/upstreams/test_service_http.py
@@ -0,0 +1,49 @@
+"""The client of plain services against the stand-in over real sockets."""
+
+import unittest
+
+from fireflyward.connections import Sessions
+from fireflyward.standins import ServiceServer
+from fireflyward.upstreams import Broken, HttpService, Refused, ServiceCall
+
+
+class ServiceHttpTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = ServiceServer()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.stop)
+        self.sessions = Sessions()
+        self.addAsyncCleanup(self.sessions.close)
+        self.service = HttpService(
+            self.sessions.pooled, self.server.url, fresh=self.sessions.fresh
+        )
+
+    def call(self, **options):
+        return ServiceCall("POST", "/revisions/7", b"r7", run_id="r1", **options)
+
+    async def test_reply(self):
+        reply = await self.service.call(self.call(may_send=lambda: True))
+        self.assertEqual(reply.body, b"POST /revisions/7\nr7")
+
+    async def test_call_stays_back_when_its_permit_ran_out(self):
+        result = await self.service.call(self.call(may_send=lambda: False))
+        self.assertEqual((type(result), result.may_have_run), (Broken, False))
+        self.assertEqual(self.server.bodies, [])
+
+    async def test_reply_to_another_run_is_not_this_calls(self):
+        self.server.faults.crossed_replies = 1
+        result = await self.service.call(self.call())
+        self.assertEqual((type(result), result.may_have_run), (Broken, True))
+
+    async def test_refusal_proves_that_nothing_ran(self):
+        self.server.faults.refusals = 1
+        self.assertIsInstance(await self.service.call(self.call()), Refused)
+        self.assertEqual(self.server.bodies, [])
+
+    async def test_redirect_is_passed_on_and_not_followed(self):
+        """Symptom: a revision is recorded twice. Sequence: a service answers a call
+        with 307. Cause: the library sent the body again to the new address."""
+        self.server.faults.redirects = 1
+        reply = await self.service.call(self.call())
+        self.assertEqual(reply.status, 307)
+        self.assertEqual(self.server.bodies, [b"r7"])
