Drain every request in a planned stop

Cause: a planned stop waited for admitted prompts only. A test that stops a node while a request's body is half read got 408 from the old code: closing the application dropped what came on the connection. Plain services' calls and the last bytes of a response were not counted either, and what a hard limit cut was logged only as a number.

Change: a middleware counts each request from its headers to its last byte. A stop goes in named steps: readiness, peers, duties handed on, the balancer's time, port closed, requests run out. A second signal or the limit cuts and logs each request.

--- a/fireflyward/daemon/_lifecycle_steps.py
+++ b/fireflyward/daemon/_lifecycle_steps.py
@@ -19,9 +19,9 @@
 
     READINESS_GONE = "stop: readiness gone"
     PEERS_TOLD = "stop: peers told"
+    HANDED_ON = "stop: duties handed on"
     BALANCER_WAITED = "stop: balancer had its time"
     KEEP_ALIVE_ENDED = "stop: keep-alive connections close"
     DRAINED = "stop: requests ran out"
     CUT = "stop: requests cut"
-    HANDED_ON = "stop: duties handed on"
     CLOSED = "stop: closed"
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -7,7 +7,7 @@
 from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits
-from fireflyward.entry import EntryParts, build_app
+from fireflyward.entry import EntryParts, InFlight, build_app
 from fireflyward.kept import BlockNames
 from fireflyward.limits import AdmissionGate
 from fireflyward.membership import Member, Membership, MembershipTask
@@ -22,11 +22,11 @@
 from ._bundle_duty import BundleDuty, make_bundle_duty
 from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
+from ._planned_stop import HandOn, PlannedStop
 
 log = logging.getLogger("fireflyward.daemon")
 
 _LOAD_POLL_MS = 250
-_DRAIN_POLL_MS = 20
 _DETACHED_LIMIT_S = 30.0
 _CERTIFICATE_POLL_MS = 60_000
 ENGINE = "engine"
@@ -58,6 +58,9 @@
         self.link = self.outside.make_link(self.clock.wall_ms())
         self._membership = Membership(self.clock.now_ms(), self._own_member())
         self.members = self._membership.members
+        self.in_flight = InFlight()
+        self.hand_on: list[HandOn] = []
+        self._planned_stop: PlannedStop | None = None
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
         self.bundles: BundleDuty | None = None
@@ -115,18 +118,32 @@
         )
 
     async def stop(self) -> None:
-        """Shut down gracefully: no new requests, and those in flight run out."""
+        """Shut down gracefully: no request that could be served is cut."""
         self._stopping = True
-        self.observe(StopStep.READINESS_GONE)
-        limit_ms = self.clock.now_ms() + self.settings["drain_limit_ms"]
-        while self.admission.total() and self.clock.now_ms() < limit_ms:
-            await self.clock.sleep_ms(_DRAIN_POLL_MS)
-        if self.admission.total():
-            log.warning("daemon: hard limit cuts %d requests", self.admission.total())
-        await finish_detached(_DETACHED_LIMIT_S)
-        self.observe(StopStep.DRAINED)
+        self._planned_stop = PlannedStop(
+            clock=self.clock,
+            in_flight=self.in_flight,
+            observe=self.observe,
+            balancer_wait_ms=self.settings["balancer_wait_ms"],
+            limit_ms=self.settings["drain_limit_ms"],
+            tell_peers=self._tell_peers,
+            hand_on=self.hand_on,
+            stop_accepting=self.outside.stop_accepting,
+        )
+        await self._planned_stop.run()
+        if not self._planned_stop.is_cut:
+            await finish_detached(_DETACHED_LIMIT_S)
         await self.close()
 
+    def cut(self) -> None:
+        """End a planned stop that waits; what is still under way is cut."""
+        if self._planned_stop:
+            self._planned_stop.cut()
+
+    def _tell_peers(self) -> None:
+        if self.membership:
+            self.membership.leave()
+
     async def close(self) -> None:
         """Close everything at once."""
         for task in self._tasks:
@@ -192,6 +209,7 @@
             catch_up=self.bundles.catch_up,
             run_ids=RunIds(self.settings["kept_key"]),
             limits=SilenceLimits(silence_ms=self.settings["silence_limit_ms"]),
+            in_flight=self.in_flight,
         )
 
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
--- a/fireflyward/daemon/_outside.py
+++ b/fireflyward/daemon/_outside.py
@@ -65,6 +65,12 @@
         await site.start()
         return self._runner.addresses[0][1]
 
+    async def stop_accepting(self) -> None:
+        """Close the port; connections that are open stay so."""
+        if self._runner:
+            for site in list(self._runner.sites):
+                await site.stop()
+
     async def stop_listening(self) -> None:
         """Close the connections of callers."""
         if self._runner:
--- a/fireflyward/daemon/_serve.py
+++ b/fireflyward/daemon/_serve.py
@@ -1,6 +1,7 @@
 """``fireflyward serve``: one node until a signal stops it."""
 
 import asyncio
+import contextlib
 import logging
 import signal
 
@@ -51,6 +52,8 @@
         drained = asyncio.Event()
         draining.add_done_callback(lambda task: drained.set())
         await _any_of(drained, cut_asked, broken)
+        if not broken.is_set():
+            await _cut(node, drained)
         if drained.is_set() and not broken.is_set():
             draining.result()
             return True
@@ -59,6 +62,13 @@
     return not broken.is_set()
 
 
+async def _cut(node: Node, drained: asyncio.Event) -> None:
+    """Have the stop log and end what is left; nothing is left when it drained."""
+    node.cut()
+    with contextlib.suppress(TimeoutError):
+        await within(node.clock, _CLOSE_LIMIT_MS, drained.wait())
+
+
 async def _any_of(*events: asyncio.Event) -> None:
     tasks = [asyncio.create_task(event.wait()) for event in events]
     await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -152,8 +152,10 @@
 
     def make_settings(self, name: str, domain: str) -> Settings:
         """Return the settings of one node of this process."""
-        ports = {"port": "0", "peer_port": "0", "bundle_poll_ms": "200"}
-        settings = load(SERVE_SETTINGS, self.flag_values(name, domain) | ports, {})
+        ports = {"port": "0", "peer_port": "0"}
+        periods = {"bundle_poll_ms": "200", "balancer_wait_ms": "100"}
+        flags = self.flag_values(name, domain) | ports | periods
+        settings = load(SERVE_SETTINGS, flags, {})
         assert isinstance(settings, Settings), settings
         return settings
 
--- a/fireflyward/entry/__init__.py
+++ b/fireflyward/entry/__init__.py
@@ -1,5 +1,6 @@
 """What callers meet: the HTTP interface of an entry VM."""
 
 from ._app import EntryParts, build_app
+from ._in_flight import Flight, InFlight
 
-__all__ = ["EntryParts", "build_app"]
+__all__ = ["EntryParts", "Flight", "InFlight", "build_app"]
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -24,6 +24,7 @@
 
 from ._behind import refuse_while_behind
 from ._errors import error_bytes, headers_of, status_of
+from ._in_flight import InFlight, close_connection, write_whole
 from ._requests import ModelEntry, ModelsBody
 
 log = logging.getLogger("fireflyward.entry")
@@ -58,6 +59,7 @@
     prepare: Prepare | None = None
     limits: SilenceLimits = SilenceLimits()
     budget: RetryBudget = field(default_factory=RetryBudget)
+    in_flight: InFlight = field(default_factory=InFlight)
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +78,7 @@
 
 
 PARTS: web.AppKey[EntryParts] = web.AppKey("parts", EntryParts)
+REQUEST_ID: web.RequestKey[str] = web.RequestKey("request_id", str)
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 
@@ -85,9 +88,10 @@
 
     app = web.Application(
         client_max_size=parts.request_limit_bytes,
-        middlewares=[_refuse_in_form, refuse_while_behind],
+        middlewares=[_count_in_flight, _refuse_in_form, refuse_while_behind],
     )
     app[PARTS] = parts
+    app.on_response_prepare.append(_close_when_stopping)
     app.router.add_post("/v1/completions", _completions.handle_completion)
     app.router.add_post("/v1/chat/completions", _completions.handle_chat)
     app.router.add_get("/v1/models", _handle_models)
@@ -117,7 +121,7 @@
         return deadline_ms
     account_name, caller_name, account = found
     return Identity(
-        new_request_id(),
+        request[REQUEST_ID],
         account_name,
         caller_name,
         account,
@@ -173,6 +177,28 @@
     )
 
 
+@web.middleware
+async def _count_in_flight(
+    request: web.Request, handler: Handler
+) -> web.StreamResponse:
+    in_flight = request.app[PARTS].in_flight
+    request_id = request[REQUEST_ID] = new_request_id()
+    in_flight.enter(request_id, f"{request.method} {request.path}")
+    try:
+        response = await handler(request)
+        await write_whole(request, response)
+        return response
+    finally:
+        in_flight.leave(request_id)
+
+
+async def _close_when_stopping(
+    request: web.Request, response: web.StreamResponse
+) -> None:
+    if request.app[PARTS].in_flight.is_closing:
+        close_connection(response)
+
+
 @web.middleware
 async def _refuse_in_form(request: web.Request, handler: Handler) -> web.StreamResponse:
     """Give the library's own refusals (404, 405, 413) the form of the others."""
--- a/fireflyward/membership/_task.py
+++ b/fireflyward/membership/_task.py
@@ -82,6 +82,10 @@
             asyncio.create_task(self._measure()),
         ]
 
+    def add_seeds(self, addresses: tuple[Address, ...]) -> None:
+        """Ask at these addresses too, besides those of the settings."""
+        self._tell(SeedsFound(tuple(sorted({*self._seeds, *addresses}))))
+
     def leave(self) -> None:
         """Tell the others that a planned stop of this node has begun."""
         self._tell(LeaveBegun())
@@ -107,8 +111,7 @@
             found = await self._vms.list()
             if isinstance(found, VmList):
                 listed = [_address(entry.address) for entry in found.entries]
-                addresses = {address for address in listed if address}
-                self._tell(SeedsFound(tuple(sorted(addresses | set(self._seeds)))))
+                self.add_seeds(tuple(address for address in listed if address))
             await self._clock.sleep_ms(_SEED_PERIOD_MS)
 
     async def _on_datagram(self, sender: str, struct: Any) -> None:
--- a/fireflyward/settings/_settings.py
+++ b/fireflyward/settings/_settings.py
@@ -385,6 +385,13 @@
         "50 to 60000",
         "Time for which a connection may stay silent before it is doubted.",
     ),
+    Setting(
+        "balancer_wait_ms",
+        "3000",
+        _number(0, 600_000),
+        "0 to 600000",
+        "Time that the balancer has to notice a planned stop before the port closes.",
+    ),
     Setting(
         "drain_limit_ms",
         "600000",
