Judge a request again by the bundle in force when it is dispatched

Ruled out: the holder; it had the new number throughout. Change: identity, rights and weight version are taken anew after a wait if the number changed; the request keeps its id and deadline. Measured: tests/entry/test_changes.py, both tests failed before (200 for 404) and pass now. Conclusion: what is judged before a wait is not used after it.

--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -5,7 +5,7 @@
 import re
 import uuid
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import msgspec
 from aiohttp import web
@@ -133,6 +133,24 @@
     )
 
 
+def identify_again(request: web.Request, identity: Identity) -> Identity | NotRun:
+    """Tell who the caller is by the bundle that is in force now.
+
+    A body may take 30 s to arrive and admission as long as the caller allows. A
+    request that was judged before such a wait and dispatched after it would be
+    served by rules that operators replaced meanwhile, and by a model that may be
+    gone. The request keeps its id and its deadline.
+    """
+    if request.app[PARTS].holder.number == identity.bundle_number:
+        return identity
+    renewed = identify(request)
+    if isinstance(renewed, NotRun):
+        return renewed
+    return replace(
+        renewed, request_id=identity.request_id, deadline_ms=identity.deadline_ms
+    )
+
+
 def read_deadline(request: web.Request, longest_ms: int) -> int | NotRun:
     """Return the time that the caller gives, at most ``longest_ms``."""
     text = request.headers.get(DEADLINE_HEADER, "")
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -8,7 +8,16 @@
 from fireflyward.runs import Deliver, Mark, Placed
 from fireflyward.upstreams import count_tokens
 
-from ._app import JSON, PARTS, EntryParts, Identity, identify, new_request_id, refuse
+from ._app import (
+    JSON,
+    PARTS,
+    EntryParts,
+    Identity,
+    identify,
+    identify_again,
+    new_request_id,
+    refuse,
+)
 from ._asked import Asked, make_task, read_asked
 from ._body import read_body
 from ._errors import error_bytes, headers_of
@@ -47,12 +56,9 @@
     if isinstance(body, NotRun):
         return refuse(request, body, identity.request_id)
     prompt = read_prompt(body, is_chat=is_chat)
-    refusal = (
-        prompt if isinstance(prompt, NotRun) else _allowed(parts, identity, prompt)
-    )
-    if refusal:
-        return refuse(request, refusal, identity.request_id)
-    asked = read_asked(parts, request, identity, prompt, body)
+    if isinstance(prompt, NotRun):
+        return refuse(request, prompt, identity.request_id)
+    asked = _judge(request, identity, prompt, body)
     if isinstance(asked, NotRun):
         return refuse(request, asked, identity.request_id)
     ticket = await parts.admission.enter(_ask(asked))
@@ -60,12 +66,29 @@
         return refuse(request, ticket, identity.request_id)
     request[_TICKET] = ticket
     try:
+        if parts.holder.number != asked.identity.bundle_number:
+            renewed = _judge(request, identity, prompt, body)
+            if isinstance(renewed, NotRun):
+                return refuse(request, renewed, identity.request_id)
+            asked = renewed
         return await _serve(request, asked)
     finally:
         _on_first_token(request, asked)
         parts.admission.leave(ticket)
 
 
+def _judge(
+    request: web.Request, identity: Identity, prompt: Prompt, body: bytes
+) -> Asked | NotRun:
+    """Return what is asked by the bundle in force now, or why it is refused."""
+    parts = request.app[PARTS]
+    renewed = identify_again(request, identity)
+    if isinstance(renewed, NotRun):
+        return renewed
+    refusal = _allowed(parts, renewed, prompt)
+    return refusal or read_asked(parts, request, renewed, prompt, body)
+
+
 def _ask(asked: Asked) -> Ask:
     identity, prompt = asked.identity, asked.prompt
     cost = count_tokens(prompt.text) + _TOKENS_PER_DECODED * prompt.max_tokens
--- a/fireflyward/entry/_services.py
+++ b/fireflyward/entry/_services.py
@@ -9,7 +9,15 @@
 from fireflyward.runs import RecordOfRun, ServiceTask
 from fireflyward.upstreams import ServiceCall, ServiceReply
 
-from ._app import PARTS, EntryParts, Identity, identify, new_request_id, refuse
+from ._app import (
+    PARTS,
+    EntryParts,
+    Identity,
+    identify,
+    identify_again,
+    new_request_id,
+    refuse,
+)
 from ._body import read_body
 from ._errors import headers_of
 
@@ -22,15 +30,19 @@
     if isinstance(identity, NotRun):
         return refuse(request, identity, new_request_id())
     parts = request.app[PARTS]
-    bundle = parts.holder.bundle
     name = request.match_info["name"]
-    caller = identity.account.callers[identity.caller_name]
-    if name not in bundle.services or name not in caller.services:
-        outcome = NotRun(Reason.UNKNOWN_ROUTE, f"no service {name!r} for this caller")
-        return refuse(request, outcome, identity.request_id)
+    refusal = _allowed(parts, identity, name)
+    if refusal:
+        return refuse(request, refusal, identity.request_id)
     body = await read_body(request)
     if isinstance(body, NotRun):
         return refuse(request, body, identity.request_id)
+    renewed = identify_again(request, identity)
+    refusal = renewed if isinstance(renewed, NotRun) else _allowed(parts, renewed, name)
+    if refusal:
+        return refuse(request, refusal, identity.request_id)
+    identity = renewed
+    bundle = parts.holder.bundle
     path = "/" + request.match_info["path"]
     only_once = identity.is_non_idempotent or is_non_idempotent(
         bundle, name, request.method, path
@@ -58,6 +70,13 @@
     return web.Response(status=outcome.status, body=outcome.body, headers=headers)
 
 
+def _allowed(parts: EntryParts, identity: Identity, name: str) -> NotRun | None:
+    caller = identity.account.callers[identity.caller_name]
+    if name in parts.holder.bundle.services and name in caller.services:
+        return None
+    return NotRun(Reason.UNKNOWN_ROUTE, f"no service {name!r} for this caller")
+
+
 def is_non_idempotent(bundle: Bundle, name: str, method: str, path: str) -> bool:
     """Tell whether the bundle marks this route as one that may not be repeated.
 
