Guard every call to the platform

Cause: calls had a deadline in the HTTP client only, no budget and no breaker; 350 nodes that want 20 calls a second each would meet a returning table with 7,000.

Change: Guard with a deadline, a share of the service by the number of nodes and a breaker with drawn waits and a ramp; the node's table, objects, weights and list of VMs stand behind it.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -20,6 +20,7 @@
 
 from ._admin_duty import AdminDuty
 from ._bundle_duty import BundleDuty, make_bundle_duty
+from ._guards import Guards
 from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
 from ._planned_stop import HandOn, PlannedStop
@@ -58,6 +59,9 @@
         self.link = self.outside.make_link(self.clock.wall_ms())
         self._membership = Membership(self.clock.now_ms(), self._own_member())
         self.members = self._membership.members
+        self.guards = Guards(
+            settings, clock=self.clock, members=self.members, metrics=self.metrics
+        )
         self.in_flight = InFlight()
         self.hand_on: list[HandOn] = []
         self._planned_stop: PlannedStop | None = None
@@ -74,8 +78,8 @@
     async def start(self) -> None:
         """Open the sockets and begin the periodic tasks."""
         await self.outside.open()
-        table = self.outside.make_table()
-        objects = self.outside.make_objects()
+        table = self.guards.table(self.outside.make_table())
+        objects = self.guards.objects(self.outside.make_objects())
         self.bundles = make_bundle_duty(
             self.settings,
             link=self.link,
@@ -91,7 +95,7 @@
             bundles=self.bundles,
             table=table,
             objects=objects,
-            weights=self.outside.make_weights(),
+            weights=self.guards.weights(self.outside.make_weights()),
         )
         self.records = RunRecords(
             table, self.clock, node_name=self.settings["node_name"]
@@ -187,7 +191,7 @@
             bundle_number=lambda: self.holder.number,
             on_number=bundles.on_member_number,
             seeds=self.settings["peers"],
-            vms=self.outside.make_vms(),
+            vms=self.guards.vms(self.outside.make_vms()),
         )
 
     def _entry_parts(self, records: RunRecords) -> EntryParts:
--- /dev/null
+++ b/fireflyward/platform/_budget.py
@@ -0,0 +1,81 @@
+"""One node's share of what a service of the platform can take."""
+
+from collections.abc import Callable
+
+_MS_PER_SECOND = 1_000
+_BURST_S = 2.0
+_LEAST_BURST = 4.0
+_RAMP_MS = 10_000
+_RAMP_FROM = 0.1
+
+
+class Budget:
+    """A token bucket whose rate is the service's capacity over the nodes.
+
+    ``nodes`` counts every node that is not known to be dead, also those that this
+    one cannot hear: they may still reach the service. A call that finds no token
+    waits for one, in the order of calls, but never longer than ``longest_wait_ms``.
+
+    >>> budget = Budget(per_second=700, nodes=lambda: 350)
+    >>> [budget.take(0) for _ in range(5)]
+    [0, 0, 0, 0, 500]
+    """
+
+    __slots__ = (
+        "_filled_ms",
+        "_longest_wait_ms",
+        "_nodes",
+        "_per_second",
+        "_ramp_since_ms",
+        "_tokens",
+    )
+
+    def __init__(
+        self,
+        *,
+        per_second: float,
+        nodes: Callable[[], int],
+        longest_wait_ms: int = 1_000,
+    ) -> None:
+        self._per_second = per_second
+        self._nodes = nodes
+        self._longest_wait_ms = longest_wait_ms
+        self._tokens = self._burst()
+        self._filled_ms = 0
+        self._ramp_since_ms: int | None = None
+
+    def take(self, now_ms: int) -> int | None:
+        """Return after how many milliseconds the call may go; None if too long."""
+        rate = self._rate(now_ms)
+        passed_ms = max(0, now_ms - self._filled_ms)
+        filled = self._tokens + passed_ms * rate / _MS_PER_SECOND
+        self._tokens = min(filled, self._burst())
+        self._filled_ms = now_ms
+        missing = 1 - self._tokens
+        wait_ms = max(0, round(missing * _MS_PER_SECOND / rate))
+        if wait_ms > self._longest_wait_ms:
+            return None
+        self._tokens -= 1
+        return wait_ms
+
+    def begin_ramp(self, now_ms: int) -> None:
+        """Start again slowly: the service has just come back for everybody."""
+        self._ramp_since_ms = now_ms
+        self._filled_ms = now_ms
+        self._tokens = min(self._tokens, 1.0)
+
+    def _share(self) -> float:
+        return self._per_second / max(1, self._nodes())
+
+    def _burst(self) -> float:
+        return max(_LEAST_BURST, self._share() * _BURST_S)
+
+    def _rate(self, now_ms: int) -> float:
+        share = self._share()
+        if self._ramp_since_ms is None:
+            return share
+        passed = (now_ms - self._ramp_since_ms) / _RAMP_MS
+        if passed >= 1:
+            self._ramp_since_ms = None
+            return share
+        return share * (_RAMP_FROM + (1 - _RAMP_FROM) * passed)
--- a/fireflyward/settings/_settings.py
+++ b/fireflyward/settings/_settings.py
@@ -350,6 +350,20 @@
         "an http or https URL",
         "The platform's list of live and leaving VMs.",
     ),
+    Setting(
+        "store_reads_per_s",
+        "1600",
+        _number(1, 1_000_000),
+        "1 to 1000000",
+        "Reads a second that all nodes together ask of the table, and of the objects.",
+    ),
+    Setting(
+        "store_writes_per_s",
+        "240",
+        _number(1, 1_000_000),
+        "1 to 1000000",
+        "Writes a second that all nodes together ask of the table, and of the objects.",
+    ),
     Setting(
         "trust_roots",
         "",
--- /dev/null
+++ b/tests/platform/test_guard.py
@@ -0,0 +1,129 @@
+import asyncio
+import random
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.observe import Metrics
+from fireflyward.platform import (
+    Budget,
+    Committed,
+    Guard,
+    GuardedObjects,
+    GuardedTable,
+    GuardedVms,
+    GuardedWeights,
+    Missing,
+    Stored,
+    Unavailable,
+    Uncertain,
+    VmList,
+)
+from fireflyward.standins import MemoryObjects, MemoryTable, MemoryVms, MemoryWeights
+
+
+class SilentTable(MemoryTable):
+    """Takes every call and never answers."""
+
+    async def get(self, key):
+        await asyncio.Event().wait()
+
+    async def commit(self, *, expected, puts, deletes=()):
+        await super().commit(expected=expected, puts=puts, deletes=deletes)
+        await asyncio.Event().wait()
+
+
+class GuardTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock()
+        self.metrics = Metrics()
+
+    def make_guard(self, per_second=1_000):
+        return Guard(
+            "table",
+            clock=self.clock,
+            metrics=self.metrics,
+            rng=random.Random(1),
+            reads=Budget(per_second=per_second, nodes=lambda: 1),
+        )
+
+    async def run_to_end(self, work):
+        task = asyncio.create_task(work)
+        for _ in range(400):
+            await self.clock.advance_ms(10)
+            if task.done():
+                break
+        return await task
+
+    async def test_answers_pass_through(self):
+        table = GuardedTable(MemoryTable(), self.make_guard())
+        put = table.commit(expected={"k": 0}, puts={"k": b"v"})
+        self.assertEqual(await self.run_to_end(put), Committed({"k": 1}))
+        row = await self.run_to_end(table.get("k"))
+        self.assertEqual(row.value, b"v")
+        self.assertEqual(await self.run_to_end(table.scan("k")), (row,))
+        objects = GuardedObjects(MemoryObjects(), self.make_guard())
+        self.assertEqual(await self.run_to_end(objects.put("o", b"")), Stored("o"))
+        self.assertEqual(await self.run_to_end(objects.get("x")), Missing("x"))
+        weights = GuardedWeights(MemoryWeights({"m": ("v1",)}), self.make_guard())
+        self.assertEqual(await self.run_to_end(weights.versions()), {"m": ("v1",)})
+        vms = GuardedVms(MemoryVms(), self.make_guard())
+        self.assertIsInstance(await self.run_to_end(vms.list()), VmList)
+
+    async def test_silent_service_ends_each_call_in_time_and_truthfully(self):
+        """Symptom: requests hang while the table is silent, or are told "not run"
+        though their record was written. Sequence: the table takes the call and
+        its answer never comes. Cause: no deadline, or the wrong word for it."""
+        inner = SilentTable()
+        table = GuardedTable(inner, self.make_guard())
+        read = await self.run_to_end(table.get("k"))
+        self.assertIsInstance(read, Unavailable)
+        self.assertEqual(self.clock.now_ms(), 2_500)
+        write = await self.run_to_end(table.commit(expected={}, puts={"k": b"v"}))
+        self.assertIsInstance(write, Uncertain)
+        self.assertEqual(inner.row_by_key["k"].value, b"v")
+
+    async def test_service_that_is_away_is_hardly_asked(self):
+        inner = MemoryTable()
+        inner.away = True
+        asked = []
+        get = inner.get
+
+        async def counted(key):
+            asked.append(self.clock.now_ms())
+            return await get(key)
+
+        inner.get = counted
+        table = GuardedTable(inner, self.make_guard())
+        with self.assertLogs("fireflyward.platform"):
+            for _ in range(1_500):
+                result = await table.get("k")
+                self.assertIsInstance(result, Unavailable)
+                await self.clock.advance_ms(40)
+        self.assertLess(len(asked), 20)
+        inner.away = False
+        await self.clock.advance_ms(10_000)
+        with self.assertLogs("fireflyward.platform") as logs:
+            self.assertEqual(await self.run_to_end(table.get("k")), Missing("k"))
+        self.assertIn("table is back", logs.output[0])
+
+    async def test_refused_by_the_breaker_means_nothing_was_written(self):
+        inner = MemoryTable()
+        inner.away = True
+        table = GuardedTable(inner, self.make_guard())
+        with self.assertLogs("fireflyward.platform"):
+            for _ in range(3):
+                await table.get("k")
+        inner.away = False
+        result = await table.commit(expected={}, puts={"k": b"v"})
+        self.assertIsInstance(result, Unavailable)
+        self.assertEqual(inner.row_by_key, {})
+
+    async def test_calls_over_the_share_wait_and_then_are_refused(self):
+        table = GuardedTable(MemoryTable(), self.make_guard(per_second=2))
+        tasks = [asyncio.create_task(table.get("k")) for _ in range(9)]
+        await self.clock.advance_ms(2_000)
+        results = await asyncio.gather(*tasks)
+        refused = [item for item in results if isinstance(item, Unavailable)]
+        self.assertEqual(len(refused), 3)
+        labels = {"service": "table", "result": "refused"}
+        self.assertEqual(self.metrics.total("platform_calls_total", **labels), 3)
