--- /dev/null
+++ b/fireflyward/bench/measures/membership.py
@@ -0,0 +1,163 @@
+"""What membership costs a node, and how fast and how truthfully it tells."""
+
+import statistics
+from collections.abc import Callable
+
+from fireflyward.bench import Bench, Figure
+from fireflyward.bench._membership_net import MembershipNet
+from fireflyward.membership import (
+    AlarmKind,
+    BundleTaken,
+    LeaveBegun,
+    Membership,
+    MemberState,
+    Packet,
+)
+from fireflyward.peers import PeerCodec
+
+from .membership_cpu import encode
+
+_SIZES = {9: (3, 3), 35: (1, 35), 100: (4, 25), 350: (10, 35)}
+_UDP_HEADER_BYTES = 28
+_QUIET_MS = 5_000
+_LIMIT_MS = 60_000
+_LOSS = 0.2
+_LOSS_MS = 60_000
+_PAUSE_MS = 3_000
+_KEY = b"k" * 16
+
+
+def _measure() -> list[Figure]:
+    figures: list[Figure] = []
+    for nodes, (domains, per_domain) in _SIZES.items():
+        figures += _cost(nodes, domains, per_domain)
+    figures += _false_suspicions()
+    figures += _rejoin()
+    return figures
+
+
+def _cost(nodes: int, domains: int, per_domain: int) -> list[Figure]:
+    net = MembershipNet(seed=nodes)
+    net.start_many(domains, per_domain)
+    net.run_ms(2_000)
+    net.sent.clear()
+    net.run_ms(_QUIET_MS)
+    per_second = 1_000 / _QUIET_MS / nodes
+    quiet = sum(_bytes(packet) for _, _, packet in net.sent) * per_second
+    packets = len(net.sent) * per_second
+    name = f"membership.nodes_{nodes}"
+    figures = [
+        Figure(f"{name}.bytes_per_node_s", quiet, "B/s"),
+        Figure(f"{name}.datagrams_per_node_s", packets, "1/s"),
+    ]
+    net.tell("entry-0-0", BundleTaken(7))
+    bundle_ms = _until(net, "entry-0-0", lambda member: member.bundle_number == 7)
+    net.tell("entry-0-0", LeaveBegun())
+    leaving_ms = _until(net, "entry-0-0", _is_in(MemberState.LEAVING))
+    killed_ms = net.now_ms
+    net.kill("entry-1-0")
+    known_ms = _until(net, "entry-1-0", _is_in(MemberState.DEAD))
+    first_ms = min(at for at, _, alarm in net.alarms if alarm.name == "entry-1-0")
+    figures += [
+        Figure(f"{name}.bundle_number_known_ms", bundle_ms, "ms"),
+        Figure(f"{name}.leaving_known_ms", leaving_ms, "ms"),
+        Figure(f"{name}.death_suspected_ms", first_ms - killed_ms, "ms"),
+        Figure(f"{name}.death_known_ms", known_ms, "ms"),
+    ]
+    return figures
+
+
+def _is_in(state: MemberState) -> Callable[..., bool]:
+    return lambda member: member.state is state
+
+
+def _until(net: MembershipNet, name: str, holds: Callable[..., bool]) -> float:
+    """Return how long it takes until every node's view of a member holds."""
+    nodes = list(net.node_by_name.values())
+
+    def known() -> bool:
+        return all(_holds_at(node, name, holds) for node in nodes)
+
+    took_ms = net.run_until(known, _LIMIT_MS)
+    return float("inf") if took_ms is None else took_ms
+
+
+def _holds_at(node: Membership, name: str, holds: Callable[..., bool]) -> bool:
+    member = node.members.stored(name)
+    return member is not None and holds(member)
+
+
+def _false_suspicions() -> list[Figure]:
+    """Count what loss and a pause of one process bring about among 35 nodes."""
+    lossy = MembershipNet(seed=2, loss=_LOSS)
+    lossy.start_many(1, 35)
+    lossy.run_ms(_LOSS_MS)
+    paused = MembershipNet(seed=3)
+    paused.start_many(1, 35)
+    paused.paused.add("entry-0-0")
+    paused.run_ms(_PAUSE_MS)
+    paused.resume("entry-0-0")
+    paused.run_ms(_LIMIT_MS // 4)
+    return [
+        Figure(
+            "membership.loss_20.suspicions_per_node_min",
+            _alarms(lossy, AlarmKind.NODE_SUSPECTED) / 35 / (_LOSS_MS / 60_000),
+            "1/min",
+        ),
+        Figure(
+            "membership.loss_20.false_deaths",
+            _alarms(lossy, AlarmKind.NODE_DEAD),
+            "",
+        ),
+        Figure(
+            "membership.pause_3s.false_deaths",
+            _alarms(paused, AlarmKind.NODE_DEAD),
+            "",
+        ),
+    ]
+
+
+def _rejoin() -> list[Figure]:
+    """Cut a failure domain off for a minute and count what its return costs."""
+    net = MembershipNet(seed=4)
+    net.start_many(4, 9)
+    net.is_cut = lambda one, other: one.endswith("-0") != other.endswith("-0")
+    net.run_ms(60_000)
+    alone = [
+        len(node.members.all_live())
+        for name, node in net.node_by_name.items()
+        if name.endswith("-0")
+    ]
+    net.sent.clear()
+    net.run_ms(_QUIET_MS)
+    before = len(net.sent)
+    net.sent.clear()
+    net.is_cut = lambda one, other: False
+    nodes = list(net.node_by_name.values())
+    took_ms = net.run_until(
+        lambda: all(len(node.members.all_live()) == 36 for node in nodes), _LIMIT_MS
+    )
+    net.run_ms(_QUIET_MS - (took_ms or 0))
+    return [
+        Figure("membership.cut_off.live_inside", statistics.mean(alone), ""),
+        Figure(
+            "membership.cut_off.false_deaths", _alarms(net, AlarmKind.NODE_DEAD), ""
+        ),
+        Figure(
+            "membership.rejoin.whole_ms",
+            float("inf") if took_ms is None else took_ms,
+            "ms",
+        ),
+        Figure("membership.rejoin.datagrams_to_before", len(net.sent) / before, "×"),
+    ]
+
+
+def _alarms(net: MembershipNet, kind: AlarmKind) -> float:
+    return sum(alarm.kind is kind for _, _, alarm in net.alarms)
+
+
+def _bytes(packet: Packet) -> int:
+    return len(encode(PeerCodec((_KEY,)), packet)) + _UDP_HEADER_BYTES
+
+
+BENCH = Bench("membership", _measure, is_count=True)
