--- a/fireflyward/__main__.py
+++ b/fireflyward/__main__.py
@@ -7,7 +7,16 @@
 
 from fireflyward import __version__
 
-_COMMANDS = ("serve", "settings", "demo", "bench", "standins", "load")
+_COMMANDS = (
+    "serve",
+    "settings",
+    "demo",
+    "bench",
+    "standins",
+    "load",
+    "bundle",
+    "key",
+)
 _DESCRIPTION = (
     "Serves prompts whose callers come back after long gaps. "
     "Operators drive it only through signed bundles."
