Follow bundles by members and news, and refuse a forged head once

Cause: a head that does not verify was fetched again every two seconds by every node; status began when somebody asked; the duty was one long file. Result: 12 tests of the duty with several nodes in memory and a faked clock. Conclusion: a cut-off or newly started node gets what can be had, never less.

--- a/fireflyward/admin/_desk.py
+++ b/fireflyward/admin/_desk.py
@@ -187,9 +187,9 @@
         """Tell which number is in force and how every known node stands to it."""
         current = await self._store.head()
         state = self._node.state()
-        is_confirmed = isinstance(current, tuple)
-        head = current[0] if is_confirmed else _head_of(state)
-        if is_confirmed and head.number > self.number():
+        is_confirmed = not isinstance(current, Unavailable)
+        head = current[0] if isinstance(current, tuple) else _head_of(state)
+        if head.number > self.number():
             await self._node.catch_up(head.number)
         nodes = await self._node.node_statuses()
         return StatusReply(
--- a/fireflyward/bundles/_follow.py
+++ b/fireflyward/bundles/_follow.py
@@ -66,6 +66,8 @@
         "_number_by_peer",
         "_poll_ms",
         "_random",
+        "_refused_digest",
+        "_refused_number",
         "_remind_ms",
         "_retry_at_ms",
         "_retry_ms",
@@ -81,6 +83,8 @@
         self._poll_ms = poll_ms
         self._random = random.Random(seed)
         self._number_by_peer: dict[str, int] = {}
+        self._refused_number = 0
+        self._refused_digest = ""
         self._due_ms = 0
         self._remind_ms = 0
         self._last_read_ms: int | None = None
@@ -95,7 +99,10 @@
     @property
     def wanted(self) -> int:
         """Return the highest number that anyone has told of."""
-        return max(self.number, self.head_number, *self._number_by_peer.values(), 0)
+        numbers = (self.number, *self._number_by_peer.values())
+        if self.head_number > self._refused_number:
+            numbers = (self.head_number, *numbers)
+        return max(numbers)
 
     def poll_period_ms(self, nodes: int) -> float:
         """Return the time between two polls of one node among ``nodes``.
@@ -122,13 +129,24 @@
                 actions.append(Tell(self._random.choice(peers), self.number))
         return actions + self._fetch(now_ms)
 
-    def on_head(self, now_ms: int, number: int) -> list[Action]:
+    def on_head(self, now_ms: int, number: int, digest: str = "") -> list[Action]:
         """Take note of the head; a lagging replica's older one changes nothing."""
         if number >= self.number:
             self.confirmed_at_ms = now_ms
+        if digest != self._refused_digest:
+            self._refused_number = 0
         self.head_number = max(self.head_number, number)
         return self._fetch(now_ms)
 
+    def on_head_refused(self, number: int, digest: str) -> None:
+        """What the head names does not verify: do not ask for it again.
+
+        Symptom without this: every node fetches and refuses the same bytes every
+        two seconds. A head with another digest is tried.
+        """
+        self._refused_number = number
+        self._refused_digest = digest
+
     def on_news(self, now_ms: int, peer: str, number: int) -> list[Action]:
         """Take note of what a peer serves by; tell it if it is behind."""
         if number < self.number:
--- a/fireflyward/bundles/_plan.py
+++ b/fireflyward/bundles/_plan.py
@@ -100,7 +100,7 @@
         before = old.models.get(name)
         users = sum(name in account.models for _, account in new.accounts.items())
         if before is None:
-            yield f"Model {name} is new at {model.version}, for {users} accounts."
+            yield f"Model {name} is new at {model.version}, for {_of(users)}."
         elif before.version != model.version:
             replicas = sum(
                 name in upstream.models and upstream_name in load_by_replica
@@ -108,8 +108,8 @@
             )
             yield (
                 f"Model {name} goes from {before.version} to {model.version} for new "
-                f"requests of {users} accounts; {replicas} replicas reload. Kept work "
-                f"of {before.version} is not used for them."
+                f"requests of {_of(users)}; {_of(replicas, 'replica')} to reload. "
+                f"Kept work of {before.version} is not used for them."
             )
     for name in old.models.keys() - new.models.keys():
         yield f"Model {name} is no longer served."
@@ -144,9 +144,9 @@
 
 def _load_sentence(loads: int, load_by_replica: Counter[str], seconds: float) -> str:
     return (
-        f"{len(load_by_replica)} replicas load {loads} times; at {LOADS_AT_ONCE} loads "
-        f"at a time and {LOAD_SECONDS} s each that takes {seconds} s or more, besides "
-        f"the draining. More at once would make each load slower."
+        f"{_of(loads, 'load')} on {_of(len(load_by_replica), 'replica')}; at "
+        f"{LOADS_AT_ONCE} at a time and {LOAD_SECONDS} s each that takes {seconds} s "
+        f"or more, besides the draining. More at once would make each load slower."
     )
 
 
@@ -216,7 +216,11 @@
 
 
 def _count(names: list[str], noun: str) -> str:
-    return f"1 {noun}" if len(names) == 1 else f"{len(names)} {noun}s"
+    return _of(len(names), noun)
+
+
+def _of(count: int, noun: str = "account") -> str:
+    return f"1 {noun}" if count == 1 else f"{count} {noun}s"
 
 
 def _named(names: list[str]) -> str:
--- a/fireflyward/bundles/_watch.py
+++ b/fireflyward/bundles/_watch.py
@@ -60,7 +60,7 @@
         for node in seen:
             before = self._status_by_name.get(node.name)
             condition = _condition(number, node)
-            is_same = before is not None and before.condition is condition
+            is_same = before is not None and _goes_on(before, condition, node.number)
             self._status_by_name[node.name] = NodeStatus(
                 node.name,
                 node.failure_domain or (before.failure_domain if before else ""),
@@ -90,6 +90,13 @@
     return all(status.condition not in waited_for for status in statuses)
 
 
+def _goes_on(before: NodeStatus, condition: Condition, number: int) -> bool:
+    """Tell whether what was seen before lasts: each number in force is new."""
+    if before.condition is not condition:
+        return False
+    return condition is not Condition.IN_FORCE or before.number == number
+
+
 def _condition(number: int, node: Seen) -> Condition:
     if not node.is_reached:
         return Condition.UNREACHABLE
--- a/fireflyward/commands/_bundle_show.py
+++ b/fireflyward/commands/_bundle_show.py
@@ -136,6 +136,9 @@
 
 @show.register
 def _(value: StatusReply) -> Iterator[str]:
+    if not value.number:
+        yield "no bundle is in force yet"
+        return
     yield (
         f"bundle {value.number}, by {value.author or '-'} and {value.approver or '-'}, "
         f"accepted {_time(value.accepted_wall_ms)}"
--- a/fireflyward/commands/_standins.py
+++ b/fireflyward/commands/_standins.py
@@ -20,6 +20,9 @@
     parser.add_argument(
         "--port", type=int, default=8490, help="first port; 0 draws free ones"
     )
+    parser.add_argument(
+        "--no-bundle", action="store_true", help="accept no first bundle; yours will be"
+    )
     parser.set_defaults(run=run)
 
 
@@ -27,11 +30,11 @@
     """Serve stand-ins until a signal."""
     import asyncio
 
-    asyncio.run(_serve(options.engines, options.port))
+    asyncio.run(_serve(options))
     return EXIT_OK
 
 
-async def _serve(engines: int, port: int) -> None:
+async def _serve(options: argparse.Namespace) -> None:
     import asyncio
     import signal
 
@@ -42,7 +45,10 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_asked.set)
     deployment = DemoDeployment(
-        nodes_per_domain=0, engines_per_domain=engines, first_port=port
+        nodes_per_domain=0,
+        engines_per_domain=options.engines,
+        first_port=options.port,
+        accepts_bundle=not options.no_bundle,
     )
     async with deployment:
         print("stand-ins run; start a node against them with:\n", flush=True)
--- a/fireflyward/daemon/_bundle_duty.py
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from typing import Any
 
@@ -22,10 +22,9 @@
     NodeStatus,
     ReadHead,
     Seen,
+    SignedBundle,
     Tell,
     Whole,
-    collect_whole,
-    decode_changes,
     root_people,
 )
 from fireflyward.bundles.messages import (
@@ -34,28 +33,27 @@
     STATE_KIND,
     WHOLE_KIND,
     BundleNews,
-    ChangesReply,
     ChangesRequest,
     StateReply,
     StateRequest,
-    WholeReply,
     WholeRequest,
 )
 from fireflyward.clock import Clock
 from fireflyward.membership import Members
-from fireflyward.peers import Address, PeerLink
+from fireflyward.peers import PeerLink
 from fireflyward.platform import Missing, Objects, Table, Unavailable
 from fireflyward.settings import Settings
 
+from ._bundle_peers import BundlePeers, seen_state
+
 log = logging.getLogger("fireflyward.bundles")
 
 _TICK_MS = 100
+_LOOK_MS = 1_000
 _CATCH_UP_MS = 500
 _CATCH_UP_STEP_MS = 20
 _START_LIMIT_S = 5.0
 _UNCONFIRMED = -1
-_CALLS_AT_ONCE = 64
-PeerAddresses = Callable[[], Mapping[str, Address]]
 
 
 def make_bundle_duty(
@@ -75,14 +73,6 @@
         roots=root_people(dict(settings["trust_roots"])),
         deployment=settings["deployment"],
     )
-
-    def peers() -> dict[str, Address]:
-        asked_first = {
-            f"{host}:{port}": (host, port) for host, port in settings["peers"]
-        }
-        live = {member.name: member.address for member in members.all_live()}
-        return live if len(live) > 1 else {**asked_first, **live}
-
     return BundleDuty(
         link=link,
         clock=clock,
@@ -90,7 +80,7 @@
         store=store,
         loader=loader,
         failure_domain=settings["failure_domain"],
-        peers=peers,
+        peers=BundlePeers(link, members, settings["peers"]),
         apply=apply,
     )
 
@@ -98,9 +88,8 @@
 class BundleDuty:
     """Owns the follower, the shelf and the calls that they lead to.
 
-    ``peers`` gives the addresses of the other live nodes by name, and ``apply``
-    is called with each newer bundle. ``refused`` holds why the last one that
-    came was not taken.
+    ``apply`` is called with each newer bundle. ``refused`` holds why the last one
+    that came was not taken.
     """
 
     def __init__(
@@ -112,7 +101,7 @@
         store: BundleStore,
         loader: BundleLoader,
         failure_domain: str,
-        peers: PeerAddresses,
+        peers: BundlePeers,
         apply: Callable[[Bundle], None],
     ) -> None:
         self.shelf = BundleShelf()
@@ -126,9 +115,7 @@
         self._failure_domain = failure_domain
         self._peers = peers
         self._apply = apply
-        self._heard_by_name: dict[str, Address] = {}
         self._head: Head | None = None
-        self._refused_digest = ""
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
         link.register(NEWS_KIND, BundleNews, self._on_news)
@@ -171,29 +158,18 @@
             await self._clock.sleep_ms(_CATCH_UP_STEP_MS)
         return self._follower.number >= number
 
-    def on_member_number(self, name: str, number: int) -> None:
-        """Take note of the number that a member's heartbeat carried."""
-        if number != self._follower.number:
-            self._do(self._follower.on_news(self._clock.now_ms(), name, number))
-
     def state(self) -> BundleState | None:
         """Return the bundle in force at this node."""
         return self.shelf.state
 
     async def node_statuses(self) -> tuple[NodeStatus, ...]:
         """Ask every known node which number it serves by."""
-        addresses = self._addresses()
         known = {status.name for status in self.watch.statuses()}
-        seen = [_seen(self.own_state())]
-        replies = await self._ask_states(addresses)
-        for name, reply in replies.items():
-            if isinstance(reply, StateReply):
-                seen.append(_seen(reply))
-            elif name in known:
-                seen.append(Seen(name, "", 0, is_reached=False))
-        answered = {node.name for node in seen}
-        for name in known - answered:
-            seen.append(Seen(name, "", 0, is_reached=False))
+        replies = (await self._peers.states()).values()
+        seen = [seen_state(self.own_state())]
+        seen += [seen_state(reply) for reply in replies if _is_state(reply)]
+        silent = known - {node.name for node in seen}
+        seen += [Seen(name, "", 0, is_reached=False) for name in sorted(silent)]
         number = max(self._follower.wanted, *(node.number for node in seen))
         self.watch.observe(self._clock.wall_ms(), number, seen)
         return self.watch.statuses()
@@ -213,27 +189,43 @@
             refused=str(self.refused or ""),
         )
 
-    def take(self, state: BundleState, changes: tuple[Any, ...] = ()) -> None:
+    def take(self, state: BundleState, changes: tuple[SignedBundle, ...] = ()) -> None:
         """Serve by a verified state from now on, unless it is not newer."""
         if self.shelf.state is not None and state.number <= self.shelf.state.number:
             return
         self.shelf.put(state, changes)
         self.refused = None
         self._apply(state.bundle)
-        names = list(self._addresses())
+        names = list(self._peers.addresses())
         now_ms = self._clock.now_ms()
         self._do(self._follower.on_taken(now_ms, state.number, names))
 
     async def _tick_always(self) -> None:
+        look_at_ms = 0
         while True:
             now_ms = self._clock.now_ms()
-            self._do(self._follower.on_tick(now_ms, list(self._addresses())))
+            self._do(self._follower.on_tick(now_ms, list(self._peers.addresses())))
+            if now_ms >= look_at_ms:
+                look_at_ms = now_ms + _LOOK_MS
+                self._look_at_members(now_ms)
             await self._clock.sleep_ms(_TICK_MS)
 
-    def _addresses(self) -> dict[str, Address]:
-        addresses = {**self._heard_by_name, **self._peers()}
-        addresses.pop(self._link.node_name, None)
-        return addresses
+    def _look_at_members(self, now_ms: int) -> None:
+        """Take the numbers that heartbeats carry, and note who stays behind."""
+        members = self._peers.seen()
+        for member in members:
+            if member.number > self._follower.number:
+                self._do(self._follower.on_news(now_ms, member.name, member.number))
+        own = seen_state(self.own_state())
+        self.watch.observe(
+            self._clock.wall_ms(), self._follower.wanted, [own, *members]
+        )
+        if members:
+            kept = {own.name, *(member.name for member in members)}
+            gone = [
+                item.name for item in self.watch.statuses() if item.name not in kept
+            ]
+            self.watch.forget(gone)
 
     def _do(self, actions: list[Any]) -> None:
         for action in actions:
@@ -257,11 +249,7 @@
 
     @_act.register
     def _(self, action: Tell) -> None:
-        address = self._addresses().get(action.peer)
-        if address:
-            host, port = self._link.address
-            news = BundleNews(number=action.number, host=host, port=port)
-            self._link.send(address, NEWS_KIND, news)
+        self._peers.tell(action.peer, action.number)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
         task = asyncio.create_task(work)
@@ -275,8 +263,8 @@
         head = current[0]
         if self._head is None or head.number >= self._head.number:
             self._head = head
-        if head.digest != self._refused_digest:
-            self._do(self._follower.on_head(self._clock.now_ms(), head.number))
+        now_ms = self._clock.now_ms()
+        self._do(self._follower.on_head(now_ms, head.number, head.digest))
 
     async def _fetch_from_store(self) -> None:
         head = self._head
@@ -285,74 +273,41 @@
             self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
             return
         loaded = await self._loader.load(head, self.shelf.state)
-        if isinstance(loaded, Loaded):
-            self.take(loaded.state, loaded.changes)
-        else:
-            self._failed(loaded, head.digest)
+        if isinstance(loaded, BundleError):
+            self._follower.on_head_refused(head.number, head.digest)
+        self._take_or_fail(loaded)
 
     async def _fetch_from_peer(self, name: str) -> None:
-        address = self._addresses().get(name)
         state = self.shelf.state
-        if address is None:
-            self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
-            return
         if state is None:
-            await self._whole_from_peer(address)
-            return
-        request = ChangesRequest(after=state.number)
-        reply = await self._link.call(address, CHANGES_KIND, request, ChangesReply)
-        changes = decode_changes(reply) if isinstance(reply, ChangesReply) else ()
-        if not isinstance(changes, tuple) or not changes:
-            self._failed(changes or "the peer has no changes to give")
-            return
-        self._take_or_fail(await self._loader.follow(state, changes))
-
-    async def _whole_from_peer(self, address: Address) -> None:
-        async def ask(request: Any) -> Any:
-            return await self._link.call(address, WHOLE_KIND, request, WholeReply)
-
-        whole = await collect_whole(ask)
-        if isinstance(whole, Whole):
-            self._take_or_fail(await self._loader.begin(whole))
+            whole = await self._peers.whole(name)
+            is_whole = isinstance(whole, Whole)
+            loaded = await self._loader.begin(whole) if is_whole else whole
         else:
-            self._failed(whole)
+            changes = await self._peers.changes(name, state.number)
+            is_some = isinstance(changes, tuple)
+            loaded = await self._loader.follow(state, changes) if is_some else changes
+        self._take_or_fail(loaded)
 
-    def _take_or_fail(self, loaded: Loaded | BundleError) -> None:
+    def _take_or_fail(self, loaded: object) -> None:
         if isinstance(loaded, Loaded):
             self.take(loaded.state, loaded.changes)
-        else:
-            self._failed(loaded)
-
-    def _failed(self, why: Any, digest: str = "") -> None:
-        if isinstance(why, BundleError):
-            self.refused = why
-            self._refused_digest = digest or self._refused_digest
-            log.error("bundles: refused, %s", why)
+            return
+        if isinstance(loaded, BundleError) and loaded != self.refused:
+            self.refused = loaded
+            log.error("bundles: refused, %s", loaded)
         self._do(self._follower.on_fetch_failed(self._clock.now_ms()))
 
     async def _ask_peers(self) -> None:
         """Ask every known peer at once which number it serves by."""
-        addresses = self._addresses()
-        for name, reply in (await self._ask_states(addresses)).items():
-            if isinstance(reply, StateReply) and reply.number:
-                self._heard_by_name[reply.node_name] = addresses[name]
+        for reply in (await self._peers.states()).values():
+            if _is_state(reply) and reply.number:
                 now_ms = self._clock.now_ms()
                 self._do(self._follower.on_news(now_ms, reply.node_name, reply.number))
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
-    async def _ask_states(self, addresses: Mapping[str, Address]) -> dict[str, Any]:
-        request = StateRequest(asker=self._link.node_name)
-        at_once = asyncio.Semaphore(_CALLS_AT_ONCE)
-
-        async def ask(address: Address) -> Any:
-            async with at_once:
-                return await self._link.call(address, STATE_KIND, request, StateReply)
-
-        replies = await asyncio.gather(*map(ask, addresses.values()))
-        return dict(zip(addresses, replies, strict=True))
-
     async def _on_news(self, sender: str, news: Any) -> None:
-        self._heard_by_name[sender] = (news.host, news.port)
+        self._peers.heard(sender, (news.host, news.port))
         now_ms = self._clock.now_ms()
         self._do(self._follower.on_news(now_ms, sender, news.number))
 
@@ -366,11 +321,5 @@
         return self.own_state()
 
 
-def _seen(reply: Any) -> Seen:
-    return Seen(
-        reply.node_name,
-        reply.failure_domain,
-        reply.number,
-        is_reached=True,
-        refused=reply.refused,
-    )
+def _is_state(reply: object) -> bool:
+    return isinstance(reply, StateReply)
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -28,6 +28,7 @@
     EngineCosts,
     EngineModel,
     EngineServer,
+    MemoryWeights,
     PlatformServer,
     ServiceServer,
 )
@@ -35,6 +36,7 @@
 DOMAINS = ("sala-norte", "sala-sur")
 MODEL = "clauses"
 VERSION = "v1"
+WEIGHT_VERSIONS = ("v1", "v2", "v3")
 SERVICE = "drafting"
 KEY_BY_ACCOUNT = {"bridge-team": "key-bridge", "tower-team": "key-tower"}
 _PEER_KEY = "11" * 32
@@ -54,9 +56,11 @@
         engines_per_domain: int = 2,
         costs: EngineCosts | None = None,
         first_port: int = 0,
+        accepts_bundle: bool = True,
     ) -> None:
         ports = itertools.count(first_port) if first_port else itertools.repeat(0)
-        self.platform = PlatformServer(port=next(ports))
+        weights = MemoryWeights({MODEL: WEIGHT_VERSIONS})
+        self.platform = PlatformServer(weights=weights, port=next(ports))
         self.service = ServiceServer(port=next(ports))
         self.engine_by_name = {
             f"engine-{domain}-{index}": EngineServer(
@@ -68,6 +72,7 @@
         }
         self.node_by_name: dict[str, Node] = {}
         self._nodes_per_domain = nodes_per_domain
+        self._accepts_bundle = accepts_bundle
         self.author = SigningKey.from_seed("ana", _AUTHOR_SEED)
         self._accepted: BundleState | None = None
         self.approver = SigningKey.from_seed("bruno", _APPROVER_SEED)
@@ -77,7 +82,8 @@
         await self.service.start()
         for engine in self.engine_by_name.values():
             await engine.start()
-        await self.accept(self.make_bundle(1))
+        if self._accepts_bundle:
+            await self.accept(self.make_bundle(1))
         for domain in DOMAINS:
             for index in range(self._nodes_per_domain):
                 await self._start_node(f"entry-{domain}-{index}", domain)
--- a/tests/bundles/test_watch.py
+++ b/tests/bundles/test_watch.py
@@ -43,6 +43,12 @@
             self.watch.observe(wall_ms, 2, [seen("a", number)])
         self.assertEqual(self.watch.statuses()[0].since_wall_ms, 300)
 
+    def test_each_number_in_force_begins_anew(self):
+        self.watch.observe(100, 1, [seen("a", 1)])
+        self.watch.observe(200, 2, [seen("a", 2)])
+        self.watch.observe(300, 2, [seen("a", 2)])
+        self.assertEqual(self.watch.statuses()[0].since_wall_ms, 200)
+
     def test_unreachable_node_keeps_the_number_last_heard(self):
         self.watch.observe(100, 2, [seen("a")])
         self.watch.observe(200, 3, [seen("a", 0, is_reached=False)])
--- /dev/null
+++ b/tests/daemon/test_bundle_duty.py
@@ -0,0 +1,297 @@
+import asyncio
+import unittest
+
+from fireflyward.bundles import (
+    BundleFollower,
+    BundleLoader,
+    BundleStore,
+    Condition,
+    sign_bundle,
+)
+from fireflyward.clock import ManualClock
+from fireflyward.daemon._bundle_duty import BundleDuty
+from fireflyward.daemon._bundle_peers import BundlePeers
+from fireflyward.membership import Member, Members, MemberState
+from fireflyward.peers import CallFailed, pack, unpack
+from fireflyward.standins import MemoryObjects, MemoryTable
+from tests.bundles.makers import ANA, BRUNO, DEPLOYMENT, ROOTS, bundle, change, whole
+
+
+class Network:
+    """Delivers messages between links in memory; ``cut`` names unreached nodes."""
+
+    def __init__(self):
+        self.link_by_address = {}
+        self.cut = set()
+
+    def reach(self, sender, address):
+        link = self.link_by_address.get(address)
+        names = {sender.node_name, link.node_name if link else ""}
+        return None if link is None or names & self.cut else link
+
+
+class FakeLink:
+    """A ``PeerLink`` without sockets."""
+
+    incarnation = 1
+
+    def __init__(self, network, name, port):
+        self.node_name = name
+        self.address = ("10.0.0.1", port)
+        self.handler_by_kind = {}
+        self.network = network
+        self.sent = []
+        network.link_by_address[self.address] = self
+
+    def register(self, kind, struct_type, handle):
+        self.handler_by_kind[kind] = (struct_type, handle)
+
+    def send(self, address, kind, message):
+        self.sent.append((address, kind))
+        link = self.network.reach(self, address)
+        if link:
+            struct_type, handle = link.handler_by_kind[kind]
+            coroutine = handle(self.node_name, unpack(struct_type, pack(message)))
+            try:
+                coroutine.send(None)
+            except StopIteration:
+                pass
+        return True
+
+    async def call(self, address, kind, message, reply_type, *, limit_s=2.0):
+        link = self.network.reach(self, address)
+        if link is None:
+            return CallFailed("cut off")
+        struct_type, handle = link.handler_by_kind[kind]
+        reply = await handle(self.node_name, unpack(struct_type, pack(message)))
+        return unpack(reply_type, pack(reply))
+
+
+class CutTable(MemoryTable):
+    """One node's way to the table: it can be away for this node alone."""
+
+    def __init__(self, shared):
+        super().__init__()
+        self.row_by_key = shared.row_by_key
+
+
+class CountedObjects(MemoryObjects):
+    """Counts the reads of one node."""
+
+    def __init__(self, shared):
+        super().__init__()
+        self.body_by_name = shared.body_by_name
+        self.gets = 0
+
+    async def get(self, name):
+        self.gets += 1
+        return await super().get(name)
+
+
+class NodeBed:
+    """One node's duty with its own ways to the platform."""
+
+    def __init__(self, world, name, port, members=None):
+        self.table = CutTable(world.table)
+        self.objects = CountedObjects(world.objects)
+        self.link = FakeLink(world.network, name, port)
+        own = Member(name, self.link.address, "norte", "santiago", 1)
+        self.members = Members(own)
+        self.applied = []
+        store = BundleStore(self.table, self.objects, clock=world.clock)
+        asked_first = [("10.0.0.1", other) for other in (1, 2, 3)]
+        self.duty = BundleDuty(
+            link=self.link,
+            clock=world.clock,
+            follower=BundleFollower(poll_ms=2_000, seed=port),
+            store=store,
+            loader=BundleLoader(store, roots=ROOTS, deployment=DEPLOYMENT),
+            failure_domain="norte",
+            peers=BundlePeers(self.link, self.members, asked_first),
+            apply=lambda made: self.applied.append(made.number),
+        )
+
+    def set_platform(self, *, away):
+        self.table.away = self.objects.away = away
+
+    @property
+    def number(self):
+        state = self.duty.state()
+        return state.number if state else 0
+
+
+class DutyTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.network = Network()
+        self.table = MemoryTable()
+        self.objects = MemoryObjects()
+        self.store = BundleStore(self.table, self.objects, clock=self.clock)
+        self.state = None
+        self.nodes = []
+
+    async def asyncTearDown(self):
+        for node in self.nodes:
+            await node.duty.stop()
+
+    async def accept(self, following):
+        signed = sign_bundle(following, author=ANA, approver=BRUNO, base=self.state)
+        await self.store.accept(following, signed, base=self.state)
+        base = self.state
+        self.state = change(signed, base) if base else whole(signed)
+
+    async def start(self, count=3):
+        for _ in range(count):
+            node = self.make_node(len(self.nodes) + 1)
+            await node.duty.start()
+        return self.nodes
+
+    def make_node(self, port):
+        node = NodeBed(self, f"entry-{port}", port)
+        self.nodes.append(node)
+        return node
+
+    def numbers(self):
+        return [node.number for node in self.nodes]
+
+
+class SpreadTests(DutyTestCase):
+    async def test_accepted_bundle_is_in_force_at_every_node(self):
+        await self.accept(bundle())
+        await self.start()
+        self.assertEqual(self.numbers(), [1, 1, 1])
+        await self.accept(bundle(2, ("bridge-team",)))
+        await self.clock.advance_ms(2_300)
+        self.assertEqual(self.numbers(), [2, 2, 2])
+
+    async def test_node_without_the_platform_takes_changes_from_its_peers(self):
+        await self.accept(bundle())
+        one, other, cut = await self.start()
+        cut.set_platform(away=True)
+        await self.accept(bundle(2, ("bridge-team",)))
+        await self.clock.advance_ms(5_000)
+        self.assertEqual(cut.number, 2)
+        self.assertEqual(cut.applied, [1, 2])
+
+    async def test_node_that_starts_in_a_cut_off_domain_learns_from_its_peers(self):
+        """Symptom: a node that was replaced during an outage serves nobody.
+        Sequence: the platform is away, a VM is replaced and starts empty. Cause:
+        the bundle could only come from the platform."""
+        await self.accept(bundle())
+        await self.start(2)
+        late = self.make_node(3)
+        late.set_platform(away=True)
+        await late.duty.start()
+        self.assertEqual(late.number, 1)
+        self.assertEqual(late.duty.own_state().confirmed_ms_ago, -1)
+
+    async def test_node_that_starts_alone_and_cut_off_has_no_bundle(self):
+        late = self.make_node(1)
+        late.set_platform(away=True)
+        await late.duty.start()
+        self.assertEqual(late.number, 0)
+        late.set_platform(away=False)
+        await self.accept(bundle())
+        await self.clock.advance_ms(3_000)
+        self.assertEqual(late.number, 1)
+
+    async def test_node_cut_off_for_long_keeps_its_bundle_and_then_catches_up(self):
+        await self.accept(bundle())
+        *_, cut = await self.start()
+        cut.set_platform(away=True)
+        self.network.cut = {"entry-3"}
+        for number in range(2, 12):
+            await self.accept(bundle(number))
+        await self.clock.advance_ms(12_000)
+        self.assertEqual(self.numbers(), [11, 11, 1])
+        cut.set_platform(away=False)
+        self.network.cut = set()
+        await self.clock.advance_ms(3_000)
+        self.assertEqual(cut.number, 11)
+
+    async def test_node_far_behind_starts_from_a_snapshot(self):
+        await self.accept(bundle())
+        for number in range(2, 135):
+            await self.accept(bundle(number))
+        (node,) = await self.start(1)
+        self.assertEqual(node.number, 134)
+        head, _ = await self.store.head()
+        self.assertGreater(head.snapshot_number, 64)
+
+
+class NeverBackTests(DutyTestCase):
+    async def test_lagging_table_and_peer_do_not_set_a_node_back(self):
+        """Symptom: a withdrawn account is served again. Sequence: the table
+        answers from a replica that lags, while a peer still has the old number."""
+        await self.accept(bundle())
+        old_rows = dict(self.table.row_by_key)
+        node, lagging = await self.start(2)
+        self.network.cut = {"entry-2"}
+        lagging.set_platform(away=True)
+        await self.accept(bundle(2, ("bridge-team",)))
+        await self.clock.advance_ms(3_000)
+        node.table.row_by_key = old_rows
+        self.network.cut = set()
+        self.clock.jump_wall_ms(-86_400_000)
+        await self.clock.advance_ms(10_000)
+        self.assertEqual(node.number, 2)
+        self.assertEqual(node.applied, [1, 2])
+
+    async def test_head_that_does_not_verify_is_refused_once_and_shown(self):
+        """Symptom: a head that nobody signed is served, or fetched without end.
+        Sequence: someone with access to the table writes a head of his own."""
+        await self.accept(bundle())
+        (node,) = await self.start(1)
+        forged = sign_bundle(bundle(2), author=ANA, approver=ANA, base=self.state)
+        await self.store.accept(bundle(2), forged)
+        await self.clock.advance_ms(3_000)
+        self.assertEqual(node.number, 1)
+        self.assertIn("same person", node.duty.own_state().refused)
+        fetched = node.objects.gets
+        await self.clock.advance_ms(10_000)
+        self.assertEqual(node.objects.gets, fetched)
+
+
+class CatchUpTests(DutyTestCase):
+    async def test_number_that_a_caller_saw_is_fetched_at_once(self):
+        await self.accept(bundle())
+        (node,) = await self.start(1)
+        await self.clock.advance_ms(500)
+        await self.accept(bundle(2))
+        waiting = asyncio.create_task(node.duty.catch_up(2))
+        await self.clock.advance_ms(300)
+        self.assertTrue(await waiting)
+
+    async def test_number_that_does_not_exist_is_waited_for_shortly(self):
+        await self.accept(bundle())
+        (node,) = await self.start(1)
+        waiting = asyncio.create_task(node.duty.catch_up(99))
+        await self.clock.advance_ms(600)
+        self.assertFalse(await waiting)
+
+
+class StatusTests(DutyTestCase):
+    async def test_unreachable_node_is_shown_with_its_last_number(self):
+        await self.accept(bundle())
+        one, *_ = await self.start()
+        await one.duty.node_statuses()
+        self.network.cut = {"entry-3"}
+        statuses = {item.name: item for item in await one.duty.node_statuses()}
+        self.assertEqual(statuses["entry-2"].condition, Condition.IN_FORCE)
+        self.assertEqual(statuses["entry-3"].condition, Condition.UNREACHABLE)
+        self.assertEqual(statuses["entry-3"].number, 1)
+
+    async def test_heartbeats_tell_the_number_and_who_is_gone(self):
+        await self.accept(bundle())
+        one, other = await self.start(2)
+        beside = Member("entry-2", other.link.address, "sur", "santiago", 1)
+        one.members.put(beside)
+        one.set_platform(away=True)
+        await self.accept(bundle(2))
+        await self.clock.advance_ms(3_000)
+        self.assertEqual(one.number, 2)
+        gone = Member("entry-2", other.link.address, "sur", "", 1, MemberState.DEAD, 2)
+        one.members.put(gone)
+        await self.clock.advance_ms(1_500)
+        conditions = {item.name: item.condition for item in one.duty.watch.statuses()}
+        self.assertEqual(conditions["entry-2"], Condition.UNREACHABLE)
