--- a/fireflyward/daemon/_bundle_duty.py
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -158,6 +158,11 @@
             await self._clock.sleep_ms(_CATCH_UP_STEP_MS)
         return self._follower.number >= number
 
+    def on_member_number(self, name: str, number: int) -> None:
+        """Take note of the number that a member's heartbeat carried."""
+        if number != self._follower.number:
+            self._do(self._follower.on_news(self._clock.now_ms(), name, number))
+
     def state(self) -> BundleState | None:
         """Return the bundle in force at this node."""
         return self.shelf.state
@@ -207,15 +212,12 @@
             self._do(self._follower.on_tick(now_ms, list(self._peers.addresses())))
             if now_ms >= look_at_ms:
                 look_at_ms = now_ms + _LOOK_MS
-                self._look_at_members(now_ms)
+                self._watch_members()
             await self._clock.sleep_ms(_TICK_MS)
 
-    def _look_at_members(self, now_ms: int) -> None:
-        """Take the numbers that heartbeats carry, and note who stays behind."""
+    def _watch_members(self) -> None:
+        """Note since when each member is at its number, behind or unreachable."""
         members = self._peers.seen()
-        for member in members:
-            if member.number > self._follower.number:
-                self._do(self._follower.on_news(now_ms, member.name, member.number))
         own = seen_state(self.own_state())
         self.watch.observe(
             self._clock.wall_ms(), self._follower.wanted, [own, *members]
--- a/tests/daemon/test_serve.py
+++ b/tests/daemon/test_serve.py
@@ -34,6 +34,8 @@
             task = asyncio.create_task(_serve.serve(self.settings))
             while not self.nodes or not self.nodes[0].is_ready():
                 await asyncio.sleep(0.01)
+                if task.done():
+                    self.fail(f"it ended before it served: {task.exception()}")
         return task
 
     async def test_a_signal_stops_it_as_planned(self):
