Drive rollouts from the table and the replicas' own states

Cause: replicas have to become what a bundle says while they serve; whoever drives that can die, be paused or lose answers at any point.

Change: fireflyward.rollout compares bundle, row and replicas after every message; the row holds at most two claims with their whole orders, so a successor sends the same order under the same id. Engines get orders that say what to be; the stand-in takes them, with and without fencing. Health by version holds a rollout that answers worse.

Result: 26 tests on a faked clock: the driver dies, is paused for 30 s, loses an answer, or the table goes away, at every step, against both kinds of engine. Found on the way and mended: a table that is away was asked without a pause; a claim of an older bundle that is stuck held the next bundle too.

Conclusion: not yet wired into the node; the entry still asks for exactly the bundle's version.

--- /dev/null
+++ b/fireflyward/rollout/__init__.py
@@ -0,0 +1,75 @@
+"""Rollouts: replicas become what the bundle says, keeping capacity."""
+
+from ._budget import LoadBudget
+from ._health import Health, HealthWatch, WatchedEngine, worse
+from ._limits import RolloutLimits
+from ._messages import (
+    Began,
+    Ended,
+    HealthSeen,
+    OrderAnswered,
+    PlanSeen,
+    Reached,
+    ReadRow,
+    ReadState,
+    RowSeen,
+    SendOrder,
+    StateSeen,
+    Tick,
+    WriteAnswered,
+    WriteRow,
+)
+from ._plan import Plan, Target, plan_of
+from ._rollout import Rollout
+from ._row import (
+    ROLLOUT_KEY,
+    LoadClaim,
+    Phase,
+    RolloutRow,
+    VersionShare,
+    decode_row,
+    encode_row,
+)
+from ._serving import ServingVersions
+from ._shares import shares_of
+from ._steps import RolloutStep
+from ._task import LEASE_NAME, RolloutTask
+
+__all__ = [
+    "LEASE_NAME",
+    "ROLLOUT_KEY",
+    "Began",
+    "Ended",
+    "Health",
+    "HealthSeen",
+    "HealthWatch",
+    "LoadBudget",
+    "LoadClaim",
+    "OrderAnswered",
+    "Phase",
+    "Plan",
+    "PlanSeen",
+    "Reached",
+    "ReadRow",
+    "ReadState",
+    "Rollout",
+    "RolloutLimits",
+    "RolloutRow",
+    "RolloutStep",
+    "RolloutTask",
+    "RowSeen",
+    "SendOrder",
+    "ServingVersions",
+    "StateSeen",
+    "Target",
+    "Tick",
+    "VersionShare",
+    "WatchedEngine",
+    "WriteAnswered",
+    "WriteRow",
+    "decode_row",
+    "encode_row",
+    "plan_of",
+    "shares_of",
+    "worse",
+]
--- /dev/null
+++ b/fireflyward/rollout/_health.py
@@ -0,0 +1,125 @@
+"""How runs go by weight version, and whether a new version goes worse."""
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass, field
+
+from fireflyward.clock import Clock
+from fireflyward.upstreams import (
+    Engine,
+    EngineCall,
+    EngineEvent,
+    Finished,
+    Piece,
+    Refused,
+)
+
+# Below these counts a difference is more likely chance than the new weights.
+_LEAST_RUNS = 20
+_LEAST_FAILURES = 3
+_ERROR_MARGIN = 0.05
+_SLOWER_FACTOR = 2.0
+_SLOWER_MARGIN_MS = 50.0
+# A new version has nothing cached, so its first tokens come later whatever the
+# weights. What is compared is time per token that had to be computed; this many
+# tokens stand for what a run costs besides.
+_FIXED_TOKENS = 256
+
+
+@dataclass(slots=True)
+class Health:
+    """Counts of ended runs; ``refused`` ones did not run and are not counted."""
+
+    runs: int = 0
+    failures: int = 0
+    first_token_ms: float = 0.0
+    computed_tokens: int = 0
+
+    @property
+    def error_share(self) -> float:
+        return self.failures / self.runs if self.runs else 0.0
+
+    @property
+    def mean_first_token_ms(self) -> float:
+        return self.first_token_ms / max(1, self.runs - self.failures)
+
+    @property
+    def ms_per_token(self) -> float:
+        return self.first_token_ms / max(1, self.computed_tokens)
+
+
+def worse(new: Health, old: Health) -> str:
+    """Return in what way ``new`` is worse than ``old``; empty if it is not.
+
+    >>> worse(Health(40, 8), Health(40, 0))
+    'errors in 20.0% of runs, before 0.0%'
+    """
+    if new.runs < _LEAST_RUNS or old.runs < _LEAST_RUNS:
+        return ""
+    more_errors = new.error_share > old.error_share + _ERROR_MARGIN
+    if new.failures >= _LEAST_FAILURES and more_errors:
+        return f"errors in {new.error_share:.1%} of runs, before {old.error_share:.1%}"
+    longer_ms = new.mean_first_token_ms - old.mean_first_token_ms
+    if (
+        new.ms_per_token > old.ms_per_token * _SLOWER_FACTOR
+        and longer_ms > _SLOWER_MARGIN_MS
+    ):
+        return (
+            f"first token after {new.mean_first_token_ms:.0f} ms, "
+            f"before {old.mean_first_token_ms:.0f} ms"
+        )
+    return ""
+
+
+@dataclass(slots=True)
+class HealthWatch:
+    """Counts this node's runs by model and weight version."""
+
+    health_by_version: dict[tuple[str, str], Health] = field(default_factory=dict)
+
+    def of(self, model: str, version: str) -> Health:
+        """Return the counts of a version, which begin at zero."""
+        return self.health_by_version.setdefault((model, version), Health())
+
+    def restart(self) -> None:
+        """Forget the counts, since another rollout begins."""
+        self.health_by_version = {}
+
+
+class WatchedEngine:
+    """An engine whose runs are counted; it passes everything else on."""
+
+    __slots__ = ("_clock", "_engine", "_watch")
+
+    def __init__(self, engine: Engine, watch: HealthWatch, clock: Clock) -> None:
+        self._engine = engine
+        self._watch = watch
+        self._clock = clock
+
+    def __getattr__(self, name: str) -> object:
+        return getattr(self._engine, name)
+
+    def __repr__(self) -> str:
+        return f"WatchedEngine({self._engine!r})"
+
+    async def generate(self, call: EngineCall) -> AsyncIterator[EngineEvent]:
+        """Start a run and count how it ended, unless its reader left early."""
+        began_ms = self._clock.now_ms()
+        first_ms: int | None = None
+        event: EngineEvent | None = None
+        async for event in self._engine.generate(call):
+            if first_ms is None and isinstance(event, Piece):
+                first_ms = self._clock.now_ms() - began_ms
+            if isinstance(event, Finished):
+                self._count(call, event, first_ms or 0)
+            yield event
+        if not isinstance(event, Finished | Refused):
+            self._watch.of(call.model, call.version).runs += 1
+            self._watch.of(call.model, call.version).failures += 1
+
+    def _count(self, call: EngineCall, event: Finished, first_ms: int) -> None:
+        health = self._watch.of(call.model, call.version)
+        health.runs += 1
+        health.first_token_ms += first_ms
+        usage = event.usage
+        computed = max(0, usage.prompt_tokens - usage.cached_tokens)
+        health.computed_tokens += computed + _FIXED_TOKENS
--- /dev/null
+++ b/fireflyward/rollout/_row.py
@@ -0,0 +1,71 @@
+"""The row in which a rollout is kept: whatever a successor needs."""
+
+import msgspec
+
+ROLLOUT_KEY = "rollout/state"
+
+
+class Phase:
+    """The states of a rollout, as they stand in the row."""
+
+    IDLE = "idle"
+    RUNNING = "running"
+    HELD = "held"
+    DONE = "done"
+
+
+class LoadClaim(msgspec.Struct, frozen=True):
+    """One of the two loads that may go on: a replica and its whole order.
+
+    The claim is in the table before the order is sent and leaves it after the
+    replica confirmed or refused. Whoever drives next sends the same order under
+    the same id, so an order that was lost or is late cannot act twice.
+    """
+
+    replica: str
+    bundle_number: int
+    order_id: str
+    version_by_model: dict[str, str]
+    adapters: tuple[str, ...] = ()
+    role: str = ""
+    changes: tuple[str, ...] = ()
+
+
+class VersionShare(msgspec.Struct, frozen=True):
+    """A weight version and the share of new requests up to and including it.
+
+    ``up_to`` is a percentage over the list of a model's versions, newest first;
+    a request at point p is served by the first version whose ``up_to`` exceeds p.
+    """
+
+    version: str
+    up_to: int
+
+
+class RolloutRow(msgspec.Struct, frozen=True):
+    """The whole state of rollouts: one at a time, so they cannot interleave."""
+
+    fencing: int = 0
+    bundle_number: int = 0
+    phase: str = Phase.IDLE
+    claims: tuple[LoadClaim, ...] = ()
+    shares_by_model: dict[str, tuple[VersionShare, ...]] = {}
+    held_because: str = ""
+    next_step: str = ""
+    confirmed: int = 0
+    total: int = 0
+    unreachable: tuple[str, ...] = ()
+
+    def changed(self, **changes: object) -> "RolloutRow":
+        """Return a copy with some fields changed."""
+        return msgspec.structs.replace(self, **changes)
+
+
+def encode_row(row: RolloutRow) -> bytes:
+    """Return the row as the table keeps it."""
+    return msgspec.json.encode(row)
+
+
+def decode_row(value: bytes) -> RolloutRow:
+    """Return the row that ``encode_row`` gave."""
+    return msgspec.json.decode(value, type=RolloutRow)
--- /dev/null
+++ b/fireflyward/rollout/_steps.py
@@ -0,0 +1,27 @@
+"""The points of a rollout at which a process may be struck."""
+
+from fireflyward.steps import Step
+
+
+class RolloutStep(Step):
+    """Every step of a driver, in the order in which a rollout visits them."""
+
+    ROW_SEEN = "rollout: row seen"
+    TAKE_OVER_SENT = "rollout: take over sent"
+    TAKEN_OVER = "rollout: taken over"
+    BEGIN_SENT = "rollout: begin sent"
+    BEGUN = "rollout: begun"
+    CLAIM_SENT = "rollout: claim sent"
+    CLAIMED = "rollout: claimed"
+    DRAINED = "rollout: drained"
+    ORDER_SENT = "rollout: order sent"
+    ORDER_TAKEN = "rollout: order taken"
+    FOLLOWED = "rollout: followed by a later driver"
+    ORDER_LOST = "rollout: order lost"
+    CONFIRMED = "rollout: confirmed"
+    ADVANCE_SENT = "rollout: advance sent"
+    ADVANCED = "rollout: advanced"
+    HOLD_SENT = "rollout: hold sent"
+    HELD = "rollout: held"
+    FINISH_SENT = "rollout: finish sent"
+    FINISHED = "rollout: finished"
--- a/fireflyward/standins/__init__.py
+++ b/fireflyward/standins/__init__.py
@@ -9,8 +9,10 @@
 from ._engine_kv import EngineCache, EngineKv, EventFaults, check_block, kv_payload
 from ._engine_memory import MemoryEngine
 from ._engine_model import EngineCosts, EngineModel, answer_text, answer_token
+from ._engine_orders import EngineOrders, WeightSource
 from ._engine_server import EngineServer
 from ._fault_gate import FaultGate, ServiceFaults
+from ._memory_fleet import MemoryFleet, MemoryOrderedEngine
 from ._platform_memory import MemoryObjects, MemoryTable, MemoryVms, MemoryWeights
 from ._platform_server import PlatformServer
 from ._service_server import ServiceServer
@@ -25,11 +27,14 @@
     "EngineFaults",
     "EngineKv",
     "EngineModel",
+    "EngineOrders",
     "EngineServer",
     "EventFaults",
     "FaultGate",
     "MemoryEngine",
+    "MemoryFleet",
     "MemoryObjects",
+    "MemoryOrderedEngine",
     "MemoryStore",
     "MemoryTable",
     "MemoryVms",
@@ -41,6 +46,7 @@
     "StoreFaults",
     "StoreModel",
     "StoreServer",
+    "WeightSource",
     "answer_text",
     "answer_token",
     "check_block",
--- a/fireflyward/standins/_engine_server.py
+++ b/fireflyward/standins/_engine_server.py
@@ -15,6 +15,8 @@
 
 from ._engine_kv_server import EngineKvRoutes
 from ._engine_model import EngineModel, EngineRun
+from ._engine_order_server import EngineOrderRoutes
+from ._engine_orders import EngineOrders
 from ._fault_gate import FaultGate
 from ._http_server import HttpServer
 
@@ -26,7 +28,12 @@
     """Serves one ``EngineModel``."""
 
     def __init__(
-        self, model: EngineModel, *, clock: Clock | None = None, port: int = 0
+        self,
+        model: EngineModel,
+        *,
+        orders: EngineOrders | None = None,
+        clock: Clock | None = None,
+        port: int = 0,
     ) -> None:
         super().__init__(port=port)
         self.model = model
@@ -34,6 +41,7 @@
         self.kv = EngineKvRoutes(model, self._clock)
         self.gate = FaultGate(self._clock)
         self.faults = self.gate.faults
+        self.orders = orders or EngineOrders(model)
 
     def build_app(self) -> web.Application:
         app = web.Application(client_max_size=64 << 20)
@@ -42,6 +50,7 @@
         app.router.add_delete("/v1/runs/{run_id}", self._cancel)
         app.router.add_get("/load", self._load)
         self.kv.add_to(app)
+        EngineOrderRoutes(self.orders, self._clock).add_to(app)
         return app
 
     async def _generate(self, request: web.Request) -> web.StreamResponse:
@@ -80,7 +89,9 @@
 
     async def _load(self, request: web.Request) -> web.Response:
         await self.gate.on_read()
-        report = self.model.report(self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self.orders.state(now_ms)
+        report = self.model.report(now_ms)
         body = LoadBody(
             report.queued,
             report.running,
--- a/fireflyward/upstreams/__init__.py
+++ b/fireflyward/upstreams/__init__.py
@@ -30,6 +30,14 @@
     ServiceCall,
     ServiceReply,
 )
+from ._orders import (
+    EngineOrder,
+    OrderedEngine,
+    OrderReason,
+    OrderRefused,
+    OrderResult,
+)
+from ._orders_http import HttpOrderedEngine
 from ._protocols import Engine, KvEngine, PlainService
 from ._service_http import HttpService
 from ._tokens import BLOCK_TOKENS, count_tokens, split_blocks, split_tokens
@@ -46,12 +54,14 @@
     "Engine",
     "EngineCall",
     "EngineEvent",
+    "EngineOrder",
     "EngineState",
     "ExportOrder",
     "ExportReport",
     "Finished",
     "HttpEngine",
     "HttpKvEngine",
+    "HttpOrderedEngine",
     "HttpService",
     "ImportOrder",
     "ImportReport",
@@ -60,6 +70,10 @@
     "LoadReport",
     "Miss",
     "MissReason",
+    "OrderReason",
+    "OrderRefused",
+    "OrderResult",
+    "OrderedEngine",
     "Piece",
     "PlainService",
     "Refused",
--- a/fireflyward/upstreams/_messages.py
+++ b/fireflyward/upstreams/_messages.py
@@ -107,12 +107,22 @@
 
 @dataclass(frozen=True, slots=True)
 class EngineState:
-    """What an engine holds, as it confirms itself."""
+    """What an engine holds, as it confirms itself.
+
+    ``version_by_model`` has only what takes new runs; ``loading`` has what comes,
+    also while the runs of the version before end. ``order_id`` is the last order
+    that was taken, ``failed`` why it did not come true, ``running_by_model``
+    the runs that go on, whatever their version.
+    """
 
     version_by_model: dict[str, str]
-    loading: dict[str, str]
+    loading: dict[str, str] = field(default_factory=dict)
     adapters: tuple[str, ...] = ()
     fencing: int = 0
+    order_id: str = ""
+    failed: str = ""
+    running_by_model: dict[str, int] = field(default_factory=dict)
+    role: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/rollout/test_task.py
@@ -0,0 +1,427 @@
+import asyncio
+import unittest
+
+from fireflyward.leases import LeaseStep
+from fireflyward.rollout import Phase, RolloutStep, Target, VersionShare
+from fireflyward.upstreams import OrderReason, OrderRefused
+
+from .rollout_fixtures import MODEL, REPLICAS, Crash, World
+
+SENT = tuple(step for step in RolloutStep if step.value.endswith(" sent"))
+SPECIAL = {
+    RolloutStep.FOLLOWED,
+    RolloutStep.ORDER_LOST,
+    RolloutStep.HOLD_SENT,
+    RolloutStep.HELD,
+}
+ORDINARY = tuple(step for step in RolloutStep if step not in SPECIAL)
+BOTH_KINDS = (True, False)
+
+
+def at(step, act):
+    """Return an observer that acts once, the first time that it sees a step."""
+    seen = []
+
+    def observe(reached):
+        if reached is step and not seen:
+            seen.append(reached)
+            act()
+
+    return observe
+
+
+def crash():
+    raise Crash
+
+
+class RolloutCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        # The loop's debug mode records a stack for each of the many short tasks of
+        # these simulated minutes, which makes them ten times as long.
+        asyncio.get_running_loop().set_debug(False)
+
+    def make_world(self, **options):
+        self.world = World(**options)
+        self.addAsyncCleanup(self.world.close)
+        return self.world
+
+    async def begin(self, world, observe=lambda step: None):
+        """Serve v1 under bundle 1, then put bundle 2 with v2 in force."""
+        driver = world.add_driver("a", observe)
+        await world.run(1_000)
+        world.accept(2, "v2")
+        return driver
+
+    def assert_done(self, world, version="v2", loads=1):
+        self.assertEqual(world.row.phase, Phase.DONE, world.row)
+        self.assertEqual(world.versions, {version})
+        self.assertEqual(world.loads, dict.fromkeys(world.names, loads))
+        share = world.row.shares_by_model[MODEL]
+        self.assertEqual(share, (VersionShare(version, 100),))
+
+
+class OrdinaryTests(RolloutCase):
+    async def test_every_replica_loads_once_and_capacity_stays(self):
+        for names in (REPLICAS, REPLICAS[:5], REPLICAS[:2]):
+            with self.subTest(replicas=len(names)):
+                world = self.make_world(names=names)
+                await self.begin(world)
+                await world.finish()
+                self.assert_done(world)
+
+    async def test_share_of_the_new_version_only_grows(self):
+        world = self.make_world()
+        await self.begin(world)
+        shares = []
+        for _ in range(80):
+            await world.run(250)
+            row = world.row.shares_by_model[MODEL]
+            shares.append(row[0].up_to if row[0].version == "v2" else 0)
+        self.assertEqual(shares, sorted(shares))
+        self.assertGreater(len(set(shares)), 3)
+
+    async def test_role_and_adapters_are_ordered_too(self):
+        world = self.make_world(names=REPLICAS[:2])
+        driver = await self.begin(world)
+        target = Target({MODEL: "v1"}, (f"{MODEL}/seismic",), "prefill", True)
+        driver.plan.target_by_replica.update(dict.fromkeys(world.names, target))
+        await world.finish()
+        for orders in world.fleet.orders_by_name.values():
+            self.assertEqual(orders.role, "prefill")
+            self.assertEqual(orders.adapters, (f"{MODEL}/seismic",))
+
+    async def test_bundle_that_changes_no_replica_costs_one_write(self):
+        world = self.make_world()
+        await self.begin(world)
+        await world.finish()
+        writes = world.table.writes
+        renewals = []
+        world.drivers[0].lease._observe = renewals.append
+        world.accept(3, "v2")
+        await world.run(2_000)
+        renewed = renewals.count(LeaseStep.RENEWED)
+        self.assertEqual(world.table.writes - writes - renewed, 1)
+        self.assertEqual(world.row.bundle_number, 3)
+
+
+class CrashTests(RolloutCase):
+    async def test_successor_ends_a_rollout_whose_driver_died_at_any_step(self):
+        """Symptom: a rollout stands still, or replicas load twice. Sequence: the
+        driver dies at one named step and another node gets the lease. Cause: what
+        the successor needed was only in the dead driver's memory."""
+        for step in ORDINARY:
+            for honours_fencing in BOTH_KINDS:
+                with self.subTest(step=step, honours_fencing=honours_fencing):
+                    world = self.make_world(honours_fencing=honours_fencing)
+                    await self.begin(world, at(step, crash))
+                    world.add_driver("b")
+                    await world.finish()
+                    self.assertTrue(world.drivers[0].dead)
+                    self.assert_done(world)
+
+    async def test_driver_that_dies_while_holding_leaves_a_held_rollout(self):
+        for step in (RolloutStep.HOLD_SENT, RolloutStep.HELD):
+            with self.subTest(step=step):
+                world = self.make_world()
+                world.fleet.orders_by_name["engine-1"].fail_loads = 1
+                await self.begin(world, at(step, crash))
+                world.add_driver("b")
+                await world.finish()
+                self.assertTrue(world.drivers[0].dead)
+                self.assertEqual(world.row.phase, Phase.HELD)
+                self.assertEqual(world.loads["engine-5"], 0)
+
+
+class LostAnswerTests(RolloutCase):
+    async def test_lost_answer_at_any_step_doubles_nothing(self):
+        """Symptom: a replica loads twice, or the rollout stops. Sequence: a write
+        or an order takes effect and its answer is lost. Cause: silence was taken
+        for failure and the step done again as a new one."""
+        for step in SENT:
+            with self.subTest(step=step):
+                world = self.make_world()
+                if step is RolloutStep.HOLD_SENT:
+                    continue
+                await self.begin(world, at(step, lambda w=world: self.lose_one(w)))
+                await world.finish()
+                self.assert_done(world)
+
+    def lose_one(self, world):
+        world.table.lose_answers = 1
+        for orders in world.fleet.orders_by_name.values():
+            orders.lose_answers = 1
+
+    async def test_order_that_never_arrived_is_sent_again(self):
+        world = self.make_world()
+        engine = world.fleet.engine_by_name["engine-0"]
+        engine.hold_orders = True
+        await self.begin(world)
+        await world.run(1_500)
+        engine._held.clear()
+        engine.hold_orders = False
+        await world.finish()
+        self.assert_done(world)
+
+    async def test_order_that_arrives_late_after_its_copy_does_nothing(self):
+        world = self.make_world()
+        engine = world.fleet.engine_by_name["engine-0"]
+        engine.hold_orders = True
+        await self.begin(world)
+        await world.run(1_500)
+        engine.hold_orders = False
+        await world.finish()
+        engine.let_go()
+        await world.run(5_000)
+        self.assert_done(world)
+
+    async def test_table_away_at_any_step_delays_and_doubles_nothing(self):
+        for step in ORDINARY:
+            with self.subTest(step=step):
+                world = self.make_world()
+
+                def leave(world=world):
+                    world.table.away = True
+
+                await self.begin(world, at(step, leave))
+                await world.run(15_000)
+                world.table.away = False
+                await world.finish()
+                self.assert_done(world)
+
+
+class PausedHolderTests(RolloutCase):
+    async def test_holder_paused_at_any_step_orders_nothing_after_it_wakes(self):
+        """Symptom: a replica obeys a driver that was followed long ago. Sequence:
+        the holder is paused past its lease at a step and wakes believing. Cause:
+        it relied on a timer or a flag and not on its clock before each order."""
+        for step in ORDINARY:
+            for honours_fencing in BOTH_KINDS:
+                with self.subTest(step=step, honours_fencing=honours_fencing):
+                    await self.pause_at(step, honours_fencing)
+
+    async def pause_at(self, step, honours_fencing):
+        world = self.make_world(honours_fencing=honours_fencing)
+        wakes = []
+
+        def pause():
+            wakes.append(world.row.fencing)
+            world.clock.paused_ms += 30_000
+            for orders in world.fleet.orders_by_name.values():
+                orders.taken.clear()
+
+        await self.begin(world, at(step, pause))
+        world.add_driver("b")
+        await world.finish()
+        self.assertEqual(len(wakes), 1)
+        for orders in world.fleet.orders_by_name.values():
+            for order in orders.taken:
+                self.assertGreater(order.fencing, wakes[0])
+        self.assert_done(world)
+
+    async def leave_order_behind(self, honours_fencing):
+        """Let a driver die with an order on its way, and its successor finish v3."""
+        world = self.make_world(honours_fencing=honours_fencing)
+        engine = world.fleet.engine_by_name["engine-0"]
+        engine.hold_orders = True
+        driver = await self.begin(world)
+        await world.run(750)
+        await driver.die()
+        self.assertEqual(len({order.order_id for order in engine._held}), 1)
+        return world, engine
+
+    async def test_engine_that_honours_fencing_refuses_the_order_of_a_late_holder(
+        self,
+    ):
+        world, engine = await self.leave_order_behind(True)
+        engine.hold_orders = False
+        world.add_driver("b")
+        world.accept(3, "v3")
+        await world.finish()
+        for result in engine.let_go():
+            self.assertIsInstance(result, OrderRefused)
+            self.assertEqual(result.reason, OrderReason.OLD_FENCING)
+        self.assertEqual(world.versions, {"v3"})
+        self.assertEqual(world.loads["engine-0"], 1)
+
+    async def test_successor_waits_for_orders_to_engines_that_ignore_fencing(self):
+        """Symptom: a replica goes back to the version before. Sequence: a holder
+        lapses with an order on its way, its successor orders something newer, the
+        old order arrives. Cause: the engine ignores fencing, and the successor
+        did not wait out the longest flight of an order."""
+        world, engine = await self.leave_order_behind(False)
+        engine.hold_orders = False
+        world.add_driver("b")
+        world.accept(3, "v3")
+        while world.row.fencing < 2:
+            await world.run(250)
+        await world.run(4_000)
+        taken = [o.taken for o in world.fleet.orders_by_name.values()]
+        self.assertTrue(all(o.fencing == 1 for orders in taken for o in orders))
+        engine.let_go()
+        await world.finish()
+        self.assertEqual(world.versions, {"v3"})
+
+    async def test_order_later_than_any_flight_is_found_and_undone(self):
+        """Symptom: a replica of an engine that ignores fencing is out of service
+        for two loads. Sequence: an order of a lapsed holder arrives a minute late.
+        Cause: what waiting cannot prevent; the sweep of states heals it, and no
+        request gets the old version since the replica does not say the new one."""
+        world, engine = await self.leave_order_behind(False)
+        engine.hold_orders = False
+        world.add_driver("b")
+        world.accept(3, "v3")
+        await world.finish()
+        engine.let_go()
+        await world.run(500)
+        self.assertEqual(world.fleet.serving(world.clock.now_ms(), MODEL, "v3"), 5)
+        await world.run(20_000)
+        self.assertEqual(world.versions, {"v3"})
+        self.assertEqual(world.row.phase, Phase.DONE)
+
+
+class RaceTests(RolloutCase):
+    async def test_three_nodes_racing_make_one_rollout(self):
+        world = self.make_world()
+        for name in ("a", "b", "c"):
+            world.add_driver(name)
+        await world.run(1_000)
+        world.accept(2, "v2")
+        await world.finish()
+        self.assert_done(world)
+        self.assertEqual(world.row.fencing, 1)
+
+    async def test_planned_stop_in_the_middle_is_followed_at_once(self):
+        world = self.make_world(honours_fencing=False)
+        driver = await self.begin(world)
+        await world.run(500)
+        self.assertTrue(world.row.claims)
+        self.assertTrue(await driver.task.hand_over())
+        await driver.die()
+        other = world.add_driver("b")
+        await world.run(500)
+        self.assertFalse(other.lease.claim().after_lapse)
+        await world.finish()
+        self.assert_done(world)
+
+    async def test_planned_stop_with_an_order_on_its_way_lets_the_lease_lapse(self):
+        world = self.make_world(names=REPLICAS[:2], honours_fencing=False)
+        engine = world.fleet.engine_by_name["engine-0"]
+        engine.hold_orders = True
+        driver = await self.begin(world)
+        await world.run(750)
+        self.assertFalse(driver.task._rollout.is_quiet(world.clock.now_ms()))
+
+
+class SupersedeTests(RolloutCase):
+    async def test_later_bundle_takes_over_at_a_safe_point(self):
+        """Symptom: replicas of one model at three versions that flap. Sequence: a
+        bundle is accepted in the middle of a rollout. Cause: both rollouts went on
+        side by side."""
+        for after_ms in range(250, 12_000, 1_250):
+            with self.subTest(after_ms=after_ms):
+                world = self.make_world()
+                await self.begin(world)
+                await world.run(after_ms)
+                world.accept(3, "v3")
+                await world.finish()
+                self.assertEqual(world.row.bundle_number, 3)
+                self.assertEqual(world.row.phase, Phase.DONE)
+                self.assertEqual(world.versions, {"v3"})
+                self.assertLessEqual(max(world.loads.values()), 2)
+
+    async def test_going_back_in_the_middle_reloads_only_what_changed(self):
+        world = self.make_world()
+        await self.begin(world)
+        await world.run(2_000)
+        world.accept(3, "v1")
+        await world.finish()
+        self.assertEqual(world.versions, {"v1"})
+        self.assertEqual(sum(world.loads.values()), 4)
+
+    async def test_driver_behind_the_rollout_adds_nothing_of_its_older_bundle(self):
+        world = self.make_world()
+        driver = await self.begin(world)
+        await world.finish()
+        await driver.die()
+        behind = world.add_driver("b")
+        behind.plan = world.make_plan(1, "v1")
+        await world.finish()
+        self.assertEqual(world.versions, {"v2"})
+        self.assertEqual(world.row.bundle_number, 2)
+
+
+class HoldTests(RolloutCase):
+    async def test_failed_load_holds_the_rollout_with_a_next_step(self):
+        world = self.make_world()
+        world.fleet.orders_by_name["engine-1"].fail_loads = 1
+        await self.begin(world)
+        await world.finish()
+        row = world.row
+        self.assertEqual(row.phase, Phase.HELD)
+        self.assertIn("engine-1", row.held_because)
+        self.assertIn("bundle 3", row.next_step)
+        self.assertEqual(world.loads["engine-5"], 0)
+
+    async def test_refused_order_holds_the_rollout(self):
+        world = self.make_world()
+        world.fleet.orders_by_name["engine-0"].refuse = 1
+        await self.begin(world)
+        await world.run(20_000)
+        self.assertIn("not_now", world.row.held_because)
+
+    async def test_next_bundle_ends_the_hold(self):
+        world = self.make_world()
+        world.fleet.orders_by_name["engine-1"].fail_loads = 1
+        await self.begin(world)
+        await world.run(20_000)
+        world.accept(3, "v2")
+        await world.finish()
+        self.assertEqual(world.row.phase, Phase.DONE)
+        self.assertEqual(world.versions, {"v2"})
+        self.assertEqual(world.row.held_because, "")
+
+    async def test_version_with_more_errors_is_held_after_its_first_replicas(self):
+        world = self.make_world()
+        driver = await self.begin(world)
+        while "v2" not in world.versions:
+            await world.run(250)
+        driver.watch.of(MODEL, "v1").runs = 100
+        driver.watch.of(MODEL, "v2").runs = 40
+        driver.watch.of(MODEL, "v2").failures = 8
+        await world.run(20_000)
+        self.assertEqual(world.row.phase, Phase.HELD)
+        self.assertIn("answers worse", world.row.held_because)
+        self.assertIn("v1", world.row.next_step)
+        self.assertEqual(sum(world.loads.values()), 2)
+
+    async def test_replica_out_of_reach_in_its_load_keeps_its_place(self):
+        """Symptom: three loads at once. Sequence: a replica loses its connection
+        in the middle of a load, and the driver gives its place to another while
+        it still loads. Cause: silence was taken for the end of the load."""
+        world = self.make_world()
+        await self.begin(world)
+        await world.run(500)
+        lost = world.row.claims[0].replica
+        world.fleet.orders_by_name[lost].away = True
+        await world.run(70_000)
+        self.assertEqual(world.row.phase, Phase.HELD)
+        self.assertEqual([claim.replica for claim in world.row.claims], [lost])
+        world.accept(3, "v3")
+        await world.finish()
+        self.assertIn(lost, [claim.replica for claim in world.row.claims])
+        world.fleet.orders_by_name[lost].away = False
+        await world.run(20_000)
+        self.assertEqual(world.versions, {"v3"})
+        self.assertEqual(world.row.phase, Phase.DONE)
+
+    async def test_dead_replica_is_left_out_and_loaded_when_it_returns(self):
+        world = self.make_world()
+        world.fleet.orders_by_name["engine-3"].away = True
+        await self.begin(world)
+        world.least_serving = len(REPLICAS)
+        await world.finish()
+        self.assertEqual(world.row.unreachable, ("engine-3",))
+        self.assertEqual(world.row.confirmed, 5)
+        world.fleet.orders_by_name["engine-3"].away = False
+        await world.run(10_000)
+        self.assertEqual(world.versions, {"v2"})
