Serve the version that replicas confirm while a rollout goes on

Cause: the entry asked for exactly the bundle's version, so a bundle with a new version refused every request until replicas had loaded it. The new test on loopback failed so: 503, no_upstream, "no replica can take it now".

Change: ServingVersions chooses from the shares that the driver publishes in the table and from what replicas confirm; a request's point in the shares comes from its account and prompt, so nodes agree and a share that grows moves requests one way. Every node contends for the driver's lease, counts its runs by version, and takes a claimed replica out of its routing. A planned stop hands the lease on.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -24,6 +24,7 @@
 from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
 from ._planned_stop import HandOn, PlannedStop
+from ._rollout_duty import RolloutDuty
 
 log = logging.getLogger("fireflyward.daemon")
 
@@ -63,7 +64,16 @@
             settings, clock=self.clock, members=self.members, metrics=self.metrics
         )
         self.in_flight = InFlight()
-        self.hand_on: list[HandOn] = []
+        self.rollout = RolloutDuty(
+            settings,
+            clock=self.clock,
+            members=self.members,
+            holder=self.holder,
+            router=self.router,
+            outside=self.outside,
+            observe=observe,
+        )
+        self.hand_on: list[HandOn] = [self.rollout.hand_on]
         self._planned_stop: PlannedStop | None = None
         self._stopping = False
         self._tasks: list[asyncio.Task[None]] = []
@@ -109,6 +119,7 @@
         self.observe(StartStep.LINK_OPEN)
         await self.bundles.start()
         await self.admin.start()
+        await self.rollout.start(table)
         self._every(_LOAD_POLL_MS, self._poll_loads)
         self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
         self.observe(StartStep.DUTIES_BEGUN)
@@ -153,6 +164,7 @@
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.rollout.stop()
         if self.admin:
             await self.admin.stop()
         if self.bundles:
@@ -214,6 +226,7 @@
             run_ids=RunIds(self.settings["kept_key"]),
             limits=SilenceLimits(silence_ms=self.settings["silence_limit_ms"]),
             in_flight=self.in_flight,
+            versions=self.rollout.versions,
         )
 
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
@@ -241,7 +254,8 @@
         candidates = []
         for name, upstream in bundle.upstreams.items():
             if upstream.kind == ENGINE:
-                self.engine_by_name[name] = self.outside.make_engine(name, upstream)
+                engine = self.outside.make_engine(name, upstream)
+                self.engine_by_name[name] = self.rollout.watched(engine)
                 candidates.append(
                     Candidate(name, upstream.failure_domain, upstream.models)
                 )
@@ -255,4 +269,5 @@
     async def _poll_load(self, name: str) -> None:
         report = await self.engine_by_name[name].load()
         if not isinstance(report, Broken):
-            self.router.on_report(self.clock.now_ms(), name, report)
+            routed = self.rollout.as_routed(name, report)
+            self.router.on_report(self.clock.now_ms(), name, routed)
--- a/fireflyward/daemon/_outside.py
+++ b/fireflyward/daemon/_outside.py
@@ -16,7 +16,14 @@
     Weights,
 )
 from fireflyward.settings import Settings
-from fireflyward.upstreams import Engine, HttpEngine, HttpService, PlainService
+from fireflyward.upstreams import (
+    Engine,
+    HttpEngine,
+    HttpOrderedEngine,
+    HttpService,
+    OrderedEngine,
+    PlainService,
+)
 
 from ._tls import CallerTls
 
@@ -99,6 +106,10 @@
             self._sessions.pooled, upstream.url, fresh=self._sessions.fresh
         )
 
+    def make_ordered_engine(self, name: str, upstream: Upstream) -> OrderedEngine:
+        """Return the client through which a driver orders the replica ``name``."""
+        return HttpOrderedEngine(self._sessions.pooled, upstream.url)
+
     def make_service(self, name: str, upstream: Upstream) -> PlainService:
         """Return the client of the plain service's replica ``name``."""
         return HttpService(
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -160,6 +160,7 @@
         """Return the settings of one node of this process."""
         ports = {"port": "0", "peer_port": "0"}
         periods = {"bundle_poll_ms": "200", "balancer_wait_ms": "100"}
+        periods["rollout_watch_ms"] = "100"
         flags = self.flag_values(name, domain) | ports | periods
         settings = load(SERVE_SETTINGS, flags, {})
         assert isinstance(settings, Settings), settings
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -17,6 +17,7 @@
 from fireflyward.limits import AdmissionGate
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.outcomes import NotRun, Reason, Unknown
+from fireflyward.rollout import ServingVersions
 from fireflyward.routing import Router
 from fireflyward.runs import Prepare, RetryBudget, RunIds, RunRecords
 from fireflyward.steps import StepObserver, ignore_step
@@ -60,6 +61,7 @@
     limits: SilenceLimits = SilenceLimits()
     budget: RetryBudget = field(default_factory=RetryBudget)
     in_flight: InFlight = field(default_factory=InFlight)
+    versions: ServingVersions | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/entry/_asked.py
+++ b/fireflyward/entry/_asked.py
@@ -45,6 +45,11 @@
     version = parts.holder.bundle.version_for(
         identity.account, identity.caller_name, prompt.model
     )
+    if parts.versions:
+        default = parts.holder.bundle.models[prompt.model].version
+        version = parts.versions.of_request(
+            prompt.model, version, default, identity.account_name, prompt.text
+        )
     fingerprint = hashlib.sha256(body).hexdigest()
     key = identity.idempotency_key
     text = request.headers.get(_MARK_HEADER, "")
--- a/fireflyward/rollout/_health.py
+++ b/fireflyward/rollout/_health.py
@@ -1,6 +1,7 @@
 """How runs go by weight version, and whether a new version goes worse."""
 
 from collections.abc import AsyncIterator
+from contextlib import aclosing
 from dataclasses import dataclass, field
 
 from fireflyward.clock import Clock
@@ -106,12 +107,13 @@
         began_ms = self._clock.now_ms()
         first_ms: int | None = None
         event: EngineEvent | None = None
-        async for event in self._engine.generate(call):
-            if first_ms is None and isinstance(event, Piece):
-                first_ms = self._clock.now_ms() - began_ms
-            if isinstance(event, Finished):
-                self._count(call, event, first_ms or 0)
-            yield event
+        async with aclosing(self._engine.generate(call)) as events:
+            async for event in events:
+                if first_ms is None and isinstance(event, Piece):
+                    first_ms = self._clock.now_ms() - began_ms
+                if isinstance(event, Finished):
+                    self._count(call, event, first_ms or 0)
+                yield event
         if not isinstance(event, Finished | Refused):
             self._watch.of(call.model, call.version).runs += 1
             self._watch.of(call.model, call.version).failures += 1
--- a/fireflyward/rollout/_serving.py
+++ b/fireflyward/rollout/_serving.py
@@ -23,12 +23,12 @@
     what replicas confirm where that is no longer served by any.
 
     >>> versions = ServingVersions(lambda model: frozenset({"v1"}))
-    >>> versions.of_request("clauses", "v2", "bridge-team", "beam 7?")
+    >>> versions.of_request("clauses", "v2", "v2", "bridge-team", "beam 7?")
     'v2'
     >>> row = RolloutRow(shares_by_model={"clauses": (VersionShare("v1", 100),)})
     >>> versions.offer(1, row)
     True
-    >>> versions.of_request("clauses", "v2", "bridge-team", "beam 7?")
+    >>> versions.of_request("clauses", "v2", "v2", "bridge-team", "beam 7?")
     'v1'
     """
 
@@ -55,12 +55,20 @@
         self._row_version = row_version
         return True
 
-    def of_request(self, model: str, wanted: str, account: str, prompt: str) -> str:
-        """Return the version for a new request, whose bundle says ``wanted``."""
+    def of_request(
+        self, model: str, wanted: str, default: str, account: str, prompt: str
+    ) -> str:
+        """Return the version for a new request.
+
+        ``wanted`` is what the bundle gives this caller, ``default`` what it gives
+        the model; where they differ, the caller's own goes before the shares.
+        """
         shares = self._row.shares_by_model.get(model, ())
         confirmed = self._confirmed(model)
         point = _point(account, prompt) if len(shares) > 1 else 0
-        for version in (*_in_turn(shares, point), *self._known(model, wanted)):
+        known = self._known(model, default)
+        own = (wanted,) if wanted != default else ()
+        for version in (*own, *_in_turn(shares, point), *known):
             if version in confirmed:
                 return version
         return wanted
--- a/fireflyward/settings/_settings.py
+++ b/fireflyward/settings/_settings.py
@@ -371,6 +371,20 @@
         "person=public key in hexadecimal, comma separated",
         "People whose signatures count for the first bundle.",
     ),
+    Setting(
+        "weight_loads_per_minute",
+        "120",
+        _number(1, 100_000),
+        "1 to 100000",
+        "Loads that the weight store allows a minute, over all replicas.",
+    ),
+    Setting(
+        "rollout_watch_ms",
+        "3000",
+        _number(0, 3_600_000),
+        "0 to 3600000",
+        "Time for which a new weight version is watched on its first replicas.",
+    ),
     Setting(
         "bundle_poll_ms",
         "2000",
