Keep an index of kept prompts on nodes that keep nothing

Cause: nodes have no disks and are replaced at any time, yet must know which store has a returning prompt. Change: an in-memory index, an entry for every eighth block, sharded by the prompt's first block within a failure domain and read from the stores' own listings and the engines' cache events, which may be late, doubled or have gaps. Texts that a caller names lie in the object store, sealed for their account; the caller carries a sealed reference, so no node and no row remembers it. Looking at another node's shard is not built.

--- a/fireflyward/kept/__init__.py
+++ b/fireflyward/kept/__init__.py
@@ -4,7 +4,11 @@
 
 from ._export import Exported, Exporter, ExportPlan, ExportStep, NotExported
 from ._import import ImportAsk, Imported, Importer, ImportLimit, ImportStep
+from ._index import INDEX_STRIDE, HeldRun, PrefixIndex
 from ._keys import BlockNames
+from ._owners import ALL_SHARDS, holders_of, shards_held_by
+from ._prefix_texts import PrefixScope, PrefixText, PrefixTexts, UnknownPrefix
+from ._readers import EngineReader, StoreReader
 from ._room import choose_victims
 from ._store_http import HttpStore
 from ._stores import (
@@ -27,11 +31,14 @@
 from ._sweep import FreeStep, HeldLease, NotSwept, Sweeper, Swept
 
 __all__ = [
+    "ALL_SHARDS",
+    "INDEX_STRIDE",
     "SHARDS",
     "BlockNames",
     "BlockRef",
     "Cold",
     "Done",
+    "EngineReader",
     "ExportPlan",
     "ExportStep",
     "Exported",
@@ -39,6 +46,7 @@
     "Fenced",
     "FreeStep",
     "HeldLease",
+    "HeldRun",
     "HttpStore",
     "ImportAsk",
     "ImportLimit",
@@ -49,16 +57,24 @@
     "Listing",
     "NotExported",
     "NotSwept",
+    "PrefixIndex",
+    "PrefixScope",
+    "PrefixText",
+    "PrefixTexts",
     "Reserved",
     "Room",
     "SlotState",
     "StoreAway",
     "StoreChange",
     "StoreClient",
+    "StoreReader",
     "Sweeper",
     "Swept",
     "Unfinished",
+    "UnknownPrefix",
     "Wanted",
     "choose_victims",
+    "holders_of",
     "shard_of",
+    "shards_held_by",
 ]
--- /dev/null
+++ b/fireflyward/kept/_index.py
@@ -0,0 +1,137 @@
+"""Which stores and replicas probably have which beginnings of prompts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from ._stores import StoreChange, shard_of
+
+INDEX_STRIDE = 8
+_ENTRY_DIGITS = 15
+DEFAULT_MAX_ENTRIES = 200_000
+
+
+@dataclass(frozen=True, slots=True)
+class HeldRun:
+    """Consecutive blocks of one prompt that a holder probably has.
+
+    ``first`` counts from 0; the run covers ``block_keys[first : first + blocks]``.
+    """
+
+    holder: str
+    first: int
+    blocks: int
+
+
+class PrefixIndex:
+    """An index of prompts' beginnings in memory; a hint, never a promise.
+
+    Every eighth block of a prompt has an entry that tells its holders, stores and
+    replicas alike, as bits of one number. Since a block's key covers all tokens
+    before it, the entry of the eighth block stands for the seven before it too.
+    All entries of a prompt lie in the shard of its first block, so one look at one
+    node finds them. An entry is wrong after a loss that was not told yet; the
+    store's descriptors, and the engine's check of the bytes, decide.
+
+    >>> index = PrefixIndex()
+    >>> keys = tuple(f"{number:032x}" for number in range(8))
+    >>> index.apply("store-1", [StoreChange(keys[7], 8, True, shard_of(keys[0]))])
+    >>> index.find(keys)
+    (HeldRun(holder='store-1', first=0, blocks=8),)
+    """
+
+    __slots__ = ("_bit_by_holder", "_entries", "_entries_by_shard", "_max_entries")
+
+    def __init__(self, *, max_entries: int = DEFAULT_MAX_ENTRIES) -> None:
+        self._max_entries = max_entries
+        self._entries = 0
+        self._bit_by_holder: dict[str, int] = {}
+        self._entries_by_shard: dict[int, dict[int, int]] = {}
+
+    def __len__(self) -> int:
+        return self._entries
+
+    def __repr__(self) -> str:
+        return f"PrefixIndex({self._entries} entries)"
+
+    def apply(self, holder: str, changes: Iterable[StoreChange]) -> None:
+        """Take what a holder gained or lost; repeating it changes nothing.
+
+        Above its limit the index takes no new entry. What is not in it is
+        recomputed, where a node without memory would answer nobody.
+        """
+        bit = self._bit(holder)
+        for change in changes:
+            entries = self._entries_by_shard.setdefault(change.shard, {})
+            entry = _entry_of(change.key)
+            bits = entries.get(entry, 0)
+            if change.is_kept:
+                if not bits and self._entries >= self._max_entries:
+                    continue
+                entries[entry] = bits | bit
+                self._entries += not bits
+            elif bits & bit:
+                self._set(entries, entry, bits & ~bit)
+
+    def forget(self, holder: str) -> None:
+        """Take a holder out of every entry, as one that lost its content."""
+        bit = self._bit_by_holder.get(holder)
+        if bit is None:
+            return
+        for entries in self._entries_by_shard.values():
+            for entry in [key for key, bits in entries.items() if bits & bit]:
+                self._set(entries, entry, entries[entry] & ~bit)
+
+    def keep_shards(self, shards: frozenset[int]) -> None:
+        """Drop the shards that other nodes hold from now on."""
+        for shard in self._entries_by_shard.keys() - shards:
+            self._entries -= len(self._entries_by_shard.pop(shard))
+
+    def find(self, block_keys: tuple[str, ...]) -> tuple[HeldRun, ...]:
+        """Return each holder's runs of a prompt's blocks, first to last."""
+        if len(block_keys) < INDEX_STRIDE:
+            return ()
+        entries = self._entries_by_shard.get(shard_of(block_keys[0]))
+        if not entries:
+            return ()
+        bits_at = [
+            entries.get(_entry_of(key), 0)
+            for key in block_keys[INDEX_STRIDE - 1 :: INDEX_STRIDE]
+        ]
+        seen = 0
+        for bits in bits_at:
+            seen |= bits
+        holders = [item for item in self._bit_by_holder.items() if item[1] & seen]
+        return tuple(
+            run for holder, bit in holders for run in _runs(holder, bit, bits_at)
+        )
+
+    def _bit(self, holder: str) -> int:
+        bit = self._bit_by_holder.get(holder)
+        if bit is None:
+            bit = self._bit_by_holder[holder] = 1 << len(self._bit_by_holder)
+        return bit
+
+    def _set(self, entries: dict[int, int], entry: int, bits: int) -> None:
+        if bits:
+            entries[entry] = bits
+        else:
+            del entries[entry]
+            self._entries -= 1
+
+
+def _entry_of(key: str) -> int:
+    """Return 60 bits of a key; two keys that share them cost one wrong hint."""
+    return int(key[:_ENTRY_DIGITS], 16)
+
+
+def _runs(holder: str, bit: int, bits_at: list[int]) -> list[HeldRun]:
+    runs: list[HeldRun] = []
+    first = None
+    for place, bits in enumerate((*bits_at, 0)):
+        if bits & bit:
+            first = place if first is None else first
+        elif first is not None:
+            blocks = (place - first) * INDEX_STRIDE
+            runs.append(HeldRun(holder, first * INDEX_STRIDE, blocks))
+            first = None
+    return runs
--- a/fireflyward/kept/_keys.py
+++ b/fireflyward/kept/_keys.py
@@ -9,6 +9,7 @@
 _MAX_KEY_BYTES = 64
 _ROOT = b"root"
 _BLOCK = b"block"
+_OWNER = "owner"
 
 
 class BlockNames:
@@ -58,6 +59,10 @@
             keys.append(parent.hex())
         return tuple(keys)
 
+    def owner_tag(self, account: str) -> str:
+        """Return what stands for an account at a store, which learns no name."""
+        return self._root(_OWNER, account).hex()
+
     def _root(self, *parts: str) -> bytes:
         """Hash the parts so that no two different lists are hashed alike.
 
--- /dev/null
+++ b/tests/kept/test_readers.py
@@ -0,0 +1,136 @@
+import unittest
+
+from fireflyward.kept import (
+    ALL_SHARDS,
+    EngineReader,
+    HeldRun,
+    PrefixIndex,
+    SlotState,
+    StoreReader,
+    Wanted,
+    shard_of,
+)
+from fireflyward.standins import EngineCache, StoreCosts, StoreModel
+from fireflyward.upstreams import BlockRef, block_checksum
+
+KEYS = tuple(f"{number:02x}" * 16 for number in range(1, 41))
+COSTS = StoreCosts(memory_slots=100, disk_slots=0, log_changes=50, page=12)
+
+
+def keep(store, keys=KEYS):
+    for position, key in enumerate(keys, start=1):
+        wanted = Wanted(key, position, shard_of(keys[0]))
+        for ref in store.reserve(0, (wanted,)).refs:
+            store.write(ref, b"x")
+            checksum = block_checksum(key, ref.generation, b"x")
+            sealed = BlockRef(key, "s1", ref.slot, ref.generation, 1, checksum)
+            store.publish(store.seal((sealed,)).refs)
+
+
+class StoreReaderTests(unittest.TestCase):
+    def setUp(self):
+        self.store = StoreModel("s1", COSTS)
+        self.index = PrefixIndex()
+        self.reader = StoreReader("s1")
+
+    def read(self, shards=ALL_SHARDS, between=lambda: None):
+        asked = 1
+        while self.reader.take(self.store.list(self.reader.query(shards)), self.index):
+            between()
+            asked += 1
+        return asked
+
+    def test_index_follows_pages_then_changes(self):
+        keep(self.store)
+        self.assertEqual(self.read(), 4)
+        self.assertEqual(self.index.find(KEYS), (HeldRun("s1", 0, 40),))
+        refs = self.store.describe(KEYS).refs[8:16]
+        self.store.free(refs, state=SlotState.PUBLISHED, fencing=1)
+        self.read()
+        self.assertEqual(
+            self.index.find(KEYS), (HeldRun("s1", 0, 8), HeldRun("s1", 16, 24))
+        )
+
+    def test_block_freed_between_two_pages_is_not_left_in_the_index(self):
+        """Symptom: imports of one prompt always miss. Sequence: the store frees a
+        block of a page that was read while the next is still asked for. Cause: a
+        listing whose changes are followed from its last page on."""
+        keep(self.store)
+
+        def free():
+            refs = self.store.describe(KEYS).refs[:8]
+            self.store.free(refs, state=SlotState.PUBLISHED, fencing=1)
+
+        self.read(between=free)
+        self.read()
+        self.assertEqual(self.index.find(KEYS), (HeldRun("s1", 8, 32),))
+
+    def test_restarted_store_is_forgotten(self):
+        keep(self.store)
+        self.read()
+        self.store.restart_empty(2)
+        self.read()
+        self.assertEqual(len(self.index), 0)
+
+    def test_new_shards_are_read_whole(self):
+        keep(self.store)
+        self.read(frozenset({shard_of(KEYS[0]) + 1}))
+        self.assertEqual(len(self.index), 0)
+        self.read(ALL_SHARDS)
+        self.assertEqual(len(self.index), 5)
+
+
+class EngineReaderTests(unittest.TestCase):
+    def setUp(self):
+        self.cache = EngineCache(64)
+        self.index = PrefixIndex()
+        self.reader = EngineReader("e1")
+
+    def hold(self, keys=KEYS):
+        for position, key in enumerate(keys, start=1):
+            self.cache.store(key, position, keys[0])
+
+    def read(self, now_ms):
+        after = self.reader.after(now_ms, ALL_SHARDS)
+        self.reader.take(self.cache.events(after), self.index)
+
+    def test_doubled_and_late_events_give_the_same_index(self):
+        self.read(0)
+        self.cache.faults.doubled = True
+        self.cache.faults.late = 10
+        self.hold()
+        self.read(500)
+        self.cache.faults.late = 0
+        self.read(1_000)
+        self.assertEqual(self.index.find(KEYS), (HeldRun("e1", 0, 40),))
+        self.assertEqual(self.reader.gaps, 0)
+
+    def test_gap_is_noticed_and_healed(self):
+        """Symptom: prompts are sent to a replica that evicted them long ago.
+        Sequence: an eviction's event is lost. Cause: a reader that takes the next
+        event as if nothing were missing."""
+        self.read(0)
+        self.hold()
+        self.read(500)
+        self.cache.faults.drop_every = 1
+        other = tuple(f"{number:032x}" for number in range(64))
+        self.hold(other)
+        self.read(1_000)
+        self.cache.faults.drop_every = 0
+        self.cache.store("ff" * 16, 1, "ff" * 16)
+        self.read(1_500)
+        self.assertEqual(self.reader.gaps, 0)
+        self.cache.faults.drop_every = 2
+        self.cache.store("fe" * 16, 1, "fe" * 16)
+        self.cache.store("fd" * 16, 1, "fd" * 16)
+        self.read(2_000)
+        self.read(12_000)
+        self.assertGreater(self.reader.gaps, 0)
+        self.assertEqual(self.index.find(KEYS), ())
+
+    def test_restarted_engine_is_forgotten(self):
+        self.hold()
+        self.read(0)
+        self.cache.lose_all("2")
+        self.read(500)
+        self.assertEqual(len(self.index), 0)
