Import before dispatch and export after, by placement's estimate

Cause: the parts of kept work were there and no node used them. Callers name a prefix with keep and prefix_text and refer to it with prefix; session tells that a prompt returns. Without a store in the bundle none of it runs. Conclusion: over sockets the import's success is tested without its time limit, since that depends on the machine.

--- /dev/null
+++ b/fireflyward/daemon/_kept_duty.py
@@ -0,0 +1,245 @@
+"""Kept work on a node: its stores, its part of the index, and the sweeps."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from fireflyward.bundles import Bundle, BundleHolder
+from fireflyward.clock import Clock
+from fireflyward.kept import (
+    BlockNames,
+    EngineReader,
+    NotSwept,
+    PrefixIndex,
+    PrefixTexts,
+    StoreAway,
+    StoreClient,
+    StoreReader,
+    Sweeper,
+    shards_held_by,
+)
+from fireflyward.leases import LeaseTask, contenders
+from fireflyward.membership import Members
+from fireflyward.observe import Metrics
+from fireflyward.platform import Objects, Table
+from fireflyward.routing import Router
+from fireflyward.settings import Settings
+from fireflyward.upstreams import Broken, KvEngine
+
+from ._kept_work import KeptWork
+from ._outside import Outside
+
+log = logging.getLogger("fireflyward.daemon")
+
+STORE = "store"
+ENGINE = "engine"
+_LISTING_MS = 1_000
+_EVENTS_MS = 500
+_EXPORT_MS = 250
+_SWEEP_MS = 10_000
+_FOLLOW_ALL = 32
+
+
+class KeptDuty:
+    """Follows stores and engines, and sweeps the stores whose leases it holds."""
+
+    def __init__(
+        self,
+        settings: Settings,
+        *,
+        clock: Clock,
+        outside: Outside,
+        table: Table,
+        objects: Objects,
+        router: Router,
+        metrics: Metrics,
+        members: Members,
+        holder: BundleHolder,
+    ) -> None:
+        self._clock = clock
+        self._outside = outside
+        self._table = table
+        self._router = router
+        self._metrics = metrics
+        self._members = members
+        self._holder = holder
+        self._own_name = settings["node_name"]
+        self.index = PrefixIndex()
+        self.prefixes = PrefixTexts(objects, settings["kept_key"])
+        self.store_by_name: dict[str, StoreClient] = {}
+        self.url_by_store: dict[str, str] = {}
+        self.kv_by_replica: dict[str, KvEngine] = {}
+        self._store_reader_by_name: dict[str, StoreReader] = {}
+        self._engine_reader_by_name: dict[str, EngineReader] = {}
+        self._lease_by_store: dict[str, LeaseTask] = {}
+        self._lease_loops: dict[str, asyncio.Task[None]] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self.work = KeptWork(
+            clock=clock,
+            router=router,
+            metrics=metrics,
+            names=BlockNames(settings["kept_key"]),
+            index=self.index,
+            kv_by_replica=self.kv_by_replica,
+            store_by_name=self.store_by_name,
+            url_by_store=self.url_by_store,
+            is_served=self._is_served,
+            block_bytes=settings["kept_block_bytes"],
+        )
+
+    def start(self) -> None:
+        """Begin the periodic work."""
+        for period_ms, step in (
+            (_LISTING_MS, self.read_listings),
+            (_EVENTS_MS, self.read_events),
+            (_EXPORT_MS, self.work.export_due),
+            (_SWEEP_MS, self.sweep),
+        ):
+            self._tasks.append(asyncio.create_task(self._repeat(period_ms, step)))
+
+    async def stop(self) -> None:
+        """End the periodic work; what it left half done a sweep finds."""
+        tasks = [*self._tasks, *self._lease_loops.values()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def apply(self, bundle: Bundle) -> None:
+        """Take the stores and the engines of a bundle."""
+        stores = {
+            name: upstream
+            for name, upstream in bundle.upstreams.items()
+            if upstream.kind == STORE
+        }
+        for name in self.store_by_name.keys() - stores.keys():
+            self._drop_store(name)
+        for name, upstream in stores.items():
+            if self.url_by_store.get(name) != upstream.url:
+                self._add_store(name, upstream.url)
+        self._connect_engines(bundle)
+        followed = self._followed(bundle)
+        for name in self._engine_reader_by_name.keys() - followed:
+            del self._engine_reader_by_name[name]
+            self.index.forget(name)
+        for name in followed - self._engine_reader_by_name.keys():
+            self._engine_reader_by_name[name] = EngineReader(name)
+        self.work.prefixes.followed = followed
+        self.work.prefixes.store_names = frozenset(self.store_by_name)
+        if self.store_by_name:
+            self._router.set_estimate(self.work.placement)
+
+    def _connect_engines(self, bundle: Bundle) -> None:
+        """Take the engines' KV calls, which are of no use without a store."""
+        self.kv_by_replica.clear()
+        if not self.store_by_name:
+            return
+        for name, upstream in bundle.upstreams.items():
+            if upstream.kind == ENGINE:
+                self.kv_by_replica[name] = self._outside.make_kv_engine(upstream)
+
+    async def read_listings(self) -> None:
+        """Bring this node's shards up to what the stores say."""
+        shards = self._shards()
+        for name, store in list(self.store_by_name.items()):
+            reader = self._store_reader_by_name[name]
+            while True:
+                listing = await store.list(reader.query(shards))
+                if isinstance(listing, StoreAway):
+                    break
+                if not reader.take(listing, self.index):
+                    break
+        self._metrics.gauge("kept_index_entries", len(self.index))
+
+    async def read_events(self) -> None:
+        """Bring this node's shards up to what the engines say of their caches."""
+        shards = self._shards()
+        readers = list(self._engine_reader_by_name.values())
+        await asyncio.gather(*(self._read_engine(item, shards) for item in readers))
+
+    async def sweep(self) -> None:
+        """Sweep every store whose lease is held here."""
+        for name, lease in list(self._lease_by_store.items()):
+            store = self.store_by_name.get(name)
+            if store is None or lease.claim() is None:
+                continue
+            result = await Sweeper(lease.claim).sweep(store)
+            if isinstance(result, NotSwept):
+                log.info("daemon: sweep ended early, %s", result.detail)
+                continue
+            self._metrics.count("kept_garbage_total", result.garbage, store=name)
+            self._metrics.count("kept_evicted_total", result.evicted, store=name)
+
+    async def _read_engine(self, reader: EngineReader, shards: frozenset[int]) -> None:
+        engine = self.kv_by_replica.get(reader.name)
+        if engine is None:
+            return
+        after = reader.after(self._clock.now_ms(), shards)
+        events = await engine.cache_events(after)
+        if not isinstance(events, Broken):
+            reader.take(events, self.index)
+
+    def _add_store(self, name: str, url: str) -> None:
+        if name in self.store_by_name:
+            self._drop_store(name)
+        self.store_by_name[name] = self._outside.make_store(name, url)
+        self.url_by_store[name] = url
+        self._store_reader_by_name[name] = StoreReader(name)
+        lease = LeaseTask(
+            f"sweep/{name}",
+            clock=self._clock,
+            table=self._table,
+            holder=self._own_name,
+            contends=lambda: self._contends(name),
+        )
+        self._lease_by_store[name] = lease
+        self._lease_loops[name] = asyncio.create_task(lease.run())
+
+    def _drop_store(self, name: str) -> None:
+        """Forget a store that the bundle no longer has; nothing is asked of it."""
+        self.index.forget(name)
+        del self.store_by_name[name], self.url_by_store[name]
+        del self._store_reader_by_name[name], self._lease_by_store[name]
+        self._lease_loops.pop(name).cancel()
+
+    def _contends(self, store: str) -> bool:
+        names = [member.name for member in self._members.all_live()]
+        return self._own_name in contenders(f"sweep/{store}", names)
+
+    def _followed(self, bundle: Bundle) -> frozenset[str]:
+        """Return the replicas whose events are read: all, or the domain's own."""
+        if len(self.kv_by_replica) <= _FOLLOW_ALL:
+            return frozenset(self.kv_by_replica)
+        own_domain = self._members.own.failure_domain
+        return frozenset(
+            name
+            for name in self.kv_by_replica
+            if bundle.upstreams[name].failure_domain == own_domain
+        )
+
+    def _shards(self) -> frozenset[int]:
+        own = self._members.own
+        shards = shards_held_by(own, self._members.live_in(own.failure_domain))
+        self.index.keep_shards(shards)
+        return shards
+
+    def _is_served(self, model: str, version: str) -> bool:
+        """Tell whether the bundle in force gives new requests this version."""
+        bundle = self._holder.bundle
+        if bundle is None or model not in bundle.models:
+            return False
+        return version in _versions_of(bundle, model)
+
+    async def _repeat(
+        self, period_ms: int, step: Callable[[], Awaitable[None]]
+    ) -> None:
+        while True:
+            await self._clock.sleep_ms(period_ms)
+            await step()
+
+
+def _versions_of(bundle: Bundle, model: str) -> set[str]:
+    versions = {bundle.models[model].version}
+    for account in bundle.accounts.values():
+        pins = [account.versions, *(item.versions for item in account.callers.values())]
+        versions.update(pin[model] for pin in pins if model in pin)
+    return versions
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -21,6 +21,7 @@
 from ._admin_duty import AdminDuty
 from ._bundle_duty import BundleDuty, make_bundle_duty
 from ._guards import Guards
+from ._kept_duty import KeptDuty
 from ._lifecycle_steps import StartStep, StopStep
 from ._outside import Outside
 from ._planned_stop import HandOn, PlannedStop
@@ -81,6 +82,7 @@
         self.admin: AdminDuty | None = None
         self.membership: MembershipTask | None = None
         self.records: RunRecords | None = None
+        self.kept: KeptDuty | None = None
 
     def __repr__(self) -> str:
         return f"Node({self.settings['node_name']!r}, port={self.port})"
@@ -110,6 +112,17 @@
         self.records = RunRecords(
             table, self.clock, node_name=self.settings["node_name"]
         )
+        self.kept = KeptDuty(
+            self.settings,
+            clock=self.clock,
+            outside=self.outside,
+            table=table,
+            objects=objects,
+            router=self.router,
+            metrics=self.metrics,
+            members=self.members,
+            holder=self.holder,
+        )
         app = build_app(self._entry_parts(self.records))
         self.port = await self.outside.listen(app)
         self.observe(StartStep.PORT_OPEN)
@@ -120,6 +133,7 @@
         await self.bundles.start()
         await self.admin.start()
         await self.rollout.start(table)
+        self.kept.start()
         self._every(_LOAD_POLL_MS, self._poll_loads)
         self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
         self.observe(StartStep.DUTIES_BEGUN)
@@ -165,6 +179,8 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self.rollout.stop()
+        if self.kept:
+            await self.kept.stop()
         if self.admin:
             await self.admin.stop()
         if self.bundles:
@@ -223,6 +239,9 @@
             ready=self.is_ready,
             observe=self.observe,
             catch_up=self.bundles.catch_up,
+            prepare=self.kept.work.prepare,
+            prefixes=self.kept.prefixes,
+            on_hint=self.kept.work.hint,
             run_ids=RunIds(self.settings["kept_key"]),
             limits=SilenceLimits(silence_ms=self.settings["silence_limit_ms"]),
             in_flight=self.in_flight,
@@ -262,6 +281,8 @@
             elif upstream.kind == SERVICE:
                 self.service_by_name[name] = self.outside.make_service(name, upstream)
         self.router.set_replicas(candidates)
+        if self.kept:
+            self.kept.apply(bundle)
 
     async def _poll_loads(self) -> None:
         await asyncio.gather(*(self._poll_load(name) for name in self.router.names()))
--- a/fireflyward/daemon/_outside.py
+++ b/fireflyward/daemon/_outside.py
@@ -4,6 +4,7 @@
 
 from fireflyward.bundles import Upstream
 from fireflyward.connections import Sessions
+from fireflyward.kept import HttpStore, StoreClient
 from fireflyward.peers import PeerCodec, PeerLink
 from fireflyward.platform import (
     HttpObjects,
@@ -19,8 +20,10 @@
 from fireflyward.upstreams import (
     Engine,
     HttpEngine,
+    HttpKvEngine,
     HttpOrderedEngine,
     HttpService,
+    KvEngine,
     OrderedEngine,
     PlainService,
 )
@@ -110,6 +113,14 @@
         """Return the client through which a driver orders the replica ``name``."""
         return HttpOrderedEngine(self._sessions.pooled, upstream.url)
 
+    def make_kv_engine(self, upstream: Upstream) -> KvEngine:
+        """Return the client of a replica's KV cache."""
+        return HttpKvEngine(self._sessions.pooled, upstream.url)
+
+    def make_store(self, name: str, url: str) -> StoreClient:
+        """Return the client of the store ``name``."""
+        return HttpStore(self._sessions.pooled, name, url)
+
     def make_service(self, name: str, upstream: Upstream) -> PlainService:
         """Return the client of the plain service's replica ``name``."""
         return HttpService(
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -13,7 +13,7 @@
 from fireflyward.bundles import Account, BundleHolder
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits
-from fireflyward.kept import BlockNames
+from fireflyward.kept import BlockNames, PrefixTexts
 from fireflyward.limits import AdmissionGate
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.outcomes import NotRun, Reason, Unknown
@@ -58,6 +58,8 @@
     run_ids: RunIds
     observe: StepObserver = ignore_step
     prepare: Prepare | None = None
+    prefixes: PrefixTexts | None = None
+    on_hint: Callable[[str, int, bool], None] = lambda run_id, blocks, session: None
     limits: SilenceLimits = SilenceLimits()
     budget: RetryBudget = field(default_factory=RetryBudget)
     in_flight: InFlight = field(default_factory=InFlight)
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -21,6 +21,7 @@
 from ._asked import Asked, make_task, read_asked
 from ._body import read_body
 from ._errors import error_bytes, headers_of
+from ._prefixes import add_prefix, prefix_blocks, prefix_headers
 from ._requests import (
     ChatDelta,
     CompletionBody,
@@ -61,6 +62,9 @@
     asked = _judge(request, identity, prompt, body)
     if isinstance(asked, NotRun):
         return refuse(request, asked, identity.request_id)
+    refusal = await add_prefix(parts, request, identity, prompt)
+    if refusal:
+        return refuse(request, refusal, identity.request_id)
     ticket = await parts.admission.enter(_ask(asked))
     if isinstance(ticket, NotRun):
         return refuse(request, ticket, identity.request_id)
@@ -139,7 +143,10 @@
 async def _run(
     request: web.Request, asked: Asked, trace_parent: str
 ) -> web.StreamResponse:
-    task = make_task(request.app[PARTS], asked, trace_parent)
+    parts = request.app[PARTS]
+    prompt = asked.prompt
+    parts.on_hint(asked.run_id, prefix_blocks(prompt), bool(prompt.session))
+    task = make_task(parts, asked, trace_parent)
     answer = _Answer(request, asked)
     results = task.results()
     try:
@@ -241,7 +248,8 @@
 
     def _headers(self) -> dict[str, str]:
         identity = self._identity
-        return headers_of("answered", identity.request_id, identity.bundle_number)
+        headers = headers_of("answered", identity.request_id, identity.bundle_number)
+        return {**headers, **prefix_headers(self._request)}
 
     def _body(
         self, text: str, finish_reason: str | None, *, whole: bool = False
--- /dev/null
+++ b/fireflyward/entry/_prefixes.py
@@ -0,0 +1,57 @@
+"""Named prefixes in requests: put before the prompt's text, or named anew."""
+
+from aiohttp import web
+
+from fireflyward.kept import PrefixScope, PrefixText, UnknownPrefix
+from fireflyward.outcomes import NotRun, Reason
+from fireflyward.upstreams import BLOCK_TOKENS, count_tokens
+
+from ._app import EntryParts, Identity
+from ._requests import Prompt
+
+PREFIX_HEADER = "X-Prefix"
+_REF = "prefix_ref"
+_RETRY_AFTER_MS = 1_000
+_UNKNOWN = "the prefix is not known to this account; send its text with keep again"
+
+
+async def add_prefix(
+    parts: EntryParts, request: web.Request, identity: Identity, prompt: Prompt
+) -> NotRun | None:
+    """Put the prefix of a request before its prompt's text.
+
+    A text that is to be kept was sent whole, so the request is served even when
+    the object store is away; the answer then carries no reference.
+    """
+    if prompt.prefix_text and prompt.keep:
+        ref = await parts.prefixes.name(
+            _scope(identity), prompt.keep, prompt.prefix_text
+        )
+        if isinstance(ref, str):
+            request[_REF] = ref
+    elif prompt.prefix:
+        found = await parts.prefixes.resolve(_scope(identity), prompt.prefix)
+        if isinstance(found, UnknownPrefix):
+            return NotRun(Reason.BAD_REQUEST, _UNKNOWN)
+        if not isinstance(found, PrefixText):
+            detail = f"the prefix cannot be read now: {found.detail}"
+            return NotRun(Reason.PLATFORM_AWAY, detail, _RETRY_AFTER_MS)
+        prompt.prefix_text = found.text
+    prompt.text = prompt.prefix_text + prompt.text
+    return None
+
+
+def prefix_blocks(prompt: Prompt) -> int:
+    """Return how many full blocks of a prompt its prefix covers."""
+    return count_tokens(prompt.prefix_text) // BLOCK_TOKENS
+
+
+def prefix_headers(request: web.Request) -> dict[str, str]:
+    """Return the header with the reference, if a prefix was named."""
+    ref = request.get(_REF)
+    return {PREFIX_HEADER: ref} if ref else {}
+
+
+def _scope(identity: Identity) -> PrefixScope:
+    is_shared = identity.account.share_prefixes
+    return PrefixScope(identity.account_name, "" if is_shared else identity.caller_name)
--- a/fireflyward/entry/_requests.py
+++ b/fireflyward/entry/_requests.py
@@ -6,6 +6,7 @@
 
 _MOST_TOKENS = 32_768
 _DEFAULT_TOKENS = 64
+_MOST_NAME = 64
 
 
 class CompletionRequest(msgspec.Struct):
@@ -15,6 +16,10 @@
     prompt: str
     max_tokens: int = _DEFAULT_TOKENS
     stream: bool = False
+    keep: str = ""
+    prefix: str = ""
+    prefix_text: str = ""
+    session: str = ""
 
 
 class ChatMessage(msgspec.Struct):
@@ -31,10 +36,19 @@
     messages: list[ChatMessage]
     max_tokens: int = _DEFAULT_TOKENS
     stream: bool = False
+    keep: str = ""
+    prefix: str = ""
+    prefix_text: str = ""
+    session: str = ""
 
 
 class Prompt(msgspec.Struct):
-    """What either request comes down to."""
+    """What either request comes down to.
+
+    ``prefix_text`` goes before the text; ``keep`` names it for later requests,
+    which give the reference in ``prefix`` instead. ``session`` says that the prompt
+    will return.
+    """
 
     model: str
     adapter: str
@@ -42,6 +56,10 @@
     max_tokens: int
     stream: bool
     is_chat: bool
+    keep: str = ""
+    prefix: str = ""
+    prefix_text: str = ""
+    session: str = ""
 
 
 def read_prompt(body: bytes, *, is_chat: bool) -> Prompt | NotRun:
@@ -57,8 +75,34 @@
     text = _chat_text(request.messages) if is_chat else request.prompt
     if not text:
         return NotRun(Reason.BAD_REQUEST, "the prompt is empty")
+    refusal = _check_prefix(request)
+    if refusal:
+        return refusal
     model, _, adapter = request.model.partition(":")
-    return Prompt(model, adapter, text, request.max_tokens, request.stream, is_chat)
+    return Prompt(
+        model,
+        adapter,
+        text,
+        request.max_tokens,
+        request.stream,
+        is_chat,
+        request.keep,
+        request.prefix,
+        request.prefix_text,
+        request.session,
+    )
+
+
+def _check_prefix(request: CompletionRequest | ChatRequest) -> NotRun | None:
+    if request.prefix and (request.prefix_text or request.keep):
+        detail = "prefix refers to a kept text; keep and prefix_text name a new one"
+        return NotRun(Reason.BAD_REQUEST, detail)
+    if request.keep and not request.prefix_text:
+        return NotRun(Reason.BAD_REQUEST, "keep names prefix_text, which is empty")
+    if len(request.keep) > _MOST_NAME or len(request.session) > _MOST_NAME:
+        detail = f"keep and session: at most {_MOST_NAME} characters"
+        return NotRun(Reason.BAD_REQUEST, detail)
+    return None
 
 
 def _chat_text(messages: list[ChatMessage]) -> str:
--- a/fireflyward/settings/_settings.py
+++ b/fireflyward/settings/_settings.py
@@ -322,6 +322,13 @@
         "Key from which the names of kept blocks are derived.",
         secret=True,
     ),
+    Setting(
+        "kept_block_bytes",
+        "8388608",
+        _number(1, 1 << 30),
+        "1 to 1073741824",
+        "Bytes of the KV of one block of 64 tokens, as links carry it.",
+    ),
     Setting(
         "table_url",
         "http://127.0.0.1:8490",
--- /dev/null
+++ b/tests/daemon/test_kept_duty.py
@@ -0,0 +1,104 @@
+import asyncio
+import json
+import unittest
+
+import aiohttp
+import msgspec
+
+from fireflyward.bundles import Upstream
+from fireflyward.demo import DemoDeployment
+from fireflyward.kept import BlockNames, ImportAsk, Importer
+from fireflyward.routing import RunShape
+from fireflyward.standins import EngineCosts, StoreCosts, StoreModel, StoreServer
+from tests.kept.kv_fixtures import Until
+
+PROMPT = "Clause 8.4: connections shall be detailed as follows. " * 600
+BLOCK_BYTES = 8 << 20
+COSTS = EngineCosts(prefill_ms_per_token=0.05, import_ms_per_block=0.1)
+STORE_COSTS = StoreCosts(block_bytes=BLOCK_BYTES, link_bytes_per_ms=8e7)
+
+
+class StoreDeployment(DemoDeployment):
+    """The demo's deployment with a store of kept work."""
+
+    def __init__(self) -> None:
+        super().__init__(nodes_per_domain=1, engines_per_domain=1, costs=COSTS)
+        self.store = StoreServer(StoreModel("store-1", STORE_COSTS))
+
+    async def __aenter__(self):
+        await self.store.start()
+        return await super().__aenter__()
+
+    async def __aexit__(self, *problem):
+        await super().__aexit__(*problem)
+        await self.store.stop()
+
+    def make_bundle(self, number):
+        bundle = super().make_bundle(number)
+        store = Upstream("store", self.store.url, "sala-norte")
+        upstreams = {**bundle.upstreams, "store-1": store}
+        return msgspec.structs.replace(bundle, upstreams=upstreams)
+
+
+class KeptWorkOverSocketsTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.deployment = await self.enterAsyncContext(StoreDeployment())
+        self.session = await self.enterAsyncContext(aiohttp.ClientSession())
+
+    async def ask(self, question):
+        node = next(iter(self.deployment.node_by_name.values()))
+        body = {
+            "model": "clauses",
+            "prompt": PROMPT + question,
+            "max_tokens": 2,
+            "session": "building-7",
+        }
+        response = await self.session.post(
+            f"http://127.0.0.1:{node.port}/v1/completions",
+            data=json.dumps(body),
+            headers={"Authorization": "Bearer key-bridge"},
+        )
+        async with response:
+            answer = await response.json()
+        return answer["usage"]["prompt_tokens_details"]["cached_tokens"]
+
+    async def until(self, is_so):
+        async with asyncio.timeout(20):
+            while not is_so():
+                await asyncio.sleep(0.05)
+
+    async def test_prompt_that_every_engine_forgot_is_found_in_the_store(self):
+        """Symptom: a prompt that returns after hours is computed anew. Sequence: it
+        is served, every engine evicts it, it comes again. Cause: kept work that is
+        written and never found."""
+        for _ in range(3):
+            await self.ask("beam 7?")
+        store = self.deployment.store.model
+        await self.until(lambda: len(store.describe(self.keys()).refs) >= 96)
+        for engine in self.deployment.engine_by_name.values():
+            engine.model.cache.lose_all("2")
+        node = next(iter(self.deployment.node_by_name.values()))
+        await node.kept.read_events()
+        await node.kept.read_listings()
+        shape = RunShape("bridge-team", "clauses", "v1", 8_000, self.keys())
+        known = node.kept.work.prefixes.known(node.clock.now_ms(), shape)
+        self.assertEqual(known.held_by_replica, {})
+        self.assertGreaterEqual(known.stored[0].blocks, 96)
+        await self.load_everywhere(node)
+        self.assertGreaterEqual(await self.ask("beam 7?"), 96 * 64)
+
+    def keys(self):
+        names = BlockNames(bytes(32))
+        return names.of_prompt("bridge-team", "clauses", "v1", "", PROMPT + "beam 7?")
+
+    async def load_everywhere(self, node):
+        """Import with a limit that does not depend on this machine's speed."""
+        importer = Importer(
+            node.clock, node.kept.url_by_store, lambda model, version: True
+        )
+        store = node.kept.store_by_name["store-1"]
+        limit = Until(node.clock.now_ms() + 30_000)
+        for name, engine in node.kept.kv_by_replica.items():
+            ask = ImportAsk(name, "clauses", "v1", self.keys()[:96])
+            result = await importer.load(ask, engine, store, limit)
+            self.assertEqual((result.blocks, result.reason), (96, None))
