Fuzz what comes from outside, and mend what broke

Hostile bytes from callers, peers, people, upstreams, stores and the platform were tested by examples only. hypothesis now draws them, the same ones every time in make test and fresh ones in make fuzz: raw and half-valid HTTP against a node on loopback, frames and structs between nodes, every message handler of a node with values out of range, bundles, signed documents, settings, tokens, and foreign answers to every HTTP client.

Found and mended. The platform's clients raised on an answer that is no JSON or has other fields; they also took a status 400 as a stored object and a status 412 as an object's bytes. Now only the statuses of the contract count, and the rest is Unavailable or, after a write, Uncertain. A store's miss that cannot be read raised; it is StoreAway (kept's file). An Expect header that is no text made the HTTP library answer 500; routes answer it themselves, and so does a last route for unknown paths and methods.

--- a/Makefile
+++ b/Makefile
@@ -27,6 +27,9 @@
 faults: $(STAMP)
 	$(PYTHON) -m tests.faults
 
+fuzz: $(STAMP)
+	FUZZ_EXAMPLES=$${FUZZ_EXAMPLES:-3000} $(PYTHON) -m unittest discover -s tests/fuzz -t .
+
 format: $(STAMP)
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -96,16 +96,34 @@
     )
     app[PARTS] = parts
     app.on_response_prepare.append(_close_when_stopping)
-    app.router.add_post("/v1/completions", _completions.handle_completion)
-    app.router.add_post("/v1/chat/completions", _completions.handle_chat)
-    app.router.add_get("/v1/models", _handle_models)
-    app.router.add_route("*", "/services/{name}/{path:.*}", _services.handle_service)
-    app.router.add_get("/healthz", _handle_health)
-    app.router.add_get("/readyz", _handle_ready)
-    app.router.add_get("/metrics", _handle_metrics)
+    for method, path, handler in (
+        ("POST", "/v1/completions", _completions.handle_completion),
+        ("POST", "/v1/chat/completions", _completions.handle_chat),
+        ("GET", "/v1/models", _handle_models),
+        ("*", "/services/{name}/{path:.*}", _services.handle_service),
+        ("GET", "/healthz", _handle_health),
+        ("GET", "/readyz", _handle_ready),
+        ("GET", "/metrics", _handle_metrics),
+        ("*", "/{path:.*}", _handle_unknown),
+    ):
+        app.router.add_route(method, path, handler, expect_handler=_on_expect)
     return app
 
 
+async def _on_expect(request: web.Request) -> web.Response | None:
+    """Tell a caller that waits for it to go on with its body.
+
+    The library repeats any other expectation in its refusal; one that is not valid
+    text then ends as a status 500, as if the node were at fault.
+    """
+    if request.headers.get("Expect", "").lower() == "100-continue":
+        await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        request.writer.output_size = 0
+        return None
+    outcome = NotRun(Reason.BAD_REQUEST, "Expect: only 100-continue")
+    return refuse(request, outcome, new_request_id())
+
+
 def identify(request: web.Request) -> Identity | NotRun:
     """Tell who the caller is from its key, in time that tells nothing of keys."""
     parts = request.app[PARTS]
@@ -242,6 +260,15 @@
     return refuse(request, outcome, new_request_id())
 
 
+async def _handle_unknown(request: web.Request) -> web.Response:
+    """Refuse what no route takes, telling an unknown path from a wrong method."""
+    for resource in request.app.router.resources():
+        _, allowed_methods = await resource.resolve(request)
+        if allowed_methods and "*" not in allowed_methods:
+            raise web.HTTPMethodNotAllowed(request.method, allowed_methods)
+    raise web.HTTPNotFound
+
+
 async def _handle_models(request: web.Request) -> web.Response:
     identity = identify(request)
     if isinstance(identity, NotRun):
--- a/fireflyward/kept/_store_http.py
+++ b/fireflyward/kept/_store_http.py
@@ -113,9 +113,12 @@
         if isinstance(result, StoreAway):
             return result
         status, body = result
-        if status == MISS_STATUS:
+        if status != MISS_STATUS:
+            return body
+        try:
             return Miss(ref.key, msgspec.json.decode(body, type=MissBody).reason)
-        return body
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            return StoreAway(f"answer could not be read: {error}")
 
     async def abandon(self, refs: tuple[BlockRef, ...]) -> Done | StoreAway:
         return await self._post("/abandon", RefsBody(refs), Done)
--- a/fireflyward/platform/_http.py
+++ b/fireflyward/platform/_http.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Mapping
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -83,7 +84,11 @@
         return f"{type(self).__name__}({self._base!r})"
 
     async def _read(self, path: str, **query: str) -> tuple[int, bytes] | Unavailable:
-        """GET ``path``; reads have no effect, so every failure is Unavailable."""
+        """GET ``path``; reads have no effect, so every failure is Unavailable.
+
+        Only 200 and 404 are answers of the service. Anything else may come from
+        what stands before it, and its body is no row and no object.
+        """
         url = self._base + path
         try:
             async with self._session.get(
@@ -92,7 +97,7 @@
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Unavailable(_describe(error))
-        if response.status >= 500:
+        if response.status not in (200, 404):
             return Unavailable(f"status {response.status}")
         return response.status, body
 
@@ -111,7 +116,7 @@
             return Uncertain(_describe(error))
         if response.status == 503:
             return Unavailable("status 503")
-        if response.status >= 500:
+        if response.status not in (200, 409):
             return Uncertain(f"status {response.status}")
         return response.status, answer
 
@@ -128,14 +133,18 @@
         status, body = result
         if status == 404:
             return Missing(key)
-        row = msgspec.json.decode(body, type=RowBody)
+        row = _decode(body, RowBody, Unavailable)
+        if isinstance(row, Unavailable):
+            return row
         return Row(row.key, row.value, row.version)
 
     async def scan(self, prefix: str) -> tuple[Row, ...] | Unavailable:
         result = await self._read("/scan", prefix=prefix)
         if isinstance(result, Unavailable):
             return result
-        rows = msgspec.json.decode(result[1], type=list[RowBody])
+        rows = _decode(result[1], list[RowBody], Unavailable)
+        if isinstance(rows, Unavailable):
+            return rows
         return tuple(Row(row.key, row.value, row.version) for row in rows)
 
     async def commit(
@@ -150,8 +159,11 @@
         if isinstance(result, Unavailable | Uncertain):
             return result
         status, answer = result
-        versions = msgspec.json.decode(answer, type=VersionsBody).versions
-        return Conflict(versions) if status == 409 else Committed(versions)
+        found = _decode(answer, VersionsBody, Uncertain)
+        if isinstance(found, Uncertain):
+            return found
+        kind = Conflict if status == 409 else Committed
+        return kind(found.versions)
 
 
 class HttpObjects(_HttpService):
@@ -169,6 +181,8 @@
         result = await self._write("PUT", f"/objects/{name}", body)
         if isinstance(result, Unavailable | Uncertain):
             return result
+        if result[0] != 200:
+            return Uncertain(f"status {result[0]}")
         return Stored(name)
 
 
@@ -181,7 +195,7 @@
         result = await self._read("/weights")
         if isinstance(result, Unavailable):
             return result
-        return msgspec.json.decode(result[1], type=dict[str, tuple[str, ...]])
+        return _decode(result[1], dict[str, tuple[str, ...]], Unavailable)
 
 
 class HttpVms(_HttpService):
@@ -193,7 +207,9 @@
         result = await self._read("/vms")
         if isinstance(result, Unavailable):
             return result
-        body = msgspec.json.decode(result[1], type=VmListBody)
+        body = _decode(result[1], VmListBody, Unavailable)
+        if isinstance(body, Unavailable):
+            return body
         entries = tuple(
             VmEntry(entry.name, entry.state, entry.failure_domain, entry.address)
             for entry in body.entries
@@ -201,5 +217,15 @@
         return VmList(entries, body.as_of_ms)
 
 
+def _decode(
+    body: bytes, body_type: Any, failure: type[Unavailable] | type[Uncertain]
+) -> Any:
+    """Decode an answer; one that cannot be read is a failure and no exception."""
+    try:
+        return msgspec.json.decode(body, type=body_type)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return failure(f"answer could not be read: {error}")
+
+
 def _describe(error: BaseException) -> str:
     return f"{type(error).__name__}: {error}"
