--- a/tests/checker/test_checker.py
+++ b/tests/checker/test_checker.py
@@ -45,6 +45,12 @@
     "a whole answer": [ASKED, Ran(1, "e", "r", "id"), ANSWERED],
     "a true refusal": [CALL, Ended(2, "c", Ending.NOT_RUN, run_id="id")],
     "a caller that left": [ASKED, CallerLeft(3, "r")],
+    "a call that ran when it was asked again": [
+        CALL,
+        Ended(2, "c", Ending.NOT_RUN, "", "id1", "n1", False, 1),
+        Ran(5, "e", "c", "key", node="n1"),
+        Ended(6, "c", Ending.ANSWERED, "done", "id2", "n1", True, 4),
+    ],
     "a second attempt that ran": [
         ASKED,
         Ended(2, "r", Ending.NOT_RUN, run_id="id1", is_final=False),
@@ -123,6 +129,24 @@
         Promise.TRUE_REFUSAL,
         [CALL, Ended(1, "c", Ending.NOT_RUN, run_id="id"), Ran(2, "e", "c", "id2")],
     ),
+    "a call that ran at the node that refused it": (
+        Promise.TRUE_REFUSAL,
+        [
+            CALL,
+            Ended(2, "c", Ending.NOT_RUN, "", "id1", "n1", False, 1),
+            Ran(5, "e", "c", "key", node="n1"),
+            Ended(6, "c", Ending.UNKNOWN, "", "id2", "n2", True, 4),
+        ],
+    ),
+    "a refusal of a call that ran for an earlier attempt": (
+        Promise.TRUE_REFUSAL,
+        [
+            CALL,
+            Ran(1, "e", "c", "id1", node="n1"),
+            Ended(2, "c", Ending.CUT, "", "id1", "n1", False, 0),
+            Ended(4, "c", Ending.NOT_RUN, "", "id2", "n2", True, 3),
+        ],
+    ),
     "a call that ran twice": (
         Promise.AT_MOST_ONCE,
         [
