--- a/fireflyward/__main__.py
+++ b/fireflyward/__main__.py
@@ -16,6 +16,7 @@
     "load",
     "bundle",
     "key",
+    "rollout",
 )
 _DESCRIPTION = (
     "Serves prompts whose callers come back after long gaps. "
--- /dev/null
+++ b/fireflyward/commands/_rollout.py
@@ -0,0 +1,62 @@
+"""``fireflyward rollout``: how far replicas are on the way to the bundle."""
+
+import argparse
+
+from fireflyward.settings import SERVE_SETTINGS, add_flags
+
+from ._common import EXIT_FAILED, EXIT_OK, EXIT_USAGE, complain, load_settings
+
+
+def add(commands) -> None:
+    """Add the subcommand."""
+    rollout = commands.add_parser(
+        "rollout",
+        help="show how far replicas are on the way to the bundle",
+        description="Shows rollouts. Nothing here changes one: only bundles do.",
+    )
+    actions = rollout.add_subparsers(required=True, metavar="ACTION")
+    status = actions.add_parser(
+        "status",
+        help="print the rollout's state and, if it is held, the next step",
+        description="Reads the table service. Exits 1 if the rollout is held or "
+        "the table does not answer.",
+    )
+    status.add_argument("--json", action="store_true", help="print one JSON object")
+    add_flags(status, SERVE_SETTINGS)
+    status.set_defaults(run=run_status)
+
+
+def run_status(options: argparse.Namespace) -> int:
+    """Print the state that the table has."""
+    import asyncio
+
+    import msgspec
+
+    from fireflyward.platform import Unavailable
+    from fireflyward.rollout import Phase, status_lines
+
+    settings = load_settings(options)
+    if settings is None:
+        return EXIT_USAGE
+    row = asyncio.run(_read(settings["table_url"]))
+    if isinstance(row, Unavailable):
+        complain(f"the table service does not answer: {row.detail}")
+        return EXIT_FAILED
+    if options.json:
+        print(msgspec.json.encode(row).decode())
+    else:
+        print("\n".join(status_lines(row)))
+    return EXIT_FAILED if row.phase == Phase.HELD else EXIT_OK
+
+
+async def _read(table_url: str):
+    import aiohttp
+
+    from fireflyward.platform import HttpTable, Missing, Unavailable
+    from fireflyward.rollout import ROLLOUT_KEY, RolloutRow, decode_row
+
+    async with aiohttp.ClientSession() as session:
+        found = await HttpTable(session, table_url).get(ROLLOUT_KEY)
+    if isinstance(found, Unavailable):
+        return found
+    return RolloutRow() if isinstance(found, Missing) else decode_row(found.value)
--- a/fireflyward/rollout/__init__.py
+++ b/fireflyward/rollout/__init__.py
@@ -32,6 +32,7 @@
 )
 from ._serving import ServingVersions
 from ._shares import shares_of
+from ._status import status_lines
 from ._steps import RolloutStep
 from ._task import LEASE_NAME, RolloutTask
 
@@ -71,5 +72,6 @@
     "encode_row",
     "plan_of",
     "shares_of",
+    "status_lines",
     "worse",
 ]
