Let the demo's prompts return, and count what it reports

Cause: the demo reported doubled and link_bytes as constants (0), asked every prompt once, and knew nothing of kept work; a check that could not fail.

--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -31,7 +31,11 @@
     MemoryWeights,
     PlatformServer,
     ServiceServer,
+    StoreCosts,
+    StoreModel,
+    StoreServer,
 )
+from fireflyward.standins._http_server import HttpServer
 
 DOMAINS = ("sala-norte", "sala-sur")
 MODEL = "clauses"
@@ -39,6 +43,8 @@
 WEIGHT_VERSIONS = ("v1", "v2", "v3")
 SERVICE = "drafting"
 KEY_BY_ACCOUNT = {"bridge-team": "key-bridge", "tower-team": "key-tower"}
+_BLOCK_BYTES = 1 << 20
+_STORE_COSTS = StoreCosts(block_bytes=_BLOCK_BYTES)
 _PEER_KEY = "11" * 32
 _AUTHOR_SEED = b"a" * 32
 _APPROVER_SEED = b"b" * 32
@@ -57,6 +63,7 @@
         costs: EngineCosts | None = None,
         first_port: int = 0,
         accepts_bundle: bool = True,
+        stores: int = 0,
     ) -> None:
         ports = itertools.count(first_port) if first_port else itertools.repeat(0)
         weights = MemoryWeights({MODEL: WEIGHT_VERSIONS})
@@ -70,6 +77,10 @@
             for domain in DOMAINS
             for index in range(engines_per_domain)
         }
+        self.store_by_name = {
+            f"store-{index}": StoreServer(StoreModel(f"store-{index}", _STORE_COSTS))
+            for index in range(stores)
+        }
         self.node_by_name: dict[str, Node] = {}
         self._nodes_per_domain = nodes_per_domain
         self._accepts_bundle = accepts_bundle
@@ -80,8 +91,8 @@
     async def __aenter__(self) -> "DemoDeployment":
         await self.platform.start()
         await self.service.start()
-        for engine in self.engine_by_name.values():
-            await engine.start()
+        for server in self._upstream_servers():
+            await server.start()
         if self._accepts_bundle:
             await self.accept(self.make_bundle(1))
         for domain in DOMAINS:
@@ -92,11 +103,39 @@
     async def __aexit__(self, *_: object) -> None:
         for node in self.node_by_name.values():
             await node.close()
-        for engine in self.engine_by_name.values():
-            await engine.stop()
+        for server in self._upstream_servers():
+            await server.stop()
         await self.service.stop()
         await self.platform.stop()
 
+    def _upstream_servers(self) -> list[HttpServer]:
+        return [*self.engine_by_name.values(), *self.store_by_name.values()]
+
+    @property
+    def urls(self) -> list[str]:
+        """Return where the nodes that were started serve callers."""
+        return [f"http://127.0.0.1:{node.port}" for node in self.node_by_name.values()]
+
+    @property
+    def bundle_number(self) -> int:
+        """Return the highest number in force at any node."""
+        return max(node.holder.number for node in self.node_by_name.values())
+
+    @property
+    def link_bytes(self) -> int:
+        """Return the bytes that crossed the links of all stores."""
+        return sum(server.model.link_bytes for server in self.store_by_name.values())
+
+    @property
+    def stored_blocks(self) -> int:
+        """Return how many blocks the stores hold."""
+        return sum(server.model.used_slots() for server in self.store_by_name.values())
+
+    def forget_cached_blocks(self) -> None:
+        """Have every engine evict everything, as a day of other work would."""
+        for server in self.engine_by_name.values():
+            server.model.cache.lose_all("2")
+
     async def accept(self, bundle: Bundle) -> None:
         """Sign a bundle by both people and have the platform accept it."""
         signed = sign_bundle(
@@ -127,6 +166,8 @@
             name: Upstream("engine", engine.url, _domain_of(name), (MODEL,))
             for name, engine in self.engine_by_name.items()
         }
+        for name, server in self.store_by_name.items():
+            upstreams[name] = Upstream("store", server.url, DOMAINS[0])
         upstreams["drafting-1"] = Upstream(
             "service", self.service.url, DOMAINS[0], service=SERVICE
         )
@@ -161,6 +202,10 @@
         ports = {"port": "0", "peer_port": "0"}
         periods = {"bundle_poll_ms": "200", "balancer_wait_ms": "100"}
         periods["rollout_watch_ms"] = "100"
+        periods["kept_block_bytes"] = str(_BLOCK_BYTES)
+        periods["peers"] = ",".join(
+            "{}:{}".format(*node.link.address) for node in self.node_by_name.values()
+        )
         flags = self.flag_values(name, domain) | ports | periods
         settings = load(SERVE_SETTINGS, flags, {})
         assert isinstance(settings, Settings), settings
--- a/fireflyward/load/__init__.py
+++ b/fireflyward/load/__init__.py
@@ -2,7 +2,7 @@
 
 from ._caller import LoadCaller
 from ._plan import LoadPlan, LoadRequest, Way, draw_requests
-from ._report import LoadReport
+from ._report import LoadReport, make_report
 from ._run import LoadRun
 
 __all__ = [
@@ -13,4 +13,5 @@
     "LoadRun",
     "Way",
     "draw_requests",
+    "make_report",
 ]
