Keep new work from upstreams that leave, by the first sign

Cause: the platform's list was no sign at all, and plain services' replicas were called in the order of their names however they stood.

Change: LeavingSigns merges the list, a peer's word and refused connections; two nodes of each failure domain look at the list each second and tell the rest; the router and the plain services' calls take it in.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -9,9 +9,11 @@
 from fireflyward.connections import SilenceLimits
 from fireflyward.entry import EntryParts, InFlight, build_app
 from fireflyward.kept import BlockNames
+from fireflyward.leaving import LeavingSigns, LeavingTask
 from fireflyward.limits import AdmissionGate
 from fireflyward.membership import Member, Membership, MembershipTask
 from fireflyward.observe import Metrics, Tracing
+from fireflyward.platform import Vms
 from fireflyward.routing import Candidate, Router
 from fireflyward.runs import RunIds, RunRecords, finish_detached
 from fireflyward.settings import Settings
@@ -81,6 +83,8 @@
         self.bundles: BundleDuty | None = None
         self.admin: AdminDuty | None = None
         self.membership: MembershipTask | None = None
+        self.leaving_signs = LeavingSigns()
+        self.leaving: LeavingTask | None = None
         self.records: RunRecords | None = None
         self.kept: KeptDuty | None = None
 
@@ -127,8 +131,18 @@
         self.port = await self.outside.listen(app)
         self.observe(StartStep.PORT_OPEN)
         await self.link.start()
-        self.membership = self._make_membership(self.bundles)
+        vms = self.guards.vms(self.outside.make_vms())
+        self.membership = self._make_membership(self.bundles, vms)
         self.membership.start()
+        self.leaving = LeavingTask(
+            signs=self.leaving_signs,
+            clock=self.clock,
+            link=self.link,
+            members=self.members,
+            vms=vms,
+            on_leaving=self.router.on_leaving,
+        )
+        self.leaving.start()
         self.observe(StartStep.LINK_OPEN)
         await self.bundles.start()
         await self.admin.start()
@@ -185,6 +199,8 @@
             await self.admin.stop()
         if self.bundles:
             await self.bundles.stop()
+        if self.leaving:
+            await self.leaving.stop()
         if self.membership:
             await self.membership.stop()
         if self.records:
@@ -210,7 +226,7 @@
             self.link.incarnation,
         )
 
-    def _make_membership(self, bundles: BundleDuty) -> MembershipTask:
+    def _make_membership(self, bundles: BundleDuty, vms: Vms) -> MembershipTask:
         return MembershipTask(
             self._membership,
             clock=self.clock,
@@ -219,7 +235,7 @@
             bundle_number=lambda: self.holder.number,
             on_number=bundles.on_member_number,
             seeds=self.settings["peers"],
-            vms=self.guards.vms(self.outside.make_vms()),
+            vms=vms,
         )
 
     def _entry_parts(self, records: RunRecords) -> EntryParts:
@@ -246,6 +262,7 @@
             limits=SilenceLimits(silence_ms=self.settings["silence_limit_ms"]),
             in_flight=self.in_flight,
             versions=self.rollout.versions,
+            leaving=self.leaving_signs,
         )
 
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
@@ -283,6 +300,9 @@
         self.router.set_replicas(candidates)
         if self.kept:
             self.kept.apply(bundle)
+        self.leaving_signs.set_upstreams(
+            {name: upstream.url for name, upstream in bundle.upstreams.items()}
+        )
 
     async def _poll_loads(self) -> None:
         await asyncio.gather(*(self._poll_load(name) for name in self.router.names()))
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -14,6 +14,8 @@
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits
 from fireflyward.kept import BlockNames, PrefixTexts
+from fireflyward.kept import BlockNames
+from fireflyward.leaving import LeavingSigns
 from fireflyward.limits import AdmissionGate
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.outcomes import NotRun, Reason, Unknown
@@ -64,6 +66,7 @@
     budget: RetryBudget = field(default_factory=RetryBudget)
     in_flight: InFlight = field(default_factory=InFlight)
     versions: ServingVersions | None = None
+    leaving: LeavingSigns = field(default_factory=LeavingSigns)
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/entry/_services.py
+++ b/fireflyward/entry/_services.py
@@ -1,6 +1,7 @@
 """Plain services: one call each, repeated only where that is allowed."""
 
 import hashlib
+from functools import partial
 
 from aiohttp import web
 
@@ -107,6 +108,10 @@
     )
 
 
+def _note_refused(parts: EntryParts, upstream: str) -> None:
+    parts.leaving.on_refused(parts.clock.now_ms(), upstream)
+
+
 def _make_task(
     parts: EntryParts,
     identity: Identity,
@@ -119,10 +124,12 @@
         for upstream_name, upstream in sorted(parts.holder.bundle.upstreams.items())
         if upstream.service == name
     ]
+    now_ms = parts.clock.now_ms()
     return ServiceTask(
         clock=parts.clock,
         service_by_name=parts.service_by_name,
-        replicas=replicas,
+        replicas=parts.leaving.in_order(now_ms, replicas),
+        on_refused=partial(_note_refused, parts),
         call=call,
         deadline_ms=identity.deadline_ms,
         record=record,
--- a/fireflyward/runs/_service_task.py
+++ b/fireflyward/runs/_service_task.py
@@ -1,7 +1,7 @@
 """Calls to plain services: repeated only where that is allowed."""
 
 import asyncio
-from collections.abc import Iterable, Mapping, Sequence
+from collections.abc import Callable, Iterable, Mapping, Sequence
 from dataclasses import replace
 from typing import TypeVar
 
@@ -54,8 +54,10 @@
         budget: RetryBudget | None = None,
         reply_limit_ms: int = _REPLY_LIMIT_MS,
         observe: StepObserver = ignore_step,
+        on_refused: Callable[[str], None] = lambda upstream: None,
     ) -> None:
         self._clock = clock
+        self._on_refused = on_refused
         self._service_by_name = service_by_name
         self._replicas = list(replicas[:_MAX_REPLICAS])
         self._call = call
@@ -177,6 +179,7 @@
         self._detail = result.detail
         if isinstance(result, Refused) or not result.may_have_run:
             self._unproven -= 1
+            self._on_refused(name)
         return result
 
     async def _wait(
--- /dev/null
+++ b/tests/leaving/test_task.py
@@ -0,0 +1,87 @@
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.leaving import LeavingSigns, LeavingTask
+from fireflyward.membership import Member, Members, owners_of
+from fireflyward.platform import VmEntry
+from fireflyward.standins import MemoryVms
+
+NAMES = [f"entry-{index}" for index in range(6)]
+
+
+class MemoryLinks:
+    """Links of all nodes; a datagram is handled by ``deliver``."""
+
+    def __init__(self):
+        self.handler_by_name = {}
+        self.sent = []
+
+    def make(self, name):
+        link = MemoryLinks.Link()
+        link.all, link.name = self, name
+        return link
+
+    class Link:
+        def register(self, kind, struct_type, handle):
+            self.all.handler_by_name[self.name] = handle
+
+        def send(self, address, kind, message):
+            self.all.sent.append((self.name, address[0], message))
+            return True
+
+    async def deliver(self):
+        for sender, target, message in self.sent:
+            await self.handler_by_name[target](sender, message)
+
+
+class CountedVms(MemoryVms):
+    reads = 0
+
+    async def list(self):
+        self.reads += 1
+        return await super().list()
+
+
+class TaskTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock = ManualClock()
+        self.links = MemoryLinks()
+        self.vms = CountedVms()
+        self.left = []
+        rows = [Member(name, (name, 1), "d1", "r", 1) for name in NAMES]
+        for row in rows:
+            members = Members(row)
+            for other in rows:
+                members.put(other)
+            signs = LeavingSigns()
+            signs.set_upstreams({"engine-1": "http://10.0.0.1:80"})
+            task = LeavingTask(
+                signs=signs,
+                clock=self.clock,
+                link=self.links.make(row.name),
+                members=members,
+                vms=self.vms,
+                on_leaving=lambda name, node=row.name: self.left.append((node, name)),
+            )
+            task.start()
+            self.addAsyncCleanup(task.stop)
+        self.lookers = {member.name for member in owners_of("list of VMs", rows, 2)}
+
+    async def test_all_know_within_two_seconds_though_two_look(self):
+        """Symptom: a leaving upstream gets work for ten seconds. Sequence: the
+        list names it, and most nodes look at the list seldom. Cause: who looked
+        did not tell."""
+        await self.clock.advance_ms(1_500)
+        self.vms.reads = 0
+        self.vms.entry_by_name["engine-1"] = VmEntry("engine-1", "leaving")
+        self.vms.as_of_ms = 5
+        await self.clock.advance_ms(2_000)
+        self.assertEqual(self.vms.reads, 4)
+        await self.links.deliver()
+        self.assertEqual({node for node, _ in self.left}, set(NAMES))
+        self.assertEqual(len(self.left), len(NAMES))
+
+    async def test_list_that_is_away_is_no_sign(self):
+        self.vms.away = True
+        await self.clock.advance_ms(30_000)
+        self.assertEqual(self.left, [])
