--- a/fireflyward/daemon/_guards.py
+++ b/fireflyward/daemon/_guards.py
@@ -21,6 +21,10 @@
 from fireflyward.settings import Settings
 
 _LIST_READS_PER_S = 100
+_LONGEST_READ_WAIT_MS = 1_000
+# One of 350 nodes has a write every 1.5 s. A node that writes one after the other
+# would otherwise be refused though it never asks for more than its share.
+_LONGEST_WRITE_WAIT_MS = 2_000
 
 
 class Guards:
@@ -50,14 +54,21 @@
         return self._guard(
             name,
             reads=self._budget(self._settings["store_reads_per_s"]),
-            writes=self._budget(self._settings["store_writes_per_s"]),
+            writes=self._budget(
+                self._settings["store_writes_per_s"],
+                longest_wait_ms=_LONGEST_WRITE_WAIT_MS,
+            ),
         )
 
     def _list_guard(self, name: str) -> Guard:
         return self._guard(name, reads=self._budget(_LIST_READS_PER_S))
 
-    def _budget(self, per_second: float) -> Budget:
-        return Budget(per_second=per_second, nodes=self._nodes)
+    def _budget(
+        self, per_second: float, *, longest_wait_ms: int = _LONGEST_READ_WAIT_MS
+    ) -> Budget:
+        return Budget(
+            per_second=per_second, nodes=self._nodes, longest_wait_ms=longest_wait_ms
+        )
 
     def _guard(
         self, name: str, *, reads: Budget, writes: Budget | None = None
