--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -14,7 +14,6 @@
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits
 from fireflyward.kept import BlockNames, PrefixTexts
-from fireflyward.kept import BlockNames
 from fireflyward.leaving import LeavingSigns
 from fireflyward.limits import AdmissionGate
 from fireflyward.observe import Metrics, Tracing
