--- a/fireflyward/commands/_bundle_work.py
+++ b/fireflyward/commands/_bundle_work.py
@@ -42,6 +42,7 @@
 
 _WAIT_STEP_S = 0.2
 _DIGEST_CHARACTERS = 64
+_AWAY = "platform_away"
 _EXIT_BY_OUTCOME = {
     SubmitOutcome.ACCEPTED: EXIT_OK,
     SubmitOutcome.REFUSED: EXIT_REFUSED,
@@ -231,6 +232,8 @@
         is_lost = reply.code == "answer_lost"
         raise _Stopped(EXIT_UNCERTAIN if is_lost else EXIT_FAILED, reply)
     session.tell(reply)
+    if any(problem.code == _AWAY for problem in reply.problems):
+        return EXIT_FAILED
     return _EXIT_BY_OUTCOME[reply.outcome]
 
 
--- a/fireflyward/daemon/_bundle_duty.py
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Callable, Coroutine
+from dataclasses import replace
 from functools import singledispatchmethod
 from typing import Any
 
@@ -116,6 +117,7 @@
         self._peers = peers
         self._apply = apply
         self._head: Head | None = None
+        self._unanswered: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self._ticker: asyncio.Task[None] | None = None
         link.register(NEWS_KIND, BundleNews, self._on_news)
@@ -174,6 +176,7 @@
         seen = [seen_state(self.own_state())]
         seen += [seen_state(reply) for reply in replies if _is_state(reply)]
         silent = known - {node.name for node in seen}
+        self._unanswered = set(silent)
         seen += [Seen(name, "", 0, is_reached=False) for name in sorted(silent)]
         number = max(self._follower.wanted, *(node.number for node in seen))
         self.watch.observe(self._clock.wall_ms(), number, seen)
@@ -217,7 +220,7 @@
 
     def _watch_members(self) -> None:
         """Note since when each member is at its number, behind or unreachable."""
-        members = self._peers.seen()
+        members = [self._judge_silence(member) for member in self._peers.seen()]
         own = seen_state(self.own_state())
         self.watch.observe(
             self._clock.wall_ms(), self._follower.wanted, [own, *members]
@@ -229,6 +232,18 @@
             ]
             self.watch.forget(gone)
 
+    def _judge_silence(self, member: Seen) -> Seen:
+        """Believe a call without an answer until membership has judged itself.
+
+        Membership takes some seconds to give a node up; without this a dead node
+        would be shown as serving again in between, with a new beginning.
+        """
+        if not member.is_reached:
+            self._unanswered.discard(member.name)
+        elif member.name in self._unanswered:
+            return replace(member, is_reached=False)
+        return member
+
     def _do(self, actions: list[Any]) -> None:
         for action in actions:
             self._act(action)
--- a/tests/daemon/test_bundle_duty.py
+++ b/tests/daemon/test_bundle_duty.py
@@ -244,7 +244,8 @@
         (node,) = await self.start(1)
         forged = sign_bundle(bundle(2), author=ANA, approver=ANA, base=self.state)
         await self.store.accept(bundle(2), forged)
-        await self.clock.advance_ms(3_000)
+        with self.assertLogs("fireflyward.bundles", "ERROR"):
+            await self.clock.advance_ms(3_000)
         self.assertEqual(node.number, 1)
         self.assertIn("same person", node.duty.own_state().refused)
         fetched = node.objects.gets
@@ -299,3 +300,23 @@
         await self.clock.advance_ms(1_500)
         conditions = {item.name: item.condition for item in one.duty.watch.statuses()}
         self.assertEqual(conditions["entry-2"], Condition.UNREACHABLE)
+
+    async def test_node_that_did_not_answer_stays_unreachable_from_then_on(self):
+        """Symptom: "since" of a dead node moves on. Sequence: it dies, status asks
+        it in vain, membership still counts it as live, then gives it up."""
+        await self.accept(bundle())
+        one, other = await self.start(2)
+        live = Member("entry-2", other.link.address, "sur", "santiago", 1)
+        one.members.put(live)
+        await self.clock.advance_ms(1_500)
+        self.network.cut = {"entry-2"}
+        await one.duty.node_statuses()
+        began_ms = self.clock.wall_ms()
+        await self.clock.advance_ms(2_500)
+        one.members.put(
+            Member("entry-2", other.link.address, "sur", "", 1, MemberState.DEAD, 1)
+        )
+        await self.clock.advance_ms(2_500)
+        status = one.duty.watch.statuses()[1]
+        self.assertEqual(status.condition, Condition.UNREACHABLE)
+        self.assertEqual(status.since_wall_ms, began_ms)
