--- a/fireflyward/bundles/_store.py
+++ b/fireflyward/bundles/_store.py
@@ -139,7 +139,7 @@
         return await self._get(change_name(head.number, head.digest))
 
     async def fetch_changes(
-        self, head: Head, after: int
+        self, head: Head, after: int, *, most: int = _MOST_CHANGES
     ) -> tuple[SignedBundle, ...] | Missing | Unavailable:
         """Return the changes that lead from number ``after`` to ``head``.
 
@@ -147,19 +147,23 @@
         """
         changes: list[SignedBundle] = []
         number, digest = head.number, head.digest
-        while number > after and len(changes) < _MOST_CHANGES:
+        while number > after and len(changes) < most:
             change = await self._get(change_name(number, digest))
             if not isinstance(change, SignedBundle):
                 return change
             changes.append(change)
             number, digest = number - 1, statement_of(change).based_on
         if number > after:
-            return Missing(f"more than {_MOST_CHANGES} changes before {head.number}")
+            return Missing(f"more than {most} changes before {head.number}")
         return tuple(reversed(changes))
 
     async def fetch_whole(self, head: Head) -> Whole | Missing | Unavailable:
-        """Return what leads from nothing to ``head``: a snapshot and changes."""
-        changes = await self.fetch_changes(head, head.snapshot_number)
+        """Return what leads from nothing to ``head``: a snapshot and changes.
+
+        However many changes there are since the snapshot, they are followed: a
+        store that refused every later snapshot must not keep nodes from starting.
+        """
+        changes = await self.fetch_changes(head, head.snapshot_number, most=head.number)
         if isinstance(changes, Missing | Unavailable):
             return changes
         name = snapshot_name(head.snapshot_number, head.snapshot_digest)
--- a/tests/bundles/test_store.py
+++ b/tests/bundles/test_store.py
@@ -231,3 +231,23 @@
         self.assertIsInstance(await self.store().accept(*signed(1)), Committed)
         self.assertEqual(await self.number(), 1)
         self.assertEqual(len(await self.store().history()), 1)
+
+
+class SnapshotTests(StoreTestCase):
+    async def test_node_can_start_though_no_later_snapshot_was_ever_kept(self):
+        """Symptom: no new node can start. Sequence: the object store refuses each
+        snapshot, and more changes come than a running node would follow."""
+        change, base = signed(1)[1], None
+        for number in range(1, 140):
+            bundle = Bundle("demo", number, {}, {}, {})
+            change = sign_bundle(bundle, author=ANA, approver=BRUNO, base=base)
+            result = await self.store().accept(bundle, change)
+            self.assertIsInstance(result, Committed)
+            if base is None:
+                base = verify_whole(change, (), roots=ROOTS, deployment="demo")
+            else:
+                base = verify_change(change, base, deployment="demo")
+        head, _ = await self.store().head()
+        whole = await self.store().fetch_whole(head)
+        self.assertEqual(head.snapshot_number, 1)
+        self.assertEqual(len(whole.changes), 138)
