--- a/fireflyward/placement/__init__.py
+++ b/fireflyward/placement/__init__.py
@@ -17,6 +17,7 @@
 from ._returns import ReturnClass, ReturnTimes
 from ._sketch import FrequencySketch
 from ._space import Admit, Decline, StoreSpace
+from ._spread import home_store, spread
 from ._watch import ImportWatch
 
 __all__ = [
@@ -50,4 +51,6 @@
     "Tier",
     "Transfer",
     "Urgency",
+    "home_store",
+    "spread",
 ]
--- a/fireflyward/placement/_space.py
+++ b/fireflyward/placement/_space.py
@@ -6,7 +6,7 @@
 from ._keep import KeepOffer
 from ._plans import Tier
 
-_SAMPLE = 12
+_SAMPLE = 8
 _ACCOUNT_SHARE = 0.35
 _LEAST_HALF_LIFE_MS = 30 * 60_000.0
 _GAPS_TO_HALVE = 2.0
@@ -155,14 +155,20 @@
         self._insert(key, entry)
         return Admit(evicted, demoted)
 
-    def touch(self, now_ms: float, key: str, reuses: float = 0.0) -> bool:
-        """Take a use of a piece; tell whether it came back to memory by it."""
+    def touch(
+        self, now_ms: float, key: str, reuses: float = 0.0, *, is_read: bool = False
+    ) -> bool:
+        """Take a use of a piece; tell whether it came back to memory by it.
+
+        Only a piece that was read from disk can; of one that an engine still has
+        it is enough to know that it is in use.
+        """
         entry = self._entry_by_key.get(key)
         if entry is None:
             return False
         entry.touched_ms = now_ms
         entry.reuses = max(entry.reuses, reuses)
-        if entry.tier is Tier.MEMORY:
+        if entry.tier is Tier.MEMORY or not is_read:
             return False
         return self._promote(now_ms, key, entry)
 
--- a/fireflyward/standins/_engine_kv.py
+++ b/fireflyward/standins/_engine_kv.py
@@ -57,6 +57,10 @@
     def __len__(self) -> int:
         return len(self._place_by_key)
 
+    def keys(self) -> Iterable[str]:
+        """Return the cached blocks, least recently used first."""
+        return self._place_by_key.keys()
+
     def prefix_blocks(self, keys: Iterable[str]) -> int:
         """Count the blocks, from the first, that are cached."""
         held = itertools.takewhile(self._place_by_key.__contains__, keys)
@@ -84,7 +88,9 @@
         """Return the events after a sequence, with the faults that are on."""
         if after < 0:
             return self._whole()
-        told = [event for event in self._events if event.sequence > after]
+        newer = self._sequence - after
+        skipped = max(0, len(self._events) - newer)
+        told = list(itertools.islice(self._events, skipped, None))
         if self.faults.late:
             told = told[: -self.faults.late]
         if self.faults.drop_every:
--- a/tests/placement/test_space.py
+++ b/tests/placement/test_space.py
@@ -35,7 +35,7 @@
             for n in range(11)
             if self.space.tier(key_of(("a", n))) is Tier.DISK
         )
-        self.assertTrue(self.space.touch(HOUR_MS, demoted, 5.0))
+        self.assertTrue(self.space.touch(HOUR_MS, demoted, 5.0, is_read=True))
         self.assertIs(self.space.tier(demoted), Tier.MEMORY)
         self.assertEqual(self.space.used(Tier.MEMORY), 10)
 
@@ -101,7 +101,9 @@
                     for key in result.evicted:
                         del account_by_key[key]
             elif source.random() < 0.7:
-                space.touch(now_ms, key_of((name, account)), 1.0)
+                space.touch(
+                    now_ms, key_of((name, account)), 1.0, is_read=bool(step % 2)
+                )
             else:
                 space.remove(key_of((name, account)))
                 account_by_key.pop(key_of((name, account)), None)
