--- a/fireflyward/routing/_candidate.py
+++ b/fireflyward/routing/_candidate.py
@@ -88,16 +88,11 @@
         """Learn from the time to one first token and the tokens computed for it.
 
         The time holds any wait behind other runs too, so the speed follows low
-        values quickly and high ones slowly: what is left is the pure prefill. The
-        first value is taken as it is; climbing slowly from the default, a replica
-        five times slower than that would be taken for fast for hundreds of runs.
+        values quickly and high ones slowly: what is left is the pure prefill.
         """
         if tokens < _LEAST_TOKENS_TO_LEARN:
             return
         seen = min(max(elapsed_ms / tokens, _LEAST_MS_PER_TOKEN), _MOST_MS_PER_TOKEN)
-        if not self.has_learnt_speed:
-            self.has_learnt_speed = True
-            self.ms_per_token = seen
-            return
+        self.has_learnt_speed = True
         rate = _RATE_DOWN if seen < self.ms_per_token else _RATE_UP
         self.ms_per_token += rate * (seen - self.ms_per_token)
--- a/fireflyward/workloads/_node.py
+++ b/fireflyward/workloads/_node.py
@@ -61,7 +61,7 @@
         self._router = Router(domain, seed=seed)
         self._router.set_replicas(
             [
-                Candidate(name, home, (MODEL,), {MODEL: VERSION})
+                _candidate(name, home, shape)
                 for name, home in shape.replica_domains().items()
             ]
         )
@@ -259,5 +259,11 @@
         self._node.ended(self)
 
 
+def _candidate(name: str, domain: str, shape: DeploymentShape) -> Candidate:
+    """Return a replica of which only its usual speed is known, as a setting."""
+    speed = shape.engine.prefill_ms_per_token
+    return Candidate(name, domain, (MODEL,), {MODEL: VERSION}, ms_per_token=speed)
+
+
 def _is_in(plan: Import, run: StoredRun) -> bool:
     return run.store == plan.store and run.first <= plan.first < run.end
