--- a/fireflyward/bench/measures/bundle_cost.py
+++ b/fireflyward/bench/measures/bundle_cost.py
@@ -12,13 +12,23 @@
 from typing import Any
 
 from fireflyward.bench import Bench, Figure
-from fireflyward.bundles import BundleHolder, BundleState, sign_bundle, verify_change
+from fireflyward.bundles import (
+    BundleFollower,
+    BundleHolder,
+    BundleState,
+    BundleWatch,
+    Seen,
+    sign_bundle,
+    verify_change,
+)
 
 from .bundle_bytes import APPROVER, AUTHOR, DEPLOYMENT, first_state, make_bundle
 
 _MEBIBYTE = bytes(1 << 20)
 _REPEATS = 7
 _LOOKUPS = 2_000
+_NODES = 350
+_TICKS_PER_SECOND = 10
 
 
 def _run() -> list[Figure]:
@@ -26,7 +36,26 @@
     figures = []
     for accounts in (100, 1_000, 5_000, 19_000):
         figures += _time_figures(accounts, baseline_s) + _memory_figures(accounts)
-    return figures
+    return figures + _duty_figures()
+
+
+def _duty_figures() -> list[Figure]:
+    """Measure what following costs a node among 350 while nothing changes."""
+    names = [f"node-{index}" for index in range(_NODES - 1)]
+    seen = [Seen(name, "norte", 1, is_reached=True) for name in names]
+    follower, watch = BundleFollower(poll_ms=2_000, seed=1), BundleWatch()
+    follower.on_taken(0, 1, names)
+    for name in names:
+        follower.on_news(0, name, 1)
+    times_ms = iter(range(0, 1 << 30, 100))
+    tick_s = _best_of(lambda: follower.on_tick(next(times_ms), names))
+    watch_s = _best_of(lambda: watch.observe(0, 1, seen))
+    core = (tick_s * _TICKS_PER_SECOND + watch_s) * 100
+    return [
+        Figure(f"bundle_cost.nodes_{_NODES}.tick_us", tick_s * 1e6, "µs"),
+        Figure(f"bundle_cost.nodes_{_NODES}.watch_us", watch_s * 1e6, "µs"),
+        Figure(f"bundle_cost.nodes_{_NODES}.core_percent", core, "%"),
+    ]
 
 
 def _best_of(work: Callable[[], Any]) -> float:
--- a/fireflyward/daemon/_bundle_duty.py
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -210,12 +210,14 @@
 
     async def _tick_always(self) -> None:
         look_at_ms = 0
+        names: list[str] = []
         while True:
             now_ms = self._clock.now_ms()
-            self._do(self._follower.on_tick(now_ms, list(self._peers.addresses())))
             if now_ms >= look_at_ms:
                 look_at_ms = now_ms + _LOOK_MS
+                names = list(self._peers.addresses())
                 self._watch_members()
+            self._do(self._follower.on_tick(now_ms, names))
             await self._clock.sleep_ms(_TICK_MS)
 
     def _watch_members(self) -> None:
