Take exports, imports, frees and rollouts into the fault matrix

The matrix had no store and no order to an engine. Its world now has stores of kept work, the engines' KV calls and orders behind the same links, and drivers for an export with an import, a free with a full store and a half-done write, and a rollout to another weight version; store and cache-event faults and engines that ignore fencing strike there. A task that ends by an exception which nobody awaits is a problem of its cell. Kept duties report their steps to the node's observer.

--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -24,6 +24,7 @@
 from fireflyward.platform import Objects, Table
 from fireflyward.routing import Router
 from fireflyward.settings import Settings
+from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Broken, KvEngine
 
 from ._kept_work import KeptWork
@@ -55,8 +56,10 @@
         metrics: Metrics,
         members: Members,
         holder: BundleHolder,
+        observe: StepObserver = ignore_step,
     ) -> None:
         self._clock = clock
+        self._observe = observe
         self._outside = outside
         self._table = table
         self._router = router
@@ -85,6 +88,7 @@
             url_by_store=self.url_by_store,
             is_served=self._is_served,
             block_bytes=settings["kept_block_bytes"],
+            observe=observe,
         )
 
     def start(self) -> None:
@@ -162,7 +166,7 @@
             store = self.store_by_name.get(name)
             if store is None or lease.claim() is None:
                 continue
-            result = await Sweeper(lease.claim).sweep(store)
+            result = await Sweeper(lease.claim, observe=self._observe).sweep(store)
             if isinstance(result, NotSwept):
                 log.info("daemon: sweep ended early, %s", result.detail)
                 continue
--- a/fireflyward/daemon/_kept_work.py
+++ b/fireflyward/daemon/_kept_work.py
@@ -34,6 +34,7 @@
     Tier,
 )
 from fireflyward.routing import Router, RunShape
+from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import BLOCK_TOKENS, EngineCall, KvEngine
 
 _EXPORT_DELAY_MS = 1_000
@@ -121,6 +122,7 @@
         url_by_store: dict[str, str],
         is_served: Callable[[str, str], bool],
         block_bytes: int,
+        observe: StepObserver = ignore_step,
     ) -> None:
         self._clock = clock
         self._router = router
@@ -132,8 +134,8 @@
         self.prefixes = IndexedPrefixes(index, router)
         self.placement = Placement(PlacementCosts(block_bytes), self.prefixes)
         self._keep = KeepPolicy()
-        self._importer = Importer(clock, url_by_store, is_served)
-        self._exporter = Exporter(url_by_store)
+        self._importer = Importer(clock, url_by_store, is_served, observe=observe)
+        self._exporter = Exporter(url_by_store, observe=observe)
         self._served: deque[_Served] = deque(maxlen=_MAX_WAITING)
         self._imports = 0
         self._hint_by_run: OrderedDict[str, PromptHint] = OrderedDict()
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -126,6 +126,7 @@
             metrics=self.metrics,
             members=self.members,
             holder=self.holder,
+            observe=self.observe,
         )
         app = build_app(self._entry_parts(self.records))
         self.port = await self.outside.listen(app)
--- a/tests/faults/_callers.py
+++ b/tests/faults/_callers.py
@@ -17,7 +17,7 @@
 TOKENS = 6
 MODEL = "clauses"
 SERVICE_PATH = "/services/drafting/revisions"
-CLAUSES = "shared seismic clauses of the building code. " * 24
+CLAUSES = "shared seismic clauses of the building code. " * 96
 _PATIENCE_MS = 60_000
 _PAUSE_MS = 700
 _DONE = b"data: [DONE]\n\n"
--- a/tests/faults/_explore.py
+++ b/tests/faults/_explore.py
@@ -97,7 +97,7 @@
     lead = found.lead_by_place[procedure, step]
     cells = []
     for name in FAULT_BY_NAME:
-        reason = IMPOSSIBLE.get((name, procedure)) or IMPOSSIBLE.get((name, ""))
+        reason = IMPOSSIBLE.get((name, procedure))
         if reason:
             found.impossible[procedure, step, name] = reason
         else:
--- a/tests/faults/_fakes.py
+++ b/tests/faults/_fakes.py
@@ -8,9 +8,16 @@
 from fireflyward.bundles._store import HEAD_KEY, Head
 from fireflyward.checker import BlockRead, BlockSealed, Ran
 from fireflyward.daemon import Outside
+from fireflyward.kept import StoreAway
 from fireflyward.outcomes import Reason
 from fireflyward.platform import Unavailable, Uncertain
-from fireflyward.standins import EngineCosts, EngineModel, MemoryTable
+from fireflyward.standins import (
+    EngineCosts,
+    EngineModel,
+    EngineOrders,
+    MemoryStore,
+    MemoryTable,
+)
 from fireflyward.upstreams import (
     BLOCK_TOKENS,
     Accepted,
@@ -23,8 +30,11 @@
 )
 
 from ._network import CALL_LIMIT_MS, LinkDown, LinkLost, MemoryLink, Network, Process
+from ._stores import WatchedKv
 
-COSTS = EngineCosts(prefill_ms_per_token=0.2, decode_ms_per_token=20.0, load_ms=1_200)
+COSTS = EngineCosts(prefill_ms_per_token=0.05, decode_ms_per_token=20.0, load_ms=1_200)
+SLOW_COSTS = EngineCosts(prefill_ms_per_token=1.0, decode_ms_per_token=20.0)
+URL_PREFIX = "http://"
 _POLL_MS = 20
 _LIBRARY_WAIT_MS = 60_000
 _KEEP_ALIVE_MS = 500
@@ -97,8 +107,16 @@
 
     def restart(self) -> None:
         self.epoch = self.world.clock.now_ms()
-        self.model = EngineModel(dict(self.versions), COSTS, str(self.epoch))
+        costs = SLOW_COSTS if self.world.store_by_name else COSTS
+        self.model = EngineModel(dict(self.versions), costs, str(self.epoch))
         self.is_leaving = False
+        self.orders = EngineOrders(self.model, weights=self.world.weight_source)
+        self.kv = WatchedKv(self.world, self.model, self.world.clock, self._store_of)
+
+    def _store_of(self, name: str, url: str) -> "RemoteStore":
+        return RemoteStore(
+            self.world, self.world.network.process_by_name[self.name], name
+        )
 
     def submit(self, call, node: str) -> Accepted | Refused:
         now_ms = self.world.clock.now_ms()
@@ -113,10 +131,15 @@
     def _see_cache(self, now_ms, call, request, result) -> None:
         """Tell the checker which blocks of its own cache the engine used again."""
         account = self.world.account_of(request)
+        for key in call.block_keys:
+            self.world.owner_by_key.setdefault(key, (account, call.version))
         cached = result.cached_tokens // BLOCK_TOKENS
         for index, key in enumerate(call.block_keys):
             place = self.name, key, self.epoch
             if index < cached:
+                self.world.see(
+                    BlockSealed(now_ms, *place, *self.world.owner_by_key[key], "")
+                )
                 read = BlockRead(
                     now_ms, now_ms, *place, "", request, account, call.version
                 )
@@ -212,6 +235,65 @@
         return await self._ask(self._vm.report, lambda detail: Broken(False, detail))
 
 
+class RemoteStore:
+    """A store as a node or an engine reaches it."""
+
+    def __init__(self, world, process: Process, name: str) -> None:
+        self.name = name
+        self._world = world
+        self._process = process
+
+    def __getattr__(self, method: str):
+        async def call(*positional, **named):
+            try:
+                network = self._world.network
+                connection = await network.connect(self._process, self.name)
+            except LinkDown as error:
+                return StoreAway(str(error), False)
+            try:
+                await connection.carry(CALL_LIMIT_MS)
+                store = MemoryStore(self._world.store_by_name[self.name], network.clock)
+                result = await getattr(store, method)(*positional, **named)
+                await connection.carry(CALL_LIMIT_MS)
+            except LinkLost as error:
+                return StoreAway(str(error))
+            return result
+
+        return call
+
+
+class RemoteEngine:
+    """The orders or the KV calls of an engine as one node reaches them."""
+
+    def __init__(self, world, process: Process, name: str, part: str) -> None:
+        self._world = world
+        self._process = process
+        self._name = name
+        self._part = part
+
+    def __getattr__(self, method: str):
+        async def call(*positional):
+            try:
+                network = self._world.network
+                connection = await network.connect(self._process, self._name)
+            except LinkDown as error:
+                return Broken(False, str(error))
+            try:
+                await connection.carry(CALL_LIMIT_MS)
+                vm = self._world.engine_by_name[self._name]
+                act = getattr(getattr(vm, self._part), method)
+                if self._part == "orders":
+                    result = act(network.clock.now_ms(), *positional)
+                else:
+                    result = await act(*positional)
+                await connection.carry(CALL_LIMIT_MS)
+            except LinkLost as error:
+                return Broken(True, str(error))
+            return result
+
+        return call
+
+
 class FakeService:
     """A plain service's client; the service notes each call that it runs."""
 
@@ -295,5 +377,18 @@
         vm = self._world.engine_by_name[name]
         return FakeEngine(self._world.network, self._process, vm)
 
+    def make_ordered_engine(self, name: str, upstream: Upstream) -> RemoteEngine:
+        return RemoteEngine(self._world, self._process, name, "orders")
+
+    def make_kv_engine(self, upstream: Upstream) -> RemoteEngine:
+        name = upstream.url.removeprefix(URL_PREFIX)
+        return RemoteEngine(self._world, self._process, name, "kv")
+
+    def make_store(self, name: str, url: str) -> RemoteStore:
+        return RemoteStore(self._world, self._process, name)
+
+    async def stop_accepting(self) -> None:
+        self.is_listening = False
+
     def make_service(self, name: str, upstream: Upstream) -> FakeService:
         return FakeService(self._world.network, self._process, name, self._world)
--- a/tests/faults/_faults.py
+++ b/tests/faults/_faults.py
@@ -6,6 +6,7 @@
 from fireflyward.checker import UpstreamLeaving
 
 from ._network import Process
+from ._procedures import PROCEDURE_BY_NAME, STORE_PROCEDURES
 from ._world import DOMAINS, World
 
 _HEAL_MS = 6_000
@@ -216,4 +217,54 @@
     world.spawn(world.callers[0].ask_again())
 
 
+def _store_fault(name: str, strike: Strike, heal_ms: int = _HEAL_MS) -> None:
+    """Keep a fault of stores or cache events, impossible where there is no store."""
+    FAULT_BY_NAME[name] = Fault(name, strike, heal_ms)
+    for procedure in PROCEDURE_BY_NAME:
+        if procedure not in STORE_PROCEDURES:
+            IMPOSSIBLE[name, procedure] = "no store and no event is part of it"
+
+
+def _store_dies(world, process):
+    name = next(iter(world.store_by_name))
+    dead = world.network.process_by_name[name]
+    dead.die()
+
+    def heal():
+        world.store_by_name[name].restart_empty(world.clock.now_ms())
+        world.network.add(name, dead.domain)
+
+    return heal
+
+
+def _store_full(world, process):
+    faults = [store.faults for store in world.store_by_name.values()]
+    for fault in faults:
+        fault.full = True
+    return lambda: [setattr(fault, "full", False) for fault in faults]
+
+
+def _events(**switches) -> Strike:
+    def strike(world, process):
+        faults = [vm.model.cache.faults for vm in world.engine_by_name.values()]
+        for fault in faults:
+            for name, value in switches.items():
+                setattr(fault, name, value)
+
+    return strike
+
+
+@_fault("engines ignore fencing")
+def _engines_ignore_fencing(world, process):
+    """The holder is paused too, since fencing matters to nobody else."""
+    for vm in world.engine_by_name.values():
+        vm.orders.honours_fencing = False
+    return _holder_paused(world, process)
+
+
 IMPOSSIBLE: dict[tuple[str, str], str] = {}
+_store_fault("store dies", _store_dies, _RESTART_MS)
+_store_fault("store full", _store_full)
+_store_fault("cache events late", _events(late=4))
+_store_fault("cache events doubled", _events(doubled=True))
+_store_fault("cache events missing", _events(drop_every=2))
--- a/tests/faults/_matrix.py
+++ b/tests/faults/_matrix.py
@@ -13,7 +13,7 @@
 from fireflyward.steps import Step
 
 from ._faults import FAULT_BY_NAME, IMPOSSIBLE
-from ._procedures import PROCEDURE_BY_NAME
+from ._procedures import PROCEDURE_BY_NAME, STORE_PROCEDURES
 from ._world import ACCOUNTS, World
 
 _LIMIT_MS = 120_000
@@ -82,7 +82,7 @@
 
 
 async def _run(cell: Cell) -> Result:
-    world = World()
+    world = World(has_stores=cell.procedure in STORE_PROCEDURES)
     result = Result(cell)
     waiting = list(cell.strikes)
 
@@ -148,10 +148,14 @@
 def pick_pairs(singles: list[Result], seed: int, count: int) -> Iterator[Cell]:
     """Draw second faults, from a fixed seed, for steps that come after a first."""
     drawn = random.Random(seed)
-    names = sorted(FAULT_BY_NAME.keys() - {name for name, _ in IMPOSSIBLE})
     firsts = [result for result in singles if result.steps]
     for _ in range(count):
         first = drawn.choice(firsts)
-        second = drawn.choice(sorted(first.steps)), drawn.choice(names)
         cell = first.cell
+        names = [
+            name
+            for name in sorted(FAULT_BY_NAME)
+            if (name, cell.procedure) not in IMPOSSIBLE
+        ]
+        second = drawn.choice(sorted(first.steps)), drawn.choice(names)
         yield Cell(cell.procedure, (*cell.strikes, second), is_pair=True)
--- a/tests/faults/_procedures.py
+++ b/tests/faults/_procedures.py
@@ -2,13 +2,19 @@
 
 import asyncio
 
+from fireflyward.kept import Wanted
 from fireflyward.platform import Committed
 
+from ._callers import MODEL
 from ._world import ACCOUNTS, World
 
 _FORCE_MS = 9_100
 _PAUSE_MS = 800
 _ATTEMPTS = 40
+_EXPORT_MS = 4_000
+_SWEEP_MS = 45_000
+_FILLING = 50
+_ROLLOUT_POLLS = 110
 _STOP_AFTER_MS = 20
 
 
@@ -54,8 +60,9 @@
         world.ask("call", is_call=True),
     ]
     await world.clock.sleep_ms(_STOP_AFTER_MS)
-    await world.stop_node("node-norte")
+    stopping = world.stop_node("node-norte")
     await asyncio.gather(*asked)
+    await asyncio.wait({stopping})
 
 
 async def _start(world: World) -> None:
@@ -66,6 +73,51 @@
     await asyncio.gather(*asked)
 
 
+async def _kept(world: World) -> None:
+    """Prompts return after their blocks were exported and the engines forgot them."""
+    for index in range(2):
+        await world.ask(f"first-{index}", ACCOUNTS[index])
+    await world.clock.sleep_ms(_EXPORT_MS)
+    for vm in world.engine_by_name.values():
+        vm.restart()
+    await world.clock.sleep_ms(_EXPORT_MS)
+    await asyncio.gather(
+        *(world.ask(f"second-{index}", ACCOUNTS[index]) for index in range(2))
+    )
+
+
+async def _free(world: World) -> None:
+    """A write is left half done, and the sweep comes by."""
+    for store in world.store_by_name.values():
+        store.fill(_FILLING)
+        store.reserve(world.clock.now_ms(), (Wanted("ab" * 16, 1),))
+    await _kept(world)
+    await world.clock.sleep_ms(_SWEEP_MS)
+
+
+async def _rollout(world: World) -> None:
+    """A bundle brings another weight version while prompts are asked."""
+    world.versions = ("v1", "v2")
+    asked = [world.ask(f"during-{index}") for index in range(2)]
+    for attempt in range(_ATTEMPTS):
+        operator = world.network.add(f"operator-{attempt}", "office")
+        number = world.accepted_number() + 1
+        bundle = world.make_bundle(number, version="v2", share=7)
+        task = operator.spawn(world.accept(bundle, operator))
+        await asyncio.wait({task})
+        if not task.cancelled() and isinstance(task.result(), Committed):
+            break
+        await world.clock.sleep_ms(_PAUSE_MS)
+    vms = world.engine_by_name.values()
+    for _ in range(_ROLLOUT_POLLS):
+        if all(vm.model.version_by_model.get(MODEL) == "v2" for vm in vms):
+            break
+        await world.clock.sleep_ms(_PAUSE_MS)
+    else:
+        world.errors.append("the rollout never ended")
+    await asyncio.gather(*asked, world.ask("after"))
+
+
 # Procedures at whose steps of a kind faults strike; the requests beside a procedure
 # pass steps too. A kind that is not named here is struck wherever it comes up.
 _PROMPTS = ("a prompt", "a stream", "a non-idempotent prompt")
@@ -75,9 +127,18 @@
     "StopStep": ("a planned stop",),
     "PromptStep": _PROMPTS,
     "StreamStep": _PROMPTS,
+    "ExportStep": ("an export or import",),
+    "ImportStep": ("an export or import",),
+    "FreeStep": ("a free",),
+    "LeaseStep": ("a rollout",),
+    "RolloutStep": ("a rollout",),
     "OnceStep": ("a non-idempotent call", "a non-idempotent prompt"),
 }
+STORE_PROCEDURES = ("an export or import", "a free")
 PROCEDURE_BY_NAME = {
+    "an export or import": _kept,
+    "a free": _free,
+    "a rollout": _rollout,
     "a prompt": _prompt,
     "a stream": _stream,
     "a non-idempotent call": _call,
--- a/tests/faults/_stores.py
+++ b/tests/faults/_stores.py
@@ -1,11 +1,13 @@
 """Stores of kept work, and engines that import from them, as the checker sees."""
 
+from dataclasses import replace
+
 from fireflyward.checker import BlockFreed, BlockRead, BlockSealed
-from fireflyward.kept import SlotState
-from fireflyward.standins import EngineKv, StoreCosts, StoreModel
+from fireflyward.kept import Wanted
+from fireflyward.standins import EngineKv, StoreCosts, StoreModel, kv_payload
 from fireflyward.upstreams import block_checksum
 
-COSTS = StoreCosts(memory_slots=16, disk_slots=16, block_bytes=1_000)
+COSTS = StoreCosts(memory_slots=32, disk_slots=32, block_bytes=1_000)
 
 
 class WatchedStore(StoreModel):
@@ -39,9 +41,17 @@
             freed = BlockFreed(now_ms, self.name, slot.key, slot.generation)
             self.world.see(freed)
 
-    def is_published(self, ref) -> bool:
-        slot = self._slot(ref)
-        return slot is not None and slot.state is SlotState.PUBLISHED
+    def fill(self, blocks: int) -> None:
+        """Keep so many other blocks."""
+        now_ms = self.world.clock.now_ms()
+        wanted = tuple(Wanted(f"{number:032x}", 1) for number in range(blocks))
+        for ref in self.reserve(now_ms, wanted).refs:
+            payload = kv_payload(ref.key)
+            self.write(ref, payload)
+            checksum = block_checksum(ref.key, ref.generation, payload)
+            whole = replace(ref, length=len(payload), checksum=checksum)
+            self.seal((whole,))
+            self.publish((whole,))
 
 
 class WatchedKv(EngineKv):
--- a/tests/faults/_world.py
+++ b/tests/faults/_world.py
@@ -24,11 +24,17 @@
 from fireflyward.clock import ManualClock
 from fireflyward.daemon import Node
 from fireflyward.settings import SERVE_SETTINGS, load
-from fireflyward.standins import MemoryObjects, MemoryVms, MemoryWeights
+from fireflyward.standins import (
+    MemoryObjects,
+    MemoryVms,
+    MemoryWeights,
+    WeightSource,
+)
 
 from ._callers import MODEL, Ask, Caller
-from ._fakes import EngineVm, MemoryOutside, Remote, WatchedTable
+from ._fakes import URL_PREFIX, EngineVm, MemoryOutside, Remote, WatchedTable
 from ._network import PEER_PORT, Network, Process, ProcessClock
+from ._stores import WatchedStore
 
 DOMAINS = ("norte", "sur")
 ACCOUNTS = ("bridge", "tower")
@@ -46,8 +52,10 @@
 class World:
     """Two failure domains, each with a node, an engine and a service replica."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, has_stores: bool = False) -> None:
         self.clock = ManualClock()
+        self.store_by_name: dict[str, WatchedStore] = {}
+        self.weight_source = WeightSource()
         self.network = Network(self.clock)
         self.checker = Checker()
         self.errors: list[str] = []
@@ -71,6 +79,10 @@
         for name in _PLATFORM:
             self.network.add(name, "platform")
         self.operator = self.network.add("operator", "office")
+        for domain in DOMAINS if has_stores else ():
+            self.network.add(f"store-{domain}", domain)
+            store = WatchedStore(self, f"store-{domain}")
+            self.store_by_name[store.name] = store
         for domain in DOMAINS:
             name = f"engine-{domain}"
             self.network.add(name, domain)
@@ -82,6 +94,8 @@
 
     async def begin(self) -> None:
         """Accept the first bundle and start the nodes."""
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self._on_unhandled)
         await self.finish_soon(self.accept(self.make_bundle(1)))
         for domain in DOMAINS:
             await self.finish_soon(self.start_node(f"node-{domain}", domain))
@@ -95,6 +109,12 @@
             await self.clock.advance_ms(20)
         task.result()
 
+    def _on_unhandled(self, loop, context) -> None:
+        """Note what ended a task that nobody awaits."""
+        error = context.get("exception")
+        if error is not None:
+            self.errors.append(f"a task ended by {error!r}")
+
     def spawn(self, work) -> asyncio.Task:
         task = asyncio.ensure_future(work)
         self._tasks.add(task)
@@ -107,13 +127,18 @@
         self, number: int, *, version: str = "v1", share: int = 1
     ) -> Bundle:
         upstreams = {
-            f"engine-{domain}": Upstream("engine", "http://e", domain, (MODEL,))
+            f"engine-{domain}": Upstream(
+                "engine", f"{URL_PREFIX}engine-{domain}", domain, (MODEL,)
+            )
             for domain in DOMAINS
         }
         for domain in DOMAINS:
             upstreams[f"service-{domain}"] = Upstream(
                 "service", "http://s", domain, service="drafting"
             )
+        for name in self.store_by_name:
+            domain = name.removeprefix("store-")
+            upstreams[name] = Upstream("store", URL_PREFIX + name, domain)
         accounts = {
             name: Account(
                 (MODEL,),
@@ -213,10 +238,10 @@
     async def restart_node(self, name: str) -> None:
         await self.start_node(name, self.node_by_name[name].settings["failure_domain"])
 
-    async def stop_node(self, name: str) -> None:
+    def stop_node(self, name: str) -> asyncio.Task:
         node = self.node_by_name[name]
         self.see(StopBegan(self.clock.now_ms(), name))
-        node.process.spawn(node.stop())
+        return node.process.spawn(node.stop())
 
     def see_reachable(self) -> None:
         """Tell the checker which nodes have a way to the platform now."""
@@ -253,6 +278,8 @@
         "peer_keys": "11" * 32,
         "trust_roots": _ROOTS,
         "trace_share": "0",
+        "rollout_watch_ms": "1000",
+        "kept_block_bytes": "1024",
         "port": "0",
         "peer_port": "0",
         "peers": ",".join(f"node-{domain}:{PEER_PORT}" for domain in DOMAINS),
--- a/tests/faults/test_promises.py
+++ b/tests/faults/test_promises.py
@@ -110,7 +110,7 @@
 async def stream_through_a_planned_stop(world):
     asked = [world.ask(f"stream-{index}", is_stream=True) for index in range(2)]
     await world.clock.sleep_ms(100)
-    await world.stop_node("node-norte")
+    world.stop_node("node-norte")
     await asyncio.gather(*asked)
 
 
