Run node processes under load and under faults for minutes

Nothing had shown whole processes losing each other under load. python -m tests.long_run starts four fireflyward serve processes before stand-ins, asks with seeded good callers, and kills, pauses, stops and restarts nodes, loses engines and the table, slows stores and accepts bundles; the checker judges what callers saw and the service's own record is read for doubles.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: run test settings-page faults fuzz bench format clean
+.PHONY: run test settings-page faults fuzz long-run bench format clean
 
 $(STAMP): requirements.txt requirements-dev.txt
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -30,6 +30,9 @@
 fuzz: $(STAMP)
 	FUZZ_EXAMPLES=$${FUZZ_EXAMPLES:-3000} $(PYTHON) -m unittest discover -s tests/fuzz -t .
 
+long-run: $(STAMP)
+	$(PYTHON) -m tests.long_run
+
 format: $(STAMP)
 	$(PYTHON) -m ruff format .
 	$(PYTHON) -m ruff check --fix .
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -121,6 +121,11 @@
         """Return the highest number in force at any node."""
         return max(node.holder.number for node in self.node_by_name.values())
 
+    @property
+    def accepted_number(self) -> int:
+        """Return the number of the bundle that was accepted last."""
+        return self._accepted.number if self._accepted else 0
+
     @property
     def link_bytes(self) -> int:
         """Return the bytes that crossed the links of all stores."""
--- a/fireflyward/load/_caller.py
+++ b/fireflyward/load/_caller.py
@@ -46,7 +46,10 @@
 
 @dataclass(slots=True)
 class Received:
-    """What one attempt brought: text, outcome and the place to go on from."""
+    """What one attempt brought: text, outcome and the place to go on from.
+
+    An attempt that found nobody at the address took no request and cut none.
+    """
 
     ending: Ending = Ending.CUT
     text: str = ""
@@ -56,6 +59,7 @@
     event_id: str = ""
     first_ms: int = 0
     code: str = ""
+    is_connected: bool = True
 
 
 @dataclass(slots=True)
@@ -94,7 +98,8 @@
             unknown += received.ending is Ending.UNKNOWN
             gives_up = is_call and (is_late or unknown >= _MOST_UNKNOWN)
             is_over = received.ending is Ending.ANSWERED or gives_up
-            self._see(url, request, received, attempt_ms, is_over)
+            if received.is_connected or is_over:
+                self._see(url, request, received, attempt_ms, is_over)
             if received.first_ms and attempt == turn:
                 self.first_token_ms.append(received.first_ms - begun_ms)
             if is_over or is_late:
@@ -145,6 +150,8 @@
                 timeout=timeout,
             ) as response:
                 await self._read(request, response, received)
+        except aiohttp.ClientConnectorError:
+            received.is_connected = False
         except (aiohttp.ClientError, TimeoutError, OSError):
             received.ending = Ending.CUT
         return received
--- /dev/null
+++ b/tests/long_run/__init__.py
@@ -0,0 +1,1 @@
+"""``python -m tests.long_run``: real node processes under load and under faults."""
--- /dev/null
+++ b/tests/long_run/_run.py
@@ -0,0 +1,199 @@
+"""Load over node processes while things happen to them."""
+
+import asyncio
+import random
+import signal
+import tempfile
+from collections import Counter
+from pathlib import Path
+
+from fireflyward.checker import (
+    BundleAccepted,
+    Checker,
+    NodeLost,
+    Reachable,
+    StopBegan,
+)
+from fireflyward.clock import Clock
+from fireflyward.demo import DemoDeployment
+from fireflyward.load import LoadPlan, LoadRun, Way, draw_requests
+from fireflyward.standins import EngineCosts
+
+from ._nodes import NodeProcess
+
+_NODES = 4
+_KEYS = {"bridge-team": "key-bridge", "tower-team": "key-tower"}
+_COSTS = EngineCosts(prefill_ms_per_token=0.02, decode_ms_per_token=2.0)
+_BETWEEN_S = (1.0, 2.5)
+_PAUSE_S = 4.0
+_AWAY_S = 3.0
+_AFTER_STOP_S = 0.5
+_SAMPLE_S = 1.0
+
+
+class LongRun:
+    """Holds the stand-ins, the nodes and what happens; ``run`` returns figures.
+
+    The first node is paused but never killed, so that its memory can be followed
+    from the start to the end.
+    """
+
+    def __init__(self, *, seconds: float, seed: int, callers: int) -> None:
+        self._seconds = seconds
+        self._drawn = random.Random(seed)
+        self._clock = Clock()
+        self._checker = Checker()
+        self._plan = LoadPlan(seed, 10_000_000, _KEYS)
+        self._callers = callers
+        self._nodes: list[NodeProcess] = []
+        self._count_by_event: Counter[str] = Counter()
+        self._rss_mb: list[float] = []
+        self._deployment = DemoDeployment(
+            nodes_per_domain=0, engines_per_domain=2, costs=_COSTS, stores=2
+        )
+
+    async def run(self) -> dict[str, object]:
+        """Run for the given time and return the figures."""
+        with tempfile.TemporaryDirectory() as folder:
+            async with self._deployment:
+                self._checker.see(BundleAccepted(self._clock.now_ms(), 1, "1"))
+                try:
+                    return await self._run(Path(folder))
+                finally:
+                    for node in self._nodes:
+                        await node.close()
+
+    async def _run(self, folder: Path) -> dict[str, object]:
+        for index in range(_NODES):
+            log = folder / f"{index}.log"
+            self._nodes.append(NodeProcess(self._deployment, index, log))
+        for node in self._nodes:
+            node.peers = [peer for peer in self._nodes if peer is not node]
+            await node.start()
+        urls = [node.url for node in self._nodes]
+        load = LoadRun(self._plan, urls, callers=self._callers, checker=self._checker)
+        loading = asyncio.create_task(load.run())
+        sampling = asyncio.create_task(self._sample())
+        try:
+            await self._let_happen()
+            load.stop()
+            report = await loading
+        finally:
+            sampling.cancel()
+            loading.cancel()
+        return self._figures(report)
+
+    def _figures(self, report) -> dict[str, object]:
+        bodies = Counter(self._deployment.service.bodies)
+        asked = {
+            item.text.encode(): item.name
+            for _, item in zip(
+                range(report.requests), draw_requests(self._plan), strict=False
+            )
+            if item.way is Way.CALL
+        }
+        third = max(1, len(self._rss_mb) // 3)
+        return {
+            "requests": report.requests,
+            "answers": report.answers,
+            "whole": report.whole,
+            "mixed": report.mixed,
+            "lost": report.lost,
+            "unknown": report.unknown,
+            "calls_doubled": sum(count > 1 for count in bodies.values()),
+            "calls_run": len(bodies.keys() & asked.keys()),
+            "retries": report.retries,
+            "ttft_ms": report.ttft_ms,
+            "events": dict(self._count_by_event),
+            "rss_mb_first_third": round(max(self._rss_mb[:third]), 1),
+            "rss_mb_last_third": round(max(self._rss_mb[-third:]), 1),
+            "violations": report.violations,
+        }
+
+    async def _sample(self) -> None:
+        while True:
+            await asyncio.sleep(_SAMPLE_S)
+            self._rss_mb.append(self._nodes[0].rss_mb())
+
+    async def _let_happen(self) -> None:
+        events = {
+            "kill": self._kill,
+            "pause": self._pause,
+            "planned stop": self._stop,
+            "bundle": self._accept,
+            "table away": self._table_away,
+            "stores slow": self._stores_slow,
+            "engine lost": self._engine_lost,
+        }
+        until_ms = self._clock.now_ms() + self._seconds * 1_000
+        while self._clock.now_ms() < until_ms:
+            await asyncio.sleep(self._drawn.uniform(*_BETWEEN_S))
+            name = self._drawn.choice(sorted(events))
+            self._count_by_event[name] += 1
+            await events[name]()
+
+    def _pick(self, *, may_be_first: bool) -> NodeProcess:
+        return self._drawn.choice(self._nodes[0 if may_be_first else 1 :])
+
+    def _see(self, kind, *fields) -> None:
+        self._checker.see(kind(self._clock.now_ms(), *fields))
+
+    async def _kill(self) -> None:
+        node = self._pick(may_be_first=False)
+        self._see(NodeLost, node.url)
+        self._see(Reachable, node.url, False)
+        node.send(signal.SIGKILL)
+        await node.ended()
+        await node.start()
+        self._see(Reachable, node.url, True)
+
+    async def _pause(self) -> None:
+        node = self._pick(may_be_first=True)
+        self._see(Reachable, node.url, False)
+        node.send(signal.SIGSTOP)
+        await asyncio.sleep(_PAUSE_S)
+        node.send(signal.SIGCONT)
+        self._see(Reachable, node.url, True)
+
+    async def _stop(self) -> None:
+        node = self._pick(may_be_first=False)
+        self._see(StopBegan, node.url)
+        node.send(signal.SIGTERM)
+        code = await node.ended()
+        self._count_by_event[f"planned stop ended with {code}"] += 1
+        await asyncio.sleep(_AFTER_STOP_S)
+        self._see(NodeLost, node.url)
+        await node.start()
+
+    async def _accept(self) -> None:
+        number = self._deployment.accepted_number + 1
+        await self._deployment.accept(self._deployment.make_bundle(number))
+        self._see(BundleAccepted, number, str(number))
+
+    async def _table_away(self) -> None:
+        platform = self._deployment.platform
+        for node in self._nodes:
+            self._see(Reachable, node.url, False)
+        platform.table.away = platform.objects.away = True
+        await asyncio.sleep(_AWAY_S)
+        platform.table.away = platform.objects.away = False
+        for node in self._nodes:
+            self._see(Reachable, node.url, True)
+
+    async def _stores_slow(self) -> None:
+        faults = [server.model.faults for server in self._stores()]
+        for fault in faults:
+            fault.late_ms = 400.0
+        await asyncio.sleep(_AWAY_S)
+        for fault in faults:
+            fault.late_ms = 0.0
+
+    def _stores(self) -> list:
+        return list(self._deployment.store_by_name.values())
+
+    async def _engine_lost(self) -> None:
+        engines = self._deployment.engine_by_name
+        server = engines[self._drawn.choice(sorted(engines))]
+        await server.stop()
+        await asyncio.sleep(_AWAY_S)
+        await server.start()
