--- a/tests/daemon/test_bundle_duty.py
+++ b/tests/daemon/test_bundle_duty.py
@@ -8,6 +8,7 @@
     Condition,
     sign_bundle,
 )
+from fireflyward.bundles._store import HEAD_KEY, history_key
 from fireflyward.clock import ManualClock
 from fireflyward.daemon._bundle_duty import BundleDuty
 from fireflyward.daemon._bundle_peers import BundlePeers
@@ -252,6 +253,24 @@
         await self.clock.advance_ms(10_000)
         self.assertEqual(node.objects.gets, fetched)
 
+    async def test_after_the_head_is_put_back_the_next_bundle_comes_into_force(self):
+        """Symptom: after a forged head nothing can be accepted any more. Sequence:
+        the platform's owners put the head back as docs/operate/first-week.md says,
+        and the same number is accepted properly."""
+        await self.accept(bundle())
+        (node,) = await self.start(1)
+        good = self.table.row_by_key[HEAD_KEY]
+        forged = sign_bundle(bundle(2), author=ANA, approver=ANA, base=self.state)
+        await self.store.accept(bundle(2), forged)
+        with self.assertLogs("fireflyward.bundles", "ERROR"):
+            await self.clock.advance_ms(3_000)
+        self.table.row_by_key[HEAD_KEY] = good
+        del self.table.row_by_key[history_key(2)]
+        await self.clock.advance_ms(3_000)
+        await self.accept(bundle(2, ("bridge-team",)))
+        await self.clock.advance_ms(3_000)
+        self.assertEqual((node.number, node.duty.own_state().refused), (2, ""))
+
 
 class CatchUpTests(DutyTestCase):
     async def test_number_that_a_caller_saw_is_fetched_at_once(self):
