--- /dev/null
+++ b/fireflyward/bench/measures/kept_wire.py
@@ -0,0 +1,102 @@
+"""Bytes that a node sends and reads for kept work; the blocks go past it."""
+
+import msgspec
+
+from fireflyward.bench import Bench, Figure
+from fireflyward.kept import (
+    INDEX_STRIDE,
+    BlockNames,
+    BlockRef,
+    Done,
+    ListQuery,
+    Reserved,
+    Wanted,
+    shard_of,
+)
+from fireflyward.kept._store_http import DescribeBody, RefsBody, ReserveBody
+from fireflyward.standins import EngineCache, StoreModel, kv_payload
+from fireflyward.upstreams import (
+    ExportOrder,
+    ExportReport,
+    ImportOrder,
+    ImportReport,
+    block_checksum,
+)
+
+_BLOCKS = 40
+_TEXT = "clause 8.4 " * 2_400
+_URLS = {"store-1": "http://10.0.0.11:8600"}
+
+
+def run() -> list[Figure]:
+    """Return bytes of JSON for each block of a 40-block prompt."""
+    names = BlockNames(b"k" * 32)
+    keys = names.of_prompt("account", "clauses", "v1", "", _TEXT)[:_BLOCKS]
+    owner = names.owner_tag("account")
+    store = StoreModel("store-1")
+    wanted = tuple(
+        Wanted(key, place, shard_of(keys[0]), owner)
+        for place, key in enumerate(keys, start=1)
+    )
+    reserved = store.reserve(0, wanted)
+    sealed = tuple(_seal(store, ref) for ref in reserved.refs)
+    published = store.publish(sealed)
+    return [
+        _figure("export", _export(wanted, reserved, sealed, published)),
+        _figure("import", _import(keys, published)),
+        _figure("listing", [store.list(ListQuery(stride=INDEX_STRIDE))]),
+        _figure("events", [_events(keys)]),
+    ]
+
+
+def _seal(store: StoreModel, ref: BlockRef) -> BlockRef:
+    payload = kv_payload(ref.key)
+    store.write(ref, payload)
+    checksum = block_checksum(ref.key, ref.generation, payload)
+    sealed = BlockRef(
+        ref.key,
+        ref.store,
+        ref.slot,
+        ref.generation,
+        len(payload),
+        checksum,
+        ref.position,
+    )
+    return store.seal((sealed,)).refs[0]
+
+
+def _export(
+    wanted: tuple[Wanted, ...],
+    reserved: Reserved,
+    sealed: tuple[BlockRef, ...],
+    published: Done,
+) -> list[object]:
+    order = ExportOrder("run", "clauses", "v1", reserved.refs, _URLS)
+    return [
+        ReserveBody(wanted),
+        reserved,
+        order,
+        ExportReport(sealed),
+        RefsBody(sealed),
+        published,
+    ]
+
+
+def _import(keys: tuple[str, ...], published: Done) -> list[object]:
+    order = ImportOrder("run", "clauses", "v1", published.refs, _URLS, 100, keys[0])
+    return [DescribeBody(keys), published, order, ImportReport(_BLOCKS)]
+
+
+def _events(keys: tuple[str, ...]) -> object:
+    cache = EngineCache(_BLOCKS)
+    for place, key in enumerate(keys, start=1):
+        cache.store(key, place, keys[0])
+    return cache.events(0, stride=INDEX_STRIDE)
+
+
+def _figure(name: str, messages: list[object]) -> Figure:
+    size = sum(len(msgspec.json.encode(message)) for message in messages)
+    return Figure(f"kept_wire.{name}_bytes_per_block", size / _BLOCKS, "B")
+
+
+BENCH = Bench("kept_wire", run, is_count=True)
--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -7,6 +7,7 @@
 from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
 from fireflyward.kept import (
+    INDEX_STRIDE,
     BlockNames,
     EngineReader,
     NotSwept,
@@ -178,7 +179,7 @@
         if engine is None:
             return
         after = reader.after(self._clock.now_ms(), shards)
-        events = await engine.cache_events(after)
+        events = await engine.cache_events(after, stride=INDEX_STRIDE)
         if not isinstance(events, Broken):
             reader.take(events, self.index)
 
