Ask the holders of a shard in large failure domains

Cause: in a domain of more than four nodes a node holds a part of the index only and took everything else for unknown.

--- a/fireflyward/bench/measures/kept_wire.py
+++ b/fireflyward/bench/measures/kept_wire.py
@@ -13,7 +13,10 @@
     Wanted,
     shard_of,
 )
+from fireflyward.kept._index import entries_of
+from fireflyward.kept._look_up import Found, LookUp
 from fireflyward.kept._store_http import DescribeBody, RefsBody, ReserveBody
+from fireflyward.peers import pack
 from fireflyward.standins import EngineCache, StoreModel, kv_payload
 from fireflyward.upstreams import (
     ExportOrder,
@@ -46,9 +49,18 @@
         _figure("import", _import(keys, published)),
         _figure("listing", [store.list(ListQuery(stride=INDEX_STRIDE))]),
         _figure("events", [_events(keys)]),
+        Figure("kept_wire.look_up_bytes", float(_look_up(keys)), "B"),
     ]
 
 
+def _look_up(keys: tuple[str, ...]) -> int:
+    """Return the bodies of asking another node for a prompt that two holders have."""
+    entries = entries_of(keys)
+    asked = LookUp(shard=shard_of(keys[0]), entries=entries)
+    found = Found(holders=["store-1", "engine-7"], places=[b"\x1f", b"\x03"])
+    return len(pack(asked)) + len(pack(found))
+
+
 def _seal(store: StoreModel, ref: BlockRef) -> BlockRef:
     payload = kv_payload(ref.key)
     store.write(ref, payload)
--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -13,6 +13,7 @@
     NotSwept,
     PrefixIndex,
     PrefixTexts,
+    ShardLookUp,
     StoreAway,
     StoreClient,
     StoreReader,
@@ -20,8 +21,9 @@
     shards_held_by,
 )
 from fireflyward.leases import LeaseTask, contenders
-from fireflyward.membership import Members
+from fireflyward.membership import Member, Members
 from fireflyward.observe import Metrics
+from fireflyward.peers import PeerLink
 from fireflyward.platform import Objects, Table
 from fireflyward.routing import Router
 from fireflyward.settings import Settings
@@ -56,6 +58,7 @@
         router: Router,
         metrics: Metrics,
         members: Members,
+        link: PeerLink,
         holder: BundleHolder,
         observe: StepObserver = ignore_step,
     ) -> None:
@@ -83,7 +86,7 @@
             router=router,
             metrics=metrics,
             names=BlockNames(settings["kept_key"]),
-            index=self.index,
+            look_up=ShardLookUp(link, self.index, self._domain_members),
             kv_by_replica=self.kv_by_replica,
             store_by_name=self.store_by_name,
             url_by_store=self.url_by_store,
@@ -222,11 +225,13 @@
         )
 
     def _shards(self) -> frozenset[int]:
-        own = self._members.own
-        shards = shards_held_by(own, self._members.live_in(own.failure_domain))
+        shards = shards_held_by(self._members.own, self._domain_members())
         self.index.keep_shards(shards)
         return shards
 
+    def _domain_members(self) -> tuple[Member, ...]:
+        return self._members.live_in(self._members.own.failure_domain)
+
     def _is_served(self, model: str, version: str) -> bool:
         """Tell whether the bundle in force gives new requests this version."""
         bundle = self._holder.bundle
--- a/fireflyward/daemon/_kept_work.py
+++ b/fireflyward/daemon/_kept_work.py
@@ -13,7 +13,7 @@
     ImportAsk,
     Imported,
     Importer,
-    PrefixIndex,
+    ShardLookUp,
     StoreClient,
     Wanted,
     shard_of,
@@ -49,10 +49,10 @@
     only this node's own record tells, which knows of none.
     """
 
-    __slots__ = ("_index", "_router", "followed", "store_names")
+    __slots__ = ("_look_up", "_router", "followed", "store_names")
 
-    def __init__(self, index: PrefixIndex, router: Router) -> None:
-        self._index = index
+    def __init__(self, look_up: ShardLookUp, router: Router) -> None:
+        self._look_up = look_up
         self._router = router
         self.store_names: frozenset[str] = frozenset()
         self.followed: frozenset[str] = frozenset()
@@ -66,7 +66,7 @@
             if name not in self.followed
         }
         stored = []
-        for run in self._index.find(shape.block_keys):
+        for run in self._look_up.find(shape.block_keys):
             if run.holder in self.store_names:
                 stored.append(StoredRun(run.holder, run.first, run.blocks))
             elif run.first == 0:
@@ -75,7 +75,7 @@
 
     def start_of(self, shape: RunShape, plan: Import) -> int:
         """Return where the store's run begins that a plan is a part of."""
-        for run in self._index.find(shape.block_keys):
+        for run in self._look_up.find(shape.block_keys):
             if run.holder == plan.store and run.first <= plan.first:
                 if plan.first < run.first + run.blocks:
                     return run.first
@@ -116,7 +116,7 @@
         router: Router,
         metrics: Metrics,
         names: BlockNames,
-        index: PrefixIndex,
+        look_up: ShardLookUp,
         kv_by_replica: Mapping[str, KvEngine],
         store_by_name: Mapping[str, StoreClient],
         url_by_store: dict[str, str],
@@ -131,7 +131,8 @@
         self._kv_by_replica = kv_by_replica
         self._store_by_name = store_by_name
         self._block_bytes = block_bytes
-        self.prefixes = IndexedPrefixes(index, router)
+        self._look_up = look_up
+        self.prefixes = IndexedPrefixes(look_up, router)
         self.placement = Placement(PlacementCosts(block_bytes), self.prefixes)
         self._keep = KeepPolicy()
         self._importer = Importer(clock, url_by_store, is_served, observe=observe)
@@ -150,6 +151,8 @@
 
     async def prepare(self, replica: str, call: EngineCall, shape: RunShape) -> None:
         """Import what placement would import to this replica, in bounded time."""
+        if self._store_by_name:
+            await self._look_up.ask(shape.block_keys)
         now_ms = self._clock.now_ms()
         candidate = self._router.candidate(replica)
         if candidate is not None and self._store_by_name:
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -125,6 +125,7 @@
             router=self.router,
             metrics=self.metrics,
             members=self.members,
+            link=self.link,
             holder=self.holder,
             observe=self.observe,
         )
--- a/fireflyward/kept/__init__.py
+++ b/fireflyward/kept/__init__.py
@@ -6,6 +6,7 @@
 from ._import import ImportAsk, Imported, Importer, ImportLimit, ImportStep
 from ._index import INDEX_STRIDE, HeldRun, PrefixIndex
 from ._keys import BlockNames
+from ._look_up import ShardLookUp
 from ._owners import ALL_SHARDS, holders_of, shards_held_by
 from ._prefix_texts import PrefixScope, PrefixText, PrefixTexts, UnknownPrefix
 from ._readers import EngineReader, StoreReader
@@ -63,6 +64,7 @@
     "PrefixTexts",
     "Reserved",
     "Room",
+    "ShardLookUp",
     "SlotState",
     "StoreAway",
     "StoreChange",
--- a/fireflyward/kept/_index.py
+++ b/fireflyward/kept/_index.py
@@ -1,6 +1,6 @@
 """Which stores and replicas probably have which beginnings of prompts."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
 from ._stores import StoreChange, shard_of
@@ -90,20 +90,28 @@
         """Return each holder's runs of a prompt's blocks, first to last."""
         if len(block_keys) < INDEX_STRIDE:
             return ()
-        entries = self._entries_by_shard.get(shard_of(block_keys[0]))
-        if not entries:
-            return ()
-        bits_at = [
-            entries.get(_entry_of(key), 0)
-            for key in block_keys[INDEX_STRIDE - 1 :: INDEX_STRIDE]
-        ]
+        entries = entries_of(block_keys)
+        places_by_holder = self.places(shard_of(block_keys[0]), entries)
+        return tuple(
+            run
+            for holder, places in places_by_holder.items()
+            for run in runs_at(holder, places, len(entries))
+        )
+
+    def places(self, shard: int, entries: Sequence[int]) -> dict[str, int]:
+        """Return by holder which of the entries it has, as bits by their place."""
+        known = self._entries_by_shard.get(shard)
+        if not known:
+            return {}
+        bits_at = [known.get(entry, 0) for entry in entries]
         seen = 0
         for bits in bits_at:
             seen |= bits
-        holders = [item for item in self._bit_by_holder.items() if item[1] & seen]
-        return tuple(
-            run for holder, bit in holders for run in _runs(holder, bit, bits_at)
-        )
+        return {
+            holder: sum(1 << place for place, bits in enumerate(bits_at) if bits & bit)
+            for holder, bit in self._bit_by_holder.items()
+            if bit & seen
+        }
 
     def _bit(self, holder: str) -> int:
         bit = self._bit_by_holder.get(holder)
@@ -119,19 +127,25 @@
             self._entries -= 1
 
 
-def _entry_of(key: str) -> int:
-    """Return 60 bits of a key; two keys that share them cost one wrong hint."""
-    return int(key[:_ENTRY_DIGITS], 16)
+def entries_of(block_keys: tuple[str, ...]) -> list[int]:
+    """Return the entries of a prompt, those of every eighth block."""
+    return [_entry_of(key) for key in block_keys[INDEX_STRIDE - 1 :: INDEX_STRIDE]]
 
 
-def _runs(holder: str, bit: int, bits_at: list[int]) -> list[HeldRun]:
+def runs_at(holder: str, places: int, entries: int) -> list[HeldRun]:
+    """Return the runs of a holder that has the entries at these places."""
     runs: list[HeldRun] = []
     first = None
-    for place, bits in enumerate((*bits_at, 0)):
-        if bits & bit:
+    for place in range(entries + 1):
+        if places >> place & 1 and place < entries:
             first = place if first is None else first
         elif first is not None:
             blocks = (place - first) * INDEX_STRIDE
             runs.append(HeldRun(holder, first * INDEX_STRIDE, blocks))
             first = None
     return runs
+
+
+def _entry_of(key: str) -> int:
+    """Return 60 bits of a key; two keys that share them cost one wrong hint."""
+    return int(key[:_ENTRY_DIGITS], 16)
--- a/tests/daemon/test_kept_work.py
+++ b/tests/daemon/test_kept_work.py
@@ -2,7 +2,13 @@
 import unittest
 
 from fireflyward.daemon import KeptWork
-from fireflyward.kept import ALL_SHARDS, BlockNames, PrefixIndex, StoreReader
+from fireflyward.kept import (
+    ALL_SHARDS,
+    BlockNames,
+    PrefixIndex,
+    ShardLookUp,
+    StoreReader,
+)
 from fireflyward.observe import Metrics
 from fireflyward.routing import Candidate, Router, RunShape
 from fireflyward.standins import StoreCosts
@@ -25,6 +31,15 @@
 CALL = EngineCall("r1", MODEL, VERSION, PROMPT, 8, block_keys=KEYS)
 
 
+class NoLink:
+    """A link in a domain of one node, which asks nobody."""
+
+    node_name = "n"
+
+    def register(self, kind, struct_type, handle):
+        pass
+
+
 class KeptWorkTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.world = KvWorld(COSTS, cache_blocks=400)
@@ -43,7 +58,7 @@
             router=self.router,
             metrics=self.metrics,
             names=NAMES,
-            index=self.index,
+            look_up=ShardLookUp(NoLink(), self.index, lambda: ()),
             kv_by_replica={"A": self.world.kv, "B": self.second},
             store_by_name={"s1": self.store},
             url_by_store={},
--- /dev/null
+++ b/tests/kept/test_look_up.py
@@ -0,0 +1,74 @@
+import unittest
+
+from fireflyward.kept import (
+    HeldRun,
+    PrefixIndex,
+    ShardLookUp,
+    StoreChange,
+    holders_of,
+    shard_of,
+)
+from fireflyward.membership import Member
+from fireflyward.peers import PeerCodec, PeerLink
+
+KEYS = tuple(f"{number:02x}" * 16 for number in range(1, 41))
+SHARD = shard_of(KEYS[0])
+NODES = 6
+
+
+class ShardLookUpTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        codec = PeerCodec((b"k" * 16,))
+        self.links = [
+            PeerLink(node_name=f"entry-{number}", incarnation=1, codec=codec)
+            for number in range(NODES)
+        ]
+        for link in self.links:
+            await link.start()
+            self.addAsyncCleanup(link.stop)
+        self.members = tuple(
+            Member(link.node_name, link.address, "d", "r", 1) for link in self.links
+        )
+        self.index_by_node = {link.node_name: PrefixIndex() for link in self.links}
+        self.look_up_by_node = {
+            link.node_name: ShardLookUp(
+                link,
+                self.index_by_node[link.node_name],
+                lambda: self.members,
+                limit_s=5.0,
+            )
+            for link in self.links
+        }
+        self.holders = [item.name for item in holders_of(SHARD, self.members)]
+        for name in self.holders:
+            changes = [StoreChange(KEYS[at - 1], at, True, SHARD) for at in (8, 16, 32)]
+            self.index_by_node[name].apply("s1", changes)
+        self.asker = next(
+            look_up
+            for name, look_up in self.look_up_by_node.items()
+            if name not in self.holders
+        )
+
+    async def test_node_without_the_shard_asks_a_holder(self):
+        self.assertEqual(self.asker.find(KEYS), ())
+        await self.asker.ask(KEYS)
+        self.assertEqual(
+            self.asker.find(KEYS), (HeldRun("s1", 0, 16), HeldRun("s1", 24, 8))
+        )
+
+    async def test_holder_that_died_is_an_empty_answer(self):
+        """Symptom: a prompt waits for a node that is gone. Sequence: the holder of
+        its shard dies and membership has not noticed. Cause: a look-up without a
+        limit, or one that raises."""
+        for link in self.links:
+            if link.node_name in self.holders:
+                await link.stop()
+        await self.asker.ask(KEYS)
+        self.assertEqual((self.asker.find(KEYS), self.asker.failed), ((), 1))
+
+    async def test_holder_asks_nobody(self):
+        holder = self.look_up_by_node[self.holders[0]]
+        sent = [link.bytes_sent for link in self.links]
+        await holder.ask(KEYS)
+        self.assertEqual([link.bytes_sent for link in self.links], sent)
+        self.assertEqual(len(holder.find(KEYS)), 2)
