Let imports go first between two parts of an export

Cause: an export of a long prompt held the store's link while a caller waited for an import from it. Change: exports go in parts of eight blocks and wait between them, two seconds at most, while an import of this node is under way. Shown by: tests/daemon/test_kept_work.py; without the wait the test was seen to fail.

--- a/fireflyward/daemon/_kept_work.py
+++ b/fireflyward/daemon/_kept_work.py
@@ -38,6 +38,9 @@
 from fireflyward.upstreams import BLOCK_TOKENS, EngineCall, KvEngine
 
 _EXPORT_DELAY_MS = 1_000
+_EXPORT_BLOCKS = 8
+_YIELD_MS = 5
+_LONGEST_YIELD_MS = 2_000
 _MAX_WAITING = 256
 _MAX_HINTS = 4_096
 
@@ -241,22 +244,39 @@
         first: int,
         blocks: int,
     ) -> None:
+        """Export in small parts, so that an import that comes waits for one only."""
+        end = first + blocks
+        for start in range(first, end, _EXPORT_BLOCKS):
+            await self._let_imports_go_first()
+            places = range(start, min(end, start + _EXPORT_BLOCKS))
+            if not await self._export_part(engine, store, shape, places):
+                return
+
+    async def _let_imports_go_first(self) -> None:
+        until_ms = self._clock.now_ms() + _LONGEST_YIELD_MS
+        while self._imports and self._clock.now_ms() < until_ms:
+            await self._clock.sleep_ms(_YIELD_MS)
+
+    async def _export_part(
+        self, engine: KvEngine, store: StoreClient, shape: RunShape, places: range
+    ) -> bool:
+        """Export the blocks at these places; return whether the rest is of use."""
         owner = self._names.owner_tag(shape.account)
         shard = shard_of(shape.block_keys[0])
         wanted = tuple(
-            Wanted(shape.block_keys[place], place + 1, shard, owner)
-            for place in range(first, first + blocks)
+            Wanted(shape.block_keys[place], place + 1, shard, owner) for place in places
         )
-        order_id = f"{shape.run_id}-{store.name}-{first}"
+        order_id = f"{shape.run_id}-{store.name}-{places.start}"
         plan = ExportPlan(order_id, shape.model, shape.version, wanted)
         result = await self._exporter.export(plan, engine, store)
-        if isinstance(result, Exported):
-            count = len(result.published)
-            self._metrics.count("kept_exported_blocks_total", count, store=store.name)
-            if result.is_full:
-                self._metrics.count("kept_store_full_total", store=store.name)
-        else:
+        if not isinstance(result, Exported):
             self._metrics.count("kept_exports_failed_total", store=store.name)
+            return False
+        count = len(result.published)
+        self._metrics.count("kept_exported_blocks_total", count, store=store.name)
+        if result.is_full:
+            self._metrics.count("kept_store_full_total", store=store.name)
+        return result.blocks == len(wanted)
 
     def _stores_for(
         self, shape: RunShape, offers: list[KeepOffer]
--- a/tests/daemon/test_kept_work.py
+++ b/tests/daemon/test_kept_work.py
@@ -136,3 +136,25 @@
         await self.run_ms(self.work.prepare("B", CALL, shape_of()))
         self.assertEqual(self.held_by_second(), 0)
         self.assertEqual(self.metrics.total("kept_misses_total", reason="not_kept"), 1)
+
+    async def test_export_waits_while_a_caller_waits_for_an_import(self):
+        """Symptom: first tokens come late while a store is being filled. Sequence:
+        an import begins during a long export. Cause: exports that hold the link
+        until they are done."""
+        await self.serve_and_export()
+        self.store.model.restart_empty(2)
+        self.index.forget("s1")
+        self.world.compute(KEYS)
+        await self.run_ms(self.work.prepare("A", CALL, shape_of()))
+        await self.world.clock.advance_ms(1_500)
+        self.store.model.faults.late_ms = 20
+        exporting = asyncio.ensure_future(self.work.export_due())
+        await self.world.clock.advance_ms(60)
+        self.work._imports = 1
+        await self.world.clock.advance_ms(400)
+        begun = self.store.model.used_slots()
+        await self.world.clock.advance_ms(1_000)
+        self.assertEqual(self.store.model.used_slots(), begun)
+        self.work._imports = 0
+        await self.world.advance_until(exporting)
+        self.assertGreater(self.store.model.used_slots(), begun)
