--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -70,6 +70,7 @@
         self._metrics = metrics
         self._members = members
         self._holder = holder
+        self._observe = observe
         self._own_name = settings["node_name"]
         self.index = PrefixIndex()
         self.prefixes = PrefixTexts(objects, settings["kept_key"])
@@ -198,6 +199,7 @@
             table=self._table,
             holder=self._own_name,
             contends=lambda: self._contends(name),
+            observe=self._observe,
         )
         self._lease_by_store[name] = lease
         self._lease_loops[name] = asyncio.create_task(lease.run())
--- a/tests/daemon/test_kept_duty.py
+++ b/tests/daemon/test_kept_duty.py
@@ -6,8 +6,9 @@
 import msgspec
 
 from fireflyward.bundles import Upstream
+from fireflyward.clock import Clock
 from fireflyward.demo import DemoDeployment
-from fireflyward.kept import BlockNames, ImportAsk, Importer
+from fireflyward.kept import BlockNames, ImportAsk, Importer, Wanted
 from fireflyward.routing import RunShape
 from fireflyward.standins import EngineCosts, StoreCosts, StoreModel, StoreServer
 from tests.kept.kv_fixtures import Until
@@ -87,6 +88,19 @@
         await self.load_everywhere(node)
         self.assertGreaterEqual(await self.ask("beam 7?"), 96 * 64)
 
+    async def test_dead_writers_slots_are_swept_by_the_lease_holder_only(self):
+        store = self.deployment.store.model
+        store.reserve(Clock().now_ms() - 120_000, (Wanted("aa" * 16, 1),))
+        nodes = list(self.deployment.node_by_name.values())
+        async with asyncio.timeout(20):
+            while store.used_slots():
+                await asyncio.gather(*(node.kept.sweep() for node in nodes))
+                await asyncio.sleep(0.05)
+        swept = [
+            node.metrics.total("kept_garbage_total", store="store-1") for node in nodes
+        ]
+        self.assertEqual(sorted(swept), [0, 1])
+
     def keys(self):
         names = BlockNames(bytes(32))
         return names.of_prompt("bridge-team", "clauses", "v1", "", PROMPT + "beam 7?")
