Count a run that was tried again once, and look a prompt up once a choice

Cause: each attempt of a run was noted as a served prompt, so a prompt that was only tried again looked like one that returned; and routing worked out what is known of a prompt anew for each replica. Change: a run is noted under its id, its last replica counts; what is known of a prompt is kept for one choice. Conclusion: the cost of a choice no longer grows by a look-up for each replica; not measured.

--- a/fireflyward/daemon/_kept_work.py
+++ b/fireflyward/daemon/_kept_work.py
@@ -1,6 +1,6 @@
 """Imports before a prompt is dispatched, and exports after it was served."""
 
-from collections import OrderedDict, deque
+from collections import OrderedDict
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 
@@ -52,16 +52,33 @@
     only this node's own record tells, which knows of none.
     """
 
-    __slots__ = ("_look_up", "_router", "followed", "store_names")
+    __slots__ = ("_last", "_look_up", "_router", "followed", "store_names")
 
     def __init__(self, look_up: ShardLookUp, router: Router) -> None:
         self._look_up = look_up
         self._router = router
         self.store_names: frozenset[str] = frozenset()
         self.followed: frozenset[str] = frozenset()
+        self._last: tuple[float, RunShape, KnownPrefixes] | None = None
 
     def known(self, now_ms: float, shape: RunShape) -> KnownPrefixes:
-        """Return the replicas' and the stores' parts of a prompt."""
+        """Return the replicas' and the stores' parts of a prompt.
+
+        Routing asks once for each replica within one choice; the answer is worked
+        out for the first of them only.
+        """
+        if self._last and self._last[0] == now_ms and self._last[1] is shape:
+            return self._last[2]
+        known = self._find(shape)
+        self._last = now_ms, shape, known
+        return known
+
+    async def look_up(self, shape: RunShape) -> None:
+        """Ask the holders of the prompt's shard, if this node is none."""
+        await self._look_up.ask(shape.block_keys)
+        self._last = None
+
+    def _find(self, shape: RunShape) -> KnownPrefixes:
         sent = self._router.affinity.record.cached_tokens(shape.block_keys)
         held = {
             name: tokens // BLOCK_TOKENS
@@ -134,13 +151,12 @@
         self._kv_by_replica = kv_by_replica
         self._store_by_name = store_by_name
         self._block_bytes = block_bytes
-        self._look_up = look_up
         self.prefixes = IndexedPrefixes(look_up, router)
         self.placement = Placement(PlacementCosts(block_bytes), self.prefixes)
         self._keep = KeepPolicy()
         self._importer = Importer(clock, url_by_store, is_served, observe=observe)
         self._exporter = Exporter(url_by_store, observe=observe)
-        self._served: deque[_Served] = deque(maxlen=_MAX_WAITING)
+        self._served_by_run: OrderedDict[str, _Served] = OrderedDict()
         self._imports = 0
         self._hint_by_run: OrderedDict[str, PromptHint] = OrderedDict()
 
@@ -155,23 +171,40 @@
     async def prepare(self, replica: str, call: EngineCall, shape: RunShape) -> None:
         """Import what placement would import to this replica, in bounded time."""
         if self._store_by_name:
-            await self._look_up.ask(shape.block_keys)
+            await self.prefixes.look_up(shape)
         now_ms = self._clock.now_ms()
         candidate = self._router.candidate(replica)
         if candidate is not None and self._store_by_name:
             estimate = self.placement.estimate(now_ms, candidate, shape)
             if isinstance(estimate.plan, Import):
                 await self._import(replica, call, shape, estimate)
-        hint = self._hint_by_run.pop(shape.run_id, PromptHint())
         if self._store_by_name:
-            self._served.append(_Served(now_ms, replica, shape, hint))
+            self._note_served(now_ms, replica, shape)
+
+    def _note_served(self, now_ms: int, replica: str, shape: RunShape) -> None:
+        """Remember a prompt; a later attempt of the same run replaces an earlier.
+
+        Counted twice, a prompt that was only tried again would look like one that
+        returned, and would be kept for it.
+        """
+        waiting = self._served_by_run
+        earlier = waiting.get(shape.run_id)
+        default = earlier.hint if earlier else PromptHint()
+        hint = self._hint_by_run.pop(shape.run_id, default)
+        waiting[shape.run_id] = _Served(now_ms, replica, shape, hint)
+        waiting.move_to_end(shape.run_id)
+        while len(waiting) > _MAX_WAITING:
+            waiting.popitem(last=False)
 
     async def export_due(self) -> None:
         """Export the prompts that were served long enough ago."""
-        while self._served and not self._imports:
-            if self._clock.now_ms() - self._served[0].at_ms < _EXPORT_DELAY_MS:
+        waiting = self._served_by_run
+        while waiting and not self._imports:
+            oldest = next(iter(waiting.values()))
+            if self._clock.now_ms() - oldest.at_ms < _EXPORT_DELAY_MS:
                 return
-            await self._export_prompt(self._served.popleft())
+            del waiting[oldest.shape.run_id]
+            await self._export_prompt(oldest)
 
     async def _import(
         self, replica: str, call: EngineCall, shape: RunShape, estimate: Estimate
--- a/tests/daemon/test_kept_work.py
+++ b/tests/daemon/test_kept_work.py
@@ -137,6 +137,15 @@
         self.assertEqual(self.held_by_second(), 0)
         self.assertEqual(self.metrics.total("kept_misses_total", reason="not_kept"), 1)
 
+    async def test_run_that_was_tried_again_is_exported_from_its_last_replica(self):
+        await self.run_ms(self.work.prepare("A", CALL, shape_of()))
+        await self.run_ms(self.work.prepare("B", CALL, shape_of()))
+        for position, key in enumerate(KEYS, start=1):
+            self.second.engine.cache.store(key, position, KEYS[0])
+        await self.world.clock.advance_ms(1_500)
+        await self.run_ms(self.work.export_due())
+        self.assertGreater(self.store.model.used_slots(), 0)
+
     async def test_export_waits_while_a_caller_waits_for_an_import(self):
         """Symptom: first tokens come late while a store is being filled. Sequence:
         an import begins during a long export. Cause: exports that hold the link
