Leave nonsense of stores and engines out of the index, and keep its loops going

Cause: a listing with a key that is no key ended the loop that reads all listings, silently; the index then stayed as it was. Change: lines that cannot be right are left out, and an error in a periodic step of kept work is counted and logged while the next step goes on.

--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -6,6 +6,7 @@
 
 from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
+from fireflyward.invariants import InvariantBroken
 from fireflyward.kept import (
     INDEX_STRIDE,
     BlockNames,
@@ -246,7 +247,15 @@
     ) -> None:
         while True:
             await self._clock.sleep_ms(period_ms)
-            await step()
+            try:
+                await step()
+            except InvariantBroken:
+                raise
+            except Exception:
+                # A loop that ended here would leave the index as it is for good:
+                # reuse would fall slowly and nothing would say why.
+                self._metrics.count("kept_errors_total")
+                log.exception("daemon: kept work goes on after an error")
 
 
 def _versions_of(bundle: Bundle, model: str) -> set[str]:
--- a/fireflyward/kept/_index.py
+++ b/fireflyward/kept/_index.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 
-from ._stores import StoreChange, shard_of
+from ._stores import SHARDS, StoreChange, shard_of
 
 INDEX_STRIDE = 8
 _ENTRY_DIGITS = 15
@@ -56,13 +56,21 @@
     def apply(self, holder: str, changes: Iterable[StoreChange]) -> None:
         """Take what a holder gained or lost; repeating it changes nothing.
 
+        Lines that cannot be right are left out: a store that answers nonsense must
+        not end the reading of all others.
+
         Above its limit the index takes no new entry. What is not in it is
         recomputed, where a node without memory would answer nobody.
         """
         bit = self._bit(holder)
         for change in changes:
+            try:
+                entry = _entry_of(change.key)
+            except ValueError:
+                continue
+            if not 0 <= change.shard < SHARDS:
+                continue
             entries = self._entries_by_shard.setdefault(change.shard, {})
-            entry = _entry_of(change.key)
             bits = entries.get(entry, 0)
             if change.is_kept:
                 if not bits and self._entries >= self._max_entries:
--- a/fireflyward/kept/_readers.py
+++ b/fireflyward/kept/_readers.py
@@ -5,7 +5,7 @@
 from fireflyward.upstreams import CacheChange, CacheEvent, CacheEvents
 
 from ._index import INDEX_STRIDE, PrefixIndex
-from ._stores import Listing, ListQuery, StoreChange, shard_of
+from ._stores import Listing, ListQuery, StoreChange, is_block_key, shard_of
 
 _WHOLE_EVERY_MS = 10_000
 ALL_EVENTS = -1
@@ -129,7 +129,7 @@
 
     def _changes(self, events: Iterable[CacheEvent]) -> Iterator[StoreChange]:
         for event in events:
-            if event.position % INDEX_STRIDE or not event.first_key:
+            if event.position % INDEX_STRIDE or not is_block_key(event.first_key):
                 continue
             shard = shard_of(event.first_key)
             if shard in self._shards:
--- a/fireflyward/kept/_stores.py
+++ b/fireflyward/kept/_stores.py
@@ -1,6 +1,7 @@
 """What the product needs of a store VM, and the values that pass."""
 
 import enum
+import re
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -8,10 +9,16 @@
 
 SHARDS = 256
 _SHARD_DIGITS = 2
+_BLOCK_KEY = re.compile(r"[0-9a-f]{32}", re.ASCII)
 _NEARLY_FULL = 0.95
 _TARGET = 0.90
 
 
+def is_block_key(text: str) -> bool:
+    """Tell whether a text that came from outside can be a block key."""
+    return _BLOCK_KEY.fullmatch(text) is not None
+
+
 def shard_of(key: str) -> int:
     """Return the shard of a prompt by the key of its first block, 0 to 255."""
     return int(key[:_SHARD_DIGITS], 16)
--- a/tests/kept/test_index.py
+++ b/tests/kept/test_index.py
@@ -49,6 +49,16 @@
         self.assertEqual(len(index), 2)
         self.assertEqual(index.find(KEYS), (HeldRun("s1", 0, 16),))
 
+    def test_lines_that_cannot_be_right_are_left_out(self):
+        lines = [
+            StoreChange("not a key", 8, True, SHARD),
+            StoreChange("", 8, True, SHARD),
+            StoreChange(KEYS[7], 8, True, 256),
+            StoreChange(KEYS[7], 8, True, -1),
+        ]
+        self.index.apply("s1", [*lines, *changes(16)])
+        self.assertEqual(len(self.index), 1)
+
     def test_shards_of_others_are_dropped(self):
         self.index.apply("s1", changes(8))
         self.index.keep_shards(frozenset({SHARD + 1}))
