Take back following engines by every eighth block for now

Cause: it changes what an earlier test asserts about gaps, and that change has not been read by a second person yet.

--- a/fireflyward/standins/_engine_kv_server.py
+++ b/fireflyward/standins/_engine_kv_server.py
@@ -49,8 +49,7 @@
 
     async def _events(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
-        stride = int(request.query.get("stride", "1"))
-        return _json(await self.kv.cache_events(after, stride=stride))
+        return _json(await self.kv.cache_events(after))
 
 
 def _json(value: object) -> web.Response:
--- a/fireflyward/upstreams/_protocols.py
+++ b/fireflyward/upstreams/_protocols.py
@@ -41,9 +41,7 @@
         self, order: ImportOrder
     ) -> ImportReport | Refused | Broken: ...
 
-    async def cache_events(
-        self, after: int, *, stride: int = 1
-    ) -> CacheEvents | Broken: ...
+    async def cache_events(self, after: int) -> CacheEvents | Broken: ...
 
 
 class PlainService(Protocol):
