Measure returning documents over real sockets

Cause: the replay says nothing of what sockets, tasks and the real index cost. Change: bench replay_sockets runs four nodes, four engines and two stores in one process, once without and once with stores.

--- /dev/null
+++ b/fireflyward/bench/measures/replay_sockets.py
@@ -0,0 +1,91 @@
+"""Returning documents over real sockets, with stores and without, in one run.
+
+Nodes, engines and stores run in this process, on loopback and on the real clock,
+so the figures are ratios of one way to the other and not the same every time.
+"""
+
+import asyncio
+import itertools
+import random
+import time
+
+import aiohttp
+
+from fireflyward.bench import Bench, Figure
+from fireflyward.demo import DemoDeployment
+from fireflyward.standins import EngineCosts
+
+_SEED = 1
+_STORES = 2
+_DOCUMENTS = 10
+_DOCUMENT_BYTES = 24_000
+_CLAUSE_BYTES = 8_000
+_VISITS = 4
+_BETWEEN_VISITS_S = 2.5
+_BETWEEN_PROMPTS_S = 0.05
+_ANSWER_TOKENS = 4
+_HEADERS = {"Authorization": "Bearer key-bridge"}
+_COSTS = EngineCosts(prefill_ms_per_token=0.05, cache_blocks=256)
+
+
+def _run() -> list[Figure]:
+    without = asyncio.run(_visit(0))
+    ours = asyncio.run(_visit(_STORES))
+    return [
+        Figure("replay_sockets.recomputed_to_no_store", ours[0] / without[0], "×"),
+        Figure("replay_sockets.p50_to_no_store", ours[1] / without[1], "×"),
+        Figure("replay_sockets.p95_to_no_store", ours[2] / without[2], "×"),
+    ]
+
+
+async def _visit(stores: int) -> tuple[float, float, float]:
+    """Return the recomputed share and two percentiles of the first token."""
+    source = random.Random(_SEED)
+    clauses = _text(source, _CLAUSE_BYTES)
+    documents = [clauses + _text(source, _DOCUMENT_BYTES) for _ in range(_DOCUMENTS)]
+    waits: list[float] = []
+    async with (
+        DemoDeployment(stores=stores, costs=_COSTS) as deployment,
+        aiohttp.ClientSession() as session,
+    ):
+        urls = itertools.cycle(deployment.urls)
+        for visit in range(_VISITS):
+            source.shuffle(documents)
+            for document in documents:
+                prompt = f"{document} question {visit}"
+                waits.append(await _ask(session, next(urls), prompt))
+                await asyncio.sleep(_BETWEEN_PROMPTS_S)
+            await asyncio.sleep(_BETWEEN_VISITS_S)
+        models = [server.model for server in deployment.engine_by_name.values()]
+        computed = sum(model.computed_tokens for model in models)
+        cached = sum(model.cached_tokens for model in models)
+    waits.sort()
+    share = computed / (computed + cached)
+    return share, waits[len(waits) // 2], waits[len(waits) * 95 // 100]
+
+
+async def _ask(session: aiohttp.ClientSession, url: str, prompt: str) -> float:
+    """Ask one prompt and return the seconds to its first token."""
+    body = {
+        "model": "clauses",
+        "prompt": prompt,
+        "max_tokens": _ANSWER_TOKENS,
+        "stream": True,
+    }
+    began = time.perf_counter()
+    first = 0.0
+    async with session.post(
+        f"{url}/v1/completions", json=body, headers=_HEADERS
+    ) as response:
+        response.raise_for_status()
+        async for line in response.content:
+            if line.startswith(b"data: ") and not first:
+                first = time.perf_counter() - began
+    return first
+
+
+def _text(source: random.Random, size: int) -> str:
+    return source.randbytes(size // 2).hex()
+
+
+BENCH = Bench("replay_sockets", _run, is_count=False)
