--- a/fireflyward/placement/_space.py
+++ b/fireflyward/placement/_space.py
@@ -6,7 +6,7 @@
 from ._keep import KeepOffer
 from ._plans import Tier
 
-_SAMPLE = 8
+_SAMPLE = 32
 _ACCOUNT_SHARE = 0.35
 _LEAST_HALF_LIFE_MS = 6 * 3_600_000.0
 _GAPS_TO_HALVE = 2.0
