Hold an account's limit over all nodes of a domain

Cause: max_in_flight was counted at each node alone: nine nodes let in nine times the limit of an account whose callers reach all of them. Change: a quarter of a limit is divided evenly, the rest by demand, which nodes tell every 2 s to the node that tallies the account; without a tally the even part of the whole holds. Accounts far below their limits cost no message. Conclusion: held without a coordinator; twice the limit is the worst while demand moves or a domain is split.

--- /dev/null
+++ b/fireflyward/bench/_shares_mesh.py
@@ -0,0 +1,97 @@
+"""The sharing of accounts' limits in one failure domain, on a faked clock."""
+
+import itertools
+from typing import Any
+
+from fireflyward.limits import AccountShares, SendDemand, SharesAction
+from fireflyward.membership import Member, owner_of
+from fireflyward.peers import PeerCodec, pack
+from fireflyward.peers._codec import Envelope
+
+_KEY = b"k" * 16
+_DOMAIN = "here"
+
+
+class SharesMesh:
+    """Nodes whose datagrams arrive at once, unless a node is cut off.
+
+    ``in_flight`` is by node and account; a request stays until it is taken out.
+    """
+
+    def __init__(self, nodes: int, *, limit: int = 100) -> None:
+        self.now_ms = 0
+        self.limit = limit
+        self.names = [f"entry-{_DOMAIN}-{index}" for index in range(nodes)]
+        self.cut: set[str] = set()
+        self.in_flight: dict[tuple[str, str], int] = {}
+        self.sent_bytes = dict.fromkeys(self.names, 0)
+        self._codec = PeerCodec((_KEY,))
+        self._order = itertools.count()
+        self._members = [
+            Member(name, ("127.0.0.1", 1), _DOMAIN, "r", 1) for name in self.names
+        ]
+        self.shares_by_name = {
+            name: AccountShares(name, owner_of=self.owner) for name in self.names
+        }
+        for shares in self.shares_by_name.values():
+            shares.set_nodes(nodes)
+
+    def owner(self, account: str) -> str:
+        """Return the node that tallies an account."""
+        member = owner_of(account, self._members)
+        assert member is not None, "a mesh has nodes"
+        return member.name
+
+    def allowed(self, name: str, account: str) -> int:
+        """Return a node's part of the limit."""
+        return self.shares_by_name[name].allowed(self.now_ms, account, self.limit)
+
+    def ask(self, name: str, account: str) -> bool:
+        """Let one request come in, if the node's part allows it."""
+        held = self.in_flight.get((name, account), 0)
+        if held < self.allowed(name, account):
+            self.in_flight[name, account] = held + 1
+            return True
+        self.shares_by_name[name].on_refused(account)
+        return False
+
+    def total(self, account: str) -> int:
+        """Return what all nodes together hold of an account."""
+        return sum(
+            held for (_, other), held in self.in_flight.items() if other == account
+        )
+
+    def pass_time(self, by_ms: int = 2_000) -> None:
+        """Move time on, and tick each node once."""
+        self.now_ms += by_ms
+        for name, shares in self.shares_by_name.items():
+            held = {
+                account: held
+                for (node, account), held in self.in_flight.items()
+                if node == name
+            }
+            for action in shares.tick(self.now_ms, lambda a, held=held: held.get(a, 0)):
+                self._deliver(name, action)
+
+    def _deliver(self, sender: str, action: SharesAction) -> None:
+        is_demand = isinstance(action, SendDemand)
+        message = action.demand if is_demand else action.tally
+        self.sent_bytes[sender] += self._size(sender, message)
+        if sender in self.cut or action.peer in self.cut:
+            return
+        receiver = self.shares_by_name[action.peer]
+        if not is_demand:
+            receiver.on_tally(self.now_ms, message)
+            return
+        for answer in receiver.on_demand(self.now_ms, sender, message):
+            self._deliver(action.peer, answer)
+
+    def _size(self, sender: str, message: Any) -> int:
+        envelope = Envelope(
+            sender=sender,
+            incarnation=1_790_000_000_000,
+            sequence=next(self._order),
+            kind="demand",
+            body=pack(message),
+        )
+        return len(self._codec.seal(envelope))
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -25,6 +25,7 @@
 from ._guards import Guards
 from ._kept_duty import KeptDuty
 from ._lifecycle_steps import StartStep, StopStep
+from ._limits_duty import LimitsDuty
 from ._load_duty import LoadDuty
 from ._outside import Outside
 from ._planned_stop import HandOn, PlannedStop
@@ -88,6 +89,12 @@
             engine_by_name=self.engine_by_name,
             as_routed=self.rollout.as_routed,
         )
+        self.account_limits = LimitsDuty(
+            link=self.link,
+            clock=self.clock,
+            members=self.members,
+            gate=self.admission,
+        )
         self.bundles: BundleDuty | None = None
         self.admin: AdminDuty | None = None
         self.membership: MembershipTask | None = None
@@ -161,6 +168,7 @@
         self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
         self.observe(StartStep.DUTIES_BEGUN)
         await self.loads.start()
+        await self.account_limits.start()
         self.observe(StartStep.READY)
         log.info(
             "daemon: %s serves callers on port %d and peers on port %d",
@@ -205,6 +213,7 @@
         if self.kept:
             await self.kept.stop()
         await self.loads.stop()
+        await self.account_limits.stop()
         if self.admin:
             await self.admin.stop()
         if self.bundles:
--- a/fireflyward/limits/_gate.py
+++ b/fireflyward/limits/_gate.py
@@ -1,10 +1,12 @@
 """What makes requests wait for their admission."""
 
 import asyncio
+from dataclasses import replace
 
 from fireflyward.clock import Clock, within_ms
-from fireflyward.outcomes import NotRun
+from fireflyward.outcomes import NotRun, Reason
 
+from ._account_shares import AccountShares
 from ._admission import Admission, Ask, Ticket
 
 
@@ -23,12 +25,13 @@
     request has been given to an upstream, so its "not run" is true.
     """
 
-    __slots__ = ("_admission", "_clock", "_settled_by_ticket")
+    __slots__ = ("_admission", "_clock", "_settled_by_ticket", "_shares")
 
     def __init__(self, clock: Clock, admission: Admission | None = None) -> None:
         self._clock = clock
         self._admission = admission or Admission()
         self._settled_by_ticket: dict[int, asyncio.Event] = {}
+        self._shares: AccountShares | None = None
 
     def __repr__(self) -> str:
         return f"AdmissionGate({self._admission!r})"
@@ -37,13 +40,17 @@
     def admission(self) -> Admission:
         return self._admission
 
+    def share_limits(self, shares: AccountShares) -> None:
+        """Hold accounts to this node's part of their limits from now on."""
+        self._shares = shares
+
     def total(self) -> int:
         """Return the number of requests that wait or run at this node."""
         return self._admission.total()
 
     async def enter(self, ask: Ask) -> Ticket | NotRun:
         """Return once the request may run, or with its refusal."""
-        ticket = self._admission.enter(self._clock.now_ms(), ask)
+        ticket = self._enter(ask)
         if isinstance(ticket, NotRun):
             return ticket
         try:
@@ -68,6 +75,16 @@
         self._admission.leave(ticket)
         self._settle()
 
+    def _enter(self, ask: Ask) -> Ticket | NotRun:
+        now_ms = self._clock.now_ms()
+        if self._shares is None:
+            return self._admission.enter(now_ms, ask)
+        part = self._shares.allowed(now_ms, ask.account, ask.limit)
+        result = self._admission.enter(now_ms, replace(ask, limit=part))
+        if isinstance(result, NotRun) and result.reason is Reason.OVER_LIMIT:
+            self._shares.on_refused(ask.account)
+        return result
+
     async def _wait(self, ticket: Ticket) -> None:
         settled = asyncio.Event()
         self._settled_by_ticket[id(ticket)] = settled
