Work out confirmed versions again as soon as one changes

Cause: the versions that replicas confirm were kept for 100 ms, in which the last replica may have left one; a run of it is then refused by all. Change: the router counts changes of versions, and a change ends the keeping.

--- a/fireflyward/daemon/_rollout_duty.py
+++ b/fireflyward/daemon/_rollout_duty.py
@@ -81,6 +81,7 @@
         self._plan: Plan | None = None
         self._confirmed: dict[str, frozenset[str]] = {}
         self._confirmed_until_ms = 0
+        self._confirmed_at_change = 0
         self._tasks: list[asyncio.Task[None]] = []
         self._table: Table | None = None
         self._lease: LeaseTask | None = None
@@ -171,9 +172,12 @@
 
     def _confirmed_versions(self, model: str) -> frozenset[str]:
         """Return the versions that replicas confirm; worked out ten times a second
-        at most, since a request must not look at 1,200 replicas."""
+        at most, since a request must not look at 1,200 replicas, and at once when
+        one changed: a version that the last replica has left would be refused."""
         now_ms = self._clock.now_ms()
-        if now_ms >= self._confirmed_until_ms:
+        changes = self._router.version_changes
+        if now_ms >= self._confirmed_until_ms or changes != self._confirmed_at_change:
+            self._confirmed_at_change = changes
             self._confirmed = _versions_by_model(self._router)
             self._confirmed_until_ms = now_ms + _CONFIRMED_FOR_MS
         return self._confirmed.get(model, frozenset())
--- a/fireflyward/routing/_router.py
+++ b/fireflyward/routing/_router.py
@@ -68,6 +68,7 @@
         "_random",
         "affinity",
         "report_limit_ms",
+        "version_changes",
     )
 
     def __init__(
@@ -81,6 +82,7 @@
         self.affinity = affinity or PrefixAffinity()
         self._estimate = estimate or QueueEstimate(self.affinity)
         self.report_limit_ms = _REPORT_LIMIT_MS
+        self.version_changes = 0
         self._failure_domain = failure_domain
         self._candidate_by_name: dict[str, Candidate] = {}
         self._pending_by_run: dict[str, _Pending] = {}
@@ -133,9 +135,10 @@
         candidate = self._candidate_by_name.get(name)
         if candidate is None:
             return
-        before = candidate.report
+        before, versions = candidate.report, candidate.version_by_model
         if not candidate.take_report(now_ms - report.age_ms, report):
             return
+        self.version_changes += versions != candidate.version_by_model
         if before is not None and before.epoch != report.epoch:
             self.affinity.record.forget(name)
             candidate.suspect_until_ms = 0
@@ -340,6 +343,7 @@
             versions = dict(candidate.version_by_model)
             versions.pop(pending.shape.model, None)
             candidate.version_by_model = versions
+            self.version_changes += 1
 
     def _note_late(self, run_id: str, late_ms: float) -> None:
         if len(self._late_by_run) >= _REMEMBERED_LATE:
