Keep the lists of near and far members between changes

Change: the roster keeps both lists until a row changes; relays and the watch over the own name have a module of their own.

--- a/fireflyward/membership/_membership.py
+++ b/fireflyward/membership/_membership.py
@@ -1,7 +1,6 @@
 """The decisions of membership: what to send, whom to suspect, what to believe."""
 
 import random
-from dataclasses import dataclass
 from functools import singledispatchmethod
 
 from ._domains import DomainWatch
@@ -25,6 +24,7 @@
     Tick,
 )
 from ._probing import Probing, Timings
+from ._relays import NameWatch, Relays
 from ._roster import Roster
 from ._sync import Sync
 
@@ -32,18 +32,9 @@
 _PUSH_NEAR = 3
 _PUSH_FAR = 1
 _PUSH_BURST = 8.0
-_NAME_TAKEN_DEFENCES = 3
-_NAME_TAKEN_WINDOW_MS = 60_000
 _NUMBER_MODULUS = 1 << 31
 
 
-@dataclass(frozen=True, slots=True)
-class _Relay:
-    requester: str
-    number: int
-    until_ms: int
-
-
 class Membership:
     """Knows the nodes of the deployment: ``decide(now_ms, message) -> actions``.
 
@@ -57,14 +48,14 @@
     """
 
     __slots__ = (
-        "_defences_ms",
         "_domains",
         "_last_ms",
+        "_name_watch",
         "_next_remote_ms",
         "_probing",
         "_push_tokens",
         "_random",
-        "_relay_by_number",
+        "_relays",
         "_roster",
         "_sync",
         "_timings",
@@ -92,12 +83,12 @@
             timings=self._timings,
             rng=self._random,
         )
-        self._relay_by_number: dict[int, _Relay] = {}
+        self._relays = Relays(self._timings.probe_period_ms)
         self._push_tokens = _PUSH_BURST
         self._last_ms = now_ms
         self._next_remote_ms = now_ms + self._remote_wait_ms()
         self._unheard: frozenset[str] = frozenset()
-        self._defences_ms: list[int] = []
+        self._name_watch = NameWatch()
         self._urgent = False
 
     def __repr__(self) -> str:
@@ -282,20 +273,11 @@
         self._roster.set_own(incarnation=above + 1)
         self._urgent = True
         actions: list[Action] = [SetIncarnation(above + 1)]
-        if row.failure_domain and row.address != self.members.own.address:
-            actions += self._count_defence(now_ms)
+        is_elsewhere = row.failure_domain and row.address != self.members.own.address
+        if is_elsewhere and self._name_watch.on_defence(now_ms):
+            actions.append(Alarm(AlarmKind.NAME_TAKEN, self.members.own.name))
         return actions
 
-    def _count_defence(self, now_ms: int) -> list[Action]:
-        """Notice two nodes that were given one name: each keeps outbidding."""
-        since_ms = now_ms - _NAME_TAKEN_WINDOW_MS
-        self._defences_ms = [at for at in self._defences_ms if at > since_ms]
-        self._defences_ms.append(now_ms)
-        if len(self._defences_ms) < _NAME_TAKEN_DEFENCES:
-            return []
-        self._defences_ms.clear()
-        return [Alarm(AlarmKind.NAME_TAKEN, self.members.own.name)]
-
     def _answer(self, now_ms: int, packet: Packet) -> list[Action]:
         sender = self.members.stored(packet.sender.name)
         if sender is None:
@@ -325,7 +307,7 @@
         return [Send(packet.sender.address, news)]
 
     def _take_ack(self, now_ms: int, packet: Packet) -> list[Action]:
-        relay = self._relay_by_number.pop(packet.number, None)
+        relay = self._relays.take(packet.number)
         if relay is None:
             self._probing.on_ack(packet.number)
             return []
@@ -338,20 +320,10 @@
         target = self.members.stored(packet.target)
         if target is None:
             return []
-        self._drop_old_relays(now_ms)
         number = self._new_number()
-        until_ms = now_ms + self._timings.probe_period_ms
-        relay = _Relay(packet.sender.name, packet.number, until_ms)
-        self._relay_by_number[number] = relay
+        self._relays.put(now_ms, number, packet.sender.name, packet.number)
         return [self._send(now_ms, target, PacketKind.PROBE, number)]
 
-    def _drop_old_relays(self, now_ms: int) -> None:
-        self._relay_by_number = {
-            number: relay
-            for number, relay in self._relay_by_number.items()
-            if relay.until_ms > now_ms
-        }
-
     def _probe_other_domain(self, now_ms: int) -> list[Action]:
         names = self._domains.names()
         if not names:
--- a/fireflyward/membership/_roster.py
+++ b/fireflyward/membership/_roster.py
@@ -17,12 +17,13 @@
     already known, and neither revives nor kills anybody.
     """
 
-    __slots__ = ("_dead_since_ms_by_name", "members", "news")
+    __slots__ = ("_dead_since_ms_by_name", "_near_and_far", "members", "news")
 
     def __init__(self, own: Member) -> None:
         self.members = Members(own)
         self.news = News()
         self._dead_since_ms_by_name: dict[str, int] = {}
+        self._near_and_far: tuple[list[Member], list[Member]] | None = None
 
     @property
     def own(self) -> Member:
@@ -34,13 +35,11 @@
 
     def near(self) -> list[Member]:
         """Return the others of the own failure domain that are not dead."""
-        own_domain = self.own.failure_domain
-        return [item for item in self._others() if item.failure_domain == own_domain]
+        return self._others()[0]
 
     def far(self) -> list[Member]:
         """Return the members of other failure domains that are not dead."""
-        own_domain = self.own.failure_domain
-        return [item for item in self._others() if item.failure_domain != own_domain]
+        return self._others()[1]
 
     def excuse(self, name: str) -> None:
         """Take back a suspicion that this node should not have had."""
@@ -48,6 +47,7 @@
         member = self.members.stored(name)
         if member is not None and member.state is MemberState.SUSPECTED:
             self.members.put(replace(member, state=MemberState.LIVE))
+            self._near_and_far = None
 
     def merge(self, now_ms: int, row: Member) -> Member | None:
         """Take a row about another node; return the member if its row changed."""
@@ -75,6 +75,7 @@
                 del self._dead_since_ms_by_name[name]
                 self.news.drop(name)
                 self.members.forget(name)
+                self._near_and_far = None
 
     def threat_to_own(self, row: Member) -> int | None:
         """Return the incarnation above which this node must rise, if it must.
@@ -100,16 +101,23 @@
     def _tell(self, member: Member) -> None:
         self.news.put(member, len(self.members.stored_all()))
 
-    def _others(self) -> list[Member]:
-        own_name = self.own.name
-        return [
-            member
-            for member in self.members.stored_all()
-            if member.name != own_name and member.state is not MemberState.DEAD
-        ]
+    def _others(self) -> tuple[list[Member], list[Member]]:
+        """Return near and far members; they are asked for far more than changed."""
+        if self._near_and_far is None:
+            near: list[Member] = []
+            far: list[Member] = []
+            own = self.own
+            for member in self.members.stored_all():
+                if member.name == own.name or member.state is MemberState.DEAD:
+                    continue
+                is_near = member.failure_domain == own.failure_domain
+                (near if is_near else far).append(member)
+            self._near_and_far = near, far
+        return self._near_and_far
 
     def _put(self, now_ms: int, member: Member) -> None:
         self.members.put(member)
+        self._near_and_far = None
         if member.state is MemberState.DEAD:
             self._dead_since_ms_by_name.setdefault(member.name, now_ms)
         else:
