Hold a bundle's number against the time at which a request was sent

The number is taken when a request comes and was noted when it ended, so a long request beside a short one looked like a step back. Observations carry the time of sending now, and a request that was sent after a newer number had been seen at its node is still caught; a history for each is added.

--- a/fireflyward/checker/_bundles.py
+++ b/fireflyward/checker/_bundles.py
@@ -18,8 +18,8 @@
         "_cut_off",
         "_digest_by_number",
         "_force_limit_ms",
-        "_highest_by_node",
         "_reachable_ms",
+        "_seen_by_node",
         "_sees_platform",
         "violations",
     )
@@ -30,7 +30,7 @@
         self._sees_platform = sees_platform
         self._accepted_ms_by_number: dict[int, int] = {}
         self._digest_by_number: dict[int, str] = {}
-        self._highest_by_node: dict[str, int] = {}
+        self._seen_by_node: dict[str, list[tuple[int, int]]] = {}
         self._cut_off: set[str] = set()
         self._reachable_ms: dict[str, int] = {}
 
@@ -63,20 +63,33 @@
         node, number = observation.node, observation.number
         if not number:
             return
-        highest = self._highest_by_node.get(node, 0)
+        begun_ms = observation.begun_ms if observation.begun_ms >= 0 else None
+        highest = self._highest_at(node, begun_ms)
         if number < highest:
             self._add(observation.at_ms, f"{node} went from {highest} to {number}")
-        self._highest_by_node[node] = max(number, highest)
+        seen = self._seen_by_node.setdefault(node, [])
+        if not seen or number > seen[-1][1]:
+            seen.append((observation.at_ms, number))
         if self._sees_platform and number not in self._accepted_ms_by_number:
             self._add(observation.at_ms, f"{node} serves {number}, accepted by none")
         if node not in self._cut_off:
             self._check_force(observation)
 
+    def _highest_at(self, node: str, before_ms: int | None) -> int:
+        """Return the highest number that a node had served by before a time."""
+        for at_ms, number in reversed(self._seen_by_node.get(node, ())):
+            if before_ms is None or at_ms < before_ms:
+                return number
+        return 0
+
     def _check_force(self, observation: BundleServed) -> None:
         reachable_ms = self._reachable_ms.get(observation.node, 0)
+        served_ms = (
+            observation.begun_ms if observation.begun_ms >= 0 else observation.at_ms
+        )
         for number, accepted_ms in self._accepted_ms_by_number.items():
             due_ms = max(accepted_ms, reachable_ms) + self._force_limit_ms
-            if number > observation.number and observation.at_ms > due_ms:
+            if number > observation.number and served_ms > due_ms:
                 detail = f"{observation.node} still serves {observation.number}"
                 self._add(observation.at_ms, f"{detail}, {number} was due at {due_ms}")
                 return
--- a/fireflyward/checker/_observations.py
+++ b/fireflyward/checker/_observations.py
@@ -136,11 +136,16 @@
 
 @dataclass(frozen=True, slots=True)
 class BundleServed:
-    """A node served a caller by ``number`` (the ``X-Bundle`` header)."""
+    """A node served a caller by ``number`` (the ``X-Bundle`` header).
+
+    A node takes the number when a request comes, so a long one may end with a lower
+    number than a short one beside it; ``begun_ms`` is when it was sent, if known.
+    """
 
     at_ms: int
     node: str
     number: int
+    begun_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/load/_caller.py
+++ b/fireflyward/load/_caller.py
@@ -129,7 +129,7 @@
                 begun_ms,
             )
         )
-        self.checker.see(BundleServed(now_ms, url, received.bundle))
+        self.checker.see(BundleServed(now_ms, url, received.bundle, begun_ms))
 
     async def _attempt(
         self, url: str, request: LoadRequest, before: Received
--- a/tests/checker/test_checker.py
+++ b/tests/checker/test_checker.py
@@ -78,6 +78,12 @@
         Ended(3, "r", Ending.CUT, "whole", "id", "n1", is_final=False),
         ANSWERED,
     ],
+    "a long request that ends after a short one of a newer bundle": [
+        BundleAccepted(0, 1, "d1"),
+        BundleAccepted(1, 2, "d2"),
+        BundleServed(5, "n1", 2, begun_ms=4),
+        BundleServed(20_000, "n1", 1, begun_ms=3),
+    ],
     "a node that was cut off": [
         BundleAccepted(0, 1, "d1"),
         Reachable(1, "n1", False),
@@ -173,6 +179,15 @@
             BundleServed(3, "n1", 1),
         ],
     ),
+    "a request sent after a newer bundle was seen": (
+        Promise.BUNDLE_IN_FORCE,
+        [
+            BundleAccepted(0, 1, "d1"),
+            BundleAccepted(1, 2, "d2"),
+            BundleServed(5, "n1", 2, begun_ms=4),
+            BundleServed(9, "n1", 1, begun_ms=6),
+        ],
+    ),
     "a node that stays behind": (
         Promise.BUNDLE_IN_FORCE,
         [
--- a/tests/faults/__main__.py
+++ b/tests/faults/__main__.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 from ._explore import PAIR_SEED, explore, write_leads
+from ._procedures import PROCEDURE_BY_NAME
 from ._report import page, table
 
 _PAGE = Path(__file__).parents[2] / "docs" / "FAULTS.md"
@@ -19,10 +20,13 @@
     parser.add_argument("--pairs", type=int, default=_PAIRS)
     parser.add_argument("--seed", type=int, default=PAIR_SEED)
     parser.add_argument("--workers", type=int, default=_WORKERS)
+    parser.add_argument("--only", nargs="+", default=list(PROCEDURE_BY_NAME))
     parser.add_argument("--no-page", action="store_true")
     options = parser.parse_args()
     with ProcessPoolExecutor(options.workers) as pool:
-        found = explore(pool.map, pairs=options.pairs, seed=options.seed)
+        found = explore(
+            pool.map, pairs=options.pairs, seed=options.seed, procedures=options.only
+        )
     print(table(found))
     if not options.no_page:
         _PAGE.write_text(page(found))
--- a/tests/faults/_callers.py
+++ b/tests/faults/_callers.py
@@ -217,7 +217,7 @@
         self.ending = ending if is_final else self.ending
         if ending is not Ending.CUT:
             number = int(writer.headers.get("X-Bundle", 0))
-            self._world.see(BundleServed(now_ms, name, number))
+            self._world.see(BundleServed(now_ms, name, number, begun_ms))
 
     async def _send(self, node) -> _Writer:
         writer = _Writer(self._clock, self._transport)
--- a/tests/faults/_explore.py
+++ b/tests/faults/_explore.py
@@ -1,7 +1,7 @@
 """Finds the steps that each procedure passes, and runs every cell over them."""
 
 import json
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
 
@@ -23,6 +23,7 @@
 class Found:
     """All results, and the faults that lead to steps which need some."""
 
+    procedures: tuple[str, ...] = ()
     results: list[Result] = field(default_factory=list)
     lead_by_place: dict[tuple[str, Step], Lead] = field(default_factory=dict)
     impossible: dict[tuple[str, Step, str], str] = field(default_factory=dict)
@@ -41,14 +42,20 @@
         return not self.failed and not self.unreached
 
 
-def explore(run: Map, *, pairs: int, seed: int = PAIR_SEED) -> Found:
+def explore(
+    run: Map,
+    *,
+    pairs: int,
+    seed: int = PAIR_SEED,
+    procedures: Sequence[str] = tuple(PROCEDURE_BY_NAME),
+) -> Found:
     """Run every cell; what a cell reaches after its strike leads to more cells.
 
     The way to a step that only a fault leads to (such as resuming a stream) is
     the first cell, in a fixed order, in which the step came after the strike.
     """
-    found = Found()
-    fresh = _learn(found, list(run(run_cell, map(Cell, PROCEDURE_BY_NAME))))
+    found = Found(tuple(procedures))
+    fresh = _learn(found, list(run(run_cell, map(Cell, procedures))))
     for _ in range(_MAX_LEAD + 1):
         cells = [cell for place in fresh for cell in _cells(found, *place)]
         results = list(run(run_cell, cells))
--- a/tests/faults/_report.py
+++ b/tests/faults/_report.py
@@ -5,6 +5,7 @@
 from ._explore import Found
 from ._faults import FAULT_BY_NAME
 from ._matrix import Result
+from ._procedures import PROCEDURE_BY_NAME
 
 _SHOWN = 40
 _ABOUT = """Written by `make faults`; do not edit. Each cell is a small deployment in
@@ -60,6 +61,9 @@
     lines += [_failure(result) for result in found.failed] or ["None."]
     lines += ["", "## Steps without a cell", ""]
     lines += [f"- `{step.value}`" for step in found.unreached] or ["None."]
+    lines += ["", "## Procedures that were not run", ""]
+    left_out = [name for name in PROCEDURE_BY_NAME if name not in found.procedures]
+    lines += [f"- {name}" for name in left_out] or ["None."]
     lines += ["", "## Impossible cells", ""]
     reasons = Counter(
         f"{name}: {reason}" for (_, _, name), reason in found.impossible.items()
