Let a leaving engine of the matrix go on leaving after a restart

Four cells failed because the driver's restart made an engine take work again that had said it leaves; the checker rightly said so. Prefill costs more where there are stores, so that imports are worth their while.

--- a/tests/faults/_fakes.py
+++ b/tests/faults/_fakes.py
@@ -33,7 +33,7 @@
 from ._stores import WatchedKv
 
 COSTS = EngineCosts(prefill_ms_per_token=0.05, decode_ms_per_token=20.0, load_ms=1_200)
-SLOW_COSTS = EngineCosts(prefill_ms_per_token=1.0, decode_ms_per_token=20.0)
+SLOW_COSTS = EngineCosts(prefill_ms_per_token=4.0, decode_ms_per_token=20.0)
 URL_PREFIX = "http://"
 _POLL_MS = 20
 _LIBRARY_WAIT_MS = 60_000
@@ -103,13 +103,13 @@
         self.versions = dict(versions)
         self.reports = []
         self.reports_lag = False
+        self.is_leaving = False
         self.restart()
 
     def restart(self) -> None:
         self.epoch = self.world.clock.now_ms()
         costs = SLOW_COSTS if self.world.store_by_name else COSTS
         self.model = EngineModel(dict(self.versions), costs, str(self.epoch))
-        self.is_leaving = False
         self.orders = EngineOrders(self.model, weights=self.world.weight_source)
         self.kv = WatchedKv(self.world, self.model, self.world.clock, self._store_of)
 
