Look for what a rollout must never do, in any order of faults

The flight test fails without the successor's wait.

Found: an order delayed beyond 5 s, to a replica whose claim was given up without another order there, can be a third load, also where fencing is honoured.

--- a/tests/rollout/rollout_fixtures.py
+++ b/tests/rollout/rollout_fixtures.py
@@ -95,6 +95,8 @@
         self.plan = self.make_plan(1, version)
         self.drivers = []
         self.least_serving = len(names)
+        self.is_floor_checked = True
+        self.are_loads_checked = True
 
     def make_plan(self, number, version):
         return make_plan(
@@ -152,9 +154,11 @@
         now_ms = self.clock.now_ms()
         serving = self.fleet.serving(now_ms, MODEL)
         self.least_serving = min(self.least_serving, serving)
-        assert self.fleet.weights.most_at_once <= 2, "more than two loads at once"
+        if self.are_loads_checked:
+            assert self.fleet.weights.most_at_once <= 2, "more than two loads at once"
         floor = self.limits.floor_of(len(self.names))
-        assert self.least_serving >= floor, f"{self.least_serving} serve"
+        if self.is_floor_checked:
+            assert self.least_serving >= floor, f"{self.least_serving} serve"
 
     async def close(self):
         for driver in self.drivers:
--- a/tests/rollout/test_task.py
+++ b/tests/rollout/test_task.py
@@ -261,6 +261,26 @@
         await world.finish()
         self.assertEqual(world.versions, {"v3"})
 
+    async def test_order_in_flight_arrives_before_anything_newer_is_ordered(self):
+        """Symptom: a replica goes back to an old version. Sequence: a holder dies
+        with an order on its way; the successor loads the same, then a later
+        bundle; the old order arrives. Cause: the engine ignores fencing and
+        forgets order ids, and nobody waited out the order's flight."""
+        world, engine = await self.leave_order_behind(False)
+        engine.hold_orders = False
+        engine.orders.remembers_ids = False
+        world.add_driver("b")
+        while world.row.fencing < 2:
+            await world.run(250)
+        await world.run(2_500)
+        world.accept(3, "v3")
+        await world.run(2_000)
+        engine.let_go()
+        await world.finish()
+        versions = [o.version_by_model[MODEL] for o in engine.orders.taken]
+        self.assertEqual(versions, sorted(versions))
+        self.assertEqual(world.versions, {"v3"})
+
     async def test_order_later_than_any_flight_is_found_and_undone(self):
         """Symptom: a replica of an engine that ignores fencing is out of service
         for two loads. Sequence: an order of a lapsed holder arrives a minute late.
