Delete run records after 24 periods that no wall clock measures

A lifetime by wall clocks would let one jump of a clock delete records early, and a request run twice.

Change: the table has a period, advanced by any node that saw it unchanged for an hour by its own monotonic clock; every group commit is conditional on it and files its keys under it. Any node deletes what is 24 periods old, from a cursor, each record at the version that was read. A record lives 24 h at least, and longer while no node lives for an hour.

Found by a mutation that no test noticed: a node that read the period long ago filed its records under it, and they were never deleted; a batch is now filed anew when its period was found old.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -15,7 +15,7 @@
 from fireflyward.observe import Metrics, Tracing
 from fireflyward.platform import Vms
 from fireflyward.routing import Candidate, Router
-from fireflyward.runs import RunIds, RunRecords, finish_detached
+from fireflyward.runs import RunIds, RunRecords, Sweeper, finish_detached
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
 from fireflyward.upstreams import Engine, PlainService
@@ -30,6 +30,7 @@
 from ._outside import Outside
 from ._planned_stop import HandOn, PlannedStop
 from ._rollout_duty import RolloutDuty
+from ._sweep_duty import sweep_for_ever
 
 log = logging.getLogger("fireflyward.daemon")
 
@@ -166,6 +167,8 @@
         await self.rollout.start(table)
         self.kept.start()
         self._every(_CERTIFICATE_POLL_MS, self._renew_certificate)
+        sweeper = Sweeper(table, self.clock, observe=self.observe)
+        self._tasks.append(asyncio.create_task(sweep_for_ever(sweeper, self.clock)))
         self.observe(StartStep.DUTIES_BEGUN)
         await self.loads.start()
         await self.account_limits.start()
--- a/fireflyward/runs/__init__.py
+++ b/fireflyward/runs/__init__.py
@@ -31,6 +31,7 @@
 from ._run import Run
 from ._service_task import ServiceTask
 from ._steps import OnceStep, PromptStep, StreamStep
+from ._sweep import LOOK_MS, Sweeper, SweepStep
 from ._task import RunTask
 
 __all__ = [
@@ -48,6 +49,7 @@
     "EarlierAnswer",
     "EarlierRun",
     "End",
+    "LOOK_MS",
     "Mark",
     "Once",
     "OnceStep",
@@ -67,6 +69,8 @@
     "Start",
     "Stored",
     "StreamStep",
+    "SweepStep",
+    "Sweeper",
     "Wait",
     "Waited",
     "finish_detached",
--- a/fireflyward/runs/_group_commit.py
+++ b/fireflyward/runs/_group_commit.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 from collections import deque
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -46,16 +46,20 @@
     detail: str
 
 
+Encode = Callable[[int], bytes]
 WriteResult = Written | RowMoved | NotWritten | MayLand
 
 
 @dataclass(eq=False, slots=True)
 class Write:
-    """One row to be written if it has ``expected`` as its version."""
+    """One row to be written if it has ``expected`` as its version.
+
+    ``encode`` gives the row's value for the retention period that it is written in.
+    """
 
     key: str
     expected: int
-    value: bytes
+    encode: Encode
     done: "asyncio.Future[WriteResult]"
 
 
@@ -134,10 +138,10 @@
     _numbers: "itertools.count[int]" = field(default_factory=itertools.count)
     _task: "asyncio.Task[None] | None" = None
 
-    async def write(self, key: str, expected: int, value: bytes) -> WriteResult:
+    async def write(self, key: str, expected: int, encode: Encode) -> WriteResult:
         """Write one row together with others; give the result of this row."""
         done: asyncio.Future[WriteResult] = asyncio.get_running_loop().create_future()
-        self.queue.add(Write(key, expected, value, done))
+        self.queue.add(Write(key, expected, encode, done))
         if self._task is None or self._task.done():
             self._task = asyncio.ensure_future(self._flush())
         return await asyncio.shield(done)
@@ -188,11 +192,24 @@
             return
         found = version_by_key.get(PERIOD_KEY, self.period.version)
         is_old_period = found != self.period.version
-        if _drop_moved(batch, version_by_key):
-            return
-        if not is_old_period or not await self.read_period():
+        has_moved = _drop_moved(batch, version_by_key)
+        if is_old_period:
+            await self._renew(batch)
+        elif not has_moved:
             _resolve_all(batch, MayLand("its conflict could not be settled"))
 
+    async def _renew(self, batch: Batch) -> None:
+        """File a batch under the current period.
+
+        Filed under one that the sweep has passed, its records would never be
+        deleted. An earlier try cannot land any more: it names the old period.
+        """
+        if not await self.read_period():
+            _resolve_all(batch, NotWritten("the retention period is not known"))
+            return
+        batch.marker = self._marker()
+        batch.may_have_landed = False
+
     async def read_period(self) -> bool:
         """Learn the current retention period; return whether the table told it."""
         row = await self.table.get(PERIOD_KEY)
@@ -206,11 +223,12 @@
     ) -> Committed | Conflict | Unavailable | Uncertain:
         """Commit a batch once, in bounded time."""
         self.commits += 1
+        period = self.period
         expected = {write.key: write.expected for write in batch.writes}
-        puts = {write.key: write.value for write in batch.writes}
+        puts = {write.key: write.encode(period.number) for write in batch.writes}
         puts[batch.marker] = msgspec.json.encode([*puts])
         expected[batch.marker] = 0
-        expected[PERIOD_KEY] = self.period.version
+        expected[PERIOD_KEY] = period.version
         work = self.table.commit(expected=expected, puts=puts)
         try:
             return await within(self.clock, _CALL_LIMIT_MS, work)
--- a/fireflyward/runs/_records.py
+++ b/fireflyward/runs/_records.py
@@ -55,6 +55,11 @@
     content_type: str = ""
     usage: tuple[int, int, int] = (0, 0, 0)
 
+    def encode(self, period: int) -> bytes:
+        """Return the row's value, written in ``period``."""
+        self.period = period
+        return msgspec.json.encode(self)
+
 
 class RunRecords:
     """Writes the record of a request before the request is dispatched.
@@ -82,8 +87,7 @@
         began_ms = self._clock.now_ms()
         expected = 0
         for _ in range(_CLAIM_TRIES):
-            record.period = self.group.period.number
-            result = await self.group.write(key, expected, _encode(record))
+            result = await self.group.write(key, expected, record.encode)
             if isinstance(result, Written):
                 return Permit(began_ms + _PERMIT_MS), result.version
             if not isinstance(result, RowMoved):
@@ -107,7 +111,7 @@
         A record that stays ``STARTED`` for want of this write is still true: it
         says that the request may have run.
         """
-        result = await self.group.write(key, version, _encode(record))
+        result = await self.group.write(key, version, record.encode)
         return isinstance(result, Written)
 
     def release(self, key: str, version: int, record: Record) -> None:
@@ -141,7 +145,7 @@
 
     async def _release(self, key: str, version: int, record: Record) -> None:
         for attempt in range(_RELEASE_TRIES):
-            result = await self.group.write(key, version, _encode(record))
+            result = await self.group.write(key, version, record.encode)
             if isinstance(result, Written):
                 return
             if isinstance(result, RowMoved):
@@ -200,7 +204,3 @@
 def _is_owned(row: Row, owner: str) -> bool:
     found = msgspec.json.decode(row.value, type=Record)
     return found.owner == owner and found.state is RecordState.STARTED
-
-
-def _encode(record: Record) -> bytes:
-    return msgspec.json.encode(record)
--- /dev/null
+++ b/fireflyward/runs/_sweep.py
@@ -0,0 +1,196 @@
+"""How records grow old and are deleted, by whichever nodes live."""
+
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from fireflyward.clock import Clock
+from fireflyward.platform import (
+    Committed,
+    Missing,
+    Row,
+    Table,
+    Unavailable,
+)
+from fireflyward.steps import Step, StepObserver, ignore_step
+
+from ._periods import PERIOD_KEY, SHARDS, Period, period_of, shard_prefix
+from ._records import Record
+
+log = logging.getLogger("fireflyward.runs")
+
+PERIOD_MS = 3_600_000
+KEPT_PERIODS = 24
+LOOK_MS = 60_000
+_PACE_MS = 50
+_CURSOR_KEY = "runs/swept"
+
+
+class SweepStep(Step):
+    """Points of the sweep."""
+
+    PERIOD_ADVANCING = "sweep: period advancing"
+    BATCH_DELETING = "sweep: batch deleting"
+    CURSOR_MOVING = "sweep: cursor moving"
+
+
+class PeriodWatch:
+    """Decides when the period may be advanced.
+
+    A node advances it after it has seen the same row for a whole period by its own
+    monotonic clock, counted from after it read the row. No wall clock is compared,
+    so no jump of one can make a record disappear early; if no node lives long
+    enough, records only live longer.
+
+    >>> watch = PeriodWatch(100)
+    >>> watch.see(0, Period(7, 3)), watch.see(99, Period(7, 3))
+    (False, False)
+    >>> watch.see(100, Period(7, 3))
+    True
+    """
+
+    __slots__ = ("_period", "_period_ms", "_since_ms")
+
+    def __init__(self, period_ms: int = PERIOD_MS) -> None:
+        self._period_ms = period_ms
+        self._period: Period | None = None
+        self._since_ms = 0
+
+    def see(self, now_ms: int, period: Period) -> bool:
+        """Take what was read; return whether this node may advance it now."""
+        if period != self._period:
+            self._period = period
+            self._since_ms = now_ms
+        return now_ms - self._since_ms >= self._period_ms
+
+
+@dataclass(frozen=True, slots=True)
+class Cursor:
+    """The shard of the period that is swept next, and its row's version."""
+
+    period: int = 0
+    shard: int = 0
+    version: int = 0
+
+    def next(self) -> tuple[int, int]:
+        """Return the period and shard after this one."""
+        if self.shard + 1 < SHARDS:
+            return self.period, self.shard + 1
+        return self.period + 1, 0
+
+
+class Sweeper:
+    """Advances the period and deletes the records of those that are over.
+
+    Every node runs one. They need no leader: the period and the cursor move only
+    from the version that was read, and a record is deleted only at the version
+    that was read and found old, so two nodes that sweep the same shard do work
+    twice and never harm.
+    """
+
+    def __init__(
+        self,
+        table: Table,
+        clock: Clock,
+        *,
+        period_ms: int = PERIOD_MS,
+        kept_periods: int = KEPT_PERIODS,
+        observe: StepObserver = ignore_step,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._kept_periods = kept_periods
+        self._observe = observe
+        self._watch = PeriodWatch(period_ms)
+
+    async def look(self) -> int:
+        """Look once and do what is due; return how many batches were deleted."""
+        row = await self._table.get(PERIOD_KEY)
+        if isinstance(row, Unavailable):
+            return 0
+        period = period_of(row)
+        if self._watch.see(self._clock.now_ms(), period):
+            await self._advance(period)
+        return await self._sweep(period.number - self._kept_periods)
+
+    async def _advance(self, period: Period) -> None:
+        self._observe(SweepStep.PERIOD_ADVANCING)
+        result = await self._table.commit(
+            expected={PERIOD_KEY: period.version},
+            puts={PERIOD_KEY: msgspec.json.encode(period.number + 1)},
+        )
+        if isinstance(result, Committed):
+            advanced = Period(period.number + 1, period.version + 1)
+            self._watch.see(self._clock.now_ms(), advanced)
+
+    async def _sweep(self, before: int) -> int:
+        """Sweep shards from the cursor on, until the period ``before``."""
+        deleted = 0
+        while True:
+            cursor = await self._read_cursor()
+            if cursor is None or cursor.period >= before:
+                return deleted
+            done = await self._sweep_shard(cursor)
+            if done is None or not await self._move(cursor):
+                return deleted
+            deleted += done
+            await self._clock.sleep_ms(_PACE_MS)
+
+    async def _sweep_shard(self, cursor: Cursor) -> int | None:
+        rows = await self._table.scan(shard_prefix(cursor.period, cursor.shard))
+        if isinstance(rows, Unavailable):
+            return None
+        for row in rows:
+            if not await self._delete_batch(row, cursor.period):
+                return None
+        return len(rows)
+
+    async def _delete_batch(self, batch: Row, period: int) -> bool:
+        """Delete a batch's row together with those of its records that are old.
+
+        A record that was claimed again, after a request that was not run, belongs
+        to a later batch and stays.
+        """
+        self._observe(SweepStep.BATCH_DELETING)
+        expected = {batch.key: batch.version}
+        for key in msgspec.json.decode(batch.value, type=list[str]):
+            row = await self._table.get(key)
+            if isinstance(row, Unavailable):
+                return False
+            if isinstance(row, Row) and _is_old(row, period):
+                expected[key] = row.version
+        result = await self._table.commit(
+            expected=expected, puts={}, deletes=tuple(expected)
+        )
+        return isinstance(result, Committed)
+
+    async def _read_cursor(self) -> Cursor | None:
+        row = await self._table.get(_CURSOR_KEY)
+        if isinstance(row, Unavailable):
+            return None
+        if isinstance(row, Missing):
+            return Cursor()
+        period, shard = msgspec.json.decode(row.value, type=tuple[int, int])
+        return Cursor(period, shard, row.version)
+
+    async def _move(self, cursor: Cursor) -> bool:
+        self._observe(SweepStep.CURSOR_MOVING)
+        result = await self._table.commit(
+            expected={_CURSOR_KEY: cursor.version},
+            puts={_CURSOR_KEY: msgspec.json.encode(cursor.next())},
+        )
+        return isinstance(result, Committed)
+
+
+def _is_old(row: Row, period: int) -> bool:
+    """Tell whether a record belongs to ``period`` or an earlier one.
+
+    Batches list the rows that they wrote; what cannot be read as a record is left
+    alone rather than deleted by mistake.
+    """
+    try:
+        return msgspec.json.decode(row.value, type=Record).period <= period
+    except msgspec.DecodeError:
+        log.warning("runs: %s is no record, left in place", row.key)
+        return False
