--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -226,7 +226,7 @@
         if self.membership:
             await self.membership.stop()
         if self.records:
-            await self.records.stop()
+            self.records.stop()
         await self.outside.stop_listening()
         await self.link.stop()
         self.observe(StopStep.CLOSED)
--- a/fireflyward/runs/_records.py
+++ b/fireflyward/runs/_records.py
@@ -123,7 +123,7 @@
         self._releases.add(task)
         task.add_done_callback(self._releases.discard)
 
-    async def stop(self) -> None:
+    def stop(self) -> None:
         """Stop writing at once."""
         for task in list(self._releases):
             task.cancel()
--- a/fireflyward/standins/_engine_memory.py
+++ b/fireflyward/standins/_engine_memory.py
@@ -39,6 +39,7 @@
         self.faults = self.gate.faults
         self.dispatches = 0
         self.started_run_ids: list[str] = []
+        self.last_started_ms = -1
         self.cancelled_run_ids: list[str] = []
         self._clock = clock
         self._piece_tokens = piece_tokens
@@ -54,6 +55,7 @@
             yield result
             return
         self.started_run_ids.append(call.run_id)
+        self.last_started_ms = self._clock.now_ms()
         await self.gate.on_submitted()
         async for event in self._stream(self.model.run_by_id[call.run_id], 0):
             yield event
