Join the end of a request to the next claim, and measure runs

Cause: at 4 requests a second at a node each request cost two commits, the claim and its end (measured: 8.0 commits a second, 2.0 a request); 350 such nodes would take the table 2,800 commits a second. The reply of a service waited for its record's end.

Change: the end of a request waits up to 500 ms for a claim to go with; services' replies no longer wait for it.

--- /dev/null
+++ b/fireflyward/bench/measures/run_records.py
@@ -0,0 +1,79 @@
+"""What the records of non-idempotent requests cost the table, by rate."""
+
+import asyncio
+import random
+
+from fireflyward.bench import Bench, Figure
+from fireflyward.clock import ManualClock
+from fireflyward.outcomes import Answered
+from fireflyward.runs import Permit, RecordOfRun, RunRecords
+from fireflyward.standins import MemoryTable
+
+_COMMIT_MS = 5
+_SECONDS = 2
+_MS_PER_SECOND = 1_000
+# Requests a second at one node: 1,200 at 350, at 35, at 9 and at 1 node.
+_RATES = (4, 34, 134, 1_200)
+
+
+class _SlowTable(MemoryTable):
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__()
+        self._clock = clock
+
+    async def commit(self, **options):
+        await self._clock.sleep_ms(_COMMIT_MS)
+        return await super().commit(**options)
+
+
+class _Node:
+    def __init__(self) -> None:
+        self.clock = ManualClock()
+        self.table = _SlowTable(self.clock)
+        self.records = RunRecords(self.table, self.clock)
+        self.claim_ms: list[int] = []
+
+    async def ask(self, number: int) -> None:
+        """Claim a record and settle it, as a request does."""
+        record = RecordOfRun(
+            self.records,
+            account="account",
+            request_key=f"key-{number}",
+            owner=f"owner-{number}",
+            fingerprint="f" * 64,
+        )
+        began_ms = self.clock.now_ms()
+        permit = await record.claim("replica")
+        assert isinstance(permit, Permit), permit
+        self.claim_ms.append(self.clock.now_ms() - began_ms)
+        await record.settle(Answered(), "pass")
+
+
+async def _play(rate: int) -> _Node:
+    node = _Node()
+    draw = random.Random(1)
+    asked = []
+    for number in range(rate * _SECONDS):
+        asked.append(asyncio.ensure_future(node.ask(number)))
+        await node.clock.advance_ms(draw.expovariate(rate / _MS_PER_SECOND))
+    await node.clock.advance_ms(_MS_PER_SECOND)
+    await asyncio.gather(*asked)
+    return node
+
+
+def _run() -> list[Figure]:
+    figures = []
+    for rate in _RATES:
+        node = asyncio.run(_play(rate))
+        requests = rate * _SECONDS
+        waited_ms = sorted(node.claim_ms)
+        prefix = f"run_records.rate_{rate}"
+        figures += [
+            Figure(f"{prefix}.commits_per_s", node.table.writes / _SECONDS, "1/s"),
+            Figure(f"{prefix}.commits_per_request", node.table.writes / requests, ""),
+            Figure(f"{prefix}.claim_p95_ms", waited_ms[int(requests * 0.95)], "ms"),
+        ]
+    return figures
+
+
+BENCH = Bench("run_records", _run, is_count=True)
--- a/fireflyward/runs/_group_commit.py
+++ b/fireflyward/runs/_group_commit.py
@@ -16,6 +16,7 @@
 
 _MAX_WRITES = 128
 _GAP_MS = 30
+_LAZY_MS = 500
 _CALL_LIMIT_MS = 1_500
 _GIVE_UP_MS = 4_000
 
@@ -54,12 +55,14 @@
 class Write:
     """One row to be written if it has ``expected`` as its version.
 
-    ``encode`` gives the row's value for the retention period that it is written in.
+    ``encode`` gives the row's value for the retention period that it is written in;
+    ``due_ms`` is until when the write may wait for others to go with.
     """
 
     key: str
     expected: int
     encode: Encode
+    due_ms: int
     done: "asyncio.Future[WriteResult]"
 
 
@@ -103,7 +106,8 @@
 
     def wait_ms(self, now_ms: int) -> int:
         """Return how long the next transaction has to wait."""
-        return max(0, self._last_ms + self._gap_ms - now_ms)
+        first_due_ms = min((write.due_ms for write in self._waiting), default=now_ms)
+        return max(0, self._last_ms + self._gap_ms - now_ms, first_due_ms - now_ms)
 
     def take(self, now_ms: int) -> list[Write]:
         """Return the next transaction's writes, each of another row."""
@@ -137,11 +141,20 @@
     commits: int = 0
     _numbers: "itertools.count[int]" = field(default_factory=itertools.count)
     _task: "asyncio.Task[None] | None" = None
+    _woken: asyncio.Event = field(default_factory=asyncio.Event)
 
-    async def write(self, key: str, expected: int, encode: Encode) -> WriteResult:
-        """Write one row together with others; give the result of this row."""
+    async def write(
+        self, key: str, expected: int, encode: Encode, *, is_lazy: bool = False
+    ) -> WriteResult:
+        """Write one row together with others; give the result of this row.
+
+        A lazy write waits up to ``_LAZY_MS`` for one that is not, so that the end
+        of a request usually costs no transaction of its own.
+        """
         done: asyncio.Future[WriteResult] = asyncio.get_running_loop().create_future()
-        self.queue.add(Write(key, expected, encode, done))
+        due_ms = self.clock.now_ms() + (_LAZY_MS if is_lazy else 0)
+        self.queue.add(Write(key, expected, encode, due_ms, done))
+        self._woken.set()
         if self._task is None or self._task.done():
             self._task = asyncio.ensure_future(self._flush())
         return await asyncio.shield(done)
@@ -153,12 +166,23 @@
 
     async def _flush(self) -> None:
         while len(self.queue):
-            await self.clock.sleep_ms(self.queue.wait_ms(self.clock.now_ms()))
             now_ms = self.clock.now_ms()
+            wait_ms = self.queue.wait_ms(now_ms)
+            if wait_ms:
+                await self._wait(wait_ms)
+                continue
             writes = self.queue.take(now_ms)
             if writes:
                 await self._commit(Batch(self._marker(), writes, now_ms))
 
+    async def _wait(self, limit_ms: int) -> None:
+        """Wait for the time of the next transaction, or for another write."""
+        self._woken.clear()
+        try:
+            await within(self.clock, limit_ms, self._woken.wait())
+        except TimeoutError:
+            return
+
     def _marker(self) -> str:
         number = next(self._numbers)
         return marker_key(self.period.number, f"{self.writer_name}-{number}")
--- a/fireflyward/runs/_records.py
+++ b/fireflyward/runs/_records.py
@@ -111,7 +111,7 @@
         A record that stays ``STARTED`` for want of this write is still true: it
         says that the request may have run.
         """
-        result = await self.group.write(key, version, record.encode)
+        result = await self.group.write(key, version, record.encode, is_lazy=True)
         return isinstance(result, Written)
 
     def release(self, key: str, version: int, record: Record) -> None:
--- a/fireflyward/runs/_service_task.py
+++ b/fireflyward/runs/_service_task.py
@@ -93,6 +93,10 @@
             assert not isinstance(claimed, EarlierRun)
             return claimed
         outcome = await self._call_once(claimed)
+        detach(self._settle(record, outcome))
+        return outcome
+
+    async def _settle(self, record: RecordOfRun, outcome: ServiceOutcome) -> None:
         self._observe(OnceStep.SETTLING)
         if isinstance(outcome, ServiceReply):
             await record.settle(
@@ -104,7 +108,6 @@
         else:
             await record.settle(outcome, "")
         self._observe(OnceStep.SETTLED)
-        return outcome
 
     async def _call_once(self, permit: Permit) -> ServiceOutcome:
         """Call replicas in turn while it is proven that none has run it."""
