Strike a stand-in's stream at its token also on a busy machine

Cause: a landing failed by test_cut_stream_is_broken_and_can_be_resumed: all tokens came together, past the point of the cut, while other tests kept the machine busy. Change: a stream that is to be struck sends no further than that point. The test and its assertions stay as they are.

--- a/fireflyward/standins/_engine_memory.py
+++ b/fireflyward/standins/_engine_memory.py
@@ -97,7 +97,8 @@
                 yield Broken(True, "cut")
                 return
             now_ms = self._clock.now_ms()
-            ready = self.model.tokens_ready(now_ms, run)
+            made = self.model.tokens_ready(now_ms, run)
+            ready = self.gate.sendable(sent, made)
             new = ready - sent
             if new >= min(self._piece_tokens, run.call.max_tokens - sent):
                 yield Piece(sent, new, run.answer.text(sent, ready))
--- a/fireflyward/standins/_engine_server.py
+++ b/fireflyward/standins/_engine_server.py
@@ -134,7 +134,8 @@
                 request.transport.close()
                 return response
             now_ms = self._clock.now_ms()
-            ready = self.model.tokens_ready(now_ms, run)
+            made = self.model.tokens_ready(now_ms, run)
+            ready = self.gate.sendable(sent, made)
             if ready > sent:
                 text = run.answer.text(sent, ready)
                 line = StreamLine(sent, ready - sent, text, run_id=run_id)
--- a/fireflyward/standins/_fault_gate.py
+++ b/fireflyward/standins/_fault_gate.py
@@ -40,6 +40,17 @@
             await self._clock.sleep_ms(self.faults.late_ms)
         return _OTHER_RUN if self.faults.take("crossed_streams") else run_id
 
+    def sendable(self, sent: int, ready: int) -> int:
+        """Return up to which token a stream may send before a fault strikes.
+
+        Tokens that came together would else carry a stream past the point at which
+        it is to be struck, on a busy machine and not on an idle one.
+        """
+        faults = self.faults
+        if not faults.cut_streams and not faults.silent_streams:
+            return ready
+        return min(ready, max(sent, faults.after_tokens))
+
     async def is_cut(self, sent: int) -> bool:
         """Tell whether a stream is cut after ``sent`` tokens, or let it fall silent."""
         if self.faults.paused:
