Use the connection of a finished run again

Cause: the reader of an engine's stream left at the end marker, before the body's last chunk; aiohttp then closes the connection. Each run opened a new one, and the engine failed to write its end ('Cannot write to closing transport'). Change: the body's end is read, for at most 20 ms, before the end marker is passed on.

--- a/fireflyward/upstreams/_engine_http.py
+++ b/fireflyward/upstreams/_engine_http.py
@@ -1,5 +1,6 @@
 """A model engine over HTTP, as docs/PLATFORM.md writes its interface."""
 
+import asyncio
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
 
@@ -23,6 +24,7 @@
 )
 
 _CONNECT_LIMIT_S = 2.0
+_END_LIMIT_S = 0.02
 _SHORT_CALL_LIMIT_S = 2.0
 _DATA_PREFIX = b"data: "
 _COMMENT_PREFIX = b":"
@@ -210,6 +212,8 @@
                     lines = (rest + chunk).split(b"\n")
                     rest = lines.pop()
                     for event in _events_of(lines, run_id):
+                        if isinstance(event, Finished):
+                            await _read_to_end(response)
                         yield event
                         if isinstance(event, Finished | Broken):
                             return
@@ -222,6 +226,21 @@
         yield Broken(True, "stream ended without its end marker")
 
 
+async def _read_to_end(response: aiohttp.ClientResponse) -> None:
+    """Take the end of the response's body, so that its connection is used again.
+
+    The end marker is the last line, yet the body ends a few bytes later. A reader
+    that leaves between the two has its connection closed, which nobody notices but
+    by the connections that are opened anew for each run. An engine that does not
+    end its body soon costs its connection and nothing else.
+    """
+    try:
+        async with asyncio.timeout(_END_LIMIT_S):
+            await response.content.read()
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        response.close()
+
+
 def _short_timeout() -> aiohttp.ClientTimeout:
     return aiohttp.ClientTimeout(total=_SHORT_CALL_LIMIT_S)
 
