Put a request to the version that is served now, when its own went meanwhile

Cause: a request takes its weight version when it is judged; when the last replica of that version swapped before the request came there, it was refused with no_upstream. Seen twice as a failing test_new_version_takes_over_without_one_refusal on a machine at load 20, where nodes hear of a swap late. Conclusion: non-idempotent requests in that moment are still refused, truthfully.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -2,11 +2,12 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Awaitable, Callable
 
 from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
-from fireflyward.connections import SilenceLimits
+from fireflyward.connections import SilenceLimits, within
 from fireflyward.entry import EntryParts, InFlight, build_app
 from fireflyward.kept import BlockNames
 from fireflyward.leaving import LeavingSigns, LeavingTask
@@ -18,7 +19,7 @@
 from fireflyward.runs import RunIds, RunRecords, Sweeper, finish_detached
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
-from fireflyward.upstreams import Engine, PlainService
+from fireflyward.upstreams import Broken, Engine, PlainService
 
 from ._admin_duty import AdminDuty
 from ._bundle_duty import BundleDuty, make_bundle_duty
@@ -34,6 +35,8 @@
 
 log = logging.getLogger("fireflyward.daemon")
 
+_CONFIRM_LIMIT_MS = 300
+_MOST_CONFIRMED = 8
 _DETACHED_LIMIT_S = 30.0
 _CERTIFICATE_POLL_MS = 60_000
 ENGINE = "engine"
@@ -277,6 +280,7 @@
             ready=self.is_ready,
             observe=self.observe,
             catch_up=self.bundles.catch_up,
+            confirm_versions=self.confirm_versions,
             prepare=self.kept.work.prepare,
             prefixes=self.kept.prefixes,
             on_hint=self.kept.work.hint,
@@ -287,6 +291,32 @@
             leaving=self.leaving_signs,
         )
 
+    async def confirm_versions(self, model: str, version: str) -> None:
+        """Ask a few replicas that are not known to have a version what they have.
+
+        Few, since in a large deployment every node would otherwise ask every
+        replica at once when a version ends.
+        """
+        names = [
+            name
+            for name in self.router.names()
+            if model in self.router.candidate(name).models
+            and self.router.candidate(name).version_by_model.get(model) != version
+        ]
+        asked = random.sample(names, min(len(names), _MOST_CONFIRMED))
+        await asyncio.gather(*(self._confirm(name) for name in asked))
+
+    async def _confirm(self, name: str) -> None:
+        engine = self.engine_by_name.get(name)
+        if engine is None:
+            return
+        try:
+            report = await within(self.clock, _CONFIRM_LIMIT_MS, engine.load())
+        except TimeoutError:
+            return
+        if not isinstance(report, Broken):
+            self.router.on_report(self.clock.now_ms(), name, report)
+
     def _every(self, period_ms: int, step: Callable[[], Awaitable[None]]) -> None:
         self._tasks.append(asyncio.create_task(self._repeat(period_ms, step)))
 
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -38,6 +38,10 @@
 JSON = "application/json"
 
 
+async def _confirm_nothing(model: str, version: str) -> None:
+    """Ask no replica: what a node without replicas does."""
+
+
 @dataclass(slots=True)
 class EntryParts:
     """What the HTTP interface needs of the node around it."""
@@ -65,6 +69,7 @@
     budget: RetryBudget = field(default_factory=RetryBudget)
     in_flight: InFlight = field(default_factory=InFlight)
     versions: ServingVersions | None = None
+    confirm_versions: Callable[[str, str], Awaitable[None]] = _confirm_nothing
     leaving: LeavingSigns = field(default_factory=LeavingSigns)
 
 
--- a/fireflyward/entry/_asked.py
+++ b/fireflyward/entry/_asked.py
@@ -1,7 +1,7 @@
 """What a caller asks of a run: a new one, or the rest of an earlier one."""
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from aiohttp import web
 
@@ -43,14 +43,7 @@
     body: bytes,
 ) -> Asked | NotRun:
     """Read which run a request is about."""
-    version = parts.holder.bundle.version_for(
-        identity.account, identity.caller_name, prompt.model
-    )
-    if parts.versions:
-        default = parts.holder.bundle.models[prompt.model].version
-        version = parts.versions.of_request(
-            prompt.model, version, default, identity.account_name, prompt.text
-        )
+    version = _version_now(parts, identity, prompt)
     fingerprint = hashlib.sha256(body).hexdigest()
     key = identity.idempotency_key
     text = request.headers.get(_MARK_HEADER, "")
@@ -71,6 +64,36 @@
     return Asked(identity, prompt, run_id, version, fingerprint, True, mark)
 
 
+def may_ask_again(asked: Asked) -> bool:
+    """Tell whether a request that ran nowhere may be put to another version.
+
+    A request takes its version when it is judged. During a rollout the last replica
+    of that version may swap before the request reaches it; it has run nowhere then,
+    and a refusal would be of this node's making. A caller that is in the middle of
+    an answer stays with its version, and so does a non-idempotent request, whose
+    record is settled by its first outcome.
+    """
+    return not asked.mark and not asked.identity.is_non_idempotent
+
+
+def ask_by_version_now(parts: EntryParts, asked: Asked) -> Asked:
+    """Return what is asked, for the version that is served now."""
+    version = _version_now(parts, asked.identity, asked.prompt)
+    return replace(asked, version=version)
+
+
+def _version_now(parts: EntryParts, identity: Identity, prompt: Prompt) -> str:
+    version = parts.holder.bundle.version_for(
+        identity.account, identity.caller_name, prompt.model
+    )
+    if parts.versions is None:
+        return version
+    default = parts.holder.bundle.models[prompt.model].version
+    return parts.versions.of_request(
+        prompt.model, version, default, identity.account_name, prompt.text
+    )
+
+
 def make_task(
     parts: EntryParts, asked: Asked, trace_parent: str, *, is_behind: bool = False
 ) -> RunTask:
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -18,7 +18,13 @@
     new_request_id,
     refuse,
 )
-from ._asked import Asked, make_task, read_asked
+from ._asked import (
+    Asked,
+    ask_by_version_now,
+    make_task,
+    may_ask_again,
+    read_asked,
+)
 from ._body import read_body
 from ._errors import error_bytes, headers_of
 from ._prefixes import add_prefix, prefix_blocks, prefix_headers
@@ -141,7 +147,7 @@
 
 
 async def _run(
-    request: web.Request, asked: Asked, trace_parent: str
+    request: web.Request, asked: Asked, trace_parent: str, *, is_again: bool = False
 ) -> web.StreamResponse:
     parts = request.app[PARTS]
     prompt = asked.prompt
@@ -158,12 +164,31 @@
             elif isinstance(result, Placed):
                 await answer.placed(result)
             else:
-                return await answer.end(result.outcome)
+                moved = None
+                if not is_again and not answer.has_begun:
+                    moved = await _moved(parts, asked, result.outcome)
+                if moved is None:
+                    return await answer.end(result.outcome)
+                return await _run(request, moved, trace_parent, is_again=True)
     finally:
         await results.aclose()
     raise AssertionError("a run ended without an outcome")
 
 
+async def _moved(
+    parts: EntryParts, asked: Asked, outcome: Answered | NotRun | Unknown
+) -> Asked | None:
+    """Return what to ask once more when no replica was known to have the version."""
+    if not isinstance(outcome, NotRun) or outcome.reason is not Reason.NO_UPSTREAM:
+        return None
+    if not may_ask_again(asked) or parts.clock.now_ms() >= asked.identity.deadline_ms:
+        return None
+    await parts.confirm_versions(asked.prompt.model, asked.version)
+    renewed = ask_by_version_now(parts, asked)
+    has_it = parts.router.has_version(renewed.prompt.model, renewed.version)
+    return renewed if has_it else None
+
+
 class _Answer:
     """Writes one answer, streamed or whole, to its caller."""
 
@@ -179,6 +204,11 @@
         self._texts: list[str] = []
         self._response: web.StreamResponse | None = None
 
+    @property
+    def has_begun(self) -> bool:
+        """Tell whether the caller already has the head of a stream."""
+        return self._response is not None
+
     async def placed(self, placed: Placed) -> None:
         """Tell a caller that may come back where its run is, before any text."""
         if self._prompt.stream and self._asked.is_resumable:
--- a/fireflyward/routing/_router.py
+++ b/fireflyward/routing/_router.py
@@ -126,6 +126,13 @@
         """Return what is known of a replica."""
         return self._candidate_by_name.get(name)
 
+    def has_version(self, model: str, version: str) -> bool:
+        """Tell whether some replica is known to have a version of a model."""
+        return any(
+            candidate.version_by_model.get(model) == version
+            for candidate in self._candidate_by_name.values()
+        )
+
     def on_report(self, now_ms: int, name: str, report: LoadReport) -> None:
         """Take a load report; one that describes an earlier time is dropped.
 
