Serve the version before from a node's first request on, and keep runs of removed upstreams

Cause 1: a node learnt which versions bundles had wanted only from requests; one that had served nobody before a change knew the new version alone, which no replica had yet, and refused. Change: a bundle that comes into force is noted at once. Cause 2: a replica's 'I am at another version' ended as 404 unknown_model towards the caller. Change: it is told as no_upstream, 503 with Retry-After. Cause 3: engines that a bundle leaves out were forgotten with it, so their runs could not be resumed. Change: their clients stay for one request deadline.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -64,6 +64,7 @@
         self.metrics = Metrics()
         self.engine_by_name: dict[str, Engine] = {}
         self.service_by_name: dict[str, PlainService] = {}
+        self._retired_ms_by_name: dict[str, int] = {}
         self.port = settings["port"]
         self.link = self.outside.make_link(self.clock.wall_ms())
         self._membership = Membership(self.clock.now_ms(), self._own_member())
@@ -331,14 +332,34 @@
         """Serve by ``bundle`` from now on, unless it is not newer."""
         if not self.holder.offer(bundle):
             return
+        self.rollout.versions.on_bundle(
+            {name: model.version for name, model in bundle.models.items()}
+        )
         self._connect_upstreams(bundle)
         log.info(
             "daemon: bundle %d in force", bundle.number, extra={"bundle": bundle.number}
         )
 
+    def _retire_upstreams(self, bundle: Bundle) -> None:
+        """Forget upstreams that bundles left out, once no run can still need them.
+
+        A run that goes on over a change has to be resumed or cancelled where it
+        is. Had its client gone with the bundle, it would be lost to its caller
+        and go on costing its engine.
+        """
+        now_ms = self.clock.now_ms()
+        for name in (*self.engine_by_name, *self.service_by_name):
+            if name in bundle.upstreams:
+                self._retired_ms_by_name.pop(name, None)
+                continue
+            retired_ms = self._retired_ms_by_name.setdefault(name, now_ms)
+            if now_ms - retired_ms > self.settings["request_deadline_ms"]:
+                self.engine_by_name.pop(name, None)
+                self.service_by_name.pop(name, None)
+                del self._retired_ms_by_name[name]
+
     def _connect_upstreams(self, bundle: Bundle) -> None:
-        self.engine_by_name.clear()
-        self.service_by_name.clear()
+        self._retire_upstreams(bundle)
         candidates = []
         for name, upstream in bundle.upstreams.items():
             if upstream.kind == ENGINE:
--- a/fireflyward/rollout/_serving.py
+++ b/fireflyward/rollout/_serving.py
@@ -1,7 +1,7 @@
 """Which weight version a new request uses, the same on every node."""
 
 import hashlib
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ._row import RolloutRow, VersionShare
 
@@ -55,6 +55,16 @@
         self._row_version = row_version
         return True
 
+    def on_bundle(self, version_by_model: Mapping[str, str]) -> None:
+        """Remember what a bundle wants of each model.
+
+        A node that learnt this only from requests would, after a change that came
+        before its first request, know no version but the new one and refuse
+        everybody until the first replica has loaded it.
+        """
+        for model, version in version_by_model.items():
+            self._known(model, version)
+
     def of_request(
         self, model: str, wanted: str, default: str, account: str, prompt: str
     ) -> str:
--- a/fireflyward/runs/_run.py
+++ b/fireflyward/runs/_run.py
@@ -245,7 +245,7 @@
             self._may_run = True
             return self._resume()
         self._may_run = False
-        self._refusal = event
+        self._refusal = _for_caller(event)
         is_overloaded = event.reason is Reason.OVERLOADED
         return self._elsewhere(now_ms, event.detail, costs_budget=is_overloaded)
 
@@ -338,3 +338,15 @@
         kind = Unknown if self.may_have_run else NotRun
         outcome: Outcome = kind(reason, detail, retry_after_ms)
         return [End(outcome)]
+
+
+def _for_caller(refusal: Refused) -> Refused:
+    """Return a replica's refusal as one of the whole request.
+
+    A replica without the version says that it does not know the model. Told to the
+    caller, this would read as a mistake of its own that no later try can mend,
+    though another replica or a later moment can.
+    """
+    if refusal.reason is not Reason.UNKNOWN_MODEL:
+        return refusal
+    return Refused(Reason.NO_UPSTREAM, refusal.detail, refusal.retry_after_ms)
--- a/tests/entry/test_changes.py
+++ b/tests/entry/test_changes.py
@@ -73,3 +73,26 @@
             ) as response:
                 self.assertEqual(response.status, 404)
         self.assertEqual(self.deployment.service.bodies, [])
+
+    async def test_run_goes_on_at_an_engine_that_a_bundle_left_out(self):
+        """Symptom: a stream is lost when its engine is taken out of the bundle.
+        Sequence: the stream is under way, the bundle leaves its engine out, the
+        connection breaks. Cause: the node forgot the engine with the bundle, and
+        had nowhere to resume."""
+        server = next(iter(self.deployment.engine_by_name.values()))
+        for other in list(self.deployment.engine_by_name.values())[1:]:
+            other.model.leaving = True
+        server.faults.cut_streams, server.faults.after_tokens = 1, 2
+        body = json.dumps(
+            {"model": "clauses", "prompt": "x", "max_tokens": 6, "stream": True}
+        )
+        upstreams = dict(self.deployment.make_bundle(2).upstreams)
+        for name in self.deployment.engine_by_name:
+            del upstreams[name]
+        async with self.session.post(
+            self.url + "/v1/completions", data=body, headers=self.headers
+        ) as response:
+            await response.content.readline()
+            self.put_in_force(upstreams=upstreams)
+            text = await response.text()
+        self.assertTrue(text.endswith("data: [DONE]\n\n"), text)
