Let racing operators of the matrix keep a rollout's version

21 cells of a rollout failed because the racers' bundles took the weight version back, so the rollout that the driver waited for rightly never came. They keep the version in force now: the 18 steps of a clean rollout, run again with that fault, pass. The whole matrix was not run again.

--- a/tests/faults/_faults.py
+++ b/tests/faults/_faults.py
@@ -5,6 +5,7 @@
 
 from fireflyward.checker import UpstreamLeaving
 
+from ._callers import MODEL
 from ._network import Process
 from ._procedures import PROCEDURE_BY_NAME, STORE_PROCEDURES
 from ._world import DOMAINS, World
@@ -185,10 +186,12 @@
 
 @_fault("operators race")
 def _operators_race(world, process):
-    number = world.accepted_number() + 1
+    bundle_now = world.bundle_state.bundle
+    version = bundle_now.models[MODEL].version
+    number = bundle_now.number + 1
     for index, _ in enumerate(DOMAINS):
         racer = world.network.add(f"racer-{index}", "office")
-        bundle = world.make_bundle(number, share=index + 2)
+        bundle = world.make_bundle(number, version=version, share=index + 2)
         world.spawn(world.accept(bundle, racer))
 
 
