--- a/fireflyward/bench/measures/kept_wire.py
+++ b/fireflyward/bench/measures/kept_wire.py
@@ -103,7 +103,7 @@
     cache = EngineCache(_BLOCKS)
     for place, key in enumerate(keys, start=1):
         cache.store(key, place, keys[0])
-    return cache.events(0)
+    return cache.events(0, stride=INDEX_STRIDE)
 
 
 def _figure(name: str, messages: list[object]) -> Figure:
--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -8,6 +8,7 @@
 from fireflyward.clock import Clock
 from fireflyward.invariants import InvariantBroken
 from fireflyward.kept import (
+    INDEX_STRIDE,
     BlockNames,
     EngineReader,
     NotSwept,
@@ -183,7 +184,7 @@
         if engine is None:
             return
         after = reader.after(self._clock.now_ms(), shards)
-        events = await engine.cache_events(after)
+        events = await engine.cache_events(after, stride=INDEX_STRIDE)
         if not isinstance(events, Broken):
             reader.take(events, self.index)
 
--- a/fireflyward/kept/_readers.py
+++ b/fireflyward/kept/_readers.py
@@ -1,6 +1,6 @@
 """Readers that keep the index near what stores and engines say of themselves."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from fireflyward.upstreams import CacheChange, CacheEvent, CacheEvents
 
@@ -105,26 +105,29 @@
         if events.is_whole:
             index.forget(self.name)
             index.apply(self.name, self._changes(events.events))
-            self._epoch, self._after = events.epoch, events.newest
+            self._epoch, self._after = events.epoch, events.last
             self._needs_whole = False
             return
         if events.epoch != self._epoch:
             index.forget(self.name)
             self._epoch, self._after = events.epoch, 0
             self._needs_whole = True
-        index.apply(self.name, self._changes(self._new(events.events)))
-
-    def _new(self, events: tuple[CacheEvent, ...]) -> Iterator[CacheEvent]:
-        for event in sorted(events, key=lambda event: event.sequence):
-            if event.sequence <= self._after:
-                continue
-            if event.sequence != self._after + 1:
-                self.gaps += 1
-                self._needs_whole = True
-            self._after = event.sequence
-            yield event
+        index.apply(self.name, self._changes(self._new(events)))
+
+    def _new(self, events: CacheEvents) -> list[CacheEvent]:
+        """Return the events that were not seen before, in order; note a gap."""
+        event_by_sequence = {
+            event.sequence: event
+            for event in events.events
+            if event.sequence > self._after
+        }
+        if len(event_by_sequence) + events.skipped < events.last - self._after:
+            self.gaps += 1
+            self._needs_whole = True
+        self._after = max(self._after, events.last)
+        return [event_by_sequence[number] for number in sorted(event_by_sequence)]
 
-    def _changes(self, events) -> Iterator[StoreChange]:
+    def _changes(self, events: Iterable[CacheEvent]) -> Iterator[StoreChange]:
         for event in events:
             if event.position % INDEX_STRIDE or not is_block_key(event.first_key):
                 continue
--- a/fireflyward/standins/_engine_kv.py
+++ b/fireflyward/standins/_engine_kv.py
@@ -84,27 +84,32 @@
         self._events.clear()
         self._sequence = 0
 
-    def events(self, after: int) -> CacheEvents:
+    def events(self, after: int, *, stride: int = 1) -> CacheEvents:
         """Return the events after a sequence, with the faults that are on."""
         if after < 0:
-            return self._whole()
+            return self._whole(stride)
         newer = self._sequence - after
-        skipped = max(0, len(self._events) - newer)
-        told = list(itertools.islice(self._events, skipped, None))
+        known = max(0, len(self._events) - newer)
+        covered = list(itertools.islice(self._events, known, None))
         if self.faults.late:
-            told = told[: -self.faults.late]
+            covered = covered[: -self.faults.late]
+        last = covered[-1].sequence if covered else after
+        told = [event for event in covered if event.position % stride == 0]
+        skipped = len(covered) - len(told)
         if self.faults.drop_every:
             told = [event for event in told if event.sequence % self.faults.drop_every]
         if self.faults.doubled:
             told = [event for event in told for _ in range(2)]
-        return CacheEvents(self.epoch, self._sequence, tuple(told))
+        return CacheEvents(self.epoch, self._sequence, tuple(told), last, skipped)
 
-    def _whole(self) -> CacheEvents:
+    def _whole(self, stride: int) -> CacheEvents:
         held = tuple(
             CacheEvent(self._sequence, CacheChange.STORED, key, *place)
             for key, place in self._place_by_key.items()
+            if place[0] % stride == 0
         )
-        return CacheEvents(self.epoch, self._sequence, held, is_whole=True)
+        newest = self._sequence
+        return CacheEvents(self.epoch, newest, held, newest, is_whole=True)
 
     def _tell(self, change: CacheChange, key: str, place: tuple[int, str]) -> None:
         self._sequence += 1
@@ -165,8 +170,8 @@
             until_ms += order.block_ms
         return ImportReport(blocks, bytes_read)
 
-    async def cache_events(self, after: int) -> CacheEvents:
-        return self.engine.cache.events(after)
+    async def cache_events(self, after: int, *, stride: int = 1) -> CacheEvents:
+        return self.engine.cache.events(after, stride=stride)
 
     async def _write(self, order: ExportOrder, ref: BlockRef) -> BlockRef | Miss:
         if ref.key not in self.engine.cache:
--- a/fireflyward/standins/_engine_kv_server.py
+++ b/fireflyward/standins/_engine_kv_server.py
@@ -49,7 +49,8 @@
 
     async def _events(self, request: web.Request) -> web.Response:
         after = int(request.query["after"])
-        return _json(await self.kv.cache_events(after))
+        stride = int(request.query.get("stride", "1"))
+        return _json(await self.kv.cache_events(after, stride=stride))
 
 
 def _json(value: object) -> web.Response:
--- a/fireflyward/upstreams/_kv.py
+++ b/fireflyward/upstreams/_kv.py
@@ -131,13 +131,17 @@
     """Events after the asked sequence; ``epoch`` changes when the cache is lost.
 
     Events may come late, twice or not at all. ``newest`` is the sequence of the
-    engine's last event, so that a reader notices what it did not get. Asked after
-    -1 the engine tells everything that it holds now, and ``is_whole`` is true.
+    engine's last event, ``last`` that of the last which this answer covers. Only
+    those whose position is a multiple of the asked stride are told; ``skipped``
+    counts the others up to ``last``, so that a reader notices what it did not get.
+    Asked after -1 the engine tells all that it holds now, and ``is_whole`` is true.
     """
 
     epoch: str
     newest: int
     events: tuple[CacheEvent, ...] = ()
+    last: int = 0
+    skipped: int = 0
     is_whole: bool = False
 
 
--- a/fireflyward/upstreams/_kv_http.py
+++ b/fireflyward/upstreams/_kv_http.py
@@ -39,8 +39,10 @@
         limit_ms = order.limit_ms + growth_ms + _ANSWER_MARGIN_MS
         return await self._call("POST", "/kv/import", body, ImportReport, limit_ms)
 
-    async def cache_events(self, after: int) -> CacheEvents | Broken:
-        path = f"/kv/events?after={after}"
+    async def cache_events(
+        self, after: int, *, stride: int = 1
+    ) -> CacheEvents | Broken:
+        path = f"/kv/events?after={after}&stride={stride}"
         return await self._call("GET", path, b"", CacheEvents, _EVENTS_LIMIT_MS)
 
     async def _call(
--- a/fireflyward/upstreams/_protocols.py
+++ b/fireflyward/upstreams/_protocols.py
@@ -41,7 +41,9 @@
         self, order: ImportOrder
     ) -> ImportReport | Refused | Broken: ...
 
-    async def cache_events(self, after: int) -> CacheEvents | Broken: ...
+    async def cache_events(
+        self, after: int, *, stride: int = 1
+    ) -> CacheEvents | Broken: ...
 
 
 class PlainService(Protocol):
