Keep the record of routed prefixes in a third of the memory

Change: two generations of plain dictionaries by the keys' hashes, one tuple for equal sets of replicas.

--- a/fireflyward/routing/_affinity.py
+++ b/fireflyward/routing/_affinity.py
@@ -1,7 +1,6 @@
 """Which replica most likely holds a prompt's first blocks in its cache."""
 
 import hashlib
-from collections import OrderedDict
 
 from fireflyward.upstreams import BLOCK_TOKENS
 
@@ -22,8 +21,14 @@
 
     Block keys form a chain, so a key that is known for a replica stands for every
     block before it. Every fourth key and the last are kept, which is exact to 256
-    tokens and keeps a prompt of 1,500 blocks at 375 entries. The least recently
-    used entries go first.
+    tokens and keeps a prompt of 1,500 blocks at 375 entries.
+
+    Entries live in two generations: what is used moves to the new one, and when
+    that holds half of the entries the old one is dropped. It keeps the recently
+    used half exactly and costs a third of an ordered dictionary's memory, which
+    counts on a node that has 64 MB for control. A key is kept as its hash; two
+    keys with one hash would make a wrong guess of what a replica has cached, which
+    the replica's own answer corrects.
 
     >>> record = PrefixRecord()
     >>> record.add("a", ("k0", "k1", "k2"))
@@ -31,46 +36,56 @@
     {'a': 192}
     """
 
-    __slots__ = ("_kept_entries", "_replicas_by_key")
+    __slots__ = ("_half", "_known_names", "_new", "_old")
 
     def __init__(self, *, kept_entries: int = _KEPT_ENTRIES) -> None:
-        self._kept_entries = kept_entries
-        self._replicas_by_key: OrderedDict[str, tuple[str, ...]] = OrderedDict()
+        self._half = max(1, kept_entries // 2)
+        self._new: dict[int, tuple[str, ...]] = {}
+        self._old: dict[int, tuple[str, ...]] = {}
+        self._known_names: dict[tuple[str, ...], tuple[str, ...]] = {}
 
     def __len__(self) -> int:
-        return len(self._replicas_by_key)
+        return len(self._new) + sum(key not in self._new for key in self._old)
 
     def add(self, replica: str, block_keys: tuple[str, ...]) -> None:
         """Note that a replica has been given a prompt of these blocks."""
         last = len(block_keys) - 1
         for depth in range(last, -1, -1):
             if depth % _STRIDE == _STRIDE - 1 or depth == last:
-                self._note(replica, block_keys[depth])
-        while len(self._replicas_by_key) > self._kept_entries:
-            self._replicas_by_key.popitem(last=False)
+                self._note(replica, hash(block_keys[depth]))
 
     def cached_tokens(self, block_keys: tuple[str, ...]) -> dict[str, int]:
         """Return by replica the tokens of the longest known prefix."""
         tokens_by_replica: dict[str, int] = {}
         for depth in range(len(block_keys) - 1, -1, -1):
-            for replica in self._replicas_by_key.get(block_keys[depth], ()):
+            for replica in self._replicas(hash(block_keys[depth])):
                 tokens_by_replica.setdefault(replica, (depth + 1) * BLOCK_TOKENS)
         return tokens_by_replica
 
     def forget(self, replica: str) -> None:
         """Forget a replica whose cache is gone, for example after its restart."""
-        for key, replicas in list(self._replicas_by_key.items()):
-            if replica in replicas:
-                left = tuple(name for name in replicas if name != replica)
-                if left:
-                    self._replicas_by_key[key] = left
-                else:
-                    del self._replicas_by_key[key]
-
-    def _note(self, replica: str, key: str) -> None:
-        known = self._replicas_by_key.pop(key, ())
+        for generation in (self._new, self._old):
+            for key, replicas in list(generation.items()):
+                if replica in replicas:
+                    left = tuple(name for name in replicas if name != replica)
+                    generation[key] = self._shared(left)
+
+    def _replicas(self, key: int) -> tuple[str, ...]:
+        found = self._new.get(key)
+        return self._old.get(key, ()) if found is None else found
+
+    def _note(self, replica: str, key: int) -> None:
+        known = self._replicas(key)
         others = tuple(name for name in known if name != replica)
-        self._replicas_by_key[key] = (replica, *others[: _REPLICAS_AT_ONCE - 1])
+        names = (replica, *others[: _REPLICAS_AT_ONCE - 1])
+        self._new[key] = self._shared(names)
+        if len(self._new) >= self._half:
+            self._old, self._new = self._new, {}
+            self._known_names.clear()
+
+    def _shared(self, names: tuple[str, ...]) -> tuple[str, ...]:
+        """Return one tuple for all entries with the same names."""
+        return self._known_names.setdefault(names, names)
 
 
 def session_key(block_keys: tuple[str, ...]) -> str | None:
