Refuse to start without kept_key and peer_keys

Cause: kept_key had a default of zeros and peer_keys an empty one. A node that was started without them served with names of kept blocks, ids of runs and peers' tags that anybody could compute, and said no more than a warning.

Change: a setting whose default is None must be given. Both keys are such settings; kept_key is 32 bytes or more, peer_keys 16 or more each as before, neither all zeros. `serve` and `settings` exit with 2 and the usual message; `settings` says so in its help. `rollout status` only reads the table, so it now checks table_url alone and needs no key. Existing tests are given keys, their assertions are as they were.

Conclusion: no key that everybody knows is left in the settings.

--- a/fireflyward/commands/_common.py
+++ b/fireflyward/commands/_common.py
@@ -4,7 +4,7 @@
 import os
 import sys
 
-from fireflyward.settings import SERVE_SETTINGS, Settings, load
+from fireflyward.settings import SERVE_SETTINGS, Setting, Settings, load
 
 EXIT_OK = 0
 EXIT_FAILED = 1
@@ -12,9 +12,11 @@
 EXIT_BROKEN = 3
 
 
-def load_settings(options: argparse.Namespace) -> Settings | None:
+def load_settings(
+    options: argparse.Namespace, declared: tuple[Setting, ...] = SERVE_SETTINGS
+) -> Settings | None:
     """Check the settings of a node; print every refusal and return None if any."""
-    result = load(SERVE_SETTINGS, vars(options), os.environ)
+    result = load(declared, vars(options), os.environ)
     if isinstance(result, Settings):
         return result
     for refused in result:
--- a/fireflyward/commands/_rollout.py
+++ b/fireflyward/commands/_rollout.py
@@ -6,6 +6,8 @@
 
 from ._common import EXIT_FAILED, EXIT_OK, EXIT_USAGE, complain, load_settings
 
+_READ_SETTINGS = tuple(item for item in SERVE_SETTINGS if item.name == "table_url")
+
 
 def add(commands) -> None:
     """Add the subcommand."""
@@ -35,7 +37,7 @@
     from fireflyward.platform import Unavailable
     from fireflyward.rollout import Phase, status_lines
 
-    settings = load_settings(options)
+    settings = load_settings(options, _READ_SETTINGS)
     if settings is None:
         return EXIT_USAGE
     row = asyncio.run(_read(settings["table_url"]))
--- a/fireflyward/commands/_settings.py
+++ b/fireflyward/commands/_settings.py
@@ -13,7 +13,8 @@
         "settings",
         help="print the settings in force and where each comes from",
         description="Checks flags and variables as serve would, and prints them. "
-        "Secrets are shown only as set or not set.",
+        "Secrets are shown only as set or not set. Like serve it exits with 2 while "
+        "a setting that must be given, such as kept_key or peer_keys, is not.",
     )
     parser.add_argument(
         "--reference",
@@ -51,9 +52,8 @@
         "| --- | --- | --- | --- | --- |",
     ]
     for item in sorted(SERVE_SETTINGS, key=lambda setting: setting.name):
-        default = "(secret)" if item.secret else item.default or "none"
         lines.append(
-            f"| `{item.flag}` | `{item.variable}` | {default} | {item.allowed} "
-            f"| {item.help} |"
+            f"| `{item.flag}` | `{item.variable}` | {item.shown_default} "
+            f"| {item.allowed} | {item.help} |"
         )
     return "\n".join(lines)
--- a/fireflyward/demo/_deployment.py
+++ b/fireflyward/demo/_deployment.py
@@ -46,6 +46,7 @@
 _BLOCK_BYTES = 1 << 20
 _STORE_COSTS = StoreCosts(block_bytes=_BLOCK_BYTES)
 _PEER_KEY = "11" * 32
+KEPT_KEY = "22" * 32
 _AUTHOR_SEED = b"a" * 32
 _APPROVER_SEED = b"b" * 32
 
@@ -195,6 +196,7 @@
             "node_name": name,
             "failure_domain": domain,
             "peer_keys": _PEER_KEY,
+            "kept_key": KEPT_KEY,
             "table_url": self.platform.url,
             "objects_url": self.platform.url,
             "weights_url": self.platform.url,
--- a/fireflyward/settings/__init__.py
+++ b/fireflyward/settings/__init__.py
@@ -1,15 +1,8 @@
 """Settings of a process: flags first, then environment variables, then defaults."""
 
-from ._settings import (
-    ENVIRONMENT_PREFIX,
-    OPERATOR_SETTINGS,
-    SERVE_SETTINGS,
-    BadSetting,
-    Setting,
-    Settings,
-    add_flags,
-    load,
-)
+from ._load import load
+from ._serve import OPERATOR_SETTINGS, SERVE_SETTINGS
+from ._settings import ENVIRONMENT_PREFIX, BadSetting, Setting, Settings, add_flags
 
 __all__ = [
     "ENVIRONMENT_PREFIX",
--- a/tests/daemon/test_kept_duty.py
+++ b/tests/daemon/test_kept_duty.py
@@ -7,7 +7,7 @@
 
 from fireflyward.bundles import Upstream
 from fireflyward.clock import Clock
-from fireflyward.demo import DemoDeployment
+from fireflyward.demo import KEPT_KEY, DemoDeployment
 from fireflyward.kept import BlockNames, ImportAsk, Importer, Wanted
 from fireflyward.routing import RunShape
 from fireflyward.standins import EngineCosts, StoreCosts, StoreModel, StoreServer
@@ -102,7 +102,7 @@
         self.assertEqual(sorted(swept), [0, 1])
 
     def keys(self):
-        names = BlockNames(bytes(32))
+        names = BlockNames(bytes.fromhex(KEPT_KEY))
         return names.of_prompt("bridge-team", "clauses", "v1", "", PROMPT + "beam 7?")
 
     async def load_everywhere(self, node):
--- a/tests/faults/_world.py
+++ b/tests/faults/_world.py
@@ -276,6 +276,7 @@
         "node_name": name,
         "failure_domain": domain,
         "peer_keys": "11" * 32,
+        "kept_key": "22" * 32,
         "trust_roots": _ROOTS,
         "trace_share": "0",
         "rollout_watch_ms": "1000",
--- a/tests/fuzz/test_texts.py
+++ b/tests/fuzz/test_texts.py
@@ -19,6 +19,7 @@
 from tests.bundles.makers import ANA, BRUNO, ROOTS, bundle
 from tests.fuzz.profiles import fuzz
 
+KEYS = {"kept_key": "22" * 32, "peer_keys": "11" * 32}
 TOML = to_toml(bundle())
 SIGNED = sign_bundle(bundle(), author=ANA, approver=BRUNO)
 settings_names = st.sampled_from([setting.name for setting in SERVE_SETTINGS])
@@ -75,7 +76,7 @@
     @fuzz(200)
     @given(settings_names, st.text(max_size=30))
     def test_any_value_is_taken_or_refused_by_name(self, name, text):
-        result = load(SERVE_SETTINGS, {name: text}, {})
+        result = load(SERVE_SETTINGS, KEYS | {name: text}, {})
         if isinstance(result, Settings):
             return
         self.assertTrue(all(isinstance(refused, BadSetting) for refused in result))
