Tell a run's messages apart by module-level functions

Cause: Python 3.11 makes a singledispatchmethod's bound function anew at each access, and a request makes about 17 of them. Change: Run's decisions, RunTask's actions and Router's learning are plain singledispatch functions of their modules.

--- a/fireflyward/routing/_router.py
+++ b/fireflyward/routing/_router.py
@@ -2,7 +2,7 @@
 
 import math
 import random
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from fireflyward.outcomes import Reason
 from fireflyward.upstreams import (
@@ -169,7 +169,7 @@
         """Learn from what a replica answers to a run that was chosen for it."""
         candidate = self._candidate_by_name.get(name)
         if candidate is not None:
-            self._learn(event, now_ms, candidate, run_id)
+            _learn(event, self, now_ms, candidate, run_id)
 
     def on_end(self, now_ms: int, name: str, *, failed: bool) -> None:
         """Count a run off a replica, suspecting the replica if it failed."""
@@ -283,62 +283,6 @@
             if now_ms - pending.chosen_ms > _PENDING_LIMIT_MS:
                 self._settle(run_id)
 
-    @singledispatchmethod
-    def _learn(
-        self, event: EngineEvent, now_ms: int, candidate: Candidate, run_id: str
-    ) -> None:
-        """Learn nothing from events that say nothing of a replica's load."""
-
-    @_learn.register
-    def _(
-        self, event: Accepted, now_ms: int, candidate: Candidate, run_id: str
-    ) -> None:
-        """Correct the guess at what was cached by the replica's own word."""
-        candidate.failures = 0
-        pending = self._pending_by_run.get(run_id)
-        if pending is None or pending.name != candidate.name:
-            return
-        self.affinity.on_cached(candidate.name, pending.shape, event.cached_tokens)
-        to_compute = max(1.0, pending.shape.prompt_tokens - event.cached_tokens)
-        candidate.pending_tokens += to_compute - pending.to_compute
-        pending.to_compute = to_compute
-
-    @_learn.register
-    def _(self, event: Piece, now_ms: int, candidate: Candidate, run_id: str) -> None:
-        """Learn the prefill speed from a first token."""
-        if run_id not in self._pending_by_run:
-            return
-        pending = self._settle(run_id)
-        if pending.name == candidate.name and not event.offset:
-            elapsed_ms = now_ms - pending.chosen_ms
-            candidate.learn_speed(elapsed_ms, pending.to_compute)
-            alone_ms = pending.to_compute * candidate.ms_per_token
-            self._note_late(run_id, elapsed_ms - alone_ms)
-            self._lend_speed(candidate)
-
-    @_learn.register(Finished)
-    @_learn.register(Broken)
-    def _(
-        self,
-        event: Finished | Broken,
-        now_ms: int,
-        candidate: Candidate,
-        run_id: str,
-    ) -> None:
-        self._settle(run_id)
-
-    @_learn.register
-    def _(self, event: Refused, now_ms: int, candidate: Candidate, run_id: str) -> None:
-        """Act on a refusal at once, since the next report is still to come."""
-        pending = self._settle(run_id)
-        if event.reason is Reason.UNKNOWN_MODEL:
-            self._doubt(candidate, pending)
-        if event.reason is Reason.STOPPING:
-            candidate.leaving = True
-        elif event.reason is Reason.OVERLOADED:
-            self.on_failure(now_ms, candidate.name)
-            self._note_late(run_id, math.inf)
-
     def _doubt(self, candidate: Candidate, pending: _Pending | None) -> None:
         """Take a version back that a replica turns out not to have any more.
 
@@ -384,3 +328,68 @@
     if unsuspected:
         return unsuspected
     return fresh or able
+
+
+@singledispatch
+def _learn(
+    event: EngineEvent, router: Router, now_ms: int, candidate: Candidate, run_id: str
+) -> None:
+    """Learn nothing from events that say nothing of a replica's load."""
+
+
+@_learn.register
+def _(
+    event: Accepted, router: Router, now_ms: int, candidate: Candidate, run_id: str
+) -> None:
+    """Correct the guess at what was cached by the replica's own word."""
+    candidate.failures = 0
+    pending = router._pending_by_run.get(run_id)
+    if pending is None or pending.name != candidate.name:
+        return
+    router.affinity.on_cached(candidate.name, pending.shape, event.cached_tokens)
+    to_compute = max(1.0, pending.shape.prompt_tokens - event.cached_tokens)
+    candidate.pending_tokens += to_compute - pending.to_compute
+    pending.to_compute = to_compute
+
+
+@_learn.register
+def _(
+    event: Piece, router: Router, now_ms: int, candidate: Candidate, run_id: str
+) -> None:
+    """Learn the prefill speed from a first token."""
+    if run_id not in router._pending_by_run:
+        return
+    pending = router._settle(run_id)
+    if pending.name == candidate.name and not event.offset:
+        elapsed_ms = now_ms - pending.chosen_ms
+        candidate.learn_speed(elapsed_ms, pending.to_compute)
+        alone_ms = pending.to_compute * candidate.ms_per_token
+        router._note_late(run_id, elapsed_ms - alone_ms)
+        router._lend_speed(candidate)
+
+
+@_learn.register(Finished)
+@_learn.register(Broken)
+def _(
+    event: Finished | Broken,
+    router: Router,
+    now_ms: int,
+    candidate: Candidate,
+    run_id: str,
+) -> None:
+    router._settle(run_id)
+
+
+@_learn.register
+def _(
+    event: Refused, router: Router, now_ms: int, candidate: Candidate, run_id: str
+) -> None:
+    """Act on a refusal at once, since the next report is still to come."""
+    pending = router._settle(run_id)
+    if event.reason is Reason.UNKNOWN_MODEL:
+        router._doubt(candidate, pending)
+    if event.reason is Reason.STOPPING:
+        candidate.leaving = True
+    elif event.reason is Reason.OVERLOADED:
+        router.on_failure(now_ms, candidate.name)
+        router._note_late(run_id, math.inf)
--- a/fireflyward/runs/_run.py
+++ b/fireflyward/runs/_run.py
@@ -1,6 +1,6 @@
 """Decisions of one run: messages in, actions out, no I/O."""
 
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.upstreams import (
@@ -122,139 +122,7 @@
         """Return what is to be done after ``message``."""
         if self._ended:
             return []
-        return self._on(message, now_ms)
-
-    @singledispatchmethod
-    def _on(self, message: Message, now_ms: int) -> list[Action]:
-        raise TypeError(f"no decision for {message!r}")
-
-    @_on.register
-    def _(self, message: Begin, now_ms: int) -> list[Action]:
-        self._budget.on_request()
-        if self._mark is None:
-            return [Choose(self._failed)]
-        self._reads_only = self._is_once
-        self._delivered.replica = self._mark.replica
-        return self._resume()
-
-    @_on.register
-    def _(self, message: Chosen, now_ms: int) -> list[Action]:
-        if message.replica is None:
-            return self._give_up_unplaced()
-        self._attempt += 1
-        self._is_resume = False
-        self._heard = False
-        self._quiet_resumes = 0
-        self._delivered.begin(message.replica)
-        return [Start(self._attempt, message.replica)]
-
-    @_on.register
-    def _(self, message: Dispatching, now_ms: int) -> list[Action]:
-        self._may_run = self._may_run or message.attempt == self._attempt
-        return []
-
-    @_on.register
-    def _(self, message: Denied, now_ms: int) -> list[Action]:
-        if message.attempt != self._attempt:
-            return []
-        self._ended = True
-        return [End(message.outcome)]
-
-    @_on.register
-    def _(self, message: Stored, now_ms: int) -> list[Action]:
-        if message.attempt != self._attempt:
-            return []
-        self._ended = True
-        tokens = message.usage.completion_tokens
-        return [Deliver(message.text, 0, tokens), End(Answered(message.usage))]
-
-    @_on.register
-    def _(self, message: RunsElsewhere, now_ms: int) -> list[Action]:
-        """Read the run of the earlier request; never dispatch a second one."""
-        if message.attempt != self._attempt:
-            return []
-        self._reads_only = True
-        self._ran_before = True
-        self._delivered.replica = message.replica
-        return self._resume()
-
-    @_on.register
-    def _(self, message: Waited, now_ms: int) -> list[Action]:
-        return [Choose(self._failed)]
-
-    @_on.register
-    def _(self, message: DeadlinePassed, now_ms: int) -> list[Action]:
-        return self._abandon(Reason.DEADLINE, "the deadline has passed")
-
-    @_on.register
-    def _(self, message: CallerGone, now_ms: int) -> list[Action]:
-        if self._is_once and self._may_run:
-            return []
-        return self._abandon(Reason.CALLER_GONE, "the caller closed")
-
-    @_on.register
-    def _(self, message: AttemptEvent, now_ms: int) -> list[Action]:
-        """Act on an event of the current attempt; crossed ones are dropped."""
-        if message.attempt != self._attempt:
-            return []
-        return self._event(message.event, now_ms)
-
-    @singledispatchmethod
-    def _event(self, event: EngineEvent, now_ms: int) -> list[Action]:
-        raise TypeError(f"no decision for {event!r}")
-
-    @_event.register
-    def _(self, event: Accepted, now_ms: int) -> list[Action]:
-        self._heard = True
-        self._may_run = True
-        if self._version and event.version and event.version != self._version:
-            return self._leave(now_ms, f"answered by version {event.version}")
-        return [Placed(self._delivered.mark())]
-
-    @_event.register
-    def _(self, event: KeepAlive, now_ms: int) -> list[Action]:
-        self._heard = True
-        return []
-
-    @_event.register
-    def _(self, event: Piece, now_ms: int) -> list[Action]:
-        self._heard = True
-        self._may_run = True
-        result = self._delivered.take(event)
-        if isinstance(result, Gap):
-            return self._broken(now_ms, "a piece was missing")
-        if isinstance(result, Diverged):
-            return self._diverged()
-        if result is None:
-            return []
-        self._quiet_resumes = 0
-        return [result]
-
-    @_event.register
-    def _(self, event: Finished, now_ms: int) -> list[Action]:
-        if event.usage.completion_tokens != self._delivered.tokens:
-            return self._broken(now_ms, "the end came before the last piece")
-        self._ended = True
-        return [End(Answered(event.usage))]
-
-    @_event.register
-    def _(self, event: Refused, now_ms: int) -> list[Action]:
-        if self._is_resume:
-            return self._leave(now_ms, event.detail)
-        if event.reason is Reason.DUPLICATE_RUNNING:
-            self._may_run = True
-            return self._resume()
-        self._may_run = False
-        self._refusal = _for_caller(event)
-        is_overloaded = event.reason is Reason.OVERLOADED
-        return self._elsewhere(now_ms, event.detail, costs_budget=is_overloaded)
-
-    @_event.register
-    def _(self, event: Broken, now_ms: int) -> list[Action]:
-        if event.may_have_run or self._is_resume or self._heard:
-            return self._broken(now_ms, event.detail)
-        self._may_run = False
-        return self._elsewhere(now_ms, event.detail)
+        return _on(message, self, now_ms)
 
     def _broken(self, now_ms: int, detail: str) -> list[Action]:
         """Resume, unless the replica did not even answer the last resume."""
@@ -340,6 +208,156 @@
         return [End(outcome)]
 
 
+@singledispatch
+def _on(message: Message, run: Run, now_ms: int) -> list[Action]:
+    raise TypeError(f"no decision for {message!r}")
+
+
+@_on.register
+def _(message: Begin, run: Run, now_ms: int) -> list[Action]:
+    run._budget.on_request()
+    if run._mark is None:
+        return [Choose(run._failed)]
+    run._reads_only = run._is_once
+    run._delivered.replica = run._mark.replica
+    return run._resume()
+
+
+@_on.register
+def _(message: Chosen, run: Run, now_ms: int) -> list[Action]:
+    if message.replica is None:
+        return run._give_up_unplaced()
+    run._attempt += 1
+    run._is_resume = False
+    run._heard = False
+    run._quiet_resumes = 0
+    run._delivered.begin(message.replica)
+    return [Start(run._attempt, message.replica)]
+
+
+@_on.register
+def _(message: Dispatching, run: Run, now_ms: int) -> list[Action]:
+    run._may_run = run._may_run or message.attempt == run._attempt
+    return []
+
+
+@_on.register
+def _(message: Denied, run: Run, now_ms: int) -> list[Action]:
+    if message.attempt != run._attempt:
+        return []
+    run._ended = True
+    return [End(message.outcome)]
+
+
+@_on.register
+def _(message: Stored, run: Run, now_ms: int) -> list[Action]:
+    if message.attempt != run._attempt:
+        return []
+    run._ended = True
+    tokens = message.usage.completion_tokens
+    return [Deliver(message.text, 0, tokens), End(Answered(message.usage))]
+
+
+@_on.register
+def _(message: RunsElsewhere, run: Run, now_ms: int) -> list[Action]:
+    """Read the run of the earlier request; never dispatch a second one."""
+    if message.attempt != run._attempt:
+        return []
+    run._reads_only = True
+    run._ran_before = True
+    run._delivered.replica = message.replica
+    return run._resume()
+
+
+@_on.register
+def _(message: Waited, run: Run, now_ms: int) -> list[Action]:
+    return [Choose(run._failed)]
+
+
+@_on.register
+def _(message: DeadlinePassed, run: Run, now_ms: int) -> list[Action]:
+    return run._abandon(Reason.DEADLINE, "the deadline has passed")
+
+
+@_on.register
+def _(message: CallerGone, run: Run, now_ms: int) -> list[Action]:
+    if run._is_once and run._may_run:
+        return []
+    return run._abandon(Reason.CALLER_GONE, "the caller closed")
+
+
+@_on.register
+def _(message: AttemptEvent, run: Run, now_ms: int) -> list[Action]:
+    """Act on an event of the current attempt; crossed ones are dropped."""
+    if message.attempt != run._attempt:
+        return []
+    return _event(message.event, run, now_ms)
+
+
+@singledispatch
+def _event(event: EngineEvent, run: Run, now_ms: int) -> list[Action]:
+    raise TypeError(f"no decision for {event!r}")
+
+
+@_event.register
+def _(event: Accepted, run: Run, now_ms: int) -> list[Action]:
+    run._heard = True
+    run._may_run = True
+    if run._version and event.version and event.version != run._version:
+        return run._leave(now_ms, f"answered by version {event.version}")
+    return [Placed(run._delivered.mark())]
+
+
+@_event.register
+def _(event: KeepAlive, run: Run, now_ms: int) -> list[Action]:
+    run._heard = True
+    return []
+
+
+@_event.register
+def _(event: Piece, run: Run, now_ms: int) -> list[Action]:
+    run._heard = True
+    run._may_run = True
+    result = run._delivered.take(event)
+    if isinstance(result, Gap):
+        return run._broken(now_ms, "a piece was missing")
+    if isinstance(result, Diverged):
+        return run._diverged()
+    if result is None:
+        return []
+    run._quiet_resumes = 0
+    return [result]
+
+
+@_event.register
+def _(event: Finished, run: Run, now_ms: int) -> list[Action]:
+    if event.usage.completion_tokens != run._delivered.tokens:
+        return run._broken(now_ms, "the end came before the last piece")
+    run._ended = True
+    return [End(Answered(event.usage))]
+
+
+@_event.register
+def _(event: Refused, run: Run, now_ms: int) -> list[Action]:
+    if run._is_resume:
+        return run._leave(now_ms, event.detail)
+    if event.reason is Reason.DUPLICATE_RUNNING:
+        run._may_run = True
+        return run._resume()
+    run._may_run = False
+    run._refusal = _for_caller(event)
+    is_overloaded = event.reason is Reason.OVERLOADED
+    return run._elsewhere(now_ms, event.detail, costs_budget=is_overloaded)
+
+
+@_event.register
+def _(event: Broken, run: Run, now_ms: int) -> list[Action]:
+    if event.may_have_run or run._is_resume or run._heard:
+        return run._broken(now_ms, event.detail)
+    run._may_run = False
+    return run._elsewhere(now_ms, event.detail)
+
+
 def _for_caller(refusal: Refused) -> Refused:
     """Return a replica's refusal as one of the whole request.
 
--- a/fireflyward/runs/_task.py
+++ b/fireflyward/runs/_task.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Mapping
-from functools import singledispatchmethod
+from functools import singledispatch
 
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits, within
@@ -189,58 +189,7 @@
 
     def _take(self, message: Message) -> None:
         for action in self._run.decide(self._clock.now_ms(), message):
-            self._perform(action)
-
-    @singledispatchmethod
-    def _perform(self, action: Action) -> None:
-        self._out.append(action)
-
-    @_perform.register
-    def _(self, action: Deliver) -> None:
-        self._observe(PromptStep.DELIVERING)
-        if self._once:
-            self._texts.append(action.text)
-        self._out.append(action)
-
-    @_perform.register
-    def _(self, action: End) -> None:
-        self._observe(PromptStep.ENDED)
-        self._attempts.stop()
-        if self._once:
-            detach(self._settle(self._once, action.outcome))
-        self._out.append(action)
-
-    @_perform.register
-    def _(self, action: Choose) -> None:
-        self._observe(PromptStep.CHOOSING)
-        now_ms = self._clock.now_ms()
-        name = self._router.choose(now_ms, self._shape, without=action.without)
-        self._observe(PromptStep.CHOSEN)
-        self._take(Chosen(name))
-
-    @_perform.register
-    def _(self, action: Start) -> None:
-        engine = self._engine_by_name[action.replica]
-        self._attempts.start(action.attempt, action.replica, engine)
-
-    @_perform.register
-    def _(self, action: Resume) -> None:
-        engine = self._engine_by_name.get(action.replica)
-        self._observe(StreamStep.RESUMING)
-        self._attempts.resume(action.attempt, action.replica, engine, action.offset)
-
-    @_perform.register
-    def _(self, action: Wait) -> None:
-        self._observe(StreamStep.WAITING)
-        self._attempts.stop()
-        self._after(action.duration_ms, Waited())
-
-    @_perform.register
-    def _(self, action: Cancel) -> None:
-        engine = self._engine_by_name.get(action.replica)
-        if engine:
-            self._observe(StreamStep.CANCELLING)
-            detach(_cancel(engine, self._call.run_id))
+            _perform(action, self)
 
     def _after(self, duration_ms: int, message: Message) -> None:
         timer = asyncio.ensure_future(self._tell_later(duration_ms, message))
@@ -257,6 +206,65 @@
         self._observe(OnceStep.SETTLED)
 
 
+@singledispatch
+def _perform(action: Action, task: RunTask) -> None:
+    task._out.append(action)
+
+
+@_perform.register
+def _(action: Deliver, task: RunTask) -> None:
+    task._observe(PromptStep.DELIVERING)
+    if task._once:
+        task._texts.append(action.text)
+    task._out.append(action)
+
+
+@_perform.register
+def _(action: End, task: RunTask) -> None:
+    task._observe(PromptStep.ENDED)
+    task._attempts.stop()
+    if task._once:
+        detach(task._settle(task._once, action.outcome))
+    task._out.append(action)
+
+
+@_perform.register
+def _(action: Choose, task: RunTask) -> None:
+    task._observe(PromptStep.CHOOSING)
+    now_ms = task._clock.now_ms()
+    name = task._router.choose(now_ms, task._shape, without=action.without)
+    task._observe(PromptStep.CHOSEN)
+    task._take(Chosen(name))
+
+
+@_perform.register
+def _(action: Start, task: RunTask) -> None:
+    engine = task._engine_by_name[action.replica]
+    task._attempts.start(action.attempt, action.replica, engine)
+
+
+@_perform.register
+def _(action: Resume, task: RunTask) -> None:
+    engine = task._engine_by_name.get(action.replica)
+    task._observe(StreamStep.RESUMING)
+    task._attempts.resume(action.attempt, action.replica, engine, action.offset)
+
+
+@_perform.register
+def _(action: Wait, task: RunTask) -> None:
+    task._observe(StreamStep.WAITING)
+    task._attempts.stop()
+    task._after(action.duration_ms, Waited())
+
+
+@_perform.register
+def _(action: Cancel, task: RunTask) -> None:
+    engine = task._engine_by_name.get(action.replica)
+    if engine:
+        task._observe(StreamStep.CANCELLING)
+        detach(_cancel(engine, task._call.run_id))
+
+
 async def _cancel(engine: Engine, run_id: str) -> None:
     """Cancel a run; one more try, since the first may meet a lost connection."""
     for _ in range(_CANCEL_TRIES):
