Keep a run's deadline and silence by timers instead of tasks

Cause: a request made seven tasks, of which five only slept or stood beside another: the deadline, the silence of its connection, the limit on its preparation, and a task each for what these two watched. Change: Clock.call_later_ms is the event loop's timer on the machine's clock, and a task on any clock with a sleep of its own, so a ManualClock drives it as before. ran_out awaits its work in the task that calls it and cancels it by an alarm; a stop that comes with the alarm wins.

--- a/fireflyward/clock/_clock.py
+++ b/fireflyward/clock/_clock.py
@@ -4,11 +4,20 @@
 import heapq
 import itertools
 import time
+from collections.abc import Callable
+from typing import Protocol
 
 _NANOSECONDS_PER_MS = 1_000_000
 _MS_PER_SECOND = 1_000
 
 
+class Timer(Protocol):
+    """What ``call_later_ms`` returns."""
+
+    def cancel(self) -> object:
+        """Take the call back; of one that was made this does nothing."""
+
+
 class Clock:
     """Milliseconds of the machine's monotonic and wall clocks.
 
@@ -35,6 +44,24 @@
         """Suspend the calling task for ``duration_ms`` milliseconds."""
         await asyncio.sleep(max(0.0, duration_ms) / _MS_PER_SECOND)
 
+    def call_later_ms(self, duration_ms: float, callback: Callable[[], None]) -> Timer:
+        """Call ``callback`` after ``duration_ms``, unless the timer is cancelled.
+
+        On the machine's clock this is the event loop's own timer and costs no task,
+        which counts where every request sets one. A subclass with another
+        ``sleep_ms`` keeps its timers by that.
+        """
+        if type(self).sleep_ms is not Clock.sleep_ms:
+            return asyncio.ensure_future(self._call_after(duration_ms, callback))
+        delay_s = max(0.0, duration_ms) / _MS_PER_SECOND
+        return asyncio.get_running_loop().call_later(delay_s, callback)
+
+    async def _call_after(
+        self, duration_ms: float, callback: Callable[[], None]
+    ) -> None:
+        await self.sleep_ms(duration_ms)
+        callback()
+
 
 class ManualClock(Clock):
     """A clock that moves only when it is told to.
--- a/fireflyward/connections/_watch.py
+++ b/fireflyward/connections/_watch.py
@@ -1,7 +1,7 @@
 """Bounds on waiting, kept by the project's clock."""
 
 import asyncio
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import TypeVar
 
@@ -58,28 +58,59 @@
         return self._since_ms + self._limit_ms - self._clock.now_ms()
 
 
-async def was_silent(clock: Clock, work: "asyncio.Task[None]", heard: Heard) -> bool:
-    """Wait for ``work``; cancel it and return true if its connection is silent.
+class _Alarm:
+    """Cancels the task that made it once ``left_ms`` returns nothing more."""
 
-    One timer serves a whole stream: it is set again only when it runs out, so a
-    stream of many tokens costs no timer for each.
+    __slots__ = ("_clock", "_left_ms", "_task", "_timer", "has_rung")
+
+    def __init__(self, clock: Clock, left_ms: Callable[[], float]) -> None:
+        self._clock = clock
+        self._left_ms = left_ms
+        self._task = asyncio.current_task()
+        self.has_rung = False
+        self._timer = clock.call_later_ms(left_ms(), self._ring)
+
+    def _ring(self) -> None:
+        left_ms = self._left_ms()
+        if left_ms > 0:
+            self._timer = self._clock.call_later_ms(left_ms, self._ring)
+            return
+        self.has_rung = True
+        self._task.cancel()
+
+    def cancel(self) -> None:
+        self._timer.cancel()
+
+
+async def ran_out(
+    clock: Clock, left_ms: Callable[[], float], work: Awaitable[object]
+) -> bool:
+    """Await ``work`` here; cancel it and return true once ``left_ms()`` is 0.
+
+    One timer serves all of it: it is set again only when it runs out, so a stream
+    of many tokens costs no timer for each, and no task beside its own.
     """
-    while not work.done():
-        left_ms = heard.left_ms()
-        if left_ms <= 0:
-            await _cancel(work)
-            return True
-        timer = asyncio.ensure_future(clock.sleep_ms(left_ms))
-        try:
-            await asyncio.wait({work, timer}, return_when=asyncio.FIRST_COMPLETED)
-        except asyncio.CancelledError:
-            await _cancel(work)
+    task = asyncio.current_task()
+    cancels_before = task.cancelling()
+    alarm = _Alarm(clock, left_ms)
+    try:
+        await work
+    except asyncio.CancelledError:
+        # Whoever else cancelled this task meanwhile must not be taken for the
+        # alarm: a run that was stopped would go on, reading for nobody.
+        if not alarm.has_rung or task.uncancel() > cancels_before:
             raise
-        finally:
-            timer.cancel()
+        return True
+    finally:
+        alarm.cancel()
     return False
 
 
+async def was_silent(clock: Clock, work: Awaitable[None], heard: Heard) -> bool:
+    """Await ``work``; cancel it and return true if its connection is silent."""
+    return await ran_out(clock, heard.left_ms, work)
+
+
 async def within(clock: Clock, limit_ms: float, work: Awaitable[T]) -> T:
     """Await ``work``, cancelling it with ``TimeoutError`` after ``limit_ms``."""
     task = asyncio.ensure_future(work)
--- a/fireflyward/runs/_attempt.py
+++ b/fireflyward/runs/_attempt.py
@@ -2,10 +2,11 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Coroutine
+from contextlib import suppress
 from dataclasses import replace
 
 from fireflyward.clock import Clock
-from fireflyward.connections import Heard, SilenceLimits, was_silent, within
+from fireflyward.connections import Heard, SilenceLimits, ran_out, was_silent
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.routing import Router, RunShape
 from fireflyward.steps import StepObserver
@@ -118,10 +119,9 @@
     async def _prepare_replica(self, replica: str) -> None:
         """Prepare in bounded time; a run without it is slower and not wrong."""
         work = self._prepare(replica, self._call, self._shape)
-        try:
-            await within(self._clock, _PREPARE_LIMIT_MS, work)
-        except TimeoutError:
-            return
+        until_ms = self._clock.now_ms() + _PREPARE_LIMIT_MS
+        with suppress(TimeoutError):
+            await ran_out(self._clock, lambda: until_ms - self._clock.now_ms(), work)
 
     async def _is_permitted(self, number: int, replica: str) -> bool:
         if self._permit is None:
@@ -154,12 +154,10 @@
         first_limit_ms: int,
     ) -> None:
         heard = Heard(self._clock, first_limit_ms)
-        pump = asyncio.ensure_future(self._pump(number, replica, events, heard))
-        if await was_silent(self._clock, pump, heard):
+        work = self._pump(number, replica, events, heard)
+        if await was_silent(self._clock, work, heard):
             self._observe(StreamStep.SILENT)
             await self._inbox.put(AttemptEvent(number, Broken(True, "silent")))
-            return
-        pump.result()
 
     async def _pump(
         self,
--- a/fireflyward/runs/_task.py
+++ b/fireflyward/runs/_task.py
@@ -2,9 +2,9 @@
 
 import asyncio
 from collections.abc import AsyncIterator, Mapping
-from functools import singledispatch
+from functools import partial, singledispatch
 
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, Timer
 from fireflyward.connections import SilenceLimits, within
 from fireflyward.outcomes import Outcome
 from fireflyward.routing import Router, RunShape
@@ -108,7 +108,7 @@
         self._outbox: asyncio.Queue[Result | Exception] = asyncio.Queue()
         self._room = asyncio.Semaphore(_PENDING_PIECES)
         self._is_gone = False
-        self._timers: set[asyncio.Task[None]] = set()
+        self._timers: list[Timer] = []
         self._texts: list[str] = []
 
     async def results(self) -> AsyncIterator[Result]:
@@ -192,13 +192,15 @@
             _perform(action, self)
 
     def _after(self, duration_ms: int, message: Message) -> None:
-        timer = asyncio.ensure_future(self._tell_later(duration_ms, message))
-        self._timers.add(timer)
-        timer.add_done_callback(self._timers.discard)
-
-    async def _tell_later(self, duration_ms: int, message: Message) -> None:
-        await self._clock.sleep_ms(duration_ms)
-        await self._inbox.put(message)
+        tell = partial(self._tell, message)
+        self._timers.append(self._clock.call_later_ms(duration_ms, tell))
+
+    def _tell(self, message: Message) -> None:
+        """Put a message in the inbox, after what is there if it is full."""
+        if self._inbox.full():
+            self._timers.append(asyncio.ensure_future(self._inbox.put(message)))
+        else:
+            self._inbox.put_nowait(message)
 
     async def _settle(self, once: Once, outcome: Outcome) -> None:
         self._observe(OnceStep.SETTLING)
