Write what lies ready of an answer with one socket write

Cause: each piece, the end and the end of the body took a socket write of its own, though under load they are there together. The keys of two request values were strings, for which aiohttp makes a warning at each use. Change: events are held while RunTask.has_pending says that the next is there, at most what the task lets wait, and the end goes out with the end of the body.

--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -3,7 +3,7 @@
 import msgspec
 from aiohttp import web
 
-from fireflyward.limits import Ask
+from fireflyward.limits import Ask, Ticket
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
 from fireflyward.runs import Deliver, Mark, Placed
 from fireflyward.upstreams import count_tokens
@@ -40,7 +40,7 @@
 _MS_PER_SECOND = 1_000
 # Making a token takes about as long as prefilling this many.
 _TOKENS_PER_DECODED = 4
-_TICKET = "admission_ticket"
+_TICKET = web.RequestKey("admission_ticket", Ticket)
 _LAST_LINE = b"data: [DONE]\n\n"
 
 
@@ -160,9 +160,9 @@
         async for result in results:
             if isinstance(result, Deliver):
                 _on_first_token(request, asked)
-                await answer.piece(result)
+                await answer.piece(result, has_more=task.has_pending)
             elif isinstance(result, Placed):
-                await answer.placed(result)
+                await answer.placed(result, has_more=task.has_pending)
             else:
                 moved = None
                 if not is_again and not answer.has_begun:
@@ -190,7 +190,12 @@
 
 
 class _Answer:
-    """Writes one answer, streamed or whole, to its caller."""
+    """Writes one answer, streamed or whole, to its caller.
+
+    Events of a stream are held while ``has_more`` says that the next is there
+    already, and go out in one write with it: a write costs about as much as the
+    rest of a piece. What can be held is what the run's task lets wait.
+    """
 
     def __init__(self, request: web.Request, asked: Asked) -> None:
         self._request = request
@@ -202,6 +207,7 @@
         self._last_ms = 0
         self._created = self._parts.clock.wall_ms() // _MS_PER_SECOND
         self._texts: list[str] = []
+        self._held: list[bytes] = []
         self._response: web.StreamResponse | None = None
 
     @property
@@ -209,13 +215,13 @@
         """Tell whether the caller already has the head of a stream."""
         return self._response is not None
 
-    async def placed(self, placed: Placed) -> None:
+    async def placed(self, placed: Placed, *, has_more: bool) -> None:
         """Tell a caller that may come back where its run is, before any text."""
         if self._prompt.stream and self._asked.is_resumable:
-            response = await self._open_stream()
-            await response.write(b"id: %s\n\n" % self._event_id(placed.mark))
+            event = b"id: %s\n\n" % self._event_id(placed.mark)
+            await self._send(event, has_more=has_more)
 
-    async def piece(self, piece: Deliver) -> None:
+    async def piece(self, piece: Deliver, *, has_more: bool) -> None:
         """Pass a piece on at once, or keep it for the whole answer.
 
         An answer that is not streamed starts anew when its run moves to another
@@ -227,10 +233,9 @@
                 self._texts.clear()
             self._texts.append(piece.text)
             return
-        response = await self._open_stream()
         body = msgspec.json.encode(self._body(piece.text, None))
-        event_id = self._event_id(piece.mark)
-        await response.write(b"id: %s\ndata: %s\n\n" % (event_id, body))
+        event = b"id: %s\ndata: %s\n\n" % (self._event_id(piece.mark), body)
+        await self._send(event, has_more=has_more)
 
     async def end(self, outcome: Answered | NotRun | Unknown) -> web.StreamResponse:
         """Write the end; a stream that failed ends with an error event."""
@@ -245,9 +250,19 @@
             "requests_total", outcome=outcome.tag, reason=outcome.reason.value
         )
         body = error_bytes(outcome, self._identity.request_id)
-        await self._response.write(b"event: error\ndata: %s\n\n" % body)
+        await self._send(b"event: error\ndata: %s\n\n" % body, has_more=False)
         return self._response
 
+    async def _send(self, event: bytes, *, has_more: bool) -> None:
+        response = await self._open_stream()
+        self._held.append(event)
+        if not has_more:
+            await response.write(self._take_held())
+
+    def _take_held(self) -> bytes:
+        held, self._held = self._held, []
+        return b"".join(held)
+
     def _event_id(self, mark: Mark) -> bytes:
         if not self._asked.is_resumable:
             return b"%d" % mark.tokens
@@ -266,8 +281,9 @@
         response = await self._open_stream()
         body = self._body("", "stop")
         body.usage = usage_body(outcome.usage)
-        await response.write(b"data: %s\n\n" % msgspec.json.encode(body) + _LAST_LINE)
-        await response.write_eof()
+        self._held.append(b"data: %s\n\n" % msgspec.json.encode(body))
+        self._held.append(_LAST_LINE)
+        await response.write_eof(self._take_held())
         return response
 
     def _whole(self, outcome: Answered) -> web.Response:
--- a/fireflyward/entry/_prefixes.py
+++ b/fireflyward/entry/_prefixes.py
@@ -10,7 +10,7 @@
 from ._requests import Prompt
 
 PREFIX_HEADER = "X-Prefix"
-_REF = "prefix_ref"
+_REF = web.RequestKey("prefix_ref", str)
 _RETRY_AFTER_MS = 1_000
 _UNKNOWN = "the prefix is not known to this account; send its text with keep again"
 
--- a/fireflyward/runs/_task.py
+++ b/fireflyward/runs/_task.py
@@ -111,6 +111,11 @@
         self._timers: list[Timer] = []
         self._texts: list[str] = []
 
+    @property
+    def has_pending(self) -> bool:
+        """Tell whether the next of ``results`` comes without any waiting."""
+        return not self._outbox.empty()
+
     async def results(self) -> AsyncIterator[Result]:
         """Yield the answer's pieces and its outcome.
 
--- a/tests/runs/test_task.py
+++ b/tests/runs/test_task.py
@@ -4,17 +4,27 @@
 import unittest
 
 from fireflyward.clock import ManualClock
-from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
+from fireflyward.outcomes import Answered, NotRun, Reason, Unknown, Usage
 from fireflyward.routing import Candidate, Router, RunShape
 from fireflyward.runs import Deliver, End, PromptStep, RunTask
 from fireflyward.standins import EngineCosts, EngineModel, MemoryEngine, answer_text
-from fireflyward.upstreams import EngineCall
+from fireflyward.upstreams import Accepted, EngineCall, Finished, Piece
 
 TOKENS = 12
 PROMPT = "beam 7, pass or fail?"
 WANTED = answer_text("m", "v1", "", PROMPT, TOKENS)
 
 
+class AtOnceEngine:
+    """An engine whose events all come with one read of its socket."""
+
+    async def generate(self, call):
+        yield Accepted("v1", 0)
+        for offset in range(3):
+            yield Piece(offset, 1, "x")
+        yield Finished(Usage(6, 3, 0))
+
+
 class TaskTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock()
@@ -69,6 +79,27 @@
         self.assertEqual("".join(self.texts), WANTED)
         self.assertIsInstance(self.outcome, Answered)
 
+    async def test_what_came_together_is_known_to_be_pending(self):
+        """A caller's answer took one write for each of the pieces that lay ready."""
+        self.engine_by_name["a"] = AtOnceEngine()
+        task = self.make()
+        pending = [task.has_pending async for _ in task.results()]
+        self.assertEqual(pending, [True, True, True, True, False])
+
+    async def test_a_piece_that_comes_alone_waits_for_no_other(self):
+        task = self.make()
+        pending = []
+
+        async def collect():
+            async for result in task.results():
+                if isinstance(result, Deliver):
+                    pending.append(task.has_pending)
+
+        reader = asyncio.ensure_future(collect())
+        await self.clock.advance_ms(500)
+        await reader
+        self.assertEqual(pending[:-1], [False] * (TOKENS - 1))
+
     async def test_plain_run(self):
         await self.run_for(self.make(), 500)
         self.assert_whole()
