--- a/benchmarks/capacity/_figures.py
+++ b/benchmarks/capacity/_figures.py
@@ -9,6 +9,7 @@
     "bundle_spread",
     "kept_index",
     "kept_shards",
+    "kept_wire",
     "lease_table",
     "load_sharing",
     "load_sharing_cpu",
@@ -37,16 +38,3 @@
 
     def __getitem__(self, name: str) -> float:
         return self._value_by_name[name]
-
-    def series(self, name: str, part: str) -> dict[int, float]:
-        """Return values by size of figures named ``name.part_SIZE.…``.
-
-        ``series("membership.nodes", "bytes_per_node_s")`` gives bytes by nodes.
-        """
-        found = {}
-        for figure, value in self._value_by_name.items():
-            if figure.startswith(name + "_") and figure.endswith("." + part):
-                size = figure.removeprefix(name + "_").removesuffix("." + part)
-                if size.isdigit():
-                    found[int(size)] = value
-        return dict(sorted(found.items()))
--- a/benchmarks/capacity/_size.py
+++ b/benchmarks/capacity/_size.py
@@ -43,4 +43,3 @@
 # The brief gives replicas, failure domains and accounts of today; the load of
 # today is not given and is taken in proportion to the replicas.
 TODAY = Size("Andinos today", 9, 9, 3, 10, 2, 2_400, 9, 2_100, 9)
-SIZES = (TODAY, PLANNED)
