Open a span for each hop, and count the bytes over stores' links

Change: routing, attempt, resume, store, platform and peer open hops; plain services have an entry span too; the attempt's span goes on to the upstream; the counter kept_link_bytes_total; refusals log the account. Measured: tests/entry/test_spans.py: a sampled prompt has entry, routing and attempt of the caller's trace, where it had entry alone. Conclusion: a request that is not sampled pays a context look-up for each hop.

--- a/fireflyward/daemon/_kept_work.py
+++ b/fireflyward/daemon/_kept_work.py
@@ -244,6 +244,9 @@
         if result.blocks:
             size = result.blocks * self._block_bytes
             links.on_measured(now_ms, store, Tier.MEMORY, size, took_ms)
+            self._metrics.count(
+                "kept_link_bytes_total", size, store=store, direction="import"
+            )
         else:
             links.on_nothing(now_ms, store)
         self._metrics.count("kept_imported_blocks_total", result.blocks, store=store)
@@ -307,6 +310,12 @@
             return False
         count = len(result.published)
         self._metrics.count("kept_exported_blocks_total", count, store=store.name)
+        self._metrics.count(
+            "kept_link_bytes_total",
+            count * self._block_bytes,
+            store=store.name,
+            direction="export",
+        )
         if result.is_full:
             self._metrics.count("kept_store_full_total", store=store.name)
         return result.blocks == len(wanted)
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -62,6 +62,7 @@
         self.router = Router(settings["failure_domain"])
         self.admission = AdmissionGate(self.clock)
         self.metrics = Metrics()
+        self.tracing = Tracing(settings["trace_share"])
         self.engine_by_name: dict[str, Engine] = {}
         self.service_by_name: dict[str, PlainService] = {}
         self._retired_ms_by_name: dict[str, int] = {}
@@ -235,6 +236,7 @@
         await self.link.stop()
         self.observe(StopStep.CLOSED)
         await self.outside.close()
+        self.tracing.close()
 
     def is_ready(self) -> bool:
         """Tell the balancer whether new requests may come here."""
@@ -275,7 +277,7 @@
             records=records,
             block_names=BlockNames(self.settings["kept_key"]),
             metrics=self.metrics,
-            tracing=Tracing(self.settings["trace_share"]),
+            tracing=self.tracing,
             request_limit_bytes=self.settings["request_limit_bytes"],
             deadline_ms=self.settings["request_deadline_ms"],
             ready=self.is_ready,
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -89,6 +89,7 @@
 
 
 PARTS: web.AppKey[EntryParts] = web.AppKey("parts", EntryParts)
+ACCOUNT: web.RequestKey[str] = web.RequestKey("account", str)
 REQUEST_ID: web.RequestKey[str] = web.RequestKey("request_id", str)
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -149,6 +150,7 @@
     if isinstance(deadline_ms, NotRun):
         return deadline_ms
     account_name, caller_name, account = found
+    request[ACCOUNT] = account_name
     return Identity(
         request[REQUEST_ID],
         account_name,
@@ -208,7 +210,11 @@
         "entry: %s, %s",
         outcome.tag,
         outcome.reason.value,
-        extra={"request": request_id, "bundle": parts.holder.number},
+        extra={
+            "request": request_id,
+            "account": request.get(ACCOUNT),
+            "bundle": parts.holder.number,
+        },
     )
     headers = headers_of(
         outcome.tag,
--- a/fireflyward/entry/_services.py
+++ b/fireflyward/entry/_services.py
@@ -61,7 +61,12 @@
         identity.trace_parent,
     )
     record = _record(parts, identity, call, name) if only_once else None
-    outcome = await _make_task(parts, identity, call, name, record).outcome()
+    task = _make_task(parts, identity, call, name, record)
+    if parts.tracing.is_sampled(identity.trace_parent):
+        with parts.tracing.span("entry", identity.trace_parent, service=name):
+            outcome = await task.outcome()
+    else:
+        outcome = await task.outcome()
     if not isinstance(outcome, ServiceReply):
         return refuse(request, outcome, identity.request_id)
     parts.metrics.count("requests_total", outcome="answered", reason="")
--- a/fireflyward/kept/_store_http.py
+++ b/fireflyward/kept/_store_http.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from fireflyward.observe import hop
 from fireflyward.upstreams import BlockRef, Miss, MissReason
 
 from ._stores import (
@@ -164,10 +165,11 @@
         self, method: str, path: str, body: bytes
     ) -> tuple[int, bytes] | StoreAway:
         try:
-            async with self._session.request(
-                method, self._base + path, data=body, timeout=self._timeout
-            ) as response:
-                answer = await response.read()
+            with hop("store", store=self.name):
+                async with self._session.request(
+                    method, self._base + path, data=body, timeout=self._timeout
+                ) as response:
+                    answer = await response.read()
         except aiohttp.ClientConnectorError as error:
             return StoreAway(f"{type(error).__name__}: {error}", False)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass
 from typing import Any
 
+from fireflyward.observe import hop
+
 from ._codec import MAX_FRAME_BYTES, Behind, Envelope, PeerCodec, pack, unpack
 from ._replay import Freshness, ReplayGuard
 
@@ -151,7 +153,8 @@
     async def _call(
         self, address: Address, kind: str, message: Any, reply_type: type
     ) -> Any | CallFailed:
-        envelope = await self._exchange(address, kind, message)
+        with hop("peer", kind=kind):
+            envelope = await self._exchange(address, kind, message)
         if envelope is not None and envelope.kind == _BEHIND:
             self._rise_above(unpack(Behind, envelope.body))
             envelope = await self._exchange(address, kind, message)
--- a/fireflyward/platform/_http.py
+++ b/fireflyward/platform/_http.py
@@ -11,6 +11,8 @@
 import aiohttp
 import msgspec
 
+from fireflyward.observe import hop
+
 from ._messages import (
     Committed,
     Conflict,
@@ -91,10 +93,11 @@
         """
         url = self._base + path
         try:
-            async with self._session.get(
-                url, params=query, timeout=self._deadline
-            ) as response:
-                body = await response.read()
+            with hop("platform", path=path):
+                async with self._session.get(
+                    url, params=query, timeout=self._deadline
+                ) as response:
+                    body = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Unavailable(_describe(error))
         if response.status not in (200, 404):
@@ -106,10 +109,11 @@
     ) -> tuple[int, bytes] | Unavailable | Uncertain:
         url = self._base + path
         try:
-            async with self._session.request(
-                method, url, data=body, timeout=self._deadline
-            ) as response:
-                answer = await response.read()
+            with hop("platform", path=path):
+                async with self._session.request(
+                    method, url, data=body, timeout=self._deadline
+                ) as response:
+                    answer = await response.read()
         except aiohttp.ClientConnectorError as error:
             return Unavailable(_describe(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/fireflyward/runs/_attempt.py
+++ b/fireflyward/runs/_attempt.py
@@ -7,6 +7,7 @@
 
 from fireflyward.clock import Clock
 from fireflyward.connections import Heard, SilenceLimits, ran_out, was_silent
+from fireflyward.observe import hop
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.routing import Router, RunShape
 from fireflyward.steps import StepObserver
@@ -103,8 +104,11 @@
         call = self._call
         if self._permit:
             call = replace(call, may_send=self._is_permit_valid)
-        events = engine.generate(call)
-        await self._watch(number, replica, events, self._limits.silence_ms)
+        with hop("attempt", upstream=replica) as trace_parent:
+            if trace_parent:
+                call = replace(call, trace_parent=trace_parent)
+            events = engine.generate(call)
+            await self._watch(number, replica, events, self._limits.silence_ms)
 
     async def _resume(
         self, number: int, replica: str, engine: Engine | None, offset: int
@@ -113,8 +117,9 @@
             gone = Broken(True, f"replica {replica} is not served any more")
             await self._inbox.put(AttemptEvent(number, gone))
             return
-        events = engine.resume(self._call.run_id, offset)
-        await self._watch(number, replica, events, self._limits.probe_ms)
+        with hop("resume", upstream=replica):
+            events = engine.resume(self._call.run_id, offset)
+            await self._watch(number, replica, events, self._limits.probe_ms)
 
     async def _prepare_replica(self, replica: str) -> None:
         """Prepare in bounded time; a run without it is slower and not wrong."""
--- a/fireflyward/runs/_task.py
+++ b/fireflyward/runs/_task.py
@@ -6,6 +6,7 @@
 
 from fireflyward.clock import Clock, Timer
 from fireflyward.connections import SilenceLimits, within
+from fireflyward.observe import hop
 from fireflyward.outcomes import Outcome
 from fireflyward.routing import Router, RunShape
 from fireflyward.steps import StepObserver, ignore_step
@@ -239,7 +240,8 @@
 def _(action: Choose, task: RunTask) -> None:
     task._observe(PromptStep.CHOOSING)
     now_ms = task._clock.now_ms()
-    name = task._router.choose(now_ms, task._shape, without=action.without)
+    with hop("routing"):
+        name = task._router.choose(now_ms, task._shape, without=action.without)
     task._observe(PromptStep.CHOSEN)
     task._take(Chosen(name))
 
--- a/fireflyward/upstreams/_service_http.py
+++ b/fireflyward/upstreams/_service_http.py
@@ -1,10 +1,12 @@
 """A plain service over HTTP."""
 
 from collections.abc import AsyncIterator
+from dataclasses import replace
 
 import aiohttp
 
 from fireflyward.connections import GuardedBody
+from fireflyward.observe import hop
 from fireflyward.outcomes import Reason
 
 from ._messages import Broken, Refused, ServiceCall, ServiceReply
@@ -63,15 +65,18 @@
             total=self._deadline_s, sock_connect=_CONNECT_LIMIT_S
         )
         try:
-            async with session.request(
-                call.method,
-                self._base + call.path,
-                data=body,
-                headers=headers | _headers_of(call),
-                timeout=timeout,
-                allow_redirects=False,
-            ) as response:
-                return _reply_of(call, response, await response.read())
+            with hop("attempt", upstream=self._base) as trace_parent:
+                if trace_parent:
+                    call = replace(call, trace_parent=trace_parent)
+                async with session.request(
+                    call.method,
+                    self._base + call.path,
+                    data=body,
+                    headers=headers | _headers_of(call),
+                    timeout=timeout,
+                    allow_redirects=False,
+                ) as response:
+                    return _reply_of(call, response, await response.read())
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Broken(False, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
