Join pieces that came together in one go, and set no timer for a whole end

Cause: of a read of the socket, every line was tested twice for its prefix, also the blank ones, and every piece made two objects and copied the text before it. The end of an answer got a timer though it mostly is there. Change: lines that follow each other are gathered and made one piece at the end; an answer that is whole already is taken without a timer.

--- a/fireflyward/upstreams/_engine_http.py
+++ b/fireflyward/upstreams/_engine_http.py
@@ -234,6 +234,8 @@
     by the connections that are opened anew for each run. An engine that does not
     end its body soon costs its connection and nothing else.
     """
+    if response.content.at_eof():
+        return
     try:
         async with asyncio.timeout(_END_LIMIT_S):
             await response.content.read()
@@ -252,30 +254,46 @@
     one piece costs one write to the caller instead of one for each token.
     """
     events: list[EngineEvent] = []
+    joined: list[StreamLine] = []
     for line in lines:
-        if line.startswith(_COMMENT_PREFIX):
-            events.append(KeepAlive())
-        if not line.startswith(_DATA_PREFIX):
+        if not line:
             continue
-        event = _event_of(_decode_line(line[len(_DATA_PREFIX) :]), run_id)
-        last = events[-1] if events else None
-        if _follows(last, event):
-            events[-1] = Piece(
-                last.offset, last.tokens + event.tokens, last.text + event.text
-            )
-        else:
+        if line.startswith(_DATA_PREFIX):
+            decoded = _decode_line(line[len(_DATA_PREFIX) :])
+            if joined and _follows(joined[-1], decoded):
+                joined.append(decoded)
+                continue
+            _end_joined(events, joined)
+            event = _event_of(decoded, run_id)
             events.append(event)
+            if isinstance(event, Piece):
+                joined.append(decoded)
+        elif line.startswith(_COMMENT_PREFIX):
+            _end_joined(events, joined)
+            events.append(KeepAlive())
+    _end_joined(events, joined)
     return events
 
 
-def _follows(last: EngineEvent | None, event: EngineEvent) -> bool:
+def _follows(last: StreamLine, line: StreamLine) -> bool:
+    """Tell whether a line is the piece after ``last`` of the same run."""
     return (
-        isinstance(last, Piece)
-        and isinstance(event, Piece)
-        and event.offset == last.offset + last.tokens
+        line.offset == last.offset + last.tokens
+        and line.run_id == last.run_id
+        and not line.done
+        and line.offset >= 0
     )
 
 
+def _end_joined(events: list[EngineEvent], joined: list[StreamLine]) -> None:
+    """Make one piece of those that were joined, in place of the first."""
+    if len(joined) > 1:
+        tokens = sum(line.tokens for line in joined)
+        text = "".join([line.text for line in joined])
+        events[-1] = Piece(joined[0].offset, tokens, text)
+    joined.clear()
+
+
 def _event_of(line: StreamLine, run_id: str) -> EngineEvent:
     if line.run_id != run_id:
         return Broken(True, f"a line of run {line.run_id!r} came instead")
