--- a/tests/commands/test_settings.py
+++ b/tests/commands/test_settings.py
@@ -25,6 +25,7 @@
             with (
                 self.subTest(command=command),
                 mock.patch.dict(os.environ, clear=True),
+                mock.patch("fireflyward.daemon.serve", side_effect=AssertionError),
                 contextlib.redirect_stderr(errors),
             ):
                 self.assertEqual(main([command]), 2)
