Rank by rendezvous hashing in one place

Cause: routing, placement and leases each had the same hash of a key and a name; a change to one would have left nodes disagreeing about owners without a test failing. Change: fireflyward/rendezvous, used by all three; membership's is keyed and stays, since merging it would move owners. Conclusion: the other pairs that the duplicate check names were not gone through.

--- a/fireflyward/leases/_contenders.py
+++ b/fireflyward/leases/_contenders.py
@@ -1,8 +1,9 @@
 """Which nodes look for a free lease, so that not all of them poll for it."""
 
-import hashlib
 from collections.abc import Iterable
 
+from fireflyward.rendezvous import rendezvous_rank
+
 CONTENDERS = 3
 
 
@@ -18,9 +19,5 @@
     >>> len(contenders("rollout", ["a", "b", "c", "d"]))
     3
     """
-    ranked = sorted(nodes, key=lambda node: _draw(lease, node))
+    ranked = sorted(nodes, key=lambda node: rendezvous_rank(lease, node))
     return tuple(ranked[:count])
-
-
-def _draw(lease: str, node: str) -> bytes:
-    return hashlib.blake2b(f"{lease}\0{node}".encode(), digest_size=8).digest()
--- a/fireflyward/placement/_spread.py
+++ b/fireflyward/placement/_spread.py
@@ -1,11 +1,11 @@
 """Which store keeps what."""
 
-import hashlib
 from dataclasses import replace
 
+from fireflyward.rendezvous import rendezvous_rank
+
 from ._keep import KeepOffer
 
-_DIGEST_BYTES = 8
 _SECOND_COPY_WORTH = 0.02
 
 
@@ -18,7 +18,7 @@
     >>> home_store("00ff", ("store-a",))
     'store-a'
     """
-    return max(stores, key=lambda name: _rank(key, name))
+    return max(stores, key=lambda name: rendezvous_rank(key, name))
 
 
 def spread(
@@ -54,8 +54,3 @@
         return ""
     reach = max(1, len(block_keys) * 3 // 4)
     return block_keys[(1 << (reach.bit_length() - 1)) - 1]
-
-
-def _rank(key: str, name: str) -> bytes:
-    data = f"{key}\0{name}".encode()
-    return hashlib.blake2b(data, digest_size=_DIGEST_BYTES).digest()
--- a/fireflyward/routing/__init__.py
+++ b/fireflyward/routing/__init__.py
@@ -1,6 +1,6 @@
 """Choosing the replica that serves a run."""
 
-from ._affinity import PrefixAffinity, PrefixRecord, rendezvous_order, rendezvous_rank
+from ._affinity import PrefixAffinity, PrefixRecord, rendezvous_order
 from ._candidate import Candidate, RunShape
 from ._estimate import FirstTokenEstimate, QueueEstimate
 from ._load_codec import LoadCodec, LoadEntry, LoadNews
@@ -24,6 +24,5 @@
     "SharingAction",
     "Watched",
     "rendezvous_order",
-    "rendezvous_rank",
     "watch_list",
 ]
--- a/fireflyward/routing/_affinity.py
+++ b/fireflyward/routing/_affinity.py
@@ -1,7 +1,6 @@
 """Which replica most likely holds a prompt's first blocks in its cache."""
 
-import hashlib
-
+from fireflyward.rendezvous import rendezvous_rank
 from fireflyward.upstreams import BLOCK_TOKENS
 
 from ._candidate import RunShape
@@ -98,16 +97,6 @@
     return block_keys[min(_SESSION_BLOCK, len(block_keys) - 1)]
 
 
-def rendezvous_rank(key: str, name: str) -> int:
-    """Return the rank of ``name`` for ``key``; the highest of a set is its home.
-
-    Every node computes the same, so nodes agree on a home without a message, and
-    one name that comes or goes moves only the keys that it holds.
-    """
-    digest = hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest, "big")
-
-
 def rendezvous_order(key: str, names: list[str]) -> list[str]:
     """Return names by their rank for a key, the home first."""
     return sorted(names, key=lambda name: rendezvous_rank(key, name), reverse=True)
--- a/fireflyward/routing/_load_sharing.py
+++ b/fireflyward/routing/_load_sharing.py
@@ -5,9 +5,10 @@
 from dataclasses import dataclass, replace
 from typing import Any
 
+from fireflyward.rendezvous import rendezvous_rank
 from fireflyward.upstreams import LoadReport
 
-from ._affinity import rendezvous_order, rendezvous_rank
+from ._affinity import rendezvous_order
 from ._load_codec import LoadCodec, LoadEntry
 
 _LEAST_PERIOD_MS = 250
