--- a/fireflyward/deployment/_settings.py
+++ b/fireflyward/deployment/_settings.py
@@ -47,7 +47,6 @@
     failure_domains: tuple[str, ...]
     callers_address: str
     readiness_address: str
-    control_address: str
     peer_ports: tuple[int, int]
     memory_mb: int
     listing_period_ms: int
--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -21,7 +21,6 @@
 class _Listen(_Dashed):
     front: str
     readiness: str
-    control: str
 
 
 class _MachineLimits(_Dashed):
@@ -82,7 +81,6 @@
         failure_domains=tuple(sorted(raw.zones)),
         callers_address=raw.listen.front,
         readiness_address=raw.listen.readiness,
-        control_address=raw.listen.control,
         peer_ports=raw.internal_ports,
         memory_mb=raw.limits.memory_mb,
         listing_period_ms=raw.heartbeat_ms,
