Tell nodes of loading replicas, and keep shared parts in the stores

Cause: after new weights were named, replicas that loaded turned 845 of 3,723 arrivals away, and shared parts were read again wherever a prompt went. Change: the node that orders a load tells the others before and after; each part has one store by weighted rendezvous, saved once, fetched once whole.

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -111,23 +111,31 @@
             # A copy of the store that lags: taking it would bring back what has
             # been replaced already.
             return self._failed(Unavailable("older than what was read before"))
-        self._take(result, sent_ms)
+        self._take(result, self._proven_ms(result, sent_ms))
         return True
 
-    def _take(self, result: Snapshot | Changes, sent_ms: int) -> None:
-        away_ms = 0 if self.as_of_ms is None else sent_ms - self.as_of_ms
+    def _proven_ms(self, result: Snapshot | Changes, sent_ms: int) -> int:
+        """Return the moment for which an answer proves how the table stood."""
+        if isinstance(result, Snapshot) or result.rows:
+            return sent_ms
+        # Without a change the store answers only when the wait is over.
+        waited_ms = self._clock.now_ms() - sent_ms
+        return sent_ms + min(waited_ms, self._wait_ms)
+
+    def _take(self, result: Snapshot | Changes, as_of_ms: int) -> None:
+        away_ms = 0 if self.as_of_ms is None else as_of_ms - self.as_of_ms
         if self._failures:
             log.info("feeds: %s is back after %d ms", self._table, away_ms)
         news = Followed(
             result.rows,
             isinstance(result, Snapshot),
-            sent_ms,
+            as_of_ms,
             away_ms if self._failures else 0,
         )
         self._failures = 0
         self._needs_whole = False
         self._version = result.version
-        self.as_of_ms = sent_ms
+        self.as_of_ms = as_of_ms
         self._on_news(news)
 
     def _failed(self, result: Unavailable) -> bool:
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -10,12 +10,13 @@
 from aiohttp.web_response import Response
 
 from fireflyward.clock import Clock
-from fireflyward.deployment import FleetSettings
+from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import FeedFollower
 from fireflyward.forwarding import Forwarder, WeightBook
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseTask, Lost
 from fireflyward.observe import Metrics
+from fireflyward.peers import PeerCodec, PeerLink
 from fireflyward.platform import (
     CONFIGURATION_TABLE,
     READINESS_PATH,
@@ -24,13 +25,14 @@
     ReplicaApi,
     StoreClient,
 )
+from fireflyward.prefixes import PartPlanner, StoreFollower
 from fireflyward.replicas import Chooser, ReplicaDirectory
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
-from fireflyward.weights import WeightTask
+from fireflyward.weights import LoadNews, WeightTask
 
 from ._callers import CallerDoor
-from ._peers import PeerCount
+from ._peers import NodeRow, PeerRegister
 from ._views import OperatorView, ReplicaView
 
 log = logging.getLogger("fireflyward.node")
@@ -72,7 +74,20 @@
             extra=bounds.retry_extra,
             window_ms=bounds.retry_window_ms,
         )
-        self._peers = PeerCount(self._store, settings.node, clock=clock)
+        self._peers = PeerRegister(
+            self._store,
+            settings.node,
+            NodeRow(settings.ip, settings.peer_ports[0]),
+            clock=clock,
+        )
+        self._planner = PartPlanner()
+        self._api = ReplicaApi(self._pool, clock=clock)
+        self._news = LoadNews(
+            clock=clock,
+            directory=self._directory,
+            peer_addresses=self._peers.addresses,
+        )
+        self._link: PeerLink | None = None
         self._door = CallerDoor(
             clock=clock,
             routes=self._routes,
@@ -80,7 +95,10 @@
             metrics=self._metrics,
         )
         operators = OperatorView(
-            clock=clock, routes=self._routes, weights=self._weights
+            clock=clock,
+            routes=self._routes,
+            weights=self._weights,
+            on_configuration=self._on_configuration,
         )
         self._replicas = ReplicaView(
             clock=clock, directory=self._directory, pool=self._pool
@@ -106,14 +124,16 @@
         self._weight_task = WeightTask(
             clock=clock,
             lease=self._lease,
-            api=ReplicaApi(self._pool, clock=clock),
+            api=self._api,
             directory=self._directory,
             weights=self._weights,
+            news=self._news,
             node=settings.node,
             lease_ms=bounds.lease_ms,
             slack_ms=bounds.thaw_slack_ms,
         )
         self._tasks: list[asyncio.Task[None]] = []
+        self._follower_by_address: dict[str, asyncio.Task[None]] = {}
         self._is_stopping = False
 
     @property
@@ -154,7 +174,7 @@
         self._door.close_listener()
         await self._door.drain(end_ms - self._clock.now_ms())
         handing_over.cancel()
-        for task in self._tasks:
+        for task in [*self._tasks, *self._follower_by_address.values()]:
             task.cancel()
         self._pool.close()
         self._store.close()
@@ -169,6 +189,7 @@
             ),
             budget=self._budget,
             weights=self._weights,
+            planner=self._planner,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -187,9 +208,41 @@
 
     async def _count_peers(self) -> None:
         while True:
-            self._budget.set_nodes(await self._peers.count())
+            await self._peers.refresh()
+            self._budget.set_nodes(len(self._peers))
+            if self._link is None and self._peers.key is not None:
+                await self._open_link(self._peers.key)
             await self._clock.sleep_ms(self._peers.period_ms)
 
+    async def _open_link(self, key: bytes) -> None:
+        link = PeerLink(
+            node_name=self._settings.node,
+            incarnation=self._clock.wall_ms(),
+            codec=PeerCodec((key,)),
+            host=self._settings.ip,
+            port=self._settings.peer_ports[0],
+        )
+        self._news.use(link)
+        await link.start()
+        self._link = link
+
+    def _on_configuration(self, configuration: Configuration) -> None:
+        """Follow the stores that a configuration names, and no others."""
+        services = configuration.service_by_name.values()
+        self._planner.set_stores(
+            service.kv_store for service in services if service.kv_store
+        )
+        wanted = {index.address: index for index in self._planner.indexes()}
+        for address in self._follower_by_address.keys() - wanted.keys():
+            self._follower_by_address.pop(address).cancel()
+        for address in wanted.keys() - self._follower_by_address.keys():
+            follower = StoreFollower(
+                wanted[address], reader=self._api, clock=self._clock
+            )
+            self._follower_by_address[address] = asyncio.create_task(
+                self._guarded(follower.run())
+            )
+
     async def _guarded(self, run) -> None:
         """End the process if one of its tasks ends by a fault of the program.
 
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -1,53 +1,96 @@
-"""How many nodes share the deployment's budgets."""
+"""Which nodes there are, and the key with which they know each other."""
 
 import logging
+import secrets
 
-from fireflyward.backing import Committed, Unavailable
+import msgspec
+
+from fireflyward.backing import Unavailable
 from fireflyward.clock import Clock
 from fireflyward.platform import StoreClient
 
 log = logging.getLogger("fireflyward.peers")
 
 _TABLE = "fireflyward-nodes"
-_PERIOD_MS = 10_000
-_SOON_MS = 1_000
+_KEY_ROW = "key"
+_NODE_PREFIX = "node/"
+_KEY_BYTES = 32
+_PERIOD_MS = 8_000
+_SOON_MS = 700
+
+
+class NodeRow(msgspec.Struct, frozen=True):
+    """What a node says of itself: where others reach it."""
+
+    ip: str
+    port: int
 
 
-class PeerCount:
-    """Counts nodes by the rows that each writes once.
+class PeerRegister:
+    """Reads and writes the rows of nodes.
 
-    Rows of nodes that are gone stay, so the count errs upwards and the nodes
-    together stay within the budget.
+    Rows of nodes that are gone stay, so the number of nodes errs upwards and the
+    nodes together stay within shared budgets. The key that seals messages between
+    nodes is drawn by the first node and lies in the store: whoever may read the
+    store is a node.
     """
 
-    __slots__ = ("_clock", "_is_written", "_node", "_nodes", "_store", "period_ms")
+    __slots__ = ("_clock", "_name", "_own", "_rows", "_store", "key", "period_ms")
 
-    def __init__(self, store: StoreClient, node: str, *, clock: Clock) -> None:
+    def __init__(
+        self, store: StoreClient, name: str, own: NodeRow, *, clock: Clock
+    ) -> None:
         self._store = store
-        self._node = node
+        self._name = name
+        self._own = own
         self._clock = clock
-        self._nodes = 1
-        self._is_written = False
+        self._rows: dict[str, NodeRow] = {}
+        self.key: bytes | None = None
         self.period_ms = _SOON_MS
 
-    async def count(self) -> int:
-        """Return the number of nodes as far as the store tells."""
+    def __len__(self) -> int:
+        return len(self._rows.keys() | {self._name})
+
+    def addresses(self) -> list[tuple[str, int]]:
+        """Return the addresses of the other nodes."""
+        return [
+            (row.ip, row.port)
+            for name, row in self._rows.items()
+            if name != self._name and row != self._own
+        ]
+
+    def ranked_within(self, names_rank, most: int) -> bool:
+        """Tell whether this node is among the first ``most`` by a rank."""
+        names = self._rows.keys() | {self._name}
+        return self._name in sorted(names, key=names_rank)[:most]
+
+    async def refresh(self) -> None:
+        """Read all rows, and write what of ours is missing."""
         found = await self._store.rows(_TABLE)
         if isinstance(found, Unavailable):
-            return self._nodes
-        names = {row.key for row in found.rows}
-        self._nodes = len(names | {self._node})
-        if self._node in names:
-            self._is_written = True
-        if not self._is_written:
-            result = await self._store.write(
-                table=_TABLE,
-                part="",
-                expected={self._node: 0},
-                puts={self._node: b"1"},
-            )
-            self._is_written = isinstance(result, Committed)
             self.period_ms = _SOON_MS
-        else:
-            self.period_ms = _PERIOD_MS
-        return self._nodes
+            return
+        row_by_key = {row.key: row for row in found.rows}
+        self._rows = {
+            key.removeprefix(_NODE_PREFIX): msgspec.json.decode(row.value, type=NodeRow)
+            for key, row in row_by_key.items()
+            if key.startswith(_NODE_PREFIX)
+        }
+        if _KEY_ROW in row_by_key:
+            self.key = row_by_key[_KEY_ROW].value
+        is_complete = self._rows.get(self._name) == self._own and self.key is not None
+        self.period_ms = _PERIOD_MS if is_complete else _SOON_MS
+        if self.key is None:
+            await self._write(_KEY_ROW, secrets.token_bytes(_KEY_BYTES), 0)
+        if self._rows.get(self._name) != self._own:
+            own_key = _NODE_PREFIX + self._name
+            known = row_by_key.get(own_key)
+            value = msgspec.json.encode(self._own)
+            await self._write(own_key, value, known.version if known else 0)
+
+    async def _write(self, key: str, value: bytes, version: int) -> None:
+        """Write a row once; whether it took effect the next reading tells."""
+        result = await self._store.write(
+            table=_TABLE, part="", expected={key: version}, puts={key: value}
+        )
+        log.info("peers: row %s: %s", key, type(result).__name__)
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -1,11 +1,12 @@
 """Turns news of the platform's tables into what this node believes."""
 
 import logging
+from collections.abc import Callable
 
 import msgspec
 
 from fireflyward.clock import Clock
-from fireflyward.deployment import ReplicaEntry
+from fireflyward.deployment import Configuration, ReplicaEntry
 from fireflyward.feeds import Followed, TableRow
 from fireflyward.forwarding import WeightBook
 from fireflyward.http1 import ConnectionPool
@@ -28,7 +29,15 @@
 class OperatorView:
     """Takes what operators write: the configuration and versions of weights."""
 
-    def __init__(self, *, clock: Clock, routes: RouteTable, weights: WeightBook):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        routes: RouteTable,
+        weights: WeightBook,
+        on_configuration: Callable[[Configuration], None],
+    ) -> None:
+        self._on_configuration = on_configuration
         self._clock = clock
         self._routes = routes
         self._weights = weights
@@ -51,6 +60,7 @@
             configuration = decode_configuration(row.value)
             if self._routes.take(configuration):
                 log.info("views: configuration %d in force", configuration.version)
+                self._on_configuration(configuration)
         elif row.key.startswith(WEIGHTS_PREFIX):
             target = decode_weight_target(row.value)
             if self._weights.take(self._clock.now_ms(), target):
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -22,6 +22,7 @@
     decode_response,
     encode_request,
 )
+from fireflyward.prefixes import KvPlan, PartPlanner, cache_salt
 from fireflyward.replicas import Choice, Chooser, ReplicaState, Wanted
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
@@ -83,7 +84,7 @@
     the caller's connection must be closed without the end of the response.
     """
 
-    __slots__ = ("_budget", "_chooser", "_clock", "_pool", "_weights")
+    __slots__ = ("_budget", "_chooser", "_clock", "_planner", "_pool", "_weights")
 
     def __init__(
         self,
@@ -93,7 +94,9 @@
         chooser: Chooser,
         budget: RetryBudget,
         weights: WeightBook,
+        planner: PartPlanner,
     ) -> None:
+        self._planner = planner
         self._clock = clock
         self._pool = pool
         self._chooser = chooser
@@ -316,8 +319,10 @@
     ) -> None:
         """Believe the replica over the list, which lags by a heartbeat."""
         model = self._caller.model
-        newest = self._owner._weights.newest(model)
-        replica.version_by_model[model] = facts.weights or newest or choice.weights
+        other = self._owner._weights.newest(model)
+        if other is None or other == choice.weights:
+            other = replica.entry.version_of(model)
+        replica.version_by_model[model] = facts.weights or other or choice.weights
 
     async def _pass_stream(
         self, connection: HttpConnection, choice: Choice, head: Head
@@ -403,11 +408,7 @@
         last_event_id = self._caller.last_event_id
         if last_number is not None:
             last_event_id = str(last_number)
-        salt = None
-        if choice.weights is not None:
-            salt = f"v{choice.weights}"
-            if account is not None and account.is_isolated:
-                salt += f".{account.name}"
+        salt, kv = self._kv(choice)
         return ReplicaHeaders(
             incarnation=choice.replica.entry.incarnation,
             left_ms=int(self._left_ms()),
@@ -415,10 +416,26 @@
             priority=min(self._allowed.priority, _LOWEST_PRIORITY),
             weights=choice.weights,
             cache_salt=salt,
-            kv_source=choice.kv_source,
+            kv_sources=kv.sources,
+            kv_saves=kv.saves,
             last_event_id=last_event_id,
         )
 
+    def _kv(self, choice: Choice) -> tuple[str | None, KvPlan]:
+        """Return the salt and what to fetch and save under it."""
+        if choice.weights is None:
+            return None, KvPlan((), ())
+        account = self._allowed.account
+        isolated = account.name if account and account.is_isolated else None
+        salt = cache_salt(self._caller.model, choice.weights, isolated)
+        plan = self._owner._planner.plan(
+            self._clock.now_ms(),
+            salt,
+            ((part.part_id, part.tokens) for part in self._caller.parts),
+            elsewhere=choice.kv_source,
+        )
+        return salt, plan
+
     def _left_ms(self) -> float:
         return self._due_ms - self._clock.now_ms()
 
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -6,9 +6,13 @@
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import BodyPart, ConnectionPool, End, Head, NotConnected
+from fireflyward.prefixes import KvEvent, KvNews, PartKey
 
 _REPORT = "/-/report"
 _ORDER = "/-/order"
+_KV_EVENTS = "/-/kv-events"
+_KV_LIST = "/-/kv-list"
+_KV_FREE = "/-/kv-free"
 _ACCEPTED = 202
 _ALREADY = 200
 _BUSY = 409
@@ -52,6 +56,23 @@
     models: list[_Model] = []
 
 
+class _KvEvents(msgspec.Struct, rename="kebab"):
+    """Each event: number, + or -, salt, part, tokens stored now, model."""
+
+    boot_epoch: int
+    next: int
+    lost: bool = False
+    events: list[tuple[int, str, str, str, int, str]] = []
+
+
+class _KvList(msgspec.Struct, rename="kebab"):
+    """Each entry: salt, part, tokens, model."""
+
+    boot_epoch: int
+    next: int
+    held: list[tuple[str, str, int, str]] = []
+
+
 class ReplicaApi:
     """Speaks to replicas; nothing is sent a second time by itself."""
 
@@ -117,6 +138,49 @@
         accepted = status in (_ACCEPTED, _ALREADY)
         return OrderResult(accepted, True, f"{status} {text[:60].decode('latin-1')}")
 
+    async def kv_events(
+        self, address: str, *, since: int, wait_ms: int, limit_ms: float
+    ) -> KvNews | None:
+        """Wait for what changed at a store, None if it did not answer."""
+        headers = [("Host", address), ("Wait-Ms", str(wait_ms))]
+        target = f"{_KV_EVENTS}?since={since}"
+        limit_ms += wait_ms
+        answer = await self._call(address, "GET", target, headers, b"", limit_ms)
+        if answer is None or answer[0] != 200:
+            return None
+        raw = msgspec.json.decode(answer[1], type=_KvEvents)
+        events = tuple(
+            KvEvent(PartKey(salt, part), tokens)
+            for _, _, salt, part, tokens, _ in raw.events
+        )
+        return KvNews(raw.boot_epoch, events, raw.next, was_lost=raw.lost)
+
+    async def kv_list(self, address: str, *, limit_ms: float) -> KvNews | None:
+        """Return all that a store holds whole, None if it did not answer."""
+        headers = [("Host", address)]
+        answer = await self._call(address, "GET", _KV_LIST, headers, b"", limit_ms)
+        if answer is None or answer[0] != 200:
+            return None
+        raw = msgspec.json.decode(answer[1], type=_KvList)
+        events = tuple(
+            KvEvent(PartKey(salt, part), tokens) for salt, part, tokens, _ in raw.held
+        )
+        return KvNews(raw.boot_epoch, events, raw.next, is_whole=True)
+
+    async def kv_free(
+        self, address: str, *, epoch: int, keys: list[PartKey], limit_ms: float
+    ) -> bool:
+        """Have a store free parts at once; return whether it did."""
+        body = {
+            "parts": [[key.salt, key.part_id] for key in keys],
+            "boot-epoch": epoch,
+        }
+        headers = [("Host", address), ("Content-Type", "application/json")]
+        answer = await self._call(
+            address, "POST", _KV_FREE, headers, msgspec.json.encode(body), limit_ms
+        )
+        return answer is not None and answer[0] == 200
+
     async def _call(
         self,
         address: str,
--- a/fireflyward/platform/_requests.py
+++ b/fireflyward/platform/_requests.py
@@ -129,8 +129,8 @@
     priority: int | None = None
     weights: int | None = None
     cache_salt: str | None = None
-    kv_source: str | None = None
-    kv_save: str | None = None
+    kv_sources: tuple[str | None, ...] = ()
+    kv_saves: tuple[str | None, ...] = ()
     last_event_id: str | None = None
 
 
@@ -197,8 +197,8 @@
         (_PRIORITY, system.priority),
         (_EXPECTED_VERSION, system.weights),
         (_CACHE_SALT, system.cache_salt),
-        (_KV_SOURCE, system.kv_source),
-        (_KV_SAVE, system.kv_save),
+        (_KV_SOURCE, _addresses(system.kv_sources)),
+        (_KV_SAVE, _addresses(system.kv_saves)),
         ("Last-Event-Id", system.last_event_id),
     )
     headers += [(name, str(value)) for name, value in optional if value is not None]
@@ -267,6 +267,17 @@
     return tuple((name, value) for name, value in headers if name.lower() not in hidden)
 
 
+def _addresses(by_part: tuple[str | None, ...]) -> str | None:
+    """Encode one address for each part, a dash for none.
+
+    >>> _addresses(("10.0.0.1:80", None)), _addresses((None,))
+    ('10.0.0.1:80,-', None)
+    """
+    if not any(by_part):
+        return None
+    return ",".join(address or "-" for address in by_part)
+
+
 def _number(value: str | None) -> float | None:
     if value is None:
         return None
--- /dev/null
+++ b/fireflyward/prefixes/_index.py
@@ -0,0 +1,125 @@
+"""What one store of KV cache holds, by its own events."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+# Stores give out room in blocks of this many tokens.
+_BLOCK_TOKENS = 16
+# A store that is fuller than this loses most saves.
+_FULL_SHARE = 0.97
+# A save that has not shown up after this long is taken to be lost.
+_SAVING_MS = 4_000
+
+
+@dataclass(frozen=True, slots=True)
+class PartKey:
+    """One part of a prompt under one salt."""
+
+    salt: str
+    part_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class KvEvent:
+    """A part that is whole in the store now, or was freed (``tokens`` is 0)."""
+
+    key: PartKey
+    tokens: int
+
+
+@dataclass(frozen=True, slots=True)
+class KvNews:
+    """Events of one life of a store; ``is_whole`` when they are all it holds."""
+
+    epoch: int
+    events: tuple[KvEvent, ...]
+    next_event: int
+    is_whole: bool = False
+    was_lost: bool = False
+
+
+class StoreIndex:
+    """The parts that may be fetched from one store; no I/O.
+
+    Only parts that the store has reported as whole count. One that is still being
+    written reads as garbage, and the store checks nothing. A store that restarted
+    is empty, so its index is too; one that does not answer is not fetched from,
+    because each fetch from a dead store costs the caller some hundred ms.
+    """
+
+    __slots__ = (
+        "_capacity",
+        "_saving_ms_by_key",
+        "_tokens_by_key",
+        "_used",
+        "address",
+        "epoch",
+        "is_up",
+        "next_event",
+    )
+
+    def __init__(self, address: str, capacity_tokens: int) -> None:
+        self.address = address
+        self.epoch: int | None = None
+        self.next_event = 0
+        self.is_up = False
+        self._capacity = capacity_tokens
+        self._used = 0
+        self._tokens_by_key: dict[PartKey, int] = {}
+        self._saving_ms_by_key: dict[PartKey, int] = {}
+
+    def __len__(self) -> int:
+        return len(self._tokens_by_key)
+
+    def take(self, news: KvNews) -> bool:
+        """Take events; return False when everything must be read anew."""
+        if self.epoch != news.epoch:
+            self._clear()
+            self.epoch = news.epoch
+        elif news.was_lost and not news.is_whole:
+            return False
+        if news.is_whole:
+            self._clear()
+        self.is_up = True
+        self.next_event = news.next_event
+        for event in news.events:
+            self._apply(event)
+        return True
+
+    def on_silence(self) -> None:
+        """Note that the store does not answer."""
+        self.is_up = False
+
+    def has(self, key: PartKey) -> bool:
+        """Tell whether a part can be fetched now."""
+        return self.is_up and key in self._tokens_by_key
+
+    def may_save(self, now_ms: int, key: PartKey, tokens: int) -> bool:
+        """Tell whether a part is worth saving, and note that it will be."""
+        if not self.is_up or key in self._tokens_by_key:
+            return False
+        if now_ms - self._saving_ms_by_key.get(key, -_SAVING_MS) < _SAVING_MS:
+            return False
+        if self._used + tokens > self._capacity * _FULL_SHARE:
+            return False
+        if len(self._saving_ms_by_key) > 2_000:
+            self._saving_ms_by_key.clear()
+        self._saving_ms_by_key[key] = now_ms
+        return True
+
+    def keys(self) -> Iterable[PartKey]:
+        """Return the keys of all parts."""
+        return tuple(self._tokens_by_key)
+
+    def _apply(self, event: KvEvent) -> None:
+        self._used -= self._tokens_by_key.pop(event.key, 0)
+        self._saving_ms_by_key.pop(event.key, None)
+        if event.tokens > 0:
+            tokens = -(-event.tokens // _BLOCK_TOKENS) * _BLOCK_TOKENS
+            self._tokens_by_key[event.key] = tokens
+            self._used += tokens
+
+    def _clear(self) -> None:
+        self._tokens_by_key.clear()
+        self._saving_ms_by_key.clear()
+        self._used = 0
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -20,6 +20,8 @@
 # A replica whose last sends failed, or that just refused one, is a last resort.
 _SUSPECT_MS = 5_000.0
 _RECENTLY_FULL_MS = 400.0
+# A replica that loads weights takes nothing for seconds.
+_LOADING_MS = 4_000.0
 # Failed answers above what all replicas of the service show.
 _FAILING_MS = 600.0
 # Old weights earn a fifth less from a moment after newer ones were named.
@@ -96,17 +98,23 @@
             able,
             key=lambda state: self._cost_ms(now_ms, state, wanted, home, usual),
         )
+        weights = chosen.version_by_model.get(wanted.model)
         source = None
-        if home is not None and home is not chosen and wanted.prefix_key:
-            source = home.entry.address
-        return Choice(chosen, chosen.version_by_model.get(wanted.model), source)
+        if home is not None and home is not chosen and not home.is_suspect(now_ms):
+            if home.version_by_model.get(wanted.model) == weights:
+                source = home.entry.address
+        return Choice(chosen, weights, source)
 
     def _home(
         self, now_ms: int, able: list[ReplicaState], wanted: Wanted
     ) -> ReplicaState | None:
         if not wanted.prefix_key:
             return None
-        sound = [state for state in able if not state.is_suspect(now_ms)]
+        sound = [
+            state
+            for state in able
+            if not state.is_suspect(now_ms) and not state.is_loading(now_ms)
+        ]
         return max(
             sound or able,
             key=lambda state: rendezvous_rank(
@@ -133,6 +141,8 @@
             cost_ms += _SUSPECT_MS
         if state.is_full(now_ms):
             cost_ms += _RECENTLY_FULL_MS
+        if state.is_loading(now_ms):
+            cost_ms += _LOADING_MS
         cost_ms += _FAILING_MS * max(0.0, state.failed_share - usual_failures)
         cost_ms += min(float(state.entry.cold_ms), 50.0)
         known = state.version_by_model.get(wanted.model)
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -9,6 +9,8 @@
 _LONGEST_SUSPICION_MS = 6_000
 # A replica that is full frees a place in about the time of one short request.
 _FULL_MS = 60
+# A refusal while new weights are in the air: the replica probably loads them, and
+# whoever ordered it tells the other nodes, but that news may be lost.
 _LOADING_MS = 400
 # Weight of one answer in the running share of failed ones.
 _FAILURE_WEIGHT = 0.12
@@ -19,6 +21,7 @@
 
     __slots__ = (
         "_full_until_ms",
+        "_loading_until_ms",
         "_others",
         "_others_at_ms",
         "_suspect_until_ms",
@@ -44,6 +47,7 @@
         self._others_at_ms = 0
         self._suspect_until_ms = 0
         self._full_until_ms = 0
+        self._loading_until_ms = 0
         self._troubles = 0
 
     def __repr__(self) -> str:
@@ -54,6 +58,7 @@
         listed = _versions(entry)
         if listed != _versions(self.entry):
             self.version_by_model = listed
+            self._loading_until_ms = 0
         self.entry = entry
         self.gone_at_ms = None
 
@@ -87,9 +92,19 @@
         """Send nothing for a moment to a replica that took no request."""
         self._full_until_ms = now_ms + _FULL_MS
 
-    def on_loading(self, now_ms: int) -> None:
+    def on_loading(self, now_ms: int, for_ms: int = _LOADING_MS) -> None:
         """Send nothing for a while to a replica that loads weights."""
-        self._full_until_ms = now_ms + _LOADING_MS
+        until_ms = now_ms + for_ms
+        self._loading_until_ms = max(self._loading_until_ms, until_ms)
+
+    def on_loaded(self, model: str, version: int) -> None:
+        """Take word that a replica has loaded weights, before the list says so."""
+        self.version_by_model = {**self.version_by_model, model: version}
+        self._loading_until_ms = 0
+
+    def is_loading(self, now_ms: int) -> bool:
+        """Tell whether it probably loads weights."""
+        return now_ms < self._loading_until_ms
 
     def is_suspect(self, now_ms: int) -> bool:
         """Tell whether the last sends there failed."""
--- /dev/null
+++ b/fireflyward/weights/_news.py
@@ -0,0 +1,72 @@
+"""What the node that orders loads tells the others."""
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from fireflyward.clock import Clock
+from fireflyward.peers import PeerLink, load_structs
+from fireflyward.replicas import ReplicaDirectory
+
+_structs = load_structs(Path(__file__).parent, "weights")
+LoadingNews = _structs.LoadingNews
+LoadedNews = _structs.LoadedNews
+
+_LOADING, _LOADED = "loading", "loaded"
+
+
+class LoadNews:
+    """Sends and takes word of replicas that load weights.
+
+    Datagrams may be lost; a node that missed one learns it from the replica's
+    refusals and from the list, a second or two later.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        directory: ReplicaDirectory,
+        peer_addresses: Callable[[], list[tuple[str, int]]],
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._peer_addresses = peer_addresses
+        self._link: PeerLink | None = None
+
+    def use(self, link: PeerLink) -> None:
+        """Speak over a link from now on."""
+        self._link = link
+        link.register(_LOADING, LoadingNews, self._on_loading)
+        link.register(_LOADED, LoadedNews, self._on_loaded)
+
+    async def loading(
+        self, incarnation: str, model: str, version: int, for_ms: int
+    ) -> None:
+        """Tell everyone, this node included, that a replica is about to load."""
+        news = LoadingNews(
+            incarnation=incarnation, model=model, version=version, for_ms=for_ms
+        )
+        self._tell(_LOADING, news)
+        await self._on_loading("", news)
+
+    async def loaded(self, incarnation: str, model: str, version: int) -> None:
+        """Tell everyone that a replica has loaded."""
+        news = LoadedNews(incarnation=incarnation, model=model, version=version)
+        self._tell(_LOADED, news)
+        await self._on_loaded("", news)
+
+    def _tell(self, kind: str, news: Any) -> None:
+        if self._link is not None:
+            for address in self._peer_addresses():
+                self._link.send(address, kind, news)
+
+    async def _on_loading(self, sender: str, news: Any) -> None:
+        state = self._directory.find(news.incarnation)
+        if state is not None and state.entry.version_of(news.model) != news.version:
+            state.on_loading(self._clock.now_ms(), news.for_ms)
+
+    async def _on_loaded(self, sender: str, news: Any) -> None:
+        state = self._directory.find(news.incarnation)
+        if state is not None:
+            state.on_loaded(news.model, news.version)
--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -10,8 +10,8 @@
 # After this long without the new version an order is taken to be lost. A load
 # takes one to three seconds after the runs before it have ended.
 _LOST_AFTER_MS = 6_000
-# An order without an answer is looked into this soon.
-_LOOK_AFTER_MS = 700
+# A replica that could not be reached is tried again this soon.
+_AGAIN_AFTER_MS = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,15 +34,6 @@
     version: int
 
 
-@dataclass(slots=True)
-class Loading:
-    """An order that was given and is not seen to be done."""
-
-    version: int
-    since_ms: int
-    is_certain: bool
-
-
 class WeightPlan:
     """Keeps what was ordered under one claim; no I/O.
 
@@ -52,42 +43,44 @@
     ['r0']
     """
 
-    __slots__ = ("_loading_by_incarnation",)
+    __slots__ = ("_due_ms_by_incarnation",)
 
     def __init__(self) -> None:
-        self._loading_by_incarnation: dict[str, Loading] = {}
+        self._due_ms_by_incarnation: dict[str, int] = {}
 
     def next(
         self, now_ms: int, model: str, version: int, views: list[RolloutView]
     ) -> list[Order]:
         """Return the orders to give now, the least busy replicas first."""
-        self._settle(now_ms, version, views)
         behind = [view for view in views if view.version < version]
-        loading = [
-            view for view in behind if view.incarnation in self._loading_by_incarnation
-        ]
-        room = max(1, math.ceil(len(views) * _LOADING_SHARE)) - len(loading)
-        waiting = [view for view in behind if view not in loading]
+        waiting = [view for view in behind if self._is_free(now_ms, view.incarnation)]
+        loading = len(behind) - len(waiting)
+        room = max(1, math.ceil(len(views) * _LOADING_SHARE)) - loading
         waiting.sort(key=lambda view: view.load)
         return [
             Order(view.incarnation, view.address, model, version)
             for view in waiting[: max(0, room)]
         ]
 
-    def on_ordered(self, now_ms: int, order: Order, *, is_certain: bool) -> None:
-        """Note an order that was accepted, or of which no answer came."""
-        self._loading_by_incarnation[order.incarnation] = Loading(
-            order.version, now_ms, is_certain
-        )
+    def on_begun(self, now_ms: int, order: Order) -> None:
+        """Note that a replica is being ordered."""
+        self._due_ms_by_incarnation[order.incarnation] = now_ms + _LOST_AFTER_MS
+
+    def on_unreached(self, now_ms: int, order: Order) -> None:
+        """Note that a replica took no order; others are not held up by it."""
+        self._due_ms_by_incarnation[order.incarnation] = now_ms + _AGAIN_AFTER_MS
+
+    def on_done(self, order: Order) -> None:
+        """Note that a replica has the weights."""
+        self._due_ms_by_incarnation.pop(order.incarnation, None)
+
+    def is_loading(self, now_ms: int, order: Order) -> bool:
+        """Tell whether an order is still waited for."""
+        return not self._is_free(now_ms, order.incarnation)
 
     def forget(self) -> None:
         """Forget everything, as a new holder starts from the list alone."""
-        self._loading_by_incarnation.clear()
-
-    def _settle(self, now_ms: int, version: int, views: list[RolloutView]) -> None:
-        version_by_incarnation = {view.incarnation: view.version for view in views}
-        for name, loading in list(self._loading_by_incarnation.items()):
-            limit_ms = _LOST_AFTER_MS if loading.is_certain else _LOOK_AFTER_MS
-            done = version_by_incarnation.get(name, version) >= loading.version
-            if done or now_ms - loading.since_ms >= limit_ms:
-                del self._loading_by_incarnation[name]
+        self._due_ms_by_incarnation.clear()
+
+    def _is_free(self, now_ms: int, incarnation: str) -> bool:
+        return now_ms >= self._due_ms_by_incarnation.get(incarnation, 0)
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -9,13 +9,20 @@
 from fireflyward.platform import ReplicaApi
 from fireflyward.replicas import ReplicaDirectory
 
+from ._news import LoadNews
 from ._plan import Order, RolloutView, WeightPlan
 
 log = logging.getLogger("fireflyward.weights")
 
-_PERIOD_MS = 250
+_PERIOD_MS = 200
 _REPORT_MS = 400
 _ORDER_MS = 800
+# Time for the news to reach the other nodes before the replica turns away what
+# they send.
+_NEWS_MS = 40
+# How long others keep away from a replica of which no further word comes.
+_LOADING_MS = 5_000
+_LOOK_PERIOD_MS = 250
 # Runs that have begun end before the load: what they make afterwards would be
 # worth nothing, and cancelled ones are computed twice.
 _MODE = "wait"
@@ -38,6 +45,7 @@
         api: ReplicaApi,
         directory: ReplicaDirectory,
         weights: WeightBook,
+        news: LoadNews,
         node: str,
         lease_ms: int,
         slack_ms: int,
@@ -47,11 +55,13 @@
         self._api = api
         self._directory = directory
         self._weights = weights
+        self._news = news
         self._node = node
         self._lease_ms = lease_ms
         self._slack_ms = slack_ms
         self._plan = WeightPlan()
         self._may_order_at_ms = 0
+        self._loads: set[asyncio.Task[None]] = set()
 
     def on_change(self, change: Gained | Lost) -> None:
         """Hear of a lease gained or lost."""
@@ -72,7 +82,7 @@
         while True:
             await self._clock.sleep_ms(_PERIOD_MS)
             if self._fencing() is not None:
-                await self._order_due()
+                self._order_due()
 
     def _fencing(self) -> int | None:
         """Return the fencing token to order with, None if none may be given now."""
@@ -84,18 +94,20 @@
             return None
         return claim.fencing
 
-    async def _order_due(self) -> None:
+    def _order_due(self) -> None:
         now_ms = self._clock.now_ms()
-        orders = []
         for model, version in self._weights.targets().items():
             views = self._views(now_ms, model)
-            orders += self._plan.next(now_ms, model, version, views)
-        await asyncio.gather(*(self._give(order) for order in orders))
+            for order in self._plan.next(now_ms, model, version, views):
+                self._plan.on_begun(now_ms, order)
+                load = asyncio.create_task(self._load(order))
+                self._loads.add(load)
+                load.add_done_callback(self._loads.discard)
 
     def _views(self, now_ms: int, model: str) -> list[RolloutView]:
         views = []
         for state in self._directory.all():
-            version = state.entry.version_of(model)
+            version = state.version_by_model.get(model)
             if version is not None and not state.entry.is_leaving:
                 entry = state.entry
                 views.append(
@@ -105,22 +117,30 @@
                 )
         return views
 
-    async def _give(self, order: Order) -> None:
+    async def _load(self, order: Order) -> None:
+        """Order one replica and see it through."""
+        await self._news.loading(
+            order.incarnation, order.model, order.version, _LOADING_MS
+        )
+        await self._clock.sleep_ms(_NEWS_MS)
         report = await self._api.report(
             order.address, order.incarnation, limit_ms=_REPORT_MS
         )
         if report is None:
-            self._plan.on_ordered(self._clock.now_ms(), order, is_certain=False)
-            return
-        if (
-            report.is_loading
-            or report.version_by_model.get(order.model) == order.version
-        ):
-            self._plan.on_ordered(self._clock.now_ms(), order, is_certain=False)
+            self._plan.on_unreached(self._clock.now_ms(), order)
             return
+        has_it = report.version_by_model.get(order.model) == order.version
+        if not has_it and not report.is_loading:
+            if not await self._order(order, report.orders):
+                self._plan.on_unreached(self._clock.now_ms(), order)
+                return
+        await self._see_through(order)
+
+    async def _order(self, order: Order, orders_seen: int) -> bool:
+        """Give the order; return False if the replica surely has not taken it."""
         fencing = self._fencing()
         if fencing is None:
-            return
+            return False
         result = await self._api.order_weights(
             order.address,
             order.incarnation,
@@ -129,7 +149,7 @@
             mode=_MODE,
             holder=self._node,
             fencing=fencing,
-            orders_seen=report.orders,
+            orders_seen=orders_seen,
             limit_ms=_ORDER_MS,
         )
         log.info(
@@ -140,7 +160,18 @@
             fencing,
             result.detail,
         )
-        if result.is_accepted or not result.is_known:
-            self._plan.on_ordered(
-                self._clock.now_ms(), order, is_certain=result.is_accepted
+        return result.is_accepted or not result.is_known
+
+    async def _see_through(self, order: Order) -> None:
+        """Look at the replica's reports until it has the weights."""
+        while self._plan.is_loading(self._clock.now_ms(), order):
+            await self._clock.sleep_ms(_LOOK_PERIOD_MS)
+            report = await self._api.report(
+                order.address, order.incarnation, limit_ms=_REPORT_MS
             )
+            if report is None or report.is_loading:
+                continue
+            if report.version_by_model.get(order.model) == order.version:
+                await self._news.loaded(order.incarnation, order.model, order.version)
+                self._plan.on_done(order)
+                return
