--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -116,7 +116,12 @@
             self._listener.close()
 
     async def drain(self, limit_ms: float) -> None:
-        """Close idle connections, and each other one after its response."""
+        """Close idle connections, and each other one after its response.
+
+        Marked first, an idle connection ends at once. Otherwise it would stay open
+        until the limit without being read, and a request sent on it be lost.
+        """
+        self._server.pre_shutdown()
         await self._server.shutdown(limit_ms / 1_000)
 
     def close_if_stopping(self, response: StreamResponse) -> None:
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -38,6 +38,7 @@
         on_configuration: Callable[[Configuration], None],
     ) -> None:
         self._on_configuration = on_configuration
+        self._has_begun = False
         self._clock = clock
         self._routes = routes
         self._weights = weights
@@ -46,14 +47,15 @@
         """Put newer rows in force and note how fresh the configuration is."""
         for row in news.rows:
             try:
-                self._take(row)
+                self._take(row, at_start=not self._has_begun)
             except msgspec.MsgspecError as error:
                 # The store takes only valid rows, so this one is of a newer
                 # format; what is in force stays.
                 log.error("views: row %s is not understood: %s", row.key, error)
+        self._has_begun = True
         self._routes.confirm(news.as_of_ms)
 
-    def _take(self, row: TableRow) -> None:
+    def _take(self, row: TableRow, *, at_start: bool) -> None:
         if row.is_deleted:
             return
         if row.key == CONFIGURATION_KEY:
@@ -63,7 +65,8 @@
                 self._on_configuration(configuration)
         elif row.key.startswith(WEIGHTS_PREFIX):
             target = decode_weight_target(row.value)
-            if self._weights.take(self._clock.now_ms(), target):
+            now_ms = self._clock.now_ms()
+            if self._weights.take(now_ms, target, at_start=at_start):
                 log.info("views: %s named for %s", target.version, target.model)
 
 
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -399,7 +399,7 @@
             prompt_tokens=caller.prompt_tokens,
             model=caller.model,
             version=self._owner._weights.newest(caller.model),
-            only_newest=self._owner._weights.only_newest(now_ms, caller.model),
+            least_version=self._owner._weights.least(now_ms, caller.model),
         )
 
     def _headers(self, choice: Choice) -> ReplicaHeaders:
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -38,7 +38,7 @@
 
     ``prefix_key`` names the part of the prompt that other requests share and
     ``prefix_tokens`` is how much of the prompt lies under it. ``version`` is the
-    newest version of the weights; with ``only_newest`` no other may serve.
+    newest version of the weights and ``least_version`` the oldest that may serve.
     """
 
     service: str
@@ -47,7 +47,7 @@
     prompt_tokens: int = 0
     model: str = ""
     version: int | None = None
-    only_newest: bool = False
+    least_version: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,4 +157,4 @@
     known = state.version_by_model.get(wanted.model)
     if known is None:
         return False
-    return not wanted.only_newest or known == wanted.version
+    return known >= wanted.least_version
