--- /dev/null
+++ b/tests/feeds/test_follower.py
@@ -0,0 +1,103 @@
+"""Following a table through changes, gaps, outages and copies that lag."""
+
+import unittest
+
+from fireflyward.backing import Unavailable
+from fireflyward.clock import ManualClock
+from fireflyward.feeds import (
+    Changes,
+    FeedFollower,
+    HistoryLost,
+    Snapshot,
+    TableRow,
+)
+
+ROW = TableRow("k", b"1", 4)
+
+
+class Reader:
+    """Answers what it is given, and keeps what it was asked."""
+
+    def __init__(self, clock, *answers):
+        self.clock = clock
+        self.answers = list(answers)
+        self.asked = []
+        self.takes_ms = 0
+
+    async def rows(self, table, *, part="", limit_ms=1_000):
+        self.asked.append("rows")
+        return await self._next()
+
+    async def changes(self, table, *, after, wait_ms, limit_ms):
+        self.asked.append(after)
+        return await self._next()
+
+    async def _next(self):
+        self.clock._now_ms += self.takes_ms
+        return self.answers.pop(0)
+
+
+class FollowerTests(unittest.IsolatedAsyncioTestCase):
+    def follow(self, *answers):
+        self.clock = ManualClock(1_000)
+        self.news = []
+        self.reader = Reader(self.clock, *answers)
+        return FeedFollower(
+            "t",
+            reader=self.reader,
+            clock=self.clock,
+            on_news=self.news.append,
+            wait_ms=100,
+        )
+
+    async def test_whole_first_and_changes_after(self):
+        follower = self.follow(Snapshot((ROW,), 4), Changes((), 6), Changes((ROW,), 9))
+        for _ in range(3):
+            await follower.step()
+        self.assertEqual(self.reader.asked, ["rows", 4, 6])
+        self.assertEqual([news.is_whole for news in self.news], [True, False, False])
+
+    async def test_a_gap_is_read_anew(self):
+        follower = self.follow(Snapshot((), 4), HistoryLost(), Snapshot((ROW,), 20))
+        for _ in range(3):
+            await follower.step()
+        self.assertEqual(self.reader.asked, ["rows", 4, "rows"])
+        self.assertTrue(self.news[-1].is_whole)
+
+    async def test_a_copy_that_lags_is_not_believed(self):
+        """Symptom: a withdrawn key serves again for a second.
+
+        The history is lost, and the table is then read from a copy of the store
+        that is behind what this node has already seen.
+        """
+        follower = self.follow(Snapshot((), 9), HistoryLost(), Snapshot((ROW,), 7))
+        await follower.step()
+        await follower.step()
+        with self.assertLogs("fireflyward.feeds", "WARNING"):
+            self.assertFalse(await follower.step())
+        self.assertEqual(len(self.news), 1)
+
+    async def test_age_counts_from_the_call_and_not_from_the_answer(self):
+        """Symptom: a key is accepted longer after its withdrawal than promised.
+
+        An answer with changes was made at any moment after the call; taking the
+        time of its arrival would count a slow way as freshness.
+        """
+        follower = self.follow(Snapshot((), 4), Changes((ROW,), 5), Changes((), 5))
+        self.reader.takes_ms = 700
+        await follower.step()
+        self.assertEqual(follower.as_of_ms, 1_000)
+        await follower.step()
+        self.assertEqual(follower.as_of_ms, 1_700)
+        await follower.step()
+        self.assertEqual(follower.as_of_ms, 2_400 + 100)
+
+    async def test_an_outage_is_told_with_its_length(self):
+        follower = self.follow(Snapshot((), 4), Unavailable("x"), Changes((), 4))
+        await follower.step()
+        self.clock._now_ms += 3_000
+        with self.assertLogs("fireflyward.feeds", "WARNING"):
+            await follower.step()
+        await follower.step()
+        self.assertGreaterEqual(self.news[-1].away_ms, 3_000)
+        self.assertEqual(self.news[0].away_ms, 0)
--- /dev/null
+++ b/tests/platform/test_configuration.py
@@ -0,0 +1,82 @@
+"""Rows of the operator and of replicas, decoded into facts."""
+
+import json
+import unittest
+
+import msgspec
+
+from fireflyward.deployment import RouteKind
+from fireflyward.platform import (
+    decode_configuration,
+    decode_replica,
+    decode_weight_target,
+)
+from tests.platform_standins import CONFIGURATION
+
+
+class ConfigurationTests(unittest.TestCase):
+    def decode(self, **changes):
+        return decode_configuration(json.dumps({**CONFIGURATION, **changes}).encode())
+
+    def test_routes_services_and_accounts(self):
+        configuration = self.decode()
+        stream, safe, unsafe = configuration.routes
+        self.assertIs(stream.kind, RouteKind.STREAM)
+        self.assertTrue(stream.may_repeat)
+        self.assertTrue(safe.may_repeat)
+        self.assertFalse(unsafe.may_repeat)
+        self.assertEqual(stream.shares[0].service, "engines")
+        self.assertEqual(configuration.service_by_name["engines"].engine.slots, 4)
+        self.assertEqual(configuration.accounts[0].keys, ("key-1", "key-2"))
+
+    def test_a_stream_that_may_not_be_resumed_may_not_be_repeated(self):
+        route = {**CONFIGURATION["routes"][0], "resumable": False}
+        self.assertFalse(self.decode(routes=[route]).routes[0].may_repeat)
+
+    def test_an_unknown_kind_runs_once_at_most(self):
+        route = {**CONFIGURATION["routes"][1], "kind": "novel"}
+        with self.assertLogs("fireflyward.platform", "WARNING"):
+            configuration = self.decode(routes=[route])
+        self.assertFalse(configuration.routes[0].may_repeat)
+
+    def test_a_store_of_kv_cache_is_no_service_with_replicas(self):
+        store = {
+            "name": "kv",
+            "kv-store-addr": "10.0.0.9:80",
+            "zone": "b",
+            "kv-capacity-tokens": 64,
+            "managed": True,
+            "first_ms": 0.5,
+        }
+        service = self.decode(services=[store]).service_by_name["kv"]
+        self.assertEqual(service.kv_store.address, "10.0.0.9:80")
+        self.assertEqual(service.kv_store.first_byte_ms, 0.5)
+        self.assertTrue(service.kv_store.drops_nothing)
+
+    def test_without_accounts_no_key_is_needed(self):
+        self.assertIsNone(self.decode(tenants=None).accounts)
+
+    def test_what_is_no_configuration_is_refused(self):
+        with self.assertRaises(msgspec.MsgspecError):
+            decode_configuration(b'{"version": "seven"}')
+
+
+class RowTests(unittest.TestCase):
+    def test_replica(self):
+        value = {
+            "service": "s",
+            "address": "10.0.0.2:80",
+            "zone": "a",
+            "version": "v9",
+            "slots": 8,
+            "state": "draining",
+            "models": [{"name": "m", "version": 3, "adapters": []}],
+        }
+        entry = decode_replica("i-1", json.dumps(value).encode())
+        self.assertTrue(entry.is_leaving)
+        self.assertEqual(entry.version_of("m"), 3)
+        self.assertIsNone(entry.version_of("other"))
+
+    def test_weights(self):
+        target = decode_weight_target(b'{"model": "m", "version": 2}')
+        self.assertEqual((target.model, target.version), ("m", 2))
--- /dev/null
+++ b/tests/platform/test_names.py
@@ -0,0 +1,59 @@
+"""The platform's names stay in their folder, and nothing in it decides."""
+
+import ast
+import re
+import unittest
+from pathlib import Path
+
+_PACKAGE = Path(__file__).parents[2] / "fireflyward"
+_FOLDER = _PACKAGE / "platform"
+# Headers, calls and fields that nobody but this platform uses. Names that the
+# product's own interface has too (X-Request-Id, X-Deadline-Ms) are not among them.
+_WIRE_NAMES = re.compile(
+    r"X-Server-Seal|X-Server-Load|X-Expect-|X-Instance-Id|X-Not-Executed"
+    r"|X-Tenant|X-Kv-|X-Prompt-Prefix|X-Token-Usage|X-Cache-Salt|X-Weight-Versions"
+    r"|X-Request-Priority|rows-tx|rows-get|rows-feed|rows-parts|kv-events"
+    r"|kv-list|kv-free|api-keys|traffic-split|max-attempts|target-latency|gap-target"
+    r"|/-/order|/-/report|/-/readyz|FIREFLYWARD_BOOT",
+    re.IGNORECASE,
+)
+_DECIDING = (
+    "admin",
+    "bundles",
+    "feeds._follower",
+    "forwarding",
+    "kept",
+    "leases",
+    "limits",
+    "membership",
+    "placement",
+    "replicas",
+    "retries",
+    "rollout",
+    "routes",
+    "routing",
+    "runs",
+    "weights",
+)
+
+
+class NamesTests(unittest.TestCase):
+    def test_no_wire_name_stands_outside_the_folder(self):
+        found = []
+        for path in _PACKAGE.rglob("*.py"):
+            if _FOLDER in path.parents:
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if _WIRE_NAMES.search(line):
+                    found.append(f"{path.relative_to(_PACKAGE)}:{number}: {line}")
+        self.assertEqual(found, [])
+
+    def test_the_folder_imports_no_slice_that_decides(self):
+        found = []
+        for path in _FOLDER.rglob("*.py"):
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.ImportFrom) and node.module:
+                    slice_name = node.module.removeprefix("fireflyward.")
+                    if slice_name.startswith(_DECIDING):
+                        found.append(f"{path.name}: {node.module}")
+        self.assertEqual(found, [])
--- /dev/null
+++ b/tests/platform/test_store.py
@@ -0,0 +1,92 @@
+"""The store's client: each way in which a call can end has its own value."""
+
+import unittest
+
+from fireflyward.backing import Committed, Conflict, Missing, Unavailable, Uncertain
+from fireflyward.clock import Clock
+from fireflyward.feeds import HistoryLost
+from fireflyward.platform import LeaseTable, StoreClient
+from tests.platform_standins import StoreManner, StoreStandIn
+
+
+class StoreTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.store = StoreStandIn(page_rows=2)
+        address = await self.store.start()
+        self.client = StoreClient(address, clock=Clock())
+
+    async def asyncTearDown(self):
+        self.client.close()
+        await self.store.stop()
+
+    async def write(self, expected=0):
+        return await self.client.write(
+            table="t",
+            part="",
+            expected={"k": expected},
+            puts={"k": b"v"},
+            limit_ms=300,
+        )
+
+    async def test_all_pages_are_read(self):
+        for number in range(5):
+            self.store.put("t", f"k{number}", b"%d" % number)
+        found = await self.client.rows("t")
+        self.assertEqual(
+            [row.value for row in found.rows], [b"0", b"1", b"2", b"3", b"4"]
+        )
+
+    async def test_feed_gives_changes_and_removals(self):
+        self.store.put("t", "a", b"1")
+        self.store.remove("t", "a")
+        changes = await self.client.changes("t", after=0, wait_ms=0, limit_ms=500)
+        self.assertEqual([row.is_deleted for row in changes.rows], [False, True])
+        self.assertEqual(changes.version, 2)
+
+    async def test_lost_history(self):
+        self.store.manner = StoreManner.FORGETS
+        result = await self.client.changes("t", after=0, wait_ms=0, limit_ms=500)
+        self.assertEqual(result, HistoryLost())
+
+    async def test_a_condition_that_fails_is_a_conflict(self):
+        self.assertEqual(await self.write(), Committed({"k": 1}))
+        self.assertEqual(await self.write(), Conflict({"k": 1}))
+
+    async def test_refusals_did_nothing(self):
+        for manner in (StoreManner.BUSY, StoreManner.TOO_MANY):
+            self.store.manner = manner
+            self.assertIsInstance(await self.write(), Unavailable)
+            self.assertIsInstance(await self.client.rows("t"), Unavailable)
+        self.assertIsNone(self.store.value("t", "k"))
+
+    async def test_a_lost_answer_leaves_a_write_uncertain(self):
+        self.store.manner = StoreManner.LOSES_ANSWERS
+        self.assertIsInstance(await self.write(), Uncertain)
+        self.assertEqual(self.store.value("t", "k"), b"v")
+
+    async def test_silence_ends_and_the_next_call_has_a_new_connection(self):
+        """Symptom: a node believes an old configuration although the store is well.
+
+        A connection went silent for good. Calls that go on using it, or others
+        that lie idle since then, hang until their limit one after the other.
+        """
+        await self.client.rows("t")
+        self.store.manner = StoreManner.SILENT
+        result = await self.client.rows("t", limit_ms=100)
+        self.assertIsInstance(result, Unavailable)
+        self.store.manner = StoreManner.WELL
+        before = self.store.connections
+        await self.client.rows("t", limit_ms=500)
+        self.assertEqual(self.store.connections, before + 1)
+
+    async def test_nobody_listens(self):
+        await self.store.stop()
+        self.assertIsInstance(await self.client.rows("t"), Unavailable)
+
+    async def test_rows_of_leases(self):
+        table = LeaseTable(self.client)
+        self.assertEqual(await table.get("lease/x"), Missing("lease/x"))
+        result = await table.commit(expected={"lease/x": 0}, puts={"lease/x": b"1"})
+        self.assertIsInstance(result, Committed)
+        row = await table.get("lease/x")
+        self.assertEqual((row.value, row.version), (b"1", 1))
--- /dev/null
+++ b/tests/platform_standins/__init__.py
@@ -0,0 +1,21 @@
+"""Small stand-ins of the users' platform: its store, its replicas, its operator.
+
+They speak the published protocol over loopback sockets and misbehave on demand.
+"""
+
+from ._http import RawRequest, RawServer
+from ._operator import CONFIGURATION, Operator, settings_text
+from ._replica import Manner, ReplicaStandIn
+from ._store import StoreManner, StoreStandIn
+
+__all__ = [
+    "CONFIGURATION",
+    "Manner",
+    "Operator",
+    "RawRequest",
+    "RawServer",
+    "ReplicaStandIn",
+    "StoreManner",
+    "StoreStandIn",
+    "settings_text",
+]
--- /dev/null
+++ b/tests/platform_standins/_http.py
@@ -0,0 +1,111 @@
+"""A server that writes just the bytes that it is told to write."""
+
+import asyncio
+import json
+import socket
+import struct
+from dataclasses import dataclass, field
+from urllib.parse import parse_qs, urlsplit
+
+
+@dataclass
+class RawRequest:
+    """One request as it stood on the wire."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes = b""
+    query: dict[str, str] = field(default_factory=dict)
+    path: str = ""
+
+    def json(self):
+        return json.loads(self.body)
+
+
+class RawServer:
+    """Reads requests and has ``answer`` write to the connection.
+
+    ``answer`` returns False to end the connection.
+    """
+
+    def __init__(self):
+        self.requests = []
+        self.connections = 0
+        self._server = None
+        self._writers = set()
+        self._tasks = set()
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return self.address
+
+    @property
+    def address(self):
+        host, port = self._server.sockets[0].getsockname()[:2]
+        return f"{host}:{port}"
+
+    async def stop(self):
+        self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def answer(self, request, writer):
+        """Write an answer; each stand-in has its own."""
+
+    async def _serve(self, reader, writer):
+        self.connections += 1
+        self._writers.add(writer)
+        task = asyncio.current_task()
+        self._tasks.add(task)
+        try:
+            while (request := await _read(reader)) is not None:
+                self.requests.append(request)
+                if await self.answer(request, writer) is False:
+                    break
+                await writer.drain()
+        except (ConnectionError, asyncio.CancelledError):
+            writer.transport.abort()
+        finally:
+            self._writers.discard(writer)
+            self._tasks.discard(task)
+            writer.close()
+
+
+def reset(writer):
+    """End a connection with a reset in place of a clean close."""
+    raw = writer.get_extra_info("socket")
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.close()
+
+
+def response(status, body=b"", headers=(), reason="X"):
+    """Return the bytes of a response with a length."""
+    lines = [f"HTTP/1.1 {status} {reason}", f"Content-Length: {len(body)}"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def json_response(value, status=200):
+    body = json.dumps(value).encode()
+    return response(status, body, [("Content-Type", "application/json")])
+
+
+async def _read(reader):
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except (asyncio.IncompleteReadError, ConnectionError):
+        return None
+    first, *lines = head.decode("latin-1").rstrip().split("\r\n")
+    method, target, _ = first.split(" ")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    parts = urlsplit(target)
+    query = {key: values[0] for key, values in parse_qs(parts.query).items()}
+    return RawRequest(method, target, headers, body, query, parts.path)
--- /dev/null
+++ b/tests/platform_standins/_replica.py
@@ -0,0 +1,162 @@
+"""A replica: a plain service, or a model engine with streams and weights."""
+
+import asyncio
+import enum
+import json
+
+from ._http import RawServer, json_response, reset, response
+
+SIGNATURE = ("X-Server-Seal", "3e1b.07.5a2")
+
+
+class Manner(enum.Enum):
+    """How a replica answers the next requests."""
+
+    WELL = "well"
+    FULL = "full"
+    FAILS = "fails"
+    RESETS = "resets"
+    CUTS = "cuts"
+    CUTS_STREAM = "cuts stream"
+    ANSWERS_ANOTHER = "answers another"
+    ADDS_ANSWER = "adds an answer"
+    UNSIGNED = "unsigned"
+    UNFRAMED = "unframed"
+    UNFRAMED_RESET = "unframed, reset"
+    SILENT = "silent"
+    SAYS_503 = "says 503 without saying that nothing ran"
+
+
+class ReplicaStandIn(RawServer):
+    """Runs what it is sent and keeps it in ``ran``.
+
+    ``manners`` are used up one a request; then it answers well.
+    """
+
+    def __init__(self, incarnation, *, model=None, version=1, events=4, pause_s=0.0):
+        super().__init__()
+        self.incarnation = incarnation
+        self.model = model
+        self.version = version
+        self.ran = []
+        self.orders = []
+        self.manners = []
+        self.left_early = 0
+        self.loading_s = 0.0
+        self._events = events
+        self._pause_s = pause_s
+
+    def entry(self, service, state="ready", zone="a"):
+        """Return the row that this replica keeps of itself."""
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        value = {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 4,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "models": models if self.model else [],
+            "sequence": 1,
+        }
+        return json.dumps(value).encode()
+
+    async def answer(self, request, writer):
+        if request.path == "/-/report":
+            models = [{"name": self.model, "version": self.version, "adapters": []}]
+            body = {"models": models, "busy": False, "sequence": len(self.orders)}
+            writer.write(json_response(body))
+            return True
+        if request.path == "/-/order":
+            self.orders.append(request.json())
+            asyncio.get_running_loop().call_later(
+                self.loading_s, self._load, request.json()["version"]
+            )
+            writer.write(response(202))
+            return True
+        return await self._run(request, writer)
+
+    def _load(self, version):
+        self.version = version
+
+    async def _run(self, request, writer):
+        headers = request.headers
+        if headers.get("x-expect-instance") not in (None, self.incarnation):
+            writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
+            return True
+        if headers.get("x-expect-version", str(self.version)) != str(self.version):
+            writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
+            return True
+        manner = self.manners.pop(0) if self.manners else Manner.WELL
+        if manner is Manner.FULL:
+            writer.write(response(503, headers=[("X-Not-Executed", "1")]))
+            return True
+        self.ran.append(request)
+        own = [("X-Request-Id", headers["x-request-id"]), SIGNATURE]
+        if self.model:
+            return await self._stream(request, writer, manner, own)
+        return await self._plain(request, writer, manner, own)
+
+    async def _plain(self, request, writer, manner, own):
+        body = b"answer of " + self.incarnation.encode()
+        if manner is Manner.SILENT:
+            await asyncio.sleep(3_600)
+        if manner is Manner.RESETS:
+            reset(writer)
+            return False
+        if manner is Manner.FAILS:
+            writer.write(response(500, headers=own))
+        elif manner is Manner.SAYS_503:
+            writer.write(response(503, headers=own))
+        elif manner is Manner.CUTS:
+            writer.write(response(200, body, own)[:-3])
+            return False
+        elif manner is Manner.ANSWERS_ANOTHER:
+            other = [("X-Request-Id", "another"), SIGNATURE]
+            writer.write(response(200, b"of another", other))
+        elif manner is Manner.UNSIGNED:
+            writer.write(response(200, body, own[:1]))
+        elif manner in (Manner.UNFRAMED, Manner.UNFRAMED_RESET):
+            lines = [f"{name}: {value}" for name, value in own]
+            head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""])
+            writer.write(head.encode() + body)
+            await writer.drain()
+            if manner is Manner.UNFRAMED_RESET:
+                await asyncio.sleep(0.05)
+                reset(writer)
+            return False
+        else:
+            writer.write(response(200, body, own))
+            if manner is Manner.ADDS_ANSWER:
+                await asyncio.sleep(0.02)
+                writer.write(response(200, b"nobody's", own))
+        return True
+
+    async def _stream(self, request, writer, manner, own):
+        lines = [f"{name}: {value}" for name, value in own]
+        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
+        if manner is Manner.RESETS:
+            reset(writer)
+            return False
+        writer.write(head)
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, self._events + 1):
+            await asyncio.sleep(self._pause_s)
+            if writer.transport.is_closing():
+                self.left_early += 1
+                return False
+            event = f"id: {number}\ndata: {self.incarnation}\n\n".encode()
+            if manner is Manner.CUTS_STREAM and number == first + 1:
+                writer.write(_chunk(event[:-5]))
+                await writer.drain()
+                return False
+            writer.write(_chunk(event))
+            await writer.drain()
+        writer.write(b"0\r\n\r\n")
+        return True
+
+
+def _chunk(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
--- /dev/null
+++ b/tests/platform_standins/_store.py
@@ -0,0 +1,126 @@
+"""The platform's store: rows, transactions, the feed."""
+
+import asyncio
+import base64
+import enum
+
+from ._http import RawServer, json_response, response
+
+_PAGE_ROWS = 500
+
+
+class StoreManner(enum.Enum):
+    """How the store answers."""
+
+    WELL = "well"
+    BUSY = "busy"
+    TOO_MANY = "too many"
+    SILENT = "silent"
+    LOSES_ANSWERS = "loses answers"
+    FORGETS = "forgets"
+
+
+class StoreStandIn(RawServer):
+    """Keeps rows in memory; ``put`` is the operator's and the replicas' way in."""
+
+    def __init__(self, page_rows=_PAGE_ROWS):
+        super().__init__()
+        self.manner = StoreManner.WELL
+        self.version = 0
+        self._rows = {}
+        self._log = []
+        self._page_rows = page_rows
+        self._changed = asyncio.Event()
+
+    def put(self, table, key, value, part=""):
+        self.version += 1
+        row = self._row(table, part, key, base64.b64encode(value).decode())
+        self._rows[table, part, key] = row
+        self._note(row)
+
+    def remove(self, table, key, part=""):
+        self.version += 1
+        self._rows.pop((table, part, key), None)
+        self._note({**self._row(table, part, key, ""), "deleted": True})
+
+    def value(self, table, key, part=""):
+        row = self._rows.get((table, part, key))
+        return None if row is None else base64.b64decode(row["value"])
+
+    async def answer(self, request, writer):
+        manner = self.manner
+        if manner is StoreManner.SILENT:
+            await asyncio.sleep(3_600)
+        if manner is StoreManner.BUSY:
+            writer.write(response(503))
+            return True
+        if manner is StoreManner.TOO_MANY:
+            writer.write(response(429))
+            return True
+        answer = await self._call(request)
+        if manner is StoreManner.LOSES_ANSWERS and request.method == "POST":
+            return False
+        writer.write(answer)
+        return True
+
+    async def _call(self, request):
+        if request.path == "/-/rows-tx":
+            return self._transact(request.json())
+        if request.path == "/-/rows-get":
+            return self._get(request.query)
+        if request.path == "/-/rows-feed":
+            return await self._feed(request.query)
+        return response(404)
+
+    def _transact(self, body):
+        for wanted in body["expected-revision"]:
+            place = wanted["table"], wanted["part"], wanted["key"]
+            if self._rows.get(place, {"ver": 0})["ver"] != wanted["ver"]:
+                rows = [self._rows[place]] if place in self._rows else []
+                return json_response({"rows": rows, **self._now()}, 412)
+        for write in body["writes"]:
+            value = base64.b64decode(write["value"])
+            self.put(write["table"], write["key"], value, write["part"])
+        for removed in body["remove"]:
+            self.remove(removed["table"], removed["key"], removed["part"])
+        return json_response(self._now())
+
+    def _get(self, query):
+        table, part = query["table"], query.get("part", "")
+        rows = [
+            row
+            for place, row in sorted(self._rows.items())
+            if place[:2] == (table, part) and place[2] >= query.get("from", "")
+        ]
+        page = rows[: self._page_rows]
+        more = len(rows) > len(page)
+        return json_response({"rows": page, "has-more": more, **self._now()})
+
+    async def _feed(self, query):
+        if self.manner is StoreManner.FORGETS:
+            return response(410)
+        table, after = query["table"], int(query["after"])
+        due = asyncio.get_running_loop().time() + int(query.get("wait-ms", 0)) / 1_000
+        while True:
+            rows = [
+                row for row in self._log if row["table"] == table and row["ver"] > after
+            ]
+            left = due - asyncio.get_running_loop().time()
+            if rows or left <= 0:
+                return json_response({"rows": rows, **self._now()})
+            self._changed.clear()
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+    def _row(self, table, part, key, value):
+        where = {"table": table, "part": part, "key": key}
+        return {**where, "value": value, "ver": self.version}
+
+    def _note(self, row):
+        self._log.append(row)
+        self._changed.set()
+
+    def _now(self):
+        return {"ver": self.version, "now-ms": 0}
