--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -98,13 +98,14 @@
         self._is_stopping = False
         self.in_flight = 0
 
-    async def listen(self, address: str) -> None:
-        """Accept connections at ``IP:PORT``."""
+    async def listen(self, address: str) -> str:
+        """Accept connections at ``IP:PORT``; return that with the real port."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
             self._server, host, int(port), backlog=1_024
         )
+        return address_of(self._listener)
 
     def begin_stop(self) -> None:
         """Ask callers from now on to open their next connection elsewhere."""
@@ -203,10 +204,11 @@
         if isinstance(outcome, Answered):
             return reply.response
         if reply.response is not None:
-            # Without the end mark the caller sees that its stream is not whole.
+            # Without the end mark the caller sees that its stream is not whole; on
+            # a closing connection none is written.
             if request.transport is not None:
                 request.transport.close()
-            raise ConnectionResetError("stream is not whole")
+            return reply.response
         request_id = caller.request_id if isinstance(caller, CallerRequest) else None
         response = Response(
             status=status_of(outcome),
@@ -253,6 +255,12 @@
         )
 
 
+def address_of(listener: asyncio.Server) -> str:
+    """Return ``IP:PORT`` of a listener."""
+    host, port = listener.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
+
+
 async def _up_to(request: BaseRequest, limit: int) -> bytes:
     parts, size = [], 0
     async for part in request.content.iter_any():
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import os
+from collections.abc import Awaitable, Callable, Coroutine
 
 from aiohttp import web_server
 from aiohttp.web_request import BaseRequest
@@ -36,7 +37,7 @@
 from fireflyward.routes import RouteTable
 from fireflyward.weights import LoadNews, WeightTask
 
-from ._callers import CallerDoor
+from ._callers import CallerDoor, address_of
 from ._peers import NodeRow, PeerRegister
 from ._views import OperatorView, ReplicaView
 
@@ -54,6 +55,7 @@
 # What is kept of the grace for the last writes.
 _EXIT_MARGIN_MS = 500
 _LEASE = "weights"
+_Answer = Callable[[BaseRequest], Awaitable[Response]]
 _METRICS_PORT_OFFSET = 1
 _METRICS_PATH = "/metrics"
 
@@ -61,7 +63,14 @@
 class FleetNode:
     """Starts the parts in order, and stops them in the other."""
 
-    def __init__(self, settings: FleetSettings, *, clock: Clock) -> None:
+    def __init__(
+        self,
+        settings: FleetSettings,
+        *,
+        clock: Clock,
+        noticed_ms: int = _NOTICED_MS,
+    ) -> None:
+        self._noticed_ms = noticed_ms
         bounds = settings.bounds
         self._settings = settings
         self._clock = clock
@@ -79,12 +88,7 @@
             extra=bounds.retry_extra,
             window_ms=bounds.retry_window_ms,
         )
-        self._peers = PeerRegister(
-            self._store,
-            settings.node,
-            NodeRow(settings.ip, settings.peer_ports[0]),
-            clock=clock,
-        )
+        self._peers = PeerRegister(self._store, settings.node)
         self._planner = PartPlanner()
         self._api = ReplicaApi(self._pool, clock=clock)
         self._news = LoadNews(
@@ -146,7 +150,11 @@
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._follower_by_address: dict[str, asyncio.Task[None]] = {}
+        self._listeners: list[asyncio.Server] = []
+        self._servers: list[web_server.Server] = []
         self._is_stopping = False
+        self.callers_address = ""
+        self.readiness_address = ""
 
     @property
     def is_ready(self) -> bool:
@@ -161,10 +169,13 @@
     async def start(self) -> None:
         """Listen, and follow the store."""
         settings = self._settings
-        await self._listen(settings.readiness_address, self._answer_readiness)
-        port = settings.peer_ports[0] + _METRICS_PORT_OFFSET
+        self.readiness_address = await self._listen(
+            settings.readiness_address, self._answer_readiness
+        )
+        port = settings.peer_ports[0]
+        port += _METRICS_PORT_OFFSET if port else 0
         await self._listen(f"{settings.ip}:{port}", self._answer_metrics)
-        await self._door.listen(settings.callers_address)
+        self.callers_address = await self._door.listen(settings.callers_address)
         runs = [follower.run() for follower in self._followers]
         runs += [self._lease.run(), self._weight_task.run(), self._count_peers()]
         self._tasks = [asyncio.create_task(self._guarded(run)) for run in runs]
@@ -182,15 +193,26 @@
         self._door.begin_stop()
         log.info("node: stopping, %d requests in flight", self._door.in_flight)
         handing_over = asyncio.create_task(self._lease.hand_over())
-        await self._clock.sleep_ms(_NOTICED_MS)
+        await self._clock.sleep_ms(self._noticed_ms)
         self._door.close_listener()
         await self._door.drain(end_ms - self._clock.now_ms())
-        handing_over.cancel()
-        for task in [*self._tasks, *self._follower_by_address.values()]:
+        tasks = [handing_over, *self._tasks, *self._follower_by_address.values()]
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._close()
+        log.info("node: stopped, %d requests in flight", self._door.in_flight)
+
+    async def _close(self) -> None:
+        for listener in self._listeners:
+            listener.close()
+        for server in self._servers:
+            server.pre_shutdown()
+            await server.shutdown(0)
+        if self._link is not None:
+            await self._link.stop()
         self._pool.close()
         self._store.close()
-        log.info("node: stopped, %d requests in flight", self._door.in_flight)
 
     def _make_forwarder(self) -> Forwarder:
         return Forwarder(
@@ -239,6 +261,7 @@
         self._news.use(link)
         await link.start()
         self._link = link
+        self._peers.announce(NodeRow(*link.address))
         telling = self._guarded(self._pending_task.run(link))
         self._tasks.append(asyncio.create_task(telling))
 
@@ -259,7 +282,7 @@
                 self._guarded(follower.run())
             )
 
-    async def _guarded(self, run) -> None:
+    async def _guarded(self, run: Coroutine[None, None, None]) -> None:
         """End the process if one of its tasks ends by a fault of the program.
 
         A node without its feed would go on by an ever older configuration; one
@@ -271,11 +294,15 @@
             log.exception("node: a task failed, so the process ends")
             os._exit(3)
 
-    async def _listen(self, address: str, answer) -> None:
+    async def _listen(self, address: str, answer: _Answer) -> str:
+        """Answer requests at ``IP:PORT``; return the address with the real port."""
         host, _, port = address.rpartition(":")
         server = web_server.Server(answer, access_log=None)
         loop = asyncio.get_running_loop()
-        await loop.create_server(server, host, int(port))
+        listener = await loop.create_server(server, host, int(port))
+        self._listeners.append(listener)
+        self._servers.append(server)
+        return address_of(listener)
 
     async def _answer_readiness(self, request: BaseRequest) -> Response:
         if request.path != READINESS_PATH:
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from fireflyward.backing import Unavailable
-from fireflyward.clock import Clock
 from fireflyward.platform import StoreClient
 
 log = logging.getLogger("fireflyward.peers")
@@ -17,6 +16,7 @@
 _KEY_BYTES = 32
 _PERIOD_MS = 8_000
 _SOON_MS = 700
+_AT_ONCE_MS = 50
 
 
 class NodeRow(msgspec.Struct, frozen=True):
@@ -35,15 +35,12 @@
     store is a node.
     """
 
-    __slots__ = ("_clock", "_name", "_own", "_rows", "_store", "key", "period_ms")
+    __slots__ = ("_name", "_own", "_rows", "_store", "key", "period_ms")
 
-    def __init__(
-        self, store: StoreClient, name: str, own: NodeRow, *, clock: Clock
-    ) -> None:
+    def __init__(self, store: StoreClient, name: str) -> None:
         self._store = store
         self._name = name
-        self._own = own
-        self._clock = clock
+        self._own: NodeRow | None = None
         self._rows: dict[str, NodeRow] = {}
         self.key: bytes | None = None
         self.period_ms = _SOON_MS
@@ -59,10 +56,10 @@
             if name != self._name and row != self._own
         ]
 
-    def ranked_within(self, names_rank, most: int) -> bool:
-        """Tell whether this node is among the first ``most`` by a rank."""
-        names = self._rows.keys() | {self._name}
-        return self._name in sorted(names, key=names_rank)[:most]
+    def announce(self, own: NodeRow) -> None:
+        """Tell the others from the next reading on where this node is reached."""
+        self._own = own
+        self.period_ms = _AT_ONCE_MS
 
     async def refresh(self) -> None:
         """Read all rows, and write what of ours is missing."""
@@ -82,7 +79,8 @@
         self.period_ms = _PERIOD_MS if is_complete else _SOON_MS
         if self.key is None:
             await self._write(_KEY_ROW, secrets.token_bytes(_KEY_BYTES), 0)
-        if self._rows.get(self._name) != self._own:
+            self.period_ms = _AT_ONCE_MS
+        if self._own is not None and self._rows.get(self._name) != self._own:
             own_key = _NODE_PREFIX + self._name
             known = row_by_key.get(own_key)
             value = msgspec.json.encode(self._own)
--- /dev/null
+++ b/tests/fleet/node_fixtures.py
@@ -0,0 +1,91 @@
+"""A node of a fleet with a store and replicas, all in one process."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+
+from fireflyward.clock import Clock
+from fireflyward.fleet._node import FleetNode
+from fireflyward.platform import load_settings
+from tests.platform_standins import (
+    Operator,
+    ReplicaStandIn,
+    StoreStandIn,
+    settings_text,
+)
+
+KEY = {"Authorization": "Bearer key-1"}
+_PATIENCE_S = 20
+
+
+class NodeTestCase(unittest.IsolatedAsyncioTestCase):
+    """Starts one node with two plain replicas and two engines."""
+
+    async def asyncSetUp(self):
+        self.store = StoreStandIn()
+        await self.store.start()
+        self.operator = Operator(self.store)
+        self.plain = [ReplicaStandIn("p-1"), ReplicaStandIn("p-2")]
+        self.engines = [
+            ReplicaStandIn("e-1", model="m"),
+            ReplicaStandIn("e-2", model="m"),
+        ]
+        for replica in [*self.plain, *self.engines]:
+            await replica.start()
+        self.list_replicas()
+        self.node = FleetNode(self.settings(), clock=Clock(), noticed_ms=50)
+        self.session = aiohttp.ClientSession()
+        self.number = 0
+        self.stopped = False
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        if not self.stopped:
+            await self.stop_node()
+        for server in [*self.plain, *self.engines, self.store]:
+            await server.stop()
+
+    def settings(self, **changes):
+        with tempfile.TemporaryDirectory() as folder:
+            path = Path(folder) / "settings"
+            path.write_text(settings_text(self.store.address, (0, 0, 0), **changes))
+            return load_settings(str(path))
+
+    def list_replicas(self):
+        for service, replicas in (("plain", self.plain), ("engines", self.engines)):
+            for replica in replicas:
+                self.store.put("servers", replica.incarnation, replica.entry(service))
+
+    async def start_ready(self):
+        self.operator.configure()
+        await self.node.start()
+        await self.until(lambda: self.node.is_ready)
+        await self.until(lambda: len(self.node._directory) == 4)
+
+    async def stop_node(self):
+        self.stopped = True
+        await self.node.stop()
+
+    async def until(self, condition):
+        """Wait until a condition holds; a test that waits in vain fails."""
+        async with asyncio.timeout(_PATIENCE_S):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    def request(self, method, path, headers=KEY, host="h.example", **options):
+        self.number += 1
+        own = {"Host": host, "X-Request-Id": f"q{self.number}", **headers}
+        return self.session.request(
+            method, f"http://{self.node.callers_address}{path}", headers=own, **options
+        )
+
+    async def ask(self, method, path, **options):
+        """Return status, headers and body of one request."""
+        async with self.request(method, path, **options) as response:
+            return response.status, response.headers, await response.read()
+
+    def runs(self, replicas):
+        return sum(len(replica.ran) for replica in replicas)
--- /dev/null
+++ b/tests/fleet/test_whole_path.py
@@ -0,0 +1,291 @@
+"""The whole path: callers, one node, the store and replicas, over sockets."""
+
+import asyncio
+
+import aiohttp
+
+from tests.platform_standins import Manner, StoreManner
+
+from .node_fixtures import KEY, NodeTestCase
+
+STREAM = {
+    **KEY,
+    "X-Model": "m",
+    "X-Token-Usage": "900,4",
+    "X-Prompt-Prefix": "aa:500,bb:400",
+    "X-Deadline-Ms": "5000",
+}
+
+
+class PlainTests(NodeTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.start_ready()
+
+    def all_do(self, *manners):
+        for replica in self.plain:
+            replica.manners = list(manners)
+
+    async def test_answer_comes_back_as_the_replica_made_it(self):
+        status, headers, body = await self.ask("GET", "/r/x?y=1")
+        self.assertEqual(status, 200)
+        self.assertTrue(body.startswith(b"answer of p-"))
+        self.assertEqual(headers["X-Server-Seal"], "3e1b.07.5a2")
+        (sent,) = self.plain[0].ran + self.plain[1].ran
+        self.assertEqual(sent.target, "/r/x?y=1")
+        self.assertEqual(sent.headers["x-tenant"], "acme")
+        self.assertNotIn("authorization", sent.headers)
+        self.assertLessEqual(int(sent.headers["x-deadline-ms"]), 2_000)
+
+    async def test_body_goes_on_unchanged(self):
+        for data in (b"x" * 900, _chunks(b"ab", b"cd")):
+            await self.ask("POST", "/w/x", data=data)
+        bodies = sorted(sent.body for r in self.plain for sent in r.ran)
+        self.assertEqual(bodies, [b"abcd", b"x" * 900])
+
+    async def test_non_idempotent_request_runs_once_over_a_reset(self):
+        """Symptom: a record is written twice.
+
+        The replica runs the request and its connection breaks before the answer;
+        sending it to the other replica would run it again.
+        """
+        self.all_do(Manner.RESETS)
+        status, headers, _ = await self.ask("POST", "/w/x", data=b"1")
+        self.assertEqual(status, 502)
+        self.assertNotIn("Retry-After", headers)
+        self.assertEqual(self.runs(self.plain), 1)
+
+    async def test_idempotent_request_goes_to_another_replica(self):
+        for manner in (Manner.RESETS, Manner.CUTS, Manner.FAILS, Manner.UNSIGNED):
+            self.plain[0].manners = [manner] * 3
+            self.plain[1].manners = []
+            statuses = {(await self.ask("GET", "/r/x"))[0] for _ in range(3)}
+            self.assertEqual(statuses, {200}, manner)
+
+    async def test_answer_of_another_request_reaches_nobody(self):
+        """Symptom: a caller gets somebody else's answer.
+
+        A replica's late answer comes where the next one is expected.
+        """
+        self.all_do(Manner.ANSWERS_ANOTHER)
+        status, _, body = await self.ask("POST", "/w/x", data=b"1")
+        self.assertEqual(status, 502)
+        self.assertNotIn(b"another", body)
+
+    async def test_added_answer_reaches_nobody(self):
+        self.all_do(*[Manner.ADDS_ANSWER] * 3)
+        for _ in range(6):
+            _, _, body = await self.ask("GET", "/r/x")
+            await asyncio.sleep(0.03)
+            self.assertNotIn(b"nobody", body)
+
+    async def test_unframed_answers(self):
+        self.all_do(Manner.UNFRAMED)
+        self.assertEqual((await self.ask("POST", "/w/x", data=b"1"))[0], 200)
+        self.all_do(Manner.UNFRAMED_RESET)
+        self.assertEqual((await self.ask("POST", "/w/x", data=b"1"))[0], 502)
+
+    async def test_full_replica_is_passed_over_also_for_what_runs_once(self):
+        self.plain[0].manners = [Manner.FULL]
+        statuses = [(await self.ask("POST", "/w/x", data=b"1"))[0] for _ in range(4)]
+        self.assertEqual(statuses, [200] * 4)
+
+    async def test_when_all_are_full_the_caller_is_told_to_come_back(self):
+        self.all_do(*[Manner.FULL] * 5)
+        status, headers, _ = await self.ask("POST", "/w/x", data=b"1")
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0)
+        self.assertEqual(self.runs(self.plain), 0)
+
+    async def test_503_of_a_replica_that_ran_it_is_no_promise(self):
+        """Symptom: a caller repeats a request that has run.
+
+        The replica answers 503 without saying that it has not run the request;
+        passed on, the status would promise just that.
+        """
+        self.all_do(Manner.SAYS_503)
+        status, headers, _ = await self.ask("POST", "/w/x", data=b"1")
+        self.assertEqual(status, 502)
+        self.assertNotIn("X-Server-Seal", headers)
+
+    async def test_refusals(self):
+        self.assertEqual((await self.ask("GET", "/nowhere/x"))[0], 404)
+        wrong = {"Authorization": "Bearer no"}
+        self.assertEqual((await self.ask("GET", "/r/x", headers=wrong))[0], 401)
+        self.assertEqual((await self.ask("GET", "/r/x", headers={}))[0], 401)
+        large = await self.ask("POST", "/w/x", data=b"x" * 1_001)
+        self.assertEqual(large[0], 413)
+        chunked = await self.ask("POST", "/w/x", data=_chunks(*[b"x" * 600] * 2))
+        self.assertEqual(chunked[0], 413)
+        bad = {**KEY, "X-Deadline-Ms": "soon"}
+        self.assertEqual((await self.ask("GET", "/r/x", headers=bad))[0], 400)
+        self.assertEqual(self.runs(self.plain), 0)
+
+    async def test_route_timeout_is_answered_though_the_replica_is_silent(self):
+        self.operator.configuration["routes"][2]["timeout-ms"] = 150
+        self.operator.configure()
+        version = self.operator.configuration["version"]
+        await self.until(lambda: self.node._routes.version == version)
+        self.all_do(Manner.SILENT)
+        status, _, _ = await self.ask("POST", "/w/x", data=b"1")
+        self.assertEqual(status, 502)
+
+    async def test_a_withdrawn_key_is_refused(self):
+        tenants = [{"name": "acme", "api-keys": ["key-2"]}]
+        self.operator.configure(tenants=tenants)
+        version = self.operator.configuration["version"]
+        await self.until(lambda: self.node._routes.version == version)
+        self.assertEqual((await self.ask("GET", "/r/x"))[0], 401)
+
+    async def test_a_leaving_replica_gets_nothing_new(self):
+        entry = self.plain[0].entry("plain", state="draining")
+        self.store.put("servers", "p-1", entry)
+        plain = self.node._directory.of_service
+        await self.until(lambda: len(plain("plain")) == 1)
+        for _ in range(5):
+            await self.ask("GET", "/r/x")
+        self.assertEqual(len(self.plain[0].ran), 0)
+
+    async def test_an_address_that_another_incarnation_has_now(self):
+        """Symptom: a request runs at a service that its route never named.
+
+        A replica is gone and its address is used again; the list does not say so
+        yet. The replica that is there does not run what it was not meant for.
+        """
+        self.plain[0].incarnation = "other"
+        statuses = {(await self.ask("POST", "/w/x", data=b"1"))[0] for _ in range(4)}
+        self.assertEqual(statuses, {200})
+        self.assertEqual(len(self.plain[0].ran), 0)
+
+    async def test_metrics_are_served(self):
+        await self.ask("GET", "/r/x")
+        text = (await self.node._answer_metrics(_Path("/metrics"))).text
+        self.assertIn('requests_total{outcome="answered"', text)
+        self.assertIn("request_ms", text)
+
+
+class StreamTests(NodeTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        await self.start_ready()
+
+    async def test_events_come_in_order(self):
+        status, headers, body = await self.ask("POST", "/s/x", headers=STREAM)
+        self.assertEqual(status, 200)
+        self.assertEqual(_numbers(body), [1, 2, 3, 4])
+        self.assertEqual(headers["Content-Type"], "text/event-stream")
+
+    async def test_a_cut_stream_goes_on_at_the_other_replica_without_a_seam(self):
+        """Symptom: a piece of an answer is missing or comes twice.
+
+        A replica stops in the middle of an event; another goes on.
+        """
+        for _ in range(4):
+            self.engines[0].manners = [Manner.CUTS_STREAM]
+            _, _, body = await self.ask("POST", "/s/x", headers=STREAM)
+            self.assertEqual(_numbers(body), [1, 2, 3, 4])
+        began = len(self.engines[0].ran)
+        resumed = sum("last-event-id" in sent.headers for sent in self.engines[1].ran)
+        self.assertEqual(resumed > 0, began > 0)
+
+    async def test_a_stream_that_may_not_be_resumed_does_not_look_whole(self):
+        self.operator.configuration["routes"][0]["resumable"] = False
+        self.operator.configure()
+        version = self.operator.configuration["version"]
+        await self.until(lambda: self.node._routes.version == version)
+        for engine in self.engines:
+            engine.manners = [Manner.CUTS_STREAM]
+        with self.assertRaises(aiohttp.ClientPayloadError):
+            await self.ask("POST", "/s/x", headers=STREAM)
+        self.assertEqual(self.runs(self.engines), 1)
+
+    async def test_a_caller_that_leaves_stops_the_work(self):
+        """Symptom: replicas work on answers that nobody waits for."""
+        for engine in self.engines:
+            engine._pause_s, engine._events = 0.02, 10_000
+        async with self.request("POST", "/s/x", headers=STREAM) as response:
+            await response.content.readany()
+            response.close()
+        await self.until(lambda: sum(e.left_early for e in self.engines) == 1)
+
+    async def test_weights_and_salt_are_named(self):
+        await self.ask("POST", "/s/x", headers=STREAM)
+        (sent,) = self.engines[0].ran + self.engines[1].ran
+        self.assertEqual(sent.headers["x-expect-version"], "1")
+        self.assertEqual(sent.headers["x-cache-salt"], "m~1")
+
+    async def test_new_weights_reach_every_replica(self):
+        """The leased task orders loads; requests then ask for the new version."""
+        self.operator.name_weights("m", 2)
+        await self.until(lambda: {e.version for e in self.engines} == {2})
+        self.assertEqual({len(e.orders) for e in self.engines}, {1})
+        orders = [e.orders[0] for e in self.engines]
+        self.assertEqual({order["fence"] for order in orders}, {1})
+        self.assertEqual({order["holder"] for order in orders}, {"entry-1"})
+        status, _, _ = await self.ask("POST", "/s/x", headers=STREAM)
+        self.assertEqual(status, 200)
+        sent = (self.engines[0].ran + self.engines[1].ran)[-1]
+        self.assertEqual(sent.headers["x-cache-salt"], "m~2")
+
+
+class LifeTests(NodeTestCase):
+    async def readiness(self):
+        url = f"http://{self.node.readiness_address}/-/readyz"
+        async with self.session.get(url) as response:
+            return response.status
+
+    async def test_ready_only_with_a_configuration(self):
+        await self.node.start()
+        self.assertEqual(await self.readiness(), 503)
+        status, headers, _ = await self.ask("GET", "/r/x")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.operator.configure()
+        await self.until(lambda: self.node.is_ready)
+        self.assertEqual(await self.readiness(), 200)
+
+    async def test_serving_goes_on_while_the_store_is_away(self):
+        await self.start_ready()
+        self.store.manner = StoreManner.BUSY
+        for _ in range(5):
+            self.assertEqual((await self.ask("GET", "/r/x"))[0], 200)
+            await asyncio.sleep(0.05)
+
+    async def test_planned_stop_cuts_no_request(self):
+        """Symptom: a planned restart loses requests.
+
+        A stream runs when SIGTERM comes; another caller keeps an idle connection
+        and uses it again. The stream ends whole, the idle connection is closed
+        before anything is sent on it, and new connections find no listener.
+        """
+        await self.start_ready()
+        for engine in self.engines:
+            engine._pause_s, engine._events = 0.03, 100
+        await self.ask("GET", "/r/x")
+        streaming = asyncio.create_task(self.ask("POST", "/s/x", headers=STREAM))
+        await self.until(lambda: self.runs(self.engines) == 1)
+        stopping = asyncio.create_task(self.stop_node())
+        await asyncio.sleep(0)
+        self.assertEqual(await self.readiness(), 503)
+        status, headers, _ = await self.ask("GET", "/r/x")
+        self.assertEqual((status, headers["Connection"]), (200, "close"))
+        _, _, body = await streaming
+        self.assertEqual(len(_numbers(body)), 100)
+        await stopping
+        with self.assertRaises(aiohttp.ClientConnectionError):
+            await self.ask("GET", "/r/x")
+
+
+class _Path:
+    def __init__(self, path):
+        self.path = path
+
+
+async def _chunks(*parts):
+    for part in parts:
+        yield part
+
+
+def _numbers(body):
+    lines = body.decode().split("\n")
+    return [int(line[3:]) for line in lines if line.startswith("id:")]
--- /dev/null
+++ b/tests/forwarding/test_plan.py
@@ -0,0 +1,96 @@
+"""What is done after each way in which a send can end."""
+
+import unittest
+
+from fireflyward.forwarding import (
+    AttemptPlan,
+    Deliver,
+    Failed,
+    Finish,
+    NoReplica,
+    Rejected,
+    RejectedBecause,
+    TryAgain,
+    Unsent,
+    WholeAnswer,
+)
+from fireflyward.http1 import Head
+from fireflyward.outcomes import NotRun, Reason, Unknown
+
+FULL = Rejected(RejectedBecause.FULL)
+FAILURE = WholeAnswer(Head(500, "", ()), b"")
+GOOD = WholeAnswer(Head(200, "", ()), b"x")
+
+
+def plan(may_repeat=True, max_attempts=2, budget=100):
+    left = [True] * budget
+    return AttemptPlan(
+        max_attempts=max_attempts,
+        may_repeat=may_repeat,
+        take=lambda: bool(left and left.pop()),
+    )
+
+
+class PlanTests(unittest.TestCase):
+    def assert_finish(self, decision, outcome_type, reason=None):
+        self.assertIsInstance(decision, Finish)
+        self.assertIsInstance(decision.outcome, outcome_type)
+        if reason:
+            self.assertIs(decision.outcome.reason, reason)
+
+    def test_a_request_that_may_run_once_is_not_sent_after_it_may_have_run(self):
+        """Symptom: a revision record is written twice.
+
+        The connection breaks after the request was sent; whether it ran is
+        unknown, and a second replica would run it again.
+        """
+        decision = plan(may_repeat=False, max_attempts=3).decide(900, Failed("reset"))
+        self.assert_finish(decision, Unknown, Reason.UPSTREAM_FAILED)
+
+    def test_what_did_not_run_goes_to_another_replica_whatever_its_kind(self):
+        self.assertEqual(plan(may_repeat=False).decide(900, FULL), TryAgain())
+        self.assertEqual(plan(may_repeat=False).decide(900, Unsent("x")), TryAgain())
+
+    def test_a_refusal_never_follows_a_send_that_may_have_run(self):
+        """Symptom: a caller repeats a request that has run, told that it had not."""
+        for then in (FULL, FULL, FULL, NoReplica()):
+            attempt = plan(max_attempts=9)
+            attempt.decide(900, Failed("reset"))
+            decision = TryAgain()
+            while decision == TryAgain() or isinstance(decision, TryAgain):
+                decision = attempt.decide(900, then)
+            self.assert_finish(decision, Unknown)
+
+    def test_the_routes_limit_counts_runs(self):
+        attempt = plan(max_attempts=2)
+        self.assertEqual(attempt.decide(900, Failed("a")), TryAgain())
+        self.assert_finish(attempt.decide(900, Failed("b")), Unknown)
+
+    def test_without_budget_nothing_is_repeated(self):
+        self.assert_finish(plan(budget=0).decide(900, Failed("a")), Unknown)
+        self.assert_finish(plan(budget=0).decide(900, FULL), NotRun, Reason.OVERLOADED)
+
+    def test_without_time_nothing_is_repeated(self):
+        self.assert_finish(plan().decide(10, Failed("a")), Unknown)
+
+    def test_a_failure_of_the_replica_is_repeated_where_allowed(self):
+        self.assertEqual(plan().decide(900, FAILURE), TryAgain())
+        self.assertEqual(plan(may_repeat=False).decide(900, FAILURE), Deliver(FAILURE))
+
+    def test_a_failure_is_delivered_when_the_repeat_brought_nothing(self):
+        attempt = plan()
+        attempt.decide(900, FAILURE)
+        self.assertEqual(attempt.decide(900, NoReplica()), Deliver(FAILURE))
+
+    def test_a_good_answer_is_delivered(self):
+        self.assertEqual(plan().decide(900, GOOD), Deliver(GOOD))
+
+    def test_sends_that_did_not_run_end_too(self):
+        attempt, count = plan(), 0
+        while isinstance(attempt.decide(900, FULL), TryAgain):
+            count += 1
+        self.assertLess(count, 4)
+
+    def test_refusals_tell_when_to_come_back(self):
+        decision = plan().decide(900, NoReplica())
+        self.assertGreater(decision.outcome.retry_after_ms, 0)
--- a/tests/http1/test_connection.py
+++ b/tests/http1/test_connection.py
@@ -19,6 +19,11 @@
 _RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
+def address_of(server):
+    host, port = server.sockets[0].getsockname()[:2]
+    return f"{host}:{port}"
+
+
 class Bytes:
     """A server that writes given bytes for each request it reads."""
 
@@ -33,7 +38,7 @@
 
     async def start(self):
         self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return "%s:%d" % self.server.sockets[0].getsockname()[:2]
+        return address_of(self.server)
 
     async def _serve(self, reader, writer):
         self.connections += 1
@@ -177,7 +182,7 @@
 class PoolTests(unittest.IsolatedAsyncioTestCase):
     async def test_nobody_listens(self):
         server = await asyncio.start_server(lambda r, w: None, "127.0.0.1", 0)
-        address = "%s:%d" % server.sockets[0].getsockname()[:2]
+        address = address_of(server)
         server.close()
         await server.wait_closed()
         pool = ConnectionPool(Clock())
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -153,7 +153,11 @@
                 await writer.drain()
                 return False
             writer.write(_chunk(event))
-            await writer.drain()
+            try:
+                await writer.drain()
+            except ConnectionError:
+                self.left_early += 1
+                return False
         writer.write(b"0\r\n\r\n")
         return True
 
--- /dev/null
+++ b/tests/prefixes/test_planner.py
@@ -0,0 +1,89 @@
+"""What each request fetches and saves."""
+
+import unittest
+from collections import Counter
+
+from fireflyward.deployment import KvStore
+from fireflyward.prefixes import (
+    KvEvent,
+    KvNews,
+    PartKey,
+    PartPlanner,
+    cache_salt,
+    salt_version,
+)
+
+PARTS = (("common", 500), ("own", 8_000), ("question", 300))
+
+
+def store(address, tokens=100_000):
+    return KvStore(address, "a", tokens, 1_000.0, drops_nothing=True)
+
+
+class PlannerTests(unittest.TestCase):
+    def setUp(self):
+        self.planner = PartPlanner()
+        self.planner.set_stores([store("s1"), store("s2")])
+        for index in self.planner.indexes():
+            index.take(KvNews(1, (), 0))
+
+    def plan(self, salt="m~1", now_ms=0, elsewhere="r1:80"):
+        return self.planner.plan(now_ms, salt, PARTS, elsewhere=elsewhere)
+
+    def fill(self, salt):
+        for index in self.planner.indexes():
+            events = tuple(KvEvent(PartKey(salt, name), n) for name, n in PARTS)
+            index.take(KvNews(1, events, 0))
+
+    def test_first_a_replica_is_asked_and_shared_parts_are_saved(self):
+        plan = self.plan()
+        self.assertEqual(plan.sources, ("r1:80", "r1:80", None))
+        self.assertTrue(all(plan.saves[:2]))
+        self.assertIsNone(plan.saves[2])
+        self.assertEqual(plan.stored_tokens, 0)
+
+    def test_then_the_stores(self):
+        self.fill("m~1")
+        plan = self.plan()
+        self.assertNotIn("r1:80", plan.sources)
+        self.assertEqual(plan.saves, (None, None, None))
+        self.assertEqual(plan.stored_tokens, 8_500)
+
+    def test_other_weights_and_isolated_accounts_find_nothing(self):
+        """Symptom: an answer made on another account's prompt, or on old weights."""
+        self.fill(cache_salt("m", 1))
+        for salt in (cache_salt("m", 2), cache_salt("m", 1, "acme")):
+            self.assertEqual(self.plan(salt).stored_tokens, 0)
+
+    def test_all_nodes_look_for_a_part_at_the_same_store(self):
+        other = PartPlanner()
+        other.set_stores([store("s2"), store("s1")])
+        for index in other.indexes():
+            index.take(KvNews(1, (), 0))
+        mine = self.plan().saves
+        theirs = other.plan(0, "m~1", PARTS, elsewhere=None).saves
+        self.assertEqual(mine, theirs)
+
+    def test_parts_are_spread_by_room(self):
+        planner = PartPlanner()
+        planner.set_stores([store("s1", 100_000_000), store("s2", 300_000_000)])
+        for index in planner.indexes():
+            index.take(KvNews(1, (), 0))
+        counts = Counter(
+            planner.plan(0, "m~1", ((f"p{n}", 300), ("q", 1)), elsewhere=None).saves[0]
+            for n in range(2_000)
+        )
+        self.assertAlmostEqual(counts["s2"] / 2_000, 0.75, delta=0.05)
+
+    def test_stores_of_a_new_configuration_keep_what_is_known(self):
+        self.fill("m~1")
+        self.planner.set_stores([store("s1"), store("s2")])
+        self.assertEqual(self.plan().stored_tokens, 8_500)
+
+    def test_without_stores(self):
+        self.planner.set_stores([])
+        self.assertEqual(self.plan(elsewhere=None).sources, (None, None, None))
+
+    def test_salts(self):
+        self.assertEqual(salt_version(cache_salt("m", 7, "acme")), ("m", 7))
+        self.assertIsNone(salt_version("foreign"))
--- /dev/null
+++ b/tests/replicas/makers.py
@@ -0,0 +1,10 @@
+"""Entries of replicas for tests."""
+
+from fireflyward.deployment import ModelWeights, ReplicaEntry
+
+
+def entry(name, *, service="s", zone="a", leaving=False, version=None, slots=4):
+    weights = () if version is None else (ModelWeights("m", version),)
+    return ReplicaEntry(
+        name, service, f"{name}:80", zone, slots, leaving, weights=weights
+    )
--- /dev/null
+++ b/tests/replicas/test_chooser.py
@@ -0,0 +1,134 @@
+"""The choice of a replica from load, weights, prefixes and trouble."""
+
+import unittest
+from collections import Counter
+
+from fireflyward.replicas import Chooser, PeerPending, ReplicaDirectory, Wanted
+
+from .makers import entry
+
+
+class ChooserTests(unittest.TestCase):
+    def make(self, *entries):
+        self.directory = ReplicaDirectory()
+        self.directory.on_whole(0, entries, after_outage=False)
+        self.pending = PeerPending()
+        self.chooser = Chooser(
+            self.directory, failure_domain="a", pending=self.pending, seed=1
+        )
+
+    def chosen(self, wanted=None, now_ms=0, **options):
+        choice = self.chooser.choose(now_ms, wanted or Wanted("s"), **options)
+        return choice.replica.entry.incarnation if choice else None
+
+    def state(self, name):
+        return self.directory.find(name)
+
+    def test_none_for_an_unknown_service(self):
+        self.make(entry("r1"))
+        self.assertIsNone(self.chosen(Wanted("other")))
+
+    def test_the_less_loaded_one(self):
+        self.make(entry("r1"), entry("r2"))
+        self.state("r1").in_flight = 3
+        self.assertEqual({self.chosen() for _ in range(50)}, {"r2"})
+
+    def test_load_of_other_nodes_counts_and_fades(self):
+        self.make(entry("r1"), entry("r2", zone="b"))
+        self.state("r1").on_load(0, 4)
+        self.assertEqual(self.chosen(), "r2")
+        self.assertEqual(self.chosen(now_ms=20_000), "r1")
+
+    def test_nodes_that_see_the_same_do_not_all_choose_alike(self):
+        self.make(entry("r1"), entry("r2"))
+        counts = Counter(self.chosen() for _ in range(400))
+        self.assertGreater(min(counts.values()), 100)
+
+    def test_one_that_broke_off_is_a_last_resort(self):
+        self.make(entry("r1"), entry("r2"))
+        self.state("r1").on_trouble(0)
+        self.assertEqual({self.chosen() for _ in range(50)}, {"r2"})
+        self.assertEqual(self.chosen(without=frozenset({"r2"})), "r1")
+
+    def test_suspicion_doubles_and_ends_with_an_answer(self):
+        self.make(entry("r1"))
+        state = self.state("r1")
+        state.on_trouble(0)
+        self.assertFalse(state.is_suspect(400))
+        state.on_trouble(400)
+        self.assertTrue(state.is_suspect(1_100))
+        state.on_answer(failed=False)
+        self.assertFalse(state.is_suspect(1_100))
+
+    def test_one_that_fails_more_than_the_others_is_avoided(self):
+        """Symptom: one in three requests fails while health checks are good."""
+        self.make(entry("r1"), entry("r2"), entry("r3"))
+        for number in range(40):
+            self.state("r1").on_answer(failed=number % 2 == 0)
+        counts = Counter(self.chosen() for _ in range(200))
+        self.assertEqual(counts["r1"], 0)
+
+    def test_requests_with_one_prefix_have_one_home_on_every_node(self):
+        entries = [entry(f"r{n}", version=1) for n in range(6)]
+        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000, model="m")
+        homes = set()
+        for _ in range(5):
+            self.make(*entries)
+            homes.add(self.chosen(wanted))
+        self.assertEqual(len(homes), 1)
+
+    def test_a_busy_home_gives_way_and_is_named_as_the_source(self):
+        """Symptom: one popular prompt makes its replica slow, others lie idle."""
+        self.make(*(entry(f"r{n}", version=1) for n in range(3)))
+        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000, model="m")
+        home = self.chosen(wanted)
+        self.pending.take(0, "entry-2", {home: 60_000})
+        choice = self.chooser.choose(0, wanted)
+        self.assertNotEqual(choice.replica.entry.incarnation, home)
+        self.assertEqual(choice.kv_source, f"{home}:80")
+
+    def test_a_home_with_other_weights_is_no_source(self):
+        self.make(*(entry(f"r{n}", version=1) for n in range(3)))
+        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000, model="m")
+        home = self.chosen(wanted)
+        self.pending.take(0, "entry-2", {home: 60_000})
+        self.state(home).on_loaded("m", 2)
+        self.assertIsNone(self.chooser.choose(0, wanted).kv_source)
+
+    def test_weights_older_than_allowed_take_nothing(self):
+        self.make(entry("r1", version=1), entry("r2", version=2))
+        wanted = Wanted("s", model="m", version=2, least_version=2)
+        self.assertEqual({self.chosen(wanted) for _ in range(20)}, {"r2"})
+        self.state("r2").version_by_model = {"m": 1}
+        self.assertIsNone(self.chosen(wanted))
+
+    def test_one_that_loads_takes_nothing_while_others_can(self):
+        self.make(entry("r1", version=1), entry("r2", version=1))
+        self.state("r1").on_loading(0, 5_000)
+        self.assertEqual(
+            {self.chosen(Wanted("s", model="m")) for _ in range(20)}, {"r2"}
+        )
+
+    def test_the_queue_of_all_nodes_is_told(self):
+        self.make(entry("r1", version=1))
+        self.state("r1").pending_tokens = 900
+        self.pending.take(0, "entry-2", {"r1": 900})
+        choice = self.chooser.choose(0, Wanted("s", model="m", new_tokens=900))
+        self.assertEqual((choice.queue_ms, choice.first_token_ms), (20.0, 30.0))
+
+
+class PendingTests(unittest.TestCase):
+    def test_the_newest_word_of_a_node_counts(self):
+        pending = PeerPending()
+        pending.take(0, "n", {"r1": 5, "r2": 7})
+        pending.take(1, "n", {"r1": 2})
+        self.assertEqual((pending.tokens(1, "r1"), pending.tokens(1, "r2")), (2, 0))
+
+    def test_a_node_that_fell_silent_is_forgotten(self):
+        """Symptom: a replica gets nothing although it idles.
+
+        A node died with requests on their way, and what it told last stays.
+        """
+        pending = PeerPending()
+        pending.take(0, "n", {"r1": 50_000})
+        self.assertEqual(pending.tokens(1_000, "r1"), 0)
--- /dev/null
+++ b/tests/weights/test_plan.py
@@ -0,0 +1,50 @@
+"""Which replicas load, and when."""
+
+import unittest
+
+from fireflyward.weights import RolloutView, WeightPlan
+
+
+def views(*versions):
+    return [
+        RolloutView(f"r{n}", f"r{n}:80", version, float(n))
+        for n, version in enumerate(versions)
+    ]
+
+
+class PlanTests(unittest.TestCase):
+    def setUp(self):
+        self.plan = WeightPlan()
+
+    def ordered(self, now_ms, pool):
+        orders = self.plan.next(now_ms, "m", 2, pool)
+        for order in orders:
+            self.plan.on_begun(now_ms, order)
+        return [order.incarnation for order in orders]
+
+    def test_a_third_at_a_time_the_least_busy_first(self):
+        pool = views(1, 1, 1, 1, 1, 1)
+        self.assertEqual(self.ordered(0, pool), ["r0", "r1"])
+        self.assertEqual(self.ordered(100, pool), [])
+
+    def test_the_next_one_follows_when_one_is_done(self):
+        (first, second) = self.plan.next(0, "m", 2, views(1, 1, 1, 1, 1, 1))
+        self.plan.on_begun(0, first)
+        self.plan.on_begun(0, second)
+        self.plan.on_done(first)
+        self.assertEqual(self.ordered(100, views(2, 1, 1, 1, 1, 1)), ["r2"])
+
+    def test_an_order_that_was_lost_is_given_again(self):
+        self.assertEqual(self.ordered(0, views(1)), ["r0"])
+        self.assertEqual(self.ordered(5_999, views(1)), [])
+        self.assertEqual(self.ordered(6_000, views(1)), ["r0"])
+
+    def test_a_replica_that_is_not_reached_does_not_hold_up_the_others(self):
+        (order,) = self.plan.next(0, "m", 2, views(1, 1, 1))
+        self.plan.on_begun(0, order)
+        self.plan.on_unreached(100, order)
+        self.assertEqual(self.ordered(700, views(1, 1, 1)), ["r0"])
+
+    def test_nothing_to_do(self):
+        self.assertEqual(self.ordered(0, views(2, 2)), [])
+        self.assertEqual(self.ordered(0, []), [])
