--- a/Makefile
+++ b/Makefile
@@ -4,13 +4,15 @@
 
 .PHONY: run test settings-page faults fuzz long-run bench format clean
 
-$(STAMP): requirements.txt requirements-dev.txt
+$(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
 	$(PYTHON) -m pip install --quiet --disable-pip-version-check -r requirements-dev.txt
+	$(PYTHON) -m pip install --quiet --disable-pip-version-check --no-deps -e .
 	touch $(STAMP)
 
 run: $(STAMP)
 	$(PYTHON) -m fireflyward demo
+	$(PYTHON) -m tests.platform_standins
 
 test: $(STAMP)
 	$(PYTHON) -m ruff format --check .
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -26,7 +26,7 @@
     ReplicaApi,
     StoreClient,
 )
-from fireflyward.prefixes import PartPlanner, StoreFollower
+from fireflyward.prefixes import Janitor, PartPlanner, StoreFollower
 from fireflyward.replicas import (
     Chooser,
     PeerPending,
@@ -148,6 +148,14 @@
             lease_ms=bounds.lease_ms,
             slack_ms=bounds.thaw_slack_ms,
         )
+        self._janitor = Janitor(
+            clock=clock,
+            planner=self._planner,
+            freer=self._api,
+            used=self._used_weights,
+            newest_by_model=self._weights.targets,
+            may_act=lambda: self._lease.claim() is not None,
+        )
         self._tasks: list[asyncio.Task[None]] = []
         self._follower_by_address: dict[str, asyncio.Task[None]] = {}
         self._listeners: list[asyncio.Server] = []
@@ -178,6 +186,7 @@
         self.callers_address = await self._door.listen(settings.callers_address)
         runs = [follower.run() for follower in self._followers]
         runs += [self._lease.run(), self._weight_task.run(), self._count_peers()]
+        runs.append(self._janitor.run())
         self._tasks = [asyncio.create_task(self._guarded(run)) for run in runs]
         log.info("node: %s listens at %s", settings.node, settings.callers_address)
 
@@ -242,6 +251,14 @@
     def _on_lease(self, change: Gained | Lost) -> None:
         self._weight_task.on_change(change)
 
+    def _used_weights(self) -> set[tuple[str, int]]:
+        """Return each (model, version) that some replica has or may have."""
+        used = set()
+        for state in self._directory.all():
+            used |= {(item.model, item.version) for item in state.entry.weights}
+            used |= set(state.version_by_model.items())
+        return used
+
     async def _count_peers(self) -> None:
         while True:
             await self._peers.refresh()
--- a/fireflyward/prefixes/__init__.py
+++ b/fireflyward/prefixes/__init__.py
@@ -2,10 +2,12 @@
 
 from ._follow import StoreFollower
 from ._index import KvEvent, KvNews, PartKey, StoreIndex
+from ._janitor import Janitor
 from ._planner import KvPlan, PartPlanner
 from ._salt import cache_salt, salt_version
 
 __all__ = [
+    "Janitor",
     "KvEvent",
     "KvNews",
     "KvPlan",
