--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -103,6 +103,11 @@
             pending=self._pending,
             peer_addresses=self._peers.addresses,
         )
+        self._chooser = Chooser(
+            self._directory,
+            failure_domain=settings.failure_domain,
+            pending=self._pending,
+        )
         self._link: PeerLink | None = None
         self._door = CallerDoor(
             clock=clock,
@@ -144,6 +149,7 @@
             directory=self._directory,
             weights=self._weights,
             news=self._news,
+            busy_ms=self._chooser.queue_ms,
             node=settings.node,
             lease_ms=bounds.lease_ms,
             slack_ms=bounds.thaw_slack_ms,
@@ -227,11 +233,7 @@
         return Forwarder(
             clock=self._clock,
             pool=self._pool,
-            chooser=Chooser(
-                self._directory,
-                failure_domain=self._settings.failure_domain,
-                pending=self._pending,
-            ),
+            chooser=self._chooser,
             budget=self._budget,
             weights=self._weights,
             planner=self._planner,
--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -12,9 +12,12 @@
 # shorter than the tightest objectives leave.
 _LATE_QUEUE_MS = 250.0
 _LEAST_RETRY_MS = 200.0
-_MOST_RETRY_MS = 2_500.0
-# Callers that were refused together must not come back together.
-_JITTER_MS = 400.0
+# Callers that were refused together must not come back together. They are late
+# whenever they come, so they are spread over a part of the time that they have,
+# and leave the first of it to those that can still be on time. A caller waits for
+# a third of its time at the most.
+_WAITED_SHARE = 1 / 3
+_SPREAD_SHARE = 0.7
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,7 +63,8 @@
         return NotRun(Reason.OVERLOADED, detail, self._retry_ms(prospect))
 
     def _retry_ms(self, prospect: Prospect) -> int:
-        """Return when the queue will be short again, spread a little."""
-        clear_ms = prospect.queue_ms - _LATE_QUEUE_MS
-        base_ms = min(max(_LEAST_RETRY_MS, clear_ms), _MOST_RETRY_MS)
-        return int(base_ms + _JITTER_MS * self._random.random())
+        """Return when the queue will be short again, spread over what is left."""
+        longest_ms = _WAITED_SHARE * prospect.left_ms
+        clear_ms = max(_LEAST_RETRY_MS, prospect.queue_ms - _LATE_QUEUE_MS)
+        spread_ms = _SPREAD_SHARE * longest_ms * self._random.random()
+        return int(max(_LEAST_RETRY_MS, min(clear_ms + spread_ms, longest_ms)))
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -115,14 +115,14 @@
         if home is not None and home is not chosen and not home.is_suspect(now_ms):
             if home.version_by_model.get(wanted.model) == weights:
                 source = home.entry.address
-        queue_ms = self._queue_ms(now_ms, chosen)
+        queue_ms = self.queue_ms(now_ms, chosen)
         if chosen.is_loading(now_ms):
             queue_ms += _LOADING_MS
         own_tokens = wanted.new_tokens + wanted.prefix_tokens
         first_token_ms = queue_ms + own_tokens / _TOKENS_PER_MS
         return Choice(chosen, weights, source, queue_ms, first_token_ms)
 
-    def _queue_ms(self, now_ms: int, state: ReplicaState) -> float:
+    def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
         others = self._pending.tokens(now_ms, state.entry.incarnation)
         return (state.pending_tokens + others) / _TOKENS_PER_MS
@@ -153,7 +153,7 @@
         usual_failures: float,
     ) -> float:
         cost_ms = _FULL_LOAD_MS * state.load_at(now_ms)
-        cost_ms += self._queue_ms(now_ms, state)
+        cost_ms += self.queue_ms(now_ms, state)
         cost_ms += _JITTER_MS * self._random.random()
         if home is not None and state is not home:
             cost_ms += _NOT_HOME_SHARE * wanted.prefix_tokens / _TOKENS_PER_MS
--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -16,12 +16,16 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutView:
-    """One replica of a model, as the list shows it; ``load`` is per slot."""
+    """One replica of a model, as this node sees it.
+
+    ``busy_ms`` is how long the prompts take that wait there: so long a load has to
+    wait for them.
+    """
 
     incarnation: str
     address: str
     version: int
-    load: float
+    busy_ms: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,7 +60,7 @@
         waiting = [view for view in behind if self._is_free(now_ms, view.incarnation)]
         loading = len(behind) - len(waiting)
         room = max(1, math.ceil(len(views) * _LOADING_SHARE)) - loading
-        waiting.sort(key=lambda view: view.load)
+        waiting.sort(key=lambda view: view.busy_ms)
         return [
             Order(view.incarnation, view.address, model, version)
             for view in waiting[: max(0, room)]
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from fireflyward.clock import Clock
 from fireflyward.forwarding import WeightBook
 from fireflyward.leases import Gained, LeaseTask, Lost
 from fireflyward.platform import ReplicaApi
-from fireflyward.replicas import ReplicaDirectory
+from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
 from ._news import LoadNews
 from ._plan import Order, RolloutView, WeightPlan
@@ -22,7 +23,10 @@
 _NEWS_MS = 40
 # How long others keep away from a replica of which no further word comes.
 _LOADING_MS = 5_000
-_LOOK_PERIOD_MS = 250
+# A load takes over a second, so the first look comes late and the others soon: a
+# replica that is ready and gets nothing is capacity lost.
+_FIRST_LOOK_MS = 1_000
+_LOOK_PERIOD_MS = 80
 # Runs that have begun end before the load: what they make afterwards would be
 # worth nothing, and cancelled ones are computed twice.
 _MODE = "wait"
@@ -46,6 +50,7 @@
         directory: ReplicaDirectory,
         weights: WeightBook,
         news: LoadNews,
+        busy_ms: Callable[[int, ReplicaState], float],
         node: str,
         lease_ms: int,
         slack_ms: int,
@@ -56,6 +61,7 @@
         self._directory = directory
         self._weights = weights
         self._news = news
+        self._busy_ms = busy_ms
         self._node = node
         self._lease_ms = lease_ms
         self._slack_ms = slack_ms
@@ -81,8 +87,7 @@
         """Give the orders that are due, until cancelled."""
         while True:
             await self._clock.sleep_ms(_PERIOD_MS)
-            if self._fencing() is not None:
-                self._order_due()
+            self._order_due()
 
     def _fencing(self) -> int | None:
         """Return the fencing token to order with, None if none may be given now."""
@@ -95,6 +100,8 @@
         return claim.fencing
 
     def _order_due(self) -> None:
+        if self._fencing() is None:
+            return
         now_ms = self._clock.now_ms()
         for model, version in self._weights.targets().items():
             views = self._views(now_ms, model)
@@ -112,7 +119,10 @@
                 entry = state.entry
                 views.append(
                     RolloutView(
-                        entry.incarnation, entry.address, version, state.load_at(now_ms)
+                        entry.incarnation,
+                        entry.address,
+                        version,
+                        self._busy_ms(now_ms, state),
                     )
                 )
         return views
@@ -164,6 +174,7 @@
 
     async def _see_through(self, order: Order) -> None:
         """Look at the replica's reports until it has the weights."""
+        await self._clock.sleep_ms(_FIRST_LOOK_MS)
         while self._plan.is_loading(self._clock.now_ms(), order):
             await self._clock.sleep_ms(_LOOK_PERIOD_MS)
             report = await self._api.report(
@@ -174,4 +185,5 @@
             if report.version_by_model.get(order.model) == order.version:
                 await self._news.loaded(order.incarnation, order.model, order.version)
                 self._plan.on_done(order)
+                self._order_due()
                 return
