--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -29,9 +29,9 @@
 from fireflyward.prefixes import Janitor, PartPlanner, StoreFollower
 from fireflyward.replicas import (
     Chooser,
-    PeerPending,
-    PendingTask,
+    PeerUnderWay,
     ReplicaDirectory,
+    UnderWayTask,
 )
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
@@ -96,17 +96,17 @@
             directory=self._directory,
             peer_addresses=self._peers.addresses,
         )
-        self._pending = PeerPending()
-        self._pending_task = PendingTask(
+        self._under_way = PeerUnderWay()
+        self._under_way_task = UnderWayTask(
             clock=clock,
             directory=self._directory,
-            pending=self._pending,
+            peers=self._under_way,
             peer_addresses=self._peers.addresses,
         )
         self._chooser = Chooser(
             self._directory,
             failure_domain=settings.failure_domain,
-            pending=self._pending,
+            peers=self._under_way,
         )
         self._link: PeerLink | None = None
         self._door = CallerDoor(
@@ -281,7 +281,7 @@
         await link.start()
         self._link = link
         self._peers.announce(NodeRow(*link.address))
-        telling = self._guarded(self._pending_task.run(link))
+        telling = self._guarded(self._under_way_task.run(link))
         self._tasks.append(asyncio.create_task(telling))
 
     def _on_configuration(self, configuration: Configuration) -> None:
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -157,7 +157,7 @@
         "_owner",
         "_plan",
         "_reply",
-        "_sends",
+        "_sent_ms",
         "_service",
         "_stream",
         "_tried",
@@ -187,7 +187,7 @@
         self._objective_ms = arrived_ms + allowed.route.objective_ms - spent_ms
         self._is_late = False
         self._stream = _Stream()
-        self._sends = 0
+        self._sent_ms = arrived_ms
         self._tried: set[str] = set()
         self._plan = AttemptPlan(
             max_attempts=allowed.route.max_attempts,
@@ -262,8 +262,9 @@
         headers = self._headers(choice)
         tokens = self._caller.prompt_tokens - headers.stored_tokens
         replica.in_flight += 1
-        replica.pending_tokens += tokens
-        self._sends += 1
+        replica.unread_tokens += tokens
+        replica.held_tokens += self._held_tokens()
+        self._sent_ms = self._clock.now_ms()
         self._tried.add(replica.entry.incarnation)
         try:
             connection.send(
@@ -279,7 +280,8 @@
             raise
         finally:
             replica.in_flight -= 1
-            replica.pending_tokens -= tokens
+            replica.unread_tokens -= tokens
+            replica.held_tokens -= self._held_tokens()
 
     async def _answer(
         self, connection: HttpConnection, choice: Choice, tokens: int
@@ -387,7 +389,7 @@
                 if isinstance(event, BodyPart):
                     if is_first:
                         is_first = False
-                        choice.replica.pending_tokens -= tokens
+                        self._on_first_token(choice, tokens)
                     await self._pass_events(head, splitter.feed(event.data))
                 elif isinstance(event, End):
                     return await self._end_stream(connection, choice, head, splitter)
@@ -395,7 +397,7 @@
                     return self._no_answer(connection, choice.replica, event)
         finally:
             if not is_first:
-                choice.replica.pending_tokens += tokens
+                choice.replica.unread_tokens += tokens
 
     async def _pass_events(self, head: Head, events: list) -> None:
         stream = self._stream
@@ -451,6 +453,8 @@
             prefix_key=shared[-1].part_id if shared else "",
             prefix_tokens=prefix_tokens - stored_tokens,
             new_tokens=caller.prompt_tokens - prefix_tokens,
+            tokens=self._held_tokens(),
+            kv_tokens=self._allowed.kv_tokens,
             model=caller.model,
             version=version,
             least_version=self._owner._weights.least(now_ms, caller.model),
@@ -502,6 +506,18 @@
         )
         return salt, plan
 
+    def _held_tokens(self) -> int:
+        """Return what the request takes of a replica's memory at its end."""
+        return self._caller.prompt_tokens + self._caller.most_output_tokens
+
+    def _on_first_token(self, choice: Choice, tokens: int) -> None:
+        choice.replica.unread_tokens -= tokens
+        if self._caller.model:
+            took_ms = self._clock.now_ms() - self._sent_ms
+            choice.replica.on_first_token(
+                expected_ms=choice.first_token_ms, took_ms=took_ms
+            )
+
     def _salt(self, version: int) -> str:
         account = self._allowed.account
         isolated = account.name if account and account.is_isolated else None
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -2,15 +2,16 @@
 
 from ._chooser import Choice, Chooser, Wanted
 from ._directory import ReplicaDirectory
-from ._pending import PeerPending, PendingTask
 from ._state import ReplicaState
+from ._under_way import PeerUnderWay, UnderWay, UnderWayTask
 
 __all__ = [
     "Choice",
     "Chooser",
-    "PeerPending",
-    "PendingTask",
+    "PeerUnderWay",
     "ReplicaDirectory",
     "ReplicaState",
+    "UnderWay",
+    "UnderWayTask",
     "Wanted",
 ]
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -6,8 +6,8 @@
 from fireflyward.rendezvous import rendezvous_rank
 
 from ._directory import ReplicaDirectory
-from ._pending import PeerPending
 from ._state import ReplicaState
+from ._under_way import PeerUnderWay
 
 # The costs below are in milliseconds of waiting that the caller would rather have.
 # A replica in another failure domain: the way there and back, and priced bytes.
@@ -29,6 +29,10 @@
 _OLD_WEIGHTS_MS = 150.0
 # Nodes that see the same must not all choose the same replica.
 _JITTER_MS = 3.0
+# How much of a replica's memory requests may hold before others wait for it, and
+# for how long a request holds its part.
+_MEMORY_SHARE = 0.85
+_RUN_MS = 1_500.0
 # Preference for the place where the rest of the service expects the prompt.
 _NOT_HOME_SHARE = 0.9
 # Fetching what the home has in memory takes a few ms on fast links.
@@ -41,7 +45,8 @@
 
     ``prefix_key`` names the part of the prompt that other requests share,
     ``prefix_tokens`` is how much of the prompt lies under it and in no store, and
-    ``new_tokens`` is what any replica has to read. ``version`` is the
+    ``new_tokens`` is what any replica has to read. ``tokens`` is what the request
+    holds in memory at its end, of the ``kv_tokens`` of a replica. ``version`` is the
     newest version of the weights and ``least_version`` the oldest that may serve.
     """
 
@@ -49,6 +54,8 @@
     prefix_key: str = ""
     prefix_tokens: int = 0
     new_tokens: int = 0
+    tokens: int = 0
+    kv_tokens: int = 0
     model: str = ""
     version: int | None = None
     least_version: int = 0
@@ -78,17 +85,17 @@
     request and fetches the prefix from the home.
     """
 
-    __slots__ = ("_directory", "_failure_domain", "_pending", "_random")
+    __slots__ = ("_directory", "_failure_domain", "_peers", "_random")
 
     def __init__(
         self,
         directory: ReplicaDirectory,
         *,
         failure_domain: str,
-        pending: PeerPending | None = None,
+        peers: PeerUnderWay | None = None,
         seed: int | None = None,
     ) -> None:
-        self._pending = pending or PeerPending()
+        self._peers = peers or PeerUnderWay()
         self._directory = directory
         self._failure_domain = failure_domain
         self._random = random.Random(seed)
@@ -116,16 +123,29 @@
             if home.version_by_model.get(wanted.model) == weights:
                 source = home.entry.address
         queue_ms = self.queue_ms(now_ms, chosen)
+        queue_ms += self._memory_ms(now_ms, chosen, wanted)
         if chosen.is_loading(now_ms):
             queue_ms += _LOADING_MS
         own_tokens = wanted.new_tokens + wanted.prefix_tokens
-        first_token_ms = queue_ms + own_tokens / _TOKENS_PER_MS
+        first_token_ms = queue_ms + chosen.pace * own_tokens / _TOKENS_PER_MS
         return Choice(chosen, weights, source, queue_ms, first_token_ms)
 
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
-        others = self._pending.tokens(now_ms, state.entry.incarnation)
-        return (state.pending_tokens + others) / _TOKENS_PER_MS
+        others = self._peers.at(now_ms, state.entry.incarnation)
+        return state.pace * (state.unread_tokens + others.unread) / _TOKENS_PER_MS
+
+    def _memory_ms(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> float:
+        """Return how long a request waits until memory for it is free.
+
+        With its memory full a replica puts running requests back and reads them
+        again later, which makes all of them late.
+        """
+        if not wanted.kv_tokens:
+            return 0.0
+        held = state.held_tokens + self._peers.at(now_ms, state.entry.incarnation).held
+        over = held + wanted.tokens - _MEMORY_SHARE * wanted.kv_tokens
+        return _RUN_MS * over / held if over > 0 and held else 0.0
 
     def _home(
         self, now_ms: int, able: list[ReplicaState], wanted: Wanted
@@ -154,6 +174,7 @@
     ) -> float:
         cost_ms = _FULL_LOAD_MS * state.load_at(now_ms)
         cost_ms += self.queue_ms(now_ms, state)
+        cost_ms += self._memory_ms(now_ms, state, wanted)
         cost_ms += _JITTER_MS * self._random.random()
         if home is not None and state is not home:
             cost_ms += _NOT_HOME_SHARE * wanted.prefix_tokens / _TOKENS_PER_MS
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -14,6 +14,12 @@
 _LOADING_MS = 400
 # Weight of one answer in the running share of failed ones.
 _FAILURE_WEIGHT = 0.12
+# The time to the first token against what was expected, as a running mean. Short
+# waits say little: a step of the batch is a good part of them.
+_PACE_WEIGHT = 0.15
+_LEAST_EXPECTED_MS = 40.0
+_LEAST_PACE = 0.7
+_MOST_PACE = 4.0
 
 
 class ReplicaState:
@@ -30,15 +36,19 @@
         "failed_share",
         "gone_at_ms",
         "in_flight",
-        "pending_tokens",
+        "held_tokens",
+        "pace",
         "refusals",
+        "unread_tokens",
         "version_by_model",
     )
 
     def __init__(self, entry: ReplicaEntry) -> None:
         self.entry = entry
         self.in_flight = 0
-        self.pending_tokens = 0
+        self.unread_tokens = 0
+        self.held_tokens = 0
+        self.pace = 1.0
         self.failed_share = 0.0
         self.gone_at_ms: int | None = None
         self.version_by_model = _versions(entry)
@@ -82,6 +92,14 @@
         self._suspect_until_ms = 0
         self.failed_share += _FAILURE_WEIGHT * (failed - self.failed_share)
 
+    def on_first_token(self, *, expected_ms: float, took_ms: float) -> None:
+        """Learn how much slower or faster it is than was expected."""
+        if expected_ms < _LEAST_EXPECTED_MS:
+            return
+        ratio = min(max(took_ms / expected_ms, 1 / _MOST_PACE), _MOST_PACE)
+        self.pace += _PACE_WEIGHT * (self.pace * ratio - self.pace)
+        self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
+
     def on_trouble(self, now_ms: int) -> None:
         """Suspect a replica that broke off or could not be reached."""
         length_ms = _FIRST_SUSPICION_MS << min(self._troubles, 5)
--- a/fireflyward/replicas/replicas.thrift
+++ b/fireflyward/replicas/replicas.thrift
@@ -1,8 +1,10 @@
-/* A node tells the others how many prompt tokens it has sent to each replica that
-   no first token has answered yet. Replicas that are not named have none. */
+/* A node tells the others what it has under way at each replica: prompt tokens that
+   no first token has answered yet, and tokens of all its requests there. Replicas
+   that are not named have none. */
 namespace py fireflyward.replicas
 
-struct PendingNews {
+struct UnderWayNews {
   1: required list<string> incarnations,
-  2: required list<i32> tokens,
+  2: required list<i32> unread,
+  3: required list<i32> held,
 }
--- a/fireflyward/routes/_table.py
+++ b/fireflyward/routes/_table.py
@@ -20,12 +20,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Allowed:
-    """The request may run: on this route, at this service, for this account."""
+    """The request may run: on this route, at this service, for this account.
+
+    ``kv_tokens`` is the memory of each of the service's replicas, 0 if it has none.
+    """
 
     route: Route
     service: str
     account: ClientAccount | None
     configuration_version: int
+    kv_tokens: int = 0
 
     @property
     def priority(self) -> int:
@@ -119,7 +123,11 @@
             if account is None:
                 return self._absent(now_ms, Reason.WRONG_KEY, "unknown key")
         service = _drawn(route, request_id)
-        return Allowed(route, service, account, self._configuration.version)
+        known = self._configuration.service_by_name.get(service)
+        engine = known.engine if known is not None else None
+        kv_tokens = engine.kv_tokens if engine is not None else 0
+        version = self._configuration.version
+        return Allowed(route, service, account, version, kv_tokens)
 
     def _find(self, host: str, path: str) -> Route | None:
         for route in self._routes_by_host.get(host, ()):
--- a/tests/replicas/test_chooser.py
+++ b/tests/replicas/test_chooser.py
@@ -3,18 +3,24 @@
 import unittest
 from collections import Counter
 
-from fireflyward.replicas import Chooser, PeerPending, ReplicaDirectory, Wanted
+from fireflyward.replicas import (
+    Chooser,
+    PeerUnderWay,
+    ReplicaDirectory,
+    UnderWay,
+    Wanted,
+)
 
 from .makers import entry
 
 
-class ChooserTests(unittest.TestCase):
+class ChooserCase(unittest.TestCase):
     def make(self, *entries):
         self.directory = ReplicaDirectory()
         self.directory.on_whole(0, entries, after_outage=False)
-        self.pending = PeerPending()
+        self.peers = PeerUnderWay()
         self.chooser = Chooser(
-            self.directory, failure_domain="a", pending=self.pending, seed=1
+            self.directory, failure_domain="a", peers=self.peers, seed=1
         )
 
     def chosen(self, wanted=None, now_ms=0, **options):
@@ -24,6 +30,8 @@
     def state(self, name):
         return self.directory.find(name)
 
+
+class ChooserTests(ChooserCase):
     def test_none_for_an_unknown_service(self):
         self.make(entry("r1"))
         self.assertIsNone(self.chosen(Wanted("other")))
@@ -82,7 +90,7 @@
         self.make(*(entry(f"r{n}", version=1) for n in range(3)))
         wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000, model="m")
         home = self.chosen(wanted)
-        self.pending.take(0, "entry-2", {home: 60_000})
+        self.peers.take(0, "entry-2", {home: UnderWay(60_000, 60_000)})
         choice = self.chooser.choose(0, wanted)
         self.assertNotEqual(choice.replica.entry.incarnation, home)
         self.assertEqual(choice.kv_source, f"{home}:80")
@@ -91,7 +99,7 @@
         self.make(*(entry(f"r{n}", version=1) for n in range(3)))
         wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000, model="m")
         home = self.chosen(wanted)
-        self.pending.take(0, "entry-2", {home: 60_000})
+        self.peers.take(0, "entry-2", {home: UnderWay(60_000, 60_000)})
         self.state(home).on_loaded("m", 2)
         self.assertIsNone(self.chooser.choose(0, wanted).kv_source)
 
@@ -111,24 +119,51 @@
 
     def test_the_queue_of_all_nodes_is_told(self):
         self.make(entry("r1", version=1))
-        self.state("r1").pending_tokens = 900
-        self.pending.take(0, "entry-2", {"r1": 900})
+        self.state("r1").unread_tokens = 900
+        self.peers.take(0, "entry-2", {"r1": UnderWay(900, 900)})
         choice = self.chooser.choose(0, Wanted("s", model="m", new_tokens=900))
         self.assertEqual((choice.queue_ms, choice.first_token_ms), (20.0, 30.0))
 
 
-class PendingTests(unittest.TestCase):
+class LoadTests(ChooserCase):
+    def test_a_replica_without_memory_for_it_is_avoided(self):
+        """Symptom: streams stop midway for a second, though queues are short.
+
+        Long prompts fill a replica's memory; it puts running requests back and
+        reads them again.
+        """
+        self.make(entry("r1", version=1), entry("r2", version=1))
+        self.peers.take(0, "entry-2", {"r1": UnderWay(0, 90_000)})
+        wanted = Wanted("s", model="m", tokens=12_000, kv_tokens=100_000)
+        self.assertEqual({self.chosen(wanted) for _ in range(20)}, {"r2"})
+        self.peers.take(0, "entry-2", {"r1": UnderWay(0, 9), "r2": UnderWay(0, 90_000)})
+        choice = self.chooser.choose(0, wanted)
+        self.assertEqual(choice.replica.entry.incarnation, "r1")
+        self.assertEqual(choice.queue_ms, 0.0)
+
+    def test_a_replica_that_is_slower_than_expected_waits_longer(self):
+        self.make(entry("r1", version=1))
+        state = self.state("r1")
+        for _ in range(40):
+            state.on_first_token(expected_ms=100.0, took_ms=200.0)
+        self.assertGreater(state.pace, 1.9)
+        state.unread_tokens = 900
+        self.assertGreater(self.chooser.queue_ms(0, state), 19.0)
+
+
+class UnderWayTests(unittest.TestCase):
     def test_the_newest_word_of_a_node_counts(self):
-        pending = PeerPending()
-        pending.take(0, "n", {"r1": 5, "r2": 7})
-        pending.take(1, "n", {"r1": 2})
-        self.assertEqual((pending.tokens(1, "r1"), pending.tokens(1, "r2")), (2, 0))
+        peers = PeerUnderWay()
+        peers.take(0, "n", {"r1": UnderWay(5, 5), "r2": UnderWay(7, 7)})
+        peers.take(1, "n", {"r1": UnderWay(2, 3)})
+        self.assertEqual(peers.at(1, "r1"), UnderWay(2, 3))
+        self.assertEqual(peers.at(1, "r2"), UnderWay())
 
     def test_a_node_that_fell_silent_is_forgotten(self):
         """Symptom: a replica gets nothing although it idles.
 
-        A node died with requests on their way, and what it told last stays.
+        A node died with requests under way, and what it told last stays.
         """
-        pending = PeerPending()
-        pending.take(0, "n", {"r1": 50_000})
-        self.assertEqual(pending.tokens(1_000, "r1"), 0)
+        peers = PeerUnderWay()
+        peers.take(0, "n", {"r1": UnderWay(50_000, 50_000)})
+        self.assertEqual(peers.at(1_000, "r1"), UnderWay())
