--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -92,13 +92,15 @@
     async def step(self) -> bool:
         """Make one call; return whether the store answered it."""
         sent_ms = self._clock.now_ms()
+        # After a failure the age of what is known matters most: do not wait.
+        wait_ms = 0 if self._failures else self._wait_ms
         if self._needs_whole:
             result = await self._reader.rows(self._table)
         else:
             result = await self._reader.changes(
                 self._table,
                 after=self._version,
-                wait_ms=self._wait_ms,
+                wait_ms=wait_ms,
                 limit_ms=_SLACK_MS,
             )
         if isinstance(result, Unavailable):
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -44,12 +44,17 @@
 log = logging.getLogger("fireflyward.node")
 
 # The configuration's feed answers at once when something changes; a call that
-# finds nothing returns after this long and so proves that the keys are fresh.
-_CONFIGURATION_WAIT_MS = 1_000
+# finds nothing returns after this long and so proves that the keys are fresh. With
+# the feed's own slack it also finds a silent connection in 2.6 s.
+_CONFIGURATION_WAIT_MS = 1_900
 # Replicas renew their entries all the time, so a feed without a pause would never
-# rest. A leaving replica must get nothing after two seconds; this finds it in one.
-_REPLICAS_WAIT_MS = 300
-_REPLICAS_PAUSE_MS = 600
+# rest. A leaving replica must get nothing after the drain time; half of it leaves a
+# second try.
+_REPLICAS_WAIT_MS = 100
+_REPLICAS_PAUSE_SHARE = 0.5
+# Nodes that look for the lease. All of them looking would be a call a second each;
+# if all of these are gone at once the others find it within a minute.
+_CONTENDERS = 7
 # The balancer takes a node out after two questions, a second apart, without a 200.
 _NOTICED_MS = 2_600
 # What is kept of the grace for the last writes.
@@ -138,7 +143,7 @@
                 clock=clock,
                 on_news=self._replicas.on_news,
                 wait_ms=_REPLICAS_WAIT_MS,
-                pause_ms=_REPLICAS_PAUSE_MS,
+                pause_ms=int(bounds.drain_ms * _REPLICAS_PAUSE_SHARE),
             ),
         )
         self._lease = self._make_lease()
@@ -246,7 +251,7 @@
             table=LeaseTable(self._store),
             holder=self._settings.node,
             lease_ms=self._settings.bounds.lease_ms,
-            contends=lambda: not self._is_stopping,
+            contends=self._contends,
             on_change=self._on_lease,
         )
 
@@ -269,6 +274,9 @@
                 await self._open_link(self._peers.key)
             await self._clock.sleep_ms(self._peers.period_ms)
 
+    def _contends(self) -> bool:
+        return not self._is_stopping and self._peers.is_among_first(_CONTENDERS, _LEASE)
+
     async def _open_link(self, key: bytes) -> None:
         link = PeerLink(
             node_name=self._settings.node,
@@ -295,7 +303,10 @@
             self._follower_by_address.pop(address).cancel()
         for address in wanted.keys() - self._follower_by_address.keys():
             follower = StoreFollower(
-                wanted[address], reader=self._api, clock=self._clock
+                wanted[address],
+                reader=self._api,
+                clock=self._clock,
+                nodes=lambda: len(self._peers),
             )
             self._follower_by_address[address] = asyncio.create_task(
                 self._guarded(follower.run())
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -7,6 +7,7 @@
 
 from fireflyward.backing import Unavailable
 from fireflyward.platform import StoreClient
+from fireflyward.rendezvous import rendezvous_rank
 
 log = logging.getLogger("fireflyward.peers")
 
@@ -56,6 +57,12 @@
             if name != self._name and row != self._own
         ]
 
+    def is_among_first(self, count: int, duty: str) -> bool:
+        """Tell whether this node is among the first for a duty, alike everywhere."""
+        names = self._rows.keys() | {self._name}
+        ranked = sorted(names, key=lambda name: rendezvous_rank(duty, name))
+        return self._name in ranked[:count]
+
     def announce(self, own: NodeRow) -> None:
         """Tell the others from the next reading on where this node is reached."""
         self._own = own
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -348,6 +348,7 @@
         if facts.was_not_run:
             return self._rejected(choice, facts)
         choice.replica.on_answer(failed=head.status >= 500)
+        choice.replica.on_run(self._clock.now_ms() - self._sent_ms)
         return WholeAnswer(head, b"".join(parts))
 
     def _rejected(self, choice: Choice, facts: ResponseFacts) -> Rejected:
@@ -425,6 +426,7 @@
             return Failed("stream ends within an event", self._stream.has_begun)
         self._owner._pool.give_back(connection)
         choice.replica.on_answer(failed=False)
+        choice.replica.on_run(self._clock.now_ms() - self._sent_ms)
         if not self._stream.has_begun:
             await self._reply.begin(head)
         await self._reply.end()
--- a/fireflyward/prefixes/_follow.py
+++ b/fireflyward/prefixes/_follow.py
@@ -1,6 +1,7 @@
 """The task that follows the events of one store of KV cache."""
 
 import logging
+from collections.abc import Callable
 from typing import Protocol
 
 from fireflyward.clock import Clock
@@ -12,6 +13,21 @@
 _WAIT_MS = 1_000
 _LIMIT_MS = 700
 _PAUSE_MS = 500
+# A store holds a dozen waiting calls at once and refuses more. Up to this many nodes
+# wait all the time; with more of them each asks in turns, for a short wait.
+_WAITERS = 9
+_SHORT_WAIT_MS = 250
+
+
+def polling(nodes: int) -> tuple[int, int]:
+    """Return how long a call waits and how long the pause after it is, in ms.
+
+    >>> polling(9), polling(90)
+    ((1000, 0), (250, 2250))
+    """
+    if nodes <= _WAITERS:
+        return _WAIT_MS, 0
+    return _SHORT_WAIT_MS, _SHORT_WAIT_MS * (nodes - _WAITERS) // _WAITERS
 
 
 class KvReader(Protocol):
@@ -27,7 +43,15 @@
 class StoreFollower:
     """Keeps one ``StoreIndex`` up to date."""
 
-    def __init__(self, index: StoreIndex, *, reader: KvReader, clock: Clock) -> None:
+    def __init__(
+        self,
+        index: StoreIndex,
+        *,
+        reader: KvReader,
+        clock: Clock,
+        nodes: Callable[[], int],
+    ) -> None:
+        self._nodes = nodes
         self._index = index
         self._reader = reader
         self._clock = clock
@@ -35,16 +59,20 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
+            _, pause_ms = polling(self._nodes())
             if not await self.step():
-                await self._clock.sleep_ms(_PAUSE_MS)
+                pause_ms = max(_PAUSE_MS, pause_ms)
+            if pause_ms:
+                await self._clock.sleep_ms(pause_ms)
 
     async def step(self) -> bool:
         """Make one call; return whether the store answered."""
         index = self._index
+        wait_ms, pause_ms = polling(self._nodes())
         news = await self._reader.kv_events(
             index.address,
             since=index.next_event,
-            wait_ms=_WAIT_MS,
+            wait_ms=wait_ms,
             limit_ms=_LIMIT_MS,
         )
         if news is None:
@@ -52,6 +80,9 @@
         if news.epoch != index.epoch and index.epoch is not None:
             log.info("prefixes: store %s restarted and is empty", index.address)
             index.next_event = 0
+            # Until every node has asked once more, some believe in the old parts.
+            unseen_ms = _LIMIT_MS + 2 * (wait_ms + pause_ms)
+            index.hold_saves(self._clock.now_ms() + unseen_ms)
         if index.take(news):
             return True
         whole = await self._reader.kv_list(index.address, limit_ms=_LIMIT_MS)
--- a/fireflyward/prefixes/_index.py
+++ b/fireflyward/prefixes/_index.py
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_capacity",
+        "_no_saves_until_ms",
         "_saving_ms_by_key",
         "_tokens_by_key",
         "_used",
@@ -65,6 +66,7 @@
         self.is_up = False
         self._capacity = capacity_tokens
         self._used = 0
+        self._no_saves_until_ms = 0
         self._tokens_by_key: dict[PartKey, int] = {}
         self._saving_ms_by_key: dict[PartKey, int] = {}
 
@@ -86,6 +88,15 @@
             self._apply(event)
         return True
 
+    def hold_saves(self, until_ms: int) -> None:
+        """Save nothing for a while after a restart of the store.
+
+        Other nodes may not have seen the restart yet and still fetch what they
+        believe to be whole there; a part that was being saved anew would give
+        them memory that is only half written.
+        """
+        self._no_saves_until_ms = until_ms
+
     def on_silence(self) -> None:
         """Note that the store does not answer."""
         self.is_up = False
@@ -98,6 +109,8 @@
         """Tell whether a part is worth saving, and note that it will be."""
         if not self.is_up or key in self._tokens_by_key:
             return False
+        if now_ms < self._no_saves_until_ms:
+            return False
         if now_ms - self._saving_ms_by_key.get(key, -_SAVING_MS) < _SAVING_MS:
             return False
         if self._used + tokens > self._capacity * _FULL_SHARE:
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -124,6 +124,7 @@
                 source = home.entry.address
         queue_ms = self.queue_ms(now_ms, chosen)
         queue_ms += self._memory_ms(now_ms, chosen, wanted)
+        queue_ms += _slot_ms(chosen, self._requests(now_ms, chosen))
         if chosen.is_loading(now_ms):
             queue_ms += _LOADING_MS
         own_tokens = wanted.new_tokens + wanted.prefix_tokens
@@ -135,6 +136,15 @@
         others = self._peers.at(now_ms, state.entry.incarnation)
         return state.pace * (state.unread_tokens + others.unread) / _TOKENS_PER_MS
 
+    def _requests(self, now_ms: int, state: ReplicaState) -> float:
+        """Return how many requests of all nodes are there.
+
+        Nodes tell of theirs and replicas count all in their responses; either may
+        be behind, so the larger number counts.
+        """
+        told = self._peers.at(now_ms, state.entry.incarnation).requests
+        return state.in_flight + max(told, state.others_at(now_ms))
+
     def _memory_ms(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> float:
         """Return how long a request waits until memory for it is free.
 
@@ -172,7 +182,9 @@
         home: ReplicaState | None,
         usual_failures: float,
     ) -> float:
-        cost_ms = _FULL_LOAD_MS * state.load_at(now_ms)
+        requests = self._requests(now_ms, state)
+        cost_ms = _FULL_LOAD_MS * requests / max(1, state.entry.slots)
+        cost_ms += _slot_ms(state, requests)
         cost_ms += self.queue_ms(now_ms, state)
         cost_ms += self._memory_ms(now_ms, state, wanted)
         cost_ms += _JITTER_MS * self._random.random()
@@ -195,6 +207,12 @@
         return cost_ms
 
 
+def _slot_ms(state: ReplicaState, requests: float) -> float:
+    """Return how long one more request waits for a slot."""
+    slots = max(1, state.entry.slots)
+    return max(0.0, requests + 1 - slots) * state.run_ms / slots
+
+
 def _has_weights(state: ReplicaState, wanted: Wanted) -> bool:
     if not wanted.model:
         return True
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -18,6 +18,7 @@
 # waits say little: a step of the batch is a good part of them.
 _PACE_WEIGHT = 0.15
 _LEAST_EXPECTED_MS = 40.0
+_FIRST_RUN_MS = 100.0
 _LEAST_PACE = 0.7
 _MOST_PACE = 4.0
 
@@ -39,6 +40,7 @@
         "held_tokens",
         "pace",
         "refusals",
+        "run_ms",
         "unread_tokens",
         "version_by_model",
     )
@@ -49,6 +51,7 @@
         self.unread_tokens = 0
         self.held_tokens = 0
         self.pace = 1.0
+        self.run_ms = _FIRST_RUN_MS
         self.failed_share = 0.0
         self.gone_at_ms: int | None = None
         self.version_by_model = _versions(entry)
@@ -77,10 +80,6 @@
         age_ms = max(0, now_ms - self._others_at_ms)
         return self._others * 0.5 ** (age_ms / _LOAD_HALF_LIFE_MS)
 
-    def load_at(self, now_ms: int) -> float:
-        """Return requests there per slot."""
-        return (self.in_flight + self.others_at(now_ms)) / max(1, self.entry.slots)
-
     def on_load(self, now_ms: int, total: int) -> None:
         """Take the requests that run and wait there, by the replica's own word."""
         self._others = max(0.0, total - self.in_flight)
@@ -100,6 +99,10 @@
         self.pace += _PACE_WEIGHT * (self.pace * ratio - self.pace)
         self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
 
+    def on_run(self, took_ms: float) -> None:
+        """Learn for how long a request keeps its slot."""
+        self.run_ms += _PACE_WEIGHT * (took_ms - self.run_ms)
+
     def on_trouble(self, now_ms: int) -> None:
         """Suspect a replica that broke off or could not be reached."""
         length_ms = _FIRST_SUSPICION_MS << min(self._troubles, 5)
--- a/fireflyward/replicas/_under_way.py
+++ b/fireflyward/replicas/_under_way.py
@@ -29,11 +29,12 @@
     """Tokens under way at a replica.
 
     ``unread`` are of prompts without a first token yet: whoever comes next waits
-    for them. ``held`` are of all requests there, which fill its memory.
+    for them. ``held`` are of all ``requests`` there, which fill its memory.
     """
 
     unread: int = 0
     held: int = 0
+    requests: int = 0
 
 
 _NOTHING = UnderWay()
@@ -43,9 +44,9 @@
     """What the other nodes have under way, by replica; no I/O.
 
     >>> peers = PeerUnderWay()
-    >>> peers.take(0, "entry-2", {"r1": UnderWay(900, 1_200)})
-    >>> peers.at(500, "r1"), peers.at(1_000, "r1")
-    (UnderWay(unread=900, held=1200), UnderWay(unread=0, held=0))
+    >>> peers.take(0, "entry-2", {"r1": UnderWay(900, 1_200, 1)})
+    >>> peers.at(500, "r1").unread, peers.at(1_000, "r1").unread
+    (900, 0)
     """
 
     __slots__ = ("_by_node", "_total_by_incarnation")
@@ -82,7 +83,9 @@
         for incarnation, more in told.items():
             total = totals.get(incarnation, _NOTHING)
             totals[incarnation] = UnderWay(
-                total.unread + sign * more.unread, total.held + sign * more.held
+                total.unread + sign * more.unread,
+                total.held + sign * more.held,
+                total.requests + sign * more.requests,
             )
             if totals[incarnation] == _NOTHING:
                 del totals[incarnation]
@@ -119,10 +122,10 @@
         now_ms = self._clock.now_ms()
         own = {
             state.entry.incarnation: UnderWay(
-                int(state.unread_tokens), int(state.held_tokens)
+                int(state.unread_tokens), int(state.held_tokens), state.in_flight
             )
             for state in self._directory.all()
-            if state.held_tokens >= 1
+            if state.in_flight
         }
         is_due = bool(own) and now_ms - self._told_ms >= _REPEAT_MS
         if own == self._told and not is_due:
@@ -132,12 +135,13 @@
             incarnations=list(own),
             unread=[item.unread for item in own.values()],
             held=[item.held for item in own.values()],
+            requests=[item.requests for item in own.values()],
         )
         for address in addresses:
             link.send(address, _KIND, news)
 
     async def _on_news(self, sender: str, news: Any) -> None:
-        tokens = zip(news.unread, news.held, strict=False)
-        items = [UnderWay(unread, held) for unread, held in tokens]
+        counts = zip(news.unread, news.held, news.requests, strict=False)
+        items = [UnderWay(*item) for item in counts]
         told = dict(zip(news.incarnations, items, strict=False))
         self._peers.take(self._clock.now_ms(), sender, told)
--- a/fireflyward/routes/_table.py
+++ b/fireflyward/routes/_table.py
@@ -8,8 +8,8 @@
 
 # A configuration that is older than this may lack a route or a key that was added
 # meanwhile, so their absence is no ground for a final refusal. The feed confirms
-# the configuration about once a second.
-_CERTAIN_MS = 1_900
+# the configuration about every two seconds.
+_CERTAIN_MS = 2_900
 # Callers of a node without contact to the store come back after this long; by
 # then the balancer has taken a node out that says it is not ready.
 _RETRY_MS = 500
--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 
 # Of a model's replicas, how many may load at once. The others carry the load
-# meanwhile, and loading slows down when many do it; a third keeps three rounds
-# within the time that a deployment allows for a version.
-_LOADING_SHARE = 1 / 3
+# meanwhile, and loading slows down when more than this do it; three rounds fit into
+# the time that a deployment allows for a version.
+_LOADING_SHARE = 0.4
 # After this long without the new version an order is taken to be lost. A load
 # takes one to three seconds after the runs before it have ended.
 _LOST_AFTER_MS = 6_000
@@ -59,7 +59,7 @@
         behind = [view for view in views if view.version < version]
         waiting = [view for view in behind if self._is_free(now_ms, view.incarnation)]
         loading = len(behind) - len(waiting)
-        room = max(1, math.ceil(len(views) * _LOADING_SHARE)) - loading
+        room = max(1, math.floor(len(views) * _LOADING_SHARE)) - loading
         waiting.sort(key=lambda view: view.busy_ms)
         return [
             Order(view.incarnation, view.address, model, version)
--- a/tests/prefixes/test_index.py
+++ b/tests/prefixes/test_index.py
@@ -55,3 +55,13 @@
         self.assertTrue(self.index.take(whole))
         self.assertTrue(self.index.has(KEY))
         self.assertEqual(self.index.next_event, 9)
+
+    def test_nothing_is_saved_until_all_nodes_know_of_a_restart(self):
+        """Symptom: an answer made from memory that was half written.
+
+        A store restarts empty. One node knows and saves a part anew, another still
+        believes that it is whole there and fetches it meanwhile.
+        """
+        self.index.hold_saves(3_000)
+        self.assertFalse(self.index.may_save(2_999, KEY, 100))
+        self.assertTrue(self.index.may_save(3_000, KEY, 100))
--- a/tests/replicas/test_chooser.py
+++ b/tests/replicas/test_chooser.py
@@ -150,6 +150,13 @@
         state.unread_tokens = 900
         self.assertGreater(self.chooser.queue_ms(0, state), 19.0)
 
+    def test_a_replica_without_a_free_slot_makes_wait(self):
+        self.make(entry("r1", slots=4), entry("r2", slots=4))
+        self.peers.take(0, "entry-2", {"r1": UnderWay(0, 0, 6)})
+        self.assertEqual({self.chosen() for _ in range(20)}, {"r2"})
+        self.peers.take(0, "entry-2", {n: UnderWay(0, 0, 6) for n in ("r1", "r2")})
+        self.assertEqual(self.chooser.choose(0, Wanted("s")).queue_ms, 75.0)
+
 
 class UnderWayTests(unittest.TestCase):
     def test_the_newest_word_of_a_node_counts(self):
