--- /dev/null
+++ b/tests/soak/_faults.py
@@ -0,0 +1,125 @@
+"""Faults drawn from a seed; several overlap."""
+
+import asyncio
+import signal
+
+from tests.platform_standins import Manner, StoreManner
+
+from ._proxy import Link
+
+_MANNERS = [manner for manner in Manner if manner is not Manner.SILENT]
+_LINKS = [mode for mode in Link if mode is not Link.WELL]
+_STORE_MANNERS = [
+    StoreManner.BUSY,
+    StoreManner.TOO_MANY,
+    StoreManner.LOSES_ANSWERS,
+    StoreManner.FORGETS,
+]
+
+
+class Faults:
+    """Brings faults about until cancelled; ``history`` tells which."""
+
+    def __init__(self, random, fleet):
+        self._random = random
+        self._fleet = fleet
+        self.history = []
+
+    async def run(self):
+        kinds = (
+            self._kill,
+            self._pause,
+            self._stop_planned,
+            self._link_to_replica,
+            self._link_to_store,
+            self._reset_all,
+            self._replica_misbehaves,
+            self._store_misbehaves,
+            self._name_weights,
+            self._withdraw_key,
+            self._replica_leaves,
+        )
+        async with asyncio.TaskGroup() as group:
+            while True:
+                await asyncio.sleep(self._random.uniform(0.1, 0.6))
+                kind = self._random.choice(kinds)
+                self.history.append(kind.__name__)
+                group.create_task(kind())
+
+    def _span(self):
+        return asyncio.sleep(self._random.uniform(0.3, 1.5))
+
+    def _free_node(self):
+        """Return a node with no fault of its own now, none if all have one."""
+        free = [node for node in self._fleet.nodes if node not in self._fleet.struck]
+        return self._random.choice(free) if len(free) > 1 else None
+
+    async def _kill(self):
+        await self._strike(signal.SIGKILL)
+
+    async def _stop_planned(self):
+        await self._strike(signal.SIGTERM)
+
+    async def _strike(self, number):
+        node = self._free_node()
+        if node is None:
+            return
+        self._fleet.struck.add(node)
+        node.signal(number)
+        code = await node.ended()
+        if number == signal.SIGTERM and code != 0:
+            self._fleet.broken.append(f"{node.name} ended with {code} on SIGTERM")
+        await self._span()
+        await node.start()
+        self._fleet.struck.discard(node)
+
+    async def _pause(self):
+        node = self._free_node()
+        if node is None:
+            return
+        self._fleet.struck.add(node)
+        node.signal(signal.SIGSTOP)
+        await self._span()
+        node.signal(signal.SIGCONT)
+        self._fleet.struck.discard(node)
+
+    async def _link_to_replica(self):
+        await self._spoil(self._random.choice(self._fleet.replica_links))
+
+    async def _link_to_store(self):
+        await self._spoil(self._random.choice(self._fleet.store_links))
+
+    async def _spoil(self, link):
+        link.mode = self._random.choice(_LINKS)
+        await self._span()
+        if link.mode in (Link.SILENT, Link.ONE_WAY):
+            # Open connections stay silent for good while new ones work.
+            link.mode = Link.WELL
+            return
+        link.mode = Link.WELL
+
+    async def _reset_all(self):
+        links = [*self._fleet.replica_links, *self._fleet.store_links]
+        self._random.choice(links).reset_all()
+
+    async def _replica_misbehaves(self):
+        replica = self._random.choice(self._fleet.replicas)
+        replica.manners = [self._random.choice(_MANNERS) for _ in range(6)]
+
+    async def _store_misbehaves(self):
+        self._fleet.store.manner = self._random.choice(_STORE_MANNERS)
+        await self._span()
+        self._fleet.store.manner = StoreManner.WELL
+
+    async def _name_weights(self):
+        self._fleet.version += 1
+        self._fleet.operator.name_weights("m", self._fleet.version)
+
+    async def _withdraw_key(self):
+        self._fleet.withdraw_key()
+
+    async def _replica_leaves(self):
+        replica = self._random.choice(self._fleet.replicas)
+        self._fleet.list_replica(replica, state="draining")
+        await self._span()
+        self._fleet.list_replica(replica)
