--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 
 from fireflyward.clock import Clock, TimedOut, within_ms
-from fireflyward.forwarding import Forwarder
+from fireflyward.forwarding import Forwarder, Trace
 from fireflyward.http1 import Head
 from fireflyward.observe import Metrics
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -142,15 +142,16 @@
         reply = _AiohttpReply(self, request)
         caller: CallerRequest | NotRun | None = None
         outcome: Outcome = Unknown(Reason.CALLER_GONE)
+        trace = Trace()
         try:
             caller = decode_request(
                 request.method, request.raw_path, request.headers.items()
             )
-            outcome = await self._served(request, caller, reply, arrived_ms)
+            outcome = await self._served(request, caller, reply, arrived_ms, trace)
             return await self._finish(request, caller, reply, outcome)
         finally:
             self.in_flight -= 1
-            self._note(caller, outcome, arrived_ms)
+            self._note(caller, outcome, arrived_ms, trace)
 
     async def _served(
         self,
@@ -158,10 +159,11 @@
         caller: CallerRequest | NotRun,
         reply: _AiohttpReply,
         arrived_ms: int,
+        trace: Trace,
     ) -> Outcome:
         """Serve a request; a fault of the program fails just that one, loudly."""
         try:
-            return await self._serve(request, caller, reply, arrived_ms)
+            return await self._serve(request, caller, reply, arrived_ms, trace)
         except ConnectionError:
             return Unknown(Reason.CALLER_GONE)
         except Exception:
@@ -174,6 +176,7 @@
         caller: CallerRequest | NotRun,
         reply: _AiohttpReply,
         arrived_ms: int,
+        trace: Trace,
     ) -> Outcome:
         if isinstance(caller, NotRun):
             return caller
@@ -191,7 +194,7 @@
         if not isinstance(allowed, Allowed):
             return allowed
         return await self._forwarder.serve(
-            caller, body, allowed, arrived_ms=arrived_ms, reply=reply
+            caller, body, allowed, arrived_ms=arrived_ms, reply=reply, trace=trace
         )
 
     async def _finish(
@@ -235,24 +238,32 @@
         return read
 
     def _note(
-        self, caller: CallerRequest | NotRun | None, outcome: Outcome, arrived_ms: int
+        self,
+        caller: CallerRequest | NotRun | None,
+        outcome: Outcome,
+        arrived_ms: int,
+        trace: Trace,
     ) -> None:
-        took_ms = self._clock.now_ms() - arrived_ms
+        """Count a request, and write its one line."""
+        now_ms = self._clock.now_ms()
+        took_ms = now_ms - arrived_ms
         reason = "" if isinstance(outcome, Answered) else outcome.reason.value
-        self._metrics.count("requests_total", outcome=outcome.tag, reason=reason)
+        labels = {"outcome": outcome.tag, "reason": reason, "route": trace.route}
+        self._metrics.count("requests_total", **labels)
         self._metrics.observe_ms("request_ms", took_ms)
+        if trace.sends > 1:
+            self._metrics.count("repeated_sends_total", trace.sends - 1)
         request_id = caller.request_id if isinstance(caller, CallerRequest) else "none"
-        log.info(
-            "callers: %s after %d ms",
-            outcome.tag,
-            took_ms,
-            extra={
-                "request": request_id,
-                "outcome": reason or None,
-                "detail": getattr(outcome, "detail", None),
-                "age_ms": self._routes.age_ms(self._clock.now_ms()),
-            },
-        )
+        fields = {
+            **trace.fields(),
+            "request": request_id,
+            "outcome": outcome.tag,
+            "reason": reason,
+            "detail": getattr(outcome, "detail", ""),
+            "took_ms": took_ms,
+            "configuration_age_ms": self._routes.age_ms(now_ms),
+        }
+        log.info("callers: %s", outcome.tag, extra={"fields": fields})
 
 
 def address_of(listener: asyncio.Server) -> str:
--- a/fireflyward/fleet/_logs.py
+++ b/fireflyward/fleet/_logs.py
@@ -10,16 +10,7 @@
 # Lines a second beyond which only warnings pass; a full pipe and the processor
 # time of writing must not become the callers' latency when load is at its worst.
 _LINES_PER_SECOND = 60
-_FIELDS = (
-    "request",
-    "route",
-    "account",
-    "replica",
-    "outcome",
-    "detail",
-    "ms",
-    "age_ms",
-)
+_OWN = frozenset(logging.makeLogRecord({}).__dict__) | {"message", "asctime"}
 
 
 class LineHandler(logging.Handler):
@@ -49,10 +40,7 @@
         part, _, message = record.getMessage().partition(": ")
         line = {"ms": now_ms, "level": record.levelname.lower(), "part": part}
         line["message"] = message
-        for name in _FIELDS:
-            value = record.__dict__.get(name)
-            if value is not None:
-                line[name] = value
+        line |= _extra(record)
         if record.exc_info:
             line["error"] = logging.Formatter().formatException(record.exc_info)
         if self._dropped:
@@ -68,6 +56,13 @@
             self._dropped += 1
 
 
+def _extra(record: logging.LogRecord) -> dict[str, object]:
+    """Return what was logged beside the message, without what is empty."""
+    extra = {key: item for key, item in record.__dict__.items() if key not in _OWN}
+    extra |= extra.pop("fields", {})
+    return {key: item for key, item in extra.items() if item not in ("", None)}
+
+
 def set_up_lines(clock: Clock) -> None:
     """Send the package's logs to standard output as JSON lines."""
     logger = logging.getLogger("fireflyward")
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -39,6 +39,7 @@
 
 from ._callers import CallerDoor, address_of
 from ._peers import NodeRow, PeerRegister
+from ._settings_watch import SettingsWatch
 from ._views import OperatorView, ReplicaView
 
 log = logging.getLogger("fireflyward.node")
@@ -185,6 +186,21 @@
             and self._routes.may_accept_keys(self._clock.now_ms())
         )
 
+    def reload(self, settings: FleetSettings) -> None:
+        """Take new settings; what only a start can change stays as it is."""
+        bounds = settings.bounds
+        self._routes.set_bounds(
+            revoke_ms=bounds.revoke_ms,
+            closes_without_contact=bounds.closes_without_contact,
+        )
+        self._budget.set_bounds(
+            ratio=bounds.retry_ratio,
+            extra=bounds.retry_extra,
+            window_ms=bounds.retry_window_ms,
+        )
+        self._settings = settings
+        log.info("node: settings reloaded")
+
     async def start(self) -> None:
         """Listen, and follow the store."""
         settings = self._settings
@@ -352,10 +368,14 @@
         return Response(text=self._metrics.text())
 
 
-async def run_node(settings: FleetSettings, stop: asyncio.Event) -> None:
-    """Run a node until ``stop`` is set."""
+async def run_node(
+    settings: FleetSettings, stop: asyncio.Event, changed: SettingsWatch
+) -> None:
+    """Run a node until ``stop`` is set, following its settings."""
     node = FleetNode(settings, clock=Clock())
     await node.start()
+    following = asyncio.create_task(changed.run(node.reload))
     await stop.wait()
+    following.cancel()
     with contextlib.suppress(asyncio.CancelledError):
         await node.stop()
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -38,6 +38,7 @@
     RejectedBecause,
     SendResult,
     Streamed,
+    Trace,
     Unsent,
     WholeAnswer,
 )
@@ -125,9 +126,10 @@
         *,
         arrived_ms: int,
         reply: Reply,
+        trace: Trace,
     ) -> Outcome:
-        """Carry one request to its end."""
-        run = _Run(self, caller, body, allowed, arrived_ms, reply)
+        """Carry one request to its end; ``trace`` is filled on the way."""
+        run = _Run(self, caller, body, allowed, arrived_ms, reply, trace)
         return await run.to_end()
 
     def spent_ms(self, route: str, deadline_ms: float | None) -> float:
@@ -160,6 +162,7 @@
         "_sent_ms",
         "_service",
         "_stream",
+        "_trace",
         "_tried",
     )
 
@@ -171,7 +174,13 @@
         allowed: Allowed,
         arrived_ms: int,
         reply: Reply,
+        trace: Trace,
     ) -> None:
+        self._trace = trace
+        trace.route = allowed.route.name
+        trace.account = allowed.account.name if allowed.account else ""
+        trace.service = allowed.service
+        trace.configuration = allowed.configuration_version
         self._owner = owner
         self._clock = owner._clock
         self._caller = caller
@@ -229,6 +238,7 @@
         choice = self._choose()
         if choice is None:
             return NoReplica()
+        self._note_choice(choice)
         refusal = self._admitted(choice, left_ms)
         if refusal is not None:
             return refusal
@@ -244,6 +254,13 @@
             return Unsent(connection.detail)
         return await self._send_on(connection, choice)
 
+    def _note_choice(self, choice: Choice) -> None:
+        trace = self._trace
+        trace.replica = choice.replica.entry.incarnation
+        trace.weights = choice.weights
+        trace.queue_ms = int(choice.queue_ms)
+        trace.expected_ms = int(choice.first_token_ms)
+
     def _admitted(self, choice: Choice, left_ms: float) -> NotRun | None:
         """Turn a first send away if it would be late; note if it will be."""
         if not self._caller.model or self._plan.may_have_run:
@@ -265,6 +282,8 @@
         replica.unread_tokens += tokens
         replica.held_tokens += self._held_tokens()
         self._sent_ms = self._clock.now_ms()
+        self._trace.sends += 1
+        self._trace.stored_tokens = headers.stored_tokens
         self._tried.add(replica.entry.incarnation)
         try:
             connection.send(
@@ -534,10 +553,24 @@
     def _log_again(self, result: SendResult) -> None:
         log.info(
             "forwarding: again after %s",
-            result,
-            extra={"request": self._caller.request_id},
+            type(result).__name__,
+            extra={
+                "request": self._caller.request_id,
+                "replica": self._trace.replica,
+                "detail": _detail(result),
+                "left_ms": int(self._left_ms()),
+            },
         )
 
 
+def _detail(result: SendResult) -> str:
+    """Say in short what a send came to."""
+    if isinstance(result, WholeAnswer):
+        return f"status {result.head.status}"
+    if isinstance(result, Rejected):
+        return result.because.value
+    return getattr(result, "detail", "")
+
+
 def _says_not_run(answer: WholeAnswer) -> bool:
     return answer.head.status in _NOT_RUN_STATUSES
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -88,3 +88,44 @@
 
 
 Decision = TryAgain | Deliver | Finish
+
+
+class Trace:
+    """What was decided for one request, for its line in the log.
+
+    ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
+    the first token that were expected of its replica.
+    """
+
+    __slots__ = (
+        "account",
+        "configuration",
+        "expected_ms",
+        "queue_ms",
+        "replica",
+        "route",
+        "sends",
+        "service",
+        "stored_tokens",
+        "weights",
+    )
+
+    def __init__(self) -> None:
+        self.route = ""
+        self.account = ""
+        self.service = ""
+        self.configuration = 0
+        self.replica = ""
+        self.sends = 0
+        self.weights: int | None = None
+        self.queue_ms = 0
+        self.expected_ms = 0
+        self.stored_tokens = 0
+
+    def fields(self) -> dict[str, object]:
+        """Return what is known, by name."""
+        return {
+            name: value
+            for name in self.__slots__
+            if (value := getattr(self, name)) not in ("", None, 0)
+        }
--- a/fireflyward/retries/_budget.py
+++ b/fireflyward/retries/_budget.py
@@ -41,6 +41,12 @@
         self._nodes = 1
         self._by_service: dict[str, _Service] = {}
 
+    def set_bounds(self, *, ratio: float, extra: int, window_ms: int) -> None:
+        """Take new bounds from the settings."""
+        self._ratio = ratio
+        self._extra = extra
+        self._window_ms = window_ms
+
     def set_nodes(self, nodes: int) -> None:
         """Take the number of nodes that share the budget."""
         self._nodes = max(1, nodes)
--- a/fireflyward/routes/_table.py
+++ b/fireflyward/routes/_table.py
@@ -63,6 +63,11 @@
         self._routes_by_host: dict[str, list[Route]] = {}
         self._account_by_key: dict[str, ClientAccount] = {}
 
+    def set_bounds(self, *, revoke_ms: int, closes_without_contact: bool) -> None:
+        """Take new bounds from the settings."""
+        self._revoke_ms = revoke_ms
+        self._closes_without_contact = closes_without_contact
+
     @property
     def configuration(self) -> Configuration | None:
         return self._configuration
--- /dev/null
+++ b/tests/fleet/test_logs.py
@@ -0,0 +1,57 @@
+"""Structured lines: what stands in them, and their bounded volume."""
+
+import logging
+import os
+import unittest
+
+import msgspec
+
+from fireflyward.clock import ManualClock
+from fireflyward.fleet._logs import LineHandler
+
+
+class LineTests(unittest.TestCase):
+    def setUp(self):
+        self.reading, writing = os.pipe()
+        self.clock = ManualClock(5_000)
+        self.handler = LineHandler(writing, clock=self.clock)
+        self.logger = logging.getLogger("test.lines")
+        self.logger.propagate = False
+        self.logger.setLevel(logging.INFO)
+        self.logger.addHandler(self.handler)
+        self.addCleanup(self.logger.removeHandler, self.handler)
+        self.addCleanup(os.close, self.reading)
+        self.addCleanup(os.close, writing)
+
+    def lines(self):
+        text = os.read(self.reading, 1 << 20)
+        return [msgspec.json.decode(line) for line in text.splitlines()]
+
+    def test_part_message_and_fields(self):
+        fields = {"request": "r1", "detail": "", "took_ms": 0}
+        self.logger.info("callers: %s", "answered", extra={"fields": fields})
+        (line,) = self.lines()
+        self.assertEqual((line["part"], line["message"]), ("callers", "answered"))
+        self.assertEqual((line["request"], line["took_ms"]), ("r1", 0))
+        self.assertNotIn("detail", line)
+        self.assertEqual(line["ms"], 5_000)
+
+    def test_what_is_over_the_limit_is_counted_and_warnings_pass(self):
+        for number in range(100):
+            self.logger.info("x: %d", number)
+        self.logger.warning("x: last")
+        lines = self.lines()
+        self.assertLess(len(lines), 70)
+        self.assertEqual(lines[-1]["message"], "last")
+        self.assertEqual(lines[-1]["dropped_before"], 100 - (len(lines) - 1))
+
+    def test_a_reader_that_is_slow_holds_nothing_up(self):
+        """Symptom: requests wait while nobody reads the log.
+
+        The pipe is full, and a write that waits stops the event loop.
+        """
+        for _ in range(200):
+            self.clock._now_ms += 1_000
+            for _ in range(50):
+                self.logger.info("x: %s", "y" * 500)
+        self.assertGreater(len(self.lines()), 10)
--- /dev/null
+++ b/tests/fleet/test_settings_watch.py
@@ -0,0 +1,43 @@
+"""Settings that change while a node runs."""
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from fireflyward.clock import ManualClock
+from fireflyward.fleet._settings_watch import SettingsWatch
+from tests.platform_standins import settings_text
+
+
+class WatchTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = Path(folder.name) / "settings"
+        self.write(4)
+        self.taken = []
+        self.watch = SettingsWatch(str(self.path), clock=ManualClock())
+
+    def write(self, grace_s):
+        bounds = {"grace-s": grace_s}
+        self.path.write_text(settings_text("10.0.0.1:80", (1, 2, 3), bounds=bounds))
+
+    async def test_a_change_without_a_signal_is_taken_up(self):
+        self.watch.look(self.taken.append)
+        self.assertEqual(self.taken, [])
+        self.write(11)
+        self.watch.look(self.taken.append)
+        self.assertEqual(self.taken[0].bounds.grace_ms, 11_000)
+        self.watch.look(self.taken.append)
+        self.assertEqual(len(self.taken), 1)
+
+    async def test_a_signal_has_the_file_read(self):
+        self.watch.signal()
+        self.watch.look(self.taken.append)
+        self.assertEqual(len(self.taken), 1)
+
+    async def test_wrong_settings_change_nothing(self):
+        self.path.write_text("{")
+        with self.assertLogs("fireflyward.settings", "ERROR"):
+            self.watch.look(self.taken.append)
+        self.assertEqual(self.taken, [])
