--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -11,6 +12,8 @@
 
 from tests.platform_standins import settings_text
 
+_PORTS = (12_000, 30_000)
+
 
 class NodeProcess:
     """One ``python -m fireflyward.fleet``; its links lead through proxies."""
@@ -69,10 +72,23 @@
 
 
 def _free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for item in sockets:
-        item.bind(("127.0.0.1", 0))
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return ports for a node, each with the one above it free for its metrics.
+
+    They lie below the range from which outgoing connections take theirs, so that a
+    node that is down does not lose them to a caller.
+    """
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(*_PORTS, 2)
+        if port not in ports and _is_free(port) and _is_free(port + 1):
+            ports.append(port)
     return ports
+
+
+def _is_free(port):
+    with socket.socket() as item:
+        try:
+            item.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
