--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -31,6 +31,8 @@
 # configured idle limit, which the first configuration tells after the start.
 _KEEP_ALIVE_S = 75.0
 _BODY_MS = 10_000
+# Nobody gets this one; it is only what aiohttp asks a handler to return.
+_CALLER_GONE_STATUS = 499
 
 
 class _AiohttpReply:
@@ -89,6 +91,7 @@
             self._handle,
             handler_cancellation=True,
             access_log=None,
+            logger=log,
             max_line_size=_HEADER_BYTES,
             max_field_size=_HEADER_BYTES,
             keepalive_timeout=_KEEP_ALIVE_S,
@@ -149,6 +152,10 @@
             )
             outcome = await self._served(request, caller, reply, arrived_ms, trace)
             return await self._finish(request, caller, reply, outcome)
+        except ConnectionError:
+            # The caller went away while its answer was written; what is returned
+            # here finds the connection closed too.
+            return reply.response or Response(status=_CALLER_GONE_STATUS)
         finally:
             self.in_flight -= 1
             self._note(caller, outcome, arrived_ms, trace)
@@ -251,6 +258,8 @@
         labels = {"outcome": outcome.tag, "reason": reason, "route": trace.route}
         self._metrics.count("requests_total", **labels)
         self._metrics.observe_ms("request_ms", took_ms)
+        if trace.first_token_ms:
+            self._metrics.observe_ms("first_token_ms", trace.first_token_ms)
         if trace.sends > 1:
             self._metrics.count("repeated_sends_total", trace.sends - 1)
         request_id = caller.request_id if isinstance(caller, CallerRequest) else "none"
--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -5,9 +5,9 @@
 
 from fireflyward.outcomes import NotRun, Reason
 
-# An answer whose first token is expected later than this part of its objective is
-# not counted on: estimates are off by a chunk of a prompt or two.
-_ON_TIME_SHARE = 0.9
+# A first token that is expected later than this part of its objective counts as
+# late. More than one would let a lasting overload hold every answer just above it.
+_ON_TIME_SHARE = 1.0
 # What is late already runs only where it delays nobody: behind a queue that is
 # shorter than the tightest objectives leave.
 _LATE_QUEUE_MS = 250.0
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -225,7 +225,7 @@
     async def _deliver(self, answer: WholeAnswer) -> Outcome:
         if self._stream.has_begun:
             return Unknown(Reason.UPSTREAM_FAILED, "failed on going on")
-        if not self._allowed.route.may_repeat and _says_not_run(answer):
+        if _says_not_run(answer):
             # Passed on, this status would promise the caller that nothing ran.
             return Unknown(Reason.UPSTREAM_FAILED, "replica failed after it began")
         await self._reply.whole(answer.head, answer.body)
@@ -313,7 +313,7 @@
         if problem:
             connection.close()
             choice.replica.on_trouble(self._clock.now_ms())
-            return Failed(problem, self._stream.has_begun)
+            return Failed(problem)
         if facts.load is not None:
             total = facts.load.running + facts.load.waiting
             choice.replica.on_load(self._clock.now_ms(), total)
@@ -341,10 +341,10 @@
         connection.close()
         now_ms = self._clock.now_ms()
         if event is None:
-            return Failed("no answer until the deadline", self._stream.has_begun)
+            return Failed("no answer until the deadline", is_late=True)
         replica.on_trouble(now_ms)
         detail = event.detail if isinstance(event, Broken) else "no head"
-        return Failed(detail, self._stream.has_begun)
+        return Failed(detail)
 
     async def _read_whole(
         self,
@@ -442,7 +442,7 @@
         if splitter.rest:
             connection.close()
             choice.replica.on_trouble(self._clock.now_ms())
-            return Failed("stream ends within an event", self._stream.has_begun)
+            return Failed("stream ends within an event")
         self._owner._pool.give_back(connection)
         choice.replica.on_answer(failed=False)
         choice.replica.on_run(self._clock.now_ms() - self._sent_ms)
@@ -535,6 +535,7 @@
         choice.replica.unread_tokens -= tokens
         if self._caller.model:
             took_ms = self._clock.now_ms() - self._sent_ms
+            self._trace.first_token_ms = took_ms
             choice.replica.on_first_token(
                 expected_ms=choice.first_token_ms, took_ms=took_ms
             )
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -38,11 +38,11 @@
 class Failed:
     """No usable answer came; the request may have run.
 
-    ``events_given`` tells whether the caller has already had some of the stream.
+    ``is_late`` tells that the deadline came first; the replica may be sound.
     """
 
     detail: str
-    events_given: bool = False
+    is_late: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,13 +94,15 @@
     """What was decided for one request, for its line in the log.
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
-    the first token that were expected of its replica.
+    the first token that were expected of its replica, and ``first_token_ms`` what it
+    came to from that send.
     """
 
     __slots__ = (
         "account",
         "configuration",
         "expected_ms",
+        "first_token_ms",
         "queue_ms",
         "replica",
         "route",
@@ -120,6 +122,7 @@
         self.weights: int | None = None
         self.queue_ms = 0
         self.expected_ms = 0
+        self.first_token_ms = 0
         self.stored_tokens = 0
 
     def fields(self) -> dict[str, object]:
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -120,7 +120,8 @@
         self._runs += 1
         if self._may_run_again(left_ms):
             return TryAgain()
-        return self.give_up(Reason.UPSTREAM_FAILED, result.detail)
+        reason = Reason.DEADLINE if result.is_late else Reason.UPSTREAM_FAILED
+        return self.give_up(reason, result.detail)
 
     @_on.register
     def _(self, result: WholeAnswer, left_ms: float) -> Decision:
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -6,7 +6,7 @@
 from fireflyward.rendezvous import rendezvous_rank
 
 from ._directory import ReplicaDirectory
-from ._state import ReplicaState
+from ._state import FIRST_EVENT_MS, ReplicaState
 from ._under_way import PeerUnderWay
 
 # The costs below are in milliseconds of waiting that the caller would rather have.
@@ -128,7 +128,8 @@
         if chosen.is_loading(now_ms):
             queue_ms += _LOADING_MS
         own_tokens = wanted.new_tokens + wanted.prefix_tokens
-        first_token_ms = queue_ms + chosen.pace * own_tokens / _TOKENS_PER_MS
+        reading_ms = chosen.pace * own_tokens / _TOKENS_PER_MS
+        first_token_ms = queue_ms + reading_ms + FIRST_EVENT_MS
         return Choice(chosen, weights, source, queue_ms, first_token_ms)
 
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -14,12 +14,16 @@
 _LOADING_MS = 400
 # Weight of one answer in the running share of failed ones.
 _FAILURE_WEIGHT = 0.12
-# The time to the first token against what was expected, as a running mean. Short
-# waits say little: a step of the batch is a good part of them.
+# What a first event takes beside reading prompts: a step or two of the batch, the
+# tokens that one event holds, and the way. Without it a replica that has nothing to
+# do would look slow, and its queue long.
+FIRST_EVENT_MS = 55.0
+# The rest of the time to the first token against what was expected of it, as a
+# running mean; short waits say little.
 _PACE_WEIGHT = 0.15
 _LEAST_EXPECTED_MS = 40.0
 _FIRST_RUN_MS = 100.0
-_LEAST_PACE = 0.7
+_LEAST_PACE = 0.5
 _MOST_PACE = 4.0
 
 
@@ -93,8 +97,10 @@
 
     def on_first_token(self, *, expected_ms: float, took_ms: float) -> None:
         """Learn how much slower or faster it is than was expected."""
+        expected_ms -= FIRST_EVENT_MS
         if expected_ms < _LEAST_EXPECTED_MS:
             return
+        took_ms = max(1.0, took_ms - FIRST_EVENT_MS)
         ratio = min(max(took_ms / expected_ms, 1 / _MOST_PACE), _MOST_PACE)
         self.pace += _PACE_WEIGHT * (self.pace * ratio - self.pace)
         self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
--- a/fireflyward/replicas/_under_way.py
+++ b/fireflyward/replicas/_under_way.py
@@ -16,12 +16,13 @@
 # How often a node tells of changes: a prompt takes 5 to 100 ms to read, so older
 # news would send several nodes' requests to the same replica.
 _PERIOD_MS = 30
-# Many nodes tell less often, so that what one node hears in a second stays the
-# same: about 300 datagrams.
-_PERIOD_PER_NODE_MS = 3
+# Many nodes tell less often, so that what one node sends and hears in a second stays
+# about a hundred datagrams: each costs some 60 us to pack or to read.
+_PERIOD_PER_NODE_MS = 8
+_FEW_NODES = 12
 # Told again when nothing changes; a node not heard of for longer is forgotten.
-_REPEAT_MS = 400
-_FORGET_MS = 1_000
+_REPEAT_MS = 700
+_FORGET_MS = 2_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -45,7 +46,7 @@
 
     >>> peers = PeerUnderWay()
     >>> peers.take(0, "entry-2", {"r1": UnderWay(900, 1_200, 1)})
-    >>> peers.at(500, "r1").unread, peers.at(1_000, "r1").unread
+    >>> peers.at(500, "r1").unread, peers.at(2_000, "r1").unread
     (900, 0)
     """
 
@@ -91,6 +92,15 @@
                 del totals[incarnation]
 
 
+def _period_ms(peers: int) -> int:
+    """Return how often a node with so many others tells.
+
+    >>> _period_ms(8), _period_ms(77)
+    (30, 616)
+    """
+    return _PERIOD_MS if peers <= _FEW_NODES else _PERIOD_PER_NODE_MS * peers
+
+
 class UnderWayTask:
     """Tells the other nodes what this one has under way, and hears of theirs."""
 
@@ -114,7 +124,7 @@
         link.register(_KIND, UnderWayNews, self._on_news)
         while True:
             addresses = self._peer_addresses()
-            period_ms = max(_PERIOD_MS, _PERIOD_PER_NODE_MS * len(addresses))
+            period_ms = _period_ms(len(addresses))
             await self._clock.sleep_ms(period_ms)
             self._tell(link, addresses)
 
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -39,7 +39,8 @@
     def reset_all(self):
         """Reset every open connection; new ones work."""
         for writer in list(self._pairs):
-            reset(writer)
+            if not writer.is_closing():
+                reset(writer)
 
     async def stop(self):
         self._server.close()
