Make four tests of failures fail when their protection is taken out

They passed before with the protection gone: idle connections at a planned stop, a cut stream's resumption, a caller that leaves before any answer, and idle connections to a store that went silent.

--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -181,13 +181,13 @@
 
         A replica stops in the middle of an event; another goes on.
         """
-        for _ in range(4):
-            self.engines[0].manners = [Manner.CUTS_STREAM]
-            _, _, body = await self.ask("POST", "/s/x", headers=STREAM)
-            self.assertEqual(_numbers(body), [1, 2, 3, 4])
-        began = len(self.engines[0].ran)
-        resumed = sum("last-event-id" in sent.headers for sent in self.engines[1].ran)
-        self.assertEqual(resumed > 0, began > 0)
+        await self.ask("POST", "/s/x", headers=STREAM)
+        home, other = sorted(self.engines, key=lambda engine: -len(engine.ran))
+        home.manners = [Manner.CUTS_STREAM]
+        _, _, body = await self.ask("POST", "/s/x", headers=STREAM)
+        self.assertEqual(_numbers(body), [1, 2, 3, 4])
+        (resumed,) = other.ran
+        self.assertEqual(resumed.headers["last-event-id"], "1")
 
     async def test_a_stream_that_may_not_be_resumed_does_not_look_whole(self):
         self.operator.configuration["routes"][0]["resumable"] = False
@@ -209,6 +209,14 @@
             response.close()
         await self.until(lambda: sum(e.left_early for e in self.engines) == 1)
 
+    async def test_a_caller_that_leaves_before_any_answer_stops_the_work(self):
+        for replica in self.plain:
+            replica.manners = [Manner.SILENT]
+        asking = asyncio.create_task(self.ask("POST", "/w/x", data=b"1"))
+        await self.until(lambda: self.runs(self.plain) == 1)
+        asking.cancel()
+        await self.until(lambda: sum(r.left_early for r in self.plain) == 1)
+
     async def test_weights_and_salt_are_named(self):
         await self.ask("POST", "/s/x", headers=STREAM)
         (sent,) = self.engines[0].ran + self.engines[1].ran
@@ -235,6 +243,17 @@
         async with self.session.get(url) as response:
             return response.status
 
+    async def idle_connection(self):
+        """Return a connection on which one request was answered."""
+        host, port = self.node.callers_address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        lines = ["GET /r/x HTTP/1.1", "Host: h.example", "X-Request-Id: idle"]
+        lines += ["Authorization: Bearer key-1", "", ""]
+        writer.write("\r\n".join(lines).encode())
+        await reader.readuntil(b"answer of p-")
+        await reader.readexactly(1)
+        return reader, writer
+
     async def test_ready_only_with_a_configuration(self):
         await self.node.start()
         self.assertEqual(await self.readiness(), 503)
@@ -265,11 +284,15 @@
         await self.ask("GET", "/r/x")
         streaming = asyncio.create_task(self.ask("POST", "/s/x", headers=STREAM))
         await self.until(lambda: self.runs(self.engines) == 1)
+        idle, writer = await self.idle_connection()
         stopping = asyncio.create_task(self.stop_node())
         await asyncio.sleep(0)
         self.assertEqual(await self.readiness(), 503)
         status, headers, _ = await self.ask("GET", "/r/x")
         self.assertEqual((status, headers["Connection"]), (200, "close"))
+        self.assertEqual(await idle.read(), b"")
+        self.assertFalse(streaming.done())
+        writer.close()
         _, _, body = await streaming
         self.assertEqual(len(_numbers(body)), 100)
         await stopping
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,5 +1,6 @@
 """The store's client: each way in which a call can end has its own value."""
 
+import asyncio
 import unittest
 
 from fireflyward.backing import Committed, Conflict, Missing, Unavailable, Uncertain
@@ -70,7 +71,7 @@
         A connection went silent for good. Calls that go on using it, or others
         that lie idle since then, hang until their limit one after the other.
         """
-        await self.client.rows("t")
+        await asyncio.gather(*(self.client.rows("t") for _ in range(3)))
         self.store.manner = StoreManner.SILENT
         result = await self.client.rows("t", limit_ms=100)
         self.assertIsInstance(result, Unavailable)
--- a/tests/platform_standins/_http.py
+++ b/tests/platform_standins/_http.py
@@ -18,6 +18,12 @@
     body: bytes = b""
     query: dict[str, str] = field(default_factory=dict)
     path: str = ""
+    reader: asyncio.StreamReader | None = None
+
+    async def caller_left(self):
+        """Wait until the other end has closed the connection."""
+        while not self.reader.at_eof():
+            await asyncio.sleep(0.01)
 
     def json(self):
         return json.loads(self.body)
@@ -108,4 +114,4 @@
     body = await reader.readexactly(int(headers.get("content-length", 0)))
     parts = urlsplit(target)
     query = {key: values[0] for key, values in parse_qs(parts.query).items()}
-    return RawRequest(method, target, headers, body, query, parts.path)
+    return RawRequest(method, target, headers, body, query, parts.path, reader)
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -101,7 +101,9 @@
     async def _plain(self, request, writer, manner, own):
         body = b"answer of " + self.incarnation.encode()
         if manner is Manner.SILENT:
-            await asyncio.sleep(3_600)
+            await request.caller_left()
+            self.left_early += 1
+            return False
         if manner is Manner.RESETS:
             reset(writer)
             return False
