--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -210,6 +210,10 @@
         await self.until(lambda: sum(e.left_early for e in self.engines) == 1)
 
     async def test_a_caller_that_leaves_before_any_answer_stops_the_work(self):
+        self.operator.configuration["routes"][2]["timeout-ms"] = 600_000
+        self.operator.configure()
+        version = self.operator.configuration["version"]
+        await self.until(lambda: self.node._routes.version == version)
         for replica in self.plain:
             replica.manners = [Manner.SILENT]
         asking = asyncio.create_task(self.ask("POST", "/w/x", data=b"1"))
