--- /dev/null
+++ b/tests/weights/test_task.py
@@ -0,0 +1,94 @@
+"""When a holder of the lease may order."""
+
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.forwarding import WeightBook
+from fireflyward.leases import Claim, Gained, Lost
+from fireflyward.replicas import ReplicaDirectory
+from fireflyward.weights import WeightTask
+
+LEASE_MS = 3_000
+SLACK_MS = 300
+
+
+class Lease:
+    """A lease that holds what it is told to."""
+
+    def __init__(self):
+        self.held = None
+
+    def claim(self):
+        return self.held
+
+
+class HolderTests(unittest.TestCase):
+    def setUp(self):
+        self.clock = ManualClock(10_000)
+        self.lease = Lease()
+        self.task = WeightTask(
+            clock=self.clock,
+            lease=self.lease,
+            api=None,
+            directory=ReplicaDirectory(),
+            weights=WeightBook(version_ms=12_000),
+            news=None,
+            busy_ms=lambda now_ms, state: 0.0,
+            node="entry-1",
+            lease_ms=LEASE_MS,
+            slack_ms=SLACK_MS,
+        )
+
+    def gain(self, fencing, *, after_lapse):
+        claim = Claim(fencing, self.clock.now_ms() + LEASE_MS, after_lapse)
+        self.lease.held = claim
+        self.task.on_change(Gained(claim))
+
+    def renew(self):
+        """Renew the claim at the time that it is now."""
+        held = self.lease.held
+        self.lease.held = Claim(
+            held.fencing, self.clock.now_ms() + LEASE_MS, held.after_lapse
+        )
+
+    def may_order_after(self, wait_ms):
+        self.clock._now_ms += wait_ms
+        self.renew()
+        return self.task._fencing()
+
+    def test_the_first_holder_orders_at_once(self):
+        self.gain(1, after_lapse=False)
+        self.assertEqual(self.task._fencing(), 1)
+
+    def test_after_a_hand_over_the_last_orders_are_waited_out(self):
+        """Symptom: a replica loads weights back and forth.
+
+        A holder orders and hands over; its successor orders within one lease's
+        length, and replicas that check no token obey both in turns.
+        """
+        self.gain(2, after_lapse=False)
+        self.assertIsNone(self.may_order_after(LEASE_MS + SLACK_MS - 1))
+        self.assertEqual(self.may_order_after(1), 2)
+
+    def test_after_a_lapse_the_rest_is_waited_out(self):
+        self.gain(2, after_lapse=True)
+        self.assertIsNone(self.may_order_after(LEASE_MS // 3 + SLACK_MS - 1))
+        self.assertEqual(self.may_order_after(1), 2)
+
+    def test_a_holder_whose_renewal_is_old_orders_nothing(self):
+        """Symptom: as above.
+
+        The holder is cut off from the store and goes on ordering until its lease
+        ends, just before another takes it.
+        """
+        self.gain(1, after_lapse=False)
+        self.clock._now_ms += LEASE_MS // 3
+        self.assertEqual(self.task._fencing(), 1)
+        self.clock._now_ms += 1
+        self.assertIsNone(self.task._fencing())
+
+    def test_without_the_lease_nothing_is_ordered(self):
+        self.gain(1, after_lapse=False)
+        self.lease.held = None
+        self.task.on_change(Lost(1))
+        self.assertIsNone(self.task._fencing())
