Split the entry's parts and identity from its application, so that no module imports in a circle

Cause: handlers imported the application for its parts while the application imported the handlers inside a function. _parts holds what handlers need of the node and how they refuse, _identity who asks; _app only builds the application. A test walks every slice and fails on a circle; it failed on the code before.

--- a/fireflyward/entry/_behind.py
+++ b/fireflyward/entry/_behind.py
@@ -8,6 +8,7 @@
 from fireflyward.outcomes import NotRun, Reason
 
 from ._errors import BUNDLE_HEADER
+from ._parts import PARTS, new_request_id, refuse
 
 _NUMBER = re.compile(r"^[0-9]{1,15}$")
 _RETRY_AFTER_MS = 1_000
@@ -24,8 +25,6 @@
     along is refused by a node which does not have it, instead of being served by
     rules that it has already seen replaced.
     """
-    from ._app import PARTS, new_request_id, refuse
-
     header = request.headers.get(BUNDLE_HEADER)
     if header is None:
         return await handler(request)
--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -8,16 +8,6 @@
 from fireflyward.runs import Deliver, Mark, Placed
 from fireflyward.upstreams import count_tokens
 
-from ._app import (
-    JSON,
-    PARTS,
-    EntryParts,
-    Identity,
-    identify,
-    identify_again,
-    new_request_id,
-    refuse,
-)
 from ._asked import (
     Asked,
     ask_by_version_now,
@@ -27,6 +17,8 @@
 )
 from ._body import read_body
 from ._errors import error_bytes, headers_of
+from ._identity import Identity, identify, identify_again
+from ._parts import JSON, PARTS, EntryParts, new_request_id, refuse
 from ._prefixes import add_prefix, prefix_blocks, prefix_headers
 from ._requests import (
     ChatDelta,
--- /dev/null
+++ b/fireflyward/entry/_parts.py
@@ -0,0 +1,106 @@
+"""What the HTTP interface needs of the node, and how every handler refuses."""
+
+import logging
+import uuid
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+from fireflyward.bundles import BundleHolder
+from fireflyward.clock import Clock
+from fireflyward.connections import SilenceLimits
+from fireflyward.kept import BlockNames, PrefixTexts
+from fireflyward.leaving import LeavingSigns
+from fireflyward.limits import AdmissionGate
+from fireflyward.observe import Metrics, Tracing
+from fireflyward.outcomes import NotRun, Unknown
+from fireflyward.rollout import ServingVersions
+from fireflyward.routing import Router
+from fireflyward.runs import Prepare, RetryBudget, RunIds, RunRecords
+from fireflyward.steps import StepObserver, ignore_step
+from fireflyward.upstreams import Engine, PlainService
+
+from ._errors import error_bytes, headers_of, status_of
+from ._in_flight import InFlight
+
+log = logging.getLogger("fireflyward.entry")
+
+JSON = "application/json"
+
+
+async def _confirm_nothing(model: str, version: str) -> None:
+    """Ask no replica: what a node without replicas does."""
+
+
+@dataclass(slots=True)
+class EntryParts:
+    """What the HTTP interface needs of the node around it."""
+
+    clock: Clock
+    holder: BundleHolder
+    router: Router
+    engine_by_name: dict[str, Engine]
+    service_by_name: dict[str, PlainService]
+    admission: AdmissionGate
+    records: RunRecords
+    block_names: BlockNames
+    metrics: Metrics
+    tracing: Tracing
+    request_limit_bytes: int
+    deadline_ms: int
+    ready: Callable[[], bool]
+    catch_up: Callable[[int], Awaitable[bool]]
+    run_ids: RunIds
+    observe: StepObserver = ignore_step
+    prepare: Prepare | None = None
+    prefixes: PrefixTexts | None = None
+    on_hint: Callable[[str, int, bool], None] = lambda run_id, blocks, session: None
+    limits: SilenceLimits = SilenceLimits()
+    budget: RetryBudget = field(default_factory=RetryBudget)
+    in_flight: InFlight = field(default_factory=InFlight)
+    versions: ServingVersions | None = None
+    confirm_versions: Callable[[str, str], Awaitable[None]] = _confirm_nothing
+    leaving: LeavingSigns = field(default_factory=LeavingSigns)
+
+
+PARTS: web.AppKey[EntryParts] = web.AppKey("parts", EntryParts)
+ACCOUNT: web.RequestKey[str] = web.RequestKey("account", str)
+REQUEST_ID: web.RequestKey[str] = web.RequestKey("request_id", str)
+
+
+def new_request_id() -> str:
+    """Return a name for one request that no other has."""
+    return uuid.uuid4().hex
+
+
+def refuse(
+    request: web.Request, outcome: NotRun | Unknown, request_id: str
+) -> web.Response:
+    """Return the response of a request that was not answered."""
+    parts = request.app[PARTS]
+    parts.metrics.count(
+        "requests_total", outcome=outcome.tag, reason=outcome.reason.value
+    )
+    log.info(
+        "entry: %s, %s",
+        outcome.tag,
+        outcome.reason.value,
+        extra={
+            "request": request_id,
+            "account": request.get(ACCOUNT),
+            "bundle": parts.holder.number,
+        },
+    )
+    headers = headers_of(
+        outcome.tag,
+        request_id,
+        parts.holder.number,
+        retry_after_ms=outcome.retry_after_ms,
+    )
+    return web.Response(
+        status=status_of(outcome),
+        body=error_bytes(outcome, request_id),
+        headers=headers,
+        content_type=JSON,
+    )
--- a/fireflyward/entry/_services.py
+++ b/fireflyward/entry/_services.py
@@ -10,17 +10,10 @@
 from fireflyward.runs import RecordOfRun, ServiceTask
 from fireflyward.upstreams import ServiceCall, ServiceReply
 
-from ._app import (
-    PARTS,
-    EntryParts,
-    Identity,
-    identify,
-    identify_again,
-    new_request_id,
-    refuse,
-)
 from ._body import read_body
 from ._errors import headers_of
+from ._identity import Identity, identify, identify_again
+from ._parts import PARTS, EntryParts, new_request_id, refuse
 
 _SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
--- /dev/null
+++ b/tests/entry/test_imports.py
@@ -0,0 +1,33 @@
+"""The modules of a slice import each other in one direction."""
+
+import ast
+import unittest
+from graphlib import TopologicalSorter
+from pathlib import Path
+
+import fireflyward
+
+_ROOT = Path(fireflyward.__file__).parent
+
+
+def siblings(path):
+    """Return the modules beside ``path`` that it imports, wherever in its text."""
+    names = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.ImportFrom) and node.level == 1:
+            names |= {node.module} if node.module else {x.name for x in node.names}
+    return names
+
+
+class ImportTests(unittest.TestCase):
+    def test_no_slice_imports_in_a_circle(self):
+        """Symptom: moving one import to the top of a module ends in ImportError.
+
+        Modules that import each other work only while one of the imports hides in
+        a function, and only in one order.
+        """
+        for package in sorted(_ROOT.rglob("__init__.py")):
+            modules = [path for path in package.parent.glob("*.py") if path != package]
+            graph = {path.stem: siblings(path) for path in modules}
+            with self.subTest(package=package.parent.name):
+                TopologicalSorter(graph).prepare()
