Sum up work under way through one aggregator a failure domain

Cause: on the grown Andinos (87 nodes) each node told all others every 350 ms. From its logs the requests at a replica of 16 slots were 5 to 25 (10th and 95th part in a hundred), and the first token came 90 to 700 ms after what was expected. Change: beyond a dozen nodes each tells the aggregator of its failure domain within 25 ms; aggregators tell sums every 40 ms and pass the others' on.

--- /dev/null
+++ b/fireflyward/aggregators/_choice.py
@@ -0,0 +1,115 @@
+"""The choice of the node that sums up for its failure domain."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from fireflyward.rendezvous import rendezvous_rank
+
+_DUTY = "aggregator"
+# An aggregator speaks at least every 200 ms, so this is one lost datagram and the
+# next one late. What a node believes of loads is as old as this at the worst.
+SILENT_AFTER_MS = 450
+# Up to this many nodes all tell each other; beyond it the datagrams, which grow with
+# the square of the nodes, cost more than the second hop.
+_FEW_NODES = 12
+
+Address = tuple[str, int]
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One node as its row tells: its name, place and address for datagrams."""
+
+    name: str
+    failure_domain: str
+    address: Address
+
+
+class Aggregators:
+    """Names one aggregator for each failure domain; no I/O.
+
+    Every node ranks the nodes of a domain alike and takes the first that is not
+    silent, so no message is spent on agreeing. Two nodes may take different ones for
+    a moment, which is why whoever is told anything sums it up: the sums of all
+    aggregators of a domain together count each node once.
+
+    A node is silent when it was spoken to and nothing came back for a while. Once
+    anything comes from it again it is taken again, which a node that was paused
+    brings about itself, because it is always its own first choice.
+
+    >>> nodes = Aggregators("a", "d1")
+    >>> nodes.set_members([Member("b", "d2", ("10.0.0.2", 77))])
+    >>> nodes.of(0, "d2").name, nodes.of(0, "d1") is None
+    ('b', True)
+    """
+
+    __slots__ = (
+        "_domain",
+        "_members_by_domain",
+        "_name",
+        "_spoken_to_ms_by_name",
+    )
+
+    def __init__(self, name: str, failure_domain: str) -> None:
+        self._name = name
+        self._domain = failure_domain
+        self._members_by_domain: dict[str, list[Member]] = {}
+        self._spoken_to_ms_by_name: dict[str, int] = {}
+
+    @property
+    def are_needed(self) -> bool:
+        """Tell whether there are too many nodes for all to tell all."""
+        return sum(map(len, self._members_by_domain.values())) >= _FEW_NODES
+
+    def set_members(self, members: Iterable[Member]) -> None:
+        """Take the other nodes."""
+        by_domain: dict[str, list[Member]] = {}
+        for member in members:
+            by_domain.setdefault(member.failure_domain, []).append(member)
+        for found in by_domain.values():
+            found.sort(key=lambda member: rendezvous_rank(_DUTY, member.name))
+        self._members_by_domain = by_domain
+
+    def other_domains(self) -> list[str]:
+        """Return the failure domains of other nodes but this one's."""
+        return [domain for domain in self._members_by_domain if domain != self._domain]
+
+    def neighbours(self) -> list[Address]:
+        """Return the addresses of the other nodes of this failure domain."""
+        members = self._members_by_domain.get(self._domain, ())
+        return [member.address for member in members]
+
+    def everyone(self) -> list[Address]:
+        """Return the addresses of all other nodes."""
+        groups = self._members_by_domain.values()
+        return [member.address for group in groups for member in group]
+
+    def own(self, now_ms: int) -> Member | None:
+        """Return this domain's aggregator, None if it is this node itself."""
+        own_rank = rendezvous_rank(_DUTY, self._name)
+        for member in self._members_by_domain.get(self._domain, ()):
+            if own_rank < rendezvous_rank(_DUTY, member.name):
+                return None
+            if not self._is_silent(now_ms, member.name):
+                return member
+        return None
+
+    def of(self, now_ms: int, failure_domain: str) -> Member | None:
+        """Return another domain's aggregator; the first if all are silent."""
+        members = self._members_by_domain.get(failure_domain, [])
+        for member in members:
+            if not self._is_silent(now_ms, member.name):
+                return member
+        return members[0] if members else None
+
+    def on_spoken_to(self, now_ms: int, name: str) -> None:
+        """Note that something was sent to a node that should soon be heard."""
+        self._spoken_to_ms_by_name.setdefault(name, now_ms)
+
+    def on_heard(self, name: str) -> None:
+        """Note that something came from a node."""
+        self._spoken_to_ms_by_name.pop(name, None)
+
+    def _is_silent(self, now_ms: int, name: str) -> bool:
+        since_ms = self._spoken_to_ms_by_name.get(name)
+        return since_ms is not None and now_ms - since_ms >= SILENT_AFTER_MS
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -10,6 +10,7 @@
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 
+from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import FeedFollower
@@ -97,17 +98,19 @@
         self._peers = PeerRegister(self._store, settings.node)
         self._planner = PartPlanner()
         self._api = ReplicaApi(self._pool, clock=clock)
+        self._aggregators = Aggregators(settings.node, settings.failure_domain)
         self._news = LoadNews(
             clock=clock,
             directory=self._directory,
-            peer_addresses=self._peers.addresses,
+            peer_addresses=self._aggregators.everyone,
         )
         self._under_way = PeerUnderWay()
         self._under_way_task = UnderWayTask(
             clock=clock,
             directory=self._directory,
             peers=self._under_way,
-            peer_addresses=self._peers.addresses,
+            aggregators=self._aggregators,
+            node=settings.node,
         )
         self._chooser = Chooser(
             self._directory,
@@ -286,6 +289,7 @@
         while True:
             await self._peers.refresh()
             self._budget.set_nodes(len(self._peers))
+            self._aggregators.set_members(self._peers.others())
             if self._link is None and self._peers.key is not None:
                 await self._open_link(self._peers.key)
             await self._clock.sleep_ms(self._peers.period_ms)
@@ -304,7 +308,7 @@
         self._news.use(link)
         await link.start()
         self._link = link
-        self._peers.announce(NodeRow(*link.address))
+        self._peers.announce(NodeRow(*link.address, self._settings.failure_domain))
         telling = self._guarded(self._under_way_task.run(link))
         self._tasks.append(asyncio.create_task(telling))
 
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from fireflyward.aggregators import Member
 from fireflyward.backing import Unavailable
 from fireflyward.platform import StoreClient
 from fireflyward.rendezvous import rendezvous_rank
@@ -21,10 +22,11 @@
 
 
 class NodeRow(msgspec.Struct, frozen=True):
-    """What a node says of itself: where others reach it."""
+    """What a node says of itself: where it is and where others reach it."""
 
     ip: str
     port: int
+    failure_domain: str = ""
 
 
 class PeerRegister:
@@ -49,10 +51,10 @@
     def __len__(self) -> int:
         return len(self._rows.keys() | {self._name})
 
-    def addresses(self) -> list[tuple[str, int]]:
-        """Return the addresses of the other nodes."""
+    def others(self) -> list[Member]:
+        """Return the other nodes."""
         return [
-            (row.ip, row.port)
+            Member(name, row.failure_domain, (row.ip, row.port))
             for name, row in self._rows.items()
             if name != self._name and row != self._own
         ]
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -3,7 +3,8 @@
 from ._chooser import Choice, Chooser, Wanted
 from ._directory import ReplicaDirectory
 from ._state import ReplicaState
-from ._under_way import PeerUnderWay, UnderWay, UnderWayTask
+from ._telling import UnderWayTask
+from ._under_way import PeerUnderWay, UnderWay
 
 __all__ = [
     "Choice",
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -76,6 +76,24 @@
     first_token_ms: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Load:
+    """What all nodes have at one replica now, in ms until the next request runs.
+
+    ``queue_ms`` is for the prompts before it, ``memory_ms`` until memory for it is
+    free and ``slot_ms`` until one of the replica's slots is.
+    """
+
+    requests: float
+    queue_ms: float
+    memory_ms: float
+    slot_ms: float
+
+    @property
+    def wait_ms(self) -> float:
+        return self.queue_ms + self.memory_ms + self.slot_ms
+
+
 class Chooser:
     """Weighs the replicas of a service; no I/O.
 
@@ -113,50 +131,53 @@
             return None
         home = self._home(now_ms, able, wanted)
         usual = sorted(state.failed_share for state in able)[len(able) // 2]
-        chosen = min(
-            able,
-            key=lambda state: self._cost_ms(now_ms, state, wanted, home, usual),
-        )
+        loads = [self._load(now_ms, state, wanted) for state in able]
+        costs = [
+            self._cost_ms(now_ms, state, load, wanted, home, usual)
+            for state, load in zip(able, loads, strict=True)
+        ]
+        best = min(range(len(able)), key=costs.__getitem__)
+        return self._choice(now_ms, able[best], loads[best], wanted, home)
+
+    def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
+        """Return how long the prompts take that all nodes have sent there."""
+        others = self._peers.at(now_ms, state.entry.incarnation)
+        return _reading_ms(state, state.unread_tokens + others.unread)
+
+    def _choice(
+        self,
+        now_ms: int,
+        chosen: ReplicaState,
+        load: _Load,
+        wanted: Wanted,
+        home: ReplicaState | None,
+    ) -> Choice:
         weights = chosen.version_by_model.get(wanted.model)
         source = None
         if home is not None and home is not chosen and not home.is_suspect(now_ms):
             if home.version_by_model.get(wanted.model) == weights:
                 source = home.entry.address
-        queue_ms = self.queue_ms(now_ms, chosen)
-        queue_ms += self._memory_ms(now_ms, chosen, wanted)
-        queue_ms += _slot_ms(chosen, self._requests(now_ms, chosen))
+        wait_ms = load.wait_ms
         if chosen.is_loading(now_ms):
-            queue_ms += _LOADING_MS
-        own_tokens = wanted.new_tokens + wanted.prefix_tokens
-        reading_ms = chosen.pace * own_tokens / _TOKENS_PER_MS
-        first_token_ms = queue_ms + reading_ms + FIRST_EVENT_MS
-        return Choice(chosen, weights, source, queue_ms, first_token_ms)
-
-    def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
-        """Return how long the prompts take that all nodes have sent there."""
-        others = self._peers.at(now_ms, state.entry.incarnation)
-        return state.pace * (state.unread_tokens + others.unread) / _TOKENS_PER_MS
-
-    def _requests(self, now_ms: int, state: ReplicaState) -> float:
-        """Return how many requests of all nodes are there.
-
-        Nodes tell of theirs and replicas count all in their responses; either may
-        be behind, so the larger number counts.
-        """
-        told = self._peers.at(now_ms, state.entry.incarnation).requests
-        return state.in_flight + max(told, state.others_at(now_ms))
+            wait_ms += _LOADING_MS
+        own_ms = _reading_ms(chosen, wanted.new_tokens + wanted.prefix_tokens)
+        first_token_ms = wait_ms + own_ms + FIRST_EVENT_MS
+        return Choice(chosen, weights, source, wait_ms, first_token_ms)
 
-    def _memory_ms(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> float:
-        """Return how long a request waits until memory for it is free.
+    def _load(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> _Load:
+        """Return what is at a replica.
 
-        With its memory full a replica puts running requests back and reads them
-        again later, which makes all of them late.
+        Nodes tell of their requests and replicas count all in their responses;
+        either may be behind, so the larger number counts.
         """
-        if not wanted.kv_tokens:
-            return 0.0
-        held = state.held_tokens + self._peers.at(now_ms, state.entry.incarnation).held
-        over = held + wanted.tokens - _MEMORY_SHARE * wanted.kv_tokens
-        return _RUN_MS * over / held if over > 0 and held else 0.0
+        others = self._peers.at(now_ms, state.entry.incarnation)
+        requests = state.in_flight + max(others.requests, state.others_at(now_ms))
+        return _Load(
+            requests,
+            _reading_ms(state, state.unread_tokens + others.unread),
+            _memory_ms(state.held_tokens + others.held, wanted),
+            _slot_ms(state, requests),
+        )
 
     def _home(
         self, now_ms: int, able: list[ReplicaState], wanted: Wanted
@@ -179,15 +200,13 @@
         self,
         now_ms: int,
         state: ReplicaState,
+        load: _Load,
         wanted: Wanted,
         home: ReplicaState | None,
         usual_failures: float,
     ) -> float:
-        requests = self._requests(now_ms, state)
-        cost_ms = _FULL_LOAD_MS * requests / max(1, state.entry.slots)
-        cost_ms += _slot_ms(state, requests)
-        cost_ms += self.queue_ms(now_ms, state)
-        cost_ms += self._memory_ms(now_ms, state, wanted)
+        cost_ms = _FULL_LOAD_MS * load.requests / max(1, state.entry.slots)
+        cost_ms += load.wait_ms
         cost_ms += _JITTER_MS * self._random.random()
         if home is not None and state is not home:
             cost_ms += _NOT_HOME_SHARE * wanted.prefix_tokens / _TOKENS_PER_MS
@@ -208,6 +227,23 @@
         return cost_ms
 
 
+def _reading_ms(state: ReplicaState, tokens: float) -> float:
+    """Return how long a replica reads prompt tokens."""
+    return state.pace * tokens / _TOKENS_PER_MS
+
+
+def _memory_ms(held: float, wanted: Wanted) -> float:
+    """Return how long a request waits until memory for it is free.
+
+    With its memory full a replica puts running requests back and reads them
+    again later, which makes all of them late.
+    """
+    if not wanted.kv_tokens or not held:
+        return 0.0
+    over = held + wanted.tokens - _MEMORY_SHARE * wanted.kv_tokens
+    return _RUN_MS * max(0.0, over) / held
+
+
 def _slot_ms(state: ReplicaState, requests: float) -> float:
     """Return how long one more request waits for a slot."""
     slots = max(1, state.entry.slots)
--- a/fireflyward/replicas/_under_way.py
+++ b/fireflyward/replicas/_under_way.py
@@ -1,28 +1,17 @@
-"""Tokens under way at replicas, as the nodes tell each other."""
+"""Work under way at replicas, as the nodes tell each other."""
 
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Mapping
 from dataclasses import dataclass
-from pathlib import Path
-from typing import Any
-
-from fireflyward.clock import Clock
-from fireflyward.peers import PeerLink, load_structs
-
-from ._directory import ReplicaDirectory
-
-UnderWayNews = load_structs(Path(__file__).parent, "replicas").UnderWayNews
-
-_KIND = "under way"
-# How often a node tells of changes: a prompt takes 5 to 100 ms to read, so older
-# news would send several nodes' requests to the same replica.
-_PERIOD_MS = 30
-# Many nodes tell less often, so that what one node hears in a second stays at about
-# 250 datagrams: each costs some 60 us to read.
-_PERIOD_PER_NODE_MS = 4
-_FEW_NODES = 12
-# Told again when nothing changes; a node not heard of for longer is forgotten.
-_REPEAT_MS = 700
+
+# A node that is not heard of for longer is forgotten; it tells every 0.7 s.
 _FORGET_MS = 2_000
+# What of an aggregator's sum was not confirmed for this long is dropped; it
+# confirms all of it every 0.5 s.
+_SUM_FORGET_MS = 1_500
+# How old this node's own part is in its aggregator's sum: told within 25 ms, summed
+# within 40 ms, half of both on average, and the way.
+_OWN_LAG_MS = 35
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,34 +26,66 @@
     held: int = 0
     requests: int = 0
 
+    def plus(self, other: "UnderWay", sign: int = 1) -> "UnderWay":
+        """Return the sum with another, or the difference with ``sign`` -1."""
+        return UnderWay(
+            self.unread + sign * other.unread,
+            self.held + sign * other.held,
+            self.requests + sign * other.requests,
+        )
+
 
 _NOTHING = UnderWay()
+Told = Mapping[str, UnderWay]
 
 
 class PeerUnderWay:
     """What the other nodes have under way, by replica; no I/O.
 
+    Few nodes each tell all others what is theirs. Many tell one aggregator of
+    their failure domain, and hear the sums of all aggregators.
+
     >>> peers = PeerUnderWay()
     >>> peers.take(0, "entry-2", {"r1": UnderWay(900, 1_200, 1)})
     >>> peers.at(500, "r1").unread, peers.at(2_000, "r1").unread
     (900, 0)
     """
 
-    __slots__ = ("_by_node", "_total_by_incarnation")
+    __slots__ = ("_by_node", "_own_told", "_sum_by_aggregator", "_total_by_incarnation")
 
     def __init__(self) -> None:
-        self._by_node: dict[str, tuple[int, dict[str, UnderWay]]] = {}
+        self._by_node: dict[str, tuple[int, Told]] = {}
         self._total_by_incarnation: dict[str, UnderWay] = {}
+        self._sum_by_aggregator: dict[str, dict[str, tuple[int, UnderWay]]] = {}
+        self._own_told: deque[tuple[int, Told]] = deque()
+
+    @property
+    def is_told(self) -> bool:
+        """Tell whether some node tells this one what is its own."""
+        return bool(self._by_node)
 
-    def take(self, now_ms: int, node: str, told: dict[str, UnderWay]) -> None:
+    def take(self, now_ms: int, node: str, told: Told) -> None:
         """Replace what one node has under way."""
         self._remove(node)
         if told:
             self._by_node[node] = now_ms, told
             self._add(told, 1)
 
-    def at(self, now_ms: int, incarnation: str) -> UnderWay:
-        """Return what other nodes have under way at a replica."""
+    def take_sum(self, now_ms: int, aggregator: str, told: Told) -> None:
+        """Take what changed in an aggregator's sum."""
+        known = self._sum_by_aggregator.setdefault(aggregator, {})
+        for incarnation, total in told.items():
+            if total == _NOTHING:
+                known.pop(incarnation, None)
+            else:
+                known[incarnation] = now_ms, total
+
+    def on_told_own(self, now_ms: int, told: Told) -> None:
+        """Note what this node told its aggregator, whose sum will hold it."""
+        self._own_told.append((now_ms, told))
+
+    def forget_silent(self, now_ms: int) -> None:
+        """Forget nodes that are not heard any more."""
         silent = [
             node
             for node, (told_ms, _) in self._by_node.items()
@@ -72,85 +93,45 @@
         ]
         for node in silent:
             self._remove(node)
-        return self._total_by_incarnation.get(incarnation, _NOTHING)
+
+    def told(self, now_ms: int) -> dict[str, UnderWay]:
+        """Return the sum of what nodes told this one directly."""
+        self.forget_silent(now_ms)
+        return dict(self._total_by_incarnation)
+
+    def at(self, now_ms: int, incarnation: str) -> UnderWay:
+        """Return what other nodes have under way at a replica."""
+        self.forget_silent(now_ms)
+        total = self._total_by_incarnation.get(incarnation, _NOTHING)
+        for known in self._sum_by_aggregator.values():
+            told_ms, part = known.get(incarnation, (now_ms, _NOTHING))
+            if now_ms - told_ms < _SUM_FORGET_MS:
+                total = total.plus(part)
+        own = self._own_in_sums(now_ms).get(incarnation)
+        if own is not None:
+            total = total.plus(own, -1)
+        return UnderWay(
+            max(0, total.unread), max(0, total.held), max(0, total.requests)
+        )
+
+    def _own_in_sums(self, now_ms: int) -> Told:
+        """Return this node's own part of the sums that it has heard by now."""
+        told = self._own_told
+        while len(told) > 1 and now_ms - told[1][0] >= _OWN_LAG_MS:
+            told.popleft()
+        if not told or now_ms - told[0][0] < _OWN_LAG_MS:
+            return {}
+        return told[0][1]
 
     def _remove(self, node: str) -> None:
         known = self._by_node.pop(node, None)
         if known is not None:
             self._add(known[1], -1)
 
-    def _add(self, told: dict[str, UnderWay], sign: int) -> None:
+    def _add(self, told: Told, sign: int) -> None:
         totals = self._total_by_incarnation
         for incarnation, more in told.items():
-            total = totals.get(incarnation, _NOTHING)
-            totals[incarnation] = UnderWay(
-                total.unread + sign * more.unread,
-                total.held + sign * more.held,
-                total.requests + sign * more.requests,
-            )
-            if totals[incarnation] == _NOTHING:
+            total = totals.get(incarnation, _NOTHING).plus(more, sign)
+            totals[incarnation] = total
+            if total == _NOTHING:
                 del totals[incarnation]
-
-
-def _period_ms(peers: int) -> int:
-    """Return how often a node with so many others tells.
-
-    >>> _period_ms(8), _period_ms(77)
-    (30, 308)
-    """
-    return _PERIOD_MS if peers <= _FEW_NODES else _PERIOD_PER_NODE_MS * peers
-
-
-class UnderWayTask:
-    """Tells the other nodes what this one has under way, and hears of theirs."""
-
-    def __init__(
-        self,
-        *,
-        clock: Clock,
-        directory: ReplicaDirectory,
-        peers: PeerUnderWay,
-        peer_addresses: Callable[[], list[tuple[str, int]]],
-    ) -> None:
-        self._clock = clock
-        self._directory = directory
-        self._peers = peers
-        self._peer_addresses = peer_addresses
-        self._told: dict[str, UnderWay] = {}
-        self._told_ms = 0
-
-    async def run(self, link: PeerLink) -> None:
-        """Speak over a link until cancelled."""
-        link.register(_KIND, UnderWayNews, self._on_news)
-        while True:
-            addresses = self._peer_addresses()
-            period_ms = _period_ms(len(addresses))
-            await self._clock.sleep_ms(period_ms)
-            self._tell(link, addresses)
-
-    def _tell(self, link: PeerLink, addresses: list[tuple[str, int]]) -> None:
-        now_ms = self._clock.now_ms()
-        own = {
-            state.entry.incarnation: UnderWay(
-                int(state.unread_tokens), int(state.held_tokens), state.in_flight
-            )
-            for state in self._directory.all()
-            if state.in_flight
-        }
-        is_due = bool(own) and now_ms - self._told_ms >= _REPEAT_MS
-        if own == self._told and not is_due:
-            return
-        self._told, self._told_ms = own, now_ms
-        news = UnderWayNews(
-            incarnations=list(own),
-            unread=[item.unread for item in own.values()],
-            held=[item.held for item in own.values()],
-            requests=[item.requests for item in own.values()],
-        )
-        link.send_all(addresses, _KIND, news)
-
-    async def _on_news(self, sender: str, news: Any) -> None:
-        counts = zip(news.unread, news.held, news.requests, strict=False)
-        items = [UnderWay(*item) for item in counts]
-        told = dict(zip(news.incarnations, items, strict=False))
-        self._peers.take(self._clock.now_ms(), sender, told)
--- /dev/null
+++ b/tests/replicas/test_under_way.py
@@ -0,0 +1,65 @@
+"""What a node believes that the others have under way."""
+
+import unittest
+
+from fireflyward.replicas import PeerUnderWay, UnderWay
+
+
+class MeshTests(unittest.TestCase):
+    def test_the_newest_word_of_a_node_counts(self):
+        peers = PeerUnderWay()
+        peers.take(0, "n", {"r1": UnderWay(5, 5), "r2": UnderWay(7, 7)})
+        peers.take(1, "n", {"r1": UnderWay(2, 3)})
+        self.assertEqual(peers.at(1, "r1"), UnderWay(2, 3))
+        self.assertEqual(peers.at(1, "r2"), UnderWay())
+
+    def test_a_node_that_fell_silent_is_forgotten(self):
+        """Symptom: a replica gets nothing although it idles.
+
+        A node died with requests under way, and what it told last stays.
+        """
+        peers = PeerUnderWay()
+        peers.take(0, "n", {"r1": UnderWay(50_000, 50_000)})
+        self.assertEqual(peers.at(2_000, "r1"), UnderWay())
+
+
+class SumTests(unittest.TestCase):
+    def setUp(self):
+        self.peers = PeerUnderWay()
+
+    def test_sums_of_all_aggregators_add_up(self):
+        self.peers.take_sum(0, "a", {"r1": UnderWay(100, 200, 2)})
+        self.peers.take_sum(0, "b", {"r1": UnderWay(10, 20, 1)})
+        self.assertEqual(self.peers.at(0, "r1"), UnderWay(110, 220, 3))
+
+    def test_only_what_is_told_changes(self):
+        self.peers.take_sum(0, "a", {"r1": UnderWay(1, 1, 1), "r2": UnderWay(2, 2, 1)})
+        self.peers.take_sum(40, "a", {"r2": UnderWay()})
+        self.assertEqual(self.peers.at(40, "r1").requests, 1)
+        self.assertEqual(self.peers.at(40, "r2").requests, 0)
+
+    def test_a_sum_that_is_not_confirmed_is_dropped(self):
+        """Symptom: some replicas are shunned after an aggregator lost power.
+
+        Its last sums stay believed while the next aggregator's are added to them,
+        so every request under way counts twice.
+        """
+        self.peers.take_sum(0, "a", {"r1": UnderWay(1, 1, 1)})
+        self.assertEqual(self.peers.at(1_499, "r1").requests, 1)
+        self.assertEqual(self.peers.at(1_500, "r1").requests, 0)
+
+    def test_own_work_in_a_sum_is_not_counted_as_others(self):
+        """Symptom: nodes shun the replicas that they themselves use.
+
+        The aggregator's sum holds what this node told it, and the node adds its
+        own requests once more.
+        """
+        self.peers.on_told_own(0, {"r1": UnderWay(100, 100, 1)})
+        self.peers.take_sum(40, "a", {"r1": UnderWay(150, 300, 3)})
+        self.assertEqual(self.peers.at(40, "r1"), UnderWay(50, 200, 2))
+
+    def test_own_work_counts_as_summed_only_after_the_way_there_and_back(self):
+        self.peers.take_sum(0, "a", {"r1": UnderWay(50, 50, 1)})
+        self.peers.on_told_own(0, {"r1": UnderWay(100, 100, 1)})
+        self.assertEqual(self.peers.at(10, "r1").requests, 1)
+        self.assertEqual(self.peers.at(40, "r1").requests, 0)
