Follow KV stores through the aggregators

Change: the aggregator follows every store and tells its neighbours; who misses a number asks the store once. Saves wait after a restart, and after a node's own start, until every listener must have heard of it.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -27,7 +27,13 @@
     ReplicaApi,
     StoreClient,
 )
-from fireflyward.prefixes import Janitor, PartPlanner, StoreFollower
+from fireflyward.prefixes import (
+    Janitor,
+    PartPlanner,
+    StoreFollower,
+    StoreIndex,
+    StoreTelling,
+)
 from fireflyward.replicas import (
     Chooser,
     PeerUnderWay,
@@ -172,7 +178,13 @@
             may_act=lambda: self._lease.claim() is not None,
         )
         self._tasks: list[asyncio.Task[None]] = []
-        self._follower_by_address: dict[str, asyncio.Task[None]] = {}
+        self._follower_by_address: dict[str, StoreFollower] = {}
+        self._following_by_address: dict[str, asyncio.Task[None]] = {}
+        self._store_telling = StoreTelling(
+            clock=clock,
+            aggregators=self._aggregators,
+            followers=lambda: self._follower_by_address.items(),
+        )
         self._listeners: list[asyncio.Server] = []
         self._servers: list[web_server.Server] = []
         self._is_stopping = False
@@ -235,7 +247,7 @@
         await self._clock.sleep_ms(self._noticed_ms)
         self._door.close_listener()
         await self._door.drain(end_ms - self._clock.now_ms())
-        tasks = [handing_over, *self._tasks, *self._follower_by_address.values()]
+        tasks = [handing_over, *self._tasks, *self._following_by_address.values()]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -309,8 +321,8 @@
         await link.start()
         self._link = link
         self._peers.announce(NodeRow(*link.address, self._settings.failure_domain))
-        telling = self._guarded(self._under_way_task.run(link))
-        self._tasks.append(asyncio.create_task(telling))
+        for run in (self._under_way_task.run(link), self._store_telling.run(link)):
+            self._tasks.append(asyncio.create_task(self._guarded(run)))
 
     def _on_configuration(self, configuration: Configuration) -> None:
         """Follow the stores that a configuration names, and no others."""
@@ -320,17 +332,22 @@
         )
         wanted = {index.address: index for index in self._planner.indexes()}
         for address in self._follower_by_address.keys() - wanted.keys():
-            self._follower_by_address.pop(address).cancel()
+            del self._follower_by_address[address]
+            self._following_by_address.pop(address).cancel()
         for address in wanted.keys() - self._follower_by_address.keys():
-            follower = StoreFollower(
-                wanted[address],
-                reader=self._api,
-                clock=self._clock,
-                nodes=lambda: len(self._peers),
-            )
-            self._follower_by_address[address] = asyncio.create_task(
-                self._guarded(follower.run())
-            )
+            self._follow(address, wanted[address])
+
+    def _follow(self, address: str, index: StoreIndex) -> None:
+        follower = StoreFollower(
+            index,
+            reader=self._api,
+            clock=self._clock,
+            way=self._store_telling.way,
+            on_read=self._store_telling.on_read,
+        )
+        self._follower_by_address[address] = follower
+        run = self._guarded(follower.run())
+        self._following_by_address[address] = asyncio.create_task(run)
 
     async def _guarded(self, run: Coroutine[None, None, None]) -> None:
         """End the process if one of its tasks ends by a fault of the program.
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -153,7 +153,7 @@
             KvEvent(PartKey(salt, part), tokens)
             for _, _, salt, part, tokens, _ in raw.events
         )
-        return KvNews(raw.boot_epoch, events, raw.next, was_lost=raw.lost)
+        return KvNews(raw.boot_epoch, events, raw.next, since=since, was_lost=raw.lost)
 
     async def kv_list(self, address: str, *, limit_ms: float) -> KvNews | None:
         """Return all that a store holds whole, None if it did not answer."""
--- a/fireflyward/prefixes/__init__.py
+++ b/fireflyward/prefixes/__init__.py
@@ -1,12 +1,14 @@
 """Where the KV cache of shared prompt parts is kept, and who saves it."""
 
-from ._follow import StoreFollower
+from ._follow import Following, StoreFollower
 from ._index import KvEvent, KvNews, PartKey, StoreIndex
 from ._janitor import Janitor
 from ._planner import KvPlan, PartPlanner
 from ._salt import cache_salt, salt_version
+from ._telling import StoreTelling
 
 __all__ = [
+    "Following",
     "Janitor",
     "KvEvent",
     "KvNews",
@@ -15,6 +17,7 @@
     "PartPlanner",
     "StoreFollower",
     "StoreIndex",
+    "StoreTelling",
     "cache_salt",
     "salt_version",
 ]
--- a/fireflyward/prefixes/_index.py
+++ b/fireflyward/prefixes/_index.py
@@ -29,11 +29,15 @@
 
 @dataclass(frozen=True, slots=True)
 class KvNews:
-    """Events of one life of a store; ``is_whole`` when they are all it holds."""
+    """Events of one life of a store; ``is_whole`` when they are all it holds.
+
+    They come after the event ``since``; ``next_event`` is the ``since`` of the next.
+    """
 
     epoch: int
     events: tuple[KvEvent, ...]
     next_event: int
+    since: int = 0
     is_whole: bool = False
     was_lost: bool = False
 
@@ -88,14 +92,17 @@
             self._apply(event)
         return True
 
-    def hold_saves(self, until_ms: int) -> None:
-        """Save nothing for a while after a restart of the store.
+    def restart(self, epoch: int, *, no_saves_until_ms: int) -> None:
+        """Take word that the store is in a new life, and empty; save nothing yet.
 
         Other nodes may not have seen the restart yet and still fetch what they
         believe to be whole there; a part that was being saved anew would give
         them memory that is only half written.
         """
-        self._no_saves_until_ms = until_ms
+        self._clear()
+        self.epoch = epoch
+        self.next_event = 0
+        self._no_saves_until_ms = no_saves_until_ms
 
     def on_silence(self) -> None:
         """Note that the store does not answer."""
--- a/tests/prefixes/test_index.py
+++ b/tests/prefixes/test_index.py
@@ -62,6 +62,13 @@
         A store restarts empty. One node knows and saves a part anew, another still
         believes that it is whole there and fetches it meanwhile.
         """
-        self.index.hold_saves(3_000)
+        self.index.restart(2, no_saves_until_ms=3_000)
+        self.index.take(news(epoch=2, next_event=0))
         self.assertFalse(self.index.may_save(2_999, KEY, 100))
         self.assertTrue(self.index.may_save(3_000, KEY, 100))
+
+    def test_a_restarted_store_is_empty(self):
+        self.index.take(news(KvEvent(KEY, 100)))
+        self.index.restart(2, no_saves_until_ms=0)
+        self.assertFalse(self.index.has(KEY))
+        self.assertEqual(self.index.next_event, 0)
