Read the platform's tables through the aggregators

Change: neighbours ask their aggregator as they would ask the store, and get the age of its proof; where it is silent, cut off or behind they ask the store.

--- /dev/null
+++ b/fireflyward/feeds/_copy.py
@@ -0,0 +1,41 @@
+"""A copy of one table, for nodes that ask this one in place of the store."""
+
+from ._follower import Followed
+from ._messages import HistoryLost, TableRow
+
+
+class TableCopy:
+    """Rows and the versions between which their changes are known; no I/O.
+
+    >>> copy = TableCopy()
+    >>> copy.take(Followed((TableRow("k", b"1", 4),), True, 1_000, version=5))
+    >>> copy.after(5), copy.after(4)
+    ((), HistoryLost())
+    """
+
+    __slots__ = ("_row_by_key", "_since", "as_of_ms", "version")
+
+    def __init__(self) -> None:
+        self._row_by_key: dict[str, TableRow] = {}
+        self._since = 0
+        self.version: int | None = None
+        self.as_of_ms = 0
+
+    def take(self, news: Followed) -> None:
+        """Bring the copy up to date; deleted rows stay, marked as such."""
+        if news.is_whole:
+            # What was deleted in the gap before is not known, so nobody who was
+            # behind it may go on from here.
+            self._row_by_key.clear()
+            self._since = news.version
+        for row in news.rows:
+            self._row_by_key[row.key] = row
+        self.version = news.version
+        self.as_of_ms = news.as_of_ms
+
+    def after(self, version: int) -> tuple[TableRow, ...] | HistoryLost:
+        """Return the rows that changed after a version, in order."""
+        if version < self._since:
+            return HistoryLost()
+        rows = [row for row in self._row_by_key.values() if row.version > version]
+        return tuple(sorted(rows, key=lambda row: row.version))
--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -8,7 +8,7 @@
 from fireflyward.backing import Unavailable
 from fireflyward.clock import Clock
 
-from ._messages import Changes, HistoryLost, Snapshot, TableRow
+from ._messages import Changes, HistoryLost, Pace, Snapshot, TableRow
 
 log = logging.getLogger("fireflyward.feeds")
 
@@ -21,6 +21,20 @@
 _LONGEST_PAUSE_MS = 800
 
 
+def proven_ms(result: Changes, asked_ms: int, answered_ms: int, wait_ms: int) -> int:
+    """Return the moment for which an answer to a waiting call is proof.
+
+    >>> proven_ms(Changes((), 5), 1_000, 3_200, 1_900)
+    2900
+    """
+    if result.as_of_ms is not None:
+        return result.as_of_ms
+    if result.rows:
+        return asked_ms
+    # Without a change the store answers only when the wait is over.
+    return asked_ms + min(answered_ms - asked_ms, wait_ms)
+
+
 class TableReader(Protocol):
     """What a follower needs of the store."""
 
@@ -39,13 +53,14 @@
 
     With ``is_whole`` the rows are all there are, and whatever else was known is
     gone; otherwise they are changes. ``away_ms`` is how long the store had not
-    answered before this.
+    answered before this, ``version`` the table's own.
     """
 
     rows: tuple[TableRow, ...]
     is_whole: bool
     as_of_ms: int
     away_ms: int = 0
+    version: int = 0
 
 
 class FeedFollower:
@@ -63,16 +78,14 @@
         reader: TableReader,
         clock: Clock,
         on_news: Callable[[Followed], None],
-        wait_ms: int,
-        pause_ms: int = 0,
+        pace: Callable[[], Pace],
     ) -> None:
         self.as_of_ms: int | None = None
         self._table = table
         self._reader = reader
         self._clock = clock
         self._on_news = on_news
-        self._wait_ms = wait_ms
-        self._pause_ms = pause_ms
+        self._pace = pace
         self._version = -1
         self._needs_whole = True
         self._failures = 0
@@ -81,7 +94,7 @@
         """Follow the table until cancelled."""
         while True:
             if await self.step():
-                pause_ms = self._pause_ms
+                pause_ms = self._pace().pause_ms
             else:
                 pause_ms = min(
                     _LONGEST_PAUSE_MS, _FIRST_PAUSE_MS << min(self._failures, 4)
@@ -93,7 +106,7 @@
         """Make one call; return whether the store answered it."""
         sent_ms = self._clock.now_ms()
         # After a failure the age of what is known matters most: do not wait.
-        wait_ms = 0 if self._failures else self._wait_ms
+        wait_ms = 0 if self._failures else self._pace().wait_ms
         if self._needs_whole:
             result = await self._reader.rows(self._table)
         else:
@@ -113,16 +126,14 @@
             # A copy of the store that lags: taking it would bring back what has
             # been replaced already.
             return self._failed(Unavailable("older than what was read before"))
-        self._take(result, self._proven_ms(result, sent_ms))
+        self._take(result, self._proven_ms(result, sent_ms, wait_ms))
         return True
 
-    def _proven_ms(self, result: Snapshot | Changes, sent_ms: int) -> int:
+    def _proven_ms(self, result: Snapshot | Changes, sent_ms: int, wait_ms: int) -> int:
         """Return the moment for which an answer proves how the table stood."""
-        if isinstance(result, Snapshot) or result.rows:
+        if isinstance(result, Snapshot):
             return sent_ms
-        # Without a change the store answers only when the wait is over.
-        waited_ms = self._clock.now_ms() - sent_ms
-        return sent_ms + min(waited_ms, self._wait_ms)
+        return proven_ms(result, sent_ms, self._clock.now_ms(), wait_ms)
 
     def _take(self, result: Snapshot | Changes, as_of_ms: int) -> None:
         away_ms = 0 if self.as_of_ms is None else as_of_ms - self.as_of_ms
@@ -133,6 +144,7 @@
             isinstance(result, Snapshot),
             as_of_ms,
             away_ms if self._failures else 0,
+            result.version,
         )
         self._failures = 0
         self._needs_whole = False
--- /dev/null
+++ b/fireflyward/feeds/feeds.thrift
@@ -0,0 +1,26 @@
+/* What a node asks the aggregator of its failure domain in place of the store. */
+namespace py fireflyward.feeds
+
+/* The changes of a table after a version; waits up to wait_ms for the first. */
+struct FeedAsk {
+  1: required string table,
+  2: required i64 after,
+  3: required i32 wait_ms,
+}
+
+struct FeedRow {
+  1: required string row_key,
+  2: required binary row_value,
+  3: required i64 version,
+  4: required bool is_deleted,
+}
+
+/* `outcome` is "changes", "history lost" or "unable". The table stood like this
+   `age_ms` before the answer, which came `waited_ms` after the question. */
+struct FeedAnswer {
+  1: required string outcome,
+  2: required i64 version,
+  3: required list<FeedRow> rows,
+  4: required i32 age_ms,
+  5: required i32 waited_ms,
+}
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -13,7 +13,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
-from fireflyward.feeds import FeedFollower
+from fireflyward.feeds import FeedFollower, Pace, SharedTables
 from fireflyward.forwarding import Forwarder, WeightBook
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseTask, Lost
@@ -54,12 +54,15 @@
 # The configuration's feed answers at once when something changes; a call that
 # finds nothing returns after this long and so proves that the keys are fresh. With
 # the feed's own slack it also finds a silent connection in 2.6 s.
-_CONFIGURATION_WAIT_MS = 1_900
+_CONFIGURATION_PACE = Pace(1_900)
+# An aggregator's proof is passed on, and ages by one more such wait on the way.
+_SHARED_CONFIGURATION_PACE = Pace(900)
 # Replicas renew their entries all the time, so a feed without a pause would never
 # rest. A leaving replica must get nothing after the drain time; half of it leaves a
-# second try.
+# second try, and a seventh does so where the news goes through an aggregator.
 _REPLICAS_WAIT_MS = 100
 _REPLICAS_PAUSE_SHARE = 0.5
+_SHARED_REPLICAS_PAUSE_SHARE = 0.14
 # Nodes that look for the lease. All of them looking would be a call a second each;
 # if all of these are gone at once the others find it within a minute.
 _CONTENDERS = 7
@@ -139,21 +142,23 @@
         self._replicas = ReplicaView(
             clock=clock, directory=self._directory, pool=self._pool
         )
+        self._tables = SharedTables(
+            self._store, clock=clock, aggregators=self._aggregators
+        )
         self._followers = (
             FeedFollower(
                 CONFIGURATION_TABLE,
-                reader=self._store,
+                reader=self._tables,
                 clock=clock,
-                on_news=operators.on_news,
-                wait_ms=_CONFIGURATION_WAIT_MS,
+                on_news=self._tables.kept(CONFIGURATION_TABLE, operators.on_news),
+                pace=self._configuration_pace,
             ),
             FeedFollower(
                 REPLICA_TABLE,
-                reader=self._store,
+                reader=self._tables,
                 clock=clock,
-                on_news=self._replicas.on_news,
-                wait_ms=_REPLICAS_WAIT_MS,
-                pause_ms=int(bounds.drain_ms * _REPLICAS_PAUSE_SHARE),
+                on_news=self._tables.kept(REPLICA_TABLE, self._replicas.on_news),
+                pace=self._replicas_pace,
             ),
         )
         self._lease = self._make_lease()
@@ -297,6 +302,16 @@
             used |= set(state.version_by_model.items())
         return used
 
+    def _configuration_pace(self) -> Pace:
+        if self._aggregators.are_needed:
+            return _SHARED_CONFIGURATION_PACE
+        return _CONFIGURATION_PACE
+
+    def _replicas_pace(self) -> Pace:
+        is_shared = self._aggregators.are_needed
+        share = _SHARED_REPLICAS_PAUSE_SHARE if is_shared else _REPLICAS_PAUSE_SHARE
+        return Pace(_REPLICAS_WAIT_MS, int(self._settings.bounds.drain_ms * share))
+
     async def _count_peers(self) -> None:
         while True:
             await self._peers.refresh()
@@ -318,6 +333,7 @@
             port=self._settings.peer_ports[0],
         )
         self._news.use(link)
+        self._tables.use(link)
         await link.start()
         self._link = link
         self._peers.announce(NodeRow(*link.address, self._settings.failure_domain))
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -8,6 +8,7 @@
     Changes,
     FeedFollower,
     HistoryLost,
+    Pace,
     Snapshot,
     TableRow,
 )
@@ -47,7 +48,7 @@
             reader=self.reader,
             clock=self.clock,
             on_news=self.news.append,
-            wait_ms=100,
+            pace=lambda: Pace(100),
         )
 
     async def test_whole_first_and_changes_after(self):
--- /dev/null
+++ b/tests/feeds/test_sharing.py
@@ -0,0 +1,248 @@
+"""Nodes that read tables through the aggregator of their failure domain."""
+
+import unittest
+
+from fireflyward.aggregators import Aggregators, Member
+from fireflyward.backing import Unavailable
+from fireflyward.clock import ManualClock
+from fireflyward.feeds import (
+    Changes,
+    FeedFollower,
+    HistoryLost,
+    Pace,
+    SharedTables,
+    Snapshot,
+    TableRow,
+)
+from fireflyward.peers import CallFailed, pack, unpack
+
+NAMES = [f"n{i}" for i in range(14)]
+
+
+class _Store:
+    """A table whose feed answers at once."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.rows_by_key = {}
+        self.version = 1
+        self.calls = 0
+        self.is_down = False
+
+    def put(self, key, value=b"", *, is_deleted=False):
+        self.version += 1
+        self.rows_by_key[key] = TableRow(key, value, self.version, is_deleted)
+
+    async def rows(self, table, *, part="", limit_ms=1_000):
+        self.calls += 1
+        if self.is_down:
+            return Unavailable("down")
+        alive = [row for row in self.rows_by_key.values() if not row.is_deleted]
+        return Snapshot(tuple(alive), self.version)
+
+    async def changes(self, table, *, after, wait_ms, limit_ms):
+        self.calls += 1
+        if self.is_down:
+            return Unavailable("down")
+        rows = [row for row in self.rows_by_key.values() if row.version > after]
+        if not rows:
+            await self.clock.sleep_ms(wait_ms)
+        return Changes(tuple(rows), self.version)
+
+
+class _Link:
+    def __init__(self, network):
+        self.network = network
+        self.handler = None
+
+    def register(self, kind, struct_type, handle):
+        self.handler = handle
+
+    async def call(self, address, kind, message, reply_type, *, limit_s):
+        other = self.network[address[0]]
+        if other.is_dead:
+            return CallFailed("no answer")
+        answer = await other.link.handler("", message)
+        await other.clock.sleep_ms(other.answers_after_ms)
+        return unpack(reply_type, pack(answer))
+
+
+class _Node:
+    def __init__(self, name, network, store, clock):
+        self.clock = clock
+        self.is_dead = False
+        self.answers_after_ms = 0
+        self.link = _Link(network)
+        self.aggregators = Aggregators(name, "a")
+        members = [Member(other, "a", (other, 1)) for other in NAMES if other != name]
+        self.aggregators.set_members(members)
+        self.tables = SharedTables(store, clock=clock, aggregators=self.aggregators)
+        self.tables.use(self.link)
+        self.news = []
+        self.follower = FeedFollower(
+            "t",
+            reader=self.tables,
+            clock=clock,
+            on_news=self.tables.kept("t", self.news.append),
+            pace=lambda: Pace(0),
+        )
+
+    @property
+    def known(self):
+        rows = {}
+        for news in self.news:
+            if news.is_whole:
+                rows.clear()
+            for row in news.rows:
+                rows[row.key] = row.value
+                if row.is_deleted:
+                    del rows[row.key]
+        return rows
+
+
+class SharingTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock(10_000)
+        self.store = _Store(self.clock)
+        self.store.put("k", b"1")
+        self.network = {}
+        for name in NAMES:
+            self.network[name] = _Node(name, self.network, self.store, self.clock)
+        nodes = list(self.network.values())
+        (self.first,) = [node for node in nodes if node.tables.is_for_others]
+        self.other = next(node for node in nodes if node is not self.first)
+
+    async def begin(self):
+        for node in (self.first, self.other):
+            await node.follower.step()
+
+    async def test_changes_come_without_a_call_of_the_store(self):
+        """Symptom: store calls grow with the nodes, and at 87 are the dearest price.
+
+        Every node followed every table itself.
+        """
+        await self.begin()
+        self.store.put("k", b"2")
+        self.store.put("l", b"1")
+        await self.first.follower.step()
+        calls = self.store.calls
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2", "l": b"1"})
+        self.assertEqual(self.store.calls, calls)
+
+    async def test_deletions_are_told_too(self):
+        await self.begin()
+        self.store.put("k", is_deleted=True)
+        await self.first.follower.step()
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {})
+
+    async def test_a_dead_aggregator_costs_one_call(self):
+        """Symptom: withdrawn keys are accepted after an aggregator lost power.
+
+        Its neighbours wait for an answer that does not come.
+        """
+        await self.begin()
+        self.first.is_dead = True
+        self.store.put("k", b"2")
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2"})
+
+    async def test_an_aggregator_that_is_cut_off_from_the_store_says_so(self):
+        """Symptom: a domain serves by an old configuration while the store is up.
+
+        The store turned away just the aggregator, which went on answering from its
+        copy.
+        """
+        await self.begin()
+        self.clock._now_ms += 1_700
+        self.store.put("k", b"2")
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2"})
+
+    async def test_a_proof_is_never_newer_than_the_aggregator_s(self):
+        """Symptom: a key that was withdrawn is accepted for longer than allowed.
+
+        The node counted its keys as fresh by when its neighbour answered, and not
+        by when that had last heard of the store.
+        """
+        await self.begin()
+        self.clock._now_ms += 1_000
+        await self.other.follower.step()
+        self.assertEqual(self.other.news[-1].as_of_ms, 10_000)
+
+    async def test_an_answer_that_is_held_up_proves_nothing_later(self):
+        await self.begin()
+        self.clock._now_ms += 300
+        await self.first.follower.step()
+
+        async def hold_up(handler, *asked):
+            answer = await handler(*asked)
+            self.clock._now_ms += 900
+            return answer
+
+        handler = self.first.link.handler
+        self.first.link.handler = lambda *asked: hold_up(handler, *asked)
+        await self.other.follower.step()
+        self.assertEqual(self.other.news[-1].as_of_ms, 10_300)
+
+    async def test_an_old_store_answer_after_a_failed_aggregator_is_not_fresh(self):
+        await self.begin()
+        self.first.is_dead = True
+        self.clock._now_ms += 500
+        await self.other.follower.step()
+        self.assertEqual(self.other.news[-1].as_of_ms, 10_500)
+
+    async def test_what_was_deleted_in_a_gap_is_read_anew(self):
+        """Symptom: a replica that is gone gets requests from one domain for ever.
+
+        The aggregator read everything anew after the store had lost its history,
+        and could not tell its neighbours what had been deleted meanwhile.
+        """
+        await self.begin()
+        self.store.put("l", b"1")
+        self.store.put("k", is_deleted=True)
+        self.first.follower._needs_whole = True
+        await self.first.follower.step()
+        await self.other.follower.step()
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"l": b"1"})
+
+    async def test_an_aggregator_behind_its_neighbour_takes_nothing_back(self):
+        await self.begin()
+        self.store.put("k", b"2")
+        self.first.is_dead = True
+        await self.other.follower.step()
+        self.first.is_dead = False
+        self.clock._now_ms += 2_500
+        self.first.tables._copy_by_table["t"].as_of_ms = self.clock.now_ms()
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2"})
+
+    async def test_a_node_that_is_asked_before_it_has_read_is_unable(self):
+        await self.other.follower.step()
+        self.store.put("k", b"2")
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2"})
+
+    async def test_few_nodes_ask_the_store(self):
+        self.other.aggregators.set_members([])
+        await self.begin()
+        calls = self.store.calls
+        await self.other.follower.step()
+        self.assertEqual(self.store.calls, calls + 1)
+
+
+class HistoryTests(unittest.IsolatedAsyncioTestCase):
+    async def test_whoever_is_behind_the_copy_reads_anew(self):
+        clock = ManualClock()
+        store = _Store(clock)
+        tables = SharedTables(store, clock=clock, aggregators=Aggregators("n0", "a"))
+        take = tables.kept("t", lambda news: None)
+        follower = FeedFollower(
+            "t", reader=tables, clock=clock, on_news=take, pace=lambda: Pace(0)
+        )
+        await follower.step()
+        copy = tables._copy_by_table["t"]
+        self.assertEqual(copy.after(0), HistoryLost())
+        self.assertEqual(copy.after(1), ())
