Read a whole response in one place, and log what replicas' reports lack

The store's client and the replicas' each collected a response by themselves; http1 has read_whole for both. An unreadable report and a call without an answer leave a line. No change of behaviour is meant; tests of both clients are unchanged.

--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -15,6 +15,7 @@
     HttpConnection,
 )
 from ._pool import ConnectionPool, NotConnected
+from ._whole import NoResponse, WholeResponse, read_whole
 
 __all__ = [
     "BodyPart",
@@ -24,5 +25,8 @@
     "End",
     "Head",
     "HttpConnection",
+    "NoResponse",
     "NotConnected",
+    "WholeResponse",
+    "read_whole",
 ]
--- /dev/null
+++ b/fireflyward/http1/_whole.py
@@ -0,0 +1,47 @@
+"""One whole response, for callers that pass nothing on before its end."""
+
+from dataclasses import dataclass
+
+from fireflyward.clock import Clock
+
+from ._connection import BodyPart, Broken, End, Head, HttpConnection
+
+
+@dataclass(frozen=True, slots=True)
+class WholeResponse:
+    """A response with its whole body."""
+
+    status: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class NoResponse:
+    """No whole response came; the request may have been carried out."""
+
+    detail: str
+
+
+async def read_whole(
+    connection: HttpConnection, *, clock: Clock, limit_ms: float
+) -> WholeResponse | NoResponse:
+    """Return the response to what was just sent, if it is whole in ``limit_ms``.
+
+    Without one the connection is closed, since the response may still come.
+    """
+    due_ms = clock.now_ms() + limit_ms
+    status, parts = 0, []
+    while True:
+        event = await connection.next_event_within(due_ms - clock.now_ms())
+        if isinstance(event, Head):
+            status = event.status
+        elif isinstance(event, BodyPart):
+            parts.append(event.data)
+        elif isinstance(event, End):
+            return WholeResponse(status, b"".join(parts))
+        else:
+            connection.close()
+            is_broken = isinstance(event, Broken)
+            return NoResponse(
+                event.detail if is_broken else f"no answer in {limit_ms:.0f} ms"
+            )
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -1,13 +1,22 @@
 """Calls to a replica beside requests: its report, and orders to load weights."""
 
+import logging
 from dataclasses import dataclass
 
 import msgspec
 
 from fireflyward.clock import Clock
-from fireflyward.http1 import BodyPart, ConnectionPool, End, Head, NotConnected
+from fireflyward.http1 import (
+    ConnectionPool,
+    NoResponse,
+    NotConnected,
+    WholeResponse,
+    read_whole,
+)
 from fireflyward.prefixes import KvEvent, KvNews, PartKey
 
+log = logging.getLogger("fireflyward.platform")
+
 _REPORT = "/-/report"
 _ORDER = "/-/order"
 _KV_EVENTS = "/-/kv-events"
@@ -15,9 +24,6 @@
 _KV_FREE = "/-/kv-free"
 _ACCEPTED = 202
 _ALREADY = 200
-_BUSY = 409
-_OLD_FENCING = 412
-_MISDIRECTED = 421
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,11 +94,12 @@
         """Return a replica's report, None if none came in time."""
         headers = [("Host", address), ("X-Expect-Instance", incarnation)]
         answer = await self._call(address, "GET", _REPORT, headers, b"", limit_ms)
-        if answer is None or answer[0] != 200:
+        if answer is None or answer.status != 200:
             return None
         try:
-            raw = msgspec.json.decode(answer[1], type=_Report)
-        except msgspec.MsgspecError:
+            raw = msgspec.json.decode(answer.body, type=_Report)
+        except msgspec.MsgspecError as error:
+            log.warning("platform: report of %s is unreadable: %s", address, error)
             return None
         versions = {item.name: item.version for item in raw.models}
         return ReplicaReport(raw.busy, raw.sequence, raw.active, raw.queued, versions)
@@ -134,9 +141,9 @@
         )
         if answer is None:
             return OrderResult(False, False, "no answer")
-        status, text = answer
-        accepted = status in (_ACCEPTED, _ALREADY)
-        return OrderResult(accepted, True, f"{status} {text[:60].decode('latin-1')}")
+        accepted = answer.status in (_ACCEPTED, _ALREADY)
+        text = answer.body[:60].decode("latin-1")
+        return OrderResult(accepted, True, f"{answer.status} {text}")
 
     async def kv_events(
         self, address: str, *, since: int, wait_ms: int, limit_ms: float
@@ -146,9 +153,9 @@
         target = f"{_KV_EVENTS}?since={since}"
         limit_ms += wait_ms
         answer = await self._call(address, "GET", target, headers, b"", limit_ms)
-        if answer is None or answer[0] != 200:
+        if answer is None or answer.status != 200:
             return None
-        raw = msgspec.json.decode(answer[1], type=_KvEvents)
+        raw = msgspec.json.decode(answer.body, type=_KvEvents)
         events = tuple(
             KvEvent(PartKey(salt, part), tokens)
             for _, _, salt, part, tokens, _ in raw.events
@@ -159,9 +166,9 @@
         """Return all that a store holds whole, None if it did not answer."""
         headers = [("Host", address)]
         answer = await self._call(address, "GET", _KV_LIST, headers, b"", limit_ms)
-        if answer is None or answer[0] != 200:
+        if answer is None or answer.status != 200:
             return None
-        raw = msgspec.json.decode(answer[1], type=_KvList)
+        raw = msgspec.json.decode(answer.body, type=_KvList)
         events = tuple(
             KvEvent(PartKey(salt, part), tokens) for salt, part, tokens, _ in raw.held
         )
@@ -179,7 +186,7 @@
         answer = await self._call(
             address, "POST", _KV_FREE, headers, msgspec.json.encode(body), limit_ms
         )
-        return answer is not None and answer[0] == 200
+        return answer is not None and answer.status == 200
 
     async def _call(
         self,
@@ -189,23 +196,18 @@
         headers: list[tuple[str, str]],
         body: bytes,
         limit_ms: float,
-    ) -> tuple[int, bytes] | None:
-        due_ms = self._clock.now_ms() + limit_ms
+    ) -> WholeResponse | None:
+        began_ms = self._clock.now_ms()
         connection = await self._pool.take(address, connect_ms=limit_ms)
         if isinstance(connection, NotConnected):
-            return None
+            return self._no_answer(address, target, connection.detail)
         connection.send(method, target, headers, body)
-        status, parts = 0, []
-        while True:
-            left_ms = due_ms - self._clock.now_ms()
-            event = await connection.next_event_within(left_ms)
-            if isinstance(event, Head):
-                status = event.status
-            elif isinstance(event, BodyPart):
-                parts.append(event.data)
-            elif isinstance(event, End):
-                self._pool.give_back(connection)
-                return status, b"".join(parts)
-            else:
-                connection.close()
-                return None
+        left_ms = limit_ms - (self._clock.now_ms() - began_ms)
+        answer = await read_whole(connection, clock=self._clock, limit_ms=left_ms)
+        if isinstance(answer, NoResponse):
+            return self._no_answer(address, target, answer.detail)
+        self._pool.give_back(connection)
+        return answer
+
+    def _no_answer(self, address: str, target: str, detail: str) -> None:
+        log.debug("platform: %s of %s: %s", target, address, detail)
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -11,13 +11,11 @@
 from fireflyward.clock import Clock
 from fireflyward.feeds import Changes, HistoryLost, Snapshot, TableRow
 from fireflyward.http1 import (
-    BodyPart,
-    Broken,
     ConnectionPool,
-    End,
-    Head,
-    HttpConnection,
+    NoResponse,
     NotConnected,
+    WholeResponse,
+    read_whole,
 )
 
 log = logging.getLogger("fireflyward.platform")
@@ -52,11 +50,6 @@
     now_ms: float = 0
 
 
-class _Answer(msgspec.Struct):
-    status: int
-    body: bytes
-
-
 class StoreClient:
     """One client for all calls; each has its own connection while it lasts.
 
@@ -164,7 +157,7 @@
 
     async def _call(
         self, method: str, target: str, body: bytes, limit_ms: float
-    ) -> _Answer | Unavailable | Uncertain:
+    ) -> WholeResponse | Unavailable | Uncertain:
         self.calls += 1
         connection = await self._pool.take(
             self._address, connect_ms=_CONNECT_MS, fresh=self._suspects_silence
@@ -175,39 +168,15 @@
         if body:
             headers.append(("Content-Type", "application/json"))
         connection.send(method, target, headers, body)
-        answer = await self._answer(connection, limit_ms)
-        self._suspects_silence = isinstance(answer, Uncertain)
-        if isinstance(answer, Uncertain):
-            connection.close()
-        else:
-            self._pool.give_back(connection)
+        answer = await read_whole(connection, clock=self._clock, limit_ms=limit_ms)
+        self._suspects_silence = isinstance(answer, NoResponse)
+        if isinstance(answer, NoResponse):
+            return Uncertain(answer.detail)
+        self._pool.give_back(connection)
         return answer
 
-    async def _answer(
-        self, connection: HttpConnection, limit_ms: float
-    ) -> _Answer | Uncertain:
-        """Collect one answer; without one, the call may still be carried out."""
-        due_ms = self._clock.now_ms() + limit_ms
-        status, parts = 0, []
-        while True:
-            event = await self._next_within(connection, due_ms)
-            if isinstance(event, Head):
-                status = event.status
-            elif isinstance(event, BodyPart):
-                parts.append(event.data)
-            elif isinstance(event, End):
-                return _Answer(status, b"".join(parts))
-            else:
-                detail = event.detail if event else f"no answer in {limit_ms:.0f} ms"
-                return Uncertain(detail)
-
-    async def _next_within(
-        self, connection: HttpConnection, due_ms: float
-    ) -> Head | BodyPart | End | Broken | None:
-        return await connection.next_event_within(due_ms - self._clock.now_ms())
-
-
-def _refused(answer: _Answer) -> Unavailable:
+
+def _refused(answer: WholeResponse) -> Unavailable:
     text = answer.body[:80].decode("utf-8", "replace")
     return Unavailable(f"status {answer.status}: {text}")
 
