Weigh a few replicas drawn by each node, and save parts wherever there is room

Cause: all nodes hear the same sums at the same moment; until the next ones some twenty requests came and all went to the replica that looked best. And each part had one store by its name, so that some stores were full while others had room. Change: of more than eight replicas a node weighs three drawn ones of each version and the prompt's home. A part is saved to the first store by rank that has room.

--- a/fireflyward/prefixes/_index.py
+++ b/fireflyward/prefixes/_index.py
@@ -5,10 +5,12 @@
 
 # Stores give out room in blocks of this many tokens.
 _BLOCK_TOKENS = 16
-# A store that is fuller than this loses most saves.
-_FULL_SHARE = 0.97
+# Beyond this a store is taken to be full; the rest is for what other nodes save there
+# at this moment.
+_FULL_SHARE = 0.985
 # A save that has not shown up after this long is taken to be lost.
 _SAVING_MS = 4_000
+_MOST_SAVING = 500
 
 
 @dataclass(frozen=True, slots=True)
@@ -54,7 +56,7 @@
     __slots__ = (
         "_capacity",
         "_no_saves_until_ms",
-        "_saving_ms_by_key",
+        "_saving_by_key",
         "_tokens_by_key",
         "_used",
         "address",
@@ -72,7 +74,7 @@
         self._used = 0
         self._no_saves_until_ms = 0
         self._tokens_by_key: dict[PartKey, int] = {}
-        self._saving_ms_by_key: dict[PartKey, int] = {}
+        self._saving_by_key: dict[PartKey, tuple[int, int]] = {}
 
     def __len__(self) -> int:
         return len(self._tokens_by_key)
@@ -113,33 +115,54 @@
         return self.is_up and key in self._tokens_by_key
 
     def may_save(self, now_ms: int, key: PartKey, tokens: int) -> bool:
-        """Tell whether a part is worth saving, and note that it will be."""
+        """Tell whether a part can be saved here, and note that it will be."""
         if not self.is_up or key in self._tokens_by_key:
             return False
-        if now_ms < self._no_saves_until_ms:
+        if now_ms < self._no_saves_until_ms or self.is_saving(now_ms, key):
             return False
-        if now_ms - self._saving_ms_by_key.get(key, -_SAVING_MS) < _SAVING_MS:
+        if len(self._saving_by_key) > _MOST_SAVING:
+            self._forget_lost_saves(now_ms)
+        saving = sum(size for _, size in self._saving_by_key.values())
+        if self._used + saving + _in_blocks(tokens) > self._capacity * _FULL_SHARE:
+            self._forget_lost_saves(now_ms)
             return False
-        if self._used + tokens > self._capacity * _FULL_SHARE:
-            return False
-        if len(self._saving_ms_by_key) > 2_000:
-            self._saving_ms_by_key.clear()
-        self._saving_ms_by_key[key] = now_ms
+        self._saving_by_key[key] = now_ms, _in_blocks(tokens)
         return True
 
+    def is_saving(self, now_ms: int, key: PartKey) -> bool:
+        """Tell whether this node had a part saved here a moment ago."""
+        began_ms, _ = self._saving_by_key.get(key, (-_SAVING_MS, 0))
+        return now_ms - began_ms < _SAVING_MS
+
+    def _forget_lost_saves(self, now_ms: int) -> None:
+        self._saving_by_key = {
+            key: (began_ms, size)
+            for key, (began_ms, size) in self._saving_by_key.items()
+            if now_ms - began_ms < _SAVING_MS
+        }
+
     def keys(self) -> Iterable[PartKey]:
         """Return the keys of all parts."""
         return tuple(self._tokens_by_key)
 
     def _apply(self, event: KvEvent) -> None:
         self._used -= self._tokens_by_key.pop(event.key, 0)
-        self._saving_ms_by_key.pop(event.key, None)
+        self._saving_by_key.pop(event.key, None)
         if event.tokens > 0:
-            tokens = -(-event.tokens // _BLOCK_TOKENS) * _BLOCK_TOKENS
+            tokens = _in_blocks(event.tokens)
             self._tokens_by_key[event.key] = tokens
             self._used += tokens
 
     def _clear(self) -> None:
         self._tokens_by_key.clear()
-        self._saving_ms_by_key.clear()
+        self._saving_by_key.clear()
         self._used = 0
+
+
+def _in_blocks(tokens: int) -> int:
+    """Return the room that tokens take.
+
+    >>> _in_blocks(17)
+    32
+    """
+    return -(-tokens // _BLOCK_TOKENS) * _BLOCK_TOKENS
--- a/fireflyward/prefixes/_planner.py
+++ b/fireflyward/prefixes/_planner.py
@@ -34,8 +34,11 @@
 class PartPlanner:
     """Knows all stores; no I/O.
 
-    Every node works out the same store for a part, in proportion to the stores'
-    room, so that a part is kept once and each node knows where to look.
+    Every node ranks the stores for a part alike, in proportion to their room, and
+    saves it to the first that has room for it. Parts differ in size by a factor of
+    ten, so that some stores fill up while others have room for a tenth more; what
+    has no place would be read again at every request. Where a part is the stores'
+    own events tell.
     """
 
     __slots__ = ("_capacity_by_address", "_index_by_address")
@@ -78,36 +81,51 @@
         stored_tokens = 0
         for part_id, tokens in parts[:-1]:
             key = PartKey(salt, part_id)
-            index = self._store_of(key)
-            has = index is not None and index.has(key)
-            sources.append(index.address if has else elsewhere)
-            stored_tokens += tokens if has else 0
-            may_save = (
-                index is not None
-                and tokens >= _LEAST_TOKENS
-                and index.may_save(now_ms, key, tokens)
-            )
-            saves.append(index.address if may_save else None)
+            holder = self._holder(key)
+            if holder is not None:
+                sources.append(holder.address)
+                saves.append(None)
+                stored_tokens += tokens
+            else:
+                sources.append(elsewhere)
+                saves.append(self._save_to(now_ms, key, tokens))
         return KvPlan((*sources, None), (*saves, None), stored_tokens)
 
     def stored_tokens(self, salt: str, parts: Iterable[tuple[str, int]]) -> int:
         """Return how much of a prompt the stores have."""
-        total = 0
-        for part_id, tokens in parts:
-            key = PartKey(salt, part_id)
-            index = self._store_of(key)
-            total += tokens if index is not None and index.has(key) else 0
-        return total
+        return sum(
+            tokens
+            for part_id, tokens in parts
+            if self._holder(PartKey(salt, part_id)) is not None
+        )
 
-    def _store_of(self, key: PartKey) -> StoreIndex | None:
-        """Return the store for a part: rendezvous hashing weighted by room."""
-        if not self._index_by_address:
+    def _holder(self, key: PartKey) -> StoreIndex | None:
+        """Return a store that has a part whole."""
+        for index in self._index_by_address.values():
+            if index.has(key):
+                return index
+        return None
+
+    def _save_to(self, now_ms: int, key: PartKey, tokens: int) -> str | None:
+        """Return where to save a part, and note that it will be."""
+        if tokens < _LEAST_TOKENS:
+            return None
+        indexes = self._index_by_address.values()
+        if any(index.is_saving(now_ms, key) for index in indexes):
             return None
-        address = max(
+        for address in self._ranked(key):
+            index = self._index_by_address[address]
+            if index.may_save(now_ms, key, tokens):
+                return address
+        return None
+
+    def _ranked(self, key: PartKey) -> list[str]:
+        """Return all stores for a part: rendezvous hashing weighted by room."""
+        return sorted(
             self._index_by_address,
             key=lambda item: _weighted(key, item, self._capacity_by_address[item]),
+            reverse=True,
         )
-        return self._index_by_address[address]
 
 
 def _weighted(key: PartKey, address: str, weight: int) -> float:
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -33,6 +33,10 @@
 # for how long a request holds its part.
 _MEMORY_SHARE = 0.85
 _RUN_MS = 1_500.0
+# Up to so many replicas all are weighed; of more, so many of each version that a node
+# draws. Two would do for balance, the third is for the differences between them.
+_LOOK_AT_ALL = 8
+_DRAWN = 3
 # Preference for the place where the rest of the service expects the prompt.
 _NOT_HOME_SHARE = 0.9
 # Fetching what the home has in memory takes a few ms on fast links.
@@ -131,13 +135,46 @@
             return None
         home = self._home(now_ms, able, wanted)
         usual = sorted(state.failed_share for state in able)[len(able) // 2]
-        loads = [self._load(now_ms, state, wanted) for state in able]
+        looked_at = self._sample(now_ms, able, wanted, home)
+        loads = [self._load(now_ms, state, wanted) for state in looked_at]
         costs = [
             self._cost_ms(now_ms, state, load, wanted, home, usual)
-            for state, load in zip(able, loads, strict=True)
+            for state, load in zip(looked_at, loads, strict=True)
         ]
-        best = min(range(len(able)), key=costs.__getitem__)
-        return self._choice(now_ms, able[best], loads[best], wanted, home)
+        best = min(range(len(looked_at)), key=costs.__getitem__)
+        return self._choice(now_ms, looked_at[best], loads[best], wanted, home)
+
+    def _sample(
+        self,
+        now_ms: int,
+        able: list[ReplicaState],
+        wanted: Wanted,
+        home: ReplicaState | None,
+    ) -> list[ReplicaState]:
+        """Return the replicas that are weighed: all of a few, some of many.
+
+        All nodes hear of loads at the same moment. If each looked at all replicas,
+        all would send what comes until the next news to the one that looked best,
+        and it would have ten times the requests of the others by then. The best of
+        a few that each node draws for itself is never far from the best, and
+        spreads what nobody has heard of yet.
+        """
+        if len(able) <= _LOOK_AT_ALL:
+            return able
+        sound = [state for state in able if not _is_shunned(now_ms, state)]
+        newest = [
+            state
+            for state in sound
+            if state.version_by_model.get(wanted.model) == wanted.version
+        ]
+        older = [state for state in sound if state not in newest]
+        drawn = [
+            *self._random.sample(newest, min(_DRAWN, len(newest))),
+            *self._random.sample(older, min(_DRAWN, len(older))),
+        ]
+        if home is not None and home not in drawn:
+            drawn.append(home)
+        return drawn or able
 
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
@@ -227,6 +264,11 @@
         return cost_ms
 
 
+def _is_shunned(now_ms: int, state: ReplicaState) -> bool:
+    """Tell whether a replica is a last resort now."""
+    return state.is_suspect(now_ms) or state.is_loading(now_ms) or state.is_full(now_ms)
+
+
 def _reading_ms(state: ReplicaState, tokens: float) -> float:
     """Return how long a replica reads prompt tokens."""
     return state.pace * tokens / _TOKENS_PER_MS
--- a/tests/prefixes/test_planner.py
+++ b/tests/prefixes/test_planner.py
@@ -75,6 +75,40 @@
         )
         self.assertAlmostEqual(counts["s2"] / 2_000, 0.75, delta=0.05)
 
+    def test_a_part_goes_where_there_is_room(self):
+        """Symptom: a tenth of the shared parts are read again at every request.
+
+        Each part had one store by its name alone. Some stores were full while
+        others were not, and what belonged to a full one was never kept.
+        """
+        planner = PartPlanner()
+        planner.set_stores([store(f"s{i}", 20_000) for i in range(5)])
+        for index in planner.indexes():
+            index.take(KvNews(1, (), 0))
+        saved = 0
+        for n in range(11):
+            parts = ((f"p{n}", 8_000), ("q", 1))
+            plan = planner.plan(0, "m~1", parts, elsewhere=None)
+            saved += plan.saves[0] is not None
+        self.assertEqual(saved, 10)
+
+    def test_a_part_is_found_wherever_it_is(self):
+        for address in ("s1", "s2"):
+            planner = PartPlanner()
+            planner.set_stores([store("s1"), store("s2")])
+            for index in planner.indexes():
+                held = (KvEvent(PartKey("m~1", "own"), 8_000),)
+                index.take(KvNews(1, held if index.address == address else (), 0))
+            plan = planner.plan(0, "m~1", PARTS, elsewhere=None)
+            self.assertEqual(plan.sources[1], address)
+
+    def test_a_part_that_is_being_saved_is_not_saved_elsewhere_too(self):
+        first = self.plan().saves[1]
+        for index in self.planner.indexes():
+            if index.address == first:
+                index.on_silence()
+        self.assertIsNone(self.plan(now_ms=100).saves[1])
+
     def test_stores_of_a_new_configuration_keep_what_is_known(self):
         self.fill("m~1")
         self.planner.set_stores([store("s1"), store("s2")])
--- a/tests/replicas/test_chooser.py
+++ b/tests/replicas/test_chooser.py
@@ -161,3 +161,63 @@
         self.assertEqual({self.chosen() for _ in range(20)}, {"r2"})
         self.peers.take(0, "entry-2", {n: UnderWay(0, 0, 6) for n in ("r1", "r2")})
         self.assertEqual(self.chooser.choose(0, Wanted("s")).queue_ms, 75.0)
+
+
+class ManyReplicasTests(unittest.TestCase):
+    """Forty replicas, and sixty nodes that hear of loads at the same moment."""
+
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        entries = [entry(f"r{i}", slots=16) for i in range(40)]
+        self.directory.on_whole(0, entries, after_outage=False)
+        # All are busy, and one of them a little less.
+        told = {f"r{i}": UnderWay(2_000, 90_000, 10) for i in range(1, 40)}
+        told["r0"] = UnderWay(0, 40_000, 4)
+        self.choosers = []
+        for seed in range(60):
+            peers = PeerUnderWay()
+            peers.take(0, "others", told)
+            self.choosers.append(
+                Chooser(self.directory, failure_domain="a", peers=peers, seed=seed)
+            )
+
+    def test_nodes_with_the_same_news_do_not_all_choose_the_same(self):
+        """Symptom: with fresher news of loads more first tokens come late, not fewer.
+
+        All nodes hear the same sums at the same moment. Until the next ones, 40 ms
+        later, twenty requests came, and all went to the replica that looked best.
+        """
+        chosen = Counter(
+            chooser.choose(0, Wanted("s")).replica.entry.incarnation
+            for chooser in self.choosers
+        )
+        self.assertLess(max(chosen.values()), 15)
+        self.assertGreater(len(chosen), 20)
+
+    def test_a_busy_replica_is_passed_over_where_one_of_the_drawn_is_free(self):
+        for i in range(20):
+            self.directory.find(f"r{i}").in_flight = 16
+        chosen = {
+            chooser.choose(0, Wanted("s")).replica.entry.incarnation
+            for chooser in self.choosers
+        }
+        busy = {f"r{i}" for i in range(20)}
+        # One draw in eight has none of the twenty others.
+        self.assertLess(len(chosen & busy), 13)
+
+    def test_suspects_are_not_drawn(self):
+        for i in range(1, 39):
+            self.directory.find(f"r{i}").on_trouble(0)
+        chosen = {
+            chooser.choose(0, Wanted("s")).replica.entry.incarnation
+            for chooser in self.choosers
+        }
+        self.assertLessEqual(chosen, {"r0", "r39"})
+
+    def test_a_prompt_s_home_is_always_weighed(self):
+        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000)
+        chosen = Counter(
+            chooser.choose(0, wanted).replica.entry.incarnation
+            for chooser in self.choosers
+        )
+        self.assertGreater(max(chosen.values()), 50)
