Let the nodes with the widest links be aggregators

Change: rank by the link first; an aggregator tells less often when its sums take more than a quarter of its link.

--- a/fireflyward/aggregators/_choice.py
+++ b/fireflyward/aggregators/_choice.py
@@ -18,18 +18,21 @@
 
 @dataclass(frozen=True, slots=True)
 class Member:
-    """One node as its row tells: its name, place and address for datagrams."""
+    """One node as its row tells: its name, place, address for datagrams and link."""
 
     name: str
     failure_domain: str
     address: Address
+    link_mbps: float
 
 
 class Aggregators:
     """Names one aggregator for each failure domain; no I/O.
 
     Every node ranks the nodes of a domain alike and takes the first that is not
-    silent, so no message is spent on agreeing. Two nodes may take different ones for
+    silent, so no message is spent on agreeing. The widest links come first: an
+    aggregator sends what all its neighbours receive, and one whose link is full tells
+    everyone of loads that have long changed. Two nodes may take different ones for
     a moment, which is why whoever is told anything sums it up: the sums of all
     aggregators of a domain together count each node once.
 
@@ -37,8 +40,8 @@
     anything comes from it again it is taken again, which a node that was paused
     brings about itself, because it is always its own first choice.
 
-    >>> nodes = Aggregators("a", "d1")
-    >>> nodes.set_members([Member("b", "d2", ("10.0.0.2", 77))])
+    >>> nodes = Aggregators("a", "d1", link_mbps=100)
+    >>> nodes.set_members([Member("b", "d2", ("10.0.0.2", 77), 100)])
     >>> nodes.of(0, "d2").name, nodes.of(0, "d1") is None
     ('b', True)
     """
@@ -47,11 +50,13 @@
         "_domain",
         "_members_by_domain",
         "_name",
+        "_own_rank",
         "_spoken_to_ms_by_name",
     )
 
-    def __init__(self, name: str, failure_domain: str) -> None:
+    def __init__(self, name: str, failure_domain: str, *, link_mbps: float) -> None:
         self._name = name
+        self._own_rank = _rank(name, link_mbps)
         self._domain = failure_domain
         self._members_by_domain: dict[str, list[Member]] = {}
         self._spoken_to_ms_by_name: dict[str, int] = {}
@@ -67,7 +72,7 @@
         for member in members:
             by_domain.setdefault(member.failure_domain, []).append(member)
         for found in by_domain.values():
-            found.sort(key=lambda member: rendezvous_rank(_DUTY, member.name))
+            found.sort(key=lambda member: _rank(member.name, member.link_mbps))
         self._members_by_domain = by_domain
 
     def other_domains(self) -> list[str]:
@@ -86,9 +91,8 @@
 
     def own(self, now_ms: int) -> Member | None:
         """Return this domain's aggregator, None if it is this node itself."""
-        own_rank = rendezvous_rank(_DUTY, self._name)
         for member in self._members_by_domain.get(self._domain, ()):
-            if own_rank < rendezvous_rank(_DUTY, member.name):
+            if self._own_rank < _rank(member.name, member.link_mbps):
                 return None
             if not self._is_silent(now_ms, member.name):
                 return member
@@ -113,3 +117,7 @@
     def _is_silent(self, now_ms: int, name: str) -> bool:
         since_ms = self._spoken_to_ms_by_name.get(name)
         return since_ms is not None and now_ms - since_ms >= SILENT_AFTER_MS
+
+
+def _rank(name: str, link_mbps: float) -> tuple[float, int]:
+    return -link_mbps, rendezvous_rank(_DUTY, name)
--- a/fireflyward/deployment/_settings.py
+++ b/fireflyward/deployment/_settings.py
@@ -38,7 +38,8 @@
     """Everything that a process learns before it has spoken to anyone.
 
     Addresses are ``IP:PORT``. ``memory_mb`` is the limit past which the process is
-    killed; ``listing_period_ms`` is how often a replica renews its entry.
+    killed, ``link_mbps`` what the VM's link carries; ``listing_period_ms`` is how
+    often a replica renews its entry.
     """
 
     node: str
@@ -49,6 +50,7 @@
     readiness_address: str
     peer_ports: tuple[int, int]
     memory_mb: int
+    link_mbps: float
     listing_period_ms: int
     bounds: Bounds
     store: StoreLimits
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -107,7 +107,9 @@
         self._peers = PeerRegister(self._store, settings.node)
         self._planner = PartPlanner()
         self._api = ReplicaApi(self._pool, clock=clock)
-        self._aggregators = Aggregators(settings.node, settings.failure_domain)
+        self._aggregators = Aggregators(
+            settings.node, settings.failure_domain, link_mbps=settings.link_mbps
+        )
         self._news = LoadNews(
             clock=clock,
             directory=self._directory,
@@ -120,6 +122,7 @@
             peers=self._under_way,
             aggregators=self._aggregators,
             node=settings.node,
+            link_mbps=settings.link_mbps,
         )
         self._chooser = Chooser(
             self._directory,
@@ -336,7 +339,9 @@
         self._tables.use(link)
         await link.start()
         self._link = link
-        self._peers.announce(NodeRow(*link.address, self._settings.failure_domain))
+        settings = self._settings
+        own = NodeRow(*link.address, settings.failure_domain, settings.link_mbps)
+        self._peers.announce(own)
         for run in (self._under_way_task.run(link), self._store_telling.run(link)):
             self._tasks.append(asyncio.create_task(self._guarded(run)))
 
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -26,7 +26,8 @@
 
     ip: str
     port: int
-    failure_domain: str = ""
+    failure_domain: str
+    link_mbps: float
 
 
 class PeerRegister:
@@ -54,7 +55,7 @@
     def others(self) -> list[Member]:
         """Return the other nodes."""
         return [
-            Member(name, row.failure_domain, (row.ip, row.port))
+            Member(name, row.failure_domain, (row.ip, row.port), row.link_mbps)
             for name, row in self._rows.items()
             if name != self._name and row != self._own
         ]
--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -25,6 +25,7 @@
 
 class _MachineLimits(_Dashed):
     memory_mb: int
+    link_mbps: float
 
 
 class _Bounds(_Dashed):
@@ -83,6 +84,7 @@
         readiness_address=raw.listen.readiness,
         peer_ports=raw.internal_ports,
         memory_mb=raw.limits.memory_mb,
+        link_mbps=raw.limits.link_mbps,
         listing_period_ms=raw.heartbeat_ms,
         bounds=_bounds(raw.bounds),
         store=StoreLimits(
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -27,6 +27,10 @@
 _SUM_PERIOD_MS = 40
 _SUM_MS_PER_NODE = 1.0
 _SUM_REPEAT_MS = 500
+# An aggregator whose messages take more than this of its link tells less often; a
+# full link would hold up the answers that it carries, and the news itself.
+_LINK_SHARE = 0.25
+_BITS_PER_MS_PER_MBPS = 1_000
 # An aggregator speaks at least this often, so that its silence is noticed.
 _SIGN_OF_LIFE_MS = 200
 # A replica takes some 30 bytes; a datagram holds 1,400.
@@ -80,17 +84,20 @@
         peers: PeerUnderWay,
         aggregators: Aggregators,
         node: str,
+        link_mbps: float,
     ) -> None:
         self._clock = clock
         self._directory = directory
         self._peers = peers
         self._aggregators = aggregators
         self._node = node
+        self._link_mbps = link_mbps
         self._told: dict[str, UnderWay] = {}
         self._told_ms = 0
         self._told_to: Member | None = None
         self._changes = SumChanges()
-        self._summed_ms = 0
+        self._next_sum_ms = 0
+        self._bytes_before = 0
 
     async def run(self, link: PeerLink) -> None:
         """Speak and listen until cancelled."""
@@ -159,11 +166,10 @@
         self._peers.on_told_own(now_ms, {})
 
     def _tell_sums(self, link: PeerLink, now_ms: int, own: Told) -> None:
-        neighbours = self._aggregators.neighbours()
-        period_ms = max(_SUM_PERIOD_MS, _SUM_MS_PER_NODE * len(neighbours))
-        if now_ms - self._summed_ms < period_ms - _PERIOD_MS / 2:
+        if now_ms < self._next_sum_ms - _PERIOD_MS / 2:
             return
-        self._summed_ms = now_ms
+        neighbours = self._aggregators.neighbours()
+        self._next_sum_ms = now_ms + self._sum_period_ms(link, len(neighbours))
         total = self._peers.told(now_ms)
         for incarnation, more in own.items():
             total[incarnation] = total.get(incarnation, UnderWay()).plus(more)
@@ -175,6 +181,14 @@
             news = _sum(self._node, part, pass_on=True)
             self._tell_other_domains(link, now_ms, news)
 
+    def _sum_period_ms(self, link: PeerLink, neighbours: int) -> float:
+        """Return when to tell next: when the link has carried the last sums."""
+        sent = link.bytes_sent - self._bytes_before
+        self._bytes_before = link.bytes_sent
+        carrying_ms = sent * 8 / (self._link_mbps * _BITS_PER_MS_PER_MBPS)
+        least_ms = max(_SUM_PERIOD_MS, _SUM_MS_PER_NODE * neighbours)
+        return max(least_ms, carrying_ms / _LINK_SHARE)
+
     def _tell_other_domains(self, link: PeerLink, now_ms: int, news: Any) -> None:
         for domain in self._aggregators.other_domains():
             aggregator = self._aggregators.of(now_ms, domain)
--- a/tests/aggregators/test_choice.py
+++ b/tests/aggregators/test_choice.py
@@ -5,15 +5,15 @@
 from fireflyward.aggregators import Aggregators, Member
 
 
-def member(name, domain):
-    return Member(name, domain, (name, 7_000))
+def member(name, domain, link_mbps=100):
+    return Member(name, domain, (name, 7_000), link_mbps)
 
 
 MEMBERS = [member(f"{domain}-{i}", domain) for domain in "abc" for i in range(6)]
 
 
 def of_node(own):
-    nodes = Aggregators(own.name, own.failure_domain)
+    nodes = Aggregators(own.name, own.failure_domain, link_mbps=own.link_mbps)
     nodes.set_members(item for item in MEMBERS if item != own)
     return nodes
 
@@ -54,8 +54,23 @@
         self.assertIsNone(nodes.own(1_000))
         self.assertIsNotNone(nodes.of(1_000, "b"))
 
+    def test_the_widest_link_comes_first(self):
+        """Symptom: loads are told late though nothing is lost, and calls time out.
+
+        The aggregator sat on a link of 10 Mbit/s, a twentieth of its neighbour's;
+        what it sent stood in the link's queue for half a second.
+        """
+        for name in ("wide", "a-wide"):
+            wide = member(name, "a", link_mbps=200)
+            nodes = Aggregators("a-0", "a", link_mbps=10)
+            nodes.set_members([*MEMBERS[1:6], wide])
+            self.assertEqual(nodes.own(0), wide)
+            nodes = Aggregators(name, "a", link_mbps=200)
+            nodes.set_members(MEMBERS)
+            self.assertIsNone(nodes.own(0))
+
     def test_few_nodes_need_none(self):
-        nodes = Aggregators("a-0", "a")
+        nodes = Aggregators("a-0", "a", link_mbps=100)
         nodes.set_members(MEMBERS[1:12])
         self.assertFalse(nodes.are_needed)
         nodes.set_members(MEMBERS[1:13])
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -73,8 +73,10 @@
         self.is_dead = False
         self.answers_after_ms = 0
         self.link = _Link(network)
-        self.aggregators = Aggregators(name, "a")
-        members = [Member(other, "a", (other, 1)) for other in NAMES if other != name]
+        self.aggregators = Aggregators(name, "a", link_mbps=100)
+        members = [
+            Member(other, "a", (other, 1), 100) for other in NAMES if other != name
+        ]
         self.aggregators.set_members(members)
         self.tables = SharedTables(store, clock=clock, aggregators=self.aggregators)
         self.tables.use(self.link)
@@ -237,7 +239,9 @@
     async def test_whoever_is_behind_the_copy_reads_anew(self):
         clock = ManualClock()
         store = _Store(clock)
-        tables = SharedTables(store, clock=clock, aggregators=Aggregators("n0", "a"))
+        tables = SharedTables(
+            store, clock=clock, aggregators=Aggregators("n0", "a", link_mbps=100)
+        )
         take = tables.kept("t", lambda news: None)
         follower = FeedFollower(
             "t", reader=tables, clock=clock, on_news=take, pace=lambda: Pace(0)
--- a/tests/platform_standins/_operator.py
+++ b/tests/platform_standins/_operator.py
@@ -92,7 +92,7 @@
             "readiness": f"127.0.0.1:{readiness}",
         },
         "internal-ports": [peers, peers + 5],
-        "limits": {"memory-mb": 300},
+        "limits": {"memory-mb": 300, "link-mbps": 1000.0},
         "heartbeat-ms": 1_200,
         "bounds": {"grace-s": 4, "lease-ms": 600, "thaw-slack-ms": 10},
         "platform": {
--- a/tests/prefixes/test_telling.py
+++ b/tests/prefixes/test_telling.py
@@ -11,7 +11,7 @@
 
 def members(own):
     names = [f"n{i}" for i in range(14)]
-    return [Member(name, "a", (name, 1)) for name in names if name != own]
+    return [Member(name, "a", (name, 1), 100) for name in names if name != own]
 
 
 class _Link:
@@ -35,7 +35,7 @@
 
 class _Node:
     def __init__(self, name, clock):
-        self.aggregators = Aggregators(name, "a")
+        self.aggregators = Aggregators(name, "a", link_mbps=100)
         self.aggregators.set_members(members(name))
         self.follower = _Follower()
         self.link = _Link()
--- a/tests/replicas/test_telling.py
+++ b/tests/replicas/test_telling.py
@@ -41,6 +41,7 @@
     def __init__(self, network, name):
         self.network = network
         self.name = name
+        self.bytes_sent = 0
         self.handler_by_kind = {}
 
     def register(self, kind, struct_type, handle):
@@ -52,25 +53,27 @@
     def send_all(self, addresses, kind, news):
         for address in addresses:
             self.network.sent += 1
+            self.bytes_sent += self.network.datagram_bytes
             self.network.deliver(self.name, address, kind, news)
         return True
 
 
 class _Node:
     def __init__(self, network, name, domain):
-        self.member = Member(name, domain, (name, 1))
+        self.member = Member(name, domain, (name, 1), 100)
         self.link = _Link(network, name)
         self.peers = PeerUnderWay()
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{i}") for i in range(40)]
         self.directory.on_whole(0, entries, after_outage=False)
-        self.aggregators = Aggregators(name, domain)
+        self.aggregators = Aggregators(name, domain, link_mbps=100)
         self.task = UnderWayTask(
             clock=network.clock,
             directory=self.directory,
             peers=self.peers,
             aggregators=self.aggregators,
             node=name,
+            link_mbps=100,
         )
         self.task.listen(self.link)
 
@@ -84,6 +87,7 @@
     def __init__(self, per_domain):
         self.clock = _Clock()
         self.sent = 0
+        self.datagram_bytes = 100
         self.dead = set()
         self.node_by_name = {}
         for domain in "abc":
@@ -176,6 +180,23 @@
             sent.append(network.sent)
         self.assertLess(sent[1], 2.5 * sent[0])
 
+    def test_sums_are_told_less_often_where_the_link_is_narrow(self):
+        """Symptom: calls between nodes time out, and loads are told late.
+
+        The sums of a domain's aggregator filled its link.
+        """
+        sent = []
+        for datagram_bytes in (100, 40_000):
+            network = _Network(6)
+            network.datagram_bytes = datagram_bytes
+            network.step(10)
+            network.sent = 0
+            for i in range(40):
+                network.node_by_name["a0"].put("r0", i)
+                network.step(1)
+            sent.append(network.sent)
+        self.assertLess(sent[1], sent[0] / 2)
+
     def test_few_nodes_tell_all_others(self):
         network = _Network(3)
         network.node_by_name["a0"].put("r0", 2)
