Tell listeners of numbers that had no event

Cause: 7,839 times a listener found a store silent that had refused it: some events never arrive, and the news that followed looked like a gap, so that all nodes asked at once.

--- a/fireflyward/prefixes/_telling.py
+++ b/fireflyward/prefixes/_telling.py
@@ -59,7 +59,10 @@
             return
         known = self._last_by_address.get(address)
         told_ms = known[0] if known else 0
-        if news.events or self._clock.now_ms() - told_ms >= _SIGN_OF_LIFE_MS:
+        # Numbers go on also over events that never arrive; a listener that was not
+        # told of those would take the next news for a gap.
+        goes_on = news.next_event != news.since
+        if goes_on or self._clock.now_ms() - told_ms >= _SIGN_OF_LIFE_MS:
             self._unsaid.append((address, news))
             told_ms = self._clock.now_ms()
         self._last_by_address[address] = told_ms, news
--- a/tests/prefixes/test_telling.py
+++ b/tests/prefixes/test_telling.py
@@ -88,6 +88,18 @@
         ((_, told),) = self.first.link.sent
         self.assertEqual(len(told.stores), 2)
 
+    def test_numbers_without_events_are_told(self):
+        """Symptom: listeners ask a store again and again, and it refuses them.
+
+        Some of its events never arrive, so its numbers go on without one. Told of
+        the next events only, each listener took the difference for a gap.
+        """
+        self.first.telling.on_read("s:1", news(10, 0))
+        self.first.telling.on_read("s:1", KvNews(7, (), 12, since=10))
+        self.first.telling.tell(self.first.link)
+        ((_, told),) = self.first.link.sent
+        self.assertEqual([item.next_event for item in told.stores], [10, 12])
+
     def test_much_news_takes_several_datagrams(self):
         for since in range(0, 200, 20):
             self.first.telling.on_read("s:1", news(since, 20))
