Take news of stores that overlaps with what a listener knows

Cause: a listener that had asked by itself was ahead of its aggregator. News that overlapped was left out and the next one seemed to have a gap, so it asked again, for ever. Applied in order up to its end, overlapping news gives the same state.

--- a/fireflyward/prefixes/_follow.py
+++ b/fireflyward/prefixes/_follow.py
@@ -120,7 +120,8 @@
             self._missed.set()
             return
         self._heard_ms = self._clock.now_ms()
-        if news.since == index.next_event:
+        if index.next_event < news.next_event:
+            # What is known already is taken once more, up to where the news leads.
             index.take(news)
 
     def _must_ask(self) -> bool:
--- a/tests/prefixes/test_follow.py
+++ b/tests/prefixes/test_follow.py
@@ -114,6 +114,25 @@
         self.assertTrue(self.listener.index.has(key(2)))
         self.assertFalse(self.listener.follower._must_ask())
 
+    async def test_whoever_asked_goes_on_with_the_aggregator_s_news(self):
+        """Symptom: one domain's nodes ask every store several times a second.
+
+        A listener that had asked by itself was a few events ahead of its aggregator.
+        The news that overlapped was left out, and the next one seemed to have a gap.
+        """
+        await self.listener.follower.step()
+        await self.aggregator.follower.step()
+        self.store.save(1)
+        await self.listener.follower.step()
+        self.store.save(1, tokens=0)
+        self.store.save(2)
+        await self.pass_on()
+        self.store.save(3)
+        await self.pass_on()
+        self.assertFalse(self.listener.follower._must_ask())
+        held = [i for i in range(1, 4) if self.listener.index.has(key(i))]
+        self.assertEqual(held, [2, 3])
+
     async def test_news_that_comes_twice_changes_nothing(self):
         await self.listener.follower.step()
         self.store.save(1)
