Tell listeners what an aggregator found by reading a store's whole list

When the store says that events were lost the aggregator reads its list, of which the neighbours heard nothing. It now tells the difference. Also an aggregator proves the configuration every 600 ms, and its copy counts as old after 2 s, not 1.6.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -24,7 +24,7 @@
 _CHANGES, _LOST, _UNABLE = "changes", "history lost", "unable"
 # An aggregator whose own copy is older than this is asked no more: it may be cut off
 # from the store while others are not. It reads each table at least once a second.
-_OLD_MS = 1_600
+_OLD_MS = 2_000
 # The way to a neighbour and back with one lost packet.
 _SLACK_MS = 400
 # An aggregator that failed is not asked for as long as its successor needs to be
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -57,6 +57,7 @@
 _CONFIGURATION_PACE = Pace(1_900)
 # An aggregator's proof is passed on, and ages by one more such wait on the way.
 _SHARED_CONFIGURATION_PACE = Pace(900)
+_AGGREGATOR_CONFIGURATION_PACE = Pace(600)
 # Replicas renew their entries all the time, so a feed without a pause would never
 # rest. A leaving replica must get nothing after the drain time; half of it leaves a
 # second try, and a seventh does so where the news goes through an aggregator.
@@ -306,6 +307,8 @@
         return used
 
     def _configuration_pace(self) -> Pace:
+        if self._tables.is_for_others:
+            return _AGGREGATOR_CONFIGURATION_PACE
         if self._aggregators.are_needed:
             return _SHARED_CONFIGURATION_PACE
         return _CONFIGURATION_PACE
--- a/fireflyward/prefixes/_follow.py
+++ b/fireflyward/prefixes/_follow.py
@@ -105,9 +105,9 @@
             whole = await self._reader.kv_list(index.address, limit_ms=_LIMIT_MS)
             if whole is None:
                 return self._silent()
+            news = index.difference(whole)
             index.take(whole)
-        else:
-            self._on_read(index.address, news)
+        self._on_read(index.address, news)
         self._heard_ms = self._clock.now_ms()
         return True
 
--- a/fireflyward/prefixes/_index.py
+++ b/fireflyward/prefixes/_index.py
@@ -94,6 +94,18 @@
             self._apply(event)
         return True
 
+    def difference(self, whole: KvNews) -> KvNews:
+        """Return the events that lead from what is known here to a whole list.
+
+        Whoever follows this node misses nothing then, although it missed events.
+        """
+        held = {event.key: event for event in whole.events}
+        freed = [KvEvent(key, 0) for key in self._tokens_by_key if key not in held]
+        made = [event for key, event in held.items() if key not in self._tokens_by_key]
+        return KvNews(
+            whole.epoch, (*freed, *made), whole.next_event, since=self.next_event
+        )
+
     def restart(self, epoch: int, *, no_saves_until_ms: int) -> None:
         """Take word that the store is in a new life, and empty; save nothing yet.
 
--- a/tests/prefixes/test_follow.py
+++ b/tests/prefixes/test_follow.py
@@ -133,6 +133,26 @@
         held = [i for i in range(1, 4) if self.listener.index.has(key(i))]
         self.assertEqual(held, [2, 3])
 
+    async def test_listeners_miss_nothing_when_the_aggregator_reads_all(self):
+        """Symptom: every node asks every store several times a second.
+
+        A hundredth of a store's events never arrive. The aggregator then reads the
+        whole list, of which its neighbours heard nothing, so all of them asked too.
+        """
+        self.store.save(1)
+        await self.aggregator.follower.step()
+        await self.listener.follower.step()
+        self.aggregator.read.clear()
+        self.store.keeps = 1
+        self.store.save(1, tokens=0)
+        self.store.save(2)
+        self.store.save(3)
+        await self.pass_on()
+        self.assertEqual(self.store.lists, 1)
+        self.assertFalse(self.listener.follower._must_ask())
+        held = [i for i in range(1, 4) if self.listener.index.has(key(i))]
+        self.assertEqual(held, [2, 3])
+
     async def test_news_that_comes_twice_changes_nothing(self):
         await self.listener.follower.step()
         self.store.save(1)
