--- a/tests/prefixes/test_follow.py
+++ b/tests/prefixes/test_follow.py
@@ -53,7 +53,8 @@
         if self.is_down:
             return None
         held = {event.key: event for event in self.events}
-        return KvNews(self.epoch, tuple(held.values()), len(self.events), is_whole=True)
+        whole = tuple(event for event in held.values() if event.tokens)
+        return KvNews(self.epoch, whole, len(self.events), is_whole=True)
 
 
 class _Node:
