Keep the index of an empty store over a change of the configuration

A trial that printed each save showed every store as down at most nodes: an index that is empty is false in "known or new", so the first change of the configuration put a new index in its place, while the store's events went into the old one.

--- a/fireflyward/prefixes/_planner.py
+++ b/fireflyward/prefixes/_planner.py
@@ -49,12 +49,15 @@
 
     def set_stores(self, stores: Iterable[KvStore]) -> None:
         """Take the stores of a configuration, keeping what is known of old ones."""
+        # An empty index is false, so whether one is known is asked of the mapping.
         known = self._index_by_address
         self._capacity_by_address = {
             store.address: store.kv_tokens for store in stores if store.drops_nothing
         }
         self._index_by_address = {
-            address: known.get(address) or StoreIndex(address, capacity)
+            address: (
+                known[address] if address in known else StoreIndex(address, capacity)
+            )
             for address, capacity in self._capacity_by_address.items()
         }
 
--- a/tests/prefixes/test_planner.py
+++ b/tests/prefixes/test_planner.py
@@ -114,6 +114,17 @@
         self.planner.set_stores([store("s1"), store("s2")])
         self.assertEqual(self.plan().stored_tokens, 8_500)
 
+    def test_an_empty_store_stays_the_same_over_a_new_configuration(self):
+        """Symptom: after an early change of the configuration most stores are not used.
+
+        An index that was still empty was false in a condition, so the planner made
+        a new one, while the store's events went on into the old one.
+        """
+        before = self.planner.indexes()
+        self.planner.set_stores([store("s1"), store("s2")])
+        for old, new in zip(before, self.planner.indexes(), strict=True):
+            self.assertIs(old, new)
+
     def test_without_stores(self):
         self.planner.set_stores([])
         self.assertEqual(self.plan(elsewhere=None).sources, (None, None, None))
