--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -19,13 +19,14 @@
     """One replica of a model, as this node sees it.
 
     ``busy_ms`` is how long the prompts take that wait there: so long a load has to
-    wait for them.
+    wait for them. ``may_serve`` tells whether its weights may begin on requests.
     """
 
     incarnation: str
     address: str
     version: int
     busy_ms: float
+    may_serve: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,15 +56,23 @@
     def next(
         self, now_ms: int, model: str, version: int, views: list[RolloutView]
     ) -> list[Order]:
-        """Return the orders to give now, the least busy replicas first."""
+        """Return the orders to give now, the least busy replicas first.
+
+        The share keeps the others at work meanwhile. A replica whose weights are too
+        old to serve is not at work, so that it is ordered beside the share: after
+        its holder changed, a rollout would else go on round by round while most
+        replicas may serve nobody.
+        """
         behind = [view for view in views if view.version < version]
         waiting = [view for view in behind if self._is_free(now_ms, view.incarnation)]
         loading = len(behind) - len(waiting)
         room = max(1, math.floor(len(views) * _LOADING_SHARE)) - loading
-        waiting.sort(key=lambda view: view.busy_ms)
+        idle = [view for view in waiting if not view.may_serve]
+        serving = [view for view in waiting if view.may_serve]
+        serving.sort(key=lambda view: view.busy_ms)
+        chosen = idle + serving[: max(0, room - len(idle))]
         return [
-            Order(view.incarnation, view.address, model, version)
-            for view in waiting[: max(0, room)]
+            Order(view.incarnation, view.address, model, version) for view in chosen
         ]
 
     def on_begun(self, now_ms: int, order: Order) -> None:
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -127,6 +127,7 @@
 
     def _views(self, now_ms: int, model: str) -> list[RolloutView]:
         views = []
+        least = self._weights.least(now_ms, model)
         for state in self._directory.all():
             version = state.version_by_model.get(model)
             if version is not None and not state.entry.is_leaving:
@@ -137,6 +138,7 @@
                         entry.address,
                         version,
                         self._busy_ms(now_ms, state),
+                        may_serve=version >= least,
                     )
                 )
         return views
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -48,3 +48,24 @@
     def test_nothing_to_do(self):
         self.assertEqual(self.ordered(0, views(2, 2)), [])
         self.assertEqual(self.ordered(0, []), [])
+
+
+class IdleReplicasTests(unittest.TestCase):
+    def test_replicas_that_may_not_serve_load_beside_the_share(self):
+        """Symptom: long after a rollout's holder was cut off, a third is refused.
+
+        The next holder began seconds later. By then the oldest weights might serve
+        nobody, and still two of five replicas loaded at a time.
+        """
+        views = [RolloutView(f"old{i}", "", 1, 0.0, may_serve=False) for i in range(3)]
+        views += [RolloutView(f"new{i}", "", 2, float(i)) for i in range(2)]
+        plan = WeightPlan()
+        names = [order.incarnation for order in plan.next(0, "m", 3, views)]
+        self.assertEqual(names, ["old0", "old1", "old2"])
+
+    def test_the_share_holds_for_those_that_serve(self):
+        views = [RolloutView("old", "", 1, 0.0, may_serve=False)]
+        views += [RolloutView(f"new{i}", "", 2, float(i)) for i in range(4)]
+        plan = WeightPlan()
+        names = [order.incarnation for order in plan.next(0, "m", 3, views)]
+        self.assertEqual(names, ["old", "new0"])
