--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -123,6 +123,7 @@
             peers=self._under_way,
             aggregators=self._aggregators,
             node=settings.node,
+            failure_domain=settings.failure_domain,
             link_mbps=settings.link_mbps,
         )
         self._chooser = Chooser(
@@ -410,6 +411,9 @@
         self._metrics.gauge("replicas", len(self._directory))
         self._metrics.gauge("store_calls_total", self._store.calls)
         self._metrics.gauge("connections_opened_total", self._pool.opened)
+        if self._link is not None:
+            self._metrics.gauge("peer_bytes_sent_total", self._link.bytes_sent)
+            self._metrics.gauge("peer_bytes_received_total", self._link.bytes_received)
         return Response(text=self._metrics.text())
 
 
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -1,5 +1,6 @@
 """Tells the other nodes what this one has under way, and hears of theirs."""
 
+import logging
 from collections.abc import Iterable, Iterator
 from itertools import islice
 from pathlib import Path
@@ -12,6 +13,8 @@
 from ._directory import ReplicaDirectory
 from ._under_way import PeerUnderWay, Told, UnderWay
 
+log = logging.getLogger("fireflyward.aggregators")
+
 _structs = load_structs(Path(__file__).parent, "replicas")
 UnderWayNews = _structs.UnderWayNews
 UnderWaySum = _structs.UnderWaySum
@@ -84,6 +87,7 @@
         peers: PeerUnderWay,
         aggregators: Aggregators,
         node: str,
+        failure_domain: str,
         link_mbps: float,
     ) -> None:
         self._clock = clock
@@ -91,6 +95,7 @@
         self._peers = peers
         self._aggregators = aggregators
         self._node = node
+        self._failure_domain = failure_domain
         self._link_mbps = link_mbps
         self._told: dict[str, UnderWay] = {}
         self._told_ms = 0
@@ -160,6 +165,8 @@
         self, link: PeerLink, now_ms: int, aggregator: Member | None
     ) -> None:
         """Take back what the last one was told, lest this node counts twice."""
+        name = aggregator.name if aggregator is not None else "this node"
+        log.info("aggregators: %s sums up for %s", name, self._failure_domain)
         if self._told_to is not None:
             link.send(self._told_to.address, _NEWS, _news({}))
         self._told_to, self._told = aggregator, {}
--- a/tests/replicas/test_telling.py
+++ b/tests/replicas/test_telling.py
@@ -73,6 +73,7 @@
             peers=self.peers,
             aggregators=self.aggregators,
             node=name,
+            failure_domain=domain,
             link_mbps=100,
         )
         self.task.listen(self.link)
