--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -18,12 +18,13 @@
 class NodeProcess:
     """One ``python -m fireflyward.fleet``; its links lead through proxies."""
 
-    def __init__(self, name, folder, store_address):
+    def __init__(self, name, folder, store_address, zone):
         self.name = name
         self.ports = _free_ports(3)
         self.is_planned_stop = False
         self._folder = Path(folder)
         self._store_address = store_address
+        self._zone = zone
         self._process = None
 
     @property
@@ -36,7 +37,7 @@
 
     async def start(self):
         path = self._folder / f"{self.name}.json"
-        names = {"node-name": self.name}
+        names = {"node-name": self.name, "zone": self._zone}
         path.write_text(settings_text(self._store_address, self.ports, **names))
         self.is_planned_stop = False
         with self.log.open("ab") as log:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -13,6 +13,7 @@
 from ._proxy import Proxy
 
 _NODES = 3
+_ZONES = ("a", "b")
 _CALLERS = 8
 _KEYS = [f"key-{n}" for n in range(1, 9)]
 _START_S = 20
@@ -23,7 +24,8 @@
 class Fleet:
     """Everything that runs for one seed."""
 
-    def __init__(self, seed, folder):
+    def __init__(self, seed, folder, nodes):
+        self.node_count = nodes
         self.random = random.Random(seed)
         self.folder = folder
         self.store = StoreStandIn()
@@ -48,11 +50,12 @@
             self.replica_links.append(link)
             self.list_replica(replica)
         self._configure()
-        for number in range(_NODES):
+        for number in range(self.node_count):
             link = Proxy(self.store.address)
             await link.start()
             self.store_links.append(link)
-            node = NodeProcess(f"entry-{number}", self.folder, link.address)
+            zone = _ZONES[number % len(_ZONES)]
+            node = NodeProcess(f"entry-{number}", self.folder, link.address, zone)
             await node.start()
             self.nodes.append(node)
         async with asyncio.timeout(_START_S):
@@ -113,10 +116,10 @@
         return broken
 
 
-async def play(seed, seconds):
+async def play(seed, seconds, nodes=_NODES):
     """Play one seed; return what was broken, counts by status, and the faults."""
     with tempfile.TemporaryDirectory() as folder:
-        fleet = Fleet(seed, folder)
+        fleet = Fleet(seed, folder, nodes)
         await fleet.start()
         faults = Faults(random.Random(seed + 1), fleet)
         tasks = [
