Have an aggregator that nobody tells any more take back its last sums

Symptom: a node that took its aggregator for dead for a moment was in the sums of two aggregators for a second and a half. Cause: when it went back, the second one had nobody left to sum up for and went quiet, so its last sum stayed until it was forgotten. Found by taking the taking-back out and seeing no test fail; the new test failed with it in.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -101,7 +101,8 @@
         )
         if not isinstance(result, Changes):
             return result
-        # The follower asked earlier, before the aggregator was tried.
+        # Counted from when the follower asked, before the aggregator was tried, the
+        # answer would look older than it is by as long as that took.
         as_of_ms = proven_ms(result, asked_ms, self._clock.now_ms(), wait_ms)
         return Changes(result.rows, result.version, as_of_ms)
 
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -59,6 +59,11 @@
         self._whole_ms: int | None = None
         self._spoke_ms = 0
 
+    @property
+    def is_open(self) -> bool:
+        """Tell whether something was told that is not taken back yet."""
+        return bool(self._told)
+
     def due(self, now_ms: int, total: dict[str, UnderWay]) -> Told | None:
         """Return what to tell, an empty one as a sign of life, None for nothing."""
         gone = {name: UnderWay() for name in self._told if name not in total}
@@ -158,7 +163,8 @@
             link.send(aggregator.address, _NEWS, _news(own))
             self._aggregators.on_spoken_to(now_ms, aggregator.name)
             self._peers.on_told_own(now_ms, own)
-        if aggregator is None or self._peers.is_told:
+        # Once nobody tells this node any more it takes back what it told last.
+        if aggregator is None or self._peers.is_told or self._changes.is_open:
             self._tell_sums(link, now_ms, own if aggregator is None else {})
 
     def _change_aggregator(
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -61,9 +61,9 @@
     async def call(self, address, kind, message, reply_type, *, limit_s):
         other = self.network[address[0]]
         if other.is_dead:
+            other.clock._now_ms += other.fails_after_ms
             return CallFailed("no answer")
         answer = await other.link.handler("", message)
-        await other.clock.sleep_ms(other.answers_after_ms)
         return unpack(reply_type, pack(answer))
 
 
@@ -71,7 +71,7 @@
     def __init__(self, name, network, store, clock):
         self.clock = clock
         self.is_dead = False
-        self.answers_after_ms = 0
+        self.fails_after_ms = 0
         self.link = _Link(network)
         self.aggregators = Aggregators(name, "a", link_mbps=100)
         members = [
@@ -188,12 +188,18 @@
         await self.other.follower.step()
         self.assertEqual(self.other.news[-1].as_of_ms, 10_300)
 
-    async def test_an_old_store_answer_after_a_failed_aggregator_is_not_fresh(self):
+    async def test_the_store_s_answer_counts_from_when_the_store_was_asked(self):
+        """Symptom: a node refuses keys although the store answers it all the time.
+
+        Its aggregator is dead, and each proof seemed older by the time that was
+        spent on asking it.
+        """
         await self.begin()
         self.first.is_dead = True
-        self.clock._now_ms += 500
+        self.first.fails_after_ms = 1_300
+        self.store.put("k", b"2")
         await self.other.follower.step()
-        self.assertEqual(self.other.news[-1].as_of_ms, 10_500)
+        self.assertEqual(self.other.news[-1].as_of_ms, 11_300)
 
     async def test_what_was_deleted_in_a_gap_is_read_anew(self):
         """Symptom: a replica that is gone gets requests from one domain for ever.
--- a/tests/replicas/test_telling.py
+++ b/tests/replicas/test_telling.py
@@ -168,6 +168,31 @@
             {network.believed(n, "r0") for n in network.node_by_name}, {17}
         )
 
+    def test_a_node_that_changes_its_aggregator_counts_once(self):
+        """Symptom: replicas are shunned for two seconds after a lost datagram.
+
+        A node took its aggregator for dead for a moment and told the next one. Back
+        with the first, it was in the sums of both.
+        """
+        network = _Network(6)
+        network.step(20)
+        nodes = list(network.node_by_name.values())
+        now_ms = network.clock.now_ms()
+        node = next(node for node in nodes if node.aggregators.own(now_ms) is not None)
+        first = node.aggregators.own(now_ms)
+        node.put("r0", 1)
+        network.step(8)
+        node.aggregators.on_spoken_to(now_ms - 1_000, first.name)
+        network.step(1)
+        network.step(12)
+        self.assertEqual(node.aggregators.own(network.clock.now_ms()), first)
+        believed = {
+            network.believed(other.member.name, "r0")
+            for other in nodes
+            if other is not node
+        }
+        self.assertEqual(believed, {1})
+
     def test_datagrams_grow_with_the_nodes_and_not_with_their_square(self):
         sent = []
         for per_domain in (8, 16):
