Let a node of a large failure domain hold two waiting calls of each neighbour

An aggregator refused calls beyond 128, so that in a domain of more than 64 nodes some would have asked the store instead. Worked out, not measured: no deployment here has such a domain.

--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -21,7 +21,9 @@
 _CALL_LIMIT_S = 2.0
 _MAX_DATAGRAM_BYTES = 1_400
 _MAX_REQUEST_BYTES = 128 << 10
-_MAX_CONNECTIONS = 128
+# Calls that wait here at once: two from each neighbour of a failure domain, of which
+# the largest that is planned for has a hundred.
+_MAX_CONNECTIONS = 256
 _MAX_DATAGRAM_TASKS = 256
 _BEHIND = "peers.behind"
 _REPLY = "reply"
