--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -103,15 +103,18 @@
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
-    came to from that send.
+    came to from that send. ``behind_ms`` is how long the prompts take there that are
+    less urgent than its ``rank``.
     """
 
     __slots__ = (
         "account",
+        "behind_ms",
         "configuration",
         "expected_ms",
         "first_token_ms",
         "queue_ms",
+        "rank",
         "replica",
         "route",
         "sends",
@@ -129,6 +132,8 @@
         self.sends = 0
         self.weights: int | None = None
         self.queue_ms = 0
+        self.behind_ms = 0
+        self.rank = 0
         self.expected_ms = 0
         self.first_token_ms = 0
         self.stored_tokens = 0
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -42,7 +42,7 @@
 # A replica is a few ms away; one lost packet takes 200 ms to be sent again.
 _CONNECT_MS = 350
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-_LOWEST_PRIORITY = 9
+_LAST_RANK = 9
 _LATE_STEP = 5
 
 
@@ -180,13 +180,9 @@
         left_ms = self._left_ms()
         if left_ms < 1:
             return NoReplica()
-        choice = self._choose()
-        if choice is None:
-            return NoReplica()
-        self._note_choice(choice)
-        refusal = self._admitted(choice, left_ms)
-        if refusal is not None:
-            return refusal
+        choice = self._placed(left_ms)
+        if not isinstance(choice, Choice):
+            return choice
         replica = choice.replica
         connection = await self._tools.pool.take(
             replica.entry.address,
@@ -205,24 +201,37 @@
         trace.weights = choice.weights
         trace.queue_ms = int(choice.queue_ms)
         trace.expected_ms = int(choice.first_token_ms)
+        trace.behind_ms = int(choice.behind_ms)
+        trace.rank = self._rank()
+
+    def _placed(self, left_ms: float) -> Choice | NoReplica | NotRun:
+        """Choose a replica, or turn away a first send that would be late there."""
+        is_first = bool(self._caller.model) and not self._plan.may_have_run
+        if is_first:
+            self._is_late = False
+        choice = self._choose()
+        if choice is None:
+            return NoReplica()
+        self._note_choice(choice)
+        if not is_first:
+            return choice
+        prospect = self._prospect(choice, left_ms)
+        self._is_late = self._tools.admission.is_late(prospect)
+        return self._tools.admission.refusal(prospect) or choice
 
-    def _admitted(self, choice: Choice, left_ms: float) -> NotRun | None:
-        """Turn a first send away if it would be late; note if it will be."""
-        if not self._caller.model or self._plan.may_have_run:
-            return None
-        prospect = Prospect(
+    def _prospect(self, choice: Choice, left_ms: float) -> Prospect:
+        return Prospect(
             choice.queue_ms,
             choice.first_token_ms,
             self._objective_ms - self._clock.now_ms(),
             left_ms,
         )
-        self._is_late = self._tools.admission.is_late(prospect)
-        return self._tools.admission.refusal(prospect)
 
     async def _send_on(self, connection: HttpConnection, choice: Choice) -> SendResult:
         replica = choice.replica
         headers = self._headers(choice)
-        unread = _Unread(replica, self._caller.prompt_tokens - headers.stored_tokens)
+        tokens = self._caller.prompt_tokens - headers.stored_tokens
+        unread = _Unread(replica, tokens, self._rank())
         replica.in_flight += 1
         replica.held_tokens += self._needs.held_tokens
         self._sent_ms = self._clock.now_ms()
@@ -299,7 +308,7 @@
 
     def _choose(self) -> Choice | None:
         now_ms = self._clock.now_ms()
-        wanted = self._needs.wanted(now_ms)
+        wanted = self._needs.wanted(now_ms, self._rank())
         choice = self._tools.chooser.choose(
             now_ms, wanted, without=frozenset(self._tried)
         )
@@ -307,10 +316,10 @@
             choice = self._tools.chooser.choose(now_ms, wanted)
         return choice
 
-    def _priority(self) -> int:
+    def _rank(self) -> int:
         """Return the rank at the replica; what is late goes behind all else."""
-        priority = self._allowed.priority + (_LATE_STEP if self._is_late else 0)
-        return min(priority, _LOWEST_PRIORITY)
+        rank = self._allowed.priority + (_LATE_STEP if self._is_late else 0)
+        return min(rank, _LAST_RANK)
 
     def _headers(self, choice: Choice) -> ReplicaHeaders:
         account = self._allowed.account
@@ -323,7 +332,7 @@
             incarnation=choice.replica.entry.incarnation,
             left_ms=int(self._left_ms()),
             account=account.name if account is not None else None,
-            priority=self._priority(),
+            priority=self._rank(),
             weights=choice.weights,
             cache_salt=salt,
             kv_sources=kv.sources,
@@ -362,15 +371,16 @@
 class _Unread:
     """Counts a prompt as unread at a replica until its first token or its end."""
 
-    __slots__ = ("_replica", "_tokens")
+    __slots__ = ("_rank", "_replica", "_tokens")
 
-    def __init__(self, replica: ReplicaState, tokens: int) -> None:
+    def __init__(self, replica: ReplicaState, tokens: int, rank: int) -> None:
         self._replica = replica
         self._tokens = tokens
-        replica.unread_tokens += tokens
+        self._rank = rank
+        replica.on_sent(tokens, rank)
 
     def end(self) -> None:
-        self._replica.unread_tokens -= self._tokens
+        self._replica.on_read(self._tokens, self._rank)
         self._tokens = 0
 
 
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -6,7 +6,7 @@
 from fireflyward.rendezvous import rendezvous_rank
 
 from ._directory import ReplicaDirectory
-from ._state import FIRST_EVENT_MS, ReplicaState
+from ._state import ReplicaState
 from ._under_way import PeerUnderWay
 
 # The costs below are in milliseconds of waiting that the caller would rather have.
@@ -18,6 +18,9 @@
 # Prompt tokens that a replica reads in a ms between the tokens of running requests;
 # engines of this size read 92 to 112 alone.
 _TOKENS_PER_MS = 90.0
+# Replicas read prompts in pieces of this many tokens, and look for more urgent ones
+# in between.
+_PIECE_TOKENS = 2_048
 # A replica whose last sends failed, or that just refused one, is a last resort.
 _SUSPECT_MS = 5_000.0
 _RECENTLY_FULL_MS = 400.0
@@ -52,6 +55,7 @@
     ``new_tokens`` is what any replica has to read. ``tokens`` is what the request
     holds in memory at its end, of the ``kv_tokens`` of a replica. ``version`` is the
     newest version of the weights and ``least_version`` the oldest that may serve.
+    ``rank`` is how urgent it is, 0 the most.
     """
 
     service: str
@@ -63,14 +67,16 @@
     model: str = ""
     version: int | None = None
     least_version: int = 0
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A replica, the weights it is taken to have, and who may hold the prefix.
 
-    ``queue_ms`` is how long the prompts before this one take to read there, and
-    ``first_token_ms`` adds the request's own.
+    ``queue_ms`` is how long the request waits there until its prompt is read, and
+    ``first_token_ms`` adds the request's own. ``behind_ms`` is how long the prompts
+    take there that are less urgent.
     """
 
     replica: ReplicaState
@@ -78,6 +84,7 @@
     kv_source: str | None = None
     queue_ms: float = 0.0
     first_token_ms: float = 0.0
+    behind_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,10 +92,12 @@
     """What all nodes have at one replica now, in ms until the next request runs.
 
     ``queue_ms`` is for the prompts before it, ``memory_ms`` until memory for it is
-    free and ``slot_ms`` until one of the replica's slots is.
+    free and ``slot_ms`` until one of the replica's slots is; ``behind_ms`` is for the
+    prompts that are less urgent.
     """
 
     requests: float
+    behind_ms: float
     queue_ms: float
     memory_ms: float
     slot_ms: float
@@ -198,8 +207,8 @@
         if chosen.is_loading(now_ms):
             wait_ms += _LOADING_MS
         own_ms = _reading_ms(chosen, wanted.new_tokens + wanted.prefix_tokens)
-        first_token_ms = wait_ms + own_ms + FIRST_EVENT_MS
-        return Choice(chosen, weights, source, wait_ms, first_token_ms)
+        first_token_ms = wait_ms + own_ms + chosen.first_event_ms
+        return Choice(chosen, weights, source, wait_ms, first_token_ms, load.behind_ms)
 
     def _load(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> _Load:
         """Return what is at a replica.
@@ -208,11 +217,14 @@
         either may be behind, so the larger number counts.
         """
         others = self._peers.at(now_ms, state.entry.incarnation)
+        all_nodes = state.under_way().plus(others)
         requests = state.in_flight + max(others.requests, state.others_at(now_ms))
+        behind = all_nodes.behind_rank(wanted.rank)
         return _Load(
             requests,
-            _reading_ms(state, state.unread_tokens + others.unread),
-            _memory_ms(state.held_tokens + others.held, wanted),
+            _reading_ms(state, behind),
+            _reading_ms(state, all_nodes.unread - behind + _not_overtaken(behind)),
+            _memory_ms(all_nodes.held, wanted),
             _slot_ms(state, requests),
         )
 
@@ -243,7 +255,7 @@
         usual_failures: float,
     ) -> float:
         cost_ms = _FULL_LOAD_MS * load.requests / max(1, state.entry.slots)
-        cost_ms += load.wait_ms
+        cost_ms += load.wait_ms + state.first_event_ms
         cost_ms += _JITTER_MS * self._random.random()
         if home is not None and state is not home:
             cost_ms += _NOT_HOME_SHARE * wanted.prefix_tokens / _TOKENS_PER_MS
@@ -269,6 +281,14 @@
     return state.is_suspect(now_ms) or state.is_loading(now_ms) or state.is_full(now_ms)
 
 
+def _not_overtaken(behind: float) -> float:
+    """Return how many tokens of less urgent prompts are read first all the same.
+
+    A replica goes on with the piece of a prompt that it has begun.
+    """
+    return min(behind, _PIECE_TOKENS)
+
+
 def _reading_ms(state: ReplicaState, tokens: float) -> float:
     """Return how long a replica reads prompt tokens."""
     return state.pace * tokens / _TOKENS_PER_MS
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -2,6 +2,8 @@
 
 from fireflyward.deployment import ReplicaEntry
 
+from ._under_way import UnderWay, without_zeros
+
 # What others have running there is known from a response header; after this long
 # half of it is taken to be over.
 _LOAD_HALF_LIFE_MS = 1_000
@@ -14,10 +16,17 @@
 _LOADING_MS = 400
 # Weight of one answer in the running share of failed ones.
 _FAILURE_WEIGHT = 0.12
-# What a first event takes beside reading prompts: a step or two of the batch, the
-# tokens that one event holds, and the way. Without it a replica that has nothing to
-# do would look slow, and its queue long.
-FIRST_EVENT_MS = 55.0
+# What a first event takes beside reading prompts, until it is learnt: a step or two
+# of the batch, the tokens that one event holds, and the way. Without it a replica
+# that has nothing to do would look slow, and its queue long.
+_FIRST_EVENT_MS = 55.0
+# One answer moves what is learnt of it by a tenth, and by 3 ms at the most: some wait
+# for a slot or for memory, which says nothing of the next.
+_FIRST_EVENT_WEIGHT = 0.1
+_FIRST_EVENT_STEP_MS = 3.0
+_LONGEST_FIRST_EVENT_MS = 400.0
+# Requests are ranked from 0, the most urgent, to 9.
+_RANKS = 10
 # The rest of the time to the first token against what was expected of it, as a
 # running mean; short waits say little.
 _PACE_WEIGHT = 0.15
@@ -37,8 +46,10 @@
         "_others_at_ms",
         "_suspect_until_ms",
         "_troubles",
+        "_behind_tokens",
         "entry",
         "failed_share",
+        "first_event_ms",
         "gone_at_ms",
         "in_flight",
         "held_tokens",
@@ -53,6 +64,8 @@
         self.entry = entry
         self.in_flight = 0
         self.unread_tokens = 0
+        self._behind_tokens = [0] * _RANKS
+        self.first_event_ms = _FIRST_EVENT_MS
         self.held_tokens = 0
         self.pace = 1.0
         self.run_ms = _FIRST_RUN_MS
@@ -89,6 +102,25 @@
         self._others = max(0.0, total - self.in_flight)
         self._others_at_ms = now_ms
 
+    def on_sent(self, tokens: int, rank: int) -> None:
+        """Count a prompt of some rank as unread."""
+        self.unread_tokens += tokens
+        for other in range(rank):
+            self._behind_tokens[other] += tokens
+
+    def on_read(self, tokens: int, rank: int) -> None:
+        """Count a prompt as read, or as given up."""
+        self.on_sent(-tokens, rank)
+
+    def under_way(self) -> UnderWay:
+        """Return what this node has under way there."""
+        return UnderWay(
+            self.unread_tokens,
+            self.held_tokens,
+            self.in_flight,
+            without_zeros(self._behind_tokens),
+        )
+
     def on_answer(self, *, failed: bool) -> None:
         """Count an answer that the replica made itself."""
         self._troubles = 0
@@ -96,15 +128,25 @@
         self.failed_share += _FAILURE_WEIGHT * (failed - self.failed_share)
 
     def on_first_token(self, *, expected_ms: float, took_ms: float) -> None:
-        """Learn how much slower or faster it is than was expected."""
-        expected_ms -= FIRST_EVENT_MS
-        if expected_ms < _LEAST_EXPECTED_MS:
+        """Learn how much slower or faster it is than was expected.
+
+        Where next to nothing was to be read, the time is that of a first event.
+        """
+        reading_ms = expected_ms - self.first_event_ms
+        if reading_ms < _LEAST_EXPECTED_MS:
+            self._learn_first_event(took_ms - reading_ms)
             return
-        took_ms = max(1.0, took_ms - FIRST_EVENT_MS)
-        ratio = min(max(took_ms / expected_ms, 1 / _MOST_PACE), _MOST_PACE)
+        took_ms = max(1.0, took_ms - self.first_event_ms)
+        ratio = min(max(took_ms / reading_ms, 1 / _MOST_PACE), _MOST_PACE)
         self.pace += _PACE_WEIGHT * (self.pace * ratio - self.pace)
         self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
 
+    def _learn_first_event(self, took_ms: float) -> None:
+        step_ms = _FIRST_EVENT_WEIGHT * (took_ms - self.first_event_ms)
+        step_ms = min(max(step_ms, -_FIRST_EVENT_STEP_MS), _FIRST_EVENT_STEP_MS)
+        learnt_ms = max(1.0, self.first_event_ms + step_ms)
+        self.first_event_ms = min(learnt_ms, _LONGEST_FIRST_EVENT_MS)
+
     def on_run(self, took_ms: float) -> None:
         """Learn for how long a request keeps its slot."""
         self.run_ms += _PACE_WEIGHT * (took_ms - self.run_ms)
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -36,7 +36,7 @@
 _BITS_PER_MS_PER_MBPS = 1_000
 # An aggregator speaks at least this often, so that its silence is noticed.
 _SIGN_OF_LIFE_MS = 200
-# A replica takes some 30 bytes; a datagram holds 1,400.
+# A replica takes some 35 bytes with two ranks in use; a datagram holds 1,400.
 _MOST_IN_DATAGRAM = 28
 
 
@@ -134,9 +134,7 @@
 
     def _own(self) -> dict[str, UnderWay]:
         return {
-            state.entry.incarnation: UnderWay(
-                int(state.unread_tokens), int(state.held_tokens), state.in_flight
-            )
+            state.entry.incarnation: state.under_way()
             for state in self._directory.all()
             if state.in_flight
         }
@@ -238,6 +236,7 @@
         "unread": [item.unread for item in told.values()],
         "held": [item.held for item in told.values()],
         "requests": [item.requests for item in told.values()],
+        "behind": [list(item.behind) for item in told.values()],
     }
 
 
@@ -250,6 +249,7 @@
 
 
 def _decoded(news: Any) -> dict[str, UnderWay]:
-    counts = zip(news.unread, news.held, news.requests, strict=False)
+    behind = (tuple(counts) for counts in news.behind)
+    counts = zip(news.unread, news.held, news.requests, behind, strict=False)
     items = [UnderWay(*item) for item in counts]
     return dict(zip(news.incarnations, items, strict=False))
