--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -14,7 +14,7 @@
     encode_request,
 )
 from fireflyward.prefixes import PartPlanner
-from fireflyward.replicas import Choice, Chooser, ReplicaState
+from fireflyward.replicas import Choice, Chooser, ReplicaState, UnreadPrompt
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
 
@@ -230,8 +230,8 @@
     async def _send_on(self, connection: HttpConnection, choice: Choice) -> SendResult:
         replica = choice.replica
         headers = self._headers(choice)
-        tokens = self._caller.prompt_tokens - headers.stored_tokens
-        unread = _Unread(replica, tokens, self._rank())
+        unread = self._unread_prompt(choice, headers)
+        replica.on_sent(unread)
         replica.in_flight += 1
         replica.held_tokens += self._needs.held_tokens
         self._sent_ms = self._clock.now_ms()
@@ -253,16 +253,25 @@
         finally:
             replica.in_flight -= 1
             replica.held_tokens -= self._needs.held_tokens
-            unread.end()
+            replica.on_read(unread)
         if isinstance(result, NotRunThere):
             return self._rejected(choice, result.facts)
         return result
 
+    def _unread_prompt(self, choice: Choice, headers: ReplicaHeaders) -> UnreadPrompt:
+        now_ms = self._clock.now_ms()
+        return UnreadPrompt(
+            self._caller.prompt_tokens - headers.stored_tokens,
+            rank=self._rank(),
+            begin_ms=now_ms + choice.queue_ms,
+            end_ms=now_ms + choice.first_token_ms - choice.replica.first_event_ms,
+        )
+
     def _exchange(
-        self, connection: HttpConnection, choice: Choice, unread: "_Unread"
+        self, connection: HttpConnection, choice: Choice, unread: UnreadPrompt
     ) -> Exchange:
         def on_first() -> None:
-            unread.end()
+            choice.replica.on_read(unread)
             self._learn_first_token(choice)
 
         return Exchange(
@@ -368,22 +377,6 @@
         )
 
 
-class _Unread:
-    """Counts a prompt as unread at a replica until its first token or its end."""
-
-    __slots__ = ("_rank", "_replica", "_tokens")
-
-    def __init__(self, replica: ReplicaState, tokens: int, rank: int) -> None:
-        self._replica = replica
-        self._tokens = tokens
-        self._rank = rank
-        replica.on_sent(tokens, rank)
-
-    def end(self) -> None:
-        self._replica.on_read(self._tokens, self._rank)
-        self._tokens = 0
-
-
 def _detail(result: SendResult) -> str:
     """Say in short what a send came to."""
     if isinstance(result, WholeAnswer):
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -188,7 +188,7 @@
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
         others = self._peers.at(now_ms, state.entry.incarnation)
-        return _reading_ms(state, state.unread_tokens + others.unread)
+        return _reading_ms(state, state.under_way(now_ms).plus(others).unread)
 
     def _choice(
         self,
@@ -217,7 +217,7 @@
         either may be behind, so the larger number counts.
         """
         others = self._peers.at(now_ms, state.entry.incarnation)
-        all_nodes = state.under_way().plus(others)
+        all_nodes = state.under_way(now_ms).plus(others)
         requests = state.in_flight + max(others.requests, state.others_at(now_ms))
         behind = all_nodes.behind_rank(wanted.rank)
         return _Load(
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -3,6 +3,7 @@
 from fireflyward.deployment import ReplicaEntry
 
 from ._under_way import UnderWay, without_zeros
+from ._unread import RANKS, UnreadPrompt
 
 # What others have running there is known from a response header; after this long
 # half of it is taken to be over.
@@ -25,8 +26,6 @@
 _FIRST_EVENT_WEIGHT = 0.1
 _FIRST_EVENT_STEP_MS = 3.0
 _LONGEST_FIRST_EVENT_MS = 400.0
-# Requests are ranked from 0, the most urgent, to 9.
-_RANKS = 10
 # The rest of the time to the first token against what was expected of it, as a
 # running mean; short waits say little.
 _PACE_WEIGHT = 0.15
@@ -46,7 +45,7 @@
         "_others_at_ms",
         "_suspect_until_ms",
         "_troubles",
-        "_behind_tokens",
+        "_unread",
         "entry",
         "failed_share",
         "first_event_ms",
@@ -56,15 +55,13 @@
         "pace",
         "refusals",
         "run_ms",
-        "unread_tokens",
         "version_by_model",
     )
 
     def __init__(self, entry: ReplicaEntry) -> None:
         self.entry = entry
         self.in_flight = 0
-        self.unread_tokens = 0
-        self._behind_tokens = [0] * _RANKS
+        self._unread: set[UnreadPrompt] = set()
         self.first_event_ms = _FIRST_EVENT_MS
         self.held_tokens = 0
         self.pace = 1.0
@@ -102,24 +99,24 @@
         self._others = max(0.0, total - self.in_flight)
         self._others_at_ms = now_ms
 
-    def on_sent(self, tokens: int, rank: int) -> None:
-        """Count a prompt of some rank as unread."""
-        self.unread_tokens += tokens
-        for other in range(rank):
-            self._behind_tokens[other] += tokens
+    def on_sent(self, prompt: UnreadPrompt) -> None:
+        """Count a prompt as unread."""
+        self._unread.add(prompt)
 
-    def on_read(self, tokens: int, rank: int) -> None:
-        """Count a prompt as read, or as given up."""
-        self.on_sent(-tokens, rank)
+    def on_read(self, prompt: UnreadPrompt) -> None:
+        """Count a prompt as read, or as given up; once is enough."""
+        self._unread.discard(prompt)
 
-    def under_way(self) -> UnderWay:
+    def under_way(self, now_ms: int) -> UnderWay:
         """Return what this node has under way there."""
-        return UnderWay(
-            self.unread_tokens,
-            self.held_tokens,
-            self.in_flight,
-            without_zeros(self._behind_tokens),
-        )
+        behind = [0] * RANKS
+        unread = 0
+        for prompt in self._unread:
+            left = prompt.left(now_ms)
+            unread += left
+            for rank in range(prompt.rank):
+                behind[rank] += left
+        return UnderWay(unread, self.held_tokens, self.in_flight, without_zeros(behind))
 
     def on_answer(self, *, failed: bool) -> None:
         """Count an answer that the replica made itself."""
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -133,8 +133,9 @@
             self._tell_everyone(link)
 
     def _own(self) -> dict[str, UnderWay]:
+        now_ms = self._clock.now_ms()
         return {
-            state.entry.incarnation: state.under_way()
+            state.entry.incarnation: state.under_way(now_ms)
             for state in self._directory.all()
             if state.in_flight
         }
--- a/tests/replicas/makers.py
+++ b/tests/replicas/makers.py
@@ -1,6 +1,7 @@
-"""Entries of replicas for tests."""
+"""Entries of replicas and prompts for tests."""
 
 from fireflyward.deployment import ModelWeights, ReplicaEntry
+from fireflyward.replicas import UnreadPrompt
 
 
 def entry(name, *, service="s", zone="a", leaving=False, version=None, slots=4):
@@ -8,3 +9,7 @@
     return ReplicaEntry(
         name, service, f"{name}:80", zone, slots, leaving, weights=weights
     )
+
+
+def unread(tokens, *, rank=0, begin_ms=0, end_ms=100):
+    return UnreadPrompt(tokens, rank=rank, begin_ms=begin_ms, end_ms=end_ms)
