--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -36,7 +36,7 @@
 _BITS_PER_MS_PER_MBPS = 1_000
 # An aggregator speaks at least this often, so that its silence is noticed.
 _SIGN_OF_LIFE_MS = 200
-# A replica takes some 35 bytes with two ranks in use; a datagram holds 1,400.
+# A replica takes some 30 bytes; a datagram holds 1,400.
 _MOST_IN_DATAGRAM = 28
 
 
@@ -237,7 +237,6 @@
         "unread": [item.unread for item in told.values()],
         "held": [item.held for item in told.values()],
         "requests": [item.requests for item in told.values()],
-        "behind": [list(item.behind) for item in told.values()],
     }
 
 
@@ -250,7 +249,6 @@
 
 
 def _decoded(news: Any) -> dict[str, UnderWay]:
-    behind = (tuple(counts) for counts in news.behind)
-    counts = zip(news.unread, news.held, news.requests, behind, strict=False)
+    counts = zip(news.unread, news.held, news.requests, strict=False)
     items = [UnderWay(*item) for item in counts]
     return dict(zip(news.incarnations, items, strict=False))
--- a/fireflyward/replicas/_under_way.py
+++ b/fireflyward/replicas/_under_way.py
@@ -1,9 +1,8 @@
 """Work under way at replicas, as the nodes tell each other."""
 
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
-from itertools import zip_longest
 
 # A node that is not heard of for longer is forgotten; it tells every 0.7 s.
 _FORGET_MS = 2_000
@@ -19,43 +18,22 @@
 class UnderWay:
     """Tokens under way at a replica.
 
-    ``unread`` are of prompts without a first token yet. ``held`` are of all
-    ``requests`` there, which fill its memory. ``behind`` tells for each rank, from
-    the most urgent one on, how many of the unread tokens are less urgent; ranks
-    that it does not reach have none behind them.
+    ``unread`` are of prompts without a first token yet: whoever comes next waits
+    for them. ``held`` are of all ``requests`` there, which fill its memory.
     """
 
     unread: int = 0
     held: int = 0
     requests: int = 0
-    behind: tuple[int, ...] = ()
 
     def plus(self, other: "UnderWay", sign: int = 1) -> "UnderWay":
         """Return the sum with another, or the difference with ``sign`` -1."""
-        pairs = zip_longest(self.behind, other.behind, fillvalue=0)
         return UnderWay(
             self.unread + sign * other.unread,
             self.held + sign * other.held,
             self.requests + sign * other.requests,
-            without_zeros(mine + sign * its for mine, its in pairs),
         )
 
-    def behind_rank(self, rank: int) -> int:
-        """Return how many unread tokens are less urgent than a rank."""
-        return self.behind[rank] if rank < len(self.behind) else 0
-
-
-def without_zeros(counts: Iterable[int]) -> tuple[int, ...]:
-    """Return counts without the zeros at their end.
-
-    >>> without_zeros([900, 0, 0])
-    (900,)
-    """
-    kept = list(counts)
-    while kept and not kept[-1]:
-        kept.pop()
-    return tuple(kept)
-
 
 _NOTHING = UnderWay()
 Told = Mapping[str, UnderWay]
@@ -133,10 +111,7 @@
         if own is not None:
             total = total.plus(own, -1)
         return UnderWay(
-            max(0, total.unread),
-            max(0, total.held),
-            max(0, total.requests),
-            without_zeros(max(0, count) for count in total.behind),
+            max(0, total.unread), max(0, total.held), max(0, total.requests)
         )
 
     def _own_in_sums(self, now_ms: int) -> Told:
--- a/fireflyward/replicas/_unread.py
+++ b/fireflyward/replicas/_unread.py
@@ -1,7 +1,5 @@
 """Prompts that a replica has not read to their end, as far as this node can tell."""
 
-# Requests are ranked from 0, the most urgent, to 9.
-RANKS = 10
 # What counts as left of a prompt goes down in steps, so that nodes need not tell each
 # other of every ms that passes.
 _STEPS = 8
@@ -16,18 +14,15 @@
     It is taken to be read between ``begin_ms`` and ``end_ms``; someone who comes in
     the middle of that waits for half of it and not for all.
 
-    >>> prompt = UnreadPrompt(9_600, rank=1, begin_ms=100, end_ms=200)
+    >>> prompt = UnreadPrompt(9_600, begin_ms=100, end_ms=200)
     >>> prompt.left(50), prompt.left(150), prompt.left(900)
     (9600, 4800, 2400)
     """
 
-    __slots__ = ("_begin_ms", "_end_ms", "rank", "tokens")
+    __slots__ = ("_begin_ms", "_end_ms", "tokens")
 
-    def __init__(
-        self, tokens: int, *, rank: int, begin_ms: float, end_ms: float
-    ) -> None:
+    def __init__(self, tokens: int, *, begin_ms: float, end_ms: float) -> None:
         self.tokens = tokens
-        self.rank = rank
         self._begin_ms = begin_ms
         self._end_ms = max(end_ms, begin_ms + 1.0)
 
--- a/fireflyward/replicas/replicas.thrift
+++ b/fireflyward/replicas/replicas.thrift
@@ -1,7 +1,5 @@
 /* What nodes tell each other of the work under way at replicas: prompt tokens that no
-   first token has answered yet, tokens of all requests there, and their number. For each
-   rank, the most urgent first, "behind" is how many of the unread tokens are less
-   urgent. */
+   first token has answered yet, tokens of all requests there, and their number. */
 namespace py fireflyward.replicas
 
 /* One node's own. Replicas that are not named have none. */
@@ -10,7 +8,6 @@
   2: required list<i32> unread,
   3: required list<i32> held,
   4: required list<i32> requests,
-  5: required list<list<i32>> behind,
 }
 
 /* The sum over the nodes that told one aggregator, and its own. Replicas that are not
@@ -23,5 +20,4 @@
   4: required list<i32> unread,
   5: required list<i32> held,
   6: required list<i32> requests,
-  7: required list<list<i32>> behind,
 }
