--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -103,13 +103,14 @@
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
-    came to from that send. ``behind_ms`` is how long the prompts take there that are
-    less urgent than its ``rank``.
+    came to from that send. Of the wait,
+    ``memory_ms`` and ``slot_ms`` are for memory and for a slot. ``rank`` is its rank.
     """
 
     __slots__ = (
         "account",
-        "behind_ms",
+        "memory_ms",
+        "slot_ms",
         "configuration",
         "expected_ms",
         "first_token_ms",
@@ -132,7 +133,8 @@
         self.sends = 0
         self.weights: int | None = None
         self.queue_ms = 0
-        self.behind_ms = 0
+        self.memory_ms = 0
+        self.slot_ms = 0
         self.rank = 0
         self.expected_ms = 0
         self.first_token_ms = 0
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -201,7 +201,8 @@
         trace.weights = choice.weights
         trace.queue_ms = int(choice.queue_ms)
         trace.expected_ms = int(choice.first_token_ms)
-        trace.behind_ms = int(choice.behind_ms)
+        trace.memory_ms = int(choice.memory_ms)
+        trace.slot_ms = int(choice.slot_ms)
         trace.rank = self._rank()
 
     def _placed(self, left_ms: float) -> Choice | NoReplica | NotRun:
@@ -262,7 +263,6 @@
         now_ms = self._clock.now_ms()
         return UnreadPrompt(
             self._caller.prompt_tokens - headers.stored_tokens,
-            rank=self._rank(),
             begin_ms=now_ms + choice.queue_ms,
             end_ms=now_ms + choice.first_token_ms - choice.replica.first_event_ms,
         )
@@ -317,7 +317,7 @@
 
     def _choose(self) -> Choice | None:
         now_ms = self._clock.now_ms()
-        wanted = self._needs.wanted(now_ms, self._rank())
+        wanted = self._needs.wanted(now_ms)
         choice = self._tools.chooser.choose(
             now_ms, wanted, without=frozenset(self._tried)
         )
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -18,9 +18,6 @@
 # Prompt tokens that a replica reads in a ms between the tokens of running requests;
 # engines of this size read 92 to 112 alone.
 _TOKENS_PER_MS = 90.0
-# Replicas read prompts in pieces of this many tokens, and look for more urgent ones
-# in between.
-_PIECE_TOKENS = 2_048
 # A replica whose last sends failed, or that just refused one, is a last resort.
 _SUSPECT_MS = 5_000.0
 _RECENTLY_FULL_MS = 400.0
@@ -55,7 +52,6 @@
     ``new_tokens`` is what any replica has to read. ``tokens`` is what the request
     holds in memory at its end, of the ``kv_tokens`` of a replica. ``version`` is the
     newest version of the weights and ``least_version`` the oldest that may serve.
-    ``rank`` is how urgent it is, 0 the most.
     """
 
     service: str
@@ -67,7 +63,6 @@
     model: str = ""
     version: int | None = None
     least_version: int = 0
-    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -75,8 +70,7 @@
     """A replica, the weights it is taken to have, and who may hold the prefix.
 
     ``queue_ms`` is how long the request waits there until its prompt is read, and
-    ``first_token_ms`` adds the request's own. ``behind_ms`` is how long the prompts
-    take there that are less urgent.
+    ``first_token_ms`` adds the request's own.
     """
 
     replica: ReplicaState
@@ -84,7 +78,8 @@
     kv_source: str | None = None
     queue_ms: float = 0.0
     first_token_ms: float = 0.0
-    behind_ms: float = 0.0
+    memory_ms: float = 0.0
+    slot_ms: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -92,12 +87,10 @@
     """What all nodes have at one replica now, in ms until the next request runs.
 
     ``queue_ms`` is for the prompts before it, ``memory_ms`` until memory for it is
-    free and ``slot_ms`` until one of the replica's slots is; ``behind_ms`` is for the
-    prompts that are less urgent.
+    free and ``slot_ms`` until one of the replica's slots is.
     """
 
     requests: float
-    behind_ms: float
     queue_ms: float
     memory_ms: float
     slot_ms: float
@@ -208,7 +201,15 @@
             wait_ms += _LOADING_MS
         own_ms = _reading_ms(chosen, wanted.new_tokens + wanted.prefix_tokens)
         first_token_ms = wait_ms + own_ms + chosen.first_event_ms
-        return Choice(chosen, weights, source, wait_ms, first_token_ms, load.behind_ms)
+        return Choice(
+            chosen,
+            weights,
+            source,
+            wait_ms,
+            first_token_ms,
+            load.memory_ms,
+            load.slot_ms,
+        )
 
     def _load(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> _Load:
         """Return what is at a replica.
@@ -219,11 +220,9 @@
         others = self._peers.at(now_ms, state.entry.incarnation)
         all_nodes = state.under_way(now_ms).plus(others)
         requests = state.in_flight + max(others.requests, state.others_at(now_ms))
-        behind = all_nodes.behind_rank(wanted.rank)
         return _Load(
             requests,
-            _reading_ms(state, behind),
-            _reading_ms(state, all_nodes.unread - behind + _not_overtaken(behind)),
+            _reading_ms(state, all_nodes.unread),
             _memory_ms(all_nodes.held, wanted),
             _slot_ms(state, requests),
         )
@@ -281,14 +280,6 @@
     return state.is_suspect(now_ms) or state.is_loading(now_ms) or state.is_full(now_ms)
 
 
-def _not_overtaken(behind: float) -> float:
-    """Return how many tokens of less urgent prompts are read first all the same.
-
-    A replica goes on with the piece of a prompt that it has begun.
-    """
-    return min(behind, _PIECE_TOKENS)
-
-
 def _reading_ms(state: ReplicaState, tokens: float) -> float:
     """Return how long a replica reads prompt tokens."""
     return state.pace * tokens / _TOKENS_PER_MS
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -2,8 +2,8 @@
 
 from fireflyward.deployment import ReplicaEntry
 
-from ._under_way import UnderWay, without_zeros
-from ._unread import RANKS, UnreadPrompt
+from ._under_way import UnderWay
+from ._unread import UnreadPrompt
 
 # What others have running there is known from a response header; after this long
 # half of it is taken to be over.
@@ -109,14 +109,8 @@
 
     def under_way(self, now_ms: int) -> UnderWay:
         """Return what this node has under way there."""
-        behind = [0] * RANKS
-        unread = 0
-        for prompt in self._unread:
-            left = prompt.left(now_ms)
-            unread += left
-            for rank in range(prompt.rank):
-                behind[rank] += left
-        return UnderWay(unread, self.held_tokens, self.in_flight, without_zeros(behind))
+        unread = sum(prompt.left(now_ms) for prompt in self._unread)
+        return UnderWay(unread, self.held_tokens, self.in_flight)
 
     def on_answer(self, *, failed: bool) -> None:
         """Count an answer that the replica made itself."""
--- a/tests/replicas/makers.py
+++ b/tests/replicas/makers.py
@@ -11,5 +11,5 @@
     )
 
 
-def unread(tokens, *, rank=0, begin_ms=0, end_ms=100):
-    return UnreadPrompt(tokens, rank=rank, begin_ms=begin_ms, end_ms=end_ms)
+def unread(tokens, *, begin_ms=0, end_ms=100):
+    return UnreadPrompt(tokens, begin_ms=begin_ms, end_ms=end_ms)
