--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -289,12 +289,14 @@
     """Return how long a request waits until memory for it is free.
 
     With its memory full a replica puts running requests back and reads them
-    again later, which makes all of them late.
+    again later, which makes all of them late. It waits until those before it have
+    their memory and its own is free, so that a short one waits less.
     """
     if not wanted.kv_tokens or not held:
         return 0.0
     over = held + wanted.tokens - _MEMORY_SHARE * wanted.kv_tokens
-    return _RUN_MS * max(0.0, over) / held
+    waited_for = wanted.tokens + max(0.0, held - wanted.kv_tokens)
+    return _RUN_MS * max(0.0, min(over, waited_for)) / held
 
 
 def _slot_ms(state: ReplicaState, requests: float) -> float:
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -5,9 +5,10 @@
 from ._under_way import UnderWay
 from ._unread import UnreadPrompt
 
-# What others have running there is known from a response header; after this long
-# half of it is taken to be over.
-_LOAD_HALF_LIFE_MS = 1_000
+# What others have running there is known from a response header, beside what nodes
+# tell each other; after this long half of it is taken to be over. Short requests take
+# 20 to 150 ms, and the number in the header is the highest of the last moments.
+_LOAD_HALF_LIFE_MS = 150
 _FIRST_SUSPICION_MS = 400
 _LONGEST_SUSPICION_MS = 6_000
 # A replica that is full frees a place in about the time of one short request.
