--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -103,17 +103,16 @@
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
-    came to from that send. Of the wait,
-    ``memory_ms`` and ``slot_ms`` are for memory and for a slot. ``rank`` is its rank.
+    came to from that send. ``place_ms`` is
+    how long it would wait for memory and a slot if its ``rank`` did not matter.
     """
 
     __slots__ = (
         "account",
-        "memory_ms",
-        "slot_ms",
         "configuration",
         "expected_ms",
         "first_token_ms",
+        "place_ms",
         "queue_ms",
         "rank",
         "replica",
@@ -133,8 +132,7 @@
         self.sends = 0
         self.weights: int | None = None
         self.queue_ms = 0
-        self.memory_ms = 0
-        self.slot_ms = 0
+        self.place_ms = 0
         self.rank = 0
         self.expected_ms = 0
         self.first_token_ms = 0
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -201,8 +201,7 @@
         trace.weights = choice.weights
         trace.queue_ms = int(choice.queue_ms)
         trace.expected_ms = int(choice.first_token_ms)
-        trace.memory_ms = int(choice.memory_ms)
-        trace.slot_ms = int(choice.slot_ms)
+        trace.place_ms = int(choice.place_ms)
         trace.rank = self._rank()
 
     def _placed(self, left_ms: float) -> Choice | NoReplica | NotRun:
@@ -317,7 +316,7 @@
 
     def _choose(self) -> Choice | None:
         now_ms = self._clock.now_ms()
-        wanted = self._needs.wanted(now_ms)
+        wanted = self._needs.wanted(now_ms, self._rank())
         choice = self._tools.chooser.choose(
             now_ms, wanted, without=frozenset(self._tried)
         )
@@ -354,9 +353,7 @@
         if self._caller.model:
             took_ms = self._clock.now_ms() - self._sent_ms
             self._trace.first_token_ms = took_ms
-            choice.replica.on_first_token(
-                expected_ms=choice.first_token_ms, took_ms=took_ms
-            )
+            self._tools.chooser.on_first_token(choice, took_ms)
 
     def _left_ms(self) -> float:
         return self._due_ms - self._clock.now_ms()
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -6,6 +6,7 @@
 from fireflyward.rendezvous import rendezvous_rank
 
 from ._directory import ReplicaDirectory
+from ._place_waits import LEAST_PLACE_MS, PlaceWaits
 from ._state import ReplicaState
 from ._under_way import PeerUnderWay
 
@@ -52,6 +53,7 @@
     ``new_tokens`` is what any replica has to read. ``tokens`` is what the request
     holds in memory at its end, of the ``kv_tokens`` of a replica. ``version`` is the
     newest version of the weights and ``least_version`` the oldest that may serve.
+    ``rank`` is how urgent it is, 0 the most.
     """
 
     service: str
@@ -63,6 +65,7 @@
     model: str = ""
     version: int | None = None
     least_version: int = 0
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,7 +73,8 @@
     """A replica, the weights it is taken to have, and who may hold the prefix.
 
     ``queue_ms`` is how long the request waits there until its prompt is read, and
-    ``first_token_ms`` adds the request's own.
+    ``first_token_ms`` adds the request's own. ``place_ms`` is how long it would wait
+    for memory and a slot if its ``rank`` did not matter.
     """
 
     replica: ReplicaState
@@ -78,26 +82,27 @@
     kv_source: str | None = None
     queue_ms: float = 0.0
     first_token_ms: float = 0.0
-    memory_ms: float = 0.0
-    slot_ms: float = 0.0
+    place_ms: float = 0.0
+    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class _Load:
     """What all nodes have at one replica now, in ms until the next request runs.
 
-    ``queue_ms`` is for the prompts before it, ``memory_ms`` until memory for it is
-    free and ``slot_ms`` until one of the replica's slots is.
+    ``queue_ms`` is for the prompts before it. ``place_ms`` is until memory for it and
+    one of the replica's slots are free, if it had to wait for all that came before it;
+    ``place_share`` is what requests of its rank wait of that.
     """
 
     requests: float
     queue_ms: float
-    memory_ms: float
-    slot_ms: float
+    place_ms: float
+    place_share: float
 
     @property
     def wait_ms(self) -> float:
-        return self.queue_ms + self.memory_ms + self.slot_ms
+        return self.queue_ms + self.place_share * self.place_ms
 
 
 class Chooser:
@@ -109,7 +114,7 @@
     request and fetches the prefix from the home.
     """
 
-    __slots__ = ("_directory", "_failure_domain", "_peers", "_random")
+    __slots__ = ("_directory", "_failure_domain", "_peers", "_place_waits", "_random")
 
     def __init__(
         self,
@@ -122,6 +127,7 @@
         self._peers = peers or PeerUnderWay()
         self._directory = directory
         self._failure_domain = failure_domain
+        self._place_waits = PlaceWaits()
         self._random = random.Random(seed)
 
     def choose(
@@ -178,6 +184,27 @@
             drawn.append(home)
         return drawn or able
 
+    def on_first_token(self, choice: Choice, took_ms: float) -> None:
+        """Learn from a first token, ``took_ms`` after the request was sent.
+
+        What a replica without a free place tells is how long requests wait for
+        one, and nothing of how fast it reads.
+        """
+        service = choice.replica.entry.service
+        if choice.place_ms < LEAST_PLACE_MS:
+            choice.replica.on_first_token(
+                expected_ms=choice.first_token_ms, took_ms=took_ms
+            )
+            return
+        share = self._place_waits.share(service, choice.rank)
+        other_ms = choice.first_token_ms - share * choice.place_ms
+        self._place_waits.learn(
+            service,
+            choice.rank,
+            place_ms=choice.place_ms,
+            waited_ms=took_ms - other_ms,
+        )
+
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
         others = self._peers.at(now_ms, state.entry.incarnation)
@@ -207,8 +234,8 @@
             source,
             wait_ms,
             first_token_ms,
-            load.memory_ms,
-            load.slot_ms,
+            place_ms=load.place_ms,
+            rank=wanted.rank,
         )
 
     def _load(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> _Load:
@@ -223,8 +250,8 @@
         return _Load(
             requests,
             _reading_ms(state, all_nodes.unread),
-            _memory_ms(all_nodes.held, wanted),
-            _slot_ms(state, requests),
+            _memory_ms(all_nodes.held, wanted) + _slot_ms(state, requests),
+            self._place_waits.share(wanted.service, wanted.rank),
         )
 
     def _home(
