--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -56,7 +56,7 @@
     def next(
         self, now_ms: int, model: str, version: int, views: list[RolloutView]
     ) -> list[Order]:
-        """Return the orders to give now, the least busy replicas first.
+        """Return the orders to give now: the oldest weights and the least busy first.
 
         The share keeps the others at work meanwhile. A replica whose weights are too
         old to serve is not at work, so that it is ordered beside the share: after
@@ -69,7 +69,7 @@
         room = max(1, math.floor(len(views) * _LOADING_SHARE)) - loading
         idle = [view for view in waiting if not view.may_serve]
         serving = [view for view in waiting if view.may_serve]
-        serving.sort(key=lambda view: view.busy_ms)
+        serving.sort(key=lambda view: (view.version, view.busy_ms))
         chosen = idle + serving[: max(0, room - len(idle))]
         return [
             Order(view.incarnation, view.address, model, version) for view in chosen
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -10,6 +10,7 @@
 from fireflyward.platform import ReplicaApi
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
+from ._load_times import LoadTimes
 from ._news import LoadNews
 from ._plan import Order, RolloutView, WeightPlan
 
@@ -23,9 +24,8 @@
 _NEWS_MS = 40
 # How long others keep away from a replica of which no further word comes.
 _LOADING_MS = 5_000
-# A load takes over a second, so the first look comes late and the others soon: a
-# replica that is ready and gets nothing is capacity lost.
-_FIRST_LOOK_MS = 1_000
+# A replica that is ready and gets nothing is capacity lost, so looks come soon after
+# each other.
 _LOOK_PERIOD_MS = 80
 # Runs that have begun end before the load: what they make afterwards would be
 # worth nothing, and cancelled ones are computed twice.
@@ -66,6 +66,7 @@
         self._lease_ms = lease_ms
         self._slack_ms = slack_ms
         self._plan = WeightPlan()
+        self._load_times = LoadTimes()
         self._may_order_at_ms = 0
         self._loads: set[asyncio.Task[None]] = set()
 
@@ -190,7 +191,8 @@
 
     async def _see_through(self, order: Order) -> None:
         """Look at the replica's reports until it has the weights."""
-        await self._clock.sleep_ms(_FIRST_LOOK_MS)
+        ordered_ms = self._clock.now_ms()
+        await self._clock.sleep_ms(self._load_times.first_look_ms)
         while self._plan.is_loading(self._clock.now_ms(), order):
             await self._clock.sleep_ms(_LOOK_PERIOD_MS)
             report = await self._api.report(
@@ -200,6 +202,7 @@
                 continue
             if report.version_by_model.get(order.model) == order.version:
                 await self._news.loaded(order.incarnation, order.model, order.version)
+                self._load_times.on_loaded(self._clock.now_ms() - ordered_ms)
                 self._plan.on_done(order)
                 self._order_due()
                 return
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -45,6 +45,18 @@
         self.plan.on_unreached(100, order)
         self.assertEqual(self.ordered(700, views(1, 1, 1)), ["r0"])
 
+    def test_the_oldest_weights_load_first(self):
+        """Symptom: replicas load twice while others have had their time.
+
+        A second version is named while the first is being rolled out. Those that
+        had the first were less busy and loaded first, though only the others were
+        about to be barred.
+        """
+        pool = [
+            RolloutView(f"r{n}", "", v, 9.0 - n) for n, v in enumerate((0, 0, 1, 1, 1))
+        ]
+        self.assertEqual(self.ordered(0, pool), ["r1", "r0"])
+
     def test_nothing_to_do(self):
         self.assertEqual(self.ordered(0, views(2, 2)), [])
         self.assertEqual(self.ordered(0, []), [])
