--- a/fireflyward/prefixes/_janitor.py
+++ b/fireflyward/prefixes/_janitor.py
@@ -20,6 +20,8 @@
 # a load waits for these; this is for what they had just finished fetching.
 _MOVED_ON_MS = 200
 _KEYS_PER_CALL = 200
+# Some events of freed parts never arrive; such a part is freed once more after this.
+_AGAIN_MS = 5_000
 _LIMIT_MS = 800
 
 
@@ -113,6 +115,7 @@
         self._newest_by_model = newest_by_model
         self._may_act = may_act
         self._garbage = Garbage()
+        self._freed_ms: dict[tuple[str, PartKey], int] = {}
 
     async def run(self) -> None:
         """Free what is garbage, until cancelled."""
@@ -124,18 +127,33 @@
     async def step(self) -> None:
         """Look through every store once."""
         for index in self._planner.indexes():
-            keys = self._garbage.of(
-                self._clock.now_ms(),
+            now_ms = self._clock.now_ms()
+            garbage = self._garbage.of(
+                now_ms,
                 index.keys(),
                 used=self._used(),
                 newest_by_model=self._newest_by_model(),
             )
             if not index.is_up or index.epoch is None:
                 continue
+            keys = self._unfreed(now_ms, index.address, garbage)
             for first in range(0, len(keys), _KEYS_PER_CALL):
                 part = keys[first : first + _KEYS_PER_CALL]
                 await self._free(index.address, index.epoch, part)
 
+    def _unfreed(
+        self, now_ms: int, address: str, garbage: list[PartKey]
+    ) -> list[PartKey]:
+        """Return what was not freed a moment ago, and note that it will be."""
+        self._freed_ms = {
+            freed: at_ms
+            for freed, at_ms in self._freed_ms.items()
+            if now_ms - at_ms < _AGAIN_MS
+        }
+        keys = [key for key in garbage if (address, key) not in self._freed_ms]
+        self._freed_ms.update({(address, key): now_ms for key in keys})
+        return keys
+
     async def _free(self, address: str, epoch: int, keys: list[PartKey]) -> None:
         freed = await self._freer.kv_free(
             address, epoch=epoch, keys=keys, limit_ms=_LIMIT_MS
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -22,6 +22,10 @@
 # holder may order. A third in place of a tenth had a rollout wait 0.7 s longer after
 # its holder was cut off.
 _FRESH_SHARE = 0.1
+# News, a report and an order take some 60 ms; a window shorter than this would close
+# before them. It is never more than a third of the lease.
+_LEAST_FRESH_MS = 250.0
+_MOST_FRESH_SHARE = 1 / 3
 # While a rollout is under way other nodes look for a lapsed lease this often, so that
 # one whose holder is lost goes on half a second sooner.
 _LOOK_MS = 400
@@ -112,7 +116,9 @@
 
     @property
     def _fresh_ms(self) -> float:
-        return self._lease_ms * _FRESH_SHARE
+        """Return how long after a renewal an order may be given."""
+        longest_ms = self._lease_ms * _MOST_FRESH_SHARE
+        return min(longest_ms, max(_LEAST_FRESH_MS, self._lease_ms * _FRESH_SHARE))
 
     def look_ms(self) -> float:
         """Return how long to wait for the next look at the lease."""
--- a/tests/prefixes/test_janitor.py
+++ b/tests/prefixes/test_janitor.py
@@ -2,7 +2,9 @@
 
 import unittest
 
-from fireflyward.prefixes import PartKey
+from fireflyward.clock import ManualClock
+from fireflyward.deployment import KvStore
+from fireflyward.prefixes import Janitor, KvEvent, KvNews, PartKey, PartPlanner
 from fireflyward.prefixes._janitor import Garbage
 
 OLD, NEW, FOREIGN = PartKey("m~1", "p"), PartKey("m~2", "p"), PartKey("x", "p")
@@ -60,3 +62,38 @@
     def test_a_version_that_no_replica_has_yet_is_kept(self):
         self.of(0, ("m", 1))
         self.assertEqual(self.of(9_000, ("m", 1)), [])
+
+
+class _Freer:
+    """Takes every call, and tells no event of it."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def kv_free(self, address, *, epoch, keys, limit_ms):
+        self.calls.append((address, epoch, keys))
+        return True
+
+
+class JanitorTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_part_whose_event_was_lost_is_not_freed_with_every_look(self):
+        """Symptom: calls to free the same few parts, three a second to each store.
+
+        The events that told of them never arrived, so that they stay in the index.
+        """
+        planner, freer, clock = PartPlanner(), _Freer(), ManualClock(0)
+        planner.set_stores([KvStore("kv:1", "a", 10_000, 1_000.0, drops_nothing=True)])
+        (index,) = planner.indexes()
+        index.take(KvNews(7, (KvEvent(OLD, 100),), 1))
+        janitor = Janitor(
+            clock=clock,
+            planner=planner,
+            freer=freer,
+            used=lambda: {("m", 2): {"r1"}},
+            newest_by_model=lambda: {"m": 2},
+            may_act=lambda: True,
+        )
+        for _ in range(30):
+            await janitor.step()
+            clock._now_ms += 300
+        self.assertEqual(freer.calls, [("kv:1", 7, [OLD])] * 2)
