Take back estimates of waits by what is left of prompts, places and first events

Ranks were tried first and left: replicas read admitted prompts in the order in which they came, whatever their rank.

Callers are not better served, so all of it goes.

--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -103,8 +103,7 @@
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
-    came to from that send. ``place_ms`` is
-    how long it would wait for memory and a slot if its ``rank`` did not matter.
+    came to from that send.
     """
 
     __slots__ = (
@@ -112,9 +111,7 @@
         "configuration",
         "expected_ms",
         "first_token_ms",
-        "place_ms",
         "queue_ms",
-        "rank",
         "replica",
         "route",
         "sends",
@@ -132,8 +129,6 @@
         self.sends = 0
         self.weights: int | None = None
         self.queue_ms = 0
-        self.place_ms = 0
-        self.rank = 0
         self.expected_ms = 0
         self.first_token_ms = 0
         self.stored_tokens = 0
--- a/fireflyward/forwarding/_prompt.py
+++ b/fireflyward/forwarding/_prompt.py
@@ -31,8 +31,8 @@
         """Return what the request takes of a replica's memory at its end."""
         return self._caller.prompt_tokens + self._caller.most_output_tokens
 
-    def wanted(self, now_ms: int, rank: int) -> Wanted:
-        """Return what the choice of a replica goes by, for a rank there."""
+    def wanted(self, now_ms: int) -> Wanted:
+        """Return what the choice of a replica goes by."""
         caller = self._caller
         if not caller.model:
             return Wanted(self._allowed.service)
@@ -49,7 +49,6 @@
             model=caller.model,
             version=version,
             least_version=self._weights.least(now_ms, caller.model),
-            rank=rank,
         )
 
     def kv(self, now_ms: int, choice: Choice) -> tuple[str | None, KvPlan]:
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -14,7 +14,7 @@
     encode_request,
 )
 from fireflyward.prefixes import PartPlanner
-from fireflyward.replicas import Choice, Chooser, ReplicaState, UnreadPrompt
+from fireflyward.replicas import Choice, Chooser, ReplicaState
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
 
@@ -42,7 +42,7 @@
 # A replica is a few ms away; one lost packet takes 200 ms to be sent again.
 _CONNECT_MS = 350
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-_LAST_RANK = 9
+_LOWEST_PRIORITY = 9
 _LATE_STEP = 5
 
 
@@ -180,9 +180,13 @@
         left_ms = self._left_ms()
         if left_ms < 1:
             return NoReplica()
-        choice = self._placed(left_ms)
-        if not isinstance(choice, Choice):
-            return choice
+        choice = self._choose()
+        if choice is None:
+            return NoReplica()
+        self._note_choice(choice)
+        refusal = self._admitted(choice, left_ms)
+        if refusal is not None:
+            return refusal
         replica = choice.replica
         connection = await self._tools.pool.take(
             replica.entry.address,
@@ -201,37 +205,24 @@
         trace.weights = choice.weights
         trace.queue_ms = int(choice.queue_ms)
         trace.expected_ms = int(choice.first_token_ms)
-        trace.place_ms = int(choice.place_ms)
-        trace.rank = self._rank()
-
-    def _placed(self, left_ms: float) -> Choice | NoReplica | NotRun:
-        """Choose a replica, or turn away a first send that would be late there."""
-        is_first = bool(self._caller.model) and not self._plan.may_have_run
-        if is_first:
-            self._is_late = False
-        choice = self._choose()
-        if choice is None:
-            return NoReplica()
-        self._note_choice(choice)
-        if not is_first:
-            return choice
-        prospect = self._prospect(choice, left_ms)
-        self._is_late = self._tools.admission.is_late(prospect)
-        return self._tools.admission.refusal(prospect) or choice
 
-    def _prospect(self, choice: Choice, left_ms: float) -> Prospect:
-        return Prospect(
+    def _admitted(self, choice: Choice, left_ms: float) -> NotRun | None:
+        """Turn a first send away if it would be late; note if it will be."""
+        if not self._caller.model or self._plan.may_have_run:
+            return None
+        prospect = Prospect(
             choice.queue_ms,
             choice.first_token_ms,
             self._objective_ms - self._clock.now_ms(),
             left_ms,
         )
+        self._is_late = self._tools.admission.is_late(prospect)
+        return self._tools.admission.refusal(prospect)
 
     async def _send_on(self, connection: HttpConnection, choice: Choice) -> SendResult:
         replica = choice.replica
         headers = self._headers(choice)
-        unread = self._unread_prompt(choice, headers)
-        replica.on_sent(unread)
+        unread = _Unread(replica, self._caller.prompt_tokens - headers.stored_tokens)
         replica.in_flight += 1
         replica.held_tokens += self._needs.held_tokens
         self._sent_ms = self._clock.now_ms()
@@ -253,24 +244,16 @@
         finally:
             replica.in_flight -= 1
             replica.held_tokens -= self._needs.held_tokens
-            replica.on_read(unread)
+            unread.end()
         if isinstance(result, NotRunThere):
             return self._rejected(choice, result.facts)
         return result
 
-    def _unread_prompt(self, choice: Choice, headers: ReplicaHeaders) -> UnreadPrompt:
-        now_ms = self._clock.now_ms()
-        return UnreadPrompt(
-            self._caller.prompt_tokens - headers.stored_tokens,
-            begin_ms=now_ms + choice.queue_ms,
-            end_ms=now_ms + choice.first_token_ms - choice.replica.first_event_ms,
-        )
-
     def _exchange(
-        self, connection: HttpConnection, choice: Choice, unread: UnreadPrompt
+        self, connection: HttpConnection, choice: Choice, unread: "_Unread"
     ) -> Exchange:
         def on_first() -> None:
-            choice.replica.on_read(unread)
+            unread.end()
             self._learn_first_token(choice)
 
         return Exchange(
@@ -316,7 +299,7 @@
 
     def _choose(self) -> Choice | None:
         now_ms = self._clock.now_ms()
-        wanted = self._needs.wanted(now_ms, self._rank())
+        wanted = self._needs.wanted(now_ms)
         choice = self._tools.chooser.choose(
             now_ms, wanted, without=frozenset(self._tried)
         )
@@ -324,10 +307,10 @@
             choice = self._tools.chooser.choose(now_ms, wanted)
         return choice
 
-    def _rank(self) -> int:
+    def _priority(self) -> int:
         """Return the rank at the replica; what is late goes behind all else."""
-        rank = self._allowed.priority + (_LATE_STEP if self._is_late else 0)
-        return min(rank, _LAST_RANK)
+        priority = self._allowed.priority + (_LATE_STEP if self._is_late else 0)
+        return min(priority, _LOWEST_PRIORITY)
 
     def _headers(self, choice: Choice) -> ReplicaHeaders:
         account = self._allowed.account
@@ -340,7 +323,7 @@
             incarnation=choice.replica.entry.incarnation,
             left_ms=int(self._left_ms()),
             account=account.name if account is not None else None,
-            priority=self._rank(),
+            priority=self._priority(),
             weights=choice.weights,
             cache_salt=salt,
             kv_sources=kv.sources,
@@ -353,7 +336,9 @@
         if self._caller.model:
             took_ms = self._clock.now_ms() - self._sent_ms
             self._trace.first_token_ms = took_ms
-            self._tools.chooser.on_first_token(choice, took_ms)
+            choice.replica.on_first_token(
+                expected_ms=choice.first_token_ms, took_ms=took_ms
+            )
 
     def _left_ms(self) -> float:
         return self._due_ms - self._clock.now_ms()
@@ -374,6 +359,21 @@
         )
 
 
+class _Unread:
+    """Counts a prompt as unread at a replica until its first token or its end."""
+
+    __slots__ = ("_replica", "_tokens")
+
+    def __init__(self, replica: ReplicaState, tokens: int) -> None:
+        self._replica = replica
+        self._tokens = tokens
+        replica.unread_tokens += tokens
+
+    def end(self) -> None:
+        self._replica.unread_tokens -= self._tokens
+        self._tokens = 0
+
+
 def _detail(result: SendResult) -> str:
     """Say in short what a send came to."""
     if isinstance(result, WholeAnswer):
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -5,7 +5,6 @@
 from ._state import ReplicaState
 from ._telling import UnderWayTask
 from ._under_way import PeerUnderWay, UnderWay
-from ._unread import UnreadPrompt
 
 __all__ = [
     "Choice",
@@ -15,6 +14,5 @@
     "ReplicaState",
     "UnderWay",
     "UnderWayTask",
-    "UnreadPrompt",
     "Wanted",
 ]
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -6,8 +6,7 @@
 from fireflyward.rendezvous import rendezvous_rank
 
 from ._directory import ReplicaDirectory
-from ._place_waits import LEAST_PLACE_MS, PlaceWaits
-from ._state import ReplicaState
+from ._state import FIRST_EVENT_MS, ReplicaState
 from ._under_way import PeerUnderWay
 
 # The costs below are in milliseconds of waiting that the caller would rather have.
@@ -53,7 +52,6 @@
     ``new_tokens`` is what any replica has to read. ``tokens`` is what the request
     holds in memory at its end, of the ``kv_tokens`` of a replica. ``version`` is the
     newest version of the weights and ``least_version`` the oldest that may serve.
-    ``rank`` is how urgent it is, 0 the most.
     """
 
     service: str
@@ -65,16 +63,14 @@
     model: str = ""
     version: int | None = None
     least_version: int = 0
-    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A replica, the weights it is taken to have, and who may hold the prefix.
 
-    ``queue_ms`` is how long the request waits there until its prompt is read, and
-    ``first_token_ms`` adds the request's own. ``place_ms`` is how long it would wait
-    for memory and a slot if its ``rank`` did not matter.
+    ``queue_ms`` is how long the prompts before this one take to read there, and
+    ``first_token_ms`` adds the request's own.
     """
 
     replica: ReplicaState
@@ -82,27 +78,24 @@
     kv_source: str | None = None
     queue_ms: float = 0.0
     first_token_ms: float = 0.0
-    place_ms: float = 0.0
-    rank: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class _Load:
     """What all nodes have at one replica now, in ms until the next request runs.
 
-    ``queue_ms`` is for the prompts before it. ``place_ms`` is until memory for it and
-    one of the replica's slots are free, if it had to wait for all that came before it;
-    ``place_share`` is what requests of its rank wait of that.
+    ``queue_ms`` is for the prompts before it, ``memory_ms`` until memory for it is
+    free and ``slot_ms`` until one of the replica's slots is.
     """
 
     requests: float
     queue_ms: float
-    place_ms: float
-    place_share: float
+    memory_ms: float
+    slot_ms: float
 
     @property
     def wait_ms(self) -> float:
-        return self.queue_ms + self.place_share * self.place_ms
+        return self.queue_ms + self.memory_ms + self.slot_ms
 
 
 class Chooser:
@@ -114,7 +107,7 @@
     request and fetches the prefix from the home.
     """
 
-    __slots__ = ("_directory", "_failure_domain", "_peers", "_place_waits", "_random")
+    __slots__ = ("_directory", "_failure_domain", "_peers", "_random")
 
     def __init__(
         self,
@@ -127,7 +120,6 @@
         self._peers = peers or PeerUnderWay()
         self._directory = directory
         self._failure_domain = failure_domain
-        self._place_waits = PlaceWaits()
         self._random = random.Random(seed)
 
     def choose(
@@ -184,31 +176,10 @@
             drawn.append(home)
         return drawn or able
 
-    def on_first_token(self, choice: Choice, took_ms: float) -> None:
-        """Learn from a first token, ``took_ms`` after the request was sent.
-
-        What a replica without a free place tells is how long requests wait for
-        one, and nothing of how fast it reads.
-        """
-        service = choice.replica.entry.service
-        if choice.place_ms < LEAST_PLACE_MS:
-            choice.replica.on_first_token(
-                expected_ms=choice.first_token_ms, took_ms=took_ms
-            )
-            return
-        share = self._place_waits.share(service, choice.rank)
-        other_ms = choice.first_token_ms - share * choice.place_ms
-        self._place_waits.learn(
-            service,
-            choice.rank,
-            place_ms=choice.place_ms,
-            waited_ms=took_ms - other_ms,
-        )
-
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
         others = self._peers.at(now_ms, state.entry.incarnation)
-        return _reading_ms(state, state.under_way(now_ms).plus(others).unread)
+        return _reading_ms(state, state.unread_tokens + others.unread)
 
     def _choice(
         self,
@@ -227,16 +198,8 @@
         if chosen.is_loading(now_ms):
             wait_ms += _LOADING_MS
         own_ms = _reading_ms(chosen, wanted.new_tokens + wanted.prefix_tokens)
-        first_token_ms = wait_ms + own_ms + chosen.first_event_ms
-        return Choice(
-            chosen,
-            weights,
-            source,
-            wait_ms,
-            first_token_ms,
-            place_ms=load.place_ms,
-            rank=wanted.rank,
-        )
+        first_token_ms = wait_ms + own_ms + FIRST_EVENT_MS
+        return Choice(chosen, weights, source, wait_ms, first_token_ms)
 
     def _load(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> _Load:
         """Return what is at a replica.
@@ -245,13 +208,12 @@
         either may be behind, so the larger number counts.
         """
         others = self._peers.at(now_ms, state.entry.incarnation)
-        all_nodes = state.under_way(now_ms).plus(others)
         requests = state.in_flight + max(others.requests, state.others_at(now_ms))
         return _Load(
             requests,
-            _reading_ms(state, all_nodes.unread),
-            _memory_ms(all_nodes.held, wanted) + _slot_ms(state, requests),
-            self._place_waits.share(wanted.service, wanted.rank),
+            _reading_ms(state, state.unread_tokens + others.unread),
+            _memory_ms(state.held_tokens + others.held, wanted),
+            _slot_ms(state, requests),
         )
 
     def _home(
@@ -281,7 +243,7 @@
         usual_failures: float,
     ) -> float:
         cost_ms = _FULL_LOAD_MS * load.requests / max(1, state.entry.slots)
-        cost_ms += load.wait_ms + state.first_event_ms
+        cost_ms += load.wait_ms
         cost_ms += _JITTER_MS * self._random.random()
         if home is not None and state is not home:
             cost_ms += _NOT_HOME_SHARE * wanted.prefix_tokens / _TOKENS_PER_MS
@@ -316,14 +278,12 @@
     """Return how long a request waits until memory for it is free.
 
     With its memory full a replica puts running requests back and reads them
-    again later, which makes all of them late. It waits until those before it have
-    their memory and its own is free, so that a short one waits less.
+    again later, which makes all of them late.
     """
     if not wanted.kv_tokens or not held:
         return 0.0
     over = held + wanted.tokens - _MEMORY_SHARE * wanted.kv_tokens
-    waited_for = wanted.tokens + max(0.0, held - wanted.kv_tokens)
-    return _RUN_MS * max(0.0, min(over, waited_for)) / held
+    return _RUN_MS * max(0.0, over) / held
 
 
 def _slot_ms(state: ReplicaState, requests: float) -> float:
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -2,13 +2,9 @@
 
 from fireflyward.deployment import ReplicaEntry
 
-from ._under_way import UnderWay
-from ._unread import UnreadPrompt
-
-# What others have running there is known from a response header, beside what nodes
-# tell each other; after this long half of it is taken to be over. Short requests take
-# 20 to 150 ms, and the number in the header is the highest of the last moments.
-_LOAD_HALF_LIFE_MS = 150
+# What others have running there is known from a response header; after this long
+# half of it is taken to be over.
+_LOAD_HALF_LIFE_MS = 1_000
 _FIRST_SUSPICION_MS = 400
 _LONGEST_SUSPICION_MS = 6_000
 # A replica that is full frees a place in about the time of one short request.
@@ -18,15 +14,10 @@
 _LOADING_MS = 400
 # Weight of one answer in the running share of failed ones.
 _FAILURE_WEIGHT = 0.12
-# What a first event takes beside reading prompts, until it is learnt: a step or two
-# of the batch, the tokens that one event holds, and the way. Without it a replica
-# that has nothing to do would look slow, and its queue long.
-_FIRST_EVENT_MS = 55.0
-# One answer moves what is learnt of it by a tenth, and by 3 ms at the most: some wait
-# for a slot or for memory, which says nothing of the next.
-_FIRST_EVENT_WEIGHT = 0.1
-_FIRST_EVENT_STEP_MS = 3.0
-_LONGEST_FIRST_EVENT_MS = 400.0
+# What a first event takes beside reading prompts: a step or two of the batch, the
+# tokens that one event holds, and the way. Without it a replica that has nothing to
+# do would look slow, and its queue long.
+FIRST_EVENT_MS = 55.0
 # The rest of the time to the first token against what was expected of it, as a
 # running mean; short waits say little.
 _PACE_WEIGHT = 0.15
@@ -46,24 +37,22 @@
         "_others_at_ms",
         "_suspect_until_ms",
         "_troubles",
-        "_unread",
         "entry",
         "failed_share",
-        "first_event_ms",
         "gone_at_ms",
         "in_flight",
         "held_tokens",
         "pace",
         "refusals",
         "run_ms",
+        "unread_tokens",
         "version_by_model",
     )
 
     def __init__(self, entry: ReplicaEntry) -> None:
         self.entry = entry
         self.in_flight = 0
-        self._unread: set[UnreadPrompt] = set()
-        self.first_event_ms = _FIRST_EVENT_MS
+        self.unread_tokens = 0
         self.held_tokens = 0
         self.pace = 1.0
         self.run_ms = _FIRST_RUN_MS
@@ -100,19 +89,6 @@
         self._others = max(0.0, total - self.in_flight)
         self._others_at_ms = now_ms
 
-    def on_sent(self, prompt: UnreadPrompt) -> None:
-        """Count a prompt as unread."""
-        self._unread.add(prompt)
-
-    def on_read(self, prompt: UnreadPrompt) -> None:
-        """Count a prompt as read, or as given up; once is enough."""
-        self._unread.discard(prompt)
-
-    def under_way(self, now_ms: int) -> UnderWay:
-        """Return what this node has under way there."""
-        unread = sum(prompt.left(now_ms) for prompt in self._unread)
-        return UnderWay(unread, self.held_tokens, self.in_flight)
-
     def on_answer(self, *, failed: bool) -> None:
         """Count an answer that the replica made itself."""
         self._troubles = 0
@@ -120,25 +96,15 @@
         self.failed_share += _FAILURE_WEIGHT * (failed - self.failed_share)
 
     def on_first_token(self, *, expected_ms: float, took_ms: float) -> None:
-        """Learn how much slower or faster it is than was expected.
-
-        Where next to nothing was to be read, the time is that of a first event.
-        """
-        reading_ms = expected_ms - self.first_event_ms
-        if reading_ms < _LEAST_EXPECTED_MS:
-            self._learn_first_event(took_ms - reading_ms)
+        """Learn how much slower or faster it is than was expected."""
+        expected_ms -= FIRST_EVENT_MS
+        if expected_ms < _LEAST_EXPECTED_MS:
             return
-        took_ms = max(1.0, took_ms - self.first_event_ms)
-        ratio = min(max(took_ms / reading_ms, 1 / _MOST_PACE), _MOST_PACE)
+        took_ms = max(1.0, took_ms - FIRST_EVENT_MS)
+        ratio = min(max(took_ms / expected_ms, 1 / _MOST_PACE), _MOST_PACE)
         self.pace += _PACE_WEIGHT * (self.pace * ratio - self.pace)
         self.pace = min(max(self.pace, _LEAST_PACE), _MOST_PACE)
 
-    def _learn_first_event(self, took_ms: float) -> None:
-        step_ms = _FIRST_EVENT_WEIGHT * (took_ms - self.first_event_ms)
-        step_ms = min(max(step_ms, -_FIRST_EVENT_STEP_MS), _FIRST_EVENT_STEP_MS)
-        learnt_ms = max(1.0, self.first_event_ms + step_ms)
-        self.first_event_ms = min(learnt_ms, _LONGEST_FIRST_EVENT_MS)
-
     def on_run(self, took_ms: float) -> None:
         """Learn for how long a request keeps its slot."""
         self.run_ms += _PACE_WEIGHT * (took_ms - self.run_ms)
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -133,9 +133,10 @@
             self._tell_everyone(link)
 
     def _own(self) -> dict[str, UnderWay]:
-        now_ms = self._clock.now_ms()
         return {
-            state.entry.incarnation: state.under_way(now_ms)
+            state.entry.incarnation: UnderWay(
+                int(state.unread_tokens), int(state.held_tokens), state.in_flight
+            )
             for state in self._directory.all()
             if state.in_flight
         }
