--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -115,10 +115,11 @@
             peers=self._under_way,
         )
         self._link: PeerLink | None = None
+        self._forwarder = self._make_forwarder()
         self._door = CallerDoor(
             clock=clock,
             routes=self._routes,
-            forwarder=self._make_forwarder(),
+            forwarder=self._forwarder,
             metrics=self._metrics,
         )
         operators = OperatorView(
@@ -308,6 +309,7 @@
         while True:
             await self._peers.refresh()
             self._budget.set_nodes(len(self._peers))
+            self._forwarder.set_nodes(len(self._peers))
             self._aggregators.set_members(self._peers.others())
             if self._link is None and self._peers.key is not None:
                 await self._open_link(self._peers.key)
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -11,6 +11,7 @@
 
 from ._admission import Admission
 from ._exchange import Reply
+from ._late_lane import LateLane
 from ._messages import Trace
 from ._run import CallerTimes, Run, Tools
 from ._weights import WeightBook
@@ -46,8 +47,13 @@
             planner=planner,
             admission=admission or Admission(),
             callers=CallerTimes(),
+            late_lane=LateLane(),
         )
 
+    def set_nodes(self, nodes: int) -> None:
+        """Take the number of nodes that send to the same replicas."""
+        self._tools.late_lane.set_nodes(nodes)
+
     async def serve(
         self,
         caller: CallerRequest,
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -20,6 +20,7 @@
 
 from ._admission import Admission, Prospect
 from ._exchange import Exchange, Reply, StreamProgress
+from ._late_lane import LateLane
 from ._messages import (
     Deliver,
     Finish,
@@ -84,6 +85,7 @@
     planner: PartPlanner
     admission: Admission
     callers: CallerTimes
+    late_lane: LateLane
 
 
 class Run:
@@ -106,6 +108,7 @@
         "_service",
         "_trace",
         "_tried",
+        "_waits_late",
     )
 
     def __init__(
@@ -137,6 +140,7 @@
         spent_ms = tools.callers.spent_ms(allowed.route.name, caller.deadline_ms)
         self._objective_ms = arrived_ms + allowed.route.objective_ms - spent_ms
         self._is_late = False
+        self._waits_late = False
         self._progress = StreamProgress()
         self._needs = PromptNeeds(
             caller, allowed, planner=tools.planner, weights=tools.weights
@@ -151,6 +155,13 @@
 
     async def to_end(self) -> Outcome:
         """Send until the plan ends the request; see ``Forwarder.serve``."""
+        try:
+            return await self._send_to_end()
+        finally:
+            # A caller may leave before its request was sent.
+            self._end_late_wait(None)
+
+    async def _send_to_end(self) -> Outcome:
         self._tools.budget.on_request(self._clock.now_ms(), self._service)
         while True:
             result = await self._send_once()
@@ -196,6 +207,7 @@
         if isinstance(connection, NotConnected):
             replica.on_trouble(self._clock.now_ms())
             self._tried.add(replica.entry.incarnation)
+            self._end_late_wait(None)
             return Unsent(connection.detail)
         return await self._send_on(connection, choice)
 
@@ -215,15 +227,34 @@
             choice.first_token_ms,
             self._objective_ms - self._clock.now_ms(),
             left_ms,
+            choice.slot_ms,
         )
-        self._is_late = self._tools.admission.is_late(prospect)
-        return self._tools.admission.refusal(prospect)
+        admission = self._tools.admission
+        self._is_late = admission.is_late(prospect)
+        refusal = admission.refusal(prospect)
+        if refusal is None or not admission.may_wait(prospect):
+            return refusal
+        self._waits_late = self._tools.late_lane.enter(self._service, choice.slots)
+        return None if self._waits_late else refusal
+
+    def _end_late_wait(self, replica: ReplicaState | None) -> None:
+        """Count a late request as any other, once it has its slot or its end."""
+        if not self._waits_late:
+            return
+        self._waits_late = False
+        self._tools.late_lane.leave(self._service)
+        if replica is not None:
+            replica.waiting_late -= 1
+            replica.in_flight += 1
 
     async def _send_on(self, connection: HttpConnection, choice: Choice) -> SendResult:
         replica = choice.replica
         headers = self._headers(choice)
         unread = _Unread(replica, self._caller.prompt_tokens - headers.stored_tokens)
-        replica.in_flight += 1
+        if self._waits_late:
+            replica.waiting_late += 1
+        else:
+            replica.in_flight += 1
         replica.held_tokens += self._needs.held_tokens
         self._sent_ms = self._clock.now_ms()
         self._trace.sends += 1
@@ -242,6 +273,7 @@
             connection.close()
             raise
         finally:
+            self._end_late_wait(replica)
             replica.in_flight -= 1
             replica.held_tokens -= self._needs.held_tokens
             unread.end()
@@ -254,6 +286,7 @@
     ) -> Exchange:
         def on_first() -> None:
             unread.end()
+            self._end_late_wait(choice.replica)
             self._learn_first_token(choice)
 
         return Exchange(
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -1,7 +1,7 @@
 """The choice of a replica for one request."""
 
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from fireflyward.rendezvous import rendezvous_rank
 
@@ -70,7 +70,8 @@
     """A replica, the weights it is taken to have, and who may hold the prefix.
 
     ``queue_ms`` is how long the prompts before this one take to read there, and
-    ``first_token_ms`` adds the request's own.
+    ``first_token_ms`` adds the request's own. ``slot_ms`` of the queue is for a free
+    slot; ``slots`` are those of all replicas that may take the request.
     """
 
     replica: ReplicaState
@@ -78,6 +79,8 @@
     kv_source: str | None = None
     queue_ms: float = 0.0
     first_token_ms: float = 0.0
+    slot_ms: float = 0.0
+    slots: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -142,7 +145,9 @@
             for state, load in zip(looked_at, loads, strict=True)
         ]
         best = min(range(len(looked_at)), key=costs.__getitem__)
-        return self._choice(now_ms, looked_at[best], loads[best], wanted, home)
+        slots = sum(state.entry.slots for state in able)
+        choice = self._choice(now_ms, looked_at[best], loads[best], wanted, home)
+        return replace(choice, slots=slots)
 
     def _sample(
         self,
@@ -199,7 +204,9 @@
             wait_ms += _LOADING_MS
         own_ms = _reading_ms(chosen, wanted.new_tokens + wanted.prefix_tokens)
         first_token_ms = wait_ms + own_ms + FIRST_EVENT_MS
-        return Choice(chosen, weights, source, wait_ms, first_token_ms)
+        return Choice(
+            chosen, weights, source, wait_ms, first_token_ms, slot_ms=load.slot_ms
+        )
 
     def _load(self, now_ms: int, state: ReplicaState, wanted: Wanted) -> _Load:
         """Return what is at a replica.
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -46,12 +46,16 @@
         "refusals",
         "run_ms",
         "unread_tokens",
+        "waiting_late",
         "version_by_model",
     )
 
     def __init__(self, entry: ReplicaEntry) -> None:
         self.entry = entry
+        # Late requests that wait for a slot behind all others are not in flight yet:
+        # whoever is not late goes first.
         self.in_flight = 0
+        self.waiting_late = 0
         self.unread_tokens = 0
         self.held_tokens = 0
         self.pace = 1.0
@@ -86,7 +90,7 @@
 
     def on_load(self, now_ms: int, total: int) -> None:
         """Take the requests that run and wait there, by the replica's own word."""
-        self._others = max(0.0, total - self.in_flight)
+        self._others = max(0.0, total - self.in_flight - self.waiting_late)
         self._others_at_ms = now_ms
 
     def on_answer(self, *, failed: bool) -> None:
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -138,7 +138,7 @@
                 int(state.unread_tokens), int(state.held_tokens), state.in_flight
             )
             for state in self._directory.all()
-            if state.in_flight
+            if state.in_flight or state.waiting_late
         }
 
     def _is_due(self, now_ms: int, own: Told) -> bool:
