--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -151,19 +151,25 @@
         caller: CallerRequest | NotRun | None = None
         outcome: Outcome = Unknown(Reason.CALLER_GONE)
         trace = Trace()
+        response: StreamResponse | None = None
         try:
             caller = decode_request(
                 request.method, request.raw_path, request.headers.items()
             )
             outcome = await self._served(request, caller, reply, arrived_ms, trace)
-            return await self._finish(request, caller, reply, outcome)
+            response = await self._finish(request, caller, reply, outcome)
+            return response
         except ConnectionError:
             # The caller went away while its answer was written; what is returned
             # here finds the connection closed too.
             return reply.response or Response(status=_CALLER_GONE_STATUS)
         finally:
             self.in_flight -= 1
-            self._note(caller, outcome, arrived_ms, trace)
+            fields = {
+                "status": response.status if response is not None else None,
+                "made_by": "replica" if reply.response is not None else "node",
+            }
+            self._note(caller, outcome, arrived_ms, trace, fields)
 
     async def _served(
         self,
@@ -261,8 +267,13 @@
         outcome: Outcome,
         arrived_ms: int,
         trace: Trace,
+        answer: dict[str, object],
     ) -> None:
-        """Count a request, and write its one line."""
+        """Count a request, and write its one line.
+
+        ``answer`` holds the status that the caller got and who made it: a
+        replica's own failure is an answer too.
+        """
         now_ms = self._clock.now_ms()
         took_ms = now_ms - arrived_ms
         reason = "" if isinstance(outcome, Answered) else outcome.reason.value
@@ -276,6 +287,7 @@
         request_id = caller.request_id if isinstance(caller, CallerRequest) else "none"
         fields = {
             **trace.fields(),
+            **answer,
             "request": request_id,
             "outcome": outcome.tag,
             "reason": reason,
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -103,12 +103,13 @@
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
-    came to from that send.
+    came to from that send. ``earlier`` tells what became of each send before it.
     """
 
     __slots__ = (
         "account",
         "configuration",
+        "earlier",
         "expected_ms",
         "first_token_ms",
         "queue_ms",
@@ -127,6 +128,7 @@
         self.configuration = 0
         self.replica = ""
         self.sends = 0
+        self.earlier: list[str] = []
         self.weights: int | None = None
         self.queue_ms = 0
         self.expected_ms = 0
@@ -138,5 +140,5 @@
         return {
             name: value
             for name in self.__slots__
-            if (value := getattr(self, name)) not in ("", None, 0)
+            if (value := getattr(self, name)) not in ("", None, 0, [])
         }
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -380,9 +380,11 @@
         return self._tools.budget.take(self._clock.now_ms(), self._service)
 
     def _log_again(self, result: SendResult) -> None:
+        name = type(result).__name__
+        self._trace.earlier.append(f"{self._trace.replica}: {name} {_detail(result)}")
         log.info(
             "forwarding: again after %s",
-            type(result).__name__,
+            name,
             extra={
                 "request": self._caller.request_id,
                 "replica": self._trace.replica,
--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -62,6 +62,27 @@
             statuses = {(await self.ask("GET", "/r/x"))[0] for _ in range(3)}
             self.assertEqual(statuses, {200}, manner)
 
+    async def test_the_log_tells_what_a_caller_got_and_from_whom(self):
+        """Symptom: callers complain of status 500, and no line of the log has one.
+
+        Both replicas fail. What the caller gets is the second one's own answer, so
+        the request counts as answered.
+        """
+        self.all_do(Manner.FAILS)
+        with self.assertLogs("fireflyward.callers") as logged:
+            status, _, _ = await self.ask("GET", "/r/x")
+        self.assertEqual(status, 500)
+        fields = logged.records[0].fields
+        self.assertEqual((fields["status"], fields["made_by"]), (500, "replica"))
+        (earlier,) = fields["earlier"]
+        self.assertRegex(earlier, r"^p-\d: WholeAnswer status 500$")
+
+    async def test_the_log_tells_that_a_node_refused(self):
+        with self.assertLogs("fireflyward.callers") as logged:
+            status, _, _ = await self.ask("GET", "/nowhere/x")
+        fields = logged.records[0].fields
+        self.assertEqual((fields["status"], fields["made_by"]), (status, "node"))
+
     async def test_answer_of_another_request_reaches_nobody(self):
         """Symptom: a caller gets somebody else's answer.
 
