--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -10,10 +10,12 @@
 from fireflyward.routes import Allowed
 
 from ._admission import Admission
+from ._caller_times import CallerTimes
 from ._exchange import Reply
 from ._late_lane import LateLane
 from ._messages import Trace
-from ._run import CallerTimes, Run, Tools
+from ._run import Run
+from ._tools import Tools
 from ._weights import WeightBook
 
 
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -103,7 +103,8 @@
 
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
-    came to from that send. ``earlier`` tells what became of each send before it.
+    came to from that send. ``earlier`` tells what became of each send before it,
+    and ``waits_late`` that it goes for a slot behind all others.
     """
 
     __slots__ = (
@@ -118,6 +119,7 @@
         "sends",
         "service",
         "stored_tokens",
+        "waits_late",
         "weights",
     )
 
@@ -129,6 +131,7 @@
         self.replica = ""
         self.sends = 0
         self.earlier: list[str] = []
+        self.waits_late = False
         self.weights: int | None = None
         self.queue_ms = 0
         self.expected_ms = 0
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -1,11 +1,9 @@
 """One request on its way: sends, what they came to, and the end."""
 
 import logging
-from dataclasses import dataclass
 
-from fireflyward.clock import Clock
 from fireflyward.deployment import RouteKind
-from fireflyward.http1 import ConnectionPool, HttpConnection, NotConnected
+from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.platform import (
     CallerRequest,
@@ -13,14 +11,11 @@
     ResponseFacts,
     encode_request,
 )
-from fireflyward.prefixes import PartPlanner
-from fireflyward.replicas import Choice, Chooser, ReplicaState
-from fireflyward.retries import RetryBudget
+from fireflyward.replicas import Choice, ReplicaState
 from fireflyward.routes import Allowed
 
-from ._admission import Admission, Prospect
+from ._admission import Prospect
 from ._exchange import Exchange, Reply, StreamProgress
-from ._late_lane import LateLane
 from ._messages import (
     Deliver,
     Finish,
@@ -36,7 +31,7 @@
 )
 from ._plan import AttemptPlan
 from ._prompt import PromptNeeds
-from ._weights import WeightBook
+from ._tools import Tools
 
 log = logging.getLogger("fireflyward.forwarding")
 
@@ -47,47 +42,6 @@
 _LATE_STEP = 5
 
 
-class CallerTimes:
-    """Learns how much time callers of each route begin with; no I/O.
-
-    >>> times = CallerTimes()
-    >>> times.spent_ms("r", 3_000.0), times.spent_ms("r", 2_200.0)
-    (0.0, 800.0)
-    """
-
-    __slots__ = ("_longest_ms_by_route",)
-
-    def __init__(self) -> None:
-        self._longest_ms_by_route: dict[str, float] = {}
-
-    def spent_ms(self, route: str, deadline_ms: float | None) -> float:
-        """Return how much of its time a caller had spent before it came here.
-
-        Callers of a route begin with the same deadline; one that was refused and
-        comes back has less. The longest one seen is taken for the first.
-        """
-        if deadline_ms is None:
-            return 0.0
-        longest_ms = max(self._longest_ms_by_route.get(route, 0.0), deadline_ms)
-        self._longest_ms_by_route[route] = longest_ms
-        return longest_ms - deadline_ms
-
-
-@dataclass(frozen=True, slots=True)
-class Tools:
-    """What every run of a node works with."""
-
-    clock: Clock
-    pool: ConnectionPool
-    chooser: Chooser
-    budget: RetryBudget
-    weights: WeightBook
-    planner: PartPlanner
-    admission: Admission
-    callers: CallerTimes
-    late_lane: LateLane
-
-
 class Run:
     """One request; lives as long as its caller waits."""
 
@@ -235,6 +189,7 @@
         if refusal is None or not admission.may_wait(prospect):
             return refusal
         self._waits_late = self._tools.late_lane.enter(self._service, choice.slots)
+        self._trace.waits_late = self._waits_late
         return None if self._waits_late else refusal
 
     def _end_late_wait(self, replica: ReplicaState | None) -> None:
