Free parts of old weights only by replicas' own reports or the list

What a node sends by may be guessed: a rejection for other weights that does not say which they are is taken for the newest. With three versions named shortly after each other such a guess alone would have had the second one's parts freed while others still fetch them. Found by reading; the new test fails with the guess taken for certain.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -285,13 +285,10 @@
         self._weight_task.on_change(change)
 
     def _used_weights(self) -> dict[tuple[str, int], set[str]]:
-        """Return the replicas of each (model, version).
-
-        The word of a replica itself goes before the list, which is a second older.
-        """
+        """Return the replicas that may have each (model, version)."""
         used: dict[tuple[str, int], set[str]] = {}
         for state in self._directory.all():
-            for weights in state.version_by_model.items():
+            for weights in state.weights_it_may_have():
                 used.setdefault(weights, set()).add(state.entry.incarnation)
         return used
 
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -35,6 +35,7 @@
         "_loading_until_ms",
         "_others",
         "_others_at_ms",
+        "_reported_by_model",
         "_suspect_until_ms",
         "_troubles",
         "entry",
@@ -64,6 +65,7 @@
         self.gone_at_ms: int | None = None
         self.version_by_model = _versions(entry)
         self.refusals = 0
+        self._reported_by_model: dict[str, int] = {}
         self._others = 0.0
         self._others_at_ms = 0
         self._suspect_until_ms = 0
@@ -129,10 +131,23 @@
         self._loading_until_ms = max(self._loading_until_ms, until_ms)
 
     def on_loaded(self, model: str, version: int) -> None:
-        """Take word that a replica has loaded weights, before the list says so."""
+        """Take a replica's own report that it has loaded, before the list says so."""
+        self._reported_by_model[model] = version
         self.version_by_model = {**self.version_by_model, model: version}
         self._loading_until_ms = 0
 
+    def weights_it_may_have(self) -> set[tuple[str, int]]:
+        """Return every (model, version) that runs there may still be on.
+
+        The list is a heartbeat behind a replica's own report. What this node sends
+        by, ``version_by_model``, may be guessed from a rejection, and alone would
+        have KV cache freed that other nodes still fetch for the replica.
+        """
+        may_have = set(self.version_by_model.items())
+        for model, listed in _versions(self.entry).items():
+            may_have.add((model, max(listed, self._reported_by_model.get(model, 0))))
+        return may_have
+
     def is_loading(self, now_ms: int) -> bool:
         """Tell whether it probably loads weights."""
         return now_ms < self._loading_until_ms
