--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -123,10 +123,11 @@
     def look_ms(self) -> float:
         """Return how long to wait for the next look at the lease."""
         now_ms = self._clock.now_ms()
+        usual_ms = self._lease_ms // _LOOKS_PER_LEASE
         for model, version in self._weights.targets().items():
             if any(view.version < version for view in self._views(now_ms, model)):
-                return _LOOK_MS
-        return self._lease_ms // _LOOKS_PER_LEASE
+                return min(_LOOK_MS, usual_ms)
+        return usual_ms
 
     def _order_due(self) -> None:
         now_ms = self._clock.now_ms()
