--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -3,7 +3,9 @@
 import asyncio
 
 import aiohttp
+import msgspec
 
+from fireflyward.fleet._peers import NodeRow
 from tests.platform_standins import Manner, StoreManner
 
 from .node_fixtures import KEY, NodeTestCase
@@ -250,6 +252,26 @@
         self.assertEqual(sent.headers["x-expect-version"], "1")
         self.assertEqual(sent.headers["x-cache-salt"], "m~1")
 
+    async def test_few_late_requests_wait_where_there_are_many_nodes(self):
+        """Symptom: in a burst late requests fill the queues of all replicas.
+
+        Each node let as many wait as if it were alone.
+        """
+        for name in ("entry-2", "entry-3", "entry-4"):
+            row = NodeRow("127.0.0.1", 1, "a", 100)
+            self.store.put(
+                "fireflyward-nodes", f"node/{name}", msgspec.json.encode(row)
+            )
+        await self.until(lambda: len(self.node._peers) == 4)
+        lane = self.node._forwarder._tools.late_lane
+        await self.until(lambda: lane._nodes == 4)
+        self.assertEqual([lane.enter("s", 16) for _ in range(3)], [True, True, False])
+
+    async def test_the_lease_is_looked_at_as_its_duty_asks(self):
+        look_ms = self.node._lease._look_ms
+        self.node._weight_task.look_ms = lambda: 123.0
+        self.assertEqual(look_ms(), 123.0)
+
     async def test_new_weights_reach_every_replica(self):
         """The leased task orders loads; requests then ask for the new version."""
         self.operator.name_weights("m", 2)
--- a/tests/replicas/test_state.py
+++ b/tests/replicas/test_state.py
@@ -30,3 +30,12 @@
         self.state.on_loaded("m", 2)
         self.state.take_entry(entry("r1", version=3))
         self.assertEqual(self.state.weights_it_may_have(), {("m", 3)})
+
+
+class LoadTests(unittest.TestCase):
+    def test_own_requests_that_wait_behind_all_others_are_no_others(self):
+        """A replica counts all that wait there, this node's late ones too."""
+        state = ReplicaState(entry("r1"))
+        state.in_flight, state.waiting_late = 3, 2
+        state.on_load(0, 9)
+        self.assertEqual(state.others_at(0), 4)
--- a/tests/replicas/test_telling.py
+++ b/tests/replicas/test_telling.py
@@ -230,6 +230,19 @@
         self.assertEqual(network.sent, 8)
         self.assertEqual(network.believed("c2", "r0"), 2)
 
+    def test_memory_of_requests_that_wait_behind_all_others_is_told(self):
+        """Symptom: after a burst a replica puts running requests back.
+
+        Late requests wait there and are counted as no requests, so that nothing was
+        told of them, and others sent more than its memory holds.
+        """
+        network = _Network(3)
+        state = network.node_by_name["a0"].directory.find("r0")
+        state.waiting_late, state.held_tokens = 1, 900
+        network.step(1)
+        peers = network.node_by_name["c2"].peers
+        self.assertEqual(peers.at(network.clock.now_ms(), "r0"), UnderWay(0, 900, 0))
+
     def test_many_replicas_take_several_datagrams(self):
         network = _Network(6)
         network.step(20)
