Take every figure of settings and configuration, whole or not

Cause: each field had its own type; budget-extra and the like took whole numbers only. Change: one type (platform._figures.Figure) for each bound, limit, rate and size; text and negative numbers still are errors; fractions of ms and counts are left out. Shares of a route keep theirs: halves were cut to nothing and all went to the first.

--- a/fireflyward/deployment/_configuration.py
+++ b/fireflyward/deployment/_configuration.py
@@ -17,7 +17,7 @@
     """A service that takes ``weight`` parts of a route's requests."""
 
     service: str
-    weight: int
+    weight: float
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -17,6 +17,8 @@
     WeightTarget,
 )
 
+from ._figures import Figure, whole
+
 log = logging.getLogger("fireflyward.platform")
 
 _KIND_BY_NAME = {
@@ -32,7 +34,7 @@
 
 class _Share(_Dashed):
     service: str
-    weight: float = 1
+    weight: Figure = 1
 
 
 class _Route(_Dashed):
@@ -40,18 +42,18 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
+    timeout_ms: Figure
     service: str = ""
     traffic_split: list[_Share] = []
-    target_latency_ms: float = 0
-    priority: int = 5
-    max_attempts: int = 1
+    target_latency_ms: Figure = 0
+    priority: Figure = 5
+    max_attempts: Figure = 1
     allow_anonymous: bool = False
     # Says that requests carry the parts of their prompt, not that a caller keeps
     # to one replica.
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: float = 0
+    gap_target_ms: Figure = 0
 
 
 class _Model(_Dashed):
@@ -59,36 +61,36 @@
 
 
 class _Engine(_Dashed):
-    slots: int
-    kv_capacity_tokens: int
-    kv_token_bytes: float = 0
+    slots: Figure
+    kv_capacity_tokens: Figure
+    kv_token_bytes: Figure = 0
     models: list[_Model] = []
 
 
 class _Service(_Dashed):
     name: str
-    max_connections: int = 0
+    max_connections: Figure = 0
     engine: _Engine | None = None
     # A service with this address is a store of KV cache and has no replicas.
     kv_store_addr: str = ""
     zone: str = ""
-    kv_capacity_tokens: int = 0
-    link_mbps: float = 0
+    kv_capacity_tokens: Figure = 0
+    link_mbps: Figure = 0
     managed: bool = False
-    first_ms: float = msgspec.field(default=0, name="first_ms")
+    first_ms: Figure = msgspec.field(default=0, name="first_ms")
 
 
 class _Limits(_Dashed):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: int = 3_000
-    idle_timeout_ms: int = 15_000
+    max_header_bytes: Figure = 16_384
+    max_body_bytes: Figure = 4_194_304
+    header_timeout_ms: Figure = 3_000
+    idle_timeout_ms: Figure = 15_000
 
 
 class _Account(_Dashed):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Figure | None = None
     isolated: bool = False
 
 
@@ -116,10 +118,10 @@
         routes=tuple(_route(route) for route in raw.routes),
         service_by_name={item.name: _service(item) for item in raw.services},
         limits=Limits(
-            raw.limits.max_header_bytes,
-            raw.limits.max_body_bytes,
-            raw.limits.header_timeout_ms,
-            raw.limits.idle_timeout_ms,
+            whole(raw.limits.max_header_bytes),
+            whole(raw.limits.max_body_bytes),
+            whole(raw.limits.header_timeout_ms),
+            whole(raw.limits.idle_timeout_ms),
         ),
         accounts=accounts,
     )
@@ -132,7 +134,8 @@
 
 
 def _account(raw: _Account) -> ClientAccount:
-    return ClientAccount(raw.name, tuple(raw.api_keys), raw.priority, raw.isolated)
+    priority = None if raw.priority is None else whole(raw.priority)
+    return ClientAccount(raw.name, tuple(raw.api_keys), priority, raw.isolated)
 
 
 def _route(raw: _Route) -> Route:
@@ -141,9 +144,7 @@
         # Running it once at most is safe for any kind.
         log.warning("platform: route %s has unknown kind %s", raw.name, raw.kind)
         kind = RouteKind.NON_IDEMPOTENT
-    shares = [
-        ServiceShare(item.service, int(item.weight)) for item in raw.traffic_split
-    ]
+    shares = [ServiceShare(item.service, item.weight) for item in raw.traffic_split]
     if not shares:
         shares = [ServiceShare(raw.service, 1)]
     return Route(
@@ -151,15 +152,15 @@
         host=raw.host,
         path_prefix=raw.path_prefix,
         kind=kind,
-        timeout_ms=int(raw.timeout_ms),
-        objective_ms=int(raw.target_latency_ms),
-        priority=raw.priority,
-        max_attempts=raw.max_attempts,
+        timeout_ms=whole(raw.timeout_ms),
+        objective_ms=whole(raw.target_latency_ms),
+        priority=whole(raw.priority),
+        max_attempts=whole(raw.max_attempts),
         shares=tuple(shares),
         is_open=raw.allow_anonymous,
         has_prefixes=raw.sticky,
         is_resumable=raw.resumable,
-        pause_ms=int(raw.gap_target_ms),
+        pause_ms=whole(raw.gap_target_ms),
     )
 
 
@@ -167,18 +168,18 @@
     engine = store = None
     if raw.engine is not None:
         engine = EngineShape(
-            raw.engine.slots,
-            raw.engine.kv_capacity_tokens,
-            int(raw.engine.kv_token_bytes),
+            whole(raw.engine.slots),
+            whole(raw.engine.kv_capacity_tokens),
+            whole(raw.engine.kv_token_bytes),
             tuple(model.name for model in raw.engine.models),
         )
     if raw.kv_store_addr:
         store = KvStore(
             raw.kv_store_addr,
             raw.zone,
-            raw.kv_capacity_tokens,
+            whole(raw.kv_capacity_tokens),
             raw.link_mbps,
             raw.first_ms,
             raw.managed,
         )
-    return Service(raw.name, raw.max_connections, engine, store)
+    return Service(raw.name, whole(raw.max_connections), engine, store)
--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -6,6 +6,8 @@
 
 from fireflyward.deployment import Bounds, FleetSettings, StoreLimits
 
+from ._figures import Figure, whole
+
 SETTINGS_VARIABLE = "FIREFLYWARD_BOOT"
 _MS_PER_S = 1_000
 
@@ -24,34 +26,34 @@
 
 
 class _MachineLimits(_Dashed):
-    memory_mb: int
-    link_mbps: float
+    memory_mb: Figure
+    link_mbps: Figure
 
 
 class _Bounds(_Dashed):
     # Rules whose contract is not in force have no figure; these fall back to the
     # figures of the smallest deployments.
-    contact_ms: int = 3_000
-    drain_ms: int = 2_000
-    grace_s: float = 8
-    config_apply_ms: int = 2_000
-    revoke_ms: int = 5_000
+    contact_ms: Figure = 3_000
+    drain_ms: Figure = 2_000
+    grace_s: Figure = 8
+    config_apply_ms: Figure = 2_000
+    revoke_ms: Figure = 5_000
     fail_closed: bool = True
-    retry_budget_ratio: float = 0.2
-    budget_window_s: float = 10
-    budget_extra: int = 50
-    lease_ms: int = 3_000
-    thaw_slack_ms: int = 300
-    version_ms: int = 12_000
-    reuse_window_s: float = 20
+    retry_budget_ratio: Figure = 0.2
+    budget_window_s: Figure = 10
+    budget_extra: Figure = 50
+    lease_ms: Figure = 3_000
+    thaw_slack_ms: Figure = 300
+    version_ms: Figure = 12_000
+    reuse_window_s: Figure = 20
     require_fencing: bool = False
 
 
 class _Platform(_Dashed):
     address: str
-    writes_per_s: float
-    reads_per_s: float
-    history_s: float
+    writes_per_s: Figure
+    reads_per_s: Figure
+    history_s: Figure
 
 
 class _Settings(_Dashed):
@@ -60,9 +62,9 @@
     zone: str
     zones: dict[str, str]
     listen: _Listen
-    internal_ports: tuple[int, int]
+    internal_ports: tuple[Figure, Figure]
     limits: _MachineLimits
-    heartbeat_ms: int
+    heartbeat_ms: Figure
     bounds: _Bounds
     platform: _Platform
 
@@ -75,6 +77,7 @@
         raise BadSettings(f"{path}: {error.strerror}") from error
     except msgspec.MsgspecError as error:
         raise BadSettings(f"{path}: {error}") from error
+    first_port, last_port = raw.internal_ports
     return FleetSettings(
         node=raw.node_name,
         ip=raw.ip,
@@ -82,34 +85,34 @@
         failure_domains=tuple(sorted(raw.zones)),
         callers_address=raw.listen.front,
         readiness_address=raw.listen.readiness,
-        peer_ports=raw.internal_ports,
-        memory_mb=raw.limits.memory_mb,
+        peer_ports=(whole(first_port), whole(last_port)),
+        memory_mb=whole(raw.limits.memory_mb),
         link_mbps=raw.limits.link_mbps,
-        listing_period_ms=raw.heartbeat_ms,
+        listing_period_ms=whole(raw.heartbeat_ms),
         bounds=_bounds(raw.bounds),
         store=StoreLimits(
             address=raw.platform.address,
             writes_per_second=raw.platform.writes_per_s,
             reads_per_second=raw.platform.reads_per_s,
-            history_ms=int(raw.platform.history_s * _MS_PER_S),
+            history_ms=whole(raw.platform.history_s * _MS_PER_S),
         ),
     )
 
 
 def _bounds(raw: _Bounds) -> Bounds:
     return Bounds(
-        contact_ms=raw.contact_ms,
-        drain_ms=raw.drain_ms,
-        grace_ms=int(raw.grace_s * _MS_PER_S),
-        config_apply_ms=raw.config_apply_ms,
-        revoke_ms=raw.revoke_ms,
+        contact_ms=whole(raw.contact_ms),
+        drain_ms=whole(raw.drain_ms),
+        grace_ms=whole(raw.grace_s * _MS_PER_S),
+        config_apply_ms=whole(raw.config_apply_ms),
+        revoke_ms=whole(raw.revoke_ms),
         closes_without_contact=raw.fail_closed,
         retry_ratio=raw.retry_budget_ratio,
-        retry_window_ms=int(raw.budget_window_s * _MS_PER_S),
-        retry_extra=raw.budget_extra,
-        lease_ms=raw.lease_ms,
-        thaw_slack_ms=raw.thaw_slack_ms,
-        version_ms=raw.version_ms,
-        reuse_window_ms=int(raw.reuse_window_s * _MS_PER_S),
+        retry_window_ms=whole(raw.budget_window_s * _MS_PER_S),
+        retry_extra=whole(raw.budget_extra),
+        lease_ms=whole(raw.lease_ms),
+        thaw_slack_ms=whole(raw.thaw_slack_ms),
+        version_ms=whole(raw.version_ms),
+        reuse_window_ms=whole(raw.reuse_window_s * _MS_PER_S),
         checks_fencing=raw.require_fencing,
     )
--- a/fireflyward/routes/_table.py
+++ b/fireflyward/routes/_table.py
@@ -9,6 +9,7 @@
 # A configuration that is older than this may lack a route or a key that was added
 # meanwhile, so their absence is no ground for a final refusal. The feed confirms
 # the configuration about every two seconds.
+_DIGEST_BYTES = 8
 _CERTAIN_MS = 2_900
 # Callers of a node without contact to the store come back after this long; by
 # then the balancer has taken a node out that says it is not ready.
@@ -154,8 +155,8 @@
     total = sum(share.weight for share in route.shares)
     if len(route.shares) == 1 or total <= 0:
         return route.shares[0].service
-    digest = hashlib.blake2b(request_id.encode(), digest_size=8).digest()
-    point = int.from_bytes(digest, "big") % total
+    digest = hashlib.blake2b(request_id.encode(), digest_size=_DIGEST_BYTES).digest()
+    point = int.from_bytes(digest, "big") / (1 << 8 * _DIGEST_BYTES) * total
     for share in route.shares:
         point -= share.weight
         if point < 0:
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -11,6 +11,7 @@
     decode_replica,
     decode_weight_target,
 )
+from tests.platform.figures import figures
 from tests.platform_standins import CONFIGURATION
 
 
@@ -53,6 +54,30 @@
         self.assertEqual(service.kv_store.first_byte_ms, 0.5)
         self.assertTrue(service.kv_store.drops_nothing)
 
+    def test_every_figure_may_have_a_fraction(self):
+        """Symptom: a configuration with a worked-out limit never came into force.
+
+        Cause: fields that took whole numbers only. Versions are names and stay whole.
+        """
+        raw = json.loads(json.dumps(CONFIGURATION))
+        for where in figures(raw):
+            if where[-1] == "version":
+                continue
+            with self.subTest(where=where):
+                changed = json.loads(json.dumps(raw))
+                at = changed
+                for step in where[:-1]:
+                    at = at[step]
+                at[where[-1]] += 0.5
+                decode_configuration(json.dumps(changed).encode())
+
+    def test_shares_below_one_are_not_lost(self):
+        """Symptom: a route split in halves sent all its requests to one service."""
+        shares = [{"service": "a", "weight": 0.5}, {"service": "b", "weight": 0.5}]
+        route = {**CONFIGURATION["routes"][1], "traffic-split": shares}
+        found = self.decode(routes=[route]).routes[0].shares
+        self.assertEqual([share.weight for share in found], [0.5, 0.5])
+
     def test_without_accounts_no_key_is_needed(self):
         self.assertIsNone(self.decode(tenants=None).accounts)
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,8 +6,24 @@
 from pathlib import Path
 
 from fireflyward.platform import BadSettings, load_settings
+from tests.platform.figures import figures
 from tests.platform_standins import settings_text
 
+BOUNDS = (
+    "contact-ms",
+    "drain-ms",
+    "grace-s",
+    "config-apply-ms",
+    "revoke-ms",
+    "retry-budget-ratio",
+    "budget-window-s",
+    "budget-extra",
+    "lease-ms",
+    "thaw-slack-ms",
+    "version-ms",
+    "reuse-window-s",
+)
+
 
 class SettingsTests(unittest.TestCase):
     def load(self, text):
@@ -38,6 +54,44 @@
         with self.assertRaisesRegex(BadSettings, "heartbeat-ms"):
             self.load(text)
 
+    def test_every_figure_may_have_a_fraction(self):
+        """Symptom: no process of a deployment started.
+
+        Its sheet is worked out from ratios, so a bound that is whole elsewhere came
+        as 35.8. Cause: each field had its own type, and some took whole numbers only.
+        """
+        raw = json.loads(settings_text("10.0.0.1:80", (1, 2, 3)))
+        raw["bounds"] |= dict.fromkeys(BOUNDS, 1)
+        for where in figures(raw):
+            with self.subTest(where=where):
+                changed = json.loads(json.dumps(raw))
+                at = changed
+                for step in where[:-1]:
+                    at = at[step]
+                at[where[-1]] += 0.5
+                self.load(json.dumps(changed))
+
+    def test_no_figure_may_be_text_or_below_nought(self):
+        raw = json.loads(settings_text("10.0.0.1:80", (1, 2, 3)))
+        raw["bounds"] |= dict.fromkeys(BOUNDS, 1)
+        for where in figures(raw):
+            for wrong in ("many", -1, None):
+                with self.subTest(where=where, wrong=wrong):
+                    changed = json.loads(json.dumps(raw))
+                    at = changed
+                    for step in where[:-1]:
+                        at = at[step]
+                    at[where[-1]] = wrong
+                    with self.assertRaisesRegex(BadSettings, str(where[0])):
+                        self.load(json.dumps(changed))
+
+    def test_fractions_of_ms_and_counts_are_left_out(self):
+        bounds = {"lease-ms": 2400.5, "budget-extra": 35.8, "grace-s": 2.5}
+        found = self.load(settings_text("10.0.0.1:80", (1, 2, 3), bounds=bounds)).bounds
+        self.assertEqual(
+            (found.lease_ms, found.retry_extra, found.grace_ms), (2_400, 35, 2_500)
+        )
+
     def test_a_missing_file_is_named(self):
         with self.assertRaisesRegex(BadSettings, "nowhere"):
             load_settings("/nowhere/settings")
--- a/tests/routes/test_table.py
+++ b/tests/routes/test_table.py
@@ -98,3 +98,9 @@
         again = [self.decide(request_id=f"r{n}").service for n in range(1_000)]
         self.assertEqual(drawn, again)
         self.assertTrue(60 < drawn.count("y") < 140, drawn.count("y"))
+
+    def test_shares_below_one_are_drawn_like_others(self):
+        shares = (ServiceShare("x", 0.45), ServiceShare("y", 0.05))
+        self.table.take(configuration(2, (route("/a/", shares=shares),)))
+        drawn = [self.decide(request_id=f"r{n}").service for n in range(1_000)]
+        self.assertTrue(60 < drawn.count("y") < 140, drawn.count("y"))
