--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PYTHON = $(VENV)/bin/python
 STAMP = $(VENV)/.installed
 
-.PHONY: run test settings-page faults fuzz long-run bench format clean
+.PHONY: run test structs settings-page faults fuzz long-run bench format clean
 
 $(STAMP): requirements.txt requirements-dev.txt pyproject.toml
 	test -x $(PYTHON) || python3 -m venv $(VENV)
@@ -23,6 +23,10 @@
 	$(PYTHON) -m fireflyward bench --report build/report
 	$(PYTHON) -m benchmarks.entry_cost
 
+structs: $(STAMP)
+	$(PYTHON) -m fireflyward.peers
+	$(PYTHON) -m ruff format -q fireflyward
+
 settings-page: $(STAMP)
 	$(PYTHON) -m fireflyward settings --reference > docs/SETTINGS.md
 
--- a/fireflyward/backing/__init__.py
+++ b/fireflyward/backing/__init__.py
@@ -1,15 +1,8 @@
 """What the platform gives: table service, object store, weights, list of VMs."""
 
-from ._breaker import Breaker
-from ._budget import Budget
-from ._guard import (
-    Guard,
-    GuardedObjects,
-    GuardedTable,
-    GuardedVms,
-    GuardedWeights,
-)
-from ._http import HttpObjects, HttpTable, HttpVms, HttpWeights
+from importlib import import_module
+from typing import TYPE_CHECKING, Any
+
 from ._messages import (
     Committed,
     Conflict,
@@ -23,6 +16,42 @@
 )
 from ._protocols import Objects, Table, Vms, Weights
 
+if TYPE_CHECKING:
+    from ._breaker import Breaker
+    from ._budget import Budget
+    from ._guard import (
+        Guard,
+        GuardedObjects,
+        GuardedTable,
+        GuardedVms,
+        GuardedWeights,
+    )
+    from ._http import HttpObjects, HttpTable, HttpVms, HttpWeights
+
+# Guards and HTTP clients bring sessions and connection watches with them; whoever
+# only needs the messages, as a fleet's node does, does not pay for those at its start.
+_LATE = {
+    "Breaker": "._breaker",
+    "Budget": "._budget",
+    "Guard": "._guard",
+    "GuardedObjects": "._guard",
+    "GuardedTable": "._guard",
+    "GuardedVms": "._guard",
+    "GuardedWeights": "._guard",
+    "HttpObjects": "._http",
+    "HttpTable": "._http",
+    "HttpVms": "._http",
+    "HttpWeights": "._http",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Import a guard or a client when it is first asked for."""
+    if name not in _LATE:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    return getattr(import_module(_LATE[name], __name__), name)
+
+
 __all__ = [
     "Breaker",
     "Budget",
--- a/fireflyward/bundles/_exchange.py
+++ b/fireflyward/bundles/_exchange.py
@@ -3,14 +3,16 @@
 import asyncio
 from collections import deque
 from collections.abc import Awaitable, Callable
-from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from fireflyward.peers import load_structs
-
 from ._bundle import BundleError
+from ._bundle_structs import (
+    ChangesReply,
+    WholeReply,
+    WholeRequest,
+)
 from ._signing import SignedBundle
 from ._state import BundleState
 from ._store import Whole, decode_signed, encode_signed
@@ -24,14 +26,6 @@
 WHOLE_KIND = "bundle.whole"
 STATE_KIND = "bundle.state"
 
-_structs = load_structs(Path(__file__).parent, "bundle")
-BundleNews = _structs.BundleNews
-ChangesRequest = _structs.ChangesRequest
-ChangesReply = _structs.ChangesReply
-WholeRequest = _structs.WholeRequest
-WholeReply = _structs.WholeReply
-StateRequest = _structs.StateRequest
-StateReply = _structs.StateReply
 
 AskPage = Callable[[Any], Awaitable[Any]]
 
--- a/fireflyward/bundles/messages.py
+++ b/fireflyward/bundles/messages.py
@@ -1,10 +1,6 @@
 """The messages between nodes that concern bundles."""
 
-from ._exchange import (
-    CHANGES_KIND,
-    NEWS_KIND,
-    STATE_KIND,
-    WHOLE_KIND,
+from ._bundle_structs import (
     BundleNews,
     ChangesReply,
     ChangesRequest,
@@ -13,6 +9,7 @@
     WholeReply,
     WholeRequest,
 )
+from ._exchange import CHANGES_KIND, NEWS_KIND, STATE_KIND, WHOLE_KIND
 
 __all__ = [
     "CHANGES_KIND",
--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -3,22 +3,20 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.backing import Unavailable
 from fireflyward.clock import Clock, within_ms
-from fireflyward.peers import CallFailed, PeerLink, load_structs
+from fireflyward.peers import CallFailed, PeerLink
 
 from ._copy import TableCopy
+from ._feeds_structs import FeedAnswer, FeedAsk, FeedRow
 from ._follower import Followed, TableReader, proven_ms
 from ._messages import Changes, HistoryLost, Snapshot, TableRow
 
 log = logging.getLogger("fireflyward.feeds")
 
-_structs = load_structs(Path(__file__).parent, "feeds")
-FeedAsk, FeedAnswer, FeedRow = _structs.FeedAsk, _structs.FeedAnswer, _structs.FeedRow
 
 _KIND = "feed"
 _CHANGES, _LOST, _UNABLE = "changes", "history lost", "unable"
--- a/fireflyward/fleet/__main__.py
+++ b/fireflyward/fleet/__main__.py
@@ -1,43 +1,17 @@
 """Runs one node of a fleet on the users' platform until SIGTERM."""
 
-import asyncio
-import gc
-import os
-import signal
 import sys
 
-from fireflyward.clock import Clock
-from fireflyward.deployment import FleetSettings
-from fireflyward.platform import SETTINGS_VARIABLE, BadSettings, load_settings
-
-from ._logs import set_up_lines
-from ._node import run_node
-from ._settings_watch import SettingsWatch
-
-_BAD_SETTINGS = 2
+from ._light_imports import leave_out_authorities
 
 
 def main() -> int:
     """Return 0 after a planned stop, 2 for settings that are wrong."""
-    path = os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        settings = load_settings(path)
-    except BadSettings as error:
-        print(f"fireflyward: settings: {error}", file=sys.stderr)
-        return _BAD_SETTINGS
-    set_up_lines(Clock())
-    asyncio.run(_run(settings, path))
-    return 0
-
+    leave_out_authorities()
+    # Imports the HTTP library, which the line before is for.
+    from ._process import run_process
 
-async def _run(settings: FleetSettings, path: str) -> None:
-    stop = asyncio.Event()
-    changed = SettingsWatch(path, clock=Clock())
-    loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGTERM, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, changed.signal)
-    gc.freeze()
-    await run_node(settings, stop, changed)
+    return run_process()
 
 
 if __name__ == "__main__":
--- a/fireflyward/kept/_look_up.py
+++ b/fireflyward/kept/_look_up.py
@@ -2,20 +2,16 @@
 
 from collections import OrderedDict
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from fireflyward.membership import Member
-from fireflyward.peers import CallFailed, PeerLink, load_structs
+from fireflyward.peers import CallFailed, PeerLink
 
 from ._index import INDEX_STRIDE, HeldRun, PrefixIndex, entries_of, runs_at
+from ._kept_structs import Found, LookUp
 from ._owners import SMALL_DOMAIN, holders_of
 from ._stores import shard_of
 
-_structs = load_structs(Path(__file__).parent, "kept")
-LookUp = _structs.LookUp
-Found = _structs.Found
-
 KIND = "kept.look_up"
 _LIMIT_S = 0.02
 _REMEMBERED = 4_096
--- a/fireflyward/leaving/_task.py
+++ b/fireflyward/leaving/_task.py
@@ -3,19 +3,18 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from fireflyward.backing import VmList, Vms
 from fireflyward.clock import Clock
 from fireflyward.membership import Members, owners_of
-from fireflyward.peers import PeerLink, load_structs
+from fireflyward.peers import PeerLink
 
+from ._leaving_structs import LeavingNews
 from ._signs import LeavingSigns
 
 log = logging.getLogger("fireflyward.leaving")
 
-LeavingNews = load_structs(Path(__file__).parent, "leaving").LeavingNews
 _KIND = "leaving"
 _OFTEN_MS = 1_000
 _SELDOM_MS = 10_000
--- a/fireflyward/limits/_account_shares.py
+++ b/fireflyward/limits/_account_shares.py
@@ -3,14 +3,9 @@
 import hashlib
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from pathlib import Path
 from typing import Any
 
-from fireflyward.peers import load_structs
-
-_structs = load_structs(Path(__file__).parent, "limits")
-Demand = _structs.Demand
-Tally = _structs.Tally
+from ._limits_structs import Demand, Tally
 
 _PERIOD_MS = 2_000
 _FRESH_MS = 6_000
--- a/fireflyward/membership/__init__.py
+++ b/fireflyward/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from ._members import Address, Member, Members, MemberState
 from ._membership import Membership
+from ._membership_structs import Packet as PacketStruct
 from ._messages import (
     Action,
     AddressKnown,
@@ -25,7 +26,7 @@
 from ._probing import Timings
 from ._rendezvous import SteadyMembers, owner_of, owners_of
 from ._task import MembershipTask
-from ._wire import PacketStruct, from_struct, to_struct
+from ._wire import from_struct, to_struct
 
 __all__ = [
     "Action",
--- a/fireflyward/membership/_task.py
+++ b/fireflyward/membership/_task.py
@@ -13,6 +13,7 @@
 
 from ._members import Address, Members, MemberState
 from ._membership import Membership
+from ._membership_structs import Packet as PacketStruct
 from ._messages import (
     Action,
     AddressKnown,
@@ -29,7 +30,7 @@
     Tick,
 )
 from ._probing import Timings
-from ._wire import PacketStruct, from_struct, to_struct
+from ._wire import from_struct, to_struct
 
 log = logging.getLogger("fireflyward.membership")
 
--- a/fireflyward/membership/_wire.py
+++ b/fireflyward/membership/_wire.py
@@ -1,15 +1,11 @@
 """Membership datagrams as Thrift structs."""
 
-from pathlib import Path
 from typing import Any
 
-from fireflyward.peers import load_structs
-
+from . import _membership_structs as structs
 from ._members import Member, MemberState
 from ._messages import DomainAge, DomainDigest, Packet, PacketKind
 
-_structs = load_structs(Path(__file__).parent, "membership")
-PacketStruct = _structs.Packet
 _MAX_AGE_MS = 2**31 - 1
 _NO_ADDRESS = ("", 0)
 _MAX_PORT = 65_535
@@ -17,23 +13,21 @@
 
 def to_struct(packet: Packet) -> Any:
     """Return a datagram's Thrift struct; what is empty is left out."""
-    return PacketStruct(
+    return structs.Packet(
         kind=packet.kind,
         sender=_to_row(packet.sender),
         number=packet.number or None,
         target=packet.target or None,
         rows=[_to_row(row) for row in packet.rows] or None,
         ages=[
-            _structs.DomainAge(
+            structs.DomainAge(
                 failure_domain=age.failure_domain, age_ms=min(age.age_ms, _MAX_AGE_MS)
             )
             for age in packet.ages
         ]
         or None,
         digests=[
-            _structs.DomainDigest(
-                failure_domain=item.failure_domain, digest=item.digest
-            )
+            structs.DomainDigest(failure_domain=item.failure_domain, digest=item.digest)
             for item in packet.digests
         ]
         or None,
@@ -63,13 +57,13 @@
     place = None
     if member.failure_domain:
         host, port = member.address
-        place = _structs.Place(
+        place = structs.Place(
             host=host,
             port=port,
             failure_domain=member.failure_domain,
             region=member.region,
         )
-    return _structs.Row(
+    return structs.Row(
         name=member.name,
         incarnation=member.incarnation,
         state=member.state,
--- a/fireflyward/peers/__init__.py
+++ b/fireflyward/peers/__init__.py
@@ -1,7 +1,8 @@
 """Messages between nodes: Thrift in authenticated frames over UDP and TCP."""
 
-from ._codec import Envelope, PeerCodec, load_structs, pack, unpack
+from ._codec import PeerCodec, pack, unpack
 from ._link import Address, CallFailed, PeerLink
+from ._node_structs import Envelope
 
 __all__ = [
     "Address",
@@ -9,7 +10,6 @@
     "Envelope",
     "PeerCodec",
     "PeerLink",
-    "load_structs",
     "pack",
     "unpack",
 ]
--- a/fireflyward/peers/_codec.py
+++ b/fireflyward/peers/_codec.py
@@ -2,33 +2,17 @@
 
 import hashlib
 import hmac
-from pathlib import Path
-from types import ModuleType
 from typing import Any
 
-import thriftpy2
 from thriftpy2.protocol.cybin import TCyBinaryProtocolFactory
 from thriftpy2.thrift import TPayload
 from thriftpy2.utils import deserialize, serialize
 
+from ._node_structs import Envelope
+
 TAG_BYTES = 16
 MAX_FRAME_BYTES = 4 << 20
 _FACTORY = TCyBinaryProtocolFactory()
-
-
-def load_structs(directory: str | Path, name: str) -> ModuleType:
-    """Load ``name``.thrift beside a module and return its structs.
-
-    thriftpy2 reads the definition when the process starts, so nothing is
-    generated and nothing generated can be out of date.
-    """
-    path = Path(directory) / f"{name}.thrift"
-    return thriftpy2.load(str(path), module_name=f"{name}_thrift")
-
-
-_structs = load_structs(Path(__file__).parent, "node")
-Envelope = _structs.Envelope
-Behind = _structs.Behind
 _OPEN_KEY = b"\0" * TAG_BYTES
 
 
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -11,7 +11,8 @@
 
 from fireflyward.observe import hop
 
-from ._codec import MAX_FRAME_BYTES, Behind, Envelope, PeerCodec, pack, unpack
+from ._codec import MAX_FRAME_BYTES, PeerCodec, pack, unpack
+from ._node_structs import Behind, Envelope
 from ._replay import Freshness, ReplayGuard
 
 log = logging.getLogger("fireflyward.peers")
--- a/fireflyward/prefixes/_telling.py
+++ b/fireflyward/prefixes/_telling.py
@@ -1,19 +1,15 @@
 """Events of stores, as an aggregator tells the nodes of its failure domain."""
 
 from collections.abc import Callable, Iterable, Iterator
-from pathlib import Path
 from typing import Any
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
-from fireflyward.peers import PeerLink, load_structs
+from fireflyward.peers import PeerLink
 
 from ._follow import Following, StoreFollower
 from ._index import KvEvent, KvNews, PartKey
-
-_structs = load_structs(Path(__file__).parent, "prefixes")
-StoreEvents = _structs.StoreEvents
-StoresNews = _structs.StoresNews
+from ._prefixes_structs import StoreEvents, StoresNews
 
 _KIND = "stores"
 # How often an aggregator tells what it read; a prompt that comes back sooner is read
--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -3,21 +3,18 @@
 import logging
 from collections.abc import Iterable, Iterator
 from itertools import islice
-from pathlib import Path
 from typing import Any
 
 from fireflyward.aggregators import Aggregators, Member
 from fireflyward.clock import Clock
-from fireflyward.peers import PeerLink, load_structs
+from fireflyward.peers import PeerLink
 
 from ._directory import ReplicaDirectory
+from ._replicas_structs import UnderWayNews, UnderWaySum
 from ._under_way import PeerUnderWay, Told, UnderWay
 
 log = logging.getLogger("fireflyward.aggregators")
 
-_structs = load_structs(Path(__file__).parent, "replicas")
-UnderWayNews = _structs.UnderWayNews
-UnderWaySum = _structs.UnderWaySum
 
 _NEWS, _SUM = "under way", "under way in all"
 # How often a node tells of changes: a prompt takes 5 to 100 ms to read, so older
--- a/fireflyward/routes/_table.py
+++ b/fireflyward/routes/_table.py
@@ -6,10 +6,10 @@
 from fireflyward.deployment import ClientAccount, Configuration, Route
 from fireflyward.outcomes import NotRun, Reason
 
+_DIGEST_BYTES = 8
 # A configuration that is older than this may lack a route or a key that was added
 # meanwhile, so their absence is no ground for a final refusal. The feed confirms
 # the configuration about every two seconds.
-_DIGEST_BYTES = 8
 _CERTAIN_MS = 2_900
 # Callers of a node without contact to the store come back after this long; by
 # then the balancer has taken a node out that says it is not ready.
--- a/fireflyward/routing/_load_codec.py
+++ b/fireflyward/routing/_load_codec.py
@@ -3,13 +3,11 @@
 import hashlib
 from collections.abc import Iterable
 from dataclasses import dataclass, replace
-from pathlib import Path
 from typing import Any
 
-from fireflyward.peers import load_structs
 from fireflyward.upstreams import LoadReport
 
-LoadNews = load_structs(Path(__file__).parent, "loads").LoadNews
+from ._loads_structs import LoadNews
 
 _SMALL_BYTES = 5
 _MOST_SMALL = 255
--- a/fireflyward/weights/_news.py
+++ b/fireflyward/weights/_news.py
@@ -1,16 +1,13 @@
 """What the node that orders loads tells the others."""
 
 from collections.abc import Callable
-from pathlib import Path
 from typing import Any
 
 from fireflyward.clock import Clock
-from fireflyward.peers import PeerLink, load_structs
+from fireflyward.peers import PeerLink
 from fireflyward.replicas import ReplicaDirectory
 
-_structs = load_structs(Path(__file__).parent, "weights")
-LoadingNews = _structs.LoadingNews
-LoadedNews = _structs.LoadedNews
+from ._weights_structs import LoadedNews, LoadingNews
 
 _LOADING, _LOADED = "loading", "loaded"
 # Names of replicas take some 16 bytes; a datagram holds 1,400.
