Read the platform's tables once for all domains, and the list of nodes as one of them

The list of nodes is a table like the others; one node draws the key. A row of the list of nodes that cannot be read names no node (it ended the process), and a key that no node drew is replaced.

--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -1,50 +1,141 @@
-"""Which node is among the first for a duty."""
+"""The table of nodes: who is listed, who writes, who is first for a duty."""
 
 import unittest
 
 import msgspec
 
-from fireflyward.feeds import Snapshot, TableRow
+from fireflyward.backing import Committed
+from fireflyward.feeds import Followed, TableRow
 from fireflyward.fleet._peers import NodeRow, PeerRegister
 
+KEY = TableRow("key", b"k" * 32, 1)
+
+
+def listed(name, row, version=2):
+    return TableRow(f"node/{name}", msgspec.json.encode(row), version)
+
 
 class _Store:
-    def __init__(self, rows):
-        self.table = Snapshot(
-            (
-                TableRow("key", b"k" * 32, 1),
-                *(
-                    TableRow(f"node/{name}", msgspec.json.encode(row), 2)
-                    for name, row in rows.items()
-                ),
-            ),
-            2,
-        )
-
-    async def rows(self, table):
-        return self.table
-
-
-class DutyTests(unittest.IsolatedAsyncioTestCase):
-    async def first(self, rows, count):
-        names = []
-        for name, row in rows.items():
-            register = PeerRegister(_Store(rows), name)
-            register.announce(row)
-            await register.refresh()
-            if register.is_among_first(count, "duty"):
-                names.append(name)
-        return names
-
-    async def test_all_nodes_agree(self):
+    """Takes every write and remembers it."""
+
+    def __init__(self):
+        self.writes = []
+
+    async def write(self, *, table, part, expected, puts, deletes=()):
+        self.writes.append((expected, puts))
+        return Committed(dict.fromkeys(puts, 9))
+
+
+def register(name, rows, *, own=None, store=None):
+    found = PeerRegister(store or _Store(), name)
+    if own is not None:
+        found.announce(own)
+    found.on_news(Followed(tuple(rows), True, 0))
+    return found
+
+
+class DutyTests(unittest.TestCase):
+    def first(self, rows, count):
+        table = [KEY, *(listed(name, row) for name, row in rows.items())]
+        return [
+            name
+            for name, row in rows.items()
+            if register(name, table, own=row).is_among_first(count, "duty")
+        ]
+
+    def test_all_nodes_agree(self):
         rows = {f"n{i}": NodeRow("10.0.0.1", i, "a", 100) for i in range(9)}
-        self.assertEqual(len(await self.first(rows, 3)), 3)
+        self.assertEqual(len(self.first(rows, 3)), 3)
 
-    async def test_the_widest_links_come_first(self):
+    def test_the_widest_links_come_first(self):
         """Symptom: orders to load weights time out at the node that gives them.
 
         Its link carried 10 Mbit/s, a twentieth of another node's.
         """
         rows = {f"n{i}": NodeRow("10.0.0.1", i, "a", 10) for i in range(9)}
         rows |= {f"w{i}": NodeRow("10.0.0.2", i, "a", 200) for i in range(2)}
-        self.assertLessEqual({"w0", "w1"}, set(await self.first(rows, 3)))
+        self.assertLessEqual({"w0", "w1"}, set(self.first(rows, 3)))
+
+
+class WritingTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = _Store()
+        self.own = NodeRow("10.0.0.1", 7, "a", 100)
+
+    async def test_a_new_node_writes_its_row_and_nothing_else(self):
+        found = register("n0", [KEY], own=self.own, store=self.store)
+        await found.write_missing(0)
+        (expected, puts), *others = self.store.writes
+        self.assertEqual((expected, others), ({"node/n0": 0}, []))
+        self.assertEqual(msgspec.json.decode(puts["node/n0"], type=NodeRow), self.own)
+
+    async def test_a_node_that_starts_again_writes_nothing(self):
+        table = [KEY, listed("n0", self.own)]
+        found = register("n0", table, own=self.own, store=self.store)
+        await found.write_missing(0)
+        self.assertEqual(self.store.writes, [])
+        self.assertTrue(found.is_complete)
+
+    async def test_of_nodes_that_start_together_one_draws_the_key(self):
+        """Symptom: the first start of 195 nodes takes the store two seconds.
+
+        Each node wrote a key, which the store does for one part one after the other.
+        """
+        rows = {f"n{i}": NodeRow("10.0.0.1", i, "a", 100) for i in range(9)}
+        table = [listed(name, row) for name, row in rows.items()]
+        for name, row in rows.items():
+            found = register(name, table, own=row, store=self.store)
+            await found.write_missing(0)
+        keys = [puts for _, puts in self.store.writes if "key" in puts]
+        self.assertEqual(len(keys), 1)
+
+    async def test_the_others_draw_a_key_if_the_first_does_not(self):
+        rows = {f"n{i}": NodeRow("10.0.0.1", i, "a", 100) for i in range(3)}
+        table = [listed(name, row) for name, row in rows.items()]
+        for name, row in rows.items():
+            found = register(name, table, own=row, store=self.store)
+            await found.write_missing(0)
+            await found.write_missing(1_500)
+        keys = [puts for _, puts in self.store.writes if "key" in puts]
+        self.assertEqual(len(keys), 4)
+
+
+class ForeignRowTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_row_of_another_writer_names_no_node(self):
+        """Symptom: all processes end and end again.
+
+        A row of the table of nodes could not be read, which raised an error in a
+        task that no process goes on without.
+        """
+        rows = {"n1": NodeRow("10.0.0.1", 1, "a", 100)}
+        table = [KEY, listed("n1", rows["n1"])]
+        for number, value in enumerate((b"", b"\xff", b"[]", b'{"ip": 7}', b"null")):
+            table.append(TableRow(f"node/x{number}", value, 3))
+        table.append(TableRow("other", b"{}", 3))
+        with self.assertLogs("fireflyward.peers", "ERROR"):
+            found = register("n0", table)
+        self.assertEqual([member.name for member in found.others()], ["n1"])
+
+    async def test_a_row_that_becomes_unreadable_is_not_used_any_more(self):
+        row = NodeRow("10.0.0.1", 1, "a", 100)
+        found = register("n0", [KEY, listed("n1", row)])
+        with self.assertLogs("fireflyward.peers", "ERROR"):
+            news = (TableRow("node/n1", b"no row", 3),)
+            found.on_news(Followed(news, False, 0))
+        self.assertEqual(found.others(), [])
+
+    async def test_a_key_that_no_node_drew_is_replaced(self):
+        """Symptom: whoever can write the table can speak as any node.
+
+        An empty key seals nothing, and was taken like any other.
+        """
+        store = _Store()
+        own = NodeRow("10.0.0.1", 1, "a", 100)
+        with self.assertLogs("fireflyward.peers", "ERROR"):
+            table = [TableRow("key", b"", 5), listed("n0", own)]
+            found = register("n0", table, own=own, store=store)
+        self.assertIsNone(found.key)
+        await found.write_missing(0)
+        ((expected, puts),) = store.writes
+        self.assertEqual(expected, {"key": 5})
+        self.assertEqual(len(puts["key"]), 32)
