Tell starts of replicas apart, and let no foreign bytes end a process

Cause: a replica may start again under its name, empty, told only by born, which nothing read: its former weights, pace, suspicion and work under way were believed on. An entry of another writer counted as ready, stayed in use where it came as a change, and unreadable rows of our own tables, unreadable events and lists of KV stores and a 410 to a whole reading ended the process (the last found by the new fuzz test). Change: born is decoded into started_ms of entries and reports; a start has a number, by which nodes tell loads and work under way, which the plan of loads, the janitor and attempts go by, so that late word of a former start meets nobody. Every decode of rows and answers gives a value or nothing; an entry with a field missing, a state or a service that is not named, or no address names no replica and goes at once. Tests failed first for each belief, kind of entry and answer (tests/replicas/test_directory, tests/platform, tests/fuzz/test_platform_answers, tests/fleet/test_whole_path).

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -12,7 +12,7 @@
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock, within_ms
-from fireflyward.deployment import FleetSettings
+from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import FeedFollower, Pace, SharedTables
 from fireflyward.forwarding import Forwarder, WeightBook
 from fireflyward.http1 import ConnectionPool
@@ -130,7 +130,7 @@
             clock=clock,
             routes=self._routes,
             weights=self._weights,
-            on_configuration=lambda configuration: self._stores.take(configuration),
+            on_configuration=self._on_configuration,
         )
         self._replicas = ReplicaView(
             clock=clock, directory=self._directory, pool=self._pool
@@ -303,12 +303,16 @@
     def _on_lease(self, change: Gained | Lost) -> None:
         self._weight_task.on_change(change)
 
-    def _used_weights(self) -> dict[tuple[str, int], set[str]]:
-        """Return the replicas that may have each (model, version)."""
-        used: dict[tuple[str, int], set[str]] = {}
+    def _on_configuration(self, configuration: Configuration) -> None:
+        self._directory.set_services(configuration.service_by_name)
+        self._stores.take(configuration)
+
+    def _used_weights(self) -> dict[tuple[str, int], set[int]]:
+        """Return the starts of replicas that may have each (model, version)."""
+        used: dict[tuple[str, int], set[int]] = {}
         for state in self._directory.all():
             for weights in state.weights_it_may_have():
-                used.setdefault(weights, set()).add(state.entry.incarnation)
+                used.setdefault(weights, set()).add(state.number)
         return used
 
     def _configuration_pace(self) -> Pace:
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -1,9 +1,7 @@
 """Turns news of the platform's tables into what this node believes."""
 
 import logging
-from collections.abc import Callable
-
-import msgspec
+from collections.abc import Callable, Iterable
 
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, ReplicaEntry
@@ -46,28 +44,33 @@
     def on_news(self, news: Followed) -> None:
         """Put newer rows in force and note how fresh the configuration is."""
         for row in news.rows:
-            try:
+            if not row.is_deleted:
                 self._take(row, at_start=not self._has_begun)
-            except msgspec.MsgspecError as error:
-                # The store takes only valid rows, so this one is of a newer
-                # format; what is in force stays.
-                log.error("views: row %s is not understood: %s", row.key, error)
         self._has_begun = True
         self._routes.confirm(news.as_of_ms)
 
     def _take(self, row: TableRow, *, at_start: bool) -> None:
-        if row.is_deleted:
-            return
         if row.key == CONFIGURATION_KEY:
-            configuration = decode_configuration(row.value)
-            if self._routes.take(configuration):
-                log.info("views: configuration %d in force", configuration.version)
-                self._on_configuration(configuration)
+            self._take_configuration(row)
         elif row.key.startswith(WEIGHTS_PREFIX):
-            target = decode_weight_target(row.value)
-            now_ms = self._clock.now_ms()
-            if self._weights.take(now_ms, target, at_start=at_start):
-                log.info("views: %s named for %s", target.version, target.model)
+            self._take_target(row, at_start=at_start)
+
+    def _take_configuration(self, row: TableRow) -> None:
+        configuration = decode_configuration(row.value)
+        if configuration is None:
+            # The store takes only valid rows, so this one is of a newer format;
+            # what is in force stays.
+            log.error("views: row %s is not understood", row.key)
+        elif self._routes.take(configuration):
+            log.info("views: configuration %d in force", configuration.version)
+            self._on_configuration(configuration)
+
+    def _take_target(self, row: TableRow, *, at_start: bool) -> None:
+        target = decode_weight_target(row.value)
+        if target is None:
+            log.error("views: row %s is not understood", row.key)
+        elif self._weights.take(self._clock.now_ms(), target, at_start=at_start):
+            log.info("views: %s named for %s", target.version, target.model)
 
 
 class ReplicaView:
@@ -87,8 +90,7 @@
         now_ms = self._clock.now_ms()
         if news.away_ms:
             self._outage_end_ms = now_ms
-        entries = [entry for row in news.rows if (entry := _decoded(row))]
-        removed = [row.key for row in news.rows if row.is_deleted]
+        entries, removed, foreign = _sorted_out(news.rows)
         after_outage = (
             self._outage_end_ms is not None
             and now_ms - self._outage_end_ms < _AFTER_OUTAGE_MS
@@ -99,16 +101,24 @@
             gone = self._directory.on_changes(
                 now_ms, entries, removed, after_outage=after_outage
             )
+        gone += self._directory.drop(foreign)
         self.is_known = True
         for state in [*gone, *self._directory.expire(now_ms)]:
             self._pool.forget(state.entry.address)
 
 
-def _decoded(row: TableRow) -> ReplicaEntry | None:
-    if row.is_deleted:
-        return None
-    try:
-        return decode_replica(row.key, row.value)
-    except msgspec.MsgspecError as error:
-        log.error("views: entry of %s is not understood: %s", row.key, error)
-        return None
+def _sorted_out(
+    rows: Iterable[TableRow],
+) -> tuple[list[ReplicaEntry], list[str], list[str]]:
+    """Return the entries of replicas, removed names, and names of unknown writers."""
+    entries, removed, foreign = [], [], []
+    for row in rows:
+        entry = None if row.is_deleted else decode_replica(row.key, row.value)
+        if entry is not None:
+            entries.append(entry)
+        elif row.is_deleted:
+            removed.append(row.key)
+        else:
+            log.error("views: entry of %s names no replica", row.key)
+            foreign.append(row.key)
+    return entries, removed, foreign
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -100,7 +100,7 @@
             caller, allowed, planner=tools.planner, weights=tools.weights
         )
         self._sent_ms = arrived_ms
-        self._tried: set[str] = set()
+        self._tried: set[int] = set()
         self._plan = AttemptPlan(
             max_attempts=allowed.route.max_attempts,
             may_repeat=allowed.route.may_repeat,
@@ -160,7 +160,7 @@
         )
         if isinstance(connection, NotConnected):
             replica.on_trouble(self._clock.now_ms())
-            self._tried.add(replica.entry.incarnation)
+            self._tried.add(replica.number)
             self._end_late_wait(None)
             return Unsent(connection.detail)
         return await self._send_on(connection, choice)
@@ -214,7 +214,7 @@
         self._sent_ms = self._clock.now_ms()
         self._trace.sends += 1
         self._trace.stored_tokens = headers.stored_tokens
-        self._tried.add(replica.entry.incarnation)
+        self._tried.add(replica.number)
         try:
             connection.send(
                 self._caller.method,
@@ -269,7 +269,7 @@
             return Rejected(RejectedBecause.FULL)
         is_same = facts.incarnation == replica.entry.incarnation
         if is_same and choice.weights is not None:
-            self._tried.discard(replica.entry.incarnation)
+            self._tried.discard(replica.number)
             self._correct_weights(replica, choice, facts)
             return Rejected(RejectedBecause.OTHER_WEIGHTS)
         replica.on_trouble(now_ms)
--- a/fireflyward/leases/_lease.py
+++ b/fireflyward/leases/_lease.py
@@ -1,5 +1,6 @@
 """The decisions of one process about one lease."""
 
+import logging
 import uuid
 from dataclasses import dataclass, replace
 from functools import singledispatchmethod
@@ -27,6 +28,8 @@
     WriteRow,
 )
 
+log = logging.getLogger("fireflyward.leases")
+
 # Two machines' monotonic clocks may run at rates that differ; a contender waits
 # this much longer than the holder believes, which covers 5% between them.
 _RATE_MARGIN = 20
@@ -279,4 +282,11 @@
 def _parse(result: Row | Missing) -> tuple[LeaseRow | None, int]:
     if isinstance(result, Missing):
         return None, 0
-    return msgspec.json.decode(result.value, type=LeaseRow), result.version
+    try:
+        return msgspec.json.decode(result.value, type=LeaseRow), result.version
+    except (msgspec.MsgspecError, UnicodeDecodeError):
+        # Somebody else wrote it. Who held the lease may believe so for its length
+        # still, so it counts as held; a number that no holder can have had yet is
+        # the version of the row, which grew by each of their writes.
+        log.error("leases: the row %s is not understood", result.key)
+        return LeaseRow("", "", result.version), result.version
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -17,6 +17,7 @@
     WeightTarget,
 )
 
+from ._decoding import decoded
 from ._figures import Figure, whole
 
 log = logging.getLogger("fireflyward.platform")
@@ -107,9 +108,11 @@
     version: int
 
 
-def decode_configuration(value: bytes) -> Configuration:
-    """Decode the configuration row; raise ``msgspec.MsgspecError`` if it is not."""
-    raw = msgspec.json.decode(value, type=_Configuration)
+def decode_configuration(value: bytes) -> Configuration | None:
+    """Decode the configuration row; None for bytes that are no configuration."""
+    raw = decoded(value, _Configuration)
+    if raw is None:
+        return None
     accounts = None
     if raw.tenants is not None:
         accounts = tuple(_account(tenant) for tenant in raw.tenants)
@@ -127,10 +130,10 @@
     )
 
 
-def decode_weight_target(value: bytes) -> WeightTarget:
-    """Decode the row that names new weights of a model."""
-    raw = msgspec.json.decode(value, type=_WeightTarget)
-    return WeightTarget(raw.model, raw.version)
+def decode_weight_target(value: bytes) -> WeightTarget | None:
+    """Decode the row that names new weights of a model; None if it is none."""
+    raw = decoded(value, _WeightTarget)
+    return None if raw is None else WeightTarget(raw.model, raw.version)
 
 
 def _account(raw: _Account) -> ClientAccount:
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -2,6 +2,7 @@
 
 import logging
 from dataclasses import dataclass
+from typing import TypeVar
 
 import msgspec
 
@@ -15,6 +16,8 @@
 )
 from fireflyward.prefixes import KvEvent, KvNews, PartKey
 
+from ._decoding import decoded
+
 log = logging.getLogger("fireflyward.platform")
 
 _REPORT = "/-/report"
@@ -22,6 +25,7 @@
 _KV_EVENTS = "/-/kv-events"
 _KV_LIST = "/-/kv-list"
 _KV_FREE = "/-/kv-free"
+T = TypeVar("T")
 _ACCEPTED = 202
 _ALREADY = 200
 
@@ -30,7 +34,8 @@
 class ReplicaReport:
     """A replica's own word, some hundred ms old.
 
-    ``orders`` counts the orders that it has accepted since its start.
+    ``orders`` counts the orders that it has accepted since its start, which was at
+    ``started_ms`` by its wall clock, 0 if it does not say.
     """
 
     is_loading: bool
@@ -38,6 +43,7 @@
     running: int
     waiting: int
     version_by_model: dict[str, int]
+    started_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,6 +66,8 @@
     queued: int = 0
     active: int = 0
     models: list[_Model] = []
+    # The wall clock at the start of the replica, in ms.
+    born: int = 0
 
 
 class _KvEvents(msgspec.Struct, rename="kebab"):
@@ -96,13 +104,13 @@
         answer = await self._call(address, "GET", _REPORT, headers, b"", limit_ms)
         if answer is None or answer.status != 200:
             return None
-        try:
-            raw = msgspec.json.decode(answer.body, type=_Report)
-        except msgspec.MsgspecError as error:
-            log.warning("platform: report of %s is unreadable: %s", address, error)
+        raw = _readable(answer.body, _Report, address)
+        if raw is None:
             return None
         versions = {item.name: item.version for item in raw.models}
-        return ReplicaReport(raw.busy, raw.sequence, raw.active, raw.queued, versions)
+        return ReplicaReport(
+            raw.busy, raw.sequence, raw.active, raw.queued, versions, raw.born
+        )
 
     async def order_weights(
         self,
@@ -155,7 +163,9 @@
         answer = await self._call(address, "GET", target, headers, b"", limit_ms)
         if answer is None or answer.status != 200:
             return None
-        raw = msgspec.json.decode(answer.body, type=_KvEvents)
+        raw = _readable(answer.body, _KvEvents, address)
+        if raw is None:
+            return None
         events = tuple(
             KvEvent(PartKey(salt, part), tokens)
             for _, _, salt, part, tokens, _ in raw.events
@@ -168,7 +178,9 @@
         answer = await self._call(address, "GET", _KV_LIST, headers, b"", limit_ms)
         if answer is None or answer.status != 200:
             return None
-        raw = msgspec.json.decode(answer.body, type=_KvList)
+        raw = _readable(answer.body, _KvList, address)
+        if raw is None:
+            return None
         events = tuple(
             KvEvent(PartKey(salt, part), tokens) for salt, part, tokens, _ in raw.held
         )
@@ -211,3 +223,11 @@
 
     def _no_answer(self, address: str, target: str, detail: str) -> None:
         log.debug("platform: %s of %s: %s", target, address, detail)
+
+
+def _readable(body: bytes, kind: type[T], address: str) -> T | None:
+    """Decode an answer; one that cannot be read is as good as none."""
+    found = decoded(body, kind)
+    if found is None:
+        log.warning("platform: an answer of %s is unreadable", address)
+    return found
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -18,6 +18,8 @@
     read_whole,
 )
 
+from ._decoding import decoded
+
 log = logging.getLogger("fireflyward.platform")
 
 CONFIGURATION_TABLE = "op"
@@ -84,6 +86,8 @@
             page = await self._read(_GET, query, limit_ms)
             if isinstance(page, Unavailable):
                 return page
+            if isinstance(page, HistoryLost):
+                return Unavailable("no history, though rows were asked for")
             first = first or page
             rows += [_table_row(row) for row in page.rows]
             if not page.has_more or not page.rows:
@@ -129,13 +133,14 @@
         answer = await self._call("POST", _WRITE, msgspec.json.encode(body), limit_ms)
         if isinstance(answer, Unavailable | Uncertain):
             return answer
-        if answer.status == 200:
-            newest = msgspec.json.decode(answer.body, type=_Rows).ver
-            return Committed(dict.fromkeys(puts, newest))
+        if answer.status not in (200, _CONDITION_FAILED):
+            return _refused(answer)
+        page = decoded(answer.body, _Rows)
+        if page is None:
+            return Uncertain("unreadable answer")
         if answer.status == _CONDITION_FAILED:
-            rows = msgspec.json.decode(answer.body, type=_Rows).rows
-            return Conflict({row.key: row.ver for row in rows})
-        return _refused(answer)
+            return Conflict({row.key: row.ver for row in page.rows})
+        return Committed(dict.fromkeys(puts, page.ver))
 
     async def _read(
         self, path: str, query: Mapping[str, str], limit_ms: float
@@ -150,10 +155,7 @@
             return HistoryLost()
         if answer.status != 200:
             return _refused(answer)
-        try:
-            return msgspec.json.decode(answer.body, type=_Rows)
-        except msgspec.MsgspecError as error:
-            return Unavailable(f"unreadable answer: {error}")
+        return decoded(answer.body, _Rows) or Unavailable("unreadable answer")
 
     async def _call(
         self, method: str, target: str, body: bytes, limit_ms: float
@@ -182,5 +184,10 @@
 
 
 def _table_row(row: _Row) -> TableRow:
-    value = base64.b64decode(row.value) if row.value else b""
+    try:
+        value = base64.b64decode(row.value)
+    except ValueError:
+        # No bytes at all are no row of any table; the rows beside it hold.
+        log.warning("platform: row %s of %s is unreadable", row.key, row.table)
+        value = b""
     return TableRow(row.key, value, row.ver, row.deleted)
--- a/fireflyward/prefixes/_janitor.py
+++ b/fireflyward/prefixes/_janitor.py
@@ -25,8 +25,8 @@
 _LIMIT_MS = 800
 
 
-# The replicas that may have a (model, version).
-Used = Mapping[tuple[str, int], Set[str]]
+# The starts of replicas, by number, that may have a (model, version).
+Used = Mapping[tuple[str, int], Set[int]]
 
 
 class KvFreer(Protocol):
@@ -54,7 +54,7 @@
 
     def __init__(self) -> None:
         self._gone_since_ms: dict[tuple[str, int], int] = {}
-        self._last_had_by: dict[tuple[str, int], Set[str]] = {}
+        self._last_had_by: dict[tuple[str, int], Set[int]] = {}
 
     def of(
         self,
@@ -81,7 +81,7 @@
         now_ms: int,
         salt: str,
         used: Used,
-        listed: Set[str],
+        listed: Set[int],
         newest_by_model: Mapping[str, int],
     ) -> bool:
         version = salt_version(salt)
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -126,13 +126,16 @@
         self._random = random.Random(seed)
 
     def choose(
-        self, now_ms: int, wanted: Wanted, *, without: frozenset[str] = frozenset()
+        self, now_ms: int, wanted: Wanted, *, without: frozenset[int] = frozenset()
     ) -> Choice | None:
-        """Return the best replica, or None when none may take the request."""
+        """Return the best replica, or None when none may take the request.
+
+        ``without`` are numbers of starts of replicas.
+        """
         able = [
             state
             for state in self._directory.of_service(wanted.service)
-            if state.entry.incarnation not in without and _has_weights(state, wanted)
+            if state.number not in without and _has_weights(state, wanted)
         ]
         if not able:
             return None
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -24,11 +24,18 @@
     well, gets nothing more.
     """
 
-    __slots__ = ("_by_service", "_state_by_incarnation")
+    __slots__ = (
+        "_by_service",
+        "_services",
+        "_state_by_incarnation",
+        "_state_by_number",
+    )
 
     def __init__(self) -> None:
         self._state_by_incarnation: dict[str, ReplicaState] = {}
+        self._state_by_number: dict[int, ReplicaState] = {}
         self._by_service: dict[str, list[ReplicaState]] = {}
+        self._services: frozenset[str] | None = None
 
     def __len__(self) -> int:
         return len(self._state_by_incarnation)
@@ -37,23 +44,31 @@
         """Return the replicas of a service that may get new requests."""
         return self._by_service.get(service, [])
 
+    def set_services(self, services: Iterable[str]) -> None:
+        """Take the services that there are; entries of others name no replica."""
+        self._services = frozenset(services)
+        self._index()
+
     def all(self) -> list[ReplicaState]:
         """Return every listed replica, leaving ones too."""
-        return list(self._state_by_incarnation.values())
+        return list(self._state_by_number.values())
 
     def find(self, incarnation: str) -> ReplicaState | None:
-        """Return one incarnation, None once it is gone."""
+        """Return the replica that is listed under a name, None once it is gone."""
         return self._state_by_incarnation.get(incarnation)
 
+    def find_start(self, number: int) -> ReplicaState | None:
+        """Return one start of a replica, None once that is gone."""
+        return self._state_by_number.get(number)
+
     def on_whole(
         self, now_ms: int, entries: Iterable[ReplicaEntry], *, after_outage: bool
     ) -> list[ReplicaState]:
         """Take the whole list; return the states that are gone by it."""
         listed = {entry.incarnation: entry for entry in entries}
         missing = [name for name in self._state_by_incarnation if name not in listed]
-        for entry in listed.values():
-            self._put(entry)
-        gone = self._remove(now_ms, missing, after_outage=after_outage)
+        gone = self._put(listed.values())
+        gone += self._remove(now_ms, missing, after_outage=after_outage)
         self._index()
         return gone
 
@@ -66,12 +81,22 @@
         after_outage: bool,
     ) -> list[ReplicaState]:
         """Take changes of the list; return the states that are gone by them."""
-        for entry in entries:
-            self._put(entry)
-        gone = self._remove(now_ms, removed, after_outage=after_outage)
+        gone = self._put(entries)
+        gone += self._remove(now_ms, removed, after_outage=after_outage)
         self._index()
         return gone
 
+    def drop(self, names: Iterable[str]) -> list[ReplicaState]:
+        """Drop replicas whose entries name none any more; return their states."""
+        gone = [
+            self._drop(name, "its entry names none")
+            for name in names
+            if name in self._state_by_incarnation
+        ]
+        if gone:
+            self._index()
+        return gone
+
     def expire(self, now_ms: int) -> list[ReplicaState]:
         """Drop entries that did not come back after an outage."""
         due = [
@@ -84,15 +109,25 @@
             self._index()
         return gone
 
-    def _put(self, entry: ReplicaEntry) -> None:
-        known = self._state_by_incarnation.get(entry.incarnation)
-        if known is None:
-            self._state_by_incarnation[entry.incarnation] = ReplicaState(entry)
-            log.info("replicas: %s of %s listed", entry.incarnation, entry.service)
-            return
-        if entry.is_leaving and not known.entry.is_leaving:
-            log.info("replicas: %s of %s leaves", entry.incarnation, entry.service)
-        known.take_entry(entry)
+    def _put(self, entries: Iterable[ReplicaEntry]) -> list[ReplicaState]:
+        """Take entries; return the states of starts that are over by them."""
+        over = []
+        for entry in entries:
+            known = self._state_by_incarnation.get(entry.incarnation)
+            if known is not None and known.entry.started_ms != entry.started_ms:
+                # It holds and knows nothing of before: not the weights that it told
+                # of, not its pace, nor what was under way there. Believed on, it
+                # would be sent what it has no cache for, and shunned for trouble
+                # that is over. Entries come in the order in which they were
+                # written, so the other start is the newer one whatever its clock.
+                over.append(self._drop(entry.incarnation, "it started again"))
+                known = None
+            if known is None:
+                self._state_by_incarnation[entry.incarnation] = ReplicaState(entry)
+                log.info("replicas: %s of %s listed", entry.incarnation, entry.service)
+            else:
+                _take(known, entry)
+        return over
 
     def _remove(
         self, now_ms: int, names: Iterable[str], *, after_outage: bool
@@ -116,6 +151,17 @@
 
     def _index(self) -> None:
         self._by_service = {}
+        self._state_by_number = {}
         for state in self._state_by_incarnation.values():
+            service = state.entry.service
+            if self._services is not None and service not in self._services:
+                continue
+            self._state_by_number[state.number] = state
             if not state.entry.is_leaving:
-                self._by_service.setdefault(state.entry.service, []).append(state)
+                self._by_service.setdefault(service, []).append(state)
+
+
+def _take(known: ReplicaState, entry: ReplicaEntry) -> None:
+    if entry.is_leaving and not known.entry.is_leaving:
+        log.info("replicas: %s of %s leaves", entry.incarnation, entry.service)
+    known.take_entry(entry)
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -1,4 +1,4 @@
-"""What one node knows of one incarnation of a replica."""
+"""What one node knows of one start of a replica."""
 
 from fireflyward.deployment import ReplicaEntry
 
@@ -79,7 +79,7 @@
         return f"ReplicaState({self.entry.incarnation!r}, in_flight={self.in_flight})"
 
     def take_entry(self, entry: ReplicaEntry) -> None:
-        """Take a newer entry of the same incarnation; it is listed again."""
+        """Take a newer entry of the same start; it is listed again."""
         listed = _versions(entry)
         if listed != _versions(self.entry):
             self.version_by_model = listed
--- a/fireflyward/weights/_news.py
+++ b/fireflyward/weights/_news.py
@@ -10,8 +10,8 @@
 from ._weights_structs import LoadedNews, LoadingNews
 
 _LOADING, _LOADED = "loading", "loaded"
-# Names of replicas take some 16 bytes; a datagram holds 1,400.
-_MOST_IN_DATAGRAM = 60
+# A replica's number takes 4 bytes; a datagram holds 1,400.
+_MOST_IN_DATAGRAM = 250
 
 
 class LoadNews:
@@ -40,16 +40,16 @@
         link.register(_LOADED, LoadedNews, self._on_loaded)
 
     async def loading(
-        self, incarnations: list[str], model: str, version: int, for_ms: int
+        self, replicas: list[int], model: str, version: int, for_ms: int
     ) -> None:
         """Tell everyone, this node included, which replicas are about to load.
 
         One by one, the news of thirty replicas for eighty nodes would hold up the
         orders that follow it for half a second on a link of 10 Mbit/s.
         """
-        for first in range(0, len(incarnations), _MOST_IN_DATAGRAM):
+        for first in range(0, len(replicas), _MOST_IN_DATAGRAM):
             news = LoadingNews(
-                incarnations=incarnations[first : first + _MOST_IN_DATAGRAM],
+                replicas=replicas[first : first + _MOST_IN_DATAGRAM],
                 model=model,
                 version=version,
                 for_ms=for_ms,
@@ -57,9 +57,9 @@
             self._tell(_LOADING, news)
             await self._on_loading("", news)
 
-    async def loaded(self, incarnation: str, model: str, version: int) -> None:
+    async def loaded(self, replica: int, model: str, version: int) -> None:
         """Tell everyone that a replica has loaded."""
-        news = LoadedNews(incarnation=incarnation, model=model, version=version)
+        news = LoadedNews(replica=replica, model=model, version=version)
         self._tell(_LOADED, news)
         await self._on_loaded("", news)
 
@@ -68,12 +68,12 @@
             self._link.send_all(self._peer_addresses(), kind, news)
 
     async def _on_loading(self, sender: str, news: Any) -> None:
-        for incarnation in news.incarnations:
-            state = self._directory.find(incarnation)
+        for replica in news.replicas:
+            state = self._directory.find_start(replica)
             if state is not None and state.entry.version_of(news.model) != news.version:
                 state.on_loading(self._clock.now_ms(), news.for_ms)
 
     async def _on_loaded(self, sender: str, news: Any) -> None:
-        state = self._directory.find(news.incarnation)
+        state = self._directory.find_start(news.replica)
         if state is not None:
             state.on_loaded(news.model, news.version)
--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -16,13 +16,14 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutView:
-    """One replica of a model, as this node sees it.
+    """One replica of a model, as this node sees it; ``number`` is of its start.
 
     ``busy_ms`` is how long the prompts take that wait there: so long a load has to
     wait for them. ``may_serve`` tells whether its weights may begin on requests.
     """
 
     incarnation: str
+    number: int
     address: str
     version: int
     busy_ms: float
@@ -34,6 +35,7 @@
     """Order this replica to load this version."""
 
     incarnation: str
+    number: int
     address: str
     model: str
     version: int
@@ -43,15 +45,15 @@
     """Keeps what was ordered under one claim; no I/O.
 
     >>> plan = WeightPlan()
-    >>> views = [RolloutView(f"r{i}", "", 1, 0.0) for i in range(3)]
+    >>> views = [RolloutView(f"r{i}", i, "", 1, 0.0) for i in range(3)]
     >>> [order.incarnation for order in plan.next(0, "m", 2, views)]
     ['r0']
     """
 
-    __slots__ = ("_due_ms_by_incarnation",)
+    __slots__ = ("_due_ms_by_number",)
 
     def __init__(self) -> None:
-        self._due_ms_by_incarnation: dict[str, int] = {}
+        self._due_ms_by_number: dict[int, int] = {}
 
     def next(
         self, now_ms: int, model: str, version: int, views: list[RolloutView]
@@ -64,7 +66,7 @@
         replicas may serve nobody.
         """
         behind = [view for view in views if view.version < version]
-        waiting = [view for view in behind if self._is_free(now_ms, view.incarnation)]
+        waiting = [view for view in behind if self._is_free(now_ms, view.number)]
         loading = len(behind) - len(waiting)
         room = max(1, math.floor(len(views) * _LOADING_SHARE)) - loading
         idle = [view for view in waiting if not view.may_serve]
@@ -72,28 +74,29 @@
         serving.sort(key=lambda view: (view.version, view.busy_ms))
         chosen = idle + serving[: max(0, room - len(idle))]
         return [
-            Order(view.incarnation, view.address, model, version) for view in chosen
+            Order(view.incarnation, view.number, view.address, model, version)
+            for view in chosen
         ]
 
     def on_begun(self, now_ms: int, order: Order) -> None:
         """Note that a replica is being ordered."""
-        self._due_ms_by_incarnation[order.incarnation] = now_ms + _LOST_AFTER_MS
+        self._due_ms_by_number[order.number] = now_ms + _LOST_AFTER_MS
 
     def on_unreached(self, now_ms: int, order: Order) -> None:
         """Note that a replica took no order; others are not held up by it."""
-        self._due_ms_by_incarnation[order.incarnation] = now_ms + _AGAIN_AFTER_MS
+        self._due_ms_by_number[order.number] = now_ms + _AGAIN_AFTER_MS
 
     def on_done(self, order: Order) -> None:
         """Note that a replica has the weights."""
-        self._due_ms_by_incarnation.pop(order.incarnation, None)
+        self._due_ms_by_number.pop(order.number, None)
 
     def is_loading(self, now_ms: int, order: Order) -> bool:
         """Tell whether an order is still waited for."""
-        return not self._is_free(now_ms, order.incarnation)
+        return not self._is_free(now_ms, order.number)
 
     def forget(self) -> None:
         """Forget everything, as a new holder starts from the list alone."""
-        self._due_ms_by_incarnation.clear()
+        self._due_ms_by_number.clear()
 
-    def _is_free(self, now_ms: int, incarnation: str) -> bool:
-        return now_ms >= self._due_ms_by_incarnation.get(incarnation, 0)
+    def _is_free(self, now_ms: int, number: int) -> bool:
+        return now_ms >= self._due_ms_by_number.get(number, 0)
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -7,7 +7,7 @@
 from fireflyward.clock import Clock
 from fireflyward.forwarding import WeightBook
 from fireflyward.leases import Gained, LeaseTask, Lost
-from fireflyward.platform import ReplicaApi
+from fireflyward.platform import ReplicaApi, ReplicaReport
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
 from ._load_times import LoadTimes
@@ -149,8 +149,8 @@
 
     async def _begin(self, model: str, version: int, orders: list[Order]) -> None:
         """Have every node keep away from the replicas, and order them."""
-        incarnations = [order.incarnation for order in orders]
-        await self._news.loading(incarnations, model, version, _LOADING_MS)
+        replicas = [order.number for order in orders]
+        await self._news.loading(replicas, model, version, _LOADING_MS)
         await self._clock.sleep_ms(_NEWS_MS)
         for order in orders:
             self._spawn(self._load(order))
@@ -180,6 +180,7 @@
                 views.append(
                     RolloutView(
                         entry.incarnation,
+                        state.number,
                         entry.address,
                         version,
                         self._busy_ms(now_ms, state),
@@ -196,6 +197,9 @@
         if report is None:
             self._unreached(order, "no report")
             return
+        if self._is_over(order, report):
+            self._unreached(order, "started again")
+            return
         has_it = report.version_by_model.get(order.model) == order.version
         if not has_it and not report.is_loading:
             if not await self._order(order, report.orders):
@@ -203,6 +207,18 @@
                 return
         await self._see_through(order)
 
+    def _is_over(self, order: Order, report: ReplicaReport) -> bool:
+        """Tell whether the start that was ordered is over.
+
+        What another start under the same name reports says nothing of this one: its
+        count of orders begins anew, and it gets orders of its own once it is listed.
+        """
+        state = self._directory.find_start(order.number)
+        if state is None:
+            return True
+        started_ms = state.entry.started_ms
+        return bool(report.started_ms) and report.started_ms != started_ms
+
     def _unreached(self, order: Order, why: str) -> None:
         log.info("weights: %s not reached: %s", order.incarnation, why)
         self._plan.on_unreached(self._clock.now_ms(), order)
@@ -244,8 +260,10 @@
             )
             if report is None or report.is_loading:
                 continue
+            if self._is_over(order, report):
+                return
             if report.version_by_model.get(order.model) == order.version:
-                await self._news.loaded(order.incarnation, order.model, order.version)
+                await self._news.loaded(order.number, order.model, order.version)
                 self._load_times.on_loaded(self._clock.now_ms() - ordered_ms)
                 self._plan.on_done(order)
                 self._order_due()
--- a/fireflyward/weights/_weights_structs.py
+++ b/fireflyward/weights/_weights_structs.py
@@ -7,7 +7,7 @@
 
 class LoadingNews(TPayload):
     thrift_spec = {
-        1: (TType.LIST, "incarnations", TType.STRING, True),
+        1: (TType.LIST, "replicas", TType.I32, True),
         2: (TType.STRING, "model", True),
         3: (TType.I64, "version", True),
         4: (TType.I32, "for_ms", True),
@@ -15,12 +15,12 @@
 
     def __init__(
         self,
-        incarnations: Any = None,
+        replicas: Any = None,
         model: Any = None,
         version: Any = None,
         for_ms: Any = None,
     ) -> None:
-        self.incarnations = incarnations
+        self.replicas = replicas
         self.model = model
         self.version = version
         self.for_ms = for_ms
@@ -28,17 +28,17 @@
 
 class LoadedNews(TPayload):
     thrift_spec = {
-        1: (TType.STRING, "incarnation", True),
+        1: (TType.I32, "replica", True),
         2: (TType.STRING, "model", True),
         3: (TType.I64, "version", True),
     }
 
     def __init__(
         self,
-        incarnation: Any = None,
+        replica: Any = None,
         model: Any = None,
         version: Any = None,
     ) -> None:
-        self.incarnation = incarnation
+        self.replica = replica
         self.model = model
         self.version = version
--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -272,6 +272,31 @@
         self.node._weight_task.look_ms = lambda: 123.0
         self.assertEqual(look_ms(), 123.0)
 
+    async def test_a_replica_that_starts_again_under_its_name_is_another_one(self):
+        """Symptom: a replica that crashed and came back gets nothing for seconds.
+
+        Its entry changed in nothing but the time of its start.
+        """
+        engine = self.engines[0]
+        state = self.node._directory.find(engine.incarnation)
+        state.on_trouble(self.node._clock.now_ms())
+        engine.start_again()
+        self.list_replicas()
+        find = self.node._directory.find
+        await self.until(lambda: find(engine.incarnation) is not state)
+        self.assertFalse(find(engine.incarnation).is_suspect(0))
+
+    async def test_foreign_entries_name_no_replica_and_harm_no_other(self):
+        """Symptom: all nodes end, or requests go nowhere, after a stray write."""
+        directory = self.node._directory
+        gone = self.engines[0].incarnation
+        for key, value in ((gone, b"{}"), ("x1", b"\xff"), ("x2", b'{"state": "up"}')):
+            self.store.put("servers", key, value)
+        await self.until(lambda: directory.find(gone) is None)
+        self.assertEqual(len(directory), 3)
+        status, _, _ = await self.ask("GET", "/r/x")
+        self.assertEqual(status, 200)
+
     async def test_new_weights_reach_every_replica(self):
         """The leased task orders loads; requests then ask for the new version."""
         self.operator.name_weights("m", 2)
--- /dev/null
+++ b/tests/fuzz/test_platform_answers.py
@@ -0,0 +1,140 @@
+"""Foreign bytes from the platform end no process and no task."""
+
+import asyncio
+import unittest
+
+from hypothesis import given, strategies as st
+
+from fireflyward.backing import Committed, Conflict, Unavailable, Uncertain
+from fireflyward.clock import Clock
+from fireflyward.deployment import Configuration, ReplicaEntry, WeightTarget
+from fireflyward.feeds import Changes, Followed, HistoryLost, Snapshot, TableRow
+from fireflyward.fleet._peers import PeerRegister
+from fireflyward.fleet._views import OperatorView, ReplicaView
+from fireflyward.forwarding import WeightBook
+from fireflyward.http1 import ConnectionPool
+from fireflyward.platform import (
+    ReplicaApi,
+    ReplicaReport,
+    StoreClient,
+    decode_configuration,
+    decode_replica,
+    decode_weight_target,
+)
+from fireflyward.prefixes import KvNews
+from fireflyward.replicas import ReplicaDirectory
+from fireflyward.routes import RouteTable
+from tests.fuzz.profiles import fuzz
+from tests.platform_standins._http import RawServer, response
+
+names = st.sampled_from(
+    "rows ver key value boot-epoch next events held models busy sequence born "
+    "service address state version name routes services limits tenants".split()
+)
+values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=3) | st.dictionaries(names, inner, max_size=5)
+    ),
+    max_leaves=12,
+)
+
+
+@st.composite
+def bodies(draw):
+    import json
+
+    if draw(st.booleans()):
+        return draw(st.binary(max_size=60))
+    return json.dumps(draw(values)).encode()
+
+
+class _Foreign(RawServer):
+    status, body = 200, b""
+
+    async def answer(self, request, writer):
+        writer.write(response(self.status, self.body))
+        return True
+
+
+class AnswerTests(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.runner = asyncio.Runner()
+        cls.server = _Foreign()
+        cls.address = cls.runner.run(cls.server.start())
+        cls.store = StoreClient(cls.address, clock=Clock())
+        cls.api = ReplicaApi(ConnectionPool(Clock()), clock=Clock())
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.store.close()
+        cls.runner.run(cls.server.stop())
+        cls.runner.close()
+
+    def ask(self, call, status, body):
+        self.server.status, self.server.body = status, body
+        return self.runner.run(call)
+
+    @fuzz(40)
+    @given(st.sampled_from((200, 410, 412, 503)), bodies())
+    def test_every_answer_of_the_store_has_its_value(self, status, body):
+        store = self.store
+        found = self.ask(store.rows("t"), status, body)
+        self.assertIsInstance(found, Snapshot | Unavailable | HistoryLost)
+        call = store.changes("t", after=1, wait_ms=0, limit_ms=500)
+        found = self.ask(call, status, body)
+        self.assertIsInstance(found, Changes | Unavailable | HistoryLost)
+        call = store.write(table="t", part="", expected={"k": 0}, puts={"k": b"v"})
+        found = self.ask(call, status, body)
+        self.assertIsInstance(found, Committed | Conflict | Unavailable | Uncertain)
+
+    @fuzz(40)
+    @given(st.sampled_from((200, 429, 503)), bodies())
+    def test_every_answer_of_a_replica_or_kv_store_has_its_value(self, status, body):
+        """Symptom: every node ends, and ends again a second after its start.
+
+        A KV store answered with something else, and its followers' task ended.
+        """
+        api, address = self.api, self.address
+        found = self.ask(api.report(address, "i", limit_ms=500), status, body)
+        self.assertIsInstance(found, ReplicaReport | None)
+        call = api.kv_events(address, since=0, wait_ms=0, limit_ms=500)
+        self.assertIsInstance(self.ask(call, status, body), KvNews | None)
+        call = api.kv_list(address, limit_ms=500)
+        self.assertIsInstance(self.ask(call, status, body), KvNews | None)
+
+
+class RowTests(unittest.TestCase):
+    @fuzz(150)
+    @given(bodies())
+    def test_every_row_is_something_or_nothing(self, value):
+        self.assertIsInstance(decode_replica("i", value), ReplicaEntry | None)
+        self.assertIsInstance(decode_weight_target(value), WeightTarget | None)
+        self.assertIsInstance(decode_configuration(value), Configuration | None)
+
+    @fuzz(60)
+    @given(st.lists(st.tuples(names, bodies()), max_size=4), st.booleans())
+    def test_what_follows_tables_goes_on(self, rows, is_whole):
+        news = Followed(
+            tuple(
+                TableRow(f"{prefix}{key}", value, number)
+                for number, (key, value) in enumerate(rows)
+                for prefix in ("", "node/", "version/")
+            ),
+            is_whole,
+            0,
+        )
+        clock = Clock()
+        directory = ReplicaDirectory()
+        routes = RouteTable(revoke_ms=5_000, closes_without_contact=True)
+        ReplicaView(
+            clock=clock, directory=directory, pool=ConnectionPool(clock)
+        ).on_news(news)
+        OperatorView(
+            clock=clock,
+            routes=routes,
+            weights=WeightBook(version_ms=12_000),
+            on_configuration=lambda configuration: None,
+        ).on_news(news)
+        PeerRegister(None, "n").on_news(news)
--- a/tests/leases/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -268,3 +268,19 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class ForeignRowTests(unittest.TestCase):
+    def test_a_row_that_cannot_be_read_counts_as_held_and_is_replaced(self):
+        """Symptom: every process ends when it looks at the lease.
+
+        Somebody else wrote the row. Its number is not known, so the next one is
+        taken from the row's version, which no holder's number can exceed.
+        """
+        lease = Lease(holder="a", lease_ms=3_000)
+        lease.decide(0, Tick())
+        with self.assertLogs("fireflyward.leases", "ERROR"):
+            foreign = RowSeen(Row("lease/x", b"\xff no row", 41))
+            self.assertEqual(lease.decide(0, foreign), [])
+            (write,) = lease.decide(3_200, foreign)
+        self.assertEqual((write.expected, write.row.fencing), (41, 42))
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -43,9 +43,15 @@
         self.manners = []
         self.left_early = 0
         self.loading_s = 0.0
+        self.started_ms = 1_764_700_000_000
         self._events = events
         self._pause_s = pause_s
 
+    def start_again(self):
+        """Begin anew under the same name: nothing is held, no order was counted."""
+        self.started_ms += 1_000
+        self.ran, self.orders, self.manners = [], [], []
+
     def entry(self, service, state="ready", zone="a"):
         """Return the row that this replica keeps of itself."""
         models = [{"name": self.model, "version": self.version, "adapters": []}]
@@ -59,6 +65,7 @@
             "cold-remaining-ms": 0,
             "models": models if self.model else [],
             "sequence": 1,
+            "born": self.started_ms,
         }
         return json.dumps(value).encode()
 
@@ -66,6 +73,7 @@
         if request.path == "/-/report":
             models = [{"name": self.model, "version": self.version, "adapters": []}]
             body = {"models": models, "busy": False, "sequence": len(self.orders)}
+            body["born"] = self.started_ms
             writer.write(json_response(body))
             return True
         if request.path == "/-/order":
--- a/tests/replicas/test_directory.py
+++ b/tests/replicas/test_directory.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fireflyward.replicas import ReplicaDirectory
+from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
 from .makers import entry
 
@@ -63,3 +63,110 @@
         self.assertEqual(state.version_by_model, {"m": 2})
         self.directory.on_changes(0, [entry("r1", version=3)], [], after_outage=False)
         self.assertEqual(state.version_by_model, {"m": 3})
+
+
+class StartTests(unittest.TestCase):
+    """A replica starts again under its name, empty, and tells only its start."""
+
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        self.put(1_000)
+        self.before = self.directory.find("r1")
+
+    def put(self, started_ms, **changes):
+        row = entry("r1", version=1, started_ms=started_ms, **changes)
+        return self.directory.on_changes(0, [row], [], after_outage=False)
+
+    def test_nothing_that_was_believed_of_the_former_start_is_kept(self):
+        """Symptom: a replica that crashed is shunned, and its memory thought full.
+
+        It came back under its name within a heartbeat, so its entry never went, and
+        weights, pace, suspicion, failures and work under way were kept.
+        """
+        before = self.before
+        before.on_loaded("m", 7)
+        before.on_trouble(0)
+        before.on_full(0)
+        before.on_loading(0, 5_000)
+        before.on_answer(failed=True)
+        before.on_trouble(0)
+        before.on_first_token(expected_ms=1_000, took_ms=4_000)
+        before.on_run(9_000)
+        before.on_load(0, 12)
+        before.in_flight, before.waiting_late = 4, 1
+        before.unread_tokens, before.held_tokens = 900, 4_000
+        before.refusals = 3
+        over = self.put(2_000)
+        state = self.directory.find("r1")
+        self.assertEqual(over, [before])
+        self.assertIsNot(state, before)
+        self.assertEqual(state.weights_it_may_have(), {("m", 1)})
+        self.assertFalse(state.is_suspect(1) or state.is_full(1) or state.is_loading(1))
+        fresh = ReplicaState(entry("r9"))
+        for belief in (
+            "failed_share",
+            "held_tokens",
+            "in_flight",
+            "pace",
+            "refusals",
+            "run_ms",
+            "unread_tokens",
+            "waiting_late",
+        ):
+            with self.subTest(belief=belief):
+                self.assertEqual(getattr(state, belief), getattr(fresh, belief))
+        self.assertEqual(state.others_at(0), 0)
+
+    def test_work_that_ends_at_the_former_start_changes_nothing(self):
+        self.before.in_flight = 1
+        self.put(2_000)
+        self.before.in_flight -= 1
+        self.before.on_trouble(0)
+        state = self.directory.find("r1")
+        self.assertEqual(state.in_flight, 0)
+        self.assertFalse(state.is_suspect(1))
+
+    def test_a_former_start_is_found_no_more(self):
+        self.put(2_000)
+        self.assertIsNone(self.directory.find_start(self.before.number))
+        state = self.directory.find("r1")
+        self.assertIs(self.directory.find_start(state.number), state)
+
+    def test_a_start_by_a_clock_that_was_set_back_counts(self):
+        """Entries come in the order in which they were written, not by their clocks."""
+        self.put(500)
+        self.assertEqual(self.directory.find("r1").entry.started_ms, 500)
+
+    def test_the_same_start_is_kept(self):
+        self.assertEqual(self.put(1_000, leaving=True), [])
+        self.assertIs(self.directory.find("r1"), self.before)
+
+    def test_the_whole_list_may_tell_of_a_new_start(self):
+        over = self.directory.on_whole(
+            0, [entry("r1", started_ms=2_000)], after_outage=True
+        )
+        self.assertEqual(over, [self.before])
+
+
+class ForeignEntryTests(unittest.TestCase):
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        entries = [entry("r1"), entry("r2"), entry("x", service="unheard of")]
+        self.directory.on_whole(0, entries, after_outage=False)
+
+    def test_an_entry_of_no_service_names_no_replica(self):
+        """Symptom: weights are loaded on something that is not ours."""
+        self.directory.set_services(["s"])
+        names = [state.entry.incarnation for state in self.directory.all()]
+        self.assertEqual(names, ["r1", "r2"])
+        self.assertIsNone(self.directory.find_start(entry("x").number))
+
+    def test_a_service_that_comes_later_has_its_replicas(self):
+        self.directory.set_services(["s"])
+        self.directory.set_services(["s", "unheard of"])
+        self.assertEqual(len(self.directory.of_service("unheard of")), 1)
+
+    def test_one_whose_entry_names_none_any_more_goes_at_once(self):
+        gone = self.directory.drop(["r1", "never seen"])
+        self.assertEqual([state.entry.incarnation for state in gone], ["r1"])
+        self.assertEqual(len(self.directory.of_service("s")), 1)
