--- /dev/null
+++ b/fireflyward/fleet/_joining.py
@@ -0,0 +1,98 @@
+"""How a node joins the others: it finds them, is listed, and opens its link."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+from fireflyward.aggregators import Aggregators
+from fireflyward.clock import Clock, within_ms
+from fireflyward.deployment import FleetSettings
+from fireflyward.feeds import FeedFollower, SharedTables
+from fireflyward.peers import Address, PeerCodec, PeerLink
+
+from ._peers import NODE_TABLE, OLD_LIST_MS, NodeRow, PeerRegister
+
+# Tables are read from an aggregator, which is spoken to over the link between nodes.
+# That is open, and the others are listed, some 300 ms after the start; if they are
+# not by then, the store is asked.
+_PATIENCE_MS = 1_500
+
+
+class Joining:
+    """Follows the table of nodes; the link opens once the key of messages is known.
+
+    ``on_nodes`` hears how many nodes there are whenever the table was read, and
+    ``on_link`` prepares the link before it is started and returns a second step for
+    when it is open.
+    """
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        *,
+        clock: Clock,
+        register: PeerRegister,
+        tables: SharedTables,
+        aggregators: Aggregators,
+        on_nodes: Callable[[int], None],
+        on_link: Callable[[PeerLink], Callable[[], None]],
+    ) -> None:
+        self.link: PeerLink | None = None
+        self._settings = settings
+        self._clock = clock
+        self._register = register
+        self._aggregators = aggregators
+        self._on_nodes = on_nodes
+        self._on_link = on_link
+        self._has_joined = asyncio.Event()
+        self._follower = FeedFollower(
+            NODE_TABLE,
+            reader=tables,
+            clock=clock,
+            on_news=tables.kept(NODE_TABLE, register.on_news, old_ms=OLD_LIST_MS),
+            pace=lambda: register.pace,
+        )
+
+    async def run(self) -> None:
+        """Follow the table, and write what of this node is missing there."""
+        port = self._settings.peer_ports[0]
+        if port:
+            self._register.announce(self._own_row((self._settings.ip, port)))
+        while True:
+            if await self._follower.step():
+                await self._take_nodes()
+                pause_ms = self._register.pace.pause_ms
+            else:
+                pause_ms = self._follower.retry_pause_ms
+            await self._clock.sleep_ms(pause_ms)
+
+    async def once_joined(self, work: Callable[[], Awaitable[None]]) -> None:
+        """Begin some work when this node can be answered by others, or soon after."""
+        await within_ms(self._clock, _PATIENCE_MS, self._has_joined.wait())
+        await work()
+
+    async def _take_nodes(self) -> None:
+        self._on_nodes(len(self._register))
+        self._aggregators.set_members(self._register.others())
+        if self.link is None and self._register.key is not None:
+            await self._open_link(self._register.key)
+        await self._register.write_missing(self._clock.now_ms())
+        if self._register.is_complete:
+            self._has_joined.set()
+
+    async def _open_link(self, key: bytes) -> None:
+        link = PeerLink(
+            node_name=self._settings.node,
+            incarnation=self._clock.wall_ms(),
+            codec=PeerCodec((key,)),
+            host=self._settings.ip,
+            port=self._settings.peer_ports[0],
+        )
+        on_open = self._on_link(link)
+        await link.start()
+        self.link = link
+        self._register.announce(self._own_row(link.address))
+        on_open()
+
+    def _own_row(self, address: Address) -> NodeRow:
+        settings = self._settings
+        return NodeRow(*address, settings.failure_domain, settings.link_mbps)
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -11,14 +11,14 @@
 from aiohttp.web_response import Response
 
 from fireflyward.aggregators import Aggregators
-from fireflyward.clock import Clock, within_ms
+from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import FeedFollower, Pace, SharedTables
 from fireflyward.forwarding import Forwarder, WeightBook
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseNews, LeaseTask, Lost
 from fireflyward.observe import Metrics
-from fireflyward.peers import PeerCodec, PeerLink
+from fireflyward.peers import PeerLink
 from fireflyward.platform import (
     CONFIGURATION_TABLE,
     READINESS_PATH,
@@ -39,8 +39,9 @@
 from fireflyward.weights import LoadNews, WeightTask
 
 from ._callers import CallerDoor, address_of
+from ._joining import Joining
 from ._paces import configuration_pace, replicas_pace
-from ._peers import NODE_TABLE, OLD_LIST_MS, NodeRow, PeerRegister
+from ._peers import PeerRegister
 from ._settings_watch import SettingsWatch
 from ._stores import StoreFollowing
 from ._views import OperatorView, ReplicaView
@@ -50,10 +51,6 @@
 # Nodes that look for the lease. All of them looking would be a call a second each;
 # if all of these are gone at once the others find it within a minute.
 _CONTENDERS = 7
-# Tables are read from an aggregator, which is spoken to over the link between nodes.
-# That is open, and the others are listed, some 300 ms after the start; if they are
-# not by then, the store is asked.
-_LINK_PATIENCE_MS = 1_500
 # The balancer takes a node out after two questions, a second apart, without a 200.
 _NOTICED_MS = 2_600
 # What is kept of the grace for the last writes.
@@ -118,7 +115,6 @@
             failure_domain=settings.failure_domain,
             peers=self._under_way,
         )
-        self._link: PeerLink | None = None
         self._forwarder = self._make_forwarder()
         self._door = CallerDoor(
             clock=clock,
@@ -138,14 +134,14 @@
         self._tables = SharedTables(
             self._store, clock=clock, aggregators=self._aggregators
         )
-        self._node_follower = FeedFollower(
-            NODE_TABLE,
-            reader=self._tables,
+        self._joining = Joining(
+            settings,
             clock=clock,
-            on_news=self._tables.kept(
-                NODE_TABLE, self._peers.on_news, old_ms=OLD_LIST_MS
-            ),
-            pace=lambda: self._peers.pace,
+            register=self._peers,
+            tables=self._tables,
+            aggregators=self._aggregators,
+            on_nodes=self._on_nodes,
+            on_link=self._on_link,
         )
         self._followers = (
             FeedFollower(
@@ -199,7 +195,6 @@
         self._listeners: list[asyncio.Server] = []
         self._servers: list[web_server.Server] = []
         self._is_stopping = False
-        self._linked = asyncio.Event()
         self.callers_address = ""
         self.readiness_address = ""
 
@@ -238,10 +233,13 @@
         port += _METRICS_PORT_OFFSET if port else 0
         await self._listen(f"{settings.ip}:{port}", self._answer_metrics)
         self.callers_address = await self._door.listen(settings.callers_address)
-        runs = [self._follow_once_linked(follower) for follower in self._followers]
-        runs += [self._lease.run(), self._weight_task.run(), self._follow_peers()]
-        runs.append(self._janitor.run())
-        self._tasks = [asyncio.create_task(self._guarded(run)) for run in runs]
+        self._start(
+            self._joining.run(),
+            *(self._joining.once_joined(follower.run) for follower in self._followers),
+            self._lease.run(),
+            self._weight_task.run(),
+            self._janitor.run(),
+        )
         log.info("node: %s listens at %s", settings.node, settings.callers_address)
 
     async def stop(self) -> None:
@@ -272,8 +270,8 @@
         for server in self._servers:
             server.pre_shutdown()
             await server.shutdown(0)
-        if self._link is not None:
-            await self._link.stop()
+        if self._joining.link is not None:
+            await self._joining.link.stop()
         self._pool.close()
         self._store.close()
 
@@ -328,56 +326,22 @@
             is_for_others=self._tables.is_for_others,
         )
 
-    async def _follow_once_linked(self, follower: FeedFollower) -> None:
-        """Follow a table, through an aggregator from the first reading on."""
-        await within_ms(self._clock, _LINK_PATIENCE_MS, self._linked.wait())
-        await follower.run()
-
-    async def _follow_peers(self) -> None:
-        """Follow the table of nodes, and open the link once its key is known."""
-        if self._settings.peer_ports[0]:
-            self._peers.announce(self._own_row(self._settings.peer_ports[0]))
-        while True:
-            if await self._node_follower.step():
-                await self._take_peers()
-                pause_ms = self._peers.pace.pause_ms
-            else:
-                pause_ms = self._node_follower.retry_pause_ms
-            await self._clock.sleep_ms(pause_ms)
-
-    async def _take_peers(self) -> None:
-        self._budget.set_nodes(len(self._peers))
-        self._forwarder.set_nodes(len(self._peers))
-        self._aggregators.set_members(self._peers.others())
-        if self._link is None and self._peers.key is not None:
-            await self._open_link(self._peers.key)
-        await self._peers.write_missing(self._clock.now_ms())
-        if self._peers.is_complete:
-            self._linked.set()
-
-    def _own_row(self, port: int) -> NodeRow:
-        settings = self._settings
-        return NodeRow(settings.ip, port, settings.failure_domain, settings.link_mbps)
+    def _on_nodes(self, count: int) -> None:
+        self._budget.set_nodes(count)
+        self._forwarder.set_nodes(count)
 
     def _contends(self) -> bool:
         return not self._is_stopping and self._peers.is_among_first(_CONTENDERS, _LEASE)
 
-    async def _open_link(self, key: bytes) -> None:
-        link = PeerLink(
-            node_name=self._settings.node,
-            incarnation=self._clock.wall_ms(),
-            codec=PeerCodec((key,)),
-            host=self._settings.ip,
-            port=self._settings.peer_ports[0],
+    def _on_link(self, link: PeerLink) -> Callable[[], None]:
+        for part in (self._news, self._tables, self._lease_news):
+            part.use(link)
+        return lambda: self._start(
+            self._under_way_task.run(link), self._stores.run(link)
         )
-        self._news.use(link)
-        self._tables.use(link)
-        self._lease_news.use(link)
-        await link.start()
-        self._link = link
-        self._peers.announce(self._own_row(link.address[1]))
-        for run in (self._under_way_task.run(link), self._stores.run(link)):
-            self._tasks.append(asyncio.create_task(self._guarded(run)))
+
+    def _start(self, *runs: Coroutine[None, None, None]) -> None:
+        self._tasks += [asyncio.create_task(self._guarded(run)) for run in runs]
 
     async def _guarded(self, run: Coroutine[None, None, None]) -> None:
         """End the process if one of its tasks ends by a fault of the program.
@@ -416,9 +380,10 @@
         self._metrics.gauge("replicas", len(self._directory))
         self._metrics.gauge("store_calls_total", self._store.calls)
         self._metrics.gauge("connections_opened_total", self._pool.opened)
-        if self._link is not None:
-            self._metrics.gauge("peer_bytes_sent_total", self._link.bytes_sent)
-            self._metrics.gauge("peer_bytes_received_total", self._link.bytes_received)
+        link = self._joining.link
+        if link is not None:
+            self._metrics.gauge("peer_bytes_sent_total", link.bytes_sent)
+            self._metrics.gauge("peer_bytes_received_total", link.bytes_received)
         return Response(text=self._metrics.text())
 
 
