--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -6,9 +6,10 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock, within_ms
 from fireflyward.deployment import FleetSettings
-from fireflyward.feeds import FeedFollower, SharedTables
+from fireflyward.feeds import FeedFollower, Pace, SharedTables
 from fireflyward.peers import Address, PeerCodec, PeerLink
 
+from ._paces import nodes_pace
 from ._peers import NODE_TABLE, OLD_LIST_MS, NodeRow, PeerRegister
 
 # Tables are read from an aggregator, which is spoken to over the link between nodes.
@@ -49,7 +50,7 @@
             reader=tables,
             clock=clock,
             on_news=tables.kept(NODE_TABLE, register.on_news, old_ms=OLD_LIST_MS),
-            pace=lambda: register.pace,
+            pace=self._pace,
         )
 
     async def run(self) -> None:
@@ -60,7 +61,7 @@
         while True:
             if await self._follower.step():
                 await self._take_nodes()
-                pause_ms = self._register.pace.pause_ms
+                pause_ms = self._pace().pause_ms
             else:
                 pause_ms = self._follower.retry_pause_ms
             await self._clock.sleep_ms(pause_ms)
@@ -70,6 +71,12 @@
         await within_ms(self._clock, _PATIENCE_MS, self._has_joined.wait())
         await work()
 
+    def _pace(self) -> Pace:
+        return nodes_pace(
+            is_complete=self._register.is_complete,
+            is_shared=self._aggregators.are_needed,
+        )
+
     async def _take_nodes(self) -> None:
         self._on_nodes(len(self._register))
         self._aggregators.set_members(self._register.others())
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -6,7 +6,7 @@
 import msgspec
 
 from fireflyward.aggregators import Member
-from fireflyward.feeds import Followed, Pace, TableRow
+from fireflyward.feeds import Followed, TableRow
 from fireflyward.platform import StoreClient
 from fireflyward.rendezvous import rendezvous_rank
 
@@ -16,14 +16,9 @@
 _KEY_ROW = "key"
 _NODE_PREFIX = "node/"
 _KEY_BYTES = 32
-# Nodes come and go a few a minute, and a change ends the wait. The pause puts what
-# changes shortly after each other into one answer: while all nodes start, each of
-# them writes a row.
-_STEADY = Pace(wait_ms=1_500, pause_ms=2_000)
 # A list that is older than this is read from the store; nodes are few that come and
 # go meanwhile, and whoever does not answer is passed over.
 OLD_LIST_MS = 8_000
-_STARTING = Pace(wait_ms=300, pause_ms=250)
 # The first of the nodes that are listed draws the key. The others do so themselves if
 # there is none after this long: that node may have ended before it could.
 _KEY_PATIENCE_MS = 1_500
@@ -71,11 +66,6 @@
     def __len__(self) -> int:
         return len(self._row_by_name.keys() | {self._name})
 
-    @property
-    def pace(self) -> Pace:
-        """Return how the table is read: soon again until this node stands in it."""
-        return _STEADY if self.is_complete else _STARTING
-
     @property
     def is_complete(self) -> bool:
         """Tell whether the key is known and this node stands in the table."""
