--- a/fireflyward/replicas/_telling.py
+++ b/fireflyward/replicas/_telling.py
@@ -8,7 +8,7 @@
 from fireflyward.peers import PeerLink
 
 from ._directory import ReplicaDirectory
-from ._replicas_structs import UnderWayNews, UnderWaySum, UnderWayTotal
+from ._replicas_structs import UnderWayNews
 from ._under_way import PeerUnderWay, Told, UnderWay
 
 log = logging.getLogger("fireflyward.aggregators")
@@ -120,8 +120,8 @@
     def listen(self, link: PeerLink) -> None:
         """Hear what others tell over a link."""
         link.register(_NEWS, UnderWayNews, self._hear_news)
-        link.register(_SUM, UnderWaySum, self._hear_sum)
-        link.register(_TOTAL, UnderWayTotal, self._hear_total)
+        link.register(_SUM, UnderWayNews, self._hear_sum)
+        link.register(_TOTAL, UnderWayNews, self._hear_total)
 
     def tell(self, link: PeerLink) -> None:
         """Tell what changed since the last call."""
@@ -151,9 +151,7 @@
         self._peers.follow(None)
         own = self._own()
         if self._is_due(self._clock.now_ms(), own):
-            link.send_all(
-                self._aggregators.everyone(), _NEWS, _message(UnderWayNews, own)
-            )
+            link.send_all(self._aggregators.everyone(), _NEWS, _message(own))
 
     def _tell_aggregator(self, link: PeerLink) -> None:
         now_ms, own = self._clock.now_ms(), self._own()
@@ -162,7 +160,7 @@
             self._change_aggregator(link, now_ms, aggregator)
         self._peers.follow(aggregator.name if aggregator is not None else None)
         if aggregator is not None and self._is_due(now_ms, own):
-            link.send(aggregator.address, _NEWS, _message(UnderWayNews, own))
+            link.send(aggregator.address, _NEWS, _message(own))
             self._aggregators.on_spoken_to(now_ms, aggregator.name)
             self._peers.on_told_own(now_ms, own)
         # Once nobody tells this node any more it takes back what it told last.
@@ -176,7 +174,7 @@
         name = aggregator.name if aggregator is not None else "this node"
         log.info("aggregators: %s sums up for %s", name, self._failure_domain)
         if self._told_to is not None:
-            link.send(self._told_to.address, _NEWS, _message(UnderWayNews, {}))
+            link.send(self._told_to.address, _NEWS, _message({}))
         self._told_to, self._told = aggregator, {}
         self._peers.on_told_own(now_ms, {})
 
@@ -188,7 +186,7 @@
         self._tell_other_aggregators(link, now_ms, _plus(self._peers.told(now_ms), own))
         total = _plus(self._peers.total(now_ms), own)
         for part in _parts(self._total_changes.due(now_ms, total)):
-            link.send_all(neighbours, _TOTAL, _message(UnderWayTotal, part))
+            link.send_all(neighbours, _TOTAL, _message(part))
 
     def _sum_period_ms(self, link: PeerLink, neighbours: int) -> float:
         """Return when to tell next: when the link has carried the last sums."""
@@ -211,7 +209,7 @@
         addresses = [member.address for member in others]
         parts = _parts(self._sum_changes.due(now_ms, own_sum))
         for part in parts:
-            link.send_all(addresses, _SUM, _message(UnderWaySum, part))
+            link.send_all(addresses, _SUM, _message(part))
         for member in others if parts else ():
             self._aggregators.on_spoken_to(now_ms, member.name)
 
@@ -250,9 +248,9 @@
     ]
 
 
-def _message(kind: type, told: Told) -> Any:
+def _message(told: Told) -> Any:
     """Return a message of columns: a replica's number and what is under way there."""
-    return kind(
+    return UnderWayNews(
         replicas=list(told),
         unread=[item.unread for item in told.values()],
         held=[item.held for item in told.values()],
--- a/fireflyward/replicas/replicas.thrift
+++ b/fireflyward/replicas/replicas.thrift
@@ -3,28 +3,11 @@
    replica goes by the number that all nodes work out from its start. */
 namespace py fireflyward.replicas
 
-/* One node's own. Replicas that are not named have none. */
+/* One node's own, one domain's sum or the total, as the kind of the message says. Of a
+   node's own, replicas that are not named have none; of sums they are as they were. */
 struct UnderWayNews {
   1: required list<i32> replicas,
   2: required list<i32> unread,
   3: required list<i32> held,
   4: required list<i32> requests,
 }
-
-/* The sum over the nodes that told one aggregator, and its own, for other
-   aggregators. Replicas that are not named are as they were. */
-struct UnderWaySum {
-  1: required list<i32> replicas,
-  2: required list<i32> unread,
-  3: required list<i32> held,
-  4: required list<i32> requests,
-}
-
-/* The sum over all nodes, as an aggregator knows it, for the nodes that tell it.
-   Replicas that are not named are as they were. */
-struct UnderWayTotal {
-  1: required list<i32> replicas,
-  2: required list<i32> unread,
-  3: required list<i32> held,
-  4: required list<i32> requests,
-}
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -9,7 +9,7 @@
     decode_replica,
     decode_weight_target,
 )
-from tests.platform.figures import figures
+from tests.platform.figures import changed, figures
 from tests.platform_standins import CONFIGURATION
 
 ENTRY = {
@@ -85,12 +85,8 @@
             if where[-1] == "version":
                 continue
             with self.subTest(where=where):
-                changed = json.loads(json.dumps(raw))
-                at = changed
-                for step in where[:-1]:
-                    at = at[step]
-                at[where[-1]] += 0.5
-                decode_configuration(json.dumps(changed).encode())
+                text = json.dumps(changed(raw, where, lambda n: n + 0.5))
+                self.assertIsNotNone(decode_configuration(text.encode()))
 
     def test_shares_below_one_are_not_lost(self):
         """Symptom: a route split in halves sent all its requests to one service."""
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,7 +6,7 @@
 from pathlib import Path
 
 from fireflyward.platform import BadSettings, load_settings
-from tests.platform.figures import figures
+from tests.platform.figures import changed, figures
 from tests.platform_standins import settings_text
 
 BOUNDS = (
@@ -64,12 +64,7 @@
         raw["bounds"] |= dict.fromkeys(BOUNDS, 1)
         for where in figures(raw):
             with self.subTest(where=where):
-                changed = json.loads(json.dumps(raw))
-                at = changed
-                for step in where[:-1]:
-                    at = at[step]
-                at[where[-1]] += 0.5
-                self.load(json.dumps(changed))
+                self.load(json.dumps(changed(raw, where, lambda n: n + 0.5)))
 
     def test_no_figure_may_be_text_or_below_nought(self):
         raw = json.loads(settings_text("10.0.0.1:80", (1, 2, 3)))
@@ -77,13 +72,9 @@
         for where in figures(raw):
             for wrong in ("many", -1, None):
                 with self.subTest(where=where, wrong=wrong):
-                    changed = json.loads(json.dumps(raw))
-                    at = changed
-                    for step in where[:-1]:
-                        at = at[step]
-                    at[where[-1]] = wrong
+                    text = json.dumps(changed(raw, where, lambda n, to=wrong: to))
                     with self.assertRaisesRegex(BadSettings, str(where[0])):
-                        self.load(json.dumps(changed))
+                        self.load(text)
 
     def test_fractions_of_ms_and_counts_are_left_out(self):
         bounds = {"lease-ms": 2400.5, "budget-extra": 35.8, "grace-s": 2.5}
