--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -3,114 +3,30 @@
 import asyncio
 import unittest
 
-from fireflyward.aggregators import Aggregators, Member
-from fireflyward.backing import Unavailable
+from fireflyward.aggregators import Aggregators
 from fireflyward.clock import ManualClock
 from fireflyward.feeds import (
-    Changes,
     FeedFollower,
     HistoryLost,
     Pace,
     SharedTables,
-    Snapshot,
-    TableRow,
 )
-from fireflyward.peers import CallFailed, pack, unpack
 
-NAMES = [f"n{i}" for i in range(14)]
+from .nodes import Node, Store
 
-
-class _Store:
-    """A table whose feed answers at once."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.rows_by_key = {}
-        self.version = 1
-        self.calls = 0
-        self.is_down = False
-
-    def put(self, key, value=b"", *, is_deleted=False):
-        self.version += 1
-        self.rows_by_key[key] = TableRow(key, value, self.version, is_deleted)
-
-    async def rows(self, table, *, part="", limit_ms=1_000):
-        self.calls += 1
-        if self.is_down:
-            return Unavailable("down")
-        alive = [row for row in self.rows_by_key.values() if not row.is_deleted]
-        return Snapshot(tuple(alive), self.version)
-
-    async def changes(self, table, *, after, wait_ms, limit_ms):
-        self.calls += 1
-        if self.is_down:
-            return Unavailable("down")
-        rows = [row for row in self.rows_by_key.values() if row.version > after]
-        if not rows:
-            await self.clock.sleep_ms(wait_ms)
-        return Changes(tuple(rows), self.version)
-
-
-class _Link:
-    def __init__(self, network):
-        self.network = network
-        self.handler = None
-
-    def register(self, kind, struct_type, handle):
-        self.handler = handle
-
-    async def call(self, address, kind, message, reply_type, *, limit_s):
-        other = self.network[address[0]]
-        if other.is_dead:
-            other.clock._now_ms += other.fails_after_ms
-            return CallFailed("no answer")
-        answer = await other.link.handler("", message)
-        return unpack(reply_type, pack(answer))
-
-
-class _Node:
-    def __init__(self, name, network, store, clock):
-        self.clock = clock
-        self.is_dead = False
-        self.fails_after_ms = 0
-        self.link = _Link(network)
-        self.aggregators = Aggregators(name, "a", link_mbps=100)
-        members = [
-            Member(other, "a", (other, 1), 100) for other in NAMES if other != name
-        ]
-        self.aggregators.set_members(members)
-        self.tables = SharedTables(store, clock=clock, aggregators=self.aggregators)
-        self.tables.use(self.link)
-        self.news = []
-        self.follower = FeedFollower(
-            "t",
-            reader=self.tables,
-            clock=clock,
-            on_news=self.tables.kept("t", self.news.append),
-            pace=lambda: Pace(0),
-        )
-
-    @property
-    def known(self):
-        rows = {}
-        for news in self.news:
-            if news.is_whole:
-                rows.clear()
-            for row in news.rows:
-                rows[row.key] = row.value
-                if row.is_deleted:
-                    del rows[row.key]
-        return rows
+DOMAINS = {f"n{i}": "a" for i in range(14)}
 
 
 class SharingTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock(10_000)
-        self.store = _Store(self.clock)
+        self.store = Store(self.clock)
         self.store.put("k", b"1")
         self.network = {}
-        for name in NAMES:
-            self.network[name] = _Node(name, self.network, self.store, self.clock)
+        for name in DOMAINS:
+            self.network[name] = Node(
+                name, self.network, self.store, self.clock, DOMAINS
+            )
         nodes = list(self.network.values())
         (self.first,) = [node for node in nodes if node.tables.is_for_others]
         self.other = next(node for node in nodes if node is not self.first)
@@ -267,7 +183,7 @@
 class HistoryTests(unittest.IsolatedAsyncioTestCase):
     async def test_whoever_is_behind_the_copy_reads_anew(self):
         clock = ManualClock()
-        store = _Store(clock)
+        store = Store(clock)
         tables = SharedTables(
             store, clock=clock, aggregators=Aggregators("n0", "a", link_mbps=100)
         )
