--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -35,6 +35,9 @@
 # An aggregator that failed is not asked for as long as its successor needs to be
 # named and to have read the tables.
 _DISTRUST_MS = 2_500
+# One where nothing listens yet has just started: before the first key is drawn nodes
+# are listed and cannot open their links. They do so within half a second.
+_NOT_YET_MS = 500
 _MS_PER_SECOND = 1_000
 
 
@@ -145,7 +148,9 @@
         problem = _problem(answer)
         if problem:
             log.info("feeds: %s not from %s: %s", table, aggregator.name, problem)
-            self._distrusted_until_ms = self._clock.now_ms() + _DISTRUST_MS
+            is_refused = isinstance(answer, CallFailed) and answer.is_refused
+            distrust_ms = _NOT_YET_MS if is_refused else _DISTRUST_MS
+            self._distrusted_until_ms = self._clock.now_ms() + distrust_ms
             return None
         if answer.outcome == _LOST:
             return HistoryLost()
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -32,9 +32,13 @@
 
 @dataclass(frozen=True, slots=True)
 class CallFailed:
-    """A call to a peer had no answer; the peer may still have acted on it."""
+    """A call to a peer had no answer; the peer may still have acted on it.
+
+    ``is_refused`` says that nothing listens there, so that it surely has not.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,7 +160,8 @@
             async with asyncio.timeout(limit_s):
                 return await self._call(address, kind, message, reply_type)
         except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
-            return CallFailed(f"{type(error).__name__}: {error}")
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return CallFailed(f"{type(error).__name__}: {error}", is_refused)
 
     async def _call(
         self, address: Address, kind: str, message: Any, reply_type: type
--- a/tests/feeds/nodes.py
+++ b/tests/feeds/nodes.py
@@ -56,7 +56,7 @@
         other = self.network[address[0]]
         if other.is_dead:
             other.clock._now_ms += other.fails_after_ms
-            return CallFailed("no answer")
+            return CallFailed("no answer", other.refuses)
         answer = await other.link.handler("", message)
         return unpack(reply_type, pack(answer))
 
@@ -65,6 +65,7 @@
     def __init__(self, name, network, store, clock, domain_by_name):
         self.clock = clock
         self.is_dead = False
+        self.refuses = False
         self.fails_after_ms = 0
         self.link = Link(network)
         domain = domain_by_name[name]
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -172,6 +172,23 @@
         await self.other.follower.step()
         self.assertEqual(self.other.news[-1].as_of_ms, 10_000)
 
+    async def test_an_aggregator_that_does_not_listen_yet_is_asked_again_soon(self):
+        """Symptom: at the first start of a fleet most nodes read tables themselves.
+
+        They were listed before their links were open, and each passed over its
+        aggregator for as long as one that is lost.
+        """
+        await self.begin()
+        self.first.is_dead = True
+        for refuses, asked_again_ms in ((True, 500), (False, 2_500)):
+            self.first.refuses = refuses
+            await self.other.follower.step()
+            now_ms = self.clock.now_ms()
+            asked = self.other.tables._asked
+            self.assertIsNone(asked(now_ms + asked_again_ms - 1))
+            self.assertIsNotNone(asked(now_ms + asked_again_ms))
+            self.clock._now_ms += asked_again_ms
+
     async def test_few_nodes_ask_the_store(self):
         self.other.aggregators.set_members([])
         await self.begin()
