--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fireflyward.aggregators import Member
+from fireflyward.backing import Committed
 from fireflyward.feeds import Followed, TableRow
 from fireflyward.platform import StoreClient
 from fireflyward.rendezvous import rendezvous_rank
@@ -22,6 +23,9 @@
 # The first of the nodes that are listed draws the key. The others do so themselves if
 # there is none after this long: that node may have ended before it could.
 _KEY_PATIENCE_MS = 1_500
+# What this node wrote shows up in what it reads after a pause of the feed or two; until
+# then it is not written again, which would be a call that only finds its own row.
+_SHOWS_WITHIN_MS = 2_000
 
 
 class NodeRow(msgspec.Struct, frozen=True):
@@ -50,6 +54,7 @@
         "_row_by_name",
         "_store",
         "_version_by_key",
+        "_written_ms_by_key",
         "key",
     )
 
@@ -59,6 +64,7 @@
         self._own: NodeRow | None = None
         self._row_by_name: dict[str, NodeRow] = {}
         self._version_by_key: dict[str, int] = {}
+        self._written_ms_by_key: dict[str, int] = {}
         self._first_by_duty: dict[str, list[str]] = {}
         self._keyless_since_ms: int | None = None
         self.key: bytes | None = None
@@ -117,9 +123,10 @@
         is made again with the same condition.
         """
         if self._own is not None and self._row_by_name.get(self._name) != self._own:
-            await self._write(_NODE_PREFIX + self._name, msgspec.json.encode(self._own))
+            value = msgspec.json.encode(self._own)
+            await self._write(now_ms, _NODE_PREFIX + self._name, value)
         if self.key is None and self._draws_key(now_ms):
-            await self._write(_KEY_ROW, secrets.token_bytes(_KEY_BYTES))
+            await self._write(now_ms, _KEY_ROW, secrets.token_bytes(_KEY_BYTES))
 
     def _ranked(self, duty: str) -> list[str]:
         """Return the nodes for a duty, the widest links first.
@@ -171,10 +178,15 @@
         listed = self._name in self._row_by_name or self._own is None
         return listed and self.is_among_first(1, _KEY_ROW)
 
-    async def _write(self, key: str, value: bytes) -> None:
+    async def _write(self, now_ms: int, key: str, value: bytes) -> None:
         """Write a row once, on the condition that it is as it was last read."""
+        written_ms = self._written_ms_by_key.get(key)
+        if written_ms is not None and now_ms - written_ms < _SHOWS_WITHIN_MS:
+            return
         version = self._version_by_key.get(key, 0)
         result = await self._store.write(
             table=NODE_TABLE, part="", expected={key: version}, puts={key: value}
         )
+        if isinstance(result, Committed):
+            self._written_ms_by_key[key] = now_ms
         log.info("peers: row %s: %s", key, type(result).__name__)
