Let all neighbours of an aggregator open a connection in the same moment

Ruled out: the processor (a quarter of a core of two). Change: a queue of 1,024 and up to 512 calls at once. The test failed first.

--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -22,9 +22,14 @@
 _CALL_LIMIT_S = 2.0
 _MAX_DATAGRAM_BYTES = 1_400
 _MAX_REQUEST_BYTES = 128 << 10
-# Calls that wait here at once: two from each neighbour of a failure domain, of which
-# the largest that is planned for has a hundred.
-_MAX_CONNECTIONS = 256
+# Calls that wait here at once: three from each neighbour of a failure domain, of which
+# the largest that is planned for has a hundred, and questions beside them.
+_MAX_CONNECTIONS = 512
+# Connections that may wait to be taken. All neighbours of an aggregator may ask in the
+# same moment, each for several stores; an opening packet that finds no room is sent
+# again only after a second, when the caller has given up: 1,437 timeouts in 40 s at 35
+# nodes with the usual hundred.
+_BACKLOG = 1_024
 _MAX_DATAGRAM_TASKS = 256
 _BEHIND = "peers.behind"
 _REPLY = "reply"
@@ -109,7 +114,7 @@
         if self._codec.is_open:
             log.warning("peers: no key is set, any process may speak as a peer")
         self._server = await asyncio.start_server(
-            self._serve_connection, self._host, self._port
+            self._serve_connection, self._host, self._port, backlog=_BACKLOG
         )
         self._port = self._server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -184,3 +184,18 @@
             self.server.address, "k", MESSAGE, Envelope, limit_s=0.05
         )
         self.assertIsInstance(result, CallFailed)
+
+
+class BacklogTests(unittest.IsolatedAsyncioTestCase):
+    async def test_all_neighbours_may_ask_in_the_same_moment(self):
+        """Symptom: calls of an aggregator time out though it has little to do.
+
+        Thirty-eight neighbours missed the same datagram and each asked for fifteen
+        stores. The queue of connections took a hundred; the rest tried again after a
+        second, longer than they wait.
+        """
+        link = PeerLink(node_name="a", incarnation=1, codec=PeerCodec((b"k" * 32,)))
+        with mock.patch("asyncio.start_server", wraps=asyncio.start_server) as start:
+            await link.start()
+        self.addAsyncCleanup(link.stop)
+        self.assertGreaterEqual(start.call_args.kwargs["backlog"], 38 * 15)
