Logs tell which requests ask the same: a fingerprint of account, target and body

A request's id is new each time its caller asks again, so lines could not show whether one piece of work was under way at several ends of replicas. No decision uses it yet.

--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -104,7 +104,8 @@
     ``queue_ms`` and ``expected_ms`` are of the last send: the wait and the time to
     the first token that were expected of its replica, and ``first_token_ms`` what it
     came to from that send. ``earlier`` tells what became of each send before it,
-    and ``waits_late`` that it goes for a slot behind all others.
+    and ``waits_late`` that it goes for a slot behind all others. ``fingerprint`` is
+    alike for requests that ask the same.
     """
 
     __slots__ = (
@@ -112,6 +113,7 @@
         "configuration",
         "earlier",
         "expected_ms",
+        "fingerprint",
         "first_token_ms",
         "queue_ms",
         "replica",
@@ -126,6 +128,7 @@
     def __init__(self) -> None:
         self.route = ""
         self.account = ""
+        self.fingerprint = ""
         self.service = ""
         self.configuration = 0
         self.replica = ""
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -11,6 +11,7 @@
     ResponseFacts,
     encode_request,
 )
+from fireflyward.quarantine import fingerprint_of
 from fireflyward.replicas import Choice, ReplicaState
 from fireflyward.routes import Allowed
 
@@ -78,6 +79,7 @@
         self._trace = trace
         trace.route = allowed.route.name
         trace.account = allowed.account.name if allowed.account else ""
+        trace.fingerprint = fingerprint_of(trace.account, caller.target, body)
         trace.service = allowed.service
         trace.configuration = allowed.configuration_version
         self._tools = tools
@@ -342,6 +344,7 @@
             name,
             extra={
                 "request": self._caller.request_id,
+                "fingerprint": self._trace.fingerprint,
                 "replica": self._trace.replica,
                 "detail": _detail(result),
                 "left_ms": int(self._left_ms()),
