A test of requests that end their replicas, failing: three known failures

Three nodes, work that ends each replica that begins on it, asked a dozen times under new ids.

The stand-in of a replica ends by DEADLY, as a process does that is killed.

--- /dev/null
+++ b/tests/fleet/test_crashing_requests.py
@@ -0,0 +1,154 @@
+"""Seven replicas ended within ten seconds, one after the other, and each time some ten
+requests of other callers were cut with them.
+
+A caller asked for work that ends whatever replica begins on it. It was told "unknown",
+and the same work came again under a new id, at another node. No node remembered what
+had been under way where a replica ended, and each id was new, so each time it went to
+the next sound replica. After the third had ended under it, it was sent on four times
+more.
+
+What settled it were lines of the nodes as these, of one spell: the same account and
+route among the cut requests of every end, each with ``sends`` 1 and an id of its own.
+
+    66.9253 connection closed, i-895b61416b, left_ms 12929
+    66.9453 no connection to 10.1.64.41:8622: [Errno 111] Connect call failed
+    69.4647 connection closed, i-db2de9c9a9
+    69.6534 connection closed, i-3ddd9c164e
+    69.6596 i-895b61416b of dego97a gone: removed
+
+A replica that ended refuses connections in the same moment, and its entry goes 2.7 s
+later.
+"""
+
+import asyncio
+
+import aiohttp
+
+from fireflyward.clock import Clock
+from fireflyward.fleet._node import FleetNode
+from tests.platform_standins import DEADLY, Manner, ReplicaStandIn
+
+from .node_fixtures import KEY, NodeTestCase
+
+STREAM = {
+    **KEY,
+    "X-Model": "m",
+    "X-Token-Usage": "900,4",
+    "X-Prompt-Prefix": "aa:500,bb:400",
+    "X-Deadline-Ms": "5000",
+}
+# What the users allow: three replicas, and three more sends where the news lags.
+_MOST_ENDS = 6
+_NODES = 3
+
+
+class CrashingRequestTests(NodeTestCase):
+    """Three nodes; a replica that ends is gone, and another comes in its place."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        # A stream that may not be resumed runs once for each time that it is asked.
+        self.operator.configuration["routes"][0]["resumable"] = False
+        await self.start_ready()
+        self.nodes = [self.node]
+        for number in range(2, _NODES + 1):
+            settings = self.settings(**{"node-name": f"entry-{number}"})
+            node = FleetNode(settings, clock=Clock(), noticed_ms=50)
+            self.nodes.append(node)
+            await node.start()
+        await self.until(lambda: all(self.knows_everyone(node) for node in self.nodes))
+        self.ended = []
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await asyncio.gather(*(node.stop() for node in self.nodes[1:]))
+        for replica in self.ended:
+            await replica.stop()
+        await super().asyncTearDown()
+
+    def knows_everyone(self, node):
+        return (
+            node.is_ready
+            and len(node._directory) == 4
+            and len(node._aggregators.everyone()) == _NODES - 1
+        )
+
+    async def ask_at(self, node, method, path, **options):
+        self.node, own = node, self.node
+        try:
+            async with asyncio.timeout(10):
+                return await self.ask(method, path, **options)
+        except aiohttp.ClientError:
+            return None, {}, b""
+        finally:
+            self.node = own
+
+    async def replace_ended(self, replicas, service, model=None):
+        """Have another start take the place of each replica that has ended."""
+        for index, replica in enumerate(replicas):
+            if not replica.has_crashed:
+                continue
+            self.ended.append(replica)
+            number = len(self.ended)
+            self.store.remove("servers", replica.incarnation)
+            fresh = ReplicaStandIn(f"{service}-again-{number}", model=model)
+            await fresh.start()
+            replicas[index] = fresh
+            self.store.put("servers", fresh.incarnation, fresh.entry(service))
+            await self.until_all_list(fresh.incarnation)
+
+    async def until_all_list(self, name):
+        await self.until(lambda: all(node._directory.find(name) for node in self.nodes))
+
+    async def ask_over_and_over(self, method, path, replicas, service, **options):
+        """Ask the deadly work a dozen times, at each node in turn."""
+        model = "m" if service == "engines" else None
+        statuses = []
+        for number in range(12):
+            node = self.nodes[number % _NODES]
+            answer = await self.ask_at(node, method, path, data=DEADLY, **options)
+            statuses.append(answer[0])
+            await self.replace_ended(replicas, service, model)
+        return statuses
+
+    async def test_a_stream_that_ends_its_replicas_is_not_sent_on_for_ever(self):
+        statuses = await self.ask_over_and_over(
+            "POST", "/s/x", self.engines, "engines", headers=STREAM
+        )
+        self.assertLessEqual(len(self.ended), _MOST_ENDS)
+        self.assertEqual(statuses[-1], 503)
+
+    async def test_work_that_may_repeat_is_not_sent_on_for_ever(self):
+        """A node's own second send is one more replica that ends."""
+        statuses = await self.ask_over_and_over("GET", "/r/x", self.plain, "plain")
+        self.assertLessEqual(len(self.ended), _MOST_ENDS)
+        self.assertEqual(statuses[-1], 503)
+
+    async def ask_both(self, node):
+        """Have a harmless request under way while the deadly one is asked."""
+        (replica,) = self.plain
+        replica.manners = [Manner.SILENT, Manner.WELL]
+        beside = asyncio.create_task(
+            self.ask_at(node, "POST", "/w/beside", data=b"harmless")
+        )
+        await self.until(lambda: replica.ran or beside.done())
+        status, _, _ = await self.ask_at(node, "POST", "/w/x", data=DEADLY)
+        beside.cancel()
+        await asyncio.gather(beside, return_exceptions=True)
+        return status
+
+    async def test_what_merely_ran_beside_it_is_served(self):
+        """It is under way at each replica that ends, and its caller asks again too."""
+        self.store.remove("servers", self.plain.pop().incarnation)
+        await self.until(lambda: all(len(node._directory) == 3 for node in self.nodes))
+        statuses = []
+        for number in range(_MOST_ENDS):
+            statuses.append(await self.ask_both(self.nodes[number % _NODES]))
+            await self.replace_ended(self.plain, "plain")
+        self.assertIn(503, statuses)
+        self.plain[0].manners = []
+        for node in self.nodes:
+            status, _, _ = await self.ask_at(
+                node, "POST", "/w/beside", data=b"harmless"
+            )
+            self.assertEqual(status, 200)
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,36 @@
+import unittest
+
+from tests.__main__ import listed_tests, without
+
+LINE = "tests.a.T.test_x | cause | make test | none | seen | issue 1"
+
+
+class _Sample(unittest.TestCase):
+    def test_one(self):
+        pass
+
+    def test_two(self):
+        pass
+
+
+class KnownRedTests(unittest.TestCase):
+    def test_a_line_names_its_test(self):
+        self.assertEqual(listed_tests(LINE + "\n\n"), ["tests.a.T.test_x"])
+        self.assertEqual(listed_tests(""), [])
+
+    def test_a_line_without_its_reasons_fails(self):
+        with self.assertRaises(ValueError):
+            listed_tests("tests.a.T.test_x")
+
+    def test_a_fourth_fails(self):
+        with self.assertRaises(ValueError):
+            listed_tests("\n".join([LINE] * 4))
+
+    def test_only_listed_tests_are_passed_over(self):
+        suite = unittest.TestSuite([_Sample("test_one"), _Sample("test_two")])
+        kept = without(suite, [_Sample("test_one").id()])
+        self.assertEqual([test.id() for test in kept], [_Sample("test_two").id()])
+
+    def test_a_line_that_outlived_its_test_fails(self):
+        with self.assertRaises(ValueError):
+            without(unittest.TestSuite(), ["tests.gone"])
