Hold back requests that end the replicas that run them

Cause: what nodes remember of a failed request lasts as long as one attempt of its caller, and goes by its id. A caller that asks the same again comes under a new id, at any node, and its request goes to the next sound replica and ends that too. Ruled out: the nodes' own second sends (one send for each id in every cut of the record); on routes that may repeat they double the ends, and go through the same gate now.

Change: fireflyward/quarantine. A request goes by a fingerprint of account, target and body. Nodes tell each other what was under way where a replica ended (which a refused connection shows within some ms, or its entry that goes), and the table of nodes keeps it from the second end on, so that restarts and cuts between nodes do not count anew. After three ends it is sent no more; where something else was under way at the same three ends, each is tried once, one at a time in the whole fleet, and an answer clears it.

Also: the store's stand-in gives all rows of a transaction one version, as the platform does; a closed link between nodes sends nothing more.

--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -6,7 +6,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock, within_ms
 from fireflyward.deployment import FleetSettings
-from fireflyward.feeds import FeedFollower, Pace, SharedTables
+from fireflyward.feeds import FeedFollower, Followed, Pace, SharedTables
 from fireflyward.peers import Address, PeerCodec, PeerLink
 
 from ._paces import nodes_pace
@@ -21,7 +21,8 @@
 class Joining:
     """Follows the table of nodes; the link opens once the key of messages is known.
 
-    ``on_nodes`` hears how many nodes there are whenever the table was read, and
+    ``on_nodes`` hears how many nodes there are whenever the table was read,
+    ``on_rows`` all that changed in it, for whoever keeps other rows there, and
     ``on_link`` prepares the link before it is started and returns a second step for
     when it is open.
     """
@@ -35,6 +36,7 @@
         tables: SharedTables,
         aggregators: Aggregators,
         on_nodes: Callable[[int], None],
+        on_rows: Callable[[Followed], None],
         on_link: Callable[[PeerLink], Callable[[], None]],
     ) -> None:
         self.link: PeerLink | None = None
@@ -43,13 +45,15 @@
         self._register = register
         self._aggregators = aggregators
         self._on_nodes = on_nodes
+        self._on_rows = on_rows
+        self._is_wanted_soon = asyncio.Event()
         self._on_link = on_link
         self._has_joined = asyncio.Event()
         self._follower = FeedFollower(
             NODE_TABLE,
             reader=tables,
             clock=clock,
-            on_news=tables.kept(NODE_TABLE, register.on_news, old_ms=OLD_LIST_MS),
+            on_news=tables.kept(NODE_TABLE, self._on_news, old_ms=OLD_LIST_MS),
             pace=self._pace,
         )
 
@@ -64,13 +68,25 @@
                 pause_ms = self._pace().pause_ms
             else:
                 pause_ms = self._follower.retry_pause_ms
-            await self._clock.sleep_ms(pause_ms)
+            await self._pause(pause_ms)
+
+    def look_soon(self) -> None:
+        """Read the table as soon as the call that is under way has ended."""
+        self._is_wanted_soon.set()
 
     async def once_joined(self, work: Callable[[], Awaitable[None]]) -> None:
         """Begin some work when this node can be answered by others, or soon after."""
         await within_ms(self._clock, _PATIENCE_MS, self._has_joined.wait())
         await work()
 
+    async def _pause(self, pause_ms: int) -> None:
+        if await within_ms(self._clock, pause_ms, self._is_wanted_soon.wait()):
+            self._is_wanted_soon.clear()
+
+    def _on_news(self, news: Followed) -> None:
+        self._register.on_news(news)
+        self._on_rows(news)
+
     def _pace(self) -> Pace:
         return nodes_pace(
             is_complete=self._register.is_complete,
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -28,6 +28,7 @@
     StoreClient,
 )
 from fireflyward.prefixes import Janitor, PartPlanner
+from fireflyward.quarantine import Quarantine
 from fireflyward.replicas import (
     Chooser,
     PeerUnderWay,
@@ -41,7 +42,7 @@
 from ._callers import CallerDoor, address_of
 from ._joining import Joining
 from ._paces import configuration_pace, replicas_pace
-from ._peers import PeerRegister
+from ._peers import NODE_TABLE, PeerRegister
 from ._settings_watch import SettingsWatch
 from ._stores import StoreFollowing
 from ._views import OperatorView, ReplicaView
@@ -115,6 +116,16 @@
             failure_domain=settings.failure_domain,
             peers=self._under_way,
         )
+        self._quarantine = Quarantine(
+            clock=clock,
+            pool=self._pool,
+            directory=self._directory,
+            store=self._store,
+            table=NODE_TABLE,
+            node=settings.node,
+            peer_addresses=self._aggregators.everyone,
+            look_soon=lambda: self._joining.look_soon(),
+        )
         self._forwarder = self._make_forwarder()
         self._door = CallerDoor(
             clock=clock,
@@ -129,7 +140,10 @@
             on_configuration=self._on_configuration,
         )
         self._replicas = ReplicaView(
-            clock=clock, directory=self._directory, pool=self._pool
+            clock=clock,
+            directory=self._directory,
+            pool=self._pool,
+            on_gone=self._quarantine.on_gone,
         )
         self._tables = SharedTables(
             self._store, clock=clock, aggregators=self._aggregators
@@ -141,6 +155,7 @@
             tables=self._tables,
             aggregators=self._aggregators,
             on_nodes=self._on_nodes,
+            on_rows=self._quarantine.on_news,
             on_link=self._on_link,
         )
         self._followers = (
@@ -239,6 +254,7 @@
             self._lease.run(),
             self._weight_task.run(),
             self._janitor.run(),
+            self._quarantine.run(),
         )
         log.info("node: %s listens at %s", settings.node, settings.callers_address)
 
@@ -258,6 +274,7 @@
         self._door.close_listener()
         await self._door.drain(end_ms - self._clock.now_ms())
         tasks = [handing_over, *self._tasks, *self._stores.tasks]
+        tasks += self._quarantine.tasks
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -283,6 +300,7 @@
             budget=self._budget,
             weights=self._weights,
             planner=self._planner,
+            gate=self._quarantine,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -334,7 +352,7 @@
         return not self._is_stopping and self._peers.is_among_first(_CONTENDERS, _LEASE)
 
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
-        for part in (self._news, self._tables, self._lease_news):
+        for part in (self._news, self._tables, self._lease_news, self._quarantine):
             part.use(link)
         return lambda: self._start(
             self._under_way_task.run(link), self._stores.run(link)
@@ -378,6 +396,8 @@
         self._metrics.gauge("configuration_age_ms", self._routes.age_ms(now_ms))
         self._metrics.gauge("configuration_version", self._routes.version or 0)
         self._metrics.gauge("replicas", len(self._directory))
+        self._metrics.gauge("replica_ends_total", self._quarantine.ends)
+        self._metrics.gauge("requests_held", self._quarantine.held)
         self._metrics.gauge("store_calls_total", self._store.calls)
         self._metrics.gauge("connections_opened_total", self._pool.opened)
         link = self._joining.link
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -15,7 +15,7 @@
     decode_replica,
     decode_weight_target,
 )
-from fireflyward.replicas import ReplicaDirectory
+from fireflyward.replicas import ReplicaDirectory, ReplicaState
 from fireflyward.routes import RouteTable
 
 log = logging.getLogger("fireflyward.views")
@@ -77,9 +77,15 @@
     """Takes the list of replicas."""
 
     def __init__(
-        self, *, clock: Clock, directory: ReplicaDirectory, pool: ConnectionPool
+        self,
+        *,
+        clock: Clock,
+        directory: ReplicaDirectory,
+        pool: ConnectionPool,
+        on_gone: Callable[[ReplicaState], None],
     ) -> None:
         self._clock = clock
+        self._on_gone = on_gone
         self._directory = directory
         self._pool = pool
         self._outage_end_ms: int | None = None
@@ -105,6 +111,7 @@
         self.is_known = True
         for state in [*gone, *self._directory.expire(now_ms)]:
             self._pool.forget(state.entry.address)
+            self._on_gone(state)
 
 
 def _sorted_out(
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -15,7 +15,7 @@
 from ._late_lane import LateLane
 from ._messages import Trace
 from ._run import Run
-from ._tools import Tools
+from ._tools import SendGate, Tools
 from ._weights import WeightBook
 
 
@@ -38,6 +38,7 @@
         budget: RetryBudget,
         weights: WeightBook,
         planner: PartPlanner,
+        gate: SendGate,
         admission: Admission | None = None,
     ) -> None:
         self._tools = Tools(
@@ -50,6 +51,7 @@
             admission=admission or Admission(),
             callers=CallerTimes(),
             late_lane=LateLane(),
+            gate=gate,
         )
 
     def set_nodes(self, nodes: int) -> None:
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -6,6 +6,7 @@
 from fireflyward.http1 import Head
 from fireflyward.outcomes import NotRun, Unknown
 from fireflyward.platform import ResponseFacts
+from fireflyward.quarantine import Held
 
 
 class RejectedBecause(enum.Enum):
@@ -65,13 +66,18 @@
         """Tell whether the replica itself failed."""
         return self.head.status >= 500
 
+    @property
+    def is_success(self) -> bool:
+        """Tell whether the replica did what was asked."""
+        return 200 <= self.head.status < 300
+
 
 @dataclass(frozen=True, slots=True)
 class Streamed:
     """The caller has the whole stream, its end included."""
 
 
-SendResult = NoReplica | Unsent | Rejected | Failed | WholeAnswer | Streamed
+SendResult = Held | NoReplica | Unsent | Rejected | Failed | WholeAnswer | Streamed
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -4,6 +4,7 @@
 from functools import singledispatchmethod
 
 from fireflyward.outcomes import NotRun, Reason, Unknown
+from fireflyward.quarantine import Held
 
 from ._messages import (
     Decision,
@@ -77,18 +78,28 @@
         """Take what became of a send, with ``left_ms`` until the deadline."""
         return self._on(result, left_ms)
 
-    def give_up(self, reason: Reason, detail: str) -> Finish | Deliver:
+    def give_up(
+        self, reason: Reason, detail: str, *, retry_after_ms: int = _RETRY_AFTER_MS
+    ) -> Finish | Deliver:
         """End the request now, truthfully as to whether it may have run."""
         if self._fallback is not None:
             return Deliver(self._fallback)
         if self._runs:
             return Finish(Unknown(reason, detail))
-        return Finish(NotRun(reason, detail, _RETRY_AFTER_MS))
+        return Finish(NotRun(reason, detail, retry_after_ms))
 
     @singledispatchmethod
     def _on(self, result: SendResult, left_ms: float) -> Decision:
         raise TypeError(f"no decision for {result!r}")
 
+    @_on.register
+    def _(self, result: Held, left_ms: float) -> Decision:
+        return self.give_up(
+            Reason.CRASHES_UPSTREAMS,
+            result.detail,
+            retry_after_ms=result.retry_after_ms,
+        )
+
     @_on.register
     def _(self, result: NoReplica, left_ms: float) -> Decision:
         return self.give_up(Reason.NO_UPSTREAM, "no replica may take it")
--- a/fireflyward/forwarding/_tools.py
+++ b/fireflyward/forwarding/_tools.py
@@ -1,11 +1,13 @@
 """The parts that every request of a node goes through."""
 
 from dataclasses import dataclass
+from typing import Protocol
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import ConnectionPool
 from fireflyward.prefixes import PartPlanner
-from fireflyward.replicas import Chooser
+from fireflyward.quarantine import Free, Held, Trial
+from fireflyward.replicas import Chooser, ReplicaState
 from fireflyward.retries import RetryBudget
 
 from ._admission import Admission
@@ -14,6 +16,22 @@
 from ._weights import WeightBook
 
 
+class SendGate(Protocol):
+    """What a run needs of the quarantine; see ``quarantine.Quarantine``."""
+
+    async def admit(self, fingerprint: str) -> Free | Held | Trial: ...
+
+    def end_trial(self, trial: Trial, *, begun_at: ReplicaState | None) -> None: ...
+
+    def on_cut(
+        self, fingerprint: str, replica: ReplicaState, *, is_late: bool
+    ) -> None: ...
+
+    def on_refused(self, replica: ReplicaState) -> None: ...
+
+    def on_answered(self, fingerprint: str) -> None: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Tools:
     """What every run of a node works with."""
@@ -27,3 +45,4 @@
     admission: Admission
     callers: CallerTimes
     late_lane: LateLane
+    gate: SendGate
--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -19,9 +19,13 @@
 
 @dataclass(frozen=True, slots=True)
 class NotConnected:
-    """There is no connection, so nothing was sent."""
+    """There is no connection, so nothing was sent.
+
+    ``is_refused`` says that the host answered and nothing listens there.
+    """
 
     detail: str
+    is_refused: bool = False
 
 
 class ConnectionPool:
@@ -100,5 +104,6 @@
         except TimeoutError:
             return NotConnected(f"no connection to {address} in {connect_ms:.0f} ms")
         except OSError as error:
-            return NotConnected(f"no connection to {address}: {error}")
+            is_refused = isinstance(error, ConnectionRefusedError)
+            return NotConnected(f"no connection to {address}: {error}", is_refused)
         return connection
--- a/fireflyward/outcomes/_outcomes.py
+++ b/fireflyward/outcomes/_outcomes.py
@@ -27,6 +27,7 @@
     KEY_REUSED = "key_reused"
     STOPPING = "stopping"
     UPSTREAM_FAILED = "upstream_failed"
+    CRASHES_UPSTREAMS = "crashes_upstreams"
     CALLER_GONE = "caller_gone"
     INTERNAL = "internal"
 
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -126,6 +126,8 @@
         """Close both sockets and end the handlers that still run."""
         if self._datagrams:
             self._datagrams.close()
+            # Whoever still has something to tell later must find no closed socket.
+            self._datagrams = None
         if self._server:
             self._server.close()
         tasks = self._tasks | self._datagram_tasks
--- a/fireflyward/quarantine/__init__.py
+++ b/fireflyward/quarantine/__init__.py
@@ -1,5 +1,20 @@
 """Requests that end the replicas that run them."""
 
+from ._cuts import Cuts
 from ._fingerprint import fingerprint_of
+from ._messages import Free, Held, OnTrial, SuspectRow, Trial
+from ._suspects import MOST_ENDS, Suspects
+from ._task import Quarantine
 
-__all__ = ["fingerprint_of"]
+__all__ = [
+    "MOST_ENDS",
+    "Cuts",
+    "Free",
+    "Held",
+    "OnTrial",
+    "Quarantine",
+    "SuspectRow",
+    "Suspects",
+    "Trial",
+    "fingerprint_of",
+]
--- /dev/null
+++ b/fireflyward/quarantine/_messages.py
@@ -0,0 +1,52 @@
+"""What is decided of a request, and the rows and news that nodes share."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+
+@dataclass(frozen=True, slots=True)
+class Free:
+    """Nothing speaks against sending the request."""
+
+
+@dataclass(frozen=True, slots=True)
+class Held:
+    """The request is not sent on: too many replicas ended under it."""
+
+    detail: str
+    retry_after_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class OnTrial:
+    """The request may be sent once, if no other one is on trial anywhere."""
+
+
+Verdict = Free | Held | OnTrial
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """The right to send one suspect once; ``version`` is that of its row."""
+
+    fingerprint: str
+    version: int
+
+
+class SuspectRow(msgspec.Struct, frozen=True):
+    """A suspect as the table keeps it.
+
+    ``ends`` are the starts of replicas that ended under it, by number, and
+    ``trials`` how often it was sent on trial since.
+    """
+
+    ends: tuple[int, ...]
+    trials: int = 0
+
+
+class TrialRow(msgspec.Struct, frozen=True):
+    """Which suspect is on trial now, and the node that sends it."""
+
+    fingerprint: str
+    node: str
--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -82,12 +82,13 @@
             while not condition():
                 await asyncio.sleep(0.01)
 
-    def request(self, method, path, headers=KEY, host="h.example", **options):
+    def request(
+        self, method, path, headers=KEY, host="h.example", node=None, **options
+    ):
         self.number += 1
         own = {"Host": host, "X-Request-Id": f"q{self.number}", **headers}
-        return self.session.request(
-            method, f"http://{self.node.callers_address}{path}", headers=own, **options
-        )
+        url = f"http://{(node or self.node).callers_address}{path}"
+        return self.session.request(method, url, headers=own, **options)
 
     async def ask(self, method, path, **options):
         """Return status, headers and body of one request."""
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -74,14 +74,11 @@
         )
 
     async def ask_at(self, node, method, path, **options):
-        self.node, own = node, self.node
         try:
             async with asyncio.timeout(10):
-                return await self.ask(method, path, **options)
+                return await self.ask(method, path, node=node, **options)
         except aiohttp.ClientError:
             return None, {}, b""
-        finally:
-            self.node = own
 
     async def replace_ended(self, replicas, service, model=None):
         """Have another start take the place of each replica that has ended."""
@@ -139,7 +136,9 @@
 
     async def test_what_merely_ran_beside_it_is_served(self):
         """It is under way at each replica that ends, and its caller asks again too."""
-        self.store.remove("servers", self.plain.pop().incarnation)
+        spare = self.plain.pop()
+        self.addAsyncCleanup(spare.stop)
+        self.store.remove("servers", spare.incarnation)
         await self.until(lambda: all(len(node._directory) == 3 for node in self.nodes))
         statuses = []
         for number in range(_MOST_ENDS):
--- a/tests/forwarding/test_late_run.py
+++ b/tests/forwarding/test_late_run.py
@@ -19,6 +19,8 @@
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
 
+from .open_gate import OpenGate
+
 SLOTS = 4
 ROUTE = Route(
     "r", "h", "/", RouteKind.STREAM, 3_000, 200, 0, 1, (ServiceShare("s", 1),)
@@ -77,6 +79,7 @@
             budget=RetryBudget(ratio=0.2, extra=10, window_ms=10_000),
             weights=WeightBook(version_ms=12_000),
             planner=PartPlanner(),
+            gate=OpenGate(),
         )
         self.lane = forwarder._tools.late_lane
         self.trace = Trace()
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -34,12 +34,18 @@
 
     def put(self, table, key, value, part=""):
         self.version += 1
+        self._put(table, key, value, part)
+
+    def remove(self, table, key, part=""):
+        self.version += 1
+        self._remove(table, key, part)
+
+    def _put(self, table, key, value, part):
         row = self._row(table, part, key, base64.b64encode(value).decode())
         self._rows[table, part, key] = row
         self._note(row)
 
-    def remove(self, table, key, part=""):
-        self.version += 1
+    def _remove(self, table, key, part):
         self._rows.pop((table, part, key), None)
         self._note({**self._row(table, part, key, ""), "deleted": True})
 
@@ -78,11 +84,13 @@
             if self._rows.get(place, {"ver": 0})["ver"] != wanted["ver"]:
                 rows = [self._rows[place]] if place in self._rows else []
                 return json_response({"rows": rows, **self._now()}, 412)
+        # All rows of one transaction have the same version.
+        self.version += 1
         for write in body["writes"]:
             value = base64.b64decode(write["value"])
-            self.put(write["table"], write["key"], value, write["part"])
+            self._put(write["table"], write["key"], value, write["part"])
         for removed in body["remove"]:
-            self.remove(removed["table"], removed["key"], removed["part"])
+            self._remove(removed["table"], removed["key"], removed["part"])
         return json_response(self._now())
 
     def _get(self, query):
