Quarantine: tests of the task, restarts, cuts between nodes, planned ends

Found on the way, each with a test that failed: a table that was read before a row was written looked as if the row had gone, and forgave it; an answer of a write that came after newer news set its version back. A conflict is retried as soon as the table shows the other's write, in place of after 500 ms.

--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -11,7 +11,7 @@
     ResponseFacts,
     encode_request,
 )
-from fireflyward.quarantine import Held, Trial, fingerprint_of
+from fireflyward.quarantine import TRIAL_IS_OVER, Held, Trial, fingerprint_of
 from fireflyward.replicas import Choice, ReplicaState
 from fireflyward.routes import Allowed
 
@@ -183,8 +183,8 @@
             self._end_late_wait(None)
             return Unsent(connection.detail)
         self._trial_is_sent = self._trial is not None
-        if choice.queue_ms < _BEGINS_AT_ONCE_MS:
-            self._begun_at = replica
+        begins_at_once = choice.queue_ms < _BEGINS_AT_ONCE_MS
+        self._begun_at = replica if begins_at_once else None
         return await self._send_on(connection, choice)
 
     async def _held_back(self) -> Held | None:
@@ -194,7 +194,7 @@
         that ended, and a trial is one send.
         """
         if self._trial is not None:
-            return Held("its trial is over", 0) if self._trial_is_sent else None
+            return TRIAL_IS_OVER if self._trial_is_sent else None
         admitted = await self._tools.gate.admit(self._trace.fingerprint)
         if isinstance(admitted, Trial):
             self._trial = admitted
--- a/fireflyward/quarantine/__init__.py
+++ b/fireflyward/quarantine/__init__.py
@@ -4,10 +4,11 @@
 from ._fingerprint import fingerprint_of
 from ._messages import Free, Held, OnTrial, SuspectRow, Trial
 from ._suspects import MOST_ENDS, Suspects
-from ._task import Quarantine
+from ._task import TRIAL_IS_OVER, Quarantine
 
 __all__ = [
     "MOST_ENDS",
+    "TRIAL_IS_OVER",
     "Cuts",
     "Free",
     "Held",
--- a/fireflyward/quarantine/_rows.py
+++ b/fireflyward/quarantine/_rows.py
@@ -17,8 +17,8 @@
 
 _SUSPECT_PREFIX = "suspect/"
 _TRIAL_KEY = "trial"
-# A trial whose node ended, or could not write its end, is over after this long: no
-# request runs for longer, the longest deadline being 15 s.
+# A trial whose node ended, or could not write its end, is taken to be over after this
+# long, twice the longest deadline that deployments have.
 _TRIAL_MS = 30_000
 
 _Written = Committed | Conflict | Unavailable | Uncertain
@@ -53,7 +53,9 @@
         if news.is_whole:
             listed = {row.key for row in news.rows}
             for key in self._version_by_key.keys() - listed:
-                self._on_removed(key)
+                # What was read before a row was written cannot tell that it went.
+                if self._version_by_key[key] <= news.version:
+                    self._on_removed(key)
         for row in news.rows:
             if row.key != _TRIAL_KEY and not row.key.startswith(_SUSPECT_PREFIX):
                 continue
@@ -133,7 +135,10 @@
             deletes=deletes,
         )
         if isinstance(result, Committed):
-            self._version_by_key |= result.version_by_key
+            for key, version in result.version_by_key.items():
+                # Its answer may come after news of what was written since.
+                known = self._version_by_key.get(key, 0)
+                self._version_by_key[key] = max(known, version)
             for key in deletes:
                 self._version_by_key.pop(key, None)
         else:
--- a/fireflyward/quarantine/_suspects.py
+++ b/fireflyward/quarantine/_suspects.py
@@ -9,8 +9,8 @@
 # be chance for whatever is sent again when its first replica ends; the users allow
 # three and, where the news of them lags, three sends more.
 MOST_ENDS = 3
-# One of these is a node's secret no more: from here on it stands in the table, so that
-# nodes that are cut off from each other and restarts do not each count from nothing.
+# From this many on the table keeps them, so that nodes that are cut off from each
+# other, and nodes that start anew, do not each count from nothing.
 _WRITTEN_FROM = 2
 # Sends that may tell a suspect from what merely ran beside it. With the one or two that
 # are on their way while the news of the third end spreads they stay within three.
@@ -19,8 +19,6 @@
 # Replicas are mended by people, whom an hour finds; each trial may cost one more.
 _HOLD_MS = 3_600_000
 _MOST_DOUBLINGS = 4
-# A caller whose suspect has to wait for another's trial comes back after about one.
-TRIAL_WAIT_MS = 1_000
 # What was under way at fewer ends and is not asked again is of no interest any more.
 _FORGET_MS = 3_600_000
 # The longest hold is sixteen hours: one that still comes has had its trial by then.
--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -16,13 +16,14 @@
 from ._messages import Free, Held, Trial
 from ._news import SuspectNews
 from ._rows import SuspectRows
-from ._suspects import TRIAL_WAIT_MS, Suspects
+from ._suspects import Suspects
 
 log = logging.getLogger("fireflyward.quarantine")
 
 # A replica is a few ms away; one lost packet takes 200 ms to be sent again.
 _CONNECT_MS = 350
-# Rows that could not be written are tried again after this long.
+# Rows that could not be written are tried again after this long, or sooner once the
+# table shows what another node wrote there.
 _RETRY_MS = 500
 # How often suspects of long ago are looked for.
 _FORGET_EACH_MS = 300_000
@@ -30,6 +31,10 @@
 # long for its own than comes back in a second.
 _TRIAL_PATIENCE_MS = 500
 _LOGGED = 5
+# A caller whose suspect has to wait for a trial comes back after about one.
+_TRIAL_WAIT_MS = 1_000
+TRIAL_IS_OVER = Held("its trial is over", _TRIAL_WAIT_MS)
+_NO_TRIAL_YET = Held("its trial cannot begin yet", _TRIAL_WAIT_MS)
 
 
 class Quarantine:
@@ -107,7 +112,7 @@
                     return trial
             left_ms = end_ms - self._clock.now_ms()
             if left_ms <= 0:
-                return Held("its trial cannot begin yet", TRIAL_WAIT_MS)
+                return _NO_TRIAL_YET
             self._look_soon()
             await within_ms(self._clock, left_ms, self._changed.wait())
 
@@ -171,7 +176,7 @@
                 forgotten_ms = self._clock.now_ms()
                 self._unsettled.update(self._suspects.forget(forgotten_ms))
             if self._unsettled:
-                await self._clock.sleep_ms(_RETRY_MS)
+                await within_ms(self._clock, _RETRY_MS, self._changed.wait())
                 self._has_work.set()
 
     async def _settle(self) -> None:
@@ -203,7 +208,8 @@
         return False
 
     async def _end_trial(self, trial: Trial, begun_at: ReplicaState | None) -> None:
-        survived = begun_at is not None and await self._check(begun_at)
+        is_cleared = not self._suspects.ends_of(trial.fingerprint)
+        survived = begun_at is not None and (is_cleared or await self._check(begun_at))
         await self._rows.end_trial(trial, counts=not survived)
 
     def _on_end(self, replica: ReplicaState) -> None:
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -21,11 +21,14 @@
 """
 
 import asyncio
+import json
 
 import aiohttp
 
 from fireflyward.clock import Clock
 from fireflyward.fleet._node import FleetNode
+from fireflyward.fleet._peers import NODE_TABLE
+from fireflyward.quarantine import MOST_ENDS, fingerprint_of
 from tests.platform_standins import DEADLY, Manner, ReplicaStandIn
 
 from .node_fixtures import KEY, NodeTestCase
@@ -121,6 +124,101 @@
         self.assertLessEqual(len(self.ended), _MOST_ENDS)
         self.assertEqual(statuses[-1], 503)
 
+    def kept_ends(self):
+        """Return how many ends of the deadly work the table holds."""
+        fingerprint = fingerprint_of("acme", "/w/x", DEADLY)
+        value = self.store.value(NODE_TABLE, f"suspect/{fingerprint}")
+        return len(json.loads(value)["ends"]) if value else 0
+
+    async def test_nodes_that_start_anew_know_of_it(self):
+        """Symptom: after a loss of power the same request goes on to end replicas.
+
+        It was held, and every process ended; those that start know only what the
+        platform kept.
+        """
+        for number in range(4):
+            await self.ask_at(self.nodes[number % _NODES], "POST", "/w/x", data=DEADLY)
+            await self.replace_ended(self.plain, "plain")
+        before = len(self.ended)
+        await self.until(lambda: self.kept_ends() == MOST_ENDS)
+        await asyncio.gather(*(node.stop() for node in self.nodes))
+        self.nodes = [
+            FleetNode(
+                self.settings(**{"node-name": f"entry-{number}"}),
+                clock=Clock(),
+                noticed_ms=50,
+            )
+            for number in range(1, _NODES + 1)
+        ]
+        self.node = self.nodes[0]
+        for node in self.nodes:
+            await node.start()
+        await self.until(lambda: all(self.knows_everyone(node) for node in self.nodes))
+        for node in self.nodes:
+            status, headers, _ = await self.ask_at(node, "POST", "/w/x", data=DEADLY)
+            self.assertEqual(status, 503)
+            self.assertGreater(float(headers["Retry-After"]), 60)
+        self.assertEqual(len(self.ended), before)
+
+    async def test_nodes_that_cannot_reach_each_other_know_of_it(self):
+        """Symptom: a cut between nodes lets each of them end three replicas.
+
+        No news came through, and each counted its own ends alone. The table that
+        all read holds them from the second on.
+        """
+        for node in self.nodes:
+            node._quarantine._news._link = None
+        statuses = await self.ask_over_and_over("POST", "/w/x", self.plain, "plain")
+        self.assertLessEqual(len(self.ended), _MOST_ENDS)
+        self.assertEqual(statuses[-1], 503)
+
+    async def test_connections_that_break_at_sound_replicas_hold_nothing(self):
+        """Symptom: a harmless request is refused, and no replica has ended."""
+        for number in range(9):
+            for replica in self.plain:
+                replica.manners = [Manner.RESETS]
+            status, _, _ = await self.ask_at(
+                self.nodes[number % _NODES], "POST", "/w/x", data=b"harmless"
+            )
+            self.assertEqual(status, 502)
+        for replica in self.plain:
+            replica.manners = []
+        status, _, _ = await self.ask_at(self.node, "POST", "/w/x", data=b"harmless")
+        self.assertEqual(status, 200)
+
+    async def test_a_replica_that_leaves_as_planned_is_no_end(self):
+        """Symptom: a request is refused because releases cut it three times."""
+        for number in range(4):
+            leaving = self.plain[0]
+            leaving.manners = [Manner.SILENT]
+            self.store.remove("servers", self.plain[1].incarnation)
+            await self.until(lambda: len(self.node._directory) == 3)
+            self.assertEqual(await self.ask_while_it_leaves(leaving), 502)
+            self.plain[0] = ReplicaStandIn(f"released-{number}")
+            await self.plain[0].start()
+            self.list_replicas()
+            await self.until(lambda: len(self.node._directory) == 4)
+        status, _, _ = await self.ask_at(self.node, "POST", "/w/x", data=b"harmless")
+        self.assertEqual(status, 200)
+
+    async def ask_while_it_leaves(self, replica):
+        asked = asyncio.create_task(
+            self.ask_at(self.node, "POST", "/w/x", data=b"harmless")
+        )
+        await self.until(lambda: replica.ran or asked.done())
+        await self.leave(replica)
+        status, _, _ = await asked
+        return status
+
+    async def leave(self, replica):
+        """Have a replica say that it leaves, and end."""
+        name = replica.incarnation
+        self.store.put("servers", name, replica.entry("plain", state="draining"))
+        await self.until(lambda: self.node._directory.find(name).entry.is_leaving)
+        replica.crash()
+        self.ended.append(replica)
+        self.store.remove("servers", name)
+
     async def ask_both(self, node):
         """Have a harmless request under way while the deadly one is asked."""
         (replica,) = self.plain
--- /dev/null
+++ b/tests/quarantine/fakes.py
@@ -0,0 +1,73 @@
+"""A table, a link and a pool that do as they are told."""
+
+from fireflyward.backing import Committed, Conflict, Unavailable
+from fireflyward.feeds import Followed, TableRow
+from fireflyward.http1 import NotConnected
+
+
+class FakeTable:
+    """Keeps rows and checks versions as the platform's store does."""
+
+    def __init__(self):
+        self.version = 0
+        self.is_away = False
+        self.row_by_key = {}
+
+    async def write(self, *, table, part, expected, puts, deletes=()):
+        if self.is_away:
+            return Unavailable("away")
+        have = {key: self._version_of(key) for key in expected}
+        if have != expected:
+            return Conflict(have)
+        self.version += 1
+        for key, value in puts.items():
+            self.row_by_key[key] = TableRow(key, value, self.version)
+        for key in deletes:
+            self.row_by_key.pop(key, None)
+        return Committed(dict.fromkeys(puts, self.version))
+
+    def whole(self):
+        rows = tuple(self.row_by_key.values())
+        return Followed(rows, True, 0, version=self.version)
+
+    def _version_of(self, key):
+        row = self.row_by_key.get(key)
+        return row.version if row else 0
+
+
+class FakeLink:
+    """Remembers what was sent, and gives it to the handlers of another."""
+
+    def __init__(self):
+        self.sent = []
+        self.handler_by_kind = {}
+
+    def register(self, kind, struct_type, handle):
+        self.handler_by_kind[kind] = handle
+
+    def send_all(self, addresses, kind, message):
+        self.sent.append((kind, message))
+
+    async def deliver_to(self, other):
+        for kind, message in self.sent:
+            await other.handler_by_kind[kind]("sender", message)
+
+
+class FakePool:
+    """Connects, or is refused at the addresses in ``refused``."""
+
+    def __init__(self):
+        self.refused = set()
+        self.silent = set()
+        self.opened = []
+
+    async def take(self, address, *, connect_ms, fresh=False):
+        self.opened.append(address)
+        if address in self.refused:
+            return NotConnected("refused", is_refused=True)
+        if address in self.silent:
+            return NotConnected("no connection in 350 ms")
+        return object()
+
+    def give_back(self, connection):
+        pass
--- /dev/null
+++ b/tests/quarantine/test_task.py
@@ -0,0 +1,236 @@
+"""The task between cuts, news and the table."""
+
+import asyncio
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.quarantine import Free, Held, Quarantine, Trial
+from fireflyward.replicas import ReplicaDirectory
+from tests.replicas.makers import entry
+
+from .fakes import FakeLink, FakePool, FakeTable
+
+NAMES = [f"r{number}" for number in range(8)]
+
+
+class _Node:
+    """The quarantine of one node, with what it speaks to."""
+
+    def __init__(self, name, table):
+        self.clock = ManualClock(1_000)
+        self.pool = FakePool()
+        self.directory = ReplicaDirectory()
+        self.directory.on_whole(0, [entry(name) for name in NAMES], after_outage=False)
+        self.table = table
+        self.looks = 0
+        self.link = FakeLink()
+        self.quarantine = Quarantine(
+            clock=self.clock,
+            pool=self.pool,
+            directory=self.directory,
+            store=table,
+            table="nodes",
+            node=name,
+            peer_addresses=lambda: [("10.0.0.2", 1)],
+            look_soon=self._look,
+        )
+        self.quarantine.use(self.link)
+        self.running = asyncio.create_task(self.quarantine.run())
+
+    def _look(self):
+        self.looks += 1
+
+    def read_table(self):
+        self.quarantine.on_news(self.table.whole())
+
+    async def cut(self, replica, *fingerprints, refused=True):
+        state = self.directory.find(replica)
+        if refused:
+            self.pool.refused.add(state.entry.address)
+        for fingerprint in fingerprints:
+            self.quarantine.on_cut(fingerprint, state, is_late=False)
+        await self.settle()
+
+    async def settle(self):
+        await self.clock.advance_ms(5)
+
+    async def admit(self, fingerprint):
+        return await self.quarantine.admit(fingerprint)
+
+    async def stop(self):
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+
+
+class QuarantineTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.table = FakeTable()
+        self.nodes = [_Node("n1", self.table), _Node("n2", self.table)]
+        self.node = self.nodes[0]
+
+    async def asyncTearDown(self):
+        for node in self.nodes:
+            await node.stop()
+
+    async def end_three(self, *fingerprints):
+        for name in NAMES[:3]:
+            await self.node.cut(name, *fingerprints)
+
+    async def test_three_ends_hold_it_here_and_there(self):
+        await self.end_three("deadly")
+        self.assertIsInstance(await self.node.admit("deadly"), Held)
+        other = self.nodes[1]
+        self.assertEqual(await other.admit("deadly"), Free())
+        await self.node.link.deliver_to(other.link)
+        self.assertIsInstance(await other.admit("deadly"), Held)
+
+    async def test_the_table_alone_tells_it_too(self):
+        await self.end_three("deadly")
+        other = self.nodes[1]
+        other.read_table()
+        self.assertIsInstance(await other.admit("deadly"), Held)
+
+    async def test_a_replica_that_still_listens_has_not_ended(self):
+        for name in NAMES[:4]:
+            await self.node.cut(name, "a", refused=False)
+        self.assertEqual(await self.node.admit("a"), Free())
+        self.assertEqual(self.node.quarantine.ends, 0)
+
+    async def test_one_that_does_not_answer_has_ended_once_its_entry_goes(self):
+        """A cut link and a lost machine look alike until then."""
+        for name in NAMES[:3]:
+            state = self.node.directory.find(name)
+            self.node.pool.silent.add(state.entry.address)
+            await self.node.cut(name, "a", refused=False)
+            self.assertEqual(self.node.quarantine.held, 0)
+        for name in NAMES[:3]:
+            (gone,) = self.node.directory.on_changes(0, [], [name], after_outage=False)
+            self.node.quarantine.on_gone(gone)
+        self.assertIsInstance(await self.node.admit("a"), Held)
+
+    async def test_a_late_answer_opens_no_connection(self):
+        state = self.node.directory.find("r1")
+        self.node.quarantine.on_cut("a", state, is_late=True)
+        await self.node.settle()
+        self.assertEqual(self.node.pool.opened, [])
+
+    async def test_many_cuts_at_one_replica_open_one_connection(self):
+        await self.node.cut("r1", *(f"f{number}" for number in range(40)))
+        self.assertEqual(len(self.node.pool.opened), 1)
+
+    async def test_news_of_an_end_is_told_again(self):
+        await self.node.cut("r1", "a")
+        await self.node.clock.advance_ms(2_000)
+        self.assertEqual(len(self.node.link.sent), 3)
+
+    async def test_an_end_has_the_table_read_soon(self):
+        await self.node.cut("r1", "a")
+        self.assertEqual(self.node.looks, 1)
+
+    async def test_only_one_is_on_trial(self):
+        """Symptom: on trial beside the deadly one, a harmless one looks deadly."""
+        await self.end_three("deadly", "beside")
+        other = self.nodes[1]
+        other.read_table()
+        trial = await self.node.admit("beside")
+        self.assertIsInstance(trial, Trial)
+        asked = asyncio.create_task(other.admit("deadly"))
+        await other.clock.advance_ms(600)
+        self.assertIsInstance(await asked, Held)
+
+    async def test_a_trial_that_ends_makes_room_for_the_next(self):
+        await self.end_three("deadly", "beside")
+        trial = await self.node.admit("beside")
+        self.node.quarantine.on_answered("beside")
+        self.node.quarantine.end_trial(trial, begun_at=None)
+        await self.node.settle()
+        self.assertEqual(await self.node.admit("beside"), Free())
+        other = self.nodes[1]
+        other.read_table()
+        self.assertEqual(await other.admit("beside"), Free())
+        self.assertNotIn("suspect/beside", self.table.row_by_key)
+        self.assertNotIn("trial", self.table.row_by_key)
+
+    async def test_a_caller_that_leaves_in_its_trial_has_another(self):
+        await self.end_three("deadly", "beside")
+        sound = self.node.directory.find("r7")
+        for _ in range(4):
+            trial = await self.node.admit("beside")
+            self.assertIsInstance(trial, Trial)
+            self.node.quarantine.end_trial(trial, begun_at=sound)
+            await self.node.settle()
+
+    async def test_trials_that_may_not_have_begun_count(self):
+        """Symptom: the deadly one waits in queues, its callers leave, it comes again."""
+        await self.end_three("deadly", "beside")
+        for _ in range(2):
+            trial = await self.node.admit("deadly")
+            self.assertIsInstance(trial, Trial)
+            self.node.quarantine.end_trial(trial, begun_at=None)
+            await self.node.settle()
+        self.assertIsInstance(await self.node.admit("deadly"), Held)
+
+    async def test_a_trial_whose_node_ended_is_over_after_a_while(self):
+        await self.end_three("deadly", "beside")
+        await self.node.admit("beside")
+        other = self.nodes[1]
+        other.read_table()
+        await other.clock.advance_ms(30_000)
+        self.assertIsInstance(await other.admit("deadly"), Trial)
+
+    async def test_without_the_table_none_is_on_trial(self):
+        await self.end_three("deadly", "beside")
+        self.table.is_away = True
+        asked = asyncio.create_task(self.node.admit("beside"))
+        await self.node.clock.advance_ms(600)
+        self.assertIsInstance(await asked, Held)
+
+    async def test_what_the_table_did_not_take_is_written_later(self):
+        self.table.is_away = True
+        await self.end_three("deadly")
+        self.assertEqual(self.table.row_by_key, {})
+        self.table.is_away = False
+        await self.node.clock.advance_ms(1_000)
+        self.assertIn("suspect/deadly", self.table.row_by_key)
+
+    async def test_two_nodes_that_write_at_once_add_up(self):
+        other = self.nodes[1]
+        await self.node.cut("r1", "a")
+        await other.cut("r3", "a")
+        await self.node.cut("r2", "a")
+        await other.cut("r4", "a")
+        other.read_table()
+        await other.clock.advance_ms(1_000)
+        self.node.read_table()
+        self.assertIsInstance(await self.node.admit("a"), Held)
+        self.assertIsInstance(await other.admit("a"), Held)
+
+    async def test_an_answer_is_told_to_others(self):
+        await self.end_three("a")
+        await self.node.link.deliver_to(self.nodes[1].link)
+        self.node.quarantine.on_answered("a")
+        await self.node.link.deliver_to(self.nodes[1].link)
+        self.assertEqual(await self.nodes[1].admit("a"), Free())
+
+    async def test_a_table_read_before_a_row_was_written_forgives_nothing(self):
+        """Symptom: a held request goes on, just after it was held."""
+        before = self.table.whole()
+        await self.end_three("deadly")
+        self.assertIn("suspect/deadly", self.table.row_by_key)
+        self.node.quarantine.on_news(before)
+        self.assertIsInstance(await self.node.admit("deadly"), Held)
+
+    async def test_a_row_that_goes_forgives(self):
+        await self.end_three("a")
+        self.nodes[1].read_table()
+        self.table.row_by_key.clear()
+        self.table.version += 1
+        self.nodes[1].read_table()
+        self.assertEqual(await self.nodes[1].admit("a"), Free())
+
+    async def test_rows_of_another_writer_hold_nothing(self):
+        await self.table.write(
+            table="", part="", expected={}, puts={"suspect/a": b"{", "x": b"y"}
+        )
+        self.node.read_table()
+        self.assertEqual(await self.node.admit("a"), Free())
