--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -161,7 +161,7 @@
             await self.node.settle()
 
     async def test_trials_that_may_not_have_begun_count(self):
-        """Symptom: the deadly one waits in queues, its callers leave, it comes again."""
+        """Symptom: the deadly one waits in queues, its callers leave and come again."""
         await self.end_three("deadly", "beside")
         for _ in range(2):
             trial = await self.node.admit("deadly")
