A request's passage by the quarantine in a class of its own; unsent trials do not count

Run keeps what it sends; Passage what it may and what came of it. A trial that was turned away before any send, since replicas were busy, is given back: two of them would hold a harmless request for an hour. The test failed on the code before (only two trials). The time that is left is read after the gate, which may take half a second.

--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -11,7 +11,7 @@
     ResponseFacts,
     encode_request,
 )
-from fireflyward.quarantine import TRIAL_IS_OVER, Held, Trial, fingerprint_of
+from fireflyward.quarantine import fingerprint_of
 from fireflyward.replicas import Choice, ReplicaState
 from fireflyward.routes import Allowed
 
@@ -19,7 +19,6 @@
 from ._exchange import Exchange, Reply, StreamProgress
 from ._messages import (
     Deliver,
-    Failed,
     Finish,
     NoReplica,
     NotRunThere,
@@ -31,6 +30,7 @@
     Unsent,
     WholeAnswer,
 )
+from ._passage import Passage
 from ._plan import AttemptPlan
 from ._prompt import PromptNeeds
 from ._tools import Tools
@@ -41,9 +41,6 @@
 _CONNECT_MS = 350
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 _LOWEST_PRIORITY = 9
-# A replica whose queue is shorter than this begins on a request about as soon as it
-# has it: a step of its batch takes 3 ms and more.
-_BEGINS_AT_ONCE_MS = 10.0
 _LATE_STEP = 5
 
 
@@ -52,7 +49,6 @@
 
     __slots__ = (
         "_allowed",
-        "_begun_at",
         "_body",
         "_caller",
         "_clock",
@@ -61,14 +57,13 @@
         "_objective_ms",
         "_tools",
         "_needs",
+        "_passage",
         "_plan",
         "_progress",
         "_reply",
         "_sent_ms",
         "_service",
         "_trace",
-        "_trial",
-        "_trial_is_sent",
         "_tried",
         "_waits_late",
     )
@@ -110,9 +105,7 @@
         )
         self._sent_ms = arrived_ms
         self._tried: set[int] = set()
-        self._trial: Trial | None = None
-        self._trial_is_sent = False
-        self._begun_at: ReplicaState | None = None
+        self._passage = Passage(tools.gate, trace.fingerprint)
         self._plan = AttemptPlan(
             max_attempts=allowed.route.max_attempts,
             may_repeat=allowed.route.may_repeat,
@@ -126,8 +119,7 @@
         finally:
             # A caller may leave before its request was sent.
             self._end_late_wait(None)
-            if self._trial is not None:
-                self._tools.gate.end_trial(self._trial, begun_at=self._begun_at)
+            self._passage.end()
 
     async def _send_to_end(self) -> Outcome:
         self._tools.budget.on_request(self._clock.now_ms(), self._service)
@@ -156,12 +148,12 @@
         return Answered()
 
     async def _send_once(self) -> SendResult | NotRun:
+        held = await self._passage.held_back()
+        if held is not None:
+            return held
         left_ms = self._left_ms()
         if left_ms < 1:
             return NoReplica()
-        held = await self._held_back()
-        if held is not None:
-            return held
         choice = self._choose()
         if choice is None:
             return NoReplica()
@@ -177,29 +169,13 @@
         )
         if isinstance(connection, NotConnected):
             replica.on_trouble(self._clock.now_ms())
-            if connection.is_refused:
-                self._tools.gate.on_refused(replica)
+            self._passage.on_unreached(replica, is_refused=connection.is_refused)
             self._tried.add(replica.number)
             self._end_late_wait(None)
             return Unsent(connection.detail)
-        self._trial_is_sent = self._trial is not None
-        begins_at_once = choice.queue_ms < _BEGINS_AT_ONCE_MS
-        self._begun_at = replica if begins_at_once else None
+        self._passage.on_sending(choice)
         return await self._send_on(connection, choice)
 
-    async def _held_back(self) -> Held | None:
-        """Return why no replica may get this request, None if one may.
-
-        Asked before each send: an earlier one may have been at the third replica
-        that ended, and a trial is one send.
-        """
-        if self._trial is not None:
-            return TRIAL_IS_OVER if self._trial_is_sent else None
-        admitted = await self._tools.gate.admit(self._trace.fingerprint)
-        if isinstance(admitted, Trial):
-            self._trial = admitted
-        return admitted if isinstance(admitted, Held) else None
-
     def _note_choice(self, choice: Choice) -> None:
         trace = self._trace
         trace.replica = choice.replica.entry.incarnation
@@ -269,17 +245,9 @@
             unread.end()
         if isinstance(result, NotRunThere):
             return self._rejected(choice, result.facts)
-        self._note_end(replica, result)
+        self._passage.on_result(replica, result)
         return result
 
-    def _note_end(self, replica: ReplicaState, result: SendResult) -> None:
-        """Tell the quarantine whether the replica survived this request."""
-        gate, fingerprint = self._tools.gate, self._trace.fingerprint
-        if isinstance(result, Failed):
-            gate.on_cut(fingerprint, replica, is_late=result.is_late)
-        elif isinstance(result, Streamed) or result.is_success:
-            gate.on_answered(fingerprint)
-
     def _exchange(
         self, connection: HttpConnection, choice: Choice, unread: "_Unread"
     ) -> Exchange:
--- a/fireflyward/forwarding/_tools.py
+++ b/fireflyward/forwarding/_tools.py
@@ -21,7 +21,9 @@
 
     async def admit(self, fingerprint: str) -> Free | Held | Trial: ...
 
-    def end_trial(self, trial: Trial, *, begun_at: ReplicaState | None) -> None: ...
+    def end_trial(
+        self, trial: Trial, *, was_sent: bool, begun_at: ReplicaState | None
+    ) -> None: ...
 
     def on_cut(
         self, fingerprint: str, replica: ReplicaState, *, is_late: bool
--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -116,14 +116,19 @@
             self._look_soon()
             await within_ms(self._clock, left_ms, self._changed.wait())
 
-    def end_trial(self, trial: Trial, *, begun_at: ReplicaState | None) -> None:
-        """End a trial that gave no answer, or was answered and cleared already.
+    def end_trial(
+        self, trial: Trial, *, was_sent: bool, begun_at: ReplicaState | None
+    ) -> None:
+        """End a trial, whatever came of it.
 
         ``begun_at`` is the replica that surely began on it, if any. If that one is
-        still there, the request ends no replicas so surely that its trial counts:
-        its caller may just have left.
+        still there the trial does not count: the request did no harm, and its caller
+        may just have left. Nor does it if it was not sent at all.
         """
-        self._spawn(self._end_trial(trial, begun_at))
+        if was_sent:
+            self._spawn(self._end_trial(trial, begun_at))
+        else:
+            self._spawn(self._rows.end_trial(trial, counts=False))
 
     def on_cut(self, fingerprint: str, replica: ReplicaState, *, is_late: bool) -> None:
         """Take a send that came to no answer; find out whether the replica ended.
--- a/tests/forwarding/open_gate.py
+++ b/tests/forwarding/open_gate.py
@@ -9,7 +9,7 @@
     async def admit(self, fingerprint):
         return Free()
 
-    def end_trial(self, trial, *, begun_at):
+    def end_trial(self, trial, *, was_sent, begun_at):
         raise AssertionError("nothing is on trial")
 
     def on_cut(self, fingerprint, replica, *, is_late):
--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -142,7 +142,7 @@
         await self.end_three("deadly", "beside")
         trial = await self.node.admit("beside")
         self.node.quarantine.on_answered("beside")
-        self.node.quarantine.end_trial(trial, begun_at=None)
+        self.node.quarantine.end_trial(trial, was_sent=True, begun_at=None)
         await self.node.settle()
         self.assertEqual(await self.node.admit("beside"), Free())
         other = self.nodes[1]
@@ -157,7 +157,19 @@
         for _ in range(4):
             trial = await self.node.admit("beside")
             self.assertIsInstance(trial, Trial)
-            self.node.quarantine.end_trial(trial, begun_at=sound)
+            self.node.quarantine.end_trial(trial, was_sent=True, begun_at=sound)
+            await self.node.settle()
+
+    async def test_a_trial_that_was_not_sent_does_not_count(self):
+        """Symptom: a harmless request is held for an hour, and was never tried.
+
+        Replicas were busy, and twice it was turned away for that in its trial.
+        """
+        await self.end_three("deadly", "beside")
+        for _ in range(4):
+            trial = await self.node.admit("beside")
+            self.assertIsInstance(trial, Trial)
+            self.node.quarantine.end_trial(trial, was_sent=False, begun_at=None)
             await self.node.settle()
 
     async def test_trials_that_may_not_have_begun_count(self):
@@ -166,7 +178,7 @@
         for _ in range(2):
             trial = await self.node.admit("deadly")
             self.assertIsInstance(trial, Trial)
-            self.node.quarantine.end_trial(trial, begun_at=None)
+            self.node.quarantine.end_trial(trial, was_sent=True, begun_at=None)
             await self.node.settle()
         self.assertIsInstance(await self.node.admit("deadly"), Held)
 
