--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -131,7 +131,7 @@
         return len(json.loads(value)["ends"]) if value else 0
 
     async def test_nodes_that_start_anew_know_of_it(self):
-        """Symptom: after a loss of power the same request goes on to end replicas.
+        """After a loss of power the same request goes on to end replicas.
 
         It was held, and every process ended; those that start know only what the
         platform kept.
@@ -161,7 +161,7 @@
         self.assertEqual(len(self.ended), before)
 
     async def test_nodes_that_cannot_reach_each_other_know_of_it(self):
-        """Symptom: a cut between nodes lets each of them end three replicas.
+        """A cut between nodes lets each of them end three replicas.
 
         No news came through, and each counted its own ends alone. The table that
         all read holds them from the second on.
@@ -173,7 +173,7 @@
         self.assertEqual(statuses[-1], 503)
 
     async def test_connections_that_break_at_sound_replicas_hold_nothing(self):
-        """Symptom: a harmless request is refused, and no replica has ended."""
+        """A harmless request was refused, and no replica had ended."""
         for number in range(9):
             for replica in self.plain:
                 replica.manners = [Manner.RESETS]
@@ -187,7 +187,7 @@
         self.assertEqual(status, 200)
 
     async def test_a_replica_that_leaves_as_planned_is_no_end(self):
-        """Symptom: a request is refused because releases cut it three times."""
+        """A request was refused because releases cut it three times."""
         for number in range(4):
             leaving = self.plain[0]
             leaving.manners = [Manner.SILENT]
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -90,6 +90,16 @@
         )
         self.assertFalse(peer.send(self.server.address, "k", long))
 
+    async def test_nothing_is_sent_once_the_link_has_stopped(self):
+        """Symptom: a node that stops as planned logs a traceback.
+
+        News is told again after a second, and its timer found a closed socket.
+        """
+        link = await self.start("entry-2")
+        await link.stop()
+        await asyncio.sleep(0)
+        self.assertFalse(link.send(self.server.address, "k", MESSAGE))
+
     async def test_failing_handler_hurts_nothing_else(self):
         async def fail(sender, message):
             raise ValueError("wrong")
--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -289,7 +289,25 @@
                 version=6,
             )
         )
-        self.assertIsInstance(await self.node.admit("a"), Held)
+        held = await self.node.admit("a")
+        self.assertEqual(held.detail, "3 replicas ended under it")
+
+    async def test_a_leaving_replica_that_ends_blames_nobody(self):
+        for name in NAMES[:3]:
+            leaving = entry(name, leaving=True)
+            self.node.directory.on_changes(0, [leaving], [], after_outage=False)
+            await self.node.cut(name, "a")
+        self.assertEqual(await self.node.admit("a"), Free())
+
+    async def test_one_that_leaves_after_a_cut_blames_nobody_when_it_goes(self):
+        """Its caller's deadline came, or one connection broke, and it served on."""
+        for name in NAMES[:3]:
+            await self.node.cut(name, "a", refused=False)
+            leaving = entry(name, leaving=True)
+            self.node.directory.on_changes(0, [leaving], [], after_outage=False)
+            (gone,) = self.node.directory.on_changes(0, [], [name], after_outage=False)
+            self.node.quarantine.on_gone(gone)
+        self.assertEqual(await self.node.admit("a"), Free())
 
     async def test_rows_of_another_writer_hold_nothing(self):
         await self.table.write(
