--- a/fireflyward/quarantine/_messages.py
+++ b/fireflyward/quarantine/_messages.py
@@ -1,9 +1,16 @@
 """What is decided of a request, and the rows and news that nodes share."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+# The number of a replica's start, as news between nodes carries it. Another writer's
+# row may have anything, and what cannot be told on would fail requests later.
+_Start = Annotated[int, msgspec.Meta(ge=-(2**31), lt=2**31)]
+_Starts = Annotated[tuple[_Start, ...], msgspec.Meta(max_length=64)]
+_Trials = Annotated[int, msgspec.Meta(ge=0, le=1_000)]
+
 
 @dataclass(frozen=True, slots=True)
 class Free:
@@ -41,8 +48,8 @@
     ``trials`` how often it was sent on trial since.
     """
 
-    ends: tuple[int, ...]
-    trials: int = 0
+    ends: _Starts
+    trials: _Trials = 0
 
 
 class TrialRow(msgspec.Struct, frozen=True):
--- a/fireflyward/quarantine/_suspects.py
+++ b/fireflyward/quarantine/_suspects.py
@@ -120,7 +120,8 @@
     def row_of(self, fingerprint: str, *, trials: int = 0) -> SuspectRow:
         """Return the row of a suspect, with so many ``trials`` more."""
         suspect = self._by_fingerprint[fingerprint]
-        return SuspectRow(tuple(sorted(suspect.ends)), suspect.trials + trials)
+        trials = max(0, suspect.trials + trials)
+        return SuspectRow(tuple(sorted(suspect.ends)), trials)
 
     def needs_writing(self, fingerprint: str) -> bool:
         """Tell whether the table lacks what is known of a suspect."""
--- a/tests/fuzz/test_platform_answers.py
+++ b/tests/fuzz/test_platform_answers.py
@@ -13,6 +13,7 @@
 from fireflyward.fleet._views import OperatorView, ReplicaView
 from fireflyward.forwarding import WeightBook
 from fireflyward.http1 import ConnectionPool
+from fireflyward.peers import pack
 from fireflyward.platform import (
     ReplicaApi,
     ReplicaReport,
@@ -22,6 +23,9 @@
     decode_weight_target,
 )
 from fireflyward.prefixes import KvNews
+from fireflyward.quarantine import Free, Held, OnTrial, Suspects
+from fireflyward.quarantine._quarantine_structs import ClearNews
+from fireflyward.quarantine._rows import SuspectRows
 from fireflyward.replicas import ReplicaDirectory
 from fireflyward.routes import RouteTable
 from tests.fuzz.profiles import fuzz
@@ -49,6 +53,14 @@
     return json.dumps(draw(values)).encode()
 
 
+@st.composite
+def suspect_bodies(draw):
+    import json
+
+    ends = draw(st.lists(st.integers(), max_size=4))
+    return json.dumps({"ends": ends, "trials": draw(st.integers())}).encode()
+
+
 class _Foreign(RawServer):
     status, body = 200, b""
 
@@ -129,7 +141,10 @@
         directory = ReplicaDirectory()
         routes = RouteTable(revoke_ms=5_000, closes_without_contact=True)
         ReplicaView(
-            clock=clock, directory=directory, pool=ConnectionPool(clock)
+            clock=clock,
+            directory=directory,
+            pool=ConnectionPool(clock),
+            on_gone=lambda state: None,
         ).on_news(news)
         OperatorView(
             clock=clock,
@@ -138,3 +153,22 @@
             on_configuration=lambda configuration: None,
         ).on_news(news)
         PeerRegister(None, "n").on_news(news)
+
+    @fuzz(150)
+    @given(bodies() | suspect_bodies())
+    def test_whatever_a_row_says_of_a_suspect_it_is_decided_and_told(self, value):
+        """Symptom: each answer of a request fails by a fault of the program.
+
+        A row of another writer named a start that no number of a replica is, and
+        the news that it is cleared could not be packed.
+        """
+        suspects, clock = Suspects(), Clock()
+        rows = SuspectRows(suspects, store=None, table="t", node="n", clock=clock)
+        found = (TableRow("suspect/a", value, 1), TableRow("trial", value, 1))
+        rows.on_news(Followed(found, False, 0, version=1))
+        verdict = suspects.verdict(clock.now_ms(), "a")
+        self.assertIsInstance(verdict, Free | Held | OnTrial)
+        if suspects.ends_of("a"):
+            self.assertGreaterEqual(suspects.row_of("a", trials=-1).trials, 0)
+        starts = sorted(suspects.clear("a"))
+        self.assertTrue(pack(ClearNews(fingerprint="a", starts=starts)))
