--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -80,8 +80,8 @@
         await work()
 
     async def _pause(self, pause_ms: int) -> None:
-        if await within_ms(self._clock, pause_ms, self._is_wanted_soon.wait()):
-            self._is_wanted_soon.clear()
+        await within_ms(self._clock, pause_ms, self._is_wanted_soon.wait())
+        self._is_wanted_soon.clear()
 
     def _on_news(self, news: Followed) -> None:
         self._register.on_news(news)
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -371,7 +371,7 @@
         self._metrics.gauge("configuration_age_ms", self._routes.age_ms(now_ms))
         self._metrics.gauge("configuration_version", self._routes.version or 0)
         self._metrics.gauge("replicas", len(self._directory))
-        self._metrics.gauge("replica_ends_total", self._quarantine.ends)
+        self._metrics.gauge("requests_cut_by_ends_total", self._quarantine.cut)
         self._metrics.gauge("requests_held", self._quarantine.held)
         self._metrics.gauge("store_calls_total", self._store.calls)
         self._metrics.gauge("connections_opened_total", self._pool.opened)
--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -48,6 +48,7 @@
     way where a replica ended, by fingerprint and not by id, and the table keeps what
     was so more than once; see ``Suspects`` for what is decided from it.
 
+    ``cut`` counts the requests of this node that were under way where a replica ended.
     ``look_soon`` has the table read without delay, since news between nodes may not
     have come.
     """
@@ -81,7 +82,7 @@
         self._changed = asyncio.Event()
         self._checked: set[int] = set()
         self._tasks: set[asyncio.Task[Any]] = set()
-        self.ends = 0
+        self.cut = 0
 
     @property
     def held(self) -> int:
@@ -225,7 +226,7 @@
     def _blame(self, replica: ReplicaState, fingerprints: tuple[str, ...]) -> None:
         """Note requests that were under way where a replica ended, and tell others."""
         now_ms = self._clock.now_ms()
-        self.ends += 1
+        self.cut += len(fingerprints)
         for fingerprint in fingerprints:
             self._suspects.on_ends(now_ms, fingerprint, [replica.number])
         self._news.ended(replica.number, fingerprints)
--- /dev/null
+++ b/tests/fleet/test_joining.py
@@ -0,0 +1,82 @@
+"""How the table of nodes is read: in its pace, and without delay when wanted."""
+
+import asyncio
+import types
+import unittest
+
+from fireflyward.aggregators import Aggregators
+from fireflyward.clock import ManualClock
+from fireflyward.feeds import Changes, Snapshot, TableRow
+from fireflyward.fleet._joining import Joining
+from fireflyward.fleet._peers import PeerRegister
+
+
+class _Tables:
+    """Answers at once, and counts what it is asked."""
+
+    def __init__(self):
+        self.asked = 0
+        self.rows_to_tell = ()
+
+    def kept(self, table, on_news, *, old_ms=None):
+        return on_news
+
+    async def rows(self, table, *, part="", limit_ms=1_000):
+        self.asked += 1
+        return Snapshot(self.rows_to_tell, 1)
+
+    async def changes(self, table, *, after, wait_ms, limit_ms):
+        self.asked += 1
+        return Changes(self.rows_to_tell, after)
+
+
+class JoiningTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.clock, self.tables, self.heard = ManualClock(0), _Tables(), []
+        settings = types.SimpleNamespace(peer_ports=(0, 0), ip="127.0.0.1")
+        self.joining = Joining(
+            settings,
+            clock=self.clock,
+            register=PeerRegister(None, "n1"),
+            tables=self.tables,
+            aggregators=Aggregators("n1", "a", link_mbps=100),
+            on_nodes=lambda count: None,
+            on_rows=self.heard.append,
+            on_link=lambda link: lambda: None,
+        )
+        self.joining._register.write_missing = self._write_nothing
+        self.running = asyncio.create_task(self.joining.run())
+        await self.clock.advance_ms(0)
+
+    async def asyncTearDown(self):
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+
+    async def _write_nothing(self, now_ms):
+        pass
+
+    async def test_a_look_that_is_wanted_soon_waits_for_no_pause(self):
+        """Symptom: a node that is cut off from its peers ends replica after replica.
+
+        It read what they had written seconds after it had seen an end itself.
+        """
+        before = self.tables.asked
+        await self.clock.advance_ms(10)
+        self.assertEqual(self.tables.asked, before)
+        self.joining.look_soon()
+        await self.clock.advance_ms(10)
+        self.assertEqual(self.tables.asked, before + 1)
+
+    async def test_one_look_is_one(self):
+        self.joining.look_soon()
+        await self.clock.advance_ms(10)
+        before = self.tables.asked
+        await self.clock.advance_ms(10)
+        self.assertEqual(self.tables.asked, before)
+
+    async def test_other_rows_of_the_table_are_passed_on(self):
+        row = TableRow("suspect/a", b"{}", 5)
+        self.tables.rows_to_tell = (row,)
+        self.joining.look_soon()
+        await self.clock.advance_ms(10)
+        self.assertEqual(self.heard[-1].rows, (row,))
--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -106,7 +106,7 @@
         for name in NAMES[:4]:
             await self.node.cut(name, "a", refused=False)
         self.assertEqual(await self.node.admit("a"), Free())
-        self.assertEqual(self.node.quarantine.ends, 0)
+        self.assertEqual(self.node.quarantine.cut, 0)
 
     async def test_one_that_does_not_answer_has_ended_once_its_entry_goes(self):
         """A cut link and a lost machine look alike until then."""
