--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -30,6 +30,13 @@
         return Changes(self.rows_to_tell, after)
 
 
+class _Register(PeerRegister):
+    """Writes nothing."""
+
+    async def write_missing(self, now_ms):
+        pass
+
+
 class JoiningTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock, self.tables, self.heard = ManualClock(0), _Tables(), []
@@ -37,14 +44,13 @@
         self.joining = Joining(
             settings,
             clock=self.clock,
-            register=PeerRegister(None, "n1"),
+            register=_Register(None, "n1"),
             tables=self.tables,
             aggregators=Aggregators("n1", "a", link_mbps=100),
             on_nodes=lambda count: None,
             on_rows=self.heard.append,
             on_link=lambda link: lambda: None,
         )
-        self.joining._register.write_missing = self._write_nothing
         self.running = asyncio.create_task(self.joining.run())
         await self.clock.advance_ms(0)
 
@@ -52,9 +58,6 @@
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
 
-    async def _write_nothing(self, now_ms):
-        pass
-
     async def test_a_look_that_is_wanted_soon_waits_for_no_pause(self):
         """Symptom: a node that is cut off from its peers ends replica after replica.
 
