Fuzz of HTTP: tasks that a request leaves are counted once duties have ticked

Traced by running it 42 times at once and printing the tasks: 61, then 55 and 49 within 50 ms; the excess were ticks of the node's duties (BundleDuty._read_head, HttpTable.get), which fell together. The bound is unchanged; the check waits, up to its limit of 10 s, until the count is within it. A task kept by each request on purpose still fails it.

--- a/tests/fuzz/test_http.py
+++ b/tests/fuzz/test_http.py
@@ -106,6 +106,15 @@
         while self.node.admission.total():
             await asyncio.sleep(0.01)
 
+    async def settled(self):
+        """Return when there are no more tasks than a request may leave.
+
+        Duties that tick at once have more for some ms, which is no leak: what leaks
+        stays, and the wait for it ends by its limit.
+        """
+        while await self.count_tasks() > self.tasks_before + MORE_TASKS:
+            await asyncio.sleep(0.01)
+
     def check(self, data):
         """The node answers or closes, blames nobody else, and keeps nothing."""
         answer = self.runner.run(self.talk(data, PATIENCE_S))
@@ -115,8 +124,7 @@
         alive = self.runner.run(self.talk(HEALTH, LIMIT_S))
         self.assertIn(b"alive", alive)
         self.runner.run(asyncio.wait_for(self.drained(), LIMIT_S))
-        tasks = self.runner.run(self.count_tasks())
-        self.assertLessEqual(tasks, self.tasks_before + MORE_TASKS)
+        self.runner.run(asyncio.wait_for(self.settled(), LIMIT_S))
 
     @fuzz(40)
     @given(st.binary(max_size=200))
