--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -30,9 +30,9 @@
     Unsent,
     WholeAnswer,
 )
-from ._passage import Passage
 from ._plan import AttemptPlan
 from ._prompt import PromptNeeds
+from ._send_check import SendCheck
 from ._tools import Tools
 
 log = logging.getLogger("fireflyward.forwarding")
@@ -57,7 +57,7 @@
         "_objective_ms",
         "_tools",
         "_needs",
-        "_passage",
+        "_send_check",
         "_plan",
         "_progress",
         "_reply",
@@ -105,7 +105,7 @@
         )
         self._sent_ms = arrived_ms
         self._tried: set[int] = set()
-        self._passage = Passage(tools.gate, trace.fingerprint)
+        self._send_check = SendCheck(tools.gate, trace.fingerprint)
         self._plan = AttemptPlan(
             max_attempts=allowed.route.max_attempts,
             may_repeat=allowed.route.may_repeat,
@@ -119,7 +119,7 @@
         finally:
             # A caller may leave before its request was sent.
             self._end_late_wait(None)
-            self._passage.end()
+            self._send_check.end()
 
     async def _send_to_end(self) -> Outcome:
         self._tools.budget.on_request(self._clock.now_ms(), self._service)
@@ -148,7 +148,7 @@
         return Answered()
 
     async def _send_once(self) -> SendResult | NotRun:
-        held = await self._passage.held_back()
+        held = await self._send_check.held_back()
         if held is not None:
             return held
         left_ms = self._left_ms()
@@ -169,11 +169,11 @@
         )
         if isinstance(connection, NotConnected):
             replica.on_trouble(self._clock.now_ms())
-            self._passage.on_unreached(replica, is_refused=connection.is_refused)
+            self._send_check.on_unreached(replica, is_refused=connection.is_refused)
             self._tried.add(replica.number)
             self._end_late_wait(None)
             return Unsent(connection.detail)
-        self._passage.on_sending(choice)
+        self._send_check.on_sending(choice)
         return await self._send_on(connection, choice)
 
     def _note_choice(self, choice: Choice) -> None:
@@ -245,7 +245,7 @@
             unread.end()
         if isinstance(result, NotRunThere):
             return self._rejected(choice, result.facts)
-        self._passage.on_result(replica, result)
+        self._send_check.on_result(replica, result)
         return result
 
     def _exchange(
--- a/fireflyward/forwarding/_passage.py
+++ b/fireflyward/forwarding/_send_check.py
@@ -1,4 +1,4 @@
-"""One request's way past the quarantine, send by send."""
+"""Whether a request may be sent, and what its sends tell of it."""
 
 from fireflyward.quarantine import TRIAL_IS_OVER, Held, Trial
 from fireflyward.replicas import Choice, ReplicaState
@@ -11,7 +11,7 @@
 _BEGINS_AT_ONCE_MS = 10.0
 
 
-class Passage:
+class SendCheck:
     """Asks the gate before each send, and tells it what each came to.
 
     An earlier send of the same request may have been at the third replica that ended
--- a/fireflyward/quarantine/_suspects.py
+++ b/fireflyward/quarantine/_suspects.py
@@ -60,11 +60,11 @@
     Held(detail='3 replicas ended under it', retry_after_ms=3599000)
     """
 
-    __slots__ = ("_by_fingerprint", "_grave")
+    __slots__ = ("_by_fingerprint", "_past_limit")
 
     def __init__(self) -> None:
         self._by_fingerprint: OrderedDict[str, _Suspect] = OrderedDict()
-        self._grave: set[str] = set()
+        self._past_limit: set[str] = set()
 
     def __len__(self) -> int:
         return len(self._by_fingerprint)
@@ -72,7 +72,7 @@
     @property
     def held(self) -> int:
         """Return how many requests have too many ends to be sent freely."""
-        return len(self._grave)
+        return len(self._past_limit)
 
     def ends_of(self, fingerprint: str) -> frozenset[int]:
         """Return the starts of replicas that ended under a request."""
@@ -81,7 +81,7 @@
 
     def verdict(self, now_ms: int, fingerprint: str) -> Verdict:
         """Say whether a request may be sent to a replica now."""
-        if fingerprint not in self._grave:
+        if fingerprint not in self._past_limit:
             return Free()
         suspect = self._by_fingerprint[fingerprint]
         hold_ms = _HOLD_MS << min(suspect.trials, _MOST_DOUBLINGS)
@@ -106,7 +106,7 @@
         self._by_fingerprint.move_to_end(fingerprint)
         if len(suspect.ends) >= MOST_ENDS:
             suspect.held_ms = now_ms
-            self._grave.add(fingerprint)
+            self._past_limit.add(fingerprint)
 
     def on_row(self, now_ms: int, fingerprint: str, row: SuspectRow) -> None:
         """Take what the table says of a suspect."""
@@ -144,7 +144,7 @@
         suspect.ends -= suspect.cleared
         suspect.written = frozenset()
         suspect.trials = 0
-        self._grave.discard(fingerprint)
+        self._past_limit.discard(fingerprint)
         return forgiven
 
     def forget(self, now_ms: int) -> list[str]:
@@ -163,7 +163,7 @@
     def _stands_out(self, suspect: _Suspect) -> bool:
         """Tell whether nothing else accounts for three of its ends."""
         unexplained = set(suspect.ends)
-        for name in self._grave:
+        for name in self._past_limit:
             other = self._by_fingerprint[name]
             if other is not suspect and len(other.ends) >= len(suspect.ends):
                 unexplained -= other.ends
@@ -176,4 +176,4 @@
 
     def _drop(self, fingerprint: str) -> None:
         self._by_fingerprint.pop(fingerprint, None)
-        self._grave.discard(fingerprint)
+        self._past_limit.discard(fingerprint)
--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -18,6 +18,13 @@
 )
 
 KEY = {"Authorization": "Bearer key-1"}
+STREAM = {
+    **KEY,
+    "X-Model": "m",
+    "X-Token-Usage": "900,4",
+    "X-Prompt-Prefix": "aa:500,bb:400",
+    "X-Deadline-Ms": "5000",
+}
 _PATIENCE_S = 20
 
 
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -31,15 +31,8 @@
 from fireflyward.quarantine import MOST_ENDS, fingerprint_of
 from tests.platform_standins import DEADLY, Manner, ReplicaStandIn
 
-from .node_fixtures import KEY, NodeTestCase
-
-STREAM = {
-    **KEY,
-    "X-Model": "m",
-    "X-Token-Usage": "900,4",
-    "X-Prompt-Prefix": "aa:500,bb:400",
-    "X-Deadline-Ms": "5000",
-}
+from .node_fixtures import STREAM, NodeTestCase
+
 # What the users allow: three replicas, and three more sends where the news lags.
 _MOST_ENDS = 6
 _NODES = 3
--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -8,15 +8,7 @@
 from fireflyward.fleet._peers import NodeRow
 from tests.platform_standins import Manner, StoreManner
 
-from .node_fixtures import KEY, NodeTestCase
-
-STREAM = {
-    **KEY,
-    "X-Model": "m",
-    "X-Token-Usage": "900,4",
-    "X-Prompt-Prefix": "aa:500,bb:400",
-    "X-Deadline-Ms": "5000",
-}
+from .node_fixtures import KEY, STREAM, NodeTestCase
 
 
 class PlainTests(NodeTestCase):
--- a/tests/forwarding/test_passage.py
+++ b/tests/forwarding/test_send_check.py
@@ -4,7 +4,7 @@
 
 from fireflyward.forwarding import Failed, WholeAnswer
 from fireflyward.forwarding._messages import Streamed
-from fireflyward.forwarding._passage import Passage
+from fireflyward.forwarding._send_check import SendCheck
 from fireflyward.http1 import Head
 from fireflyward.quarantine import Free, Held, Trial
 from fireflyward.replicas import Choice, ReplicaState
@@ -37,51 +37,51 @@
         self.heard.append(("answered", fingerprint))
 
 
-class PassageTests(unittest.IsolatedAsyncioTestCase):
+class SendCheckTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.replica = ReplicaState(entry("r1"))
 
-    def passage(self, *answers):
+    def check(self, *answers):
         self.gate = _Gate(*answers)
-        return Passage(self.gate, "f")
+        return SendCheck(self.gate, "f")
 
     async def test_each_send_asks_anew(self):
         """Symptom: a request that may repeat ends two replicas more than it may.
 
         Its first send was at the third replica that ended.
         """
-        passage = self.passage(Free(), HELD)
-        self.assertIsNone(await passage.held_back())
-        passage.on_sending(Choice(self.replica, None))
-        self.assertEqual(await passage.held_back(), HELD)
+        check = self.check(Free(), HELD)
+        self.assertIsNone(await check.held_back())
+        check.on_sending(Choice(self.replica, None))
+        self.assertEqual(await check.held_back(), HELD)
 
     async def test_a_trial_is_one_send(self):
-        passage = self.passage(TRIAL)
-        self.assertIsNone(await passage.held_back())
-        passage.on_sending(Choice(self.replica, None))
-        self.assertIsInstance(await passage.held_back(), Held)
+        check = self.check(TRIAL)
+        self.assertIsNone(await check.held_back())
+        check.on_sending(Choice(self.replica, None))
+        self.assertIsInstance(await check.held_back(), Held)
 
     async def test_a_trial_that_found_no_connection_may_go_elsewhere(self):
-        passage = self.passage(Free(), TRIAL)
-        await passage.held_back()
-        passage.on_sending(Choice(self.replica, None))
-        await passage.held_back()
-        passage.on_unreached(self.replica, is_refused=True)
-        self.assertIsNone(await passage.held_back())
+        check = self.check(Free(), TRIAL)
+        await check.held_back()
+        check.on_sending(Choice(self.replica, None))
+        await check.held_back()
+        check.on_unreached(self.replica, is_refused=True)
+        self.assertIsNone(await check.held_back())
         self.assertEqual(self.gate.heard, [("refused", self.replica)])
 
     async def test_a_trial_ends_with_its_request(self):
-        passage = self.passage(TRIAL)
-        await passage.held_back()
-        passage.end()
+        check = self.check(TRIAL)
+        await check.held_back()
+        check.end()
         self.assertEqual(self.gate.heard, [("trial over", False, None)])
 
     async def test_only_an_idle_replica_surely_began(self):
         for queue_ms, begun_at in ((0.0, self.replica), (400.0, None)):
-            passage = self.passage(TRIAL)
-            await passage.held_back()
-            passage.on_sending(Choice(self.replica, None, queue_ms=queue_ms))
-            passage.end()
+            check = self.check(TRIAL)
+            await check.held_back()
+            check.on_sending(Choice(self.replica, None, queue_ms=queue_ms))
+            check.end()
             self.assertEqual(self.gate.heard, [("trial over", True, begun_at)])
 
     def test_what_a_send_came_to(self):
@@ -92,12 +92,12 @@
             WholeAnswer(Head(200, "OK", ()), b""): ("answered", "f"),
         }
         for result, told in ends.items():
-            passage = self.passage()
-            passage.on_result(self.replica, result)
+            check = self.check()
+            check.on_result(self.replica, result)
             self.assertEqual(self.gate.heard, [told])
 
     def test_a_failure_of_the_replica_clears_nothing(self):
         """Symptom: a deadly request goes on, since one replica shed it with 500."""
-        passage = self.passage()
-        passage.on_result(self.replica, WholeAnswer(Head(500, "X", ()), b""))
+        check = self.check()
+        check.on_result(self.replica, WholeAnswer(Head(500, "X", ()), b""))
         self.assertEqual(self.gate.heard, [])
