--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -46,9 +46,9 @@
     replicas that end singly and soon after each other, and by the same fingerprint
     among what was cut at each. Asked a dozen times at three nodes, such work ended 12
     replicas where it runs once each time and 24 where it may be repeated; held, 3 and 4
-    (``tests.fleet.test_crashing_requests``). The nodes therefore tell each other what was under
-    way where a replica ended, by fingerprint and not by id, and the table keeps what
-    was so more than once; see ``Suspects`` for what is decided from it.
+    (``tests.fleet.test_crashing_requests``). The nodes therefore tell each other what
+    was under way where a replica ended, by fingerprint and not by id, and the table
+    keeps what was so more than once; see ``Suspects`` for what is decided from it.
 
     ``cut`` counts the requests of this node that were under way where a replica ended.
     ``look_soon`` has the table read without delay, since news between nodes may not
