Evacuated failure domains get nothing; cold replicas no more than they bear

Cause: nothing read the operator's rows evacuate/ZONE, and a cold replica was one that cost at most 50 ms more. A domain that came back cold, idle as it was, looked best to all nodes at once.

Change: the row is decoded in the adapter and kept by the directory, which offers no replica of that domain to any send. What a cold replica bears is dealt out: each node ranks the nodes for a replica, the first ones may send one request a second each. The end of an evacuation counts as cold until a start's time has passed. New weights load in an evacuated domain beside the share.

A share for each node by time, one request in 8 s, would let all 89 send in the first second, since all are due then; not built. Lent by the aggregators: needs messages and answers from a domain that may be cut off; worked out, not built.

--- a/fireflyward/deployment/__init__.py
+++ b/fireflyward/deployment/__init__.py
@@ -11,7 +11,7 @@
     Service,
     ServiceShare,
 )
-from ._replicas import ModelWeights, ReplicaEntry, WeightTarget
+from ._replicas import Evacuation, ModelWeights, ReplicaEntry, WeightTarget
 from ._settings import Bounds, FleetSettings, StoreLimits
 
 __all__ = [
@@ -19,6 +19,7 @@
     "ClientAccount",
     "Configuration",
     "EngineShape",
+    "Evacuation",
     "FleetSettings",
     "KvStore",
     "Limits",
--- a/fireflyward/deployment/_configuration.py
+++ b/fireflyward/deployment/_configuration.py
@@ -76,12 +76,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A pool of replicas, or with ``kv_store`` one store of KV cache."""
+    """A pool of replicas, or with ``kv_store`` one store of KV cache.
+
+    A replica is cold for ``cold_start_ms`` after its start and whenever it says so;
+    it then bears ``cold_per_second`` requests and may crash under more. With 0 there
+    is no such limit.
+    """
 
     name: str
     max_connections: int = 0
     engine: EngineShape | None = None
     kv_store: KvStore | None = None
+    cold_start_ms: int = 0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/deployment/_replicas.py
+++ b/fireflyward/deployment/_replicas.py
@@ -53,6 +53,13 @@
         return None
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """The replicas of a failure domain are to get no new requests."""
+
+    failure_domain: str
+
+
 @dataclass(frozen=True, slots=True)
 class WeightTarget:
     """The version of a model's weights that all its replicas should have."""
--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -1,7 +1,7 @@
 """How a node joins the others: it finds them, is listed, and opens its link."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Collection
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock, within_ms
@@ -21,7 +21,7 @@
 class Joining:
     """Follows the table of nodes; the link opens once the key of messages is known.
 
-    ``on_nodes`` hears how many nodes there are whenever the table was read,
+    ``on_nodes`` hears the names of all nodes whenever the table was read,
     ``on_rows`` all that changed in it, for whoever keeps other rows there, and
     ``on_link`` prepares the link before it is started and returns a second step for
     when it is open.
@@ -35,7 +35,7 @@
         register: PeerRegister,
         tables: SharedTables,
         aggregators: Aggregators,
-        on_nodes: Callable[[int], None],
+        on_nodes: Callable[[Collection[str]], None],
         on_rows: Callable[[Followed], None],
         on_link: Callable[[PeerLink], Callable[[], None]],
     ) -> None:
@@ -94,7 +94,7 @@
         )
 
     async def _take_nodes(self) -> None:
-        self._on_nodes(len(self._register))
+        self._on_nodes(self._register.names())
         self._aggregators.set_members(self._register.others())
         if self.link is None and self._register.key is not None:
             await self._open_link(self._register.key)
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -4,7 +4,7 @@
 import contextlib
 import logging
 import os
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Collection, Coroutine
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
@@ -26,6 +26,7 @@
 from fireflyward.quarantine import Quarantine
 from fireflyward.replicas import (
     Chooser,
+    ColdShares,
     PeerUnderWay,
     ReplicaDirectory,
     UnderWayTask,
@@ -105,10 +106,12 @@
             failure_domain=settings.failure_domain,
             link_mbps=settings.link_mbps,
         )
+        self._cold_shares = ColdShares(settings.node)
         self._chooser = Chooser(
             self._directory,
             failure_domain=settings.failure_domain,
             peers=self._under_way,
+            cold_shares=self._cold_shares,
         )
         self._quarantine = Quarantine(
             clock=clock,
@@ -131,6 +134,8 @@
             clock=clock,
             routes=self._routes,
             weights=self._weights,
+            directory=self._directory,
+            failure_domains=settings.failure_domains,
             on_configuration=self._on_configuration,
         )
         self._replicas = ReplicaView(
@@ -336,9 +341,10 @@
             is_for_others=self._tables.is_for_others,
         )
 
-    def _on_nodes(self, count: int) -> None:
-        self._budget.set_nodes(count)
-        self._forwarder.set_nodes(count)
+    def _on_nodes(self, names: Collection[str]) -> None:
+        self._budget.set_nodes(len(names))
+        self._forwarder.set_nodes(len(names))
+        self._cold_shares.set_nodes(names)
 
     def _contends(self) -> bool:
         return not self._is_stopping and self._peers.is_among_first(_CONTENDERS, _LEASE)
@@ -371,6 +377,11 @@
         self._metrics.gauge("configuration_age_ms", self._routes.age_ms(now_ms))
         self._metrics.gauge("configuration_version", self._routes.version or 0)
         self._metrics.gauge("replicas", len(self._directory))
+        evacuated = len(self._directory.evacuated)
+        self._metrics.gauge("evacuated_failure_domains", evacuated)
+        cold = sum(state.is_cold(now_ms) for state in self._directory.all())
+        self._metrics.gauge("cold_replicas", cold)
+        self._metrics.gauge("cold_sends_total", self._cold_shares.granted)
         self._metrics.gauge("requests_cut_by_ends_total", self._quarantine.cut)
         self._metrics.gauge("requests_held", self._quarantine.held)
         self._metrics.gauge("store_calls_total", self._store.calls)
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -69,8 +69,9 @@
         self._keyless_since_ms: int | None = None
         self.key: bytes | None = None
 
-    def __len__(self) -> int:
-        return len(self._row_by_name.keys() | {self._name})
+    def names(self) -> frozenset[str]:
+        """Return the names of all nodes, this one's too."""
+        return frozenset(self._row_by_name.keys() | {self._name})
 
     @property
     def is_complete(self) -> bool:
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -10,8 +10,10 @@
 from fireflyward.http1 import ConnectionPool
 from fireflyward.platform import (
     CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
     WEIGHTS_PREFIX,
     decode_configuration,
+    decode_evacuation,
     decode_replica,
     decode_weight_target,
 )
@@ -25,7 +27,7 @@
 
 
 class OperatorView:
-    """Takes what operators write: the configuration and versions of weights."""
+    """Takes what operators write: configuration, versions of weights, evacuations."""
 
     def __init__(
         self,
@@ -33,6 +35,8 @@
         clock: Clock,
         routes: RouteTable,
         weights: WeightBook,
+        directory: ReplicaDirectory,
+        failure_domains: tuple[str, ...],
         on_configuration: Callable[[Configuration], None],
     ) -> None:
         self._on_configuration = on_configuration
@@ -40,12 +44,15 @@
         self._clock = clock
         self._routes = routes
         self._weights = weights
+        self._directory = directory
+        self._failure_domains = failure_domains
 
     def on_news(self, news: Followed) -> None:
         """Put newer rows in force and note how fresh the configuration is."""
         for row in news.rows:
             if not row.is_deleted:
                 self._take(row, at_start=not self._has_begun)
+        self._take_evacuations(news)
         self._has_begun = True
         self._routes.confirm(news.as_of_ms)
 
@@ -55,6 +62,32 @@
         elif row.key.startswith(WEIGHTS_PREFIX):
             self._take_target(row, at_start=at_start)
 
+    def _take_evacuations(self, news: Followed) -> None:
+        """Stop or resume sending to failure domains as their rows come and go."""
+        before = self._directory.evacuated
+        # Of a whole table, what has no row any more was taken back unseen.
+        evacuated = set() if news.is_whole else set(before)
+        for row in news.rows:
+            if not row.key.startswith(EVACUATION_PREFIX):
+                continue
+            domain = row.key.removeprefix(EVACUATION_PREFIX)
+            evacuated.discard(domain)
+            if row.is_deleted:
+                continue
+            if decode_evacuation(domain, row.value) is None:
+                log.error("views: row %s is not understood", row.key)
+                continue
+            evacuated.add(domain)
+            if domain not in self._failure_domains:
+                log.error("views: no failure domain %s to evacuate is known", domain)
+        if evacuated == before:
+            return
+        for domain in evacuated - before:
+            log.info("views: failure domain %s is evacuated", domain)
+        for domain in before - evacuated:
+            log.info("views: failure domain %s is evacuated no more", domain)
+        self._directory.set_evacuated(self._clock.now_ms(), frozenset(evacuated))
+
     def _take_configuration(self, row: TableRow) -> None:
         configuration = decode_configuration(row.value)
         if configuration is None:
--- a/fireflyward/platform/__init__.py
+++ b/fireflyward/platform/__init__.py
@@ -1,6 +1,10 @@
 """The users' platform: its names, formats and calls; nothing here decides."""
 
-from ._configuration import decode_configuration, decode_weight_target
+from ._configuration import (
+    decode_configuration,
+    decode_evacuation,
+    decode_weight_target,
+)
 from ._replica_api import OrderResult, ReplicaApi, ReplicaReport
 from ._replica_list import decode_replica
 from ._requests import (
@@ -20,6 +24,7 @@
 from ._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    EVACUATION_PREFIX,
     READINESS_PATH,
     REPLICA_TABLE,
     WEIGHTS_PREFIX,
@@ -30,6 +35,7 @@
 __all__ = [
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
+    "EVACUATION_PREFIX",
     "READINESS_PATH",
     "REPLICA_TABLE",
     "SETTINGS_VARIABLE",
@@ -47,6 +53,7 @@
     "StoreClient",
     "answer_headers",
     "decode_configuration",
+    "decode_evacuation",
     "decode_replica",
     "decode_request",
     "decode_response",
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -8,6 +8,7 @@
     ClientAccount,
     Configuration,
     EngineShape,
+    Evacuation,
     KvStore,
     Limits,
     Route,
@@ -22,6 +23,7 @@
 
 log = logging.getLogger("fireflyward.platform")
 
+_MS_PER_S = 1_000
 _KIND_BY_NAME = {
     "safe": RouteKind.IDEMPOTENT,
     "unsafe": RouteKind.NON_IDEMPOTENT,
@@ -71,6 +73,9 @@
 class _Service(_Dashed):
     name: str
     max_connections: Figure = 0
+    # How long a replica is cold after its start, and what it bears meanwhile.
+    cold_start_s: Figure = 0
+    cold_per_s: Figure = 0
     engine: _Engine | None = None
     # A service with this address is a store of KV cache and has no replicas.
     kv_store_addr: str = ""
@@ -108,6 +113,10 @@
     version: int
 
 
+class _Evacuation(_Dashed):
+    """An object without fields; the row's key names the failure domain."""
+
+
 def decode_configuration(value: bytes) -> Configuration | None:
     """Decode the configuration row; None for bytes that are no configuration."""
     raw = decoded(value, _Configuration)
@@ -136,6 +145,13 @@
     return None if raw is None else WeightTarget(raw.model, raw.version)
 
 
+def decode_evacuation(failure_domain: str, value: bytes) -> Evacuation | None:
+    """Decode the row that evacuates a failure domain; None if it is none."""
+    if not failure_domain or decoded(value, _Evacuation) is None:
+        return None
+    return Evacuation(failure_domain)
+
+
 def _account(raw: _Account) -> ClientAccount:
     priority = None if raw.priority is None else whole(raw.priority)
     return ClientAccount(raw.name, tuple(raw.api_keys), priority, raw.isolated)
@@ -185,4 +201,11 @@
             raw.first_ms,
             raw.managed,
         )
-    return Service(raw.name, whole(raw.max_connections), engine, store)
+    return Service(
+        raw.name,
+        whole(raw.max_connections),
+        engine,
+        store,
+        cold_start_ms=whole(raw.cold_start_s * _MS_PER_S),
+        cold_per_second=float(raw.cold_per_s),
+    )
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -25,6 +25,7 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 WEIGHTS_PREFIX = "version/"
+EVACUATION_PREFIX = "evacuate/"
 REPLICA_TABLE = "servers"
 READINESS_PATH = "/-/readyz"
 
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -1,6 +1,7 @@
 """Which replicas there are, and which one takes a request."""
 
 from ._chooser import Choice, Chooser, Wanted
+from ._cold import ColdShares
 from ._directory import ReplicaDirectory
 from ._state import ReplicaState
 from ._telling import UnderWayTask
@@ -9,6 +10,7 @@
 __all__ = [
     "Choice",
     "Chooser",
+    "ColdShares",
     "PeerUnderWay",
     "ReplicaDirectory",
     "ReplicaState",
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -5,6 +5,7 @@
 
 from fireflyward.rendezvous import rendezvous_rank
 
+from ._cold import ColdShares
 from ._directory import ReplicaDirectory
 from ._state import FIRST_EVENT_MS, ReplicaState
 from ._under_way import PeerUnderWay
@@ -39,6 +40,8 @@
 _DRAWN = 3
 # Preference for the place where the rest of the service expects the prompt.
 _NOT_HOME_SHARE = 0.9
+# A cold replica may be slower, and what fails there fails for its callers.
+_COLD_MS = 50.0
 # Fetching what the home has in memory takes a few ms on fast links.
 _NOT_HOME_MS = 8.0
 
@@ -110,7 +113,7 @@
     request and fetches the prefix from the home.
     """
 
-    __slots__ = ("_directory", "_failure_domain", "_peers", "_random")
+    __slots__ = ("_cold_shares", "_directory", "_failure_domain", "_peers", "_random")
 
     def __init__(
         self,
@@ -118,8 +121,10 @@
         *,
         failure_domain: str,
         peers: PeerUnderWay | None = None,
+        cold_shares: ColdShares | None = None,
         seed: int | None = None,
     ) -> None:
+        self._cold_shares = cold_shares or ColdShares("")
         self._peers = peers or PeerUnderWay()
         self._directory = directory
         self._failure_domain = failure_domain
@@ -135,7 +140,9 @@
         able = [
             state
             for state in self._directory.of_service(wanted.service)
-            if state.number not in without and _has_weights(state, wanted)
+            if state.number not in without
+            and _has_weights(state, wanted)
+            and self._bears_more(now_ms, state)
         ]
         if not able:
             return None
@@ -148,6 +155,7 @@
             for state, load in zip(looked_at, loads, strict=True)
         ]
         best = min(range(len(looked_at)), key=costs.__getitem__)
+        self._count_cold(now_ms, looked_at[best])
         slots = sum(state.entry.slots for state in able)
         choice = self._choice(now_ms, looked_at[best], loads[best], wanted, home)
         return replace(choice, slots=slots)
@@ -169,7 +177,14 @@
         """
         if len(able) <= _LOOK_AT_ALL:
             return able
-        sound = [state for state in able if not _is_shunned(now_ms, state)]
+        # Of cold replicas only those are here that this node may send to, and few of
+        # all: drawn among the others they would be left idle while those are full.
+        cold = [state for state in able if state.is_cold(now_ms)]
+        sound = [
+            state
+            for state in able
+            if not state.is_cold(now_ms) and not _is_shunned(now_ms, state)
+        ]
         newest = [
             state
             for state in sound
@@ -179,11 +194,24 @@
         drawn = [
             *self._random.sample(newest, min(_DRAWN, len(newest))),
             *self._random.sample(older, min(_DRAWN, len(older))),
+            *self._random.sample(cold, min(_DRAWN, len(cold))),
         ]
         if home is not None and home not in drawn:
             drawn.append(home)
         return drawn or able
 
+    def _bears_more(self, now_ms: int, state: ReplicaState) -> bool:
+        """Tell whether this node may send one more request to a replica."""
+        per_second = self._directory.cold_per_second(state)
+        if not per_second or not state.is_cold(now_ms):
+            return True
+        return self._cold_shares.may_send(now_ms, state, per_second)
+
+    def _count_cold(self, now_ms: int, chosen: ReplicaState) -> None:
+        """Count a request to a replica whose requests are limited now."""
+        if self._directory.cold_per_second(chosen) and chosen.is_cold(now_ms):
+            self._cold_shares.on_granted(now_ms, chosen)
+
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long the prompts take that all nodes have sent there."""
         others = self._peers.at(now_ms, state.number)
@@ -234,7 +262,9 @@
         sound = [
             state
             for state in able
-            if not state.is_suspect(now_ms) and not state.is_loading(now_ms)
+            if not state.is_suspect(now_ms)
+            and not state.is_loading(now_ms)
+            and not state.is_cold(now_ms)
         ]
         return max(
             sound or able,
@@ -267,7 +297,8 @@
         if state.is_loading(now_ms):
             cost_ms += _LOADING_MS
         cost_ms += _FAILING_MS * max(0.0, state.failed_share - usual_failures)
-        cost_ms += min(float(state.entry.cold_ms), 50.0)
+        if state.is_cold(now_ms):
+            cost_ms += _COLD_MS
         known = state.version_by_model.get(wanted.model)
         if wanted.version is not None and known != wanted.version:
             cost_ms += _OLD_WEIGHTS_MS
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -1,9 +1,9 @@
 """Which incarnations of replicas may get new requests."""
 
 import logging
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
-from fireflyward.deployment import ReplicaEntry
+from fireflyward.deployment import ReplicaEntry, Service
 
 from ._state import ReplicaState
 
@@ -21,21 +21,23 @@
     because its replica could not renew it. Dropping it at once would leave a
     service without replicas just when the store returns, so it stays for two
     seconds. One that says that it is leaving, or that goes while the store is
-    well, gets nothing more.
+    well, gets nothing more; neither does one in an evacuated failure domain.
     """
 
     __slots__ = (
         "_by_service",
-        "_services",
+        "_service_by_name",
         "_state_by_incarnation",
         "_state_by_number",
+        "evacuated",
     )
 
     def __init__(self) -> None:
         self._state_by_incarnation: dict[str, ReplicaState] = {}
         self._state_by_number: dict[int, ReplicaState] = {}
         self._by_service: dict[str, list[ReplicaState]] = {}
-        self._services: frozenset[str] | None = None
+        self._service_by_name: Mapping[str, Service] | None = None
+        self.evacuated: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._state_by_incarnation)
@@ -44,11 +46,30 @@
         """Return the replicas of a service that may get new requests."""
         return self._by_service.get(service, [])
 
-    def set_services(self, services: Iterable[str]) -> None:
+    def set_services(self, service_by_name: Mapping[str, Service]) -> None:
         """Take the services that there are; entries of others name no replica."""
-        self._services = frozenset(services)
+        self._service_by_name = service_by_name
         self._index()
 
+    def set_evacuated(self, now_ms: int, domains: frozenset[str]) -> None:
+        """Take the failure domains whose replicas are to get nothing.
+
+        Replicas of a domain that is taken back may have gone cold meanwhile, which
+        their entries tell up to a heartbeat later. Taken for warm until then, all of
+        them, idle as they are, would get what all nodes have to send, and crash.
+        """
+        returned = self.evacuated - domains
+        self.evacuated = domains
+        for state in self._state_by_incarnation.values():
+            if state.entry.failure_domain in returned:
+                state.on_cold(now_ms, self._cold_start_ms(state))
+        self._index()
+
+    def cold_per_second(self, state: ReplicaState) -> float:
+        """Return how many requests a replica bears while cold, 0 for no limit."""
+        service = (self._service_by_name or {}).get(state.entry.service)
+        return service.cold_per_second if service is not None else 0.0
+
     def all(self) -> list[ReplicaState]:
         """Return every listed replica, leaving ones too."""
         return list(self._state_by_number.values())
@@ -67,7 +88,7 @@
         """Take the whole list; return the states that are gone by it."""
         listed = {entry.incarnation: entry for entry in entries}
         missing = [name for name in self._state_by_incarnation if name not in listed]
-        gone = self._put(listed.values())
+        gone = self._put(now_ms, listed.values())
         gone += self._remove(now_ms, missing, after_outage=after_outage)
         self._index()
         return gone
@@ -81,7 +102,7 @@
         after_outage: bool,
     ) -> list[ReplicaState]:
         """Take changes of the list; return the states that are gone by them."""
-        gone = self._put(entries)
+        gone = self._put(now_ms, entries)
         gone += self._remove(now_ms, removed, after_outage=after_outage)
         self._index()
         return gone
@@ -109,7 +130,7 @@
             self._index()
         return gone
 
-    def _put(self, entries: Iterable[ReplicaEntry]) -> list[ReplicaState]:
+    def _put(self, now_ms: int, entries: Iterable[ReplicaEntry]) -> list[ReplicaState]:
         """Take entries; return the states of starts that are over by them."""
         over = []
         for entry in entries:
@@ -123,10 +144,13 @@
                 over.append(self._drop(entry.incarnation, "it started again"))
                 known = None
             if known is None:
-                self._state_by_incarnation[entry.incarnation] = ReplicaState(entry)
+                state = self._state_by_incarnation[entry.incarnation] = ReplicaState(
+                    entry
+                )
+                state.on_cold(now_ms, entry.cold_ms)
                 log.info("replicas: %s of %s listed", entry.incarnation, entry.service)
             else:
-                _take(known, entry)
+                _take(now_ms, known, entry)
         return over
 
     def _remove(
@@ -154,14 +178,23 @@
         self._state_by_number = {}
         for state in self._state_by_incarnation.values():
             service = state.entry.service
-            if self._services is not None and service not in self._services:
+            known = self._service_by_name
+            if known is not None and service not in known:
                 continue
             self._state_by_number[state.number] = state
-            if not state.entry.is_leaving:
+            is_evacuated = state.entry.failure_domain in self.evacuated
+            if not state.entry.is_leaving and not is_evacuated:
                 self._by_service.setdefault(service, []).append(state)
 
+    def _cold_start_ms(self, state: ReplicaState) -> int:
+        service = (self._service_by_name or {}).get(state.entry.service)
+        return service.cold_start_ms if service is not None else 0
+
 
-def _take(known: ReplicaState, entry: ReplicaEntry) -> None:
+def _take(now_ms: int, known: ReplicaState, entry: ReplicaEntry) -> None:
     if entry.is_leaving and not known.entry.is_leaving:
         log.info("replicas: %s of %s leaves", entry.incarnation, entry.service)
+    if entry.cold_ms != known.entry.cold_ms:
+        # An entry that is merely read again says nothing new.
+        known.on_cold(now_ms, entry.cold_ms)
     known.take_entry(entry)
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -31,6 +31,8 @@
     """Counts and beliefs; changed only by the chooser and the directory."""
 
     __slots__ = (
+        "_cold_send_ms",
+        "_cold_until_ms",
         "_full_until_ms",
         "_loading_until_ms",
         "_others",
@@ -73,6 +75,8 @@
         self._suspect_until_ms = 0
         self._full_until_ms = 0
         self._loading_until_ms = 0
+        self._cold_until_ms = 0
+        self._cold_send_ms: list[int] = []
         self._troubles = 0
 
     def __repr__(self) -> str:
@@ -87,6 +91,23 @@
         self.entry = entry
         self.gone_at_ms = None
 
+    def on_cold(self, now_ms: int, for_ms: int) -> None:
+        """Take the replica for cold for a while, and never for less than before."""
+        self._cold_until_ms = max(self._cold_until_ms, now_ms + for_ms)
+
+    def is_cold(self, now_ms: int) -> bool:
+        """Tell whether it may be cold: it bears few requests and may crash."""
+        return now_ms < self._cold_until_ms
+
+    def on_cold_send(self, latest_ms: int) -> None:
+        """Count a request to it while cold, which leaves at ``latest_ms`` at most."""
+        self._cold_send_ms.append(latest_ms)
+
+    def cold_sends_since(self, since_ms: int) -> int:
+        """Return how many requests may have left later than that."""
+        self._cold_send_ms = [sent for sent in self._cold_send_ms if sent > since_ms]
+        return len(self._cold_send_ms)
+
     def others_at(self, now_ms: int) -> float:
         """Return how many requests of other nodes probably run or wait there."""
         age_ms = max(0, now_ms - self._others_at_ms)
--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -19,7 +19,8 @@
     """One replica of a model, as this node sees it; ``number`` is of its start.
 
     ``busy_ms`` is how long the prompts take that wait there: so long a load has to
-    wait for them. ``may_serve`` tells whether its weights may begin on requests.
+    wait for them. ``may_serve`` tells whether it may begin on requests: its weights
+    are new enough, and its failure domain is not evacuated.
     """
 
     incarnation: str
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -188,11 +188,15 @@
                         entry.address,
                         version,
                         self._busy_ms(now_ms, state),
-                        may_serve=version >= least,
+                        may_serve=version >= least and not self._is_evacuated(state),
                     )
                 )
         return views
 
+    def _is_evacuated(self, state: ReplicaState) -> bool:
+        """Tell whether a replica gets nothing anyway, so that its load costs nobody."""
+        return state.entry.failure_domain in self._directory.evacuated
+
     async def _load(self, order: Order) -> None:
         """Order one replica and see it through."""
         report = await self._api.report(
--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -47,7 +47,7 @@
             register=_Register(None, "n1"),
             tables=self.tables,
             aggregators=Aggregators("n1", "a", link_mbps=100),
-            on_nodes=lambda count: None,
+            on_nodes=lambda names: None,
             on_rows=self.heard.append,
             on_link=lambda link: lambda: None,
         )
--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -254,7 +254,7 @@
             self.store.put(
                 "fireflyward-nodes", f"node/{name}", msgspec.json.encode(row)
             )
-        await self.until(lambda: len(self.node._peers) == 4)
+        await self.until(lambda: len(self.node._peers.names()) == 4)
         lane = self.node._forwarder._tools.late_lane
         await self.until(lambda: lane._nodes == 4)
         self.assertEqual([lane.enter("s", 16) for _ in range(3)], [True, True, False])
--- a/tests/fuzz/test_platform_answers.py
+++ b/tests/fuzz/test_platform_answers.py
@@ -7,7 +7,7 @@
 
 from fireflyward.backing import Committed, Conflict, Unavailable, Uncertain
 from fireflyward.clock import Clock
-from fireflyward.deployment import Configuration, ReplicaEntry, WeightTarget
+from fireflyward.deployment import Configuration, Evacuation, ReplicaEntry, WeightTarget
 from fireflyward.feeds import Changes, Followed, HistoryLost, Snapshot, TableRow
 from fireflyward.fleet._peers import PeerRegister
 from fireflyward.fleet._views import OperatorView, ReplicaView
@@ -19,6 +19,7 @@
     ReplicaReport,
     StoreClient,
     decode_configuration,
+    decode_evacuation,
     decode_replica,
     decode_weight_target,
 )
@@ -124,6 +125,7 @@
         self.assertIsInstance(decode_replica("i", value), ReplicaEntry | None)
         self.assertIsInstance(decode_weight_target(value), WeightTarget | None)
         self.assertIsInstance(decode_configuration(value), Configuration | None)
+        self.assertIsInstance(decode_evacuation("a", value), Evacuation | None)
 
     @fuzz(60)
     @given(st.lists(st.tuples(names, bodies()), max_size=4), st.booleans())
@@ -132,7 +134,7 @@
             tuple(
                 TableRow(f"{prefix}{key}", value, number)
                 for number, (key, value) in enumerate(rows)
-                for prefix in ("", "node/", "version/")
+                for prefix in ("", "node/", "version/", "evacuate/")
             ),
             is_whole,
             0,
@@ -150,6 +152,8 @@
             clock=clock,
             routes=routes,
             weights=WeightBook(version_ms=12_000),
+            directory=directory,
+            failure_domains=("a",),
             on_configuration=lambda configuration: None,
         ).on_news(news)
         PeerRegister(None, "n").on_news(news)
--- a/tests/platform_standins/_operator.py
+++ b/tests/platform_standins/_operator.py
@@ -78,6 +78,13 @@
         value = json.dumps({"model": model, "version": version}).encode()
         self._store.put("op", f"version/{model}", value)
 
+    def evacuate(self, failure_domain, value=b"{}"):
+        """Ask that the replicas of a failure domain get nothing more."""
+        self._store.put("op", f"evacuate/{failure_domain}", value)
+
+    def take_back_evacuation(self, failure_domain):
+        self._store.remove("op", f"evacuate/{failure_domain}")
+
 
 def settings_text(store_address, ports, **changes):
     """Return a settings file; ``ports`` are for callers, readiness and peers."""
--- a/tests/replicas/makers.py
+++ b/tests/replicas/makers.py
@@ -4,7 +4,15 @@
 
 
 def entry(
-    name, *, service="s", zone="a", leaving=False, version=None, slots=4, started_ms=0
+    name,
+    *,
+    service="s",
+    zone="a",
+    leaving=False,
+    version=None,
+    slots=4,
+    started_ms=0,
+    cold_ms=0,
 ):
     weights = () if version is None else (ModelWeights("m", version),)
     return ReplicaEntry(
@@ -14,6 +22,7 @@
         zone,
         slots,
         leaving,
+        cold_ms=cold_ms,
         weights=weights,
         started_ms=started_ms,
     )
--- /dev/null
+++ b/tests/replicas/test_cold.py
@@ -0,0 +1,232 @@
+"""What nodes send together to replicas that are cold."""
+
+import random
+import unittest
+from collections import Counter
+
+from fireflyward.deployment import Service
+from fireflyward.replicas import Chooser, ColdShares, ReplicaDirectory, Wanted
+
+from .makers import entry
+
+PER_SECOND = 11.0
+# What the deployment promises: that many times over, and some more.
+BOUND = 1.5 * PER_SECOND + 5
+SERVICE = {"s": Service("s", cold_start_ms=3_000, cold_per_second=PER_SECOND)}
+NODES = [f"n{number}" for number in range(89)]
+
+
+class SharesTests(unittest.TestCase):
+    def make(self, node, nodes):
+        shares = ColdShares(node)
+        shares.set_nodes(nodes)
+        return shares
+
+    def dealt(self, nodes, per_second, replica=7):
+        return [self.make(node, nodes).allowance(replica, per_second) for node in nodes]
+
+    def test_all_that_it_bears_is_dealt_out_and_no_more(self):
+        for count in (1, 2, 9, 11, 12, 89):
+            dealt = self.dealt(NODES[:count], PER_SECOND)
+            self.assertEqual(sum(dealt), 11, count)
+            self.assertLessEqual(max(dealt) - min(dealt), 1, count)
+
+    def test_what_bears_less_than_one_a_second_still_gets_something(self):
+        self.assertEqual(sum(self.dealt(NODES[:9], 0.5)), 1)
+
+    def test_each_replica_has_other_nodes(self):
+        drawn = [self.dealt(NODES, PER_SECOND, replica) for replica in range(5)]
+        self.assertEqual(len(set(map(tuple, drawn))), 5)
+
+    def test_nothing_before_the_nodes_are_known(self):
+        """Symptom: a node that had just started sent a cold replica all it bears.
+
+        It had not read the table of nodes yet and took itself for the only one.
+        """
+        self.assertEqual(ColdShares("n1").allowance(7, PER_SECOND), 0)
+
+    def test_lists_of_nodes_that_differ_stay_within_the_bound(self):
+        """Symptom: while nodes were added a cold replica got too much.
+
+        Half of the nodes know of ten new ones and the others do not yet.
+        """
+        more = [*NODES, *(f"new{number}" for number in range(10))]
+        for replica in range(50):
+            old = self.dealt(NODES, PER_SECOND, replica)[::2]
+            new = self.dealt(more, PER_SECOND, replica)[1::2]
+            self.assertLessEqual(sum(old) + sum(new), BOUND)
+
+
+class ReturnTests(unittest.TestCase):
+    """89 nodes and 70 replicas; a third of these comes back cold at once."""
+
+    def setUp(self):
+        self.random = random.Random(5)
+        self.entries = [
+            entry(f"r{number}", zone="abc"[number % 3], slots=12)
+            for number in range(70)
+        ]
+        self.choosers = [self.node(name) for name in NODES]
+
+    def node(self, name):
+        directory = ReplicaDirectory()
+        directory.set_services(SERVICE)
+        directory.on_whole(0, self.entries, after_outage=False)
+        shares = ColdShares(name)
+        shares.set_nodes(NODES)
+        directory.set_evacuated(0, frozenset("b"))
+        domain = "abc"[len(name) % 3]
+        return directory, Chooser(
+            directory, failure_domain=domain, cold_shares=shares, seed=hash(name) % 997
+        )
+
+    def take_back(self, now_ms):
+        for directory, _ in self.choosers:
+            directory.set_evacuated(now_ms, frozenset())
+
+    def play(self, from_ms, seconds, per_second):
+        """Return when each replica was sent something; runs last 300 ms.
+
+        Nodes hear of each other's loads 150 ms late, as through aggregators.
+        """
+        sent_ms_by_name = {item.incarnation: [] for item in self.entries}
+        running = []
+        told, told_ms = {}, -50
+        for number in range(int(seconds * per_second)):
+            now_ms = from_ms + int(number * 1_000 / per_second)
+            while running and running[0][0] <= now_ms:
+                running.pop(0)[1].in_flight -= 1
+            directory, chooser = self.random.choice(self.choosers)
+            if now_ms >= told_ms + 50:
+                told_ms = now_ms
+                told = {
+                    name: sum(now_ms - 450 < at <= now_ms - 150 for at in sent[-40:])
+                    for name, sent in sent_ms_by_name.items()
+                }
+            for state in directory.all():
+                state.on_load(now_ms, told[state.entry.incarnation])
+            choice = chooser.choose(now_ms, Wanted("s"))
+            if choice is None:
+                continue
+            choice.replica.in_flight += 1
+            running.append((now_ms + 300, choice.replica))
+            sent_ms_by_name[choice.replica.entry.incarnation].append(now_ms)
+        return sent_ms_by_name
+
+    def most_in_a_second(self, sent_ms_by_name, domain):
+        most = 0
+        for item in self.entries:
+            if item.failure_domain == domain:
+                sent = sent_ms_by_name[item.incarnation]
+                for start in sent:
+                    within = sum(start <= at < start + 1_000 for at in sent)
+                    most = max(most, within)
+        return most
+
+    def test_a_domain_that_returns_cold_gets_no_more_than_it_bears(self):
+        """Symptom: replicas crashed as soon as their failure domain was used again.
+
+        Its evacuation ended and its replicas were cold, which their entries had not
+        told yet. They had nothing to do and so looked best to all nodes, in a burst
+        of twice the usual load: one got 25 requests within a second.
+        """
+        self.play(0, 1, 1_030)
+        self.take_back(1_000)
+        sent = self.play(1_000, 2.5, 1_030)
+        self.assertLessEqual(self.most_in_a_second(sent, "b"), BOUND)
+        total = sum(map(len, sent.values()))
+        self.assertGreater(total, 0.99 * 2.5 * 1_030)
+
+    def test_it_takes_what_it_bears_when_the_others_are_full(self):
+        """Symptom: callers were refused beside a domain that could take some.
+
+        The load is more than the two other domains can serve in their slots.
+        """
+        self.take_back(1_000)
+        sent = self.play(1_000, 2, 2_200)
+        returned = [
+            len(sent[item.incarnation])
+            for item in self.entries
+            if item.failure_domain == "b"
+        ]
+        self.assertLessEqual(self.most_in_a_second(sent, "b"), BOUND)
+        self.assertGreater(sum(returned) / len(returned), PER_SECOND)
+
+    def test_it_takes_its_part_again_once_warm(self):
+        self.take_back(1_000)
+        sent = self.play(4_100, 1, 1_030)
+        counts = Counter()
+        for item in self.entries:
+            counts[item.failure_domain] += len(sent[item.incarnation])
+        self.assertGreater(counts["b"], 0.2 * 1_030)
+
+
+class ColdStateTests(unittest.TestCase):
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        self.directory.set_services(SERVICE)
+
+    def take(self, now_ms, **changes):
+        self.directory.on_changes(
+            now_ms, [entry("r1", **changes)], [], after_outage=False
+        )
+        return self.directory.find("r1")
+
+    def test_by_its_entry_and_until_that_time_is_over(self):
+        state = self.take(0, cold_ms=2_000)
+        self.assertTrue(state.is_cold(1_999))
+        self.assertFalse(state.is_cold(2_000))
+
+    def test_it_may_turn_cold_at_any_time(self):
+        state = self.take(0)
+        self.assertFalse(state.is_cold(5_000))
+        self.take(5_000, cold_ms=900)
+        self.assertTrue(state.is_cold(5_500))
+
+    def test_an_entry_read_again_does_not_make_it_cold_anew(self):
+        """Symptom: a replica that could not renew its entry stayed cold for good.
+
+        Each time the whole table was read its last entry came again.
+        """
+        state = self.take(0, cold_ms=2_000)
+        self.take(5_000, cold_ms=2_000, version=4)
+        self.assertFalse(state.is_cold(5_000))
+
+    def test_an_older_entry_does_not_warm_what_may_be_cold(self):
+        """Symptom: an entry on its way undid what the end of an evacuation meant."""
+        state = self.take(0)
+        self.directory.set_evacuated(0, frozenset("a"))
+        self.directory.set_evacuated(100, frozenset())
+        self.take(200, version=2)
+        self.assertTrue(state.is_cold(3_000))
+        self.assertFalse(state.is_cold(3_100))
+
+    def test_another_domain_stays_warm(self):
+        state = self.take(0, zone="b")
+        self.directory.set_evacuated(0, frozenset("a"))
+        self.directory.set_evacuated(100, frozenset())
+        self.assertFalse(state.is_cold(200))
+
+    def test_a_service_without_a_limit_takes_what_comes(self):
+        self.directory.set_services({"s": Service("s")})
+        self.take(0, cold_ms=2_000)
+        chooser = Chooser(self.directory, failure_domain="a", seed=1)
+        chosen = [chooser.choose(0, Wanted("s")) for _ in range(30)]
+        self.assertNotIn(None, chosen)
+
+    def test_a_prefix_has_no_home_at_a_cold_replica(self):
+        """Symptom: each node took another replica for the home of one prompt."""
+        names = [f"r{number}" for number in range(2, 6)]
+        self.directory.on_changes(
+            0, [entry(name) for name in names], [], after_outage=False
+        )
+        self.take(0)
+        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000)
+        homes = set()
+        for _ in range(8):
+            chooser = Chooser(self.directory, failure_domain="a", seed=1)
+            homes.add(chooser.choose(0, wanted).replica)
+        (home,) = homes
+        home.on_cold(0, 2_000)
+        chooser = Chooser(self.directory, failure_domain="a", seed=1)
+        self.assertIsNot(chooser.choose(0, wanted).replica, home)
--- a/tests/replicas/test_directory.py
+++ b/tests/replicas/test_directory.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fireflyward.deployment import Service
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
 from .makers import entry
@@ -156,14 +157,15 @@
 
     def test_an_entry_of_no_service_names_no_replica(self):
         """Symptom: weights are loaded on something that is not ours."""
-        self.directory.set_services(["s"])
+        self.directory.set_services({"s": Service("s")})
         names = [state.entry.incarnation for state in self.directory.all()]
         self.assertEqual(names, ["r1", "r2"])
         self.assertIsNone(self.directory.find_start(entry("x").number))
 
     def test_a_service_that_comes_later_has_its_replicas(self):
-        self.directory.set_services(["s"])
-        self.directory.set_services(["s", "unheard of"])
+        self.directory.set_services({"s": Service("s")})
+        services = {name: Service(name) for name in ("s", "unheard of")}
+        self.directory.set_services(services)
         self.assertEqual(len(self.directory.of_service("unheard of")), 1)
 
     def test_one_whose_entry_names_none_any_more_goes_at_once(self):
--- a/tests/weights/test_task.py
+++ b/tests/weights/test_task.py
@@ -123,6 +123,19 @@
         self.assertEqual(self.lease.freshened, 1)
         self.assertFalse(self.task._loads)
 
+    def test_an_evacuated_domain_loads_beside_the_share(self):
+        """Symptom: a rollout took as long as if nothing were evacuated.
+
+        The replicas of the evacuated domain, which serve nobody, waited for their
+        turn among those that did.
+        """
+        self.name_a_version()
+        (view,) = self.task._views(0, "m")
+        self.assertTrue(view.may_serve)
+        self.directory.set_evacuated(0, frozenset("a"))
+        (view,) = self.task._views(0, "m")
+        self.assertFalse(view.may_serve)
+
     def test_a_lapsed_lease_is_noticed_sooner_while_a_rollout_is_under_way(self):
         self.assertEqual(self.task.look_ms(), LEASE_MS // 3)
         self.name_a_version()
