A node that starts waits 150 ms for its aggregator, then reads the store as well

Change: the first reading of a table asks the store too after 150 ms; the first answer counts. The test fails without it.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from asyncio import FIRST_COMPLETED
 from collections.abc import Callable
 from typing import Any
 
@@ -25,6 +26,8 @@
 # read anything; whoever is asked then answers as soon as it has.
 _FROM_THE_START = -1
 _FIRST_READING_MS = 800
+# A node that starts reads a table itself if its aggregator has not answered by then.
+_PATIENCE_MS = 150
 # An aggregator whose own copy is older than this is asked no more: it may be cut off
 # from the store while others are not. The root proves each table every 0.7 s, and an
 # aggregator that reads through the root has that proof 0.7 s later at the most.
@@ -105,12 +108,39 @@
     async def rows(
         self, table: str, *, part: str = "", limit_ms: float = 1_000
     ) -> Snapshot | Unavailable:
-        """Read a whole table from the aggregator, or from the store."""
-        if not part:
-            found = await self._ask(table, _FROM_THE_START, _FIRST_READING_MS)
+        """Read a whole table from the aggregator, or from the store.
+
+        Nothing is served before it is read. After a loss of power the way to an
+        aggregator that is not back may be silent for a second, and an aggregator
+        waits for the root in the same way; so whoever waits for long asks the store
+        as well, and the first answer counts.
+        """
+        if part or self._asked(self._clock.now_ms()) is None:
+            return await self._reader.rows(table, part=part, limit_ms=limit_ms)
+        asking = asyncio.ensure_future(
+            self._ask(table, _FROM_THE_START, _FIRST_READING_MS)
+        )
+        patience = asyncio.ensure_future(self._clock.sleep_ms(_PATIENCE_MS))
+        reading = None
+        try:
+            await asyncio.wait({asking, patience}, return_when=FIRST_COMPLETED)
+            if asking.done() and isinstance(asking.result(), Snapshot):
+                return asking.result()
+            reading = asyncio.ensure_future(
+                self._reader.rows(table, part=part, limit_ms=limit_ms)
+            )
+            await asyncio.wait({asking, reading}, return_when=FIRST_COMPLETED)
+            if asking.done() and isinstance(asking.result(), Snapshot):
+                return asking.result()
+            found = await reading
             if isinstance(found, Snapshot):
                 return found
-        return await self._reader.rows(table, part=part, limit_ms=limit_ms)
+            asked = await asking
+            return asked if isinstance(asked, Snapshot) else found
+        finally:
+            for task in (asking, patience, reading):
+                if task is not None:
+                    task.cancel()
 
     async def changes(
         self, table: str, *, after: int, wait_ms: int, limit_ms: float
--- a/tests/feeds/nodes.py
+++ b/tests/feeds/nodes.py
@@ -54,6 +54,9 @@
 
     async def call(self, address, kind, message, reply_type, *, limit_s):
         other = self.network[address[0]]
+        if other.is_dark:
+            await other.clock.sleep_ms(limit_s * 1_000)
+            return CallFailed("no answer", False)
         if other.is_dead:
             other.clock._now_ms += other.fails_after_ms
             return CallFailed("no answer", other.refuses)
@@ -65,6 +68,7 @@
     def __init__(self, name, network, store, clock, domain_by_name):
         self.clock = clock
         self.is_dead = False
+        self.is_dark = False
         self.refuses = False
         self.fails_after_ms = 0
         self.link = Link(network)
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -166,6 +166,31 @@
         self.assertEqual(self.other.known, {"k": b"1"})
         self.assertEqual(self.store.calls, 1)
 
+    async def test_a_node_that_starts_waits_little_for_a_silent_aggregator(self):
+        """Symptom: after a loss of power callers were refused for a second more.
+
+        Nodes were up again and asked their aggregator for the configuration, whose
+        VM was still dark. The opening packet was lost and sent again a second
+        later; until then they knew nothing and refused what came.
+        """
+        self.first.is_dark = True
+        asking = asyncio.create_task(self.other.follower.step())
+        await self.clock.advance_ms(149)
+        self.assertEqual(self.other.known, {})
+        await self.clock.advance_ms(1)
+        self.assertTrue(asking.done())
+        self.assertEqual(self.other.known, {"k": b"1"})
+
+    async def test_while_the_store_is_away_a_late_aggregator_still_counts(self):
+        self.store.is_down = True
+        asking = asyncio.create_task(self.other.follower.step())
+        await self.clock.advance_ms(300)
+        self.store.is_down = False
+        await self.first.follower.step()
+        await self.clock.advance_ms(1)
+        self.assertTrue(asking.done())
+        self.assertEqual(self.other.known, {"k": b"1"})
+
     async def test_a_copy_s_proof_goes_with_the_whole_table(self):
         await self.first.follower.step()
         self.clock._now_ms += 900
