--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -23,6 +23,8 @@
 )
 from fireflyward.routes import Allowed, RouteTable
 
+from ._start_gate import StartGate
+
 log = logging.getLogger("fireflyward.callers")
 
 # Longest line and header that are read; the configuration's own limit is checked
@@ -87,11 +89,13 @@
         routes: RouteTable,
         forwarder: Forwarder,
         metrics: Metrics,
+        gate: StartGate,
     ) -> None:
         self._clock = clock
         self._routes = routes
         self._forwarder = forwarder
         self._metrics = metrics
+        self._gate = gate
         self._server = web_server.Server(
             self._handle,
             handler_cancellation=True,
@@ -203,6 +207,7 @@
         body = await self._read_body(request)
         if isinstance(body, NotRun):
             return body
+        await self._gate.passed()
         # Decided after the body is in: a key that was withdrawn meanwhile is seen.
         allowed = self._routes.decide(
             self._clock.now_ms(),
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -9,7 +9,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
-from fireflyward.feeds import FeedFollower, Pace, SharedTables
+from fireflyward.feeds import FeedFollower, Followed, Pace, SharedTables
 from fireflyward.forwarding import Forwarder, WeightBook
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseNews, LeaseTask, Lost
@@ -41,6 +41,7 @@
 from ._paces import configuration_pace, replicas_pace
 from ._peers import NODE_TABLE, PeerRegister
 from ._settings_watch import SettingsWatch
+from ._start_gate import StartGate
 from ._stores import StoreFollowing
 from ._views import OperatorView, ReplicaView
 
@@ -124,11 +125,13 @@
             look_soon=lambda: self._joining.look_soon(),
         )
         self._forwarder = self._make_forwarder()
+        self._gate = StartGate(clock)
         self._door = CallerDoor(
             clock=clock,
             routes=self._routes,
             forwarder=self._forwarder,
             metrics=self._metrics,
+            gate=self._gate,
         )
         operators = OperatorView(
             clock=clock,
@@ -162,14 +165,14 @@
                 CONFIGURATION_TABLE,
                 reader=self._tables,
                 clock=clock,
-                on_news=self._tables.kept(CONFIGURATION_TABLE, operators.on_news),
+                on_news=self._kept(CONFIGURATION_TABLE, operators.on_news),
                 pace=self._configuration_pace,
             ),
             FeedFollower(
                 REPLICA_TABLE,
                 reader=self._tables,
                 clock=clock,
-                on_news=self._tables.kept(REPLICA_TABLE, self._replicas.on_news),
+                on_news=self._kept(REPLICA_TABLE, self._replicas.on_news),
                 pace=self._replicas_pace,
             ),
         )
@@ -341,6 +344,19 @@
             is_for_others=self._tables.is_for_others,
         )
 
+    def _kept(
+        self, table: str, on_news: Callable[[Followed], None]
+    ) -> Callable[[Followed], None]:
+        """Keep a table's news for others, and look whether requests may come now."""
+        take = self._tables.kept(table, on_news)
+
+        def take_and_look(news: Followed) -> None:
+            take(news)
+            if self.is_ready:
+                self._gate.open()
+
+        return take_and_look
+
     def _on_nodes(self, names: Collection[str]) -> None:
         self._budget.set_nodes(len(names))
         self._forwarder.set_nodes(len(names))
--- a/tests/fleet/test_whole_path.py
+++ b/tests/fleet/test_whole_path.py
@@ -1,6 +1,7 @@
 """The whole path: callers, one node, the store and replicas, over sockets."""
 
 import asyncio
+from unittest import mock
 
 import aiohttp
 import msgspec
@@ -333,6 +334,24 @@
         await self.until(lambda: self.node.is_ready)
         self.assertEqual(await self.readiness(), 200)
 
+    async def test_a_request_that_comes_too_early_waits_for_the_configuration(self):
+        """Symptom: after a loss of power callers were refused by node after node.
+
+        Each listened before it had read its tables and refused what came, and with
+        that callers had spent their one retry.
+        """
+        self.store.manner = StoreManner.BUSY
+        await self.node.start()
+        # How long it waits at most is not what this is about.
+        with mock.patch("fireflyward.fleet._start_gate._LONGEST_MS", 20_000):
+            asked = asyncio.create_task(self.ask("POST", "/w/x", data=b"1"))
+            await self.until(lambda: self.node._door.in_flight)
+            self.assertFalse(self.node.is_ready)
+            self.operator.configure()
+            self.store.manner = StoreManner.WELL
+            status, _, _ = await asked
+        self.assertEqual(status, 200)
+
     async def test_serving_goes_on_while_the_store_is_away(self):
         await self.start_ready()
         self.store.manner = StoreManner.BUSY
