A failure domain that is cut off is a last resort after one silent connection

Change: after one silent connection a node tries two other replicas of the domain for 150 ms; if both are silent too the domain is shunned until a tried connection comes about, every 300 ms. Nodes of the same domain are told and look for themselves.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -24,6 +24,7 @@
 )
 from fireflyward.prefixes import Janitor, PartPlanner
 from fireflyward.quarantine import Quarantine
+from fireflyward.reach import ReachTask
 from fireflyward.replicas import (
     Chooser,
     ColdShares,
@@ -124,6 +125,12 @@
             peer_addresses=self._aggregators.everyone,
             look_soon=lambda: self._joining.look_soon(),
         )
+        self._reach = ReachTask(
+            clock=clock,
+            pool=self._pool,
+            directory=self._directory,
+            neighbours=self._aggregators.neighbours,
+        )
         self._forwarder = self._make_forwarder()
         self._gate = StartGate(clock)
         self._door = CallerDoor(
@@ -278,7 +285,7 @@
         self._door.close_listener()
         await self._door.drain(end_ms - self._clock.now_ms())
         tasks = [handing_over, *self._tasks, *self._stores.tasks]
-        tasks += self._quarantine.tasks
+        tasks += [*self._quarantine.tasks, *self._reach.tasks]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -301,6 +308,7 @@
             weights=self._weights,
             planner=self._planner,
             gate=self._quarantine,
+            reach=self._reach,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -366,7 +374,8 @@
         return not self._is_stopping and self._peers.is_among_first(_CONTENDERS, _LEASE)
 
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
-        for part in (self._news, self._tables, self._lease_news, self._quarantine):
+        speaking = (self._news, self._tables, self._lease_news, self._quarantine)
+        for part in (*speaking, self._reach):
             part.use(link)
         return lambda: self._start(
             self._under_way_task.run(link), self._stores.run(link)
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -15,7 +15,7 @@
 from ._late_lane import LateLane
 from ._messages import Trace
 from ._run import Run
-from ._tools import SendGate, Tools
+from ._tools import Reach, SendGate, Tools
 from ._weights import WeightBook
 
 
@@ -39,6 +39,7 @@
         weights: WeightBook,
         planner: PartPlanner,
         gate: SendGate,
+        reach: Reach,
         admission: Admission | None = None,
     ) -> None:
         self._tools = Tools(
@@ -52,6 +53,7 @@
             callers=CallerTimes(),
             late_lane=LateLane(),
             gate=gate,
+            reach=reach,
         )
 
     def set_nodes(self, nodes: int) -> None:
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -169,6 +169,8 @@
         )
         if isinstance(connection, NotConnected):
             replica.on_trouble(self._clock.now_ms())
+            if not connection.is_refused:
+                self._tools.reach.on_silent(replica)
             self._send_check.on_unreached(replica, is_refused=connection.is_refused)
             self._tried.add(replica.number)
             self._end_late_wait(None)
--- a/fireflyward/forwarding/_tools.py
+++ b/fireflyward/forwarding/_tools.py
@@ -34,6 +34,12 @@
     def on_answered(self, fingerprint: str) -> None: ...
 
 
+class Reach(Protocol):
+    """What a run tells of silent replicas; see ``reach.ReachTask``."""
+
+    def on_silent(self, replica: ReplicaState) -> None: ...
+
+
 @dataclass(frozen=True, slots=True)
 class Tools:
     """What every run of a node works with."""
@@ -48,3 +54,4 @@
     callers: CallerTimes
     late_lane: LateLane
     gate: SendGate
+    reach: Reach
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -183,7 +183,7 @@
         sound = [
             state
             for state in able
-            if not state.is_cold(now_ms) and not _is_shunned(now_ms, state)
+            if not state.is_cold(now_ms) and not self._is_shunned(now_ms, state)
         ]
         newest = [
             state
@@ -200,6 +200,12 @@
             drawn.append(home)
         return drawn or able
 
+    def _is_shunned(self, now_ms: int, state: ReplicaState) -> bool:
+        """Tell whether a replica is a last resort now."""
+        if state.is_loading(now_ms) or state.is_full(now_ms):
+            return True
+        return self._directory.is_suspect(now_ms, state)
+
     def _bears_more(self, now_ms: int, state: ReplicaState) -> bool:
         """Tell whether this node may send one more request to a replica."""
         per_second = self._directory.cold_per_second(state)
@@ -227,8 +233,10 @@
     ) -> Choice:
         weights = chosen.version_by_model.get(wanted.model)
         source = None
-        if home is not None and home is not chosen and not home.is_suspect(now_ms):
-            if home.version_by_model.get(wanted.model) == weights:
+        if home is not None and home is not chosen:
+            is_suspect = self._directory.is_suspect(now_ms, home)
+            has_weights = home.version_by_model.get(wanted.model) == weights
+            if has_weights and not is_suspect:
                 source = home.entry.address
         wait_ms = load.wait_ms
         if chosen.is_loading(now_ms):
@@ -262,7 +270,7 @@
         sound = [
             state
             for state in able
-            if not state.is_suspect(now_ms)
+            if not self._directory.is_suspect(now_ms, state)
             and not state.is_loading(now_ms)
             and not state.is_cold(now_ms)
         ]
@@ -290,7 +298,7 @@
             cost_ms += _NOT_HOME_MS
         if state.entry.failure_domain != self._failure_domain:
             cost_ms += _REMOTE_MS
-        if state.is_suspect(now_ms):
+        if self._directory.is_suspect(now_ms, state):
             cost_ms += _SUSPECT_MS
         if state.is_full(now_ms):
             cost_ms += _RECENTLY_FULL_MS
@@ -305,11 +313,6 @@
         return cost_ms
 
 
-def _is_shunned(now_ms: int, state: ReplicaState) -> bool:
-    """Tell whether a replica is a last resort now."""
-    return state.is_suspect(now_ms) or state.is_loading(now_ms) or state.is_full(now_ms)
-
-
 def _reading_ms(state: ReplicaState, tokens: float) -> float:
     """Return how long a replica reads prompt tokens."""
     return state.pace * tokens / _TOKENS_PER_MS
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -30,6 +30,7 @@
         "_state_by_incarnation",
         "_state_by_number",
         "evacuated",
+        "unreachable",
     )
 
     def __init__(self) -> None:
@@ -38,6 +39,7 @@
         self._by_service: dict[str, list[ReplicaState]] = {}
         self._service_by_name: Mapping[str, Service] | None = None
         self.evacuated: frozenset[str] = frozenset()
+        self.unreachable: frozenset[str] = frozenset()
 
     def __len__(self) -> int:
         return len(self._state_by_incarnation)
@@ -65,6 +67,16 @@
                 state.on_cold(now_ms, self._cold_start_ms(state))
         self._index()
 
+    def set_unreachable(self, domain: str, *, is_lost: bool) -> None:
+        """Note whether a failure domain is out of this node's reach."""
+        rest = self.unreachable - {domain}
+        self.unreachable = rest | {domain} if is_lost else rest
+
+    def is_suspect(self, now_ms: int, state: ReplicaState) -> bool:
+        """Tell whether sends to a replica probably fail, by itself or its domain."""
+        is_lost = state.entry.failure_domain in self.unreachable
+        return is_lost or state.is_suspect(now_ms)
+
     def cold_per_second(self, state: ReplicaState) -> float:
         """Return how many requests a replica bears while cold, 0 for no limit."""
         service = (self._service_by_name or {}).get(state.entry.service)
--- a/tests/forwarding/test_late_run.py
+++ b/tests/forwarding/test_late_run.py
@@ -80,6 +80,7 @@
             weights=WeightBook(version_ms=12_000),
             planner=PartPlanner(),
             gate=OpenGate(),
+            reach=None,
         )
         self.lane = forwarder._tools.late_lane
         self.trace = Trace()
--- /dev/null
+++ b/tests/reach/test_task.py
@@ -0,0 +1,159 @@
+"""Failure domains that a node does not reach."""
+
+import asyncio
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.http1 import NotConnected
+from fireflyward.reach import DomainCheck, ReachTask
+from fireflyward.replicas import Chooser, ReplicaDirectory, Wanted
+from tests.replicas.makers import entry
+
+
+class Connection:
+    """An open connection; nothing is sent on it."""
+
+
+class Pool:
+    """Opens connections to what is not silent."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.silent = set()
+        self.refusing = set()
+        self.tried = []
+
+    async def take(self, address, *, connect_ms, fresh):
+        name = address.partition(":")[0]
+        self.tried.append(name)
+        if name in self.silent:
+            await self.clock.sleep_ms(connect_ms)
+            return NotConnected("no answer")
+        if name in self.refusing:
+            return NotConnected("refused", is_refused=True)
+        return Connection()
+
+    def give_back(self, connection):
+        pass
+
+
+class Link:
+    def __init__(self):
+        self.sent = []
+        self.handle = None
+
+    def register(self, kind, struct_type, handle):
+        self.handle = handle
+
+    def send_all(self, addresses, kind, news):
+        self.sent.append((tuple(addresses), news.failure_domain))
+
+
+class ReachTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock(1_000)
+        self.pool = Pool(self.clock)
+        self.directory = ReplicaDirectory()
+        entries = [entry(f"{zone}{n}", zone=zone) for zone in "ab" for n in range(6)]
+        self.directory.on_whole(0, entries, after_outage=False)
+        self.link = Link()
+        self.task = ReachTask(
+            clock=self.clock,
+            pool=self.pool,
+            directory=self.directory,
+            neighbours=lambda: [("n2", 1)],
+            seed=1,
+        )
+        self.task.use(self.link)
+        self.chooser = Chooser(self.directory, failure_domain="a", seed=1)
+
+    def silence(self, *names):
+        self.pool.silent = set(names)
+
+    def on_silent(self, name):
+        self.task.on_silent(self.directory.find(name))
+
+    async def asyncTearDown(self):
+        for task in self.task.tasks:
+            task.cancel()
+        await asyncio.gather(*self.task.tasks, return_exceptions=True)
+
+    def chosen_domains(self):
+        chosen = [self.chooser.choose(0, Wanted("s")) for _ in range(60)]
+        return {choice.replica.entry.failure_domain for choice in chosen}
+
+    async def test_a_domain_that_is_cut_off_is_a_last_resort_at_once(self):
+        """Symptom: for seconds after a cut requests waited 350 ms each in vain.
+
+        A failure domain was cut off, and each node sent something to each of its
+        replicas before it believed of all of them that they were silent.
+        """
+        self.silence(*(f"b{n}" for n in range(6)))
+        for state in self.directory.of_service("s"):
+            state.in_flight = 2 * (state.entry.failure_domain == "a")
+        self.on_silent("b0")
+        await self.clock.advance_ms(151)
+        self.assertEqual(self.directory.unreachable, {"b"})
+        self.assertEqual(self.chosen_domains(), {"a"})
+
+    async def test_it_is_used_again_when_a_connection_comes_about(self):
+        self.silence(*(f"b{n}" for n in range(6)))
+        self.on_silent("b0")
+        await self.clock.advance_ms(1_000)
+        self.assertEqual(self.directory.unreachable, {"b"})
+        self.silence()
+        await self.clock.advance_ms(450)
+        self.assertFalse(self.directory.unreachable)
+        self.assertFalse(self.task.tasks)
+
+    async def test_one_dead_replica_says_nothing_of_its_domain(self):
+        """Symptom: a whole failure domain stood idle since one replica was dark."""
+        self.silence("b0")
+        self.on_silent("b0")
+        await self.clock.advance_ms(400)
+        self.assertFalse(self.directory.unreachable)
+
+    async def test_where_nothing_listens_any_more_the_way_is_sound(self):
+        self.pool.refusing = {f"b{n}" for n in range(6)}
+        self.on_silent("b0")
+        await self.clock.advance_ms(400)
+        self.assertFalse(self.directory.unreachable)
+
+    async def test_neighbours_are_told_once_and_look_for_themselves(self):
+        self.silence(*(f"b{n}" for n in range(6)))
+        self.on_silent("b0")
+        self.on_silent("b1")
+        self.assertEqual(self.link.sent, [((("n2", 1),), "b")])
+        await self.clock.advance_ms(151)
+        self.silence()
+        await self.clock.advance_ms(800)
+        news = type("News", (), {"failure_domain": "b"})
+        await self.link.handle("n2", news)
+        await self.clock.advance_ms(200)
+        self.assertFalse(self.directory.unreachable)
+        self.assertEqual(len(self.link.sent), 1)
+
+    async def test_with_no_other_domain_left_it_is_still_used(self):
+        self.silence(*(f"b{n}" for n in range(6)))
+        self.on_silent("b0")
+        await self.clock.advance_ms(151)
+        without = frozenset(entry(f"a{n}", zone="a").number for n in range(6))
+        self.assertIsNotNone(self.chooser.choose(0, Wanted("s"), without=without))
+
+    async def test_a_domain_of_which_nothing_is_listed_any_more_is_forgotten(self):
+        self.silence(*(f"b{n}" for n in range(6)))
+        self.on_silent("b0")
+        await self.clock.advance_ms(151)
+        names = [f"b{n}" for n in range(6)]
+        self.directory.on_changes(0, [], names, after_outage=False)
+        await self.clock.advance_ms(450)
+        self.assertFalse(self.directory.unreachable)
+
+
+class CheckTests(unittest.TestCase):
+    def test_replicas_that_leave_are_not_tried(self):
+        directory = ReplicaDirectory()
+        entries = [entry("r1"), entry("r2", leaving=True)]
+        directory.on_whole(0, entries, after_outage=False)
+        tried = DomainCheck(seed=1).to_try(directory.all())
+        self.assertEqual([state.entry.incarnation for state in tried], ["r1"])
