A cold home stays the home of its prompts; a cold send counts from when it leaves

A granted send counted 400 ms late, so each drawn node sent one request in 1.4 s. Change: a home may be cold, and is fetched from where this node may send nothing there; the count is set right when the request leaves.

--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -225,6 +225,7 @@
             replica.in_flight += 1
         replica.held_tokens += self._needs.held_tokens
         self._sent_ms = self._clock.now_ms()
+        replica.on_cold_sent(self._sent_ms)
         self._trace.sends += 1
         self._trace.stored_tokens = headers.stored_tokens
         self._tried.add(replica.number)
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -137,16 +137,17 @@
 
         ``without`` are numbers of starts of replicas.
         """
-        able = [
+        listed = [
             state
             for state in self._directory.of_service(wanted.service)
-            if state.number not in without
-            and _has_weights(state, wanted)
-            and self._bears_more(now_ms, state)
+            if state.number not in without and _has_weights(state, wanted)
         ]
+        able = [state for state in listed if self._bears_more(now_ms, state)]
         if not able:
             return None
-        home = self._home(now_ms, able, wanted)
+        # A home that bears nothing more from here stays the home: what it has read
+        # is fetched from it, and not read anew at one that is home for a moment.
+        home = self._home(now_ms, listed, wanted)
         usual = sorted(state.failed_share for state in able)[len(able) // 2]
         looked_at = self._sample(now_ms, able, wanted, home)
         loads = [self._load(now_ms, state, wanted) for state in looked_at]
@@ -196,7 +197,7 @@
             *self._random.sample(older, min(_DRAWN, len(older))),
             *self._random.sample(cold, min(_DRAWN, len(cold))),
         ]
-        if home is not None and home not in drawn:
+        if home in able and home not in drawn:
             drawn.append(home)
         return drawn or able
 
@@ -263,19 +264,18 @@
         )
 
     def _home(
-        self, now_ms: int, able: list[ReplicaState], wanted: Wanted
+        self, now_ms: int, listed: list[ReplicaState], wanted: Wanted
     ) -> ReplicaState | None:
         if not wanted.prefix_key:
             return None
         sound = [
             state
-            for state in able
+            for state in listed
             if not self._directory.is_suspect(now_ms, state)
             and not state.is_loading(now_ms)
-            and not state.is_cold(now_ms)
         ]
         return max(
-            sound or able,
+            sound or listed,
             key=lambda state: rendezvous_rank(
                 wanted.prefix_key, state.entry.incarnation
             ),
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -103,6 +103,12 @@
         """Count a request to it while cold, which leaves at ``latest_ms`` at most."""
         self._cold_send_ms.append(latest_ms)
 
+    def on_cold_sent(self, now_ms: int) -> None:
+        """Note that a request which was counted ahead leaves now."""
+        if self._cold_send_ms and self._cold_send_ms[-1] > now_ms:
+            self._cold_send_ms[-1] = now_ms
+            self._cold_send_ms.sort()
+
     def cold_sends_since(self, since_ms: int) -> int:
         """Return how many requests may have left later than that."""
         self._cold_send_ms = [sent for sent in self._cold_send_ms if sent > since_ms]
--- a/tests/replicas/test_cold.py
+++ b/tests/replicas/test_cold.py
@@ -214,19 +214,51 @@
         chosen = [chooser.choose(0, Wanted("s")) for _ in range(30)]
         self.assertNotIn(None, chosen)
 
-    def test_a_prefix_has_no_home_at_a_cold_replica(self):
-        """Symptom: each node took another replica for the home of one prompt."""
+    def test_a_cold_home_stays_the_home_where_it_bears_nothing_more(self):
+        """Symptom: prompts were read twice over when their replica was cold.
+
+        For three seconds each had another home, which read what the first one had,
+        and then the first one again.
+        """
         names = [f"r{number}" for number in range(2, 6)]
         self.directory.on_changes(
-            0, [entry(name) for name in names], [], after_outage=False
+            0, [entry(name, version=1) for name in names], [], after_outage=False
         )
-        self.take(0)
-        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000)
-        homes = set()
-        for _ in range(8):
-            chooser = Chooser(self.directory, failure_domain="a", seed=1)
-            homes.add(chooser.choose(0, wanted).replica)
-        (home,) = homes
-        home.on_cold(0, 2_000)
+        wanted = Wanted("s", prefix_key="p", prefix_tokens=9_000, model="m", version=1)
         chooser = Chooser(self.directory, failure_domain="a", seed=1)
-        self.assertIsNot(chooser.choose(0, wanted).replica, home)
+        home = chooser.choose(0, wanted).replica
+        home.on_cold(0, 2_000)
+        nothing = Chooser(
+            self.directory, failure_domain="a", cold_shares=ColdShares("n1"), seed=1
+        )
+        choice = nothing.choose(0, wanted)
+        self.assertIsNot(choice.replica, home)
+        self.assertEqual(choice.kv_source, home.entry.address)
+
+
+class CountTests(unittest.TestCase):
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        self.directory.set_services(SERVICE)
+        self.directory.on_whole(0, [entry("r1", cold_ms=3_000)], after_outage=False)
+        self.state = self.directory.find("r1")
+        self.shares = ColdShares("n1")
+        self.shares.set_nodes(NODES[:10] + ["n1"])
+
+    def may_send(self, now_ms):
+        return self.shares.may_send(now_ms, self.state, PER_SECOND)
+
+    def test_one_a_second_from_when_it_left(self):
+        self.shares.on_granted(0, self.state)
+        self.state.on_cold_sent(20)
+        self.assertFalse(self.may_send(1_019))
+        self.assertTrue(self.may_send(1_020))
+
+    def test_what_has_not_left_yet_counts_as_late_as_it_may(self):
+        """Symptom: two requests reached a cold replica within half a second.
+
+        The first waited for its connection while the second was let go.
+        """
+        self.shares.on_granted(0, self.state)
+        self.assertFalse(self.may_send(1_399))
+        self.assertTrue(self.may_send(1_400))
