--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -129,7 +129,7 @@
             clock=clock,
             pool=self._pool,
             directory=self._directory,
-            neighbours=self._aggregators.neighbours,
+            peers=self._aggregators.everyone,
         )
         self._forwarder = self._make_forwarder()
         self._gate = StartGate(clock)
--- a/fireflyward/reach/_check.py
+++ b/fireflyward/reach/_check.py
@@ -22,21 +22,24 @@
     and one connection that comes about ends it.
     """
 
-    __slots__ = ("_random", "is_lost")
+    __slots__ = ("_random",)
 
     def __init__(self, *, seed: int | None = None) -> None:
         self._random = random.Random(seed)
-        self.is_lost = False
 
     def to_try(self, states: Iterable[ReplicaState]) -> list[ReplicaState]:
         """Return the replicas to connect to now, of those listed in the domain."""
         listed = [state for state in states if not state.entry.is_leaving]
         return self._random.sample(listed, min(_TRIED, len(listed)))
 
-    def on_tried(self, tried: int, *, reached: int) -> None:
-        """Take how many of the tried replicas let this node connect.
+    def is_lost(self, tried: int, *, reached: int) -> bool:
+        """Tell whether a domain is out of reach, by how many let this node connect.
 
         Of a domain in which nothing is listed any more nothing is known, and
         nothing is sent there anyway.
+
+        >>> check = DomainCheck()
+        >>> check.is_lost(2, reached=0), check.is_lost(2, reached=1)
+        (True, False)
         """
-        self.is_lost = tried > 0 and reached == 0
+        return tried > 0 and reached == 0
--- a/fireflyward/reach/_task.py
+++ b/fireflyward/reach/_task.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, within_ms
 from fireflyward.http1 import ConnectionPool, HttpConnection, NotConnected
 from fireflyward.peers import PeerLink
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
@@ -26,8 +26,8 @@
 class ReachTask:
     """Tries connections into a domain and marks it as out of reach while all fail.
 
-    What one node meets, those of its failure domain are about to meet as well: they
-    are told, and each looks for itself, as its own links may be sound.
+    What one node meets others are about to meet as well: they are told, and each
+    looks for itself, as its own links may be sound.
 
     Responses from a domain that is out of reach may come after seconds or never, and
     the kernel notices silent connections after one to three seconds. Requests that may
@@ -40,22 +40,24 @@
         clock: Clock,
         pool: ConnectionPool,
         directory: ReplicaDirectory,
-        neighbours: Callable[[], list[tuple[str, int]]],
+        peers: Callable[[], list[tuple[str, int]]],
         seed: int | None = None,
     ) -> None:
         self._clock = clock
         self._pool = pool
         self._directory = directory
-        self._neighbours = neighbours
-        self._seed = seed
+        self._peers = peers
+        self._check = DomainCheck(seed=seed)
         self._link: PeerLink | None = None
-        self._task_by_domain: dict[str, asyncio.Task[None]] = {}
+        self._look_task: asyncio.Task[None] | None = None
+        self._suspected: set[str] = set()
+        self._is_due = asyncio.Event()
         self._awaited_by_domain: dict[str, set[HttpConnection]] = {}
 
     @property
     def tasks(self) -> list[asyncio.Task[None]]:
         """Return the looks that are under way, to be cancelled at a stop."""
-        return list(self._task_by_domain.values())
+        return [self._look_task] if self._look_task is not None else []
 
     def use(self, link: PeerLink) -> None:
         """Tell and hear of silent replicas over a link from now on."""
@@ -67,7 +69,7 @@
         domain = replica.entry.failure_domain
         if self._look_into(domain) and self._link is not None:
             news = SilenceNews(failure_domain=domain)
-            self._link.send_all(self._neighbours(), _SILENCE, news)
+            self._link.send_all(self._peers(), _SILENCE, news)
 
     @contextlib.contextmanager
     def awaiting(
@@ -86,46 +88,71 @@
         self._look_into(news.failure_domain)
 
     def _look_into(self, domain: str) -> bool:
-        """Begin to look into a domain; return False if that goes on already."""
-        if domain in self._task_by_domain:
+        """Have a domain looked into; return False if it is being looked into."""
+        if domain in self._suspected or domain in self._directory.unreachable:
             return False
-        task = asyncio.create_task(self._look(domain))
-        self._task_by_domain[domain] = task
-        task.add_done_callback(lambda _: self._task_by_domain.pop(domain, None))
+        self._suspected.add(domain)
+        self._is_due.set()
+        if self._look_task is None:
+            self._look_task = asyncio.create_task(self._look())
         return True
 
-    async def _look(self, domain: str) -> None:
-        check = DomainCheck(seed=self._seed)
+    async def _look(self) -> None:
+        """Look until no domain is out of reach and none is suspected.
+
+        The first look is into all domains: a node that is cut off finds one after
+        the other silent, and what leaves the first of them had better not go to
+        the next.
+        """
+        due = self._domains() | self._suspected
         try:
-            await self._try(check, domain)
-            if not check.is_lost:
-                return
-            log.warning("reach: failure domain %s is silent", domain)
-            self._directory.set_unreachable(domain, is_lost=True)
-            self._cut_loose(domain)
-            while check.is_lost:
-                await self._clock.sleep_ms(_AGAIN_AFTER_MS)
-                await self._try(check, domain)
-            log.info("reach: failure domain %s answers again", domain)
+            while due:
+                self._is_due.clear()
+                await self._look_at(due)
+                if self._directory.unreachable and not self._suspected:
+                    pause = self._is_due.wait()
+                    await within_ms(self._clock, _AGAIN_AFTER_MS, pause)
+                due = self._suspected | self._directory.unreachable
         finally:
-            self._directory.set_unreachable(domain, is_lost=False)
+            self._look_task = None
+            self._suspected.clear()
+            for domain in self._directory.unreachable:
+                self._directory.set_unreachable(domain, is_lost=False)
+
+    async def _look_at(self, domains: set[str]) -> None:
+        """Try connections into domains, and mark them by what came of it."""
+        looks = sorted(domains)
+        lost = await asyncio.gather(*map(self._is_lost, looks))
+        self._suspected -= domains
+        before = self._directory.unreachable
+        for domain, is_lost in zip(looks, lost, strict=True):
+            self._directory.set_unreachable(domain, is_lost=is_lost)
+            if is_lost and domain not in before:
+                log.warning("reach: failure domain %s is silent", domain)
+            elif domain in before and not is_lost:
+                log.info("reach: failure domain %s answers again", domain)
+        for domain in self._directory.unreachable - before:
+            self._cut_loose(domain)
 
-    def _cut_loose(self, domain: str) -> None:
-        awaited = tuple(self._awaited_by_domain.get(domain, ()))
-        if awaited:
-            log.info("reach: %d requests to %s go elsewhere", len(awaited), domain)
-        for connection in awaited:
-            connection.close()
+    def _domains(self) -> set[str]:
+        return {state.entry.failure_domain for state in self._directory.all()}
 
-    async def _try(self, check: DomainCheck, domain: str) -> None:
+    async def _is_lost(self, domain: str) -> bool:
         listed = (
             state
             for state in self._directory.all()
             if state.entry.failure_domain == domain
         )
-        tried = check.to_try(listed)
+        tried = self._check.to_try(listed)
         reached = await asyncio.gather(*map(self._reaches, tried))
-        check.on_tried(len(tried), reached=sum(reached))
+        return self._check.is_lost(len(tried), reached=sum(reached))
+
+    def _cut_loose(self, domain: str) -> None:
+        awaited = tuple(self._awaited_by_domain.get(domain, ()))
+        if awaited:
+            log.info("reach: %d requests to %s go elsewhere", len(awaited), domain)
+        for connection in awaited:
+            connection.close()
 
     async def _reaches(self, replica: ReplicaState) -> bool:
         connection = await self._pool.take(
--- a/tests/reach/test_task.py
+++ b/tests/reach/test_task.py
@@ -67,7 +67,7 @@
             clock=self.clock,
             pool=self.pool,
             directory=self.directory,
-            neighbours=lambda: [("n2", 1)],
+            peers=lambda: [("n2", 1)],
             seed=1,
         )
         self.task.use(self.link)
@@ -127,6 +127,30 @@
         await self.clock.advance_ms(151)
         self.assertFalse(connection.is_closed)
 
+    async def test_a_node_that_is_cut_off_finds_all_other_domains_silent_at_once(self):
+        """Symptom: requests were sent on twice in a cut and failed the second time.
+
+        A node in the domain that was cut off found one of the others silent; what
+        waited there went to the next one, which was as silent.
+        """
+        entries = [entry(f"c{n}", zone="c") for n in range(6)]
+        self.directory.on_changes(0, entries, [], after_outage=False)
+        self.silence(*(f"{zone}{n}" for zone in "bc" for n in range(6)))
+        self.on_silent("b0")
+        await self.clock.advance_ms(151)
+        self.assertEqual(self.directory.unreachable, {"b", "c"})
+
+    async def test_a_second_domain_that_falls_silent_later_is_found_too(self):
+        entries = [entry(f"c{n}", zone="c") for n in range(6)]
+        self.directory.on_changes(0, entries, [], after_outage=False)
+        self.silence(*(f"b{n}" for n in range(6)))
+        self.on_silent("b0")
+        await self.clock.advance_ms(200)
+        self.silence(*(f"{zone}{n}" for zone in "bc" for n in range(6)))
+        self.on_silent("c0")
+        await self.clock.advance_ms(151)
+        self.assertEqual(self.directory.unreachable, {"b", "c"})
+
     async def test_it_is_used_again_when_a_connection_comes_about(self):
         self.silence(*(f"b{n}" for n in range(6)))
         self.on_silent("b0")
@@ -150,10 +174,12 @@
         await self.clock.advance_ms(400)
         self.assertFalse(self.directory.unreachable)
 
-    async def test_neighbours_are_told_once_and_look_for_themselves(self):
+    async def test_others_are_told_once_and_look_for_themselves(self):
         self.silence(*(f"b{n}" for n in range(6)))
         self.on_silent("b0")
         self.on_silent("b1")
+        await self.clock.advance_ms(151)
+        self.on_silent("b2")
         self.assertEqual(self.link.sent, [((("n2", 1),), "b")])
         await self.clock.advance_ms(151)
         self.silence()
