--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -1,7 +1,6 @@
 """One process of a fleet: its parts, put together, from start to stop."""
 
 import asyncio
-import contextlib
 import logging
 import os
 from collections.abc import Callable, Collection, Coroutine
@@ -37,11 +36,11 @@
 from fireflyward.weights import LoadNews, WeightTask
 
 from ._callers import CallerDoor
+from ._gauges import link_gauges, replica_gauges
 from ._joining import Joining
 from ._own_pages import OwnPages
 from ._paces import configuration_pace, replicas_pace
 from ._peers import NODE_TABLE, PeerRegister
-from ._settings_watch import SettingsWatch
 from ._start_gate import StartGate
 from ._stores import StoreFollowing
 from ._views import OperatorView, ReplicaView
@@ -204,7 +203,7 @@
             clock=clock,
             planner=self._planner,
             freer=self._api,
-            used=self._used_weights,
+            used=self._directory.used_weights,
             newest_by_model=self._weights.targets,
             may_act=lambda: self._lease.claim() is not None,
         )
@@ -331,14 +330,6 @@
         self._directory.set_services(configuration.service_by_name)
         self._stores.take(configuration)
 
-    def _used_weights(self) -> dict[tuple[str, int], set[int]]:
-        """Return the starts of replicas that may have each (model, version)."""
-        used: dict[tuple[str, int], set[int]] = {}
-        for state in self._directory.all():
-            for weights in state.weights_it_may_have():
-                used.setdefault(weights, set()).add(state.number)
-        return used
-
     def _configuration_pace(self) -> Pace:
         return configuration_pace(
             is_shared=self._aggregators.are_needed,
@@ -355,15 +346,9 @@
     def _kept(
         self, table: str, on_news: Callable[[Followed], None]
     ) -> Callable[[Followed], None]:
-        """Keep a table's news for others, and look whether requests may come now."""
+        """Keep a table's news for others; the last one needed opens the gate."""
         take = self._tables.kept(table, on_news)
-
-        def take_and_look(news: Followed) -> None:
-            take(news)
-            if self.is_ready:
-                self._gate.open()
-
-        return take_and_look
+        return self._gate.opened_by(take, is_ready=lambda: self.is_ready)
 
     def _on_nodes(self, names: Collection[str]) -> None:
         self._budget.set_nodes(len(names))
@@ -398,33 +383,17 @@
 
     def _take_gauges(self) -> None:
         now_ms = self._clock.now_ms()
-        self._metrics.gauge("in_flight", self._door.in_flight)
-        self._metrics.gauge("configuration_age_ms", self._routes.age_ms(now_ms))
-        self._metrics.gauge("configuration_version", self._routes.version or 0)
-        self._metrics.gauge("replicas", len(self._directory))
-        evacuated = len(self._directory.evacuated)
-        self._metrics.gauge("evacuated_failure_domains", evacuated)
-        cold = sum(state.is_cold(now_ms) for state in self._directory.all())
-        self._metrics.gauge("cold_replicas", cold)
-        self._metrics.gauge("cold_sends_total", self._cold_shares.granted)
-        self._metrics.gauge("requests_cut_by_ends_total", self._quarantine.cut)
-        self._metrics.gauge("requests_held", self._quarantine.held)
-        self._metrics.gauge("store_calls_total", self._store.calls)
-        self._metrics.gauge("connections_opened_total", self._pool.opened)
-        link = self._joining.link
-        if link is not None:
-            self._metrics.gauge("peer_bytes_sent_total", link.bytes_sent)
-            self._metrics.gauge("peer_bytes_received_total", link.bytes_received)
-
-
-async def run_node(
-    settings: FleetSettings, stop: asyncio.Event, changed: SettingsWatch
-) -> None:
-    """Run a node until ``stop`` is set, following its settings."""
-    node = FleetNode(settings, clock=Clock())
-    await node.start()
-    following = asyncio.create_task(changed.run(node.reload))
-    await stop.wait()
-    following.cancel()
-    with contextlib.suppress(asyncio.CancelledError):
-        await node.stop()
+        gauges = {
+            "in_flight": self._door.in_flight,
+            "configuration_age_ms": self._routes.age_ms(now_ms),
+            "configuration_version": self._routes.version or 0,
+            "cold_sends_total": self._cold_shares.granted,
+            "requests_cut_by_ends_total": self._quarantine.cut,
+            "requests_held": self._quarantine.held,
+            "store_calls_total": self._store.calls,
+            "connections_opened_total": self._pool.opened,
+            **replica_gauges(self._directory, now_ms),
+            **link_gauges(self._joining.link),
+        }
+        for name, value in gauges.items():
+            self._metrics.gauge(name, value)
--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -1,6 +1,7 @@
 """The process of one node: its settings, its signals and its end."""
 
 import asyncio
+import contextlib
 import gc
 import os
 import signal
@@ -11,7 +12,7 @@
 from fireflyward.platform import SETTINGS_VARIABLE, BadSettings, load_settings
 
 from ._logs import set_up_lines
-from ._node import run_node
+from ._node import FleetNode
 from ._settings_watch import SettingsWatch
 
 _BAD_SETTINGS = 2
@@ -37,4 +38,10 @@
     loop.add_signal_handler(signal.SIGTERM, stop.set)
     loop.add_signal_handler(signal.SIGHUP, changed.signal)
     gc.freeze()
-    await run_node(settings, stop, changed)
+    node = FleetNode(settings, clock=Clock())
+    await node.start()
+    following = asyncio.create_task(changed.run(node.reload))
+    await stop.wait()
+    following.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await node.stop()
--- a/fireflyward/fleet/_start_gate.py
+++ b/fireflyward/fleet/_start_gate.py
@@ -1,8 +1,10 @@
 """Requests that come before a node knows what it serves."""
 
 import asyncio
+from collections.abc import Callable
 
 from fireflyward.clock import Clock, within_ms
+from fireflyward.feeds import Followed
 
 # Tables are read a tenth of a second after a node listens; one that needs longer does
 # not know for how long, and its callers do better elsewhere.
@@ -23,6 +25,18 @@
         self._clock = clock
         self._is_open = asyncio.Event()
 
+    def opened_by(
+        self, take: Callable[[Followed], None], *, is_ready: Callable[[], bool]
+    ) -> Callable[[Followed], None]:
+        """Return a listener that opens the gate once its news make this node ready."""
+
+        def take_and_look(news: Followed) -> None:
+            take(news)
+            if is_ready():
+                self.open()
+
+        return take_and_look
+
     def open(self) -> None:
         """Let everything pass from now on."""
         self._is_open.set()
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -34,6 +34,7 @@
 from ._prompt import PromptNeeds
 from ._send_check import SendCheck
 from ._tools import Tools
+from ._unread import UnreadPrompt
 
 log = logging.getLogger("fireflyward.forwarding")
 
@@ -218,7 +219,9 @@
     async def _send_on(self, connection: HttpConnection, choice: Choice) -> SendResult:
         replica = choice.replica
         headers = self._headers(choice)
-        unread = _Unread(replica, self._caller.prompt_tokens - headers.stored_tokens)
+        unread = UnreadPrompt(
+            replica, self._caller.prompt_tokens - headers.stored_tokens
+        )
         if self._waits_late:
             replica.waiting_late += 1
         else:
@@ -252,7 +255,7 @@
         return result
 
     async def _read(
-        self, connection: HttpConnection, choice: Choice, unread: "_Unread"
+        self, connection: HttpConnection, choice: Choice, unread: UnreadPrompt
     ) -> SendResult | NotRunThere:
         exchange = self._exchange(connection, choice, unread)
         if not self._allowed.route.may_repeat:
@@ -261,7 +264,7 @@
             return await exchange.read()
 
     def _exchange(
-        self, connection: HttpConnection, choice: Choice, unread: "_Unread"
+        self, connection: HttpConnection, choice: Choice, unread: UnreadPrompt
     ) -> Exchange:
         def on_first() -> None:
             unread.end()
@@ -374,21 +377,6 @@
         )
 
 
-class _Unread:
-    """Counts a prompt as unread at a replica until its first token or its end."""
-
-    __slots__ = ("_replica", "_tokens")
-
-    def __init__(self, replica: ReplicaState, tokens: int) -> None:
-        self._replica = replica
-        self._tokens = tokens
-        replica.unread_tokens += tokens
-
-    def end(self) -> None:
-        self._replica.unread_tokens -= self._tokens
-        self._tokens = 0
-
-
 def _detail(result: SendResult) -> str:
     """Say in short what a send came to."""
     if isinstance(result, WholeAnswer):
--- a/fireflyward/peers/_codec.py
+++ b/fireflyward/peers/_codec.py
@@ -36,8 +36,7 @@
 
 def _is_whole(value: Any) -> bool:
     if isinstance(value, list):
-        # Items of a list have one type; looking at each number of hundreds took a
-        # seventh of the time of a message.
+        # Items of a list have one type, so that the first tells of all.
         is_plain = not value or not isinstance(value[0], list | TPayload)
         return is_plain or all(map(_is_whole, value))
     if not isinstance(value, TPayload):
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -35,7 +35,7 @@
 _MEMORY_SHARE = 0.85
 _RUN_MS = 1_500.0
 # Up to so many replicas all are weighed; of more, so many of each version that a node
-# draws. Two would do for balance, the third is for the differences between them.
+# draws: two for balance, the third for the differences between replicas.
 _LOOK_AT_ALL = 8
 _DRAWN = 3
 # Preference for the place where the rest of the service expects the prompt.
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -86,6 +86,14 @@
         """Return every listed replica, leaving ones too."""
         return list(self._state_by_number.values())
 
+    def used_weights(self) -> dict[tuple[str, int], set[int]]:
+        """Return the starts of replicas that may have each (model, version)."""
+        used: dict[tuple[str, int], set[int]] = {}
+        for state in self.all():
+            for weights in state.weights_it_may_have():
+                used.setdefault(weights, set()).add(state.number)
+        return used
+
     def find(self, incarnation: str) -> ReplicaState | None:
         """Return the replica that is listed under a name, None once it is gone."""
         return self._state_by_incarnation.get(incarnation)
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -22,8 +22,7 @@
 _IDLE_PERIOD_MS = 400
 # A holder orders only within this part of the lease after it renewed it, and renews it
 # for the purpose: the sooner its last order is known to be past, the sooner the next
-# holder may order. A third in place of a tenth had a rollout wait 0.7 s longer after
-# its holder was cut off.
+# holder may order. With a long one a rollout stands still after its holder is lost.
 _FRESH_SHARE = 0.1
 # News, a report and an order take some 60 ms; a window shorter than this would close
 # before them. It is never more than a third of the lease.
