In an evacuation two fifths of the replicas that serve load new weights, not of all

Change: the evacuated ones load first, beside a share of the others; no more load at once in all than before.

--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -19,8 +19,8 @@
     """One replica of a model, as this node sees it; ``number`` is of its start.
 
     ``busy_ms`` is how long the prompts take that wait there: so long a load has to
-    wait for them. ``may_serve`` tells whether it may begin on requests: its weights
-    are new enough, and its failure domain is not evacuated.
+    wait for them. ``may_serve`` tells whether its weights may begin on requests, and
+    ``is_evacuated`` that it gets none whatever its weights.
     """
 
     incarnation: str
@@ -29,6 +29,7 @@
     version: int
     busy_ms: float
     may_serve: bool = True
+    is_evacuated: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,16 +65,24 @@
         The share keeps the others at work meanwhile. A replica whose weights are too
         old to serve is not at work, so that it is ordered beside the share: after
         its holder changed, a rollout would else go on round by round while most
-        replicas may serve nobody.
+        replicas may serve nobody. Replicas of an evacuated failure domain go first.
+        They have no part in the share: counted in it, they would have most of those
+        load that are left to serve.
         """
         behind = [view for view in views if view.version < version]
         waiting = [view for view in behind if self._is_free(now_ms, view.number)]
-        loading = len(behind) - len(waiting)
-        room = max(1, math.floor(len(views) * _LOADING_SHARE)) - loading
-        idle = [view for view in waiting if not view.may_serve]
-        serving = [view for view in waiting if view.may_serve]
+        loading = [view for view in behind if view not in waiting]
+        evacuated = [view for view in waiting if view.is_evacuated]
+        rest = [view for view in waiting if not view.is_evacuated]
+        idle = [view for view in rest if not view.may_serve]
+        serving = [view for view in rest if view.may_serve]
         serving.sort(key=lambda view: (view.version, view.busy_ms))
-        chosen = idle + serving[: max(0, room - len(idle))]
+        at_work = [view for view in views if not view.is_evacuated]
+        room = min(
+            _share(at_work) - sum(not view.is_evacuated for view in loading),
+            _share(views) - len(loading) - len(evacuated),
+        )
+        chosen = evacuated + idle + serving[: max(0, room - len(idle))]
         return [
             Order(view.incarnation, view.number, view.address, model, version)
             for view in chosen
@@ -101,3 +110,8 @@
 
     def _is_free(self, now_ms: int, number: int) -> bool:
         return now_ms >= self._due_ms_by_number.get(number, 0)
+
+
+def _share(views: list[RolloutView]) -> int:
+    """Return how many of some replicas may load at once."""
+    return max(1, math.floor(len(views) * _LOADING_SHARE))
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -176,6 +176,7 @@
     def _views(self, now_ms: int, model: str) -> list[RolloutView]:
         views = []
         least = self._weights.least(now_ms, model)
+        evacuated = self._directory.evacuated
         for state in self._directory.all():
             version = state.version_by_model.get(model)
             if version is not None and not state.entry.is_leaving:
@@ -187,15 +188,12 @@
                         entry.address,
                         version,
                         self._busy_ms(now_ms, state),
-                        may_serve=version >= least and not self._is_evacuated(state),
+                        may_serve=version >= least,
+                        is_evacuated=entry.failure_domain in evacuated,
                     )
                 )
         return views
 
-    def _is_evacuated(self, state: ReplicaState) -> bool:
-        """Tell whether a replica gets nothing anyway, so that its load costs nobody."""
-        return state.entry.failure_domain in self._directory.evacuated
-
     async def _load(self, order: Order) -> None:
         """Order one replica and see it through."""
         report = await self._api.report(
--- a/tests/weights/test_plan.py
+++ b/tests/weights/test_plan.py
@@ -85,3 +85,40 @@
         plan = WeightPlan()
         names = [order.incarnation for order in plan.next(0, "m", 3, views)]
         self.assertEqual(names, ["old", "new0"])
+
+
+class EvacuationTests(unittest.TestCase):
+    def pool(self, evacuated, others):
+        gone = [
+            RolloutView(f"gone{n}", 100 + n, "", 1, 0.0, is_evacuated=True)
+            for n in range(evacuated)
+        ]
+        return gone + [RolloutView(f"r{n}", n, "", 1, float(n)) for n in range(others)]
+
+    def ordered(self, plan, pool):
+        """Return how many evacuated replicas are ordered, and how many others."""
+        orders = plan.next(0, "m", 2, pool)
+        for order in orders:
+            plan.on_begun(0, order)
+        names = [order.incarnation for order in orders]
+        gone = [name for name in names if name.startswith("gone")]
+        return len(gone), len(names) - len(gone)
+
+    def test_an_evacuated_domain_loads_first_and_whole(self):
+        """Symptom: a rollout took as long as if nothing were evacuated."""
+        self.assertEqual(self.ordered(WeightPlan(), self.pool(23, 47)), (23, 5))
+
+    def test_two_fifths_of_those_that_serve_load_at_once(self):
+        """Symptom: new weights in an evacuation made a third of the answers late.
+
+        The share was one of all replicas. Once the evacuated ones had loaded, three
+        fifths of those that were left to serve loaded at a time.
+        """
+        plan = WeightPlan()
+        pool = self.pool(23, 47)
+        self.ordered(plan, pool)
+        loaded = [
+            RolloutView(view.incarnation, view.number, "", 2, 0.0, is_evacuated=True)
+            for view in pool[:23]
+        ]
+        self.assertEqual(self.ordered(plan, loaded + pool[23:]), (0, 18 - 5))
--- a/tests/weights/test_task.py
+++ b/tests/weights/test_task.py
@@ -131,10 +131,10 @@
         """
         self.name_a_version()
         (view,) = self.task._views(0, "m")
-        self.assertTrue(view.may_serve)
+        self.assertFalse(view.is_evacuated)
         self.directory.set_evacuated(0, frozenset("a"))
         (view,) = self.task._views(0, "m")
-        self.assertFalse(view.may_serve)
+        self.assertTrue(view.is_evacuated)
 
     def test_a_lapsed_lease_is_noticed_sooner_while_a_rollout_is_under_way(self):
         self.assertEqual(self.task.look_ms(), LEASE_MS // 3)
