--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -104,3 +104,8 @@
 
     def runs(self, replicas):
         return sum(len(replica.ran) for replica in replicas)
+
+
+def event_numbers(body):
+    lines = body.decode().split("\n")
+    return [int(line[3:]) for line in lines if line.startswith("id:")]
