--- /dev/null
+++ b/tests/forwarding/test_silent_replicas.py
@@ -0,0 +1,143 @@
+"""What a request tells of replicas that do not answer, or are cold."""
+
+import asyncio
+import contextlib
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.deployment import (
+    ReplicaEntry,
+    Route,
+    RouteKind,
+    Service,
+    ServiceShare,
+)
+from fireflyward.forwarding import Forwarder, Trace, WeightBook
+from fireflyward.http1 import NotConnected
+from fireflyward.platform import CallerRequest
+from fireflyward.prefixes import PartPlanner
+from fireflyward.replicas import Chooser, ReplicaDirectory
+from fireflyward.retries import RetryBudget
+from fireflyward.routes import Allowed
+
+from .open_gate import OpenGate
+
+CALLER = CallerRequest("q1", "GET", "h", "/x", (), 3_000.0)
+
+
+class _Reach:
+    """Notes what it hears."""
+
+    def __init__(self):
+        self.silent = []
+        self.awaiting_now = 0
+
+    def on_silent(self, replica):
+        self.silent.append(replica.entry.incarnation)
+
+    @contextlib.contextmanager
+    def awaiting(self, replica, connection):
+        self.awaiting_now += 1
+        try:
+            yield
+        finally:
+            self.awaiting_now -= 1
+
+
+class _Connection:
+    """Takes a request and never answers."""
+
+    def __init__(self):
+        self.sent = asyncio.Event()
+
+    def send(self, method, target, headers, body):
+        self.sent.set()
+
+    async def next_event_within(self, limit_ms):
+        await asyncio.Event().wait()
+
+    def close(self):
+        pass
+
+
+class _Pool:
+    def __init__(self, connection):
+        self._connection = connection
+
+    async def take(self, address, *, connect_ms, fresh=False):
+        return self._connection
+
+
+class SilentReplicaTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        self.directory.set_services({"s": Service("s", 0, None, None, 3_000, 11.0)})
+        entry = ReplicaEntry("r1", "s", "r1:80", "a", 4, False, cold_ms=3_000)
+        self.directory.on_whole(0, [entry], after_outage=False)
+        self.state = self.directory.find("r1")
+        self.reach = _Reach()
+
+    def serve(self, connection, kind):
+        forwarder = Forwarder(
+            clock=ManualClock(0),
+            pool=_Pool(connection),
+            chooser=Chooser(self.directory, failure_domain="a", seed=1),
+            budget=RetryBudget(ratio=0.2, extra=10, window_ms=10_000),
+            weights=WeightBook(version_ms=12_000),
+            planner=PartPlanner(),
+            gate=OpenGate(),
+            reach=self.reach,
+        )
+        forwarder._tools.chooser._cold_shares.set_nodes([""])
+        shares = (ServiceShare("s", 1),)
+        route = Route("r", "h", "/", kind, 3_000, 200, 0, 2, shares)
+        return asyncio.create_task(
+            forwarder.serve(
+                CALLER,
+                b"",
+                Allowed(route, "s", None, 1),
+                arrived_ms=0,
+                reply=None,
+                trace=Trace(),
+            )
+        )
+
+    async def hangs(self, kind):
+        """Send a request that gets no answer; return how many may be cut loose."""
+        connection = _Connection()
+        serving = self.serve(connection, kind)
+        await connection.sent.wait()
+        await asyncio.sleep(0)
+        awaiting = self.reach.awaiting_now
+        serving.cancel()
+        await asyncio.gather(serving, return_exceptions=True)
+        return awaiting
+
+    async def test_a_connection_without_an_answer_is_told_of(self):
+        """Symptom: a failure domain that was cut off was met replica by replica."""
+        await self.serve(NotConnected("no connection in 350 ms"), RouteKind.IDEMPOTENT)
+        self.assertIn("r1", self.reach.silent)
+
+    async def test_a_refusal_is_an_answer(self):
+        refused = NotConnected("refused", is_refused=True)
+        await self.serve(refused, RouteKind.IDEMPOTENT)
+        self.assertEqual(self.reach.silent, [])
+
+    async def test_only_what_may_be_repeated_may_be_cut_loose(self):
+        """Symptom: in a cut records failed that their replicas were still writing.
+
+        Whoever cuts loose a request that runs once at most gives it up, though its
+        answer may still come.
+        """
+        self.assertEqual(await self.hangs(RouteKind.IDEMPOTENT), 1)
+        self.assertEqual(await self.hangs(RouteKind.NON_IDEMPOTENT), 0)
+        self.assertEqual(self.reach.awaiting_now, 0)
+
+    async def test_a_send_to_a_cold_replica_counts_from_when_it_leaves(self):
+        """Symptom: a cold replica got half of what it bears.
+
+        Each request counted as long as its connection might have taken to open.
+        """
+        await self.hangs(RouteKind.IDEMPOTENT)
+        self.assertEqual(self.state.cold_sends_since(-1), 1)
+        self.assertEqual(self.state.cold_sends_since(0), 0)
