Only a domain that is found lost is told of; one dark replica costs its finder two connections

Change: a node looks into the silent domain alone, tells of it once it is lost, and then looks into the others before requests leave.

--- a/fireflyward/reach/_task.py
+++ b/fireflyward/reach/_task.py
@@ -51,6 +51,7 @@
         self._link: PeerLink | None = None
         self._look_task: asyncio.Task[None] | None = None
         self._suspected: set[str] = set()
+        self._heard_of: set[str] = set()
         self._is_due = asyncio.Event()
         self._awaited_by_domain: dict[str, set[HttpConnection]] = {}
 
@@ -66,10 +67,7 @@
 
     def on_silent(self, replica: ReplicaState) -> None:
         """Hear that a connection to a replica got no answer at all."""
-        domain = replica.entry.failure_domain
-        if self._look_into(domain) and self._link is not None:
-            news = SilenceNews(failure_domain=domain)
-            self._link.send_all(self._peers(), _SILENCE, news)
+        self._look_into(replica.entry.failure_domain)
 
     @contextlib.contextmanager
     def awaiting(
@@ -85,30 +83,37 @@
             awaited.discard(connection)
 
     async def _on_news(self, sender: str, news: Any) -> None:
+        self._heard_of.add(news.failure_domain)
         self._look_into(news.failure_domain)
 
-    def _look_into(self, domain: str) -> bool:
-        """Have a domain looked into; return False if it is being looked into."""
+    def _look_into(self, domain: str) -> None:
+        """Have a domain looked into, unless it is already."""
         if domain in self._suspected or domain in self._directory.unreachable:
-            return False
+            return
         self._suspected.add(domain)
         self._is_due.set()
         if self._look_task is None:
             self._look_task = asyncio.create_task(self._look())
-        return True
 
     async def _look(self) -> None:
         """Look until no domain is out of reach and none is suspected.
 
-        The first look is into all domains: a node that is cut off finds one after
-        the other silent, and what leaves the first of them had better not go to
-        the next.
+        With the first one that is lost all others are looked into, before requests
+        leave it: a node that is cut off would find one domain after the other
+        silent, and what left the first of them had better not go to the next.
         """
-        due = self._domains() | self._suspected
+        has_looked_into_all = False
+        due = set(self._suspected)
         try:
             while due:
                 self._is_due.clear()
-                await self._look_at(due)
+                lost = await self._look_at(due)
+                self._tell_of(lost)
+                if lost and not has_looked_into_all:
+                    has_looked_into_all = True
+                    rest = self._domains() - self._directory.unreachable
+                    lost |= await self._look_at(rest)
+                self._close_awaited(lost)
                 if self._directory.unreachable and not self._suspected:
                     pause = self._is_due.wait()
                     await within_ms(self._clock, _AGAIN_AFTER_MS, pause)
@@ -116,11 +121,12 @@
         finally:
             self._look_task = None
             self._suspected.clear()
+            self._heard_of.clear()
             for domain in self._directory.unreachable:
                 self._directory.set_unreachable(domain, is_lost=False)
 
-    async def _look_at(self, domains: set[str]) -> None:
-        """Try connections into domains, and mark them by what came of it."""
+    async def _look_at(self, domains: set[str]) -> set[str]:
+        """Try connections into domains; return those that are lost by now."""
         looks = sorted(domains)
         lost = await asyncio.gather(*map(self._is_lost, looks))
         self._suspected -= domains
@@ -131,8 +137,18 @@
                 log.warning("reach: failure domain %s is silent", domain)
             elif domain in before and not is_lost:
                 log.info("reach: failure domain %s answers again", domain)
-        for domain in self._directory.unreachable - before:
-            self._cut_loose(domain)
+        return set(self._directory.unreachable - before)
+
+    def _tell_of(self, lost: set[str]) -> None:
+        """Tell the others of domains that this node found lost by itself.
+
+        They are told of domains alone: of one dark replica each would else hear
+        from each, and try connections as often.
+        """
+        for domain in lost - self._heard_of:
+            if self._link is not None:
+                news = SilenceNews(failure_domain=domain)
+                self._link.send_all(self._peers(), _SILENCE, news)
 
     def _domains(self) -> set[str]:
         return {state.entry.failure_domain for state in self._directory.all()}
@@ -147,12 +163,13 @@
         reached = await asyncio.gather(*map(self._reaches, tried))
         return self._check.is_lost(len(tried), reached=sum(reached))
 
-    def _cut_loose(self, domain: str) -> None:
-        awaited = tuple(self._awaited_by_domain.get(domain, ()))
-        if awaited:
-            log.info("reach: %d requests to %s go elsewhere", len(awaited), domain)
-        for connection in awaited:
-            connection.close()
+    def _close_awaited(self, lost: set[str]) -> None:
+        for domain in lost:
+            awaited = tuple(self._awaited_by_domain.get(domain, ()))
+            if awaited:
+                log.info("reach: %d requests to %s go elsewhere", len(awaited), domain)
+            for connection in awaited:
+                connection.close()
 
     async def _reaches(self, replica: ReplicaState) -> bool:
         connection = await self._pool.take(
