--- a/fireflyward/reach/reach.thrift
+++ b/fireflyward/reach/reach.thrift
@@ -1,5 +1,5 @@
-/* A node that got no answer at all from a replica tells the others in which
-   failure domain that was, so that they look for themselves. */
+/* A node that found a failure domain silent tells the others, so that they look for
+   themselves. */
 namespace py fireflyward.reach
 
 struct SilenceNews {
