--- a/fireflyward/reach/_task.py
+++ b/fireflyward/reach/_task.py
@@ -30,8 +30,9 @@
     looks for itself, as its own links may be sound.
 
     Responses from a domain that is out of reach may come after seconds or never, and
-    the kernel notices silent connections after one to three seconds. Requests that may
-    be repeated are cut loose at once, so that they go elsewhere while there is time.
+    the kernel notices silent connections after one to three seconds. Connections on
+    which repeatable requests wait are closed at once, so that these go elsewhere while
+    there is time.
     """
 
     def __init__(
@@ -73,7 +74,10 @@
     def awaiting(
         self, replica: ReplicaState, connection: HttpConnection
     ) -> Iterator[None]:
-        """Close a connection, on which a repeatable request waits, if it is in vain."""
+        """Have a connection closed if its domain is lost while a request waits on it.
+
+        Only for requests that may be repeated: another replica gets them then.
+        """
         domain = replica.entry.failure_domain
         awaited = self._awaited_by_domain.setdefault(domain, set())
         awaited.add(connection)
--- a/tests/forwarding/test_silent_replicas.py
+++ b/tests/forwarding/test_silent_replicas.py
@@ -103,7 +103,7 @@
         )
 
     async def hangs(self, kind):
-        """Send a request that gets no answer; return how many may be cut loose."""
+        """Send a request without an answer; return how many would leave the domain."""
         connection = _Connection()
         serving = self.serve(connection, kind)
         await connection.sent.wait()
@@ -123,10 +123,10 @@
         await self.serve(refused, RouteKind.IDEMPOTENT)
         self.assertEqual(self.reach.silent, [])
 
-    async def test_only_what_may_be_repeated_may_be_cut_loose(self):
+    async def test_only_what_may_be_repeated_leaves_a_lost_domain(self):
         """Symptom: in a cut records failed that their replicas were still writing.
 
-        Whoever cuts loose a request that runs once at most gives it up, though its
+        A request that runs once at most is given up with its connection, though its
         answer may still come.
         """
         self.assertEqual(await self.hangs(RouteKind.IDEMPOTENT), 1)
