--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -111,6 +111,41 @@
         return sum(len(replica.ran) for replica in replicas)
 
 
+class FleetTestCase(NodeTestCase):
+    """Starts three nodes that know of each other before the same replicas."""
+
+    most_nodes = 3
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.nodes = [self.node]
+
+    async def asyncTearDown(self):
+        await self.session.close()
+        await asyncio.gather(*(node.stop() for node in self.nodes[1:]))
+        await super().asyncTearDown()
+
+    async def start_nodes(self):
+        await self.start_ready()
+        for number in range(2, self.most_nodes + 1):
+            await self.start_another(f"entry-{number}")
+        await self.until(lambda: all(self.knows_everyone(node) for node in self.nodes))
+
+    async def start_another(self, name):
+        settings = self.settings(**{"node-name": name})
+        node = FleetNode(settings, clock=Clock(), noticed_ms=self.noticed_ms)
+        self.nodes.append(node)
+        await node.start()
+        return node
+
+    def knows_everyone(self, node):
+        return (
+            node.is_ready
+            and len(node._directory) == 4
+            and len(node._aggregators.everyone()) == len(self.nodes) - 1
+        )
+
+
 def event_numbers(body):
     lines = body.decode().split("\n")
     return [int(line[3:]) for line in lines if line.startswith("id:")]
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -31,43 +31,26 @@
 from fireflyward.quarantine import MOST_ENDS, fingerprint_of
 from tests.platform_standins import DEADLY, Manner, ReplicaStandIn
 
-from .node_fixtures import STREAM, NodeTestCase
+from .node_fixtures import STREAM, FleetTestCase
 
 # What the users allow: three replicas, and three more sends where the news lags.
 _MOST_ENDS = 6
-_NODES = 3
 
 
-class CrashingRequestTests(NodeTestCase):
+class CrashingRequestTests(FleetTestCase):
     """Three nodes; a replica that ends is gone, and another comes in its place."""
 
     async def asyncSetUp(self):
         await super().asyncSetUp()
         # A stream that may not be resumed runs once for each time that it is asked.
         self.operator.configuration["routes"][0]["resumable"] = False
-        await self.start_ready()
-        self.nodes = [self.node]
-        for number in range(2, _NODES + 1):
-            settings = self.settings(**{"node-name": f"entry-{number}"})
-            node = FleetNode(settings, clock=Clock(), noticed_ms=50)
-            self.nodes.append(node)
-            await node.start()
-        await self.until(lambda: all(self.knows_everyone(node) for node in self.nodes))
+        await self.start_nodes()
         self.ended = []
 
     async def asyncTearDown(self):
-        await self.session.close()
-        await asyncio.gather(*(node.stop() for node in self.nodes[1:]))
+        await super().asyncTearDown()
         for replica in self.ended:
             await replica.stop()
-        await super().asyncTearDown()
-
-    def knows_everyone(self, node):
-        return (
-            node.is_ready
-            and len(node._directory) == 4
-            and len(node._aggregators.everyone()) == _NODES - 1
-        )
 
     async def ask_at(self, node, method, path, **options):
         try:
@@ -98,7 +81,7 @@
         model = "m" if service == "engines" else None
         statuses = []
         for number in range(12):
-            node = self.nodes[number % _NODES]
+            node = self.nodes[number % self.most_nodes]
             answer = await self.ask_at(node, method, path, data=DEADLY, **options)
             statuses.append(answer[0])
             await self.replace_ended(replicas, service, model)
@@ -130,7 +113,9 @@
         platform kept.
         """
         for number in range(4):
-            await self.ask_at(self.nodes[number % _NODES], "POST", "/w/x", data=DEADLY)
+            await self.ask_at(
+                self.nodes[number % self.most_nodes], "POST", "/w/x", data=DEADLY
+            )
             await self.replace_ended(self.plain, "plain")
         before = len(self.ended)
         await self.until(lambda: self.kept_ends() == MOST_ENDS)
@@ -141,7 +126,7 @@
                 clock=Clock(),
                 noticed_ms=50,
             )
-            for number in range(1, _NODES + 1)
+            for number in range(1, self.most_nodes + 1)
         ]
         self.node = self.nodes[0]
         for node in self.nodes:
@@ -171,7 +156,7 @@
             for replica in self.plain:
                 replica.manners = [Manner.RESETS]
             status, _, _ = await self.ask_at(
-                self.nodes[number % _NODES], "POST", "/w/x", data=b"harmless"
+                self.nodes[number % self.most_nodes], "POST", "/w/x", data=b"harmless"
             )
             self.assertEqual(status, 502)
         for replica in self.plain:
@@ -233,7 +218,7 @@
         await self.until(lambda: all(len(node._directory) == 3 for node in self.nodes))
         statuses = []
         for number in range(_MOST_ENDS):
-            statuses.append(await self.ask_both(self.nodes[number % _NODES]))
+            statuses.append(await self.ask_both(self.nodes[number % self.most_nodes]))
             await self.replace_ended(self.plain, "plain")
         self.assertIn(503, statuses)
         self.plain[0].manners = []
--- a/tests/platform_standins/_http.py
+++ b/tests/platform_standins/_http.py
@@ -19,6 +19,7 @@
     query: dict[str, str] = field(default_factory=dict)
     path: str = ""
     reader: asyncio.StreamReader | None = None
+    arrived_s: float = 0.0
 
     async def caller_left(self):
         """Wait until the other end has closed the connection."""
@@ -118,4 +119,5 @@
     body = await reader.readexactly(int(headers.get("content-length", 0)))
     parts = urlsplit(target)
     query = {key: values[0] for key, values in parse_qs(parts.query).items()}
-    return RawRequest(method, target, headers, body, query, parts.path, reader)
+    now_s = asyncio.get_running_loop().time()
+    return RawRequest(method, target, headers, body, query, parts.path, reader, now_s)
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -16,6 +16,7 @@
     WELL = "well"
     FULL = "full"
     FAILS = "fails"
+    RESTS = "turns away and wants nothing for a while"
     RESETS = "resets"
     CUTS = "cuts"
     CUTS_STREAM = "cuts stream"
@@ -32,7 +33,8 @@
     """Runs what it is sent and keeps it in ``ran``.
 
     ``manners`` are used up one a request; then it answers well. A request with the body
-    ``DEADLY`` ends it as soon as it begins to run.
+    ``DEADLY`` ends it as soon as it begins to run. ``notices`` are headers that each of
+    its answers bears, and ``rest`` is what it asks for when it turns a request away.
     """
 
     def __init__(self, incarnation, *, model=None, version=1, events=4, pause_s=0.0):
@@ -43,6 +45,8 @@
         self.ran = []
         self.orders = []
         self.manners = []
+        self.notices = []
+        self.rest = "5"
         self.left_early = 0
         self.has_crashed = False
         self.loading_s = 0.0
@@ -101,14 +105,19 @@
             return True
         manner = self.manners.pop(0) if self.manners else Manner.WELL
         if manner is Manner.FULL:
-            writer.write(response(503, headers=[("X-Not-Executed", "1")]))
+            refusal = [("X-Not-Executed", "1"), *self.notices]
+            writer.write(response(503, headers=refusal))
+            return True
+        if manner is Manner.RESTS:
+            refusal = [("X-Not-Executed", "1"), ("Retry-After", self.rest)]
+            writer.write(response(503, headers=[*refusal, *self.notices]))
             return True
         self.ran.append(request)
         if request.body == DEADLY:
             self.has_crashed = True
             self.crash()
             return False
-        own = [("X-Request-Id", headers["x-request-id"]), SIGNATURE]
+        own = [("X-Request-Id", headers["x-request-id"]), SIGNATURE, *self.notices]
         if self.model:
             return await self._stream(request, writer, manner, own)
         return await self._plain(request, writer, manner, own)
@@ -133,7 +142,7 @@
             other = [("X-Request-Id", "another"), SIGNATURE]
             writer.write(response(200, b"of another", other))
         elif manner is Manner.UNSIGNED:
-            writer.write(response(200, body, own[:1]))
+            writer.write(response(200, body, own[:1] + self.notices))
         elif manner in (Manner.UNFRAMED, Manner.UNFRAMED_RESET):
             lines = [f"{name}: {value}" for name, value in own]
             head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""])
