Nodes believe replicas that say in their answers that they leave

Callers saw: requests reached replicas 2.1 s and more after an answer had said that they leave, and were lost with them. Cause: only the list of replicas was read for it, which is behind while the store is away; the header had no name in the code. It is now decoded, believed for as long as that start lives whatever its entry says, told to all nodes and repeated to those that start later. Whoever asked whether a replica leaves (orders of weights, crashes, looks into silent domains) sees it too.

--- a/fireflyward/fleet/_gauges.py
+++ b/fireflyward/fleet/_gauges.py
@@ -8,6 +8,7 @@
     """Return how many replicas there are, and what keeps requests from some."""
     return {
         "replicas": len(directory),
+        "leaving_replicas": sum(state.is_leaving for state in directory.all()),
         "limited_replicas": sum(
             state.rate_limit.per_second is not None for state in directory.all()
         ),
--- a/fireflyward/notices/_notices_structs.py
+++ b/fireflyward/notices/_notices_structs.py
@@ -10,6 +10,7 @@
         1: (TType.LIST, "replicas", TType.I32, True),
         2: (TType.LIST, "limits", TType.DOUBLE, True),
         3: (TType.LIST, "ages_ms", TType.I32, True),
+        4: (TType.LIST, "leaving", TType.I32, True),
     }
 
     def __init__(
@@ -17,7 +18,9 @@
         replicas: Any = None,
         limits: Any = None,
         ages_ms: Any = None,
+        leaving: Any = None,
     ) -> None:
         self.replicas = replicas
         self.limits = limits
         self.ages_ms = ages_ms
+        self.leaving = leaving
--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -23,8 +23,8 @@
 _REPEATED_TO = 2
 # How long it is repeated that a limit is over.
 _OVER_MS = 60_000
-# A replica takes 16 bytes; a datagram holds 1,400.
-_MOST_IN_DATAGRAM = 75
+# A replica takes up to 21 bytes; a datagram holds 1,400.
+_MOST_IN_DATAGRAM = 60
 _NO_LIMIT = -1.0
 _MOST_AGE_MS = 2**31 - 1
 
@@ -34,7 +34,7 @@
 
     A limit binds all nodes together, so one that has sent nothing to the replica since
     must know of it too. Of two nodes that differ the one with the later answer is
-    believed.
+    believed. That a replica leaves is never taken back.
     """
 
     def __init__(
@@ -64,6 +64,9 @@
         if facts.is_other_replica:
             return
         self._warn_of(replica, facts.notices.unreadable)
+        if facts.notices.leaving is True and not replica.has_said_leaving:
+            self._note_leaving(replica, "its answer")
+            self._tell_soon(replica)
         if self._takes_limit(replica, facts, sent_ms):
             self._note_limit(replica, "its answer")
             self._tell_soon(replica)
@@ -98,6 +101,11 @@
             source,
         )
 
+    def _note_leaving(self, replica: ReplicaState, source: str) -> None:
+        replica.notices += 1
+        self._directory.on_leaving(replica)
+        log.info("notices: %s leaves, by %s", replica.entry.incarnation, source)
+
     def _warn_of(
         self, replica: ReplicaState, unreadable: tuple[Unreadable, ...]
     ) -> None:
@@ -140,10 +148,16 @@
             per_second = limit if limit >= 0 else None
             if state.rate_limit.on_told(now_ms - max(0, age_ms), per_second):
                 self._note_limit(state, sender)
+        for number in news.leaving:
+            state = self._directory.find_start(number)
+            if state is not None and not state.has_said_leaving:
+                self._note_leaving(state, sender)
 
 
 def _is_told(now_ms: int, state: ReplicaState) -> bool:
     """Tell whether something is believed of a replica that others may not know."""
+    if state.has_said_leaving:
+        return True
     limit = state.rate_limit
     if limit.as_of_ms is None:
         return False
@@ -156,9 +170,11 @@
 
 
 def _message(now_ms: int, states: list[ReplicaState]) -> Any:
-    limits = [state.rate_limit for state in states]
+    named = [state for state in states if state.rate_limit.as_of_ms is not None]
+    limits = [state.rate_limit for state in named]
     return ReplicaNews(
-        replicas=[state.number for state in states],
+        replicas=[state.number for state in named],
         limits=[_NO_LIMIT if x.per_second is None else x.per_second for x in limits],
         ages_ms=[min(now_ms - limit.as_of_ms, _MOST_AGE_MS) for limit in limits],
+        leaving=[state.number for state in states if state.has_said_leaving],
     )
--- a/fireflyward/platform/_notices.py
+++ b/fireflyward/platform/_notices.py
@@ -7,6 +7,8 @@
 
 # Requests a second, from all nodes together.
 _LIMIT = "server-limit"
+_LEAVING = "server-leaving"
+_FLAGS = {"1": True, "0": False}
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?|\.\d{1,9}")
 
 
@@ -27,14 +29,19 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaNotices:
-    """What a response asks for; ``limit`` is None where it names none."""
+    """What a response asks for; ``limit`` is None where it names none.
+
+    ``leaving`` tells that the replica leaves and is to get nothing more.
+    """
 
     limit: RateLimit | Unreadable | None = None
+    leaving: bool | Unreadable = False
 
     @property
     def unreadable(self) -> tuple[Unreadable, ...]:
         """Return the headers that could not be read."""
-        return tuple(item for item in (self.limit,) if isinstance(item, Unreadable))
+        found = self.limit, self.leaving
+        return tuple(item for item in found if isinstance(item, Unreadable))
 
 
 def decode_notices(head: Head) -> ReplicaNotices:
@@ -43,7 +50,9 @@
     >>> decode_notices(Head(200, "", (("server-limit", "3.5"),))).limit
     RateLimit(per_second=3.5)
     """
-    return ReplicaNotices(limit=_limit(head.get(_LIMIT)))
+    return ReplicaNotices(
+        limit=_limit(head.get(_LIMIT)), leaving=_leaving(head.get(_LEAVING))
+    )
 
 
 def _limit(value: str | None) -> RateLimit | Unreadable | None:
@@ -53,6 +62,12 @@
     return Unreadable(_LIMIT, value) if number is None else RateLimit(number)
 
 
+def _leaving(value: str | None) -> bool | Unreadable:
+    if value is None:
+        return False
+    return _FLAGS.get(value.strip(), Unreadable(_LEAVING, value))
+
+
 def _decimal(value: str) -> float | None:
     """Return a decimal number without a sign, None for anything else.
 
--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -155,7 +155,7 @@
 
     def on_gone(self, replica: ReplicaState) -> None:
         """Take a replica that is listed no more."""
-        if not replica.entry.is_leaving:
+        if not replica.is_leaving:
             self._on_end(replica)
 
     def on_answered(self, fingerprint: str) -> None:
@@ -200,7 +200,7 @@
         One that leaves as planned ends too, and so does one whose entry went first.
         """
         state = self._directory.find_start(replica.number)
-        return state is not None and not state.entry.is_leaving
+        return state is not None and not state.is_leaving
 
     async def _check(self, replica: ReplicaState) -> bool:
         """Find out now whether a replica is there, and not once its entry lapses."""
--- a/fireflyward/reach/_check.py
+++ b/fireflyward/reach/_check.py
@@ -29,7 +29,7 @@
 
     def to_try(self, states: Iterable[ReplicaState]) -> list[ReplicaState]:
         """Return the replicas to connect to now, of those listed in the domain."""
-        listed = [state for state in states if not state.entry.is_leaving]
+        listed = [state for state in states if not state.is_leaving]
         return self._random.sample(listed, min(_TRIED, len(listed)))
 
     def is_lost(self, tried: int, *, reached: int) -> bool:
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -21,7 +21,9 @@
     because its replica could not renew it. Dropping it at once would leave a
     service without replicas just when the store returns, so it stays for two
     seconds. One that says that it is leaving, or that goes while the store is
-    well, gets nothing more; neither does one in an evacuated failure domain.
+    well, gets nothing more; neither does one in an evacuated failure domain. Once a
+    replica says in an answer that it leaves, its entry does not take that back: the
+    list is behind while the store is away.
     """
 
     __slots__ = (
@@ -127,6 +129,11 @@
         self._index()
         return gone
 
+    def on_leaving(self, state: ReplicaState) -> None:
+        """Take the word of a replica, or of who heard it, that it leaves."""
+        state.has_said_leaving = True
+        self._index()
+
     def drop(self, names: Iterable[str]) -> list[ReplicaState]:
         """Drop replicas whose entries name none any more; return their states."""
         gone = [
@@ -181,7 +188,7 @@
             state = self._state_by_incarnation.get(name)
             if state is None:
                 continue
-            if after_outage and not state.entry.is_leaving:
+            if after_outage and not state.is_leaving:
                 if state.gone_at_ms is None:
                     state.gone_at_ms = now_ms + _BACK_WITHIN_MS
             else:
@@ -203,7 +210,7 @@
                 continue
             self._state_by_number[state.number] = state
             is_evacuated = state.entry.failure_domain in self.evacuated
-            if not state.entry.is_leaving and not is_evacuated:
+            if not state.is_leaving and not is_evacuated:
                 self._by_service.setdefault(service, []).append(state)
 
     def _cold_start_ms(self, state: ReplicaState) -> int:
@@ -212,7 +219,7 @@
 
 
 def _take(now_ms: int, known: ReplicaState, entry: ReplicaEntry) -> None:
-    if entry.is_leaving and not known.entry.is_leaving:
+    if entry.is_leaving and not known.is_leaving:
         log.info("replicas: %s of %s leaves", entry.incarnation, entry.service)
     if entry.cold_ms != known.entry.cold_ms:
         # An entry that is merely read again says nothing new.
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -47,6 +47,7 @@
         "gone_at_ms",
         "in_flight",
         "held_tokens",
+        "has_said_leaving",
         "is_misread",
         "notices",
         "number",
@@ -78,6 +79,7 @@
         # Counts what the replica asked for; a send that waits sees that it changed.
         self.notices = 0
         self.is_misread = False
+        self.has_said_leaving = False
         self._reported_by_model: dict[str, int] = {}
         self._others = 0.0
         self._others_at_ms = 0
@@ -100,6 +102,11 @@
         self.entry = entry
         self.gone_at_ms = None
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether it leaves, by its entry or by its own answers."""
+        return self.entry.is_leaving or self.has_said_leaving
+
     def on_cold(self, now_ms: int, for_ms: int) -> None:
         """Take the replica for cold for a while, and never for less than before."""
         self._cold_until_ms = max(self._cold_until_ms, now_ms + for_ms)
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -168,7 +168,7 @@
         return {
             model
             for state in self._directory.all()
-            if not state.entry.is_leaving
+            if not state.is_leaving
             for model, version in state.version_by_model.items()
             if version < target_by_model.get(model, version)
         }
@@ -179,7 +179,7 @@
         evacuated = self._directory.evacuated
         for state in self._directory.all():
             version = state.version_by_model.get(model)
-            if version is not None and not state.entry.is_leaving:
+            if version is not None and not state.is_leaving:
                 entry = state.entry
                 views.append(
                     RolloutView(
--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -121,3 +121,10 @@
         replica.rate_limit.on_named(0, 0.5)
         replica.notices += 1
         await self.assert_sent_elsewhere(replica)
+
+    async def test_a_replica_that_leaves_meanwhile_gets_nothing(self):
+        """Guards against requests that waited while their replica said it leaves."""
+        replica = await self.begin()
+        self.directory.on_leaving(replica)
+        replica.notices += 1
+        await self.assert_sent_elsewhere(replica)
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -151,3 +151,24 @@
         running.cancel()
         await self.carry()
         self.assertIsNone(self.limit(self.second))
+
+    async def test_that_a_replica_leaves_is_told_and_never_taken_back(self):
+        self.answer(SIGNED, ("server-leaving", "1"))
+        await self.carry()
+        await self.clock.advance_ms(10)
+        self.answer(SIGNED)
+        for directory, _, _ in (self.first, self.second):
+            names = [state.entry.incarnation for state in directory.of_service("s")]
+            self.assertEqual(names, ["r2"])
+
+    async def test_a_refusal_may_say_that_a_replica_leaves(self):
+        self.answer(("x-not-executed", "1"), ("server-leaving", "1"), status=503)
+        self.assertTrue(self.first[0].find("r1").is_leaving)
+
+    async def test_nothing_but_one_says_that_a_replica_leaves(self):
+        """Guards against garbage that takes a replica out of service."""
+        self.answer(SIGNED, ("server-leaving", "0"))
+        with self.assertLogs("fireflyward.notices", "WARNING"):
+            self.answer(SIGNED, ("server-leaving", "perhaps"))
+        self.answer(("server-leaving", "1"), status=421)
+        self.assertFalse(self.first[0].find("r1").is_leaving)
