Nodes leave replicas alone for as long as a refusal asks

Callers saw: replicas that turned everything away and asked for 3 s of rest got four times their usual load, seven requests of one node within the rest, and callers were refused after three such sends. Cause: Retry-After of a 503 was not read; a refusal counted for 60 ms whatever it said, and what refuses at once looks idle. The time is now kept for each replica at the node that was refused, and binds first and second sends, resumed streams and sends that wait for a connection. When all of a service's replicas rest, callers are refused at once with the time until the first returns.

--- a/fireflyward/fleet/_gauges.py
+++ b/fireflyward/fleet/_gauges.py
@@ -9,6 +9,7 @@
     return {
         "replicas": len(directory),
         "leaving_replicas": sum(state.is_leaving for state in directory.all()),
+        "resting_replicas": sum(state.rest_ms(now_ms) > 0 for state in directory.all()),
         "limited_replicas": sum(
             state.rate_limit.per_second is not None for state in directory.all()
         ),
--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -34,7 +34,8 @@
 
     A limit binds all nodes together, so one that has sent nothing to the replica since
     must know of it too. Of two nodes that differ the one with the later answer is
-    believed. That a replica leaves is never taken back.
+    believed. That a replica leaves is never taken back. The rest that a refusal asks
+    for is asked of the node that was refused, and no other.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         if facts.is_other_replica:
             return
         self._warn_of(replica, facts.notices.unreadable)
+        self._take_rest(replica, facts.notices.rest_ms)
         if facts.notices.leaving is True and not replica.has_said_leaving:
             self._note_leaving(replica, "its answer")
             self._tell_soon(replica)
@@ -81,6 +83,17 @@
             states = self._directory.all()
             self._send(chosen, [item for item in states if _is_told(now_ms, item)])
 
+    def _take_rest(self, replica: ReplicaState, rest_ms: float | Unreadable) -> None:
+        """Note what a refusal asks of this node; it says nothing to others."""
+        if isinstance(rest_ms, Unreadable) or not rest_ms:
+            return
+        now_ms = self._clock.now_ms()
+        if not replica.rest_ms(now_ms):
+            name = replica.entry.incarnation
+            log.info("notices: %s wants nothing for %.0f ms", name, rest_ms)
+        replica.on_rest(now_ms, rest_ms)
+        replica.notices += 1
+
     def _takes_limit(
         self, replica: ReplicaState, facts: ResponseFacts, sent_ms: int
     ) -> bool:
--- a/fireflyward/platform/_notices.py
+++ b/fireflyward/platform/_notices.py
@@ -7,6 +7,9 @@
 
 # Requests a second, from all nodes together.
 _LIMIT = "server-limit"
+# With 503: seconds in which the replica wants nothing from the node that it refused.
+_REST = "retry-after"
+_UNAVAILABLE = 503
 _LEAVING = "server-leaving"
 _FLAGS = {"1": True, "0": False}
 _DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?|\.\d{1,9}")
@@ -31,16 +34,18 @@
 class ReplicaNotices:
     """What a response asks for; ``limit`` is None where it names none.
 
-    ``leaving`` tells that the replica leaves and is to get nothing more.
+    ``leaving`` tells that the replica leaves and is to get nothing more, and
+    ``rest_ms`` for how long it wants nothing from the node that it answered.
     """
 
     limit: RateLimit | Unreadable | None = None
     leaving: bool | Unreadable = False
+    rest_ms: float | Unreadable = 0.0
 
     @property
     def unreadable(self) -> tuple[Unreadable, ...]:
         """Return the headers that could not be read."""
-        found = self.limit, self.leaving
+        found = self.limit, self.leaving, self.rest_ms
         return tuple(item for item in found if isinstance(item, Unreadable))
 
 
@@ -51,7 +56,9 @@
     RateLimit(per_second=3.5)
     """
     return ReplicaNotices(
-        limit=_limit(head.get(_LIMIT)), leaving=_leaving(head.get(_LEAVING))
+        limit=_limit(head.get(_LIMIT)),
+        leaving=_leaving(head.get(_LEAVING)),
+        rest_ms=_rest_ms(head),
     )
 
 
@@ -68,6 +75,14 @@
     return _FLAGS.get(value.strip(), Unreadable(_LEAVING, value))
 
 
+def _rest_ms(head: Head) -> float | Unreadable:
+    value = head.get(_REST)
+    if value is None or head.status != _UNAVAILABLE:
+        return 0.0
+    seconds = _decimal(value)
+    return Unreadable(_REST, value) if seconds is None else 1_000 * seconds
+
+
 def _decimal(value: str) -> float | None:
     """Return a decimal number without a sign, None for anything else.
 
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -227,14 +227,14 @@
         It is for callers that were turned away, and differs between them.
         """
         waits_ms = [
-            self._rate_limits.wait_ms(now_ms, state)
+            max(state.rest_ms(now_ms), self._rate_limits.wait_ms(now_ms, state))
             for state in self._directory.of_service(service)
         ]
         return min(waits_ms, default=0.0) * (1 + _WAIT_SPREAD * self._random.random())
 
     def _bears_more(self, now_ms: int, state: ReplicaState) -> bool:
         """Tell whether this node may send one more request to a replica."""
-        if self._rate_limits.wait_ms(now_ms, state) > 0:
+        if state.rest_ms(now_ms) or self._rate_limits.wait_ms(now_ms, state):
             return False
         per_second = self._directory.cold_per_second(state)
         if not per_second or not state.is_cold(now_ms):
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -40,6 +40,7 @@
         "_others",
         "_others_at_ms",
         "_reported_by_model",
+        "_rest_until_ms",
         "_suspect_until_ms",
         "_troubles",
         "entry",
@@ -81,6 +82,7 @@
         self.is_misread = False
         self.has_said_leaving = False
         self._reported_by_model: dict[str, int] = {}
+        self._rest_until_ms = 0.0
         self._others = 0.0
         self._others_at_ms = 0
         self._suspect_until_ms = 0
@@ -170,6 +172,14 @@
         """Send nothing for a moment to a replica that took no request."""
         self._full_until_ms = now_ms + _FULL_MS
 
+    def on_rest(self, now_ms: int, for_ms: float) -> None:
+        """Send nothing for as long as the replica asked this node for."""
+        self._rest_until_ms = max(self._rest_until_ms, now_ms + for_ms)
+
+    def rest_ms(self, now_ms: int) -> float:
+        """Return for how long it still wants nothing from this node."""
+        return max(0.0, self._rest_until_ms - now_ms)
+
     def on_loading(self, now_ms: int, for_ms: int = _LOADING_MS) -> None:
         """Send nothing for a while to a replica that loads weights."""
         until_ms = now_ms + for_ms
--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -128,3 +128,10 @@
         self.directory.on_leaving(replica)
         replica.notices += 1
         await self.assert_sent_elsewhere(replica)
+
+    async def test_a_replica_that_asks_for_rest_meanwhile_gets_nothing(self):
+        """Guards against requests that waited while their replica asked for rest."""
+        replica = await self.begin()
+        replica.on_rest(0, 3_000)
+        replica.notices += 1
+        await self.assert_sent_elsewhere(replica)
