--- a/fireflyward/forwarding/__init__.py
+++ b/fireflyward/forwarding/__init__.py
@@ -10,12 +10,12 @@
     NoReplica,
     Rejected,
     RejectedBecause,
-    Trace,
     TryAgain,
     Unsent,
     WholeAnswer,
 )
 from ._plan import AttemptPlan
+from ._trace import Trace
 from ._weights import WeightBook
 
 __all__ = [
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -13,9 +13,9 @@
 from ._caller_times import CallerTimes
 from ._exchange import Reply
 from ._late_lane import LateLane
-from ._messages import Trace
 from ._run import Run
 from ._tools import Notices, Reach, SendGate, Tools
+from ._trace import Trace
 from ._weights import WeightBook
 
 
--- a/fireflyward/forwarding/_run.py
+++ b/fireflyward/forwarding/_run.py
@@ -1,7 +1,5 @@
 """One request on its way: sends, what they came to, and the end."""
 
-import logging
-
 from fireflyward.deployment import RouteKind
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -26,7 +24,6 @@
     RejectedBecause,
     SendResult,
     Streamed,
-    Trace,
     Unsent,
     WholeAnswer,
 )
@@ -34,10 +31,9 @@
 from ._prompt import PromptNeeds
 from ._send_check import SendCheck
 from ._tools import Tools
+from ._trace import Trace
 from ._unread import UnreadPrompt
 
-log = logging.getLogger("fireflyward.forwarding")
-
 # A replica is a few ms away; one lost packet takes 200 ms to be sent again.
 _CONNECT_MS = 350
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -135,7 +131,7 @@
                 return await self._deliver(decision.answer)
             if isinstance(decision, Finish):
                 return decision.outcome
-            self._log_again(result)
+            self._trace.on_again(self._caller.request_id, result, self._left_ms())
             if decision.pause_ms:
                 await self._clock.sleep_ms(decision.pause_ms)
 
@@ -159,7 +155,7 @@
             choice = self._choose()
             if choice is None:
                 return self._no_replica()
-            self._note_choice(choice)
+            self._trace.on_choice(choice)
             refusal = self._admitted(choice, left_ms)
             if refusal is not None:
                 return refusal
@@ -197,13 +193,6 @@
         self._end_late_wait(None)
         return Unsent(failure.detail)
 
-    def _note_choice(self, choice: Choice) -> None:
-        trace = self._trace
-        trace.replica = choice.replica.entry.incarnation
-        trace.weights = choice.weights
-        trace.queue_ms = int(choice.queue_ms)
-        trace.expected_ms = int(choice.first_token_ms)
-
     def _admitted(self, choice: Choice, left_ms: float) -> NotRun | None:
         """Turn a first send away if it would be late; note if it will be."""
         if not self._caller.model or self._plan.may_have_run:
@@ -380,30 +369,6 @@
     def _take_budget(self) -> bool:
         return self._tools.budget.take(self._clock.now_ms(), self._service)
 
-    def _log_again(self, result: SendResult) -> None:
-        name = type(result).__name__
-        self._trace.earlier.append(f"{self._trace.replica}: {name} {_detail(result)}")
-        log.info(
-            "forwarding: again after %s",
-            name,
-            extra={
-                "request": self._caller.request_id,
-                "fingerprint": self._trace.fingerprint,
-                "replica": self._trace.replica,
-                "detail": _detail(result),
-                "left_ms": int(self._left_ms()),
-            },
-        )
-
-
-def _detail(result: SendResult) -> str:
-    """Say in short what a send came to."""
-    if isinstance(result, WholeAnswer):
-        return f"status {result.head.status}"
-    if isinstance(result, Rejected):
-        return result.because.value
-    return getattr(result, "detail", "")
-
 
 def _says_not_run(answer: WholeAnswer) -> bool:
     return answer.head.status in _NOT_RUN_STATUSES
