Replicas that a node knows have their own part of it; late answers and 421s count

fleet._known_replicas takes what had made fleet._node grow over 400 lines. Two cases found by reading: a 421 of the same replica (other weights) speaks for that replica, and an answer that comes after the entry went counts once it is listed again; both tests failed before.

--- /dev/null
+++ b/fireflyward/fleet/_known_replicas.py
@@ -0,0 +1,87 @@
+"""What a node knows of replicas, tells other nodes of them, and chooses by."""
+
+from collections.abc import Collection
+
+from fireflyward.aggregators import Aggregators
+from fireflyward.clock import Clock
+from fireflyward.deployment import FleetSettings
+from fireflyward.http1 import ConnectionPool
+from fireflyward.notices import NoticeTask
+from fireflyward.peers import PeerLink
+from fireflyward.reach import ReachTask
+from fireflyward.replicas import (
+    Chooser,
+    ColdShares,
+    PeerUnderWay,
+    RateLimits,
+    ReplicaDirectory,
+    UnderWayTask,
+)
+
+
+class KnownReplicas:
+    """The parts around the list of replicas, put together."""
+
+    def __init__(
+        self,
+        settings: FleetSettings,
+        *,
+        clock: Clock,
+        pool: ConnectionPool,
+        aggregators: Aggregators,
+    ) -> None:
+        self._clock = clock
+        self.directory = ReplicaDirectory()
+        under_way = PeerUnderWay()
+        self.under_way_task = UnderWayTask(
+            clock=clock,
+            directory=self.directory,
+            peers=under_way,
+            aggregators=aggregators,
+            node=settings.node,
+            failure_domain=settings.failure_domain,
+            link_mbps=settings.link_mbps,
+        )
+        self.cold_shares = ColdShares(settings.node)
+        self.rate_limits = RateLimits(settings.node)
+        self.chooser = Chooser(
+            self.directory,
+            failure_domain=settings.failure_domain,
+            peers=under_way,
+            cold_shares=self.cold_shares,
+            rate_limits=self.rate_limits,
+        )
+        self.reach = ReachTask(
+            clock=clock,
+            pool=pool,
+            directory=self.directory,
+            peers=aggregators.everyone,
+        )
+        self.notices = NoticeTask(
+            clock=clock, directory=self.directory, peers=aggregators.everyone
+        )
+
+    def set_nodes(self, names: Collection[str]) -> None:
+        """Take the names of all nodes, which send to the same replicas."""
+        self.cold_shares.set_nodes(names)
+        self.rate_limits.set_nodes(names)
+
+    def use(self, link: PeerLink) -> None:
+        """Speak and listen over a link from now on."""
+        self.reach.use(link)
+        self.notices.use(link)
+
+    def gauges(self) -> dict[str, int]:
+        """Return how many replicas there are, and what keeps requests from some."""
+        now_ms, states = self._clock.now_ms(), self.directory.all()
+        asked = [state.backpressure for state in states]
+        return {
+            "replicas": len(self.directory),
+            "cold_replicas": sum(state.is_cold(now_ms) for state in states),
+            "cold_sends_total": self.cold_shares.granted,
+            "leaving_replicas": sum(state.is_leaving for state in states),
+            "limited_replicas": sum(x.limit.per_second is not None for x in asked),
+            "resting_replicas": sum(x.rest_ms(now_ms) > 0 for x in asked),
+            "evacuated_failure_domains": len(self.directory.evacuated),
+            "unreachable_failure_domains": len(self.directory.unreachable),
+        }
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -12,7 +12,6 @@
 from fireflyward.forwarding import Forwarder, WeightBook
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseNews, LeaseTask, Lost
-from fireflyward.notices import NoticeTask
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.platform import (
@@ -24,22 +23,14 @@
 )
 from fireflyward.prefixes import Janitor, PartPlanner
 from fireflyward.quarantine import Quarantine
-from fireflyward.reach import ReachTask
-from fireflyward.replicas import (
-    Chooser,
-    ColdShares,
-    PeerUnderWay,
-    RateLimits,
-    ReplicaDirectory,
-    UnderWayTask,
-)
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
 from fireflyward.weights import LoadNews, WeightTask
 
 from ._callers import CallerDoor
-from ._gauges import link_gauges, replica_gauges
+from ._gauges import link_gauges
 from ._joining import Joining
+from ._known_replicas import KnownReplicas
 from ._own_pages import OwnPages
 from ._paces import configuration_pace, replicas_pace
 from ._peers import NODE_TABLE, PeerRegister
@@ -77,7 +68,6 @@
         self._metrics = Metrics()
         self._pool = ConnectionPool(clock)
         self._store = StoreClient(settings.store.address, clock=clock)
-        self._directory = ReplicaDirectory()
         self._weights = WeightBook(version_ms=bounds.version_ms)
         self._routes = RouteTable(
             revoke_ms=bounds.revoke_ms,
@@ -94,30 +84,15 @@
         self._aggregators = Aggregators(
             settings.node, settings.failure_domain, link_mbps=settings.link_mbps
         )
+        self._known = KnownReplicas(
+            settings, clock=clock, pool=self._pool, aggregators=self._aggregators
+        )
+        self._directory = self._known.directory
         self._news = LoadNews(
             clock=clock,
             directory=self._directory,
             peer_addresses=self._aggregators.everyone,
         )
-        self._under_way = PeerUnderWay()
-        self._under_way_task = UnderWayTask(
-            clock=clock,
-            directory=self._directory,
-            peers=self._under_way,
-            aggregators=self._aggregators,
-            node=settings.node,
-            failure_domain=settings.failure_domain,
-            link_mbps=settings.link_mbps,
-        )
-        self._cold_shares = ColdShares(settings.node)
-        self._rate_limits = RateLimits(settings.node)
-        self._chooser = Chooser(
-            self._directory,
-            failure_domain=settings.failure_domain,
-            peers=self._under_way,
-            cold_shares=self._cold_shares,
-            rate_limits=self._rate_limits,
-        )
         self._quarantine = Quarantine(
             clock=clock,
             pool=self._pool,
@@ -128,15 +103,6 @@
             peer_addresses=self._aggregators.everyone,
             look_soon=lambda: self._joining.look_soon(),
         )
-        self._reach = ReachTask(
-            clock=clock,
-            pool=self._pool,
-            directory=self._directory,
-            peers=self._aggregators.everyone,
-        )
-        self._notices = NoticeTask(
-            clock=clock, directory=self._directory, peers=self._aggregators.everyone
-        )
         self._forwarder = self._make_forwarder()
         self._gate = StartGate(clock)
         self._door = CallerDoor(
@@ -201,7 +167,7 @@
             directory=self._directory,
             weights=self._weights,
             news=self._news,
-            busy_ms=self._chooser.queue_ms,
+            busy_ms=self._known.chooser.queue_ms,
             node=settings.node,
             lease_ms=bounds.lease_ms,
             slack_ms=bounds.thaw_slack_ms,
@@ -272,7 +238,7 @@
             self._weight_task.run(),
             self._janitor.run(),
             self._quarantine.run(),
-            self._notices.run(),
+            self._known.notices.run(),
         )
         log.info("node: %s listens at %s", settings.node, settings.callers_address)
 
@@ -292,7 +258,7 @@
         self._door.close_listener()
         await self._door.drain(end_ms - self._clock.now_ms())
         tasks = [handing_over, *self._tasks, *self._stores.tasks]
-        tasks += [*self._quarantine.tasks, *self._reach.tasks]
+        tasks += [*self._quarantine.tasks, *self._known.reach.tasks]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -310,13 +276,13 @@
         return Forwarder(
             clock=self._clock,
             pool=self._pool,
-            chooser=self._chooser,
+            chooser=self._known.chooser,
             budget=self._budget,
             weights=self._weights,
             planner=self._planner,
             gate=self._quarantine,
-            reach=self._reach,
-            notices=self._notices,
+            reach=self._known.reach,
+            notices=self._known.notices,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -362,18 +328,17 @@
     def _on_nodes(self, names: Collection[str]) -> None:
         self._budget.set_nodes(len(names))
         self._forwarder.set_nodes(len(names))
-        self._cold_shares.set_nodes(names)
-        self._rate_limits.set_nodes(names)
+        self._known.set_nodes(names)
 
     def _contends(self) -> bool:
         return not self._is_stopping and self._peers.is_among_first(_CONTENDERS, _LEASE)
 
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
-        speaking = (self._news, self._tables, self._lease_news, self._quarantine)
-        for part in (*speaking, self._reach, self._notices):
+        speaking = (self._news, self._tables, self._lease_news)
+        for part in (*speaking, self._quarantine, self._known):
             part.use(link)
         return lambda: self._start(
-            self._under_way_task.run(link), self._stores.run(link)
+            self._known.under_way_task.run(link), self._stores.run(link)
         )
 
     def _start(self, *runs: Coroutine[None, None, None]) -> None:
@@ -397,12 +362,11 @@
             "in_flight": self._door.in_flight,
             "configuration_age_ms": self._routes.age_ms(now_ms),
             "configuration_version": self._routes.version or 0,
-            "cold_sends_total": self._cold_shares.granted,
             "requests_cut_by_ends_total": self._quarantine.cut,
             "requests_held": self._quarantine.held,
             "store_calls_total": self._store.calls,
             "connections_opened_total": self._pool.opened,
-            **replica_gauges(self._directory, now_ms),
+            **self._known.gauges(),
             **link_gauges(self._joining.link),
         }
         for name, value in gauges.items():
--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -62,7 +62,8 @@
         self, replica: ReplicaState, facts: ResponseFacts, *, sent_ms: int
     ) -> None:
         """Take what an answer says to a request that was sent at ``sent_ms``."""
-        if facts.is_other_replica:
+        is_same = facts.incarnation == replica.entry.incarnation
+        if facts.is_other_replica and not is_same:
             return
         self._warn_of(replica, facts.notices.unreadable)
         self._take_rest(replica, facts.notices.rest_ms)
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -209,9 +209,7 @@
         return state
 
     def _keep(self, state: ReplicaState) -> None:
-        """Keep what a start asked for, of the latest that went."""
-        if not state.backpressure.changes:
-            return
+        """Keep what a start asks for, also in answers that are still on their way."""
         kept = self._backpressure_by_number
         kept[state.number] = state.backpressure
         while len(kept) > _MOST_KEPT:
--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -85,7 +85,7 @@
         return next(
             node
             for node in self.nodes
-            if node._rate_limits.pause_ms(number, PER_SECOND)
+            if node._known.rate_limits.pause_ms(number, PER_SECOND)
         )
 
     async def test_second_sends_keep_to_it(self):
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -102,6 +102,21 @@
         self.answer(("server-limit", "2"), status=421)
         self.assertIsNone(self.limit(self.first))
 
+    async def test_a_replica_with_other_weights_speaks_for_itself(self):
+        own = ("x-instance-id", "r1")
+        self.answer(own, ("server-limit", "2"), status=421)
+        self.assertEqual(self.limit(self.first), 2.0)
+
+    async def test_an_answer_that_comes_after_the_entry_went_counts(self):
+        """Guards against a long stream whose replica lapsed from the list meanwhile."""
+        directory, task, _ = self.first
+        before = directory.find("r1")
+        directory.on_whole(0, [], after_outage=False)
+        facts = decode_response(Head(200, "", (SIGNED, ("server-leaving", "1"))))
+        task.on_response(before, facts, sent_ms=0)
+        directory.on_whole(0, [entry("r1", started_ms=5)], after_outage=False)
+        self.assertEqual(directory.of_service("s"), [])
+
     async def test_an_unreadable_limit_changes_nothing_and_is_logged_once(self):
         """Guards against garbage that ends a limit, a node, or floods its log."""
         self.answer(SIGNED, ("server-limit", "3.5"))
