Tests for five protections that no test failed without

Each of 32 protections around limits, leaving and rest was taken out on a scratch copy; these five tests were missing: a limit that returns, many replicas, and who else asks whether a replica leaves (orders, crashes, looks into domains).

--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -299,6 +299,18 @@
             await self.node.cut(name, "a")
         self.assertEqual(await self.node.admit("a"), Free())
 
+    async def test_one_that_said_that_it_leaves_blames_nobody(self):
+        """Guards against planned ends that look like crashes while the list lags."""
+        directory = self.node.directory
+        for name in NAMES[:3]:
+            await self.node.cut(name, "a", refused=False)
+            directory.on_leaving(directory.find(name))
+            await self.node.cut(name, "b")
+            (gone,) = directory.on_changes(0, [], [name], after_outage=False)
+            self.node.quarantine.on_gone(gone)
+        self.assertEqual(await self.node.admit("a"), Free())
+        self.assertEqual(await self.node.admit("b"), Free())
+
     async def test_one_that_leaves_after_a_cut_blames_nobody_when_it_goes(self):
         """Its caller's deadline came, or one connection broke, and it served on."""
         for name in NAMES[:3]:
--- a/tests/reach/test_task.py
+++ b/tests/reach/test_task.py
@@ -227,7 +227,8 @@
 class CheckTests(unittest.TestCase):
     def test_replicas_that_leave_are_not_tried(self):
         directory = ReplicaDirectory()
-        entries = [entry("r1"), entry("r2", leaving=True)]
+        entries = [entry("r1"), entry("r2", leaving=True), entry("r3")]
         directory.on_whole(0, entries, after_outage=False)
+        directory.on_leaving(directory.find("r3"))
         tried = DomainCheck(seed=1).to_try(directory.all())
         self.assertEqual([state.entry.incarnation for state in tried], ["r1"])
--- a/tests/replicas/test_rate_limits.py
+++ b/tests/replicas/test_rate_limits.py
@@ -97,6 +97,16 @@
         self.name_limit(0, 4.0)
         self.assertLessEqual(len(self.play(0, 1_000)), 8)
 
+    def test_a_limit_that_is_named_again_begins_as_softly(self):
+        """Guards against a burst at a limit's return, when no node has sent lately."""
+        self.make(9)
+        self.name_limit(0, 4.0)
+        self.play(0, 4_000)
+        for state, _ in self.choosers:
+            state.backpressure.limit.on_unnamed(4_000, 3_999)
+        self.name_limit(60_000, 4.0)
+        self.assertLessEqual(len(self.play(60_000, 61_000)), 8)
+
     def test_a_limit_that_comes_and_goes_is_kept(self):
         """Guards against a new allowance with each answer that names none."""
         self.make(9)
@@ -137,6 +147,28 @@
         self.assertLess(chooser.wait_ms(1_000, "s"), 1_300)
 
 
+class ManyReplicasTests(unittest.TestCase):
+    """One node and more replicas than it weighs; one names a limit."""
+
+    def test_what_a_replica_takes_is_used_while_the_others_are_full(self):
+        """Guards against a limited replica that is hardly ever drawn."""
+        directory = ReplicaDirectory()
+        entries = [entry(f"r{number}") for number in range(60)]
+        directory.on_whole(0, entries, after_outage=False)
+        limited = directory.find("r7")
+        for state in directory.all():
+            state.in_flight = 0 if state is limited else 9
+        limits = RateLimits("n1", seed=1)
+        limits.set_nodes(["n1"])
+        chooser = Chooser(directory, failure_domain="a", rate_limits=limits, seed=1)
+        limited.backpressure.limit.on_named(0, 4.0)
+        chosen = sum(
+            chooser.choose(now_ms, Wanted("s")).replica is limited
+            for now_ms in range(4_000, 8_000, 20)
+        )
+        self.assertGreaterEqual(chosen, 14)
+
+
 class NamedLimitTests(unittest.TestCase):
     def setUp(self):
         self.limit = NamedLimit()
--- a/tests/weights/test_task.py
+++ b/tests/weights/test_task.py
@@ -63,6 +63,17 @@
         self.renew()
         return self.task._fencing()
 
+    def test_a_replica_that_said_that_it_leaves_is_not_behind(self):
+        """Guards against loads of weights at replicas that are about to end."""
+        weights = (ModelWeights("m", 1),)
+        entry = ReplicaEntry("r1", "s", "r1:80", "a", 4, False, weights=weights)
+        self.directory.on_whole(0, [entry], after_outage=False)
+        self.weights.take(0, WeightTarget("m", 2), at_start=False)
+        self.assertEqual(self.task._models_behind(), {"m"})
+        self.directory.on_leaving(self.directory.find("r1"))
+        self.assertEqual(self.task._models_behind(), set())
+        self.assertEqual(self.task._views(0, "m"), [])
+
     def test_the_first_holder_orders_at_once(self):
         self.gain(1, after_lapse=False)
         self.assertEqual(self.task._fencing(), 1)
