--- a/tests/fleet/test_rate_limits.py
+++ b/tests/fleet/test_rate_limits.py
@@ -70,6 +70,18 @@
         late = await self.start_another("entry-4")
         await self.until_limited([late])
 
+    async def test_nodes_that_cannot_reach_each_other_keep_to_it_together(self):
+        """Guards against a cut in which each node takes the whole limit for its own."""
+        for node in self.nodes:
+            node._known.notices._link = None
+        await self.ask_all_nodes(15)
+        before = len(self.limited.ran)
+        await self.ask_all_nodes(60)
+        await self.until_limited(self.nodes)
+        del self.limited.ran[:before]
+        if self.limited.ran:
+            self.assertLessEqual(self.most_in_window(self.limited), MOST_IN_WINDOW)
+
     async def test_its_end_is_known_everywhere(self):
         await self.have_one_node_told()
         await self.until_limited(self.nodes)
