--- a/fireflyward/replicas/_cold.py
+++ b/fireflyward/replicas/_cold.py
@@ -24,7 +24,7 @@
 
     >>> shares = ColdShares("n1")
     >>> shares.set_nodes(["n1", "n2"])
-    >>> shares.allowance(17, 5.0), shares.allowance(17, 4.0)
+    >>> shares.allowance(17, 6.0), shares.allowance(17, 4.0)
     (3, 2)
     """
 
--- a/fireflyward/replicas/_node_shares.py
+++ b/fireflyward/replicas/_node_shares.py
@@ -15,7 +15,7 @@
 
     >>> shares = NodeShares("n1")
     >>> shares.set_nodes(["n1", "n2"])
-    >>> shares.part(17, 5), shares.part(17, 4)
+    >>> shares.part(17, 6), shares.part(17, 4)
     (3, 2)
     """
 
--- a/fireflyward/runs/_periods.py
+++ b/fireflyward/runs/_periods.py
@@ -30,7 +30,7 @@
     """Return the key under which a batch is filed for the sweep.
 
     >>> marker_key(7, "entry-1-5")
-    'runs/batches/00000007/79/entry-1-5'
+    'runs/batches/00000007/08/entry-1-5'
     """
     shard = zlib.crc32(name.encode()) % SHARDS
     return f"{shard_prefix(period, shard)}{name}"
--- /dev/null
+++ b/tests/test_examples.py
@@ -0,0 +1,28 @@
+"""The examples in docstrings show what the code does."""
+
+import doctest
+import importlib
+import pkgutil
+import unittest
+
+import fireflyward
+
+# Modules that do something when they are imported.
+_PROGRAMS = ("__main__", "_light_imports")
+
+
+def _modules():
+    for found in pkgutil.walk_packages(fireflyward.__path__, "fireflyward."):
+        if not found.name.endswith(_PROGRAMS):
+            yield importlib.import_module(found.name)
+
+
+class ExampleTests(unittest.TestCase):
+    def test_each_example_gives_what_it_says(self):
+        attempted = 0
+        for module in _modules():
+            with self.subTest(module.__name__):
+                result = doctest.testmod(module)
+                attempted += result.attempted
+                self.assertEqual(result.failed, 0)
+        self.assertGreater(attempted, 0)
