--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -84,6 +84,11 @@
         await self.until(lambda: self.node.is_ready)
         await self.until(lambda: len(self.node._directory) == 4)
 
+    def set_timeouts_ms(self, timeout_ms):
+        """Have callers wait for longer or shorter; before a node is started."""
+        for route in self.operator.configuration["routes"]:
+            route["timeout-ms"] = timeout_ms
+
     async def stop_node(self):
         self.stopped = True
         await self.node.stop()
