--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest.mock import MagicMock
 
 from fireflyward.clock import ManualClock
 from fireflyward.deployment import Route, RouteKind, ServiceShare
 from fireflyward.forwarding import Forwarder, Trace, WeightBook
+from fireflyward.outcomes import NotRun
 from fireflyward.platform import CallerRequest
 from fireflyward.prefixes import PartPlanner
+from fireflyward.quarantine import Trial
 from fireflyward.replicas import Chooser, RateLimits, ReplicaDirectory
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
@@ -71,9 +74,8 @@
             notices=MagicMock(),
         )
 
-    async def begin(self):
-        """Have a request wait for its connection; return the replica it waits for."""
-        serving = self.forwarder.serve(
+    def serve(self):
+        return self.forwarder.serve(
             CALLER,
             b"",
             Allowed(ROUTE, "s", None, 1),
@@ -81,7 +83,10 @@
             reply=None,
             trace=Trace(),
         )
-        self.serving = asyncio.create_task(serving)
+
+    async def begin(self):
+        """Have a request wait for its connection; return the replica it waits for."""
+        self.serving = asyncio.create_task(self.serve())
         await asyncio.sleep(0)
         name = self.pool.taken[0].address.partition(":")[0]
         return self.directory.find(name)
@@ -119,3 +124,34 @@
         replica.backpressure.on_rest(0, 3_000)
         replica.backpressure.changes += 1
         await self.assert_sent_elsewhere(replica)
+
+
+class _TrialGate(OpenGate):
+    """Lets a request through as a trial, and notes how that ends."""
+
+    def __init__(self):
+        self.ended = []
+
+    async def admit(self, fingerprint):
+        return Trial(fingerprint, 1)
+
+    def end_trial(self, trial, *, was_sent, begun_at):
+        self.ended.append(was_sent)
+
+
+class TrialTests(WaitingSendTests):
+    """The same for a request that is on trial; its one send is then still due."""
+
+    def setUp(self):
+        super().setUp()
+        self.gate = _TrialGate()
+        self.forwarder._tools = replace(self.forwarder._tools, gate=self.gate)
+
+    async def test_with_all_replicas_resting_it_is_refused_unsent(self):
+        for state in self.directory.all():
+            state.backpressure.on_rest(0, 3_000)
+        outcome = await self.serve()
+        self.assertIsInstance(outcome, NotRun)
+        self.assertGreaterEqual(outcome.retry_after_ms, 3_000)
+        self.assertEqual(self.pool.taken, [])
+        self.assertEqual(self.gate.ended, [False])
