--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -107,10 +107,11 @@
 
     def _note_limit(self, replica: ReplicaState, source: str) -> None:
         replica.backpressure.changes += 1
+        per_second = replica.backpressure.limit.per_second
         log.info(
             "notices: %s takes %s requests a second, by %s",
             replica.entry.incarnation,
-            replica.backpressure.limit.per_second or "any",
+            "any" if per_second is None else per_second,
             source,
         )
 
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -73,6 +73,15 @@
         self.assertEqual(self.limit(self.second), 3.5)
         self.assertIsNone(self.limit(self.second, "r2"))
 
+    async def test_the_log_tells_a_limit_of_none_from_no_limit(self):
+        with self.assertLogs("fireflyward.notices", "INFO") as logged:
+            self.answer(SIGNED, ("server-limit", "0"))
+            await self.clock.advance_ms(10)
+            self.answer(SIGNED)
+        first, second = (record.getMessage() for record in logged.records)
+        self.assertIn("takes 0.0 requests", first)
+        self.assertIn("takes any requests", second)
+
     async def test_a_limit_that_is_named_again_is_not_told_again(self):
         self.answer(SIGNED, ("server-limit", "3.5"))
         await self.carry()
