--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -89,6 +89,7 @@
         self._version = -1
         self._needs_whole = True
         self._failures = 0
+        self._failure = ""
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -156,7 +157,8 @@
         self._on_news(news)
 
     def _failed(self, result: Unavailable) -> bool:
-        if not self._failures:
+        if not self._failures or result.detail != self._failure:
             log.warning("feeds: %s is away: %s", self._table, result.detail)
+        self._failure = result.detail
         self._failures += 1
         return False
--- a/tests/platform_standins/_http.py
+++ b/tests/platform_standins/_http.py
@@ -100,9 +100,10 @@
     return "\r\n".join([*lines, "", ""]).encode() + body
 
 
-def json_response(value, status=200):
+def json_response(value, status=200, headers=()):
     body = json.dumps(value).encode()
-    return response(status, body, [("Content-Type", "application/json")])
+    own = [("Content-Type", "application/json"), *headers]
+    return response(status, body, own)
 
 
 async def _read(reader):
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -7,6 +7,9 @@
 from ._http import RawServer, json_response, response
 
 _PAGE_ROWS = 500
+_ERA = "Store-Era"
+# Written by operators and replicas, who write again what an older copy lacks.
+_TABLES_OF_OTHERS = ("op", "servers")
 
 
 class StoreManner(enum.Enum):
@@ -21,13 +24,19 @@
 
 
 class StoreStandIn(RawServer):
-    """Keeps rows in memory; ``put`` is the operator's and the replicas' way in."""
+    """Keeps rows in memory; ``put`` is the operator's and the replicas' way in.
+
+    ``era`` counts the times that it came back from an older copy; None has it left out
+    of all answers.
+    """
 
     def __init__(self, page_rows=_PAGE_ROWS):
         super().__init__()
         self.manner = StoreManner.WELL
         self.version = 0
+        self.era = 1
         self._rows = {}
+        self._lost = {}
         self._log = []
         self._page_rows = page_rows
         self._changed = asyncio.Event()
@@ -49,6 +58,43 @@
         self._rows.pop((table, part, key), None)
         self._note({**self._row(table, part, key, ""), "deleted": True})
 
+    def come_back_from(self, version, *, written_again=True):
+        """Come back from the copy of an earlier version, as in a drill.
+
+        All connections are cut, later versions are given out again, and what
+        operators and replicas wrote since is written again now or by ``write_again``.
+        """
+        before = dict(self._rows)
+        self._log = [row for row in self._log if row["ver"] <= version]
+        self._rows = {}
+        for row in self._log:
+            place = row["table"], row["part"], row["key"]
+            self._rows.pop(place, None)
+            if not row.get("deleted"):
+                self._rows[place] = row
+        self.version = version
+        if self.era is not None:
+            self.era += 1
+        for place in before.keys() | self._rows.keys():
+            value = before.get(place, {}).get("value")
+            if place[0] not in _TABLES_OF_OTHERS:
+                continue
+            if value != self._rows.get(place, {}).get("value"):
+                self._lost[place] = value
+        for writer in self._writers:
+            writer.transport.abort()
+        if written_again:
+            self.write_again()
+
+    def write_again(self):
+        """Write again what operators and replicas wrote after the copy."""
+        for (table, part, key), value in sorted(self._lost.items()):
+            if value is None:
+                self.remove(table, key, part)
+            else:
+                self.put(table, key, base64.b64decode(value), part)
+        self._lost = {}
+
     def value(self, table, key, part=""):
         row = self._rows.get((table, part, key))
         return None if row is None else base64.b64decode(row["value"])
@@ -58,10 +104,10 @@
         if manner is StoreManner.SILENT:
             await asyncio.sleep(3_600)
         if manner is StoreManner.BUSY:
-            writer.write(response(503))
+            writer.write(response(503, headers=self._headers()))
             return True
         if manner is StoreManner.TOO_MANY:
-            writer.write(response(429))
+            writer.write(response(429, headers=self._headers()))
             return True
         answer = await self._call(request)
         if manner is StoreManner.LOSES_ANSWERS and request.method == "POST":
@@ -83,7 +129,7 @@
             place = wanted["table"], wanted["part"], wanted["key"]
             if self._rows.get(place, {"ver": 0})["ver"] != wanted["ver"]:
                 rows = [self._rows[place]] if place in self._rows else []
-                return json_response({"rows": rows, **self._now()}, 412)
+                return self._json({"rows": rows, **self._now()}, 412)
         # All rows of one transaction have the same version.
         self.version += 1
         for write in body["writes"]:
@@ -91,7 +137,7 @@
             self._put(write["table"], write["key"], value, write["part"])
         for removed in body["remove"]:
             self._remove(removed["table"], removed["key"], removed["part"])
-        return json_response(self._now())
+        return self._json(self._now())
 
     def _get(self, query):
         table, part = query["table"], query.get("part", "")
@@ -102,12 +148,12 @@
         ]
         page = rows[: self._page_rows]
         more = len(rows) > len(page)
-        return json_response({"rows": page, "has-more": more, **self._now()})
+        return self._json({"rows": page, "has-more": more, **self._now()})
 
     async def _feed(self, query):
-        if self.manner is StoreManner.FORGETS:
-            return response(410)
         table, after = query["table"], int(query["after"])
+        if self.manner is StoreManner.FORGETS or after > self.version:
+            return response(410, headers=self._headers())
         due = asyncio.get_running_loop().time() + int(query.get("wait-ms", 0)) / 1_000
         while True:
             rows = [
@@ -115,7 +161,7 @@
             ]
             left = due - asyncio.get_running_loop().time()
             if rows or left <= 0:
-                return json_response({"rows": rows, **self._now()})
+                return self._json({"rows": rows, **self._now()})
             self._changed.clear()
             try:
                 await asyncio.wait_for(self._changed.wait(), left)
@@ -130,5 +176,11 @@
         self._log.append(row)
         self._changed.set()
 
+    def _json(self, value, status=200):
+        return json_response(value, status, self._headers())
+
+    def _headers(self):
+        return [] if self.era is None else [(_ERA, self.era)]
+
     def _now(self):
         return {"ver": self.version, "now-ms": 0}
