--- a/tests/fleet/test_older_copy.py
+++ b/tests/fleet/test_older_copy.py
@@ -18,7 +18,17 @@
         for _ in range(_WRITES):
             self.store.put("other", "key", b"")
         self.operator.configure()
+        self.list_replicas()
         await self.until_in_force()
+        await self.until(lambda: self.replicas_asked_after() > self.copied + _WRITES)
+
+    def replicas_asked_after(self):
+        """Return the version after which the node asked for changes of the list."""
+        return max(
+            int(request.query["after"])
+            for request in self.store.requests
+            if request.query.get("table") == "servers" and "after" in request.query
+        )
 
     async def until_in_force(self):
         version = self.operator.configuration["version"]
