--- a/tests/fleet/test_older_copy.py
+++ b/tests/fleet/test_older_copy.py
@@ -24,11 +24,12 @@
 
     def replicas_asked_after(self):
         """Return the version after which the node asked for changes of the list."""
-        return max(
+        asked = [
             int(request.query["after"])
             for request in self.store.requests
             if request.query.get("table") == "servers" and "after" in request.query
-        )
+        ]
+        return max(asked, default=0)
 
     async def until_in_force(self):
         version = self.operator.configuration["version"]
