--- a/fireflyward/feeds/__init__.py
+++ b/fireflyward/feeds/__init__.py
@@ -2,6 +2,7 @@
 
 from ._follower import FeedFollower, Followed
 from ._messages import Changes, HistoryLost, Pace, Snapshot, TableRow
+from ._seen_rows import SeenRows
 from ._sharing import SharedTables
 
 __all__ = [
@@ -10,6 +11,7 @@
     "Followed",
     "HistoryLost",
     "Pace",
+    "SeenRows",
     "SharedTables",
     "Snapshot",
     "TableRow",
--- /dev/null
+++ b/tests/feeds/test_eras.py
@@ -0,0 +1,165 @@
+"""Following a table of a store that comes back from an older copy."""
+
+import unittest
+
+from fireflyward.clock import ManualClock
+from fireflyward.feeds import Changes, HistoryLost, SeenRows, Snapshot, TableRow
+from tests.positions import at
+
+from .nodes import Node, Store
+from .test_follower import FollowerTests
+
+
+def row(value, version, era, *, key="k"):
+    return TableRow(key, value, at(version, era))
+
+
+class FollowerEraTests(unittest.IsolatedAsyncioTestCase):
+    follow = FollowerTests.follow
+
+    async def read(self, *answers):
+        """Follow through all answers; return the last news."""
+        follower = self.follow(*answers)
+        for _ in answers:
+            await follower.step()
+        return self.news[-1]
+
+    async def test_a_copy_below_the_cursor_is_taken(self):
+        """Guards against seven seconds without news, until versions catch up."""
+        news = await self.read(
+            Snapshot((), at(90, 1)),
+            HistoryLost(),
+            Snapshot((row(b"1", 7, 2),), at(7, 2)),
+        )
+        self.assertTrue(news.is_new_era)
+        self.assertEqual(news.position, at(7, 2))
+
+    async def test_changes_of_another_era_are_not_all_that_changed(self):
+        """Guards against a cursor whose version was given out again."""
+        change = row(b"2", 91, 2)
+        news = await self.read(
+            Snapshot((), at(90, 1)),
+            Changes((change,), at(91, 2)),
+            Snapshot((change,), at(91, 2)),
+        )
+        self.assertEqual(self.reader.asked, ["rows", at(90, 1), "rows"])
+        self.assertEqual((len(self.news), news.is_new_era), (2, True))
+
+    async def test_the_cursor_of_a_new_era_is_read_on_from(self):
+        await self.read(
+            Snapshot((), at(90, 1)),
+            HistoryLost(),
+            Snapshot((), at(7, 2)),
+            Changes((), at(8, 2)),
+        )
+        self.assertEqual(self.reader.asked[-1], at(7, 2))
+        self.assertFalse(self.news[-1].is_new_era)
+
+    async def test_a_late_answer_of_an_earlier_era_is_not_taken(self):
+        """Guards against news of before a drill that come after it."""
+        follower = self.follow(
+            Snapshot((), at(7, 2)), Changes((row(b"1", 99, 1),), at(99, 1))
+        )
+        await follower.step()
+        with self.assertLogs("fireflyward.feeds", "WARNING"):
+            self.assertFalse(await follower.step())
+        self.assertEqual(len(self.news), 1)
+
+    async def test_a_table_that_is_to_be_read_anew_is_so_without_a_pause(self):
+        follower = self.follow(Snapshot((), at(4, 1)), HistoryLost())
+        follower._pace = lambda: type("Pace", (), {"wait_ms": 0, "pause_ms": 6_000})
+        await follower.step()
+        self.assertEqual(follower.pause_ms, 6_000)
+        await follower.step()
+        self.assertEqual(follower.pause_ms, 0)
+
+    async def test_the_first_era_that_is_seen_is_no_new_one(self):
+        news = await self.read(Snapshot((), at(4, 3)))
+        self.assertFalse(news.is_new_era)
+
+    async def test_an_era_after_answers_that_told_none_is_a_new_one(self):
+        news = await self.read(Snapshot((), at(9)), Snapshot((), at(4, 1)))
+        self.assertTrue(news.is_new_era)
+
+
+class SeenRowsTests(unittest.TestCase):
+    def setUp(self):
+        self.seen = SeenRows()
+        self.seen.marked([row(b"1", 5, 1), row(b"2", 8, 1)])
+
+    def is_copied(self, *found):
+        (marked,) = self.seen.marked([row(*found)])
+        return marked.is_copied
+
+    def test_any_former_row_of_the_key_is_one_of_the_copy(self):
+        self.assertTrue(self.is_copied(b"1", 5, 2))
+        self.assertTrue(self.is_copied(b"2", 8, 2))
+
+    def test_a_row_with_a_version_given_out_again_is_news(self):
+        self.assertFalse(self.is_copied(b"3", 8, 2))
+
+    def test_a_row_that_was_written_again_is_news(self):
+        self.assertFalse(self.is_copied(b"2", 6, 2))
+
+    def test_a_row_of_the_copy_stays_one_when_it_is_read_again(self):
+        """Guards against a second reading of the same era that takes it for news."""
+        self.is_copied(b"1", 5, 2)
+        self.assertTrue(self.is_copied(b"1", 5, 2))
+
+    def test_a_row_is_known_from_two_eras_before(self):
+        self.is_copied(b"4", 6, 2)
+        self.assertTrue(self.is_copied(b"1", 5, 3))
+        self.assertTrue(self.is_copied(b"4", 6, 3))
+
+    def test_within_an_era_nothing_is_of_a_copy(self):
+        self.assertFalse(self.is_copied(b"2", 8, 1))
+
+
+class SharedEraTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock = ManualClock(10_000)
+        self.store = Store(self.clock)
+        self.store.version = 50
+        self.store.put("k", b"1")
+        domains = {f"n{i}": "a" for i in range(14)}
+        network = {}
+        for name in domains:
+            network[name] = Node(name, network, self.store, self.clock, domains)
+        nodes = list(network.values())
+        (self.first,) = [node for node in nodes if node.tables.is_for_others]
+        self.other = next(node for node in nodes if node is not self.first)
+
+    def come_back(self):
+        self.store.era += 1
+        self.store.version = 20
+        self.store.put("k", b"2")
+
+    async def begin(self):
+        for node in (self.first, self.other):
+            await node.follower.step()
+
+    async def test_a_node_follows_its_aggregator_into_a_new_era(self):
+        await self.begin()
+        self.come_back()
+        for node in (self.first, self.first, self.other, self.other):
+            await node.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2"})
+        self.assertTrue(self.other.news[-1].is_new_era)
+
+    async def test_an_aggregator_that_is_behind_an_era_is_passed_over(self):
+        """Guards against a copy between nodes that is from before the drill."""
+        await self.begin()
+        self.come_back()
+        self.other.tables._era = lambda: self.store.era
+        self.other.follower._needs_whole = True
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"2"})
+        self.assertEqual(self.other.news[-1].position.era, self.store.era)
+
+    async def test_a_cursor_of_a_later_era_is_not_answered_from_an_earlier_one(self):
+        await self.begin()
+        self.come_back()
+        self.other.follower._position = self.store.position
+        self.store.put("l", b"3")
+        await self.other.follower.step()
+        self.assertEqual(self.other.known, {"k": b"1", "l": b"3"})
--- a/tests/fleet/test_older_copy.py
+++ b/tests/fleet/test_older_copy.py
@@ -2,7 +2,10 @@
 
 import json
 
-from .node_fixtures import NodeTestCase
+from fireflyward.reach._reach_structs import SilenceNews
+from tests.platform_standins import StoreManner
+
+from .node_fixtures import FleetTestCase, NodeTestCase
 
 _WRITES = 2_000
 
@@ -38,6 +41,27 @@
     def state(self, name):
         return self.node._directory.find(name)
 
+    def say_that_it_leaves(self, replica):
+        entry = json.loads(replica.entry("plain"))
+        leaving = json.dumps({**entry, "state": "draining"}).encode()
+        self.store.put("servers", replica.incarnation, leaving)
+
+    async def until_leaving(self, replica):
+        await self.until(lambda: self.state(replica.incarnation).is_leaving)
+
+    async def until_read_anew(self):
+        """Wait until both tables were read whole since this call."""
+        before = len(self.store.requests)
+
+        def is_read(table):
+            return any(
+                request.path == "/-/rows-get" and request.query["table"] == table
+                for request in self.store.requests[before:]
+            )
+
+        await self.until(lambda: is_read("op") and is_read("servers"))
+        await self.until(lambda: self.node.is_ready)
+
     async def test_a_configuration_of_the_new_era_comes_into_force(self):
         """Guards against a copy that counts as lagging until its versions catch up."""
         self.store.come_back_from(self.copied)
@@ -50,10 +74,104 @@
         """Guards against a list of replicas that stands still after a drill."""
         self.store.come_back_from(self.copied)
         replica = self.plain[0]
-        entry = json.loads(replica.entry("plain"))
-        leaving = json.dumps({**entry, "state": "draining"}).encode()
-        self.store.put("servers", replica.incarnation, leaving)
-        await self.until(lambda: self.state(replica.incarnation).is_leaving)
+        self.say_that_it_leaves(replica)
+        await self.until_leaving(replica)
         for _ in range(10):
             await self.ask("GET", "/r/x")
         self.assertEqual(replica.ran, [])
+
+    async def test_a_withdrawn_key_stays_so_through_a_copy_that_has_it(self):
+        self.operator.configure(tenants=[{"name": "acme", "api-keys": ["key-2"]}])
+        await self.until_in_force()
+        self.store.come_back_from(self.copied, written_again=False)
+        await self.until_read_anew()
+        status, _, _ = await self.ask("GET", "/r/x")
+        self.assertEqual(status, 401)
+
+    async def test_a_replica_that_had_said_so_still_leaves(self):
+        replica = self.plain[0]
+        self.say_that_it_leaves(replica)
+        await self.until_leaving(replica)
+        self.store.come_back_from(self.copied, written_again=False)
+        await self.until_read_anew()
+        self.assertTrue(self.state(replica.incarnation).is_leaving)
+
+    async def test_two_drills_in_a_row(self):
+        for _ in range(2):
+            self.store.come_back_from(self.copied)
+            self.operator.configure()
+        await self.until_in_force()
+        await self.until(lambda: self.node._store.era == 3)
+
+    async def test_versions_that_have_passed_the_cursor_when_it_is_read(self):
+        """Guards against changes below a cursor that the store knows again."""
+        self.store.manner = StoreManner.BUSY
+        self.store.come_back_from(self.copied)
+        self.say_that_it_leaves(self.plain[0])
+        for _ in range(2 * _WRITES):
+            self.store.put("other", "key", b"")
+        self.store.manner = StoreManner.WELL
+        await self.until_leaving(self.plain[0])
+
+    async def test_what_is_written_again_after_the_first_reading_counts(self):
+        self.operator.configure(tenants=[{"name": "acme", "api-keys": ["key-2"]}])
+        self.store.come_back_from(self.copied, written_again=False)
+        await self.until_read_anew()
+        self.store.write_again()
+        self.operator.configure(tenants=[{"name": "acme", "api-keys": ["key-3"]}])
+        await self.until_in_force()
+
+    async def test_new_weights_are_loaded_after_a_drill(self):
+        self.store.come_back_from(self.copied)
+        self.operator.name_weights("m", 2)
+        await self.until(lambda: {e.version for e in self.engines} == {2})
+
+
+class FleetInDrillTests(FleetTestCase):
+    """Three nodes; the copy has nothing of what they wrote."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.copied = self.store.version
+        await self.start_nodes()
+        self.key = self.store.value("fireflyward-nodes", "key")
+
+    def listed(self):
+        names = ("entry-1", "entry-2", "entry-3")
+        rows = (self.store.value("fireflyward-nodes", f"node/{x}") for x in names)
+        return [row for row in rows if row is not None]
+
+    async def until_listed(self):
+        await self.until(lambda: len(self.listed()) == len(self.nodes))
+        await self.until(lambda: self.store.value("fireflyward-nodes", "key"))
+
+    async def test_nodes_write_again_what_they_wrote(self):
+        self.store.come_back_from(self.copied)
+        await self.until_listed()
+        self.assertEqual(self.store.value("fireflyward-nodes", "key"), self.key)
+
+    async def test_rows_are_written_again_though_answers_are_lost(self):
+        self.store.manner = StoreManner.LOSES_ANSWERS
+        self.store.come_back_from(self.copied)
+        await self.until_listed()
+        self.store.manner = StoreManner.WELL
+
+    async def test_a_node_that_starts_in_a_drill_joins_the_others(self):
+        """Guards against a node that draws a key of its own for good."""
+        self.store.come_back_from(self.copied)
+        late = await self.start_another("entry-4")
+        await self.until(lambda: self.knows_everyone(late))
+        link = self.nodes[1]._joining.link
+        answer = []
+
+        async def heard(sender, message):
+            answer.append(sender)
+
+        late._joining.link.register("probe", SilenceNews, heard)
+        address = late._joining.link.address
+
+        def is_heard():
+            link.send(address, "probe", SilenceNews(failure_domain="a"))
+            return bool(answer)
+
+        await self.until(is_heard)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -152,3 +152,68 @@
         ((expected, puts),) = store.writes
         self.assertEqual(expected, {"key": at(5)})
         self.assertEqual(len(puts["key"]), 32)
+
+
+class DrillTests(unittest.IsolatedAsyncioTestCase):
+    """The store comes back from a copy that lacks what nodes wrote."""
+
+    def setUp(self):
+        self.store = _Store()
+        self.own = NodeRow("10.0.0.1", 1, "a", 100)
+        self.other = NodeRow("10.0.0.2", 2, "a", 100)
+        table = [KEY, listed("n0", self.own), listed("n1", self.other)]
+        self.found = register("n0", table, own=self.own, store=self.store)
+
+    def come_back(self, *rows):
+        news = Followed(rows, True, 0, position=at(9, 2), is_new_era=True)
+        self.found.on_news(news)
+
+    async def test_the_own_row_is_written_again(self):
+        self.come_back(KEY)
+        self.assertFalse(self.found.is_complete)
+        await self.found.write_missing(0)
+        ((expected, _),) = self.store.writes
+        self.assertEqual(expected, {"node/n0": at(0, 2)})
+
+    async def test_a_row_that_was_just_written_is_written_again_at_once(self):
+        """Guards against a wait for a row of the last era to show."""
+        await self.found.write_missing(0)
+        self.come_back(KEY)
+        self.found._written_ms_by_key["node/n0"] = 0
+        self.come_back(KEY)
+        await self.found.write_missing(10)
+        self.assertEqual(len(self.store.writes), 1)
+
+    async def test_the_same_key_is_written_again(self):
+        """Guards against nodes that no longer understand each other."""
+        self.come_back(listed("n0", self.own))
+        await self.found.write_missing(0)
+        await self.found.write_missing(1_500)
+        keys = {puts["key"] for _, puts in self.store.writes if "key" in puts}
+        self.assertEqual(keys, {KEY.value})
+
+    async def test_other_nodes_are_not_forgotten(self):
+        """Guards against parts of shared budgets that grow while rows are lost."""
+        self.come_back(KEY)
+        self.assertEqual(self.found.names(), {"n0", "n1"})
+        self.assertEqual([member.name for member in self.found.others()], ["n1"])
+
+    async def test_an_older_row_of_another_node_is_not_believed(self):
+        old = NodeRow("10.0.0.9", 9, "a", 100)
+        value = msgspec.json.encode(old)
+        row = TableRow("node/n1", value, at(2, 2), is_copied=True)
+        self.come_back(KEY, row)
+        (member,) = self.found.others()
+        self.assertEqual(member.address, ("10.0.0.2", 2))
+
+    async def test_an_older_row_of_its_own_is_replaced(self):
+        old = msgspec.json.encode(NodeRow("10.0.0.9", 9, "a", 100))
+        row = TableRow("node/n0", old, at(2, 2), is_copied=True)
+        self.come_back(KEY, row)
+        await self.found.write_missing(0)
+        ((expected, _),) = self.store.writes
+        self.assertEqual(expected, {"node/n0": at(2, 2)})
+
+    async def test_a_key_that_another_node_drew_meanwhile_is_taken(self):
+        self.come_back(TableRow("key", b"n" * 32, at(3, 2)), listed("n0", self.own))
+        self.assertEqual(self.found.key, b"n" * 32)
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -11,7 +11,7 @@
 from tests.positions import at
 
 
-class EvacuationRowTests(unittest.TestCase):
+class EvacuationTestCase(unittest.TestCase):
     def setUp(self):
         self.directory = ReplicaDirectory()
         self.view = OperatorView(
@@ -30,6 +30,8 @@
     def row(self, domain, *, is_deleted=False):
         return TableRow(f"evacuate/{domain}", b"{}", at(1), is_deleted)
 
+
+class EvacuationRowTests(EvacuationTestCase):
     def test_a_change_adds_to_what_is_evacuated(self):
         self.take(self.row("a"), is_whole=False)
         self.assertEqual(self.take(self.row("b"), is_whole=False), {"a", "b"})
@@ -51,3 +53,49 @@
     def test_news_of_other_rows_change_nothing(self):
         self.take(self.row("a"), is_whole=True)
         self.assertEqual(self.take(is_whole=False), {"a"})
+
+
+class EvacuationInDrillTests(EvacuationTestCase):
+    """The store comes back from an older copy of the operator's table."""
+
+    def come_back(self, *rows):
+        news = Followed(rows, True, 0, position=at(9, 2), is_new_era=True)
+        self.view.on_news(news)
+        return self.directory.evacuated
+
+    def copied(self, domain):
+        return TableRow(f"evacuate/{domain}", b"{}", at(1, 2), is_copied=True)
+
+    def test_a_copy_that_lacks_the_row_takes_nothing_back(self):
+        self.take(self.row("a"), is_whole=False)
+        self.assertEqual(self.come_back(), {"a"})
+
+    def test_nor_does_a_second_reading_of_it(self):
+        self.take(self.row("a"), is_whole=False)
+        self.come_back()
+        self.assertEqual(self.take(is_whole=True), {"a"})
+
+    def test_a_row_that_was_written_again_and_removed_takes_it_back(self):
+        self.take(self.row("a"), is_whole=False)
+        self.come_back()
+        self.take(self.row("a"), is_whole=False)
+        self.assertEqual(self.take(is_whole=True), set())
+
+    def test_a_removal_takes_it_back(self):
+        self.take(self.row("a"), is_whole=False)
+        self.come_back()
+        removed = self.row("a", is_deleted=True)
+        self.assertEqual(self.take(removed, is_whole=False), set())
+
+    def test_a_copy_that_has_the_row_again_evacuates_nothing(self):
+        self.take(self.row("a"), is_whole=False)
+        self.take(self.row("a", is_deleted=True), is_whole=False)
+        self.assertEqual(self.come_back(self.copied("a")), set())
+
+    def test_a_row_of_the_copy_that_is_known_holds(self):
+        self.take(self.row("a"), is_whole=False)
+        self.assertEqual(self.come_back(self.copied("a")), {"a"})
+        self.assertEqual(self.take(self.copied("a"), is_whole=True), {"a"})
+
+    def test_a_row_that_the_operator_wrote_in_the_new_era_counts(self):
+        self.assertEqual(self.come_back(self.row("b")), {"b"})
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -86,6 +86,10 @@
         if written_again:
             self.write_again()
 
+    def come_back_from_before(self, writes, *, written_again=True):
+        """Come back from the copy before so many writes."""
+        self.come_back_from(max(1, self.version - writes), written_again=written_again)
+
     def write_again(self):
         """Write again what operators and replicas wrote after the copy."""
         for (table, part, key), value in sorted(self._lost.items()):
--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -75,7 +75,9 @@
         await asyncio.gather(self.running, return_exceptions=True)
 
 
-class QuarantineTests(unittest.IsolatedAsyncioTestCase):
+class QuarantineTestCase(unittest.IsolatedAsyncioTestCase):
+    """Two nodes before the same table and the same replicas."""
+
     async def asyncSetUp(self):
         self.table = FakeTable()
         self.nodes = [_Node("n1", self.table), _Node("n2", self.table)]
@@ -89,6 +91,8 @@
         for name in NAMES[:3]:
             await self.node.cut(name, *fingerprints)
 
+
+class QuarantineTests(QuarantineTestCase):
     async def test_three_ends_hold_it_here_and_there(self):
         await self.end_three("deadly")
         self.assertIsInstance(await self.node.admit("deadly"), Held)
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -35,6 +35,7 @@
             self._reset_all,
             self._replica_misbehaves,
             self._store_misbehaves,
+            self._drill,
             self._name_weights,
             self._withdraw_key,
             self._replica_leaves,
@@ -113,6 +114,15 @@
         await self._span()
         self._fleet.store.manner = StoreManner.WELL
 
+    async def _drill(self):
+        """The store comes back from an older copy, once or twice in a row."""
+        for _ in range(self._random.choice((1, 1, 2))):
+            lost = self._random.randrange(60)
+            at_once = self._random.random() < 0.5
+            self._fleet.store.come_back_from_before(lost, written_again=at_once)
+            await asyncio.sleep(self._random.uniform(0.0, 0.4))
+            self._fleet.store.write_again()
+
     async def _name_weights(self):
         self._fleet.version += 1
         self._fleet.operator.name_weights("m", self._fleet.version)
