Changes of a new era are news even where they are given the version that they had

What is written again after a drill is often given the version that it had, in the same order. Marked as a row of the copy, an entry that came back by a change was dropped until its next change. The test fails without note().

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -158,9 +158,13 @@
         away_ms = 0 if self.as_of_ms is None else as_of_ms - self.as_of_ms
         if self._failures:
             log.info("feeds: %s is back after %d ms", self._table, away_ms)
+        is_whole = isinstance(result, Snapshot)
+        rows = self._seen.marked(result.rows) if is_whole else result.rows
+        if not is_whole:
+            self._seen.note(rows)
         news = Followed(
-            self._seen.marked(result.rows),
-            isinstance(result, Snapshot),
+            rows,
+            is_whole,
             as_of_ms,
             away_ms if self._failures else 0,
             result.position,
--- a/fireflyward/feeds/_seen_rows.py
+++ b/fireflyward/feeds/_seen_rows.py
@@ -23,9 +23,10 @@
 class SeenRows:
     """Tells rows of an older copy from rows that were written since; no I/O.
 
-    A row that has the same version and value as in an earlier era was there before the
-    copy was made, and whatever was known to come after it has been lost by the store
-    alone. Any other row is news.
+    A row of a whole table that has the same version and value as in an earlier era was
+    there before the copy was made, and whatever was known to come after it has been
+    lost by the store alone. Any other row is news, and so is every change: what is
+    written again may be given the version that it had.
 
     >>> seen = SeenRows()
     >>> row = TableRow("k", b"1", Position(1, 7))
@@ -41,21 +42,44 @@
         self._writes_by_key: OrderedDict[str, deque[_Write]] = OrderedDict()
 
     def marked(self, rows: Iterable[TableRow]) -> tuple[TableRow, ...]:
-        """Return rows with those marked that an earlier era had, and keep them all."""
+        """Return a whole table with the rows marked that an earlier era had."""
         return tuple(self._marked(row) for row in rows)
 
+    def note(self, changes: Iterable[TableRow]) -> None:
+        """Keep rows that were written in the era in which they were read."""
+        for row in changes:
+            if row.is_deleted:
+                continue
+            writes, write = self._writes_of(row.key), _write_of(row)
+            same = _same(writes, write)
+            if same is not None:
+                writes.remove(same)
+            writes.append(write)
+
     def _marked(self, row: TableRow) -> TableRow:
-        if row.is_deleted:
+        writes, write = self._writes_of(row.key), _write_of(row)
+        same = _same(writes, write)
+        if same is None:
+            writes.append(write)
             return row
-        writes = self._writes_by_key.setdefault(row.key, deque(maxlen=_MOST_WRITES))
-        self._writes_by_key.move_to_end(row.key)
+        return replace(row, is_copied=same.position.era < write.position.era)
+
+    def _writes_of(self, key: str) -> deque[_Write]:
+        writes = self._writes_by_key.setdefault(key, deque(maxlen=_MOST_WRITES))
+        self._writes_by_key.move_to_end(key)
         while len(self._writes_by_key) > _MOST_KEYS:
             self._writes_by_key.popitem(last=False)
-        write = _Write(row.position, hash(row.value))
-        for earlier in writes:
-            is_same = earlier.position.version == write.position.version
-            if is_same and earlier.digest == write.digest:
-                is_copied = earlier.position.era < write.position.era
-                return replace(row, is_copied=is_copied)
-        writes.append(write)
-        return row
+        return writes
+
+
+def _write_of(row: TableRow) -> _Write:
+    return _Write(row.position, hash(row.value))
+
+
+def _same(writes: Iterable[_Write], write: _Write) -> _Write | None:
+    """Return a write of the same version and value, of whatever era."""
+    for other in writes:
+        is_same_version = other.position.version == write.position.version
+        if is_same_version and other.digest == write.digest:
+            return other
+    return None
--- a/tests/feeds/test_eras.py
+++ b/tests/feeds/test_eras.py
@@ -85,7 +85,8 @@
 class SeenRowsTests(unittest.TestCase):
     def setUp(self):
         self.seen = SeenRows()
-        self.seen.marked([row(b"1", 5, 1), row(b"2", 8, 1)])
+        self.seen.marked([row(b"1", 5, 1)])
+        self.seen.note([row(b"2", 8, 1)])
 
     def is_copied(self, *found):
         (marked,) = self.seen.marked([row(*found)])
@@ -111,6 +112,12 @@
         self.assertTrue(self.is_copied(b"1", 5, 3))
         self.assertTrue(self.is_copied(b"4", 6, 3))
 
+    def test_a_change_that_is_given_its_version_again_is_news(self):
+        """Guards against what is written again and taken for the copy's for good."""
+        self.seen.note([row(b"2", 8, 2)])
+        self.assertFalse(self.is_copied(b"2", 8, 2))
+        self.assertTrue(self.is_copied(b"2", 8, 3))
+
     def test_within_an_era_nothing_is_of_a_copy(self):
         self.assertFalse(self.is_copied(b"2", 8, 1))
 
