--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -99,9 +99,9 @@
         "_address",
         "_clock",
         "_era",
-        "_is_era_told",
         "_pool",
         "_suspects_silence",
+        "_unread_era",
         "calls",
         "on_new_era",
     )
@@ -111,7 +111,7 @@
         self._clock = clock
         self._pool = ConnectionPool(clock)
         self._suspects_silence = False
-        self._is_era_told = True
+        self._unread_era: str | None = ""
         self._era: int | None = None
         self.calls = 0
         self.on_new_era: Callable[[], None] = lambda: None
@@ -271,10 +271,12 @@
         """Return the era of an answer, the latest known where it tells none."""
         told = next((text for name, text in answer.headers if name == _ERA), "")
         is_told = told.isascii() and told.isdigit() and len(told) <= _ERA_DIGITS
-        if is_told != self._is_era_told:
-            self._is_era_told = is_told
-            if not is_told:
-                log.warning("platform: an answer tells no era: %r", told[:80])
+        if is_told:
+            self._unread_era = None
+        elif told != self._unread_era:
+            # Once for each change, and not at all where no answer ever told one.
+            self._unread_era = told
+            log.warning("platform: an answer tells no era: %r", told[:80])
         era = int(told) if is_told else self.era
         self.note_era(era)
         return era
