--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -170,6 +170,14 @@
             result.position,
             is_new_era=self._has_read and self._position.era < result.position.era,
         )
+        if news.is_new_era:
+            log.info(
+                "feeds: %s read in %s: %d rows, %d of them as in an earlier era",
+                self._table,
+                result.position,
+                len(rows),
+                sum(row.is_copied for row in rows),
+            )
         self._failures = 0
         self._needs_whole = False
         self._position = result.position
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -140,6 +140,10 @@
         if news.away_ms or news.is_new_era:
             self._outage_end_ms = now_ms
         found = _sorted_out(row for row in news.rows if not row.is_copied)
+        copied = _sorted_out(row for row in news.rows if row.is_copied).entries
+        if news.is_new_era:
+            # This node may not have seen the row of before the replica said so.
+            copied += [entry for entry in found.entries if self._unsays_leaving(entry)]
         after_outage = (
             self._outage_end_ms is not None
             and now_ms - self._outage_end_ms < _AFTER_OUTAGE_MS
@@ -148,7 +152,7 @@
             gone = self._directory.on_whole(
                 now_ms,
                 found.entries,
-                copied=_sorted_out(row for row in news.rows if row.is_copied).entries,
+                copied=copied,
                 after_outage=after_outage,
             )
         else:
@@ -161,6 +165,11 @@
             self._pool.forget(state.entry.address)
             self._on_gone(state)
 
+    def _unsays_leaving(self, entry: ReplicaEntry) -> bool:
+        """Tell whether an entry is from before its start was known to leave."""
+        state = self._directory.find_start(entry.number)
+        return state is not None and state.is_leaving and not entry.is_leaving
+
 
 @dataclass(frozen=True, slots=True)
 class _SortedOut:
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -43,8 +43,10 @@
 _CONDITION_FAILED = 412
 _CONNECT_MS = 500
 _ERA = "store-era"
-# A longer number is no count of drills.
+# A longer number is no count of drills, and a node misses no more than this many of
+# them. Believed, such a number would make every later answer one of an earlier era.
 _ERA_DIGITS = 6
+_MOST_MISSED = 1_000
 _EARLIER_ERA = "an answer of an earlier era"
 
 
@@ -270,17 +272,25 @@
     def _era_of(self, answer: WholeResponse) -> int:
         """Return the era of an answer, the latest known where it tells none."""
         told = next((text for name, text in answer.headers if name == _ERA), "")
-        is_told = told.isascii() and told.isdigit() and len(told) <= _ERA_DIGITS
-        if is_told:
+        era = self._read_era(told)
+        if era is not None:
             self._unread_era = None
         elif told != self._unread_era:
             # Once for each change, and not at all where no answer ever told one.
             self._unread_era = told
             log.warning("platform: an answer tells no era: %r", told[:80])
-        era = int(told) if is_told else self.era
+        era = self.era if era is None else era
         self.note_era(era)
         return era
 
+    def _read_era(self, text: str) -> int | None:
+        """Return the era that a header tells, None if it cannot be one."""
+        is_number = text.isascii() and text.isdigit() and len(text) <= _ERA_DIGITS
+        if not is_number:
+            return None
+        is_far = self._era is not None and int(text) > self._era + _MOST_MISSED
+        return None if is_far else int(text)
+
 
 def _refused(answer: _Answer) -> Unavailable:
     text = answer.body[:80].decode("utf-8", "replace")
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -140,9 +140,10 @@
 
         Entries in ``copied`` are of an older copy of the list.
         """
-        listed = {entry.incarnation: entry for entry in entries}
         old = {entry.incarnation: entry for entry in copied}
+        listed = {entry.incarnation: entry for entry in entries}
         names = listed.keys() | old.keys()
+        listed = {name: listed[name] for name in listed.keys() - old.keys()}
         missing = [name for name in self._state_by_incarnation if name not in names]
         gone = self._put(now_ms, [*listed.values(), *self._unknown(now_ms, old)])
         gone += self._remove(now_ms, missing, after_outage=after_outage)
@@ -210,8 +211,11 @@
                 if known.number == entry.number and entry.is_leaving:
                     news.append(entry)
             elif entry.number in self._backpressure_by_number:
-                doubted = _Doubted(entry, now_ms + _LAPSED_WITHIN_MS)
-                doubted_by_name[name] = self._doubted_by_name.get(name, doubted)
+                doubted = self._doubted_by_name.get(name)
+                if doubted is None:
+                    log.info("replicas: %s went, and an older copy lists it", name)
+                    doubted = _Doubted(entry, now_ms + _LAPSED_WITHIN_MS)
+                doubted_by_name[name] = doubted
             else:
                 news.append(entry)
         self._doubted_by_name = doubted_by_name
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -1,13 +1,16 @@
 """What rows of the operator's table mean for a node."""
 
+import json
+import types
 import unittest
 
 from fireflyward.clock import ManualClock
 from fireflyward.feeds import Followed, TableRow
-from fireflyward.fleet._views import OperatorView
+from fireflyward.fleet._views import OperatorView, ReplicaView
 from fireflyward.forwarding import WeightBook
 from fireflyward.replicas import ReplicaDirectory
 from fireflyward.routes import RouteTable
+from tests.platform_standins import ReplicaStandIn
 from tests.positions import at
 
 
@@ -99,3 +102,53 @@
 
     def test_a_row_that_the_operator_wrote_in_the_new_era_counts(self):
         self.assertEqual(self.come_back(self.row("b")), {"b"})
+
+
+class ListInDrillTests(unittest.TestCase):
+    """What a first reading of the list of replicas in a new era changes."""
+
+    def setUp(self):
+        self.directory = ReplicaDirectory()
+        self.gone = []
+        self.clock = ManualClock(0)
+        self.view = ReplicaView(
+            clock=self.clock,
+            directory=self.directory,
+            pool=types.SimpleNamespace(forget=lambda address: None),
+            on_gone=self.gone.append,
+        )
+
+    def row(self, state, version, era, *, is_copied=False):
+        entry = ReplicaStandIn("r1").entry("s", state=state)
+        entry = json.loads(entry) | {"address": "10.0.0.1:80"}
+        value = json.dumps(entry).encode()
+        return TableRow("r1", value, at(version, era), is_copied=is_copied)
+
+    def read(self, *rows, is_new_era=True):
+        self.view.on_news(Followed(rows, True, 0, is_new_era=is_new_era))
+
+    @property
+    def listed(self):
+        return [state.entry.incarnation for state in self.directory.of_service("s")]
+
+    def test_a_row_that_this_node_never_saw_does_not_unsay_that_one_leaves(self):
+        """Guards against a node that started between the copy and the drill."""
+        self.read(self.row("draining", 45, 1), is_new_era=False)
+        self.read(self.row("ready", 30, 2))
+        self.assertEqual(self.listed, [])
+
+    def test_a_row_of_the_copy_does_not_either(self):
+        self.read(self.row("draining", 45, 1), is_new_era=False)
+        self.read(self.row("ready", 30, 2, is_copied=True))
+        self.assertEqual(self.listed, [])
+
+    def test_one_that_leaves_in_the_new_era_is_believed(self):
+        self.read(self.row("ready", 30, 1), is_new_era=False)
+        self.read(self.row("draining", 31, 2))
+        self.assertEqual(self.listed, [])
+
+    def test_an_entry_that_the_copy_lacks_may_be_written_again(self):
+        """Guards against a service without replicas where no outage was noticed."""
+        self.read(self.row("ready", 30, 1), is_new_era=False)
+        self.read()
+        self.assertEqual((self.listed, self.gone), (["r1"], []))
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -103,7 +103,7 @@
         """Guards against a header that ends the process or shuts out later answers."""
         await self.position()
         with self.assertLogs("fireflyward.platform", "WARNING"):
-            for garbage in ("x", "-3", "1.5", "9" * 40, "\xb2", ""):
+            for garbage in ("x", "-3", "1.5", "9" * 40, "\xb2", "", 99_999):
                 self.store.era = garbage
                 self.assertEqual(await self.position(), at(1, 1))
         self.store.era = 2
