--- a/fireflyward/backing/_position.py
+++ b/fireflyward/backing/_position.py
@@ -22,6 +22,9 @@
     era: int
     version: int
 
+    def __str__(self) -> str:
+        return f"version {self.version} of era {self.era}"
+
     @property
     def number(self) -> int:
         """Return a number that grows with the position, 0 for all of era 0.
--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -101,6 +101,7 @@
         self._needs_whole = True
         self._failures = 0
         self._failure = ""
+        self._is_to_be_read_anew = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -112,12 +113,15 @@
     @property
     def pause_ms(self) -> int:
         """Return the pause before the next call."""
+        if self._is_to_be_read_anew:
+            return 0
         if self._failures:
             return min(_LONGEST_PAUSE_MS, _FIRST_PAUSE_MS << min(self._failures, 4))
-        return 0 if self._needs_whole else self._pace().pause_ms
+        return self._pace().pause_ms
 
     async def step(self) -> bool:
         """Make one call; return whether the store answered it."""
+        self._is_to_be_read_anew = False
         sent_ms = self._clock.now_ms()
         # After a failure the age of what is known matters most: do not wait.
         wait_ms = 0 if self._failures else self._pace().wait_ms
@@ -134,8 +138,7 @@
             return self._failed(result)
         if isinstance(result, HistoryLost):
             log.info("feeds: %s lost its history after %s", self._table, self._position)
-            self._needs_whole = True
-            return True
+            return self._read_anew()
         if result.position < self._position:
             # A copy of the store that lags: taking it would bring back what has
             # been replaced already.
@@ -143,8 +146,7 @@
         era = result.position.era
         if isinstance(result, Changes) and era != self._position.era:
             log.info("feeds: %s is read anew in era %d", self._table, era)
-            self._needs_whole = True
-            return True
+            return self._read_anew()
         self._take(result, self._proven_ms(result, sent_ms, wait_ms))
         return True
 
@@ -172,7 +174,7 @@
         )
         if news.is_new_era:
             log.info(
-                "feeds: %s read in %s: %d rows, %d of them as in an earlier era",
+                "feeds: %s read at %s: %d rows, %d of them as in an earlier era",
                 self._table,
                 result.position,
                 len(rows),
@@ -185,6 +187,11 @@
         self.as_of_ms = as_of_ms
         self._on_news(news)
 
+    def _read_anew(self) -> bool:
+        self._needs_whole = True
+        self._is_to_be_read_anew = True
+        return True
+
     def _failed(self, result: Unavailable) -> bool:
         if not self._failures or result.detail != self._failure:
             log.warning("feeds: %s is away: %s", self._table, result.detail)
--- a/tests/feeds/test_eras.py
+++ b/tests/feeds/test_eras.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fireflyward.backing import Unavailable
 from fireflyward.clock import ManualClock
 from fireflyward.feeds import Changes, HistoryLost, SeenRows, Snapshot, TableRow
 from tests.positions import at
@@ -66,12 +67,21 @@
         self.assertEqual(len(self.news), 1)
 
     async def test_a_table_that_is_to_be_read_anew_is_so_without_a_pause(self):
-        follower = self.follow(Snapshot((), at(4, 1)), HistoryLost())
+        """Guards against a pause of failed calls after the store's first answer."""
+        answers = [Unavailable("x")] * 4
+        follower = self.follow(
+            Snapshot((), at(4, 1)), *answers, HistoryLost(), answers[0]
+        )
         follower._pace = lambda: type("Pace", (), {"wait_ms": 0, "pause_ms": 6_000})
         await follower.step()
         self.assertEqual(follower.pause_ms, 6_000)
+        for _ in answers:
+            await follower.step()
+        self.assertEqual(follower.pause_ms, 800)
         await follower.step()
         self.assertEqual(follower.pause_ms, 0)
+        await follower.step()
+        self.assertEqual(follower.pause_ms, 800)
 
     async def test_the_first_era_that_is_seen_is_no_new_one(self):
         news = await self.read(Snapshot((), at(4, 3)))
