Aggregators tell nodes that start of what operators wrote before a drill

A node that started between the return of the store and the moment at which the operator had written again was told the copy: a withdrawn key was accepted there. The aggregator's copy of the operators' table now holds what was known until it is written again.

--- a/fireflyward/feeds/_copy.py
+++ b/fireflyward/feeds/_copy.py
@@ -14,11 +14,16 @@
     >>> copy.take(Followed((row,), True, 1_000, position=Position(1, 5)))
     >>> copy.after(Position(1, 5)), copy.after(Position(1, 4))
     ((), HistoryLost())
+
+    With ``carries`` rows of an earlier era hold until they are written again, for nodes
+    that start meanwhile: of a table whose writers write again what an older copy of the
+    store lacks, and whose rows do not lapse.
     """
 
-    __slots__ = ("_row_by_key", "_since", "as_of_ms", "position")
+    __slots__ = ("_carries", "_row_by_key", "_since", "as_of_ms", "position")
 
-    def __init__(self) -> None:
+    def __init__(self, *, carries: bool = False) -> None:
+        self._carries = carries
         self._row_by_key: dict[str, TableRow] = {}
         self._since = Position(0, 0)
         self.position: Position | None = None
@@ -29,13 +34,21 @@
         if news.is_whole:
             # What was deleted in the gap before is not known, so nobody who was
             # behind it may go on from here.
-            self._row_by_key.clear()
+            self._row_by_key = self._carried(news.position.era)
             self._since = news.position
         for row in news.rows:
-            self._row_by_key[row.key] = row
+            if not (row.is_copied and row.key in self._row_by_key):
+                self._row_by_key[row.key] = row
         self.position = news.position
         self.as_of_ms = news.as_of_ms
 
+    def _carried(self, era: int) -> dict[str, TableRow]:
+        """Return what is known of earlier eras and may have been lost by the store."""
+        if not self._carries:
+            return {}
+        known = self._row_by_key.items()
+        return {key: row for key, row in known if row.position.era < era}
+
     def whole(self) -> tuple[TableRow, ...]:
         """Return all rows that there are."""
         return tuple(row for row in self._row_by_key.values() if not row.is_deleted)
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -327,7 +327,8 @@
         self, table: str, on_news: Callable[[Followed], None]
     ) -> Callable[[Followed], None]:
         """Keep a table's news for others; the last one needed opens the gate."""
-        take = self._tables.kept(table, on_news)
+        is_operators = table == CONFIGURATION_TABLE
+        take = self._tables.kept(table, on_news, carries=is_operators)
 
         def take_and_note(news: Followed) -> None:
             # An aggregator may tell of a new era before the store itself does.
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -81,7 +81,8 @@
                     evacuated.add(domain)
                 continue
             evacuated.discard(domain)
-            self._carried.discard(domain)
+            if row.position.era == news.position.era:
+                self._carried.discard(domain)
             if row.is_deleted:
                 continue
             if decode_evacuation(domain, row.value) is None:
--- a/tests/feeds/test_eras.py
+++ b/tests/feeds/test_eras.py
@@ -1,10 +1,19 @@
 """Following a table of a store that comes back from an older copy."""
 
 import unittest
+from dataclasses import replace
 
 from fireflyward.backing import Unavailable
 from fireflyward.clock import ManualClock
-from fireflyward.feeds import Changes, HistoryLost, SeenRows, Snapshot, TableRow
+from fireflyward.feeds import (
+    Changes,
+    Followed,
+    HistoryLost,
+    SeenRows,
+    Snapshot,
+    TableRow,
+)
+from fireflyward.feeds._copy import TableCopy
 from tests.positions import at
 
 from .nodes import Node, Store
@@ -180,3 +189,52 @@
         self.store.put("l", b"3")
         await self.other.follower.step()
         self.assertEqual(self.other.known, {"k": b"1", "l": b"3"})
+
+
+class CarriedRowsTests(unittest.TestCase):
+    """What nodes that start are told while operators have not written again."""
+
+    def setUp(self):
+        self.copy = TableCopy(carries=True)
+        self.take(row(b"old", 5, 1), row(b"gone", 6, 1, key="l"), at=at(6, 1))
+        self.take(row(b"new", 8, 1), at=at(8, 1), is_whole=False)
+        self.take(deleted("l", 9), at=at(9, 1), is_whole=False)
+
+    def take(self, *rows, at, is_whole=True):
+        self.copy.take(Followed(rows, is_whole, 0, position=at))
+
+    @property
+    def values(self):
+        return [row.value for row in self.copy.whole()]
+
+    def come_back(self, *rows):
+        self.take(*rows, at=at(6, 2))
+
+    def test_rows_of_the_copy_replace_nothing_that_is_known(self):
+        """Guards against a withdrawn key at a node that starts after a drill."""
+        copied = [row(b"old", 5, 2), row(b"gone", 6, 2, key="l")]
+        self.come_back(*(replace(item, is_copied=True) for item in copied))
+        self.assertEqual(self.values, [b"new"])
+
+    def test_rows_that_the_copy_lacks_hold(self):
+        self.come_back()
+        self.come_back()
+        self.assertEqual(self.values, [b"new"])
+
+    def test_what_is_written_again_replaces_them(self):
+        self.come_back()
+        self.take(row(b"again", 7, 2), at=at(7, 2), is_whole=False)
+        self.assertEqual(self.values, [b"again"])
+
+    def test_a_whole_table_of_the_same_era_drops_what_it_lacks(self):
+        self.take(at=at(20, 1))
+        self.assertEqual(self.values, [])
+
+    def test_other_tables_carry_nothing(self):
+        self.copy._carries = False
+        self.come_back()
+        self.assertEqual(self.values, [])
+
+
+def deleted(key, version):
+    return TableRow(key, b"", at(version, 1), is_deleted=True)
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -100,6 +100,11 @@
         self.assertEqual(self.come_back(self.copied("a")), {"a"})
         self.assertEqual(self.take(self.copied("a"), is_whole=True), {"a"})
 
+    def test_a_row_that_an_aggregator_carries_is_not_written_again_yet(self):
+        self.take(self.row("a"), is_whole=False)
+        self.come_back(self.row("a"))
+        self.assertEqual(self.take(is_whole=True), {"a"})
+
     def test_a_row_that_the_operator_wrote_in_the_new_era_counts(self):
         self.assertEqual(self.come_back(self.row("b")), {"b"})
 
