What is judged of eras stands in backing.Eras; the adapter only reads the header

Found by taking protections out: no test failed when a write that was answered after a newer answer counted as committed; now one does.

--- a/fireflyward/backing/__init__.py
+++ b/fireflyward/backing/__init__.py
@@ -3,6 +3,7 @@
 from importlib import import_module
 from typing import TYPE_CHECKING, Any
 
+from ._eras import Eras
 from ._messages import (
     Committed,
     Conflict,
@@ -58,6 +59,7 @@
     "Budget",
     "Committed",
     "Conflict",
+    "Eras",
     "Guard",
     "GuardedObjects",
     "GuardedTable",
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -130,7 +130,7 @@
             self._store,
             clock=clock,
             aggregators=self._aggregators,
-            era=lambda: self._store.era,
+            era=lambda: self._store.eras.latest,
         )
         self._joining = Joining(
             settings,
@@ -143,7 +143,7 @@
             on_link=self._on_link,
         )
         # What nodes wrote of themselves may be lost, and is read by all others.
-        self._store.on_new_era = self._joining.look_soon
+        self._store.eras.on_new = self._joining.look_soon
         self._followers = (
             FeedFollower(
                 CONFIGURATION_TABLE,
@@ -332,7 +332,7 @@
 
         def take_and_note(news: Followed) -> None:
             # An aggregator may tell of a new era before the store itself does.
-            self._store.note_era(news.position.era)
+            self._store.eras.note(news.position.era)
             take(news)
 
         return self._gate.opened_by(take_and_note, is_ready=lambda: self.is_ready)
@@ -377,7 +377,7 @@
             "requests_cut_by_ends_total": self._quarantine.cut,
             "requests_held": self._quarantine.held,
             "store_calls_total": self._store.calls,
-            "store_era": self._store.era,
+            "store_era": self._store.eras.latest,
             "connections_opened_total": self._pool.opened,
             **self._known.gauges(),
             **link_gauges(self._joining.link),
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -2,7 +2,7 @@
 
 import base64
 import logging
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from urllib.parse import urlencode
 
@@ -11,6 +11,7 @@
 from fireflyward.backing import (
     Committed,
     Conflict,
+    Eras,
     Position,
     Unavailable,
     Uncertain,
@@ -43,10 +44,7 @@
 _CONDITION_FAILED = 412
 _CONNECT_MS = 500
 _ERA = "store-era"
-# A longer number is no count of drills, and a node misses no more than this many of
-# them. Believed, such a number would make every later answer one of an earlier era.
-_ERA_DIGITS = 6
-_MOST_MISSED = 1_000
+_ERA_DIGITS = 9
 _EARLIER_ERA = "an answer of an earlier era"
 
 
@@ -92,20 +90,18 @@
     Every answer other than the wanted one is a value: ``Unavailable`` means that
     nothing was done, ``Uncertain`` that a write may have taken effect, also later.
 
-    ``era`` is the latest that any answer told. What comes of an earlier one is late,
-    and proves nothing of what the store holds now. ``on_new_era`` is called when the
-    store has come back from an older copy.
+    ``eras`` hears of the era of each answer; a late one is ``Unavailable`` or
+    ``Uncertain``.
     """
 
     __slots__ = (
         "_address",
         "_clock",
-        "_era",
         "_pool",
         "_suspects_silence",
         "_unread_era",
         "calls",
-        "on_new_era",
+        "eras",
     )
 
     def __init__(self, address: str, *, clock: Clock) -> None:
@@ -114,28 +110,8 @@
         self._pool = ConnectionPool(clock)
         self._suspects_silence = False
         self._unread_era: str | None = ""
-        self._era: int | None = None
         self.calls = 0
-        self.on_new_era: Callable[[], None] = lambda: None
-
-    @property
-    def era(self) -> int:
-        return self._era or 0
-
-    def note_era(self, era: int) -> None:
-        """Take the era that the store, or another node, was seen to be in."""
-        before = self._era
-        if before is None:
-            self._era = era
-            log.info("platform: the store is in era %d", era)
-        elif era > before:
-            self._era = era
-            log.warning(
-                "platform: the store came back from an older copy: era %d after %d",
-                era,
-                before,
-            )
-            self.on_new_era()
+        self.eras = Eras()
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -197,8 +173,7 @@
         may hold by chance, since versions are given out again: it is not sent, and a
         write that met another era than its conditions is ``Uncertain``.
         """
-        era = min((read.era for read in expected.values()), default=self.era)
-        if era < self.era:
+        if self.eras.may_hold_by_chance(expected.values()):
             return Conflict()
         where = {"table": table, "part": part}
         body = {
@@ -217,9 +192,9 @@
             return answer
         if answer.status not in (200, _CONDITION_FAILED):
             return _refused(answer)
-        if answer.era != era and expected:
-            return Uncertain(f"written in era {answer.era}, expected in {era}")
-        if answer.era < self.era:
+        if any(answer.era != read.era for read in expected.values()):
+            return Uncertain(f"conditions were met in another era, {answer.era}")
+        if self.eras.is_late(answer.era):
             return Uncertain(_EARLIER_ERA)
         page = decoded(answer.body, _Rows)
         if page is None:
@@ -237,7 +212,7 @@
             return Unavailable(answer.detail)
         if isinstance(answer, Unavailable):
             return answer
-        if answer.era < self.era:
+        if self.eras.is_late(answer.era):
             return Unavailable(_EARLIER_ERA)
         if answer.status == _GONE:
             return HistoryLost()
@@ -270,26 +245,15 @@
         return _Answer(answer.status, answer.body, self._era_of(answer))
 
     def _era_of(self, answer: WholeResponse) -> int:
-        """Return the era of an answer, the latest known where it tells none."""
         told = next((text for name, text in answer.headers if name == _ERA), "")
-        era = self._read_era(told)
-        if era is not None:
+        if told.isascii() and told.isdigit() and len(told) <= _ERA_DIGITS:
             self._unread_era = None
-        elif told != self._unread_era:
+            return self.eras.of_answer(int(told))
+        if told != self._unread_era:
             # Once for each change, and not at all where no answer ever told one.
             self._unread_era = told
             log.warning("platform: an answer tells no era: %r", told[:80])
-        era = self.era if era is None else era
-        self.note_era(era)
-        return era
-
-    def _read_era(self, text: str) -> int | None:
-        """Return the era that a header tells, None if it cannot be one."""
-        is_number = text.isascii() and text.isdigit() and len(text) <= _ERA_DIGITS
-        if not is_number:
-            return None
-        is_far = self._era is not None and int(text) > self._era + _MOST_MISSED
-        return None if is_far else int(text)
+        return self.eras.of_answer(None)
 
 
 def _refused(answer: _Answer) -> Unavailable:
--- a/tests/fleet/test_older_copy.py
+++ b/tests/fleet/test_older_copy.py
@@ -101,7 +101,7 @@
             self.store.come_back_from(self.copied)
             self.operator.configure()
         await self.until_in_force()
-        await self.until(lambda: self.node._store.era == 3)
+        await self.until(lambda: self.node._store.eras.latest == 3)
 
     async def test_versions_that_have_passed_the_cursor_when_it_is_read(self):
         """Guards against changes below a cursor that the store knows again."""
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -41,9 +41,9 @@
 
     async def test_a_new_era_is_told_once(self):
         told = []
-        self.client.on_new_era = lambda: told.append(self.client.era)
+        self.client.eras.on_new = lambda: told.append(self.client.eras.latest)
         await self.position()
-        with self.assertLogs("fireflyward.platform", "WARNING"):
+        with self.assertLogs("fireflyward.store", "WARNING"):
             for _ in range(2):
                 await self.drill()
                 await self.position()
@@ -63,7 +63,19 @@
         read = await self.position()
         await self.drill()
         self.assertIsInstance(await self.write(read), Uncertain)
-        self.assertEqual(self.client.era, 2)
+        self.assertEqual(self.client.eras.latest, 2)
+
+    async def test_a_write_that_is_answered_after_a_newer_answer_is_uncertain(self):
+        """Guards against belief in a write that the store has lost meanwhile."""
+        read = await self.position()
+        transact = self.store._transact
+
+        def answer_late(body):
+            self.client.eras.note(2)
+            return transact(body)
+
+        self.store._transact = answer_late
+        self.assertIsInstance(await self.write(read), Uncertain)
 
     async def test_a_write_of_the_new_era_is_committed_there(self):
         await self.drill()
@@ -71,7 +83,7 @@
         self.assertEqual(await self.write(read), Committed({"k": 2}, 2))
 
     async def test_a_late_answer_of_an_earlier_era_proves_nothing(self):
-        self.client.note_era(4)
+        self.client.eras.note(4)
         self.assertIsInstance(await self.client.rows("t"), Unavailable)
         changes = self.client.changes("t", after=at(0, 4), wait_ms=0, limit_ms=300)
         self.assertIsInstance(await changes, Unavailable)
