--- a/tests/leases/test_eras.py
+++ b/tests/leases/test_eras.py
@@ -16,6 +16,7 @@
     RowTold,
     Tick,
     WriteAnswered,
+    WriteRow,
 )
 
 from .test_lease import KEY, LEASE_MS, LeaseMachine, drive
@@ -108,6 +109,15 @@
         self.assertGreater(gained.claim.fencing, self.number)
         self.assertEqual(drive(self.second, self.table, 15_700, Tick()), [])
 
+    def test_a_holder_that_wakes_after_its_lease_writes_nothing_again(self):
+        """Guards against a pause between a renewal and the reading after a drill."""
+        (renewal,) = self.first.decide(12_500, Tick())
+        self.assertIsInstance(renewal, WriteRow)
+        self.first.decide(12_600, WriteAnswered(Uncertain("lost")))
+        self.table.come_back(0)
+        found = self.first.decide(40_000, RowSeen(self.table.read()))
+        self.assertEqual(found, [Lost(self.number)])
+
     def test_no_number_is_given_twice(self):
         """Guards against a number that only the lost row knew."""
         drive(self.first, self.table, 9_460, HandOver())
--- a/tests/platform/test_eras.py
+++ b/tests/platform/test_eras.py
@@ -5,6 +5,7 @@
 
 from fireflyward.backing import Committed, Conflict, Unavailable, Uncertain
 from fireflyward.clock import Clock
+from fireflyward.http1 import WholeResponse
 from fireflyward.platform import StoreClient
 from tests.platform_standins import StoreStandIn
 from tests.positions import at
@@ -121,6 +122,14 @@
         self.store.era = 2
         self.assertEqual(await self.position(), at(1, 2))
 
+    async def test_digits_that_are_no_number_are_none(self):
+        """Guards against a header that Python counts as digits and cannot read."""
+        await self.position()
+        for text in ("\xb2", "\u0663", "9" * 5_000):
+            answer = WholeResponse(200, b"", (("store-era", text),))
+            with self.assertLogs("fireflyward.platform", "WARNING"):
+                self.assertEqual(self.client._era_of(answer), 1)
+
     async def test_a_cursor_that_the_copy_lacks_is_lost_history(self):
         for _ in range(9):
             self.store.put("t", "k", b"1")
