A node that starts after a drill asks others for operators' rows that the store lacks

It read the copy and knew nothing newer: until the operator had written again it accepted a withdrawn key and sent to an evacuated failure domain. In each era that it sees first, a node now asks three others for the rows that they hold beside the copy; in answers of before any drill there are none. The test over sockets waits in vain (20 s) without it.

--- a/fireflyward/feeds/_copy.py
+++ b/fireflyward/feeds/_copy.py
@@ -53,6 +53,11 @@
         """Return all rows that there are."""
         return tuple(row for row in self._row_by_key.values() if not row.is_deleted)
 
+    def of_earlier_eras(self) -> tuple[TableRow, ...]:
+        """Return the rows that hold though the store has not again what they say."""
+        era = self.position.era if self.position is not None else 0
+        return tuple(row for row in self.whole() if row.position.era < era)
+
     def after(self, position: Position) -> tuple[TableRow, ...] | HistoryLost:
         """Return the rows that changed after a position, in order."""
         if position < self._since:
--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import random
 from asyncio import FIRST_COMPLETED
 from collections.abc import Callable
 from typing import Any
@@ -9,7 +10,7 @@
 from fireflyward.aggregators import Aggregators, Member
 from fireflyward.backing import Position, Unavailable
 from fireflyward.clock import Clock, within_ms
-from fireflyward.peers import CallFailed, PeerLink
+from fireflyward.peers import Address, CallFailed, PeerLink
 
 from ._copy import TableCopy
 from ._feeds_structs import FeedAnswer, FeedAsk, FeedRow
@@ -25,6 +26,8 @@
 # Asks for the whole table. Nodes that start together ask each other before they have
 # read anything; whoever is asked then answers as soon as it has.
 _WHOLE_TABLE = -1
+# Asks for the rows of earlier eras alone, which the store has not again.
+_LOST_ROWS = -2
 _NOWHERE = Position(0, 0)
 _FIRST_READING_MS = 800
 # A node that starts reads a table itself if its aggregator has not answered by then.
@@ -42,6 +45,9 @@
 # One where nothing listens yet has just started: before the first key is drawn nodes
 # are listed and cannot open their links. They do so within half a second.
 _NOT_YET_MS = 500
+# Other nodes that are asked what they know of before a drill; each may have started or
+# been cut off itself.
+_MOST_ASKED = 3
 _MS_PER_SECOND = 1_000
 
 
@@ -172,6 +178,24 @@
         as_of_ms = proven_ms(result, asked_ms, self._clock.now_ms(), wait_ms)
         return Changes(result.rows, result.position, as_of_ms)
 
+    async def carried(self, table: str) -> list[Followed]:
+        """Ask a few other nodes for rows of earlier eras that the store has not again.
+
+        Each item is what one node knows, if it knows any.
+        """
+        others = self._aggregators.everyone()
+        asked = random.sample(others, min(_MOST_ASKED, len(others)))
+        lost = Position(self._era(), _LOST_ROWS)
+        answers = await asyncio.gather(
+            *(self._ask_at(address, table, lost, 0) for address in asked)
+        )
+        now_ms = self._clock.now_ms()
+        return [
+            _changes_of(answer, now_ms)
+            for answer in answers
+            if not _problem(answer) and answer.rows
+        ]
+
     def _whole_table(self) -> Position:
         return Position(self._era(), _WHOLE_TABLE)
 
@@ -183,13 +207,7 @@
         aggregator = self._asked(now_ms)
         if self._link is None or aggregator is None:
             return None
-        answer = await self._link.call(
-            aggregator.address,
-            _KIND,
-            FeedAsk(table=table, after=after.version, wait_ms=wait_ms, era=after.era),
-            FeedAnswer,
-            limit_s=(wait_ms + _SLACK_MS) / _MS_PER_SECOND,
-        )
+        answer = await self._ask_at(aggregator.address, table, after, wait_ms)
         problem = _problem(answer)
         if problem:
             log.info("feeds: %s not from %s: %s", table, aggregator.name, problem)
@@ -200,21 +218,26 @@
         if answer.outcome == _LOST:
             return HistoryLost()
         position = Position(answer.era, answer.version)
+        rows = _rows_of(answer)
         # The answer was made `waited_ms` after the question at the earliest.
         as_of_ms = now_ms + answer.waited_ms - answer.age_ms
-        rows = tuple(
-            TableRow(
-                row.row_key,
-                row.row_value,
-                Position(row.era, row.version),
-                row.is_deleted,
-            )
-            for row in answer.rows
-        )
         if answer.outcome == _WHOLE:
             return Snapshot(rows, position, as_of_ms=as_of_ms)
         return Changes(rows, position, as_of_ms=as_of_ms)
 
+    async def _ask_at(
+        self, address: Address, table: str, after: Position, wait_ms: int
+    ) -> FeedAnswer | CallFailed:
+        if self._link is None:
+            return CallFailed("no link yet")
+        return await self._link.call(
+            address,
+            _KIND,
+            FeedAsk(table=table, after=after.version, wait_ms=wait_ms, era=after.era),
+            FeedAnswer,
+            limit_s=(wait_ms + _SLACK_MS) / _MS_PER_SECOND,
+        )
+
     def _asked(self, now_ms: int) -> Member | None:
         """Return the node to ask, None where the store is to be asked."""
         if now_ms < self._distrusted_until_ms or not self._aggregators.are_needed:
@@ -227,9 +250,8 @@
         if copy is None:
             return _answer(_UNABLE)
         asked_ms = self._clock.now_ms()
-        is_whole = ask.after == _WHOLE_TABLE
         after = Position(ask.era, ask.after)
-        if copy.position is None if is_whole else copy.after(after) == ():
+        if not _is_answered(copy, after):
             changed = self._changed_by_table[ask.table]
             await within_ms(self._clock, ask.wait_ms, changed.wait())
         if copy.position is None or self._is_old(ask.table, copy):
@@ -237,12 +259,12 @@
         if copy.position.era < ask.era:
             # What this node reads is from before a drill that the other knows of.
             return _answer(_UNABLE)
-        rows = copy.whole() if is_whole else copy.after(after)
+        rows = _rows_asked_for(copy, after)
         if isinstance(rows, HistoryLost):
             return _answer(_LOST)
         now_ms = self._clock.now_ms()
         return _answer(
-            _WHOLE if is_whole else _CHANGES,
+            _WHOLE if ask.after == _WHOLE_TABLE else _CHANGES,
             position=max(copy.position, after),
             rows=rows,
             age_ms=now_ms - copy.as_of_ms,
@@ -285,6 +307,39 @@
     )
 
 
+def _rows_of(answer: Any) -> tuple[TableRow, ...]:
+    return tuple(
+        TableRow(
+            row.row_key, row.row_value, Position(row.era, row.version), row.is_deleted
+        )
+        for row in answer.rows
+    )
+
+
+def _changes_of(answer: Any, now_ms: int) -> Followed:
+    """Return an answer that came within the slack as changes of the table."""
+    position = Position(answer.era, answer.version)
+    as_of_ms = now_ms - answer.age_ms - _SLACK_MS
+    return Followed(_rows_of(answer), False, as_of_ms, position=position)
+
+
+def _is_answered(copy: TableCopy, after: Position) -> bool:
+    """Tell whether a copy has what is asked for now."""
+    if after.version in (_WHOLE_TABLE, _LOST_ROWS):
+        return copy.position is not None
+    return copy.after(after) != ()
+
+
+def _rows_asked_for(
+    copy: TableCopy, after: Position
+) -> tuple[TableRow, ...] | HistoryLost:
+    if after.version == _WHOLE_TABLE:
+        return copy.whole()
+    if after.version == _LOST_ROWS:
+        return copy.of_earlier_eras()
+    return copy.after(after)
+
+
 def _problem(answer: Any) -> str:
     """Say why the store is to be asked, nothing if the answer is of use."""
     if isinstance(answer, CallFailed):
--- a/fireflyward/feeds/feeds.thrift
+++ b/fireflyward/feeds/feeds.thrift
@@ -1,8 +1,8 @@
 /* What a node asks the aggregator of its failure domain in place of the store. */
 namespace py fireflyward.feeds
 
-/* The changes of a table after a version of an era, or with version -1 all of it, in this
-   era or a later one; waits up to wait_ms for the first change, or until all of it has
+/* The changes of a table after a version of an era, with version -1 all of it, in this
+   era or a later one, or with -2 only rows of earlier eras that the store has not again; waits up to wait_ms for the first change, or until all of it has
    been read once. */
 struct FeedAsk {
   1: required string table,
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -31,6 +31,7 @@
 from ._gauges import link_gauges
 from ._joining import Joining
 from ._known_replicas import KnownReplicas
+from ._lost_rows import LostRows
 from ._own_pages import OwnPages
 from ._paces import configuration_pace, replicas_pace
 from ._peers import NODE_TABLE, PeerRegister
@@ -144,12 +145,18 @@
         )
         # What nodes wrote of themselves may be lost, and is read by all others.
         self._store.eras.on_new = self._joining.look_soon
+        self._lost_rows = LostRows(
+            CONFIGURATION_TABLE,
+            tables=self._tables,
+            clock=clock,
+            on_news=operators.on_news,
+        )
         self._followers = (
             FeedFollower(
                 CONFIGURATION_TABLE,
                 reader=self._tables,
                 clock=clock,
-                on_news=self._kept(CONFIGURATION_TABLE, operators.on_news),
+                on_news=self._kept(CONFIGURATION_TABLE, self._lost_rows.heard_by),
                 pace=self._configuration_pace,
             ),
             FeedFollower(
@@ -239,6 +246,7 @@
         self._start(
             self._joining.run(),
             *(self._joining.once_joined(follower.run) for follower in self._followers),
+            self._lost_rows.run(),
             self._lease.run(),
             self._weight_task.run(),
             self._janitor.run(),
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -83,6 +83,8 @@
             evacuated.discard(domain)
             if row.position.era == news.position.era:
                 self._carried.discard(domain)
+            else:
+                self._carried.add(domain)
             if row.is_deleted:
                 continue
             if decode_evacuation(domain, row.value) is None:
--- a/tests/fleet/test_older_copy.py
+++ b/tests/fleet/test_older_copy.py
@@ -156,6 +156,26 @@
         await self.until_listed()
         self.store.manner = StoreManner.WELL
 
+    async def test_a_node_that_starts_before_the_operator_wrote_again_knows_better(
+        self,
+    ):
+        """Guards against a withdrawn key that a new node accepts from the copy."""
+        self.operator.configure(tenants=[{"name": "acme", "api-keys": ["key-2"]}])
+        self.operator.evacuate("b")
+        version = self.operator.configuration["version"]
+        await self.until(lambda: all(x._routes.version == version for x in self.nodes))
+        await self.until(lambda: all(x._directory.evacuated for x in self.nodes))
+        self.store.come_back_from(self.copied, written_again=False)
+        await self.until(lambda: all(x._store.eras.latest == 2 for x in self.nodes))
+        late = await self.start_another("entry-4")
+        await self.until(lambda: late._routes.version == version)
+        await self.until(lambda: late._directory.evacuated == {"b"})
+        status, _, _ = await self.ask("GET", "/r/x", node=late)
+        self.assertEqual(status, 401)
+        self.store.write_again()
+        self.operator.take_back_evacuation("b")
+        await self.until(lambda: not late._directory.evacuated)
+
     async def test_a_node_that_starts_in_a_drill_joins_the_others(self):
         """Guards against a node that draws a key of its own for good."""
         self.store.come_back_from(self.copied)
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -187,6 +187,7 @@
     async def test_the_same_key_is_written_again(self):
         """Guards against nodes that no longer understand each other."""
         self.come_back(listed("n0", self.own))
+        self.assertFalse(self.found.is_complete)
         await self.found.write_missing(0)
         await self.found.write_missing(1_500)
         keys = {puts["key"] for _, puts in self.store.writes if "key" in puts}
