--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -9,8 +9,11 @@
 from fireflyward.feeds import Changes, Snapshot, TableRow
 from fireflyward.fleet._joining import Joining
 from fireflyward.fleet._peers import PeerRegister
+from fireflyward.peers import Envelope, PeerCodec
 from tests.positions import at
 
+_ENVELOPE = Envelope(sender="n1", incarnation=1, sequence=1, kind="k", body=b"b")
+
 
 class _Tables:
     """Answers at once, and counts what it is asked."""
@@ -41,7 +44,13 @@
 class JoiningTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock, self.tables, self.heard = ManualClock(0), _Tables(), []
-        settings = types.SimpleNamespace(peer_ports=(0, 0), ip="127.0.0.1")
+        settings = types.SimpleNamespace(
+            node="n1",
+            failure_domain="a",
+            link_mbps=100,
+            peer_ports=(0, 0),
+            ip="127.0.0.1",
+        )
         self.joining = Joining(
             settings,
             clock=self.clock,
@@ -58,6 +67,8 @@
     async def asyncTearDown(self):
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
+        if self.joining.link is not None:
+            await self.joining.link.stop()
 
     async def test_a_look_that_is_wanted_soon_waits_for_no_pause(self):
         """Symptom: a node that is cut off from its peers ends replica after replica.
@@ -84,3 +95,17 @@
         self.joining.look_soon()
         await self.clock.advance_ms(10)
         self.assertEqual(self.heard[-1].rows, (row,))
+
+    async def read_key(self, key, version):
+        self.tables.rows_to_tell = (TableRow("key", key, at(version)),)
+        self.joining.look_soon()
+        for _ in range(5):
+            await asyncio.sleep(0.01)
+            await self.clock.advance_ms(10)
+
+    async def test_a_key_that_replaced_another_is_spoken_with(self):
+        """Guards against a node that is heard by nobody after a drill."""
+        for version, key in enumerate((b"o" * 32, b"n" * 32), start=5):
+            await self.read_key(key, version)
+            sealed = self.joining._codec.seal(_ENVELOPE)
+            self.assertIsNotNone(PeerCodec((key,)).open(sealed))
--- a/tests/peers/test_codec.py
+++ b/tests/peers/test_codec.py
@@ -29,6 +29,15 @@
                 self.assertIsNotNone(one.open(other.seal(make_envelope())))
         self.assertIsNone(after.open(before.seal(make_envelope())))
 
+    def test_a_key_that_replaces_another_seals_and_both_open(self):
+        """Guards against nodes that stop hearing each other while the key changes."""
+        changed, before, after = (PeerCodec((key,)) for key in (OLD, OLD, NEW))
+        changed.use(NEW)
+        changed.use(NEW)
+        self.assertIsNotNone(after.open(changed.seal(make_envelope())))
+        for other in (before, after):
+            self.assertIsNotNone(changed.open(other.seal(make_envelope())))
+
     def test_any_changed_byte_is_refused(self):
         codec = PeerCodec((OLD,))
         frame = codec.seal(make_envelope())
