--- a/tests/fleet/test_older_copy.py
+++ b/tests/fleet/test_older_copy.py
@@ -2,8 +2,10 @@
 
 import json
 
+from fireflyward.feeds import Followed
 from fireflyward.reach._reach_structs import SilenceNews
 from tests.platform_standins import StoreManner
+from tests.positions import at
 
 from .node_fixtures import FleetTestCase, NodeTestCase
 
@@ -103,6 +105,17 @@
         await self.until_in_force()
         await self.until(lambda: self.node._store.eras.latest == 3)
 
+    async def test_an_era_that_an_aggregator_tells_of_counts_for_writes(self):
+        """Guards against conditions of an earlier era that are sent meanwhile."""
+        news = Followed((), False, 0, position=at(1, 5))
+        self.node._followers[0]._on_news(news)
+        self.assertEqual(self.node._store.eras.latest, 5)
+
+    async def test_the_list_of_nodes_is_read_without_delay(self):
+        """Guards against seconds in which nobody's row is there."""
+        self.node._store.eras.note(2)
+        self.assertTrue(self.node._joining._is_wanted_soon.is_set())
+
     async def test_versions_that_have_passed_the_cursor_when_it_is_read(self):
         """Guards against changes below a cursor that the store knows again."""
         self.store.manner = StoreManner.BUSY
--- a/tests/quarantine/test_older_copy.py
+++ b/tests/quarantine/test_older_copy.py
@@ -41,6 +41,14 @@
         row = json.loads(self.table.row_by_key["suspect/deadly"].value)
         self.assertEqual(len(row["ends"]), 3)
 
+    async def test_others_do_not(self):
+        """Guards against a write of the same row by every node of a fleet."""
+        await self.end_three("deadly")
+        self.nodes[1].read_table()
+        self.come_back(self.nodes[1], {})
+        await self.nodes[1].settle()
+        self.assertEqual(self.table.row_by_key, {})
+
     async def test_a_trial_whose_row_is_lost_goes_on(self):
         """Guards against two suspects on trial at once."""
         await self.end_three("a", "b")
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -20,13 +20,15 @@
 class Faults:
     """Brings faults about until cancelled; ``history`` tells which."""
 
+    pauses_s = (0.1, 0.6)
+
     def __init__(self, random, fleet):
         self._random = random
         self._fleet = fleet
         self.history = []
 
-    async def run(self):
-        kinds = (
+    def kinds(self):
+        return (
             self._kill,
             self._pause,
             self._stop_planned,
@@ -35,14 +37,16 @@
             self._reset_all,
             self._replica_misbehaves,
             self._store_misbehaves,
-            self._drill,
             self._name_weights,
             self._withdraw_key,
             self._replica_leaves,
         )
+
+    async def run(self):
+        kinds = self.kinds()
         async with asyncio.TaskGroup() as group:
             while True:
-                await asyncio.sleep(self._random.uniform(0.1, 0.6))
+                await asyncio.sleep(self._random.uniform(*self.pauses_s))
                 kind = self._random.choice(kinds)
                 self.history.append(kind.__name__)
                 group.create_task(kind())
@@ -114,15 +118,6 @@
         await self._span()
         self._fleet.store.manner = StoreManner.WELL
 
-    async def _drill(self):
-        """The store comes back from an older copy, once or twice in a row."""
-        for _ in range(self._random.choice((1, 1, 2))):
-            lost = self._random.randrange(60)
-            at_once = self._random.random() < 0.5
-            self._fleet.store.come_back_from_before(lost, written_again=at_once)
-            await asyncio.sleep(self._random.uniform(0.0, 0.4))
-            self._fleet.store.write_again()
-
     async def _name_weights(self):
         self._fleet.version += 1
         self._fleet.operator.name_weights("m", self._fleet.version)
@@ -135,3 +130,27 @@
         self._fleet.list_replica(replica, state="draining")
         await self._span()
         self._fleet.list_replica(replica)
+
+
+class LaterFaults(Faults):
+    """Kinds with draws of their own, so that earlier seeds bring what they brought."""
+
+    pauses_s = (0.4, 2.0)
+
+    def kinds(self):
+        return (self._drill, self._replica_names_a_limit)
+
+    async def _drill(self):
+        """The store comes back from an older copy, once or twice in a row."""
+        for _ in range(self._random.choice((1, 1, 2))):
+            lost = self._random.randrange(60)
+            at_once = self._random.random() < 0.5
+            self._fleet.store.come_back_from_before(lost, written_again=at_once)
+            await asyncio.sleep(self._random.uniform(0.0, 0.4))
+            self._fleet.store.write_again()
+
+    async def _replica_names_a_limit(self):
+        replica = self._random.choice(self._fleet.replicas)
+        replica.notices = [("Server-Limit", self._random.choice(("2", "8.5", "0")))]
+        await self._span()
+        replica.notices = []
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -8,7 +8,7 @@
 from tests.platform_standins import Operator, ReplicaStandIn, StoreStandIn
 
 from ._callers import STREAM_EVENTS, Caller
-from ._faults import Faults
+from ._faults import Faults, LaterFaults
 from ._nodes import NodeProcess
 from ._proxy import Proxy
 
@@ -116,8 +116,11 @@
         return broken
 
 
-async def play(seed, seconds, nodes=_NODES):
-    """Play one seed; return what was broken, counts by status, and the faults."""
+async def play(seed, seconds, nodes=_NODES, *, is_earlier=False):
+    """Play one seed; return what was broken, counts by status, and the faults.
+
+    A seed ``is_earlier`` that was first played before there were later kinds of faults.
+    """
     with tempfile.TemporaryDirectory() as folder:
         fleet = Fleet(seed, folder, nodes)
         await fleet.start()
@@ -135,6 +138,9 @@
             for number in range(_CALLERS)
         ]
         tasks.append(asyncio.create_task(faults.run()))
+        later = LaterFaults(random.Random(seed + 2), fleet)
+        if not is_earlier:
+            tasks.append(asyncio.create_task(later.run()))
         await asyncio.sleep(seconds)
         for task in tasks:
             task.cancel()
@@ -151,4 +157,4 @@
                 at = text.find("Traceback")
                 fleet.broken.append(f"{node.name} logged: {text[at : at + 900]}")
         statuses = Counter(str(told.status) for told in fleet.told.values())
-        return fleet.check(), statuses, faults.history
+        return fleet.check(), statuses, faults.history + later.history
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,9 @@
 class SoakTests(unittest.TestCase):
     def test_seeds(self):
         for seed in (1, *_REGRESSIONS):
+            is_earlier = seed in _REGRESSIONS
             with self.subTest(seed=seed):
-                broken, statuses, _ = asyncio.run(play(seed, _SECONDS))
+                broken, statuses, _ = asyncio.run(
+                    play(seed, _SECONDS, is_earlier=is_earlier)
+                )
                 self.assertEqual(broken, [], statuses)
