--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -125,15 +125,7 @@
         sent_ms = self._clock.now_ms()
         # After a failure the age of what is known matters most: do not wait.
         wait_ms = 0 if self._failures else self._pace().wait_ms
-        if self._needs_whole:
-            result = await self._reader.rows(self._table)
-        else:
-            result = await self._reader.changes(
-                self._table,
-                after=self._position,
-                wait_ms=wait_ms,
-                limit_ms=_SLACK_MS,
-            )
+        result = await self._call(wait_ms)
         if isinstance(result, Unavailable):
             return self._failed(result)
         if isinstance(result, HistoryLost):
@@ -150,6 +142,15 @@
         self._take(result, self._proven_ms(result, sent_ms, wait_ms))
         return True
 
+    async def _call(
+        self, wait_ms: int
+    ) -> Snapshot | Changes | HistoryLost | Unavailable:
+        if self._needs_whole:
+            return await self._reader.rows(self._table)
+        return await self._reader.changes(
+            self._table, after=self._position, wait_ms=wait_ms, limit_ms=_SLACK_MS
+        )
+
     def _proven_ms(self, result: Snapshot | Changes, sent_ms: int, wait_ms: int) -> int:
         """Return the moment for which an answer proves how the table stood."""
         if isinstance(result, Snapshot):
@@ -173,13 +174,7 @@
             is_new_era=self._has_read and self._position.era < result.position.era,
         )
         if news.is_new_era:
-            log.info(
-                "feeds: %s read at %s: %d rows, %d of them as in an earlier era",
-                self._table,
-                result.position,
-                len(rows),
-                sum(row.is_copied for row in rows),
-            )
+            self._log_new_era(news)
         self._failures = 0
         self._needs_whole = False
         self._position = result.position
@@ -187,6 +182,15 @@
         self.as_of_ms = as_of_ms
         self._on_news(news)
 
+    def _log_new_era(self, news: Followed) -> None:
+        log.info(
+            "feeds: %s read at %s: %d rows, %d of them as in an earlier era",
+            self._table,
+            news.position,
+            len(news.rows),
+            sum(row.is_copied for row in news.rows),
+        )
+
     def _read_anew(self) -> bool:
         self._needs_whole = True
         self._is_to_be_read_anew = True
