--- a/fireflyward/feeds/_copy.py
+++ b/fireflyward/feeds/_copy.py
@@ -5,6 +5,10 @@
 from ._follower import Followed
 from ._messages import HistoryLost, TableRow
 
+# For so long after the store came back from an older copy a row that it lacks may still
+# be written again; whatever is not there by then was removed before it was read.
+CARRIED_MS = 10_000
+
 
 class TableCopy:
     """Rows and the positions between which their changes are known; no I/O.
@@ -15,15 +19,23 @@
     >>> copy.after(Position(1, 5)), copy.after(Position(1, 4))
     ((), HistoryLost())
 
-    With ``carries`` rows of an earlier era hold until they are written again, for nodes
-    that start meanwhile: of a table whose writers write again what an older copy of the
-    store lacks, and whose rows do not lapse.
+    With ``carries`` rows of an earlier era hold until they are written again, or could
+    have been, for nodes that start meanwhile: of a table whose writers write again what
+    an older copy of the store lacks, and whose rows do not lapse.
     """
 
-    __slots__ = ("_carries", "_row_by_key", "_since", "as_of_ms", "position")
+    __slots__ = (
+        "_carried_until_ms",
+        "_carries",
+        "_row_by_key",
+        "_since",
+        "as_of_ms",
+        "position",
+    )
 
     def __init__(self, *, carries: bool = False) -> None:
         self._carries = carries
+        self._carried_until_ms = 0
         self._row_by_key: dict[str, TableRow] = {}
         self._since = Position(0, 0)
         self.position: Position | None = None
@@ -31,6 +43,8 @@
 
     def take(self, news: Followed) -> None:
         """Bring the copy up to date; deleted rows stay, marked as such."""
+        if news.is_new_era:
+            self._carried_until_ms = news.as_of_ms + CARRIED_MS
         if news.is_whole:
             # What was deleted in the gap before is not known, so nobody who was
             # behind it may go on from here.
@@ -41,6 +55,9 @@
                 self._row_by_key[row.key] = row
         self.position = news.position
         self.as_of_ms = news.as_of_ms
+        if self._carries and news.as_of_ms >= self._carried_until_ms:
+            for row in self.of_earlier_eras():
+                del self._row_by_key[row.key]
 
     def _carried(self, era: int) -> dict[str, TableRow]:
         """Return what is known of earlier eras and may have been lost by the store."""
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -6,7 +6,7 @@
 
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, ReplicaEntry
-from fireflyward.feeds import Followed, TableRow
+from fireflyward.feeds import CARRIED_MS, Followed, TableRow
 from fireflyward.forwarding import WeightBook
 from fireflyward.http1 import ConnectionPool
 from fireflyward.platform import (
@@ -47,8 +47,9 @@
         self._weights = weights
         self._directory = directory
         self._failure_domains = failure_domains
-        # Evacuations that an older copy of the table lacks.
+        # Evacuations that an older copy of the table lacks, and until when they hold.
         self._carried: set[str] = set()
+        self._carried_until_ms = 0
 
     def on_news(self, news: Followed) -> None:
         """Put newer rows in force and note how fresh the configuration is."""
@@ -68,8 +69,10 @@
     def _take_evacuations(self, news: Followed) -> None:
         """Stop or resume sending to failure domains as their rows come and go."""
         before = self._directory.evacuated
+        now_ms = self._clock.now_ms()
         if news.is_new_era:
             self._carried = set(before)
+            self._carried_until_ms = now_ms + CARRIED_MS
         # Of a whole table, what has no row any more was taken back unseen.
         evacuated = self._carried & before if news.is_whole else set(before)
         for row in news.rows:
@@ -85,6 +88,7 @@
                 self._carried.discard(domain)
             else:
                 self._carried.add(domain)
+                self._carried_until_ms = now_ms + CARRIED_MS
             if row.is_deleted:
                 continue
             if decode_evacuation(domain, row.value) is None:
@@ -93,13 +97,17 @@
             evacuated.add(domain)
             if domain not in self._failure_domains:
                 log.error("views: no failure domain %s to evacuate is known", domain)
+        if now_ms >= self._carried_until_ms:
+            # Removed in the new era before this node read the table.
+            evacuated -= self._carried
+            self._carried.clear()
         if evacuated == before:
             return
         for domain in evacuated - before:
             log.info("views: failure domain %s is evacuated", domain)
         for domain in before - evacuated:
             log.info("views: failure domain %s is evacuated no more", domain)
-        self._directory.set_evacuated(self._clock.now_ms(), frozenset(evacuated))
+        self._directory.set_evacuated(now_ms, frozenset(evacuated))
 
     def _take_configuration(self, row: TableRow) -> None:
         configuration = decode_configuration(row.value)
--- a/tests/feeds/test_eras.py
+++ b/tests/feeds/test_eras.py
@@ -200,15 +200,24 @@
         self.take(row(b"new", 8, 1), at=at(8, 1), is_whole=False)
         self.take(deleted("l", 9), at=at(9, 1), is_whole=False)
 
-    def take(self, *rows, at, is_whole=True):
-        self.copy.take(Followed(rows, is_whole, 0, position=at))
+    def take(self, *rows, at, is_whole=True, as_of_ms=0, is_new_era=False):
+        news = Followed(rows, is_whole, as_of_ms, position=at, is_new_era=is_new_era)
+        self.copy.take(news)
 
     @property
     def values(self):
         return [row.value for row in self.copy.whole()]
 
     def come_back(self, *rows):
-        self.take(*rows, at=at(6, 2))
+        self.take(*rows, at=at(6, 2), is_new_era=True)
+
+    def test_rows_that_nobody_writes_again_hold_for_so_long(self):
+        """Guards against news of a row that was removed in the new era."""
+        self.come_back()
+        self.take(at=at(7, 2), is_whole=False, as_of_ms=9_999)
+        self.assertEqual(self.values, [b"new"])
+        self.take(at=at(8, 2), is_whole=False, as_of_ms=10_000)
+        self.assertEqual(self.values, [])
 
     def test_rows_of_the_copy_replace_nothing_that_is_known(self):
         """Guards against a withdrawn key at a node that starts after a drill."""
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -17,8 +17,9 @@
 class EvacuationTestCase(unittest.TestCase):
     def setUp(self):
         self.directory = ReplicaDirectory()
+        self.clock = ManualClock(0)
         self.view = OperatorView(
-            clock=ManualClock(0),
+            clock=self.clock,
             routes=RouteTable(revoke_ms=5_000, closes_without_contact=True),
             weights=WeightBook(version_ms=12_000),
             directory=self.directory,
@@ -73,6 +74,22 @@
         self.take(self.row("a"), is_whole=False)
         self.assertEqual(self.come_back(), {"a"})
 
+    def test_a_row_that_nobody_writes_again_holds_for_so_long(self):
+        """Guards against one that was taken back before the reading, and stays."""
+        self.take(self.row("a"), is_whole=False)
+        self.come_back()
+        self.clock._now_ms = 9_999
+        self.assertEqual(self.take(is_whole=False), {"a"})
+        self.clock._now_ms = 10_000
+        self.assertEqual(self.take(is_whole=False), set())
+
+    def test_one_that_is_written_again_holds_for_longer(self):
+        self.take(self.row("a"), is_whole=False)
+        self.come_back()
+        self.take(self.row("a"), is_whole=False)
+        self.clock._now_ms = 10_000
+        self.assertEqual(self.take(is_whole=False), {"a"})
+
     def test_nor_does_a_second_reading_of_it(self):
         self.take(self.row("a"), is_whole=False)
         self.come_back()
