Replicas stand in the order of the list again

A difference of sets had put whole lists into an order by hashes, so that ties between replicas were broken by it. The test fails without the change.

--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -143,7 +143,7 @@
         old = {entry.incarnation: entry for entry in copied}
         listed = {entry.incarnation: entry for entry in entries}
         names = listed.keys() | old.keys()
-        listed = {name: listed[name] for name in listed.keys() - old.keys()}
+        listed = {name: entry for name, entry in listed.items() if name not in old}
         missing = [name for name in self._state_by_incarnation if name not in names]
         gone = self._put(now_ms, [*listed.values(), *self._unknown(now_ms, old)])
         gone += self._remove(now_ms, missing, after_outage=after_outage)
--- a/tests/replicas/test_older_copy.py
+++ b/tests/replicas/test_older_copy.py
@@ -22,6 +22,14 @@
     def change(self, *entries, removed=(), now_ms=0):
         self.directory.on_changes(now_ms, entries, removed, after_outage=False)
 
+    def test_replicas_stand_in_the_order_of_the_list(self):
+        """Guards against ties that each process breaks in another way."""
+        names = [f"r{number}" for number in range(3, 40)]
+        self.directory = ReplicaDirectory()
+        self.come_back(0, listed=[entry(name) for name in names])
+        found = [state.entry.incarnation for state in self.directory.all()]
+        self.assertEqual(found, names)
+
     def test_it_does_not_take_back_that_a_replica_leaves(self):
         self.change(entry("r1", leaving=True))
         self.come_back(100, entry("r1"), entry("r2"))
