--- a/fireflyward/runs/_group_commit.py
+++ b/fireflyward/runs/_group_commit.py
@@ -138,6 +138,8 @@
 
     Each transaction is conditional on the retention period that its marker names, so
     that no record can be stored under a period that the sweep has already passed.
+    ``writer_name`` must be unique among all instances of all nodes, since a marker that
+    is already present counts as written by this instance.
     """
 
     table: Table
--- a/fireflyward/runs/_records.py
+++ b/fireflyward/runs/_records.py
@@ -3,6 +3,7 @@
 import asyncio
 import enum
 import hashlib
+import uuid
 
 import msgspec
 
@@ -75,13 +76,18 @@
     version is still the one that was read, so only one of two concurrent claims
     succeeds, also if they are made by different nodes. A record whose owner may have
     dispatched the request is never claimed by another request.
+
+    Every instance writes under a name of its own. An instance that wrote under the
+    name of its predecessor would mistake the predecessor's commit for its own, and
+    dispatch a request that the predecessor has dispatched.
     """
 
     def __init__(self, table: Table, clock: Clock, *, node_name: str = "node") -> None:
         self._table = table
         self._clock = clock
         self._releases: set[asyncio.Task[None]] = set()
-        self.group_commit = GroupCommit(table, clock, f"{node_name}-{clock.wall_ms()}")
+        writer_name = f"{node_name}-{uuid.uuid4().hex}"
+        self.group_commit = GroupCommit(table, clock, writer_name)
 
     def __repr__(self) -> str:
         return f"RunRecords(commits={self.group_commit.commits})"
