--- a/fireflyward/rollout/_limits.py
+++ b/fireflyward/rollout/_limits.py
@@ -23,6 +23,7 @@
     poll_ms: int = 250
     sweep_ms: int = 2_000
     reads_at_once: int = 25
+    fencing_orders_at_once: int = 25
     order_flight_ms: int = 5_000
     status_interval_ms: int = 5_000
 
--- a/fireflyward/rollout/_next_row.py
+++ b/fireflyward/rollout/_next_row.py
@@ -17,7 +17,11 @@
 
 @dataclass(frozen=True, slots=True)
 class RolloutSnapshot:
-    """All inputs from which the next row is computed."""
+    """All inputs from which the next row is computed.
+
+    ``is_fenced`` says that no replica that answers would still execute an order of an
+    earlier driver.
+    """
 
     row: RolloutRow
     plan: Plan
@@ -28,6 +32,7 @@
     cancellable_by_order: Mapping[str, bool]
     health_by_version: Mapping[tuple[str, str], Health]
     is_watching: bool
+    is_fenced: bool
     next_version: int
     is_status_due: bool
 
@@ -84,7 +89,8 @@
         held_because="",
         next_step="",
     )
-    phase = Phase.RUNNING if claims or _outdated(snapshot, claims) else Phase.DONE
+    is_done = not claims and not _outdated(snapshot, claims) and snapshot.is_fenced
+    phase = Phase.DONE if is_done else Phase.RUNNING
     row = row.changed(phase=phase, shares_by_model=_shares(snapshot, row))
     return _with_status(snapshot, row), RolloutStep.BEGIN_SENT
 
@@ -109,7 +115,11 @@
 
 
 def _continue_rollout(snapshot: RolloutSnapshot, row: RolloutRow) -> RolloutRow:
-    """Claim the next loads; the rollout is done when no replica differs."""
+    """Claim the next loads; the rollout is done when no replica differs.
+
+    It is not done while a late order of an earlier driver could still change a replica.
+    A rollout that an earlier driver has finished stays done.
+    """
     if not snapshot.fleet.is_complete(snapshot.plan.target_by_replica):
         return row
     outdated = _outdated(snapshot, row.claims)
@@ -117,7 +127,9 @@
         row = row.changed(
             claims=row.claims + _new_claims(snapshot, row.claims, outdated)
         )
-    phase = Phase.RUNNING if row.claims or outdated else Phase.DONE
+    may_be_done = snapshot.is_fenced or row.phase == Phase.DONE
+    is_done = not row.claims and not outdated and may_be_done
+    phase = Phase.DONE if is_done else Phase.RUNNING
     return row.changed(phase=phase, shares_by_model=_shares(snapshot, row))
 
 
--- a/fireflyward/rollout/_rollout.py
+++ b/fireflyward/rollout/_rollout.py
@@ -13,6 +13,7 @@
 )
 
 from ._budget import LoadBudget
+from ._fencing_orders import FencingOrders
 from ._fleet import Fleet
 from ._health import Health
 from ._limits import RolloutLimits
@@ -76,6 +77,8 @@
         self._claim: Claim | None = None
         self._row_tracker = RowTracker()
         self._fleet = Fleet(self._limits)
+        self._fencing_orders = FencingOrders(fencing=0)
+        self._has_predecessor = False
         self._progress_by_order: dict[str, Progress] = {}
         self._health: dict[tuple[str, str], Health] = {}
         self._watch_until_ms: int | None = None
@@ -90,6 +93,8 @@
 
     def has_no_orders_in_flight(self, now_ms: int) -> bool:
         """Return whether no order of this process can still be in flight."""
+        if self._fencing_orders.in_flight:
+            return False
         if any(progress.in_flight for progress in self._progress_by_order.values()):
             return False
         if self._last_lost_order_ms is None:
@@ -110,6 +115,7 @@
     def _(self, message: DriverStarted, now_ms: int) -> list[Action]:
         self._reset()
         self._claim = message.claim
+        self._fencing_orders = FencingOrders(fencing=message.claim.fencing)
         self._budget = LoadBudget(
             per_minute=self._limits.loads_per_minute, now_ms=now_ms
         )
@@ -163,6 +169,8 @@
 
     @_handle.register
     def _(self, message: OrderAnswered, now_ms: int) -> list[Action]:
+        if self._fencing_orders.is_own(message.replica, message.order_id):
+            return self._on_fencing_answer(now_ms, message)
         progress = self._progress_by_order.get(message.order_id)
         if progress is None:
             return []
@@ -183,21 +191,42 @@
 
     @_on_order_answer.register
     def _(self, result: Broken, progress: Progress, now_ms: int) -> list[Action]:
-        if result.may_have_run:
-            self._last_lost_order_ms = now_ms
-        return [StepReached(RolloutStep.ORDER_LOST, progress.claim.replica)]
+        return self._on_order_lost(now_ms, progress.claim.replica, result)
 
     @_on_order_answer.register
     def _(self, result: OrderRefused, progress: Progress, now_ms: int) -> list[Action]:
         if result.reason is OrderReason.OLD_FENCING:
-            # The replica has received the fencing number of a later holder: this
-            # process has lost its lease without noticing, and must not change anything
-            # any more.
-            self._reset()
-            return [StepReached(RolloutStep.FOLLOWED, result.detail)]
+            return self._on_old_fencing(result)
         progress.refusal = f"refused: {result.reason.value} {result.detail}".strip()
         return []
 
+    def _on_fencing_answer(self, now_ms: int, message: OrderAnswered) -> list[Action]:
+        result, replica = message.result, message.replica
+        self._fencing_orders.on_answer(now_ms, replica, result)
+        if isinstance(result, EngineState):
+            self._fleet.on_state(now_ms, replica, result)
+            detail = f"{replica}: only raises its fencing number"
+            return [StepReached(RolloutStep.ORDER_TAKEN, detail)]
+        if isinstance(result, Broken):
+            return self._on_order_lost(now_ms, replica, result)
+        if result.reason is OrderReason.OLD_FENCING:
+            return self._on_old_fencing(result)
+        return []
+
+    def _on_order_lost(self, now_ms: int, replica: str, result: Broken) -> list[Action]:
+        if result.may_have_run:
+            self._last_lost_order_ms = now_ms
+        return [StepReached(RolloutStep.ORDER_LOST, replica)]
+
+    def _on_old_fencing(self, refusal: OrderRefused) -> list[Action]:
+        """Stop driving, since a replica has received a later holder's number.
+
+        This process has lost its lease without noticing, and must not change anything
+        any more.
+        """
+        self._reset()
+        return [StepReached(RolloutStep.FOLLOWED, refusal.detail)]
+
     def _has_later_driver(self) -> bool:
         row = self._row_tracker.row
         return row is not None and row.fencing > self._claim.fencing
@@ -226,6 +255,7 @@
             return self._take_over()
         actions = self._read_actions(now_ms)
         verdicts = self._verdicts(now_ms)
+        actions += self._fencing_actions()
         actions += self._order_actions(now_ms, verdicts)
         if self._row_tracker.may_write and self._plan:
             actions += self._write_actions(now_ms, verdicts)
@@ -235,6 +265,8 @@
         """Write this holder's fencing number: earlier holders' writes then conflict."""
         if not self._row_tracker.may_write:
             return []
+        # A row without a number was never written, so no driver has sent an order.
+        self._has_predecessor = self._row_tracker.row.fencing > 0
         row = self._row_tracker.row.changed(fencing=self._claim.fencing)
         return [self._row_tracker.write(row, RolloutStep.TAKE_OVER_SENT)]
 
@@ -259,6 +291,51 @@
             for order_id, progress in self._progress_by_order.items()
         }
 
+    def _fencing_actions(self) -> list[Action]:
+        """Order replicas to raise their fencing numbers, a limited number at a time."""
+        free = self._limits.fencing_orders_at_once - self._fencing_orders.in_flight
+        actions: list[Action] = []
+        for name in self._unfenced():
+            if len(actions) >= free:
+                break
+            if self._may_send_fencing_order(name):
+                order = self._fencing_orders.send(name, self._fleet.state_of(name))
+                actions.append(SendOrder(name, order))
+        return actions
+
+    def _unfenced(self) -> list[str]:
+        """Return the replicas that may still execute an earlier driver's order."""
+        if not self._has_predecessor or self._plan is None:
+            return []
+        names = []
+        for name, target in self._plan.target_by_replica.items():
+            state = self._fleet.state_of(name)
+            if state is None or not target.honours_fencing:
+                continue
+            if not self._fencing_orders.is_raised(name, state):
+                names.append(name)
+        return names
+
+    def _may_send_fencing_order(self, name: str) -> bool:
+        """Return whether the order cannot interfere with a load.
+
+        A replica whose claim this driver has ordered, or will order, gets this driver's
+        number with that order.
+        """
+        state = self._fleet.state_of(name)
+        if state.loading or self._fencing_orders.is_in_flight(name):
+            return False
+        if not self._fleet.requested_since(
+            name, self._fencing_orders.answered_ms(name)
+        ):
+            return False
+        return all(
+            self._is_halting()
+            and progress.ordered_ms is None
+            for progress in self._progress_by_order.values()
+            if progress.claim.replica == name
+        )
+
     def _order_actions(self, now_ms: int, verdicts: dict[str, Verdict]) -> list[Action]:
         actions: list[Action] = []
         for order_id, verdict in verdicts.items():
@@ -268,6 +345,8 @@
         return actions
 
     def _may_order(self, now_ms: int, progress: Progress) -> bool:
+        if self._fencing_orders.is_in_flight(progress.claim.replica):
+            return False
         targets = self._plan.target_by_replica if self._plan else {}
         target = targets.get(progress.claim.replica)
         honours_fencing = target is not None and target.honours_fencing
@@ -332,6 +411,7 @@
             cancellable_by_order=cancellable,
             health_by_version=self._health,
             is_watching=is_watching,
+            is_fenced=not self._unfenced(),
             next_version=self._row_tracker.next_version,
             is_status_due=now_ms - self._last_write_ms
             >= self._limits.status_interval_ms,
