--- a/fireflyward/leases/_lease.py
+++ b/fireflyward/leases/_lease.py
@@ -145,7 +145,11 @@
         if self._claim:
             renew_at_ms = self._last_renewal_ms + self._lease_ms // _RENEWALS_PER_LEASE
             is_renewal_due = message.renews_now or now_ms >= renew_at_ms
-            if is_renewal_due and not self._stopping:
+            if self._stopping:
+                return actions
+            if message.takes_new_fencing:
+                actions.append(self._acquire(now_ms))
+            elif is_renewal_due:
                 actions.append(self._renew(now_ms))
         elif message.may_contend and not self._stopping:
             actions.append(ReadRow())
--- a/fireflyward/leases/_messages.py
+++ b/fireflyward/leases/_messages.py
@@ -64,11 +64,13 @@
 class Tick:
     """Time has passed; ``may_contend`` says whether to check for a free lease.
 
-    With ``renews_now`` a claim is renewed although its renewal is not due.
+    With ``renews_now`` a claim is renewed although its renewal is not due. With
+    ``takes_new_fencing`` a claim is replaced by one with a higher fencing number.
     """
 
     may_contend: bool = True
     renews_now: bool = False
+    takes_new_fencing: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/leases/_task.py
+++ b/fireflyward/leases/_task.py
@@ -77,6 +77,7 @@
         "_on_row_written",
         "_poll_interval_ms",
         "_table",
+        "_takes_new_fencing",
         "_wake_up",
         "name",
     )
@@ -105,6 +106,7 @@
         self._poll_interval_ms = poll_interval_ms or (
             lambda: lease_ms // _POLLS_PER_LEASE
         )
+        self._takes_new_fencing = False
         self._wake_up = asyncio.Event()
         self._contends = contends
         self._on_change = on_change
@@ -131,6 +133,15 @@
         """Renew the claim at once, for an order that requires a recent renewal."""
         self._wake_up.set()
 
+    def request_new_fencing(self) -> None:
+        """Replace the claim by one with a higher fencing number, without a gap.
+
+        This is for a holder that must not have its own earlier orders executed any
+        more. The claim changes with a later step, and only if the write succeeds.
+        """
+        self._takes_new_fencing = True
+        self._wake_up.set()
+
     async def on_row_received(self, row: LeaseRow, position: Position) -> None:
         """Handle the holder's announcement of its row and position."""
         if row.released:
@@ -148,8 +159,10 @@
         if may_contend:
             self._last_poll_ms = now_ms
         renews_now = self._wake_up.is_set()
+        takes_new_fencing = self._takes_new_fencing
+        self._takes_new_fencing = False
         self._wake_up.clear()
-        await self._process(Tick(may_contend, renews_now))
+        await self._process(Tick(may_contend, renews_now, takes_new_fencing))
 
     async def hand_over(self) -> bool:
         """Release the lease; return whether the table contains the release.
--- a/fireflyward/rollout/_fencing_orders.py
+++ b/fireflyward/rollout/_fencing_orders.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from fireflyward.upstreams import EngineOrder, EngineState, OrderResult
+from fireflyward.upstreams import Broken, EngineOrder, EngineState, OrderResult
 
 
 @dataclass(slots=True)
@@ -12,6 +12,7 @@
     in_flight: bool = True
     answered_ms: int = -1
     is_taken: bool = False
+    may_be_late: bool = False
 
 
 class FencingOrders:
@@ -55,6 +56,14 @@
         sent = self._sent_by_replica.get(replica)
         return state.fencing >= self._fencing or (sent is not None and sent.is_taken)
 
+    def may_be_late(self, replica: str) -> bool:
+        """Return whether the answer to an order was lost, so that it may still arrive.
+
+        It would then replace a later order of the current driver.
+        """
+        sent = self._sent_by_replica.get(replica)
+        return sent is not None and sent.may_be_late
+
     def answered_ms(self, replica: str) -> int:
         """Return when the last order to a replica was answered, or -1 if none was."""
         sent = self._sent_by_replica.get(replica)
@@ -62,7 +71,7 @@
 
     def send(self, replica: str, state: EngineState) -> EngineOrder:
         """Return the order that repeats ``state``, and record it as sent."""
-        self._sent_by_replica[replica] = _Sent()
+        self._sent_by_replica[replica] = _Sent(may_be_late=self.may_be_late(replica))
         return EngineOrder(
             self._order_id(replica),
             self._fencing,
@@ -81,6 +90,7 @@
         sent.in_flight = False
         sent.answered_ms = now_ms
         sent.is_taken = isinstance(result, EngineState)
+        sent.may_be_late |= isinstance(result, Broken) and result.may_have_run
 
     def _order_id(self, replica: str) -> str:
         return f"fencing.{self._fencing}.{replica}"
--- a/fireflyward/rollout/_limits.py
+++ b/fireflyward/rollout/_limits.py
@@ -24,6 +24,7 @@
     sweep_ms: int = 2_000
     reads_at_once: int = 25
     fencing_orders_at_once: int = 25
+    new_fencing_retry_ms: int = 2_000
     order_flight_ms: int = 5_000
     status_interval_ms: int = 5_000
 
--- a/fireflyward/rollout/_messages.py
+++ b/fireflyward/rollout/_messages.py
@@ -110,6 +110,11 @@
     order: EngineOrder
 
 
+@dataclass(frozen=True, slots=True)
+class TakeNewFencing:
+    """Replace the driver's claim of the lease by one with a higher fencing number."""
+
+
 @dataclass(frozen=True, slots=True)
 class StepReached:
     """A step was reached that is not a call to a replica or the table."""
@@ -129,4 +134,4 @@
     | OrderAnswered
     | HealthUpdated
 )
-Action = ReadRow | WriteRow | ReadState | SendOrder | StepReached
+Action = ReadRow | WriteRow | ReadState | SendOrder | TakeNewFencing | StepReached
--- a/fireflyward/rollout/_next_row.py
+++ b/fireflyward/rollout/_next_row.py
@@ -20,7 +20,8 @@
     """All inputs from which the next row is computed.
 
     ``is_fenced`` says that no replica that answers would still execute an order of an
-    earlier driver.
+    earlier driver. ``has_lost_order`` says that an order of this driver may still
+    arrive although it is not expected any more.
     """
 
     row: RolloutRow
@@ -33,6 +34,7 @@
     health_by_version: Mapping[tuple[str, str], Health]
     is_watching: bool
     is_fenced: bool
+    has_lost_order: bool
     next_version: int
     is_status_due: bool
 
@@ -69,6 +71,23 @@
     return _with_step(snapshot, _with_status(snapshot, row))
 
 
+def needs_new_fencing(snapshot: RolloutSnapshot) -> bool:
+    """Return whether only a lost order keeps the rollout from being done.
+
+    An order whose answer was lost may arrive after a later one with the same fencing
+    number, and would replace it. Only a higher number makes replicas refuse it.
+    """
+    row = snapshot.row
+    if not snapshot.has_lost_order or row.phase != Phase.RUNNING or row.claims:
+        return False
+    return snapshot.is_own_bundle and not _outdated(snapshot, row.claims)
+
+
+def _may_finish(snapshot: RolloutSnapshot) -> bool:
+    """Return whether no late order can change a replica that answers."""
+    return snapshot.is_fenced and not snapshot.has_lost_order
+
+
 def _superseding_row(
     snapshot: RolloutSnapshot, claims: tuple[LoadClaim, ...]
 ) -> tuple[RolloutRow, RolloutStep] | None:
@@ -89,7 +108,7 @@
         held_because="",
         next_step="",
     )
-    is_done = not claims and not _outdated(snapshot, claims) and snapshot.is_fenced
+    is_done = not claims and not _outdated(snapshot, claims) and _may_finish(snapshot)
     phase = Phase.DONE if is_done else Phase.RUNNING
     row = row.changed(phase=phase, shares_by_model=_shares(snapshot, row))
     return _with_status(snapshot, row), RolloutStep.BEGIN_SENT
@@ -117,8 +136,8 @@
 def _continue_rollout(snapshot: RolloutSnapshot, row: RolloutRow) -> RolloutRow:
     """Claim the next loads; the rollout is done when no replica differs.
 
-    It is not done while a late order of an earlier driver could still change a replica.
-    A rollout that an earlier driver has finished stays done.
+    It is not done while a late order could still change a replica. A rollout that was
+    finished before stays done.
     """
     if not snapshot.fleet.is_complete(snapshot.plan.target_by_replica):
         return row
@@ -127,7 +146,7 @@
         row = row.changed(
             claims=row.claims + _new_claims(snapshot, row.claims, outdated)
         )
-    may_be_done = snapshot.is_fenced or row.phase == Phase.DONE
+    may_be_done = _may_finish(snapshot) or row.phase == Phase.DONE
     is_done = not row.claims and not outdated and may_be_done
     phase = Phase.DONE if is_done else Phase.RUNNING
     return row.changed(phase=phase, shares_by_model=_shares(snapshot, row))
--- a/fireflyward/rollout/_rollout.py
+++ b/fireflyward/rollout/_rollout.py
@@ -31,11 +31,12 @@
     SendOrder,
     StateAnswered,
     StepReached,
+    TakeNewFencing,
     Tick,
     WriteAnswered,
     WriteRow,
 )
-from ._next_row import RolloutSnapshot, next_row
+from ._next_row import RolloutSnapshot, needs_new_fencing, next_row
 from ._plan import Plan
 from ._progress import Progress, Verdict
 from ._row import LoadClaim, Phase
@@ -84,6 +85,8 @@
         self._watch_until_ms: int | None = None
         self._earlier_orders_arrived_ms = 0
         self._last_lost_order_ms: int | None = None
+        self._has_lost_order = False
+        self._new_fencing_requested_ms: int | None = None
         self._last_write_ms = 0
 
     def decide(self, now_ms: int, message: Message) -> list[Action]:
@@ -191,6 +194,7 @@
 
     @_on_order_answer.register
     def _(self, result: Broken, progress: Progress, now_ms: int) -> list[Action]:
+        self._has_lost_order |= result.may_have_run
         return self._on_order_lost(now_ms, progress.claim.replica, result)
 
     @_on_order_answer.register
@@ -330,8 +334,7 @@
         ):
             return False
         return all(
-            self._is_halting()
-            and progress.ordered_ms is None
+            self._is_halting() and progress.ordered_ms is None
             for progress in self._progress_by_order.values()
             if progress.claim.replica == name
         )
@@ -368,6 +371,7 @@
         first = progress.ordered_ms is None
         progress.ordered_ms = now_ms if first else progress.ordered_ms
         progress.in_flight = True
+        self._has_lost_order |= self._fencing_orders.may_be_late(progress.claim.replica)
         order = _order_of(progress.claim, self._claim.fencing)
         send = SendOrder(progress.claim.replica, order)
         drained = StepReached(RolloutStep.DRAINED, progress.claim.replica)
@@ -384,12 +388,24 @@
                 )
                 if self._watch_until_ms is None:
                     self._watch_until_ms = now_ms + self._limits.watch_ms
-        next_write = next_row(self._snapshot(now_ms, verdicts))
+        snapshot = self._snapshot(now_ms, verdicts)
+        if needs_new_fencing(snapshot):
+            return self._take_new_fencing(now_ms)
+        next_write = next_row(snapshot)
         if next_write is None:
             return []
         row, step = next_write
         return [*actions, self._row_tracker.write(row, step)]
 
+    def _take_new_fencing(self, now_ms: int) -> list[Action]:
+        """Request a new number, again after a while if it has not been assigned."""
+        requested_ms = self._new_fencing_requested_ms
+        if requested_ms is not None:
+            if now_ms - requested_ms < self._limits.new_fencing_retry_ms:
+                return []
+        self._new_fencing_requested_ms = now_ms
+        return [TakeNewFencing()]
+
     def _snapshot(self, now_ms: int, verdicts: dict[str, Verdict]) -> RolloutSnapshot:
         cancellable = {
             order_id: progress.is_cancellable(
@@ -412,6 +428,7 @@
             health_by_version=self._health,
             is_watching=is_watching,
             is_fenced=not self._unfenced(),
+            has_lost_order=self._has_lost_order,
             next_version=self._row_tracker.next_version,
             is_status_due=now_ms - self._last_write_ms
             >= self._limits.status_interval_ms,
--- a/fireflyward/rollout/_task.py
+++ b/fireflyward/rollout/_task.py
@@ -26,6 +26,7 @@
     SendOrder,
     StateAnswered,
     StepReached,
+    TakeNewFencing,
     Tick,
     WriteAnswered,
     WriteRow,
@@ -187,6 +188,14 @@
         self._observe(RolloutStep.ORDER_SENT)
         self._start(self._send_order(action))
 
+    @_perform.register
+    async def _(self, action: TakeNewFencing) -> Message | None:
+        log.info(
+            "rollout: an order with number %d may still arrive, a new number is taken",
+            self._driving_fencing,
+        )
+        self._lease.request_new_fencing()
+
     @_perform.register
     async def _(self, action: StepReached) -> Message | None:
         if action.step is RolloutStep.BEGUN:
