--- a/fireflyward/limits/_account_shares.py
+++ b/fireflyward/limits/_account_shares.py
@@ -2,14 +2,19 @@
 
 import hashlib
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
+from ._account_tally import (
+    EVEN_SHARE,
+    MAX_TALLY_AGE_MS,
+    REPORT_PERIOD_MS,
+    AccountTally,
+    DemandReport,
+    part_by_demand,
+)
 from ._limits_structs import Demand, Tally
 
-_REPORT_PERIOD_MS = 2_000
-_MAX_TALLY_AGE_MS = 6_000
-_EVEN_SHARE = 0.25
 _MAX_ACCOUNTS_PER_PERIOD = 100
 
 
@@ -39,34 +44,30 @@
 
 
 @dataclass(slots=True)
-class _AccountTally:
-    """The last demand that each node reported, with the time of the report."""
+class _Share:
+    """The last answer of an account's owner; an older owner sends no ``part``."""
 
-    since_ms: int
-    demand_by_node: dict[str, tuple[int, int]] = field(default_factory=dict)
+    demand: int
+    total: int = 0
+    part: int | None = None
+    received_ms: int = -MAX_TALLY_AGE_MS
 
-    def total(self, now_ms: int) -> int:
-        fresh = {
-            node: reported
-            for node, reported in self.demand_by_node.items()
-            if now_ms - reported[1] <= _MAX_TALLY_AGE_MS
-        }
-        self.demand_by_node = fresh
-        return sum(demand for demand, _ in fresh.values())
+    def is_valid(self, now_ms: int) -> bool:
+        return now_ms - self.received_ms <= MAX_TALLY_AGE_MS
 
 
 class AccountShares:
     """Divides the limits of accounts by the demand at each node; does no I/O.
 
     A quarter of a limit is divided evenly among the nodes, and three quarters in
-    proportion to the demand at each node. The parts add up to the limit. Every two
-    seconds a node reports its demand to the account's owner, a node chosen by
-    rendezvous hashing, unless the demand is within its part of the even quarter. The
-    owner answers with the total of all nodes.
+    proportion to the demand at each node. Every two seconds a node reports its demand
+    to the account's owner, a node chosen by rendezvous hashing, unless the demand is
+    within its part of the even quarter and it holds no larger part. The owner answers
+    with the part that the node may use (``AccountTally``).
 
-    A total is valid for six seconds, and the nodes need not agree on it: if the owner
-    stops, the node next in rank receives the next reports. A node that receives no
-    totals uses an even part of the whole limit.
+    A part is valid for six seconds, and nothing is agreed upon: if the owner stops, the
+    node next in rank receives the next reports. A node that receives no answers uses an
+    even part of the whole limit.
 
     ``owner_of`` returns the node that sums up the demand of an account.
 
@@ -82,8 +83,8 @@
         "_node_count",
         "_own",
         "_owner_of",
+        "_share_by_hash",
         "_tally_by_hash",
-        "_domain_total_by_hash",
     )
 
     def __init__(self, own: str, *, owner_of: Callable[[str], str]) -> None:
@@ -92,8 +93,8 @@
         self._node_count = 1
         self._next_report_ms = 0
         self._demand_by_account: dict[str, _LocalDemand] = {}
-        self._tally_by_hash: dict[int, _AccountTally] = {}
-        self._domain_total_by_hash: dict[int, tuple[int, int, int]] = {}
+        self._tally_by_hash: dict[int, AccountTally] = {}
+        self._share_by_hash: dict[int, _Share] = {}
 
     def set_nodes(self, nodes: int) -> None:
         """Set the number of live nodes of the domain, including this one."""
@@ -111,13 +112,13 @@
         if local_demand is None:
             local_demand = self._demand_by_account[account] = _LocalDemand(limit)
         local_demand.limit = limit
-        received = self._domain_total_by_hash.get(_hash(account))
-        if received is None or now_ms - received[2] > _MAX_TALLY_AGE_MS:
+        share = self._share_by_hash.get(_hash(account))
+        if share is None or not share.is_valid(now_ms):
             return max(1, limit // self._node_count)
-        own, total, _ = received
-        even = _EVEN_SHARE * limit / self._node_count
-        by_demand = (1.0 - _EVEN_SHARE) * limit * own / max(own, total, 1)
-        return max(1, int(even + by_demand))
+        if share.part is not None:
+            return max(1, min(share.part, limit))
+        part = part_by_demand(limit, self._node_count, share.demand, share.total)
+        return max(1, part)
 
     def on_rejected(self, account: str) -> None:
         """Count a request that the limit rejected, as part of the demand."""
@@ -129,87 +130,129 @@
         """Return the reports of demand to send; not empty only once per period."""
         if now_ms < self._next_report_ms or self._node_count == 1:
             return []
-        self._next_report_ms = now_ms + _REPORT_PERIOD_MS
-        demand_by_account = {
-            account: in_flight(account) + local_demand.rejected
+        self._next_report_ms = now_ms + REPORT_PERIOD_MS
+        report_by_account = {
+            account: DemandReport(
+                in_flight(account) + local_demand.rejected,
+                in_flight(account),
+                local_demand.limit,
+            )
             for account, local_demand in self._demand_by_account.items()
-            if in_flight(account) + local_demand.rejected
-            > _EVEN_SHARE * local_demand.limit / self._node_count
         }
+        self._remove_stale(now_ms)
         self._demand_by_account = {
             account: _LocalDemand(local_demand.limit)
             for account, local_demand in self._demand_by_account.items()
-            if in_flight(account)
+            if in_flight(account) or _hash(account) in self._share_by_hash
         }
-        self._remove_stale(now_ms)
-        return self._report_demands(now_ms, demand_by_account)
+        return self._report_demands(now_ms, report_by_account)
 
     def on_demand(self, now_ms: int, sender: str, message: Any) -> list[SharesAction]:
-        """Record a node's demands and answer with the totals."""
-        if len(message.accounts) != len(message.demands):
-            return []
-        tally = Tally(accounts=[], totals=[])
-        for hashed, demand in zip(message.accounts, message.demands, strict=True):
-            tally_of_account = self._tally_by_hash.setdefault(
-                hashed, _AccountTally(now_ms)
+        """Record a node's demands and answer with the parts that it may use."""
+        tally = Tally(accounts=[], totals=[], parts=[])
+        for hashed, report in _decode_reports(message):
+            tally_of_account = self._tally_by_hash.setdefault(hashed, AccountTally())
+            allotment = tally_of_account.record(
+                now_ms, self._node_count, sender, report
             )
-            tally_of_account.demand_by_node[sender] = max(0, demand), now_ms
-            # A total that does not yet include all nodes would give the first of them
-            # nearly the whole limit, and a flood of requests would start with several
-            # times the limit. After one period every node has reported once.
-            if now_ms - tally_of_account.since_ms >= _REPORT_PERIOD_MS:
+            if allotment is not None:
                 tally.accounts.append(hashed)
-                tally.totals.append(tally_of_account.total(now_ms))
+                tally.totals.append(allotment.total)
+                tally.parts.append(allotment.part)
         return [SendTally(sender, tally)] if tally.accounts else []
 
     def on_tally(self, now_ms: int, message: Any) -> None:
-        """Record the totals received in answer to this node's demands."""
-        for hashed, total in zip(message.accounts, message.totals, strict=False):
-            received = self._domain_total_by_hash.get(hashed)
-            if received is not None:
-                self._domain_total_by_hash[hashed] = received[0], total, now_ms
+        """Record the parts received in answer to this node's demands."""
+        parts = message.parts or [None] * len(message.accounts)
+        answers = zip(message.accounts, message.totals, parts, strict=False)
+        for hashed, total, part in answers:
+            share = self._share_by_hash.get(hashed)
+            if share is not None:
+                share.total, share.part, share.received_ms = total, part, now_ms
 
     def _report_demands(
-        self, now_ms: int, demand_by_account: dict[str, int]
+        self, now_ms: int, report_by_account: dict[str, DemandReport]
     ) -> list[SharesAction]:
         by_owner: dict[str, list[str]] = {}
-        by_demand_descending = sorted(
-            demand_by_account, key=demand_by_account.get, reverse=True
-        )
-        for account in by_demand_descending[:_MAX_ACCOUNTS_PER_PERIOD]:
+        for account in self._accounts_to_report(report_by_account):
             by_owner.setdefault(self._owner_of(account), []).append(account)
         actions: list[SharesAction] = []
         for owner, accounts in by_owner.items():
-            hashes = [_hash(account) for account in accounts]
-            demands = [demand_by_account[account] for account in accounts]
-            for hashed, demand in zip(hashes, demands, strict=True):
-                _, total, received_ms = self._domain_total_by_hash.get(
-                    hashed, (0, 0, -_MAX_TALLY_AGE_MS)
-                )
-                # Until the answer arrives, the last received total is used.
-                self._domain_total_by_hash[hashed] = demand, total, received_ms
-            message = Demand(accounts=hashes, demands=demands)
+            reports = [report_by_account[account] for account in accounts]
+            message = _encode_reports(accounts, reports)
+            # Until the answer arrives, the last received part is used.
+            for hashed, report in zip(message.accounts, reports, strict=True):
+                self._share_by_hash.setdefault(hashed, _Share(0)).demand = report.demand
             if owner == self._own:
                 for answer in self.on_demand(now_ms, self._own, message):
                     self.on_tally(now_ms, answer.tally)
             else:
                 actions.append(SendDemand(owner, message))
+            self._drop_unneeded_shares(accounts, reports)
         return actions
 
+    def _accounts_to_report(
+        self, report_by_account: dict[str, DemandReport]
+    ) -> list[str]:
+        """Return the accounts with demand, and those whose part can be given back."""
+        accounts = [
+            account
+            for account, report in report_by_account.items()
+            if self._needs_part(report) or _hash(account) in self._share_by_hash
+        ]
+        accounts.sort(key=lambda account: -report_by_account[account].demand)
+        return accounts[:_MAX_ACCOUNTS_PER_PERIOD]
+
+    def _needs_part(self, report: DemandReport) -> bool:
+        return report.demand > EVEN_SHARE * report.limit / self._node_count
+
+    def _drop_unneeded_shares(
+        self, accounts: list[str], reports: list[DemandReport]
+    ) -> None:
+        """Stop using parts that the demand does not need; the owner was told."""
+        for account, report in zip(accounts, reports, strict=True):
+            if not self._needs_part(report):
+                self._share_by_hash.pop(_hash(account), None)
+
     def _remove_stale(self, now_ms: int) -> None:
-        """Remove totals and tallies without recent reports, which keeps state small."""
-        self._domain_total_by_hash = {
-            hashed: received
-            for hashed, received in self._domain_total_by_hash.items()
-            if now_ms - received[2] <= _MAX_TALLY_AGE_MS
+        """Remove parts and tallies without recent reports, which keeps state small."""
+        self._share_by_hash = {
+            hashed: share
+            for hashed, share in self._share_by_hash.items()
+            if share.is_valid(now_ms)
         }
         self._tally_by_hash = {
-            hashed: tally_of_account
-            for hashed, tally_of_account in self._tally_by_hash.items()
-            if tally_of_account.total(now_ms)
+            hashed: tally
+            for hashed, tally in self._tally_by_hash.items()
+            if tally.remove_stale(now_ms)
         }
 
 
+def _encode_reports(accounts: list[str], reports: list[DemandReport]) -> Any:
+    return Demand(
+        accounts=[_hash(account) for account in accounts],
+        demands=[report.demand for report in reports],
+        in_flight=[report.in_flight for report in reports],
+        limits=[report.limit for report in reports],
+    )
+
+
+def _decode_reports(message: Any) -> list[tuple[int, DemandReport]]:
+    """Return the reports by the hash of their account; none if the lists differ."""
+    count = len(message.accounts)
+    in_flight = message.in_flight or [0] * count
+    limits = message.limits or [0] * count
+    columns = (message.demands, in_flight, limits)
+    if any(len(column) != count for column in columns):
+        return []
+    rows = zip(message.accounts, *columns, strict=True)
+    return [(row[0], DemandReport(*map(_non_negative, row[1:]))) for row in rows]
+
+
+def _non_negative(value: int) -> int:
+    return max(0, value)
+
+
 def _hash(account: str) -> int:
     digest = hashlib.blake2b(account.encode(), digest_size=4).digest()
     return int.from_bytes(digest, "big", signed=True)
