--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -15,6 +15,7 @@
 from fireflyward.limits import AdmissionGate
 from fireflyward.membership import Member, Membership, MembershipTask
 from fireflyward.observe import Metrics, Tracing
+from fireflyward.peers import new_incarnation
 from fireflyward.routing import Candidate, Router
 from fireflyward.runs import RunIds, RunRecords, Sweeper, finish_detached
 from fireflyward.settings import Settings
@@ -67,7 +68,7 @@
         self.service_by_name: dict[str, PlainService] = {}
         self._retired_ms_by_name: dict[str, int] = {}
         self.port = settings["port"]
-        self.link = self.io.make_link(self.clock.wall_ms())
+        self.link = self.io.make_link(new_incarnation(self.clock))
         self._membership = Membership(self.clock.now_ms(), self._own_member())
         self.members = self._membership.members
         self.guards = Guards(
--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -7,7 +7,7 @@
 from fireflyward.clock import Clock, within_ms
 from fireflyward.deployment import FleetSettings
 from fireflyward.feeds import FeedFollower, Pace, SharedTables, TableUpdate
-from fireflyward.peers import Address, PeerCodec, PeerLink
+from fireflyward.peers import Address, PeerCodec, PeerLink, new_incarnation
 
 from ._paces import nodes_pace
 from ._peers import MAX_LIST_AGE_MS, NODE_TABLE, NodeRegistry, NodeRow
@@ -117,7 +117,7 @@
     async def _open_link(self, codec: PeerCodec) -> None:
         link = PeerLink(
             node_name=self._settings.node,
-            incarnation=self._clock.wall_ms(),
+            incarnation=new_incarnation(self._clock),
             codec=codec,
             host=self._settings.ip,
             port=self._settings.peer_ports[0],
--- a/fireflyward/peers/__init__.py
+++ b/fireflyward/peers/__init__.py
@@ -1,6 +1,7 @@
 """Messages between nodes: Thrift in authenticated frames over UDP and TCP."""
 
 from ._codec import PeerCodec, pack, unpack
+from ._incarnation import new_incarnation
 from ._link import Address, CallFailed, PeerLink
 from ._node_structs import Envelope
 
@@ -10,6 +11,7 @@
     "Envelope",
     "PeerCodec",
     "PeerLink",
+    "new_incarnation",
     "pack",
     "unpack",
 ]
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -4,7 +4,15 @@
 import unittest
 from unittest import mock
 
-from fireflyward.peers import CallFailed, Envelope, PeerCodec, PeerLink, pack
+from fireflyward.clock import ManualClock
+from fireflyward.peers import (
+    CallFailed,
+    Envelope,
+    PeerCodec,
+    PeerLink,
+    new_incarnation,
+    pack,
+)
 
 KEY = b"k" * 16
 LIMIT_S = 30
@@ -143,6 +151,20 @@
         second.send(self.server.address, "k", MESSAGE)
         await self.wait_until(lambda: len(self.received_senders) == 2)
 
+    async def test_call_of_an_instance_that_starts_in_the_same_millisecond(self):
+        """Guards against frames that are dropped as those of an earlier instance.
+
+        Two instances of a node start at the same time of the wall clock. With one
+        incarnation, the sequence numbers of the second one were received before.
+        """
+        clock = ManualClock(wall_offset_ms=1_790_000_000_000)
+        first = await self.start("entry-2", incarnation=new_incarnation(clock))
+        for _ in range(3):
+            self.assertEqual(await self.call(first), MESSAGE)
+        await first.stop()
+        second = await self.start("entry-2", incarnation=new_incarnation(clock))
+        self.assertEqual(await self.call(second), MESSAGE)
+
 
 class CallTests(LinkTestCase):
     async def test_reply_to_another_request_is_not_accepted(self):
