--- a/fireflyward/rollout/_next_row.py
+++ b/fireflyward/rollout/_next_row.py
@@ -84,8 +84,10 @@
 
 
 def _may_finish(snapshot: RolloutSnapshot) -> bool:
-    """Return whether no late order can change a replica that answers."""
-    return snapshot.is_fenced and not snapshot.has_lost_order
+    """Return whether every replica answers and no late order can change one."""
+    fleet, names = snapshot.fleet, snapshot.plan.target_by_replica
+    is_answered = all(fleet.state_of(name) is not None for name in names)
+    return is_answered and snapshot.is_fenced and not snapshot.has_lost_order
 
 
 def _superseding_row(
@@ -136,8 +138,9 @@
 def _continue_rollout(snapshot: RolloutSnapshot, row: RolloutRow) -> RolloutRow:
     """Claim the next loads; the rollout is done when no replica differs.
 
-    It is not done while a late order could still change a replica. A rollout that was
-    finished before stays done.
+    It is not done while a replica does not answer, since its version is unknown, or
+    while a late order could still change one. A rollout that was finished before stays
+    done.
     """
     if not snapshot.fleet.is_complete(snapshot.plan.target_by_replica):
         return row
