--- a/fireflyward/leases/_lease.py
+++ b/fireflyward/leases/_lease.py
@@ -183,6 +183,8 @@
 
     @_on.register
     def _(self, message: WriteAnswered, now_ms: int) -> list[Action]:
+        if not self._is_pending(message):
+            return []
         if isinstance(message.result, Committed):
             (key,) = message.result.version_by_key
             return self._on_write_applied(now_ms, message.result.position_of(key))
@@ -211,6 +213,16 @@
             self._send(now_ms, row, LeaseStep.RELEASE_SENT),
         ]
 
+    def _is_pending(self, message: WriteAnswered) -> bool:
+        """Return whether the outcome of the answered write is not known yet.
+
+        While an answer is late, the row may be read and show the write's outcome.
+        Another write may be pending by the time the answer arrives.
+        """
+        if self._pending is None:
+            return False
+        return message.row is None or message.row == self._pending.row
+
     def _expire(self, now_ms: int) -> list[Action]:
         if self._claim is None or now_ms < self._claim.until_ms:
             return []
--- a/fireflyward/leases/_messages.py
+++ b/fireflyward/leases/_messages.py
@@ -94,9 +94,10 @@
 
 @dataclass(frozen=True, slots=True)
 class WriteAnswered:
-    """The answer to ``WriteRow``."""
+    """The answer to ``WriteRow``; ``row`` is the row that was to be written."""
 
     result: Committed | Conflict | Unavailable | Uncertain
+    row: LeaseRow | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/leases/_task.py
+++ b/fireflyward/leases/_task.py
@@ -228,7 +228,7 @@
         )
         if isinstance(result, Uncertain):
             self._observe(LeaseStep.ANSWER_LOST)
-        return WriteAnswered(result)
+        return WriteAnswered(result, action.row)
 
     @_perform.register
     async def _(self, action: Gained) -> Message | None:
