--- a/fireflyward/rollout/_progress.py
+++ b/fireflyward/rollout/_progress.py
@@ -3,7 +3,7 @@
 import enum
 from dataclasses import dataclass
 
-from fireflyward.upstreams import EngineState
+from fireflyward.upstreams import EngineOrder, EngineState
 
 from ._limits import RolloutLimits
 from ._plan import Target
@@ -37,6 +37,13 @@
         claim = self.claim
         return Target(claim.version_by_model, claim.adapters, claim.role)
 
+    def order(self, fencing: int) -> EngineOrder:
+        """Return the claim's order under a fencing number."""
+        claim = self.claim
+        return EngineOrder(
+            claim.order_id, fencing, claim.version_by_model, claim.adapters, claim.role
+        )
+
     def verdict(
         self,
         now_ms: int,
--- a/fireflyward/rollout/_rollout.py
+++ b/fireflyward/rollout/_rollout.py
@@ -6,7 +6,6 @@
 from fireflyward.leases import Claim
 from fireflyward.upstreams import (
     Broken,
-    EngineOrder,
     EngineState,
     OrderReason,
     OrderRefused,
@@ -37,20 +36,11 @@
     WriteRow,
 )
 from ._next_row import RolloutSnapshot, needs_new_fencing, next_row
-from ._plan import Plan
+from ._plan import Plan, Target
 from ._progress import Progress, Verdict
-from ._row import LoadClaim, Phase
+from ._row import Phase
 from ._row_tracker import RowTracker
-from ._steps import RolloutStep
-
-_STEP_AFTER_WRITE = {
-    RolloutStep.TAKE_OVER_SENT: RolloutStep.TAKEN_OVER,
-    RolloutStep.BEGIN_SENT: RolloutStep.BEGUN,
-    RolloutStep.CLAIM_SENT: RolloutStep.CLAIMED,
-    RolloutStep.ADVANCE_SENT: RolloutStep.ADVANCED,
-    RolloutStep.HOLD_SENT: RolloutStep.HELD,
-    RolloutStep.FINISH_SENT: RolloutStep.FINISHED,
-}
+from ._steps import STEP_AFTER_WRITE, RolloutStep
 
 
 class Rollout:
@@ -79,7 +69,6 @@
         self._row_tracker = RowTracker()
         self._fleet = Fleet(self._limits)
         self._fencing_orders = FencingOrders(fencing=0)
-        self._has_predecessor = False
         self._progress_by_order: dict[str, Progress] = {}
         self._health: dict[tuple[str, str], Health] = {}
         self._watch_until_ms: int | None = None
@@ -248,7 +237,7 @@
         if write.step is RolloutStep.BEGIN_SENT:
             self._watch_until_ms = None
             self._health = {}
-        return [StepReached(_STEP_AFTER_WRITE[write.step])]
+        return [StepReached(STEP_AFTER_WRITE[write.step])]
 
     def _next_actions(self, now_ms: int) -> list[Action]:
         """Compare bundle, row and replicas; return the actions that follow."""
@@ -270,7 +259,7 @@
         if not self._row_tracker.may_write:
             return []
         # A row without a number was never written, so no driver has sent an order.
-        self._has_predecessor = self._row_tracker.row.fencing > 0
+        self._fencing_orders.is_needed = self._row_tracker.row.fencing > 0
         row = self._row_tracker.row.changed(fencing=self._claim.fencing)
         return [self._row_tracker.write(row, RolloutStep.TAKE_OVER_SENT)]
 
@@ -280,7 +269,7 @@
         return [ReadState(name) for name in self._fleet.due(now_ms, names, claimed)]
 
     def _names(self) -> tuple[str, ...]:
-        return tuple(self._plan.target_by_replica) if self._plan else ()
+        return tuple(self._targets())
 
     def _verdicts(self, now_ms: int) -> dict[str, Verdict]:
         return {
@@ -296,49 +285,26 @@
         }
 
     def _fencing_actions(self) -> list[Action]:
-        """Order replicas to raise their fencing numbers, a limited number at a time."""
-        free = self._limits.fencing_orders_at_once - self._fencing_orders.in_flight
-        actions: list[Action] = []
-        for name in self._unfenced():
-            if len(actions) >= free:
-                break
-            if self._may_send_fencing_order(name):
-                order = self._fencing_orders.send(name, self._fleet.state_of(name))
-                actions.append(SendOrder(name, order))
-        return actions
+        """Raise the fencing numbers of replicas that this driver does not order.
 
-    def _unfenced(self) -> list[str]:
-        """Return the replicas that may still execute an earlier driver's order."""
-        if not self._has_predecessor or self._plan is None:
-            return []
-        names = []
-        for name, target in self._plan.target_by_replica.items():
-            state = self._fleet.state_of(name)
-            if state is None or not target.honours_fencing:
-                continue
-            if not self._fencing_orders.is_raised(name, state):
-                names.append(name)
-        return names
-
-    def _may_send_fencing_order(self, name: str) -> bool:
-        """Return whether the order cannot interfere with a load.
-
-        A replica whose claim this driver has ordered, or will order, gets this driver's
-        number with that order.
+        A replica whose claim this driver has ordered, or will order, gets the number
+        with that order.
         """
-        state = self._fleet.state_of(name)
-        if state.loading or self._fencing_orders.is_in_flight(name):
-            return False
-        if not self._fleet.requested_since(
-            name, self._fencing_orders.answered_ms(name)
-        ):
-            return False
-        return all(
-            self._is_halting() and progress.ordered_ms is None
+        reserved = {
+            progress.claim.replica
             for progress in self._progress_by_order.values()
-            if progress.claim.replica == name
+            if progress.ordered_ms is not None or not self._is_halting()
+        }
+        return self._fencing_orders.due(
+            self._targets(),
+            self._fleet,
+            reserved=reserved,
+            at_once=self._limits.fencing_orders_at_once,
         )
 
+    def _targets(self) -> dict[str, Target]:
+        return self._plan.target_by_replica if self._plan else {}
+
     def _order_actions(self, now_ms: int, verdicts: dict[str, Verdict]) -> list[Action]:
         actions: list[Action] = []
         for order_id, verdict in verdicts.items():
@@ -350,8 +316,7 @@
     def _may_order(self, now_ms: int, progress: Progress) -> bool:
         if self._fencing_orders.is_in_flight(progress.claim.replica):
             return False
-        targets = self._plan.target_by_replica if self._plan else {}
-        target = targets.get(progress.claim.replica)
+        target = self._targets().get(progress.claim.replica)
         honours_fencing = target is not None and target.honours_fencing
         if now_ms < self._earlier_orders_arrived_ms and not honours_fencing:
             return False
@@ -372,7 +337,7 @@
         progress.ordered_ms = now_ms if first else progress.ordered_ms
         progress.in_flight = True
         self._has_lost_order |= self._fencing_orders.may_be_late(progress.claim.replica)
-        order = _order_of(progress.claim, self._claim.fencing)
+        order = progress.order(self._claim.fencing)
         send = SendOrder(progress.claim.replica, order)
         drained = StepReached(RolloutStep.DRAINED, progress.claim.replica)
         return [drained, send] if first else [send]
@@ -427,15 +392,9 @@
             cancellable_by_order=cancellable,
             health_by_version=self._health,
             is_watching=is_watching,
-            is_fenced=not self._unfenced(),
+            is_fenced=not self._fencing_orders.unfenced(self._targets(), self._fleet),
             has_lost_order=self._has_lost_order,
             next_version=self._row_tracker.next_version,
             is_status_due=now_ms - self._last_write_ms
             >= self._limits.status_interval_ms,
         )
-
-
-def _order_of(claim: LoadClaim, fencing: int) -> EngineOrder:
-    return EngineOrder(
-        claim.order_id, fencing, claim.version_by_model, claim.adapters, claim.role
-    )
--- a/fireflyward/rollout/_steps.py
+++ b/fireflyward/rollout/_steps.py
@@ -25,3 +25,13 @@
     HELD = "rollout: held"
     FINISH_SENT = "rollout: finish sent"
     FINISHED = "rollout: finished"
+
+
+STEP_AFTER_WRITE = {
+    RolloutStep.TAKE_OVER_SENT: RolloutStep.TAKEN_OVER,
+    RolloutStep.BEGIN_SENT: RolloutStep.BEGUN,
+    RolloutStep.CLAIM_SENT: RolloutStep.CLAIMED,
+    RolloutStep.ADVANCE_SENT: RolloutStep.ADVANCED,
+    RolloutStep.HOLD_SENT: RolloutStep.HELD,
+    RolloutStep.FINISH_SENT: RolloutStep.FINISHED,
+}
