--- a/fireflyward/limits/_account_shares.py
+++ b/fireflyward/limits/_account_shares.py
@@ -50,7 +50,7 @@
     demand: int
     total: int = 0
     part: int | None = None
-    received_ms: int = -MAX_TALLY_AGE_MS
+    received_ms: int = -MAX_TALLY_AGE_MS - 1
 
     def is_valid(self, now_ms: int) -> bool:
         return now_ms - self.received_ms <= MAX_TALLY_AGE_MS
