--- a/fireflyward/limits/_account_tally.py
+++ b/fireflyward/limits/_account_tally.py
@@ -82,11 +82,11 @@
     def record(
         self, now_ms: int, node_count: int, node: str, report: DemandReport
     ) -> Allotment | None:
-        """Record a node's report; return its allotment, or None while reports lack.
+        """Record a node's report; return its allotment, or None if none can be made.
 
         A total that does not yet include all nodes would give the first of them nearly
-        the whole limit. One period after the first report, and after the first one that
-        follows a time without reports, every node has reported once.
+        the whole limit. So nothing is allotted within one period after the first report,
+        or after the first one that follows a pause; then every node has reported once.
         """
         self.remove_stale(now_ms)
         if not self._has_recent_report(now_ms):
