--- a/tests/rollout/test_fencing_orders.py
+++ b/tests/rollout/test_fencing_orders.py
@@ -170,18 +170,36 @@
 
     async def test_claimed_replica_gets_no_fencing_order_beside_its_load_order(self):
         """Guards against an order that repeats the state from before a claimed load."""
+        simulation = await self.start_successor_of_a_claim()
+        await simulation.finish()
+        self.assertLessEqual(max(simulation.loads.values()), 1)
+
+    async def test_ordered_claim_of_a_replaced_bundle_gets_no_fencing_order(self):
+        """Guards against the same after a newer bundle has stopped the rollout."""
+        simulation = await self.start_successor_of_a_claim()
+        while not any(engine.send_count for engine in self.engines_of(simulation)):
+            await simulation.run(250)
+        simulation.accept(3, "v2")
+        await simulation.finish()
+        await simulation.run(10_000)
+        self.assertLessEqual(max(simulation.loads.values()), 1)
+
+    async def start_successor_of_a_claim(self):
+        """Replace the driver after it has claimed replicas and before it orders them."""
         simulation = self.make_simulation()
         driver = await self.begin(simulation)
         while not simulation.row.claims:
             await simulation.run(250)
         await driver.stop()
-        for engine in simulation.fleet.engine_by_name.values():
+        for engine in self.engines_of(simulation):
             engine.orders.loads = 0
             self.drop_first_fencing_order(engine)
         self.delay_orders(simulation, fencing_ms=3_000, load_ms=1_000)
         simulation.add_driver("b")
-        await simulation.finish()
-        self.assertLessEqual(max(simulation.loads.values()), 1)
+        return simulation
+
+    def engines_of(self, simulation):
+        return simulation.fleet.engine_by_name.values()
 
     def drop_first_fencing_order(self, engine):
         send_order, dropped = engine.send_order, []
@@ -195,11 +213,13 @@
         engine.send_order = send
 
     def delay_orders(self, simulation, *, fencing_ms, load_ms=0):
-        for engine in simulation.fleet.engine_by_name.values():
+        for engine in self.engines_of(simulation):
             send_order = engine.send_order
+            engine.send_count = 0
 
-            async def send_late(order, send_order=send_order):
+            async def send_late(order, engine=engine, send_order=send_order):
                 is_fencing = order.order_id.startswith("fencing.")
+                engine.send_count += not is_fencing
                 await simulation.clock.sleep_ms(fencing_ms if is_fencing else load_ms)
                 return await send_order(order)
 
