--- a/tests/rollout/test_fencing_orders.py
+++ b/tests/rollout/test_fencing_orders.py
@@ -185,7 +185,7 @@
         self.assertLessEqual(max(simulation.loads.values()), 1)
 
     async def start_successor_of_a_claim(self):
-        """Replace the driver after it has claimed replicas and before it orders them."""
+        """Replace the driver after its first claims and before it orders them."""
         simulation = self.make_simulation()
         driver = await self.begin(simulation)
         while not simulation.row.claims:
