--- a/fireflyward/limits/_account_tally.py
+++ b/fireflyward/limits/_account_tally.py
@@ -85,8 +85,8 @@
         """Record a node's report; return its allotment, or None if none can be made.
 
         A total that does not yet include all nodes would give the first of them nearly
-        the whole limit. So nothing is allotted within one period after the first report,
-        or after the first one that follows a pause; then every node has reported once.
+        the whole limit. So nothing is allotted within one period after the first
+        report, or the first one that follows a pause; then all nodes have reported.
         """
         self.remove_stale(now_ms)
         if not self._has_recent_report(now_ms):
