Replicas: cost terms and a candidate filter; requests log the longest pause of their stream

The chooser's cost was one function, so a further reason to prefer or avoid a replica could only be added inside it. Cost terms and one filter can now be passed in; requirements and load estimates have a module of their own. The stream's longest pause is logged, since on the two new deployments most late streams are late by a pause and not by their first event.

No policy changes: the order of calls and all costs are the same. Tests of replicas (20), forwarding (49) and fleet (143) pass.

--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -61,6 +61,7 @@
         "_is_stream",
         "_notices",
         "_on_first_data",
+        "_on_pause",
         "_pool",
         "_progress",
         "_replica",
@@ -83,6 +84,7 @@
         progress: StreamProgress,
         reply: Reply,
         on_first_data: Callable[[], None],
+        on_pause: Callable[[float], None],
     ) -> None:
         self._connection = connection
         self._clock = clock
@@ -95,6 +97,7 @@
         self._progress = progress
         self._reply = reply
         self._on_first_data = on_first_data
+        self._on_pause = on_pause
         self._sent_ms = clock.now_ms()
 
     async def read(self) -> SendResult | NotRunThere:
@@ -171,13 +174,16 @@
 
     async def _forward_stream(self, head: Head) -> Streamed | Failed:
         splitter = EventSplitter()
-        is_first = True
+        last_part_ms: int | None = None
         while not isinstance(event := await self._next_event(), End):
             if not isinstance(event, BodyPart):
                 return self._on_incomplete(event)
-            if is_first:
-                is_first = False
+            now_ms = self._clock.now_ms()
+            if last_part_ms is None:
                 self._on_first_data()
+            else:
+                self._on_pause(now_ms - last_part_ms)
+            last_part_ms = now_ms
             await self._forward_events(head, splitter.feed(event.data))
         if splitter.incomplete:
             return self._fail("stream ended within an event")
--- a/fireflyward/forwarding/_prompt_requirements.py
+++ b/fireflyward/forwarding/_prompt_requirements.py
@@ -49,6 +49,7 @@
             model=caller.model,
             version=version,
             least_version=self._weights.min_version(now_ms, caller.model),
+            pause_ms=self._allowed.route.pause_ms,
         )
 
     def plan_kv(self, now_ms: int, choice: Choice) -> tuple[str | None, KvPlan]:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -300,6 +300,7 @@
             progress=self._progress,
             reply=self._reply,
             on_first_data=on_first_data,
+            on_pause=self._trace.on_pause,
         )
 
     def _on_rejected(self, choice: Choice, facts: ResponseFacts) -> Rejected:
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -12,9 +12,10 @@
 class Trace:
     """The decisions of a node on one request, for the request's log line.
 
-    Three fields belong to the last send: ``queue_ms`` is the estimated wait at its
+    Four fields belong to the last send: ``queue_ms`` is the estimated wait at its
     replica, ``expected_ms`` the estimated time to its first token, and
-    ``first_token_ms`` the measured time from the send to the first token. ``earlier``
+    ``first_token_ms`` the measured time from the send to the first token, and
+    ``longest_pause_ms`` the longest time between two parts of the stream. ``earlier``
     lists the results of the sends before it. ``waits_late`` is set if the request is
     late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
     requests with the same content.
@@ -27,6 +28,7 @@
         "expected_ms",
         "fingerprint",
         "first_token_ms",
+        "longest_pause_ms",
         "queue_ms",
         "replica",
         "route",
@@ -51,6 +53,7 @@
         self.queue_ms = 0
         self.expected_ms = 0
         self.first_token_ms = 0
+        self.longest_pause_ms = 0
         self.stored_tokens = 0
 
     def on_choice(self, choice: Choice) -> None:
@@ -60,6 +63,10 @@
         self.queue_ms = int(choice.queue_ms)
         self.expected_ms = int(choice.first_token_ms)
 
+    def on_pause(self, pause_ms: float) -> None:
+        """Record the time between two parts of the stream."""
+        self.longest_pause_ms = max(self.longest_pause_ms, int(pause_ms))
+
     def on_retry(self, request_id: str, result: SendResult, left_ms: float) -> None:
         """Record the result of a send that is followed by another, and log it."""
         name, detail = type(result).__name__, _detail(result)
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -1,14 +1,17 @@
 """Choice of a replica for one request, by estimated cost."""
 
 import random
+from collections.abc import Sequence
 from dataclasses import dataclass, replace
 
 from fireflyward.rendezvous import rendezvous_rank
 
 from ._cold import ColdShares
+from ._cost_terms import CandidateFilter, CostTerm
 from ._directory import ReplicaDirectory
 from ._in_flight_load import PeerLoad
 from ._rate_limits import RateLimits
+from ._requirements import LoadEstimate, Requirements
 from ._state import FIRST_EVENT_MS, ReplicaState
 
 # Each cost below is how many milliseconds of extra waiting the chooser accepts in order
@@ -53,29 +56,6 @@
 _NOT_PREFERRED_MS = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class Requirements:
-    """What a request requires of a replica.
-
-    ``prefix_key`` identifies the part of the prompt that it shares with other requests,
-    ``prefix_tokens`` is how many tokens of that part are in no store, and
-    ``new_tokens`` is how many tokens any replica has to prefill. ``tokens`` is how many
-    tokens the request occupies in KV memory when it finishes; a replica has room for
-    ``kv_tokens``. ``version`` is the newest version of the weights and
-    ``least_version`` the oldest one that may serve the request.
-    """
-
-    service: str
-    prefix_key: str = ""
-    prefix_tokens: int = 0
-    new_tokens: int = 0
-    tokens: int = 0
-    kv_tokens: int = 0
-    model: str = ""
-    version: int | None = None
-    least_version: int = 0
-
-
 @dataclass(frozen=True, slots=True)
 class Choice:
     """A replica, its assumed weights, and which replica may have the prefix in memory.
@@ -95,24 +75,6 @@
     slots: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class _Load:
-    """Load of one replica from all nodes, and how long the next request waits for it.
-
-    ``queue_ms`` is the prefill time of the prompts before it, ``memory_ms`` the time
-    until enough KV memory is free, and ``slot_ms`` the time until a slot is free.
-    """
-
-    requests: float
-    queue_ms: float
-    memory_ms: float
-    slot_ms: float
-
-    @property
-    def wait_ms(self) -> float:
-        return self.queue_ms + self.memory_ms + self.slot_ms
-
-
 class Chooser:
     """Compares the replicas of a service and chooses one for each request; no I/O.
 
@@ -123,7 +85,9 @@
     """
 
     __slots__ = (
+        "_candidate_filter",
         "_cold_shares",
+        "_cost_terms",
         "_directory",
         "_failure_domain",
         "_peers",
@@ -139,8 +103,12 @@
         peers: PeerLoad | None = None,
         cold_shares: ColdShares | None = None,
         rate_limits: RateLimits | None = None,
+        cost_terms: Sequence[CostTerm] = (),
+        candidate_filter: CandidateFilter | None = None,
         seed: int | None = None,
     ) -> None:
+        self._cost_terms = tuple(cost_terms)
+        self._candidate_filter = candidate_filter
         self._cold_shares = cold_shares or ColdShares("")
         self._rate_limits = rate_limits or RateLimits("")
         self._peers = peers or PeerLoad()
@@ -205,6 +173,9 @@
         others. The best of a small random sample is never far from the best replica,
         and sampling spreads the requests that no report contains yet.
         """
+        if self._candidate_filter is not None:
+            filtered = self._candidate_filter.filter(now_ms, available, requirements)
+            available = filtered or available
         if len(available) <= _MAX_WITHOUT_SAMPLING:
             return available
         # Replicas with a low limit are sampled separately. This list holds only the
@@ -278,7 +249,7 @@
         self,
         now_ms: int,
         chosen: ReplicaState,
-        load: _Load,
+        load: LoadEstimate,
         requirements: Requirements,
         preferred: ReplicaState | None,
     ) -> Choice:
@@ -302,7 +273,7 @@
 
     def _load(
         self, now_ms: int, state: ReplicaState, requirements: Requirements
-    ) -> _Load:
+    ) -> LoadEstimate:
         """Return the load of a replica from all nodes.
 
         The other nodes report their requests, and a replica reports the total in its
@@ -312,7 +283,7 @@
         requests = state.in_flight + max(
             other_nodes.requests, state.other_requests(now_ms)
         )
-        return _Load(
+        return LoadEstimate(
             requests,
             _prefill_ms(state, state.unprefilled_tokens + other_nodes.unprefilled),
             _memory_ms(state.resident_tokens + other_nodes.resident, requirements),
@@ -341,7 +312,7 @@
         self,
         now_ms: int,
         state: ReplicaState,
-        load: _Load,
+        load: LoadEstimate,
         requirements: Requirements,
         preferred: ReplicaState | None,
         median_failed_share: float,
@@ -370,7 +341,9 @@
         version = state.version_by_model.get(requirements.model)
         if requirements.version is not None and version != requirements.version:
             cost_ms += _OLD_WEIGHTS_MS
-        return cost_ms
+        return cost_ms + sum(
+            term.cost_ms(now_ms, state, load, requirements) for term in self._cost_terms
+        )
 
 
 def _is_limited(now_ms: int, state: ReplicaState) -> bool:
--- /dev/null
+++ b/fireflyward/replicas/_requirements.py
@@ -0,0 +1,47 @@
+"""What a request requires of a replica, and how loaded a replica is."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Requirements:
+    """What a request requires of a replica.
+
+    ``prefix_key`` identifies the part of the prompt that it shares with other requests,
+    ``prefix_tokens`` is how many tokens of that part are in no store, and
+    ``new_tokens`` is how many tokens any replica has to prefill. ``tokens`` is how many
+    tokens the request occupies in KV memory when it finishes; a replica has room for
+    ``kv_tokens``. ``version`` is the newest version of the weights and
+    ``least_version`` the oldest one that may serve the request. ``pause_ms`` is the
+    route's target for the longest pause between two events of a stream, 0 if the route
+    has none.
+    """
+
+    service: str
+    prefix_key: str = ""
+    prefix_tokens: int = 0
+    new_tokens: int = 0
+    tokens: int = 0
+    kv_tokens: int = 0
+    model: str = ""
+    version: int | None = None
+    least_version: int = 0
+    pause_ms: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadEstimate:
+    """Load of one replica from all nodes, and how long the next request waits for it.
+
+    ``queue_ms`` is the prefill time of the prompts before it, ``memory_ms`` the time
+    until enough KV memory is free, and ``slot_ms`` the time until a slot is free.
+    """
+
+    requests: float
+    queue_ms: float
+    memory_ms: float
+    slot_ms: float
+
+    @property
+    def wait_ms(self) -> float:
+        return self.queue_ms + self.memory_ms + self.slot_ms
