Replicas' reported speed: decoded, announced between nodes, and used in the choice

Every load report of a deployment whose replicas report a fourth figure was dropped, and streams missed their pause target on replicas in a slow phase. Reports of three or four figures are decoded strictly. Nodes announce changes to each other, over the aggregators where there are many nodes. Expected times are multiplied by the factor until the figure expires, and a cost term keeps large prompts off slow replicas where the learnt pauses would miss the target.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -311,6 +311,7 @@
             gate=self._quarantine,
             reach=self._replica_components.reach,
             notices=self._replica_components.notices,
+            speeds=self._replica_components.speeds,
         )
 
     def _make_lease(self) -> LeaseTask:
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -17,6 +17,7 @@
     RateLimits,
     ReplicaDirectory,
 )
+from fireflyward.speeds import PauseTerm, PauseTimes, SpeedTask
 
 
 class ReplicaComponents:
@@ -44,12 +45,15 @@
         )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
+        pauses = PauseTimes()
+        self.pause_term = PauseTerm(pauses)
         self.chooser = Chooser(
             self.directory,
             failure_domain=settings.failure_domain,
             peers=peer_load,
             cold_shares=self.cold_shares,
             rate_limits=self.rate_limits,
+            cost_terms=(self.pause_term,),
         )
         self.reach = ReachTask(
             clock=clock,
@@ -60,6 +64,12 @@
         self.notices = NoticeTask(
             clock=clock, directory=self.directory, peers=aggregators.all_addresses
         )
+        self.speeds = SpeedTask(
+            clock=clock,
+            directory=self.directory,
+            aggregators=aggregators,
+            pauses=pauses,
+        )
 
     def set_nodes(self, names: Collection[str]) -> None:
         """Set the names of all nodes, which share the limits of the replicas."""
@@ -70,6 +80,7 @@
         """Send and receive messages over a link from now on."""
         self.reach.use(link)
         self.notices.use(link)
+        self.speeds.use(link)
 
     def gauges(self) -> dict[str, int]:
         """Return how many replicas there are, and how many get fewer or no requests."""
@@ -84,6 +95,12 @@
                 x.limit.per_second is not None for x in backpressures
             ),
             "resting_replicas": sum(x.backoff_ms(now_ms) > 0 for x in backpressures),
+            "slow_replicas": sum(state.speed.factor(now_ms) > 1.0 for state in states),
+            "slow_replica_costs_total": self.pause_term.raised,
+            "speed_reports_unreadable_total": self.speeds.unreadable,
+            "speed_changes_sent_total": self.speeds.announced,
+            "speed_changes_received_total": self.speeds.received,
+            "speed_changes_expired_total": self.speeds.expired,
             "evacuated_failure_domains": len(self.directory.evacuated),
             "unreachable_failure_domains": len(self.directory.unreachable),
         }
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -54,6 +54,26 @@
     ) -> None: ...
 
 
+class Speeds(Protocol):
+    """Receives the speeds of replicas from responses; see ``speeds.SpeedTask``."""
+
+    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None: ...
+
+    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None: ...
+
+
+class NoSpeeds:
+    """Ignores the speeds of replicas."""
+
+    __slots__ = ()
+
+    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None:
+        """Ignore a response."""
+
+    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None:
+        """Ignore a pause."""
+
+
 @dataclass(frozen=True, slots=True)
 class Dependencies:
     """The components that all requests of a node share."""
@@ -70,3 +90,4 @@
     gate: QuarantineGate
     reach: Reach
     notices: Notices
+    speeds: Speeds
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -15,7 +15,7 @@
 from fireflyward.platform import ResponseFacts, decode_response
 from fireflyward.replicas import ReplicaState
 
-from ._dependencies import Notices
+from ._dependencies import Notices, Speeds
 from ._events import EventSplitter, StreamEvent
 from ._messages import Failed, NotRunThere, SendResult, Streamed, WholeAnswer
 
@@ -68,6 +68,7 @@
         "_reply",
         "_request_id",
         "_sent_ms",
+        "_speeds",
     )
 
     def __init__(
@@ -78,6 +79,7 @@
         pool: ConnectionPool,
         replica: ReplicaState,
         notices: Notices,
+        speeds: Speeds,
         request_id: str,
         due_ms: float,
         is_stream: bool,
@@ -91,6 +93,7 @@
         self._pool = pool
         self._replica = replica
         self._notices = notices
+        self._speeds = speeds
         self._request_id = request_id
         self._due_ms = due_ms
         self._is_stream = is_stream
@@ -110,6 +113,7 @@
         if problem:
             return self._fail(problem)
         self._notices.on_response(self._replica, facts, sent_ms=self._sent_ms)
+        self._speeds.on_response(self._replica, facts)
         if facts.load is not None:
             total = facts.load.running + facts.load.waiting
             self._replica.on_load(self._clock.now_ms(), total)
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -11,7 +11,14 @@
 
 from ._admission import Admission
 from ._caller_times import CallerTimes
-from ._dependencies import Dependencies, Notices, QuarantineGate, Reach
+from ._dependencies import (
+    Dependencies,
+    NoSpeeds,
+    Notices,
+    QuarantineGate,
+    Reach,
+    Speeds,
+)
 from ._exchange import Reply
 from ._late_limit import LateRequestLimit
 from ._request_run import RequestRun
@@ -42,6 +49,7 @@
         gate: QuarantineGate,
         reach: Reach,
         notices: Notices,
+        speeds: Speeds | None = None,
         admission: Admission | None = None,
     ) -> None:
         self._deps = Dependencies(
@@ -57,6 +65,7 @@
             gate=gate,
             reach=reach,
             notices=notices,
+            speeds=speeds or NoSpeeds(),
         )
 
     def set_nodes(self, nodes: int) -> None:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -198,16 +198,17 @@
     def _admit(self, choice: Choice, left_ms: float) -> NotRun | None:
         """Reject a first send that would be late, unless it may wait for a slot.
 
-        This method also records whether the request is late and whether it waits.
+        This method also records whether the request is late and whether it waits. A
+        slow phase of a replica alone is no reason to reject: it may end at any moment.
         """
         if not self._caller.model or self._plan.may_have_run:
             return None
         estimate = LatencyEstimate(
-            choice.queue_ms,
-            choice.first_token_ms,
+            choice.queue_ms / choice.work_factor,
+            choice.first_token_ms / choice.work_factor,
             self._objective_ms - self._clock.now_ms(),
             left_ms,
-            choice.slot_ms,
+            choice.slot_ms / choice.work_factor,
         )
         admission = self._deps.admission
         self._is_late = admission.is_late(estimate)
@@ -288,19 +289,24 @@
             self._stop_late_wait(choice.replica)
             self._record_first_token(choice)
 
+        def on_pause(pause_ms: float) -> None:
+            self._trace.on_pause(pause_ms)
+            self._deps.speeds.on_pause(choice.replica, pause_ms)
+
         return Exchange(
             connection,
             clock=self._clock,
             pool=self._deps.pool,
             replica=choice.replica,
             notices=self._deps.notices,
+            speeds=self._deps.speeds,
             request_id=self._caller.request_id,
             due_ms=self._due_ms,
             is_stream=self._allowed.route.kind is RouteKind.STREAM,
             progress=self._progress,
             reply=self._reply,
             on_first_data=on_first_data,
-            on_pause=self._trace.on_pause,
+            on_pause=on_pause,
         )
 
     def _on_rejected(self, choice: Choice, facts: ResponseFacts) -> Rejected:
@@ -372,9 +378,7 @@
         if self._caller.model:
             took_ms = self._clock.now_ms() - self._sent_ms
             self._trace.first_token_ms = took_ms
-            choice.replica.on_first_token(
-                expected_ms=choice.first_token_ms, took_ms=took_ms
-            )
+            choice.on_first_token(self._clock.now_ms(), took_ms)
 
     def _left_ms(self) -> float:
         return self._due_ms - self._clock.now_ms()
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -12,13 +12,14 @@
 class Trace:
     """The decisions of a node on one request, for the request's log line.
 
-    Four fields belong to the last send: ``queue_ms`` is the estimated wait at its
+    These fields belong to the last send: ``queue_ms`` is the estimated wait at its
     replica, ``expected_ms`` the estimated time to its first token, and
     ``first_token_ms`` the measured time from the send to the first token, and
     ``longest_pause_ms`` the longest time between two parts of the stream. ``earlier``
     lists the results of the sends before it. ``waits_late`` is set if the request is
     late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
-    requests with the same content.
+    requests with the same content. ``work_percent`` is the speed that the replica
+    had reported, ``work_percent_age_ms`` before the choice.
     """
 
     __slots__ = (
@@ -37,6 +38,8 @@
         "stored_tokens",
         "waits_late",
         "weights",
+        "work_percent",
+        "work_percent_age_ms",
     )
 
     def __init__(self) -> None:
@@ -55,6 +58,8 @@
         self.first_token_ms = 0
         self.longest_pause_ms = 0
         self.stored_tokens = 0
+        self.work_percent: int | None = None
+        self.work_percent_age_ms = 0
 
     def on_choice(self, choice: Choice) -> None:
         """Record which replica was chosen for a send, and its estimated times."""
@@ -62,6 +67,8 @@
         self.weights = choice.weights
         self.queue_ms = int(choice.queue_ms)
         self.expected_ms = int(choice.first_token_ms)
+        self.work_percent = choice.speed.percent
+        self.work_percent_age_ms = choice.speed.age_ms
 
     def on_pause(self, pause_ms: float) -> None:
         """Record the time between two parts of the stream."""
--- a/fireflyward/platform/_requests.py
+++ b/fireflyward/platform/_requests.py
@@ -7,7 +7,7 @@
 from fireflyward.http1 import Head
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 
-from ._notices import ReplicaNotices, decode_notices
+from ._notices import InvalidHeader, ReplicaNotices, decode_notices
 
 _REQUEST_ID = "x-request-id"
 _DEADLINE = "x-deadline-ms"
@@ -21,8 +21,10 @@
 _LENGTH_HINT = "x-length-hint"
 _SIGNATURE = "x-server-seal"
 _NOT_EXECUTED = "x-not-executed"
-# Running requests, waiting requests, slots.
+# Running requests, waiting requests, slots, and optionally how long work takes on the
+# replica's machine at this moment, in percent of the usual time.
 _LOAD = "x-server-load"
+_MAX_LOAD_DIGITS = 9
 _WEIGHTS = "x-weight-versions"
 _ENCODING = "content-encoding"
 _INCARNATION = "x-instance-id"
@@ -147,16 +149,24 @@
 
 @dataclass(frozen=True, slots=True)
 class ReplicaLoad:
-    """Numbers of running and of waiting requests of a replica, and of its slots."""
+    """Numbers of running and of waiting requests of a replica, and of its slots.
+
+    ``work_percent`` is how long work takes on it now, 100 for the usual time, and None
+    if the replica does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    work_percent: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class ResponseFacts:
-    """Facts about a response and its replica, taken from the response headers."""
+    """Facts about a response and its replica, taken from the response headers.
+
+    ``invalid_load`` is a load report that cannot be decoded.
+    """
 
     request_id: str | None
     is_signed: bool
@@ -164,6 +174,7 @@
     is_other_replica: bool
     is_encoded: bool
     load: ReplicaLoad | None = None
+    invalid_load: InvalidHeader | None = None
     weights: int | None = None
     incarnation: str | None = None
     notices: ReplicaNotices = ReplicaNotices()
@@ -220,13 +231,15 @@
 def decode_response(head: Head) -> ResponseFacts:
     """Return the facts that a response's headers contain."""
     weights = head.get(_WEIGHTS)
+    load = _load(head.get(_LOAD))
     return ResponseFacts(
         request_id=head.get(_REQUEST_ID),
         is_signed=head.get(_SIGNATURE) is not None,
         was_not_run=head.get(_NOT_EXECUTED) is not None or head.status == _MISDIRECTED,
         is_other_replica=head.status == _MISDIRECTED,
         is_encoded=head.get(_ENCODING) is not None,
-        load=_load(head.get(_LOAD)),
+        load=load if isinstance(load, ReplicaLoad) else None,
+        invalid_load=load if isinstance(load, InvalidHeader) else None,
         weights=int(weights) if weights and weights.isdigit() else None,
         incarnation=head.get(_INCARNATION),
         notices=decode_notices(head),
@@ -330,8 +343,20 @@
     return tuple(parts)
 
 
-def _load(value: str | None) -> ReplicaLoad | None:
-    numbers = (value or "").split(",")
-    if len(numbers) != 3 or not all(item.strip().isdigit() for item in numbers):
+def _load(value: str | None) -> ReplicaLoad | InvalidHeader | None:
+    """Decode a load report of three or four numbers; the fourth is positive.
+
+    >>> _load("3,1,8"), _load("3,1,8,250").work_percent
+    (ReplicaLoad(running=3, waiting=1, slots=8, work_percent=None), 250)
+    """
+    if value is None:
         return None
-    return ReplicaLoad(*(int(item) for item in numbers))
+    items = [item.strip() for item in value.split(",")]
+    if len(items) not in (3, 4) or not all(map(_is_load_number, items)):
+        return InvalidHeader(_LOAD, value)
+    load = ReplicaLoad(*map(int, items))
+    return load if load.work_percent != 0 else InvalidHeader(_LOAD, value)
+
+
+def _is_load_number(item: str) -> bool:
+    return item.isascii() and item.isdigit() and len(item) <= _MAX_LOAD_DIGITS
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -1,6 +1,7 @@
 """The known replicas, their load, and the choice of one for each request."""
 
-from ._chooser import Choice, Chooser
+from ._choice import Choice
+from ._chooser import Chooser
 from ._cold import ColdShares
 from ._cost_terms import CandidateFilter, CostTerm
 from ._directory import ReplicaDirectory
@@ -8,9 +9,11 @@
 from ._load_reports import LoadReportTask
 from ._rate_limits import RateLimits
 from ._requirements import LoadEstimate, Requirements
+from ._speed import SPEED_EXPIRY_MS, ReplicaSpeed, SpeedReading
 from ._state import ReplicaState
 
 __all__ = [
+    "SPEED_EXPIRY_MS",
     "CandidateFilter",
     "Choice",
     "Chooser",
@@ -19,9 +22,11 @@
     "PeerLoad",
     "RateLimits",
     "ReplicaDirectory",
+    "ReplicaSpeed",
     "ReplicaState",
     "InFlightLoad",
     "LoadEstimate",
     "LoadReportTask",
     "Requirements",
+    "SpeedReading",
 ]
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -2,10 +2,11 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from fireflyward.rendezvous import rendezvous_rank
 
+from ._choice import Choice
 from ._cold import ColdShares
 from ._cost_terms import CandidateFilter, CostTerm
 from ._directory import ReplicaDirectory
@@ -56,25 +57,6 @@
 _NOT_PREFERRED_MS = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """A replica, its assumed weights, and which replica may have the prefix in memory.
-
-    ``queue_ms`` is how long this request waits at the replica, ``first_token_ms`` adds
-    the prefill of its own prompt. ``slot_ms`` is the part of ``queue_ms`` that is spent
-    waiting for a free slot; ``slots`` is the sum over all replicas that may serve the
-    request.
-    """
-
-    replica: ReplicaState
-    weights: int | None
-    kv_source: str | None = None
-    queue_ms: float = 0.0
-    first_token_ms: float = 0.0
-    slot_ms: float = 0.0
-    slots: int = 0
-
-
 class Chooser:
     """Compares the replicas of a service and chooses one for each request; no I/O.
 
@@ -156,7 +138,7 @@
         choice = self._choice(
             now_ms, candidates[best], loads[best], requirements, preferred
         )
-        return replace(choice, slots=slots)
+        return replace(choice, slots=slots, speed=choice.replica.speed.reading(now_ms))
 
     def _sample(
         self,
@@ -243,7 +225,9 @@
     def queue_ms(self, now_ms: int, state: ReplicaState) -> float:
         """Return how long a replica takes to prefill all prompts sent to it."""
         other_nodes = self._peers.at(now_ms, state.incarnation_id)
-        return _prefill_ms(state, state.unprefilled_tokens + other_nodes.unprefilled)
+        unprefilled = state.unprefilled_tokens + other_nodes.unprefilled
+        usual_ms = _prefill_ms(state, unprefilled)
+        return state.speed.work_factor(now_ms, usual_ms) * usual_ms
 
     def _choice(
         self,
@@ -262,13 +246,16 @@
                 source = preferred.entry.address
         wait_ms = load.wait_ms
         if chosen.is_loading(now_ms):
-            wait_ms += _LOADING_MS
-        own_ms = _prefill_ms(
-            chosen, requirements.new_tokens + requirements.prefix_tokens
-        )
-        first_token_ms = wait_ms + own_ms + FIRST_EVENT_MS
+            wait_ms += load.work_factor * _LOADING_MS
+        first_token_ms = wait_ms + load.work_factor * load.own_ms
         return Choice(
-            chosen, weights, source, wait_ms, first_token_ms, slot_ms=load.slot_ms
+            chosen,
+            weights,
+            source,
+            wait_ms,
+            first_token_ms,
+            slot_ms=load.slot_ms,
+            work_factor=load.work_factor,
         )
 
     def _load(
@@ -283,12 +270,16 @@
         requests = state.in_flight + max(
             other_nodes.requests, state.other_requests(now_ms)
         )
-        return LoadEstimate(
+        load = LoadEstimate(
             requests,
             _prefill_ms(state, state.unprefilled_tokens + other_nodes.unprefilled),
             _memory_ms(state.resident_tokens + other_nodes.resident, requirements),
             _slot_ms(state, requests),
+            _prefill_ms(state, requirements.new_tokens),
+            _prefill_ms(state, requirements.prefix_tokens),
         )
+        work_ms = load.wait_ms + load.own_ms
+        return load.at_factor(state.speed.work_factor(now_ms, work_ms))
 
     def _preferred_replica(
         self, now_ms: int, listed: list[ReplicaState], requirements: Requirements
@@ -319,10 +310,12 @@
     ) -> float:
         cost_ms = _FULL_LOAD_MS * load.requests / max(1, state.entry.slots)
         cost_ms += load.wait_ms
+        cost_ms += (load.work_factor - 1.0) * (load.new_ms + FIRST_EVENT_MS)
         cost_ms += _JITTER_MS * self._random.random()
         if preferred is not None and state is not preferred:
             cost_ms += (
                 _NOT_PREFERRED_SHARE
+                * load.work_factor
                 * requirements.prefix_tokens
                 / _PREFILL_TOKENS_PER_MS
             )
--- a/fireflyward/replicas/_requirements.py
+++ b/fireflyward/replicas/_requirements.py
@@ -1,6 +1,8 @@
 """What a request requires of a replica, and how loaded a replica is."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
+
+from ._state import FIRST_EVENT_MS
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,14 +36,37 @@
     """Load of one replica from all nodes, and how long the next request waits for it.
 
     ``queue_ms`` is the prefill time of the prompts before it, ``memory_ms`` the time
-    until enough KV memory is free, and ``slot_ms`` the time until a slot is free.
+    until enough KV memory is free, and ``slot_ms`` the time until a slot is free. These
+    times contain ``work_factor``, how many times as long as usual the work takes at the
+    replica's reported speed. ``new_ms`` and ``prefix_ms`` are the times to prefill the
+    request's new tokens and its prefix at the usual speed.
     """
 
     requests: float
     queue_ms: float
     memory_ms: float
     slot_ms: float
+    new_ms: float = 0.0
+    prefix_ms: float = 0.0
+    work_factor: float = 1.0
 
     @property
     def wait_ms(self) -> float:
         return self.queue_ms + self.memory_ms + self.slot_ms
+
+    @property
+    def own_ms(self) -> float:
+        """Return the usual time from the end of the wait to the first event."""
+        return self.new_ms + self.prefix_ms + FIRST_EVENT_MS
+
+    def at_factor(self, factor: float) -> "LoadEstimate":
+        """Return the load of a replica on which work takes longer than usual."""
+        if factor == 1.0:
+            return self
+        return replace(
+            self,
+            queue_ms=factor * self.queue_ms,
+            memory_ms=factor * self.memory_ms,
+            slot_ms=factor * self.slot_ms,
+            work_factor=factor,
+        )
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -3,6 +3,7 @@
 from fireflyward.deployment import ReplicaEntry
 
 from ._backpressure import Backpressure
+from ._speed import ReplicaSpeed
 
 # A replica reports in a response header how many requests it has. After this time half
 # of the other nodes' requests are assumed to have finished.
@@ -57,6 +58,7 @@
         "slowdown",
         "rejections",
         "mean_run_ms",
+        "speed",
         "unprefilled_tokens",
         "waiting_late",
         "version_by_model",
@@ -75,6 +77,7 @@
         self.unprefilled_tokens = 0
         self.resident_tokens = 0
         self.slowdown = 1.0
+        self.speed = ReplicaSpeed()
         self.mean_run_ms = _INITIAL_RUN_MS
         self.failed_share = 0.0
         self.expires_at_ms: int | None = None
--- /dev/null
+++ b/fireflyward/speeds/_task.py
@@ -0,0 +1,184 @@
+"""The task that records replicas' speeds and announces changes to other nodes."""
+
+import logging
+from collections.abc import Iterator
+from typing import Any
+
+from fireflyward.aggregators import Aggregators
+from fireflyward.clock import Clock
+from fireflyward.peers import Address, PeerLink
+from fireflyward.platform import ResponseFacts
+from fireflyward.replicas import SPEED_EXPIRY_MS, ReplicaDirectory, ReplicaState
+
+from ._batches import Source, SpeedBatches
+from ._pause_times import PauseTimes
+from ._speeds_structs import SpeedNews
+
+log = logging.getLogger("fireflyward.speeds")
+
+# To all nodes that are to know; from a node to its aggregator; between aggregators.
+_NEWS, _FROM_NODE, _FROM_DOMAIN = "speeds", "speeds of a node", "speeds of a domain"
+# A replica takes 8 bytes; a datagram has room for 1,400.
+_MAX_REPLICAS_PER_DATAGRAM = 140
+_ENTRY_BYTES = 8
+# Headers of the packet, tag, envelope and the lengths of the lists.
+_DATAGRAM_BYTES = 110
+_MAX_PERCENT = 2**15 - 1
+
+
+class SpeedTask:
+    """Records how fast replicas are, and announces changes to other nodes.
+
+    A few nodes announce what they observed to all others. Many nodes announce it to the
+    aggregator of their failure domain, which passes on what is new to it. The counters
+    are for the metrics page; ``expired`` counts changes that waited too long to send.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        directory: ReplicaDirectory,
+        aggregators: Aggregators,
+        pauses: PauseTimes,
+    ) -> None:
+        self._clock = clock
+        self._directory = directory
+        self._aggregators = aggregators
+        self._pauses = pauses
+        self._batches = SpeedBatches()
+        self._link: PeerLink | None = None
+        self.unreadable = 0
+        self.announced = 0
+        self.received = 0
+        self.expired = 0
+
+    def use(self, link: PeerLink) -> None:
+        """Send and receive announcements over a link from now on."""
+        self._link = link
+        link.register(_NEWS, SpeedNews, self._on_news)
+        link.register(_FROM_NODE, SpeedNews, self._on_news_from_node)
+        link.register(_FROM_DOMAIN, SpeedNews, self._on_news_from_domain)
+
+    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None:
+        """Record the speed that an answer reports."""
+        if facts.is_other_replica and facts.incarnation != replica.entry.incarnation:
+            return
+        if facts.invalid_load is not None:
+            self._on_unreadable(replica, facts.invalid_load.value)
+        elif facts.load is not None and facts.load.work_percent is not None:
+            now_ms, percent = self._clock.now_ms(), facts.load.work_percent
+            if replica.speed.record(now_ms, percent):
+                self._schedule(replica.incarnation_id, Source.OWN)
+
+    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None:
+        """Learn from the time between two parts of a stream."""
+        speed = replica.speed
+        if speed.percent is not None:
+            factor = speed.factor(self._clock.now_ms())
+            self._pauses.on_pause(replica.entry.service, pause_ms, factor)
+
+    def _on_unreadable(self, replica: ReplicaState, value: str) -> None:
+        """Count a load report that cannot be decoded; log the first of a replica."""
+        self.unreadable += 1
+        if not replica.speed.has_unreadable_report:
+            replica.speed.has_unreadable_report = True
+            name = replica.entry.incarnation
+            log.warning("speeds: load report of %s is unreadable: %.80r", name, value)
+
+    def _schedule(self, incarnation_id: int, source: Source) -> None:
+        delay_ms = self._batches.add(self._clock.now_ms(), incarnation_id, source)
+        if delay_ms is not None:
+            self._clock.call_later_ms(delay_ms, self._send_batch)
+
+    def _send_batch(self) -> None:
+        now_ms = self._clock.now_ms()
+        by_source = self._fresh_by_source(now_ms)
+        own = by_source[Source.OWN]
+        if not self._aggregators.are_needed:
+            self._send(now_ms, self._aggregators.all_addresses(), _NEWS, own)
+            return
+        aggregator = self._aggregators.own_aggregator(now_ms)
+        if aggregator is not None:
+            self._send(now_ms, [aggregator.address], _FROM_NODE, own)
+            own = []
+        of_domain = own + by_source[Source.OWN_DOMAIN]
+        self._send(now_ms, self._other_aggregators(now_ms), _FROM_DOMAIN, of_domain)
+        to_domain = of_domain + by_source[Source.OTHER_DOMAIN]
+        self._send(now_ms, self._aggregators.neighbour_addresses(), _NEWS, to_domain)
+
+    def _fresh_by_source(self, now_ms: int) -> dict[Source, list[ReplicaState]]:
+        """Return the batch's replicas that are still listed and whose figures count."""
+        states_by_source: dict[Source, list[ReplicaState]] = {x: [] for x in Source}
+        for incarnation_id, source in self._batches.take().items():
+            state = self._directory.find_incarnation(incarnation_id)
+            if state is None:
+                continue
+            if state.speed.left_ms(now_ms):
+                states_by_source[source].append(state)
+            else:
+                self.expired += 1
+        return states_by_source
+
+    def _other_aggregators(self, now_ms: int) -> list[Address]:
+        found = (
+            self._aggregators.aggregator_of(now_ms, domain)
+            for domain in self._aggregators.other_domains()
+        )
+        return [member.address for member in found if member is not None]
+
+    def _send(
+        self,
+        now_ms: int,
+        addresses: list[Address],
+        kind: str,
+        states: list[ReplicaState],
+    ) -> None:
+        if self._link is None or not addresses:
+            return
+        for part in _parts(states):
+            self._link.send_all(addresses, kind, _encode(now_ms, part))
+            self.announced += len(part)
+            # The other aggregators get a part of what the own domain gets.
+            if kind != _FROM_DOMAIN:
+                size = _DATAGRAM_BYTES + _ENTRY_BYTES * len(part)
+                self._batches.on_sent(now_ms, size)
+
+    async def _on_news(self, sender: str, message: Any) -> None:
+        self._apply(message)
+
+    async def _on_news_from_node(self, sender: str, message: Any) -> None:
+        for incarnation_id in self._apply(message):
+            self._schedule(incarnation_id, Source.OWN_DOMAIN)
+
+    async def _on_news_from_domain(self, sender: str, message: Any) -> None:
+        for incarnation_id in self._apply(message):
+            self._schedule(incarnation_id, Source.OTHER_DOMAIN)
+
+    def _apply(self, message: Any) -> list[int]:
+        """Record received figures; return the replicas whose figure was news here."""
+        now_ms, news = self._clock.now_ms(), []
+        columns = (message.replicas, message.percents, message.ages_ms)
+        for incarnation_id, percent, age_ms in zip(*columns, strict=False):
+            state = self._directory.find_incarnation(incarnation_id)
+            if state is None or percent <= 0:
+                continue
+            self.received += 1
+            as_of_ms = now_ms - max(0, age_ms)
+            if state.speed.record(as_of_ms, percent, is_announced=True):
+                news.append(incarnation_id)
+        return news
+
+
+def _parts(states: list[ReplicaState]) -> Iterator[list[ReplicaState]]:
+    for first in range(0, len(states), _MAX_REPLICAS_PER_DATAGRAM):
+        yield states[first : first + _MAX_REPLICAS_PER_DATAGRAM]
+
+
+def _encode(now_ms: int, states: list[ReplicaState]) -> Any:
+    speeds = [state.speed for state in states]
+    return SpeedNews(
+        replicas=[state.incarnation_id for state in states],
+        percents=[min(speed.percent, _MAX_PERCENT) for speed in speeds],
+        ages_ms=[min(now_ms - speed.as_of_ms, SPEED_EXPIRY_MS) for speed in speeds],
+    )
