--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -111,6 +111,18 @@
         )
         self.assertIsNone(self.facts(200, ("x-server-load", "busy")).load)
 
+    def test_a_fourth_figure_of_the_load_is_optional_and_decoded_strictly(self):
+        """Guards against dropped reports, and against a speed that is no number."""
+        facts = self.facts(200, ("x-server-load", "3, 1, 8, 250"))
+        self.assertEqual(facts.load, ReplicaLoad(3, 1, 8, 250))
+        for bad in ("3,1,8,0", "3,1,8,-1", "3,1,8,", "3,1,8,x", "3,1,8,2.5", "3,1"):
+            facts = self.facts(200, ("x-server-load", bad))
+            self.assertIsNone(facts.load, bad)
+            self.assertEqual(facts.invalid_load, InvalidHeader("x-server-load", bad))
+        for bad in ("3,1,8,1,1", "²,1,8", "3,1,8,1000000000", ""):
+            self.assertIsNotNone(self.facts(200, ("x-server-load", bad)).invalid_load)
+        self.assertIsNone(self.facts(200).invalid_load)
+
     def test_the_rate_limit_header_is_decoded(self):
         notices = self.facts(200, ("server-limit", "3.5")).notices
         self.assertEqual(notices.limit, RateLimit(3.5))
--- a/tests/speeds/test_pause_term.py
+++ b/tests/speeds/test_pause_term.py
@@ -16,6 +16,8 @@
 # Pauses of streams at the usual speed: 35 ms, 115 ms while prompts are read.
 _PAUSES = [35.0, 36.0, 34.0, 115.0] * 100
 _TOKENS = {"long": 2_870, "question": 177}
+# Prompts that wait at a replica on a busy day take up to a third of a second to read.
+_MAX_UNREAD_TOKENS = 30_000
 
 
 def learnt(factor=1.0):
@@ -104,6 +106,7 @@
             for state in self.states:
                 if rng.random() < 5 / 6_000:
                     slow_until[state] = now_ms + rng.randint(250, 1_150)
+                state.unprefilled_tokens = rng.randrange(_MAX_UNREAD_TOKENS)
             kind = rng.choice(tuple(_TOKENS))
             state = self.chooser.choose(now_ms, needs(kind)).replica
             is_slow = now_ms < slow_until[state]
@@ -114,10 +117,12 @@
 
     def test_prompts_avoid_slow_phases_and_some_small_ones_show_their_end(self):
         before = self.sent_to_slow(reports=False)
+        by_times_alone = self.sent_to_slow()
         after = self.sent_to_slow(PauseTerm(learnt()))
         self.assertGreater(before["long"], 0.08)
-        self.assertLess(after["long"], 0.5 * before["long"])
-        self.assertGreater(after["question"], 0)
+        self.assertLess(after["long"], 0.3 * before["long"])
+        self.assertLess(after["long"], 0.7 * by_times_alone["long"])
+        self.assertGreater(after["question"], after["long"])
 
     def test_the_least_slow_replica_is_chosen_if_all_are_slow(self):
         """Guards against rejections while many replicas are slow at once."""
