--- a/fireflyward/replicas/_speed.py
+++ b/fireflyward/replicas/_speed.py
@@ -91,6 +91,8 @@
 
         Work that goes on after the figure has expired takes the usual time from then.
         """
+        if self.percent is None or self.percent == _USUAL_PERCENT:
+            return 1.0
         factor = self.factor(now_ms)
         left_ms = self.left_ms(now_ms)
         if factor == 1.0 or work_ms * factor <= left_ms:
--- a/fireflyward/speeds/_pause_term.py
+++ b/fireflyward/speeds/_pause_term.py
@@ -38,8 +38,10 @@
         requirements: Requirements,
     ) -> float:
         """Return the additional cost of sending a request to a replica."""
+        if not requirements.pause_ms or state.speed.percent is None:
+            return 0.0
         factor = state.speed.factor(now_ms)
-        if factor <= 1.0 or not requirements.pause_ms:
+        if factor <= 1.0:
             return 0.0
         pauses = self._pauses.of_service(requirements.service)
         target_ms = requirements.pause_ms / factor
--- a/fireflyward/speeds/_task.py
+++ b/fireflyward/speeds/_task.py
@@ -21,7 +21,7 @@
 # A replica takes 8 bytes; a datagram has room for 1,400.
 _MAX_REPLICAS_PER_DATAGRAM = 140
 _ENTRY_BYTES = 8
-# Headers of the packet, tag, envelope and the lengths of the lists.
+# Tag, envelope and the lengths of the lists.
 _DATAGRAM_BYTES = 110
 _MAX_PERCENT = 2**15 - 1
 
