--- a/tests/speeds/test_pause_term.py
+++ b/tests/speeds/test_pause_term.py
@@ -3,6 +3,8 @@
 import random
 import unittest
 
+from hypothesis import given, strategies as st
+
 from fireflyward.replicas import (
     Chooser,
     LoadEstimate,
@@ -146,6 +148,29 @@
         choice = self.chooser.choose(0, needs("question"))
         self.assertAlmostEqual(choice.first_token_ms, 1_000 + 177 / 90 + 55 + 300)
 
+    @given(
+        percent=st.integers(1, 10_000),
+        unread=st.integers(0, 200_000),
+        in_flight=st.integers(0, 100),
+        now_ms=st.integers(0, 600),
+    )
+    def test_admission_gets_the_same_times_whatever_the_speed(
+        self, percent, unread, in_flight, now_ms
+    ):
+        """Guards against requests that are rejected only because replicas are slow."""
+        times = []
+        for is_reported in (False, True):
+            self.make(PauseTerm(learnt()), replicas=1)
+            state = self.states[0]
+            state.unprefilled_tokens, state.in_flight = unread, in_flight
+            if is_reported:
+                state.speed.record(0, percent)
+            choice = self.chooser.choose(now_ms, needs("long"))
+            found = choice.queue_ms, choice.first_token_ms, choice.slot_ms
+            times.append([item / choice.work_factor for item in found])
+        for usual_ms, reported_ms in zip(*times, strict=True):
+            self.assertAlmostEqual(usual_ms, reported_ms, places=3)
+
     def test_a_slow_phase_is_not_learnt_as_slowdown(self):
         """Guards against a replica avoided for seconds after a slow phase of 300 ms."""
         self.make()
