--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import replace
 
 from fireflyward.rendezvous import rendezvous_rank
 
@@ -135,10 +134,9 @@
         best = min(range(len(candidates)), key=costs.__getitem__)
         self._count_send(now_ms, candidates[best])
         slots = sum(state.entry.slots for state in available)
-        choice = self._choice(
-            now_ms, candidates[best], loads[best], requirements, preferred
+        return self._choice(
+            now_ms, candidates[best], loads[best], requirements, preferred, slots
         )
-        return replace(choice, slots=slots, speed=choice.replica.speed.reading(now_ms))
 
     def _sample(
         self,
@@ -236,6 +234,7 @@
         load: LoadEstimate,
         requirements: Requirements,
         preferred: ReplicaState | None,
+        slots: int,
     ) -> Choice:
         weights = chosen.version_by_model.get(requirements.model)
         source = None
@@ -254,8 +253,10 @@
             source,
             wait_ms,
             first_token_ms,
-            slot_ms=load.slot_ms,
-            work_factor=load.work_factor,
+            load.slot_ms,
+            slots,
+            load.work_factor,
+            chosen.speed.reading(now_ms),
         )
 
     def _load(
