--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -11,7 +11,7 @@
 # A connection that was idle for longer is not reused. A non-idempotent request fails if
 # the peer closes the connection just as the request is sent. A peer may announce a
 # shorter time, see ``_KEEP_ALIVE_FRACTION``.
-_MAX_IDLE_MS = 4_000
+MAX_IDLE_MS = 4_000
 # The usable fraction of the idle timeout that the peer announces; the rest covers the
 # network latency and a timer that fires late.
 _KEEP_ALIVE_FRACTION = 0.6
@@ -85,7 +85,7 @@
         return None
 
     def _is_stale(self, connection: HttpConnection) -> bool:
-        limit_ms = _MAX_IDLE_MS
+        limit_ms = MAX_IDLE_MS
         if connection.keep_alive_ms is not None:
             limit_ms = min(limit_ms, connection.keep_alive_ms * _KEEP_ALIVE_FRACTION)
         return self._clock.now_ms() - connection.idle_since_ms > limit_ms
