Subsets: a node sends to some of a large service's replicas

With 82 nodes and 30 replicas, 16,590 of 38,000 requests opened a connection, because each node sends to each replica too seldom to keep one open. A node now uses as many replicas as it can keep connections to at its measured rate, and at least 10 nodes for each replica.

A preferred replica outside the filtered candidates is compared, as the interface says. Metrics count opened and reused connections and the subset's size by service.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -419,3 +419,7 @@
         }
         for name, value in gauges.items():
             self._metrics.gauge(name, value)
+        by_service = self._replica_components.gauges_by_service()
+        for name, values in by_service.items():
+            for service, value in values.items():
+                self._metrics.gauge(name, value, service=service)
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -17,6 +17,11 @@
     RateLimits,
     ReplicaDirectory,
 )
+from fireflyward.subsets import (
+    ConnectionCounts,
+    IdleConnectionCost,
+    SubsetFilter,
+)
 
 
 class ReplicaComponents:
@@ -44,12 +49,22 @@
         )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
+        self.connection_counts = ConnectionCounts(pool, self.directory)
+        self.subsets = SubsetFilter(
+            self.directory,
+            self.connection_counts,
+            node=settings.node,
+            failure_domain=settings.failure_domain,
+            peers=peer_load,
+        )
         self.chooser = Chooser(
             self.directory,
             failure_domain=settings.failure_domain,
             peers=peer_load,
             cold_shares=self.cold_shares,
             rate_limits=self.rate_limits,
+            cost_terms=(IdleConnectionCost(pool, self.subsets),),
+            candidate_filter=self.subsets,
         )
         self.reach = ReachTask(
             clock=clock,
@@ -65,6 +80,7 @@
         """Set the names of all nodes, which share the limits of the replicas."""
         self.cold_shares.set_nodes(names)
         self.rate_limits.set_nodes(names)
+        self.subsets.set_nodes(len(names))
 
     def use(self, link: PeerLink) -> None:
         """Send and receive messages over a link from now on."""
@@ -87,3 +103,17 @@
             "evacuated_failure_domains": len(self.directory.evacuated),
             "unreachable_failure_domains": len(self.directory.unreachable),
         }
+
+    def gauges_by_service(self) -> dict[str, dict[str, int]]:
+        """Return gauges that differ by service, by their name and the service's."""
+        self.connection_counts.update(self._clock.now_ms())
+        totals = self.connection_counts.totals()
+        return {
+            "service_connections_opened_total": {
+                service: use.opened for service, use in totals.items()
+            },
+            "service_connections_reused_total": {
+                service: use.reused for service, use in totals.items()
+            },
+            "subset_replicas": self.subsets.sizes(),
+        }
--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -16,13 +16,15 @@
     HttpConnection,
 )
 from ._full_response import FullResponse, NoResponse, read_full_response
-from ._pool import ConnectionPool, NotConnected
+from ._pool import MAX_IDLE_MS, ConnectionPool, ConnectionUse, NotConnected
 
 __all__ = [
     "BodyPart",
+    "MAX_IDLE_MS",
     "Broken",
     "BrokenAt",
     "ConnectionPool",
+    "ConnectionUse",
     "End",
     "Head",
     "HttpConnection",
--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -17,6 +17,17 @@
 _KEEP_ALIVE_FRACTION = 0.6
 
 
+@dataclass(slots=True)
+class ConnectionUse:
+    """How many connections to an address were opened, and how often one was reused.
+
+    Attempts that failed count as opened.
+    """
+
+    opened: int = 0
+    reused: int = 0
+
+
 @dataclass(frozen=True, slots=True)
 class NotConnected:
     """No connection could be opened, so nothing was sent.
@@ -28,6 +39,9 @@
     is_refused: bool = False
 
 
+_NO_USE = ConnectionUse()
+
+
 class ConnectionPool:
     """Reuses idle connections, the one that was used last first.
 
@@ -36,11 +50,12 @@
     pool.release(connection)
     """
 
-    __slots__ = ("_clock", "_idle_by_address", "opened")
+    __slots__ = ("_clock", "_idle_by_address", "_use_by_address", "opened")
 
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._idle_by_address: dict[str, deque[HttpConnection]] = {}
+        self._use_by_address: dict[str, ConnectionUse] = {}
         self.opened = 0
 
     async def acquire(
@@ -52,7 +67,22 @@
         become silent, the idle ones may be silent too.
         """
         connection = None if fresh else self._pop_idle(address)
-        return connection or await self._open(address, connect_ms)
+        use = self._use_by_address.setdefault(address, ConnectionUse())
+        if connection is not None:
+            use.reused += 1
+            return connection
+        use.opened += 1
+        return await self._open(address, connect_ms)
+
+    def use_of(self, address: str) -> ConnectionUse:
+        """Return the counts of an address; they restart after ``close_idle``."""
+        return self._use_by_address.get(address, _NO_USE)
+
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to an address can be reused now."""
+        idle = self._idle_by_address.get(address)
+        # The last one was used most recently; the others are no younger.
+        return bool(idle) and idle[-1].is_usable and not self._is_stale(idle[-1])
 
     def release(self, connection: HttpConnection) -> None:
         """Keep a connection whose response is complete; close any other."""
@@ -67,6 +97,7 @@
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address, after its replica is gone."""
+        self._use_by_address.pop(address, None)
         for connection in self._idle_by_address.pop(address, ()):
             connection.close()
 
--- a/fireflyward/observe/_metrics.py
+++ b/fireflyward/observe/_metrics.py
@@ -17,12 +17,12 @@
     True
     """
 
-    __slots__ = ("_gauge_by_name", "_histogram_by_name", "_total_by_series")
+    __slots__ = ("_gauge_by_series", "_histogram_by_name", "_total_by_series")
 
     def __init__(self) -> None:
         self._total_by_series: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
         self._histogram_by_name: dict[str, HdrHistogram] = {}
-        self._gauge_by_name: dict[str, float] = {}
+        self._gauge_by_series: dict[tuple[str, tuple[tuple[str, str], ...]], float] = {}
 
     def count(self, name: str, by: float = 1, **labels: str) -> None:
         """Add ``by`` to a counter."""
@@ -33,9 +33,9 @@
         """Return a counter's value."""
         return self._total_by_series.get((name, tuple(sorted(labels.items()))), 0)
 
-    def gauge(self, name: str, value: float) -> None:
+    def gauge(self, name: str, value: float, **labels: str) -> None:
         """Set the value of a gauge, which may also decrease."""
-        self._gauge_by_name[name] = value
+        self._gauge_by_series[name, tuple(sorted(labels.items()))] = value
 
     def observe_ms(self, name: str, value_ms: float) -> None:
         """Record a duration in milliseconds."""
@@ -55,8 +55,8 @@
         lines = []
         for (name, labels), value in sorted(self._total_by_series.items()):
             lines.append(f"fireflyward_{name}{_format_labels(labels)} {value:g}")
-        for name, value in sorted(self._gauge_by_name.items()):
-            lines.append(f"fireflyward_{name} {value:g}")
+        for (name, labels), value in sorted(self._gauge_by_series.items()):
+            lines.append(f"fireflyward_{name}{_format_labels(labels)} {value:g}")
         for name, histogram in sorted(self._histogram_by_name.items()):
             for percentile in _PERCENTILES:
                 value = histogram.get_value_at_percentile(percentile)
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -175,6 +175,8 @@
         """
         if self._candidate_filter is not None:
             filtered = self._candidate_filter.filter(now_ms, available, requirements)
+            if filtered and preferred in available and preferred not in filtered:
+                filtered = [*filtered, preferred]
             available = filtered or available
         if len(available) <= _MAX_WITHOUT_SAMPLING:
             return available
@@ -193,7 +195,11 @@
             for state in healthy
             if state.version_by_model.get(requirements.model) == requirements.version
         ]
-        older = [state for state in healthy if state not in newest]
+        older = [
+            state
+            for state in healthy
+            if state.version_by_model.get(requirements.model) != requirements.version
+        ]
         sampled = [
             *self._random.sample(newest, min(_SAMPLE_SIZE, len(newest))),
             *self._random.sample(older, min(_SAMPLE_SIZE, len(older))),
--- a/tests/fleet/test_end_to_end.py
+++ b/tests/fleet/test_end_to_end.py
@@ -189,6 +189,8 @@
         text = (await self.node._status_server._serve_metrics(_Path("/metrics"))).text
         self.assertIn('requests_total{outcome="answered"', text)
         self.assertIn("request_ms", text)
+        self.assertIn('service_connections_opened_total{service="', text)
+        self.assertIn('subset_replicas{service="', text)
 
 
 class StreamTests(NodeTestCase):
--- a/tests/http1/test_connection.py
+++ b/tests/http1/test_connection.py
@@ -11,6 +11,7 @@
     Broken,
     BrokenAt,
     ConnectionPool,
+    ConnectionUse,
     End,
     Head,
     NotConnected,
@@ -103,9 +104,12 @@
     async def test_the_second_request_reuses_the_connection(self):
         response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"
         address = await self.serve(response, response)
+        self.assertFalse(self.pool.has_idle(address))
         await self.exchange(address)
+        self.assertTrue(self.pool.has_idle(address))
         await self.exchange(address)
         self.assertEqual(self.server.connections, 1)
+        self.assertEqual(self.pool.use_of(address), ConnectionUse(opened=1, reused=1))
 
     async def test_a_truncated_chunked_response_is_broken(self):
         address = await self.serve(
@@ -207,6 +211,7 @@
         pool = ConnectionPool(clock)
         for advance_ms in (0, 700):
             clock.ms += advance_ms
+            self.assertFalse(pool.has_idle(address))
             connection = await pool.acquire(address, connect_ms=500)
             connection.send("GET", "/", [("Host", "h")])
             while not isinstance(await connection.next_event(), End):
