KV memory: count shared prefixes once, and reject prompts that fit nowhere

On L 176 of 5,335 runs were preempted: memory holds seven long prompts, and there are 12 slots. The sum of the runs' tokens counted a shared prefix for each run. Each node now reports the expected part of a prefix for its runs, without a change of the messages. Where memory is scarcer than slots, replicas without room cost more, and a request for which the chosen replica has no room is rejected at once.

Services whose memory holds more requests than slots are unchanged.

Metrics: kv_free_tokens by service, kv_prompts_moved_total and kv_prompts_without_room_total; the log field memory_ms.

--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -12,6 +12,7 @@
 from fireflyward.replicas import (
     Chooser,
     ColdShares,
+    KvRoom,
     LoadReportTask,
     PeerLoad,
     RateLimits,
@@ -37,7 +38,8 @@
     ) -> None:
         self._clock = clock
         self.directory = ReplicaDirectory()
-        peer_load = PeerLoad()
+        peer_load = self._peer_load = PeerLoad()
+        self.kv_room = KvRoom()
         self.load_report_task = LoadReportTask(
             clock=clock,
             directory=self.directory,
@@ -46,6 +48,7 @@
             node=settings.node,
             failure_domain=settings.failure_domain,
             link_mbps=settings.link_mbps,
+            kv_room=self.kv_room,
         )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
@@ -65,6 +68,7 @@
             rate_limits=self.rate_limits,
             cost_terms=(IdleConnectionCost(pool, self.subsets),),
             candidate_filter=self.subsets,
+            kv_room=self.kv_room,
         )
         self.reach = ReachTask(
             clock=clock,
@@ -102,6 +106,8 @@
             "resting_replicas": sum(x.backoff_ms(now_ms) > 0 for x in backpressures),
             "evacuated_failure_domains": len(self.directory.evacuated),
             "unreachable_failure_domains": len(self.directory.unreachable),
+            "kv_prompts_moved_total": self.kv_room.moved,
+            "kv_prompts_without_room_total": self.kv_room.without_room,
         }
 
     def gauges_by_service(self) -> dict[str, dict[str, int]]:
@@ -116,4 +122,17 @@
                 service: use.reused for service, use in totals.items()
             },
             "subset_replicas": self.subsets.sizes(),
+            "kv_free_tokens": self._free_kv_tokens(),
         }
+
+    def _free_kv_tokens(self) -> dict[str, int]:
+        """Return the unused KV memory of all replicas of each service with engines."""
+        now_ms = self._clock.now_ms()
+        free_by_service: dict[str, int] = {}
+        for state in self.directory.all():
+            others = self._peer_load.at(now_ms, state.incarnation_id)
+            free = self.kv_room.free_tokens(state, others)
+            if free is not None:
+                service = state.entry.service
+                free_by_service[service] = free_by_service.get(service, 0) + free
+        return free_by_service
--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -32,7 +32,8 @@
     ``queue_ms`` is the time until the replica begins on the request, of which
     ``slot_ms`` is the wait for a free slot. ``first_token_ms`` is the time until its
     first token. ``objective_left_ms`` and ``left_ms`` are the time left until its
-    latency objective and until its deadline.
+    latency objective and until its deadline. ``has_room`` is False if it fits into no
+    replica's KV memory.
     """
 
     queue_ms: float
@@ -40,6 +41,7 @@
     objective_left_ms: float
     left_ms: float
     slot_ms: float = 0.0
+    has_room: bool = True
 
 
 class Admission:
@@ -64,6 +66,9 @@
 
     def check(self, estimate: LatencyEstimate) -> NotRun | None:
         """Return why a request is rejected, None if it is admitted."""
+        if not estimate.has_room:
+            # The replica would preempt running streams, which then pause or are late.
+            return self.reject(estimate)
         if estimate.first_token_ms < estimate.left_ms:
             if not self.is_late(estimate) or estimate.queue_ms <= _LATE_QUEUE_MS:
                 return None
@@ -71,6 +76,8 @@
 
     def may_wait(self, estimate: LatencyEstimate) -> bool:
         """Return whether a late request may wait for a slot at the lowest priority."""
+        if not estimate.has_room:
+            return False
         prefill_queue_ms = estimate.queue_ms - estimate.slot_ms
         in_time = estimate.first_token_ms <= _LATE_DEADLINE_SHARE * estimate.left_ms
         return in_time and prefill_queue_ms <= _LATE_QUEUE_MS
--- a/fireflyward/forwarding/_prompt_requirements.py
+++ b/fireflyward/forwarding/_prompt_requirements.py
@@ -2,7 +2,7 @@
 
 from fireflyward.platform import CallerRequest
 from fireflyward.prefixes import KvPlan, PartPlanner, cache_salt
-from fireflyward.replicas import Choice, Requirements
+from fireflyward.replicas import Choice, Requirements, SharedPrefix
 from fireflyward.routes import Allowed
 
 from ._weights import WeightVersions
@@ -50,8 +50,17 @@
             version=version,
             least_version=self._weights.min_version(now_ms, caller.model),
             pause_ms=self._allowed.route.pause_ms,
+            shared_prefix=self.shared_prefix(version),
         )
 
+    def shared_prefix(self, version: int | None) -> SharedPrefix | None:
+        """Return the part that runs with the same weights and cache share in memory."""
+        shared = self._caller.parts[:-1]
+        if not shared or version is None:
+            return None
+        key = f"{self._salt(version)}/{shared[-1].part_id}"
+        return SharedPrefix(key, sum(part.tokens for part in shared))
+
     def plan_kv(self, now_ms: int, choice: Choice) -> tuple[str | None, KvPlan]:
         """Return the cache salt for the chosen replica, and what to fetch and save."""
         if choice.weights is None:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -208,6 +208,7 @@
             self._objective_ms - self._clock.now_ms(),
             left_ms,
             choice.slot_ms,
+            choice.has_room,
         )
         admission = self._deps.admission
         self._is_late = admission.is_late(estimate)
@@ -242,7 +243,9 @@
             replica.waiting_late += 1
         else:
             replica.in_flight += 1
-        replica.resident_tokens += self._requirements.peak_tokens
+        tokens = self._requirements.peak_tokens
+        prefix = self._requirements.shared_prefix(choice.weights)
+        replica.on_run_resident(tokens, prefix)
         self._sent_ms = self._clock.now_ms()
         replica.on_cold_sent(self._sent_ms)
         self._trace.sends += 1
@@ -264,7 +267,7 @@
         finally:
             self._stop_late_wait(replica)
             replica.in_flight -= 1
-            replica.resident_tokens -= self._requirements.peak_tokens
+            replica.on_run_gone(tokens, prefix)
             prefill.release()
         if isinstance(result, NotRunThere):
             return self._on_rejected(choice, result.facts)
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -12,13 +12,13 @@
 class Trace:
     """The decisions of a node on one request, for the request's log line.
 
-    Four fields belong to the last send: ``queue_ms`` is the estimated wait at its
-    replica, ``expected_ms`` the estimated time to its first token, and
-    ``first_token_ms`` the measured time from the send to the first token, and
-    ``longest_pause_ms`` the longest time between two parts of the stream. ``earlier``
-    lists the results of the sends before it. ``waits_late`` is set if the request is
-    late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
-    requests with the same content.
+    Five fields belong to the last send: ``queue_ms`` is the estimated wait at its
+    replica, ``memory_ms`` the part of it until KV memory is free, ``expected_ms`` the
+    estimated time to its first token, ``first_token_ms`` the measured time from the
+    send to the first token, and ``longest_pause_ms`` the longest time between two parts
+    of the stream. ``earlier`` lists the results of the sends before it. ``waits_late``
+    is set if the request is late and waits for a slot at the lowest priority.
+    ``fingerprint`` is the same for requests with the same content.
     """
 
     __slots__ = (
@@ -29,6 +29,7 @@
         "fingerprint",
         "first_token_ms",
         "longest_pause_ms",
+        "memory_ms",
         "queue_ms",
         "replica",
         "route",
@@ -51,6 +52,7 @@
         self.waits_late = False
         self.weights: int | None = None
         self.queue_ms = 0
+        self.memory_ms = 0
         self.expected_ms = 0
         self.first_token_ms = 0
         self.longest_pause_ms = 0
@@ -61,6 +63,7 @@
         self.replica = choice.replica.entry.incarnation
         self.weights = choice.weights
         self.queue_ms = int(choice.queue_ms)
+        self.memory_ms = int(choice.memory_ms)
         self.expected_ms = int(choice.first_token_ms)
 
     def on_pause(self, pause_ms: float) -> None:
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -2,14 +2,16 @@
 
 import random
 from collections.abc import Sequence
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 from fireflyward.rendezvous import rendezvous_rank
 
+from ._choice import Choice
 from ._cold import ColdShares
 from ._cost_terms import CandidateFilter, CostTerm
 from ._directory import ReplicaDirectory
 from ._in_flight_load import PeerLoad
+from ._kv_room import KvRoom
 from ._rate_limits import RateLimits
 from ._requirements import LoadEstimate, Requirements
 from ._state import FIRST_EVENT_MS, ReplicaState
@@ -36,10 +38,6 @@
 _OLD_WEIGHTS_MS = 150.0
 # Random part of each cost, so that nodes with the same data choose different replicas.
 _JITTER_MS = 3.0
-# Share of a replica's KV memory that requests may use before others wait for memory,
-# and how long a request uses its part.
-_MEMORY_SHARE = 0.85
-_RUN_MS = 1_500.0
 # With at most this many replicas a node compares all of them. With more it draws a
 # sample of each version: two replicas for balance, and a third because replicas differ.
 _MAX_WITHOUT_SAMPLING = 8
@@ -56,25 +54,6 @@
 _NOT_PREFERRED_MS = 8.0
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """A replica, its assumed weights, and which replica may have the prefix in memory.
-
-    ``queue_ms`` is how long this request waits at the replica, ``first_token_ms`` adds
-    the prefill of its own prompt. ``slot_ms`` is the part of ``queue_ms`` that is spent
-    waiting for a free slot; ``slots`` is the sum over all replicas that may serve the
-    request.
-    """
-
-    replica: ReplicaState
-    weights: int | None
-    kv_source: str | None = None
-    queue_ms: float = 0.0
-    first_token_ms: float = 0.0
-    slot_ms: float = 0.0
-    slots: int = 0
-
-
 class Chooser:
     """Compares the replicas of a service and chooses one for each request; no I/O.
 
@@ -90,6 +69,7 @@
         "_cost_terms",
         "_directory",
         "_failure_domain",
+        "_kv_room",
         "_peers",
         "_random",
         "_rate_limits",
@@ -105,10 +85,12 @@
         rate_limits: RateLimits | None = None,
         cost_terms: Sequence[CostTerm] = (),
         candidate_filter: CandidateFilter | None = None,
+        kv_room: KvRoom | None = None,
         seed: int | None = None,
     ) -> None:
         self._cost_terms = tuple(cost_terms)
         self._candidate_filter = candidate_filter
+        self._kv_room = kv_room or KvRoom()
         self._cold_shares = cold_shares or ColdShares("")
         self._rate_limits = rate_limits or RateLimits("")
         self._peers = peers or PeerLoad()
@@ -152,6 +134,8 @@
         ]
         best = min(range(len(candidates)), key=costs.__getitem__)
         self._count_send(now_ms, candidates[best])
+        self._kv_room.on_choice(now_ms, candidates[best], requirements)
+        self._kv_room.count(loads[best], loads)
         slots = sum(state.entry.slots for state in available)
         choice = self._choice(
             now_ms, candidates[best], loads[best], requirements, preferred
@@ -274,7 +258,14 @@
         )
         first_token_ms = wait_ms + own_ms + FIRST_EVENT_MS
         return Choice(
-            chosen, weights, source, wait_ms, first_token_ms, slot_ms=load.slot_ms
+            chosen,
+            weights,
+            source,
+            wait_ms,
+            first_token_ms,
+            slot_ms=load.slot_ms,
+            memory_ms=load.memory_ms,
+            has_room=not load.memory_ms or not self._kv_room.is_in_effect(chosen),
         )
 
     def _load(
@@ -292,7 +283,7 @@
         return LoadEstimate(
             requests,
             _prefill_ms(state, state.unprefilled_tokens + other_nodes.unprefilled),
-            _memory_ms(state.resident_tokens + other_nodes.resident, requirements),
+            self._kv_room.memory_ms(state, requirements, other_nodes),
             _slot_ms(state, requests),
         )
 
@@ -325,6 +316,8 @@
     ) -> float:
         cost_ms = _FULL_LOAD_MS * load.requests / max(1, state.entry.slots)
         cost_ms += load.wait_ms
+        if load.memory_ms:
+            cost_ms += _prefill_ms(state, self._kv_room.usual_tokens(state))
         cost_ms += _JITTER_MS * self._random.random()
         if preferred is not None and state is not preferred:
             cost_ms += (
@@ -362,20 +355,6 @@
     return state.slowdown * tokens / _PREFILL_TOKENS_PER_MS
 
 
-def _memory_ms(resident_tokens: float, requirements: Requirements) -> float:
-    """Return how long a request waits until KV memory for it is free.
-
-    When its memory is full a replica preempts running requests and prefills them again
-    later, which delays all of them.
-    """
-    if not requirements.kv_tokens or not resident_tokens:
-        return 0.0
-    excess_tokens = (
-        resident_tokens + requirements.tokens - _MEMORY_SHARE * requirements.kv_tokens
-    )
-    return _RUN_MS * max(0.0, excess_tokens) / resident_tokens
-
-
 def _slot_ms(state: ReplicaState, requests: float) -> float:
     """Return how long one more request waits for a slot."""
     slots = max(1, state.entry.slots)
--- a/fireflyward/replicas/_load_reports.py
+++ b/fireflyward/replicas/_load_reports.py
@@ -9,7 +9,9 @@
 
 from ._directory import ReplicaDirectory
 from ._in_flight_load import InFlightLoad, LoadByReplica, PeerLoad
+from ._kv_room import KvRoom
 from ._replicas_structs import UnderWayNews
+from ._state import ReplicaState
 
 log = logging.getLogger("fireflyward.aggregators")
 
@@ -99,6 +101,7 @@
         node: str,
         failure_domain: str,
         link_mbps: float,
+        kv_room: KvRoom | None = None,
     ) -> None:
         self._clock = clock
         self._directory = directory
@@ -107,6 +110,7 @@
         self._node = node
         self._failure_domain = failure_domain
         self._link_mbps = link_mbps
+        self._kv_room = kv_room or KvRoom()
         self._last_report: dict[int, InFlightLoad] = {}
         self._last_report_ms = 0
         self._reported_to: Member | None = None
@@ -142,13 +146,17 @@
         return {
             state.incarnation_id: InFlightLoad(
                 int(state.unprefilled_tokens),
-                int(state.resident_tokens),
+                self._resident_tokens(state),
                 state.in_flight,
             )
             for state in self._directory.all()
             if state.in_flight or state.waiting_late
         }
 
+    def _resident_tokens(self, state: ReplicaState) -> int:
+        others = self._peers.at(self._clock.now_ms(), state.incarnation_id)
+        return int(self._kv_room.own_tokens(state, others.requests))
+
     def _is_due(self, now_ms: int, own: LoadByReplica) -> bool:
         """Return whether to send the own load now, and record it as sent if so.
 
--- a/fireflyward/replicas/_requirements.py
+++ b/fireflyward/replicas/_requirements.py
@@ -3,6 +3,17 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, slots=True)
+class SharedPrefix:
+    """The part of a prompt that other runs at a replica may have in memory already.
+
+    ``key`` differs between weights and between accounts whose caches are isolated.
+    """
+
+    key: str
+    tokens: int
+
+
 @dataclass(frozen=True, slots=True)
 class Requirements:
     """What a request requires of a replica.
@@ -11,10 +22,11 @@
     ``prefix_tokens`` is how many tokens of that part are in no store, and
     ``new_tokens`` is how many tokens any replica has to prefill. ``tokens`` is how many
     tokens the request occupies in KV memory when it finishes; a replica has room for
-    ``kv_tokens``. ``version`` is the newest version of the weights and
-    ``least_version`` the oldest one that may serve the request. ``pause_ms`` is the
-    route's target for the longest pause between two events of a stream, 0 if the route
-    has none.
+    ``kv_tokens``. ``shared_prefix`` is the part of ``tokens`` that a replica holds only
+    once, however many of its runs share it. ``version`` is the newest version of the
+    weights and ``least_version`` the oldest one that may serve the request.
+    ``pause_ms`` is the route's target for the longest pause between two events of a
+    stream, 0 if the route has none.
     """
 
     service: str
@@ -27,6 +39,7 @@
     version: int | None = None
     least_version: int = 0
     pause_ms: int = 0
+    shared_prefix: SharedPrefix | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -3,6 +3,7 @@
 from fireflyward.deployment import ReplicaEntry
 
 from ._backpressure import Backpressure
+from ._requirements import SharedPrefix
 
 # A replica reports in a response header how many requests it has. After this time half
 # of the other nodes' requests are assumed to have finished.
@@ -56,6 +57,7 @@
         "incarnation_id",
         "slowdown",
         "rejections",
+        "shared_runs",
         "mean_run_ms",
         "unprefilled_tokens",
         "waiting_late",
@@ -74,6 +76,8 @@
         self.waiting_late = 0
         self.unprefilled_tokens = 0
         self.resident_tokens = 0
+        # How many of this node's runs there have each shared prefix.
+        self.shared_runs: dict[SharedPrefix, int] = {}
         self.slowdown = 1.0
         self.mean_run_ms = _INITIAL_RUN_MS
         self.failed_share = 0.0
@@ -158,6 +162,20 @@
         self.slowdown += _SLOWDOWN_WEIGHT * (self.slowdown * ratio - self.slowdown)
         self.slowdown = min(max(self.slowdown, _MIN_SLOWDOWN), _MAX_SLOWDOWN)
 
+    def on_run_resident(self, tokens: int, prefix: SharedPrefix | None) -> None:
+        """Count the tokens that a run occupies there in KV memory, from now on."""
+        self.resident_tokens += tokens
+        if prefix is not None:
+            self.shared_runs[prefix] = self.shared_runs.get(prefix, 0) + 1
+
+    def on_run_gone(self, tokens: int, prefix: SharedPrefix | None) -> None:
+        """Stop counting the tokens of a run; see ``on_run_resident``."""
+        self.resident_tokens -= tokens
+        if prefix is not None:
+            self.shared_runs[prefix] -= 1
+            if not self.shared_runs[prefix]:
+                del self.shared_runs[prefix]
+
     def on_run_finished(self, took_ms: float) -> None:
         """Update the mean time that a request occupies a slot."""
         self.mean_run_ms += _SLOWDOWN_WEIGHT * (took_ms - self.mean_run_ms)
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -58,6 +58,12 @@
         self.assertIsNone(admission.check(LatencyEstimate(100, 200, 50, 9_000)))
         self.assertIsNotNone(admission.check(LatencyEstimate(400, 500, 50, 9_000)))
 
+    def test_a_request_without_room_in_memory_is_rejected_and_does_not_wait(self):
+        """Guards against preempting running streams for a prompt that is in time."""
+        estimate = LatencyEstimate(100, 200, 900, 9_000, has_room=False)
+        self.assertGreater(Admission().check(estimate).retry_after_ms, 0)
+        self.assertFalse(Admission().may_wait(estimate))
+
     def test_a_request_that_cannot_meet_its_deadline_is_rejected_at_once(self):
         rejected = Admission().check(LatencyEstimate(100, 200, 900, 150))
         self.assertGreater(rejected.retry_after_ms, 0)
