Load reports: don't repeat small changes of shared memory

The part of a shared prefix that a node counts changes with each request of the other nodes, and each change would have been reported by every node with a run there. Changes of up to an eighth are not reported unless a run of the node began or ended. The new test fails with a tolerance of 0.

--- a/fireflyward/replicas/_load_reports.py
+++ b/fireflyward/replicas/_load_reports.py
@@ -35,6 +35,9 @@
 _BITS_PER_MS_PER_MBPS = 1_000
 # An aggregator sends something at least this often, so that its failure is detected.
 _KEEPALIVE_MS = 200
+# Memory that changed by at most this share isn't reported again if no run began or
+# ended; the estimate itself is off by about as much.
+_RESIDENT_TOLERANCE = 0.125
 # An entry takes 16 bytes; a datagram has room for 1,400.
 _MAX_REPLICAS_PER_DATAGRAM = 75
 
@@ -111,6 +114,8 @@
         self._failure_domain = failure_domain
         self._link_mbps = link_mbps
         self._kv_room = kv_room or KvRoom()
+        # By incarnation id: the whole prompts of the own runs, and the reported tokens.
+        self._resident_by_id: dict[int, tuple[int, int]] = {}
         self._last_report: dict[int, InFlightLoad] = {}
         self._last_report_ms = 0
         self._reported_to: Member | None = None
@@ -143,19 +148,37 @@
             self._report_to_everyone(link)
 
     def _own(self) -> dict[int, InFlightLoad]:
+        busy = [
+            state
+            for state in self._directory.all()
+            if state.in_flight or state.waiting_late
+        ]
+        busy_ids = {state.incarnation_id for state in busy}
+        for incarnation_id in self._resident_by_id.keys() - busy_ids:
+            del self._resident_by_id[incarnation_id]
         return {
             state.incarnation_id: InFlightLoad(
                 int(state.unprefilled_tokens),
                 self._resident_tokens(state),
                 state.in_flight,
             )
-            for state in self._directory.all()
-            if state.in_flight or state.waiting_late
+            for state in busy
         }
 
     def _resident_tokens(self, state: ReplicaState) -> int:
+        """Return the tokens to report, the last ones if they changed only a little.
+
+        The part of a shared prefix that a node counts changes with the other nodes'
+        requests. Each of them would otherwise be followed by a report of every node.
+        """
         others = self._peers.at(self._clock.now_ms(), state.incarnation_id)
-        return int(self._kv_room.own_tokens(state, others.requests))
+        tokens = int(self._kv_room.own_tokens(state, others.requests))
+        whole, reported = self._resident_by_id.get(state.incarnation_id, (-1, 0))
+        is_small_change = abs(tokens - reported) <= _RESIDENT_TOLERANCE * reported
+        if state.resident_tokens == whole and is_small_change:
+            return reported
+        self._resident_by_id[state.incarnation_id] = state.resident_tokens, tokens
+        return tokens
 
     def _is_due(self, now_ms: int, own: LoadByReplica) -> bool:
         """Return whether to send the own load now, and record it as sent if so.
--- a/tests/replicas/test_load_reports.py
+++ b/tests/replicas/test_load_reports.py
@@ -1,14 +1,18 @@
 """Many nodes report their in-flight load to each other."""
 
 import unittest
+from dataclasses import replace
 
 from fireflyward.aggregators import Aggregators, Member
 from fireflyward.clock import Clock
 from fireflyward.replicas import (
     InFlightLoad,
+    KvRoom,
     LoadReportTask,
     PeerLoad,
     ReplicaDirectory,
+    Requirements,
+    SharedPrefix,
 )
 
 from .makers import entry
@@ -67,6 +71,7 @@
         entries = [entry(f"r{i}") for i in range(40)]
         self.directory.on_full_read(0, entries, after_outage=False)
         self.aggregators = Aggregators(name, domain, link_mbps=100)
+        self.kv_room = KvRoom()
         self.task = LoadReportTask(
             clock=network.clock,
             directory=self.directory,
@@ -75,6 +80,7 @@
             node=name,
             failure_domain=domain,
             link_mbps=100,
+            kv_room=self.kv_room,
         )
         self.task.register(self.link)
 
@@ -314,6 +320,37 @@
             InFlightLoad(0, 900, 0),
         )
 
+    def test_small_changes_of_shared_memory_are_not_reported(self):
+        """Guards against a report of every node after each request of another node.
+
+        The part of a shared prefix that a node counts depends on the others' requests.
+        """
+        network = _Network(1)
+        node, other = network.node_by_name["a0"], network.node_by_name["b0"]
+        state = node.directory.find("r0")
+        prefix = SharedPrefix("p", 9_000)
+        prompt = Requirements("s", tokens=12_000, kv_tokens=9_000, shared_prefix=prefix)
+        for number in range(30):
+            frequent = prompt if number % 2 else replace(prompt, shared_prefix=None)
+            node.kv_room.on_choice(0, state, frequent)
+        state.in_flight = 1
+        state.on_run_resident(12_000, prefix)
+        other.put("r0", 10)
+        network.step(4)
+        incarnation_id = entry("r0").incarnation_id
+        first = other.peers.at(network.clock.now_ms(), incarnation_id).resident
+        self.assertLess(first, 12_000)
+        other.put("r0", 11)
+        network.step(1)
+        sent = network.sent
+        network.step(4)
+        self.assertEqual(network.sent, sent)
+        state.in_flight = 2
+        state.on_run_resident(12_000, prefix)
+        network.step(2)
+        second = other.peers.at(network.clock.now_ms(), incarnation_id).resident
+        self.assertGreater(second, first + 3_000)
+
     def test_many_replicas_need_several_datagrams(self):
         network = _Network(6)
         network.step(20)
