--- a/fireflyward/subsets/_filter.py
+++ b/fireflyward/subsets/_filter.py
@@ -170,7 +170,6 @@
     def _rank(self, subset: _ServiceSubset, listed: list[ReplicaState]) -> None:
         """Rank the replicas again if they changed, not only their entries' details."""
         subset.listed = listed
-        subset.sized_ms = None
         # By identity: an incarnation that is listed again has another state.
         signature = {
             (id(state), state.entry.slots, state.entry.failure_domain)
@@ -179,6 +178,7 @@
         if signature == subset.signature:
             return
         subset.signature = signature
+        subset.sized_ms = None
         subset.ranking = rank_replicas(self._node, self._failure_domain, listed)
         subset.members_by_weights.clear()
 
--- a/tests/replicas/test_kv_room.py
+++ b/tests/replicas/test_kv_room.py
@@ -66,6 +66,8 @@
         expected = 8 * (TOKENS - SHARED) + SHARED
         self.assertAlmostEqual(self.room.own_tokens(self.state, 0), expected)
         self.assertEqual(self.wait_ms(prompt()), 0.0)
+        free = self.room.free_tokens(self.state, InFlightLoad(0, 10_000, 1))
+        self.assertLess(abs(KV_TOKENS - 10_000 - expected - free), SHARED)
 
     def test_runs_that_ended_occupy_nothing(self):
         self.observe(prompt())
