--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -12,12 +12,18 @@
 from fireflyward.replicas import (
     Chooser,
     ColdShares,
+    KvRoom,
     LoadReportTask,
     PeerLoad,
     RateLimits,
     ReplicaDirectory,
 )
 from fireflyward.speeds import PauseTerm, PauseTimes, SpeedTask
+from fireflyward.subsets import (
+    ConnectionCounts,
+    IdleConnectionCost,
+    SubsetFilter,
+)
 
 
 class ReplicaComponents:
@@ -33,7 +39,8 @@
     ) -> None:
         self._clock = clock
         self.directory = ReplicaDirectory()
-        peer_load = PeerLoad()
+        peer_load = self._peer_load = PeerLoad()
+        self.kv_room = KvRoom()
         self.load_report_task = LoadReportTask(
             clock=clock,
             directory=self.directory,
@@ -42,18 +49,32 @@
             node=settings.node,
             failure_domain=settings.failure_domain,
             link_mbps=settings.link_mbps,
+            kv_room=self.kv_room,
         )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
         pauses = PauseTimes()
         self.pause_term = PauseTerm(pauses)
+        self.connection_counts = ConnectionCounts(pool, self.directory)
+        self.subsets = SubsetFilter(
+            self.directory,
+            self.connection_counts,
+            node=settings.node,
+            failure_domain=settings.failure_domain,
+            peers=peer_load,
+        )
         self.chooser = Chooser(
             self.directory,
             failure_domain=settings.failure_domain,
             peers=peer_load,
             cold_shares=self.cold_shares,
             rate_limits=self.rate_limits,
-            cost_terms=(self.pause_term,),
+            cost_terms=(
+                self.pause_term,
+                IdleConnectionCost(pool, self.subsets),
+            ),
+            candidate_filter=self.subsets,
+            kv_room=self.kv_room,
         )
         self.reach = ReachTask(
             clock=clock,
@@ -75,6 +96,7 @@
         """Set the names of all nodes, which share the limits of the replicas."""
         self.cold_shares.set_nodes(names)
         self.rate_limits.set_nodes(names)
+        self.subsets.set_nodes(len(names))
 
     def use(self, link: PeerLink) -> None:
         """Send and receive messages over a link from now on."""
@@ -103,4 +125,33 @@
             "speed_changes_expired_total": self.speeds.expired,
             "evacuated_failure_domains": len(self.directory.evacuated),
             "unreachable_failure_domains": len(self.directory.unreachable),
+            "kv_prompts_moved_total": self.kv_room.moved,
+            "kv_prompts_without_room_total": self.kv_room.without_room,
         }
+
+    def gauges_by_service(self) -> dict[str, dict[str, int]]:
+        """Return gauges that differ by service, by their name and the service's."""
+        self.connection_counts.update(self._clock.now_ms())
+        totals = self.connection_counts.totals()
+        return {
+            "service_connections_opened_total": {
+                service: use.opened for service, use in totals.items()
+            },
+            "service_connections_reused_total": {
+                service: use.reused for service, use in totals.items()
+            },
+            "subset_replicas": self.subsets.sizes(),
+            "kv_free_tokens": self._free_kv_tokens(),
+        }
+
+    def _free_kv_tokens(self) -> dict[str, int]:
+        """Return the unused KV memory of all replicas of each service with engines."""
+        now_ms = self._clock.now_ms()
+        free_by_service: dict[str, int] = {}
+        for state in self.directory.all():
+            others = self._peer_load.at(now_ms, state.incarnation_id)
+            free = self.kv_room.free_tokens(state, others)
+            if free is not None:
+                service = state.entry.service
+                free_by_service[service] = free_by_service.get(service, 0) + free
+        return free_by_service
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -6,9 +6,11 @@
 from ._cost_terms import CandidateFilter, CostTerm
 from ._directory import ReplicaDirectory
 from ._in_flight_load import InFlightLoad, PeerLoad
+from ._kv_room import KvRoom
 from ._load_reports import LoadReportTask
 from ._rate_limits import RateLimits
 from ._requirements import LoadEstimate, Requirements
+from ._shared_prefix import SharedPrefix
 from ._speed import SPEED_EXPIRY_MS, ReplicaSpeed, SpeedReading
 from ._state import ReplicaState
 
@@ -25,8 +27,10 @@
     "ReplicaSpeed",
     "ReplicaState",
     "InFlightLoad",
+    "KvRoom",
     "LoadEstimate",
     "LoadReportTask",
     "Requirements",
+    "SharedPrefix",
     "SpeedReading",
 ]
--- a/fireflyward/replicas/_requirements.py
+++ b/fireflyward/replicas/_requirements.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 
+from ._shared_prefix import SharedPrefix
 from ._state import FIRST_EVENT_MS
 
 
@@ -13,10 +14,11 @@
     ``prefix_tokens`` is how many tokens of that part are in no store, and
     ``new_tokens`` is how many tokens any replica has to prefill. ``tokens`` is how many
     tokens the request occupies in KV memory when it finishes; a replica has room for
-    ``kv_tokens``. ``version`` is the newest version of the weights and
-    ``least_version`` the oldest one that may serve the request. ``pause_ms`` is the
-    route's target for the longest pause between two events of a stream, 0 if the route
-    has none.
+    ``kv_tokens``. ``shared_prefix`` is the part of ``tokens`` that a replica holds only
+    once, however many of its runs share it. ``version`` is the newest version of the
+    weights and ``least_version`` the oldest one that may serve the request.
+    ``pause_ms`` is the route's target for the longest pause between two events of a
+    stream, 0 if the route has none.
     """
 
     service: str
@@ -29,6 +31,7 @@
     version: int | None = None
     least_version: int = 0
     pause_ms: int = 0
+    shared_prefix: SharedPrefix | None = None
 
 
 @dataclass(frozen=True, slots=True)
