--- a/fireflyward/replicas/_choice.py
+++ b/fireflyward/replicas/_choice.py
@@ -12,8 +12,11 @@
 
     ``queue_ms`` is how long this request waits at the replica, ``first_token_ms`` adds
     the prefill of its own prompt. ``slot_ms`` is the part of ``queue_ms`` that is spent
-    waiting for a free slot; ``slots`` is the sum over all replicas that may serve the
-    request. The times contain ``work_factor``, which follows from ``speed``.
+    waiting for a free slot, and ``memory_ms`` the part until KV memory is free.
+    ``has_room`` is False if the request would make the replica preempt runs, where KV
+    memory is scarcer than slots; see ``KvRoom``. ``slots`` is the sum over all replicas
+    that may serve the request. The times contain ``work_factor``, which follows from
+    ``speed``.
     """
 
     replica: ReplicaState
@@ -25,6 +28,8 @@
     slots: int = 0
     work_factor: float = 1.0
     speed: SpeedReading = NO_READING
+    memory_ms: float = 0.0
+    has_room: bool = True
 
     def on_first_token(self, now_ms: int, took_ms: float) -> None:
         """Compare a measured time with the estimate if the speed is the same as then.
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -3,6 +3,7 @@
 from fireflyward.deployment import ReplicaEntry
 
 from ._backpressure import Backpressure
+from ._shared_prefix import SharedPrefix
 from ._speed import ReplicaSpeed
 
 # A replica reports in a response header how many requests it has. After this time half
@@ -57,6 +58,7 @@
         "incarnation_id",
         "slowdown",
         "rejections",
+        "shared_runs",
         "mean_run_ms",
         "speed",
         "unprefilled_tokens",
@@ -76,6 +78,8 @@
         self.waiting_late = 0
         self.unprefilled_tokens = 0
         self.resident_tokens = 0
+        # How many of this node's runs there have each shared prefix.
+        self.shared_runs: dict[SharedPrefix, int] = {}
         self.slowdown = 1.0
         self.speed = ReplicaSpeed()
         self.mean_run_ms = _INITIAL_RUN_MS
@@ -161,6 +165,20 @@
         self.slowdown += _SLOWDOWN_WEIGHT * (self.slowdown * ratio - self.slowdown)
         self.slowdown = min(max(self.slowdown, _MIN_SLOWDOWN), _MAX_SLOWDOWN)
 
+    def on_run_resident(self, tokens: int, prefix: SharedPrefix | None) -> None:
+        """Count the tokens that a run occupies there in KV memory, from now on."""
+        self.resident_tokens += tokens
+        if prefix is not None:
+            self.shared_runs[prefix] = self.shared_runs.get(prefix, 0) + 1
+
+    def on_run_gone(self, tokens: int, prefix: SharedPrefix | None) -> None:
+        """Stop counting the tokens of a run; see ``on_run_resident``."""
+        self.resident_tokens -= tokens
+        if prefix is not None:
+            self.shared_runs[prefix] -= 1
+            if not self.shared_runs[prefix]:
+                del self.shared_runs[prefix]
+
     def on_run_finished(self, took_ms: float) -> None:
         """Update the mean time that a request occupies a slot."""
         self.mean_run_ms += _SLOWDOWN_WEIGHT * (took_ms - self.mean_run_ms)
