--- a/fireflyward/entry/_completions.py
+++ b/fireflyward/entry/_completions.py
@@ -3,7 +3,7 @@
 import msgspec
 from aiohttp import web
 
-from fireflyward.limits import AdmissionRequest, Ticket
+from fireflyward.limits import AdmissionRequest, Ticket, request_cost
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown
 from fireflyward.runs import Deliver, Mark, Placed
 from fireflyward.upstreams import count_tokens
@@ -30,8 +30,6 @@
 )
 
 _MS_PER_SECOND = 1_000
-# Decoding a token takes about as long as prefilling this many tokens.
-_PREFILL_TOKENS_PER_DECODED_TOKEN = 4
 _TICKET = web.RequestKey("admission_ticket", Ticket)
 _END_MARKER = b"data: [DONE]\n\n"
 
@@ -93,10 +91,7 @@
 
 def _admission_request(run_request: RunRequest) -> AdmissionRequest:
     identity, prompt = run_request.identity, run_request.prompt
-    cost = (
-        count_tokens(prompt.text)
-        + _PREFILL_TOKENS_PER_DECODED_TOKEN * prompt.max_tokens
-    )
+    cost = request_cost(count_tokens(prompt.text), prompt.max_tokens)
     return AdmissionRequest(
         identity.account_name,
         prompt.model,
--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -3,6 +3,7 @@
 import random
 from dataclasses import dataclass
 
+from fireflyward.limits import bounded_retry_after_ms
 from fireflyward.outcomes import NotRun, Reason
 
 # A request counts as late if its first token is estimated to take longer than this
@@ -85,6 +86,9 @@
         max_wait_ms = _MAX_WAIT_SHARE * estimate.left_ms
         queue_short_ms = max(_MIN_RETRY_AFTER_MS, estimate.queue_ms - _LATE_QUEUE_MS)
         spread_ms = _SPREAD_SHARE * max_wait_ms * self._random.random()
-        return int(
-            max(_MIN_RETRY_AFTER_MS, min(queue_short_ms + spread_ms, max_wait_ms))
+        return bounded_retry_after_ms(
+            queue_short_ms,
+            min_ms=_MIN_RETRY_AFTER_MS,
+            max_ms=max_wait_ms,
+            position_ms=spread_ms,
         )
--- a/fireflyward/limits/__init__.py
+++ b/fireflyward/limits/__init__.py
@@ -11,6 +11,8 @@
 from ._admission import Admission, AdmissionRequest, Ticket
 from ._fair_queue import FairQueue, Waiter
 from ._gate import AdmissionGate
+from ._request_cost import request_cost
+from ._retry_after import bounded_retry_after_ms
 from ._window import Window
 
 __all__ = [
@@ -27,4 +29,6 @@
     "Ticket",
     "Waiter",
     "Window",
+    "bounded_retry_after_ms",
+    "request_cost",
 ]
--- a/fireflyward/limits/_admission.py
+++ b/fireflyward/limits/_admission.py
@@ -7,6 +7,8 @@
 from fireflyward.outcomes import NotRun, Reason
 
 from ._fair_queue import FairQueue, Waiter
+from ._fair_share import share_of_weights
+from ._retry_after import bounded_retry_after_ms
 from ._window import Window
 
 _MIN_RETRY_AFTER_MS = 1_000
@@ -236,8 +238,8 @@
             return 0.0
         span_ms = max(1, now_ms - state.admitted[0][0])
         rate = sum(cost for _, cost in state.admitted) / span_ms
-        share = request.weight / (
-            request.weight + state.queue.weight_of_others(request.account)
+        share = share_of_weights(
+            request.weight, state.queue.weight_of_others(request.account)
         )
         return ahead / (rate * share)
 
@@ -324,4 +326,6 @@
 
 
 def _retry_after_ms(wait_ms: float) -> int:
-    return int(min(_MAX_RETRY_AFTER_MS, max(_MIN_RETRY_AFTER_MS, wait_ms)))
+    return bounded_retry_after_ms(
+        wait_ms, min_ms=_MIN_RETRY_AFTER_MS, max_ms=_MAX_RETRY_AFTER_MS
+    )
--- a/fireflyward/limits/_limits_structs.py
+++ b/fireflyward/limits/_limits_structs.py
@@ -42,3 +42,36 @@
         self.accounts = accounts
         self.totals = totals
         self.parts = parts
+
+
+class FairnessSums(TPayload):
+    thrift_spec = {
+        1: (TType.I32, "service_id", True),
+        2: (TType.LIST, "kinds", TType.I32, True),
+        3: (TType.LIST, "names", TType.I32, True),
+        4: (TType.LIST, "arrived", TType.I32, True),
+        5: (TType.LIST, "admitted", TType.I32, True),
+        6: (TType.LIST, "rejected", TType.I32, True),
+        7: (TType.LIST, "returned", TType.I32, True),
+        8: (TType.LIST, "weights", TType.I32, False),
+    }
+
+    def __init__(
+        self,
+        service_id: Any = None,
+        kinds: Any = None,
+        names: Any = None,
+        arrived: Any = None,
+        admitted: Any = None,
+        rejected: Any = None,
+        returned: Any = None,
+        weights: Any = None,
+    ) -> None:
+        self.service_id = service_id
+        self.kinds = kinds
+        self.names = names
+        self.arrived = arrived
+        self.admitted = admitted
+        self.rejected = rejected
+        self.returned = returned
+        self.weights = weights
