Limits: fair admission by totals of all nodes, for prompts and plain services

In a shortage each node rejected by its own estimate, which rejects first what has the shortest objective. Nodes now exchange decaying sums of short services, and accounts above their max-min share, less urgent groups that are served more often and smaller prompts yield within the base estimate.

--- a/fireflyward/deployment/_configuration.py
+++ b/fireflyward/deployment/_configuration.py
@@ -103,12 +103,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ClientAccount:
-    """A client account; an isolated one shares no KV cache with other accounts."""
+    """A client account; an isolated one shares no KV cache with other accounts.
+
+    ``weight`` is its part of a service that lacks capacity, relative to other accounts.
+    """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     is_isolated: bool = False
+    weight: float = 1.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -291,6 +291,13 @@
         labels = {"outcome": outcome.tag, "reason": reason, "route": trace.route}
         self._metrics.count("requests_total", **labels)
         self._metrics.observe_ms("request_ms", took_ms)
+        if trace.fair_reason:
+            self._metrics.count(
+                "fair_admission_total",
+                service=trace.service,
+                reason=trace.fair_reason,
+                outcome=outcome.tag,
+            )
         if trace.first_token_ms:
             self._metrics.observe_ms("first_token_ms", trace.first_token_ms)
         if trace.sends > 1:
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -311,6 +311,7 @@
             gate=self._quarantine,
             reach=self._replica_components.reach,
             notices=self._replica_components.notices,
+            fairness=self._replica_components.fairness,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -385,6 +386,7 @@
             part.use(link)
         return lambda: self._start(
             self._replica_components.load_report_task.run(link),
+            self._replica_components.sum_report_task.run(link),
             self._kv_store_followers.run(link),
         )
 
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -6,6 +6,7 @@
 from fireflyward.clock import Clock
 from fireflyward.deployment import FleetSettings
 from fireflyward.http1 import ConnectionPool
+from fireflyward.limits import FairAdmission, LocalSums, PeerSums, SumReportTask
 from fireflyward.notices import NoticeTask
 from fireflyward.peers import PeerLink
 from fireflyward.reach import ReachTask
@@ -42,6 +43,12 @@
             failure_domain=settings.failure_domain,
             link_mbps=settings.link_mbps,
         )
+        self._peer_sums = PeerSums()
+        sums = LocalSums()
+        self.fairness = FairAdmission(sums, self._peer_sums)
+        self.sum_report_task = SumReportTask(
+            clock=clock, sums=sums, peers=self._peer_sums, aggregators=aggregators
+        )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
         self.chooser = Chooser(
@@ -77,6 +84,8 @@
         backpressures = [state.backpressure for state in states]
         return {
             "replicas": len(self.directory),
+            "invalid_account_weights_total": self.fairness.invalid_weights,
+            "invalid_fairness_messages_total": self._peer_sums.invalid_messages,
             "cold_replicas": sum(state.is_cold(now_ms) for state in states),
             "cold_sends_total": self.cold_shares.granted,
             "leaving_replicas": sum(state.is_leaving for state in states),
--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -3,8 +3,9 @@
 import random
 from dataclasses import dataclass
 
-from fireflyward.limits import bounded_retry_after_ms
+from fireflyward.limits import FairVerdict, bounded_retry_after_ms
 from fireflyward.outcomes import NotRun, Reason
+from fireflyward.replicas import Choice
 
 # A request counts as late if its first token is estimated to take longer than this
 # share of its latency objective. With a share above one, a lasting overload would keep
@@ -16,6 +17,11 @@
 # assigned by priority, but only while its estimated first token takes at most this
 # share of the time until its deadline.
 _LATE_QUEUE_MS = 250.0
+# The queue that every request may find, also one that has to yield. Load reports are 25
+# to 80 ms old: with a shorter one, replicas could become idle while requests are
+# rejected. It is the same for all routes, because with a part of their different
+# objectives the most urgent ones, which have the tightest, would get the least.
+_YIELDING_QUEUE_MS = 60.0
 _LATE_DEADLINE_SHARE = 0.3
 _MIN_RETRY_AFTER_MS = 200.0
 # Callers that were rejected together must not retry together. They will be late
@@ -24,6 +30,10 @@
 # be on time. A caller has to wait for at most a third of the time it has left.
 _MAX_WAIT_SHARE = 1 / 3
 _SPREAD_SHARE = 0.7
+# The random part of a time that follows the order of the rejections. Callers that were
+# rejected between two totals have the same position.
+_RANDOM_SHARE = 0.25
+_NEUTRAL = FairVerdict()
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +53,25 @@
     slot_ms: float = 0.0
 
 
+def estimate_latency(
+    choice: Choice, objective_left_ms: float, left_ms: float, is_prompt: bool
+) -> LatencyEstimate:
+    """Return the estimate for a chosen replica.
+
+    A request without a prompt takes the mean run time after its wait, for which
+    ``Choice`` has no field. Where nothing waits it is sent in any case: the mean says
+    little about a single request, and nothing else would use the free slot.
+    """
+    answer_ms = choice.first_token_ms
+    if not is_prompt:
+        if choice.queue_ms <= 0 or choice.replica.entry.slots <= 0:
+            return LatencyEstimate(0.0, 0.0, objective_left_ms, left_ms)
+        answer_ms = choice.queue_ms + choice.replica.mean_run_ms
+    return LatencyEstimate(
+        choice.queue_ms, answer_ms, objective_left_ms, left_ms, choice.slot_ms
+    )
+
+
 class Admission:
     """Rejects at once requests that would be late or make others late; no I/O.
 
@@ -63,32 +92,70 @@
         limit_ms = _ON_TIME_SHARE * estimate.objective_left_ms
         return estimate.first_token_ms > limit_ms
 
-    def check(self, estimate: LatencyEstimate) -> NotRun | None:
-        """Return why a request is rejected, None if it is admitted."""
+    def is_rejected_by_estimate(self, estimate: LatencyEstimate) -> bool:
+        """Return whether the estimate alone leads to rejection."""
+        is_in_time = estimate.first_token_ms < estimate.left_ms
+        return not (is_in_time and self._is_queue_short(estimate, 1.0))
+
+    def check(
+        self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
+    ) -> NotRun | None:
+        """Return why a request is rejected, None if it is admitted.
+
+        A verdict's factor below 1 reduces the queue that the request may find, down to
+        ``_YIELDING_QUEUE_MS`` at 0; above 1 it raises that of a late request.
+        """
         if estimate.first_token_ms < estimate.left_ms:
-            if not self.is_late(estimate) or estimate.queue_ms <= _LATE_QUEUE_MS:
+            if self._is_queue_short(estimate, verdict.factor):
                 return None
-        return self.reject(estimate)
-
-    def may_wait(self, estimate: LatencyEstimate) -> bool:
+        return self.reject(estimate, verdict)
+
+    def _is_queue_short(self, estimate: LatencyEstimate, factor: float) -> bool:
+        late_queue_ms = _LATE_QUEUE_MS * max(1.0, factor)
+        if factor >= 1.0:
+            return not self.is_late(estimate) or estimate.queue_ms <= late_queue_ms
+        own_ms = estimate.first_token_ms - estimate.queue_ms
+        budget_ms = _ON_TIME_SHARE * estimate.objective_left_ms - own_ms
+        return estimate.queue_ms <= _reduced(max(budget_ms, late_queue_ms), factor)
+
+    def may_wait(
+        self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
+    ) -> bool:
         """Return whether a late request may wait for a slot at the lowest priority."""
         prefill_queue_ms = estimate.queue_ms - estimate.slot_ms
         in_time = estimate.first_token_ms <= _LATE_DEADLINE_SHARE * estimate.left_ms
-        return in_time and prefill_queue_ms <= _LATE_QUEUE_MS
+        limit_ms = _reduced(_LATE_QUEUE_MS, min(1.0, verdict.factor))
+        return in_time and prefill_queue_ms <= limit_ms
 
-    def reject(self, estimate: LatencyEstimate) -> NotRun:
+    def reject(
+        self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
+    ) -> NotRun:
         """Return the rejection of a request, with the time after which to retry."""
         detail = f"first token in {estimate.first_token_ms:.0f} ms"
-        return NotRun(Reason.OVERLOADED, detail, self._retry_after_ms(estimate))
+        return NotRun(
+            Reason.OVERLOADED, detail, self._retry_after_ms(estimate, verdict)
+        )
+
+    def _retry_after_ms(self, estimate: LatencyEstimate, verdict: FairVerdict) -> int:
+        """Return when the queue will be short again, plus a part that spreads retries.
 
-    def _retry_after_ms(self, estimate: LatencyEstimate) -> int:
-        """Return when the queue will be short again, plus a random part to spread."""
+        If it is known how long the callers take that were rejected earlier, most of
+        the part follows their order. Otherwise it is random.
+        """
         max_wait_ms = _MAX_WAIT_SHARE * estimate.left_ms
         queue_short_ms = max(_MIN_RETRY_AFTER_MS, estimate.queue_ms - _LATE_QUEUE_MS)
-        spread_ms = _SPREAD_SHARE * max_wait_ms * self._random.random()
+        max_spread_ms = _SPREAD_SHARE * max_wait_ms
+        spread_ms = max_spread_ms * self._random.random()
+        if verdict.position_ms is not None:
+            ordered_ms = min(verdict.position_ms, max_spread_ms)
+            spread_ms = ordered_ms + _RANDOM_SHARE * (spread_ms - ordered_ms)
         return bounded_retry_after_ms(
             queue_short_ms,
             min_ms=_MIN_RETRY_AFTER_MS,
             max_ms=max_wait_ms,
             position_ms=spread_ms,
         )
+
+
+def _reduced(limit_ms: float, factor: float) -> float:
+    return _YIELDING_QUEUE_MS + factor * (limit_ms - _YIELDING_QUEUE_MS)
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -6,6 +6,7 @@
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import ConnectionPool, HttpConnection
+from fireflyward.limits import FairAdmission
 from fireflyward.platform import ResponseFacts
 from fireflyward.prefixes import PartPlanner
 from fireflyward.quarantine import Free, Held, Trial
@@ -67,6 +68,7 @@
     admission: Admission
     callers: CallerTimes
     late_limit: LateRequestLimit
+    fairness: FairAdmission
     gate: QuarantineGate
     reach: Reach
     notices: Notices
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -2,6 +2,7 @@
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import ConnectionPool
+from fireflyward.limits import FairAdmission, LocalSums, PeerSums
 from fireflyward.outcomes import Outcome
 from fireflyward.platform import CallerRequest
 from fireflyward.prefixes import PartPlanner
@@ -43,6 +44,7 @@
         reach: Reach,
         notices: Notices,
         admission: Admission | None = None,
+        fairness: FairAdmission | None = None,
     ) -> None:
         self._deps = Dependencies(
             clock=clock,
@@ -54,6 +56,7 @@
             admission=admission or Admission(),
             callers=CallerTimes(),
             late_limit=LateRequestLimit(),
+            fairness=fairness or FairAdmission(LocalSums(), PeerSums()),
             gate=gate,
             reach=reach,
             notices=notices,
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -13,9 +13,10 @@
 from fireflyward.replicas import Choice, ReplicaState
 from fireflyward.routes import Allowed
 
-from ._admission import LatencyEstimate
+from ._admission import estimate_latency
 from ._dependencies import Dependencies
 from ._exchange import Exchange, Reply, StreamProgress
+from ._fair_check import FairCheck
 from ._messages import (
     Deliver,
     Finish,
@@ -50,6 +51,7 @@
         "_caller",
         "_clock",
         "_due_ms",
+        "_fair",
         "_is_late",
         "_objective_ms",
         "_deps",
@@ -94,6 +96,7 @@
         self._due_ms = arrived_ms + limit_ms
         spent_ms = deps.callers.spent_ms(allowed.route.name, caller.deadline_ms)
         self._objective_ms = arrived_ms + allowed.route.objective_ms - spent_ms
+        self._fair = FairCheck(deps, caller, allowed, spent_ms, trace)
         self._is_late = False
         self._waits_late = False
         self._progress = StreamProgress()
@@ -112,7 +115,9 @@
     async def run(self) -> Outcome:
         """Send the request until its plan finishes it; see ``Forwarder.serve``."""
         try:
-            return await self._send_until_done()
+            outcome = await self._send_until_done()
+            self._fair.on_outcome(self._clock.now_ms(), outcome)
+            return outcome
         finally:
             # The caller may close its connection before its request was sent.
             self._stop_late_wait(None)
@@ -200,25 +205,22 @@
 
         This method also records whether the request is late and whether it waits.
         """
-        if not self._caller.model or self._plan.may_have_run:
+        if self._plan.may_have_run:
             return None
-        estimate = LatencyEstimate(
-            choice.queue_ms,
-            choice.first_token_ms,
-            self._objective_ms - self._clock.now_ms(),
-            left_ms,
-            choice.slot_ms,
-        )
-        admission = self._deps.admission
-        self._is_late = admission.is_late(estimate)
-        rejection = admission.check(estimate)
-        if rejection is None or not admission.may_wait(estimate):
-            return rejection
-        self._waits_late = self._deps.late_limit.try_acquire(
-            self._service, choice.slots
-        )
-        self._trace.waits_late = self._waits_late
-        return None if self._waits_late else rejection
+        now_ms, is_prompt = self._clock.now_ms(), bool(self._caller.model)
+        objective_left_ms = self._objective_ms - now_ms
+        estimate = estimate_latency(choice, objective_left_ms, left_ms, is_prompt)
+        self._is_late = is_prompt and self._deps.admission.is_late(estimate)
+        rejection = self._fair.check(now_ms, estimate)
+        if rejection is not None and is_prompt and self._fair.may_wait(estimate):
+            self._waits_late = self._deps.late_limit.try_acquire(
+                self._service, choice.slots
+            )
+            self._trace.waits_late = self._waits_late
+            self._is_late = self._is_late or self._waits_late
+        is_admitted = rejection is None or self._waits_late
+        self._fair.on_decision(now_ms, estimate, is_admitted=is_admitted)
+        return None if is_admitted else rejection
 
     def _stop_late_wait(self, replica: ReplicaState | None) -> None:
         """Stop counting a late request as waiting: it got its slot, or it ended."""
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -19,6 +19,11 @@
     lists the results of the sends before it. ``waits_late`` is set if the request is
     late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
     requests with the same content.
+
+    If the service lacks capacity, ``fair_percent`` is how much queue the request may
+    find relative to the base estimate's limit, and ``fair_reason`` why. Its inputs are
+    ``pressure_percent``, ``share_percent`` (what the account uses of its fair share),
+    ``totals_age_ms``, and ``is_returning`` for a retry of a rejected caller.
     """
 
     __slots__ = (
@@ -26,15 +31,21 @@
         "configuration",
         "earlier",
         "expected_ms",
+        "fair_percent",
+        "fair_reason",
         "fingerprint",
         "first_token_ms",
+        "is_returning",
         "longest_pause_ms",
+        "pressure_percent",
         "queue_ms",
         "replica",
         "route",
         "sends",
         "service",
+        "share_percent",
         "stored_tokens",
+        "totals_age_ms",
         "waits_late",
         "weights",
     )
@@ -49,6 +60,12 @@
         self.sends = 0
         self.earlier: list[str] = []
         self.waits_late = False
+        self.fair_reason = ""
+        self.fair_percent = 0
+        self.pressure_percent = 0
+        self.share_percent = 0
+        self.totals_age_ms: int | None = None
+        self.is_returning = False
         self.weights: int | None = None
         self.queue_ms = 0
         self.expected_ms = 0
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -102,6 +102,7 @@
     api_keys: list[str] = []
     priority: NonNegativeNumber | None = None
     isolated: bool = False
+    weight: float = 1.0
 
 
 class _Configuration(_KebabStruct):
@@ -158,7 +159,9 @@
 
 def _account(raw: _Account) -> ClientAccount:
     priority = None if raw.priority is None else to_int(raw.priority)
-    return ClientAccount(raw.name, tuple(raw.api_keys), priority, raw.isolated)
+    return ClientAccount(
+        raw.name, tuple(raw.api_keys), priority, raw.isolated, raw.weight
+    )
 
 
 def _route(raw: _Route) -> Route:
