--- a/fireflyward/limits/_group_sums.py
+++ b/fireflyward/limits/_group_sums.py
@@ -3,7 +3,7 @@
 import enum
 import hashlib
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from typing import NamedTuple
 
 # Bursts last some 3 s and callers return after 0.2 to 4 s. With a longer half-life the
 # rule would act on a burst that is over, with a shorter one the sums of a small group
@@ -13,6 +13,8 @@
 WINDOW_MS = HALF_LIFE_MS / 0.693
 # Smaller sums are dropped; an entry of one request lasts some 9 s.
 _MIN_SUM = 0.05
+# How often local sums are stored anew. Meanwhile they grow by a factor of 32.
+_RESTART_MS = 10_000
 _HASH_BYTES = 4
 
 
@@ -36,9 +38,8 @@
 GroupKey = tuple[GroupKind, int]
 
 
-@dataclass(frozen=True, slots=True)
-class GroupSum:
-    """Decayed sums of one group.
+class GroupSum(NamedTuple):
+    """Decayed sums of one group; a tuple, because aggregators create many per second.
 
     ``arrived`` counts callers at their first arrival and ``returned`` the retries of
     rejected callers, so ``admitted / arrived`` is the share of the callers served.
@@ -65,39 +66,47 @@
             max(self.weight, other.weight),
         )
 
-    def after(self, age_ms: float) -> "GroupSum":
-        """Return the sum decayed by an age."""
-        left = 0.5 ** (max(0.0, age_ms) / HALF_LIFE_MS)
+    def times(self, factor: float) -> "GroupSum":
+        """Return the sum multiplied by a factor; the weight stays."""
         return GroupSum(
-            self.arrived * left,
-            self.admitted * left,
-            self.rejected * left,
-            self.returned * left,
+            self.arrived * factor,
+            self.admitted * factor,
+            self.rejected * factor,
+            self.returned * factor,
             self.weight,
         )
 
-    @property
-    def is_negligible(self) -> bool:
-        return max(self.arrived, self.admitted, self.rejected, self.returned) < _MIN_SUM
-
 
 NO_SUM = GroupSum()
+# ``plus`` keeps the larger weight, so that of nothing is 0.
+_NONE_YET = GroupSum(weight=0.0)
 SumByGroup = Mapping[GroupKey, GroupSum]
 
 
-def add_sums(parts: Iterable[SumByGroup]) -> dict[GroupKey, GroupSum]:
-    """Return the sum of several sums, by group."""
-    total: dict[GroupKey, GroupSum] = {}
-    for part in parts:
+def add_sums(parts: Iterable[tuple[float, SumByGroup]]) -> dict[GroupKey, GroupSum]:
+    """Return the sum of several sums by group, each decayed by its age.
+
+    An aggregator adds up those of all nodes of its domain, so this avoids an object
+    for each intermediate result.
+    """
+    rows: dict[GroupKey, list[float]] = {}
+    for age_ms, part in parts:
+        left = remaining_share(age_ms)
         for key, item in part.items():
-            total[key] = total[key].plus(item) if key in total else item
-    return total
+            row = rows.get(key)
+            if row is None:
+                row = rows[key] = [0.0, 0.0, 0.0, 0.0, item.weight]
+            row[0] += left * item.arrived
+            row[1] += left * item.admitted
+            row[2] += left * item.rejected
+            row[3] += left * item.returned
+            row[4] = max(row[4], item.weight)
+    return {key: GroupSum(*row) for key, row in rows.items() if max(row[:4]) > _MIN_SUM}
 
 
-def decayed(sums: SumByGroup, age_ms: float) -> dict[GroupKey, GroupSum]:
-    """Return sums decayed by an age, without the negligible ones."""
-    items = ((key, item.after(age_ms)) for key, item in sums.items())
-    return {key: item for key, item in items if not item.is_negligible}
+def remaining_share(age_ms: float) -> float:
+    """Return which share of a sum is left after this time."""
+    return 0.5 ** (max(0.0, age_ms) / HALF_LIFE_MS)
 
 
 def name_hash(name: str) -> int:
@@ -109,26 +118,43 @@
 class LocalSums:
     """The sums of this node's own requests, by service id; no I/O.
 
+    The stored sums grow instead of decaying: what is added at a time is multiplied by
+    2 for each half-life since ``_start_ms``, so a request changes only its own groups.
+
     >>> sums = LocalSums()
     >>> sums.add(0, 7, {(GroupKind.SERVICE, 0): GroupSum(arrived=1.0)})
     >>> sums.of_service(2_000, 7)[GroupKind.SERVICE, 0].arrived
     0.5
     """
 
-    __slots__ = ("_sums_by_service",)
+    __slots__ = ("_start_ms", "_sums_by_service")
 
     def __init__(self) -> None:
-        self._sums_by_service: dict[int, tuple[int, dict[GroupKey, GroupSum]]] = {}
+        self._start_ms = 0
+        self._sums_by_service: dict[int, dict[GroupKey, GroupSum]] = {}
 
     def services(self) -> list[int]:
         return list(self._sums_by_service)
 
     def add(self, now_ms: int, service: int, change: SumByGroup) -> None:
         """Add to the sums of a service; differences may be negative."""
-        total = add_sums((self.of_service(now_ms, service), change))
-        self._sums_by_service[service] = now_ms, total
+        if now_ms - self._start_ms > _RESTART_MS:
+            self._restart(now_ms)
+        growth = 1.0 / remaining_share(now_ms - self._start_ms)
+        sums = self._sums_by_service.setdefault(service, {})
+        for key, item in change.items():
+            sums[key] = sums.get(key, _NONE_YET).plus(item.times(growth))
 
     def of_service(self, now_ms: int, service: int) -> dict[GroupKey, GroupSum]:
         """Return the sums of a service, decayed until now."""
-        at_ms, sums = self._sums_by_service.get(service, (now_ms, {}))
-        return decayed(sums, now_ms - at_ms) if now_ms != at_ms else sums
+        sums = self._sums_by_service.get(service, {})
+        return add_sums(((now_ms - self._start_ms, sums),))
+
+    def _restart(self, now_ms: int) -> None:
+        """Store the sums as of now, which also drops the negligible ones."""
+        current = {
+            service: self.of_service(now_ms, service)
+            for service in self._sums_by_service
+        }
+        self._start_ms = now_ms
+        self._sums_by_service = {name: sums for name, sums in current.items() if sums}
--- a/fireflyward/limits/_peer_sums.py
+++ b/fireflyward/limits/_peer_sums.py
@@ -3,11 +3,16 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 
-from ._group_sums import GroupKey, GroupSum, SumByGroup, add_sums, decayed
+from ._group_sums import GroupKey, GroupSum, SumByGroup, add_sums
 
 # A sender repeats its sums every 500 ms while a service is short, so this allows for
 # three lost messages. Older totals describe another load: bursts last 3 s.
 EXPIRY_MS = 2_000
+# An aggregator adds up the sums of its whole domain, which takes some ms, each time
+# that it publishes them. Until then it uses the last result. A few sums are always
+# added up.
+_CACHE_MS = 600
+_MAX_UNCACHED = 12
 
 
 @dataclass(frozen=True, slots=True)
@@ -64,6 +69,7 @@
         "_domain_sums",
         "_followed",
         "_is_alone",
+        "_last_by_service",
         "_reports",
         "_totals",
         "invalid_messages",
@@ -73,6 +79,7 @@
         self._reports = _Received()
         self._domain_sums = _Received()
         self._totals = _Received()
+        self._last_by_service: dict[int, tuple[int, Total | None]] = {}
         self._followed: str | None = None
         self._is_alone = False
         self.invalid_messages = 0
@@ -110,18 +117,23 @@
         received = (self._reports, self._domain_sums, self._totals)
         return {key[1] for part in received for key in part.fresh(now_ms)}
 
-    def reported(self, now_ms: int, service: int) -> dict[GroupKey, GroupSum]:
-        """Return the sum of what nodes reported to this one."""
-        return add_sums(_of_service(self._reports, now_ms, service))
-
-    def published(self, now_ms: int, service: int) -> dict[GroupKey, GroupSum]:
-        """Return the sum of the reports and of the other aggregators' sums."""
-        return add_sums(
-            (
-                *_of_service(self._reports, now_ms, service),
-                *_of_service(self._domain_sums, now_ms, service),
-            )
-        )
+    def add_up(
+        self, now_ms: int, service: int
+    ) -> tuple[dict[GroupKey, GroupSum], Total | None]:
+        """Return the sum of the nodes' reports, and that with the aggregators' sums."""
+        reports = _of_service(self._reports, now_ms, service)
+        domain_sums = _of_service(self._domain_sums, now_ms, service)
+        reported = add_sums(reports)
+        parts = [*reports, *domain_sums]
+        total = None
+        if parts:
+            age_ms = max(age_ms for age_ms, _ in parts)
+            total = Total(add_sums(((0, reported), *domain_sums)), age_ms)
+        if len(parts) > _MAX_UNCACHED:
+            self._last_by_service[service] = now_ms, total
+        else:
+            self._last_by_service.pop(service, None)
+        return reported, total
 
     def total(self, now_ms: int, service: int, own: SumByGroup) -> Total | None:
         """Return the total with this node's ``own`` sums, None if there is none."""
@@ -130,22 +142,23 @@
             if found is None:
                 return None
             age_ms = now_ms - found[0]
-            return Total(decayed(found[1], age_ms), age_ms)
-        ages_ms = [
-            now_ms - at_ms
-            for part in (self._reports, self._domain_sums)
-            for (_, name), (at_ms, _) in part.fresh(now_ms).items()
-            if name == service
-        ]
-        if not ages_ms and not self._is_alone:
-            return None
-        sums = add_sums((self.published(now_ms, service), own))
-        return Total(sums, max(ages_ms, default=0))
-
-
-def _of_service(received: _Received, now_ms: int, service: int) -> list[SumByGroup]:
+            return Total(add_sums(((age_ms, found[1]),)), age_ms)
+        at_ms, received = self._last_by_service.get(service, (now_ms, None))
+        if received is None or now_ms - at_ms >= _CACHE_MS:
+            at_ms, received = now_ms, self.add_up(now_ms, service)[1]
+        if received is None:
+            return Total(dict(own)) if self._is_alone else None
+        age_ms = now_ms - at_ms
+        sums = add_sums(((age_ms, received.sums), (0, own)))
+        return Total(sums, received.age_ms + age_ms)
+
+
+def _of_service(
+    received: _Received, now_ms: int, service: int
+) -> list[tuple[int, SumByGroup]]:
+    """Return the sums of a service from each sender, with their ages."""
     return [
-        decayed(sums, now_ms - at_ms)
+        (now_ms - at_ms, sums)
         for (_, name), (at_ms, sums) in received.fresh(now_ms).items()
         if name == service
     ]
--- a/fireflyward/limits/_sum_messages.py
+++ b/fireflyward/limits/_sum_messages.py
@@ -8,19 +8,24 @@
 # An entry takes up to 28 bytes, and a datagram has room for 1,400.
 _MAX_ENTRIES = 40
 _MAX_ACCOUNTS = 16
+# Among 19,000 accounts nearly each request of a node is of another one. Only the large
+# accounts matter, and these have several.
+MAX_REPORTED_ACCOUNTS = 8
 _TENTHS = 10
 _HUNDREDTHS = 100
 _MAX_NUMBER = 2**31 - 1
-_KINDS = frozenset(map(int, GroupKind))
+_KIND_BY_NUMBER = {int(kind): kind for kind in GroupKind}
 
 
-def encode_sums(service: int, sums: SumByGroup) -> Any:
+def encode_sums(
+    service: int, sums: SumByGroup, *, max_accounts: int = _MAX_ACCOUNTS
+) -> Any:
     """Return the message for the sums of a service.
 
     The largest accounts and groups are included; all others count in the sum of the
     service.
     """
-    items = _largest(sums)
+    items = _largest(sums, max_accounts)
     message = FairnessSums(
         service_id=service,
         kinds=[int(key[0]) for key, _ in items],
@@ -46,19 +51,17 @@
         return None
     if any(min(column, default=0) < 0 for column in columns):
         return None
-    if min(weights, default=1) < 1 or any(kind not in _KINDS for kind in message.kinds):
+    if min(weights, default=1) < 1 or any(
+        kind not in _KIND_BY_NUMBER for kind in message.kinds
+    ):
         return None
-    return {
-        (GroupKind(kind), name): GroupSum(
-            *(number / _TENTHS for number in row), weight=weight / _HUNDREDTHS
-        )
-        for kind, name, weight, *row in zip(
-            message.kinds, message.names, weights, *columns, strict=True
-        )
-    }
+    scaled = [[number / _TENTHS for number in column] for column in columns]
+    items = map(GroupSum, *scaled, [weight / _HUNDREDTHS for weight in weights])
+    kinds = [_KIND_BY_NUMBER[kind] for kind in message.kinds]
+    return dict(zip(zip(kinds, message.names, strict=True), items, strict=True))
 
 
-def _largest(sums: SumByGroup) -> list[tuple[GroupKey, GroupSum]]:
+def _largest(sums: SumByGroup, max_accounts: int) -> list[tuple[GroupKey, GroupSum]]:
     def size(item: tuple[GroupKey, GroupSum]) -> float:
         return item[1].arrived + item[1].returned
 
@@ -68,7 +71,7 @@
     # none of the others can be judged.
     groups = [item for item in sums.items() if item[0][0] is not GroupKind.ACCOUNT]
     groups.sort(key=lambda item: (item[0][0], -size(item)))
-    accounts = accounts[:_MAX_ACCOUNTS]
+    accounts = accounts[:max_accounts]
     return [*groups[: _MAX_ENTRIES - len(accounts)], *accounts]
 
 
--- a/fireflyward/limits/_sum_reports.py
+++ b/fireflyward/limits/_sum_reports.py
@@ -11,7 +11,7 @@
 from ._group_sums import GroupKey, GroupKind, GroupSum, LocalSums, SumByGroup, add_sums
 from ._limits_structs import FairnessSums
 from ._peer_sums import PeerSums
-from ._sum_messages import decode_sums, encode_sums
+from ._sum_messages import MAX_REPORTED_ACCOUNTS, decode_sums, encode_sums
 
 log = logging.getLogger("fireflyward.limits")
 
@@ -21,6 +21,9 @@
 # A total is then at most 1 s old, a third of a burst, and a total of 40 entries costs
 # some 2 KB per second and short service at each node.
 _PERIOD_MS = 500
+# An aggregator needs some 0.45 ms per node of its domain and short service for each
+# period; with 20 ms per node this stays near 2.3% of a core.
+_MS_PER_NEIGHBOUR = 20
 # With fewer late or rejected requests over all nodes a service isn't reported: 2 s
 # after a single one its sum is below this.
 _MIN_LATE = 0.5
@@ -53,7 +56,8 @@
         """Send and receive sums until cancelled."""
         self.register(link)
         while True:
-            await self._clock.sleep_ms(_PERIOD_MS)
+            neighbours = len(self._aggregators.neighbour_addresses())
+            await self._clock.sleep_ms(max(_PERIOD_MS, _MS_PER_NEIGHBOUR * neighbours))
             self.report(link)
 
     def register(self, link: PeerLink) -> None:
@@ -74,13 +78,13 @@
         if not self._aggregators.are_needed:
             self._peers.follow(None)
             for service, own in self._short_services(now_ms):
-                link.send_all(addresses, _REPORT, encode_sums(service, own))
+                link.send_all(addresses, _REPORT, _encode_report(service, own))
             return
         aggregator = self._aggregators.own_aggregator(now_ms)
         self._change_aggregator(link, now_ms, aggregator)
-        for service, own in self._short_services(now_ms):
-            if aggregator is not None:
-                link.send(aggregator.address, _REPORT, encode_sums(service, own))
+        if aggregator is not None:
+            for service, own in self._short_services(now_ms):
+                link.send(aggregator.address, _REPORT, _encode_report(service, own))
         self._publish(link, now_ms, is_aggregator=aggregator is None)
 
     def _change_aggregator(
@@ -106,8 +110,9 @@
             services |= set(self._sums.services())
         for service in services:
             own = self._sums.of_service(now_ms, service) if is_aggregator else {}
-            domain = add_sums((self._peers.reported(now_ms, service), own))
-            total = add_sums((self._peers.published(now_ms, service), own))
+            reported, received = self._peers.add_up(now_ms, service)
+            domain = add_sums(((0, reported), (0, own)))
+            total = add_sums(((0, received.sums if received else {}), (0, own)))
             if not _is_short(total):
                 continue
             if domain:
@@ -144,3 +149,7 @@
 def _is_short(sums: SumByGroup) -> bool:
     late = sums.get(_LATE)
     return late is not None and late.arrived >= _MIN_LATE
+
+
+def _encode_report(service: int, own: SumByGroup) -> Any:
+    return encode_sums(service, own, max_accounts=MAX_REPORTED_ACCOUNTS)
