Limits: priorities beyond nine count as nine; tests of lost messages and full replicas

A priority from the configuration has no upper bound, and the rule compared a group with each more urgent priority. tests.limits and tests.platform.test_configuration pass.

--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -131,7 +131,7 @@
             return 1.0 + bonus, "protected"
         candidates = [
             (view.account_factor(account) if request.account else 1.0, "account"),
-            (view.priority_factor(request.priority), "urgency"),
+            (view.priority_factor(_priority(request)), "urgency"),
             (view.size_factor(size_keys, size_group), "size"),
         ]
         factor, reason = min(candidates)
@@ -163,7 +163,7 @@
         changes: dict[GroupKey, GroupSum] = {
             (GroupKind.SERVICE, 0): change,
             (GroupKind.COST, 0): by_cost,
-            (GroupKind.PRIORITY, min(request.priority, MAX_PRIORITY)): change,
+            (GroupKind.PRIORITY, _priority(request)): change,
             (GroupKind.SIZE, size_key): change,
         }
         if request.account:
@@ -211,6 +211,11 @@
         return 1 if larger <= _NEXT_SHARE else 0
 
 
+def _priority(request: FairRequest) -> int:
+    """Return the priority, limited to those that replicas distinguish."""
+    return min(request.priority, MAX_PRIORITY)
+
+
 def _size_keys(request: FairRequest) -> list[int]:
     """Return the names of the route's size groups, from the smallest size."""
     return [name_hash(f"{request.route} {group}") for group in range(SIZE_GROUPS)]
--- a/tests/limits/test_fair_admission.py
+++ b/tests/limits/test_fair_admission.py
@@ -92,6 +92,14 @@
         self.assertLessEqual(self.judge(returning).factor, 1.0)
         self.assertGreater(self.judge(LARGE).account_ratio, 1.0)
 
+    def test_requests_that_replicas_reject_show_a_shortage(self):
+        """Guards against an inactive rule where replicas are full and nodes admit."""
+        self.decide(REQUEST, admitted=40, rejected=0)
+        self.assertEqual(self.judge(REQUEST, now_ms=0).pressure, 0)
+        for _ in range(20):
+            self.fairness.on_not_run(0, REQUEST)
+        self.assertAlmostEqual(self.judge(REQUEST).pressure, 0.5)
+
     def test_later_rejections_have_a_later_position(self):
         self.decide(REQUEST, admitted=40, rejected=10)
         earlier_ms = self.judge(REQUEST, now_ms=0).position_ms
--- a/tests/limits/test_sum_reports.py
+++ b/tests/limits/test_sum_reports.py
@@ -149,6 +149,27 @@
         verdict = cut_off.fairness.judge(network.clock.now_ms(), REQUEST)
         self.assertEqual((verdict.factor, verdict.age_ms), (1.0, None))
 
+    def test_lost_messages_make_the_totals_older(self):
+        network = self.shortage(10)
+        before = network.node_by_name["a3"].arrived()
+        network.down = set(network.node_by_name) - {"a3"}
+        network.step(2)
+        node = network.node_by_name["a3"]
+        self.assertAlmostEqual(node.arrived(), before * 0.5**0.5, delta=0.1)
+        self.assertGreaterEqual(node.fairness.judge(2_500, REQUEST).age_ms, 1_000)
+
+    def test_node_that_does_not_report_is_not_in_the_totals(self):
+        network = _Network(2)
+        network.down = {"c1"}
+        for node in network.node_by_name.values():
+            node.decide(count=4)
+        network.step(1)
+        left = 4 * 5 * 0.5 ** (PERIOD_MS / 2_000)
+        own = left / 5
+        self.assertAlmostEqual(
+            network.node_by_name["a0"].arrived(), left - own, delta=1
+        )
+
     def test_sums_of_a_node_that_terminated_expire(self):
         network = self.shortage(2)
         network.node_by_name["b1"].decide(count=400)
--- a/tests/platform/test_configuration.py
+++ b/tests/platform/test_configuration.py
@@ -95,6 +95,15 @@
         found = self.decode(routes=[route]).routes[0].shares
         self.assertEqual([share.weight for share in found], [0.5, 0.5])
 
+    def test_weight_of_an_account_is_decoded(self):
+        accounts = [
+            {"name": "a"},
+            {"name": "b", "weight": 2.5},
+            {"name": "c", "weight": 0},
+        ]
+        found = self.decode(tenants=accounts).accounts
+        self.assertEqual([account.weight for account in found], [1.0, 2.5, 0.0])
+
     def test_without_accounts_no_key_is_needed(self):
         self.assertIsNone(self.decode(tenants=None).accounts)
 
