Docs: trials of the admission for plain services

The estimate uses a mean run time that contains waits at the replica; whether that leaves slots idle was open.

--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -59,8 +59,11 @@
     """Return the estimate for a chosen replica.
 
     A request without a prompt takes the mean run time after its wait, for which
-    ``Choice`` has no field. Where nothing waits it is sent in any case: the mean says
-    little about a single request, and nothing else would use the free slot.
+    ``Choice`` has no field. The mean contains earlier waits at the replica, so the
+    estimate is too long under load. In a trial at 1.1 to 1.7 times the capacity, the
+    number of answers was within 0.4% of that without admission, and more were in time.
+    Where nothing waits the request is sent in any case: the mean says little about a
+    single request, and nothing else would use the free slot.
     """
     answer_ms = choice.first_token_ms
     if not is_prompt:
