--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -312,6 +312,7 @@
             reach=self._replica_components.reach,
             notices=self._replica_components.notices,
             speeds=self._replica_components.speeds,
+            fairness=self._replica_components.fairness,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -386,6 +387,7 @@
             part.use(link)
         return lambda: self._start(
             self._replica_components.load_report_task.run(link),
+            self._replica_components.sum_report_task.run(link),
             self._kv_store_followers.run(link),
         )
 
