Replicas: compare times to the first event at the usual speed

A small prompt at a replica in a slow phase was expected to take long enough to count, although nearly all of it is time besides the prefill. 40 answers after 88 ms lowered the slowdown to 0.5. Estimate and measured time are divided by the factor before they are compared.

--- a/fireflyward/replicas/_choice.py
+++ b/fireflyward/replicas/_choice.py
@@ -29,9 +29,12 @@
     def on_first_token(self, now_ms: int, took_ms: float) -> None:
         """Compare a measured time with the estimate if the speed is the same as then.
 
-        Otherwise a slow phase would count as the factor and as the slowdown too.
+        Otherwise a slow phase would count as the factor and as the slowdown too. Both
+        are compared as times at the usual speed: the least estimate that is used, and
+        the time to the first event besides the prefill, are known for that speed.
         """
         if self.speed.is_like(self.replica.speed.factor(now_ms)):
             self.replica.on_first_token(
-                expected_ms=self.first_token_ms, took_ms=took_ms
+                expected_ms=self.first_token_ms / self.work_factor,
+                took_ms=took_ms / self.work_factor,
             )
--- a/tests/speeds/test_pause_term.py
+++ b/tests/speeds/test_pause_term.py
@@ -191,3 +191,12 @@
                 took_ms = factor * (2_870 / 90 + 55)
                 choice.on_first_token(now_ms + 100, took_ms)
             self.assertAlmostEqual(state.slowdown, 1.0, delta=0.05)
+
+    def test_small_prompts_say_nothing_about_the_slowdown_in_a_slow_phase_either(self):
+        """Guards against a slowdown of 0.5 learnt from the time besides the reading."""
+        self.make(replicas=1)
+        for now_ms in range(0, 40_000, 1_000):
+            self.states[0].speed.record(now_ms, 250)
+            choice = self.chooser.choose(now_ms, needs("question"))
+            choice.on_first_token(now_ms + 90, 2.5 * 35)
+        self.assertEqual(self.states[0].slowdown, 1.0)
