Speeds: an aggregator repeats figures by its own sends; ignore other replicas' answers

An aggregator took a figure that it had received, and not passed on, for one that its nodes know. Where some nodes had missed the message, their own observations postponed its repetition again and again. Rejections that name another replica than the one at the address were recorded unless their status was 421.

--- a/fireflyward/replicas/_speed.py
+++ b/fireflyward/replicas/_speed.py
@@ -64,7 +64,7 @@
     ) -> bool:
         """Record a figure; return whether other nodes are to be informed of it.
 
-        With ``is_announced``, the sender has announced it to all nodes.
+        With ``is_announced``, the sender has announced it to them already.
         """
         if self.percent is not None and as_of_ms <= self.as_of_ms:
             return False
--- a/fireflyward/speeds/_task.py
+++ b/fireflyward/speeds/_task.py
@@ -62,8 +62,9 @@
 
     def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None:
         """Record the speed that an answer reports."""
-        if facts.is_other_replica and facts.incarnation != replica.entry.incarnation:
-            return
+        if facts.incarnation != replica.entry.incarnation:
+            if facts.is_other_replica or facts.incarnation is not None:
+                return
         if facts.invalid_load is not None:
             self._on_unreadable(replica, facts.invalid_load.value)
         elif facts.load is not None and facts.load.work_percent is not None:
@@ -145,7 +146,7 @@
                 self._batches.on_sent(now_ms, size)
 
     async def _on_news(self, sender: str, message: Any) -> None:
-        self._apply(message)
+        self._apply(message, is_announced=True)
 
     async def _on_news_from_node(self, sender: str, message: Any) -> None:
         for incarnation_id in self._apply(message):
@@ -155,8 +156,11 @@
         for incarnation_id in self._apply(message):
             self._schedule(incarnation_id, Source.OTHER_DOMAIN)
 
-    def _apply(self, message: Any) -> list[int]:
-        """Record received figures; return the replicas whose figure was news here."""
+    def _apply(self, message: Any, *, is_announced: bool = False) -> list[int]:
+        """Record received figures; return the replicas whose figure was news here.
+
+        Without ``is_announced``, the nodes of this domain haven't received them.
+        """
         now_ms, news = self._clock.now_ms(), []
         columns = (message.replicas, message.percents, message.ages_ms)
         for incarnation_id, percent, age_ms in zip(*columns, strict=False):
@@ -165,7 +169,7 @@
                 continue
             self.received += 1
             as_of_ms = now_ms - max(0, age_ms)
-            if state.speed.record(as_of_ms, percent, is_announced=True):
+            if state.speed.record(as_of_ms, percent, is_announced=is_announced):
                 news.append(incarnation_id)
         return news
 
--- a/tests/speeds/test_task.py
+++ b/tests/speeds/test_task.py
@@ -112,6 +112,21 @@
         await self.clock.advance_ms(500)
         self.assertEqual(self.factors(), {1.0})
 
+    async def test_other_nodes_repeats_do_not_postpone_those_of_an_aggregator(self):
+        """Guards against a node that stays uninformed while others are too."""
+        self.make(nodes=30, domains=3)
+        uninformed = self.mesh.by_name["n5"]
+        self.mesh.cut_off = {"n5", "n11"}
+        self.mesh.by_name["n17"].answer("1,0,8,250")
+        await self.clock.advance_ms(200)
+        self.mesh.cut_off = set()
+        self.mesh.by_name["n11"].answer("1,0,8,250")
+        await self.clock.advance_ms(100)
+        self.assertEqual(uninformed.factor(self.clock.now_ms()), 1.0)
+        self.mesh.by_name["n17"].answer("1,0,8,250")
+        await self.clock.advance_ms(20)
+        self.assertEqual(uninformed.factor(self.clock.now_ms()), 2.5)
+
     async def test_an_older_node_ignores_the_messages(self):
         self.make(nodes=3)
         self.second.link.handler_by_kind.clear()
@@ -133,6 +148,13 @@
         self.first.answer("1,0,8,250", status=421)
         self.assertEqual(self.first.factor(self.clock.now_ms()), 1.0)
 
+    async def test_a_rejection_by_another_replica_is_ignored(self):
+        """Guards against a figure recorded for a replica that has gone."""
+        self.make(nodes=2)
+        headers = (("x-instance-id", "r7"),)
+        self.first.answer("1,0,8,250", status=503, headers=headers)
+        self.assertEqual(self.first.factor(self.clock.now_ms()), 1.0)
+
     async def test_replicas_without_the_figure_cause_no_message(self):
         self.make(nodes=2)
         self.first.answer("1,0,8")
