Speeds: bound the bytes that a node receives from all senders together

Each kind of message now has its own batches, and the limit of a receiver is divided by the number of its senders. The new test failed before in its three cases; tests.speeds.test_task (17) passes.

--- a/fireflyward/speeds/_task.py
+++ b/fireflyward/speeds/_task.py
@@ -1,7 +1,8 @@
 """The task that records replicas' speeds and announces changes to other nodes."""
 
 import logging
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from functools import partial
 from typing import Any
 
 from fireflyward.aggregators import Aggregators
@@ -10,7 +11,7 @@
 from fireflyward.platform import ResponseFacts
 from fireflyward.replicas import SPEED_EXPIRY_MS, ReplicaDirectory, ReplicaState
 
-from ._batches import Source, SpeedBatches
+from ._batches import SpeedBatches
 from ._pause_times import PauseTimes
 from ._speeds_structs import SpeedNews
 
@@ -18,6 +19,14 @@
 
 # To all nodes that are to know; from a node to its aggregator; between aggregators.
 _NEWS, _FROM_NODE, _FROM_DOMAIN = "speeds", "speeds of a node", "speeds of a domain"
+_KINDS = (_NEWS, _FROM_NODE, _FROM_DOMAIN)
+# How many bytes per ms a node may get from its aggregator, an aggregator from the nodes
+# of its domain and from the other aggregators, and a node of a small fleet from all
+# others. The sums are at most 4, which is the limit for control messages.
+_NEWS_BYTES_PER_MS = 2.0
+_FROM_NODES_BYTES_PER_MS = 1.5
+_FROM_DOMAINS_BYTES_PER_MS = 2.5
+_FROM_ALL_BYTES_PER_MS = 4.0
 # A replica takes 8 bytes; a datagram has room for 1,400.
 _MAX_REPLICAS_PER_DATAGRAM = 140
 _ENTRY_BYTES = 8
@@ -46,7 +55,7 @@
         self._directory = directory
         self._aggregators = aggregators
         self._pauses = pauses
-        self._batches = SpeedBatches()
+        self._batches_by_kind = {kind: SpeedBatches() for kind in _KINDS}
         self._link: PeerLink | None = None
         self.unreadable = 0
         self.announced = 0
@@ -70,7 +79,7 @@
         elif facts.load is not None and facts.load.work_percent is not None:
             now_ms, percent = self._clock.now_ms(), facts.load.work_percent
             if replica.speed.record(now_ms, percent):
-                self._schedule(replica.incarnation_id, Source.OWN)
+                self._schedule(replica.incarnation_id, self._own_kinds())
 
     def on_pause(self, replica: ReplicaState, pause_ms: float) -> None:
         """Learn from the time between two parts of a stream."""
@@ -87,74 +96,78 @@
             name = replica.entry.incarnation
             log.warning("speeds: load report of %s is unreadable: %.80r", name, value)
 
-    def _schedule(self, incarnation_id: int, source: Source) -> None:
-        delay_ms = self._batches.add(self._clock.now_ms(), incarnation_id, source)
-        if delay_ms is not None:
-            self._clock.call_later_ms(delay_ms, self._send_batch)
-
-    def _send_batch(self) -> None:
+    def _schedule(self, incarnation_id: int, kinds: Iterable[str]) -> None:
         now_ms = self._clock.now_ms()
-        by_source = self._fresh_by_source(now_ms)
-        own = by_source[Source.OWN]
+        for kind in kinds:
+            rate = self._bytes_per_ms(kind)
+            delay_ms = self._batches_by_kind[kind].add(now_ms, incarnation_id, rate)
+            if delay_ms is not None:
+                self._clock.call_later_ms(delay_ms, partial(self._send_batch, kind))
+
+    def _own_kinds(self) -> tuple[str, ...]:
+        """Return the kinds of message that announce what this node observed."""
         if not self._aggregators.are_needed:
-            self._send(now_ms, self._aggregators.all_addresses(), _NEWS, own)
-            return
-        aggregator = self._aggregators.own_aggregator(now_ms)
-        if aggregator is not None:
-            self._send(now_ms, [aggregator.address], _FROM_NODE, own)
-            own = []
-        of_domain = own + by_source[Source.OWN_DOMAIN]
-        self._send(now_ms, self._other_aggregators(now_ms), _FROM_DOMAIN, of_domain)
-        to_domain = of_domain + by_source[Source.OTHER_DOMAIN]
-        self._send(now_ms, self._aggregators.neighbour_addresses(), _NEWS, to_domain)
-
-    def _fresh_by_source(self, now_ms: int) -> dict[Source, list[ReplicaState]]:
-        """Return the batch's replicas that are still listed and whose figures count."""
-        states_by_source: dict[Source, list[ReplicaState]] = {x: [] for x in Source}
-        for incarnation_id, source in self._batches.take().items():
-            state = self._directory.find_incarnation(incarnation_id)
-            if state is None:
-                continue
-            if state.speed.left_ms(now_ms):
-                states_by_source[source].append(state)
-            else:
-                self.expired += 1
-        return states_by_source
-
-    def _other_aggregators(self, now_ms: int) -> list[Address]:
-        found = (
-            self._aggregators.aggregator_of(now_ms, domain)
-            for domain in self._aggregators.other_domains()
-        )
-        return [member.address for member in found if member is not None]
-
-    def _send(
-        self,
-        now_ms: int,
-        addresses: list[Address],
-        kind: str,
-        states: list[ReplicaState],
-    ) -> None:
+            return (_NEWS,)
+        if self._aggregators.own_aggregator(self._clock.now_ms()) is not None:
+            return (_FROM_NODE,)
+        return (_FROM_DOMAIN, _NEWS)
+
+    def _bytes_per_ms(self, kind: str) -> float:
+        """Return how much this node may send; several nodes send to an aggregator."""
+        if kind == _FROM_NODE:
+            senders = len(self._aggregators.neighbour_addresses())
+            return _FROM_NODES_BYTES_PER_MS / max(1, senders)
+        if kind == _FROM_DOMAIN:
+            senders = len(self._aggregators.other_domains())
+            return _FROM_DOMAINS_BYTES_PER_MS / max(1, senders)
+        if not self._aggregators.are_needed:
+            senders = len(self._aggregators.all_addresses())
+            return _FROM_ALL_BYTES_PER_MS / max(1, senders)
+        return _NEWS_BYTES_PER_MS
+
+    def _send_batch(self, kind: str) -> None:
+        now_ms = self._clock.now_ms()
+        batches = self._batches_by_kind[kind]
+        states = self._fresh(now_ms, batches.take())
+        addresses = self._receivers(now_ms, kind)
         if self._link is None or not addresses:
             return
         for part in _parts(states):
             self._link.send_all(addresses, kind, _encode(now_ms, part))
             self.announced += len(part)
-            # The other aggregators get a part of what the own domain gets.
-            if kind != _FROM_DOMAIN:
-                size = _DATAGRAM_BYTES + _ENTRY_BYTES * len(part)
-                self._batches.on_sent(now_ms, size)
+            batches.on_sent(_DATAGRAM_BYTES + _ENTRY_BYTES * len(part))
+
+    def _fresh(self, now_ms: int, batch: set[int]) -> list[ReplicaState]:
+        """Return the batch's replicas that are still listed and whose figures count."""
+        found = map(self._directory.find_incarnation, sorted(batch))
+        listed = [state for state in found if state is not None]
+        fresh = [state for state in listed if state.speed.left_ms(now_ms)]
+        self.expired += len(listed) - len(fresh)
+        return fresh
+
+    def _receivers(self, now_ms: int, kind: str) -> list[Address]:
+        aggregators = self._aggregators
+        if kind == _FROM_NODE:
+            members = [aggregators.own_aggregator(now_ms)]
+        elif kind == _FROM_DOMAIN:
+            domains = aggregators.other_domains()
+            members = [aggregators.aggregator_of(now_ms, item) for item in domains]
+        elif aggregators.are_needed:
+            return aggregators.neighbour_addresses()
+        else:
+            return aggregators.all_addresses()
+        return [member.address for member in members if member is not None]
 
     async def _on_news(self, sender: str, message: Any) -> None:
         self._apply(message, is_announced=True)
 
     async def _on_news_from_node(self, sender: str, message: Any) -> None:
         for incarnation_id in self._apply(message):
-            self._schedule(incarnation_id, Source.OWN_DOMAIN)
+            self._schedule(incarnation_id, (_FROM_DOMAIN, _NEWS))
 
     async def _on_news_from_domain(self, sender: str, message: Any) -> None:
         for incarnation_id in self._apply(message):
-            self._schedule(incarnation_id, Source.OTHER_DOMAIN)
+            self._schedule(incarnation_id, (_NEWS,))
 
     def _apply(self, message: Any, *, is_announced: bool = False) -> list[int]:
         """Record received figures; return the replicas whose figure was news here.
--- a/tests/speeds/test_task.py
+++ b/tests/speeds/test_task.py
@@ -162,9 +162,9 @@
         self.assertEqual(self.mesh.sent(), [])
         self.assertIsNone(self.first.directory.find("r0").speed.percent)
 
-    async def test_the_rate_of_announcements_is_bounded(self):
-        """Guards against figures that change at each answer and fill a node's link."""
-        self.make(nodes=30, domains=3, replicas=200)
+    async def bytes_received(self, **options):
+        """Return what each node receives in 2 s while figures always change."""
+        self.make(replicas=200, **options)
         names = list(self.mesh.by_name)
         rng = random.Random(1)
         for _ in range(200):
@@ -173,10 +173,20 @@
                 percent = rng.choice((100, 250, 400))
                 node.answer(f"1,0,8,{percent}", name=f"r{rng.randrange(200)}")
             await self.clock.advance_ms(10)
+        return self.mesh.bytes_by_node
+
+    async def test_the_rate_of_announcements_is_bounded(self):
+        """Guards against figures that change at each answer and fill a node's link."""
+        received = await self.bytes_received(nodes=30, domains=3)
         node = self.mesh.by_name["n17"]
-        aggregator = node.aggregators.own_aggregator(0).name
-        received = [
-            size for name, size in self.mesh.bytes_by_node.items() if name == "n17"
-        ]
-        self.assertNotEqual(aggregator, "n17")
-        self.assertLess(received[0], 2 * 2_000 + 600 + 1_400)
+        self.assertNotEqual(node.aggregators.own_aggregator(0).name, "n17")
+        self.assertLess(received["n17"], 2 * 2_000 + 600 + 1_400)
+
+    async def test_the_bytes_from_several_senders_are_bounded(self):
+        """Guards against limits of each sender that add up at an aggregator."""
+        for nodes, domains, senders in ((30, 3, 9 + 2), (13, 13, 12), (12, 1, 11)):
+            with self.subTest(nodes=nodes, domains=domains):
+                received = await self.bytes_received(nodes=nodes, domains=domains)
+                # The saved bytes of each sender, and a datagram beyond the limit.
+                at_once = senders * (600 + 500)
+                self.assertLess(max(received.values()), 2 * 4_000 + at_once)
