--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -2,6 +2,7 @@
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import ConnectionPool
+from fireflyward.limits import FairAdmission, LocalSums, PeerSums
 from fireflyward.outcomes import Outcome
 from fireflyward.platform import CallerRequest
 from fireflyward.prefixes import PartPlanner
@@ -51,6 +52,7 @@
         notices: Notices,
         speeds: Speeds | None = None,
         admission: Admission | None = None,
+        fairness: FairAdmission | None = None,
     ) -> None:
         self._deps = Dependencies(
             clock=clock,
@@ -62,6 +64,7 @@
             admission=admission or Admission(),
             callers=CallerTimes(),
             late_limit=LateRequestLimit(),
+            fairness=fairness or FairAdmission(LocalSums(), PeerSums()),
             gate=gate,
             reach=reach,
             notices=notices,
--- a/tests/speeds/test_task.py
+++ b/tests/speeds/test_task.py
@@ -112,6 +112,21 @@
         await self.clock.advance_ms(500)
         self.assertEqual(self.factors(), {1.0})
 
+    async def test_other_nodes_repeats_do_not_postpone_those_of_an_aggregator(self):
+        """Guards against a node that stays uninformed while others are too."""
+        self.make(nodes=30, domains=3)
+        uninformed = self.mesh.by_name["n5"]
+        self.mesh.cut_off = {"n5", "n11"}
+        self.mesh.by_name["n17"].answer("1,0,8,250")
+        await self.clock.advance_ms(200)
+        self.mesh.cut_off = set()
+        self.mesh.by_name["n11"].answer("1,0,8,250")
+        await self.clock.advance_ms(100)
+        self.assertEqual(uninformed.factor(self.clock.now_ms()), 1.0)
+        self.mesh.by_name["n17"].answer("1,0,8,250")
+        await self.clock.advance_ms(20)
+        self.assertEqual(uninformed.factor(self.clock.now_ms()), 2.5)
+
     async def test_an_older_node_ignores_the_messages(self):
         self.make(nodes=3)
         self.second.link.handler_by_kind.clear()
@@ -133,6 +148,13 @@
         self.first.answer("1,0,8,250", status=421)
         self.assertEqual(self.first.factor(self.clock.now_ms()), 1.0)
 
+    async def test_a_rejection_by_another_replica_is_ignored(self):
+        """Guards against a figure recorded for a replica that has gone."""
+        self.make(nodes=2)
+        headers = (("x-instance-id", "r7"),)
+        self.first.answer("1,0,8,250", status=503, headers=headers)
+        self.assertEqual(self.first.factor(self.clock.now_ms()), 1.0)
+
     async def test_replicas_without_the_figure_cause_no_message(self):
         self.make(nodes=2)
         self.first.answer("1,0,8")
@@ -140,9 +162,29 @@
         self.assertEqual(self.mesh.sent(), [])
         self.assertIsNone(self.first.directory.find("r0").speed.percent)
 
-    async def test_the_rate_of_announcements_is_bounded(self):
-        """Guards against figures that change at each answer and fill a node's link."""
-        self.make(nodes=30, domains=3, replicas=200)
+    async def test_a_figure_has_the_same_time_at_all_nodes(self):
+        """Guards against figures that are younger at each node they pass."""
+        self.make(nodes=30, domains=3)
+        self.mesh.by_name["n17"].answer("1,0,8,250")
+        await self.clock.advance_ms(20)
+        nodes = self.mesh.by_name.values()
+        times = {node.directory.find("r0").speed.as_of_ms for node in nodes}
+        self.assertEqual(times, {10_000})
+
+    async def test_a_figure_that_expires_before_its_batch_is_not_sent(self):
+        """Guards against old figures that use up the bytes for new ones."""
+        self.make(nodes=30, domains=3, replicas=120)
+        node = self.mesh.by_name["n17"]
+        for number in range(1, 120):
+            node.answer("1,0,8,250", name=f"r{number}")
+        await self.clock.advance_ms(20)
+        node.answer("1,0,8,250")
+        await self.clock.advance_ms(5_000)
+        self.assertEqual((len(node.link.sent), node.task.expired), (1, 1))
+
+    async def bytes_received(self, **options):
+        """Return what each node receives in 2 s while figures always change."""
+        self.make(replicas=200, **options)
         names = list(self.mesh.by_name)
         rng = random.Random(1)
         for _ in range(200):
@@ -151,10 +193,20 @@
                 percent = rng.choice((100, 250, 400))
                 node.answer(f"1,0,8,{percent}", name=f"r{rng.randrange(200)}")
             await self.clock.advance_ms(10)
+        return self.mesh.bytes_by_node
+
+    async def test_the_rate_of_announcements_is_bounded(self):
+        """Guards against figures that change at each answer and fill a node's link."""
+        received = await self.bytes_received(nodes=30, domains=3)
         node = self.mesh.by_name["n17"]
-        aggregator = node.aggregators.own_aggregator(0).name
-        received = [
-            size for name, size in self.mesh.bytes_by_node.items() if name == "n17"
-        ]
-        self.assertNotEqual(aggregator, "n17")
-        self.assertLess(received[0], 2 * 2_000 + 600 + 1_400)
+        self.assertNotEqual(node.aggregators.own_aggregator(0).name, "n17")
+        self.assertLess(received["n17"], 2 * 2_000 + 600 + 1_400)
+
+    async def test_the_bytes_from_several_senders_are_bounded(self):
+        """Guards against limits of each sender that add up at an aggregator."""
+        for nodes, domains, senders in ((30, 3, 9 + 2), (13, 13, 12), (12, 1, 11)):
+            with self.subTest(nodes=nodes, domains=domains):
+                received = await self.bytes_received(nodes=nodes, domains=domains)
+                # The saved bytes of each sender, and a datagram beyond the limit.
+                at_once = senders * (600 + 500)
+                self.assertLess(max(received.values()), 2 * 4_000 + at_once)
