Forwarding: requests that no replica received end with 503, not run

A request ended with 502 or 504 although nothing of it had left the node when its kept connection had been closed by the peer but the event loop had not read that yet, when the connection was lost between its opening and the request (an AttributeError in send), when the first write failed, when the deadline passed while the connection was opened, or when the node itself failed before the first send. HttpConnection.send now reports these as Broken at UNSENT, the pool polls a connection before its reuse, and the request goes to another replica or ends as not run with a Retry-After, also if it isn't idempotent. Once the kernel has accepted a byte, the outcome stays unknown.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -34,6 +34,8 @@
 # The server starts before the node has the first configuration, so this value is
 # fixed and must be at least as long.
 _KEEP_ALIVE_S = 75.0
+# After a fault of the node that hit a request before it was sent to any replica.
+_RETRY_AFTER_MS = 300
 _BODY_TIMEOUT_MS = 10_000
 # A request line also has two spaces, the protocol version and a line end. Each header
 # also has a colon, a space and a line end.
@@ -193,6 +195,8 @@
             return Unknown(Reason.CALLER_GONE)
         except Exception:
             log.exception("callers: a request failed with an unexpected exception")
+            if trace.sends == 0:
+                return NotRun(Reason.INTERNAL, retry_after_ms=_RETRY_AFTER_MS)
             return Unknown(Reason.INTERNAL)
 
     async def _serve(
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -7,6 +7,7 @@
 from fireflyward.http1 import (
     BodyPart,
     Broken,
+    BrokenAt,
     ConnectionPool,
     End,
     Head,
@@ -17,7 +18,7 @@
 
 from ._dependencies import Notices
 from ._events import EventSplitter, StreamEvent
-from ._messages import Failed, NotRunThere, SendResult, Streamed, WholeAnswer
+from ._messages import Failed, NotRunThere, SendResult, Streamed, Unsent, WholeAnswer
 
 # Larger responses are not read into memory. The services' usual responses have a few
 # kilobytes.
@@ -103,6 +104,9 @@
     async def read(self) -> SendResult | NotRunThere:
         """Read the response until it is complete or has failed."""
         event = await self._next_event()
+        if isinstance(event, Broken) and event.at is BrokenAt.UNSENT:
+            self._fail(event.detail)
+            return Unsent(event.detail)
         if not isinstance(event, Head):
             return self._on_incomplete(event)
         facts = decode_response(event)
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
-    """The connection could not be opened; the replica never received the request."""
+    """The replica received nothing: no connection opened, or it was already closed."""
 
     detail: str
 
--- a/fireflyward/forwarding/_quarantine_check.py
+++ b/fireflyward/forwarding/_quarantine_check.py
@@ -48,6 +48,11 @@
         begins_at_once = choice.queue_ms < _IMMEDIATE_START_QUEUE_MS
         self._begun_at = choice.replica if begins_at_once else None
 
+    def on_not_sent(self) -> None:
+        """Record that the connection was lost before any byte of the request."""
+        self._is_sent = False
+        self._begun_at = None
+
     def on_result(self, replica: ReplicaState, result: SendResult) -> None:
         """Report to the gate whether the replica survived the request."""
         match result:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -165,6 +165,11 @@
             connection = await self._connect(choice.replica, left_ms)
             if isinstance(connection, NotConnected):
                 return self._on_unsent(choice.replica, connection)
+            if self._left_ms() < 1:
+                # The deadline passed while the connection was opened. The replica would
+                # receive a request whose caller no longer waits.
+                self._deps.pool.release(connection)
+                return NoReplica()
             if backpressure.changes == changes:
                 self._quarantine_check.on_send(choice)
                 return await self._send_over(connection, choice)
@@ -268,6 +273,10 @@
             prefill.release()
         if isinstance(result, NotRunThere):
             return self._on_rejected(choice, result.facts)
+        if isinstance(result, Unsent):
+            self._trace.sends -= 1
+            self._quarantine_check.on_not_sent()
+            return result
         self._quarantine_check.on_result(replica, result)
         return result
 
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import select
 import socket
 from collections import deque
 from collections.abc import Iterable
@@ -23,9 +24,11 @@
 class BrokenAt(enum.Enum):
     """How far a request got before its connection broke.
 
-    ``SENT`` means that no response header arrived, ``HEAD`` that it had arrived.
+    ``UNSENT`` means that the peer cannot have received any byte of the request,
+    ``SENT`` that no response header arrived, ``HEAD`` that it had arrived.
     """
 
+    UNSENT = "unsent"
     SENT = "sent"
     HEAD = "head"
 
@@ -128,6 +131,19 @@
             and not self._is_busy
         )
 
+    def has_input(self) -> bool:
+        """Return whether the peer closed an idle connection or sent bytes on it.
+
+        The event loop may not have read the end of the connection yet. A request that
+        is sent now would be lost, and it would be unknown whether it ran.
+        """
+        raw = self._transport.get_extra_info("socket") if self._transport else None
+        if raw is None:
+            return False
+        poll = select.poll()
+        poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
+        return bool(poll.poll(0))
+
     @property
     def keep_alive_ms(self) -> float | None:
         """Return for how long the peer keeps an idle connection, None if unknown."""
@@ -140,17 +156,28 @@
         headers: Iterable[tuple[str, str]],
         body: bytes = b"",
     ) -> None:
-        """Write one request; a body is sent with a ``Content-Length`` header."""
+        """Write one request; a body is sent with a ``Content-Length`` header.
+
+        If the connection is already lost, or its first write fails, then the only event
+        is ``Broken`` at ``UNSENT``.
+        """
         self._reset_parser()
         self._is_busy = True
         self._method = method
         self._events.clear()
+        if self._transport is None or self._transport.is_closing():
+            self._fail_unsent("connection closed before the request")
+            return
         lines = [f"{method} {target} HTTP/1.1"]
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(body)}")
         data = "\r\n".join([*lines, "", ""]).encode("latin-1")
         self._transport.write(data + body)
+        if self._transport.is_closing():
+            # The transport writes to the socket at once and closes if that fails, in
+            # which case the kernel has accepted no byte of the request.
+            self._fail_unsent("connection lost before the request")
 
     async def next_event(self) -> Event:
         """Return the next event of the response; ``End`` or ``Broken`` is the last."""
@@ -270,6 +297,11 @@
         self._add_event(Broken(at, detail))
         self.close()
 
+    def _fail_unsent(self, detail: str) -> None:
+        self._is_busy = False
+        self._add_event(Broken(BrokenAt.UNSENT, detail))
+        self.close()
+
     def _add_event(self, event: Event) -> None:
         self._events.append(event)
         if self._waiter is not None and not self._waiter.done():
--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -79,7 +79,8 @@
         idle = self._idle_by_address.get(address)
         while idle:
             connection = idle.pop()
-            if connection.is_usable and not self._is_stale(connection):
+            is_open = connection.is_usable and not connection.has_input()
+            if is_open and not self._is_stale(connection):
                 return connection
             connection.close()
         return None
--- a/tests/forwarding/test_plan.py
+++ b/tests/forwarding/test_plan.py
@@ -2,6 +2,8 @@
 
 import unittest
 
+from hypothesis import given, settings, strategies as st
+
 from fireflyward.forwarding import (
     AttemptPlan,
     Deliver,
@@ -66,6 +68,33 @@
                 decision = attempt.decide(900, then)
             self.assert_finish(decision, Unknown)
 
+    @settings(max_examples=300, derandomize=True, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(
+                st.sampled_from(
+                    (Unsent("x"), NoReplica(), FULL, Failed("a"), Failed("b", True))
+                ),
+                st.integers(-50, 2_000),
+            ),
+            min_size=1,
+        ),
+        st.booleans(),
+    )
+    def test_an_outcome_is_unknown_exactly_if_bytes_may_have_arrived(
+        self, results, may_repeat
+    ):
+        """Guards against 502 or 504 for a request that no replica received."""
+        attempt, may_have_run = plan(may_repeat=may_repeat), False
+        for result, left_ms in results:
+            may_have_run |= isinstance(result, Failed)
+            decision = attempt.decide(left_ms, result)
+            if isinstance(decision, Finish):
+                self.assert_finish(decision, Unknown if may_have_run else NotRun)
+                if not may_have_run:
+                    self.assertGreater(decision.outcome.retry_after_ms, 0)
+                return
+
     def test_the_route_limits_the_sends_that_may_have_run(self):
         attempt = plan(max_attempts=2)
         self.assertEqual(attempt.decide(900, Failed("a")), TryAgain())
--- a/tests/forwarding/test_unresponsive_replicas.py
+++ b/tests/forwarding/test_unresponsive_replicas.py
@@ -14,7 +14,8 @@
     ServiceShare,
 )
 from fireflyward.forwarding import Forwarder, Trace, WeightVersions
-from fireflyward.http1 import NotConnected
+from fireflyward.http1 import Broken, BrokenAt, NotConnected
+from fireflyward.outcomes import NotRun
 from fireflyward.platform import CallerRequest
 from fireflyward.prefixes import PartPlanner
 from fireflyward.replicas import Chooser, ReplicaDirectory
@@ -53,6 +54,16 @@
     async def acquire(self, address, *, connect_ms, fresh=False):
         return self._connection
 
+    def release(self, connection):
+        self.released = connection
+
+
+class _LostConnection(SilentConnection):
+    """Reports that it was lost before a request was written."""
+
+    async def next_event_within(self, limit_ms):
+        return Broken(BrokenAt.UNSENT, "lost")
+
 
 class UnresponsiveReplicaTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
@@ -64,9 +75,11 @@
         self.reach = _Reach()
 
     def serve(self, connection, kind):
+        self.clock = ManualClock(0)
+        self.pool = _Pool(connection)
         forwarder = Forwarder(
-            clock=ManualClock(0),
-            pool=_Pool(connection),
+            clock=self.clock,
+            pool=self.pool,
             chooser=Chooser(self.directory, failure_domain="a", seed=1),
             budget=RetryBudget(ratio=0.2, extra=10, window_ms=10_000),
             weights=WeightVersions(version_ms=12_000),
@@ -113,6 +126,32 @@
         await self.serve(refused, RouteKind.IDEMPOTENT)
         self.assertEqual(self.reach.silent, [])
 
+    async def test_a_request_that_no_replica_received_is_reported_as_not_run(self):
+        """Guards against 502 for records that were certainly not written.
+
+        The connections were lost before the request, or could not be opened.
+        """
+        for connection in (_LostConnection(), NotConnected("no connection in 350 ms")):
+            outcome = await self.serve(connection, RouteKind.NON_IDEMPOTENT)
+            self.assertIsInstance(outcome, NotRun)
+            self.assertGreater(outcome.retry_after_ms, 0)
+            self.assertEqual((self.state.in_flight, self.state.resident_tokens), (0, 0))
+
+    async def test_a_request_is_not_sent_after_its_deadline(self):
+        """Guards against 504 for a request that waited for a connection only."""
+        connection = SilentConnection()
+        serving = self.serve(connection, RouteKind.NON_IDEMPOTENT)
+        self.pool.acquire = self.acquire_late
+        self.late_connection = connection
+        outcome = await serving
+        self.assertIsInstance(outcome, NotRun)
+        self.assertFalse(connection.sent.is_set())
+        self.assertIs(self.pool.released, connection)
+
+    async def acquire_late(self, address, *, connect_ms, fresh=False):
+        await self.clock.advance_ms(3_000)
+        return self.late_connection
+
     async def test_only_idempotent_requests_are_aborted_in_an_unreachable_domain(self):
         """Guards against a network cut failing records that replicas still write.
 
--- a/tests/http1/test_connection.py
+++ b/tests/http1/test_connection.py
@@ -217,6 +217,59 @@
         await server.stop()
 
 
+class UnsentTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.pool = ConnectionPool(Clock())
+        self.server = ScriptedServer(b"")
+        self.connection = await self.pool.acquire(
+            await self.server.start(), connect_ms=500
+        )
+
+    async def asyncTearDown(self):
+        self.connection.close()
+        await self.server.stop()
+
+    async def assert_unsent(self):
+        self.connection.send("POST", "/x", [("Host", "h")], b"x" * 200_000)
+        event = await self.connection.next_event()
+        self.assertEqual(event.at, BrokenAt.UNSENT)
+        await asyncio.sleep(0.01)
+        self.assertFalse(self.connection._events)
+
+    async def test_a_request_on_a_lost_connection_is_unsent(self):
+        """Guards against 502 for a request that no replica received.
+
+        The connection was lost between its opening and the request.
+        """
+        self.connection.close()
+        await self.assert_unsent()
+        await asyncio.sleep(0.01)
+        await self.assert_unsent()
+
+    async def test_a_request_whose_first_write_fails_is_unsent(self):
+        raw = self.connection._transport.get_extra_info("socket")
+        raw.shutdown(socket.SHUT_WR)
+        await self.assert_unsent()
+
+    async def test_a_request_of_which_a_part_was_written_may_have_arrived(self):
+        self.connection.send("POST", "/x", [("Host", "h")], b"x" * 20_000_000)
+        event = await self.connection.next_event()
+        self.assertEqual(event.at, BrokenAt.SENT)
+
+    async def test_a_connection_closed_by_its_peer_is_not_reused(self):
+        """Guards against a lost request on a connection whose end was not read yet."""
+        listener = socket.create_server(("127.0.0.1", 0))
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        connection = await self.pool.acquire(address, connect_ms=500)
+        self.pool.release(connection)
+        peer, _ = listener.accept()
+        peer.close()
+        reopened = await self.pool.acquire(address, connect_ms=500)
+        self.assertIsNot(reopened, connection)
+        reopened.close()
+        listener.close()
+
+
 class _SettableClock(Clock):
     ms = 0
 
