--- /dev/null
+++ b/fireflyward/forwarding/_replica_send.py
@@ -0,0 +1,101 @@
+"""One send of a request to one replica, over an open connection."""
+
+from collections.abc import Callable
+
+from fireflyward.http1 import HttpConnection
+from fireflyward.platform import CallerRequest, ReplicaHeaders, encode_request
+from fireflyward.replicas import Choice
+
+from ._dependencies import Dependencies
+from ._exchange import Exchange, Reply, StreamProgress
+from ._messages import NotRunThere, SendResult
+from ._pending_prefill import PendingPrefill
+
+
+class ReplicaSend:
+    """Sends a request to one replica and reads its response.
+
+    The request's resident tokens and unprefilled tokens are counted at the replica
+    while the send lasts, and released once, however it ends.
+    """
+
+    __slots__ = (
+        "_choice",
+        "_connection",
+        "_deps",
+        "_on_first_data",
+        "_peak_tokens",
+        "_prefill",
+        "sent_ms",
+    )
+
+    def __init__(
+        self,
+        deps: Dependencies,
+        connection: HttpConnection,
+        choice: Choice,
+        *,
+        unprefilled_tokens: int,
+        peak_tokens: int,
+        on_first_data: Callable[[int], None],
+    ) -> None:
+        """``on_first_data`` gets the time from the send to the first stream data."""
+        self._deps = deps
+        self._connection = connection
+        self._choice = choice
+        self._on_first_data = on_first_data
+        self._peak_tokens = peak_tokens
+        self._prefill = PendingPrefill(choice.replica, unprefilled_tokens)
+        choice.replica.resident_tokens += peak_tokens
+        self.sent_ms = deps.clock.now_ms()
+        choice.replica.on_cold_sent(self.sent_ms)
+
+    async def run(
+        self,
+        caller: CallerRequest,
+        headers: ReplicaHeaders,
+        body: bytes,
+        *,
+        due_ms: float,
+        is_stream: bool,
+        may_repeat: bool,
+        progress: StreamProgress,
+        reply: Reply,
+        on_pause: Callable[[float], None],
+    ) -> SendResult | NotRunThere:
+        """Write the request, and read the response until it ends or fails."""
+        replica = self._choice.replica
+        try:
+            self._connection.send(
+                caller.method, caller.target, encode_request(caller, headers), body
+            )
+            exchange = Exchange(
+                self._connection,
+                clock=self._deps.clock,
+                pool=self._deps.pool,
+                replica=replica,
+                notices=self._deps.notices,
+                request_id=caller.request_id,
+                due_ms=due_ms,
+                is_stream=is_stream,
+                progress=progress,
+                reply=reply,
+                on_first_data=self._handle_first_data,
+                on_pause=on_pause,
+            )
+            if not may_repeat:
+                return await exchange.read()
+            with self._deps.reach.awaiting(replica, self._connection):
+                return await exchange.read()
+        except BaseException:
+            # The caller has disconnected. The replica stops its work once the
+            # connection is closed.
+            self._connection.close()
+            raise
+        finally:
+            replica.resident_tokens -= self._peak_tokens
+            self._prefill.release()
+
+    def _handle_first_data(self) -> None:
+        self._prefill.release()
+        self._on_first_data(self._deps.clock.now_ms() - self.sent_ms)
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -7,7 +7,6 @@
     CallerRequest,
     ReplicaHeaders,
     ResponseFacts,
-    encode_request,
 )
 from fireflyward.quarantine import fingerprint_of
 from fireflyward.replicas import Choice, ReplicaState
@@ -15,7 +14,7 @@
 
 from ._admission import LatencyEstimate
 from ._dependencies import Dependencies
-from ._exchange import Exchange, Reply, StreamProgress
+from ._exchange import Reply, StreamProgress
 from ._messages import (
     Deliver,
     Finish,
@@ -28,10 +27,10 @@
     Unsent,
     WholeAnswer,
 )
-from ._pending_prefill import PendingPrefill
 from ._plan import AttemptPlan
 from ._prompt_requirements import PromptRequirements
 from ._quarantine_check import QuarantineCheck
+from ._replica_send import ReplicaSend
 from ._trace import Trace
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
@@ -58,7 +57,6 @@
         "_plan",
         "_progress",
         "_reply",
-        "_sent_ms",
         "_service",
         "_trace",
         "_tried",
@@ -100,7 +98,6 @@
         self._requirements = PromptRequirements(
             caller, allowed, planner=deps.planner, weights=deps.weights
         )
-        self._sent_ms = arrived_ms
         self._tried: set[int] = set()
         self._quarantine_check = QuarantineCheck(deps.gate, trace.fingerprint)
         self._plan = AttemptPlan(
@@ -238,39 +235,43 @@
     async def _send_over(
         self, connection: HttpConnection, choice: Choice
     ) -> SendResult:
-        replica = choice.replica
+        replica, route = choice.replica, self._allowed.route
         headers = self._headers(choice)
-        prefill = PendingPrefill(
-            replica, self._caller.prompt_tokens - headers.stored_tokens
-        )
+
+        def on_first_data(took_ms: int) -> None:
+            self._stop_late_wait(replica)
+            self._record_first_token(choice, took_ms)
+
         if self._waits_late:
             replica.waiting_late += 1
         else:
             replica.in_flight += 1
-        replica.resident_tokens += self._requirements.peak_tokens
-        self._sent_ms = self._clock.now_ms()
-        replica.on_cold_sent(self._sent_ms)
         self._trace.sends += 1
         self._trace.stored_tokens = headers.stored_tokens
         self._tried.add(replica.incarnation_id)
+        send = ReplicaSend(
+            self._deps,
+            connection,
+            choice,
+            unprefilled_tokens=self._caller.prompt_tokens - headers.stored_tokens,
+            peak_tokens=self._requirements.peak_tokens,
+            on_first_data=on_first_data,
+        )
         try:
-            connection.send(
-                self._caller.method,
-                self._caller.target,
-                encode_request(self._caller, headers),
+            result = await send.run(
+                self._caller,
+                headers,
                 self._body,
+                due_ms=self._due_ms,
+                is_stream=route.kind is RouteKind.STREAM,
+                may_repeat=route.may_repeat,
+                progress=self._progress,
+                reply=self._reply,
+                on_pause=self._trace.on_pause,
             )
-            result = await self._read(connection, choice, prefill)
-        except BaseException:
-            # The caller has disconnected. The replica stops its work once the
-            # connection is closed.
-            connection.close()
-            raise
         finally:
             self._stop_late_wait(replica)
             replica.in_flight -= 1
-            replica.resident_tokens -= self._requirements.peak_tokens
-            prefill.release()
         if isinstance(result, NotRunThere):
             return self._on_rejected(choice, result.facts)
         if isinstance(result, Unsent):
@@ -280,38 +281,6 @@
         self._quarantine_check.on_result(replica, result)
         return result
 
-    async def _read(
-        self, connection: HttpConnection, choice: Choice, prefill: PendingPrefill
-    ) -> SendResult | NotRunThere:
-        exchange = self._exchange(connection, choice, prefill)
-        if not self._allowed.route.may_repeat:
-            return await exchange.read()
-        with self._deps.reach.awaiting(choice.replica, connection):
-            return await exchange.read()
-
-    def _exchange(
-        self, connection: HttpConnection, choice: Choice, prefill: PendingPrefill
-    ) -> Exchange:
-        def on_first_data() -> None:
-            prefill.release()
-            self._stop_late_wait(choice.replica)
-            self._record_first_token(choice)
-
-        return Exchange(
-            connection,
-            clock=self._clock,
-            pool=self._deps.pool,
-            replica=choice.replica,
-            notices=self._deps.notices,
-            request_id=self._caller.request_id,
-            due_ms=self._due_ms,
-            is_stream=self._allowed.route.kind is RouteKind.STREAM,
-            progress=self._progress,
-            reply=self._reply,
-            on_first_data=on_first_data,
-            on_pause=self._trace.on_pause,
-        )
-
     def _on_rejected(self, choice: Choice, facts: ResponseFacts) -> Rejected:
         replica, now_ms = choice.replica, self._clock.now_ms()
         replica.rejections += 1
@@ -377,9 +346,8 @@
             last_event_id=last_event_id,
         )
 
-    def _record_first_token(self, choice: Choice) -> None:
+    def _record_first_token(self, choice: Choice, took_ms: int) -> None:
         if self._caller.model:
-            took_ms = self._clock.now_ms() - self._sent_ms
             self._trace.first_token_ms = took_ms
             choice.replica.on_first_token(
                 expected_ms=choice.first_token_ms, took_ms=took_ms
