Forwarding: second sends, and requests avoid unresponsive replicas

A repeatable request whose response is overdue gets a second send too, within max_attempts, the retry budget and the deadline. The first response that begins is forwarded, and the other connection is closed. New trace fields: second_send, second_after_ms, second_winner, second_refused.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -311,6 +311,7 @@
             gate=self._quarantine,
             reach=self._replica_components.reach,
             notices=self._replica_components.notices,
+            hedging=self._replica_components.hedging,
         )
 
     def _make_lease(self) -> LeaseTask:
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -5,6 +5,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import FleetSettings
+from fireflyward.hedging import Hedging, SilentReplicaCost
 from fireflyward.http1 import ConnectionPool
 from fireflyward.notices import NoticeTask
 from fireflyward.peers import PeerLink
@@ -44,12 +45,14 @@
         )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
+        self.hedging = Hedging()
         self.chooser = Chooser(
             self.directory,
             failure_domain=settings.failure_domain,
             peers=peer_load,
             cold_shares=self.cold_shares,
             rate_limits=self.rate_limits,
+            cost_terms=(SilentReplicaCost(self.hedging.silent),),
         )
         self.reach = ReachTask(
             clock=clock,
@@ -86,4 +89,8 @@
             "resting_replicas": sum(x.backoff_ms(now_ms) > 0 for x in backpressures),
             "evacuated_failure_domains": len(self.directory.evacuated),
             "unreachable_failure_domains": len(self.directory.unreachable),
+            "silent_replicas": self.hedging.silent.count(now_ms),
+            "second_sends_total": self.hedging.second_sends.made,
+            "second_sends_won_total": self.hedging.second_sends.won,
+            "second_sends_cancelled_total": self.hedging.second_sends.cancelled,
         }
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -2,9 +2,10 @@
 
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from fireflyward.clock import Clock
+from fireflyward.hedging import Hedging
 from fireflyward.http1 import ConnectionPool, HttpConnection
 from fireflyward.platform import ResponseFacts
 from fireflyward.prefixes import PartPlanner
@@ -17,6 +18,9 @@
 from ._late_limit import LateRequestLimit
 from ._weights import WeightVersions
 
+if TYPE_CHECKING:
+    from ._silence_watch import SilenceWatch
+
 
 class QuarantineGate(Protocol):
     """The quarantine's methods that a request calls; see ``quarantine.Quarantine``."""
@@ -70,3 +74,5 @@
     gate: QuarantineGate
     reach: Reach
     notices: Notices
+    hedging: Hedging
+    watch: "SilenceWatch"
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -18,7 +18,15 @@
 
 from ._dependencies import Notices
 from ._events import EventSplitter, StreamEvent
-from ._messages import Failed, NotRunThere, SendResult, Streamed, Unsent, WholeAnswer
+from ._messages import (
+    Failed,
+    NotRunThere,
+    SendResult,
+    Streamed,
+    Superseded,
+    Unsent,
+    WholeAnswer,
+)
 
 # Larger responses are not read into memory. The services' usual responses have a few
 # kilobytes.
@@ -56,11 +64,13 @@
     """
 
     __slots__ = (
+        "_claim",
         "_clock",
         "_connection",
         "_due_ms",
         "_is_stream",
         "_notices",
+        "_on_event",
         "_on_first_data",
         "_on_pause",
         "_pool",
@@ -84,6 +94,8 @@
         is_stream: bool,
         progress: StreamProgress,
         reply: Reply,
+        on_event: Callable[[], None],
+        claim: Callable[[], bool],
         on_first_data: Callable[[], None],
         on_pause: Callable[[float], None],
     ) -> None:
@@ -97,6 +109,8 @@
         self._is_stream = is_stream
         self._progress = progress
         self._reply = reply
+        self._on_event = on_event
+        self._claim = claim
         self._on_first_data = on_first_data
         self._on_pause = on_pause
         self._sent_ms = clock.now_ms()
@@ -122,9 +136,12 @@
         return await self._read_answer(event, facts)
 
     async def _next_event(self) -> object:
-        return await self._connection.next_event_within(
+        event = await self._connection.next_event_within(
             self._due_ms - self._clock.now_ms()
         )
+        if event is not None and not isinstance(event, Broken):
+            self._on_event()
+        return event
 
     def _find_problem(self, head: Head, facts: ResponseFacts) -> str:
         """Describe what is wrong with a response; empty if it may be used."""
@@ -140,6 +157,10 @@
             return "response in an encoding that was not requested"
         return ""
 
+    def _supersede(self) -> Superseded:
+        self._connection.close()
+        return Superseded()
+
     def _on_incomplete(self, event: object) -> Failed:
         if event is None:
             self._connection.close()
@@ -163,7 +184,9 @@
 
     async def _read_answer(
         self, head: Head, facts: ResponseFacts
-    ) -> WholeAnswer | Failed | NotRunThere:
+    ) -> WholeAnswer | Failed | NotRunThere | Superseded:
+        if head.status < 500 and not facts.was_not_run and not self._claim():
+            return self._supersede()
         parts, size = [], 0
         while not isinstance(event := await self._next_event(), End):
             if not isinstance(event, BodyPart) or size > _MAX_RESPONSE_BYTES:
@@ -176,7 +199,7 @@
         self._complete(failed=head.status >= 500)
         return WholeAnswer(head, b"".join(parts))
 
-    async def _forward_stream(self, head: Head) -> Streamed | Failed:
+    async def _forward_stream(self, head: Head) -> Streamed | Failed | Superseded:
         splitter = EventSplitter()
         last_part_ms: int | None = None
         while not isinstance(event := await self._next_event(), End):
@@ -184,6 +207,8 @@
                 return self._on_incomplete(event)
             now_ms = self._clock.now_ms()
             if last_part_ms is None:
+                if not self._claim():
+                    return self._supersede()
                 self._on_first_data()
             else:
                 self._on_pause(now_ms - last_part_ms)
@@ -191,6 +216,8 @@
             await self._forward_events(head, splitter.feed(event.data))
         if splitter.incomplete:
             return self._fail("stream ended within an event")
+        if last_part_ms is None and not self._claim():
+            return self._supersede()
         self._complete(failed=False)
         if not self._progress.has_begun:
             await self._reply.begin_stream(head)
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwards the requests of one node to replicas."""
 
 from fireflyward.clock import Clock
+from fireflyward.hedging import Hedging
 from fireflyward.http1 import ConnectionPool
 from fireflyward.outcomes import Outcome
 from fireflyward.platform import CallerRequest
@@ -15,6 +16,7 @@
 from ._exchange import Reply
 from ._late_limit import LateRequestLimit
 from ._request_run import RequestRun
+from ._silence_watch import SilenceWatch
 from ._trace import Trace
 from ._weights import WeightVersions
 
@@ -43,7 +45,9 @@
         reach: Reach,
         notices: Notices,
         admission: Admission | None = None,
+        hedging: Hedging | None = None,
     ) -> None:
+        hedging = hedging or Hedging()
         self._deps = Dependencies(
             clock=clock,
             pool=pool,
@@ -57,6 +61,8 @@
             gate=gate,
             reach=reach,
             notices=notices,
+            hedging=hedging,
+            watch=SilenceWatch(clock=clock, pool=pool, reach=reach, hedging=hedging),
         )
 
     def set_nodes(self, nodes: int) -> None:
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -79,6 +79,11 @@
     """The caller has received the complete stream, including its end."""
 
 
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """The response of another send had begun first; nothing of this one was used."""
+
+
 SendResult = Held | NoReplica | Unsent | Rejected | Failed | WholeAnswer | Streamed
 
 
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -80,6 +80,33 @@
         """Return the next step after a send, with ``left_ms`` until the deadline."""
         return self._decide(result, left_ms)
 
+    def may_send_second(self, left_ms: float) -> bool:
+        """Return whether a second send may start while the first one is open.
+
+        Both count as possible runs. If it may start, the retry budget is charged.
+        """
+        return (
+            self._possible_runs + 2 <= self._max_attempts
+            and self.may_repeat_at(left_ms)
+            and self._take_budget()
+        )
+
+    def may_repeat_at(self, left_ms: float) -> bool:
+        """Return whether route and deadline permit another send that may run."""
+        is_below_limit = self._possible_runs + 1 < self._max_attempts
+        return self._may_repeat and is_below_limit and left_ms > _MIN_RETRY_WINDOW_MS
+
+    def on_cancelled(self) -> None:
+        """Count a send that was cancelled because another response had begun."""
+        self._possible_runs += 1
+
+    def on_other_result(self, result: SendResult) -> None:
+        """Count the result of one of two sends; the other one is decided on."""
+        if isinstance(result, Failed | WholeAnswer):
+            self._possible_runs += 1
+        if isinstance(result, WholeAnswer):
+            self._fallback = result
+
     def abort(
         self, reason: Reason, detail: str, *, retry_after_ms: int = _RETRY_AFTER_MS
     ) -> Finish | Deliver:
--- a/fireflyward/forwarding/_replica_send.py
+++ b/fireflyward/forwarding/_replica_send.py
@@ -8,8 +8,9 @@
 
 from ._dependencies import Dependencies
 from ._exchange import Exchange, Reply, StreamProgress
-from ._messages import NotRunThere, SendResult
+from ._messages import NotRunThere, SendResult, Superseded
 from ._pending_prefill import PendingPrefill
+from ._silence_watch import WatchedSend
 
 
 class ReplicaSend:
@@ -21,11 +22,16 @@
 
     __slots__ = (
         "_choice",
+        "_claim",
         "_connection",
         "_deps",
         "_on_first_data",
+        "_overdue_ms",
         "_peak_tokens",
+        "_has_begun",
         "_prefill",
+        "_route",
+        "_watched",
         "sent_ms",
     )
 
@@ -37,9 +43,16 @@
         *,
         unprefilled_tokens: int,
         peak_tokens: int,
+        route: str,
+        claim: Callable[[], bool],
         on_first_data: Callable[[int], None],
+        on_unresponsive: Callable[[], None] | None,
     ) -> None:
-        """``on_first_data`` gets the time from the send to the first stream data."""
+        """``on_first_data`` gets the time from the send to the first stream data.
+
+        ``claim`` is called when a usable response begins. If it returns False, another
+        response has begun, and nothing of this one is forwarded.
+        """
         self._deps = deps
         self._connection = connection
         self._choice = choice
@@ -49,6 +62,13 @@
         choice.replica.resident_tokens += peak_tokens
         self.sent_ms = deps.clock.now_ms()
         choice.replica.on_cold_sent(self.sent_ms)
+        self._route = route
+        self._claim = claim
+        self._has_begun = False
+        self._overdue_ms = deps.hedging.times.overdue_ms(route, choice.first_token_ms)
+        self._watched: WatchedSend = deps.watch.begin(
+            choice.replica, self._overdue_ms, on_unresponsive
+        )
 
     async def run(
         self,
@@ -62,7 +82,7 @@
         progress: StreamProgress,
         reply: Reply,
         on_pause: Callable[[float], None],
-    ) -> SendResult | NotRunThere:
+    ) -> SendResult | NotRunThere | Superseded:
         """Write the request, and read the response until it ends or fails."""
         replica = self._choice.replica
         try:
@@ -80,6 +100,8 @@
                 is_stream=is_stream,
                 progress=progress,
                 reply=reply,
+                on_event=self._watched.on_bytes,
+                claim=self._begin,
                 on_first_data=self._handle_first_data,
                 on_pause=on_pause,
             )
@@ -88,14 +110,37 @@
             with self._deps.reach.awaiting(replica, self._connection):
                 return await exchange.read()
         except BaseException:
-            # The caller has disconnected. The replica stops its work once the
-            # connection is closed.
+            # The caller has disconnected, or another response has begun. The replica
+            # stops its work once the connection is closed.
             self._connection.close()
+            if not self._has_begun and self._is_overdue():
+                self._record_time()
+                self._watched.give_up()
             raise
         finally:
+            self._watched.end()
             replica.resident_tokens -= self._peak_tokens
             self._prefill.release()
 
     def _handle_first_data(self) -> None:
         self._prefill.release()
-        self._on_first_data(self._deps.clock.now_ms() - self.sent_ms)
+        self._on_first_data(self._took_ms())
+
+    def _begin(self) -> bool:
+        self._watched.end()
+        if not self._claim():
+            return False
+        self._has_begun = True
+        self._record_time()
+        return True
+
+    def _record_time(self) -> None:
+        """Record the time until the response began, or until a slow send was ended."""
+        expected_ms = self._choice.first_token_ms
+        self._deps.hedging.times.on_begun(self._route, expected_ms, self._took_ms())
+
+    def _is_overdue(self) -> bool:
+        return self._overdue_ms is not None and self._took_ms() >= self._overdue_ms
+
+    def _took_ms(self) -> int:
+        return self._deps.clock.now_ms() - self.sent_ms
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -1,5 +1,7 @@
 """Runs one request: sends it to replicas until it has an outcome."""
 
+import asyncio
+
 from fireflyward.deployment import RouteKind
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -24,20 +26,23 @@
     RejectionReason,
     SendResult,
     Streamed,
+    Superseded,
     Unsent,
     WholeAnswer,
 )
 from ._plan import AttemptPlan
 from ._prompt_requirements import PromptRequirements
 from ._quarantine_check import QuarantineCheck
+from ._rejection import on_rejected
 from ._replica_send import ReplicaSend
+from ._second_send import SecondSend
+from ._send_headers import replica_headers
+from ._send_race import SendRace
 from ._trace import Trace
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
 _CONNECT_TIMEOUT_MS = 350
 _NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
-_LOWEST_PRIORITY = 9
-_LATE_PRIORITY_STEP = 5
 
 
 class RequestRun:
@@ -135,7 +140,7 @@
     async def _deliver(self, answer: WholeAnswer) -> Outcome:
         if self._progress.has_begun:
             return Unknown(Reason.UPSTREAM_FAILED, "no replica continued the stream")
-        if _has_not_run_status(answer):
+        if answer.head.status in _NOT_RUN_STATUSES:
             # If the caller received this status, it would assume that the request has
             # not run.
             return Unknown(Reason.UPSTREAM_FAILED, "replica failed after it had begun")
@@ -169,7 +174,7 @@
                 return NoReplica()
             if backpressure.changes == changes:
                 self._quarantine_check.on_send(choice)
-                return await self._send_over(connection, choice)
+                return await self._send_raced(connection, choice)
             # The replica's limit, backoff or leaving state changed while the connection
             # was opened, so the choice is no longer valid.
             self._deps.pool.release(connection)
@@ -192,6 +197,7 @@
         replica.on_send_failure(self._clock.now_ms())
         if not failure.is_refused:
             self._deps.reach.on_silent(replica)
+            self._deps.watch.on_unresponsive(replica)
         self._quarantine_check.on_connect_failed(replica, is_refused=failure.is_refused)
         self._tried.add(replica.incarnation_id)
         self._stop_late_wait(None)
@@ -232,9 +238,50 @@
             replica.waiting_late -= 1
             replica.in_flight += 1
 
-    async def _send_over(
+    async def _send_raced(
         self, connection: HttpConnection, choice: Choice
     ) -> SendResult:
+        """Send a request; a repeatable one whose response is overdue is sent again."""
+        may_have_second = (
+            self._plan.may_repeat_at(self._left_ms())
+            and not self._progress.has_begun
+            and not self._is_late
+            and not self._trace.second_send
+        )
+        if not may_have_second:
+            return await self._send_over(connection, choice)
+        race = SendRace(self._clock)
+        second = SecondSend(
+            self._deps,
+            self._plan,
+            self._trace,
+            service=self._service,
+            choose=self._choose_untried,
+            connect=lambda choice: self._connect(choice.replica, self._left_ms()),
+            quarantine_check=self._quarantine_check,
+            on_unsent=self._on_unsent,
+            send=lambda connection, choice: self._send_over(
+                connection, choice, race, 1
+            ),
+            left_ms=self._left_ms,
+        )
+        overdue_ms = self._deps.hedging.times.overdue_ms(
+            self._allowed.route.name, choice.first_token_ms
+        )
+        send = self._send_over(connection, choice, race, 0)
+        results = await race.run(send, second.begin, overdue_ms=overdue_ms)
+        second.finish(race.winner)
+        for result in results[:-1]:
+            self._plan.on_other_result(result)
+        return results[-1]
+
+    async def _send_over(
+        self,
+        connection: HttpConnection,
+        choice: Choice,
+        race: SendRace | None = None,
+        number: int = 0,
+    ) -> SendResult | Superseded:
         replica, route = choice.replica, self._allowed.route
         headers = self._headers(choice)
 
@@ -242,6 +289,12 @@
             self._stop_late_wait(replica)
             self._record_first_token(choice, took_ms)
 
+        def claim() -> bool:
+            if race is None or race.claim(number):
+                self._trace.on_choice(choice)
+                return True
+            return False
+
         if self._waits_late:
             replica.waiting_late += 1
         else:
@@ -255,7 +308,10 @@
             choice,
             unprefilled_tokens=self._caller.prompt_tokens - headers.stored_tokens,
             peak_tokens=self._requirements.peak_tokens,
+            route=route.name,
+            claim=claim,
             on_first_data=on_first_data,
+            on_unresponsive=race.on_unresponsive if race and number == 0 else None,
         )
         try:
             result = await send.run(
@@ -269,11 +325,17 @@
                 reply=self._reply,
                 on_pause=self._trace.on_pause,
             )
+        except asyncio.CancelledError:
+            self._plan.on_cancelled()
+            raise
         finally:
             self._stop_late_wait(replica)
             replica.in_flight -= 1
         if isinstance(result, NotRunThere):
             return self._on_rejected(choice, result.facts)
+        if isinstance(result, Superseded):
+            self._plan.on_cancelled()
+            return result
         if isinstance(result, Unsent):
             self._trace.sends -= 1
             self._quarantine_check.on_not_sent()
@@ -282,68 +344,42 @@
         return result
 
     def _on_rejected(self, choice: Choice, facts: ResponseFacts) -> Rejected:
-        replica, now_ms = choice.replica, self._clock.now_ms()
-        replica.rejections += 1
-        if not facts.is_other_replica:
-            newest = self._deps.weights.newest(self._caller.model)
-            if newest is not None and choice.weights != newest:
-                replica.on_loading(now_ms)
-            else:
-                replica.on_full(now_ms)
-            return Rejected(RejectionReason.FULL)
-        is_same = facts.incarnation == replica.entry.incarnation
-        if is_same and choice.weights is not None:
-            self._tried.discard(replica.incarnation_id)
-            self._correct_weights(replica, choice, facts)
-            return Rejected(RejectionReason.OTHER_WEIGHTS)
-        replica.on_send_failure(now_ms)
-        return Rejected(RejectionReason.OTHER_REPLICA)
-
-    def _correct_weights(
-        self, replica: ReplicaState, choice: Choice, facts: ResponseFacts
-    ) -> None:
-        """Prefer the replica's own report to the list, which lags by a heartbeat."""
-        model = self._caller.model
-        other = self._deps.weights.newest(model)
-        if other is None or other == choice.weights:
-            other = replica.entry.version_of(model)
-        replica.version_by_model[model] = facts.weights or other or choice.weights
+        rejected = on_rejected(
+            self._clock.now_ms(),
+            choice,
+            facts,
+            model=self._caller.model,
+            weights=self._deps.weights,
+        )
+        if rejected.reason is RejectionReason.OTHER_WEIGHTS:
+            self._tried.discard(choice.replica.incarnation_id)
+        return rejected
 
     def _choose(self) -> Choice | None:
-        now_ms = self._clock.now_ms()
-        criteria = self._requirements.criteria(now_ms)
-        choice = self._deps.chooser.choose(
-            now_ms, criteria, without=frozenset(self._tried)
-        )
+        choice = self._choose_untried()
         if choice is None and self._tried and not self._plan.may_have_run:
+            now_ms = self._clock.now_ms()
+            criteria = self._requirements.criteria(now_ms)
             choice = self._deps.chooser.choose(now_ms, criteria)
         return choice
 
-    def _priority(self) -> int:
-        """Return the priority at the replica; late requests come after all others."""
-        priority = self._allowed.priority + (
-            _LATE_PRIORITY_STEP if self._is_late else 0
+    def _choose_untried(self) -> Choice | None:
+        now_ms = self._clock.now_ms()
+        criteria = self._requirements.criteria(now_ms)
+        return self._deps.chooser.choose(
+            now_ms, criteria, without=frozenset(self._tried)
         )
-        return min(priority, _LOWEST_PRIORITY)
 
     def _headers(self, choice: Choice) -> ReplicaHeaders:
-        account = self._allowed.account
-        last_number = self._progress.last_number
-        last_event_id = self._caller.last_event_id
-        if last_number is not None:
-            last_event_id = str(last_number)
-        salt, kv = self._requirements.plan_kv(self._clock.now_ms(), choice)
-        return ReplicaHeaders(
-            incarnation=choice.replica.entry.incarnation,
-            left_ms=int(self._left_ms()),
-            account=account.name if account is not None else None,
-            priority=self._priority(),
-            weights=choice.weights,
-            cache_salt=salt,
-            kv_sources=kv.sources,
-            kv_saves=kv.saves,
-            stored_tokens=kv.stored_tokens,
-            last_event_id=last_event_id,
+        return replica_headers(
+            self._clock.now_ms(),
+            self._caller,
+            self._allowed,
+            choice,
+            self._requirements,
+            progress=self._progress,
+            left_ms=self._left_ms(),
+            is_late=self._is_late,
         )
 
     def _record_first_token(self, choice: Choice, took_ms: int) -> None:
@@ -358,7 +394,3 @@
 
     def _take_retry_budget(self) -> bool:
         return self._deps.budget.try_acquire(self._clock.now_ms(), self._service)
-
-
-def _has_not_run_status(answer: WholeAnswer) -> bool:
-    return answer.head.status in _NOT_RUN_STATUSES
--- /dev/null
+++ b/fireflyward/forwarding/_second_send.py
@@ -0,0 +1,129 @@
+"""Makes the second send of a request whose response is overdue."""
+
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any
+
+from fireflyward.hedging import Refusal, SecondSendReason
+from fireflyward.http1 import HttpConnection, NotConnected
+from fireflyward.replicas import Choice, ReplicaState
+
+from ._dependencies import Dependencies
+from ._messages import SendResult, Superseded, Unsent
+from ._plan import AttemptPlan
+from ._quarantine_check import QuarantineCheck
+from ._trace import Trace
+
+
+class SecondSend:
+    """Checks whether a request may have a second send, and opens its connection."""
+
+    __slots__ = (
+        "_choose",
+        "_connect",
+        "_deps",
+        "_is_made",
+        "_left_ms",
+        "_on_unsent",
+        "_plan",
+        "_quarantine_check",
+        "_send",
+        "_service",
+        "_started_ms",
+        "_trace",
+    )
+
+    def __init__(
+        self,
+        deps: Dependencies,
+        plan: AttemptPlan,
+        trace: Trace,
+        *,
+        service: str,
+        choose: Callable[[], Choice | None],
+        connect: Callable[[Choice], Awaitable[HttpConnection | NotConnected]],
+        quarantine_check: QuarantineCheck,
+        on_unsent: Callable[[ReplicaState, NotConnected], Unsent],
+        send: Callable[[HttpConnection, Choice], Awaitable[SendResult | Superseded]],
+        left_ms: Callable[[], float],
+    ) -> None:
+        self._deps = deps
+        self._plan = plan
+        self._trace = trace
+        self._service = service
+        self._choose = choose
+        self._connect = connect
+        self._quarantine_check = quarantine_check
+        self._on_unsent = on_unsent
+        self._send = send
+        self._left_ms = left_ms
+        self._is_made = False
+        self._started_ms = deps.clock.now_ms()
+        deps.hedging.second_sends.on_sent(self._started_ms, service)
+
+    def begin(
+        self, reason: SecondSendReason
+    ) -> Coroutine[Any, Any, SendResult | Superseded | None] | None:
+        """Return the second send, or None if there is none for this reason."""
+        refusal, choice = self._check(reason)
+        if choice is None:
+            self._trace.second_refused = str(refusal)
+            return None
+        self._trace.second_send = str(reason)
+        self._trace.second_refused = ""
+        self._trace.second_after_ms = self._deps.clock.now_ms() - self._started_ms
+        return self._run(choice)
+
+    def finish(self, winner: int | None) -> None:
+        """Record which send won, if there were two."""
+        if not self._is_made or winner is None:
+            return
+        self._trace.second_winner = "second" if winner else "first"
+        self._deps.hedging.second_sends.on_finished(
+            self._deps.clock.now_ms(), self._service, second_won=winner == 1
+        )
+
+    def _check(
+        self, reason: SecondSendReason
+    ) -> tuple[Refusal, None] | tuple[None, Choice]:
+        now_ms, hedging = self._deps.clock.now_ms(), self._deps.hedging
+        few_silent = hedging.silent.are_few(now_ms)
+        refusal = hedging.second_sends.check(
+            now_ms, self._service, reason, few_silent=few_silent
+        )
+        if refusal is not None:
+            return refusal, None
+        choice = self._choose()
+        if choice is None or self._is_unusable(now_ms, choice.replica):
+            return Refusal.NO_REPLICA, None
+        if choice.slot_ms > 0 or choice.replica.is_full(now_ms):
+            return Refusal.NO_SLOT, None
+        if not self._plan.may_send_second(self._left_ms()):
+            return Refusal.NO_BUDGET, None
+        return None, choice
+
+    def _is_unusable(self, now_ms: int, replica: ReplicaState) -> bool:
+        silent = self._deps.hedging.silent
+        return (
+            replica.is_suspect(now_ms)
+            or replica.is_loading(now_ms)
+            or silent.is_silent(now_ms, replica.incarnation_id)
+        )
+
+    async def _run(self, choice: Choice) -> SendResult | Superseded | None:
+        if await self._quarantine_check.admit() is not None:
+            self._trace.second_refused = str(Refusal.ON_TRIAL)
+            return None
+        backpressure = choice.replica.backpressure
+        changes = backpressure.changes
+        connection = await self._connect(choice)
+        if isinstance(connection, NotConnected):
+            return self._on_unsent(choice.replica, connection)
+        if backpressure.changes != changes or self._left_ms() < 1:
+            # The replica's limit, backoff or leaving state changed while the connection
+            # was opened, so the choice is no longer valid.
+            self._deps.pool.release(connection)
+            return None
+        self._is_made = True
+        self._quarantine_check.on_send(choice)
+        self._deps.hedging.second_sends.on_made()
+        return await self._send(connection, choice)
--- /dev/null
+++ b/fireflyward/forwarding/_send_race.py
@@ -0,0 +1,100 @@
+"""Runs a send and at most one second send, until one response has ended."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+
+from fireflyward.clock import Clock
+from fireflyward.hedging import SecondSendReason
+
+from ._messages import SendResult, Superseded
+
+_Send = Coroutine[object, object, SendResult | Superseded | None]
+
+
+class SendRace:
+    """Two sends of one request, of which only one may forward its response.
+
+    The first send that calls ``claim`` wins, and the other one is cancelled, which
+    closes its connection. Both run in this event loop, so from the call on the other
+    send does not continue. If this race is cancelled, both are.
+    """
+
+    __slots__ = ("_clock", "_tasks", "_woken", "winner")
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._tasks: list[asyncio.Task[SendResult | Superseded | None]] = []
+        self._woken: asyncio.Future[SecondSendReason] | None = None
+        self.winner: int | None = None
+
+    def claim(self, number: int) -> bool:
+        """Let send 0 or 1 forward its response, unless the other one does."""
+        if self.winner is None:
+            self.winner = number
+            for other, task in enumerate(self._tasks):
+                if other != number:
+                    task.cancel()
+        return self.winner == number
+
+    def on_unresponsive(self) -> None:
+        """Consider a second send now: the first one's replica does not respond."""
+        self._wake(SecondSendReason.UNRESPONSIVE)
+
+    async def run(
+        self,
+        first: _Send,
+        begin_second: Callable[[SecondSendReason], _Send | None],
+        *,
+        overdue_ms: float | None,
+    ) -> list[SendResult]:
+        """Return the results of the sends that were not cancelled; the winner is last.
+
+        ``begin_second`` returns None if there is no second send for this reason.
+        """
+        self._woken = asyncio.get_running_loop().create_future()
+        timer = None
+        if overdue_ms is not None:
+            timer = self._clock.call_later_ms(overdue_ms, self._on_overdue)
+        self._tasks.append(asyncio.create_task(first))
+        try:
+            return await self._collect(begin_second)
+        finally:
+            if timer is not None:
+                timer.cancel()
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _collect(
+        self, begin_second: Callable[[SecondSendReason], _Send | None]
+    ) -> list[SendResult]:
+        result_by_task: dict[asyncio.Task, SendResult] = {}
+        pending = set(self._tasks)
+        while pending:
+            waits = {*pending, self._woken} if len(self._tasks) == 1 else pending
+            done, _ = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+            if self._woken in done and not pending & done and self.winner is None:
+                reason = self._woken.result()
+                self._woken = asyncio.get_running_loop().create_future()
+                second = begin_second(reason)
+                if second is not None:
+                    self._tasks.append(asyncio.create_task(second))
+                    pending.add(self._tasks[1])
+            elif self._woken in done:
+                self._woken = asyncio.get_running_loop().create_future()
+            for task in pending & done:
+                pending.discard(task)
+                result = None if task.cancelled() else task.result()
+                if result is not None and not isinstance(result, Superseded):
+                    result_by_task[task] = result
+        # Both may end in the same iteration of the event loop.
+        order = (1, 0) if self.winner == 0 else (0, 1)
+        tasks = [self._tasks[number] for number in order if number < len(self._tasks)]
+        return [result_by_task[task] for task in tasks if task in result_by_task]
+
+    def _on_overdue(self) -> None:
+        self._wake(SecondSendReason.SLOW)
+
+    def _wake(self, reason: SecondSendReason) -> None:
+        if self._woken is not None and not self._woken.done():
+            self._woken.set_result(reason)
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -18,7 +18,9 @@
     ``longest_pause_ms`` the longest time between two parts of the stream. ``earlier``
     lists the results of the sends before it. ``waits_late`` is set if the request is
     late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
-    requests with the same content.
+    requests with the same content. ``second_send`` is why a second send was made while
+    the first one was open, ``second_after_ms`` when, and ``second_winner`` which of the
+    two was forwarded. ``second_refused`` is why a due second send was not made.
     """
 
     __slots__ = (
@@ -32,6 +34,10 @@
         "queue_ms",
         "replica",
         "route",
+        "second_after_ms",
+        "second_refused",
+        "second_send",
+        "second_winner",
         "sends",
         "service",
         "stored_tokens",
@@ -47,6 +53,10 @@
         self.configuration = 0
         self.replica = ""
         self.sends = 0
+        self.second_send = ""
+        self.second_refused = ""
+        self.second_winner = ""
+        self.second_after_ms = 0
         self.earlier: list[str] = []
         self.waits_late = False
         self.weights: int | None = None
