--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -23,6 +23,9 @@
 
 from .open_gate import OpenGate
 
+ROUTE = Route(
+    "r", "h", "/", RouteKind.IDEMPOTENT, 3_000, 200, 0, 2, (ServiceShare("s", 1),)
+)
 CALLER = CallerRequest("q1", "GET", "h", "/x", (), 3_000.0)
 OK_HEAD = Head(200, "", (("x-request-id", "q1"), (_SIGNATURE, "s")))
 ERROR_HEAD = Head(500, "", (("x-request-id", "q1"),))
@@ -61,13 +64,18 @@
     def __init__(self, clock, scripts):
         self.clock = clock
         self.scripts = scripts
+        self.script_by_address = {}
         self.opened = []
         self.released = []
         self.addresses = []
 
     async def acquire(self, address, *, connect_ms, fresh=False):
         script = self.scripts[min(len(self.addresses), len(self.scripts) - 1)]
+        script = self.script_by_address.get(address, script)
         self.addresses.append(address)
+        if script == "cut":
+            await self.clock.sleep_ms(connect_ms)
+            return NotConnected("no connection")
         if script is None:
             return NotConnected("refused", is_refused=True)
         self.opened.append(_Connection(self.clock, script))
@@ -189,7 +197,8 @@
         case = Case([[], answer(b"b", 50)])
         serving = case.start()
         await case.clock.advance_ms(151)
-        self.assertEqual(await serving, Answered())
+        self.assertTrue(serving.done())
+        self.assertEqual(serving.result(), Answered())
         self.assertEqual(case.reply.bodies, [b"b"])
         self.assertEqual(len(set(case.pool.addresses)), 2)
         fields = case.trace.fields()
@@ -293,6 +302,54 @@
         self.assert_counters_released(case)
 
 
+class UnresponsiveReplicasTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_fifth_of_the_replicas_stops_responding(self):
+        """Guards against requests that wait 1 to 3 s for replicas that hang.
+
+        Two of ten replicas accept requests and return nothing from second 2.5 on.
+        """
+        case = Case([answer(b"a", 60)], budget=60, replicas=10)
+        took_ms = []
+
+        async def serve():
+            begun_ms = case.clock.now_ms()
+            serving = case.forwarder.serve(
+                CALLER,
+                b"",
+                Allowed(ROUTE, "s", None, 1),
+                arrived_ms=begun_ms,
+                reply=case.reply,
+                trace=Trace(),
+            )
+            self.assertEqual(await serving, Answered())
+            took_ms.append(case.clock.now_ms() - begun_ms)
+
+        tasks = []
+        for number in range(200):
+            if number == 50:
+                case.pool.script_by_address = {"r0:80": [], "r1:80": []}
+            tasks.append(asyncio.create_task(serve()))
+            await case.clock.advance_ms(50)
+        await case.clock.advance_ms(3_000)
+        await asyncio.gather(*tasks)
+        self.assertLessEqual(max(took_ms), 350)
+        self.assertLessEqual(sum(each > 100 for each in took_ms), 12)
+        self.assertEqual(case.counters, {(0, 0, 0)})
+
+    async def test_a_failed_connection_moves_requests_that_wait_at_that_replica(self):
+        """Guards against waiting at a replica to which the link has just been cut."""
+        case = Case([[], "cut", answer(b"b", 10)], replicas=2)
+        case.hedging.times._ratios_by_route.clear()
+        case.directory.all()[1].in_flight = 2
+        waiting = case.start()
+        await case.clock.advance_ms(10)
+        case.start(RouteKind.NON_IDEMPOTENT)
+        await case.clock.advance_ms(400)
+        self.assertEqual(len({*case.pool.addresses[:2]}), 1)
+        self.assertTrue(waiting.done())
+        self.assertEqual(waiting.result(), Answered())
+
+
 class AnswerTests(unittest.TestCase):
     @settings(max_examples=150, derandomize=True, deadline=None)
     @given(st.integers(0, 10**6))
