--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -264,6 +264,15 @@
         self.assertEqual(len(case.pool.opened), 2)
         self.assert_counters_released(case)
 
+    async def test_a_cancelled_send_counts_as_a_possible_run(self):
+        """Guards against a third run after the response that won has broken."""
+        broken = [*stream(b"b", 10, 20)[:2], (15, BROKEN)]
+        case = Case([[], broken, stream(b"c", 10)])
+        self.assertIsInstance(await case.run(RouteKind.STREAM), Unknown)
+        self.assertEqual(len(case.pool.opened), 2)
+        self.assertNotIn(b"data: c", case.reply.stream)
+        self.assert_counters_released(case)
+
     async def test_a_second_send_that_cannot_connect_leaves_the_first_one(self):
         case = Case([answer(b"a", 400), None])
         self.assertEqual(await case.run(), Answered())
