--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -313,6 +313,7 @@
             notices=self._replica_components.notices,
             speeds=self._replica_components.speeds,
             fairness=self._replica_components.fairness,
+            hedging=self._replica_components.hedging,
         )
 
     def _make_lease(self) -> LeaseTask:
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -26,6 +26,10 @@
     find relative to the base estimate's limit, and ``fair_reason`` why. Its inputs are
     ``pressure_percent``, ``share_percent`` (what the account uses of its fair share),
     ``totals_age_ms``, and ``is_returning`` for a retry of a rejected caller.
+
+    ``second_send`` is why a second send was made while the first one was open,
+    ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
+    ``second_refused`` is why a due second send was not made.
     """
 
     __slots__ = (
@@ -44,6 +48,10 @@
         "queue_ms",
         "replica",
         "route",
+        "second_after_ms",
+        "second_refused",
+        "second_send",
+        "second_winner",
         "sends",
         "service",
         "share_percent",
@@ -63,6 +71,10 @@
         self.configuration = 0
         self.replica = ""
         self.sends = 0
+        self.second_send = ""
+        self.second_refused = ""
+        self.second_winner = ""
+        self.second_after_ms = 0
         self.earlier: list[str] = []
         self.waits_late = False
         self.fair_reason = ""
--- a/tests/forwarding/test_speed_reports.py
+++ b/tests/forwarding/test_speed_reports.py
@@ -57,6 +57,8 @@
             is_stream=True,
             progress=StreamProgress(),
             reply=AsyncMock(),
+            on_event=lambda: None,
+            claim=lambda: True,
             on_first_data=lambda: calls.append("first data"),
             on_pause=calls.append,
         ).read()
