Merge part D: second sends

Requests that no replica received end with 503 and not run, unresponsive replicas are avoided, and repeatable requests whose response is overdue are sent once more.

--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -5,6 +5,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import FleetSettings
+from fireflyward.hedging import Hedging, SilentReplicaCost
 from fireflyward.http1 import ConnectionPool
 from fireflyward.limits import FairAdmission, LocalSums, PeerSums, SumReportTask
 from fireflyward.notices import NoticeTask
@@ -70,6 +71,7 @@
             failure_domain=settings.failure_domain,
             peers=peer_load,
         )
+        self.hedging = Hedging()
         self.chooser = Chooser(
             self.directory,
             failure_domain=settings.failure_domain,
@@ -79,6 +81,7 @@
             cost_terms=(
                 self.pause_term,
                 IdleConnectionCost(pool, self.subsets),
+                SilentReplicaCost(self.hedging.silent),
             ),
             candidate_filter=self.subsets,
             kv_room=self.kv_room,
@@ -136,6 +139,10 @@
             "unreachable_failure_domains": len(self.directory.unreachable),
             "kv_prompts_moved_total": self.kv_room.moved,
             "kv_prompts_without_room_total": self.kv_room.without_room,
+            "silent_replicas": self.hedging.silent.count(now_ms),
+            "second_sends_total": self.hedging.second_sends.made,
+            "second_sends_won_total": self.hedging.second_sends.won,
+            "second_sends_cancelled_total": self.hedging.second_sends.cancelled,
         }
 
     def gauges_by_service(self) -> dict[str, dict[str, int]]:
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -2,9 +2,10 @@
 
 from contextlib import AbstractContextManager
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from fireflyward.clock import Clock
+from fireflyward.hedging import Hedging
 from fireflyward.http1 import ConnectionPool, HttpConnection
 from fireflyward.limits import FairAdmission
 from fireflyward.platform import ResponseFacts
@@ -18,6 +19,9 @@
 from ._late_limit import LateRequestLimit
 from ._weights import WeightVersions
 
+if TYPE_CHECKING:
+    from ._silence_watch import SilenceWatch
+
 
 class QuarantineGate(Protocol):
     """The quarantine's methods that a request calls; see ``quarantine.Quarantine``."""
@@ -93,3 +97,5 @@
     reach: Reach
     notices: Notices
     speeds: Speeds
+    hedging: Hedging
+    watch: "SilenceWatch"
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -1,6 +1,7 @@
 """Forwards the requests of one node to replicas."""
 
 from fireflyward.clock import Clock
+from fireflyward.hedging import Hedging
 from fireflyward.http1 import ConnectionPool
 from fireflyward.limits import FairAdmission, LocalSums, PeerSums
 from fireflyward.outcomes import Outcome
@@ -23,6 +24,7 @@
 from ._exchange import Reply
 from ._late_limit import LateRequestLimit
 from ._request_run import RequestRun
+from ._silence_watch import SilenceWatch
 from ._trace import Trace
 from ._weights import WeightVersions
 
@@ -53,7 +55,9 @@
         speeds: Speeds | None = None,
         admission: Admission | None = None,
         fairness: FairAdmission | None = None,
+        hedging: Hedging | None = None,
     ) -> None:
+        hedging = hedging or Hedging()
         self._deps = Dependencies(
             clock=clock,
             pool=pool,
@@ -69,6 +73,8 @@
             reach=reach,
             notices=notices,
             speeds=speeds or NoSpeeds(),
+            hedging=hedging,
+            watch=SilenceWatch(clock=clock, pool=pool, reach=reach, hedging=hedging),
         )
 
     def set_nodes(self, nodes: int) -> None:
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -26,7 +26,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Unsent:
-    """The connection could not be opened; the replica never received the request."""
+    """The replica received nothing: no connection opened, or it was already closed."""
 
     detail: str
 
@@ -79,6 +79,11 @@
     """The caller has received the complete stream, including its end."""
 
 
+@dataclass(frozen=True, slots=True)
+class Superseded:
+    """The response of another send had begun first; nothing of this one was used."""
+
+
 SendResult = Held | NoReplica | Unsent | Rejected | Failed | WholeAnswer | Streamed
 
 
