--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -36,6 +36,8 @@
     replica answers normally. A request with the body ``CRASHING_BODY`` crashes the
     replica as soon as it is executed. ``notices`` are headers that are added to each
     answer. Rejections that request a backoff have ``retry_after`` as Retry-After.
+    ``load_report`` is the report of its load, if any, and ``pause_factor`` prolongs the
+    pauses of its streams.
     """
 
     def __init__(self, incarnation, *, model=None, version=1, events=4, pause_s=0.0):
@@ -47,6 +49,8 @@
         self.orders = []
         self.behaviors = []
         self.notices = []
+        self.load_report = None
+        self.pause_factor = 1.0
         self.retry_after = "5"
         self.disconnected_callers = 0
         self.has_crashed = False
@@ -126,6 +130,8 @@
             SIGNATURE,
             *self.notices,
         ]
+        if self.load_report is not None:
+            own_headers.append(("X-Server-Load", self.load_report))
         if self.model:
             return await self._stream(request, writer, behavior, own_headers)
         return await self._plain(request, writer, behavior, own_headers)
@@ -174,10 +180,14 @@
         if behavior is ReplicaBehavior.RESETS:
             reset(writer)
             return False
+        if behavior is ReplicaBehavior.SILENT:
+            await request.wait_for_disconnect()
+            self.disconnected_callers += 1
+            return False
         writer.write(head)
         first = int(request.headers.get("last-event-id", 0)) + 1
         for number in range(first, self._events + 1):
-            await asyncio.sleep(self._pause_s)
+            await asyncio.sleep(self._pause_s * self.pause_factor)
             if writer.transport.is_closing():
                 self.disconnected_callers += 1
                 return False
--- a/tests/soak/_faults.py
+++ b/tests/soak/_faults.py
@@ -145,7 +145,13 @@
     pauses_s = (0.4, 2.0)
 
     def kinds(self):
-        return (self._restore_snapshot, self._replica_reports_limit)
+        return (
+            self._restore_snapshot,
+            self._replica_reports_limit,
+            self._slow_replicas,
+            self._report_unreadable_load,
+            self._hang_replica,
+        )
 
     async def _restore_snapshot(self):
         """Restore the store from an older snapshot, once or twice in a row."""
@@ -163,3 +169,26 @@
         replica.notices = [("Server-Limit", self._random.choice(("2", "8.5", "0")))]
         await self._sleep_during_fault()
         replica.notices = []
+
+    async def _slow_replicas(self):
+        """Let some replicas work slowly and report so, maybe all at once."""
+        count = self._random.randint(1, len(self._fleet.replicas))
+        slow = self._random.sample(self._fleet.replicas, count)
+        for replica in slow:
+            replica.load_report, replica.pause_factor = "1,0,4,250", 2.5
+        await self._sleep_during_fault()
+        for replica in slow:
+            replica.load_report, replica.pause_factor = "1,0,4,100", 1.0
+
+    async def _report_unreadable_load(self):
+        replica = self._random.choice(self._fleet.replicas)
+        replica.load_report = self._random.choice(
+            ("1,0,4,0", "1,0,4,-250", "1,0,4,fast", "1,0", "1,0,4,250,1")
+        )
+        await self._sleep_during_fault()
+        replica.load_report = None
+
+    async def _hang_replica(self):
+        """Let a replica execute some requests without answering any of them."""
+        replica = self._random.choice(self._fleet.replicas)
+        replica.behaviors = [ReplicaBehavior.SILENT] * self._random.randint(1, 4)
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -18,6 +18,8 @@
 _KEYS = [f"key-{n}" for n in range(1, 9)]
 _START_TIMEOUT_S = 20
 _REVOCATION_LIMIT_S = 5.0
+# Of the repeatable routes; see ``Operator``.
+_MAX_ATTEMPTS = 2
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
@@ -91,10 +93,10 @@
         """Return the violations that callers and replicas observed.
 
         These conditions are checked: Each answer is correct. A non-idempotent request
-        is executed at most once, a rejected request never, and no request is executed
-        more than ``_REVOCATION_LIMIT_S`` after its key was withdrawn. For each replica
-        the fencing tokens of weight orders never decrease, and each token has one
-        holder.
+        is executed at most once, any other at most ``_MAX_ATTEMPTS`` times, a rejected
+        request never, and no request is executed more than ``_REVOCATION_LIMIT_S``
+        after its key was withdrawn. For each replica the fencing tokens of weight
+        orders never decrease, and each token has one holder.
         """
         violations = list(self.violations)
         execution_counts = Counter(
@@ -108,6 +110,10 @@
                 violations.append(
                     f"{result.request_id} {result.path}: {result.problem}"
                 )
+            if executions > _MAX_ATTEMPTS:
+                violations.append(
+                    f"{result.request_id} {result.path} was executed {executions} times"
+                )
             if result.path == "/w/x" and executions > 1:
                 violations.append(
                     f"{result.request_id} was executed {executions} times"
