Admission: the detail of a rejection says what is late

Rejected calls without a prompt were reported as "first token in N ms", and so were prompts that fit into no replica's KV memory but would have been in time. Tested in test_admission and test_plain_services.

--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -42,9 +42,9 @@
 
     ``queue_ms`` is the time until the replica begins on the request, of which
     ``slot_ms`` is the wait for a free slot. ``first_token_ms`` is the time until its
-    first token. ``objective_left_ms`` and ``left_ms`` are the time left until its
-    latency objective and until its deadline. ``has_room`` is False if it fits into no
-    replica's KV memory.
+    first token, or until the answer to a request without a prompt.
+    ``objective_left_ms`` and ``left_ms`` are the time left until its latency objective
+    and until its deadline. ``has_room`` is False if it fits into no replica's KV memory.
     """
 
     queue_ms: float
@@ -53,6 +53,12 @@
     left_ms: float
     slot_ms: float = 0.0
     has_room: bool = True
+    is_prompt: bool = True
+
+    @property
+    def own_ms(self) -> float:
+        """Return the time until the first token at a replica without a queue."""
+        return self.first_token_ms - self.queue_ms
 
 
 def estimate_latency(
@@ -74,7 +80,9 @@
     answer_ms = choice.first_token_ms / choice.work_factor
     if not is_prompt:
         if queue_ms <= 0 or choice.replica.entry.slots <= 0:
-            return LatencyEstimate(0.0, 0.0, objective_left_ms, left_ms)
+            return LatencyEstimate(
+                0.0, 0.0, objective_left_ms, left_ms, is_prompt=False
+            )
         answer_ms = queue_ms + choice.replica.mean_run_ms
     return LatencyEstimate(
         queue_ms,
@@ -83,6 +91,7 @@
         left_ms,
         choice.slot_ms / choice.work_factor,
         choice.has_room,
+        is_prompt,
     )
 
 
@@ -132,8 +141,7 @@
         late_queue_ms = _LATE_QUEUE_MS * max(1.0, factor)
         if factor >= 1.0:
             return not self.is_late(estimate) or estimate.queue_ms <= late_queue_ms
-        own_ms = estimate.first_token_ms - estimate.queue_ms
-        budget_ms = _ON_TIME_SHARE * estimate.objective_left_ms - own_ms
+        budget_ms = _ON_TIME_SHARE * estimate.objective_left_ms - estimate.own_ms
         return estimate.queue_ms <= _reduced(max(budget_ms, late_queue_ms), factor)
 
     def may_wait(
@@ -151,10 +159,8 @@
         self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
     ) -> NotRun:
         """Return the rejection of a request, with the time after which to retry."""
-        detail = f"first token in {estimate.first_token_ms:.0f} ms"
-        return NotRun(
-            Reason.OVERLOADED, detail, self._retry_after_ms(estimate, verdict)
-        )
+        retry_after_ms = self._retry_after_ms(estimate, verdict)
+        return NotRun(Reason.OVERLOADED, _detail(estimate), retry_after_ms)
 
     def _retry_after_ms(self, estimate: LatencyEstimate, verdict: FairVerdict) -> int:
         """Return when the queue will be short again, plus a part that spreads retries.
@@ -177,5 +183,12 @@
         )
 
 
+def _detail(estimate: LatencyEstimate) -> str:
+    if not estimate.has_room:
+        return "no replica has KV memory for the prompt"
+    subject = "first token" if estimate.is_prompt else "answer"
+    return f"{subject} in {estimate.first_token_ms:.0f} ms"
+
+
 def _reduced(limit_ms: float, factor: float) -> float:
     return _YIELDING_QUEUE_MS + factor * (limit_ms - _YIELDING_QUEUE_MS)
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -61,12 +61,15 @@
     def test_a_request_without_room_in_memory_is_rejected_and_does_not_wait(self):
         """Guards against preempting running streams for a prompt that is in time."""
         estimate = LatencyEstimate(100, 200, 900, 9_000, has_room=False)
-        self.assertGreater(Admission().check(estimate).retry_after_ms, 0)
+        rejection = Admission().check(estimate)
+        self.assertGreater(rejection.retry_after_ms, 0)
+        self.assertEqual(rejection.detail, "no replica has KV memory for the prompt")
         self.assertFalse(Admission().may_wait(estimate))
 
     def test_a_request_that_cannot_meet_its_deadline_is_rejected_at_once(self):
         rejected = Admission().check(LatencyEstimate(100, 200, 900, 150))
         self.assertGreater(rejected.retry_after_ms, 0)
+        self.assertEqual(rejected.detail, "first token in 200 ms")
 
     def test_retry_times_of_rejected_callers_are_spread(self):
         admission = Admission(seed=1)
--- a/tests/forwarding/test_plain_services.py
+++ b/tests/forwarding/test_plain_services.py
@@ -90,6 +90,7 @@
         outcome = await self.serve()
         self.assertIsInstance(outcome, NotRun)
         self.assertEqual(outcome.reason, Reason.OVERLOADED)
+        self.assertRegex(outcome.detail, r"^answer in \d+ ms$")
         self.assertTrue(200 <= outcome.retry_after_ms <= 1_000)
         self.assertEqual(self.pool.connections, [])
 
