AttemptPlan: Retry-After is at most a third of the caller's time left

The 300 ms after rejections of replicas and failed connections ignored the deadline, so a caller with 400 ms left returned when it could no longer be answered. The time that replicas asked for (NoReplica) and the quarantine's are unchanged. Tested in test_plan.

--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -28,7 +28,7 @@
 # whenever they retry, so their retries are spread at random over a part of the time
 # that they have left, after a first part that is reserved for requests which can still
 # be on time. A caller has to wait for at most a third of the time it has left.
-_MAX_WAIT_SHARE = 1 / 3
+MAX_WAIT_SHARE = 1 / 3
 _SPREAD_SHARE = 0.7
 # The random part of a time that follows the order of the rejections. Callers that were
 # rejected between two totals have the same position.
@@ -44,7 +44,8 @@
     ``slot_ms`` is the wait for a free slot. ``first_token_ms`` is the time until its
     first token, or until the answer to a request without a prompt.
     ``objective_left_ms`` and ``left_ms`` are the time left until its latency objective
-    and until its deadline. ``has_room`` is False if it fits into no replica's KV memory.
+    and until its deadline. ``has_room`` is False if it fits into no replica's KV
+    memory.
     """
 
     queue_ms: float
@@ -168,7 +169,7 @@
         If it is known how long the callers take that were rejected earlier, most of
         the part follows their order. Otherwise it is random.
         """
-        max_wait_ms = _MAX_WAIT_SHARE * estimate.left_ms
+        max_wait_ms = MAX_WAIT_SHARE * estimate.left_ms
         queue_short_ms = max(_MIN_RETRY_AFTER_MS, estimate.queue_ms - _LATE_QUEUE_MS)
         max_spread_ms = _SPREAD_SHARE * max_wait_ms
         spread_ms = max_spread_ms * self._random.random()
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from functools import singledispatchmethod
 
+from fireflyward.limits import bounded_retry_after_ms
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.quarantine import Held
 
+from ._admission import MAX_WAIT_SHARE
 from ._messages import (
     Decision,
     Deliver,
@@ -31,6 +33,8 @@
 _MIN_RETRY_WINDOW_MS = 40
 # About the time after which a rejected caller finds a free slot again.
 _RETRY_AFTER_MS = 300
+# The header has hundredths of a second, and without a time a caller doesn't retry.
+_MIN_RETRY_AFTER_MS = 10
 _RETRY_PAUSE_MS = 15
 
 
@@ -142,7 +146,11 @@
         self._unsent += 1
         if self._unsent < _MAX_UNSENT and left_ms > _MIN_RETRY_WINDOW_MS:
             return TryAgain()
-        return self.abort(Reason.NO_UPSTREAM, result.detail)
+        return self.abort(
+            Reason.NO_UPSTREAM,
+            result.detail,
+            retry_after_ms=_bounded_retry_after_ms(left_ms),
+        )
 
     @_decide.register
     def _(self, result: Rejected, left_ms: float) -> Decision:
@@ -157,7 +165,11 @@
         )
         if may_retry and self._take_budget():
             return TryAgain(_RETRY_PAUSE_MS if self._rejections > 1 else 0)
-        return self.abort(Reason.OVERLOADED, f"replicas say {result.reason.value}")
+        return self.abort(
+            Reason.OVERLOADED,
+            f"replicas say {result.reason.value}",
+            retry_after_ms=_bounded_retry_after_ms(left_ms),
+        )
 
     @_decide.register
     def _(self, result: Failed, left_ms: float) -> Decision:
@@ -184,3 +196,11 @@
             and left_ms > _MIN_RETRY_WINDOW_MS
             and self._take_budget()
         )
+
+
+def _bounded_retry_after_ms(left_ms: float) -> int:
+    return bounded_retry_after_ms(
+        _RETRY_AFTER_MS,
+        min_ms=_MIN_RETRY_AFTER_MS,
+        max_ms=MAX_WAIT_SHARE * left_ms,
+    )
--- a/tests/forwarding/test_plan.py
+++ b/tests/forwarding/test_plan.py
@@ -125,6 +125,15 @@
             count += 1
         self.assertLess(count, 4)
 
+    def test_a_rejected_caller_waits_at_most_a_third_of_the_time_it_has_left(self):
+        """Guards against a caller whose retry comes too late to be answered."""
+        for result in (FULL, Unsent("refused")):
+            for left_ms, expected_ms in ((9_000, 300), (600, 200), (30, 10), (1, 10)):
+                attempt, decision = plan(), TryAgain()
+                while isinstance(decision, TryAgain):
+                    decision = attempt.decide(left_ms, result)
+                self.assertEqual(decision.outcome.retry_after_ms, expected_ms)
+
     def test_a_rejection_says_when_to_retry(self):
         decision = plan().decide(900, NoReplica())
         self.assertGreater(decision.outcome.retry_after_ms, 0)
