--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -24,6 +24,9 @@
 _YIELDING_QUEUE_MS = 60.0
 _LATE_DEADLINE_SHARE = 0.3
 _MIN_RETRY_AFTER_MS = 200.0
+# Bound of all times to retry. The header has hundredths of a second, and without a time
+# a caller doesn't retry.
+SHORTEST_RETRY_AFTER_MS = 10.0
 # Callers that were rejected together must not retry together. They will be late
 # whenever they retry, so their retries are spread at random over a part of the time
 # that they have left, after a first part that is reserved for requests which can still
@@ -178,7 +181,7 @@
             spread_ms = ordered_ms + _RANDOM_SHARE * (spread_ms - ordered_ms)
         return bounded_retry_after_ms(
             queue_short_ms,
-            min_ms=_MIN_RETRY_AFTER_MS,
+            min_ms=max(SHORTEST_RETRY_AFTER_MS, min(_MIN_RETRY_AFTER_MS, max_wait_ms)),
             max_ms=max_wait_ms,
             position_ms=spread_ms,
         )
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -7,7 +7,7 @@
 from fireflyward.outcomes import NotRun, Reason, Unknown
 from fireflyward.quarantine import Held
 
-from ._admission import MAX_WAIT_SHARE
+from ._admission import MAX_WAIT_SHARE, SHORTEST_RETRY_AFTER_MS
 from ._messages import (
     Decision,
     Deliver,
@@ -33,8 +33,6 @@
 _MIN_RETRY_WINDOW_MS = 40
 # About the time after which a rejected caller finds a free slot again.
 _RETRY_AFTER_MS = 300
-# The header has hundredths of a second, and without a time a caller doesn't retry.
-_MIN_RETRY_AFTER_MS = 10
 _RETRY_PAUSE_MS = 15
 
 
@@ -201,6 +199,6 @@
 def _bounded_retry_after_ms(left_ms: float) -> int:
     return bounded_retry_after_ms(
         _RETRY_AFTER_MS,
-        min_ms=_MIN_RETRY_AFTER_MS,
+        min_ms=SHORTEST_RETRY_AFTER_MS,
         max_ms=MAX_WAIT_SHARE * left_ms,
     )
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -71,6 +71,11 @@
         self.assertGreater(rejected.retry_after_ms, 0)
         self.assertEqual(rejected.detail, "first token in 200 ms")
 
+    def test_a_rejected_caller_waits_at_most_a_third_of_the_time_it_has_left(self):
+        for left_ms in (60, 300, 900, 9_000):
+            rejected = Admission().check(LatencyEstimate(400, 500, 50, left_ms))
+            self.assertTrue(0 < rejected.retry_after_ms <= left_ms / 3)
+
     def test_retry_times_of_rejected_callers_are_spread(self):
         admission = Admission(seed=1)
         estimate = LatencyEstimate(900, 1_000, 600, 9_000)
