Fair admission: only lateness that a queue causes shows a shortage

Requests with deadlines or objectives shorter than their own time, or with a deadline that had passed, counted as pressure, so one caller could switch the rule on while replicas were idle. Rejections by the rule itself after a first admission (the connection was refused, another replica was chosen) counted too, which could keep the rule active.

--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -119,11 +119,23 @@
         limit_ms = _ON_TIME_SHARE * estimate.objective_left_ms
         return estimate.first_token_ms > limit_ms
 
-    def is_rejected_by_estimate(self, estimate: LatencyEstimate) -> bool:
-        """Return whether the estimate alone leads to rejection."""
-        is_in_time = estimate.first_token_ms < estimate.left_ms
-        may_send = is_in_time and self._is_queue_short(estimate, 1.0)
-        return not (may_send and estimate.has_room)
+    def shows_shortage(self, estimate: LatencyEstimate, *, is_returning: bool) -> bool:
+        """Return whether requests before this one make it late or rejected.
+
+        One that would be late at an idle replica, for example with a very short
+        deadline, says nothing about the capacity. A caller that returns is late in any
+        case, so for it only the queue counts.
+        """
+        if not estimate.has_room:
+            return True
+        if estimate.own_ms < estimate.left_ms <= estimate.first_token_ms:
+            return True
+        if not self._is_queue_short(estimate, 1.0):
+            return True
+        is_on_time_alone = (
+            estimate.own_ms <= _ON_TIME_SHARE * estimate.objective_left_ms
+        )
+        return is_on_time_alone and self.is_late(estimate) and not is_returning
 
     def check(
         self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
--- a/fireflyward/forwarding/_fair_check.py
+++ b/fireflyward/forwarding/_fair_check.py
@@ -75,27 +75,34 @@
     ) -> None:
         """Record the first decision, and whether the estimate shows a shortage.
 
-        A caller that returns is late in any case, so that shows nothing.
+        A request that was admitted and then rejected, because it had to be sent again,
+        is recorded as not admitted.
         """
-        is_late = self._admission.is_rejected_by_estimate(estimate) or (
-            not self._request.is_returning and self._admission.is_late(estimate)
+        is_late = self._admission.shows_shortage(
+            estimate, is_returning=self._request.is_returning
         )
-        self._record(now_ms, is_admitted=is_admitted, is_late=is_late)
+        if self._was_admitted is None:
+            self._record(now_ms, is_admitted=is_admitted, is_late=is_late)
+        elif self._was_admitted and not is_admitted:
+            self._was_admitted = False
+            self._fairness.on_not_run(now_ms, self._request, is_late=is_late)
 
     def _record(self, now_ms: int, *, is_admitted: bool, is_late: bool) -> None:
-        if self._was_admitted is not None:
-            return
         self._was_admitted = is_admitted
         self._fairness.on_decision(
             now_ms, self._request, is_admitted=is_admitted, is_late=is_late
         )
 
-    def on_outcome(self, now_ms: int, outcome: Outcome) -> None:
-        """Record a request that no replica took, although it was not rejected here."""
+    def on_outcome(self, now_ms: int, outcome: Outcome, *, has_time: bool) -> None:
+        """Record a request that no replica took, although it was not rejected here.
+
+        A request whose deadline passed before a replica was chosen is not recorded.
+        """
         if not isinstance(outcome, NotRun) or outcome.reason not in _SHORTAGE_REASONS:
             return
         if self._was_admitted is None:
-            self._record(now_ms, is_admitted=False, is_late=True)
+            if has_time:
+                self._record(now_ms, is_admitted=False, is_late=True)
         elif self._was_admitted:
             self._was_admitted = False
             self._fairness.on_not_run(now_ms, self._request)
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -118,7 +118,8 @@
         """Send the request until its plan finishes it; see ``Forwarder.serve``."""
         try:
             outcome = await self._send_until_done()
-            self._fair.on_outcome(self._clock.now_ms(), outcome)
+            has_time = self._left_ms() >= 1
+            self._fair.on_outcome(self._clock.now_ms(), outcome, has_time=has_time)
             return outcome
         finally:
             # The caller may close its connection before its request was sent.
--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -113,9 +113,14 @@
         self._add(now_ms, request, change, late=is_late)
         self._size_groups(request).add(request.size)
 
-    def on_not_run(self, now_ms: int, request: FairRequest) -> None:
-        """Record that replicas rejected a request that was admitted."""
-        self._add(now_ms, request, GroupSum(admitted=-1, rejected=1), late=True)
+    def on_not_run(
+        self, now_ms: int, request: FairRequest, *, is_late: bool = True
+    ) -> None:
+        """Record that a request that was admitted was rejected after all.
+
+        ``is_late`` is true if replicas rejected it.
+        """
+        self._add(now_ms, request, GroupSum(admitted=-1, rejected=1), late=is_late)
 
     def size_group(self, request: FairRequest) -> int:
         """Return 2 for the largest tenth of the route, 1 for the next fifth, else 0."""
--- a/tests/forwarding/overload_replay.py
+++ b/tests/forwarding/overload_replay.py
@@ -103,9 +103,7 @@
             self.reasons[verdict.reason] += 1
         rejection = self.admission.check(estimate, verdict)
         if self.fairness is not None:
-            is_late = self.admission.is_rejected_by_estimate(estimate) or (
-                not spent_ms and self.admission.is_late(estimate)
-            )
+            is_late = self.admission.shows_shortage(estimate, is_returning=spent_ms > 0)
             self.fairness.on_decision(
                 int(now_ms), request, is_admitted=rejection is None, is_late=is_late
             )
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -1,6 +1,7 @@
 """Admission under overload: prompts arrive faster than replicas prefill them."""
 
 import unittest
+from dataclasses import replace
 
 from fireflyward.forwarding._admission import Admission, LatencyEstimate
 
@@ -76,6 +77,18 @@
             rejected = Admission().check(LatencyEstimate(400, 500, 50, left_ms))
             self.assertTrue(0 < rejected.retry_after_ms <= left_ms / 3)
 
+    def test_only_a_queue_shows_a_shortage(self):
+        """Guards against fairness rules that callers with short deadlines switch on."""
+        shows = Admission().shows_shortage
+        idle = LatencyEstimate(0, 300, 200, 250)
+        behind_others = LatencyEstimate(150, 300, 200, 9_000)
+        self.assertFalse(shows(idle, is_returning=False))
+        self.assertTrue(shows(behind_others, is_returning=False))
+        self.assertFalse(shows(behind_others, is_returning=True))
+        self.assertTrue(shows(replace(behind_others, queue_ms=260), is_returning=True))
+        self.assertTrue(shows(replace(behind_others, left_ms=280), is_returning=True))
+        self.assertTrue(shows(replace(idle, has_room=False), is_returning=False))
+
     def test_retry_times_of_rejected_callers_are_spread(self):
         admission = Admission(seed=1)
         estimate = LatencyEstimate(900, 1_000, 600, 9_000)
--- a/tests/forwarding/test_plain_services.py
+++ b/tests/forwarding/test_plain_services.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import unittest
+from dataclasses import replace
 from unittest.mock import MagicMock
 
 from fireflyward.clock import ManualClock
@@ -61,11 +62,11 @@
         for state in self.directory.all():
             state.in_flight, state.mean_run_ms = requests, run_ms
 
-    async def serve(self):
+    async def serve(self, caller=CALLER):
         """Return the outcome, or None if the request was sent."""
         serving = asyncio.create_task(
             self.forwarder.serve(
-                CALLER,
+                caller,
                 b"",
                 Allowed(ROUTE, "s", None, 1),
                 arrived_ms=0,
@@ -104,6 +105,13 @@
         self.load(requests=5, run_ms=9_000.0)
         self.assertIsNone(await self.serve())
 
+    async def test_expired_deadlines_show_no_shortage(self):
+        """Guards against a caller that switches the fairness rules on by itself."""
+        for _ in range(30):
+            outcome = await self.serve(replace(CALLER, deadline_ms=0.0))
+            self.assertIsInstance(outcome, NotRun)
+        self.assertEqual(self.sums.services(), [])
+
     async def test_trace_has_the_inputs_in_a_shortage(self):
         self.load(requests=30)
         for _ in range(30):
