Fair admission: only few sums are decayed without shortage; no share below 0

A share of admitted requests could be below 0 if replicas rejected them some time after their admission. Tested in test_fair_admission.

--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from ._fair_view import MAX_PRIORITY, SIZE_GROUPS, FairView
-from ._group_sums import GroupKey, GroupKind, GroupSum, LocalSums, name_hash
+from ._group_sums import GroupKey, GroupKind, GroupSum, LocalSums, SumByGroup, name_hash
 from ._peer_sums import PeerSums
 
 log = logging.getLogger("fireflyward.limits")
@@ -148,12 +148,18 @@
         cached = self._views.get(service)
         if cached is not None and now_ms - cached[0] < _VIEW_MS:
             return cached[1]
-        own = self._sums.of_service(now_ms, service)
-        total = self._peers.total(now_ms, service, own)
-        view = FairView(total) if total is not None else None
+        view = self._view_of(now_ms, service, self._sums.pressure_sums(now_ms, service))
+        if view is not None and view.pressure:
+            view = self._view_of(
+                now_ms, service, self._sums.of_service(now_ms, service)
+            )
         self._views[service] = now_ms, view
         return view
 
+    def _view_of(self, now_ms: int, service: int, own: SumByGroup) -> FairView | None:
+        total = self._peers.total(now_ms, service, own)
+        return FairView(total) if total is not None else None
+
     def _add(
         self, now_ms: int, request: FairRequest, change: GroupSum, *, late: bool
     ) -> None:
--- a/fireflyward/limits/_group_sums.py
+++ b/fireflyward/limits/_group_sums.py
@@ -36,6 +36,7 @@
 
 # A kind and a name: a priority, or the hash of an account or of a route and size group.
 GroupKey = tuple[GroupKind, int]
+_PRESSURE_KEYS: tuple[GroupKey, ...] = ((GroupKind.SERVICE, 0), (GroupKind.LATE, 0))
 
 
 class GroupSum(NamedTuple):
@@ -54,8 +55,14 @@
 
     @property
     def served_share(self) -> float:
-        """Return the share of the callers that were admitted; 1 if there are none."""
-        return min(1.0, self.admitted / self.arrived) if self.arrived > 0 else 1.0
+        """Return the share of the callers that were admitted; 1 if there are none.
+
+        ``admitted`` is below 0 if replicas rejected requests some time after their
+        admission, which has decayed meanwhile.
+        """
+        if self.arrived <= 0:
+            return 1.0
+        return min(1.0, max(0.0, self.admitted / self.arrived))
 
     def plus(self, other: "GroupSum") -> "GroupSum":
         return GroupSum(
@@ -150,6 +157,15 @@
         sums = self._sums_by_service.get(service, {})
         return add_sums(((now_ms - self._start_ms, sums),))
 
+    def pressure_sums(self, now_ms: int, service: int) -> dict[GroupKey, GroupSum]:
+        """Return only the sums that show whether a service is short.
+
+        Decaying the sums of thousands of accounts takes several ms.
+        """
+        sums = self._sums_by_service.get(service, {})
+        part = {key: sums[key] for key in _PRESSURE_KEYS if key in sums}
+        return add_sums(((now_ms - self._start_ms, part),))
+
     def _restart(self, now_ms: int) -> None:
         """Store the sums as of now, which also drops the negligible ones."""
         current = {
--- a/tests/limits/test_fair_admission.py
+++ b/tests/limits/test_fair_admission.py
@@ -1,5 +1,6 @@
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from hypothesis import given, settings, strategies as st
 
@@ -100,6 +101,23 @@
             self.fairness.on_not_run(0, REQUEST)
         self.assertAlmostEqual(self.judge(REQUEST).pressure, 0.5)
 
+    def test_requests_that_replicas_reject_late_count_as_not_served(self):
+        """Guards against a share below 0, by which other groups yield too much."""
+        self.decide(REQUEST, admitted=40, rejected=0)
+        for _ in range(40):
+            self.fairness.on_not_run(2_000, REQUEST)
+        sums = self.fairness._sums.of_service(2_000, name_hash("s"))
+        self.assertEqual(sums[GroupKind.SERVICE, 0].served_share, 0.0)
+
+    def test_accounts_are_not_added_up_without_shortage(self):
+        """Guards against a cost that grows with the accounts while nothing is short."""
+        for number in range(30):
+            account = replace(REQUEST, account=str(number))
+            self.decide(account, admitted=1, rejected=0)
+        with patch.object(LocalSums, "of_service") as of_service:
+            self.assertEqual(self.judge(REQUEST).pressure, 0)
+        of_service.assert_not_called()
+
     def test_later_rejections_have_a_later_position(self):
         self.decide(REQUEST, admitted=40, rejected=10)
         earlier_ms = self.judge(REQUEST, now_ms=0).position_ms
