Fair admission: callers that weren't rejected don't retry

A caller with a shorter deadline than its route's longest is taken for one that returns. Its account then counted as retrying excessively and yielded without having used more than its share. Tested in test_fair_admission.

--- a/fireflyward/limits/_fair_view.py
+++ b/fireflyward/limits/_fair_view.py
@@ -157,4 +157,10 @@
 
 
 def _excess(account: GroupSum) -> float:
-    return account.returned - _MAX_RETRY_RATIO * account.arrived
+    """Return the excessive retries.
+
+    Each retry follows a rejection. Callers that only have a shorter deadline than the
+    others of their route seem to return, too, but were not rejected.
+    """
+    retries = min(account.returned, account.rejected)
+    return retries - _MAX_RETRY_RATIO * account.arrived
--- a/tests/limits/test_fair_admission.py
+++ b/tests/limits/test_fair_admission.py
@@ -93,6 +93,13 @@
         self.assertLessEqual(self.judge(returning).factor, 1.0)
         self.assertGreater(self.judge(LARGE).account_ratio, 1.0)
 
+    def test_account_with_shorter_deadlines_is_not_taken_for_one_that_retries(self):
+        """Guards against starving an account whose callers all seem to return."""
+        seems_returning = replace(REQUEST, account="brief", is_returning=True)
+        self.decide(seems_returning, admitted=30, rejected=0)
+        self.decide(REQUEST, admitted=40, rejected=20)
+        self.assertGreaterEqual(self.judge(seems_returning).factor, 1.0)
+
     def test_requests_that_replicas_reject_show_a_shortage(self):
         """Guards against an inactive rule where replicas are full and nodes admit."""
         self.decide(REQUEST, admitted=40, rejected=0)
