Fair admission: bound the stated cost of a request

A request that states very many output tokens would dominate the sums of its service for minutes, or fail with an overflow. Also tests that a route that is served far too little doesn't yield, which no test showed. Tested in test_fair_admission.

--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -17,6 +17,9 @@
 _RETURNING_BONUS = 0.25
 # A view is computed from all sums. Totals change every 500 ms.
 _VIEW_MS = 100
+# No replica's memory holds more tokens. Callers state the size of their requests, and a
+# single wrong one would outweigh all accounts for minutes, until its sum has decayed.
+_MAX_COST = 1_000_000
 _SIZE_SAMPLES = 64
 _MIN_SIZE_SAMPLES = 20
 _LARGEST_SHARE = 0.1
@@ -163,13 +166,8 @@
     def _add(
         self, now_ms: int, request: FairRequest, change: GroupSum, *, late: bool
     ) -> None:
-        by_cost = GroupSum(
-            change.arrived * request.cost,
-            change.admitted * request.cost,
-            change.rejected * request.cost,
-            change.returned * request.cost,
-            weight=self._valid_weight(request),
-        )
+        cost = min(request.cost, _MAX_COST)
+        by_cost = change.times(cost)._replace(weight=self._valid_weight(request))
         size_key = _size_keys(request)[self.size_group(request)]
         changes: dict[GroupKey, GroupSum] = {
             (GroupKind.SERVICE, 0): change,
--- a/tests/limits/test_fair_admission.py
+++ b/tests/limits/test_fair_admission.py
@@ -100,6 +100,23 @@
         self.decide(REQUEST, admitted=40, rejected=20)
         self.assertGreaterEqual(self.judge(seems_returning).factor, 1.0)
 
+    def test_stated_size_of_one_request_does_not_outweigh_all_accounts(self):
+        """Guards against an overflow, and against sums that take minutes to decay."""
+        self.decide(replace(REQUEST, cost=10**400), admitted=1, rejected=0)
+        sums = self.fairness._sums.of_service(0, name_hash("s"))
+        self.assertLessEqual(sums[GroupKind.COST, 0].admitted, 1_000_000)
+
+    def test_route_that_is_served_far_too_little_does_not_yield(self):
+        urgent = replace(REQUEST, account="")
+        bulk = replace(urgent, priority=2, route="bulk")
+        rare = replace(urgent, priority=2, route="rare")
+        self.decide(urgent, admitted=60, rejected=40)
+        self.decide(bulk, admitted=200, rejected=0)
+        self.decide(rare, admitted=5, rejected=35)
+        self.assertEqual(self.judge(bulk).reason, "urgency")
+        verdict = self.judge(rare)
+        self.assertEqual((verdict.factor, verdict.reason), (1.0, "protected"))
+
     def test_requests_that_replicas_reject_show_a_shortage(self):
         """Guards against an inactive rule where replicas are full and nodes admit."""
         self.decide(REQUEST, admitted=40, rejected=0)
