Fair admission: a former aggregator withdraws its domain's sum

When an aggregator was selected again after a second of silence, the sum of the one that had replaced it stayed at the other aggregators until it expired, and totals counted the domain twice for 2 s. Now they are right after two periods. Tested in test_sum_reports.

--- a/fireflyward/limits/_sum_reports.py
+++ b/fireflyward/limits/_sum_reports.py
@@ -50,6 +50,7 @@
         self._peers = peers
         self._aggregators = aggregators
         self._reported_to: Member | None = None
+        self._published_services: set[int] = set()
         self._warned_senders: set[str] = set()
 
     async def run(self, link: PeerLink) -> None:
@@ -105,7 +106,8 @@
         senders = self._peers.sum_senders(now_ms)
         others = self._aggregators.publishing_nodes(now_ms, senders)
         neighbours = self._aggregators.neighbour_addresses()
-        services = set(self._peers.services(now_ms))
+        services = self._peers.services(now_ms) | self._published_services
+        published, self._published_services = self._published_services, set()
         if is_aggregator:
             services |= set(self._sums.services())
         for service in services:
@@ -116,6 +118,9 @@
             if not _is_short(total):
                 continue
             if domain:
+                self._published_services.add(service)
+            if domain or service in published:
+                # Without nodes that report here, an empty sum withdraws the last one.
                 message = encode_sums(service, domain)
                 link.send_all([x.address for x in others], _DOMAIN_SUM, message)
             if is_aggregator or domain:
--- a/tests/limits/test_sum_reports.py
+++ b/tests/limits/test_sum_reports.py
@@ -179,6 +179,32 @@
         network.step(4)
         self.assertLess(network.node_by_name["a0"].arrived(), 30)
 
+    def test_requests_are_counted_once_after_nodes_changed_their_aggregator(self):
+        """Guards against totals that count the reports at two aggregators.
+
+        The other nodes consider the aggregator of a domain silent for 1 s. Totals may
+        be wrong for two periods after that, until all have published once more.
+        """
+        network = _Network(10)
+        nodes = network.node_by_name.values()
+        for node in nodes:
+            node.decide(count=40)
+        network.step(3)
+        aggregator = network.node_by_name["a0"].aggregators.own_aggregator(1_500)
+        name = aggregator.name if aggregator is not None else "a0"
+        others = [node for node in nodes if node.name != name]
+        for node in others:
+            node.aggregators.on_sent_to(0, name)
+        network.step(2)
+        for node in others:
+            node.aggregators.on_received_from(name)
+        network.step(2)
+        for _ in range(2):
+            network.step()
+            left = 40 * len(nodes) * 0.5 ** (network.clock.now_ms() / 2_000)
+            for node in nodes:
+                self.assertAlmostEqual(node.arrived(), left, delta=0.15 * left)
+
     def test_repeated_message_changes_nothing(self):
         peers, sums = PeerSums(), {(GroupKind.SERVICE, 0): GroupSum(arrived=5.0)}
         for _ in range(2):
