Fair admission: received sums expire also where their service isn't requested

They were dropped only when the service was judged or, with aggregators, each period, so nodes without its requests kept the sums of former nodes. Tested in test_sum_reports.

--- a/fireflyward/limits/_peer_sums.py
+++ b/fireflyward/limits/_peer_sums.py
@@ -112,6 +112,16 @@
         """Return the aggregators that recently sent this node their sums."""
         return {sender for sender, _ in self._domain_sums.fresh(now_ms)}
 
+    def expire(self, now_ms: int) -> None:
+        """Drop what is too old, also of services that are no longer requested."""
+        for part in (self._reports, self._domain_sums, self._totals):
+            part.fresh(now_ms)
+        self._last_by_service = {
+            service: (at_ms, total)
+            for service, (at_ms, total) in self._last_by_service.items()
+            if now_ms - at_ms < _CACHE_MS
+        }
+
     def services(self, now_ms: int) -> set[int]:
         """Return the services of which fresh sums were received."""
         received = (self._reports, self._domain_sums, self._totals)
--- a/fireflyward/limits/_sum_reports.py
+++ b/fireflyward/limits/_sum_reports.py
@@ -74,6 +74,7 @@
     def report(self, link: PeerLink) -> None:
         """Send the sums of the short services, to all nodes or to the aggregator."""
         now_ms = self._clock.now_ms()
+        self._peers.expire(now_ms)
         addresses = self._aggregators.all_addresses()
         self._peers.set_alone(not addresses)
         if not self._aggregators.are_needed:
--- a/tests/limits/test_sum_reports.py
+++ b/tests/limits/test_sum_reports.py
@@ -205,6 +205,21 @@
             for node in nodes:
                 self.assertAlmostEqual(node.arrived(), left, delta=0.15 * left)
 
+    def test_sums_of_services_that_are_not_requested_here_expire(self):
+        """Guards against state that grows with the names of nodes and services."""
+        network = _Network(2)
+        node = network.node_by_name["a0"]
+        message = encode_sums(SERVICE, {(GroupKind.SERVICE, 0): GroupSum(arrived=9.0)})
+        for kind in node.handler_by_kind:
+            for number in range(20):
+                node.receive(f"former{number}", kind, message)
+        node.peers.add_up(0, SERVICE)
+        network.step(4)
+        peers = node.peers
+        received = (peers._reports, peers._domain_sums, peers._totals)
+        self.assertEqual([len(part._last_by_sender) for part in received], [0, 0, 0])
+        self.assertEqual(peers._last_by_service, {})
+
     def test_repeated_message_changes_nothing(self):
         peers, sums = PeerSums(), {(GroupKind.SERVICE, 0): GroupSum(arrived=5.0)}
         for _ in range(2):
