--- a/fireflyward/forwarding/_admission.py
+++ b/fireflyward/forwarding/_admission.py
@@ -24,11 +24,14 @@
 _YIELDING_QUEUE_MS = 60.0
 _LATE_DEADLINE_SHARE = 0.3
 _MIN_RETRY_AFTER_MS = 200.0
+# Bound of all times to retry. The header has hundredths of a second, and without a time
+# a caller doesn't retry.
+SHORTEST_RETRY_AFTER_MS = 10.0
 # Callers that were rejected together must not retry together. They will be late
 # whenever they retry, so their retries are spread at random over a part of the time
 # that they have left, after a first part that is reserved for requests which can still
 # be on time. A caller has to wait for at most a third of the time it has left.
-_MAX_WAIT_SHARE = 1 / 3
+MAX_WAIT_SHARE = 1 / 3
 _SPREAD_SHARE = 0.7
 # The random part of a time that follows the order of the rejections. Callers that were
 # rejected between two totals have the same position.
@@ -42,9 +45,10 @@
 
     ``queue_ms`` is the time until the replica begins on the request, of which
     ``slot_ms`` is the wait for a free slot. ``first_token_ms`` is the time until its
-    first token. ``objective_left_ms`` and ``left_ms`` are the time left until its
-    latency objective and until its deadline. ``has_room`` is False if it fits into no
-    replica's KV memory.
+    first token, or until the answer to a request without a prompt.
+    ``objective_left_ms`` and ``left_ms`` are the time left until its latency objective
+    and until its deadline. ``has_room`` is False if it fits into no replica's KV
+    memory.
     """
 
     queue_ms: float
@@ -53,6 +57,12 @@
     left_ms: float
     slot_ms: float = 0.0
     has_room: bool = True
+    is_prompt: bool = True
+
+    @property
+    def own_ms(self) -> float:
+        """Return the time until the first token at a replica without a queue."""
+        return self.first_token_ms - self.queue_ms
 
 
 def estimate_latency(
@@ -74,7 +84,9 @@
     answer_ms = choice.first_token_ms / choice.work_factor
     if not is_prompt:
         if queue_ms <= 0 or choice.replica.entry.slots <= 0:
-            return LatencyEstimate(0.0, 0.0, objective_left_ms, left_ms)
+            return LatencyEstimate(
+                0.0, 0.0, objective_left_ms, left_ms, is_prompt=False
+            )
         answer_ms = queue_ms + choice.replica.mean_run_ms
     return LatencyEstimate(
         queue_ms,
@@ -83,6 +95,7 @@
         left_ms,
         choice.slot_ms / choice.work_factor,
         choice.has_room,
+        is_prompt,
     )
 
 
@@ -106,11 +119,23 @@
         limit_ms = _ON_TIME_SHARE * estimate.objective_left_ms
         return estimate.first_token_ms > limit_ms
 
-    def is_rejected_by_estimate(self, estimate: LatencyEstimate) -> bool:
-        """Return whether the estimate alone leads to rejection."""
-        is_in_time = estimate.first_token_ms < estimate.left_ms
-        may_send = is_in_time and self._is_queue_short(estimate, 1.0)
-        return not (may_send and estimate.has_room)
+    def shows_shortage(self, estimate: LatencyEstimate, *, is_returning: bool) -> bool:
+        """Return whether requests before this one make it late or rejected.
+
+        One that would be late at an idle replica, for example with a very short
+        deadline, says nothing about the capacity. A caller that returns is late in any
+        case, so for it only the queue counts.
+        """
+        if not estimate.has_room:
+            return True
+        if estimate.own_ms < estimate.left_ms <= estimate.first_token_ms:
+            return True
+        if not self._is_queue_short(estimate, 1.0):
+            return True
+        is_on_time_alone = (
+            estimate.own_ms <= _ON_TIME_SHARE * estimate.objective_left_ms
+        )
+        return is_on_time_alone and self.is_late(estimate) and not is_returning
 
     def check(
         self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
@@ -132,8 +157,7 @@
         late_queue_ms = _LATE_QUEUE_MS * max(1.0, factor)
         if factor >= 1.0:
             return not self.is_late(estimate) or estimate.queue_ms <= late_queue_ms
-        own_ms = estimate.first_token_ms - estimate.queue_ms
-        budget_ms = _ON_TIME_SHARE * estimate.objective_left_ms - own_ms
+        budget_ms = _ON_TIME_SHARE * estimate.objective_left_ms - estimate.own_ms
         return estimate.queue_ms <= _reduced(max(budget_ms, late_queue_ms), factor)
 
     def may_wait(
@@ -151,10 +175,8 @@
         self, estimate: LatencyEstimate, verdict: FairVerdict = _NEUTRAL
     ) -> NotRun:
         """Return the rejection of a request, with the time after which to retry."""
-        detail = f"first token in {estimate.first_token_ms:.0f} ms"
-        return NotRun(
-            Reason.OVERLOADED, detail, self._retry_after_ms(estimate, verdict)
-        )
+        retry_after_ms = self._retry_after_ms(estimate, verdict)
+        return NotRun(Reason.OVERLOADED, _detail(estimate), retry_after_ms)
 
     def _retry_after_ms(self, estimate: LatencyEstimate, verdict: FairVerdict) -> int:
         """Return when the queue will be short again, plus a part that spreads retries.
@@ -162,7 +184,7 @@
         If it is known how long the callers take that were rejected earlier, most of
         the part follows their order. Otherwise it is random.
         """
-        max_wait_ms = _MAX_WAIT_SHARE * estimate.left_ms
+        max_wait_ms = MAX_WAIT_SHARE * estimate.left_ms
         queue_short_ms = max(_MIN_RETRY_AFTER_MS, estimate.queue_ms - _LATE_QUEUE_MS)
         max_spread_ms = _SPREAD_SHARE * max_wait_ms
         spread_ms = max_spread_ms * self._random.random()
@@ -171,11 +193,18 @@
             spread_ms = ordered_ms + _RANDOM_SHARE * (spread_ms - ordered_ms)
         return bounded_retry_after_ms(
             queue_short_ms,
-            min_ms=_MIN_RETRY_AFTER_MS,
+            min_ms=max(SHORTEST_RETRY_AFTER_MS, min(_MIN_RETRY_AFTER_MS, max_wait_ms)),
             max_ms=max_wait_ms,
             position_ms=spread_ms,
         )
 
 
+def _detail(estimate: LatencyEstimate) -> str:
+    if not estimate.has_room:
+        return "no replica has KV memory for the prompt"
+    subject = "first token" if estimate.is_prompt else "answer"
+    return f"{subject} in {estimate.first_token_ms:.0f} ms"
+
+
 def _reduced(limit_ms: float, factor: float) -> float:
     return _YIELDING_QUEUE_MS + factor * (limit_ms - _YIELDING_QUEUE_MS)
--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from ._fair_view import MAX_PRIORITY, SIZE_GROUPS, FairView
-from ._group_sums import GroupKey, GroupKind, GroupSum, LocalSums, name_hash
+from ._group_sums import GroupKey, GroupKind, GroupSum, LocalSums, SumByGroup, name_hash
 from ._peer_sums import PeerSums
 
 log = logging.getLogger("fireflyward.limits")
@@ -17,6 +17,9 @@
 _RETURNING_BONUS = 0.25
 # A view is computed from all sums. Totals change every 500 ms.
 _VIEW_MS = 100
+# No replica's memory holds more tokens. Callers state the size of their requests, and a
+# single wrong one would outweigh all accounts for minutes, until its sum has decayed.
+_MAX_COST = 1_000_000
 _SIZE_SAMPLES = 64
 _MIN_SIZE_SAMPLES = 20
 _LARGEST_SHARE = 0.1
@@ -113,9 +116,14 @@
         self._add(now_ms, request, change, late=is_late)
         self._size_groups(request).add(request.size)
 
-    def on_not_run(self, now_ms: int, request: FairRequest) -> None:
-        """Record that replicas rejected a request that was admitted."""
-        self._add(now_ms, request, GroupSum(admitted=-1, rejected=1), late=True)
+    def on_not_run(
+        self, now_ms: int, request: FairRequest, *, is_late: bool = True
+    ) -> None:
+        """Record that a request that was admitted was rejected after all.
+
+        ``is_late`` is true if replicas rejected it.
+        """
+        self._add(now_ms, request, GroupSum(admitted=-1, rejected=1), late=is_late)
 
     def size_group(self, request: FairRequest) -> int:
         """Return 2 for the largest tenth of the route, 1 for the next fifth, else 0."""
@@ -143,22 +151,23 @@
         cached = self._views.get(service)
         if cached is not None and now_ms - cached[0] < _VIEW_MS:
             return cached[1]
-        own = self._sums.of_service(now_ms, service)
-        total = self._peers.total(now_ms, service, own)
-        view = FairView(total) if total is not None else None
+        view = self._view_of(now_ms, service, self._sums.pressure_sums(now_ms, service))
+        if view is not None and view.pressure:
+            view = self._view_of(
+                now_ms, service, self._sums.of_service(now_ms, service)
+            )
         self._views[service] = now_ms, view
         return view
 
+    def _view_of(self, now_ms: int, service: int, own: SumByGroup) -> FairView | None:
+        total = self._peers.total(now_ms, service, own)
+        return FairView(total) if total is not None else None
+
     def _add(
         self, now_ms: int, request: FairRequest, change: GroupSum, *, late: bool
     ) -> None:
-        by_cost = GroupSum(
-            change.arrived * request.cost,
-            change.admitted * request.cost,
-            change.rejected * request.cost,
-            change.returned * request.cost,
-            weight=self._valid_weight(request),
-        )
+        cost = min(request.cost, _MAX_COST)
+        by_cost = change.times(cost)._replace(weight=self._valid_weight(request))
         size_key = _size_keys(request)[self.size_group(request)]
         changes: dict[GroupKey, GroupSum] = {
             (GroupKind.SERVICE, 0): change,
--- a/tests/forwarding/test_admission.py
+++ b/tests/forwarding/test_admission.py
@@ -1,6 +1,7 @@
 """Admission under overload: prompts arrive faster than replicas prefill them."""
 
 import unittest
+from dataclasses import replace
 
 from fireflyward.forwarding._admission import Admission, LatencyEstimate
 
@@ -61,12 +62,32 @@
     def test_a_request_without_room_in_memory_is_rejected_and_does_not_wait(self):
         """Guards against preempting running streams for a prompt that is in time."""
         estimate = LatencyEstimate(100, 200, 900, 9_000, has_room=False)
-        self.assertGreater(Admission().check(estimate).retry_after_ms, 0)
+        rejection = Admission().check(estimate)
+        self.assertGreater(rejection.retry_after_ms, 0)
+        self.assertEqual(rejection.detail, "no replica has KV memory for the prompt")
         self.assertFalse(Admission().may_wait(estimate))
 
     def test_a_request_that_cannot_meet_its_deadline_is_rejected_at_once(self):
         rejected = Admission().check(LatencyEstimate(100, 200, 900, 150))
         self.assertGreater(rejected.retry_after_ms, 0)
+        self.assertEqual(rejected.detail, "first token in 200 ms")
+
+    def test_a_rejected_caller_waits_at_most_a_third_of_the_time_it_has_left(self):
+        for left_ms in (60, 300, 900, 9_000):
+            rejected = Admission().check(LatencyEstimate(400, 500, 50, left_ms))
+            self.assertTrue(0 < rejected.retry_after_ms <= left_ms / 3)
+
+    def test_only_a_queue_shows_a_shortage(self):
+        """Guards against fairness rules that callers with short deadlines switch on."""
+        shows = Admission().shows_shortage
+        idle = LatencyEstimate(0, 300, 200, 250)
+        behind_others = LatencyEstimate(150, 300, 200, 9_000)
+        self.assertFalse(shows(idle, is_returning=False))
+        self.assertTrue(shows(behind_others, is_returning=False))
+        self.assertFalse(shows(behind_others, is_returning=True))
+        self.assertTrue(shows(replace(behind_others, queue_ms=260), is_returning=True))
+        self.assertTrue(shows(replace(behind_others, left_ms=280), is_returning=True))
+        self.assertTrue(shows(replace(idle, has_room=False), is_returning=False))
 
     def test_retry_times_of_rejected_callers_are_spread(self):
         admission = Admission(seed=1)
--- a/tests/limits/test_fair_admission.py
+++ b/tests/limits/test_fair_admission.py
@@ -1,5 +1,6 @@
 import unittest
 from dataclasses import replace
+from unittest.mock import patch
 
 from hypothesis import given, settings, strategies as st
 
@@ -92,6 +93,30 @@
         self.assertLessEqual(self.judge(returning).factor, 1.0)
         self.assertGreater(self.judge(LARGE).account_ratio, 1.0)
 
+    def test_account_with_shorter_deadlines_is_not_taken_for_one_that_retries(self):
+        """Guards against starving an account whose callers all seem to return."""
+        seems_returning = replace(REQUEST, account="brief", is_returning=True)
+        self.decide(seems_returning, admitted=30, rejected=0)
+        self.decide(REQUEST, admitted=40, rejected=20)
+        self.assertGreaterEqual(self.judge(seems_returning).factor, 1.0)
+
+    def test_stated_size_of_one_request_does_not_outweigh_all_accounts(self):
+        """Guards against an overflow, and against sums that take minutes to decay."""
+        self.decide(replace(REQUEST, cost=10**400), admitted=1, rejected=0)
+        sums = self.fairness._sums.of_service(0, name_hash("s"))
+        self.assertLessEqual(sums[GroupKind.COST, 0].admitted, 1_000_000)
+
+    def test_route_that_is_served_far_too_little_does_not_yield(self):
+        urgent = replace(REQUEST, account="")
+        bulk = replace(urgent, priority=2, route="bulk")
+        rare = replace(urgent, priority=2, route="rare")
+        self.decide(urgent, admitted=60, rejected=40)
+        self.decide(bulk, admitted=200, rejected=0)
+        self.decide(rare, admitted=5, rejected=35)
+        self.assertEqual(self.judge(bulk).reason, "urgency")
+        verdict = self.judge(rare)
+        self.assertEqual((verdict.factor, verdict.reason), (1.0, "protected"))
+
     def test_requests_that_replicas_reject_show_a_shortage(self):
         """Guards against an inactive rule where replicas are full and nodes admit."""
         self.decide(REQUEST, admitted=40, rejected=0)
@@ -100,6 +125,23 @@
             self.fairness.on_not_run(0, REQUEST)
         self.assertAlmostEqual(self.judge(REQUEST).pressure, 0.5)
 
+    def test_requests_that_replicas_reject_late_count_as_not_served(self):
+        """Guards against a share below 0, by which other groups yield too much."""
+        self.decide(REQUEST, admitted=40, rejected=0)
+        for _ in range(40):
+            self.fairness.on_not_run(2_000, REQUEST)
+        sums = self.fairness._sums.of_service(2_000, name_hash("s"))
+        self.assertEqual(sums[GroupKind.SERVICE, 0].served_share, 0.0)
+
+    def test_accounts_are_not_added_up_without_shortage(self):
+        """Guards against a cost that grows with the accounts while nothing is short."""
+        for number in range(30):
+            account = replace(REQUEST, account=str(number))
+            self.decide(account, admitted=1, rejected=0)
+        with patch.object(LocalSums, "of_service") as of_service:
+            self.assertEqual(self.judge(REQUEST).pressure, 0)
+        of_service.assert_not_called()
+
     def test_later_rejections_have_a_later_position(self):
         self.decide(REQUEST, admitted=40, rejected=10)
         earlier_ms = self.judge(REQUEST, now_ms=0).position_ms
--- a/tests/limits/test_sum_reports.py
+++ b/tests/limits/test_sum_reports.py
@@ -179,6 +179,47 @@
         network.step(4)
         self.assertLess(network.node_by_name["a0"].arrived(), 30)
 
+    def test_requests_are_counted_once_after_nodes_changed_their_aggregator(self):
+        """Guards against totals that count the reports at two aggregators.
+
+        The other nodes consider the aggregator of a domain silent for 1 s. Totals may
+        be wrong for two periods after that, until all have published once more.
+        """
+        network = _Network(10)
+        nodes = network.node_by_name.values()
+        for node in nodes:
+            node.decide(count=40)
+        network.step(3)
+        aggregator = network.node_by_name["a0"].aggregators.own_aggregator(1_500)
+        name = aggregator.name if aggregator is not None else "a0"
+        others = [node for node in nodes if node.name != name]
+        for node in others:
+            node.aggregators.on_sent_to(0, name)
+        network.step(2)
+        for node in others:
+            node.aggregators.on_received_from(name)
+        network.step(2)
+        for _ in range(2):
+            network.step()
+            left = 40 * len(nodes) * 0.5 ** (network.clock.now_ms() / 2_000)
+            for node in nodes:
+                self.assertAlmostEqual(node.arrived(), left, delta=0.15 * left)
+
+    def test_sums_of_services_that_are_not_requested_here_expire(self):
+        """Guards against state that grows with the names of nodes and services."""
+        network = _Network(2)
+        node = network.node_by_name["a0"]
+        message = encode_sums(SERVICE, {(GroupKind.SERVICE, 0): GroupSum(arrived=9.0)})
+        for kind in node.handler_by_kind:
+            for number in range(20):
+                node.receive(f"former{number}", kind, message)
+        node.peers.add_up(0, SERVICE)
+        network.step(4)
+        peers = node.peers
+        received = (peers._reports, peers._domain_sums, peers._totals)
+        self.assertEqual([len(part._last_by_sender) for part in received], [0, 0, 0])
+        self.assertEqual(peers._last_by_service, {})
+
     def test_repeated_message_changes_nothing(self):
         peers, sums = PeerSums(), {(GroupKind.SERVICE, 0): GroupSum(arrived=5.0)}
         for _ in range(2):
