KV room: don't choose a replica without room over one with room; count and size correctly

A prompt was rejected although a compared replica had room, when the one without room cost less. No room now costs as much as a recent rejection. One request for a million output tokens put the rule into effect for a service of small requests; sizes are now limited to the memory. The counters of moved prompts and of prompts without room also counted services where the rule isn't in effect.

--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -28,6 +28,9 @@
 _SUSPECT_MS = 5_000.0
 # The replica just rejected a request because it was full.
 _RECENTLY_FULL_MS = 400.0
+# The replica's KV memory has no room, so admission rejects the request: as good as a
+# replica that just rejected one.
+_NO_ROOM_MS = 400.0
 # A replica that loads weights accepts no request for several seconds.
 _LOADING_MS = 4_000.0
 # Per unit of the share of failed answers above the median of the service's replicas.
@@ -134,7 +137,7 @@
         best = min(range(len(candidates)), key=costs.__getitem__)
         self._count_send(now_ms, candidates[best])
         self._kv_room.on_choice(now_ms, candidates[best], requirements)
-        self._kv_room.count(loads[best], loads)
+        self._kv_room.count(candidates[best], loads[best], loads)
         slots = sum(state.entry.slots for state in available)
         return self._choice(
             now_ms, candidates[best], loads[best], requirements, preferred, slots
@@ -322,7 +325,8 @@
         cost_ms = _FULL_LOAD_MS * load.requests / max(1, state.entry.slots)
         cost_ms += load.wait_ms
         cost_ms += (load.work_factor - 1.0) * (load.new_ms + FIRST_EVENT_MS)
-        if load.memory_ms:
+        if load.memory_ms and self._kv_room.is_in_effect(state):
+            cost_ms += _NO_ROOM_MS
             cost_ms += _prefill_ms(state, self._kv_room.usual_tokens(state))
         cost_ms += _JITTER_MS * self._random.random()
         if preferred is not None and state is not preferred:
--- a/fireflyward/replicas/_kv_room.py
+++ b/fireflyward/replicas/_kv_room.py
@@ -37,7 +37,9 @@
         self.kv_tokens = requirements.kv_tokens
         self.requests += 1
         weight = max(_SIZE_WEIGHT, 1 / self.requests)
-        tokens = requirements.tokens
+        # A caller may ask for more output than fits. A run never occupies more than the
+        # memory, and one such request would otherwise dominate the average.
+        tokens = min(requirements.tokens, requirements.kv_tokens)
         self.mean += weight * (tokens - self.mean)
         self.mean_square += weight * (tokens * tokens - self.mean_square)
 
@@ -94,8 +96,15 @@
             now_ms, service, state.incarnation_id, prefix.key if prefix else ""
         )
 
-    def count(self, chosen: LoadEstimate, compared: Sequence[LoadEstimate]) -> None:
+    def count(
+        self,
+        state: ReplicaState,
+        chosen: LoadEstimate,
+        compared: Sequence[LoadEstimate],
+    ) -> None:
         """Count a choice for which a replica had no room, or none had."""
+        if not self.is_in_effect(state):
+            return
         if chosen.memory_ms:
             self.without_room += 1
         elif any(load.memory_ms for load in compared):
--- a/tests/replicas/test_kv_room.py
+++ b/tests/replicas/test_kv_room.py
@@ -96,6 +96,15 @@
         self.assertGreater(KV_TOKENS / (sum(sizes) / 3), SLOTS)
         self.assertTrue(self.room.is_in_effect(self.state))
 
+    def test_a_request_counts_as_no_larger_than_the_memory(self):
+        """Guards against one caller that asks for a million output tokens: the rule
+        took effect for a service of small requests, for hundreds of requests."""
+        small = Requirements("s", tokens=800, kv_tokens=KV_TOKENS)
+        self.observe(small, 200)
+        self.observe(Requirements("s", tokens=10**6, kv_tokens=KV_TOKENS), 1)
+        self.observe(small, 250)
+        self.assertFalse(self.room.is_in_effect(self.state))
+
     def test_the_wait_is_at_least_until_the_next_run_ends(self):
         self.observe(prompt())
         self.state.mean_run_ms = 1_000.0
@@ -182,6 +191,45 @@
         self.assertGreater(self.room.moved, 30)
         self.assertLess(self.room.without_room, 15)
 
+    def test_a_replica_with_room_that_is_compared_is_chosen(self):
+        """Guards against rejecting a prompt because the preferred replica, which has
+        no room, is less busy than another one that has."""
+        names = ["r0", "r1"]
+        directory, room = ReplicaDirectory(), KvRoom()
+        listed = [entry(name, version=1, slots=SLOTS) for name in names]
+        directory.on_full_read(0, listed, after_outage=False)
+        peers = PeerLoad()
+        chooser = Chooser(
+            directory, failure_domain="a", peers=peers, kv_room=room, seed=1
+        )
+        for _ in range(30):
+            preferred = chooser.choose(0, prompt()).replica
+        (other,) = (x for x in directory.all() if x is not preferred)
+        loads = {
+            preferred.incarnation_id: InFlightLoad(0, 72_000, 6),
+            other.incarnation_id: InFlightLoad(2_000, 30_000, 9),
+        }
+        peers.on_load_report(0, "n2", loads)
+        choice = chooser.choose(0, prompt())
+        self.assertIs(choice.replica, other)
+        self.assertTrue(choice.has_room)
+
+    def test_prompts_are_not_counted_where_slots_are_scarcer(self):
+        """Guards against a gauge that shows a lack of room at other services."""
+        small = Requirements("s", tokens=800, kv_tokens=KV_TOKENS)
+        room = KvRoom()
+        chooser = Chooser(
+            self.directory, failure_domain="a", peers=self.peers, kv_room=room, seed=1
+        )
+        for _ in range(30):
+            chooser.choose(0, small)
+        self.fill([f"r{n}" for n in range(15)])
+        for _ in range(30):
+            chooser.choose(0, small)
+        self.fill([f"r{n}" for n in range(30)])
+        self.assertGreater(chooser.choose(0, small).memory_ms, 0.0)
+        self.assertEqual((room.moved, room.without_room), (0, 0))
+
     def test_where_no_replica_has_room_the_choice_says_how_long_it_takes(self):
         self.fill([f"r{n}" for n in range(30)])
         for state in self.directory.all():
