Second sends: none to a replica whose KV memory has no room

Admission rejects a first send that would make a replica preempt runs, but a second send, which is optional, was made. The new test failed before (two connections).

--- a/fireflyward/hedging/_second_sends.py
+++ b/fireflyward/hedging/_second_sends.py
@@ -31,6 +31,7 @@
     RARELY_WIN = "rarely_win"
     NO_BUDGET = "no_budget"
     NO_REPLICA = "no_replica"
+    NO_ROOM = "no_room"
     NO_SLOT = "no_slot"
     ON_TRIAL = "on_trial"
 
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 import unittest
+import unittest.mock
+from dataclasses import replace
 from unittest.mock import MagicMock
 
 from hypothesis import given, settings, strategies as st
@@ -241,6 +243,20 @@
         serving.cancel()
         await asyncio.gather(serving, return_exceptions=True)
 
+    async def test_there_is_no_second_send_where_it_would_preempt_runs(self):
+        """Guards against streams that pause because of a send that isn't needed."""
+        choose = Chooser.choose
+
+        def choose_without_room(chooser, *args, without=frozenset()):
+            choice = choose(chooser, *args, without=without)
+            return replace(choice, has_room=not without)
+
+        with unittest.mock.patch.object(Chooser, "choose", choose_without_room):
+            case = Case([[]])
+            await case.run()
+        self.assertEqual(len(case.pool.opened), 1)
+        self.assertEqual(case.trace.second_refused, "no_room")
+
     async def test_a_caller_that_leaves_cancels_both_sends(self):
         """Guards against replicas that go on working for a caller that has left."""
         case = Case([[], []])
