--- a/fireflyward/forwarding/_second_send.py
+++ b/fireflyward/forwarding/_second_send.py
@@ -98,7 +98,7 @@
         if choice.slot_ms > 0 or choice.replica.is_full(now_ms):
             return Refusal.NO_SLOT, None
         if not choice.has_room:
-            # Its replica would preempt running streams for a send that may not be needed.
+            # The replica would preempt streams for a send that may not be needed.
             return Refusal.NO_ROOM, None
         if not self._plan.may_send_second(self._left_ms()):
             return Refusal.NO_BUDGET, None
