Subsets: count an address once that is listed twice

The rate was twice too high while two incarnations had one address, and the subset too large. The new test failed before (12 opened instead of 6).

--- a/fireflyward/subsets/_connection_counts.py
+++ b/fireflyward/subsets/_connection_counts.py
@@ -61,6 +61,9 @@
         last_by_address, self._last_by_address = self._last_by_address, {}
         for state in self._directory.all():
             address = state.entry.address
+            if address in self._last_by_address:
+                # Two incarnations may be listed with one address for a moment.
+                continue
             use = self._pool.use_of(address)
             self._last_by_address[address] = use.opened, use.reused
             last = last_by_address.get(address, (0, 0))
--- a/tests/subsets/test_filter.py
+++ b/tests/subsets/test_filter.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
 
@@ -223,3 +224,11 @@
         use = fixture.counts.totals()["s"]
         self.assertEqual((use.opened, use.reused), (8, 1))
         self.assertAlmostEqual(fixture.counts.per_second("s"), 5.7)
+
+    def test_an_address_that_is_listed_twice_counts_once(self):
+        """Guards against a rate that is too high, and so a subset that is too large,
+        while a replica's old entry and its new one have the same address."""
+        again = replace(entry("r2"), address="r1:80")
+        fixture = FilterFixture([entry("r1"), again])
+        self.assertEqual(fixture.counts.totals()["s"].opened, 6)
+        self.assertEqual(fixture.counts.per_second("s"), 6.0)
