--- a/tests/subsets/test_spread.py
+++ b/tests/subsets/test_spread.py
@@ -67,6 +67,21 @@
         limited, full = spread(350, 1_200, 8, 12), spread(350, 1_200, 1_200, 12)
         self.assertGreater(limited, 2 * full)
 
+    def test_a_replica_with_few_slots_is_in_some_subsets(self):
+        """Guards against a replica that no node sends to."""
+        size = min_size(82, 60)
+        for small in range(12):
+            listed = [
+                entry(f"r{n}", slots=2 if n == small else 48, zone="abc"[n % 3])
+                for n in range(60)
+            ]
+            states = FilterFixture(listed).directory.of_service("s")
+            users = sum(
+                states[small] in rank_replicas(f"n{n}", "abc"[n % 3], states)[:size]
+                for n in range(82)
+            )
+            self.assertGreaterEqual(users, 2)
+
     def test_replicas_with_more_slots_are_in_more_subsets(self):
         listed = [entry(f"r{n}", slots=24 if n < 20 else 12) for n in range(60)]
         states = FilterFixture(listed).directory.of_service("s")
