Fleet: followers of the tables in a module of their own

Behaviour is unchanged. A test that fed an update to a follower directly finds it in TableFollowers. test_restored_store, test_joining and test_end_to_end pass (47 tests).

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -8,19 +8,13 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
-from fireflyward.feeds import FeedFollower, Pace, SharedTables, TableUpdate
+from fireflyward.feeds import SharedTables
 from fireflyward.forwarding import Forwarder, WeightVersions
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
-from fireflyward.platform import (
-    CONFIGURATION_TABLE,
-    REPLICA_TABLE,
-    LeaseTable,
-    ReplicaApi,
-    StoreClient,
-)
+from fireflyward.platform import LeaseTable, ReplicaApi, StoreClient
 from fireflyward.prefixes import GarbageCollector, PartPlanner
 from fireflyward.quarantine import Quarantine
 from fireflyward.retries import RetryBudget
@@ -31,12 +25,11 @@
 from ._gauges import link_gauges
 from ._joining import Joining
 from ._kv_stores import KvStoreFollowers
-from ._lost_rows import LostRowRecovery
-from ._paces import configuration_pace, replicas_pace
 from ._peers import NODE_TABLE, NodeRegistry
 from ._replica_components import ReplicaComponents
 from ._start_gate import StartGate
 from ._status_server import StatusServer
+from ._table_followers import TableFollowers
 from ._views import OperatorView, ReplicaView
 
 log = logging.getLogger("fireflyward.node")
@@ -148,31 +141,16 @@
         # nodes read these rows, so this node reads the table at once and writes its
         # own row again.
         self._store.eras.on_new_era = self._joining.poll_soon
-        self._lost_rows = LostRowRecovery(
-            CONFIGURATION_TABLE,
-            tables=self._tables,
+        self._table_followers = TableFollowers(
+            self._tables,
             clock=clock,
-            on_update=operators.on_table_update,
-        )
-        self._followers = (
-            FeedFollower(
-                CONFIGURATION_TABLE,
-                reader=self._tables,
-                clock=clock,
-                on_update=self._caching_listener(
-                    CONFIGURATION_TABLE, self._lost_rows.on_table_update
-                ),
-                pace=self._configuration_pace,
-            ),
-            FeedFollower(
-                REPLICA_TABLE,
-                reader=self._tables,
-                clock=clock,
-                on_update=self._caching_listener(
-                    REPLICA_TABLE, self._replicas.on_table_update
-                ),
-                pace=self._replicas_pace,
-            ),
+            store=self._store,
+            aggregators=self._aggregators,
+            gate=self._gate,
+            is_ready=lambda: self.is_ready,
+            drain_ms=lambda: self._settings.bounds.drain_ms,
+            on_configuration=operators.on_table_update,
+            on_replicas=self._replicas.on_table_update,
         )
         self._lease = self._make_lease()
         self._lease_announcer = LeaseAnnouncer(
@@ -257,10 +235,10 @@
         self._start(
             self._joining.run(),
             *(
-                self._joining.run_after_joining(follower.run)
-                for follower in self._followers
+                self._joining.run_after_joining(run)
+                for run in self._table_followers.runs_after_joining()
             ),
-            self._lost_rows.run(),
+            self._table_followers.recover_lost_rows(),
             self._lease.run(),
             self._weight_task.run(),
             self._garbage_collector.run(),
@@ -338,40 +316,6 @@
         self._directory.set_services(configuration.service_by_name)
         self._kv_store_followers.set_configuration(configuration)
 
-    def _configuration_pace(self) -> Pace:
-        return configuration_pace(
-            is_shared=self._aggregators.are_needed,
-            serves_other_nodes=self._tables.serves_other_nodes,
-        )
-
-    def _replicas_pace(self) -> Pace:
-        return replicas_pace(
-            self._settings.bounds.drain_ms,
-            is_shared=self._aggregators.are_needed,
-            serves_other_nodes=self._tables.serves_other_nodes,
-        )
-
-    def _caching_listener(
-        self, table: str, on_update: Callable[[TableUpdate], None]
-    ) -> Callable[[TableUpdate], None]:
-        """Return a listener that caches a table's updates for other nodes.
-
-        It also opens the start gate once the node is ready.
-        """
-        is_configuration = table == CONFIGURATION_TABLE
-        apply_update = self._tables.caching_listener(
-            table, on_update, retains_rows=is_configuration
-        )
-
-        def record_era_and_apply(update: TableUpdate) -> None:
-            # An aggregator may report a new era to this node before the store does.
-            self._store.eras.observe(update.position.era)
-            apply_update(update)
-
-        return self._gate.opening_listener(
-            record_era_and_apply, is_ready=lambda: self.is_ready
-        )
-
     def _on_nodes(self, names: Collection[str]) -> None:
         self._budget.set_nodes(len(names))
         self._forwarder.set_nodes(len(names))
--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -110,7 +110,7 @@
     async def test_an_era_reported_by_an_aggregator_applies_to_writes(self):
         """Guards against sending conditions of an earlier era."""
         update = TableUpdate((), False, 0, position=at(1, 5))
-        self.node._followers[0]._on_update(update)
+        self.node._table_followers._followers[0]._on_update(update)
         self.assertEqual(self.node._store.eras.latest, 5)
 
     async def test_the_list_of_nodes_is_read_without_delay(self):
