KV room: a prompt of almost all memory fits beside small runs

A prompt of more than 85% of the memory had room only at an empty replica, so a busy service rejected it for ever. Requests of more than half of the memory may now use all of it.

--- a/fireflyward/replicas/_kv_room.py
+++ b/fireflyward/replicas/_kv_room.py
@@ -16,6 +16,10 @@
 # prompts hold the memory.
 _SMALL_SHARE = 0.05
 _MEMORY_SHARE_OF_SMALL = 0.95
+# A request of more than this share may use all of the memory. Otherwise one of more
+# than _MEMORY_SHARE would have room only at an empty replica, and a busy service has
+# none.
+_LARGE_SHARE = 0.5
 # Weight of one request in the moving averages of sizes, and how many requests are seen
 # before they are used.
 _SIZE_WEIGHT = 0.02
@@ -147,8 +151,7 @@
             excess = resident + requirements.tokens - _MEMORY_SHARE * kv_tokens
             return _RUN_MS * max(0.0, excess) / resident
         needed = self._new_tokens(state, requirements, others)
-        is_small = requirements.tokens <= _SMALL_SHARE * kv_tokens
-        share = _MEMORY_SHARE_OF_SMALL if is_small else _MEMORY_SHARE
+        share = _memory_share(requirements.tokens / kv_tokens)
         excess = resident + needed - share * kv_tokens
         if excess <= 0:
             return 0.0
@@ -185,3 +188,10 @@
         )
         absent = (1 - min(1.0, share)) ** max(0, others.requests)
         return requirements.tokens - prefix.tokens * (1 - absent)
+
+
+def _memory_share(size: float) -> float:
+    """Return the usable share of the memory for a request that needs this share."""
+    if size <= _SMALL_SHARE:
+        return _MEMORY_SHARE_OF_SMALL
+    return _MEMORY_SHARE if size <= _LARGE_SHARE else 1.0
--- a/tests/replicas/test_kv_room.py
+++ b/tests/replicas/test_kv_room.py
@@ -106,6 +106,14 @@
         self.observe(small, 250)
         self.assertFalse(self.room.is_in_effect(self.state))
 
+    def test_a_prompt_of_almost_all_memory_fits_beside_a_small_run(self):
+        """Guards against rejecting it for ever: at a busy service no replica is empty,
+        so it had no room anywhere."""
+        self.observe(prompt())
+        huge = Requirements("s", tokens=72_000, kv_tokens=KV_TOKENS)
+        self.assertEqual(self.wait_ms(huge, InFlightLoad(0, 2_370, 1)), 0.0)
+        self.assertGreater(self.wait_ms(huge, InFlightLoad(0, 12_024, 1)), 0.0)
+
     def test_the_wait_is_at_least_until_the_next_run_ends(self):
         self.observe(prompt())
         self.state.mean_run_ms = 1_000.0
