--- a/fireflyward/replicas/_kv_room.py
+++ b/fireflyward/replicas/_kv_room.py
@@ -16,6 +16,10 @@
 # prompts hold the memory.
 _SMALL_SHARE = 0.05
 _MEMORY_SHARE_OF_SMALL = 0.95
+# A request of more than this share may use all of the memory. Otherwise one of more
+# than _MEMORY_SHARE would have room only at an empty replica, and a busy service has
+# none.
+_LARGE_SHARE = 0.5
 # Weight of one request in the moving averages of sizes, and how many requests are seen
 # before they are used.
 _SIZE_WEIGHT = 0.02
@@ -37,7 +41,9 @@
         self.kv_tokens = requirements.kv_tokens
         self.requests += 1
         weight = max(_SIZE_WEIGHT, 1 / self.requests)
-        tokens = requirements.tokens
+        # A caller may ask for more output than fits. A run never occupies more than the
+        # memory, and one such request would otherwise dominate the average.
+        tokens = min(requirements.tokens, requirements.kv_tokens)
         self.mean += weight * (tokens - self.mean)
         self.mean_square += weight * (tokens * tokens - self.mean_square)
 
@@ -94,8 +100,15 @@
             now_ms, service, state.incarnation_id, prefix.key if prefix else ""
         )
 
-    def count(self, chosen: LoadEstimate, compared: Sequence[LoadEstimate]) -> None:
+    def count(
+        self,
+        state: ReplicaState,
+        chosen: LoadEstimate,
+        compared: Sequence[LoadEstimate],
+    ) -> None:
         """Count a choice for which a replica had no room, or none had."""
+        if not self.is_in_effect(state):
+            return
         if chosen.memory_ms:
             self.without_room += 1
         elif any(load.memory_ms for load in compared):
@@ -138,8 +151,7 @@
             excess = resident + requirements.tokens - _MEMORY_SHARE * kv_tokens
             return _RUN_MS * max(0.0, excess) / resident
         needed = self._new_tokens(state, requirements, others)
-        is_small = requirements.tokens <= _SMALL_SHARE * kv_tokens
-        share = _MEMORY_SHARE_OF_SMALL if is_small else _MEMORY_SHARE
+        share = _memory_share(requirements.tokens / kv_tokens)
         excess = resident + needed - share * kv_tokens
         if excess <= 0:
             return 0.0
@@ -176,3 +188,10 @@
         )
         absent = (1 - min(1.0, share)) ** max(0, others.requests)
         return requirements.tokens - prefix.tokens * (1 - absent)
+
+
+def _memory_share(size: float) -> float:
+    """Return the usable share of the memory for a request that needs this share."""
+    if size <= _SMALL_SHARE:
+        return _MEMORY_SHARE_OF_SMALL
+    return _MEMORY_SHARE if size <= _LARGE_SHARE else 1.0
