Second sends: none on trial, and none to a replica that leaves during admission

A second send that the quarantine admitted on trial ran while the first one was open, and the replica's backpressure was compared only after the admission, which may wait. Both tests failed before. Requests in these tests have a time limit.

--- a/fireflyward/forwarding/_quarantine_check.py
+++ b/fireflyward/forwarding/_quarantine_check.py
@@ -27,6 +27,11 @@
         self._is_sent = False
         self._begun_at: ReplicaState | None = None
 
+    @property
+    def is_on_trial(self) -> bool:
+        """Return whether the request has a trial, which permits a single send."""
+        return self._trial is not None
+
     async def admit(self) -> Held | None:
         """Return why the request must not be sent now, None if it may be."""
         if self._trial is not None:
--- a/fireflyward/forwarding/_second_send.py
+++ b/fireflyward/forwarding/_second_send.py
@@ -85,6 +85,8 @@
     def _check(
         self, reason: SecondSendReason
     ) -> tuple[Refusal, None] | tuple[None, Choice]:
+        if self._quarantine_check.is_on_trial:
+            return Refusal.ON_TRIAL, None
         now_ms, hedging = self._deps.clock.now_ms(), self._deps.hedging
         few_silent = hedging.silent.are_few(now_ms)
         refusal = hedging.second_sends.check(
@@ -110,11 +112,14 @@
         )
 
     async def _run(self, choice: Choice) -> SendResult | Superseded | None:
-        if await self._quarantine_check.admit() is not None:
-            self._trace.second_refused = str(Refusal.ON_TRIAL)
-            return None
         backpressure = choice.replica.backpressure
         changes = backpressure.changes
+        held = await self._quarantine_check.admit()
+        if held is not None or self._quarantine_check.is_on_trial:
+            # The gate may have granted a trial while the first send is open. The trial
+            # is kept for a send that follows the first one.
+            self._trace.second_refused = str(Refusal.ON_TRIAL)
+            return None
         connection = await self._connect(choice)
         if isinstance(connection, NotConnected):
             return self._on_unsent(choice.replica, connection)
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -16,6 +16,7 @@
 from fireflyward.platform import CallerRequest
 from fireflyward.platform._requests import _SIGNATURE
 from fireflyward.prefixes import PartPlanner
+from fireflyward.quarantine import Free, Trial
 from fireflyward.replicas import Chooser, ReplicaDirectory
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
@@ -29,6 +30,7 @@
 CALLER = CallerRequest("q1", "GET", "h", "/x", (), 3_000.0)
 OK_HEAD = Head(200, "", (("x-request-id", "q1"), (_SIGNATURE, "s")))
 ERROR_HEAD = Head(500, "", (("x-request-id", "q1"),))
+_TEST_TIMEOUT_S = 10
 BROKEN = Broken(BrokenAt.SENT, "reset")
 
 
@@ -88,6 +90,22 @@
         pass
 
 
+class _Gate(OpenGate):
+    """Admits the sends of a request in this way, each after a time in ms."""
+
+    def __init__(self, *admissions):
+        self.admissions = list(admissions)
+        self.ended = []
+
+    async def admit(self, fingerprint):
+        wait_ms, admission = self.admissions.pop(0)
+        await self.clock.sleep_ms(wait_ms)
+        return admission
+
+    def end_trial(self, trial, *, was_sent, begun_at):
+        self.ended.append(was_sent)
+
+
 class _Reply:
     """Records what the caller receives."""
 
@@ -122,11 +140,19 @@
     return [(0, OK_HEAD), *events, (at_ms[-1], End())]
 
 
+async def finish(*tasks):
+    """Return the results or exceptions of tasks; a task that hangs fails the test."""
+    async with asyncio.timeout(_TEST_TIMEOUT_S):
+        return await asyncio.gather(*tasks, return_exceptions=True)
+
+
 class Case:
     """A node with some replicas whose answers begin within 100 ms as a rule."""
 
-    def __init__(self, scripts, *, budget=10, replicas=3):
+    def __init__(self, scripts, *, budget=10, replicas=3, gate=None):
         self.clock = ManualClock(0)
+        self.gate = gate or OpenGate()
+        self.gate.clock = self.clock
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{number}") for number in range(replicas)]
         self.directory.on_full_read(0, entries, after_outage=False)
@@ -147,7 +173,7 @@
             budget=RetryBudget(ratio=0.0, extra=budget, window_ms=10_000),
             weights=WeightVersions(version_ms=12_000),
             planner=PartPlanner(),
-            gate=OpenGate(),
+            gate=self.gate,
             reach=MagicMock(),
             notices=MagicMock(),
             hedging=self.hedging,
@@ -173,7 +199,7 @@
     async def run(self, *args, **options):
         serving = self.start(*args, **options)
         await self.clock.advance_ms(3_100)
-        return await serving
+        return (await finish(serving))[0]
 
     @property
     def counters(self):
@@ -239,7 +265,7 @@
         await case.clock.advance_ms(160)
         self.assertEqual(case.trace.second_refused, "no_slot")
         serving.cancel()
-        await asyncio.gather(serving, return_exceptions=True)
+        await finish(serving)
 
     async def test_a_caller_that_leaves_cancels_both_sends(self):
         """Guards against replicas that go on working for a caller that has left."""
@@ -248,7 +274,7 @@
         await case.clock.advance_ms(110)
         self.assertEqual([each.was_sent for each in case.pool.opened], [True, True])
         serving.cancel()
-        await asyncio.gather(serving, return_exceptions=True)
+        await finish(serving)
         self.assertTrue(all(each.is_closed for each in case.pool.opened))
         self.assert_counters_released(case)
 
@@ -280,6 +306,33 @@
         self.assertEqual(case.trace.sends, 1)
         self.assert_counters_released(case)
 
+    async def test_a_second_send_is_not_made_on_trial(self):
+        """Guards against a suspect that runs on two replicas at once.
+
+        A request of the same content became a suspect after the first send.
+        """
+        gate = _Gate((0, Free()), (0, Trial("f", 7)))
+        case = Case([answer(b"a", 400), answer(b"b", 50)], gate=gate)
+        self.assertEqual(await case.run(), Answered())
+        self.assertEqual(len(case.pool.opened), 1)
+        self.assertEqual(case.trace.second_refused, "on_trial")
+        self.assertEqual(gate.ended, [False])
+        self.assert_counters_released(case)
+
+    async def test_a_replica_that_leaves_during_admission_gets_no_second_send(self):
+        """Guards against requests to replicas that have asked for none."""
+        gate = _Gate((0, Free()), (100, Free()))
+        case = Case([answer(b"a", 400), answer(b"b", 50)], gate=gate)
+        serving = case.start()
+        await case.clock.advance_ms(150)
+        for state in case.directory.all():
+            state.backpressure.changes += 1
+        await case.clock.advance_ms(3_000)
+        self.assertTrue(serving.done())
+        self.assertEqual(case.reply.bodies, [b"a"])
+        self.assertEqual([each.was_sent for each in case.pool.opened], [True, False])
+        self.assertEqual(case.counters, {(0, 0, 0)})
+
     async def test_without_any_connection_it_has_not_run(self):
         case = Case([None])
         self.assertIsInstance(await case.run(), NotRun)
@@ -295,7 +348,8 @@
         await case.clock.advance_ms(54)
         self.assertEqual(len(set(case.pool.addresses)), 1)
         await case.clock.advance_ms(20)
-        self.assertEqual(await moved, Answered())
+        self.assertTrue(moved.done())
+        self.assertEqual(moved.result(), Answered())
         self.assertEqual(case.trace.second_send, "unresponsive")
         self.assertEqual(len(set(case.pool.addresses)), 2)
         self.assertTrue(r0.is_suspect(case.clock.now_ms()))
@@ -305,7 +359,7 @@
         case = Case([answer(b"a", 600)], budget=1_000, replicas=8)
         servings = [case.start() for _ in range(20)]
         await case.clock.advance_ms(2_000)
-        await asyncio.gather(*servings)
+        self.assertEqual(await finish(*servings), [Answered()] * 20)
         self.assertEqual(len(case.reply.bodies), 20)
         self.assertLessEqual(case.hedging.second_sends.made, 12)
         self.assert_counters_released(case)
@@ -340,7 +394,7 @@
             tasks.append(asyncio.create_task(serve()))
             await case.clock.advance_ms(50)
         await case.clock.advance_ms(3_000)
-        await asyncio.gather(*tasks)
+        self.assertEqual(await finish(*tasks), [None] * 200)
         self.assertLessEqual(max(took_ms), 350)
         self.assertLessEqual(sum(each > 100 for each in took_ms), 12)
         self.assertEqual(case.counters, {(0, 0, 0)})
@@ -380,7 +434,7 @@
             await case.clock.advance_ms(rng.randrange(300))
             serving.cancel()
         await case.clock.advance_ms(3_100)
-        (outcome,) = await asyncio.gather(serving, return_exceptions=True)
+        (outcome,) = await finish(serving)
         received = case.reply.stream
         self.assertFalse(b"data: a" in received and b"data: b" in received)
         self.assertLessEqual(case.reply.begun, 1)
