--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -202,7 +202,9 @@
         replica.on_send_failure(self._clock.now_ms())
         if not failure.is_refused:
             self._deps.reach.on_silent(replica)
-            self._deps.watch.on_unresponsive(replica)
+            if self._left_ms() >= 1:
+                # The attempt had its full time; it was not cut short by the deadline.
+                self._deps.watch.on_unresponsive(replica)
         self._quarantine_check.on_connect_failed(replica, is_refused=failure.is_refused)
         self._tried.add(replica.incarnation_id)
         self._stop_late_wait(None)
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -179,7 +179,7 @@
             hedging=self.hedging,
         )
 
-    def start(self, kind=RouteKind.IDEMPOTENT, *, attempts=2):
+    def start(self, kind=RouteKind.IDEMPOTENT, *, attempts=2, arrived_ms=0):
         shares = (ServiceShare("s", 1),)
         route = Route("r", "h", "/", kind, 3_000, 200, 0, attempts, shares)
         if kind is RouteKind.STREAM:
@@ -190,7 +190,7 @@
             CALLER,
             b"",
             Allowed(route, "s", None, 1),
-            arrived_ms=0,
+            arrived_ms=arrived_ms,
             reply=self.reply,
             trace=self.trace,
         )
@@ -412,6 +412,19 @@
         self.assertTrue(waiting.done())
         self.assertEqual(waiting.result(), Answered())
 
+    async def test_a_connection_attempt_cut_short_by_a_deadline_moves_no_request(self):
+        """Guards against second sends because of a caller with little time left."""
+        case = Case([[], "cut", answer(b"b", 10)], replicas=2)
+        case.hedging.times._ratios_by_route.clear()
+        case.directory.all()[1].in_flight = 2
+        waiting = case.start()
+        await case.clock.advance_ms(10)
+        case.start(RouteKind.NON_IDEMPOTENT, arrived_ms=-2_985)
+        await case.clock.advance_ms(200)
+        self.assertEqual(len(case.pool.addresses), 2)
+        waiting.cancel()
+        await finish(waiting)
+
 
 class AnswerTests(unittest.TestCase):
     @settings(max_examples=150, derandomize=True, deadline=None)
