Second sends: the trace names both sends that ended, with their replicas

The failure of one send was in no log line when the other one answered, and the second send's failure was logged with the first one's replica.

--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -259,6 +259,7 @@
             self._deps,
             self._plan,
             self._trace,
+            first=choice,
             service=self._service,
             choose=self._choose_untried,
             connect=lambda choice: self._connect(choice.replica, self._left_ms()),
@@ -274,10 +275,7 @@
         )
         send = self._send_over(connection, choice, race, 0)
         results = await race.run(send, second.begin, overdue_ms=overdue_ms)
-        second.finish(race.winner)
-        for result in results[:-1]:
-            self._plan.on_other_result(result)
-        return results[-1]
+        return second.finish(race.winner, results)
 
     async def _send_over(
         self,
--- a/fireflyward/forwarding/_second_send.py
+++ b/fireflyward/forwarding/_second_send.py
@@ -18,6 +18,7 @@
     """Checks whether a request may have a second send, and opens its connection."""
 
     __slots__ = (
+        "_choices",
         "_choose",
         "_connect",
         "_deps",
@@ -38,6 +39,7 @@
         plan: AttemptPlan,
         trace: Trace,
         *,
+        first: Choice,
         service: str,
         choose: Callable[[], Choice | None],
         connect: Callable[[Choice], Awaitable[HttpConnection | NotConnected]],
@@ -56,6 +58,7 @@
         self._on_unsent = on_unsent
         self._send = send
         self._left_ms = left_ms
+        self._choices = [first]
         self._is_made = False
         self._started_ms = deps.clock.now_ms()
         deps.hedging.second_sends.on_sent(self._started_ms, service)
@@ -71,12 +74,23 @@
         self._trace.second_send = str(reason)
         self._trace.second_refused = ""
         self._trace.second_after_ms = self._deps.clock.now_ms() - self._started_ms
+        self._choices.append(choice)
         return self._run(choice)
 
-    def finish(self, winner: int | None) -> None:
-        """Record which send won, if there were two."""
-        if not self._is_made or winner is None:
-            return
+    def finish(
+        self, winner: int | None, results: list[tuple[int, SendResult]]
+    ) -> SendResult:
+        """Record which send won, if there were two; return the result to decide on."""
+        for number, other in results[:-1]:
+            self._plan.on_other_result(other)
+            self._trace.on_other_result(self._choices[number], other)
+        number, result = results[-1]
+        self._trace.on_choice(self._choices[number])
+        if self._is_made and winner is not None:
+            self._record_winner(winner)
+        return result
+
+    def _record_winner(self, winner: int) -> None:
         self._trace.second_winner = "second" if winner else "first"
         self._deps.hedging.second_sends.on_finished(
             self._deps.clock.now_ms(), self._service, second_won=winner == 1
--- a/fireflyward/forwarding/_send_race.py
+++ b/fireflyward/forwarding/_send_race.py
@@ -46,8 +46,8 @@
         begin_second: Callable[[SecondSendReason], _Send | None],
         *,
         overdue_ms: float | None,
-    ) -> list[SendResult]:
-        """Return the results of the sends that were not cancelled; the winner is last.
+    ) -> list[tuple[int, SendResult]]:
+        """Return number and result of each send not cancelled; the winner's is last.
 
         ``begin_second`` returns None if there is no second send for this reason.
         """
@@ -67,8 +67,8 @@
 
     async def _collect(
         self, begin_second: Callable[[SecondSendReason], _Send | None]
-    ) -> list[SendResult]:
-        result_by_task: dict[asyncio.Task, SendResult] = {}
+    ) -> list[tuple[int, SendResult]]:
+        result_by_number: dict[int, SendResult] = {}
         pending = set(self._tasks)
         while pending:
             waits = {*pending, self._woken} if len(self._tasks) == 1 else pending
@@ -86,11 +86,12 @@
                 pending.discard(task)
                 result = None if task.cancelled() else task.result()
                 if result is not None and not isinstance(result, Superseded):
-                    result_by_task[task] = result
+                    result_by_number[self._tasks.index(task)] = result
         # Both may end in the same iteration of the event loop.
         order = (1, 0) if self.winner == 0 else (0, 1)
-        tasks = [self._tasks[number] for number in order if number < len(self._tasks)]
-        return [result_by_task[task] for task in tasks if task in result_by_task]
+        return [
+            (each, result_by_number[each]) for each in order if each in result_by_number
+        ]
 
     def _on_overdue(self) -> None:
         self._wake(SecondSendReason.SLOW)
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -18,9 +18,9 @@
     send to the first token, and ``longest_pause_ms`` the longest time between two parts
     of the stream. ``work_percent`` is the speed that the replica had reported,
     ``work_percent_age_ms`` before the choice. ``earlier`` lists the results of the
-    sends before it. ``waits_late`` is set if the request is late and waits for a slot
-    at the lowest priority. ``fingerprint`` is the same for requests with the same
-    content.
+    sends before it, and of the other one of two. ``waits_late`` is set if the request
+    is late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
+    requests with the same content.
 
     If the service lacks capacity, ``fair_percent`` is how much queue the request may
     find relative to the base estimate's limit, and ``fair_reason`` why. Its inputs are
@@ -110,7 +110,7 @@
     def on_retry(self, request_id: str, result: SendResult, left_ms: float) -> None:
         """Record the result of a send that is followed by another, and log it."""
         name, detail = type(result).__name__, _detail(result)
-        self.earlier.append(f"{self.replica}: {name} {detail}")
+        self._add_earlier(self.replica, result)
         log.info(
             "forwarding: retrying after %s",
             name,
@@ -123,6 +123,13 @@
             },
         )
 
+    def on_other_result(self, choice: Choice, result: SendResult) -> None:
+        """Record how the other one of two sends ended."""
+        self._add_earlier(choice.replica.entry.incarnation, result)
+
+    def _add_earlier(self, replica: str, result: SendResult) -> None:
+        self.earlier.append(f"{replica}: {type(result).__name__} {_detail(result)}")
+
     def fields(self) -> dict[str, object]:
         """Return the fields that are set, by name."""
         return {
--- a/tests/http1/test_connection.py
+++ b/tests/http1/test_connection.py
@@ -236,7 +236,7 @@
 
     async def assert_unsent(self):
         self.connection.send("POST", "/x", [("Host", "h")], b"x" * 200_000)
-        event = await self.connection.next_event()
+        event = await self.connection.next_event_within(2_000)
         self.assertEqual(event.at, BrokenAt.UNSENT)
         await asyncio.sleep(0.01)
         self.assertFalse(self.connection._events)
@@ -258,7 +258,7 @@
 
     async def test_a_request_of_which_a_part_was_written_may_have_arrived(self):
         self.connection.send("POST", "/x", [("Host", "h")], b"x" * 20_000_000)
-        event = await self.connection.next_event()
+        event = await self.connection.next_event_within(5_000)
         self.assertEqual(event.at, BrokenAt.SENT)
 
     async def test_a_connection_closed_by_its_peer_is_not_reused(self):
