Second sends: an exception of the losing send is logged and does not end the other

It ended the response that was being forwarded, and with two exceptions one was not logged. Such a send counts as a possible run.

--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -97,7 +97,7 @@
         return self._may_repeat and is_below_limit and left_ms > _MIN_RETRY_WINDOW_MS
 
     def on_cancelled(self) -> None:
-        """Count a send that was cancelled because another response had begun."""
+        """Count a send that was cancelled or ended by an unexpected exception."""
         self._possible_runs += 1
 
     def on_other_result(self, result: SendResult) -> None:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -1,6 +1,5 @@
 """Runs one request: sends it to replicas until it has an outcome."""
 
-import asyncio
 
 from fireflyward.deployment import RouteKind
 from fireflyward.http1 import HttpConnection, NotConnected
@@ -328,7 +327,7 @@
                 reply=self._reply,
                 on_pause=self._trace.on_pause,
             )
-        except asyncio.CancelledError:
+        except BaseException:
             self._plan.on_cancelled()
             raise
         finally:
--- a/fireflyward/forwarding/_send_race.py
+++ b/fireflyward/forwarding/_send_race.py
@@ -1,6 +1,8 @@
 """Runs a send and at most one second send, until one response has ended."""
 
 import asyncio
+import logging
+import sys
 from collections.abc import Callable, Coroutine
 
 from fireflyward.clock import Clock
@@ -8,6 +10,8 @@
 
 from ._messages import SendResult, Superseded
 
+log = logging.getLogger("fireflyward.forwarding")
+
 _Send = Coroutine[object, object, SendResult | Superseded | None]
 
 
@@ -63,7 +67,11 @@
                 timer.cancel()
             for task in self._tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            results = await asyncio.gather(*self._tasks, return_exceptions=True)
+            for error in results:
+                if isinstance(error, Exception) and error is not sys.exception():
+                    message = "forwarding: a send failed with an unexpected exception"
+                    log.error(message, exc_info=error)
 
     async def _collect(
         self, begin_second: Callable[[SecondSendReason], _Send | None]
@@ -84,15 +92,25 @@
                 self._woken = asyncio.get_running_loop().create_future()
             for task in pending & done:
                 pending.discard(task)
-                result = None if task.cancelled() else task.result()
+                number = self._tasks.index(task)
+                result = self._result_of(number)
                 if result is not None and not isinstance(result, Superseded):
-                    result_by_number[self._tasks.index(task)] = result
+                    result_by_number[number] = result
         # Both may end in the same iteration of the event loop.
         order = (1, 0) if self.winner == 0 else (0, 1)
         return [
             (each, result_by_number[each]) for each in order if each in result_by_number
         ]
 
+    def _result_of(self, number: int) -> SendResult | Superseded | None:
+        task = self._tasks[number]
+        if task.cancelled():
+            return None
+        if self.winner not in (None, number) and task.exception() is not None:
+            # It does not end the response that is forwarded; ``run`` logs it.
+            return None
+        return task.result()
+
     def _on_overdue(self) -> None:
         self._wake(SecondSendReason.SLOW)
 
