Second sends: 408 and 429 don't win; count only sends that were cancelled

An answer with 408 or 429 is not forwarded, but it ended the other send, and the caller received 502. A send that had already failed counted as cancelled. Both assertions failed before.

--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -19,6 +19,7 @@
 from ._dependencies import Notices, Speeds
 from ._events import EventSplitter, StreamEvent
 from ._messages import (
+    NOT_RUN_STATUSES,
     Failed,
     NotRunThere,
     SendResult,
@@ -189,7 +190,8 @@
     async def _read_answer(
         self, head: Head, facts: ResponseFacts
     ) -> WholeAnswer | Failed | NotRunThere | Superseded:
-        if head.status < 500 and not facts.was_not_run and not self._claim():
+        is_usable = head.status < 500 and head.status not in NOT_RUN_STATUSES
+        if is_usable and not facts.was_not_run and not self._claim():
             return self._supersede()
         parts, size = [], 0
         while not isinstance(event := await self._next_event(), End):
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -8,6 +8,10 @@
 from fireflyward.platform import ResponseFacts
 from fireflyward.quarantine import Held
 
+# If the caller received one of these statuses, it would assume that the request has not
+# run. Without a replica's report that it has not, the answer is not forwarded.
+NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+
 
 class RejectionReason(enum.Enum):
     """Why a replica reports that it has not run a request."""
@@ -63,6 +67,11 @@
     head: Head
     body: bytes
 
+    @property
+    def is_forwardable(self) -> bool:
+        """Return whether the caller may receive the answer's status."""
+        return self.head.status not in NOT_RUN_STATUSES
+
     @property
     def is_failure(self) -> bool:
         """Return whether the replica itself failed."""
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -1,6 +1,5 @@
 """Runs one request: sends it to replicas until it has an outcome."""
 
-
 from fireflyward.deployment import RouteKind
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -42,7 +41,6 @@
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
 _CONNECT_TIMEOUT_MS = 350
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class RequestRun:
@@ -144,9 +142,7 @@
     async def _deliver(self, answer: WholeAnswer) -> Outcome:
         if self._progress.has_begun:
             return Unknown(Reason.UPSTREAM_FAILED, "no replica continued the stream")
-        if answer.head.status in _NOT_RUN_STATUSES:
-            # If the caller received this status, it would assume that the request has
-            # not run.
+        if not answer.is_forwardable:
             return Unknown(Reason.UPSTREAM_FAILED, "replica failed after it had begun")
         await self._reply.send_response(answer.head, answer.body)
         return Answered()
--- a/fireflyward/forwarding/_second_send.py
+++ b/fireflyward/forwarding/_second_send.py
@@ -87,13 +87,16 @@
         number, result = results[-1]
         self._trace.on_choice(self._choices[number])
         if self._is_made and winner is not None:
-            self._record_winner(winner)
+            self._record_winner(winner, was_cancelled=len(results) == 1)
         return result
 
-    def _record_winner(self, winner: int) -> None:
+    def _record_winner(self, winner: int, *, was_cancelled: bool) -> None:
         self._trace.second_winner = "second" if winner else "first"
         self._deps.hedging.second_sends.on_finished(
-            self._deps.clock.now_ms(), self._service, second_won=winner == 1
+            self._deps.clock.now_ms(),
+            self._service,
+            second_won=winner == 1,
+            was_cancelled=was_cancelled,
         )
 
     def _check(
--- a/fireflyward/hedging/_second_sends.py
+++ b/fireflyward/hedging/_second_sends.py
@@ -98,12 +98,19 @@
         """Count a second send."""
         self.made += 1
 
-    def on_finished(self, now_ms: int, service: str, *, second_won: bool) -> None:
-        """Record which send won; the other one was cancelled."""
+    def on_finished(
+        self,
+        now_ms: int,
+        service: str,
+        *,
+        second_won: bool,
+        was_cancelled: bool = True,
+    ) -> None:
+        """Record which send won, and whether the other one was still open."""
         recent = self._current(now_ms, service)
         recent.won_share += _WON_WEIGHT * (second_won - recent.won_share)
         self.won += second_won
-        self.cancelled += 1
+        self.cancelled += was_cancelled
 
     def _current(self, now_ms: int, service: str) -> _Recent:
         recent = self._recent_by_service.setdefault(service, _Recent())
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -8,6 +8,7 @@
 
 from fireflyward.deployment import RouteKind
 from fireflyward.forwarding import Trace
+from fireflyward.http1 import Head
 from fireflyward.outcomes import Answered, NotRun, Unknown
 from fireflyward.quarantine import Free, Trial
 from fireflyward.routes import Allowed
@@ -16,6 +17,7 @@
     BROKEN,
     CALLER,
     ERROR_HEAD,
+    OK_HEAD,
     ROUTE,
     Case,
     ScriptedGate,
@@ -98,6 +100,7 @@
         case = Case([answer(b"e", 110, ERROR_HEAD), answer(b"b", 50)])
         self.assertEqual(await case.run(), Answered())
         self.assertEqual(case.reply.bodies, [b"b"])
+        self.assertEqual(case.hedging.second_sends.cancelled, 0)
         self.assert_counters_released(case)
 
     async def test_the_trace_names_the_replica_of_each_failed_send(self):
@@ -113,6 +116,15 @@
         expected = [f"{first}: Failed reset", f"{second}: Failed reset"]
         self.assertEqual(case.trace.earlier, expected)
 
+    async def test_a_status_that_is_not_forwarded_does_not_end_the_other_send(self):
+        """Guards against 502 while the other replica's response is about to begin."""
+        for status in (408, 429):
+            head = Head(status, "", OK_HEAD.headers)
+            case = Case([answer(b"a", 110, head), answer(b"b", 50)])
+            self.assertEqual(await case.run(), Answered())
+            self.assertEqual(case.reply.bodies, [b"b"])
+            self.assert_counters_released(case)
+
     async def test_two_failed_sends_count_as_two_attempts(self):
         case = Case([[(150, BROKEN)], [(80, BROKEN)], answer(b"c", 1)])
         self.assertIsInstance(await case.run(), Unknown)
