--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -33,6 +33,7 @@
 
     def __init__(self, clock, script):
         self.clock = clock
+        self.full_script = script
         self.script = list(script)
         self.is_closed = False
         self.was_sent = False
