--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -1,7 +1,5 @@
 """Runs one request: sends it to replicas until it has an outcome."""
 
-import asyncio
-
 from fireflyward.deployment import RouteKind
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -43,7 +41,6 @@
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
 _CONNECT_TIMEOUT_MS = 350
-_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 
 
 class RequestRun:
@@ -146,9 +143,7 @@
     async def _deliver(self, answer: WholeAnswer) -> Outcome:
         if self._progress.has_begun:
             return Unknown(Reason.UPSTREAM_FAILED, "no replica continued the stream")
-        if answer.head.status in _NOT_RUN_STATUSES:
-            # If the caller received this status, it would assume that the request has
-            # not run.
+        if not answer.is_forwardable:
             return Unknown(Reason.UPSTREAM_FAILED, "replica failed after it had begun")
         await self._reply.send_response(answer.head, answer.body)
         return Answered()
@@ -203,7 +198,9 @@
         replica.on_send_failure(self._clock.now_ms())
         if not failure.is_refused:
             self._deps.reach.on_silent(replica)
-            self._deps.watch.on_unresponsive(replica)
+            if self._left_ms() >= 1:
+                # The attempt had its full time; it was not cut short by the deadline.
+                self._deps.watch.on_unresponsive(replica)
         self._quarantine_check.on_connect_failed(replica, is_refused=failure.is_refused)
         self._tried.add(replica.incarnation_id)
         self._stop_late_wait(None)
@@ -258,6 +255,7 @@
             self._deps,
             self._plan,
             self._trace,
+            first=choice,
             service=self._service,
             choose=self._choose_untried,
             connect=lambda choice: self._connect(choice.replica, self._left_ms()),
@@ -273,10 +271,7 @@
         )
         send = self._send_over(connection, choice, race, 0)
         results = await race.run(send, second.begin, overdue_ms=overdue_ms)
-        second.finish(race.winner)
-        for result in results[:-1]:
-            self._plan.on_other_result(result)
-        return results[-1]
+        return second.finish(race.winner, results)
 
     async def _send_over(
         self,
@@ -329,7 +324,7 @@
                 reply=self._reply,
                 on_pause=self._trace.on_pause,
             )
-        except asyncio.CancelledError:
+        except BaseException:
             self._plan.on_cancelled()
             raise
         finally:
--- a/fireflyward/forwarding/_send_race.py
+++ b/fireflyward/forwarding/_send_race.py
@@ -1,6 +1,8 @@
 """Runs a send and at most one second send, until one response has ended."""
 
 import asyncio
+import logging
+import sys
 from collections.abc import Callable, Coroutine
 
 from fireflyward.clock import Clock
@@ -8,6 +10,8 @@
 
 from ._messages import SendResult, Superseded
 
+log = logging.getLogger("fireflyward.forwarding")
+
 _Send = Coroutine[object, object, SendResult | Superseded | None]
 
 
@@ -46,8 +50,8 @@
         begin_second: Callable[[SecondSendReason], _Send | None],
         *,
         overdue_ms: float | None,
-    ) -> list[SendResult]:
-        """Return the results of the sends that were not cancelled; the winner is last.
+    ) -> list[tuple[int, SendResult]]:
+        """Return number and result of each send not cancelled; the winner's is last.
 
         ``begin_second`` returns None if there is no second send for this reason.
         """
@@ -63,12 +67,16 @@
                 timer.cancel()
             for task in self._tasks:
                 task.cancel()
-            await asyncio.gather(*self._tasks, return_exceptions=True)
+            results = await asyncio.gather(*self._tasks, return_exceptions=True)
+            for error in results:
+                if isinstance(error, Exception) and error is not sys.exception():
+                    message = "forwarding: a send failed with an unexpected exception"
+                    log.error(message, exc_info=error)
 
     async def _collect(
         self, begin_second: Callable[[SecondSendReason], _Send | None]
-    ) -> list[SendResult]:
-        result_by_task: dict[asyncio.Task, SendResult] = {}
+    ) -> list[tuple[int, SendResult]]:
+        result_by_number: dict[int, SendResult] = {}
         pending = set(self._tasks)
         while pending:
             waits = {*pending, self._woken} if len(self._tasks) == 1 else pending
@@ -84,13 +92,24 @@
                 self._woken = asyncio.get_running_loop().create_future()
             for task in pending & done:
                 pending.discard(task)
-                result = None if task.cancelled() else task.result()
+                number = self._tasks.index(task)
+                result = self._result_of(number)
                 if result is not None and not isinstance(result, Superseded):
-                    result_by_task[task] = result
+                    result_by_number[number] = result
         # Both may end in the same iteration of the event loop.
         order = (1, 0) if self.winner == 0 else (0, 1)
-        tasks = [self._tasks[number] for number in order if number < len(self._tasks)]
-        return [result_by_task[task] for task in tasks if task in result_by_task]
+        return [
+            (each, result_by_number[each]) for each in order if each in result_by_number
+        ]
+
+    def _result_of(self, number: int) -> SendResult | Superseded | None:
+        task = self._tasks[number]
+        if task.cancelled():
+            return None
+        if self.winner not in (None, number) and task.exception() is not None:
+            # It does not end the response that is forwarded; ``run`` logs it.
+            return None
+        return task.result()
 
     def _on_overdue(self) -> None:
         self._wake(SecondSendReason.SLOW)
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -5,184 +5,29 @@
 import unittest
 import unittest.mock
 from dataclasses import replace
-from unittest.mock import MagicMock
 
 from hypothesis import given, settings, strategies as st
 
-from fireflyward.clock import ManualClock
-from fireflyward.deployment import Route, RouteKind, ServiceShare
-from fireflyward.forwarding import Forwarder, Trace, WeightVersions
-from fireflyward.hedging import Hedging, SilentReplicaCost
-from fireflyward.http1 import BodyPart, Broken, BrokenAt, End, Head, NotConnected
+from fireflyward.deployment import RouteKind
+from fireflyward.forwarding import Trace
+from fireflyward.http1 import Head
 from fireflyward.outcomes import Answered, NotRun, Unknown
-from fireflyward.platform import CallerRequest
-from fireflyward.platform._requests import _SIGNATURE
-from fireflyward.prefixes import PartPlanner
-from fireflyward.replicas import Chooser, ReplicaDirectory
-from fireflyward.retries import RetryBudget
+from fireflyward.quarantine import Free, Trial
+from fireflyward.replicas import Chooser
 from fireflyward.routes import Allowed
-from tests.replicas.makers import entry
 
-from .open_gate import OpenGate
-
-ROUTE = Route(
-    "r", "h", "/", RouteKind.IDEMPOTENT, 3_000, 200, 0, 2, (ServiceShare("s", 1),)
+from .send_case import (
+    BROKEN,
+    CALLER,
+    ERROR_HEAD,
+    OK_HEAD,
+    ROUTE,
+    Case,
+    ScriptedGate,
+    answer,
+    finish,
+    stream,
 )
-CALLER = CallerRequest("q1", "GET", "h", "/x", (), 3_000.0)
-OK_HEAD = Head(200, "", (("x-request-id", "q1"), (_SIGNATURE, "s")))
-ERROR_HEAD = Head(500, "", (("x-request-id", "q1"),))
-BROKEN = Broken(BrokenAt.SENT, "reset")
-
-
-class _Connection:
-    """Returns events at given times after the request; then it stays silent."""
-
-    def __init__(self, clock, script):
-        self.clock = clock
-        self.script = list(script)
-        self.is_closed = False
-        self.was_sent = False
-        self.must_close = False
-
-    def send(self, method, target, headers, body):
-        self.was_sent = True
-        self.sent_ms = self.clock.now_ms()
-
-    async def next_event_within(self, limit_ms):
-        due_ms = self.clock.now_ms() + limit_ms
-        at_ms, event = self.script.pop(0) if self.script else (10**9, None)
-        until_ms = min(due_ms, self.sent_ms + at_ms)
-        if until_ms > self.clock.now_ms():
-            await self.clock.sleep_ms(until_ms - self.clock.now_ms())
-        return event if self.sent_ms + at_ms <= due_ms else None
-
-    def close(self):
-        self.is_closed = True
-
-
-class _Pool:
-    """Opens connections by scripts, in order; the last script is repeated."""
-
-    def __init__(self, clock, scripts):
-        self.clock = clock
-        self.scripts = scripts
-        self.script_by_address = {}
-        self.opened = []
-        self.released = []
-        self.addresses = []
-
-    async def acquire(self, address, *, connect_ms, fresh=False):
-        script = self.scripts[min(len(self.addresses), len(self.scripts) - 1)]
-        script = self.script_by_address.get(address, script)
-        self.addresses.append(address)
-        if script == "cut":
-            await self.clock.sleep_ms(connect_ms)
-            return NotConnected("no connection")
-        if script is None:
-            return NotConnected("refused", is_refused=True)
-        self.opened.append(_Connection(self.clock, script))
-        return self.opened[-1]
-
-    def release(self, connection):
-        self.released.append(connection)
-
-    def close_idle(self, address):
-        pass
-
-
-class _Reply:
-    """Records what the caller receives."""
-
-    def __init__(self):
-        self.bodies = []
-        self.stream = b""
-        self.begun = self.ended = 0
-
-    async def send_response(self, head, body):
-        self.bodies.append(body)
-
-    async def begin_stream(self, head):
-        self.begun += 1
-
-    async def send_event(self, data):
-        self.stream += data
-
-    async def end_stream(self):
-        self.ended += 1
-
-
-def answer(body, at_ms, head=OK_HEAD):
-    return [(at_ms, head), (at_ms, BodyPart(body)), (at_ms, End())]
-
-
-def stream(name, *at_ms):
-    """Return a stream with an event at each time, all from one replica."""
-    events = [
-        (ms, BodyPart(b"id: %d\ndata: %s\n\n" % (number, name)))
-        for number, ms in enumerate(at_ms)
-    ]
-    return [(0, OK_HEAD), *events, (at_ms[-1], End())]
-
-
-class Case:
-    """A node with some replicas whose answers begin within 100 ms as a rule."""
-
-    def __init__(self, scripts, *, budget=10, replicas=3):
-        self.clock = ManualClock(0)
-        self.directory = ReplicaDirectory()
-        entries = [entry(f"r{number}") for number in range(replicas)]
-        self.directory.on_full_read(0, entries, after_outage=False)
-        self.pool = _Pool(self.clock, scripts)
-        self.hedging = Hedging()
-        for _ in range(40):
-            self.hedging.times.on_begun("r", 55.0, 100.0)
-            self.hedging.second_sends.on_sent(0, "s")
-        cost = SilentReplicaCost(self.hedging.silent)
-        self.reply = _Reply()
-        self.trace = Trace()
-        self.forwarder = Forwarder(
-            clock=self.clock,
-            pool=self.pool,
-            chooser=Chooser(
-                self.directory, failure_domain="a", cost_terms=[cost], seed=1
-            ),
-            budget=RetryBudget(ratio=0.0, extra=budget, window_ms=10_000),
-            weights=WeightVersions(version_ms=12_000),
-            planner=PartPlanner(),
-            gate=OpenGate(),
-            reach=MagicMock(),
-            notices=MagicMock(),
-            hedging=self.hedging,
-        )
-
-    def start(self, kind=RouteKind.IDEMPOTENT, *, attempts=2):
-        shares = (ServiceShare("s", 1),)
-        route = Route("r", "h", "/", kind, 3_000, 200, 0, attempts, shares)
-        if kind is RouteKind.STREAM:
-            route = Route(
-                "r", "h", "/", kind, 3_000, 200, 0, attempts, shares, is_resumable=True
-            )
-        serving = self.forwarder.serve(
-            CALLER,
-            b"",
-            Allowed(route, "s", None, 1),
-            arrived_ms=0,
-            reply=self.reply,
-            trace=self.trace,
-        )
-        return asyncio.create_task(serving)
-
-    async def run(self, *args, **options):
-        serving = self.start(*args, **options)
-        await self.clock.advance_ms(3_100)
-        return await serving
-
-    @property
-    def counters(self):
-        return {
-            (state.in_flight, state.resident_tokens, state.unprefilled_tokens)
-            for state in self.directory.all()
-        }
 
 
 class SecondSendTests(unittest.IsolatedAsyncioTestCase):
@@ -241,7 +86,7 @@
         await case.clock.advance_ms(160)
         self.assertEqual(case.trace.second_refused, "no_slot")
         serving.cancel()
-        await asyncio.gather(serving, return_exceptions=True)
+        await finish(serving)
 
     async def test_there_is_no_second_send_where_it_would_preempt_runs(self):
         """Guards against streams that pause because of a send that isn't needed."""
@@ -264,7 +109,7 @@
         await case.clock.advance_ms(110)
         self.assertEqual([each.was_sent for each in case.pool.opened], [True, True])
         serving.cancel()
-        await asyncio.gather(serving, return_exceptions=True)
+        await finish(serving)
         self.assertTrue(all(each.is_closed for each in case.pool.opened))
         self.assert_counters_released(case)
 
@@ -272,8 +117,31 @@
         case = Case([answer(b"e", 110, ERROR_HEAD), answer(b"b", 50)])
         self.assertEqual(await case.run(), Answered())
         self.assertEqual(case.reply.bodies, [b"b"])
+        self.assertEqual(case.hedging.second_sends.cancelled, 0)
         self.assert_counters_released(case)
 
+    async def test_the_trace_names_the_replica_of_each_failed_send(self):
+        """Guards against a failure without a log line, or with another replica's."""
+        case = Case([[(150, BROKEN)], answer(b"b", 80)])
+        self.assertEqual(await case.run(), Answered())
+        first, second = (each.split(":")[0] for each in case.pool.addresses)
+        self.assertEqual(case.trace.earlier, [f"{first}: Failed reset"])
+        self.assertEqual(case.trace.replica, second)
+        case = Case([[(150, BROKEN)], [(80, BROKEN)], answer(b"c", 1)])
+        await case.run(attempts=3)
+        first, second, _ = (each.split(":")[0] for each in case.pool.addresses)
+        expected = [f"{first}: Failed reset", f"{second}: Failed reset"]
+        self.assertEqual(case.trace.earlier, expected)
+
+    async def test_a_status_that_is_not_forwarded_does_not_end_the_other_send(self):
+        """Guards against 502 while the other replica's response is about to begin."""
+        for status in (408, 429):
+            head = Head(status, "", OK_HEAD.headers)
+            case = Case([answer(b"a", 110, head), answer(b"b", 50)])
+            self.assertEqual(await case.run(), Answered())
+            self.assertEqual(case.reply.bodies, [b"b"])
+            self.assert_counters_released(case)
+
     async def test_two_failed_sends_count_as_two_attempts(self):
         case = Case([[(150, BROKEN)], [(80, BROKEN)], answer(b"c", 1)])
         self.assertIsInstance(await case.run(), Unknown)
@@ -296,6 +164,33 @@
         self.assertEqual(case.trace.sends, 1)
         self.assert_counters_released(case)
 
+    async def test_a_second_send_is_not_made_on_trial(self):
+        """Guards against a suspect that runs on two replicas at once.
+
+        A request of the same content became a suspect after the first send.
+        """
+        gate = ScriptedGate((0, Free()), (0, Trial("f", 7)))
+        case = Case([answer(b"a", 400), answer(b"b", 50)], gate=gate)
+        self.assertEqual(await case.run(), Answered())
+        self.assertEqual(len(case.pool.opened), 1)
+        self.assertEqual(case.trace.second_refused, "on_trial")
+        self.assertEqual(gate.ended, [False])
+        self.assert_counters_released(case)
+
+    async def test_a_replica_that_leaves_during_admission_gets_no_second_send(self):
+        """Guards against requests to replicas that have asked for none."""
+        gate = ScriptedGate((0, Free()), (100, Free()))
+        case = Case([answer(b"a", 400), answer(b"b", 50)], gate=gate)
+        serving = case.start()
+        await case.clock.advance_ms(150)
+        for state in case.directory.all():
+            state.backpressure.changes += 1
+        await case.clock.advance_ms(3_000)
+        self.assertTrue(serving.done())
+        self.assertEqual(case.reply.bodies, [b"a"])
+        self.assertEqual([each.was_sent for each in case.pool.opened], [True, False])
+        self.assertEqual(case.counters, {(0, 0, 0)})
+
     async def test_without_any_connection_it_has_not_run(self):
         case = Case([None])
         self.assertIsInstance(await case.run(), NotRun)
@@ -311,7 +206,8 @@
         await case.clock.advance_ms(54)
         self.assertEqual(len(set(case.pool.addresses)), 1)
         await case.clock.advance_ms(20)
-        self.assertEqual(await moved, Answered())
+        self.assertTrue(moved.done())
+        self.assertEqual(moved.result(), Answered())
         self.assertEqual(case.trace.second_send, "unresponsive")
         self.assertEqual(len(set(case.pool.addresses)), 2)
         self.assertTrue(r0.is_suspect(case.clock.now_ms()))
@@ -321,7 +217,7 @@
         case = Case([answer(b"a", 600)], budget=1_000, replicas=8)
         servings = [case.start() for _ in range(20)]
         await case.clock.advance_ms(2_000)
-        await asyncio.gather(*servings)
+        self.assertEqual(await finish(*servings), [Answered()] * 20)
         self.assertEqual(len(case.reply.bodies), 20)
         self.assertLessEqual(case.hedging.second_sends.made, 12)
         self.assert_counters_released(case)
@@ -356,7 +252,7 @@
             tasks.append(asyncio.create_task(serve()))
             await case.clock.advance_ms(50)
         await case.clock.advance_ms(3_000)
-        await asyncio.gather(*tasks)
+        self.assertEqual(await finish(*tasks), [None] * 200)
         self.assertLessEqual(max(took_ms), 350)
         self.assertLessEqual(sum(each > 100 for each in took_ms), 12)
         self.assertEqual(case.counters, {(0, 0, 0)})
@@ -374,6 +270,19 @@
         self.assertTrue(waiting.done())
         self.assertEqual(waiting.result(), Answered())
 
+    async def test_a_connection_attempt_cut_short_by_a_deadline_moves_no_request(self):
+        """Guards against second sends because of a caller with little time left."""
+        case = Case([[], "cut", answer(b"b", 10)], replicas=2)
+        case.hedging.times._ratios_by_route.clear()
+        case.directory.all()[1].in_flight = 2
+        waiting = case.start()
+        await case.clock.advance_ms(10)
+        case.start(RouteKind.NON_IDEMPOTENT, arrived_ms=-2_985)
+        await case.clock.advance_ms(200)
+        self.assertEqual(len(case.pool.addresses), 2)
+        waiting.cancel()
+        await finish(waiting)
+
 
 class AnswerTests(unittest.TestCase):
     @settings(max_examples=150, derandomize=True, deadline=None)
@@ -396,7 +305,7 @@
             await case.clock.advance_ms(rng.randrange(300))
             serving.cancel()
         await case.clock.advance_ms(3_100)
-        (outcome,) = await asyncio.gather(serving, return_exceptions=True)
+        (outcome,) = await finish(serving)
         received = case.reply.stream
         self.assertFalse(b"data: a" in received and b"data: b" in received)
         self.assertLessEqual(case.reply.begun, 1)
