--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -1,83 +1,22 @@
 """The components that all requests of a node share."""
 
-from contextlib import AbstractContextManager
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Protocol
 
 from fireflyward.clock import Clock
 from fireflyward.hedging import Hedging
-from fireflyward.http1 import ConnectionPool, HttpConnection
+from fireflyward.http1 import ConnectionPool
 from fireflyward.limits import FairAdmission
-from fireflyward.platform import ResponseFacts
 from fireflyward.prefixes import PartPlanner
-from fireflyward.quarantine import Free, Held, Trial
-from fireflyward.replicas import Chooser, ReplicaState
+from fireflyward.replicas import Chooser
 from fireflyward.retries import RetryBudget
 
 from ._admission import Admission
 from ._caller_times import CallerTimes
+from ._interfaces import Notices, QuarantineGate, Reach, Speeds
 from ._late_limit import LateRequestLimit
+from ._silence_watch import SilenceWatch
 from ._weights import WeightVersions
 
-if TYPE_CHECKING:
-    from ._silence_watch import SilenceWatch
-
-
-class QuarantineGate(Protocol):
-    """The quarantine's methods that a request calls; see ``quarantine.Quarantine``."""
-
-    async def admit(self, fingerprint: str) -> Free | Held | Trial: ...
-
-    def end_trial(
-        self, trial: Trial, *, was_sent: bool, begun_at: ReplicaState | None
-    ) -> None: ...
-
-    def on_cut(
-        self, fingerprint: str, replica: ReplicaState, *, is_late: bool
-    ) -> None: ...
-
-    def on_refused(self, replica: ReplicaState) -> None: ...
-
-    def on_answered(self, fingerprint: str) -> None: ...
-
-
-class Reach(Protocol):
-    """Receives reports of unreachable replicas; see ``reach.ReachTask``."""
-
-    def on_silent(self, replica: ReplicaState) -> None: ...
-
-    def awaiting(
-        self, replica: ReplicaState, connection: HttpConnection
-    ) -> AbstractContextManager[None]: ...
-
-
-class Notices(Protocol):
-    """Receives facts about replicas from responses; see ``notices.NoticeTask``."""
-
-    def on_response(
-        self, replica: ReplicaState, facts: ResponseFacts, *, sent_ms: int
-    ) -> None: ...
-
-
-class Speeds(Protocol):
-    """Receives the speeds of replicas from responses; see ``speeds.SpeedTask``."""
-
-    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None: ...
-
-    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None: ...
-
-
-class NoSpeeds:
-    """Ignores the speeds of replicas."""
-
-    __slots__ = ()
-
-    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None:
-        """Ignore a response."""
-
-    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None:
-        """Ignore a pause."""
-
 
 @dataclass(frozen=True, slots=True)
 class Dependencies:
@@ -98,4 +37,4 @@
     notices: Notices
     speeds: Speeds
     hedging: Hedging
-    watch: "SilenceWatch"
+    watch: SilenceWatch
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -16,8 +16,8 @@
 from fireflyward.platform import ResponseFacts, decode_response
 from fireflyward.replicas import ReplicaState
 
-from ._dependencies import Notices, Speeds
 from ._events import EventSplitter, StreamEvent
+from ._interfaces import Notices, Speeds
 from ._messages import (
     NOT_RUN_STATUSES,
     Failed,
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -13,15 +13,9 @@
 
 from ._admission import Admission
 from ._caller_times import CallerTimes
-from ._dependencies import (
-    Dependencies,
-    NoSpeeds,
-    Notices,
-    QuarantineGate,
-    Reach,
-    Speeds,
-)
+from ._dependencies import Dependencies
 from ._exchange import Reply
+from ._interfaces import NoSpeeds, Notices, QuarantineGate, Reach, Speeds
 from ._late_limit import LateRequestLimit
 from ._request_run import RequestRun
 from ._silence_watch import SilenceWatch
--- /dev/null
+++ b/fireflyward/forwarding/_interfaces.py
@@ -0,0 +1,65 @@
+"""The methods of other packages that a request calls."""
+
+from contextlib import AbstractContextManager
+from typing import Protocol
+
+from fireflyward.http1 import HttpConnection
+from fireflyward.platform import ResponseFacts
+from fireflyward.quarantine import Free, Held, Trial
+from fireflyward.replicas import ReplicaState
+
+
+class QuarantineGate(Protocol):
+    """The quarantine's methods that a request calls; see ``quarantine.Quarantine``."""
+
+    async def admit(self, fingerprint: str) -> Free | Held | Trial: ...
+
+    def end_trial(
+        self, trial: Trial, *, was_sent: bool, begun_at: ReplicaState | None
+    ) -> None: ...
+
+    def on_cut(
+        self, fingerprint: str, replica: ReplicaState, *, is_late: bool
+    ) -> None: ...
+
+    def on_refused(self, replica: ReplicaState) -> None: ...
+
+    def on_answered(self, fingerprint: str) -> None: ...
+
+
+class Reach(Protocol):
+    """Receives reports of unreachable replicas; see ``reach.ReachTask``."""
+
+    def on_silent(self, replica: ReplicaState) -> None: ...
+
+    def awaiting(
+        self, replica: ReplicaState, connection: HttpConnection
+    ) -> AbstractContextManager[None]: ...
+
+
+class Notices(Protocol):
+    """Receives facts about replicas from responses; see ``notices.NoticeTask``."""
+
+    def on_response(
+        self, replica: ReplicaState, facts: ResponseFacts, *, sent_ms: int
+    ) -> None: ...
+
+
+class Speeds(Protocol):
+    """Receives the speeds of replicas from responses; see ``speeds.SpeedTask``."""
+
+    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None: ...
+
+    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None: ...
+
+
+class NoSpeeds:
+    """Ignores the speeds of replicas."""
+
+    __slots__ = ()
+
+    def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None:
+        """Ignore a response."""
+
+    def on_pause(self, replica: ReplicaState, pause_ms: float) -> None:
+        """Ignore a pause."""
--- a/fireflyward/forwarding/_quarantine_check.py
+++ b/fireflyward/forwarding/_quarantine_check.py
@@ -3,7 +3,7 @@
 from fireflyward.quarantine import TRIAL_ENDED, Held, Trial
 from fireflyward.replicas import Choice, ReplicaState
 
-from ._dependencies import QuarantineGate
+from ._interfaces import QuarantineGate
 from ._messages import Failed, SendResult, Streamed, WholeAnswer
 
 # A replica with a shorter queue than this begins on a request about as soon as it
--- a/fireflyward/forwarding/_silence_watch.py
+++ b/fireflyward/forwarding/_silence_watch.py
@@ -8,7 +8,7 @@
 from fireflyward.http1 import ConnectionPool
 from fireflyward.replicas import ReplicaState
 
-from ._dependencies import Reach
+from ._interfaces import Reach
 
 log = logging.getLogger("fireflyward.forwarding")
 
