--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -55,7 +55,11 @@
         )
         self._peer_sums = PeerSums()
         sums = LocalSums()
-        self.fairness = FairAdmission(sums, self._peer_sums)
+        # Without aggregators the fleet is so small that each node sees enough of the
+        # traffic to decide by its own estimates.
+        self.fairness = FairAdmission(
+            sums, self._peer_sums, applies=lambda: aggregators.are_needed
+        )
         self.sum_report_task = SumReportTask(
             clock=clock, sums=sums, peers=self._peer_sums, aggregators=aggregators
         )
--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -3,6 +3,7 @@
 import logging
 import math
 from collections import deque
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from ._fair_view import MAX_PRIORITY, SIZE_GROUPS, FairView
@@ -67,19 +68,36 @@
 class FairAdmission:
     """Judges requests by the totals of all nodes, and records their outcome; no I/O.
 
-    The load that it addresses is a lasting shortage, in which the base estimate alone
-    rejects those requests first whose objectives leave the least room for a queue: the
-    short and urgent ones, those of accounts that send little, and callers that have
-    been rejected before.
+    ``applies`` says whether the fleet calls for the rule now; where it doesn't, all
+    verdicts are neutral.
+
+    The load that the rule addresses is a lasting shortage, in which the base estimate
+    alone rejects those requests first whose objectives leave the least room for a
+    queue: the short and urgent ones, those of accounts that send little, and callers
+    that have been rejected before.
 
     >>> fairness = FairAdmission(LocalSums(), PeerSums())
     >>> fairness.judge(0, FairRequest("s", "r", "a", 0, 100)).factor
     1.0
     """
 
-    __slots__ = ("_peers", "_sizes_by_route", "_sums", "_views", "invalid_weights")
-
-    def __init__(self, sums: LocalSums, peers: PeerSums) -> None:
+    __slots__ = (
+        "_applies",
+        "_peers",
+        "_sizes_by_route",
+        "_sums",
+        "_views",
+        "invalid_weights",
+    )
+
+    def __init__(
+        self,
+        sums: LocalSums,
+        peers: PeerSums,
+        *,
+        applies: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self._applies = applies
         self._sums = sums
         self._peers = peers
         self._views: dict[int, tuple[int, FairView | None]] = {}
@@ -88,6 +106,8 @@
 
     def judge(self, now_ms: int, request: FairRequest) -> FairVerdict:
         """Return the verdict on a request; neutral without shortage or fresh totals."""
+        if not self._applies():
+            return FairVerdict()
         view = self._view(now_ms, name_hash(request.service))
         if view is None:
             return FairVerdict()
--- a/fireflyward/replicas/_kv_room.py
+++ b/fireflyward/replicas/_kv_room.py
@@ -20,6 +20,10 @@
 # than _MEMORY_SHARE would have room only at an empty replica, and a busy service has
 # none.
 _LARGE_SHARE = 0.5
+# A replica admits by slots. Where memory holds a smaller share of the requests that
+# the slots allow, a replica admits by memory in any case: few runs are preempted there,
+# and rejections by an estimate cost callers more.
+_MIN_SHARE_OF_SLOTS = 0.5
 # Weight of one request in the moving averages of sizes, and how many requests are seen
 # before they are used.
 _SIZE_WEIGHT = 0.02
@@ -67,7 +71,7 @@
     and don't know each other's prefixes, so each counts the expected part of a prefix
     for each of its runs; see ``expected_part`` and docs/design/kv-room.md. It is in
     effect only where memory holds fewer requests of the usual size than a replica has
-    slots. Elsewhere each run counts its whole prompt.
+    slots, but not much fewer. Elsewhere each run counts its whole prompt.
     """
 
     __slots__ = ("_shares", "_sizes_by_service", "moved", "without_room")
@@ -81,11 +85,13 @@
         self.without_room = 0
 
     def is_in_effect(self, state: ReplicaState) -> bool:
-        """Return whether memory is scarcer than slots at a replica."""
+        """Return whether memory is somewhat scarcer than slots at a replica."""
         sizes = self._sizes_by_service.get(state.entry.service)
         if sizes is None or sizes.requests < _MIN_REQUESTS or not sizes.kv_tokens:
             return False
-        return sizes.kv_tokens < sizes.usual * state.entry.slots
+        requests = sizes.kv_tokens / max(1.0, sizes.usual)
+        slots = state.entry.slots
+        return _MIN_SHARE_OF_SLOTS * slots <= requests < slots
 
     def on_choice(
         self, now_ms: int, state: ReplicaState, requirements: Requirements
--- a/tests/limits/test_fair_admission.py
+++ b/tests/limits/test_fair_admission.py
@@ -4,7 +4,13 @@
 
 from hypothesis import given, settings, strategies as st
 
-from fireflyward.limits import FairAdmission, FairRequest, LocalSums, PeerSums
+from fireflyward.limits import (
+    FairAdmission,
+    FairRequest,
+    FairVerdict,
+    LocalSums,
+    PeerSums,
+)
 from fireflyward.limits._fair_view import FairView
 from fireflyward.limits._group_sums import GroupKind, GroupSum, name_hash
 from fireflyward.limits._peer_sums import Total
@@ -38,6 +44,15 @@
         self.assertLess(verdict.factor, 0.5)
         self.assertEqual(self.judge(REQUEST).factor, 1.0)
 
+    def test_verdicts_are_neutral_where_the_rule_does_not_apply(self):
+        """Guards against other admission in fleets that don't call for the rule."""
+        peers = PeerSums()
+        peers.set_alone(True)
+        self.fairness = FairAdmission(LocalSums(), peers, applies=lambda: False)
+        self.decide(LARGE, admitted=60, rejected=20)
+        self.decide(REQUEST, admitted=20, rejected=20)
+        self.assertEqual(self.judge(LARGE), FairVerdict())
+
     def test_weight_enlarges_the_share(self):
         heavy = replace(LARGE, weight=4.0)
         self.decide(heavy, admitted=60, rejected=20)
--- a/tests/replicas/test_kv_room.py
+++ b/tests/replicas/test_kv_room.py
@@ -87,6 +87,13 @@
         self.assertFalse(self.room.is_in_effect(self.state))
         self.assertEqual(self.room.own_tokens(self.state, 9), 2_400)
 
+    def test_where_slots_are_far_more_than_memory_holds_it_is_not_in_effect(self):
+        """Guards against rejections where replicas admit by memory in any case."""
+        many_slots = ReplicaState(entry("r2", version=1, slots=128))
+        self.observe(prompt())
+        self.assertTrue(self.room.is_in_effect(self.state))
+        self.assertFalse(self.room.is_in_effect(many_slots))
+
     def test_a_few_large_prompts_among_small_ones_call_for_it(self):
         """Guards against a mean size that would fit 16 times, where the long prompts
         that fill the memory fit seven times (deployment L)."""
