Fair admission applies where the configuration states an account's weight

An operator who states a weight asks for it; without one nothing is recorded, sent or shifted. An account without a weight decodes to None now, and a test expects that in place of 1.0.

--- a/fireflyward/deployment/_configuration.py
+++ b/fireflyward/deployment/_configuration.py
@@ -105,14 +105,15 @@
 class ClientAccount:
     """A client account; an isolated one shares no KV cache with other accounts.
 
-    ``weight`` is its part of a service that lacks capacity, relative to other accounts.
+    ``weight`` is its part of a service that lacks capacity, relative to other accounts;
+    None, which counts as 1, if the operator states none.
     """
 
     name: str
     keys: tuple[str, ...]
     priority: int | None = None
     is_isolated: bool = False
-    weight: float = 1.0
+    weight: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,3 +129,8 @@
     service_by_name: dict[str, Service]
     limits: Limits = field(default_factory=Limits)
     accounts: tuple[ClientAccount, ...] | None = None
+
+    @property
+    def weighs_accounts(self) -> bool:
+        """Return whether the operator states the weight of any client account."""
+        return any(account.weight is not None for account in self.accounts or ())
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -314,6 +314,7 @@
 
     def _on_configuration(self, configuration: Configuration) -> None:
         self._directory.set_services(configuration.service_by_name)
+        self._replica_components.set_configuration(configuration)
         self._kv_store_followers.set_configuration(configuration)
 
     def _on_nodes(self, names: Collection[str]) -> None:
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -4,7 +4,7 @@
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
-from fireflyward.deployment import FleetSettings
+from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.hedging import Hedging, SilentReplicaCost
 from fireflyward.http1 import ConnectionPool
 from fireflyward.limits import FairAdmission, LocalSums, PeerSums, SumReportTask
@@ -55,13 +55,16 @@
         )
         self._peer_sums = PeerSums()
         sums = LocalSums()
-        # Without aggregators the fleet is so small that each node sees enough of the
-        # traffic to decide by its own estimates.
+        self._weighs_accounts = False
         self.fairness = FairAdmission(
-            sums, self._peer_sums, applies=lambda: aggregators.are_needed
+            sums, self._peer_sums, applies=lambda: self._weighs_accounts
         )
         self.sum_report_task = SumReportTask(
-            clock=clock, sums=sums, peers=self._peer_sums, aggregators=aggregators
+            clock=clock,
+            sums=sums,
+            peers=self._peer_sums,
+            aggregators=aggregators,
+            applies=lambda: self._weighs_accounts,
         )
         self.cold_shares = ColdShares(settings.node)
         self.rate_limits = RateLimits(settings.node)
@@ -106,6 +109,10 @@
             pauses=pauses,
         )
 
+    def set_configuration(self, configuration: Configuration) -> None:
+        """Apply fair admission while the configuration states accounts' weights."""
+        self._weighs_accounts = configuration.weighs_accounts
+
     def set_nodes(self, names: Collection[str]) -> None:
         """Set the names of all nodes, which share the limits of the replicas."""
         self.cold_shares.set_nodes(names)
--- a/fireflyward/forwarding/_fair_check.py
+++ b/fireflyward/forwarding/_fair_check.py
@@ -1,5 +1,6 @@
 """Connects one request with the rule of who yields first in a shortage."""
 
+from fireflyward.deployment import ClientAccount
 from fireflyward.limits import (
     FairRequest,
     FairVerdict,
@@ -122,5 +123,11 @@
         cost=request_cost(own_tokens, caller.max_output_tokens),
         size=caller.prompt_tokens,
         is_returning=spent_ms >= _MIN_SPENT_MS,
-        weight=account.weight if account is not None else 1.0,
+        weight=_weight_of(account),
     )
+
+
+def _weight_of(account: ClientAccount | None) -> float:
+    if account is None or account.weight is None:
+        return 1.0
+    return account.weight
--- a/fireflyward/limits/_fair_admission.py
+++ b/fireflyward/limits/_fair_admission.py
@@ -68,8 +68,8 @@
 class FairAdmission:
     """Judges requests by the totals of all nodes, and records their outcome; no I/O.
 
-    ``applies`` says whether the fleet calls for the rule now; where it doesn't, all
-    verdicts are neutral.
+    ``applies`` says whether the deployment calls for the rule now. Where it doesn't,
+    all verdicts are neutral.
 
     The load that the rule addresses is a lasting shortage, in which the base estimate
     alone rejects those requests first whose objectives leave the least room for a
@@ -127,6 +127,8 @@
         self, now_ms: int, request: FairRequest, *, is_admitted: bool, is_late: bool
     ) -> None:
         """Record a decision; ``is_late`` if the base estimate shows a shortage."""
+        if not self._applies():
+            return
         change = GroupSum(
             arrived=not request.is_returning,
             admitted=is_admitted,
@@ -143,6 +145,8 @@
 
         ``is_late`` is true if replicas rejected it.
         """
+        if not self._applies():
+            return
         self._add(now_ms, request, GroupSum(admitted=-1, rejected=1), late=is_late)
 
     def size_group(self, request: FairRequest) -> int:
--- a/fireflyward/limits/_sum_reports.py
+++ b/fireflyward/limits/_sum_reports.py
@@ -44,7 +44,9 @@
         sums: LocalSums,
         peers: PeerSums,
         aggregators: Aggregators,
+        applies: Callable[[], bool] = lambda: True,
     ) -> None:
+        self._applies = applies
         self._clock = clock
         self._sums = sums
         self._peers = peers
@@ -59,7 +61,8 @@
         while True:
             neighbours = len(self._aggregators.neighbour_addresses())
             await self._clock.sleep_ms(max(_PERIOD_MS, _MS_PER_NEIGHBOUR * neighbours))
-            self.report(link)
+            if self._applies():
+                self.report(link)
 
     def register(self, link: PeerLink) -> None:
         """Register the handlers for the other nodes' messages."""
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -102,7 +102,7 @@
     api_keys: list[str] = []
     priority: NonNegativeNumber | None = None
     isolated: bool = False
-    weight: float = 1.0
+    weight: float | None = None
 
 
 class _Configuration(_KebabStruct):
