Second sends: a caller that leaves during a write is no failure of a send

The request's task was cancelled as its caller left, while the send's task ended with the connection error of the write, which the race logged as unexpected. It is skipped now; the new test failed before.

--- a/fireflyward/forwarding/_send_race.py
+++ b/fireflyward/forwarding/_send_race.py
@@ -69,6 +69,9 @@
                 task.cancel()
             results = await asyncio.gather(*self._tasks, return_exceptions=True)
             for error in results:
+                # A write to a caller that has disconnected is no failure of a send.
+                if isinstance(error, ConnectionError):
+                    continue
                 if isinstance(error, Exception) and error is not sys.exception():
                     message = "forwarding: a send failed with an unexpected exception"
                     log.error(message, exc_info=error)
--- a/tests/forwarding/test_send_race.py
+++ b/tests/forwarding/test_send_race.py
@@ -59,3 +59,24 @@
                 await self.race(first, second)
         self.assertIn("RuntimeError: first", logs.output[0])
         self.assertEqual(len(logs.output), 1)
+
+
+class DisconnectedCallerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_write_to_a_caller_that_left_is_not_logged_as_a_failure(self):
+        """Guards against a traceback for each caller that leaves during a write."""
+
+        async def send():
+            try:
+                await asyncio.sleep(10)
+            except asyncio.CancelledError:
+                raise ConnectionResetError("the caller has left") from None
+
+        race = SendRace(ManualClock())
+        running = asyncio.create_task(
+            race.run(send(), lambda reason: None, overdue_ms=None)
+        )
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        with self.assertNoLogs("fireflyward", "ERROR"):
+            running.cancel()
+            await asyncio.gather(running, return_exceptions=True)
