Logs: who confirmed the list of replicas and when, and when a request was chosen and written

Three hypotheses of the incident could not be told apart: an entry that is kept after a failed read showed only when it ended, the age of the list nowhere, and a late choice looked like a late write. No decision is changed.

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -8,7 +8,7 @@
 from fireflyward.backing import Position, Unavailable
 from fireflyward.clock import Clock
 
-from ._messages import Changes, HistoryLost, Pace, Snapshot, TableRow
+from ._messages import STORE, Changes, HistoryLost, Pace, Snapshot, TableRow
 from ._restored_rows import RestoredRowDetector
 
 log = logging.getLogger("fireflyward.feeds")
@@ -62,7 +62,8 @@
 
     ``is_new_era`` says that the store was restored from an older snapshot and that this
     is the first full read since then. A cached row that is not among the rows was lost
-    by the store, and its writer writes it again.
+    by the store, and its writer writes it again. ``source`` has the same meaning as in
+    ``Changes``.
     """
 
     rows: tuple[TableRow, ...]
@@ -71,6 +72,7 @@
     unavailable_ms: int = 0
     position: Position = Position(0, 0)
     is_new_era: bool = False
+    source: str = STORE
 
 
 class FeedFollower:
@@ -174,7 +176,13 @@
     def _apply(self, result: Snapshot | Changes, as_of_ms: int) -> None:
         unavailable_ms = 0 if self.as_of_ms is None else as_of_ms - self.as_of_ms
         if self._failures:
-            log.info("feeds: %s is back after %d ms", self._table, unavailable_ms)
+            log.info(
+                "feeds: %s is back after %d ms, %d failed calls, read from %s",
+                self._table,
+                unavailable_ms,
+                self._failures,
+                result.source,
+            )
         is_snapshot = isinstance(result, Snapshot)
         rows = self._restored_rows.mark(result.rows) if is_snapshot else result.rows
         if not is_snapshot:
@@ -186,6 +194,7 @@
             unavailable_ms if self._failures else 0,
             result.position,
             is_new_era=self._has_read and self._position.era < result.position.era,
+            source=result.source,
         )
         if update.is_new_era:
             self._log_new_era(update)
--- a/fireflyward/feeds/_messages.py
+++ b/fireflyward/feeds/_messages.py
@@ -4,6 +4,9 @@
 
 from fireflyward.backing import Position
 
+# The source of an answer that no other node gave.
+STORE = "store"
+
 
 @dataclass(frozen=True, slots=True)
 class TableRow:
@@ -25,12 +28,13 @@
 class Snapshot:
     """All rows of a table; reading its changes continues at ``position``.
 
-    ``as_of_ms`` has the same meaning as in ``Changes``.
+    ``as_of_ms`` and ``source`` have the same meaning as in ``Changes``.
     """
 
     rows: tuple[TableRow, ...]
     position: Position
     as_of_ms: int | None = None
+    source: str = STORE
 
 
 @dataclass(frozen=True, slots=True)
@@ -39,11 +43,13 @@
 
     ``as_of_ms`` is the time at which the table had this state. It is None if the reader
     can derive that time only from when it sent the call and how long it waited.
+    ``source`` is the name of the node that answered, or ``STORE``.
     """
 
     rows: tuple[TableRow, ...]
     position: Position
     as_of_ms: int | None = None
+    source: str = STORE
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -236,8 +236,8 @@
         # The answer was made at least `waited_ms` after the request was sent.
         as_of_ms = now_ms + answer.waited_ms - answer.age_ms
         if answer.outcome == _WHOLE:
-            return Snapshot(rows, position, as_of_ms=as_of_ms)
-        return Changes(rows, position, as_of_ms=as_of_ms)
+            return Snapshot(rows, position, as_of_ms, aggregator.name)
+        return Changes(rows, position, as_of_ms, aggregator.name)
 
     async def _query_node(
         self, address: Address, table: str, after: Position, wait_ms: int
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -18,7 +18,7 @@
     decode_replica,
     decode_weight_target,
 )
-from fireflyward.replicas import ReplicaDirectory, ReplicaState
+from fireflyward.replicas import ListConfirmation, ReplicaDirectory, ReplicaState
 from fireflyward.routes import RouteTable
 
 log = logging.getLogger("fireflyward.views")
@@ -151,6 +151,7 @@
     def on_table_update(self, update: TableUpdate) -> None:
         """Update the directory."""
         now_ms = self._clock.now_ms()
+        self._directory.confirmation = ListConfirmation(update.as_of_ms, update.source)
         if update.unavailable_ms or update.is_new_era:
             self._outage_end_ms = now_ms
         found = _classify_rows(row for row in update.rows if not row.is_restored)
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -48,6 +48,7 @@
 
     __slots__ = (
         "_allowed",
+        "_arrived_ms",
         "_body",
         "_caller",
         "_clock",
@@ -93,6 +94,7 @@
         limit_ms = allowed.route.timeout_ms
         if caller.deadline_ms is not None:
             limit_ms = min(limit_ms, caller.deadline_ms)
+        self._arrived_ms = arrived_ms
         self._due_ms = arrived_ms + limit_ms
         spent_ms = deps.callers.spent_ms(allowed.route.name, caller.deadline_ms)
         self._objective_ms = arrived_ms + allowed.route.objective_ms - spent_ms
@@ -160,6 +162,7 @@
             if choice is None:
                 return self._no_replica()
             self._trace.on_choice(choice)
+            self._trace.chosen_after_ms = self._elapsed_ms()
             rejection = self._admit(choice, left_ms)
             if rejection is not None:
                 return rejection
@@ -298,6 +301,7 @@
         else:
             replica.in_flight += 1
         self._trace.sends += 1
+        self._trace.sent_after_ms = self._elapsed_ms()
         self._trace.stored_tokens = headers.stored_tokens
         self._tried.add(replica.incarnation_id)
         send = ReplicaSend(
@@ -386,6 +390,9 @@
             self._trace.first_token_ms = took_ms
             choice.on_first_token(self._clock.now_ms(), took_ms)
 
+    def _elapsed_ms(self) -> int:
+        return self._clock.now_ms() - self._arrived_ms
+
     def _left_ms(self) -> float:
         return self._due_ms - self._clock.now_ms()
 
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -22,6 +22,10 @@
     is late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
     requests with the same content.
 
+    ``chosen_after_ms`` and ``sent_after_ms`` are when the replica of the last send was
+    chosen and when the request was written to its connection, after its arrival. At the
+    choice the list of replicas was ``list_age_ms`` old, confirmed by ``list_source``.
+
     If the service lacks capacity, ``fair_percent`` is how much queue the request may
     find relative to the base estimate's limit, and ``fair_reason`` why. Its inputs are
     ``pressure_percent``, ``share_percent`` (what the account uses of its fair share),
@@ -34,6 +38,7 @@
 
     __slots__ = (
         "account",
+        "chosen_after_ms",
         "configuration",
         "earlier",
         "expected_ms",
@@ -42,6 +47,8 @@
         "fingerprint",
         "first_token_ms",
         "is_returning",
+        "list_age_ms",
+        "list_source",
         "longest_pause_ms",
         "memory_ms",
         "pressure_percent",
@@ -53,6 +60,7 @@
         "second_send",
         "second_winner",
         "sends",
+        "sent_after_ms",
         "service",
         "share_percent",
         "stored_tokens",
@@ -71,6 +79,10 @@
         self.configuration = 0
         self.replica = ""
         self.sends = 0
+        self.chosen_after_ms = 0
+        self.sent_after_ms = 0
+        self.list_age_ms = 0
+        self.list_source = ""
         self.second_send = ""
         self.second_refused = ""
         self.second_winner = ""
@@ -102,6 +114,8 @@
         self.expected_ms = int(choice.first_token_ms)
         self.work_percent = choice.speed.percent
         self.work_percent_age_ms = choice.speed.age_ms
+        self.list_age_ms = choice.list_age_ms
+        self.list_source = choice.list_source
 
     def on_pause(self, pause_ms: float) -> None:
         """Record the time between two parts of the stream."""
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -4,7 +4,7 @@
 from ._chooser import Chooser
 from ._cold import ColdShares
 from ._cost_terms import CandidateFilter, CostTerm
-from ._directory import ReplicaDirectory
+from ._directory import ListConfirmation, ReplicaDirectory
 from ._in_flight_load import InFlightLoad, PeerLoad
 from ._kv_room import KvRoom
 from ._load_reports import LoadReportTask
@@ -28,6 +28,7 @@
     "ReplicaState",
     "InFlightLoad",
     "KvRoom",
+    "ListConfirmation",
     "LoadEstimate",
     "LoadReportTask",
     "Requirements",
--- a/fireflyward/replicas/_choice.py
+++ b/fireflyward/replicas/_choice.py
@@ -16,7 +16,8 @@
     ``has_room`` is False if the request would make the replica preempt runs, where KV
     memory is scarcer than slots; see ``KvRoom``. ``slots`` is the sum over all replicas
     that may serve the request. The times contain ``work_factor``, which follows from
-    ``speed``.
+    ``speed``. ``list_age_ms`` is how old the list of replicas was, and ``list_source``
+    who had confirmed it.
     """
 
     replica: ReplicaState
@@ -30,6 +31,8 @@
     speed: SpeedReading = NO_READING
     memory_ms: float = 0.0
     has_room: bool = True
+    list_age_ms: int = 0
+    list_source: str = ""
 
     def on_first_token(self, now_ms: int, took_ms: float) -> None:
         """Compare a measured time with the estimate if the speed is the same as then.
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -258,6 +258,7 @@
         if chosen.is_loading(now_ms):
             wait_ms += load.work_factor * _LOADING_MS
         first_token_ms = wait_ms + load.work_factor * load.own_ms
+        confirmation = self._directory.confirmation
         return Choice(
             chosen,
             weights,
@@ -270,6 +271,8 @@
             chosen.speed.reading(now_ms),
             memory_ms=load.memory_ms,
             has_room=not load.memory_ms or not self._kv_room.is_in_effect(chosen),
+            list_age_ms=confirmation.age_ms(now_ms),
+            list_source=confirmation.source,
         )
 
     def _load(
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -28,6 +28,22 @@
     until_ms: int
 
 
+@dataclass(frozen=True, slots=True)
+class ListConfirmation:
+    """The latest time for which the list is known to be current, and by whom.
+
+    ``as_of_ms`` is None until the list was read. ``source`` is the node that answered,
+    or the store.
+    """
+
+    as_of_ms: int | None = None
+    source: str = ""
+
+    def age_ms(self, now_ms: int) -> int:
+        """Return how old the list is, 0 before it was read."""
+        return 0 if self.as_of_ms is None else max(0, now_ms - self.as_of_ms)
+
+
 class ReplicaDirectory:
     """The list of replicas as this node last received it; no I/O.
 
@@ -55,6 +71,7 @@
         "_service_by_name",
         "_state_by_name",
         "_state_by_incarnation_id",
+        "confirmation",
         "evacuated",
         "unreachable",
     )
@@ -66,6 +83,7 @@
         self._unconfirmed_by_name: dict[str, _UnconfirmedEntry] = {}
         self._backpressure_by_incarnation_id: dict[int, Backpressure] = {}
         self._service_by_name: Mapping[str, Service] | None = None
+        self.confirmation = ListConfirmation()
         self.evacuated: frozenset[str] = frozenset()
         self.unreachable: frozenset[str] = frozenset()
 
@@ -111,6 +129,11 @@
         service = (self._service_by_name or {}).get(state.entry.service)
         return service.cold_per_second if service is not None else 0.0
 
+    def kept_without_entry(self) -> int:
+        """Return how many replicas are kept though the list lacks them."""
+        states = self._state_by_name.values()
+        return sum(state.expires_at_ms is not None for state in states)
+
     def all(self) -> list[ReplicaState]:
         """Return every listed replica, including those that are leaving."""
         return list(self._state_by_incarnation_id.values())
@@ -265,6 +288,13 @@
             if after_outage and not state.is_leaving:
                 if state.expires_at_ms is None:
                     state.expires_at_ms = now_ms + _RETURN_GRACE_MS
+                    log.info(
+                        "replicas: %s of %s kept for %d ms without an entry, which "
+                        "may have expired in an outage",
+                        name,
+                        state.entry.service,
+                        _RETURN_GRACE_MS,
+                    )
             else:
                 dropped.append(self._drop(name, "removed"))
         return dropped
--- a/tests/feeds/nodes.py
+++ b/tests/feeds/nodes.py
@@ -72,6 +72,7 @@
 class Node:
     def __init__(self, name, network, store, clock, domain_by_name):
         self.clock = clock
+        self.name = name
         self.is_stopped = False
         self.is_unreachable = False
         self.refuses_connections = False
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -49,6 +49,8 @@
         await self.other.follower.step()
         self.assertEqual(self.other.received_rows, {"k": b"2", "l": b"1"})
         self.assertEqual(self.store.calls, calls)
+        self.assertEqual(self.first.updates[-1].source, "store")
+        self.assertEqual(self.other.updates[-1].source, self.first.name)
 
     async def test_deletions_are_sent_too(self):
         await self.step_both()
--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -12,7 +12,12 @@
 from fireflyward.platform import CallerRequest
 from fireflyward.prefixes import PartPlanner
 from fireflyward.quarantine import Trial
-from fireflyward.replicas import Chooser, RateLimits, ReplicaDirectory
+from fireflyward.replicas import (
+    Chooser,
+    ListConfirmation,
+    RateLimits,
+    ReplicaDirectory,
+)
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import Allowed
 from tests.replicas.makers import entry
@@ -57,7 +62,7 @@
         self.directory = ReplicaDirectory()
         entries = [entry("r1"), entry("r2")]
         self.directory.on_full_read(0, entries, after_outage=False)
-        self.pool = _Pool()
+        self.pool, self.trace = _Pool(), Trace()
         limits = RateLimits("n1", seed=1)
         limits.set_nodes(["n1"])
         self.forwarder = Forwarder(
@@ -81,7 +86,7 @@
             Allowed(ROUTE, "s", None, 1),
             arrived_ms=0,
             reply=None,
-            trace=Trace(),
+            trace=self.trace,
         )
 
     async def begin(self):
@@ -104,6 +109,20 @@
         self.serving.cancel()
         await asyncio.gather(self.serving, return_exceptions=True)
 
+    async def test_the_trace_tells_a_late_choice_from_a_late_write(self):
+        """Guards against a late request whose cause no log line shows."""
+        self.directory.confirmation = ListConfirmation(-70, "store")
+        self.clock._now_ms = 5
+        await self.begin()
+        self.clock._now_ms = 45
+        self.pool.may_open.set()
+        await self.pool.taken[0].sent.wait()
+        fields = self.trace.fields()
+        self.assertEqual((fields["chosen_after_ms"], fields["sent_after_ms"]), (5, 45))
+        self.assertEqual((fields["list_age_ms"], fields["list_source"]), (75, "store"))
+        self.serving.cancel()
+        await asyncio.gather(self.serving, return_exceptions=True)
+
     async def test_a_limit_set_meanwhile_applies(self):
         """Guards against sending all requests that waited when the limit was set."""
         replica = await self.begin()
