Replicas: a failed read of one node is no outage of the store

Cause: any failed read, however short and of one node alone, counted as an outage of the store. A replica removed in the next two seconds was then taken for one that could not renew its entry, and stayed in use for 2.3 s from the node's reading, plus the time until the next update of the list, which alone made entries expire. Evidence: the new log line of entries that are kept, and 'not renewed after an outage' 3.0 s after the removal at just the nodes that had a failed read, while the others dropped the replica within 7 ms.

Change: StoreOutages tells whether entries may have expired. The store may have been unavailable only while this node got no answer; an entry expires after three intervals without a renewal, so none expires in less than two. Only after a longer time without answers is a missing replica kept, until 2.3 s after the end of the outage, by a timer of its own. The time without answers counts from the last answer, not from the time for which the table is confirmed.

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -103,6 +103,7 @@
         self._pace = pace
         self._position = Position(0, -1)
         self._has_read = False
+        self._answered_ms = 0
         self._restored_rows = RestoredRowDetector()
         self._needs_full_read = True
         self._failures = 0
@@ -150,7 +151,12 @@
         if isinstance(result, Changes) and era != self._position.era:
             log.info("feeds: full read of %s in new era %d", self._table, era)
             return self._request_full_read()
-        self._apply(result, self._valid_as_of_ms(result, sent_ms, wait_ms))
+        as_of_ms = self._valid_as_of_ms(result, sent_ms, wait_ms)
+        answered_ms = as_of_ms
+        if result.source == STORE:
+            # The store was available at least until it answered or the wait ended.
+            answered_ms = max(as_of_ms, min(self._clock.now_ms(), sent_ms + wait_ms))
+        self._apply(result, as_of_ms, answered_ms)
         return True
 
     async def _call(
@@ -173,8 +179,11 @@
             return sent_ms if result.as_of_ms is None else result.as_of_ms
         return valid_as_of_ms(result, sent_ms, self._clock.now_ms(), wait_ms)
 
-    def _apply(self, result: Snapshot | Changes, as_of_ms: int) -> None:
-        unavailable_ms = 0 if self.as_of_ms is None else as_of_ms - self.as_of_ms
+    def _apply(
+        self, result: Snapshot | Changes, as_of_ms: int, answered_ms: int
+    ) -> None:
+        """Apply a result; ``answered_ms`` is when the store was last available."""
+        unavailable_ms = answered_ms - self._answered_ms if self._has_read else 0
         if self._failures:
             log.info(
                 "feeds: %s is back after %d ms, %d failed calls, read from %s",
@@ -202,6 +211,7 @@
         self._needs_full_read = False
         self._position = result.position
         self._has_read = True
+        self._answered_ms = answered_ms
         self.as_of_ms = as_of_ms
         self._on_update(update)
 
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -119,6 +119,7 @@
             clock=clock,
             directory=self._directory,
             pool=self._pool,
+            heartbeat_ms=settings.heartbeat_ms,
             on_removed=self._quarantine.on_removed,
         )
         self._tables = SharedTables(
@@ -239,6 +240,7 @@
                 for run in self._table_followers.runs_after_joining()
             ),
             self._table_followers.recover_lost_rows(),
+            self._replicas.run(),
             self._lease.run(),
             self._weight_task.run(),
             self._garbage_collector.run(),
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -132,7 +132,7 @@
         return {
             "replicas": len(self.directory),
             "replica_list_age_ms": self.directory.confirmation.age_ms(now_ms),
-            "replicas_without_entry": self.directory.kept_without_entry(),
+            "replicas_without_entry": len(self.directory.expiry_times_ms()),
             "invalid_account_weights_total": self.fairness.invalid_weights,
             "invalid_fairness_messages_total": self._peer_sums.invalid_messages,
             "cold_replicas": sum(state.is_cold(now_ms) for state in states),
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -1,5 +1,6 @@
 """Applies updates of the platform's tables to the state of this node."""
 
+import asyncio
 import logging
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
@@ -18,14 +19,16 @@
     decode_replica,
     decode_weight_target,
 )
-from fireflyward.replicas import ListConfirmation, ReplicaDirectory, ReplicaState
+from fireflyward.replicas import (
+    ListConfirmation,
+    ReplicaDirectory,
+    ReplicaState,
+    StoreOutages,
+)
 from fireflyward.routes import RouteTable
 
 log = logging.getLogger("fireflyward.views")
 
-# Entries removed within this time after an outage may have expired during the outage.
-_POST_OUTAGE_MS = 2_000
-
 
 class OperatorView:
     """Applies the rows of operators: configuration, weight versions, evacuations."""
@@ -131,7 +134,10 @@
 
 
 class ReplicaView:
-    """Applies the list of replicas to the directory."""
+    """Applies the list of replicas to the directory.
+
+    ``heartbeat_ms`` is the interval at which replicas renew their entries.
+    """
 
     def __init__(
         self,
@@ -139,21 +145,35 @@
         clock: Clock,
         directory: ReplicaDirectory,
         pool: ConnectionPool,
+        heartbeat_ms: int,
         on_removed: Callable[[ReplicaState], None],
     ) -> None:
         self._clock = clock
         self._on_removed = on_removed
         self._directory = directory
         self._pool = pool
-        self._outage_end_ms: int | None = None
+        self._outages = StoreOutages(heartbeat_ms=heartbeat_ms)
+        self._keeps_entries = asyncio.Event()
         self.has_read_table = False
 
+    async def run(self) -> None:
+        """Remove kept entries when their time ends, also if no update follows."""
+        while True:
+            await self._keeps_entries.wait()
+            times_ms = self._directory.expiry_times_ms()
+            if not times_ms:
+                self._keeps_entries.clear()
+                continue
+            await self._clock.sleep_ms(min(times_ms) - self._clock.now_ms())
+            self._handle_removed(self._directory.expire(self._clock.now_ms()))
+
     def on_table_update(self, update: TableUpdate) -> None:
         """Update the directory."""
         now_ms = self._clock.now_ms()
         self._directory.confirmation = ListConfirmation(update.as_of_ms, update.source)
-        if update.unavailable_ms or update.is_new_era:
-            self._outage_end_ms = now_ms
+        self._outages.on_answer(now_ms, unavailable_ms=update.unavailable_ms)
+        if update.is_new_era:
+            self._outages.on_restored(now_ms)
         found = _classify_rows(row for row in update.rows if not row.is_restored)
         restored_entries = _classify_rows(
             row for row in update.rows if row.is_restored
@@ -164,24 +184,26 @@
             restored_entries += [
                 entry for entry in found.entries if self._predates_leaving(entry)
             ]
-        after_outage = (
-            self._outage_end_ms is not None
-            and now_ms - self._outage_end_ms < _POST_OUTAGE_MS
-        )
+        keep_until_ms = self._outages.keep_until_ms(now_ms)
         if update.is_snapshot:
             gone = self._directory.on_full_read(
                 now_ms,
                 found.entries,
                 restored=restored_entries,
-                after_outage=after_outage,
+                keep_until_ms=keep_until_ms,
             )
         else:
             gone = self._directory.on_changes(
-                now_ms, found.entries, found.removed, after_outage=after_outage
+                now_ms, found.entries, found.removed, keep_until_ms=keep_until_ms
             )
         gone += self._directory.drop(found.malformed)
         self.has_read_table = True
-        for state in [*gone, *self._directory.expire(now_ms)]:
+        self._handle_removed([*gone, *self._directory.expire(now_ms)])
+        if self._directory.expiry_times_ms():
+            self._keeps_entries.set()
+
+    def _handle_removed(self, states: Iterable[ReplicaState]) -> None:
+        for state in states:
             self._pool.close_idle(state.entry.address)
             self._on_removed(state)
 
--- a/fireflyward/replicas/__init__.py
+++ b/fireflyward/replicas/__init__.py
@@ -8,6 +8,7 @@
 from ._in_flight_load import InFlightLoad, PeerLoad
 from ._kv_room import KvRoom
 from ._load_reports import LoadReportTask
+from ._outages import StoreOutages
 from ._rate_limits import RateLimits
 from ._requirements import LoadEstimate, Requirements
 from ._shared_prefix import SharedPrefix
@@ -34,4 +35,5 @@
     "Requirements",
     "SharedPrefix",
     "SpeedReading",
+    "StoreOutages",
 ]
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -11,9 +11,6 @@
 
 log = logging.getLogger("fireflyward.replicas")
 
-# After an outage of the store, replicas write their expired entries again within two
-# seconds, as the platform specifies; the rest is for the feed's own poll interval.
-_RETURN_GRACE_MS = 2_300
 # An entry that its replica does not renew expires after three heartbeats of a second.
 _ENTRY_EXPIRY_MS = 6_000
 # Maximum number of removed incarnations whose backpressure is retained.
@@ -48,15 +45,15 @@
     """The list of replicas as this node last received it; no I/O.
 
     An entry that is missing after an outage of the store may have expired only because
-    its replica could not renew it. If it were dropped at once, a service would have no
-    replicas just when the store is available again, so it stays for two seconds.
-    These get no new requests: a replica whose entry says that it is leaving, one whose
-    entry is removed while the store is available, and one in an evacuated failure
-    domain. If a replica says in an answer that it is leaving, its entry cannot revoke
-    that, because the list is out of date while the store is unavailable. The
-    backpressure of an incarnation is retained when its entry is removed: a network
-    fault between the replica and the store alone can remove it while the replica goes
-    on serving.
+    its replica could not renew it; see ``StoreOutages``. If it were dropped at once, a
+    service would have no replicas just when the store is available again, so it stays
+    until its replica had the time to write it again. These get no new requests: a
+    replica whose entry says that it is leaving, one whose entry is removed otherwise,
+    and one in an evacuated failure domain. If a replica says in an answer that it is
+    leaving, its entry cannot revoke that, because the list is out of date while the
+    store is unavailable. The backpressure of an incarnation is retained when its entry
+    is removed: a network fault between the replica and the store alone can remove it
+    while the replica goes on serving.
 
     A store that was restored from an older snapshot lists older entries than this node
     knows. Such an entry cannot revoke that an incarnation is leaving, nor that it was
@@ -129,10 +126,11 @@
         service = (self._service_by_name or {}).get(state.entry.service)
         return service.cold_per_second if service is not None else 0.0
 
-    def kept_without_entry(self) -> int:
-        """Return how many replicas are kept though the list lacks them."""
+    def expiry_times_ms(self) -> list[int]:
+        """Return until when each replica is kept that the list lacks."""
         states = self._state_by_name.values()
-        return sum(state.expires_at_ms is not None for state in states)
+        times_ms = (state.expires_at_ms for state in states)
+        return [time_ms for time_ms in times_ms if time_ms is not None]
 
     def all(self) -> list[ReplicaState]:
         """Return every listed replica, including those that are leaving."""
@@ -159,12 +157,13 @@
         now_ms: int,
         entries: Iterable[ReplicaEntry],
         *,
-        after_outage: bool,
+        keep_until_ms: int | None = None,
         restored: Iterable[ReplicaEntry] = (),
     ) -> list[ReplicaState]:
         """Replace the whole list; return the states of the removed replicas.
 
-        Entries in ``restored`` come from an older snapshot of the list.
+        Replicas that are missing stay until ``keep_until_ms``, if it is given. Entries
+        in ``restored`` come from an older snapshot of the list.
         """
         old = {entry.incarnation: entry for entry in restored}
         listed = {entry.incarnation: entry for entry in entries}
@@ -174,7 +173,7 @@
         dropped = self._add(
             now_ms, [*listed.values(), *self._new_in_snapshot(now_ms, old)]
         )
-        dropped += self._remove(now_ms, missing, after_outage=after_outage)
+        dropped += self._remove(now_ms, missing, keep_until_ms)
         self._rebuild_indexes()
         return dropped
 
@@ -184,11 +183,14 @@
         entries: Iterable[ReplicaEntry],
         removed: Iterable[str],
         *,
-        after_outage: bool,
+        keep_until_ms: int | None = None,
     ) -> list[ReplicaState]:
-        """Apply changes of the list; return the states of the removed replicas."""
+        """Apply changes of the list; return the states of the removed replicas.
+
+        Replicas that were removed stay until ``keep_until_ms``, if it is given.
+        """
         dropped = self._add(now_ms, entries)
-        dropped += self._remove(now_ms, removed, after_outage=after_outage)
+        dropped += self._remove(now_ms, removed, keep_until_ms)
         self._rebuild_indexes()
         return dropped
 
@@ -277,7 +279,7 @@
         return replaced
 
     def _remove(
-        self, now_ms: int, names: Iterable[str], *, after_outage: bool
+        self, now_ms: int, names: Iterable[str], keep_until_ms: int | None
     ) -> list[ReplicaState]:
         dropped = []
         for name in names:
@@ -285,15 +287,15 @@
             state = self._state_by_name.get(name)
             if state is None:
                 continue
-            if after_outage and not state.is_leaving:
+            if keep_until_ms is not None and not state.is_leaving:
                 if state.expires_at_ms is None:
-                    state.expires_at_ms = now_ms + _RETURN_GRACE_MS
+                    state.expires_at_ms = keep_until_ms
                     log.info(
                         "replicas: %s of %s kept for %d ms without an entry, which "
                         "may have expired in an outage",
                         name,
                         state.entry.service,
-                        _RETURN_GRACE_MS,
+                        keep_until_ms - now_ms,
                     )
             else:
                 dropped.append(self._drop(name, "removed"))
--- a/tests/feeds/test_follower.py
+++ b/tests/feeds/test_follower.py
@@ -115,3 +115,21 @@
         await follower.step()
         self.assertGreaterEqual(self.updates[-1].unavailable_ms, 3_000)
         self.assertEqual(self.updates[0].unavailable_ms, 0)
+
+    async def test_an_outage_begins_after_the_last_answer(self):
+        """Guards against the wait before an answer that counts towards an outage."""
+        follower = self.follow(
+            Snapshot((), at(4)),
+            Changes((ROW,), at(5)),
+            Unavailable("x"),
+            Changes((), at(5)),
+        )
+        await follower.step()
+        self.reader.answer_delay_ms = 90
+        await follower.step()
+        self.assertEqual(follower.as_of_ms, 1_000)
+        self.reader.answer_delay_ms = 10
+        with self.assertLogs("fireflyward.feeds", "WARNING"):
+            await follower.step()
+        await follower.step()
+        self.assertEqual(self.updates[-1].unavailable_ms, 10)
--- a/tests/fleet/test_removed_replicas.py
+++ b/tests/fleet/test_removed_replicas.py
@@ -1,5 +1,6 @@
 """How long a removed replica gets requests after a node's reads of the list failed."""
 
+import asyncio
 import json
 import types
 import unittest
@@ -30,6 +31,7 @@
             clock=self.clock,
             directory=self.directory,
             pool=types.SimpleNamespace(close_idle=lambda address: None),
+            heartbeat_ms=1_200,
             on_removed=lambda state: None,
         )
         self.update(self.row("i-1"), self.row("i-2"), is_snapshot=True)
@@ -99,6 +101,25 @@
                     await waiting
                 self.assertLessEqual(await self.time_until_unused_ms(), _DRAIN_MS)
 
+    async def test_a_replica_that_expired_in_an_outage_is_used_until_it_may_return(
+        self,
+    ):
+        """Guards against rejecting every request when the store is available again."""
+        self.update(self.row("i-2"), is_snapshot=True, unavailable_ms=3_000)
+        await self.clock.advance_ms(2_000)
+        self.assertIn("i-1", self.names)
+        self.update(self.row("i-1"))
+        self.assertEqual(await self.time_until_unused_ms(), _LONGEST_MS)
+
+    async def test_a_kept_replica_is_removed_without_further_updates(self):
+        """Guards against an entry that expires only when the list is read again."""
+        removing = asyncio.create_task(self.view.run())
+        self.update(self.row("i-2"), is_snapshot=True, unavailable_ms=3_000)
+        await self.time_until_unused_ms(has_updates=False)
+        self.assertEqual(self.clock.now_ms(), 2_300)
+        removing.cancel()
+        await asyncio.gather(removing, return_exceptions=True)
+
     async def test_a_removed_replica_gets_no_requests_without_further_updates(self):
         """Guards against an entry that expires only when the list is read again."""
         await self.remove_after_failed_read()
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -145,6 +145,7 @@
             clock=self.clock,
             directory=self.directory,
             pool=types.SimpleNamespace(close_idle=lambda address: None),
+            heartbeat_ms=1_200,
             on_removed=self.gone.append,
         )
 
--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -150,7 +150,7 @@
         self.gate.clock = self.clock
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{number}") for number in range(replicas)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.pool = _Pool(self.clock, scripts)
         self.hedging = Hedging()
         for _ in range(40):
--- a/tests/forwarding/test_kv_memory.py
+++ b/tests/forwarding/test_kv_memory.py
@@ -55,7 +55,7 @@
             "r1", "s", "r1:80", "a", 12, False, weights=(ModelWeights("m", 1),)
         )
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, [entry], after_outage=False)
+        self.directory.on_full_read(0, [entry])
         self.state = self.directory.find("r1")
         self.peers, self.room = PeerLoad(), KvRoom()
         long_prompt = Requirements("s", tokens=12_024, kv_tokens=KV_TOKENS)
--- a/tests/forwarding/test_late_requests.py
+++ b/tests/forwarding/test_late_requests.py
@@ -50,7 +50,7 @@
             "r1", "s", "r1:80", "a", SLOTS, False, weights=(ModelWeights("m", 1),)
         )
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, [entry], after_outage=False)
+        self.directory.on_full_read(0, [entry])
         self.state = self.directory.find("r1")
         # The next request has to wait 400 ms for a slot; its objective is 200 ms.
         self.state.in_flight = SLOTS + 15
--- a/tests/forwarding/test_plain_services.py
+++ b/tests/forwarding/test_plain_services.py
@@ -40,7 +40,7 @@
         self.clock = ManualClock(0)
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{i}", slots=6) for i in range(3)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.pool, self.trace = _Pool(), Trace()
         peers = PeerSums()
         peers.set_alone(True)
--- a/tests/forwarding/test_speed_reports.py
+++ b/tests/forwarding/test_speed_reports.py
@@ -37,7 +37,7 @@
 class SpeedReportTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, [entry("r1")], after_outage=False)
+        self.directory.on_full_read(0, [entry("r1")])
         self.replica = self.directory.find("r1")
 
     async def test_a_stream_reports_its_speed_before_its_first_event(self):
--- a/tests/forwarding/test_unresponsive_replicas.py
+++ b/tests/forwarding/test_unresponsive_replicas.py
@@ -70,7 +70,7 @@
         self.directory = ReplicaDirectory()
         self.directory.set_services({"s": Service("s", 0, None, None, 3_000, 11.0)})
         entry = ReplicaEntry("r1", "s", "r1:80", "a", 4, False, cold_ms=3_000)
-        self.directory.on_full_read(0, [entry], after_outage=False)
+        self.directory.on_full_read(0, [entry])
         self.state = self.directory.find("r1")
         self.reach = _Reach()
 
--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -61,7 +61,7 @@
         self.clock = ManualClock(0)
         self.directory = ReplicaDirectory()
         entries = [entry("r1"), entry("r2")]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.pool, self.trace = _Pool(), Trace()
         limits = RateLimits("n1", seed=1)
         limits.set_nodes(["n1"])
--- a/tests/hedging/test_decisions.py
+++ b/tests/hedging/test_decisions.py
@@ -60,7 +60,7 @@
     def test_new_requests_avoid_a_silent_replica(self):
         """Guards against requests that are sent into a dead connection one by one."""
         directory = ReplicaDirectory()
-        directory.on_full_read(0, [entry("r1"), entry("r2")], after_outage=False)
+        directory.on_full_read(0, [entry("r1"), entry("r2")])
         cost = SilentReplicaCost(self.silent)
         chooser = Chooser(directory, failure_domain="a", cost_terms=[cost], seed=1)
         r1 = directory.find("r1")
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -39,7 +39,7 @@
     def node(self):
         directory = ReplicaDirectory()
         entries = [entry("r1", started_ms=5), entry("r2", started_ms=5)]
-        directory.on_full_read(0, entries, after_outage=False)
+        directory.on_full_read(0, entries)
         link = _Link()
         task = NoticeTask(
             clock=self.clock, directory=directory, peers=lambda: PEERS, seed=1
@@ -126,10 +126,10 @@
         """
         directory, task, _ = self.first
         before = directory.find("r1")
-        directory.on_full_read(0, [], after_outage=False)
+        directory.on_full_read(0, [])
         facts = decode_response(Head(200, "", (SIGNED, ("server-leaving", "1"))))
         task.on_response(before, facts, sent_ms=0)
-        directory.on_full_read(0, [entry("r1", started_ms=5)], after_outage=False)
+        directory.on_full_read(0, [entry("r1", started_ms=5)])
         self.assertEqual(directory.of_service("s"), [])
 
     async def test_an_unreadable_limit_changes_nothing_and_is_logged_once(self):
@@ -145,7 +145,7 @@
     async def test_an_announcement_for_another_incarnation_is_ignored(self):
         """Guards against a restarted replica that inherits the former limit."""
         self.answer(SIGNED, ("server-limit", "3.5"))
-        self.second[0].on_full_read(0, [entry("r1", started_ms=6)], after_outage=False)
+        self.second[0].on_full_read(0, [entry("r1", started_ms=6)])
         await self.deliver()
         self.assertIsNone(self.limit(self.second))
 
--- a/tests/quarantine/test_task.py
+++ b/tests/quarantine/test_task.py
@@ -27,9 +27,7 @@
         self.clock = ManualClock(1_000)
         self.pool = FakePool()
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(
-            0, [entry(name) for name in NAMES], after_outage=False
-        )
+        self.directory.on_full_read(0, [entry(name) for name in NAMES])
         self.table = table
         self.polls = 0
         self.link = FakeLink()
@@ -126,7 +124,7 @@
             await self.node.cut(name, "a", refused=False)
             self.assertEqual(self.node.quarantine.held, 0)
         for name in NAMES[:3]:
-            (gone,) = self.node.directory.on_changes(0, [], [name], after_outage=False)
+            (gone,) = self.node.directory.on_changes(0, [], [name])
             self.node.quarantine.on_removed(gone)
         self.assertIsInstance(await self.node.admit("a"), Held)
 
@@ -315,7 +313,7 @@
     async def test_a_leaving_replica_that_stops_has_not_crashed(self):
         for name in NAMES[:3]:
             leaving = entry(name, leaving=True)
-            self.node.directory.on_changes(0, [leaving], [], after_outage=False)
+            self.node.directory.on_changes(0, [leaving], [])
             await self.node.cut(name, "a")
         self.assertEqual(await self.node.admit("a"), Free())
 
@@ -326,7 +324,7 @@
             await self.node.cut(name, "a", refused=False)
             directory.on_leaving(directory.find(name))
             await self.node.cut(name, "b")
-            (gone,) = directory.on_changes(0, [], [name], after_outage=False)
+            (gone,) = directory.on_changes(0, [], [name])
             self.node.quarantine.on_removed(gone)
         self.assertEqual(await self.node.admit("a"), Free())
         self.assertEqual(await self.node.admit("b"), Free())
@@ -336,8 +334,8 @@
         for name in NAMES[:3]:
             await self.node.cut(name, "a", refused=False)
             leaving = entry(name, leaving=True)
-            self.node.directory.on_changes(0, [leaving], [], after_outage=False)
-            (gone,) = self.node.directory.on_changes(0, [], [name], after_outage=False)
+            self.node.directory.on_changes(0, [leaving], [])
+            (gone,) = self.node.directory.on_changes(0, [], [name])
             self.node.quarantine.on_removed(gone)
         self.assertEqual(await self.node.admit("a"), Free())
 
--- a/tests/reach/test_task.py
+++ b/tests/reach/test_task.py
@@ -61,7 +61,7 @@
         self.pool = Pool(self.clock)
         self.directory = ReplicaDirectory()
         entries = [entry(f"{zone}{n}", zone=zone) for zone in "ab" for n in range(6)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.link = Link()
         self.task = ReachTask(
             clock=self.clock,
@@ -137,7 +137,7 @@
         retried the requests that waited there in the next domain, which was silent too.
         """
         entries = [entry(f"c{n}", zone="c") for n in range(6)]
-        self.directory.on_changes(0, entries, [], after_outage=False)
+        self.directory.on_changes(0, entries, [])
         self.silence(*(f"{zone}{n}" for zone in "bc" for n in range(6)))
         self.on_silent("b0")
         await self.clock.advance_ms(301)
@@ -145,7 +145,7 @@
 
     async def test_a_second_domain_that_becomes_silent_later_is_found_too(self):
         entries = [entry(f"c{n}", zone="c") for n in range(6)]
-        self.directory.on_changes(0, entries, [], after_outage=False)
+        self.directory.on_changes(0, entries, [])
         self.silence(*(f"b{n}" for n in range(6)))
         self.on_silent("b0")
         await self.clock.advance_ms(200)
@@ -224,7 +224,7 @@
         self.on_silent("b0")
         await self.clock.advance_ms(151)
         names = [f"b{n}" for n in range(6)]
-        self.directory.on_changes(0, [], names, after_outage=False)
+        self.directory.on_changes(0, [], names)
         await self.clock.advance_ms(450)
         self.assertFalse(self.directory.unreachable)
 
@@ -233,7 +233,7 @@
     def test_leaving_replicas_are_not_probed(self):
         directory = ReplicaDirectory()
         entries = [entry("r1"), entry("r2", leaving=True), entry("r3")]
-        directory.on_full_read(0, entries, after_outage=False)
+        directory.on_full_read(0, entries)
         directory.on_leaving(directory.find("r3"))
         probed = DomainCheck(seed=1).choose_replicas(directory.all())
         self.assertEqual([state.entry.incarnation for state in probed], ["r1"])
--- a/tests/replicas/test_chooser.py
+++ b/tests/replicas/test_chooser.py
@@ -22,7 +22,7 @@
 class ChooserCase(unittest.TestCase):
     def make(self, *entries):
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.peers = PeerLoad()
         self.chooser = Chooser(
             self.directory, failure_domain="a", peers=self.peers, seed=1
@@ -190,7 +190,7 @@
     def setUp(self):
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{i}", slots=16) for i in range(40)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         # All replicas are busy, and one of them is a little less busy.
         message = {}
         for i in range(1, 40):
--- a/tests/replicas/test_cold.py
+++ b/tests/replicas/test_cold.py
@@ -74,7 +74,7 @@
     def node(self, name):
         directory = ReplicaDirectory()
         directory.set_services(SERVICE)
-        directory.on_full_read(0, self.entries, after_outage=False)
+        directory.on_full_read(0, self.entries)
         shares = ColdShares(name)
         shares.set_nodes(NODES)
         directory.set_evacuated(0, frozenset("b"))
@@ -171,9 +171,7 @@
         self.directory.set_services(SERVICE)
 
     def update(self, now_ms, **changes):
-        self.directory.on_changes(
-            now_ms, [entry("r1", **changes)], [], after_outage=False
-        )
+        self.directory.on_changes(now_ms, [entry("r1", **changes)], [])
         return self.directory.find("r1")
 
     def test_a_replica_is_cold_for_the_time_in_its_entry(self):
@@ -229,9 +227,7 @@
         again. Afterwards the first replica was preferred again.
         """
         names = [f"r{number}" for number in range(2, 6)]
-        self.directory.on_changes(
-            0, [entry(name, version=1) for name in names], [], after_outage=False
-        )
+        self.directory.on_changes(0, [entry(name, version=1) for name in names], [])
         requirements = Requirements(
             "s", prefix_key="p", prefix_tokens=9_000, model="m", version=1
         )
@@ -250,7 +246,7 @@
     def setUp(self):
         self.directory = ReplicaDirectory()
         self.directory.set_services(SERVICE)
-        self.directory.on_full_read(0, [entry("r1", cold_ms=3_000)], after_outage=False)
+        self.directory.on_full_read(0, [entry("r1", cold_ms=3_000)])
         self.state = self.directory.find("r1")
         self.shares = ColdShares("n1")
         self.shares.set_nodes(NODES[:10] + ["n1"])
--- a/tests/replicas/test_directory.py
+++ b/tests/replicas/test_directory.py
@@ -11,7 +11,7 @@
 class DirectoryTests(unittest.TestCase):
     def setUp(self):
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, [entry("r1"), entry("r2")], after_outage=False)
+        self.directory.on_full_read(0, [entry("r1"), entry("r2")])
 
     def names(self, service="s"):
         return sorted(
@@ -19,11 +19,13 @@
         )
 
     def test_a_leaving_replica_gets_no_new_requests(self):
-        self.directory.on_changes(0, [entry("r1", leaving=True)], [], after_outage=True)
+        self.directory.on_changes(
+            0, [entry("r1", leaving=True)], [], keep_until_ms=2_300
+        )
         self.assertEqual(self.names(), ["r2"])
 
     def test_a_removed_replica_gets_no_new_requests(self):
-        gone = self.directory.on_changes(0, [], ["r1"], after_outage=False)
+        gone = self.directory.on_changes(0, [], ["r1"])
         self.assertEqual([state.entry.incarnation for state in gone], ["r1"])
         self.assertEqual(self.names(), ["r2"])
 
@@ -33,36 +35,34 @@
         Replicas could not renew their entries while the store was unavailable. All of
         them are missing from its first answer, although they serve.
         """
-        self.directory.on_full_read(100, [], after_outage=True)
+        self.directory.on_full_read(100, [], keep_until_ms=2_400)
         self.assertEqual(self.names(), ["r1", "r2"])
-        self.directory.on_changes(900, [entry("r1")], [], after_outage=True)
+        self.directory.on_changes(900, [entry("r1")], [], keep_until_ms=2_400)
         gone = self.directory.expire(2_400)
         self.assertEqual([state.entry.incarnation for state in gone], ["r2"])
         self.assertEqual(self.names(), ["r1"])
 
     def test_a_leaving_replica_is_not_kept_after_an_outage(self):
-        self.directory.on_changes(
-            0, [entry("r1", leaving=True)], [], after_outage=False
-        )
-        self.directory.on_changes(0, [], ["r1"], after_outage=True)
+        self.directory.on_changes(0, [entry("r1", leaving=True)], [])
+        self.directory.on_changes(0, [], ["r1"], keep_until_ms=2_300)
         self.assertIsNone(self.directory.find("r1"))
 
     def test_the_state_of_an_incarnation_is_kept(self):
         state = self.directory.find("r1")
         state.in_flight = 3
-        self.directory.on_full_read(0, [entry("r1")], after_outage=False)
+        self.directory.on_full_read(0, [entry("r1")])
         self.assertIs(self.directory.find("r1"), state)
         self.assertEqual(state.in_flight, 3)
 
     def test_reported_weights_are_used_until_the_list_changes(self):
-        self.directory.on_changes(0, [entry("r1", version=1)], [], after_outage=False)
+        self.directory.on_changes(0, [entry("r1", version=1)], [])
         state = self.directory.find("r1")
         state.on_loading(0, 5_000)
         state.on_loaded("m", 2)
         self.assertFalse(state.is_loading(1))
-        self.directory.on_changes(0, [entry("r1", version=1)], [], after_outage=False)
+        self.directory.on_changes(0, [entry("r1", version=1)], [])
         self.assertEqual(state.version_by_model, {"m": 2})
-        self.directory.on_changes(0, [entry("r1", version=3)], [], after_outage=False)
+        self.directory.on_changes(0, [entry("r1", version=3)], [])
         self.assertEqual(state.version_by_model, {"m": 3})
 
 
@@ -76,7 +76,7 @@
 
     def put(self, started_ms, **changes):
         row = entry("r1", version=1, started_ms=started_ms, **changes)
-        return self.directory.on_changes(0, [row], [], after_outage=False)
+        return self.directory.on_changes(0, [row], [])
 
     def test_no_state_of_the_former_incarnation_is_kept(self):
         """Guards against avoiding a restarted replica and assuming its memory is full.
@@ -145,7 +145,7 @@
 
     def test_a_full_read_may_contain_a_new_incarnation(self):
         replaced = self.directory.on_full_read(
-            0, [entry("r1", started_ms=2_000)], after_outage=True
+            0, [entry("r1", started_ms=2_000)], keep_until_ms=2_300
         )
         self.assertEqual(replaced, [self.before])
 
@@ -154,7 +154,7 @@
     def setUp(self):
         self.directory = ReplicaDirectory()
         entries = [entry("r1"), entry("r2"), entry("x", service="unknown")]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
 
     def test_an_entry_of_an_unknown_service_is_not_a_replica(self):
         """Guards against loading weights on a process that is not a replica."""
@@ -184,7 +184,7 @@
         self.backpressure = self.directory.find("r1").backpressure
 
     def list(self, *entries):
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
 
     def list_again(self, started_ms=5):
         self.list()
--- a/tests/replicas/test_kv_room.py
+++ b/tests/replicas/test_kv_room.py
@@ -183,7 +183,7 @@
     def setUp(self):
         self.directory = ReplicaDirectory()
         listed = [entry(f"r{n}", version=1, slots=SLOTS) for n in range(30)]
-        self.directory.on_full_read(0, listed, after_outage=False)
+        self.directory.on_full_read(0, listed)
         self.peers, self.room = PeerLoad(), KvRoom()
         self.chooser = Chooser(
             self.directory,
@@ -222,7 +222,7 @@
         names = ["r0", "r1"]
         directory, room = ReplicaDirectory(), KvRoom()
         listed = [entry(name, version=1, slots=SLOTS) for name in names]
-        directory.on_full_read(0, listed, after_outage=False)
+        directory.on_full_read(0, listed)
         peers = PeerLoad()
         chooser = Chooser(
             directory, failure_domain="a", peers=peers, kv_room=room, seed=1
@@ -288,7 +288,7 @@
         nodes = []
         for seed in range(12):
             directory, peers, room = ReplicaDirectory(), PeerLoad(), KvRoom()
-            directory.on_full_read(0, listed, after_outage=False)
+            directory.on_full_read(0, listed)
             chooser = Chooser(
                 directory, failure_domain="a", peers=peers, kv_room=room, seed=seed
             )
--- a/tests/replicas/test_load_reports.py
+++ b/tests/replicas/test_load_reports.py
@@ -69,7 +69,7 @@
         self.peers = PeerLoad()
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{i}") for i in range(40)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.aggregators = Aggregators(name, domain, link_mbps=100)
         self.kv_room = KvRoom()
         self.task = LoadReportTask(
--- a/tests/replicas/test_older_snapshot.py
+++ b/tests/replicas/test_older_snapshot.py
@@ -10,7 +10,7 @@
 class OlderSnapshotTests(unittest.TestCase):
     def setUp(self):
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, [entry("r1"), entry("r2")], after_outage=False)
+        self.directory.on_full_read(0, [entry("r1"), entry("r2")])
 
     def names(self):
         found = self.directory.of_service("s")
@@ -18,11 +18,11 @@
 
     def restore(self, now_ms, *restored, listed=()):
         return self.directory.on_full_read(
-            now_ms, listed, restored=restored, after_outage=True
+            now_ms, listed, restored=restored, keep_until_ms=now_ms + 2_300
         )
 
     def change(self, *entries, removed=(), now_ms=0):
-        self.directory.on_changes(now_ms, entries, removed, after_outage=False)
+        self.directory.on_changes(now_ms, entries, removed)
 
     def test_replicas_keep_the_order_of_the_list(self):
         """Guards against ties that each process breaks in a different way."""
--- a/tests/replicas/test_rate_limits.py
+++ b/tests/replicas/test_rate_limits.py
@@ -49,7 +49,7 @@
         self.choosers = []
         for seed, name in enumerate(names):
             directory = ReplicaDirectory()
-            directory.on_full_read(0, [entry("r1"), entry("r2")], after_outage=False)
+            directory.on_full_read(0, [entry("r1"), entry("r2")])
             limits = RateLimits(name, seed=seed)
             limits.set_nodes(names)
             chooser = Chooser(
@@ -154,7 +154,7 @@
         """Guards against a limited replica that is hardly ever sampled."""
         directory = ReplicaDirectory()
         entries = [entry(f"r{number}") for number in range(60)]
-        directory.on_full_read(0, entries, after_outage=False)
+        directory.on_full_read(0, entries)
         limited = directory.find("r7")
         for state in directory.all():
             state.in_flight = 0 if state is limited else 9
--- a/tests/speeds/mesh.py
+++ b/tests/speeds/mesh.py
@@ -35,7 +35,7 @@
     def __init__(self, mesh, name, domain, clock, replicas):
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{i}", started_ms=5) for i in range(replicas)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.aggregators = Aggregators(name, domain, link_mbps=10)
         self.task = SpeedTask(
             clock=clock,
--- a/tests/speeds/test_pause_term.py
+++ b/tests/speeds/test_pause_term.py
@@ -99,7 +99,7 @@
     def make(self, *terms, replicas=10):
         self.directory = ReplicaDirectory()
         entries = [entry(f"r{i}", version=1, slots=48) for i in range(replicas)]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.states = self.directory.all()
         self.chooser = Chooser(
             self.directory, failure_domain="a", cost_terms=terms, seed=1
--- a/tests/speeds/test_task.py
+++ b/tests/speeds/test_task.py
@@ -80,9 +80,7 @@
 
     async def test_a_restarted_replica_is_not_slow_by_its_former_figure(self):
         self.make(nodes=2)
-        self.second.directory.on_full_read(
-            0, [entry("r0", started_ms=6)], after_outage=False
-        )
+        self.second.directory.on_full_read(0, [entry("r0", started_ms=6)])
         self.first.answer("1,0,8,250")
         await self.clock.advance_ms(20)
         self.assertEqual(self.second.factor(self.clock.now_ms()), 1.0)
--- a/tests/subsets/fakes.py
+++ b/tests/subsets/fakes.py
@@ -34,7 +34,7 @@
 
     def __init__(self, listed, *, nodes=82, per_second=6, node="n1", domain="a"):
         self.directory = ReplicaDirectory()
-        self.directory.on_full_read(0, listed, after_outage=False)
+        self.directory.on_full_read(0, listed)
         self.pool, self.peers = FakePool(), PeerLoad()
         self.counts = ConnectionCounts(self.pool, self.directory)
         self.filter = SubsetFilter(
--- a/tests/subsets/test_filter.py
+++ b/tests/subsets/test_filter.py
@@ -82,7 +82,7 @@
         fixture = FilterFixture(entries(70), nodes=60)
         before = fixture.names(ANY)
         gone = min(before)
-        fixture.directory.on_changes(1_000, [], [gone], after_outage=False)
+        fixture.directory.on_changes(1_000, [], [gone])
         after = fixture.names(ANY)
         self.assertLessEqual(len(before - after), 2)
         self.assertEqual(len(after), len(before))
@@ -145,7 +145,7 @@
     def test_an_unavailable_store_changes_nothing(self):
         fixture = FilterFixture(entries(30))
         before = fixture.names(ANY)
-        fixture.directory.on_full_read(1_500, [], after_outage=True)
+        fixture.directory.on_full_read(1_500, [], keep_until_ms=3_800)
         self.assertEqual(fixture.names(ANY, now_ms=1_600), before)
 
     def test_the_newest_weights_are_members_during_a_rollout(self):
--- a/tests/weights/test_announcer.py
+++ b/tests/weights/test_announcer.py
@@ -26,7 +26,7 @@
         self.numbers = [entry(name).incarnation_id for name in self.names]
         self.directory = ReplicaDirectory()
         entries = [entry(name, version=1) for name in self.names]
-        self.directory.on_full_read(0, entries, after_outage=False)
+        self.directory.on_full_read(0, entries)
         self.link = _Link()
         self.announcer = LoadAnnouncer(
             clock=ManualClock(),
@@ -69,7 +69,7 @@
         """
         name = self.names[0]
         again = entry(name, version=1, started_ms=5)
-        self.directory.on_changes(0, [again], [], after_outage=False)
+        self.directory.on_changes(0, [again], [])
         await self.announcer.announce_loading(self.numbers[:1], "m", 2, 5_000)
         self.assertEqual(self.are_loading(), [])
         await self.announcer.announce_loaded(self.numbers[0], "m", 2)
--- a/tests/weights/test_incarnations.py
+++ b/tests/weights/test_incarnations.py
@@ -36,7 +36,7 @@
         self.api = _Api()
         self.directory = ReplicaDirectory()
         row = entry("r1", version=1, started_ms=1_000)
-        self.directory.on_full_read(0, [row], after_outage=False)
+        self.directory.on_full_read(0, [row])
         self.order = Order("r1", row.incarnation_id, "r1:80", "m", 2)
         self.task = WeightTask(
             clock=ManualClock(),
@@ -68,7 +68,7 @@
 
     async def test_an_incarnation_replaced_in_the_list_gets_no_order(self):
         again = entry("r1", version=1, started_ms=2_000)
-        self.directory.on_changes(0, [again], [], after_outage=False)
+        self.directory.on_changes(0, [again], [])
         await self.task._load(self.order)
         self.assertEqual(self.api.orders, [])
 
--- a/tests/weights/test_task.py
+++ b/tests/weights/test_task.py
@@ -67,7 +67,7 @@
         """Guards against loads of weights at replicas that are about to exit."""
         weights = (ModelWeights("m", 1),)
         entry = ReplicaEntry("r1", "s", "r1:80", "a", 4, False, weights=weights)
-        self.directory.on_full_read(0, [entry], after_outage=False)
+        self.directory.on_full_read(0, [entry])
         self.weights.set_target(0, WeightTarget("m", 2), at_start=False)
         self.assertEqual(self.task._outdated_models(), {"m"})
         self.directory.on_leaving(self.directory.find("r1"))
@@ -115,7 +115,7 @@
         entry = ReplicaEntry(
             "r1", "s", "r1:80", "a", 4, False, weights=(ModelWeights("m", 1),)
         )
-        self.directory.on_full_read(0, [entry], after_outage=False)
+        self.directory.on_full_read(0, [entry])
         self.weights.set_target(0, WeightTarget("m", 2))
 
     def test_the_lease_is_renewed_before_an_order(self):
