Store client: connections that were idle at a timeout are not used again

Cause: after a call without a response the next call opened a new connection, but one flag served the calls of all tables. A success of another table reset it, and the retry took an idle connection that had become silent at the same time, so that a second answer was lost.

Change: a call without a response closes all idle connections. The test (three silent connections, a timeout, a success, three calls at once) failed before.

--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -98,7 +98,6 @@
         "_address",
         "_clock",
         "_pool",
-        "_needs_new_connection",
         "_invalid_era_text",
         "calls",
         "eras",
@@ -108,7 +107,6 @@
         self._address = address
         self._clock = clock
         self._pool = ConnectionPool(clock)
-        self._needs_new_connection = False
         self._invalid_era_text: str | None = ""
         self.calls = 0
         self.eras = Eras()
@@ -233,9 +231,7 @@
     ) -> _Response | Unavailable | Uncertain:
         self.calls += 1
         connection = await self._pool.acquire(
-            self._address,
-            connect_ms=_CONNECT_TIMEOUT_MS,
-            fresh=self._needs_new_connection,
+            self._address, connect_ms=_CONNECT_TIMEOUT_MS
         )
         if isinstance(connection, NotConnected):
             return Unavailable(connection.detail)
@@ -246,8 +242,9 @@
         response = await read_full_response(
             connection, clock=self._clock, limit_ms=limit_ms
         )
-        self._needs_new_connection = isinstance(response, NoResponse)
         if isinstance(response, NoResponse):
+            # The other idle connections may have become silent at the same time.
+            self._pool.close_idle(self._address)
             return Uncertain(response.detail)
         self._pool.release(connection)
         return _Response(response.status, response.body, self._era_of(response))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,7 +5,7 @@
 
 from fireflyward.backing import Committed, Conflict, Missing, Unavailable, Uncertain
 from fireflyward.clock import Clock
-from fireflyward.feeds import HistoryLost
+from fireflyward.feeds import HistoryLost, Snapshot
 from fireflyward.platform import LeaseTable, StoreClient
 from tests.platform_standins import StoreBehavior, StoreStandIn
 from tests.positions import at
@@ -84,6 +84,18 @@
         await self.client.rows("t", limit_ms=500)
         self.assertEqual(self.store.connections, before + 1)
 
+    async def test_connections_that_were_idle_at_a_timeout_are_not_used_again(self):
+        """Guards against a second lost answer, after another call had succeeded."""
+        await asyncio.gather(*(self.client.rows("t") for _ in range(3)))
+        self.store.silence_open_connections()
+        result = await self.client.rows("t", limit_ms=100)
+        self.assertIsInstance(result, Unavailable)
+        self.assertIsInstance(await self.client.rows("t"), Snapshot)
+        for result in await asyncio.gather(
+            *(self.client.rows("t", limit_ms=500) for _ in range(3))
+        ):
+            self.assertIsInstance(result, Snapshot)
+
     async def test_a_store_that_does_not_listen_is_unavailable(self):
         await self.store.stop()
         self.assertIsInstance(await self.client.rows("t"), Unavailable)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -40,6 +40,7 @@
         self._lost_rows = {}
         self._log = []
         self._page_rows = page_rows
+        self._silenced = set()
         self._changed = asyncio.Event()
 
     def put(self, table, key, value, part=""):
@@ -101,13 +102,17 @@
                 self.put(table, key, base64.b64decode(value), part)
         self._lost_rows = {}
 
+    def silence_open_connections(self):
+        """Answer nothing on open connections from now on; new connections work."""
+        self._silenced |= self._writers
+
     def value(self, table, key, part=""):
         row = self._rows.get((table, part, key))
         return None if row is None else base64.b64decode(row["value"])
 
     async def answer(self, request, writer):
         behavior = self.behavior
-        if behavior is StoreBehavior.SILENT:
+        if behavior is StoreBehavior.SILENT or writer in self._silenced:
             await asyncio.sleep(3_600)
         if behavior is StoreBehavior.BUSY:
             writer.write(response(503, headers=self._headers()))
