Feeds: a lost answer is noticed sooner, by the measured time of calls

A lost answer of the store delayed the news that a replica leaves by the wait, 700 ms for the call and 200 ms of pause, 1.8 s of the 2.0 in which requests may still arrive; opening a connection to the replica may take 350 ms more.

Change: a call may take 300 ms beyond its wait, or four times the measured overhead, doubled after each failure, up to 700 ms as before, so that a slow store is not taken for an unavailable one. The first pause after a failure is 100 ms in place of 200.

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -8,14 +8,12 @@
 from fireflyward.backing import Position, Unavailable
 from fireflyward.clock import Clock
 
+from ._call_limit import CallLimit
 from ._messages import STORE, Changes, HistoryLost, Pace, Snapshot, TableRow
 from ._restored_rows import RestoredRowDetector
 
 log = logging.getLogger("fireflyward.feeds")
 
-# How long a call may take in addition to the time that it waits for changes. The store
-# answers in a few ms; a store that is fifty times slower still answers in time.
-_CALL_OVERHEAD_LIMIT_MS = 700
 # Pauses after failures are short at first, because most failures are a single lost
 # connection. They grow until a hundred nodes stay within the store's call rate.
 _RETRY_PAUSE_BASE_MS = 100
@@ -106,6 +104,7 @@
         self._answered_ms = 0
         self._restored_rows = RestoredRowDetector()
         self._needs_full_read = True
+        self._call_limit = CallLimit()
         self._failures = 0
         self._failure = ""
         self._skips_pause = False
@@ -123,9 +122,8 @@
         if self._skips_pause:
             return 0
         if self._failures:
-            return min(
-                _MAX_RETRY_PAUSE_MS, _RETRY_PAUSE_BASE_MS << min(self._failures, 4)
-            )
+            doublings = min(self._failures - 1, 4)
+            return min(_MAX_RETRY_PAUSE_MS, _RETRY_PAUSE_BASE_MS << doublings)
         return self._pace().pause_ms
 
     async def step(self) -> bool:
@@ -138,6 +136,9 @@
         result = await self._call(wait_ms)
         if isinstance(result, Unavailable):
             return self._record_failure(result)
+        if isinstance(result, Changes):
+            elapsed_ms = self._clock.now_ms() - sent_ms
+            self._call_limit.on_answer(max(0, elapsed_ms - wait_ms))
         if isinstance(result, HistoryLost):
             log.info("feeds: %s lost its history after %s", self._table, self._position)
             return self._request_full_read()
@@ -168,7 +169,7 @@
             self._table,
             after=self._position,
             wait_ms=wait_ms,
-            limit_ms=_CALL_OVERHEAD_LIMIT_MS,
+            limit_ms=self._call_limit.overhead_ms(failures=self._failures),
         )
 
     def _valid_as_of_ms(
--- a/tests/fleet/test_paces.py
+++ b/tests/fleet/test_paces.py
@@ -1,9 +1,15 @@
 """The paces at which tables are read, compared with the deployments' bounds."""
 
+import asyncio
 import unittest
 
-from fireflyward.feeds._follower import _CALL_OVERHEAD_LIMIT_MS
+from fireflyward.backing import Unavailable
+from fireflyward.clock import ManualClock
+from fireflyward.feeds import Changes, FeedFollower, Snapshot
+from fireflyward.feeds._call_limit import MAX_OVERHEAD_MS
 from fireflyward.fleet._paces import configuration_pace, replicas_pace
+from fireflyward.forwarding._request_run import _CONNECT_TIMEOUT_MS
+from tests.positions import at
 
 
 class PaceTests(unittest.TestCase):
@@ -24,8 +30,50 @@
                 pace = replicas_pace(
                     drain_ms, is_shared=is_shared, serves_other_nodes=serves_other_nodes
                 )
-                lost_ms = pace.wait_ms + _CALL_OVERHEAD_LIMIT_MS
+                lost_ms = pace.wait_ms + MAX_OVERHEAD_MS
                 self.assertLess(lost_ms + 3 * pace.pause_ms, drain_ms)
             alone = replicas_pace(drain_ms, is_shared=False, serves_other_nodes=False)
-            lost_ms = alone.wait_ms + _CALL_OVERHEAD_LIMIT_MS
+            lost_ms = alone.wait_ms + MAX_OVERHEAD_MS
             self.assertLess(lost_ms + alone.pause_ms, drain_ms)
+
+
+class _LosesAnswers:
+    """A store that loses the answers to some of the first calls for changes."""
+
+    def __init__(self, clock, lost_answers):
+        self._clock = clock
+        self._lost_answers = lost_answers
+
+    async def rows(self, table, *, part="", limit_ms=1_000):
+        return Snapshot((), at(1))
+
+    async def changes(self, table, *, after, wait_ms, limit_ms):
+        if self._lost_answers:
+            self._lost_answers -= 1
+            await self._clock.sleep_ms(wait_ms + limit_ms)
+            return Unavailable("no response")
+        return Changes((), at(2))
+
+
+class LostAnswerTests(unittest.IsolatedAsyncioTestCase):
+    async def test_after_a_lost_answer_there_is_time_to_open_a_connection(self):
+        """Guards against a request that was chosen by an outdated list and sent late.
+
+        A replica is removed just after the call whose answer is lost.
+        """
+        drain_ms = 2_000
+        pace = replicas_pace(drain_ms, is_shared=False, serves_other_nodes=False)
+        clock, updates = ManualClock(0), []
+        follower = FeedFollower(
+            "t",
+            reader=_LosesAnswers(clock, 1),
+            clock=clock,
+            on_update=updates.append,
+            pace=lambda: pace,
+        )
+        await follower.step()
+        following = asyncio.create_task(follower.run())
+        await clock.advance_ms(drain_ms - _CONNECT_TIMEOUT_MS)
+        self.assertGreater(len(updates), 1)
+        following.cancel()
+        await asyncio.gather(following, return_exceptions=True)
