Sends: a request whose replica left the list while its connection was opened goes elsewhere

A request waits up to 350 ms for its connection, longer where the event loop is busy. If an answer said meanwhile that the replica leaves, the request was sent to another one; if the list said so, or the entry was removed, had expired, or the failure domain was evacuated, it was sent all the same, by an older list than the node had.

The directory now counts these as changes of the replica too. The test (four kinds of change while a connection is opened) failed before in each.

--- a/fireflyward/fleet/_paces.py
+++ b/fireflyward/fleet/_paces.py
@@ -15,8 +15,8 @@
 # too. When many entries change at once, as in a release, the pause combines them into
 # one response. A leaving replica must get no requests after the drain time. A call on a
 # silent connection is cancelled at most 0.7 s after its wait, the feed's highest limit
-# for a call's overhead. The rest of the drain time is for a second call, or for two more nodes
-# between this node and the store.
+# for a call's overhead. The rest of the drain time is for a second call, or for two
+# more nodes between this node and the store.
 _REPLICAS_WAIT_SHARE = 0.45
 _REPLICAS_PAUSE_SHARE = 0.1
 _SHARED_REPLICAS_WAIT_SHARE = 0.3
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -179,8 +179,8 @@
             if backpressure.changes == changes:
                 self._quarantine_check.on_send(choice)
                 return await self._send_raced(connection, choice)
-            # The replica's limit, backoff or leaving state changed while the connection
-            # was opened, so the choice is no longer valid.
+            # Meanwhile the replica changed its limit or backoff, or it must get no new
+            # requests, so the choice is no longer valid.
             self._deps.pool.release(connection)
             self._stop_late_wait(None)
 
--- a/fireflyward/forwarding/_second_send.py
+++ b/fireflyward/forwarding/_second_send.py
@@ -144,8 +144,8 @@
         if isinstance(connection, NotConnected):
             return self._on_unsent(choice.replica, connection)
         if backpressure.changes != changes or self._left_ms() < 1:
-            # The replica's limit, backoff or leaving state changed while the connection
-            # was opened, so the choice is no longer valid.
+            # Meanwhile the replica changed its limit or backoff, or it must get no new
+            # requests, so the choice is no longer valid.
             self._deps.pool.release(connection)
             return None
         self._is_made = True
--- a/fireflyward/replicas/_backpressure.py
+++ b/fireflyward/replicas/_backpressure.py
@@ -55,8 +55,9 @@
 class Backpressure:
     """The rate limit, the backoff and the notices of one incarnation of a replica.
 
-    ``changes`` counts the changes: a send that waits compares it to find out that its
-    choice is out of date. ``is_leaving`` is set once the replica reported in an answer
+    ``changes`` counts these and the changes of the list after which the replica gets no
+    new requests: a send that waits compares it to find out that its choice is out of
+    date. ``is_leaving`` is set once the replica reported in an answer
     to some node that it is leaving, and ``has_unreadable_header`` once it sent this
     node a header that cannot be parsed.
     """
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -104,9 +104,11 @@
         assumed until then that they are warm, all nodes would send all new requests to
         them because they are idle, and they would crash.
         """
-        returned = self.evacuated - domains
+        returned, left = self.evacuated - domains, domains - self.evacuated
         self.evacuated = domains
         for state in self._state_by_name.values():
+            if state.entry.failure_domain in left:
+                state.backpressure.changes += 1
             if state.entry.failure_domain in returned:
                 state.on_cold(now_ms, self._cold_start_ms(state))
         self._rebuild_indexes()
@@ -303,6 +305,7 @@
 
     def _drop(self, name: str, why: str) -> ReplicaState:
         state = self._state_by_name.pop(name)
+        state.backpressure.changes += 1
         self._retain_backpressure(state)
         log.info("replicas: %s of %s gone: %s", name, state.entry.service, why)
         return state
@@ -335,6 +338,7 @@
 def _update(now_ms: int, known: ReplicaState, entry: ReplicaEntry) -> None:
     if entry.is_leaving and not known.is_leaving:
         log.info("replicas: %s of %s is leaving", entry.incarnation, entry.service)
+        known.backpressure.changes += 1
     if entry.cold_ms != known.entry.cold_ms:
         # A full read repeats unchanged entries, whose remaining time is out of date.
         known.on_cold(now_ms, entry.cold_ms)
--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -130,6 +130,30 @@
         replica.backpressure.changes += 1
         await self.assert_sent_elsewhere(replica)
 
+    async def test_a_replica_whose_entry_changes_meanwhile_gets_no_request(self):
+        """Guards against sending by an older list than the node has."""
+        changes = {
+            "reported": lambda name: self.directory.on_changes(
+                0, [entry(name, leaving=True)], []
+            ),
+            "removed": lambda name: self.directory.on_changes(0, [], [name]),
+            "expired": self.expire,
+            "evacuated": lambda name: self.directory.set_evacuated(
+                0, frozenset({self.directory.find(name).entry.failure_domain})
+            ),
+        }
+        for kind, change in changes.items():
+            with self.subTest(kind):
+                self.setUp()
+                self.directory.on_changes(0, [entry("r2", zone="b")], [])
+                replica = await self.begin()
+                change(replica.entry.incarnation)
+                await self.assert_sent_elsewhere(replica)
+
+    def expire(self, name):
+        self.directory.on_changes(0, [], [name], keep_until_ms=10)
+        self.directory.expire(10)
+
     async def test_a_replica_that_starts_leaving_meanwhile_gets_no_request(self):
         """Guards against sending requests that waited as the replica began to leave."""
         replica = await self.begin()
