Replicas: two single failed calls are no outage of the store

Evidence, a soak trial with lost answers on the code before this change: node entry-1 logs 'servers is back after 1504 ms, 1 failed calls' twice, 1.1 s apart; both counted as one outage of 4.1 s, p-1 was kept, and a request chosen by a list confirmed 1.2 s before reached it 3,091 ms after its removal.

Change: only two or more failed calls in a row, for a renewal's time or longer, are a part of an outage, unless one alone lasts for two renewals. In an outage the next call fails too. The tests of outages that count as one now say how many calls failed; a new one has single failures and failed before.

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -56,7 +56,8 @@
 
     With ``is_snapshot`` the rows are the full table, and a cached row that is not among
     them was deleted; otherwise the rows are changes. ``unavailable_ms`` is how long the
-    store had not answered before this read, ``position`` the position of the table.
+    store had not answered before this read, in which ``failed_calls`` calls failed one
+    after the other. ``position`` is the position of the table.
 
     ``is_new_era`` says that the store was restored from an older snapshot and that this
     is the first full read since then. A cached row that is not among the rows was lost
@@ -71,6 +72,7 @@
     position: Position = Position(0, 0)
     is_new_era: bool = False
     source: str = STORE
+    failed_calls: int = 0
 
 
 class FeedFollower:
@@ -205,6 +207,7 @@
             result.position,
             is_new_era=self._has_read and self._position.era < result.position.era,
             source=result.source,
+            failed_calls=self._failures,
         )
         if update.is_new_era:
             self._log_new_era(update)
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -171,7 +171,11 @@
         """Update the directory."""
         now_ms = self._clock.now_ms()
         self._directory.confirmation = ListConfirmation(update.as_of_ms, update.source)
-        self._outages.on_answer(now_ms, unavailable_ms=update.unavailable_ms)
+        self._outages.on_answer(
+            now_ms,
+            unavailable_ms=update.unavailable_ms,
+            failed_calls=update.failed_calls,
+        )
         if update.is_new_era:
             self._outages.on_restored(now_ms)
         found = _classify_rows(row for row in update.rows if not row.is_restored)
--- a/fireflyward/replicas/_outages.py
+++ b/fireflyward/replicas/_outages.py
@@ -19,12 +19,14 @@
     removed after a shorter failure has therefore left.
 
     Two outages count as one if a replica may not have renewed its entry between them.
+    A single failed call is no part of them, because calls of a node fail now and then,
+    and in an outage the next call fails too.
 
     >>> outages = StoreOutages(heartbeat_ms=1_200)
-    >>> outages.on_answer(10_000, unavailable_ms=1_300)
+    >>> outages.on_answer(10_000, unavailable_ms=1_300, failed_calls=1)
     >>> outages.keep_until_ms(10_000) is None
     True
-    >>> outages.on_answer(20_000, unavailable_ms=3_000)
+    >>> outages.on_answer(20_000, unavailable_ms=3_000, failed_calls=4)
     >>> outages.keep_until_ms(21_900), outages.keep_until_ms(22_000)
     (22300, None)
     """
@@ -38,15 +40,19 @@
         self._ended_ms: int | None = None
         self._may_have_expired = False
 
-    def on_answer(self, now_ms: int, *, unavailable_ms: int) -> None:
-        """Record an answer after which the store may have been unavailable before."""
-        if not unavailable_ms or unavailable_ms < self._heartbeat_ms:
+    def on_answer(self, now_ms: int, *, unavailable_ms: int, failed_calls: int) -> None:
+        """Record an answer, and for how long there was none before it."""
+        least_ms = _MISSED_RENEWALS * self._heartbeat_ms
+        if failed_calls > 1:
+            is_outage = unavailable_ms >= self._heartbeat_ms
+        else:
+            is_outage = unavailable_ms >= max(1, least_ms)
+        if not is_outage:
             return
         began_ms = now_ms - unavailable_ms
         if self._ended_ms is None or began_ms - self._ended_ms >= self._heartbeat_ms:
             self._began_ms = began_ms
         self._ended_ms = now_ms
-        least_ms = _MISSED_RENEWALS * self._heartbeat_ms
         self._may_have_expired = now_ms - self._began_ms >= least_ms
 
     def on_restored(self, now_ms: int) -> None:
--- a/tests/replicas/test_outages.py
+++ b/tests/replicas/test_outages.py
@@ -9,44 +9,56 @@
     def setUp(self):
         self.outages = StoreOutages(heartbeat_ms=1_200)
 
+    def answer(self, now_ms, unavailable_ms, failed_calls=3):
+        self.outages.on_answer(
+            now_ms, unavailable_ms=unavailable_ms, failed_calls=failed_calls
+        )
+
     def is_kept(self, now_ms):
         return self.outages.keep_until_ms(now_ms) is not None
 
     def test_without_an_outage_a_missing_replica_has_left(self):
-        self.outages.on_answer(1_000, unavailable_ms=0)
+        self.answer(1_000, 0, 0)
         self.assertFalse(self.is_kept(1_000))
 
     def test_failures_in_which_no_entry_can_expire_are_no_outage(self):
         """Guards against a node that takes its own failed reads for an outage."""
         for now_ms in range(10_000, 60_000, 2_400):
-            self.outages.on_answer(now_ms, unavailable_ms=1_199)
+            self.answer(now_ms, 1_199)
             self.assertFalse(self.is_kept(now_ms))
-        self.outages.on_answer(90_000, unavailable_ms=2_399)
+        self.answer(90_000, 2_399)
         self.assertFalse(self.is_kept(90_000))
 
     def test_the_time_to_return_counts_from_the_end_of_the_outage(self):
         """Guards against a time that starts anew with each entry that is missing."""
-        self.outages.on_answer(10_000, unavailable_ms=3_000)
+        self.answer(10_000, 3_000)
         for now_ms in (10_000, 10_700, 11_999):
-            self.outages.on_answer(now_ms, unavailable_ms=0)
+            self.answer(now_ms, 0, 0)
             self.assertEqual(self.outages.keep_until_ms(now_ms), 12_300)
         self.assertFalse(self.is_kept(12_000))
 
     def test_outages_between_which_no_entry_may_be_renewed_count_as_one(self):
         """Guards against dropping all replicas when the store is back only briefly."""
-        self.outages.on_answer(10_000, unavailable_ms=1_500)
+        self.answer(10_000, 1_500)
         self.assertFalse(self.is_kept(10_000))
-        self.outages.on_answer(11_600, unavailable_ms=1_500)
+        self.answer(11_600, 1_500)
         self.assertTrue(self.is_kept(11_600))
 
+    def test_failed_calls_with_others_between_them_are_no_outage(self):
+        """Guards against two lost answers of one node that count as one outage."""
+        self.answer(10_000, 1_500, 1)
+        self.answer(12_600, 1_500, 1)
+        self.answer(14_200, 1_500, 1)
+        self.assertFalse(self.is_kept(14_200))
+
     def test_short_outages_with_time_to_renew_between_them_count_separately(self):
-        self.outages.on_answer(10_000, unavailable_ms=1_500)
-        self.outages.on_answer(12_700, unavailable_ms=1_500)
+        self.answer(10_000, 1_500)
+        self.answer(12_700, 1_500)
         self.assertFalse(self.is_kept(12_700))
 
     def test_a_short_failure_does_not_shorten_the_time_after_an_outage(self):
-        self.outages.on_answer(10_000, unavailable_ms=3_000)
-        self.outages.on_answer(11_000, unavailable_ms=300)
+        self.answer(10_000, 3_000)
+        self.answer(11_000, 300)
         self.assertEqual(self.outages.keep_until_ms(11_000), 12_300)
 
     def test_a_restored_store_may_lack_entries(self):
--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -13,6 +13,8 @@
 from tests.platform_standins import settings_text
 
 _PORT_RANGE = (12_000, 30_000)
+# Ports of nodes that may not listen yet.
+_given_ports = set()
 
 
 class NodeProcess:
@@ -82,7 +84,8 @@
     ports = []
     while len(ports) < count:
         port = random.randrange(*_PORT_RANGE, 2)
-        if port not in ports and _is_free(port) and _is_free(port + 1):
+        if port not in _given_ports and _is_free(port) and _is_free(port + 1):
+            _given_ports.add(port)
             ports.append(port)
     return ports
 
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -182,7 +182,11 @@
     with tempfile.TemporaryDirectory() as folder:
         zones = _ZONES[:1] if is_older_seed else _ZONES
         fleet = SoakFleet(seed, folder, nodes, replica_zones=zones)
-        await fleet.start()
+        try:
+            await fleet.start()
+        except BaseException:
+            await fleet.stop()
+            raise
         faults = [
             kind(random.Random(seed + offset), fleet)
             for offset, kind in _fault_kinds(seed, is_older_seed)
