--- a/tests/fuzz/test_platform_answers.py
+++ b/tests/fuzz/test_platform_answers.py
@@ -148,6 +148,7 @@
             clock=clock,
             directory=directory,
             pool=ConnectionPool(clock),
+            heartbeat_ms=1_200,
             on_removed=lambda state: None,
         ).on_table_update(update)
         OperatorView(
