Feeds: a pause of the process does not keep the limit of a call high; no negative time without answers

Found by reading the change: after a pause of seconds the measured time of one call kept the limit of the next thirty at 700 ms, and a node that reads from an aggregator after the store could log a negative time.

--- a/fireflyward/feeds/_call_limit.py
+++ b/fireflyward/feeds/_call_limit.py
@@ -31,7 +31,11 @@
         self._usual_ms = 0.0
 
     def on_answer(self, overhead_ms: float) -> None:
-        """Record how long a call took in addition to its wait."""
+        """Record how long a call took in addition to its wait.
+
+        A longer time than the highest limit needs is a pause of this process.
+        """
+        overhead_ms = min(overhead_ms, MAX_OVERHEAD_MS / _SAFETY_FACTOR)
         weight = 1.0 if overhead_ms > self._usual_ms else _DECAY
         self._usual_ms += weight * (overhead_ms - self._usual_ms)
 
--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -186,7 +186,10 @@
         self, result: Snapshot | Changes, as_of_ms: int, answered_ms: int
     ) -> None:
         """Apply a result; ``answered_ms`` is when the store was last available."""
-        unavailable_ms = answered_ms - self._answered_ms if self._has_read else 0
+        unavailable_ms = 0
+        if self._has_read:
+            # Another node's answer may confirm an earlier time than the store's before.
+            unavailable_ms = max(0, answered_ms - self._answered_ms)
         if self._failures:
             log.info(
                 "feeds: %s is back after %d ms, %d failed calls, read from %s",
