--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -27,10 +27,10 @@
         first = random.randrange(1_000_000)
     failed = []
     for seed in range(first, first + options.seeds):
-        violations, statuses, history = asyncio.run(
+        violations, counts, history = asyncio.run(
             run_seed(seed, options.seconds, options.nodes)
         )
-        print(f"seed {seed}: {dict(statuses)}, {len(history)} faults", flush=True)
+        print(f"seed {seed}: {dict(counts)}, {len(history)} faults", flush=True)
         for line in violations[:10]:
             print(f"  violation: {line}", flush=True)
         if violations:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -173,7 +173,9 @@
 
 
 async def run_seed(seed, seconds, nodes=_NODES, *, is_older_seed=False):
-    """Run one seed; return the violations, counts by status, and the faults.
+    """Run one seed; return the violations, counts, and the faults.
+
+    The counts are of requests by status, and of withdrawals that could be judged.
 
     Seeds whose number is even have departures only, so that few late requests are
     excused by another fault. ``is_older_seed`` leaves out ``AddedFaults`` and
@@ -221,10 +223,10 @@
                 fleet.violations.append(
                     f"{node.name} logged: {text[traceback_at : traceback_at + 900]}"
                 )
-        statuses = Counter(str(item.status) for item in fleet.result_by_id.values())
-        statuses["withdrawals judged"] = len(fleet.withdrawals.judged())
+        counts = Counter(str(item.status) for item in fleet.result_by_id.values())
+        counts["withdrawals judged"] = len(fleet.withdrawals.judged())
         history = [name for injector in faults for name in injector.history]
-        return fleet.check(), statuses, history
+        return fleet.check(), counts, history
 
 
 def _fault_kinds(seed, is_older_seed):
--- a/tests/soak/_withdrawals.py
+++ b/tests/soak/_withdrawals.py
@@ -47,12 +47,13 @@
 class Withdrawal:
     """Replicas that must get no new requests from some time after ``acknowledged_s``.
 
-    Requests may arrive for ``allowed_s`` more. ``of_replica`` tells which replicas.
+    Requests may arrive for ``allowed_s`` more. ``concerns`` tells for a replica whether
+    it is one of them.
     """
 
-    def __init__(self, rule, of_replica, allowed_s):
+    def __init__(self, rule, concerns, allowed_s):
         self.rule = rule
-        self.of_replica = of_replica
+        self.concerns = concerns
         self.allowed_s = allowed_s
         self.acknowledged_s = _loop_time_s()
         self.ended_s = math.inf
@@ -60,11 +61,9 @@
     def end(self):
         self.ended_s = _loop_time_s()
 
-    def late_by_s(self, replica, arrived_s):
-        """Return the time since the acknowledgement if a request arrived late, or 0."""
-        since_s = arrived_s - self.acknowledged_s
-        is_late = self.of_replica(replica) and since_s > self.allowed_s
-        return since_s if is_late and arrived_s < self.ended_s else 0.0
+    def is_late(self, arrived_s):
+        """Return whether a request that arrived then reached a replica too late."""
+        return self.acknowledged_s + self.allowed_s < arrived_s < self.ended_s
 
 
 class Withdrawals:
@@ -87,8 +86,8 @@
             _EVACUATION_S,
         )
 
-    def _record(self, rule, of_replica, allowed_s):
-        withdrawal = Withdrawal(rule, of_replica, allowed_s)
+    def _record(self, rule, concerns, allowed_s):
+        withdrawal = Withdrawal(rule, concerns, allowed_s)
         self._withdrawals.append(withdrawal)
         return withdrawal
 
@@ -104,21 +103,30 @@
     def violations(self):
         """Describe the late requests that no fault of their path excuses."""
         return [
-            f"{withdrawal.rule}: {result.request_id} {result.path} from {result.node} "
-            f"reached {replica.incarnation} {late_s * 1_000:.0f} ms after the "
-            f"acknowledgement at {withdrawal.acknowledged_s:.3f}"
+            self._describe(withdrawal, replica, sent)
             for withdrawal in self.judged()
-            for replica in self._fleet.replicas
+            for replica in filter(withdrawal.concerns, self._fleet.replicas)
             for sent in replica.executed_requests
-            if (late_s := withdrawal.late_by_s(replica, sent.arrived_s))
-            and (result := self._fleet.result_by_id[sent.headers["x-request-id"]])
-            and not self._is_excused(result, replica, sent.arrived_s)
+            if withdrawal.is_late(sent.arrived_s)
+            and not self._is_excused(replica, sent)
         ]
 
-    def _is_excused(self, result, replica, arrived_s):
+    def _describe(self, withdrawal, replica, sent):
+        result = self._result_of(sent)
+        since_s = sent.arrived_s - withdrawal.acknowledged_s
+        return (
+            f"{withdrawal.rule}: {result.request_id} {result.path} from {result.node} "
+            f"reached {replica.incarnation} {since_s * 1_000:.0f} ms after the "
+            f"acknowledgement at {withdrawal.acknowledged_s:.3f}"
+        )
+
+    def _is_excused(self, replica, sent):
         fleet = self._fleet
-        path = [fleet.store, result.node, fleet.link_of(replica)]
-        return fleet.disturbances.excuse(path, arrived_s)
+        path = [fleet.store, self._result_of(sent).node, fleet.link_of(replica)]
+        return fleet.disturbances.excuse(path, sent.arrived_s)
+
+    def _result_of(self, sent):
+        return self._fleet.result_by_id[sent.headers["x-request-id"]]
 
 
 def _loop_time_s():
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,8 +23,8 @@
 class SoakTests(unittest.TestCase):
     def check(self, seed, seconds, **options):
         with self.subTest(seed=seed):
-            violations, statuses, _ = asyncio.run(run_seed(seed, seconds, **options))
-            self.assertEqual(violations, [], statuses)
+            violations, counts, _ = asyncio.run(run_seed(seed, seconds, **options))
+            self.assertEqual(violations, [], counts)
 
     def test_seeds(self):
         self.check(1, _SECONDS)
