Replicas: an outage counts from the last call that the store accepted

Cause: the time without answers counted from the last answer. A call that waits for changes may still be answered while the store accepts no other, so the outage seemed shorter than two renewals. Change: it counts from when the last answered call was sent, and behind an aggregator from a wait before the time that it confirms. This measure contains the wait of the call before a failure, so that a single failed call counts only if it takes as long as an entry takes to expire.

--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -55,9 +55,9 @@
     """The result of one read of a table, valid ``as_of_ms`` by this node's clock.
 
     With ``is_snapshot`` the rows are the full table, and a cached row that is not among
-    them was deleted; otherwise the rows are changes. ``unavailable_ms`` is how long the
-    store had not answered before this read, in which ``failed_calls`` calls failed one
-    after the other. ``position`` is the position of the table.
+    them was deleted; otherwise the rows are changes. ``unavailable_ms`` is for how
+    long at most the store accepted no calls before this read, and ``failed_calls`` how
+    many calls failed in this time. ``position`` is the position of the table.
 
     ``is_new_era`` says that the store was restored from an older snapshot and that this
     is the first full read since then. A cached row that is not among the rows was lost
@@ -103,7 +103,7 @@
         self._pace = pace
         self._position = Position(0, -1)
         self._has_read = False
-        self._answered_ms = 0
+        self._accepted_ms = 0
         self._restored_rows = RestoredRowDetector()
         self._needs_full_read = True
         self._call_limit = CallLimit()
@@ -155,11 +155,9 @@
             log.info("feeds: full read of %s in new era %d", self._table, era)
             return self._request_full_read()
         as_of_ms = self._valid_as_of_ms(result, sent_ms, wait_ms)
-        answered_ms = as_of_ms
-        if result.source == STORE:
-            # The store was available at least until it answered or the wait ended.
-            answered_ms = max(as_of_ms, min(self._clock.now_ms(), sent_ms + wait_ms))
-        self._apply(result, as_of_ms, answered_ms)
+        # A call that waits may still be answered while the store accepts no other.
+        is_direct = result.source == STORE
+        self._apply(result, as_of_ms, sent_ms if is_direct else as_of_ms - wait_ms)
         return True
 
     async def _call(
@@ -183,13 +181,12 @@
         return valid_as_of_ms(result, sent_ms, self._clock.now_ms(), wait_ms)
 
     def _apply(
-        self, result: Snapshot | Changes, as_of_ms: int, answered_ms: int
+        self, result: Snapshot | Changes, as_of_ms: int, accepted_ms: int
     ) -> None:
-        """Apply a result; ``answered_ms`` is when the store was last available."""
+        """Apply a result; the store accepted a call at ``accepted_ms`` or later."""
         unavailable_ms = 0
         if self._has_read:
-            # Another node's answer may confirm an earlier time than the store's before.
-            unavailable_ms = max(0, answered_ms - self._answered_ms)
+            unavailable_ms = self._clock.now_ms() - self._accepted_ms
         if self._failures:
             log.info(
                 "feeds: %s is back after %d ms, %d failed calls, read from %s",
@@ -218,7 +215,7 @@
         self._needs_full_read = False
         self._position = result.position
         self._has_read = True
-        self._answered_ms = answered_ms
+        self._accepted_ms = max(self._accepted_ms, accepted_ms)
         self.as_of_ms = as_of_ms
         self._on_update(update)
 
--- a/fireflyward/replicas/_outages.py
+++ b/fireflyward/replicas/_outages.py
@@ -3,6 +3,8 @@
 # An entry expires after three intervals without a renewal, so an entry that expired
 # while the store was unavailable has missed the renewals of two intervals before.
 _MISSED_RENEWALS = 2
+# A single call that fails, with the wait of the call before it, takes up to two.
+_MISSED_RENEWALS_IN_ONE_CALL = 3
 # Replicas write their expired entries again within this time after the store is
 # available again, as the platform specifies.
 _RETURN_MS = 2_000
@@ -14,13 +16,13 @@
     """Tells whether a missing entry may only have expired in an outage; no I/O.
 
     A node cannot tell a failed read of its own from an outage of the store by the
-    failure. But the store may have been unavailable only while this node got no answer,
-    and no entry expires in a shorter time than two renewals take. A replica that is
-    removed after a shorter failure has therefore left.
+    failure. But the store may have been unavailable only between two calls of this node
+    that it accepted, and no entry expires in a shorter time than two renewals take. A
+    replica that is removed after a shorter failure has therefore left.
 
     Two outages count as one if a replica may not have renewed its entry between them.
-    A single failed call is no part of them, because calls of a node fail now and then,
-    and in an outage the next call fails too.
+    A single failed call is not counted, unless it takes as long as an entry takes to
+    expire: calls of a node fail now and then, and in an outage the next call fails too.
 
     >>> outages = StoreOutages(heartbeat_ms=1_200)
     >>> outages.on_answer(10_000, unavailable_ms=1_300, failed_calls=1)
@@ -41,13 +43,10 @@
         self._may_have_expired = False
 
     def on_answer(self, now_ms: int, *, unavailable_ms: int, failed_calls: int) -> None:
-        """Record an answer, and for how long there was none before it."""
+        """Record an answer, and for how long the store accepted no calls before it."""
         least_ms = _MISSED_RENEWALS * self._heartbeat_ms
-        if failed_calls > 1:
-            is_outage = unavailable_ms >= self._heartbeat_ms
-        else:
-            is_outage = unavailable_ms >= max(1, least_ms)
-        if not is_outage:
+        renewals = 1 if failed_calls > 1 else _MISSED_RENEWALS_IN_ONE_CALL
+        if not failed_calls or unavailable_ms < renewals * self._heartbeat_ms:
             return
         began_ms = now_ms - unavailable_ms
         if self._ended_ms is None or began_ms - self._ended_ms >= self._heartbeat_ms:
--- a/tests/replicas/test_outages.py
+++ b/tests/replicas/test_outages.py
@@ -51,6 +51,15 @@
         self.answer(14_200, 1_500, 1)
         self.assertFalse(self.is_kept(14_200))
 
+    def test_a_single_failed_call_that_takes_long_is_no_outage(self):
+        """Guards against a lost answer that counts as an outage with the waits."""
+        self.answer(10_000, 2_600, 1)
+        self.assertFalse(self.is_kept(10_000))
+
+    def test_a_node_that_stood_still_while_entries_expired_keeps_them(self):
+        self.answer(10_000, 3_600, 1)
+        self.assertTrue(self.is_kept(10_000))
+
     def test_short_outages_with_time_to_renew_between_them_count_separately(self):
         self.answer(10_000, 1_500)
         self.answer(12_700, 1_500)
