Log the software version of replicas and the request that began a resumed stream

Now: software and resumed_from in a request's line, software in each earlier send and in the line of a listed replica. No decision uses them yet.

--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -84,6 +84,7 @@
         trace.account = allowed.account.name if allowed.account else ""
         trace.fingerprint = fingerprint_of(trace.account, caller.target, body)
         trace.service = allowed.service
+        trace.resumed_from = caller.first_request_id or ""
         trace.configuration = allowed.configuration_version
         self._deps = deps
         self._clock = deps.clock
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -36,6 +36,9 @@
     connection could be opened, by how that failed. ``relay`` is the node through which
     the last send was made, if any, and ``connect_ms`` how long its connection took.
 
+    ``software`` is the software version of the replica, and ``resumed_from`` the request
+    that brought the first event of the stream that this request resumes.
+
     ``second_send`` is why a second send was made while the first one was open,
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
     ``second_refused`` is why a due second send was not made.
@@ -63,6 +66,7 @@
         "queue_ms",
         "relay",
         "replica",
+        "resumed_from",
         "route",
         "second_after_ms",
         "second_refused",
@@ -72,6 +76,7 @@
         "sent_after_ms",
         "service",
         "share_percent",
+        "software",
         "stored_tokens",
         "totals_age_ms",
         "waits_late",
@@ -91,6 +96,8 @@
         self.connects_timed_out = 0
         self.relay = ""
         self.replica = ""
+        self.resumed_from = ""
+        self.software = ""
         self.sends = 0
         self.chosen_after_ms = 0
         self.sent_after_ms = 0
@@ -121,6 +128,7 @@
     def on_choice(self, choice: Choice) -> None:
         """Record which replica was chosen for a send, and its estimated times."""
         self.replica = choice.replica.entry.incarnation
+        self.software = choice.replica.entry.software
         self.weights = choice.weights
         self.queue_ms = int(choice.queue_ms)
         self.memory_ms = int(choice.memory_ms)
@@ -147,7 +155,7 @@
     def on_retry(self, request_id: str, result: SendResult, left_ms: float) -> None:
         """Record the result of a send that is followed by another, and log it."""
         name, detail = type(result).__name__, _detail(result)
-        self._add_earlier(self.replica, result)
+        self._add_earlier(self.replica, self.software, result)
         log.info(
             "forwarding: retrying after %s",
             name,
@@ -155,6 +163,7 @@
                 "request": request_id,
                 "fingerprint": self.fingerprint,
                 "replica": self.replica,
+                "software": self.software,
                 "detail": detail,
                 "left_ms": int(left_ms),
             },
@@ -162,10 +171,12 @@
 
     def on_other_result(self, choice: Choice, result: SendResult) -> None:
         """Record how the other one of two sends ended."""
-        self._add_earlier(choice.replica.entry.incarnation, result)
+        entry = choice.replica.entry
+        self._add_earlier(entry.incarnation, entry.software, result)
 
-    def _add_earlier(self, replica: str, result: SendResult) -> None:
-        self.earlier.append(f"{replica}: {type(result).__name__} {_detail(result)}")
+    def _add_earlier(self, replica: str, software: str, result: SendResult) -> None:
+        name = f"{replica} ({software})" if software else replica
+        self.earlier.append(f"{name}: {type(result).__name__} {_detail(result)}")
 
     def fields(self) -> dict[str, object]:
         """Return the fields that are set, by name."""
--- a/fireflyward/platform/_replica_list.py
+++ b/fireflyward/platform/_replica_list.py
@@ -56,6 +56,7 @@
         cold_ms=to_int(raw.cold_remaining_ms),
         weights=tuple(ModelWeights(item.name, item.version) for item in raw.models),
         started_ms=raw.born,
+        software=raw.version,
     )
 
 
--- a/fireflyward/platform/_requests.py
+++ b/fireflyward/platform/_requests.py
@@ -18,6 +18,8 @@
 _TOKENS = "x-token-usage"
 _PARTS = "x-prompt-prefix"
 _LAST_EVENT = "last-event-id"
+# The id of the request that brought the first event of the stream that is resumed.
+_RESUMES = "resumes"
 _LENGTH_HINT = "x-length-hint"
 _SIGNATURE = "x-server-seal"
 _NOT_EXECUTED = "x-not-executed"
@@ -105,7 +107,9 @@
     """A request as the caller sent it; ``target`` is the unchanged path and query.
 
     ``deadline_ms`` is how long the caller waits, None if it sent no deadline.
-    ``headers`` are those that are forwarded to the replica unchanged.
+    ``headers`` are those that are forwarded to the replica unchanged. A request that
+    resumes a stream after ``last_event_id`` names in ``first_request_id`` the request
+    that brought the stream's first event.
     """
 
     request_id: str
@@ -120,6 +124,7 @@
     max_output_tokens: int = 0
     parts: tuple[PromptPart, ...] = ()
     last_event_id: str | None = None
+    first_request_id: str | None = None
 
     @property
     def path(self) -> str:
@@ -203,6 +208,7 @@
             max_output_tokens=_token_count(by_name.get(_TOKENS), 1),
             parts=_parts(by_name.get(_PARTS)),
             last_event_id=by_name.get(_LAST_EVENT),
+            first_request_id=by_name.get(_RESUMES),
         )
     except ValueError as error:
         return NotRun(Reason.BAD_REQUEST, str(error))
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -290,7 +290,12 @@
                 state = ReplicaState(entry, kept)
                 state.on_cold(now_ms, entry.cold_ms)
                 self._state_by_name[entry.incarnation] = state
-                log.info("replicas: %s of %s listed", entry.incarnation, entry.service)
+                log.info(
+                    "replicas: %s of %s listed with software %s",
+                    entry.incarnation,
+                    entry.service,
+                    entry.software,
+                )
             else:
                 _update(now_ms, known, entry)
         return replaced
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -40,11 +40,21 @@
     pauses of its streams.
     """
 
-    def __init__(self, incarnation, *, model=None, version=1, events=4, pause_s=0.0):
+    def __init__(
+        self,
+        incarnation,
+        *,
+        model=None,
+        version=1,
+        events=4,
+        pause_s=0.0,
+        software="v1",
+    ):
         super().__init__()
         self.incarnation = incarnation
         self.model = model
         self.version = version
+        self.software = software
         self.executed_requests = []
         self.orders = []
         self.behaviors = []
@@ -71,7 +81,7 @@
             "service": service,
             "address": self.address,
             "zone": zone,
-            "version": "v1",
+            "version": self.software,
             "slots": 4,
             "state": state,
             "cold-remaining-ms": 0,
@@ -99,6 +109,7 @@
 
     def _set_version(self, version):
         self.version = version
+        self.software = software
 
     async def _execute(self, request, writer):
         headers = request.headers
