--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -109,7 +109,6 @@
 
     def _set_version(self, version):
         self.version = version
-        self.software = software
 
     async def _execute(self, request, writer):
         headers = request.headers
