Streams: a stream goes on only at the software version that began it

The version in a replica's entry was decoded and dropped, so the chooser placed each continuation (the node's own, a second send, a caller's next try) at any replica.

The first event now binds a stream to the version of its replica (StreamProgress), which is a requirement of every later choice. Without a record a stream goes on only if one version served for as long as streams last; a row of the nodes' table tells a node that just started. Otherwise 503, not run, at once. Before a stream goes on, the replica's report on the same connection confirms that the listed incarnation is there: one that restarted under its name may have other software. Bound streams are not rejected as late and precede new ones of their priority.

--- a/fireflyward/aggregators/_choice.py
+++ b/fireflyward/aggregators/_choice.py
@@ -91,15 +91,18 @@
 
     def all_addresses(self) -> list[Address]:
         """Return the addresses of all other nodes."""
-        groups = self._members_by_domain.values()
-        return [member.address for group in groups for member in group]
+        return [member.address for member in self.all_members()]
+
+    def all_members(self) -> list[Member]:
+        """Return all other nodes."""
+        return [item for group in self._members_by_domain.values() for item in group]
 
     def responsive_members(self, now_ms: int) -> list[Member]:
         """Return the other nodes, without those that do not answer this one.
 
         If none answers, all are returned: messages to them may have been lost.
         """
-        members = [item for group in self._members_by_domain.values() for item in group]
+        members = self.all_members()
         answering = [item for item in members if not self._is_silent(now_ms, item.name)]
         return answering or members
 
--- a/fireflyward/deployment/_replicas.py
+++ b/fireflyward/deployment/_replicas.py
@@ -20,9 +20,9 @@
 
     ``incarnation`` is the replica's name; it may stay the same after a restart.
     ``started_ms`` is the time of the start by the replica's wall clock, 0 if it
-    reports none. ``cold_ms`` is for how much longer the replica stays cold. ``software``
-    is the version of the replica's software, which has no order; the weights of its
-    models have versions of their own.
+    reports none. ``cold_ms`` is for how much longer the replica stays cold.
+    ``software`` is the version of the replica's software, which has no order; the
+    weights of its models have versions of their own.
     """
 
     incarnation: str
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -8,7 +8,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
-from fireflyward.feeds import SharedTables
+from fireflyward.feeds import SharedTables, TableUpdate
 from fireflyward.forwarding import Forwarder, WeightVersions
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost
@@ -19,6 +19,7 @@
 from fireflyward.quarantine import Quarantine
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
+from fireflyward.streams import SoftwareRows
 from fireflyward.weights import LoadAnnouncer, WeightTask
 
 from ._callers import CallerServer
@@ -43,6 +44,7 @@
 # The part of the grace period that is reserved for the last writes.
 _EXIT_MARGIN_MS = 500
 _LEASE = "weights"
+_SOFTWARE_DUTY = "software"
 _METRICS_PORT_OFFSET = 1
 
 
@@ -122,6 +124,14 @@
             pool=self._pool,
             heartbeat_ms=settings.heartbeat_ms,
             on_removed=self._quarantine.on_removed,
+            on_updated=self._replica_components.streams.on_list,
+        )
+        self._software_rows = SoftwareRows(
+            self._replica_components.streams.versions,
+            clock=clock,
+            store=self._store,
+            table=NODE_TABLE,
+            is_first=lambda: self._node_registry.is_among_first(1, _SOFTWARE_DUTY),
         )
         self._tables = SharedTables(
             self._store,
@@ -136,7 +146,7 @@
             tables=self._tables,
             aggregators=self._aggregators,
             on_nodes=self._on_nodes,
-            on_rows=self._quarantine.on_table_update,
+            on_rows=self._on_rows,
             on_link=self._on_link,
         )
         # A restored store may lack the rows that nodes wrote about themselves. All
@@ -247,6 +257,7 @@
             self._weight_task.run(),
             self._garbage_collector.run(),
             self._quarantine.run(),
+            self._software_rows.run(),
             self._replica_components.notices.run(),
             self._replica_components.relays.connector.run(),
         )
@@ -303,6 +314,7 @@
             fairness=self._replica_components.fairness,
             hedging=self._replica_components.hedging,
             connections=self._replica_components.relays.connector,
+            streams=self._replica_components.streams,
         )
 
     def _make_lease(self) -> LeaseTask:
@@ -334,6 +346,10 @@
         self._forwarder.set_nodes(len(names))
         self._replica_components.set_nodes(names)
 
+    def _on_rows(self, update: TableUpdate) -> None:
+        self._quarantine.on_table_update(update)
+        self._software_rows.on_table_update(update)
+
     def _contends(self) -> bool:
         return not self._is_stopping and self._node_registry.is_among_first(
             _MAX_CONTENDERS, _LEASE
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from fireflyward.aggregators import Aggregators
+from fireflyward.aggregators import Aggregators, Member
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.hedging import Hedging, SilentReplicaCost
@@ -22,6 +22,7 @@
     ReplicaDirectory,
 )
 from fireflyward.speeds import PauseTerm, PauseTimes, SpeedTask
+from fireflyward.streams import StreamTask
 from fireflyward.subsets import (
     ConnectionCounts,
     IdleConnectionCost,
@@ -117,6 +118,12 @@
         self.notices = NoticeTask(
             clock=clock, directory=self.directory, peers=aggregators.all_addresses
         )
+        self.streams = StreamTask(
+            clock=clock,
+            directory=self.directory,
+            node=_member(settings),
+            members=aggregators.all_members,
+        )
         self.speeds = SpeedTask(
             clock=clock,
             directory=self.directory,
@@ -141,6 +148,7 @@
         self.relays.use(link)
         self.notices.use(link)
         self.speeds.use(link)
+        self.streams.use(link)
 
     def gauges(self) -> dict[str, int]:
         """Return how many replicas there are, and how many get fewer or no requests."""
@@ -172,6 +180,9 @@
             **self.relays.gauges(),
             "kv_prompts_moved_total": self.kv_room.moved,
             "kv_prompts_without_room_total": self.kv_room.without_room,
+            "streams_recorded": len(self.streams.starts),
+            "stream_origins_asked_total": self.streams.asked,
+            "stream_origins_unknown_total": self.streams.unknown,
             "silent_replicas": self.hedging.silent.count(now_ms),
             "second_sends_total": self.hedging.second_sends.made,
             "second_sends_won_total": self.hedging.second_sends.won,
@@ -204,3 +215,9 @@
                 service = state.entry.service
                 free_by_service[service] = free_by_service.get(service, 0) + free
         return free_by_service
+
+
+def _member(settings: FleetSettings) -> Member:
+    """Return the node of these settings as others see it in the list of nodes."""
+    address = (settings.ip, settings.peer_ports[0])
+    return Member(settings.node, settings.failure_domain, address, settings.link_mbps)
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -147,8 +147,11 @@
         pool: ConnectionPool,
         heartbeat_ms: int,
         on_removed: Callable[[ReplicaState], None],
+        on_updated: Callable[[], None] = lambda: None,
     ) -> None:
+        """``on_updated`` is called after each change of the directory."""
         self._clock = clock
+        self._on_updated = on_updated
         self._on_removed = on_removed
         self._directory = directory
         self._pool = pool
@@ -210,6 +213,7 @@
         for state in states:
             self._pool.close_idle(state.entry.address)
             self._on_removed(state)
+        self._on_updated()
 
     def _predates_leaving(self, entry: ReplicaEntry) -> bool:
         """Return whether a leaving incarnation's entry doesn't show that it leaves."""
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -12,7 +12,7 @@
 
 from ._admission import Admission
 from ._caller_times import CallerTimes
-from ._interfaces import Connections, Notices, QuarantineGate, Reach, Speeds
+from ._interfaces import Connections, Notices, QuarantineGate, Reach, Speeds, Streams
 from ._late_limit import LateRequestLimit
 from ._silence_watch import SilenceWatch
 from ._weights import WeightVersions
@@ -39,3 +39,4 @@
     speeds: Speeds
     hedging: Hedging
     watch: SilenceWatch
+    streams: Streams
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -47,13 +47,18 @@
 
 
 class StreamProgress:
-    """How much of a stream the caller has received, from all replicas together."""
+    """How much of a stream the caller has received, from all replicas together.
 
-    __slots__ = ("has_begun", "last_number")
+    ``software`` is the software version of the replicas that may continue it, None
+    before its first event.
+    """
+
+    __slots__ = ("has_begun", "last_number", "software")
 
     def __init__(self) -> None:
         self.has_begun = False
         self.last_number: int | None = None
+        self.software: str | None = None
 
 
 class Exchange:
@@ -71,6 +76,7 @@
         "_due_ms",
         "_is_stream",
         "_notices",
+        "_on_begun",
         "_on_event",
         "_on_first_data",
         "_on_pause",
@@ -97,6 +103,7 @@
         is_stream: bool,
         progress: StreamProgress,
         reply: Reply,
+        on_begun: Callable[[], None],
         on_event: Callable[[], None],
         claim: Callable[[], bool],
         on_first_data: Callable[[], None],
@@ -113,6 +120,7 @@
         self._is_stream = is_stream
         self._progress = progress
         self._reply = reply
+        self._on_begun = on_begun
         self._on_event = on_event
         self._claim = claim
         self._on_first_data = on_first_data
@@ -238,6 +246,7 @@
                     continue
             if not progress.has_begun:
                 progress.has_begun = True
+                self._on_begun()
                 await self._reply.begin_stream(head)
             await self._reply.send_event(event.data)
             if event.number is not None:
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -19,10 +19,12 @@
     Connections,
     DirectConnections,
     NoSpeeds,
+    NoStreams,
     Notices,
     QuarantineGate,
     Reach,
     Speeds,
+    Streams,
 )
 from ._late_limit import LateRequestLimit
 from ._request_run import RequestRun
@@ -59,6 +61,7 @@
         fairness: FairAdmission | None = None,
         hedging: Hedging | None = None,
         connections: Connections | None = None,
+        streams: Streams | None = None,
     ) -> None:
         hedging = hedging or Hedging()
         self._deps = Dependencies(
@@ -78,6 +81,7 @@
             notices=notices,
             speeds=speeds or NoSpeeds(),
             hedging=hedging,
+            streams=streams or NoStreams(),
             watch=SilenceWatch(clock=clock, pool=pool, reach=reach, hedging=hedging),
         )
 
--- a/fireflyward/forwarding/_interfaces.py
+++ b/fireflyward/forwarding/_interfaces.py
@@ -7,6 +7,7 @@
 from fireflyward.platform import ResponseFacts
 from fireflyward.quarantine import Free, Held, Trial
 from fireflyward.replicas import ReplicaState
+from fireflyward.streams import StreamOrigin
 
 
 class QuarantineGate(Protocol):
@@ -68,6 +69,35 @@
         )
 
 
+class Streams(Protocol):
+    """Knows where streams began; see ``streams.StreamTask``."""
+
+    def on_begun(
+        self, service: str, account: str, request_id: str, software: str
+    ) -> None: ...
+
+    async def find(
+        self, service: str, account: str, first_request_id: str | None
+    ) -> StreamOrigin | None: ...
+
+
+class NoStreams:
+    """Takes all replicas for alike."""
+
+    __slots__ = ()
+
+    def on_begun(
+        self, service: str, account: str, request_id: str, software: str
+    ) -> None:
+        """Ignore the begin of a stream."""
+
+    async def find(
+        self, service: str, account: str, first_request_id: str | None
+    ) -> StreamOrigin | None:
+        """Return None: the stream may go on at any replica."""
+        return None
+
+
 class Notices(Protocol):
     """Receives facts about replicas from responses; see ``notices.NoticeTask``."""
 
--- a/fireflyward/forwarding/_prompt_requirements.py
+++ b/fireflyward/forwarding/_prompt_requirements.py
@@ -31,11 +31,14 @@
         """Return the tokens in a replica's KV memory at the end of the request."""
         return self._caller.prompt_tokens + self._caller.max_output_tokens
 
-    def criteria(self, now_ms: int) -> Requirements:
-        """Return the criteria by which a replica is chosen."""
+    def criteria(self, now_ms: int, software: str | None = None) -> Requirements:
+        """Return the criteria by which a replica is chosen.
+
+        ``software`` is the software version at which the request's stream began.
+        """
         caller = self._caller
         if not caller.model:
-            return Requirements(self._allowed.service)
+            return Requirements(self._allowed.service, software=software)
         shared = caller.parts[:-1]
         version = self._weights.newest(caller.model)
         prefix_tokens = sum(part.tokens for part in shared)
@@ -51,6 +54,7 @@
             least_version=self._weights.min_version(now_ms, caller.model),
             pause_ms=self._allowed.route.pause_ms,
             shared_prefix=self.shared_prefix(version),
+            software=software,
         )
 
     def shared_prefix(self, version: int | None) -> SharedPrefix | None:
--- a/fireflyward/forwarding/_replica_send.py
+++ b/fireflyward/forwarding/_replica_send.py
@@ -84,9 +84,13 @@
         may_repeat: bool,
         progress: StreamProgress,
         reply: Reply,
+        on_begun: Callable[[], None],
         on_pause: Callable[[float], None],
     ) -> SendResult | NotRunThere | Superseded:
-        """Write the request, and read the response until it ends or fails."""
+        """Write the request, and read the response until it ends or fails.
+
+        ``on_begun`` is called before the caller gets the first event of its stream.
+        """
         replica = self._choice.replica
 
         def handle_pause(pause_ms: float) -> None:
@@ -109,6 +113,7 @@
                 is_stream=is_stream,
                 progress=progress,
                 reply=reply,
+                on_begun=on_begun,
                 on_event=self._watched.on_bytes,
                 claim=self._begin,
                 on_first_data=self._handle_first_data,
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -38,6 +38,7 @@
 from ._second_send import SecondSend
 from ._send_headers import replica_headers
 from ._send_race import SendRace
+from ._stream_version import StreamVersion
 from ._trace import Trace
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
@@ -64,6 +65,7 @@
         "_progress",
         "_reply",
         "_service",
+        "_stream_version",
         "_trace",
         "_tried",
         "_waits_late",
@@ -104,6 +106,9 @@
         self._is_late = False
         self._waits_late = False
         self._progress = StreamProgress()
+        self._stream_version = StreamVersion(
+            deps, caller, allowed, self._progress, trace
+        )
         self._requirements = PromptRequirements(
             caller, allowed, planner=deps.planner, weights=deps.weights
         )
@@ -129,6 +134,9 @@
 
     async def _send_until_done(self) -> Outcome:
         self._deps.budget.on_request(self._clock.now_ms(), self._service)
+        rejection = await self._stream_version.find(self._left_ms())
+        if rejection is not None:
+            return rejection
         while True:
             result = await self._send_once()
             if isinstance(result, Streamed):
@@ -202,6 +210,10 @@
             limit_ms=left_ms,
             fresh=replica.is_suspect(started_ms),
         )
+        if not isinstance(connection, NotConnected):
+            connection = await self._stream_version.confirm(
+                connection, replica, self._left_ms()
+            )
         self._trace.on_connect(connection, self._clock.now_ms() - started_ms)
         return connection
 
@@ -220,9 +232,11 @@
     def _admit(self, choice: Choice, left_ms: float) -> NotRun | None:
         """Reject a first send that would be late, unless it may wait for a slot.
 
-        This method also records whether the request is late and whether it waits.
+        A stream that can continue at some replicas only is not rejected: new requests
+        can go elsewhere. This method also records whether the request is late, and
+        whether it waits.
         """
-        if self._plan.may_have_run:
+        if self._plan.may_have_run or self._stream_version.is_bound:
             return None
         now_ms, is_prompt = self._clock.now_ms(), bool(self._caller.model)
         objective_left_ms = self._objective_ms - now_ms
@@ -334,6 +348,7 @@
                 may_repeat=route.may_repeat,
                 progress=self._progress,
                 reply=self._reply,
+                on_begun=lambda: self._stream_version.on_begun(replica),
                 on_pause=self._trace.on_pause,
             )
         except BaseException:
@@ -369,17 +384,16 @@
     def _choose(self) -> Choice | None:
         choice = self._choose_untried()
         if choice is None and self._tried and not self._plan.may_have_run:
-            now_ms = self._clock.now_ms()
-            criteria = self._requirements.criteria(now_ms)
-            choice = self._deps.chooser.choose(now_ms, criteria)
+            return self._choose_among()
         return choice
 
     def _choose_untried(self) -> Choice | None:
+        return self._choose_among(without=frozenset(self._tried))
+
+    def _choose_among(self, without: frozenset[int] = frozenset()) -> Choice | None:
         now_ms = self._clock.now_ms()
-        criteria = self._requirements.criteria(now_ms)
-        return self._deps.chooser.choose(
-            now_ms, criteria, without=frozenset(self._tried)
-        )
+        criteria = self._requirements.criteria(now_ms, self._progress.software)
+        return self._deps.chooser.choose(now_ms, criteria, without=without)
 
     def _headers(self, choice: Choice) -> ReplicaHeaders:
         return replica_headers(
@@ -391,6 +405,7 @@
             progress=self._progress,
             left_ms=self._left_ms(),
             is_late=self._is_late,
+            is_bound=self._stream_version.is_bound,
         )
 
     def _record_first_token(self, choice: Choice, took_ms: int) -> None:
--- a/fireflyward/forwarding/_send_headers.py
+++ b/fireflyward/forwarding/_send_headers.py
@@ -21,10 +21,17 @@
     progress: StreamProgress,
     left_ms: float,
     is_late: bool,
+    is_bound: bool,
 ) -> ReplicaHeaders:
-    """Return the headers of one send; late requests come after all others."""
+    """Return the headers of one send; late requests come after all others.
+
+    With ``is_bound`` only some replicas can serve the request. It precedes those of its
+    priority, which can go to other replicas.
+    """
     account = allowed.account
     priority = allowed.priority + (_LATE_PRIORITY_STEP if is_late else 0)
+    if is_bound:
+        priority = max(0, priority - 1)
     last_event_id = caller.last_event_id
     if progress.last_number is not None:
         last_event_id = str(progress.last_number)
--- /dev/null
+++ b/fireflyward/forwarding/_stream_version.py
@@ -0,0 +1,125 @@
+"""Keeps a stream at the software version of the replicas at which it began."""
+
+from fireflyward.deployment import RouteKind
+from fireflyward.http1 import HttpConnection, NotConnected
+from fireflyward.limits import bounded_retry_after_ms
+from fireflyward.outcomes import NotRun, Reason
+from fireflyward.platform import CallerRequest, is_incarnation
+from fireflyward.replicas import ReplicaState
+from fireflyward.routes import Allowed
+from fireflyward.streams import UnknownStream
+
+from ._admission import MAX_WAIT_SHARE, SHORTEST_RETRY_AFTER_MS
+from ._dependencies import Dependencies
+from ._exchange import StreamProgress
+from ._trace import Trace
+
+# A replica answers for its report within a round trip.
+_REPORT_LIMIT_MS = 350
+# Nodes that did not answer may do so when the caller comes back.
+_RETRY_AFTER_MS = 300
+
+
+class StreamVersion:
+    """Finds where a resumed stream began, and records where a new one begins.
+
+    What replicas of two software versions write does not fit together, so from the
+    first event on only replicas of one version may continue a stream, in this response
+    or in a later one.
+    """
+
+    __slots__ = (
+        "_account",
+        "_allowed",
+        "_caller",
+        "_deps",
+        "_progress",
+        "_trace",
+        "is_bound",
+    )
+
+    def __init__(
+        self,
+        deps: Dependencies,
+        caller: CallerRequest,
+        allowed: Allowed,
+        progress: StreamProgress,
+        trace: Trace,
+    ) -> None:
+        self._deps = deps
+        self._caller = caller
+        self._allowed = allowed
+        self._account = allowed.account.name if allowed.account else ""
+        self._progress = progress
+        self._trace = trace
+        # Whether the caller resumes a stream that only some replicas can continue.
+        self.is_bound = False
+
+    async def find(self, left_ms: float) -> NotRun | None:
+        """Find the version of a stream that the caller resumes.
+
+        Return why it cannot be resumed: replicas of several versions serve, and no node
+        knows the stream.
+        """
+        if not self._is_stream or self._caller.last_event_id is None:
+            return None
+        origin = await self._deps.streams.find(
+            self._allowed.service, self._account, self._caller.first_request_id
+        )
+        if origin is None:
+            return None
+        if isinstance(origin, UnknownStream):
+            self._trace.origin_source = origin.detail
+            retry_after_ms = bounded_retry_after_ms(
+                _RETRY_AFTER_MS,
+                min_ms=SHORTEST_RETRY_AFTER_MS,
+                max_ms=MAX_WAIT_SHARE * left_ms,
+            )
+            detail = f"software version of the stream is unknown: {origin.detail}"
+            return NotRun(Reason.NO_UPSTREAM, detail, retry_after_ms)
+        self._trace.origin_software = origin.software
+        self._trace.origin_source = origin.source
+        self._progress.software = origin.software
+        self.is_bound = origin.has_others
+        return None
+
+    def on_begun(self, replica: ReplicaState) -> None:
+        """Record the version of a stream whose first event is about to be forwarded."""
+        if self._progress.software is not None:
+            return
+        software = replica.entry.software
+        self._progress.software = software
+        if self._is_stream and self._caller.last_event_id is None:
+            self._deps.streams.on_begun(
+                self._allowed.service, self._account, self._caller.request_id, software
+            )
+
+    async def confirm(
+        self, connection: HttpConnection, replica: ReplicaState, left_ms: float
+    ) -> HttpConnection | NotConnected:
+        """Return the connection if the replica there may continue the stream.
+
+        The list of replicas may be behind: another incarnation, with other software,
+        may listen at the replica's address under its name.
+        """
+        if self._progress.software is None or not replica.entry.started_ms:
+            return connection
+        is_same = await is_incarnation(
+            connection,
+            replica.entry,
+            clock=self._deps.clock,
+            limit_ms=min(_REPORT_LIMIT_MS, left_ms),
+        )
+        if is_same:
+            return connection
+        has_answered = connection.is_usable
+        self._deps.pool.release(connection)
+        return NotConnected(
+            f"{replica.entry.incarnation} was not confirmed at {replica.entry.address}",
+            is_refused=has_answered,
+        )
+
+    @property
+    def _is_stream(self) -> bool:
+        route = self._allowed.route
+        return route.kind is RouteKind.STREAM and route.is_resumable
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -36,8 +36,9 @@
     connection could be opened, by how that failed. ``relay`` is the node through which
     the last send was made, if any, and ``connect_ms`` how long its connection took.
 
-    ``software`` is the software version of the replica, and ``resumed_from`` the request
-    that brought the first event of the stream that this request resumes.
+    ``software`` is the software version of the replica, and ``resumed_from`` the
+    request that brought the first event of the stream that this request resumes. That
+    stream began at ``origin_software``, which this node knows from ``origin_source``.
 
     ``second_send`` is why a second send was made while the first one was open,
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
@@ -62,6 +63,8 @@
         "list_source",
         "longest_pause_ms",
         "memory_ms",
+        "origin_software",
+        "origin_source",
         "pressure_percent",
         "queue_ms",
         "relay",
@@ -97,6 +100,8 @@
         self.relay = ""
         self.replica = ""
         self.resumed_from = ""
+        self.origin_software = ""
+        self.origin_source = ""
         self.software = ""
         self.sends = 0
         self.chosen_after_ms = 0
--- a/fireflyward/platform/__init__.py
+++ b/fireflyward/platform/__init__.py
@@ -9,7 +9,12 @@
     decode_weight_target,
 )
 from ._notices import Brittleness, InvalidHeader, RateLimit, ReplicaNotices
-from ._replica_api import OrderResult, ReplicaApi, ReplicaReport
+from ._replica_api import (
+    OrderResult,
+    ReplicaApi,
+    ReplicaReport,
+    is_incarnation,
+)
 from ._replica_list import decode_replica
 from ._requests import (
     CallerRequest,
@@ -67,6 +72,7 @@
     "decode_response",
     "decode_weight_target",
     "encode_request",
+    "is_incarnation",
     "load_settings",
     "rejection_headers",
     "status_of",
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -7,9 +7,11 @@
 import msgspec
 
 from fireflyward.clock import Clock
+from fireflyward.deployment import ReplicaEntry
 from fireflyward.http1 import (
     ConnectionPool,
     FullResponse,
+    HttpConnection,
     NoResponse,
     NotConnected,
     read_full_response,
@@ -28,6 +30,7 @@
 T = TypeVar("T")
 _ACCEPTED = 202
 _ALREADY_DONE = 200
+_MISDIRECTED = 421
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,19 +107,11 @@
         self, address: str, incarnation: str, *, limit_ms: float
     ) -> ReplicaReport | None:
         """Return a replica's report, None if none arrived in time."""
-        headers = [("Host", address), ("X-Expect-Instance", incarnation)]
+        headers = _report_headers(address, incarnation)
         response = await self._call(
             address, "GET", _REPORT_PATH, headers, b"", limit_ms
         )
-        if response is None or response.status != 200:
-            return None
-        raw = _decode_response(response.body, _Report, address)
-        if raw is None:
-            return None
-        versions = {item.name: item.version for item in raw.models}
-        return ReplicaReport(
-            raw.busy, raw.sequence, raw.active, raw.queued, versions, raw.born
-        )
+        return _decode_report(response, address)
 
     async def order_weights(
         self,
@@ -236,6 +231,40 @@
         log.debug("platform: %s of %s: %s", target, address, detail)
 
 
+async def is_incarnation(
+    connection: HttpConnection, entry: ReplicaEntry, *, clock: Clock, limit_ms: float
+) -> bool:
+    """Return whether a listed incarnation is at the other end of a connection.
+
+    A replica that restarted under its name accepts the requests to its former
+    incarnation, and its report tells its start. A report that does not tell it
+    confirms any. The connection can be used afterwards, unless no response arrived.
+    """
+    headers = _report_headers(entry.address, entry.incarnation)
+    connection.send("GET", _REPORT_PATH, headers, b"")
+    response = await read_full_response(connection, clock=clock, limit_ms=limit_ms)
+    if isinstance(response, NoResponse) or response.status == _MISDIRECTED:
+        return False
+    report = _decode_report(response, entry.address)
+    return report is None or report.started_ms in (0, entry.started_ms)
+
+
+def _report_headers(address: str, incarnation: str) -> list[tuple[str, str]]:
+    return [("Host", address), ("X-Expect-Instance", incarnation)]
+
+
+def _decode_report(response: FullResponse | None, address: str) -> ReplicaReport | None:
+    if response is None or response.status != 200:
+        return None
+    raw = _decode_response(response.body, _Report, address)
+    if raw is None:
+        return None
+    versions = {item.name: item.version for item in raw.models}
+    return ReplicaReport(
+        raw.busy, raw.sequence, raw.active, raw.queued, versions, raw.born
+    )
+
+
 def _decode_response(body: bytes, kind: type[T], address: str) -> T | None:
     """Decode a response; return None if it is malformed, as if there were none."""
     found = decode_json(body, kind)
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -119,7 +119,7 @@
         listed = [
             state
             for state in self._directory.of_service(requirements.service)
-            if state.incarnation_id not in without and _has_weights(state, requirements)
+            if state.incarnation_id not in without and _fits(state, requirements)
         ]
         available = [state for state in listed if self._accepts_more(now_ms, state)]
         if not available:
@@ -386,7 +386,10 @@
     return max(0.0, requests + 1 - slots) * state.mean_run_ms / slots
 
 
-def _has_weights(state: ReplicaState, requirements: Requirements) -> bool:
+def _fits(state: ReplicaState, requirements: Requirements) -> bool:
+    """Return whether a replica's software and weights may serve the request."""
+    if requirements.software not in (None, state.entry.software):
+        return False
     if not requirements.model:
         return True
     version = state.version_by_model.get(requirements.model)
--- /dev/null
+++ b/fireflyward/streams/_lookup.py
@@ -0,0 +1,56 @@
+"""Collects what nodes answer to the question where a stream began."""
+
+import asyncio
+from collections.abc import Iterable
+
+
+class Lookup:
+    """The answers to one question; ``done`` is set once no further answer matters.
+
+    >>> lookup = Lookup(["a", "b"])
+    >>> lookup.on_answer("a", None, ["v1", "v2"])
+    >>> lookup.done.is_set(), lookup.software
+    (False, None)
+    >>> lookup.on_answer("b", "v1", ["v1"])
+    >>> lookup.done.is_set(), lookup.software, lookup.source
+    (True, 'v1', 'b')
+    """
+
+    __slots__ = ("_asked", "done", "software", "source", "versions")
+
+    def __init__(self, asked: Iterable[str]) -> None:
+        self._asked = set(asked)
+        self.done = asyncio.Event()
+        self.software: str | None = None
+        self.source = ""
+        self.versions: set[str] = set()
+        self._check()
+
+    def ask_more(self, names: Iterable[str]) -> None:
+        """Wait for the answers of further nodes."""
+        self._asked.update(names)
+        self.done.clear()
+        self._check()
+
+    def on_answer(
+        self, node: str, software: str | None, versions: Iterable[str]
+    ) -> None:
+        """Record the answer of one node; ``software`` is None if it knows nothing."""
+        self._asked.discard(node)
+        self.versions.update(versions)
+        if software is not None and self.software is None:
+            self.software, self.source = software, node
+        self._check()
+
+    def is_awaited(self, node: str) -> bool:
+        """Return whether a node was asked and has not answered."""
+        return node in self._asked
+
+    @property
+    def unanswered(self) -> int:
+        """Return how many nodes have not answered."""
+        return len(self._asked)
+
+    def _check(self) -> None:
+        if self.software is not None or not self._asked:
+            self.done.set()
--- /dev/null
+++ b/fireflyward/streams/_starts.py
@@ -0,0 +1,90 @@
+"""The streams that began lately, each with the software version of its replica."""
+
+import hashlib
+from collections.abc import Iterable
+
+from ._versions import STREAM_LIFETIME_MS
+
+_KEY_BYTES = 8
+# Streams of all nodes of a large fleet that hold a record here; one takes 200 bytes.
+_MAX_STREAMS = 20_000
+
+
+def stream_key(account: str, request_id: str) -> int:
+    """Return the number that identifies a stream in messages between nodes.
+
+    The request id comes from the caller, so another account's stream with the same id
+    has another number.
+
+    >>> stream_key("acme", "q1") == stream_key("other", "q1")
+    False
+    """
+    data = f"{len(account)} {account}{request_id}".encode()
+    digest = hashlib.blake2b(data, digest_size=_KEY_BYTES).digest()
+    return int.from_bytes(digest, "big", signed=True)
+
+
+class _Start:
+    """The version at which a stream began; ``is_own`` if it began at this node."""
+
+    __slots__ = ("at_ms", "is_own", "service", "software")
+
+    def __init__(self, at_ms: int, service: str, software: str, is_own: bool) -> None:
+        self.at_ms = at_ms
+        self.service = service
+        self.software = software
+        self.is_own = is_own
+
+
+class StreamStarts:
+    """Records where streams began, for as long as they may be taken up; no I/O.
+
+    The oldest records are dropped first, also if there are too many.
+    """
+
+    __slots__ = ("_start_by_key",)
+
+    def __init__(self) -> None:
+        self._start_by_key: dict[int, _Start] = {}
+
+    def __len__(self) -> int:
+        return len(self._start_by_key)
+
+    def add(
+        self, now_ms: int, service: str, software: str, key: int, *, is_own: bool
+    ) -> None:
+        """Record a stream; what was recorded first about it stays."""
+        starts = self._start_by_key
+        if key in starts:
+            return
+        self._forget(now_ms)
+        starts[key] = _Start(now_ms, service, software, is_own)
+
+    def find(self, now_ms: int, key: int) -> str | None:
+        """Return the version at which a stream began, None if it is not recorded."""
+        start = self._start_by_key.get(key)
+        if start is None or now_ms - start.at_ms > STREAM_LIFETIME_MS:
+            return None
+        return start.software
+
+    def own_by_software(
+        self, now_ms: int, services: Iterable[str]
+    ) -> dict[tuple[str, str], list[int]]:
+        """Return the streams that began at this node, by service and version."""
+        self._forget(now_ms)
+        wanted = frozenset(services)
+        found: dict[tuple[str, str], list[int]] = {}
+        for key, start in self._start_by_key.items():
+            if start.is_own and start.service in wanted:
+                found.setdefault((start.service, start.software), []).append(key)
+        return found
+
+    def _forget(self, now_ms: int) -> None:
+        """Drop records from the oldest on; they are ordered by time."""
+        since_ms = now_ms - STREAM_LIFETIME_MS
+        starts = self._start_by_key
+        while starts:
+            oldest = next(iter(starts))
+            if starts[oldest].at_ms >= since_ms and len(starts) < _MAX_STREAMS:
+                return
+            del starts[oldest]
--- /dev/null
+++ b/fireflyward/streams/_versions.py
@@ -0,0 +1,69 @@
+"""The software versions at which the streams of a service may have begun."""
+
+from collections.abc import Iterable, Mapping
+
+# No stream lasts longer than this: twice the longest deadline of any deployment.
+STREAM_LIFETIME_MS = 30_000
+
+
+class SoftwareVersions:
+    """The software versions of each service's replicas, now and lately; no I/O.
+
+    A version counts until ``STREAM_LIFETIME_MS`` after its last replica left the list,
+    because a stream that began there may still be taken up.
+
+    >>> versions = SoftwareVersions()
+    >>> versions.on_list(0, {"s": {"v1"}})
+    []
+    >>> versions.on_list(9, {"s": {"v2"}}), sorted(versions.recent(9, "s"))
+    (['s'], ['v1', 'v2'])
+    """
+
+    __slots__ = ("_gone_ms", "_listed")
+
+    def __init__(self) -> None:
+        self._listed: Mapping[str, frozenset[str]] = {}
+        # When the last replica of a (service, version) left the list.
+        self._gone_ms: dict[tuple[str, str], int] = {}
+
+    def on_list(self, now_ms: int, listed: Mapping[str, Iterable[str]]) -> list[str]:
+        """Replace the listed versions; return the services that now have several."""
+        before = {service: self.recent(now_ms, service) for service in listed}
+        old = self._listed
+        self._listed = {service: frozenset(names) for service, names in listed.items()}
+        for service, names in old.items():
+            for name in names - self._listed.get(service, frozenset()):
+                self._gone_ms[service, name] = now_ms
+        for service, names in self._listed.items():
+            for name in names:
+                self._gone_ms.pop((service, name), None)
+        return [
+            service
+            for service, versions in before.items()
+            if len(versions) < 2 <= len(self.recent(now_ms, service))
+        ]
+
+    def on_told(self, now_ms: int, service: str, names: Iterable[str]) -> None:
+        """Count versions of which this node knows only by others."""
+        for name in names:
+            if name not in self._listed.get(service, ()):
+                self._gone_ms.setdefault((service, name), now_ms)
+
+    def recent(self, now_ms: int, service: str) -> frozenset[str]:
+        """Return the versions at which streams of a service may have begun."""
+        listed = self._listed.get(service, frozenset())
+        if not self._gone_ms:
+            return listed
+        self._forget(now_ms)
+        gone = {name for owner, name in self._gone_ms if owner == service}
+        return listed | gone
+
+    def services(self) -> frozenset[str]:
+        """Return the services with replicas in the list, or with versions gone."""
+        return frozenset({*self._listed, *(service for service, _ in self._gone_ms)})
+
+    def _forget(self, now_ms: int) -> None:
+        since_ms = now_ms - STREAM_LIFETIME_MS
+        for key, gone_ms in list(self._gone_ms.items()):
+            if gone_ms < since_ms:
+                del self._gone_ms[key]
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -1,7 +1,11 @@
 """Streams that a second replica continues while two software versions serve."""
 
+import asyncio
+import time
+
 import aiohttp
 
+from fireflyward.fleet._peers import NODE_TABLE
 from tests.platform_standins import ReplicaBehavior, ReplicaStandIn
 
 from .node_fixtures import KEY, FleetTestCase, event_numbers
@@ -9,6 +13,9 @@
 _EVENTS = 12
 _EVENTS_BEFORE_LEAVING = 3
 _STREAMS = 24
+_AT_ONCE_S = 0.5
+# A record is told to other nodes some ms after the first event.
+_TOLD_S = 0.05
 _ALL_EVENTS = list(range(1, _EVENTS + 1))
 # Half of the streams must go on where new ones begin; here all new ones do.
 _MIN_CONTINUED = _STREAMS // 2
@@ -29,6 +36,7 @@
         ]
         for engine in self.engines:
             await engine.start()
+            self.addAsyncCleanup(engine.stop)
         self.list_replicas()
         self.stream_number = 0
 
@@ -102,7 +110,7 @@
         ]
 
     async def resume_all(self, begun, *, nodes):
-        """Take streams up at other nodes; return how many went on, all at their version."""
+        """Take streams up; return how many went on, all at their version."""
         continued = 0
         for number, (first_id, software) in enumerate(begun):
             status, _, body = await self.resume(nodes[number % len(nodes)], first_id)
@@ -140,6 +148,131 @@
         continued = await self.resume_all(begun, nodes=nodes)
         self.assertGreaterEqual(continued, _MIN_CONTINUED)
 
+    async def test_streams_whose_version_is_gone_are_rejected_at_once(self):
+        """Guards against a stream that goes on at the only version left."""
+        await self.start_nodes()
+        begun = await self.begin_all()
+        await self.unlist(*self.engines[:3])
+        for replica in self.engines:
+            replica.executed_requests.clear()
+        for number, (first_id, software) in enumerate(begun):
+            node = self.nodes[(number + 1) % 3]
+            started_s = time.monotonic()
+            status, headers, body = await self.resume(node, first_id)
+            if software == "v1":
+                self.assertEqual(status, 503)
+                self.assertIn("Retry-After", headers)
+                self.assertLess(time.monotonic() - started_s, _AT_ONCE_S)
+            else:
+                self.assertEqual((status, self.software_of(body)), (200, {"v2"}))
+        gone = [first_id for first_id, software in begun if software == "v1"]
+        for replica in self.engines:
+            for request in replica.executed_requests:
+                self.assertNotIn(request.headers.get("resumes"), gone)
+
+    async def test_a_stream_outlives_the_node_at_which_it_began(self):
+        """Guards against streams that nobody knows once their first node is gone."""
+        await self.start_nodes()
+        begun = [await self.begin(self.nodes[2]) for _ in range(_STREAMS)]
+        await asyncio.sleep(_TOLD_S)
+        await self.nodes.pop().stop()
+        await self.unlist(self.engines[0], self.engines[3])
+        continued = await self.resume_all(begun, nodes=self.nodes)
+        self.assertGreaterEqual(continued, _MIN_CONTINUED)
+
+    async def test_streams_from_before_the_second_version_are_known(self):
+        """Guards against streams told to nobody, since one version served then."""
+        for engine in self.engines[3:]:
+            self.store.remove("servers", engine.incarnation)
+        self.engines, late = self.engines[:3], self.engines[3:]
+        await self.start_nodes()
+        begun = [await self.begin(self.nodes[2]) for _ in range(_STREAMS)]
+        self.engines += late
+        self.list_replicas()
+        await self.until(lambda: all(self.is_joined(node) for node in self.nodes))
+        await asyncio.sleep(_TOLD_S)
+        await self.nodes.pop().stop()
+        await self.unlist(self.engines[0])
+        continued = await self.resume_all(begun, nodes=self.nodes)
+        self.assertGreaterEqual(continued, _MIN_CONTINUED)
+
+    async def test_a_chain_of_tries_keeps_the_first_version(self):
+        """Guards against a third try that follows the second one's replica only."""
+        await self.start_nodes()
+        for number in range(_STREAMS):
+            first_id, software = await self.begin(self.nodes[number % 3])
+            for step, last in enumerate((5, 8), 1):
+                node = self.nodes[(number + step) % 3]
+                status, _, body = await self.resume(
+                    node, first_id, last=last, own=f"try{step}"
+                )
+                self.assertEqual(status, 200)
+                self.assertEqual(self.software_of(body), {software})
+
+    async def test_a_stream_that_no_node_knows_is_rejected(self):
+        """Guards against a guess while several versions serve."""
+        await self.start_nodes()
+        status, headers, _ = await self.resume(self.node, "never-begun")
+        self.assertEqual(status, 503)
+        self.assertIn("Retry-After", headers)
+        self.assertEqual(self.run_count(self.engines), 0)
+
+    async def test_a_node_that_has_just_started_knows_of_versions_that_left(self):
+        """Guards against the only listed version taken for that of all streams."""
+        await self.start_nodes()
+        key = "software/engines"
+        await self.until(lambda: self.store.value(NODE_TABLE, key) is not None)
+        await self.unlist(*self.engines[:3])
+        await asyncio.gather(*(node.stop() for node in self.nodes))
+        self.engines = self.engines[3:]
+        self.nodes = []
+        self.node = await self.start_additional_node("entry-9")
+        await self.until(lambda: self.node.is_ready and len(self.node._directory) == 5)
+        status, _, _ = await self.resume(self.node, "lost-with-all-nodes")
+        self.assertEqual(status, 503)
+        self.assertEqual(self.run_count(self.engines), 0)
+
+    async def test_a_replica_with_other_software_under_the_same_name_is_not_used(self):
+        """Guards against a list that is behind a replica's restart."""
+        await self.start_nodes()
+        begun = await self.begin_all()
+        await self.unlist(self.engines[1], self.engines[2])
+        # The only listed replica of v1 restarts with v2 under its name.
+        self.engines[0].restart()
+        self.engines[0].incarnation = "e-v2-again"
+        self.engines[0].accepts = "e-v1-0"
+        for number, (first_id, software) in enumerate(begun):
+            status, _, body = await self.resume(self.nodes[(number + 1) % 3], first_id)
+            if software == "v1":
+                self.assertEqual(status, 503)
+            else:
+                self.assertEqual(self.software_of(body), {"v2"})
+
+
+class SingleVersionTests(SoftwareVersionTestCase):
+    """All replicas have one software version."""
+
+    def new_engine(self, incarnation, software):
+        return super().new_engine(incarnation.replace("v2", "v1-b"), "v1")
+
+    async def test_a_stream_that_no_node_knows_goes_on(self):
+        """Guards against streams that are lost with their node without need."""
+        await self.start_nodes()
+        status, _, body = await self.resume(self.node, "of-a-lost-node")
+        self.assertEqual(status, 200)
+        self.assertEqual(event_numbers(body), _ALL_EVENTS[3:])
+
+    async def test_nothing_is_told_or_stored(self):
+        """Guards against messages and calls while one version serves."""
+        await self.start_nodes()
+        await self.begin_all()
+        self.assertFalse(
+            any(node._replica_components.streams._untold for node in self.nodes)
+        )
+        self.assertIsNone(self.store.value(NODE_TABLE, "software/engines"))
+        for node in self.nodes:
+            self.assertEqual(node._replica_components.streams.asked, 0)
+
 
 class ContinuedAnswerTests(SoftwareVersionTestCase):
     """Replicas that break off inside an event, so that a node goes on by itself."""
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -37,7 +37,8 @@
     replica as soon as it is executed. ``notices`` are headers that are added to each
     answer. Rejections that request a backoff have ``retry_after`` as Retry-After.
     ``load_report`` is the report of its load, if any, and ``pause_factor`` prolongs the
-    pauses of its streams.
+    pauses of its streams. ``accepts`` is the incarnation whose requests it executes,
+    if another one than its own.
     """
 
     def __init__(
@@ -64,6 +65,7 @@
         self.retry_after = "5"
         self.disconnected_callers = 0
         self.has_crashed = False
+        self.accepts = None
         self.loading_s = 0.0
         self.started_ms = 1_764_700_000_000
         self._events = events
@@ -112,7 +114,8 @@
 
     async def _execute(self, request, writer):
         headers = request.headers
-        if headers.get("x-expect-instance") not in (None, self.incarnation):
+        accepted = (None, self.accepts or self.incarnation)
+        if headers.get("x-expect-instance") not in accepted:
             writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
             return True
         if headers.get("x-expect-version", str(self.version)) != str(self.version):
