Log the parts of a prompt that other requests may share

The lines named fingerprints, which are all different for requests that share one part, so that the hypothesis of a shared part could not be told from the others. Now shared_parts in a request's line; no decision uses it.

--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -86,6 +86,7 @@
         trace.account = allowed.account.name if allowed.account else ""
         trace.fingerprint = fingerprint_of(trace.account, caller.target, body)
         trace.service = allowed.service
+        trace.shared_parts = ",".join(part.part_id for part in caller.parts[:-1])
         trace.resumed_from = caller.first_request_id or ""
         trace.configuration = allowed.configuration_version
         self._deps = deps
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -21,7 +21,8 @@
     ``work_percent_age_ms`` before the choice. ``earlier`` lists the results of the
     sends before it, and of the other one of two. ``waits_late`` is set if the request
     is late and waits for a slot at the lowest priority. ``fingerprint`` is the same for
-    requests with the same content.
+    requests with the same content. ``shared_parts`` are the ids of the parts of its
+    prompt that other requests may share.
 
     ``chosen_after_ms`` and ``sent_after_ms`` are when the replica of the last send was
     chosen and when the request was written to its connection, after its arrival. At the
@@ -79,6 +80,7 @@
         "sent_after_ms",
         "service",
         "share_percent",
+        "shared_parts",
         "software",
         "stored_tokens",
         "totals_age_ms",
@@ -118,6 +120,7 @@
         self.fair_percent = 0
         self.pressure_percent = 0
         self.share_percent = 0
+        self.shared_parts = ""
         self.totals_age_ms: int | None = None
         self.is_returning = False
         self.weights: int | None = None
