Failing test: a part of prompts that crashes replicas, over sockets

Three nodes, nine engines that are back 2.5 s after a crash, one request in three with the part: 20 reached replicas later than 3 s after the fifth crash (3 allowed).

--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -7,6 +7,8 @@
 from ._http import RawServer, json_response, reset, response
 
 SIGNATURE = ("X-Server-Seal", "3e1b.07.5a2")
+# How long a replica works on a prompt that crashes it.
+_CRASH_DELAY_S = 0.03
 CRASHING_BODY = b"what no replica survives"
 
 
@@ -38,7 +40,8 @@
     answer. Rejections that request a backoff have ``retry_after`` as Retry-After.
     ``load_report`` is the report of its load, if any, and ``pause_factor`` prolongs the
     pauses of its streams. ``accepts`` is the incarnation whose requests it executes,
-    if another one than its own.
+    if another one than its own. A prompt with the part ``crashing_part`` crashes the
+    replica when its answer would begin.
     """
 
     def __init__(
@@ -66,6 +69,7 @@
         self.disconnected_callers = 0
         self.has_crashed = False
         self.accepts = None
+        self.crashing_part = None
         self.loading_s = 0.0
         self.started_ms = 1_764_700_000_000
         self._events = events
@@ -134,7 +138,13 @@
             writer.write(response(503, headers=[*rejection_headers, *self.notices]))
             return True
         self.executed_requests.append(request)
-        if request.body == CRASHING_BODY:
+        parts = headers.get("x-prompt-prefix", "").split(",")[:-1]
+        has_crashing_part = self.crashing_part in [
+            part.partition(":")[0] for part in parts
+        ]
+        if has_crashing_part:
+            await asyncio.sleep(_CRASH_DELAY_S)
+        if request.body == CRASHING_BODY or has_crashing_part:
             self.has_crashed = True
             self.crash()
             return False
