--- a/tests/forwarding/test_speed_reports.py
+++ b/tests/forwarding/test_speed_reports.py
@@ -59,6 +59,7 @@
             is_stream=True,
             progress=StreamProgress(),
             reply=AsyncMock(),
+            on_begun=lambda: None,
             on_event=lambda: None,
             claim=lambda: True,
             on_first_data=lambda: calls.append("first data"),
