Poison: prompts with a part that crashes replicas are held back

A crash was attributed, and nothing asked what the cut requests of several crashes have in common.

The new package poison counts crashes by the shared parts of all cut requests, over all nodes (PartsCut), and records which parts are in completed answers. The first node for the duty asks all nodes for the latter, and holds the part that explains three crashes and was in no answer; one that had answers before needs five. Crashes explained by a held part count for no other, so the parts that always stand beside it stay free. Held parts are told to all nodes and kept in rows; an answer frees a part, and three trials, the first after 20 s or 10 min, bound what a wrong or mended hold costs.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -15,6 +15,7 @@
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.platform import LeaseTable, ReplicaApi, StoreClient
+from fireflyward.poison import PoisonTask
 from fireflyward.prefixes import GarbageCollector, PartPlanner
 from fireflyward.quarantine import Quarantine
 from fireflyward.retries import RetryBudget
@@ -100,6 +101,16 @@
             peer_addresses=self._aggregators.all_addresses,
             poll_soon=lambda: self._joining.poll_soon(),
             connect=self._replica_components.relays.probe,
+            on_crash=lambda replica: self._poison.on_crash(replica),
+        )
+        self._poison = PoisonTask(
+            clock=clock,
+            store=self._store,
+            table=NODE_TABLE,
+            node=settings.node,
+            members=self._aggregators.all_members,
+            counts_as_crash=self._quarantine.counts_as_crash,
+            poll_soon=lambda: self._joining.poll_soon(),
         )
         self._forwarder = self._make_forwarder()
         self._gate = StartGate(clock)
@@ -257,6 +268,7 @@
             self._weight_task.run(),
             self._garbage_collector.run(),
             self._quarantine.run(),
+            self._poison.run(),
             self._software_rows.run(),
             self._replica_components.notices.run(),
             self._replica_components.relays.connector.run(),
@@ -308,6 +320,7 @@
             weights=self._weights,
             planner=self._planner,
             gate=self._quarantine,
+            part_gate=self._poison,
             reach=self._replica_components.reach,
             notices=self._replica_components.notices,
             speeds=self._replica_components.speeds,
@@ -348,6 +361,7 @@
 
     def _on_rows(self, update: TableUpdate) -> None:
         self._quarantine.on_table_update(update)
+        self._poison.on_table_update(update)
         self._software_rows.on_table_update(update)
 
     def _contends(self) -> bool:
@@ -357,7 +371,8 @@
 
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
         senders = (self._load_announcer, self._tables, self._lease_announcer)
-        for part in (*senders, self._quarantine, self._replica_components):
+        holders = (self._quarantine, self._poison)
+        for part in (*senders, *holders, self._replica_components):
             part.use(link)
         return lambda: self._start(
             self._replica_components.load_report_task.run(link),
@@ -388,6 +403,9 @@
             "configuration_version": self._routes.version or 0,
             "requests_cut_by_ends_total": self._quarantine.cut,
             "requests_held": self._quarantine.held,
+            "prompts_cut_by_crashes_total": self._poison.cut,
+            "prompt_parts_held": self._poison.held,
+            "prompts_held_back_total": self._poison.rejected,
             "store_calls_total": self._store.calls,
             "store_era": self._store.eras.latest,
             "connections_opened_total": self._pool.opened,
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -6,6 +6,7 @@
 from fireflyward.hedging import Hedging
 from fireflyward.http1 import ConnectionPool
 from fireflyward.limits import FairAdmission
+from fireflyward.poison import PartGate
 from fireflyward.prefixes import PartPlanner
 from fireflyward.replicas import Chooser
 from fireflyward.retries import RetryBudget
@@ -34,6 +35,7 @@
     late_limit: LateRequestLimit
     fairness: FairAdmission
     gate: QuarantineGate
+    part_gate: PartGate
     reach: Reach
     notices: Notices
     speeds: Speeds
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 from fireflyward.limits import FairAdmission, LocalSums, PeerSums
 from fireflyward.outcomes import Outcome
 from fireflyward.platform import CallerRequest
+from fireflyward.poison import AnyPart, PartGate
 from fireflyward.prefixes import PartPlanner
 from fireflyward.replicas import Chooser
 from fireflyward.retries import RetryBudget
@@ -62,6 +63,7 @@
         hedging: Hedging | None = None,
         connections: Connections | None = None,
         streams: Streams | None = None,
+        part_gate: PartGate | None = None,
     ) -> None:
         hedging = hedging or Hedging()
         self._deps = Dependencies(
@@ -77,6 +79,7 @@
             late_limit=LateRequestLimit(),
             fairness=fairness or FairAdmission(LocalSums(), PeerSums()),
             gate=gate,
+            part_gate=part_gate or AnyPart(),
             reach=reach,
             notices=notices,
             speeds=speeds or NoSpeeds(),
--- a/fireflyward/forwarding/_quarantine_check.py
+++ b/fireflyward/forwarding/_quarantine_check.py
@@ -1,5 +1,6 @@
 """Checks the quarantine before each send of a request, and reports the results."""
 
+from fireflyward.poison import PartGate, PartOnTrial
 from fireflyward.quarantine import TRIAL_ENDED, Held, Trial
 from fireflyward.replicas import Choice, ReplicaState
 
@@ -18,11 +19,30 @@
     have crashed the third replica, and a trial permits only one send.
     """
 
-    __slots__ = ("_begun_at", "_fingerprint", "_gate", "_is_sent", "_trial")
+    __slots__ = (
+        "_begun_at",
+        "_fingerprint",
+        "_gate",
+        "_is_part_on_trial",
+        "_is_sent",
+        "_part_gate",
+        "_parts",
+        "_trial",
+    )
 
-    def __init__(self, gate: QuarantineGate, fingerprint: str) -> None:
+    def __init__(
+        self,
+        gate: QuarantineGate,
+        fingerprint: str,
+        part_gate: PartGate,
+        parts: tuple[int, ...],
+    ) -> None:
+        """``parts`` are the keys of the prompt's shared parts."""
         self._gate = gate
         self._fingerprint = fingerprint
+        self._part_gate = part_gate
+        self._parts = parts
+        self._is_part_on_trial = False
         self._trial: Trial | None = None
         self._is_sent = False
         self._begun_at: ReplicaState | None = None
@@ -30,17 +50,22 @@
     @property
     def is_on_trial(self) -> bool:
         """Return whether the request has a trial, which permits a single send."""
-        return self._trial is not None
+        return self._trial is not None or self._is_part_on_trial
 
     async def admit(self) -> Held | None:
         """Return why the request must not be sent now, None if it may be."""
-        if self._trial is not None:
+        if self.is_on_trial:
             return TRIAL_ENDED if self._is_sent else None
         admitted = await self._gate.admit(self._fingerprint)
+        if isinstance(admitted, Held):
+            return admitted
         if isinstance(admitted, Trial):
             self._trial = admitted
+        admitted_parts = await self._part_gate.admit(self._parts)
+        self._is_part_on_trial = isinstance(admitted_parts, PartOnTrial)
+        if self.is_on_trial:
             self._is_sent = False
-        return admitted if isinstance(admitted, Held) else None
+        return admitted_parts if isinstance(admitted_parts, Held) else None
 
     def on_connect_failed(self, replica: ReplicaState, *, is_refused: bool) -> None:
         """Handle a connection that could not be opened."""
@@ -62,10 +87,11 @@
         """Report to the gate whether the replica survived the request."""
         match result:
             case Failed():
+                # The quarantine may find at once that the replica has crashed.
+                self._part_gate.on_cut(self._parts, replica)
                 self._gate.on_cut(self._fingerprint, replica, is_late=result.is_late)
-            case Streamed():
-                self._gate.on_answered(self._fingerprint)
-            case WholeAnswer(is_success=True):
+            case Streamed() | WholeAnswer(is_success=True):
+                self._part_gate.on_answered(self._parts)
                 self._gate.on_answered(self._fingerprint)
 
     def close(self) -> None:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -8,6 +8,7 @@
     ReplicaHeaders,
     ResponseFacts,
 )
+from fireflyward.poison import part_keys
 from fireflyward.quarantine import fingerprint_of
 from fireflyward.replicas import Choice, ReplicaState
 from fireflyward.routes import Allowed
@@ -114,7 +115,12 @@
             caller, allowed, planner=deps.planner, weights=deps.weights
         )
         self._tried: set[int] = set()
-        self._quarantine_check = QuarantineCheck(deps.gate, trace.fingerprint)
+        self._quarantine_check = QuarantineCheck(
+            deps.gate,
+            trace.fingerprint,
+            deps.part_gate,
+            part_keys(allowed.service, caller.model, caller.parts),
+        )
         self._plan = AttemptPlan(
             max_attempts=allowed.route.max_attempts,
             may_repeat=allowed.route.may_repeat,
--- /dev/null
+++ b/fireflyward/poison/_completions.py
@@ -0,0 +1,39 @@
+"""When answers to prompts with a part were last completed."""
+
+from collections import OrderedDict
+from collections.abc import Iterable
+
+# One entry takes some 150 bytes. The part that was used least recently goes first.
+_MAX_PARTS = 20_000
+
+
+class Completions:
+    """Records completed answers by the parts of their prompts; no I/O.
+
+    A part that crashes every replica has none, however many requests carry it.
+
+    >>> completions = Completions()
+    >>> completions.add(5, (1, 2))
+    >>> completions.last_ms(1), completions.last_ms(3), completions.answers
+    (5, None, 1)
+    """
+
+    __slots__ = ("_last_ms_by_part", "answers")
+
+    def __init__(self) -> None:
+        self._last_ms_by_part: OrderedDict[int, int] = OrderedDict()
+        self.answers = 0
+
+    def add(self, now_ms: int, parts: Iterable[int]) -> None:
+        """Record a completed answer."""
+        self.answers += 1
+        last_ms_by_part = self._last_ms_by_part
+        for part in parts:
+            last_ms_by_part[part] = now_ms
+            last_ms_by_part.move_to_end(part)
+        while len(last_ms_by_part) > _MAX_PARTS:
+            last_ms_by_part.popitem(last=False)
+
+    def last_ms(self, part: int) -> int | None:
+        """Return when an answer to a prompt with the part was last completed."""
+        return self._last_ms_by_part.get(part)
--- /dev/null
+++ b/fireflyward/poison/_held_parts.py
@@ -0,0 +1,110 @@
+"""The parts of prompts that are held back, and when one is tried again."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from fireflyward.quarantine import Free, Held
+
+# A part that was held with little evidence is tried again soon, one with more later,
+# and each trial that crashes a replica makes the next wait longer.
+_TRIAL_WAITS_MS = (20_000, 600_000, 3_600_000)
+_STRONG_EVIDENCE_CRASHES = 5
+# Held parts that no request had for this long are forgotten.
+_UNUSED_MS = 24 * 3_600_000
+_MAX_PARTS = 1_000
+# A caller whose prompt is held is told to come back no sooner than this.
+_MIN_RETRY_AFTER_MS = 1_000
+
+
+@dataclass(frozen=True, slots=True)
+class PartOnTrial:
+    """One prompt with the part may be sent, once, by one node."""
+
+    part: int
+
+
+@dataclass(slots=True)
+class PartHold:
+    """Why and since when a part is held, and how often it was tried since."""
+
+    crashes: int
+    held_ms: int
+    used_ms: int
+    trials: int = 0
+
+
+class HeldParts:
+    """The held parts as one node knows them; no I/O.
+
+    >>> held = HeldParts()
+    >>> held.hold(0, 7, crashes=3)
+    True
+    >>> held.verdict(0, [5])
+    Free()
+    >>> held.verdict(0, [5, 7])
+    Held(detail='3 replicas ended under a part of its prompt', retry_after_ms=20000)
+    """
+
+    __slots__ = ("by_part",)
+
+    def __init__(self) -> None:
+        self.by_part: dict[int, PartHold] = {}
+
+    def __len__(self) -> int:
+        return len(self.by_part)
+
+    def verdict(self, now_ms: int, parts: Iterable[int]) -> Free | Held | PartOnTrial:
+        """Decide whether a prompt with these parts may be sent to a replica."""
+        trial = None
+        for part in parts if self.by_part else ():
+            hold = self.by_part.get(part)
+            if hold is None:
+                continue
+            hold.used_ms = now_ms
+            left_ms = self._trial_left_ms(now_ms, hold)
+            if left_ms is None or left_ms > 0:
+                return Held(
+                    f"{hold.crashes} replicas ended under a part of its prompt",
+                    max(_MIN_RETRY_AFTER_MS, int(left_ms or _TRIAL_WAITS_MS[-1])),
+                )
+            trial = PartOnTrial(part)
+        return trial or Free()
+
+    def hold(self, now_ms: int, part: int, *, crashes: int, trials: int = 0) -> bool:
+        """Hold a part back; return whether this is new or another trial began."""
+        hold = self.by_part.get(part)
+        if hold is None:
+            while len(self.by_part) >= _MAX_PARTS:
+                del self.by_part[min(self.by_part, key=self._used_ms)]
+            self.by_part[part] = PartHold(crashes, now_ms, now_ms, trials)
+            return True
+        has_new_trial = trials > hold.trials
+        if has_new_trial:
+            hold.held_ms, hold.trials = now_ms, trials
+        hold.crashes = max(hold.crashes, crashes)
+        return has_new_trial
+
+    def clear(self, part: int) -> bool:
+        """Let prompts with a part pass again; return whether it was held."""
+        return self.by_part.pop(part, None) is not None
+
+    def unused(self, now_ms: int) -> list[int]:
+        """Return the parts that no request had for a long time."""
+        return [
+            part
+            for part, hold in self.by_part.items()
+            if now_ms - hold.used_ms > _UNUSED_MS
+        ]
+
+    def _used_ms(self, part: int) -> int:
+        return self.by_part[part].used_ms
+
+    @staticmethod
+    def _trial_left_ms(now_ms: int, hold: PartHold) -> int | None:
+        """Return the time until the next trial, None if there is none any more."""
+        step = hold.trials
+        if step == 0 and hold.crashes >= _STRONG_EVIDENCE_CRASHES:
+            step = 1
+        if step >= len(_TRIAL_WAITS_MS):
+            return None
+        return hold.held_ms + _TRIAL_WAITS_MS[step] - now_ms
--- /dev/null
+++ b/fireflyward/poison/_inference.py
@@ -0,0 +1,83 @@
+"""Which part of prompts explains crashes of replicas."""
+
+from collections.abc import Callable, Collection, Iterable
+from dataclasses import dataclass
+
+from ._crash_log import Crash
+
+# Two crashes with the same part in flight can be chance.
+MIN_CRASHES = 3
+# A part that had answers before is more often beside the cause than it is the cause.
+_MIN_CRASHES_AFTER_ANSWERS = 5
+_MIN_SILENCE_MS = 2_000
+# Replicas that end at the same moment may have one cause that is no prompt.
+_MIN_SPAN_MS = 200
+# With fewer answers in all, a part without one says nothing.
+_MIN_ANSWERS = 20
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A part that was in flight at crashes and in no answer since the first of them.
+
+    ``requests`` is how many requests with it were cut at these crashes.
+    """
+
+    part: int
+    crashes: int
+    requests: int
+    had_answers: bool
+
+
+def find_suspects(
+    now_ms: int,
+    crashes: Iterable[Crash],
+    held: Collection[int],
+    last_completed_ms: Callable[[int], int | None],
+    *,
+    answers: int,
+) -> list[Suspect]:
+    """Return the parts that may be held back, the most suspect first; no I/O.
+
+    Every part of every request in flight at a crash is suspect at first. A part that
+    all requests share is in each crash, beside the one that causes it, so the number of
+    crashes alone does not tell them apart. Answers do: the cause crashes each replica
+    before an answer to it is complete. A part counts the crashes since its last answer,
+    and one that never had an answer comes before one that had. Among equals the one
+    with more crashes comes first, and then the one with fewer requests: a part that
+    always stands beside the cause is in other requests too. Crashes with a part that is
+    held already are explained by it.
+
+    ``last_completed_ms`` returns when an answer to a prompt with a part was last
+    completed, and ``answers`` is how many answers were completed in all.
+    """
+    held_parts = frozenset(held)
+    unexplained = [
+        crash for crash in crashes if held_parts.isdisjoint(crash.requests_by_part)
+    ]
+    if len(unexplained) < MIN_CRASHES:
+        return []
+    parts = {part for crash in unexplained for part in crash.requests_by_part}
+    found = []
+    for part in parts:
+        answered_ms = last_completed_ms(part)
+        since = [
+            crash
+            for crash in unexplained
+            if part in crash.requests_by_part
+            and (answered_ms is None or crash.at_ms >= answered_ms)
+        ]
+        if len(since) < MIN_CRASHES or since[-1].at_ms - since[0].at_ms < _MIN_SPAN_MS:
+            continue
+        had_answers = answered_ms is not None
+        if had_answers:
+            is_silent = now_ms - answered_ms >= _MIN_SILENCE_MS
+            if len(since) < _MIN_CRASHES_AFTER_ANSWERS or not is_silent:
+                continue
+        elif answers < _MIN_ANSWERS and len(since) < _MIN_CRASHES_AFTER_ANSWERS:
+            continue
+        requests = sum(crash.requests_by_part[part] for crash in since)
+        found.append(Suspect(part, len(since), requests, had_answers))
+    return sorted(
+        found, key=lambda item: (item.had_answers, -item.crashes, item.requests)
+    )
--- /dev/null
+++ b/fireflyward/poison/_task.py
@@ -0,0 +1,374 @@
+"""The task that finds parts of prompts that crash replicas, and tells other nodes."""
+
+import asyncio
+import itertools
+import logging
+from collections import Counter
+from collections.abc import Callable, Iterable, Sequence
+from typing import Any
+
+from fireflyward.aggregators import Member
+from fireflyward.clock import Clock, within_ms
+from fireflyward.feeds import TableUpdate
+from fireflyward.peers import PeerLink
+from fireflyward.platform import StoreClient
+from fireflyward.quarantine import Cuts, Free, Held
+from fireflyward.rendezvous import rendezvous_rank
+from fireflyward.replicas import ReplicaState
+
+from ._completions import Completions
+from ._crash_log import CrashLog
+from ._evidence import Evidence
+from ._held_parts import HeldParts, PartOnTrial
+from ._inference import MIN_CRASHES, Suspect, find_suspects
+from ._poison_structs import (
+    CompletionAnswer,
+    CompletionQuestion,
+    PartCleared,
+    PartHeld,
+    PartsCut,
+)
+from ._rows import HeldPartRows
+
+log = logging.getLogger("fireflyward.poison")
+
+_CUT, _ASK, _ANSWER = "poison.cut", "poison.ask", "poison.answer"
+_HELD, _CLEARED = "poison.held", "poison.cleared"
+_DUTY = "poison"
+# Cut requests of one crash are told together.
+_BATCH_MS = 10
+# A lost datagram delays a decision; the rows of held parts reach all nodes anyway.
+_RESEND_MS = (300, 1_500)
+# The node that is first for this duty decides at once, the others if it has not.
+_DUTY_DELAY_MS = 400
+_MAX_DUTY_DELAYS = 3
+_ASK_AGAIN_MS = 50
+_ASK_LIMIT_MS = 200
+# An entry of a crash takes up to 16 bytes; a datagram has room for 1,400.
+_MAX_PARTS_PER_DATAGRAM = 75
+# Parts with answers since their crashes are suspect again by further crashes only, so a
+# decision that finds none is repeated once, when answers under way have ended.
+_DECIDE_AGAIN_MS = 1_000
+_RETRY_MS = 500
+_FORGET_PERIOD_MS = 600_000
+_TRIAL_RETRY_AFTER_MS = 1_000
+_NO_TRIAL = Held("a part of its prompt cannot be tried now", _TRIAL_RETRY_AFTER_MS)
+_MIN_KEPT_CUTS = 100
+_MAX_TOLD = 2_000
+_MAX_NUMBER = 2**31 - 1
+
+
+class PoisonTask:
+    """Finds parts of prompts that crash replicas, and holds prompts with them back.
+
+    A part crashed every replica that began to answer a prompt with it. Its requests
+    came to all nodes, no two alike, and each crashed another replica, with all requests
+    in flight there. A node tells the others which parts its cut requests had.
+    The first node for this duty asks all nodes which of these parts were in answers
+    since, and holds the part that explains the crashes (``find_suspects``). Held parts
+    are told to all nodes and kept in a table.
+
+    ``cut`` counts the requests that were in flight at crashes, ``rejected`` those that
+    were held back.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        store: StoreClient,
+        table: str,
+        node: str,
+        members: Callable[[], Sequence[Member]],
+        counts_as_crash: Callable[[ReplicaState], bool],
+        poll_soon: Callable[[], None],
+    ) -> None:
+        """``counts_as_crash`` returns whether a replica that ends now has crashed."""
+        self._clock = clock
+        self._node = node
+        self._members = members
+        self._counts_as_crash = counts_as_crash
+        self._poll_soon = poll_soon
+        self._cuts = Cuts()
+        self._number_by_request = itertools.count(1)
+        self._parts_by_cut: dict[str, tuple[int, ...]] = {}
+        self._max_cuts = _MIN_KEPT_CUTS
+        self._crashes = CrashLog()
+        self._completions = Completions()
+        self._held = HeldParts()
+        self._rows = HeldPartRows(self._held, clock=clock, store=store, table=table)
+        self._unwritten: set[int] = set()
+        self._has_work = asyncio.Event()
+        # What other nodes told of crashes, in the order of arrival.
+        self._told: dict[tuple[str, int, int], None] = {}
+        self._untold: dict[int, Counter[int]] = {}
+        self._evidence_by_number: dict[int, Evidence] = {}
+        self._numbers = itertools.count(1)
+        self._decision: asyncio.Task[None] | None = None
+        self._link: PeerLink | None = None
+        self.cut = 0
+        self.rejected = 0
+
+    @property
+    def held(self) -> int:
+        """Return how many parts are held back."""
+        return len(self._held)
+
+    def use(self, link: PeerLink) -> None:
+        """Tell and ask other nodes over a link from now on."""
+        self._link = link
+        link.register(_CUT, PartsCut, self._on_parts_cut)
+        link.register(_ASK, CompletionQuestion, self._on_question)
+        link.register(_ANSWER, CompletionAnswer, self._on_answer)
+        link.register(_HELD, PartHeld, self._on_held)
+        link.register(_CLEARED, PartCleared, self._on_cleared)
+
+    def on_table_update(self, update: TableUpdate) -> None:
+        """Apply changes of the table."""
+        lost = self._rows.on_table_update(update)
+        if lost:
+            self._write_soon(*lost)
+
+    async def admit(self, parts: tuple[int, ...]) -> Free | Held | PartOnTrial:
+        """Decide whether a prompt with these parts may be sent to a replica."""
+        verdict = self._held.verdict(self._clock.now_ms(), parts)
+        if isinstance(verdict, PartOnTrial):
+            if not await self._rows.begin_trial(verdict.part):
+                verdict = _NO_TRIAL
+        if isinstance(verdict, Held):
+            self.rejected += 1
+        return verdict
+
+    def on_cut(self, parts: tuple[int, ...], replica: ReplicaState) -> None:
+        """Record a prompt that got no complete answer."""
+        if not parts or not self._counts_as_crash(replica):
+            return
+        name = str(next(self._number_by_request))
+        incarnation_id = replica.incarnation_id
+        if self._cuts.on_cut(self._clock.now_ms(), name, incarnation_id):
+            self._record(incarnation_id, [parts])
+        else:
+            self._parts_by_cut[name] = parts
+            self._forget_old_cuts()
+
+    def on_crash(self, replica: ReplicaState) -> None:
+        """Record that a replica crashed; the prompts that it cut were in flight."""
+        incarnation_id = replica.incarnation_id
+        found = self._cuts.on_crash(self._clock.now_ms(), incarnation_id)
+        cut = [self._parts_by_cut.pop(name) for name in found]
+        if cut:
+            self._record(incarnation_id, cut)
+
+    def on_answered(self, parts: tuple[int, ...]) -> None:
+        """Record a prompt whose answer a replica completed."""
+        if not parts:
+            return
+        self._completions.add(self._clock.now_ms(), parts)
+        for part in parts if len(self._held) else ():
+            if self._held.clear(part):
+                log.info("poison: part %x cleared by an answer", part)
+                self._tell(_CLEARED, PartCleared(part=part))
+                self._write_soon(part)
+
+    async def run(self) -> None:
+        """Write the rows of held parts until cancelled."""
+        forgot_ms = self._clock.now_ms()
+        while True:
+            await within_ms(self._clock, _FORGET_PERIOD_MS, self._has_work.wait())
+            self._has_work.clear()
+            now_ms = self._clock.now_ms()
+            if now_ms - forgot_ms >= _FORGET_PERIOD_MS:
+                forgot_ms = now_ms
+                self._forget_unused(now_ms)
+            for part in list(self._unwritten):
+                if await self._rows.write(part):
+                    self._unwritten.discard(part)
+                else:
+                    self._poll_soon()
+            if self._unwritten:
+                await self._clock.sleep_ms(_RETRY_MS)
+                self._has_work.set()
+
+    def _forget_unused(self, now_ms: int) -> None:
+        for part in self._held.unused(now_ms):
+            self._held.clear(part)
+            self._unwritten.add(part)
+
+    def _forget_old_cuts(self) -> None:
+        """Drop the parts of cuts that no crash followed."""
+        if len(self._parts_by_cut) > self._max_cuts:
+            kept = self._cuts.names()
+            self._max_cuts = _MIN_KEPT_CUTS + 2 * len(kept)
+            self._parts_by_cut = {
+                name: parts
+                for name, parts in self._parts_by_cut.items()
+                if name in kept
+            }
+
+    def _record(self, incarnation_id: int, cut: list[tuple[int, ...]]) -> None:
+        """Record this node's prompts in flight at a crash, and tell the others."""
+        self.cut += len(cut)
+        counts = Counter(part for parts in cut for part in set(parts))
+        self._add_crash(incarnation_id, counts)
+        if not self._untold:
+            self._clock.call_later_ms(_BATCH_MS, self._tell_cuts)
+        self._untold.setdefault(incarnation_id, Counter()).update(counts)
+
+    def _add_crash(self, incarnation_id: int, counts: Counter[int]) -> None:
+        now_ms = self._clock.now_ms()
+        if self._crashes.add(now_ms, incarnation_id, counts):
+            for part in counts.keys() & self._held.by_part.keys():
+                self._held.by_part[part].crashes += 1
+        if self._decision is None or self._decision.done():
+            self._decision = asyncio.create_task(self._decide())
+
+    def _tell_cuts(self) -> None:
+        untold, self._untold = self._untold, {}
+        for incarnation_id, counts in untold.items():
+            items = sorted(counts.items())
+            for first in range(0, len(items), _MAX_PARTS_PER_DATAGRAM):
+                part = items[first : first + _MAX_PARTS_PER_DATAGRAM]
+                message = PartsCut(
+                    replica=incarnation_id,
+                    parts=[key for key, _ in part],
+                    requests=[count for _, count in part],
+                )
+                self._tell(_CUT, message)
+
+    async def _decide(self) -> None:
+        """Look for a part that explains the crashes, now and once more later."""
+        await self._clock.sleep_ms(_BATCH_MS * 2 + self._duty_delay_ms())
+        for _ in range(2):
+            while suspects := self._suspects():
+                evidence = await self._ask([item.part for item in suspects])
+                suspects = self._suspects(evidence)
+                if not suspects:
+                    break
+                self._hold(suspects[0], others=len(suspects) - 1)
+            await self._clock.sleep_ms(_DECIDE_AGAIN_MS)
+
+    def _duty_delay_ms(self) -> int:
+        own = rendezvous_rank(_DUTY, self._node)
+        before = sum(
+            rendezvous_rank(_DUTY, member.name) < own for member in self._members()
+        )
+        return _DUTY_DELAY_MS * min(before, _MAX_DUTY_DELAYS)
+
+    def _suspects(self, evidence: Evidence | None = None) -> list[Suspect]:
+        now_ms = self._clock.now_ms()
+        crashes = self._crashes.recent(now_ms)
+        if len(crashes) < MIN_CRASHES:
+            return []
+
+        def last_completed_ms(part: int) -> int | None:
+            own_ms = self._completions.last_ms(part)
+            other_ms = evidence.last_ms(part) if evidence is not None else None
+            return max(
+                (at for at in (own_ms, other_ms) if at is not None), default=None
+            )
+
+        answers = self._completions.answers
+        answers += evidence.answers if evidence is not None else 0
+        return find_suspects(
+            now_ms,
+            crashes,
+            self._held.by_part.keys(),
+            last_completed_ms,
+            answers=answers,
+        )
+
+    def _hold(self, suspect: Suspect, *, others: int) -> None:
+        part = suspect.part
+        self._held.hold(self._clock.now_ms(), part, crashes=suspect.crashes)
+        log.info(
+            "poison: part %x held",
+            part,
+            extra={
+                "fields": {
+                    "crashes": suspect.crashes,
+                    "requests": suspect.requests,
+                    "had_answers": suspect.had_answers,
+                    "other_suspects": others,
+                }
+            },
+        )
+        self._tell(_HELD, PartHeld(part=part, crashes=suspect.crashes))
+        self._write_soon(part)
+        self._poll_soon()
+
+    async def _ask(self, parts: Sequence[int]) -> Evidence:
+        """Ask all nodes for their last answers to prompts with these parts."""
+        members = self._members()
+        asked = parts[:_MAX_PARTS_PER_DATAGRAM]
+        evidence = Evidence(asked, (member.name for member in members))
+        if self._link is None or not members:
+            return evidence
+        number = next(self._numbers) % _MAX_NUMBER
+        self._evidence_by_number[number] = evidence
+        question = CompletionQuestion(number=number, parts=list(asked))
+        try:
+            for limit_ms in (_ASK_AGAIN_MS, _ASK_LIMIT_MS - _ASK_AGAIN_MS):
+                missing = [item for item in members if item.name in evidence.missing]
+                self._send(missing, _ASK, question)
+                await within_ms(self._clock, limit_ms, evidence.is_complete.wait())
+                if evidence.is_complete.is_set():
+                    break
+        finally:
+            del self._evidence_by_number[number]
+        return evidence
+
+    def _write_soon(self, *parts: int) -> None:
+        self._unwritten.update(parts)
+        self._has_work.set()
+
+    def _tell(self, kind: str, message: Any) -> None:
+        """Send a message to all nodes, and again later, as datagrams get lost."""
+        self._send(self._members(), kind, message)
+        for later_ms in _RESEND_MS:
+            self._clock.call_later_ms(
+                later_ms, lambda: self._send(self._members(), kind, message)
+            )
+
+    def _send(self, members: Iterable[Member], kind: str, message: Any) -> None:
+        if self._link is not None:
+            self._link.send_all([item.address for item in members], kind, message)
+
+    async def _on_parts_cut(self, sender: str, message: Any) -> None:
+        counts = Counter(dict(zip(message.parts, message.requests, strict=False)))
+        self._add_crash_of(sender, message.replica, counts)
+
+    def _add_crash_of(self, sender: str, replica: int, counts: Counter[int]) -> None:
+        """Add what another node told, once: it is sent again in case it was lost."""
+        key = (sender, replica, hash(frozenset(counts)))
+        if key not in self._told:
+            self._told[key] = None
+            while len(self._told) > _MAX_TOLD:
+                del self._told[next(iter(self._told))]
+            self._add_crash(replica, counts)
+
+    async def _on_question(self, sender: str, message: Any) -> None:
+        now_ms = self._clock.now_ms()
+        last = [self._completions.last_ms(part) for part in message.parts]
+        ages_ms = [-1 if at is None else min(now_ms - at, _MAX_NUMBER) for at in last]
+        answers = min(self._completions.answers, _MAX_NUMBER)
+        answer = CompletionAnswer(
+            number=message.number, ages_ms=ages_ms, answers=answers
+        )
+        asker = [member for member in self._members() if member.name == sender]
+        self._send(asker, _ANSWER, answer)
+
+    async def _on_answer(self, sender: str, message: Any) -> None:
+        evidence = self._evidence_by_number.get(message.number)
+        if evidence is not None:
+            evidence.on_answer(
+                self._clock.now_ms(), sender, message.ages_ms, message.answers
+            )
+
+    async def _on_held(self, sender: str, message: Any) -> None:
+        now_ms = self._clock.now_ms()
+        if self._held.hold(now_ms, message.part, crashes=message.crashes):
+            log.info("poison: part %x held, told by %s", message.part, sender)
+
+    async def _on_cleared(self, sender: str, message: Any) -> None:
+        if self._held.clear(message.part):
+            log.info("poison: part %x cleared, told by %s", message.part, sender)
--- a/fireflyward/quarantine/_cuts.py
+++ b/fireflyward/quarantine/_cuts.py
@@ -37,6 +37,11 @@
         )
         return ()
 
+    def names(self) -> set[str]:
+        """Return the requests that were cut and whose replica is not known to crash."""
+        cut_ms = self._cut_ms_by_incarnation_id.values()
+        return {name for by_request in cut_ms for name in by_request}
+
     def on_crash(self, now_ms: int, incarnation_id: int) -> tuple[str, ...]:
         """Record a replica's crash; return the requests that it cut."""
         self._drop_old(now_ms)
--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -70,8 +70,13 @@
         poll_soon: Callable[[], None],
         connect: Callable[[ReplicaState], Awaitable[HttpConnection | NotConnected]]
         | None = None,
+        on_crash: Callable[[ReplicaState], None] = lambda replica: None,
     ) -> None:
-        """``connect`` opens a new connection to a replica, by the path that works."""
+        """``connect`` opens a new connection to a replica, by the path that works.
+
+        ``on_crash`` is called with each replica that crashed.
+        """
+        self._crash_listener = on_crash
         self._clock = clock
         self._connect = connect or self._connect_directly
         self._pool = pool
@@ -149,7 +154,7 @@
         ``is_late`` means that the request's deadline passed: the replica is probably
         healthy, and each late answer would open one more probe connection.
         """
-        if not self._counts_as_crash(replica):
+        if not self.counts_as_crash(replica):
             return
         found = self._cuts.on_cut(
             self._clock.now_ms(), fingerprint, replica.incarnation_id
@@ -162,7 +167,7 @@
 
     def on_refused(self, replica: ReplicaState) -> None:
         """Handle a refused connection: no process listens at the address any more."""
-        if self._counts_as_crash(replica):
+        if self.counts_as_crash(replica):
             self._on_crash(replica)
 
     def on_removed(self, replica: ReplicaState) -> None:
@@ -206,7 +211,7 @@
             else:
                 self._poll_soon()
 
-    def _counts_as_crash(self, replica: ReplicaState) -> bool:
+    def counts_as_crash(self, replica: ReplicaState) -> bool:
         """Return whether a replica that stops now has crashed.
 
         A leaving replica also stops, and so does one whose entry was removed first.
@@ -238,6 +243,7 @@
         await self._rows.end_trial(trial, counts=not survived)
 
     def _on_crash(self, replica: ReplicaState) -> None:
+        self._crash_listener(replica)
         found = self._cuts.on_crash(self._clock.now_ms(), replica.incarnation_id)
         if found:
             self._record_crash(replica, found)
--- a/tests/forwarding/test_quarantine_check.py
+++ b/tests/forwarding/test_quarantine_check.py
@@ -6,6 +6,7 @@
 from fireflyward.forwarding._messages import Streamed
 from fireflyward.forwarding._quarantine_check import QuarantineCheck
 from fireflyward.http1 import Head
+from fireflyward.poison import AnyPart
 from fireflyward.quarantine import Free, Held, Trial
 from fireflyward.replicas import Choice, ReplicaState
 from tests.replicas.makers import entry
@@ -43,7 +44,7 @@
 
     def check(self, *answers):
         self.gate = _Gate(*answers)
-        return QuarantineCheck(self.gate, "f")
+        return QuarantineCheck(self.gate, "f", AnyPart(), ())
 
     async def test_each_send_requests_admission_from_the_gate(self):
         """Guards against an idempotent request crashing two more replicas than allowed.
