Poison: crashes are counted over nodes that cannot reach each other

Nodes in touch with the store and not with each other each counted three crashes of their own before they held a part, nine in all at three nodes. From the second crash on a part without answers has a row with its crashes, which all nodes read and add to.

--- a/fireflyward/poison/_crash_log.py
+++ b/fireflyward/poison/_crash_log.py
@@ -13,9 +13,10 @@
 
 @dataclass(slots=True)
 class Crash:
-    """One crash: how many requests in flight there had each part."""
+    """The crash of an incarnation: how many requests in flight had each part."""
 
     at_ms: int
+    incarnation_id: int
     requests_by_part: Counter[int] = field(default_factory=Counter)
 
 
@@ -43,7 +44,9 @@
         crash = self._by_incarnation_id.get(incarnation_id)
         is_new = crash is None
         if crash is None:
-            crash = self._by_incarnation_id[incarnation_id] = Crash(now_ms)
+            crash = self._by_incarnation_id[incarnation_id] = Crash(
+                now_ms, incarnation_id
+            )
             while len(self._by_incarnation_id) > _MAX_CRASHES:
                 del self._by_incarnation_id[next(iter(self._by_incarnation_id))]
         for part, requests in requests_by_part.items():
@@ -52,6 +55,14 @@
                 crash.requests_by_part[part] += max(1, requests)
         return is_new
 
+    def add_part(self, now_ms: int, incarnation_id: int, part: int) -> bool:
+        """Record that a part was in flight at a crash; return whether that is new."""
+        crash = self._by_incarnation_id.get(incarnation_id)
+        if crash is not None and part in crash.requests_by_part:
+            return False
+        self.add(now_ms, incarnation_id, {part: 1})
+        return True
+
     def recent(self, now_ms: int) -> list[Crash]:
         """Return the crashes that still count, the oldest first."""
         since_ms = now_ms - _KEPT_MS
--- a/fireflyward/poison/_evidence.py
+++ b/fireflyward/poison/_evidence.py
@@ -13,10 +13,10 @@
     (70, 5, True)
     """
 
-    __slots__ = ("_last_ms_by_part", "_parts", "answers", "is_complete", "missing")
+    __slots__ = ("_last_ms_by_part", "answers", "is_complete", "missing", "parts")
 
     def __init__(self, parts: Sequence[int], nodes: Iterable[str]) -> None:
-        self._parts = parts
+        self.parts = parts
         self._last_ms_by_part: dict[int, int] = {}
         self.missing = set(nodes)
         self.answers = 0
@@ -30,7 +30,7 @@
             return
         self.missing.discard(node)
         self.answers += max(0, answers)
-        for part, age_ms in zip(self._parts, ages_ms, strict=False):
+        for part, age_ms in zip(self.parts, ages_ms, strict=False):
             if age_ms >= 0:
                 at_ms = now_ms - age_ms
                 self._last_ms_by_part[part] = max(
--- a/fireflyward/poison/_inference.py
+++ b/fireflyward/poison/_inference.py
@@ -7,6 +7,8 @@
 
 # Two crashes with the same part in flight can be chance.
 MIN_CRASHES = 3
+# With fewer crashes a part without answers is not told to nodes without a link.
+MIN_TOLD_CRASHES = 2
 # A part that had answers before is more often beside the cause than it is the cause.
 _MIN_CRASHES_AFTER_ANSWERS = 5
 _MIN_SILENCE_MS = 2_000
@@ -20,13 +22,21 @@
 class Suspect:
     """A part that was in flight at crashes and in no answer since the first of them.
 
-    ``requests`` is how many requests with it were cut at these crashes.
+    ``ends`` are the incarnation ids of the replicas, and ``requests`` is how many
+    requests with the part were cut there. ``explains`` is set if the part may be held
+    back; another one has too few crashes.
     """
 
     part: int
-    crashes: int
+    ends: frozenset[int]
     requests: int
     had_answers: bool
+    explains: bool = True
+
+    @property
+    def crashes(self) -> int:
+        """Return how many replicas crashed."""
+        return len(self.ends)
 
 
 def find_suspects(
@@ -37,7 +47,7 @@
     *,
     answers: int,
 ) -> list[Suspect]:
-    """Return the parts that may be held back, the most suspect first; no I/O.
+    """Return the parts that are suspect, the most suspect first; no I/O.
 
     Every part of every request in flight at a crash is suspect at first. A part that
     all requests share is in each crash, beside the one that causes it, so the number of
@@ -55,8 +65,6 @@
     unexplained = [
         crash for crash in crashes if held_parts.isdisjoint(crash.requests_by_part)
     ]
-    if len(unexplained) < MIN_CRASHES:
-        return []
     parts = {part for crash in unexplained for part in crash.requests_by_part}
     found = []
     for part in parts:
@@ -67,17 +75,29 @@
             if part in crash.requests_by_part
             and (answered_ms is None or crash.at_ms >= answered_ms)
         ]
-        if len(since) < MIN_CRASHES or since[-1].at_ms - since[0].at_ms < _MIN_SPAN_MS:
-            continue
         had_answers = answered_ms is not None
-        if had_answers:
-            is_silent = now_ms - answered_ms >= _MIN_SILENCE_MS
-            if len(since) < _MIN_CRASHES_AFTER_ANSWERS or not is_silent:
-                continue
-        elif answers < _MIN_ANSWERS and len(since) < _MIN_CRASHES_AFTER_ANSWERS:
+        if had_answers and now_ms - answered_ms < _MIN_SILENCE_MS:
+            continue
+        if len(since) < (MIN_CRASHES if had_answers else MIN_TOLD_CRASHES):
             continue
-        requests = sum(crash.requests_by_part[part] for crash in since)
-        found.append(Suspect(part, len(since), requests, had_answers))
+        needed = MIN_CRASHES
+        if had_answers or answers < _MIN_ANSWERS:
+            needed = _MIN_CRASHES_AFTER_ANSWERS
+        span_ms = since[-1].at_ms - since[0].at_ms
+        suspect = Suspect(
+            part,
+            frozenset(crash.incarnation_id for crash in since),
+            sum(crash.requests_by_part[part] for crash in since),
+            had_answers,
+            explains=len(since) >= needed and span_ms >= _MIN_SPAN_MS,
+        )
+        found.append(suspect)
     return sorted(
-        found, key=lambda item: (item.had_answers, -item.crashes, item.requests)
+        found,
+        key=lambda item: (
+            not item.explains,
+            item.had_answers,
+            -item.crashes,
+            item.requests,
+        ),
     )
--- a/fireflyward/poison/_rows.py
+++ b/fireflyward/poison/_rows.py
@@ -11,6 +11,7 @@
 from fireflyward.platform import StoreClient
 
 from ._held_parts import HeldParts
+from ._suspect_rows import part_of
 
 log = logging.getLogger("fireflyward.poison")
 
@@ -60,7 +61,7 @@
         self._era = max(self._era, update.position.era)
         lost = []
         if update.is_snapshot:
-            listed = {_part_of(row.key) for row in update.rows}
+            listed = {part_of(row.key, _PREFIX) for row in update.rows}
             for part in self._position_by_part.keys() - listed:
                 if self._position_by_part[part] > update.position:
                     continue
@@ -70,7 +71,7 @@
                 elif part in self._own:
                     lost.append(part)
         for row in update.rows:
-            part = _part_of(row.key)
+            part = part_of(row.key, _PREFIX)
             if part is not None:
                 self._apply(part, row)
         return lost
@@ -136,17 +137,3 @@
         self._held.hold(
             self._clock.now_ms(), part, crashes=stored.crashes, trials=stored.trials
         )
-
-
-def _part_of(key: str) -> int | None:
-    """Return the part that a row is about, None if it is another kind of row.
-
-    >>> _part_of("poison/-1f"), _part_of("node/a"), _part_of("poison/x")
-    (-31, None, None)
-    """
-    if not key.startswith(_PREFIX):
-        return None
-    try:
-        return int(key.removeprefix(_PREFIX), 16)
-    except ValueError:
-        return None
--- a/fireflyward/poison/_task.py
+++ b/fireflyward/poison/_task.py
@@ -20,7 +20,7 @@
 from ._crash_log import CrashLog
 from ._evidence import Evidence
 from ._held_parts import HeldParts, PartOnTrial
-from ._inference import MIN_CRASHES, Suspect, find_suspects
+from ._inference import MIN_TOLD_CRASHES, Suspect, find_suspects
 from ._poison_structs import (
     CompletionAnswer,
     CompletionQuestion,
@@ -29,6 +29,7 @@
     PartsCut,
 )
 from ._rows import HeldPartRows
+from ._suspect_rows import SuspectPartRows
 
 log = logging.getLogger("fireflyward.poison")
 
@@ -54,6 +55,8 @@
 _TRIAL_RETRY_AFTER_MS = 1_000
 _NO_TRIAL = Held("a part of its prompt cannot be tried now", _TRIAL_RETRY_AFTER_MS)
 _MIN_KEPT_CUTS = 100
+# Parts whose crashes are stored at a time, the most suspect ones.
+_MAX_STORED_SUSPECTS = 8
 _MAX_TOLD = 2_000
 _MAX_NUMBER = 2**31 - 1
 
@@ -97,7 +100,9 @@
         self._completions = Completions()
         self._held = HeldParts()
         self._rows = HeldPartRows(self._held, clock=clock, store=store, table=table)
+        self._suspect_rows = SuspectPartRows(clock=clock, store=store, table=table)
         self._unwritten: set[int] = set()
+        self._untold_ends: dict[int, frozenset[int]] = {}
         self._has_work = asyncio.Event()
         # What other nodes told of crashes, in the order of arrival.
         self._told: dict[tuple[str, int, int], None] = {}
@@ -128,6 +133,12 @@
         lost = self._rows.on_table_update(update)
         if lost:
             self._write_soon(*lost)
+        now_ms = self._clock.now_ms()
+        for part in self._suspect_rows.on_table_update(update):
+            ends = self._suspect_rows.ends[part]
+            new = sum(self._crashes.add_part(now_ms, end, part) for end in ends)
+            if new:
+                self._decide_soon()
 
     async def admit(self, parts: tuple[int, ...]) -> Free | Held | PartOnTrial:
         """Decide whether a prompt with these parts may be sent to a replica."""
@@ -180,15 +191,28 @@
             if now_ms - forgot_ms >= _FORGET_PERIOD_MS:
                 forgot_ms = now_ms
                 self._forget_unused(now_ms)
-            for part in list(self._unwritten):
-                if await self._rows.write(part):
-                    self._unwritten.discard(part)
-                else:
-                    self._poll_soon()
-            if self._unwritten:
+            await self._write()
+            if self._unwritten or self._untold_ends:
+                self._poll_soon()
                 await self._clock.sleep_ms(_RETRY_MS)
                 self._has_work.set()
 
+    async def _write(self) -> None:
+        """Write what changed; what could not be written is tried again."""
+        for part in list(self._unwritten):
+            if await self._rows.write(part):
+                self._unwritten.discard(part)
+        for part, ends in list(self._untold_ends.items()):
+            if part in self._held.by_part:
+                is_done = await self._suspect_rows.delete(part)
+            else:
+                is_done = await self._suspect_rows.add(part, ends)
+            if is_done and self._untold_ends.get(part) == ends:
+                del self._untold_ends[part]
+        if self._duty_delay_ms() == 0:
+            for part in self._suspect_rows.old(self._clock.now_ms()):
+                await self._suspect_rows.delete(part)
+
     def _forget_unused(self, now_ms: int) -> None:
         for part in self._held.unused(now_ms):
             self._held.clear(part)
@@ -219,6 +243,9 @@
         if self._crashes.add(now_ms, incarnation_id, counts):
             for part in counts.keys() & self._held.by_part.keys():
                 self._held.by_part[part].crashes += 1
+        self._decide_soon()
+
+    def _decide_soon(self) -> None:
         if self._decision is None or self._decision.done():
             self._decision = asyncio.create_task(self._decide())
 
@@ -241,10 +268,14 @@
         for _ in range(2):
             while suspects := self._suspects():
                 evidence = await self._ask([item.part for item in suspects])
-                suspects = self._suspects(evidence)
-                if not suspects:
+                asked = self._suspects(evidence)
+                suspects = [item for item in asked if item.part in evidence.parts]
+                if not suspects or not suspects[0].explains:
                     break
                 self._hold(suspects[0], others=len(suspects) - 1)
+            for suspect in suspects[:_MAX_STORED_SUSPECTS]:
+                self._untold_ends[suspect.part] = suspect.ends
+                self._has_work.set()
             await self._clock.sleep_ms(_DECIDE_AGAIN_MS)
 
     def _duty_delay_ms(self) -> int:
@@ -257,7 +288,7 @@
     def _suspects(self, evidence: Evidence | None = None) -> list[Suspect]:
         now_ms = self._clock.now_ms()
         crashes = self._crashes.recent(now_ms)
-        if len(crashes) < MIN_CRASHES:
+        if len(crashes) < MIN_TOLD_CRASHES:
             return []
 
         def last_completed_ms(part: int) -> int | None:
@@ -292,6 +323,8 @@
                 }
             },
         )
+        if part in self._suspect_rows.ends:
+            self._untold_ends[part] = suspect.ends
         self._tell(_HELD, PartHeld(part=part, crashes=suspect.crashes))
         self._write_soon(part)
         self._poll_soon()
--- a/tests/fleet/test_crashing_parts.py
+++ b/tests/fleet/test_crashing_parts.py
@@ -6,6 +6,9 @@
 
 import aiohttp
 
+from fireflyward.fleet._peers import NODE_TABLE
+from fireflyward.platform import PromptPart
+from fireflyward.poison import part_keys
 from tests.platform_standins import ReplicaStandIn
 
 from .node_fixtures import KEY, FleetTestCase
@@ -106,7 +109,7 @@
         }
         sent = _Try(time.monotonic(), bad)
         self.tries.append(sent)
-        node = self.nodes[number % len(self.nodes)]
+        node = self.nodes[(number + number // 3) % len(self.nodes)]
         try:
             status, _, _ = await self.fetch(
                 "POST", "/s/x", headers=headers, node=node, data=b"%d" % number
@@ -171,8 +174,50 @@
 
 
 class CrashingPartTests(CrashingPartTestCase):
+    def held_parts(self):
+        return [set(node._poison._held.by_part) for node in self.nodes]
+
     async def test_a_part_that_crashes_replicas_is_held_back(self):
         """Guards against requests that share a prompt part and crash all replicas."""
         await self.start_nodes()
         await self.play()
         self.check()
+        (bad,) = part_keys("engines", "m", [PromptPart("bad", 1), PromptPart("own", 1)])
+        self.assertEqual(self.held_parts(), [{bad}] * len(self.nodes))
+
+    async def test_two_parts_that_crash_replicas_are_held_back(self):
+        """Guards against the second of two such parts taken for explained."""
+        self.parts = {"bad", "worse"}
+        await self.start_nodes()
+        await self.play(("bad", "worse"))
+        self.check(("bad", "worse"))
+
+    async def test_nodes_that_cannot_reach_each_other_hold_it_back(self):
+        """Guards against three crashes counted by each node for itself."""
+        await self.start_nodes()
+        for node in self.nodes:
+            node._poison._link = None
+        await self.play()
+        self.check()
+
+    async def test_restarted_nodes_still_hold_it_back(self):
+        """Guards against a part that crashes replicas again after a loss of power."""
+        await self.start_nodes()
+        await self.play()
+        await self.until(
+            lambda: any(key.startswith("poison/") for key in self.stored_keys())
+        )
+        await asyncio.gather(*(node.stop() for node in self.nodes))
+        self.nodes = []
+        for number in range(1, self.node_count + 1):
+            await self.start_additional_node(f"entry-{number}")
+        self.node = self.nodes[0]
+        await self.until(lambda: all(self.is_joined(node) for node in self.nodes))
+        before = len(self.arrivals_s)
+        for number in range(0, 30, 3):
+            await self.send(number, "bad")
+            self.assertEqual(self.tries[-1].status, 503)
+        self.assertEqual(len(self.arrivals_s), before)
+
+    def stored_keys(self):
+        return [key for table, _, key in self.store._rows if table == NODE_TABLE]
--- a/tests/forwarding/test_quarantine_check.py
+++ b/tests/forwarding/test_quarantine_check.py
@@ -6,7 +6,7 @@
 from fireflyward.forwarding._messages import Streamed
 from fireflyward.forwarding._quarantine_check import QuarantineCheck
 from fireflyward.http1 import Head
-from fireflyward.poison import AnyPart
+from fireflyward.poison import AnyPart, PartOnTrial
 from fireflyward.quarantine import Free, Held, Trial
 from fireflyward.replicas import Choice, ReplicaState
 from tests.replicas.makers import entry
@@ -38,6 +38,61 @@
         self.calls.append(("answered", fingerprint))
 
 
+class _PartGate(AnyPart):
+    """Returns the given answers in order, and records the results."""
+
+    def __init__(self, *answers):
+        self.answers = list(answers)
+        self.calls = []
+
+    async def admit(self, parts):
+        return self.answers.pop(0)
+
+    def on_cut(self, parts, replica):
+        self.calls.append(("cut", parts))
+
+    def on_answered(self, parts):
+        self.calls.append(("answered", parts))
+
+
+class PartCheckTests(unittest.IsolatedAsyncioTestCase):
+    """Checks of the parts of a prompt."""
+
+    def check(self, *answers):
+        self.gate = _Gate(*[Free()] * 3)
+        self.parts = _PartGate(*answers)
+        return QuarantineCheck(self.gate, "f", self.parts, (7, 8))
+
+    async def test_a_held_part_keeps_the_request_from_replicas(self):
+        self.assertEqual(await self.check(HELD).admit(), HELD)
+
+    async def test_a_trial_of_a_part_permits_one_send(self):
+        """Guards against a second replica that crashes in one trial."""
+        check = self.check(PartOnTrial(7))
+        self.assertIsNone(await check.admit())
+        self.assertTrue(check.is_on_trial)
+        replica = ReplicaState(entry("r1"))
+        check.on_send(Choice(replica, None))
+        check.on_result(replica, Failed("reset"))
+        self.assertIsInstance(await check.admit(), Held)
+        self.assertEqual(self.parts.calls, [("cut", (7, 8))])
+
+    async def test_a_held_part_gives_a_trial_of_the_request_back(self):
+        """Guards against a trial that no other request can have for half a minute."""
+        check = self.check(HELD)
+        self.gate.answers = [TRIAL]
+        self.assertEqual(await check.admit(), HELD)
+        check.close()
+        self.assertEqual(self.gate.calls, [("trial over", False, None)])
+
+    async def test_answers_and_cuts_are_reported(self):
+        check = self.check(Free())
+        replica = ReplicaState(entry("r1"))
+        check.on_result(replica, Streamed())
+        check.on_result(replica, Failed("reset"))
+        self.assertEqual(self.parts.calls, [("answered", (7, 8)), ("cut", (7, 8))])
+
+
 class QuarantineCheckTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.replica = ReplicaState(entry("r1"))
--- a/tests/poison/test_inference.py
+++ b/tests/poison/test_inference.py
@@ -10,7 +10,7 @@
 def crashes(*parts_of_each, every_ms=300):
     """Return crashes at regular times, each with one request of these parts."""
     return [
-        Crash(every_ms * number, dict.fromkeys(parts, 1))
+        Crash(every_ms * number, number, dict.fromkeys(parts, 1))
         for number, parts in enumerate(parts_of_each)
     ]
 
@@ -18,7 +18,7 @@
 class FindSuspectsTests(unittest.TestCase):
     def find(self, log, answered=None, *, now_ms=2_000, held=(), answers=100):
         found = find_suspects(now_ms, log, held, (answered or {}).get, answers=answers)
-        return [item.part for item in found]
+        return [item.part for item in found if item.explains]
 
     def test_the_part_without_answers_is_found(self):
         log = crashes((BAD, COMMON), (BAD, COMMON), (BAD, COMMON))
@@ -41,6 +41,12 @@
     def test_two_crashes_are_not_enough(self):
         self.assertEqual(self.find(crashes((BAD,), (BAD,))), [])
 
+    def test_two_crashes_are_told_to_nodes_without_a_link(self):
+        log = crashes((BAD, COMMON), (BAD, COMMON))
+        found = find_suspects(900, log, (), {COMMON: 850}.get, answers=100)
+        self.assertEqual([item.part for item in found], [BAD])
+        self.assertEqual((found[0].ends, found[0].explains), ({0, 1}, False))
+
     def test_replicas_that_end_at_the_same_moment_show_nothing(self):
         """Guards against a prompt blamed for the loss of a rack of replicas."""
         self.assertEqual(self.find(crashes((BAD,), (BAD,), (BAD,), every_ms=10)), [])
@@ -58,7 +64,7 @@
 
     def test_the_part_in_fewer_requests_comes_first(self):
         """Guards against the part beside the cause where neither had an answer."""
-        log = [Crash(300 * number, {BAD: 1, COMMON: 9}) for number in range(5)]
+        log = [Crash(300 * number, number, {BAD: 1, COMMON: 9}) for number in range(5)]
         self.assertEqual(self.find(log, answers=0), [BAD, COMMON])
 
     def test_two_parts_are_found_one_after_the_other(self):
