Tests: streams with neither a length nor chunks

Complete at the end of their connection, broken off inside an event or by a reset, with and without resumption. All passed before any change of the code: only plain answers of this kind had a test.

--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -27,10 +27,24 @@
     UNSIGNED = "unsigned"
     UNFRAMED = "unframed"
     UNFRAMED_RESET = "unframed, reset"
+    UNFRAMED_TRUNCATED = "unframed, ends inside an event"
     SILENT = "silent"
     EXECUTES_THEN_503 = "executes the request, then answers 503"
 
 
+# Responses with neither a length nor chunks, which end with their connection.
+_UNFRAMED = (
+    ReplicaBehavior.UNFRAMED,
+    ReplicaBehavior.UNFRAMED_RESET,
+    ReplicaBehavior.UNFRAMED_TRUNCATED,
+)
+_BREAKING_OFF = (
+    ReplicaBehavior.TRUNCATES_STREAM,
+    ReplicaBehavior.UNFRAMED_RESET,
+    ReplicaBehavior.UNFRAMED_TRUNCATED,
+)
+
+
 class ReplicaStandIn(RawServer):
     """Executes the requests that it receives and records them.
 
@@ -197,8 +211,11 @@
         return True
 
     async def _stream(self, request, writer, behavior, own_headers):
+        is_framed = behavior not in _UNFRAMED
+        chunk = _chunk if is_framed else bytes
         lines = [f"{name}: {value}" for name, value in own_headers]
-        lines += ["Content-Type: text/event-stream", "Transfer-Encoding: chunked"]
+        lines.append("Content-Type: text/event-stream")
+        lines.append("Transfer-Encoding: chunked" if is_framed else "Connection: close")
         head = "\r\n".join(["HTTP/1.1 200 OK", *lines, "", ""]).encode()
         if behavior is ReplicaBehavior.RESETS:
             reset(writer)
@@ -215,18 +232,22 @@
                 self.disconnected_callers += 1
                 return False
             event = f"id: {number}\ndata: {self.incarnation}\n\n".encode()
-            if behavior is ReplicaBehavior.TRUNCATES_STREAM and number == first + 1:
-                writer.write(_chunk(event[:-5]))
+            if behavior in _BREAKING_OFF and number == first + 1:
+                writer.write(chunk(event[:-5]))
                 await writer.drain()
+                if behavior is ReplicaBehavior.UNFRAMED_RESET:
+                    await asyncio.sleep(0.05)
+                    reset(writer)
                 return False
-            writer.write(_chunk(event))
+            writer.write(chunk(event))
             try:
                 await writer.drain()
             except ConnectionError:
                 self.disconnected_callers += 1
                 return False
-        writer.write(b"0\r\n\r\n")
-        return True
+        if is_framed:
+            writer.write(b"0\r\n\r\n")
+        return is_framed
 
 
 def _chunk(data):
