Callers: a node that gets most new connections leaves some unread to idle nodes

The balancer may hand most new connections to one node for some seconds. It accepted all of them, however late it answered, while its callers' next tries would have met idle nodes; with some thousand open connections it had no descriptors left for replicas.

--- a/fireflyward/deployment/_settings.py
+++ b/fireflyward/deployment/_settings.py
@@ -38,8 +38,9 @@
     """The settings of a process, from its settings file.
 
     Addresses are ``IP:PORT``. The process is killed if it uses more than
-    ``memory_mb``. ``link_mbps`` is the bandwidth of the VM's link. ``heartbeat_ms`` is
-    the interval at which a replica renews its entry.
+    ``memory_mb``, and can open ``max_descriptors`` files and sockets. ``link_mbps`` is
+    the bandwidth of the VM's link. ``heartbeat_ms`` is the interval at which a replica
+    renews its entry.
     """
 
     node: str
@@ -50,6 +51,7 @@
     readiness_address: str
     peer_ports: tuple[int, int]
     memory_mb: int
+    max_descriptors: int
     link_mbps: float
     heartbeat_ms: int
     bounds: Bounds
--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from aiohttp import web_server
 from aiohttp.web_request import BaseRequest
@@ -23,6 +24,7 @@
 )
 from fireflyward.routes import Allowed, RouteTable
 
+from ._accept_limit import AcceptLimit, NodeLoads
 from ._start_gate import StartGate
 
 log = logging.getLogger("fireflyward.callers")
@@ -82,6 +84,13 @@
         await self.response.write_eof()
 
 
+class _RefusedConnection(asyncio.Protocol):
+    """Closes a connection before anything was read from it."""
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.abort()
+
+
 class CallerServer:
     """Reads requests, authorizes and forwards them, and sends one response to each."""
 
@@ -93,7 +102,12 @@
         forwarder: Forwarder,
         metrics: Metrics,
         gate: StartGate,
+        accept_limit: AcceptLimit,
+        loads: Callable[[], NodeLoads],
     ) -> None:
+        """``loads`` returns the requests in flight here and at other nodes."""
+        self._accept_limit = accept_limit
+        self._loads = loads
         self._clock = clock
         self._routes = routes
         self._forwarder = forwarder
@@ -118,10 +132,29 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self._listener = await loop.create_server(
-            self._server, host, int(port), backlog=1_024
+            self._accept, host, int(port), backlog=1_024
         )
         return address_of(self._listener)
 
+    def _accept(self) -> asyncio.Protocol:
+        """Return the protocol of a new connection."""
+        loop = asyncio.get_running_loop()
+        now_ms, limit = self._clock.now_ms(), self._accept_limit
+        loop.call_soon(self._measure_lag, now_ms)
+        loads = self._loads() if limit.is_lagging(now_ms) else None
+        if limit.may_accept(now_ms, len(self._server.connections), loads):
+            return self._server()
+        return _RefusedConnection()
+
+    def _measure_lag(self, since_ms: int) -> None:
+        now_ms = self._clock.now_ms()
+        self._accept_limit.on_lag(now_ms, now_ms - since_ms)
+
+    @property
+    def refused(self) -> int:
+        """Return how many connections were closed unread."""
+        return self._accept_limit.refused
+
     def begin_stop(self) -> None:
         """Send ``Connection: close`` with all responses from now on."""
         self._is_stopping = True
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -23,6 +23,7 @@
 from fireflyward.streams import SoftwareRows
 from fireflyward.weights import LoadAnnouncer, WeightTask
 
+from ._accept_limit import AcceptLimit
 from ._callers import CallerServer
 from ._gauges import link_gauges
 from ._joining import Joining
@@ -120,6 +121,8 @@
             forwarder=self._forwarder,
             metrics=self._metrics,
             gate=self._gate,
+            accept_limit=AcceptLimit(max_descriptors=settings.max_descriptors),
+            loads=self._replica_components.node_loads,
         )
         operators = OperatorView(
             clock=clock,
@@ -399,6 +402,7 @@
         now_ms = self._clock.now_ms()
         gauges = {
             "in_flight": self._caller_server.in_flight,
+            "caller_connections_refused_total": self._caller_server.refused,
             "configuration_age_ms": self._routes.age_ms(now_ms),
             "configuration_version": self._routes.version or 0,
             "requests_cut_by_ends_total": self._quarantine.cut,
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -29,8 +29,12 @@
     SubsetFilter,
 )
 
+from ._accept_limit import NodeLoads
 from ._relay_components import RelayComponents
 
+# How long the sums of requests in flight are used.
+_NODE_LOADS_AGE_MS = 100
+
 
 class ReplicaComponents:
     """Creates and connects the components around the list of replicas."""
@@ -60,6 +64,9 @@
         self._peer_sums = PeerSums()
         sums = LocalSums()
         self._weighs_accounts = False
+        self._other_nodes = 0
+        self._node_loads = NodeLoads(0.0, 0.0)
+        self._node_loads_ms = -_NODE_LOADS_AGE_MS
         self.fairness = FairAdmission(
             sums, self._peer_sums, applies=lambda: self._weighs_accounts
         )
@@ -137,6 +144,7 @@
 
     def set_nodes(self, names: Collection[str]) -> None:
         """Set the names of all nodes, which share the limits of the replicas."""
+        self._other_nodes = len(names) - 1
         self.cold_shares.set_nodes(names)
         self.rate_limits.set_nodes(names)
         self.brittle_limits.set_nodes(names)
@@ -150,6 +158,20 @@
         self.speeds.use(link)
         self.streams.use(link)
 
+    def node_loads(self) -> NodeLoads:
+        """Return the requests in flight at this node, and at others on average."""
+        now_ms = self._clock.now_ms()
+        if now_ms - self._node_loads_ms >= _NODE_LOADS_AGE_MS:
+            states = self.directory.all()
+            own = sum(state.in_flight for state in states)
+            others = sum(
+                self._peer_load.at(now_ms, state.incarnation_id).requests
+                for state in states
+            )
+            self._node_loads = NodeLoads(own, others / max(1, self._other_nodes))
+            self._node_loads_ms = now_ms
+        return self._node_loads
+
     def gauges(self) -> dict[str, int]:
         """Return how many replicas there are, and how many get fewer or no requests."""
         now_ms, states = self._clock.now_ms(), self.directory.all()
--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -31,6 +31,7 @@
 class _MachineLimits(_KebabStruct):
     memory_mb: NonNegativeNumber
     link_mbps: NonNegativeNumber
+    max_fds: NonNegativeNumber = 4_096
 
 
 class _Bounds(_KebabStruct):
@@ -90,6 +91,7 @@
         readiness_address=raw.listen.readiness,
         peer_ports=(to_int(first_port), to_int(last_port)),
         memory_mb=to_int(raw.limits.memory_mb),
+        max_descriptors=to_int(raw.limits.max_fds),
         link_mbps=raw.limits.link_mbps,
         heartbeat_ms=to_int(raw.heartbeat_ms),
         bounds=_bounds(raw.bounds),
--- a/tests/fleet/test_callers.py
+++ b/tests/fleet/test_callers.py
@@ -17,6 +17,8 @@
             forwarder=MagicMock(),
             metrics=MagicMock(),
             gate=MagicMock(),
+            accept_limit=MagicMock(),
+            loads=MagicMock(),
         )
         server._serve = AsyncMock(side_effect=ValueError("unexpected"))
         trace = Trace()
