--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -97,7 +97,7 @@
     def software_of(self, body):
         """Return the software versions of the replicas that wrote some events."""
         return {
-            line.split(b"-")[1].decode()
+            line.split()[2].decode()
             for line in body.split(b"\n")
             if line.startswith(b"data:")
         }
@@ -238,9 +238,7 @@
         begun = await self.begin_all()
         await self.unlist(self.engines[1], self.engines[2])
         # The only listed replica of v1 restarts with v2 under its name.
-        self.engines[0].restart()
-        self.engines[0].incarnation = "e-v2-again"
-        self.engines[0].accepts = "e-v1-0"
+        self.engines[0].restart(software="v2")
         for number, (first_id, software) in enumerate(begun):
             status, _, body = await self.resume(self.nodes[(number + 1) % 3], first_id)
             if software == "v1":
--- a/tests/platform_standins/_http.py
+++ b/tests/platform_standins/_http.py
@@ -89,6 +89,8 @@
 def reset(writer):
     """Close a connection with a TCP reset instead of a clean shutdown."""
     raw = writer.get_extra_info("socket")
+    if raw is None or raw.fileno() < 0:
+        return
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
     writer.close()
 
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -53,9 +53,8 @@
     replica as soon as it is executed. ``notices`` are headers that are added to each
     answer. Rejections that request a backoff have ``retry_after`` as Retry-After.
     ``load_report`` is the report of its load, if any, and ``pause_factor`` prolongs the
-    pauses of its streams. ``accepts`` is the incarnation whose requests it executes,
-    if another one than its own. A prompt with the part ``crashing_part`` crashes the
-    replica when its answer would begin.
+    pauses of its streams. A prompt with the part ``crashing_part`` crashes the replica
+    when its answer would begin. The events of a stream name ``software``.
     """
 
     def __init__(
@@ -82,16 +81,17 @@
         self.retry_after = "5"
         self.disconnected_callers = 0
         self.has_crashed = False
-        self.accepts = None
         self.crashing_part = None
+        self.crashed_by_part = False
         self.loading_s = 0.0
         self.started_ms = 1_764_700_000_000
         self._events = events
         self._pause_s = pause_s
 
-    def restart(self):
+    def restart(self, *, software=None):
         """Restart under the same name, without any recorded requests or orders."""
         self.started_ms += 1_000
+        self.software = software or self.software
         self.executed_requests, self.orders, self.behaviors = [], [], []
 
     def entry(self, service, state="ready", zone="a"):
@@ -132,8 +132,7 @@
 
     async def _execute(self, request, writer):
         headers = request.headers
-        accepted = (None, self.accepts or self.incarnation)
-        if headers.get("x-expect-instance") not in accepted:
+        if headers.get("x-expect-instance") not in (None, self.incarnation):
             writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
             return True
         if headers.get("x-expect-version", str(self.version)) != str(self.version):
@@ -160,6 +159,7 @@
             await asyncio.sleep(_CRASH_DELAY_S)
         if request.body == CRASHING_BODY or has_crashing_part:
             self.has_crashed = True
+            self.crashed_by_part = has_crashing_part
             self.crash()
             return False
         own_headers = [
@@ -231,7 +231,8 @@
             if writer.transport.is_closing():
                 self.disconnected_callers += 1
                 return False
-            event = f"id: {number}\ndata: {self.incarnation}\n\n".encode()
+            data = f"{self.incarnation} {self.software}"
+            event = f"id: {number}\ndata: {data}\n\n".encode()
             if behavior in _BREAKING_OFF and number == first + 1:
                 writer.write(chunk(event[:-5]))
                 await writer.drain()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,6 +26,11 @@
         action="store_true",
         help="cut nodes from replicas; replicas are brittle or silent",
     )
+    parser.add_argument(
+        "--upgrades",
+        action="store_true",
+        help="replicas of several software versions, and prompts that crash them",
+    )
     options = parser.parse_args()
     first = options.first
     if first is None:
@@ -38,6 +43,7 @@
                 options.seconds,
                 options.nodes,
                 has_partitions=options.partitions,
+                has_upgrades=options.upgrades,
             )
         )
         print(f"seed {seed}: {dict(counts)}, {len(history)} faults", flush=True)
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -83,6 +83,10 @@
                 self._copy_bytes(task, reader, target_writer, is_to_target=True),
                 self._copy_bytes(task, target_reader, writer, is_to_target=False),
             )
+        except ConnectionError:
+            # An orderly close would end a response without a length as if complete.
+            reset(writer)
+            raise
         finally:
             self._writers.discard(target_writer)
             target_writer.close()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -13,6 +13,8 @@
     149: "a replica answered 503 to a request that it had executed, and the node sent "
     "this 503 to the caller, for whom a 503 means that the request was not executed",
 }
+# Long enough for what follows six seconds after the fifth crash.
+_UPGRADE_SECONDS = 16.0
 _PARTITION_SECONDS = 12.0
 _PARTITION_REGRESSIONS = {
     910333: "one of three nodes served 51 of 218 during a cut, beside a busy machine, "
@@ -41,6 +43,9 @@
         for seed in (1, *_PARTITION_REGRESSIONS):
             self.check(seed, _PARTITION_SECONDS, has_partitions=True)
 
+    def test_upgrades(self):
+        self.check(7001, _UPGRADE_SECONDS, has_upgrades=True)
+
     def test_departures(self):
         for seed in _DEPARTURE_REGRESSIONS:
             self.check(seed, _DEPARTURE_SECONDS)
