--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -15,9 +15,7 @@
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.platform import LeaseTable, ReplicaApi, StoreClient
-from fireflyward.poison import PoisonTask
 from fireflyward.prefixes import GarbageCollector, PartPlanner
-from fireflyward.quarantine import Quarantine
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
 from fireflyward.streams import SoftwareRows
@@ -25,6 +23,7 @@
 
 from ._accept_limit import AcceptLimit
 from ._callers import CallerServer
+from ._crash_components import CrashComponents
 from ._gauges import link_gauges
 from ._joining import Joining
 from ._kv_stores import KvStoreFollowers
@@ -92,26 +91,16 @@
             directory=self._directory,
             peer_addresses=self._aggregators.all_addresses,
         )
-        self._quarantine = Quarantine(
+        self._crashes = CrashComponents(
             clock=clock,
             pool=self._pool,
             directory=self._directory,
             store=self._store,
             table=NODE_TABLE,
             node=settings.node,
-            peer_addresses=self._aggregators.all_addresses,
+            aggregators=self._aggregators,
             poll_soon=lambda: self._joining.poll_soon(),
             connect=self._replica_components.relays.probe,
-            on_crash=lambda replica: self._poison.on_crash(replica),
-        )
-        self._poison = PoisonTask(
-            clock=clock,
-            store=self._store,
-            table=NODE_TABLE,
-            node=settings.node,
-            members=self._aggregators.all_members,
-            counts_as_crash=self._quarantine.counts_as_crash,
-            poll_soon=lambda: self._joining.poll_soon(),
         )
         self._forwarder = self._make_forwarder()
         self._gate = StartGate(clock)
@@ -137,7 +126,7 @@
             directory=self._directory,
             pool=self._pool,
             heartbeat_ms=settings.heartbeat_ms,
-            on_removed=self._quarantine.on_removed,
+            on_removed=self._crashes.quarantine.on_removed,
             on_updated=self._replica_components.streams.on_list,
         )
         self._software_rows = SoftwareRows(
@@ -270,8 +259,7 @@
             self._lease.run(),
             self._weight_task.run(),
             self._garbage_collector.run(),
-            self._quarantine.run(),
-            self._poison.run(),
+            *self._crashes.runs(),
             self._software_rows.run(),
             self._replica_components.notices.run(),
             self._replica_components.relays.connector.run(),
@@ -300,7 +288,7 @@
             self._caller_server.drain(left_ms), relay_server.drain(left_ms)
         )
         tasks = [lease_handover, *self._tasks, *self._kv_store_followers.tasks]
-        tasks += [*self._quarantine.tasks, *self._replica_components.reach.tasks]
+        tasks += [*self._crashes.tasks, *self._replica_components.reach.tasks]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -322,8 +310,8 @@
             budget=self._budget,
             weights=self._weights,
             planner=self._planner,
-            gate=self._quarantine,
-            part_gate=self._poison,
+            gate=self._crashes.quarantine,
+            part_gate=self._crashes.poison,
             reach=self._replica_components.reach,
             notices=self._replica_components.notices,
             speeds=self._replica_components.speeds,
@@ -363,8 +351,7 @@
         self._replica_components.set_nodes(names)
 
     def _on_rows(self, update: TableUpdate) -> None:
-        self._quarantine.on_table_update(update)
-        self._poison.on_table_update(update)
+        self._crashes.on_table_update(update)
         self._software_rows.on_table_update(update)
 
     def _contends(self) -> bool:
@@ -374,8 +361,7 @@
 
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
         senders = (self._load_announcer, self._tables, self._lease_announcer)
-        holders = (self._quarantine, self._poison)
-        for part in (*senders, *holders, self._replica_components):
+        for part in (*senders, self._crashes, self._replica_components):
             part.use(link)
         return lambda: self._start(
             self._replica_components.load_report_task.run(link),
@@ -405,11 +391,7 @@
             "caller_connections_refused_total": self._caller_server.refused,
             "configuration_age_ms": self._routes.age_ms(now_ms),
             "configuration_version": self._routes.version or 0,
-            "requests_cut_by_ends_total": self._quarantine.cut,
-            "requests_held": self._quarantine.held,
-            "prompts_cut_by_crashes_total": self._poison.cut,
-            "prompt_parts_held": self._poison.held,
-            "prompts_held_back_total": self._poison.rejected,
+            **self._crashes.gauges(),
             "store_calls_total": self._store.calls,
             "store_era": self._store.eras.latest,
             "connections_opened_total": self._pool.opened,
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -35,6 +35,7 @@
 from ._prompt_requirements import PromptRequirements
 from ._quarantine_check import QuarantineCheck
 from ._rejection import on_rejected
+from ._replica_choice import ReplicaChoice
 from ._replica_send import ReplicaSend
 from ._second_send import SecondSend
 from ._send_headers import replica_headers
@@ -65,10 +66,10 @@
         "_plan",
         "_progress",
         "_reply",
+        "_replica_choice",
         "_service",
         "_stream_version",
         "_trace",
-        "_tried",
         "_waits_late",
     )
 
@@ -114,7 +115,9 @@
         self._requirements = PromptRequirements(
             caller, allowed, planner=deps.planner, weights=deps.weights
         )
-        self._tried: set[int] = set()
+        self._replica_choice = ReplicaChoice(
+            deps.chooser, self._requirements, self._progress, clock=deps.clock
+        )
         self._quarantine_check = QuarantineCheck(
             deps.gate,
             trace.fingerprint,
@@ -232,7 +235,7 @@
                 # The attempt had its full time; it was not cut short by the deadline.
                 self._deps.watch.on_unresponsive(replica)
         self._quarantine_check.on_connect_failed(replica, is_refused=failure.is_refused)
-        self._tried.add(replica.incarnation_id)
+        self._replica_choice.on_tried(replica)
         self._stop_late_wait(None)
         return Unsent(failure.detail)
 
@@ -289,7 +292,7 @@
             self._trace,
             first=choice,
             service=self._service,
-            choose=self._choose_untried,
+            choose=self._replica_choice.choose_untried,
             connect=lambda choice: self._connect(choice.replica, self._left_ms()),
             quarantine_check=self._quarantine_check,
             on_unsent=self._on_unsent,
@@ -332,7 +335,7 @@
         self._trace.sends += 1
         self._trace.sent_after_ms = self._elapsed_ms()
         self._trace.stored_tokens = headers.stored_tokens
-        self._tried.add(replica.incarnation_id)
+        self._replica_choice.on_tried(replica)
         send = ReplicaSend(
             self._deps,
             connection,
@@ -385,22 +388,13 @@
             weights=self._deps.weights,
         )
         if rejected.reason is RejectionReason.OTHER_WEIGHTS:
-            self._tried.discard(choice.replica.incarnation_id)
+            self._replica_choice.on_untried(choice.replica)
         return rejected
 
     def _choose(self) -> Choice | None:
-        choice = self._choose_untried()
-        if choice is None and self._tried and not self._plan.may_have_run:
-            return self._choose_among()
-        return choice
-
-    def _choose_untried(self) -> Choice | None:
-        return self._choose_among(without=frozenset(self._tried))
-
-    def _choose_among(self, without: frozenset[int] = frozenset()) -> Choice | None:
-        now_ms = self._clock.now_ms()
-        criteria = self._requirements.criteria(now_ms, self._progress.software)
-        return self._deps.chooser.choose(now_ms, criteria, without=without)
+        if self._plan.may_have_run:
+            return self._replica_choice.choose_untried()
+        return self._replica_choice.choose()
 
     def _headers(self, choice: Choice) -> ReplicaHeaders:
         return replica_headers(
--- /dev/null
+++ b/fireflyward/poison/_messages.py
@@ -0,0 +1,167 @@
+"""Messages between nodes about parts of prompts and crashes."""
+
+import itertools
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import Any, Protocol
+
+from fireflyward.aggregators import Member
+from fireflyward.clock import Clock, within_ms
+from fireflyward.peers import PeerLink
+
+from ._completions import Completions
+from ._evidence import Evidence
+from ._poison_structs import (
+    CompletionAnswer,
+    CompletionQuestion,
+    PartCleared,
+    PartHeld,
+    PartsCut,
+)
+
+_CUT, _ASK, _ANSWER = "poison.cut", "poison.ask", "poison.answer"
+_HELD, _CLEARED = "poison.held", "poison.cleared"
+# A lost datagram delays a decision; the rows of held parts reach all nodes anyway.
+_RESEND_MS = (300, 1_500)
+_ASK_AGAIN_MS = 50
+_ASK_LIMIT_MS = 200
+# An entry of a crash takes up to 16 bytes; a datagram has room for 1,400.
+_MAX_PARTS_PER_DATAGRAM = 75
+_MAX_TOLD = 2_000
+_MAX_NUMBER = 2**31 - 1
+
+
+class Listener(Protocol):
+    """Receives what other nodes tell; see ``PoisonTask``."""
+
+    def on_told_cut(self, incarnation_id: int, counts: Counter[int]) -> None: ...
+
+    def on_told_held(self, node: str, part: int, crashes: int) -> None: ...
+
+    def on_told_cleared(self, node: str, part: int) -> None: ...
+
+
+class PoisonMessages:
+    """Tells other nodes of cut, held and cleared parts, and asks them for answers."""
+
+    def __init__(
+        self,
+        listener: Listener,
+        completions: Completions,
+        *,
+        clock: Clock,
+        members: Callable[[], Sequence[Member]],
+    ) -> None:
+        """``members`` returns all other nodes."""
+        self._listener = listener
+        self._completions = completions
+        self._clock = clock
+        self._members = members
+        self._link: PeerLink | None = None
+        self._numbers = itertools.count(1)
+        self._evidence_by_number: dict[int, Evidence] = {}
+        # What other nodes told of crashes, in the order of arrival.
+        self._told: dict[tuple[str, int, int], None] = {}
+
+    def use(self, link: PeerLink | None) -> None:
+        """Tell and ask other nodes over a link from now on."""
+        self._link = link
+        if link is not None:
+            link.register(_CUT, PartsCut, self._on_cut)
+            link.register(_ASK, CompletionQuestion, self._on_question)
+            link.register(_ANSWER, CompletionAnswer, self._on_answer)
+            link.register(_HELD, PartHeld, self._on_held)
+            link.register(_CLEARED, PartCleared, self._on_cleared)
+
+    def tell_cut(self, incarnation_id: int, counts: Mapping[int, int]) -> None:
+        """Tell the parts of this node's prompts in flight at a crash."""
+        items = sorted(counts.items())
+        for first in range(0, len(items), _MAX_PARTS_PER_DATAGRAM):
+            part = items[first : first + _MAX_PARTS_PER_DATAGRAM]
+            message = PartsCut(
+                replica=incarnation_id,
+                parts=[key for key, _ in part],
+                requests=[count for _, count in part],
+            )
+            self._tell(_CUT, message)
+
+    def tell_held(self, part: int, crashes: int) -> None:
+        """Tell that prompts with a part are held back."""
+        self._tell(_HELD, PartHeld(part=part, crashes=crashes))
+
+    def tell_cleared(self, part: int) -> None:
+        """Tell that a replica completed an answer to a prompt with a part."""
+        self._tell(_CLEARED, PartCleared(part=part))
+
+    async def ask(self, parts: Sequence[int]) -> Evidence:
+        """Ask all nodes for their last answers to prompts with these parts.
+
+        The evidence is about the first of the parts, as many as one datagram holds.
+        """
+        members = self._members()
+        asked = parts[:_MAX_PARTS_PER_DATAGRAM]
+        evidence = Evidence(asked, (member.name for member in members))
+        if self._link is None or not members:
+            return evidence
+        number = next(self._numbers) % _MAX_NUMBER
+        self._evidence_by_number[number] = evidence
+        question = CompletionQuestion(number=number, parts=list(asked))
+        try:
+            for limit_ms in (_ASK_AGAIN_MS, _ASK_LIMIT_MS - _ASK_AGAIN_MS):
+                missing = [item for item in members if item.name in evidence.missing]
+                self._send(missing, _ASK, question)
+                await within_ms(self._clock, limit_ms, evidence.is_complete.wait())
+                if evidence.is_complete.is_set():
+                    break
+        finally:
+            del self._evidence_by_number[number]
+        return evidence
+
+    def _tell(self, kind: str, message: Any) -> None:
+        """Send a message to all nodes, and again later, as datagrams get lost."""
+        self._send(self._members(), kind, message)
+        for later_ms in _RESEND_MS:
+            self._clock.call_later_ms(
+                later_ms, lambda: self._send(self._members(), kind, message)
+            )
+
+    def _send(self, members: Iterable[Member], kind: str, message: Any) -> None:
+        if self._link is not None:
+            self._link.send_all([item.address for item in members], kind, message)
+
+    async def _on_cut(self, sender: str, message: Any) -> None:
+        """Pass on what another node told, once: it is sent again in case it is lost."""
+        counts = Counter(dict(zip(message.parts, message.requests, strict=False)))
+        key = (sender, message.replica, hash(frozenset(counts)))
+        if key in self._told:
+            return
+        self._told[key] = None
+        while len(self._told) > _MAX_TOLD:
+            del self._told[next(iter(self._told))]
+        self._listener.on_told_cut(message.replica, counts)
+
+    async def _on_question(self, sender: str, message: Any) -> None:
+        now_ms = self._clock.now_ms()
+        last = [self._completions.last_ms(part) for part in message.parts]
+        answer = CompletionAnswer(
+            number=message.number,
+            ages_ms=[
+                -1 if at is None else min(now_ms - at, _MAX_NUMBER) for at in last
+            ],
+            answers=min(self._completions.answers, _MAX_NUMBER),
+        )
+        asker = [member for member in self._members() if member.name == sender]
+        self._send(asker, _ANSWER, answer)
+
+    async def _on_answer(self, sender: str, message: Any) -> None:
+        evidence = self._evidence_by_number.get(message.number)
+        if evidence is not None:
+            evidence.on_answer(
+                self._clock.now_ms(), sender, message.ages_ms, message.answers
+            )
+
+    async def _on_held(self, sender: str, message: Any) -> None:
+        self._listener.on_told_held(sender, message.part, message.crashes)
+
+    async def _on_cleared(self, sender: str, message: Any) -> None:
+        self._listener.on_told_cleared(sender, message.part)
--- a/fireflyward/poison/_task.py
+++ b/fireflyward/poison/_task.py
@@ -4,8 +4,7 @@
 import itertools
 import logging
 from collections import Counter
-from collections.abc import Callable, Iterable, Sequence
-from typing import Any
+from collections.abc import Callable, Sequence
 
 from fireflyward.aggregators import Member
 from fireflyward.clock import Clock, within_ms
@@ -17,36 +16,22 @@
 from fireflyward.replicas import ReplicaState
 
 from ._completions import Completions
-from ._crash_log import CrashLog
+from ._crash_log import CrashLog, count_parts
 from ._evidence import Evidence
 from ._held_parts import HeldParts, PartOnTrial
 from ._inference import MIN_TOLD_CRASHES, Suspect, find_suspects
-from ._poison_structs import (
-    CompletionAnswer,
-    CompletionQuestion,
-    PartCleared,
-    PartHeld,
-    PartsCut,
-)
+from ._messages import PoisonMessages
 from ._rows import HeldPartRows
 from ._suspect_rows import SuspectPartRows
 
 log = logging.getLogger("fireflyward.poison")
 
-_CUT, _ASK, _ANSWER = "poison.cut", "poison.ask", "poison.answer"
-_HELD, _CLEARED = "poison.held", "poison.cleared"
 _DUTY = "poison"
 # Cut requests of one crash are told together.
 _BATCH_MS = 10
-# A lost datagram delays a decision; the rows of held parts reach all nodes anyway.
-_RESEND_MS = (300, 1_500)
 # The node that is first for this duty decides at once, the others if it has not.
 _DUTY_DELAY_MS = 400
 _MAX_DUTY_DELAYS = 3
-_ASK_AGAIN_MS = 50
-_ASK_LIMIT_MS = 200
-# An entry of a crash takes up to 16 bytes; a datagram has room for 1,400.
-_MAX_PARTS_PER_DATAGRAM = 75
 # Parts with answers since their crashes are suspect again by further crashes only, so a
 # decision that finds none is repeated once, when answers under way have ended.
 _DECIDE_AGAIN_MS = 1_000
@@ -57,8 +42,6 @@
 _MIN_KEPT_CUTS = 100
 # Parts whose crashes are stored at a time, the most suspect ones.
 _MAX_STORED_SUSPECTS = 8
-_MAX_TOLD = 2_000
-_MAX_NUMBER = 2**31 - 1
 
 
 class PoisonTask:
@@ -98,19 +81,17 @@
         self._max_cuts = _MIN_KEPT_CUTS
         self._crashes = CrashLog()
         self._completions = Completions()
+        self._messages = PoisonMessages(
+            self, self._completions, clock=clock, members=members
+        )
         self._held = HeldParts()
         self._rows = HeldPartRows(self._held, clock=clock, store=store, table=table)
         self._suspect_rows = SuspectPartRows(clock=clock, store=store, table=table)
         self._unwritten: set[int] = set()
         self._untold_ends: dict[int, frozenset[int]] = {}
         self._has_work = asyncio.Event()
-        # What other nodes told of crashes, in the order of arrival.
-        self._told: dict[tuple[str, int, int], None] = {}
         self._untold: dict[int, Counter[int]] = {}
-        self._evidence_by_number: dict[int, Evidence] = {}
-        self._numbers = itertools.count(1)
         self._decision: asyncio.Task[None] | None = None
-        self._link: PeerLink | None = None
         self.cut = 0
         self.rejected = 0
 
@@ -119,14 +100,14 @@
         """Return how many parts are held back."""
         return len(self._held)
 
-    def use(self, link: PeerLink) -> None:
+    @property
+    def tasks(self) -> list[asyncio.Task[None]]:
+        """Return the running tasks, besides ``run``."""
+        return [self._decision] if self._decision is not None else []
+
+    def use(self, link: PeerLink | None) -> None:
         """Tell and ask other nodes over a link from now on."""
-        self._link = link
-        link.register(_CUT, PartsCut, self._on_parts_cut)
-        link.register(_ASK, CompletionQuestion, self._on_question)
-        link.register(_ANSWER, CompletionAnswer, self._on_answer)
-        link.register(_HELD, PartHeld, self._on_held)
-        link.register(_CLEARED, PartCleared, self._on_cleared)
+        self._messages.use(link)
 
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply changes of the table."""
@@ -178,9 +159,23 @@
         for part in parts if len(self._held) else ():
             if self._held.clear(part):
                 log.info("poison: part %x cleared by an answer", part)
-                self._tell(_CLEARED, PartCleared(part=part))
+                self._messages.tell_cleared(part)
                 self._write_soon(part)
 
+    def on_told_cut(self, incarnation_id: int, counts: Counter[int]) -> None:
+        """Record prompts of another node that were in flight at a crash."""
+        self._add_crash(incarnation_id, counts)
+
+    def on_told_held(self, node: str, part: int, crashes: int) -> None:
+        """Hold a part that another node holds."""
+        if self._held.hold(self._clock.now_ms(), part, crashes=crashes):
+            log.info("poison: part %x held, told by %s", part, node)
+
+    def on_told_cleared(self, node: str, part: int) -> None:
+        """Free a part of which another node has completed an answer."""
+        if self._held.clear(part):
+            log.info("poison: part %x cleared, told by %s", part, node)
+
     async def run(self) -> None:
         """Write the rows of held parts until cancelled."""
         forgot_ms = self._clock.now_ms()
@@ -232,7 +227,7 @@
     def _record(self, incarnation_id: int, cut: list[tuple[int, ...]]) -> None:
         """Record this node's prompts in flight at a crash, and tell the others."""
         self.cut += len(cut)
-        counts = Counter(part for parts in cut for part in set(parts))
+        counts = count_parts(cut)
         self._add_crash(incarnation_id, counts)
         if not self._untold:
             self._clock.call_later_ms(_BATCH_MS, self._tell_cuts)
@@ -252,22 +247,14 @@
     def _tell_cuts(self) -> None:
         untold, self._untold = self._untold, {}
         for incarnation_id, counts in untold.items():
-            items = sorted(counts.items())
-            for first in range(0, len(items), _MAX_PARTS_PER_DATAGRAM):
-                part = items[first : first + _MAX_PARTS_PER_DATAGRAM]
-                message = PartsCut(
-                    replica=incarnation_id,
-                    parts=[key for key, _ in part],
-                    requests=[count for _, count in part],
-                )
-                self._tell(_CUT, message)
+            self._messages.tell_cut(incarnation_id, counts)
 
     async def _decide(self) -> None:
         """Look for a part that explains the crashes, now and once more later."""
         await self._clock.sleep_ms(_BATCH_MS * 2 + self._duty_delay_ms())
         for _ in range(2):
             while suspects := self._suspects():
-                evidence = await self._ask([item.part for item in suspects])
+                evidence = await self._messages.ask([item.part for item in suspects])
                 asked = self._suspects(evidence)
                 suspects = [item for item in asked if item.part in evidence.parts]
                 if not suspects or not suspects[0].explains:
@@ -325,83 +312,10 @@
         )
         if part in self._suspect_rows.ends:
             self._untold_ends[part] = suspect.ends
-        self._tell(_HELD, PartHeld(part=part, crashes=suspect.crashes))
+        self._messages.tell_held(part, suspect.crashes)
         self._write_soon(part)
         self._poll_soon()
 
-    async def _ask(self, parts: Sequence[int]) -> Evidence:
-        """Ask all nodes for their last answers to prompts with these parts."""
-        members = self._members()
-        asked = parts[:_MAX_PARTS_PER_DATAGRAM]
-        evidence = Evidence(asked, (member.name for member in members))
-        if self._link is None or not members:
-            return evidence
-        number = next(self._numbers) % _MAX_NUMBER
-        self._evidence_by_number[number] = evidence
-        question = CompletionQuestion(number=number, parts=list(asked))
-        try:
-            for limit_ms in (_ASK_AGAIN_MS, _ASK_LIMIT_MS - _ASK_AGAIN_MS):
-                missing = [item for item in members if item.name in evidence.missing]
-                self._send(missing, _ASK, question)
-                await within_ms(self._clock, limit_ms, evidence.is_complete.wait())
-                if evidence.is_complete.is_set():
-                    break
-        finally:
-            del self._evidence_by_number[number]
-        return evidence
-
     def _write_soon(self, *parts: int) -> None:
         self._unwritten.update(parts)
         self._has_work.set()
-
-    def _tell(self, kind: str, message: Any) -> None:
-        """Send a message to all nodes, and again later, as datagrams get lost."""
-        self._send(self._members(), kind, message)
-        for later_ms in _RESEND_MS:
-            self._clock.call_later_ms(
-                later_ms, lambda: self._send(self._members(), kind, message)
-            )
-
-    def _send(self, members: Iterable[Member], kind: str, message: Any) -> None:
-        if self._link is not None:
-            self._link.send_all([item.address for item in members], kind, message)
-
-    async def _on_parts_cut(self, sender: str, message: Any) -> None:
-        counts = Counter(dict(zip(message.parts, message.requests, strict=False)))
-        self._add_crash_of(sender, message.replica, counts)
-
-    def _add_crash_of(self, sender: str, replica: int, counts: Counter[int]) -> None:
-        """Add what another node told, once: it is sent again in case it was lost."""
-        key = (sender, replica, hash(frozenset(counts)))
-        if key not in self._told:
-            self._told[key] = None
-            while len(self._told) > _MAX_TOLD:
-                del self._told[next(iter(self._told))]
-            self._add_crash(replica, counts)
-
-    async def _on_question(self, sender: str, message: Any) -> None:
-        now_ms = self._clock.now_ms()
-        last = [self._completions.last_ms(part) for part in message.parts]
-        ages_ms = [-1 if at is None else min(now_ms - at, _MAX_NUMBER) for at in last]
-        answers = min(self._completions.answers, _MAX_NUMBER)
-        answer = CompletionAnswer(
-            number=message.number, ages_ms=ages_ms, answers=answers
-        )
-        asker = [member for member in self._members() if member.name == sender]
-        self._send(asker, _ANSWER, answer)
-
-    async def _on_answer(self, sender: str, message: Any) -> None:
-        evidence = self._evidence_by_number.get(message.number)
-        if evidence is not None:
-            evidence.on_answer(
-                self._clock.now_ms(), sender, message.ages_ms, message.answers
-            )
-
-    async def _on_held(self, sender: str, message: Any) -> None:
-        now_ms = self._clock.now_ms()
-        if self._held.hold(now_ms, message.part, crashes=message.crashes):
-            log.info("poison: part %x held, told by %s", message.part, sender)
-
-    async def _on_cleared(self, sender: str, message: Any) -> None:
-        if self._held.clear(message.part):
-            log.info("poison: part %x cleared, told by %s", message.part, sender)
--- a/tests/fleet/test_crashing_parts.py
+++ b/tests/fleet/test_crashing_parts.py
@@ -175,7 +175,7 @@
 
 class CrashingPartTests(CrashingPartTestCase):
     def held_parts(self):
-        return [set(node._poison._held.by_part) for node in self.nodes]
+        return [set(node._crashes.poison._held.by_part) for node in self.nodes]
 
     async def test_a_part_that_crashes_replicas_is_held_back(self):
         """Guards against requests that share a prompt part and crash all replicas."""
@@ -196,7 +196,7 @@
         """Guards against three crashes counted by each node for itself."""
         await self.start_nodes()
         for node in self.nodes:
-            node._poison._link = None
+            node._crashes.poison.use(None)
         await self.play()
         self.check()
 
--- a/tests/fleet/test_crashing_requests.py
+++ b/tests/fleet/test_crashing_requests.py
@@ -144,7 +144,7 @@
         in the table that all nodes read.
         """
         for node in self.nodes:
-            node._quarantine._announcer._link = None
+            node._crashes.quarantine._announcer._link = None
         statuses = await self.send_crashing_requests(
             "POST", "/w/x", self.plain, "plain"
         )
