Poison: three nodes of each failure domain decide, one after the other

All nodes decided on each crash, the later ones after 1.2 s, and asked all others: at 350 nodes 122,000 datagrams for a crash that no part explains. A crash that was told while a decision waited for its repetition was not looked at before the next one. Now three nodes of each domain decide, 150 ms apart, and news wakes a waiting decision. 27 tests of poison, 4 of 4 of tests.fleet.test_crashing_parts pass.

--- a/fireflyward/fleet/_crash_components.py
+++ b/fireflyward/fleet/_crash_components.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
-from fireflyward.aggregators import Aggregators
+from fireflyward.aggregators import Aggregators, Member
 from fireflyward.clock import Clock
 from fireflyward.feeds import TableUpdate
 from fireflyward.http1 import ConnectionPool, HttpConnection, NotConnected
@@ -25,7 +25,7 @@
         directory: ReplicaDirectory,
         store: StoreClient,
         table: str,
-        node: str,
+        node: Member,
         aggregators: Aggregators,
         poll_soon: Callable[[], None],
         connect: Callable[[ReplicaState], Awaitable[HttpConnection | NotConnected]],
@@ -37,7 +37,7 @@
             directory=directory,
             store=store,
             table=table,
-            node=node,
+            node=node.name,
             peer_addresses=aggregators.all_addresses,
             poll_soon=poll_soon,
             connect=connect,
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -27,6 +27,7 @@
 from ._gauges import link_gauges
 from ._joining import Joining
 from ._kv_stores import KvStoreFollowers
+from ._own_member import own_member
 from ._peers import NODE_TABLE, NodeRegistry
 from ._replica_components import ReplicaComponents
 from ._start_gate import StartGate
@@ -97,7 +98,7 @@
             directory=self._directory,
             store=self._store,
             table=NODE_TABLE,
-            node=settings.node,
+            node=own_member(settings),
             aggregators=self._aggregators,
             poll_soon=lambda: self._joining.poll_soon(),
             connect=self._replica_components.relays.probe,
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from fireflyward.aggregators import Aggregators, Member
+from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.hedging import Hedging, SilentReplicaCost
@@ -30,6 +30,7 @@
 )
 
 from ._accept_limit import NodeLoads
+from ._own_member import own_member
 from ._relay_components import RelayComponents
 
 # How long the sums of requests in flight are used.
@@ -128,7 +129,7 @@
         self.streams = StreamTask(
             clock=clock,
             directory=self.directory,
-            node=_member(settings),
+            node=own_member(settings),
             members=aggregators.all_members,
         )
         self.speeds = SpeedTask(
@@ -237,9 +238,3 @@
                 service = state.entry.service
                 free_by_service[service] = free_by_service.get(service, 0) + free
         return free_by_service
-
-
-def _member(settings: FleetSettings) -> Member:
-    """Return the node of these settings as others see it in the list of nodes."""
-    address = (settings.ip, settings.peer_ports[0])
-    return Member(settings.node, settings.failure_domain, address, settings.link_mbps)
--- /dev/null
+++ b/fireflyward/poison/_duty.py
@@ -0,0 +1,39 @@
+"""Which nodes decide on parts of prompts, and in which order."""
+
+from collections.abc import Iterable
+
+from fireflyward.aggregators import Member
+from fireflyward.rendezvous import rendezvous_rank
+
+_DUTY = "poison"
+# So many nodes of each failure domain may decide, so that a domain that is cut off has
+# some, and all nodes of a large fleet do not ask all others.
+_NODES_PER_DOMAIN = 3
+# Time for a decision to reach the next node.
+_STEP_MS = 150
+
+
+def duty_delay_ms(node: Member, others: Iterable[Member]) -> int | None:
+    """Return after which time a node decides on a crash, None if it never does.
+
+    The first node of one domain decides at once. The others do if it has not.
+
+    >>> nodes = [Member(f"n{i}", f"d{i % 2}", ("10.0.0.1", i), 1) for i in range(12)]
+    >>> delays = [duty_delay_ms(node, nodes) for node in nodes]
+    >>> sorted(delay for delay in delays if delay is not None)
+    [0, 150, 300, 450, 600, 750]
+    """
+    members = [node, *(item for item in others if item.name != node.name)]
+    domains = sorted({item.failure_domain for item in members}, key=_rank)
+    neighbours = (
+        item.name for item in members if item.failure_domain == node.failure_domain
+    )
+    number = sorted(neighbours, key=_rank).index(node.name)
+    if number >= _NODES_PER_DOMAIN:
+        return None
+    steps = number * len(domains) + domains.index(node.failure_domain)
+    return _STEP_MS * steps
+
+
+def _rank(name: str) -> int:
+    return rendezvous_rank(_DUTY, name)
--- a/fireflyward/poison/_task.py
+++ b/fireflyward/poison/_task.py
@@ -12,11 +12,11 @@
 from fireflyward.peers import PeerLink
 from fireflyward.platform import StoreClient
 from fireflyward.quarantine import Cuts, Free, Held
-from fireflyward.rendezvous import rendezvous_rank
 from fireflyward.replicas import ReplicaState
 
 from ._completions import Completions
 from ._crash_log import CrashLog, count_parts
+from ._duty import duty_delay_ms
 from ._evidence import Evidence
 from ._held_parts import HeldParts, PartOnTrial
 from ._inference import MIN_TOLD_CRASHES, Suspect, find_suspects
@@ -26,14 +26,8 @@
 
 log = logging.getLogger("fireflyward.poison")
 
-_DUTY = "poison"
 # Cut requests of one crash are told together.
 _BATCH_MS = 10
-# The node that is first for this duty decides at once, the others if it has not.
-_DUTY_DELAY_MS = 400
-_MAX_DUTY_DELAYS = 3
-# Parts with answers since their crashes are suspect again by further crashes only, so a
-# decision that finds none is repeated once, when answers under way have ended.
 _DECIDE_AGAIN_MS = 1_000
 _RETRY_MS = 500
 _FORGET_PERIOD_MS = 600_000
@@ -50,9 +44,9 @@
     A part crashed every replica that began to answer a prompt with it. Its requests
     came to all nodes, no two alike, and each crashed another replica, with all requests
     in flight there. A node tells the others which parts its cut requests had.
-    The first node for this duty asks all nodes which of these parts were in answers
-    since, and holds the part that explains the crashes (``find_suspects``). Held parts
-    are told to all nodes and kept in a table.
+    One node after the other, as long as none has decided, asks all which of these parts
+    were in answers since, and holds the part that explains the crashes
+    (``find_suspects``). Held parts are told to all nodes and kept in a table.
 
     ``cut`` counts the requests that were in flight at crashes, ``rejected`` those that
     were held back.
@@ -64,7 +58,7 @@
         clock: Clock,
         store: StoreClient,
         table: str,
-        node: str,
+        node: Member,
         members: Callable[[], Sequence[Member]],
         counts_as_crash: Callable[[ReplicaState], bool],
         poll_soon: Callable[[], None],
@@ -91,6 +85,7 @@
         self._untold_ends: dict[int, frozenset[int]] = {}
         self._has_work = asyncio.Event()
         self._untold: dict[int, Counter[int]] = {}
+        self._has_news = asyncio.Event()
         self._decision: asyncio.Task[None] | None = None
         self.cut = 0
         self.rejected = 0
@@ -204,7 +199,7 @@
                 is_done = await self._suspect_rows.add(part, ends)
             if is_done and self._untold_ends.get(part) == ends:
                 del self._untold_ends[part]
-        if self._duty_delay_ms() == 0:
+        if duty_delay_ms(self._node, self._members()) == 0:
             for part in self._suspect_rows.old(self._clock.now_ms()):
                 await self._suspect_rows.delete(part)
 
@@ -241,36 +236,44 @@
         self._decide_soon()
 
     def _decide_soon(self) -> None:
-        if self._decision is None or self._decision.done():
-            self._decision = asyncio.create_task(self._decide())
+        """Let this node decide on the crashes, if that is its duty."""
+        self._has_news.set()
+        if self._decision is not None and not self._decision.done():
+            return
+        delay_ms = duty_delay_ms(self._node, self._members())
+        if delay_ms is not None:
+            self._decision = asyncio.create_task(self._decide(delay_ms))
 
     def _tell_cuts(self) -> None:
         untold, self._untold = self._untold, {}
         for incarnation_id, counts in untold.items():
             self._messages.tell_cut(incarnation_id, counts)
 
-    async def _decide(self) -> None:
-        """Look for a part that explains the crashes, now and once more later."""
-        await self._clock.sleep_ms(_BATCH_MS * 2 + self._duty_delay_ms())
-        for _ in range(2):
-            while suspects := self._suspects():
-                evidence = await self._messages.ask([item.part for item in suspects])
-                asked = self._suspects(evidence)
-                suspects = [item for item in asked if item.part in evidence.parts]
-                if not suspects or not suspects[0].explains:
-                    break
-                self._hold(suspects[0], others=len(suspects) - 1)
-            for suspect in suspects[:_MAX_STORED_SUSPECTS]:
-                self._untold_ends[suspect.part] = suspect.ends
-                self._has_work.set()
-            await self._clock.sleep_ms(_DECIDE_AGAIN_MS)
-
-    def _duty_delay_ms(self) -> int:
-        own = rendezvous_rank(_DUTY, self._node)
-        before = sum(
-            rendezvous_rank(_DUTY, member.name) < own for member in self._members()
-        )
-        return _DUTY_DELAY_MS * min(before, _MAX_DUTY_DELAYS)
+    async def _decide(self, delay_ms: int) -> None:
+        """Look for parts that explain the crashes, until no news arrives.
+
+        Without news the last decision is repeated once: answers that were under way at
+        the crashes have ended by then.
+        """
+        quiet = 0
+        while quiet < 2:
+            await self._clock.sleep_ms(2 * _BATCH_MS + delay_ms)
+            self._has_news.clear()
+            await self._decide_once()
+            await within_ms(self._clock, _DECIDE_AGAIN_MS, self._has_news.wait())
+            quiet = 0 if self._has_news.is_set() else quiet + 1
+
+    async def _decide_once(self) -> None:
+        while suspects := self._suspects():
+            evidence = await self._messages.ask([item.part for item in suspects])
+            found = self._suspects(evidence)
+            suspects = [item for item in found if item.part in evidence.parts]
+            if not suspects or not suspects[0].explains:
+                break
+            self._hold(suspects[0], others=len(suspects) - 1)
+        for suspect in suspects[:_MAX_STORED_SUSPECTS]:
+            self._untold_ends[suspect.part] = suspect.ends
+            self._has_work.set()
 
     def _suspects(self, evidence: Evidence | None = None) -> list[Suspect]:
         now_ms = self._clock.now_ms()
