Streams: new connections are confirmed while several versions serve

Each connection is now confirmed once by the replica's report before a stream that may be resumed begins there, while several versions serve; a connection that is confirmed is not asked again.

--- a/fireflyward/forwarding/_interfaces.py
+++ b/fireflyward/forwarding/_interfaces.py
@@ -80,6 +80,8 @@
         self, service: str, account: str, first_request_id: str | None
     ) -> StreamOrigin | None: ...
 
+    def has_several_versions(self, service: str) -> bool: ...
+
 
 class NoStreams:
     """Takes all replicas for alike."""
@@ -97,6 +99,10 @@
         """Return None: the stream may go on at any replica."""
         return None
 
+    def has_several_versions(self, service: str) -> bool:
+        """Return False."""
+        return False
+
 
 class Notices(Protocol):
     """Receives facts about replicas from responses; see ``notices.NoticeTask``."""
--- a/fireflyward/forwarding/_stream_version.py
+++ b/fireflyward/forwarding/_stream_version.py
@@ -97,28 +97,40 @@
     async def confirm(
         self, connection: HttpConnection, replica: ReplicaState, left_ms: float
     ) -> HttpConnection | NotConnected:
-        """Return the connection if the replica there may continue the stream.
+        """Return the connection if the software there is the listed one.
 
         The list of replicas may be behind: another incarnation, with other software,
-        may listen at the replica's address under its name.
+        may listen at the replica's address under its name. A connection leads to the
+        same process until it ends, so each is confirmed once. A new stream needs that
+        only while replicas of several versions serve.
         """
-        if self._progress.software is None or not replica.entry.started_ms:
+        entry = replica.entry
+        if not self._needs_confirmation() or not entry.started_ms:
+            return connection
+        if connection.confirmed_peer == replica.incarnation_id:
             return connection
         is_same = await is_incarnation(
             connection,
-            replica.entry,
+            entry,
             clock=self._deps.clock,
             limit_ms=min(_REPORT_LIMIT_MS, left_ms),
         )
         if is_same:
+            connection.confirmed_peer = replica.incarnation_id
             return connection
         has_answered = connection.is_usable
         self._deps.pool.release(connection)
         return NotConnected(
-            f"{replica.entry.incarnation} was not confirmed at {replica.entry.address}",
+            f"{entry.incarnation} was not confirmed at {entry.address}",
             is_refused=has_answered,
         )
 
+    def _needs_confirmation(self) -> bool:
+        if self._progress.software is not None:
+            return True
+        streams = self._deps.streams
+        return self._is_stream and streams.has_several_versions(self._allowed.service)
+
     @property
     def _is_stream(self) -> bool:
         route = self._allowed.route
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -98,6 +98,7 @@
         "_unread_bytes",
         "_waiter",
         "address",
+        "confirmed_peer",
         "idle_since_ms",
         "must_close",
         "received_bytes",
@@ -106,9 +107,14 @@
     )
 
     def __init__(self, address: str, *, relay: str = "") -> None:
-        """``relay`` names the node through which the peer is reached, if any."""
+        """``relay`` names the node through which the peer is reached, if any.
+
+        ``confirmed_peer`` is the id of the replica's incarnation that is known to be
+        the peer, None before that was asked.
+        """
         self.address = address
         self.relay = relay
+        self.confirmed_peer: int | None = None
         self.received_bytes = 0
         self.idle_since_ms = 0
         self.must_close = False
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -99,7 +99,7 @@
         now_ms = self._clock.now_ms()
         key = stream_key(account, request_id)
         self.starts.add(now_ms, service, software, key, is_own=True)
-        if len(self.versions.recent(now_ms, service)) > 1:
+        if self.has_several_versions(service):
             self._tell_soon((service, software), [key])
 
     async def find(
@@ -111,13 +111,15 @@
         key = stream_key(account, first_request_id)
         own = self.starts.find(self._clock.now_ms(), key)
         if own is not None:
-            return Began(own, OWN_RECORD, self._has_others(service))
+            return Began(own, OWN_RECORD, self.has_several_versions(service))
         lookup = await self._ask(service, key)
         now_ms = self._clock.now_ms()
         self.versions.on_told(now_ms, service, lookup.versions)
         if lookup.software is not None:
             self.starts.add(now_ms, service, lookup.software, key, is_own=False)
-            return Began(lookup.software, lookup.source, self._has_others(service))
+            return Began(
+                lookup.software, lookup.source, self.has_several_versions(service)
+            )
         return self._without_record(
             service, f"no node knows the stream, {lookup.unanswered} did not answer"
         )
@@ -131,7 +133,8 @@
         self.unknown += 1
         return UnknownStream(detail)
 
-    def _has_others(self, service: str) -> bool:
+    def has_several_versions(self, service: str) -> bool:
+        """Return whether streams of a service may have begun at several versions."""
         return len(self.versions.recent(self._clock.now_ms(), service)) > 1
 
     async def _ask(self, service: str, key: int) -> Lookup:
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -246,6 +246,17 @@
             else:
                 self.assertEqual(self.software_of(body), {"v2"})
 
+    async def test_a_stream_begins_at_the_version_that_is_recorded(self):
+        """Guards against new streams at a replica with other software than listed."""
+        await self.start_nodes()
+        for engine in self.engines[:3]:
+            for writer in engine._writers:
+                writer.transport.abort()
+            engine.restart(software="v10")
+        await self.unlist(*self.engines[4:])
+        begun = await self.begin_all()
+        self.assertEqual({software for _, software in begun}, {"v2"})
+
 
 class SingleVersionTests(SoftwareVersionTestCase):
     """All replicas have one software version."""
