--- a/fireflyward/poison/_inference.py
+++ b/fireflyward/poison/_inference.py
@@ -1,5 +1,6 @@
 """Which part of prompts explains crashes of replicas."""
 
+from collections import Counter
 from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
@@ -65,9 +66,13 @@
     unexplained = [
         crash for crash in crashes if held_parts.isdisjoint(crash.requests_by_part)
     ]
-    parts = {part for crash in unexplained for part in crash.requests_by_part}
+    crash_counts = Counter(
+        part for crash in unexplained for part in crash.requests_by_part
+    )
     found = []
-    for part in parts:
+    for part, crash_count in crash_counts.items():
+        if crash_count < MIN_TOLD_CRASHES:
+            continue
         answered_ms = last_completed_ms(part)
         since = [
             crash
