--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -9,6 +9,8 @@
 from tests.platform_standins import ReplicaBehavior, ReplicaStandIn
 
 from .node_fixtures import KEY, FleetTestCase, event_numbers
+from .partition import Cut
+from .test_partitioned_nodes import PartitionTestCase
 
 _EVENTS = 12
 _EVENTS_BEFORE_LEAVING = 3
@@ -306,3 +308,23 @@
             complete += event_numbers(body) == _ALL_EVENTS
             self.assertEqual(len(self.software_of(body)), 1)
         self.assertGreaterEqual(complete, _MIN_CONTINUED)
+
+
+class RelayedStreamTests(SoftwareVersionTestCase, PartitionTestCase):
+    """A node that reaches replicas through other nodes only."""
+
+    async def test_a_stream_is_resumed_through_a_tunnel_at_its_version(self):
+        """Guards against a tunnel to a replica that nobody asked for its version."""
+        await self.start_nodes()
+        begun = [await self.begin(self.nodes[1]) for _ in range(_STREAMS)]
+        self.partition.begin(("entry-1",), self.engines, Cut.REFUSED)
+        continued = await self.resume_all(begun, nodes=self.nodes[:1])
+        self.assertGreaterEqual(continued, _MIN_CONTINUED)
+
+    async def test_a_stream_of_a_node_without_a_link_is_not_guessed(self):
+        """Guards against a guess where the node that knows cannot be asked."""
+        await self.start_nodes()
+        self.nodes[2]._replica_components.streams._link = None
+        first_id, _ = await self.begin(self.nodes[2])
+        status, _, _ = await self.resume(self.nodes[0], first_id)
+        self.assertEqual(status, 503)
--- /dev/null
+++ b/tests/forwarding/test_stream_versions.py
@@ -0,0 +1,102 @@
+"""A resumed stream reaches replicas of one software version only."""
+
+import dataclasses
+import unittest
+
+from fireflyward.deployment import RouteKind
+from fireflyward.http1 import BodyPart
+from fireflyward.outcomes import Answered, NotRun
+from fireflyward.platform import CallerRequest
+from fireflyward.streams import Began, UnknownStream
+from tests.replicas.makers import entry
+
+from . import send_case
+from .send_case import BROKEN, OK_HEAD, Case, stream
+
+RESUMED = CallerRequest(
+    "q1", "GET", "h", "/x", (), 3_000.0, last_event_id="0", first_request_id="q0"
+)
+_VERSIONS = ("v1", "v2", "v1", "v2", "v1", "v2")
+
+
+class _Streams:
+    """Knows one origin for all streams, and records those that begin."""
+
+    def __init__(self, origin):
+        self.origin = origin
+        self.begun = []
+
+    async def find(self, service, account, first_request_id):
+        return self.origin
+
+    def on_begun(self, service, account, request_id, software):
+        self.begun.append((request_id, software))
+
+    def has_several_versions(self, service):
+        return True
+
+
+class StreamVersionTests(unittest.IsolatedAsyncioTestCase):
+    def case(self, scripts, origin=None):
+        case = Case(scripts, replicas=0)
+        entries = [
+            dataclasses.replace(entry(f"r{number}"), software=software)
+            for number, software in enumerate(_VERSIONS)
+        ]
+        case.directory.on_full_read(0, entries)
+        self.software = {item.address: item.software for item in entries}
+        self.streams = _Streams(origin)
+        case.forwarder._deps = dataclasses.replace(
+            case.forwarder._deps, streams=self.streams
+        )
+        return case
+
+    async def run_resumed(self, case):
+        caller, send_case.CALLER = send_case.CALLER, RESUMED
+        try:
+            return await case.run(RouteKind.STREAM, attempts=3)
+        finally:
+            send_case.CALLER = caller
+
+    def versions_tried(self, case):
+        return {self.software[address] for address in case.pool.addresses}
+
+    async def test_a_second_send_goes_to_the_same_version(self):
+        """Guards against a race of two sends at two versions for one stream."""
+        case = self.case([[], stream(b"b", 5)], Began("v1", "node", True))
+        self.assertEqual(await self.run_resumed(case), Answered())
+        self.assertEqual(len(case.pool.opened), 2)
+        self.assertEqual(self.versions_tried(case), {"v1"})
+
+    async def test_replicas_that_cannot_be_reached_are_followed_by_the_same_version(
+        self,
+    ):
+        case = self.case([None, None, stream(b"b", 5)], Began("v2", "node", True))
+        self.assertEqual(await self.run_resumed(case), Answered())
+        self.assertEqual(self.versions_tried(case), {"v2"})
+
+    async def test_a_version_without_replicas_is_rejected_and_nothing_sent(self):
+        case = self.case([stream(b"b", 5)], Began("v3", "node", True))
+        outcome = await self.run_resumed(case)
+        self.assertIsInstance(outcome, NotRun)
+        self.assertGreater(outcome.retry_after_ms, 0)
+        self.assertEqual(case.pool.addresses, [])
+
+    async def test_an_unknown_stream_is_rejected_and_nothing_sent(self):
+        case = self.case([stream(b"b", 5)], UnknownStream("nobody knows"))
+        self.assertIsInstance(await self.run_resumed(case), NotRun)
+        self.assertEqual(case.pool.addresses, [])
+
+    async def test_the_first_event_binds_the_response(self):
+        """Guards against a response that continues at another version."""
+        broken = [(0, OK_HEAD), (5, BodyPart(b"id: 0\ndata: a\n\nid:")), (9, BROKEN)]
+        for _ in range(10):
+            case = self.case([broken, stream(b"b", 1, 2)])
+            self.assertEqual(await case.run(RouteKind.STREAM), Answered())
+            ((request_id, software),) = self.streams.begun
+            self.assertEqual(request_id, "q1")
+            self.assertEqual(self.versions_tried(case), {software})
+
+
+if __name__ == "__main__":
+    unittest.main()
