--- /dev/null
+++ b/tests/poison/test_task.py
@@ -0,0 +1,102 @@
+"""From cut prompts to a held part, a trial, and its end."""
+
+import asyncio
+import unittest
+
+from fireflyward.aggregators import Member
+from fireflyward.clock import ManualClock
+from fireflyward.poison import PartOnTrial, PoisonTask
+from fireflyward.quarantine import Free, Held
+from fireflyward.replicas import ReplicaState
+from tests.replicas.makers import entry
+
+from .test_rows import _Store
+
+BAD, COMMON = 7, 8
+
+
+class PoisonTaskTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.clock, self.store = ManualClock(0), _Store()
+        self.counts = True
+        self.task = PoisonTask(
+            clock=self.clock,
+            store=self.store,
+            table="t",
+            node=Member("n1", "a", ("127.0.0.1", 1), 1.0),
+            members=list,
+            counts_as_crash=lambda replica: self.counts,
+            poll_soon=lambda: None,
+        )
+        for _ in range(30):
+            self.task.on_answered((COMMON,))
+
+    async def crash(self, number, parts=(COMMON, BAD)):
+        replica = ReplicaState(entry(f"r{number}"))
+        self.task.on_cut(parts, replica)
+        self.task.on_crash(replica)
+        await self.clock.advance_ms(400)
+
+    async def hold(self):
+        for number in range(3):
+            await self.crash(number)
+        self.assertIsInstance(await self.task.admit((BAD,)), Held)
+
+    async def test_three_crashes_hold_the_part_and_not_what_is_beside_it(self):
+        await self.crash(0)
+        await self.crash(1)
+        self.assertEqual(await self.task.admit((COMMON, BAD)), Free())
+        await self.crash(2)
+        self.assertIsInstance(await self.task.admit((COMMON, BAD)), Held)
+        self.assertEqual(await self.task.admit((COMMON,)), Free())
+        self.assertEqual((self.task.held, self.task.rejected), (1, 1))
+
+    async def test_a_replica_that_leaves_or_a_cut_blames_nobody(self):
+        """Guards against parts blamed for releases and partitions."""
+        self.counts = False
+        for number in range(6):
+            await self.crash(number)
+        self.assertEqual(await self.task.admit((BAD,)), Free())
+
+    async def test_a_part_that_is_whole_again_passes_after_one_trial(self):
+        """Guards against a part held for good after its replicas were mended."""
+        await self.hold()
+        await self.clock.advance_ms(20_000)
+        self.assertEqual(await self.task.admit((BAD,)), PartOnTrial(BAD))
+        self.assertIsInstance(await self.task.admit((BAD,)), Held)
+        self.task.on_answered((COMMON, BAD))
+        self.assertEqual(await self.task.admit((BAD,)), Free())
+
+    async def test_a_trial_that_crashes_a_replica_is_followed_by_a_longer_wait(self):
+        await self.hold()
+        await self.clock.advance_ms(20_000)
+        self.assertEqual(await self.task.admit((BAD,)), PartOnTrial(BAD))
+        await self.crash(9)
+        await self.clock.advance_ms(30_000)
+        self.assertIsInstance(await self.task.admit((BAD,)), Held)
+        await self.clock.advance_ms(600_000)
+        self.assertEqual(await self.task.admit((BAD,)), PartOnTrial(BAD))
+
+    async def test_a_crash_that_is_told_late_counts(self):
+        """Guards against a crash that no decision looks at before the next one."""
+        await self.crash(0)
+        await self.crash(1)
+        await self.clock.advance_ms(1_300)
+        self.task.on_told_cut(99, {BAD: 1, COMMON: 1})
+        await self.clock.advance_ms(1_500)
+        self.assertIsInstance(await self.task.admit((BAD,)), Held)
+
+    async def test_parts_of_cuts_without_a_crash_are_forgotten(self):
+        for number in range(1_000):
+            self.task.on_cut((BAD,), ReplicaState(entry(f"r{number}")))
+            await self.clock.advance_ms(100)
+        self.assertLessEqual(len(self.task._parts_by_cut), 250)
+
+    async def asyncTearDown(self):
+        for task in self.task.tasks:
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
