--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -16,7 +16,7 @@
 RESUMED = CallerRequest(
     "q1", "GET", "h", "/x", (), 3_000.0, last_event_id="0", first_request_id="q0"
 )
-_VERSIONS = ("v1", "v2", "v1", "v2", "v1", "v2")
+_VERSIONS = ("v1", "v2", "v2", "v1", "v2", "v2")
 
 
 class _Streams:
@@ -63,10 +63,12 @@
 
     async def test_a_second_send_goes_to_the_same_version(self):
         """Guards against a race of two sends at two versions for one stream."""
-        case = self.case([[], stream(b"b", 5)], Began("v1", "node", True))
-        self.assertEqual(await self.run_resumed(case), Answered())
-        self.assertEqual(len(case.pool.opened), 2)
-        self.assertEqual(self.versions_tried(case), {"v1"})
+        for seed in range(10):
+            case = self.case([[], stream(b"b", 5)], Began("v1", "node", True))
+            case.forwarder._deps.chooser._random.seed(seed)
+            self.assertEqual(await self.run_resumed(case), Answered())
+            self.assertEqual(len(case.pool.opened), 2)
+            self.assertEqual(self.versions_tried(case), {"v1"})
 
     async def test_replicas_that_cannot_be_reached_are_followed_by_the_same_version(
         self,
@@ -90,8 +92,9 @@
     async def test_the_first_event_binds_the_response(self):
         """Guards against a response that continues at another version."""
         broken = [(0, OK_HEAD), (5, BodyPart(b"id: 0\ndata: a\n\nid:")), (9, BROKEN)]
-        for _ in range(10):
+        for seed in range(10):
             case = self.case([broken, stream(b"b", 1, 2)])
+            case.forwarder._deps.chooser._random.seed(seed)
             self.assertEqual(await case.run(RouteKind.STREAM), Answered())
             ((request_id, software),) = self.streams.begun
             self.assertEqual(request_id, "q1")
--- a/tests/poison/test_task.py
+++ b/tests/poison/test_task.py
@@ -10,7 +10,7 @@
 from fireflyward.replicas import ReplicaState
 from tests.replicas.makers import entry
 
-from .test_rows import _Store
+from .test_rows import _Store, row, update
 
 BAD, COMMON = 7, 8
 
@@ -86,6 +86,24 @@
         await self.clock.advance_ms(1_500)
         self.assertIsInstance(await self.task.admit((BAD,)), Held)
 
+    async def test_crashes_in_a_row_count_with_own_ones(self):
+        """Guards against three crashes that each node without a link waits for."""
+        stored = row(f"poison-suspect/{BAD:x}", b'{"ends":[101,102]}', 1)
+        self.task.on_table_update(update(stored))
+        await self.clock.advance_ms(300)
+        self.assertEqual(await self.task.admit((BAD,)), Free())
+        await self.crash(0)
+        self.assertIsInstance(await self.task.admit((BAD,)), Held)
+
+    async def test_two_crashes_are_written_for_nodes_without_a_link(self):
+        writing = asyncio.create_task(self.task.run())
+        await self.crash(0)
+        self.assertEqual(self.store.writes, [])
+        await self.crash(1)
+        writing.cancel()
+        written = {key for puts, _ in self.store.writes for key in puts}
+        self.assertEqual(written, {f"poison-suspect/{BAD:x}"})
+
     async def test_parts_of_cuts_without_a_crash_are_forgotten(self):
         for number in range(1_000):
             self.task.on_cut((BAD,), ReplicaState(entry(f"r{number}")))
