--- a/tests/fleet/test_accept_limit.py
+++ b/tests/fleet/test_accept_limit.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import aiohttp
 
 from fireflyward.fleet._accept_limit import AcceptLimit, NodeLoads
 
-from .node_fixtures import NodeTestCase
+from .node_fixtures import FleetTestCase, NodeTestCase
 
 _SKEWED = NodeLoads(own=200.0, others=10.0)
 _EVEN = NodeLoads(own=200.0, others=150.0)
@@ -72,3 +73,24 @@
         await self.fetch("GET", "/r/x")
         await asyncio.sleep(0)
         self.assertGreater(self.node._caller_server._accept_limit._measured_ms, 0)
+
+
+class CrowdedNodeTests(FleetTestCase):
+    """All callers open their first connection at one node, which lags."""
+
+    node_count = 2
+
+    async def test_next_tries_are_served_by_other_nodes_and_nothing_runs_twice(self):
+        """Guards against requests that a crowded node reads and answers late."""
+        await self.start_nodes()
+        server = self.node._caller_server
+        server._loads = lambda: _SKEWED
+        with mock.patch.object(AcceptLimit, "is_lagging", return_value=True):
+            for _ in range(20):
+                with self.assertRaises(aiohttp.ClientError):
+                    await self.fetch("POST", "/w/x")
+                status, _, _ = await self.fetch("POST", "/w/x", node=self.nodes[1])
+                self.assertEqual(status, 200)
+        self.assertEqual(self.run_count(self.plain), 20)
+        status, _, _ = await self.fetch("POST", "/w/x")
+        self.assertEqual(status, 200)
