--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,8 +16,8 @@
 # Long enough for what follows six seconds after the fifth crash.
 _UPGRADE_SECONDS = 16.0
 _UPGRADE_REGRESSIONS = {
-    530141: "all engines were down, so the first part of all prompts had no answers for 2 "
-    "s; five crashes whose cause ended with its node held it back",
+    530141: "all engines were down, so the first part of all prompts had no answers "
+    "for 2 s; five crashes whose cause ended with its node held it back",
 }
 _PARTITION_SECONDS = 12.0
 _PARTITION_REGRESSIONS = {
