Log the age of replaced weights: who told of a version, since when it may be named

No logic is changed. A callers' line names the newest weights and for how long its node had known of them, and the version that the response named if it is another one; the line of a named version says how long before the table was last known without it.

--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -58,16 +58,16 @@
         """Apply newer rows and record when the configuration was last confirmed."""
         for row in update.rows:
             if not row.is_deleted:
-                self._apply_row(row, at_start=not self._has_read_table)
+                self._apply_row(row, update)
         self._update_evacuations(update)
         self._has_read_table = True
         self._routes.confirm(update.as_of_ms)
 
-    def _apply_row(self, row: TableRow, *, at_start: bool) -> None:
+    def _apply_row(self, row: TableRow, update: TableUpdate) -> None:
         if row.key == CONFIGURATION_KEY:
             self._apply_configuration(row)
         elif row.key.startswith(WEIGHTS_PREFIX):
-            self._apply_weight_target(row, at_start=at_start)
+            self._apply_weight_target(row, update)
 
     def _update_evacuations(self, update: TableUpdate) -> None:
         """Stop or resume sending to failure domains as their rows change."""
@@ -125,12 +125,24 @@
             log.info("views: configuration %d in force", configuration.version)
             self._on_configuration(configuration)
 
-    def _apply_weight_target(self, row: TableRow, *, at_start: bool) -> None:
+    def _apply_weight_target(self, row: TableRow, update: TableUpdate) -> None:
         target = decode_weight_target(row.value)
         if target is None:
             log.error("views: row %s cannot be decoded", row.key)
-        elif self._weights.set_target(self._clock.now_ms(), target, at_start=at_start):
-            log.info("views: %s named for %s", target.version, target.model)
+            return
+        now_ms, at_start = self._clock.now_ms(), not self._has_read_table
+        if not self._weights.set_target(now_ms, target, at_start=at_start):
+            return
+        log.info(
+            "views: %s named for %s",
+            target.version,
+            target.model,
+            extra={
+                "source": update.source,
+                "read_as_of_ms": now_ms - update.as_of_ms,
+                "read_before_ms": None if at_start else self._routes.age_ms(now_ms),
+            },
+        )
 
 
 class ReplicaView:
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -80,6 +80,7 @@
         "_on_event",
         "_on_first_data",
         "_on_pause",
+        "_on_weights",
         "_pool",
         "_progress",
         "_replica",
@@ -108,6 +109,7 @@
         claim: Callable[[], bool],
         on_first_data: Callable[[], None],
         on_pause: Callable[[float], None],
+        on_weights: Callable[[int | None], None],
     ) -> None:
         self._connection = connection
         self._clock = clock
@@ -125,6 +127,7 @@
         self._claim = claim
         self._on_first_data = on_first_data
         self._on_pause = on_pause
+        self._on_weights = on_weights
         self._sent_ms = clock.now_ms()
 
     async def read(self) -> SendResult | NotRunThere:
@@ -141,6 +144,7 @@
             return self._fail(problem)
         self._notices.on_response(self._replica, facts, sent_ms=self._sent_ms)
         self._speeds.on_response(self._replica, facts)
+        self._on_weights(facts.weights)
         if facts.load is not None:
             total = facts.load.running + facts.load.waiting
             self._replica.on_load(self._clock.now_ms(), total)
--- a/fireflyward/forwarding/_replica_send.py
+++ b/fireflyward/forwarding/_replica_send.py
@@ -86,10 +86,12 @@
         reply: Reply,
         on_begun: Callable[[], None],
         on_pause: Callable[[float], None],
+        on_weights: Callable[[int | None], None],
     ) -> SendResult | NotRunThere | Superseded:
         """Write the request, and read the response until it ends or fails.
 
-        ``on_begun`` is called before the caller gets the first event of its stream.
+        ``on_begun`` is called before the caller gets the first event of its stream,
+        ``on_weights`` with the version of the weights that a response names.
         """
         replica = self._choice.replica
 
@@ -118,6 +120,7 @@
                 claim=self._begin,
                 on_first_data=self._handle_first_data,
                 on_pause=handle_pause,
+                on_weights=on_weights,
             )
             if not may_repeat:
                 return await exchange.read()
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -334,6 +334,8 @@
             replica.in_flight += 1
         self._trace.sends += 1
         self._trace.sent_after_ms = self._elapsed_ms()
+        if self._caller.model:
+            self._trace_weights()
         self._trace.stored_tokens = headers.stored_tokens
         self._replica_choice.on_tried(replica)
         send = ReplicaSend(
@@ -360,6 +362,7 @@
                 reply=self._reply,
                 on_begun=lambda: self._stream_version.on_begun(replica),
                 on_pause=self._trace.on_pause,
+                on_weights=self._trace.on_served_weights,
             )
         except BaseException:
             self._plan.on_cancelled()
@@ -414,6 +417,11 @@
             self._trace.first_token_ms = took_ms
             choice.on_first_token(self._clock.now_ms(), took_ms)
 
+    def _trace_weights(self) -> None:
+        weights, model = self._deps.weights, self._caller.model
+        heard_ms = weights.heard_ms(self._clock.now_ms(), model)
+        self._trace.on_weights(weights.newest(model), heard_ms)
+
     def _elapsed_ms(self) -> int:
         return self._clock.now_ms() - self._arrived_ms
 
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -41,6 +41,11 @@
     request that brought the first event of the stream that this request resumes. That
     stream began at ``origin_software``, which this node knows from ``origin_source``.
 
+    ``weights`` is the version of the weights for which the replica was chosen. If newer
+    ones were named by then, they are ``newest_weights``, and this node had heard of
+    them ``newest_heard_ms`` before. ``served_weights`` is the version that the
+    replica's response named, if it is another one.
+
     ``second_send`` is why a second send was made while the first one was open,
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
     ``second_refused`` is why a due second send was not made.
@@ -64,6 +69,8 @@
         "list_source",
         "longest_pause_ms",
         "memory_ms",
+        "newest_heard_ms",
+        "newest_weights",
         "origin_software",
         "origin_source",
         "pressure_percent",
@@ -78,6 +85,7 @@
         "second_winner",
         "sends",
         "sent_after_ms",
+        "served_weights",
         "service",
         "share_percent",
         "shared_parts",
@@ -124,6 +132,9 @@
         self.totals_age_ms: int | None = None
         self.is_returning = False
         self.weights: int | None = None
+        self.newest_weights: int | None = None
+        self.newest_heard_ms: int | None = None
+        self.served_weights: int | None = None
         self.queue_ms = 0
         self.memory_ms = 0
         self.expected_ms = 0
@@ -146,6 +157,20 @@
         self.list_age_ms = choice.list_age_ms
         self.list_source = choice.list_source
 
+    def on_weights(self, newest: int | None, heard_ms: int | None) -> None:
+        """Record the newest weights at a send, if its replica has older ones.
+
+        This node has known of them for ``heard_ms``.
+        """
+        is_older = None not in (newest, self.weights) and self.weights < newest
+        self.newest_weights = newest if is_older else None
+        self.newest_heard_ms = heard_ms if is_older else None
+
+    def on_served_weights(self, version: int | None) -> None:
+        """Record the weights that a response named, if they are not the expected."""
+        if version is not None and version != self.weights:
+            self.served_weights = version
+
     def on_connect(self, connection: HttpConnection | NotConnected, ms: int) -> None:
         """Record the connection for a send, and how long it took to get it."""
         self.connect_ms = ms
--- a/fireflyward/forwarding/_weights.py
+++ b/fireflyward/forwarding/_weights.py
@@ -26,12 +26,18 @@
     [0, 2, 3]
     """
 
-    __slots__ = ("_limits_by_model", "_newest_by_model", "_version_ms")
+    __slots__ = (
+        "_heard_ms_by_model",
+        "_limits_by_model",
+        "_newest_by_model",
+        "_version_ms",
+    )
 
     def __init__(self, *, version_ms: int) -> None:
         self._version_ms = version_ms
         self._newest_by_model: dict[str, int] = {}
         self._limits_by_model: dict[str, list[tuple[int, int]]] = {}
+        self._heard_ms_by_model: dict[str, int] = {}
 
     def set_target(
         self, now_ms: int, target: WeightTarget, *, at_start: bool = False
@@ -40,6 +46,7 @@
         if target.version <= self._newest_by_model.get(target.model, 0):
             return False
         self._newest_by_model[target.model] = target.version
+        self._heard_ms_by_model[target.model] = now_ms
         allowed_ms = (
             _OLDER_WEIGHTS_AT_START_MS if at_start else self._version_ms - _MARGIN_MS
         )
@@ -51,6 +58,11 @@
         """Return the newest named version, None if none has been named yet."""
         return self._newest_by_model.get(model)
 
+    def heard_ms(self, now_ms: int, model: str) -> int | None:
+        """Return how long ago this node heard of the newest version, if of any."""
+        heard_at_ms = self._heard_ms_by_model.get(model)
+        return None if heard_at_ms is None else now_ms - heard_at_ms
+
     def targets(self) -> dict[str, int]:
         """Return the newest version of every model."""
         return dict(self._newest_by_model)
--- a/tests/forwarding/test_speed_reports.py
+++ b/tests/forwarding/test_speed_reports.py
@@ -64,6 +64,7 @@
             claim=lambda: True,
             on_first_data=lambda: calls.append("first data"),
             on_pause=calls.append,
+            on_weights=lambda version: None,
         ).read()
         self.assertEqual(calls, ["speed", "first data", 40])
         ((replica, facts), _) = speeds.on_response.call_args
