Log: lines that change what a node believes are not dropped for requests' lines

After a standstill hundreds of requests were logged within a second, and the line of the version that was named then was dropped with them: no node of Nota Birlik and one of nine of Andinos had it. Only lines of single requests are limited now; others wait for a full pipe.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -13,7 +13,7 @@
 from fireflyward.deployment import Limits
 from fireflyward.forwarding import Forwarder, Trace
 from fireflyward.http1 import Head
-from fireflyward.observe import Metrics
+from fireflyward.observe import PER_REQUEST, Metrics
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.platform import (
     CallerRequest,
@@ -350,7 +350,7 @@
             "took_ms": took_ms,
             "configuration_age_ms": self._routes.age_ms(now_ms),
         }
-        log.info("callers: %s", outcome.tag, extra={"fields": fields})
+        log.info("callers: %s", outcome.tag, extra={"fields": fields, **PER_REQUEST})
 
 
 def address_of(listener: asyncio.Server) -> str:
--- a/fireflyward/fleet/_logs.py
+++ b/fireflyward/fleet/_logs.py
@@ -2,22 +2,32 @@
 
 import logging
 import os
+from collections import deque
 
 import msgspec
 
 from fireflyward.clock import Clock
+from fireflyward.observe import PER_REQUEST
 
-# Above this rate only warnings and errors are written. A full pipe and the processor
+# Lines of single requests above this rate are dropped. A full pipe and the processor
 # time of logging must not add to the callers' latency at peak load.
-_MAX_LINES_PER_SECOND = 60
-_STANDARD_ATTRIBUTES = frozenset(logging.makeLogRecord({}).__dict__) | {
-    "message",
-    "asctime",
-}
+_MAX_REQUEST_LINES_PER_SECOND = 60
+# Other lines that a full pipe did not accept, until it does.
+_MAX_WAITING_LINES = 2_000
+_STANDARD_ATTRIBUTES = (
+    frozenset(logging.makeLogRecord({}).__dict__)
+    | {"message", "asctime"}
+    | PER_REQUEST.keys()
+)
 
 
 class LineHandler(logging.Handler):
-    """Writes one JSON object per line; counts the lines that it must drop."""
+    """Writes one JSON object per line; counts the lines that it must drop.
+
+    Only lines of single requests are dropped, apart from warnings and errors. All other
+    lines, such as changes of what the node believes, are written at any rate. If the
+    pipe is full they wait, and the next line is written after them.
+    """
 
     def __init__(self, descriptor: int, *, clock: Clock) -> None:
         super().__init__()
@@ -26,6 +36,7 @@
         self._second = 0
         self._lines = 0
         self._dropped = 0
+        self._waiting: deque[bytes] = deque()
         os.set_blocking(descriptor, False)
 
     def emit(self, record: logging.LogRecord) -> None:
@@ -33,11 +44,12 @@
         now_ms = self._clock.now_ms()
         if now_ms // 1_000 != self._second:
             self._second, self._lines = now_ms // 1_000, 0
-        self._lines += 1
-        if self._lines > _MAX_LINES_PER_SECOND and record.levelno < logging.WARNING:
+        may_drop = _is_per_request(record)
+        self._lines += may_drop
+        if may_drop and self._lines > _MAX_REQUEST_LINES_PER_SECOND:
             self._dropped += 1
             return
-        self._write(self._line(record, now_ms))
+        self._write(self._line(record, now_ms), may_drop=may_drop)
 
     def _line(self, record: logging.LogRecord, now_ms: int) -> bytes:
         part, _, message = record.getMessage().partition(": ")
@@ -50,14 +62,31 @@
             line["dropped_before"] = self._dropped
         return msgspec.json.encode(line) + b"\n"
 
-    def _write(self, line: bytes) -> None:
+    def _write(self, line: bytes, *, may_drop: bool) -> None:
+        while self._waiting and self._try_write(self._waiting[0]):
+            self._waiting.popleft()
+        if not self._waiting and self._try_write(line):
+            self._dropped = 0
+        elif may_drop or len(self._waiting) >= _MAX_WAITING_LINES:
+            # The next line reports how many lines were dropped before it.
+            self._dropped += 1
+        else:
+            self._waiting.append(line)
+            self._dropped = 0
+
+    def _try_write(self, line: bytes) -> bool:
+        """Write a line, unless the reader is slower than this process."""
         try:
             os.write(self._descriptor, line)
-            self._dropped = 0
         except OSError:
-            # The reader is slower than this process. The next line reports how many
-            # lines were dropped before it.
-            self._dropped += 1
+            return False
+        return True
+
+
+def _is_per_request(record: logging.LogRecord) -> bool:
+    return record.levelno < logging.WARNING and not PER_REQUEST.keys().isdisjoint(
+        record.__dict__
+    )
 
 
 def _extra(record: logging.LogRecord) -> dict[str, object]:
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -3,6 +3,7 @@
 import logging
 
 from fireflyward.http1 import HttpConnection, NotConnected
+from fireflyward.observe import PER_REQUEST
 from fireflyward.replicas import Choice
 
 from ._messages import Rejected, SendResult, WholeAnswer
@@ -199,6 +200,7 @@
                 "software": self.software,
                 "detail": detail,
                 "left_ms": int(left_ms),
+                **PER_REQUEST,
             },
         )
 
--- a/fireflyward/observe/__init__.py
+++ b/fireflyward/observe/__init__.py
@@ -1,7 +1,14 @@
 """Observability of a process: logs, metrics and traces."""
 
-from ._logs import set_up_logs
+from ._logs import PER_REQUEST, set_up_logs
 from ._metrics import Metrics
 from ._traces import Tracing, current_trace_parent, hop
 
-__all__ = ["Metrics", "Tracing", "current_trace_parent", "hop", "set_up_logs"]
+__all__ = [
+    "PER_REQUEST",
+    "Metrics",
+    "Tracing",
+    "current_trace_parent",
+    "hop",
+    "set_up_logs",
+]
--- a/fireflyward/observe/_logs.py
+++ b/fireflyward/observe/_logs.py
@@ -5,6 +5,9 @@
 
 import msgspec
 
+# Marks a record of a single request, ``log.info(..., extra={**PER_REQUEST})``. Only the
+# number of these grows with the load, so a handler may drop some of them.
+PER_REQUEST = {"is_per_request": True}
 _EXTRA_FIELDS = ("request", "account", "upstream", "bundle")
 
 
--- a/fireflyward/relays/_server.py
+++ b/fireflyward/relays/_server.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from fireflyward.clock import Clock
+from fireflyward.observe import PER_REQUEST
 from fireflyward.peers import PeerLink, StreamReply
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
@@ -118,7 +119,11 @@
                 "bytes_to_replica": pipe.bytes_to_replica,
                 "bytes_from_replica": pipe.bytes_from_replica,
             }
-            log.info("relays: tunnel ended: %s", pipe.end, extra={"fields": fields})
+            log.info(
+                "relays: tunnel ended: %s",
+                pipe.end,
+                extra={"fields": fields, **PER_REQUEST},
+            )
 
         pipe = Pipe(on_end)
         self._pipes.add(pipe)
