--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -56,7 +56,9 @@
             await replica.start()
         self.list_replicas()
         self.node = FleetNode(
-            self.settings(), clock=Clock(), balancer_notice_ms=self.balancer_notice_ms
+            self.settings(),
+            clock=self.make_clock(),
+            balancer_notice_ms=self.balancer_notice_ms,
         )
         self.session = aiohttp.ClientSession()
         self.request_number = 0
@@ -69,6 +71,9 @@
         for server in [*self.plain, *self.engines, self.store]:
             await server.stop()
 
+    def make_clock(self):
+        return Clock()
+
     def settings(self, **changes):
         with tempfile.TemporaryDirectory() as folder:
             path = Path(folder) / "settings"
@@ -150,7 +155,9 @@
     async def start_additional_node(self, name):
         settings = self.settings(**{"node-name": name})
         node = FleetNode(
-            settings, clock=Clock(), balancer_notice_ms=self.balancer_notice_ms
+            settings,
+            clock=self.make_clock(),
+            balancer_notice_ms=self.balancer_notice_ms,
         )
         self.nodes.append(node)
         await self.start_node(node, name)
