Clock: notice for how long the process did not run

What a node reads after a standstill, or while it hardly runs, may be as old as that time; nothing told this before.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Collection, Coroutine
 
 from fireflyward.aggregators import Aggregators
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, Standstills
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import SharedTables, TableUpdate
 from fireflyward.forwarding import Forwarder, WeightVersions
@@ -65,6 +65,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = Metrics()
+        self._standstills = Standstills(clock=clock)
         self._pool = ConnectionPool(clock)
         self._store = StoreClient(settings.store.address, clock=clock)
         self._weights = WeightVersions(version_ms=bounds.version_ms)
@@ -250,6 +251,7 @@
             settings.callers_address
         )
         self._start(
+            self._standstills.run(),
             self._joining.run(),
             *(
                 self._joining.run_after_joining(run)
@@ -389,6 +391,7 @@
         now_ms = self._clock.now_ms()
         gauges = {
             "in_flight": self._caller_server.in_flight,
+            "standstills_total": self._standstills.count,
             "caller_connections_refused_total": self._caller_server.refused,
             "configuration_age_ms": self._routes.age_ms(now_ms),
             "configuration_version": self._routes.version or 0,
