Weights: a version counts from the last reading without it

Callers saw requests begin on version 1 up to 19 s after version 2 was acknowledged, where 12 s are allowed. Each node counted from when it heard of the version: one that had stood still for 10.5 s or 14 s heard 0.1 s after it went on, and sent to the older weights for 8.5 s more; one that had started did so for 2.5 s whatever their age.

The limit counts from the last moment at which the operators' table is known without the version: this node's last reading, or later evidence that another node gives or has written into the nodes' table by the store's clock. A version that was never read may have been named right after the one before it. Without any such moment the older weights may not serve. Time in which the store was not available to a node that ran does not count.

Other tests only got the new argument, or lost the removed one.

--- a/fireflyward/backing/__init__.py
+++ b/fireflyward/backing/__init__.py
@@ -17,6 +17,7 @@
 )
 from ._position import Position
 from ._protocols import Objects, Table, Vms, Weights
+from ._store_time import StoreTime
 
 if TYPE_CHECKING:
     from ._breaker import Breaker
@@ -74,6 +75,7 @@
     "Objects",
     "Position",
     "Row",
+    "StoreTime",
     "Stored",
     "Table",
     "Unavailable",
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -9,7 +9,7 @@
 from fireflyward.clock import Clock, Standstills
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import SharedTables, TableUpdate
-from fireflyward.forwarding import Forwarder, WeightVersions
+from fireflyward.forwarding import Forwarder
 from fireflyward.http1 import ConnectionPool
 from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost
 from fireflyward.observe import Metrics
@@ -34,6 +34,7 @@
 from ._status_server import StatusServer
 from ._table_followers import TableFollowers
 from ._views import OperatorView, ReplicaView
+from ._weight_components import WeightComponents
 
 log = logging.getLogger("fireflyward.node")
 
@@ -68,7 +69,6 @@
         self._standstills = Standstills(clock=clock)
         self._pool = ConnectionPool(clock)
         self._store = StoreClient(settings.store.address, clock=clock)
-        self._weights = WeightVersions(version_ms=bounds.version_ms)
         self._routes = RouteTable(
             revoke_ms=bounds.revoke_ms,
             fails_closed=bounds.fails_closed,
@@ -88,6 +88,15 @@
             settings, clock=clock, pool=self._pool, aggregators=self._aggregators
         )
         self._directory = self._replica_components.directory
+        self._weight_components = WeightComponents(
+            clock=clock,
+            version_ms=bounds.version_ms,
+            directory=self._directory,
+            store=self._store,
+            aggregators=self._aggregators,
+            registry=self._node_registry,
+        )
+        self._weights = self._weight_components.versions
         self._load_announcer = LoadAnnouncer(
             clock=clock,
             directory=self._directory,
@@ -122,6 +131,8 @@
             directory=self._directory,
             failure_domains=settings.failure_domains,
             on_configuration=self._on_configuration,
+            standstills=self._standstills,
+            on_named=self._weight_components.on_named,
         )
         self._replicas = ReplicaView(
             clock=clock,
@@ -263,6 +274,7 @@
             self._weight_task.run(),
             self._garbage_collector.run(),
             *self._crashes.runs(),
+            *self._weight_components.runs(),
             self._software_rows.run(),
             self._replica_components.notices.run(),
             self._replica_components.relays.connector.run(),
@@ -356,6 +368,7 @@
     def _on_rows(self, update: TableUpdate) -> None:
         self._crashes.on_table_update(update)
         self._software_rows.on_table_update(update)
+        self._weight_components.on_table_update(update)
 
     def _contends(self) -> bool:
         return not self._is_stopping and self._node_registry.is_among_first(
@@ -364,7 +377,8 @@
 
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
         senders = (self._load_announcer, self._tables, self._lease_announcer)
-        for part in (*senders, self._crashes, self._replica_components):
+        weights = self._weight_components
+        for part in (*senders, self._crashes, self._replica_components, weights):
             part.use(link)
         return lambda: self._start(
             self._replica_components.load_report_task.run(link),
@@ -392,6 +406,7 @@
         gauges = {
             "in_flight": self._caller_server.in_flight,
             "standstills_total": self._standstills.count,
+            **self._weight_components.gauges(),
             "caller_connections_refused_total": self._caller_server.refused,
             "configuration_age_ms": self._routes.age_ms(now_ms),
             "configuration_version": self._routes.version or 0,
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, Standstills
 from fireflyward.deployment import Configuration, ReplicaEntry
 from fireflyward.feeds import RETENTION_MS, TableRow, TableUpdate
 from fireflyward.forwarding import WeightVersions
@@ -29,6 +29,11 @@
 
 log = logging.getLogger("fireflyward.views")
 
+# Fewer failed calls than this are no outage of the store.
+_OUTAGE_CALLS = 2
+# A process that did not run for longer than this may itself be why its calls failed.
+_MAX_LOST_MS = 500
+
 
 class OperatorView:
     """Applies the rows of operators: configuration, weight versions, evacuations."""
@@ -42,9 +47,15 @@
         directory: ReplicaDirectory,
         failure_domains: tuple[str, ...],
         on_configuration: Callable[[Configuration], None],
+        standstills: Standstills,
+        on_named: Callable[[str], None] = lambda model: None,
     ) -> None:
+        """``on_named`` gets a model of which a version was named."""
         self._on_configuration = on_configuration
+        self._on_named = on_named
+        self._standstills = standstills
         self._has_read_table = False
+        self._unproven_until_ms = 0
         self._clock = clock
         self._routes = routes
         self._weights = weights
@@ -56,12 +67,42 @@
 
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply newer rows and record when the configuration was last confirmed."""
+        self._skip_outage(update)
         for row in update.rows:
             if not row.is_deleted:
                 self._apply_row(row, update)
         self._update_evacuations(update)
         self._has_read_table = True
         self._routes.confirm(update.as_of_ms)
+        self._confirm_weights(update)
+
+    def _skip_outage(self, update: TableUpdate) -> None:
+        """Do not count the time in which the store was not available to this node.
+
+        The time that a version allows to older weights does not include disruptions. A
+        standstill of this node makes its calls fail too, and counts.
+        """
+        now_ms = self._clock.now_ms()
+        before_ms = self._weights.history.confirmed_ms or 0
+        if update.failed_calls < _OUTAGE_CALLS:
+            return
+        if self._standstills.lost_ms(now_ms, since_ms=before_ms) <= _MAX_LOST_MS:
+            self._weights.confirm(update.as_of_ms)
+
+    def _confirm_weights(self, update: TableUpdate) -> None:
+        """Record that the newest versions known now were the newest at the update.
+
+        A store that was restored from an older snapshot may lack a version until the
+        operators have written it again.
+        """
+        if update.is_new_era:
+            self._unproven_until_ms = self._clock.now_ms() + RETENTION_MS
+        retained = any(
+            row.position.era < update.position.era and not row.is_restored
+            for row in update.rows
+        )
+        if not retained and self._clock.now_ms() >= self._unproven_until_ms:
+            self._weights.confirm(update.as_of_ms)
 
     def _apply_row(self, row: TableRow, update: TableUpdate) -> None:
         if row.key == CONFIGURATION_KEY:
@@ -130,9 +171,10 @@
         if target is None:
             log.error("views: row %s cannot be decoded", row.key)
             return
-        now_ms, at_start = self._clock.now_ms(), not self._has_read_table
-        if not self._weights.set_target(now_ms, target, at_start=at_start):
+        now_ms = self._clock.now_ms()
+        if not self._weights.set_target(now_ms, target):
             return
+        before_ms = self._weights.history.confirmed_ms
         log.info(
             "views: %s named for %s",
             target.version,
@@ -140,9 +182,12 @@
             extra={
                 "source": update.source,
                 "read_as_of_ms": now_ms - update.as_of_ms,
-                "read_before_ms": None if at_start else self._routes.age_ms(now_ms),
+                "read_before_ms": None if before_ms is None else now_ms - before_ms,
+                "lost_ms": self._standstills.lost_ms(now_ms, since_ms=before_ms or 0),
+                "failed_calls": update.failed_calls,
             },
         )
+        self._on_named(target.model)
 
 
 class ReplicaView:
--- /dev/null
+++ b/fireflyward/fleet/_weight_components.py
@@ -0,0 +1,72 @@
+"""The components of a node that decide which weights may serve."""
+
+from collections.abc import Coroutine
+
+from fireflyward.aggregators import Aggregators
+from fireflyward.clock import Clock
+from fireflyward.feeds import TableUpdate
+from fireflyward.forwarding import WeightVersions
+from fireflyward.peers import PeerLink
+from fireflyward.platform import StoreClient
+from fireflyward.replacements import ReplacementRows, ReplacementTask
+from fireflyward.replicas import ReplicaDirectory
+
+from ._peers import NODE_TABLE, NodeRegistry
+
+_DUTY = "replacements"
+
+
+class WeightComponents:
+    """Creates and connects the components that know the age of replaced weights."""
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        version_ms: int,
+        directory: ReplicaDirectory,
+        store: StoreClient,
+        aggregators: Aggregators,
+        registry: NodeRegistry,
+    ) -> None:
+        self._directory = directory
+        self.versions = WeightVersions(version_ms=version_ms)
+        history = self.versions.history
+        self._rows = ReplacementRows(history, store=store, table=NODE_TABLE)
+        self._replacements = ReplacementTask(
+            history,
+            self._rows,
+            clock=clock,
+            addresses=aggregators.all_addresses,
+            is_among_first=lambda count: registry.is_among_first(count, _DUTY),
+            has_older_weights=self._has_older_weights,
+        )
+
+    def use(self, link: PeerLink) -> None:
+        """Ask and answer other nodes over a link from now on."""
+        self._replacements.use(link)
+
+    def runs(self) -> tuple[Coroutine[None, None, None], ...]:
+        """Return what to run, in tasks."""
+        return (self._replacements.run(),)
+
+    def on_named(self, model: str) -> None:
+        """Handle a version that was named."""
+        self._replacements.on_named(model)
+
+    def on_table_update(self, update: TableUpdate) -> None:
+        """Apply changes of the nodes' table."""
+        self._rows.on_table_update(update)
+
+    def gauges(self) -> dict[str, int]:
+        """Return the values of the metrics."""
+        return {
+            "replacement_ages_asked_total": self._replacements.asked,
+        }
+
+    def _has_older_weights(self, model: str) -> bool:
+        newest = self.versions.newest(model)
+        return newest is not None and any(
+            state.version_by_model.get(model, newest) < newest
+            for state in self._directory.all()
+        )
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -335,7 +335,7 @@
         self._trace.sends += 1
         self._trace.sent_after_ms = self._elapsed_ms()
         if self._caller.model:
-            self._trace_weights()
+            self._trace_weights(choice)
         self._trace.stored_tokens = headers.stored_tokens
         self._replica_choice.on_tried(replica)
         send = ReplicaSend(
@@ -417,10 +417,16 @@
             self._trace.first_token_ms = took_ms
             choice.on_first_token(self._clock.now_ms(), took_ms)
 
-    def _trace_weights(self) -> None:
+    def _trace_weights(self, choice: Choice) -> None:
         weights, model = self._deps.weights, self._caller.model
-        heard_ms = weights.heard_ms(self._clock.now_ms(), model)
-        self._trace.on_weights(weights.newest(model), heard_ms)
+        newest, version = weights.newest(model), choice.weights
+        if newest is None or version is None or version >= newest:
+            self._trace.on_newest_weights()
+            return
+        now_ms = self._clock.now_ms()
+        heard_ms = weights.heard_ms(now_ms, model)
+        replaced_ms = weights.replaced_ms(now_ms, model, version)
+        self._trace.on_older_weights(newest, heard_ms, replaced_ms)
 
     def _elapsed_ms(self) -> int:
         return self._clock.now_ms() - self._arrived_ms
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -44,8 +44,9 @@
 
     ``weights`` is the version of the weights for which the replica was chosen. If newer
     ones were named by then, they are ``newest_weights``, and this node had heard of
-    them ``newest_heard_ms`` before. ``served_weights`` is the version that the
-    replica's response named, if it is another one.
+    them ``newest_heard_ms`` before. Its weights may have been replaced ``replaced_ms``
+    before, which is the age that counts; it is missing if no bound is known.
+    ``served_weights`` is the version that the response named, if it is another one.
 
     ``second_send`` is why a second send was made while the first one was open,
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
@@ -77,6 +78,7 @@
         "pressure_percent",
         "queue_ms",
         "relay",
+        "replaced_ms",
         "replica",
         "resumed_from",
         "route",
@@ -135,6 +137,7 @@
         self.weights: int | None = None
         self.newest_weights: int | None = None
         self.newest_heard_ms: int | None = None
+        self.replaced_ms: int | None = None
         self.served_weights: int | None = None
         self.queue_ms = 0
         self.memory_ms = 0
@@ -158,14 +161,21 @@
         self.list_age_ms = choice.list_age_ms
         self.list_source = choice.list_source
 
-    def on_weights(self, newest: int | None, heard_ms: int | None) -> None:
-        """Record the newest weights at a send, if its replica has older ones.
+    def on_newest_weights(self) -> None:
+        """Record a send to a replica with the newest weights that this node knows."""
+        self.newest_weights = self.newest_heard_ms = self.replaced_ms = None
 
-        This node has known of them for ``heard_ms``.
+    def on_older_weights(
+        self, newest: int, heard_ms: int | None, replaced_ms: int | None
+    ) -> None:
+        """Record a send to a replica with older weights than the newest ones.
+
+        This node has known of those for ``heard_ms``, and they were named
+        ``replaced_ms`` ago at most.
         """
-        is_older = None not in (newest, self.weights) and self.weights < newest
-        self.newest_weights = newest if is_older else None
-        self.newest_heard_ms = heard_ms if is_older else None
+        self.newest_weights = newest
+        self.newest_heard_ms = heard_ms
+        self.replaced_ms = replaced_ms
 
     def on_served_weights(self, version: int | None) -> None:
         """Record the weights that a response named, if they are not the expected."""
--- a/fireflyward/forwarding/_weights.py
+++ b/fireflyward/forwarding/_weights.py
@@ -1,75 +1,69 @@
-"""Tracks which versions of a model's weights may serve requests."""
+"""Decides which versions of a model's weights may serve requests."""
 
 from fireflyward.deployment import WeightTarget
+from fireflyward.replacements import VersionHistory
 
-# Subtracted from the allowed time: a node receives a new version with a delay, and a
-# request may wait in a replica's queue for seconds before it begins.
-_MARGIN_MS = 3_500
-# A node that has just started cannot know when the version it finds was named. Older
-# weights may serve for this long after the start, because a rollout may still be
-# finishing.
-_OLDER_WEIGHTS_AT_START_MS = 2_500
+# Subtracted from the allowed time for new sends: a request may wait in a replica's
+# queue for seconds before it begins.
+_QUEUE_MARGIN_MS = 3_500
 
 
 class WeightVersions:
-    """The versions that operators named, and when this node received them; no I/O.
+    """Limits for how long weights may serve after newer ones were named; no I/O.
 
-    Each version has its own time limit for the weights that it replaces. A newer
-    version that is named meanwhile does not extend that limit.
+    Each version has its own limit for the weights that it replaces. It counts from the
+    last moment at which the replaced weights were known to be the newest. A newer
+    version that is named meanwhile does not extend it. If no such moment is known, the
+    older weights may not serve.
 
     >>> versions = WeightVersions(version_ms=12_000)
-    >>> versions.set_target(0, WeightTarget("m", 2))
+    >>> versions.confirm(0)
+    >>> versions.set_target(2_000, WeightTarget("m", 2))
     True
+    >>> versions.confirm(6_000)
     >>> versions.set_target(6_000, WeightTarget("m", 3))
     True
     >>> [versions.min_version(at_ms, "m") for at_ms in (8_499, 8_500, 14_500)]
     [0, 2, 3]
     """
 
-    __slots__ = (
-        "_heard_ms_by_model",
-        "_limits_by_model",
-        "_newest_by_model",
-        "_version_ms",
-    )
+    __slots__ = ("_heard_ms_by_model", "_version_ms", "history")
 
     def __init__(self, *, version_ms: int) -> None:
+        self.history = VersionHistory()
         self._version_ms = version_ms
-        self._newest_by_model: dict[str, int] = {}
-        self._limits_by_model: dict[str, list[tuple[int, int]]] = {}
         self._heard_ms_by_model: dict[str, int] = {}
 
-    def set_target(
-        self, now_ms: int, target: WeightTarget, *, at_start: bool = False
-    ) -> bool:
+    def set_target(self, now_ms: int, target: WeightTarget) -> bool:
         """Record a named version; return whether it is newer than the last one."""
-        if target.version <= self._newest_by_model.get(target.model, 0):
+        if not self.history.set_target(target):
             return False
-        self._newest_by_model[target.model] = target.version
         self._heard_ms_by_model[target.model] = now_ms
-        allowed_ms = (
-            _OLDER_WEIGHTS_AT_START_MS if at_start else self._version_ms - _MARGIN_MS
-        )
-        limit = now_ms + allowed_ms, target.version
-        self._limits_by_model.setdefault(target.model, []).append(limit)
         return True
 
+    def confirm(self, as_of_ms: int) -> None:
+        """Record that no newer version had been named at ``as_of_ms``."""
+        self.history.confirm(as_of_ms)
+
     def newest(self, model: str) -> int | None:
         """Return the newest named version, None if none has been named yet."""
-        return self._newest_by_model.get(model)
+        return self.history.newest(model)
 
     def heard_ms(self, now_ms: int, model: str) -> int | None:
         """Return how long ago this node heard of the newest version, if of any."""
         heard_at_ms = self._heard_ms_by_model.get(model)
         return None if heard_at_ms is None else now_ms - heard_at_ms
 
+    def replaced_ms(self, now_ms: int, model: str, version: int) -> int | None:
+        """Return how long ago a version was replaced at most, None if unknown."""
+        after_ms = self.history.replaced_after_ms(model, version)
+        return None if after_ms is None else now_ms - after_ms
+
     def targets(self) -> dict[str, int]:
         """Return the newest version of every model."""
-        return dict(self._newest_by_model)
+        return self.history.targets()
 
     def min_version(self, now_ms: int, model: str) -> int:
-        """Return the oldest version that may still begin to run a request."""
-        limits = self._limits_by_model.get(model, ())
-        return max(
-            (version for due_ms, version in limits if now_ms >= due_ms), default=0
-        )
+        """Return the oldest version that may still get a request."""
+        limit_ms = self._version_ms - _QUEUE_MARGIN_MS
+        return self.history.oldest_replaced_after(model, now_ms - limit_ms)
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -13,6 +13,7 @@
     Conflict,
     Eras,
     Position,
+    StoreTime,
     Unavailable,
     Uncertain,
 )
@@ -82,6 +83,7 @@
     status: int
     body: bytes
     era: int
+    sent_ms: int
 
 
 class StoreClient:
@@ -91,7 +93,8 @@
     ``Uncertain`` that a write may have taken effect or may still do so.
 
     The client records the era of each response in ``eras``. For a late response of
-    an earlier era it returns ``Unavailable`` or ``Uncertain``.
+    an earlier era it returns ``Unavailable`` or ``Uncertain``. ``time`` is a reading of
+    the store's clock, None before the first response about rows.
     """
 
     __slots__ = (
@@ -101,6 +104,7 @@
         "_invalid_era_text",
         "calls",
         "eras",
+        "time",
     )
 
     def __init__(self, address: str, *, clock: Clock) -> None:
@@ -110,6 +114,7 @@
         self._invalid_era_text: str | None = ""
         self.calls = 0
         self.eras = Eras()
+        self.time: StoreTime | None = None
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -201,6 +206,7 @@
         page = decode_json(response.body, _Rows)
         if page is None:
             return Uncertain("malformed response")
+        self._read_time(page, response.sent_ms)
         if response.status == _CONDITION_FAILED:
             return Conflict({row.key: row.ver for row in page.rows})
         return Committed(dict.fromkeys(puts, page.ver), response.era)
@@ -223,9 +229,16 @@
         page = decode_json(response.body, _Rows)
         if page is None:
             return Unavailable("malformed response")
+        self._read_time(page, response.sent_ms)
         rows = tuple(_decode_row(row, response.era) for row in page.rows)
         return _Page(rows, Position(response.era, page.ver), page.has_more)
 
+    def _read_time(self, page: _Rows, sent_ms: int) -> None:
+        if page.now_ms > 0:
+            reading = StoreTime(int(page.now_ms), sent_ms, self._clock.now_ms())
+            if reading.is_better_than(self.time):
+                self.time = reading
+
     async def _call(
         self, method: str, target: str, body: bytes, limit_ms: float
     ) -> _Response | Unavailable | Uncertain:
@@ -238,6 +251,7 @@
         headers = [("Host", self._address)]
         if body:
             headers.append(("Content-Type", "application/json"))
+        sent_ms = self._clock.now_ms()
         connection.send(method, target, headers, body)
         response = await read_full_response(
             connection, clock=self._clock, limit_ms=limit_ms
@@ -247,7 +261,8 @@
             self._pool.close_idle(self._address)
             return Uncertain(response.detail)
         self._pool.release(connection)
-        return _Response(response.status, response.body, self._era_of(response))
+        era = self._era_of(response)
+        return _Response(response.status, response.body, era, sent_ms)
 
     def _era_of(self, response: FullResponse) -> int:
         header = next(
--- /dev/null
+++ b/fireflyward/replacements/_rows.py
@@ -0,0 +1,157 @@
+"""Rows of the nodes' table that say when weights were replaced."""
+
+import logging
+from typing import Protocol
+
+import msgspec
+
+from fireflyward.backing import (
+    Committed,
+    Conflict,
+    Position,
+    StoreTime,
+    Unavailable,
+    Uncertain,
+)
+from fireflyward.feeds import Snapshot, TableRow, TableUpdate
+
+from ._history import VersionHistory
+
+log = logging.getLogger("fireflyward.replacements")
+
+_PREFIX = "replaced/"
+
+
+class RowStore(Protocol):
+    """The calls to the store, see ``platform.StoreClient``."""
+
+    time: StoreTime | None
+
+    async def rows(self, table: str) -> Snapshot | Unavailable: ...
+
+    async def write(
+        self,
+        *,
+        table: str,
+        part: str,
+        expected: dict[str, Position],
+        puts: dict[str, bytes],
+    ) -> Committed | Conflict | Unavailable | Uncertain: ...
+
+
+class ReplacementRow(msgspec.Struct, frozen=True):
+    """Until when versions of a model's weights were the newest, by the store's clock.
+
+    ``newest`` was still the newest at ``confirmed_ms``. Each version in
+    ``last_newest_ms`` was the newest at its time, and has been replaced since.
+    """
+
+    newest: int
+    confirmed_ms: int
+    last_newest_ms: dict[int, int]
+
+
+class ReplacementRows:
+    """Reads and writes one row for each model with a version that was named lately.
+
+    The operators' row has no time. A node that starts cannot know when the version was
+    named that it finds there, unless a node that was up then has written it down.
+    """
+
+    __slots__ = (
+        "_era",
+        "_history",
+        "_position_by_model",
+        "_row_by_model",
+        "_store",
+        "_table",
+    )
+
+    def __init__(self, history: VersionHistory, *, store: RowStore, table: str) -> None:
+        self._history = history
+        self._store = store
+        self._table = table
+        self._era = 0
+        self._row_by_model: dict[str, ReplacementRow] = {}
+        self._position_by_model: dict[str, Position] = {}
+
+    def on_table_update(self, update: TableUpdate) -> None:
+        """Apply changes of the table."""
+        self._era = max(self._era, update.position.era)
+        if update.is_snapshot:
+            self._position_by_model.clear()
+        for row in update.rows:
+            if row.key.startswith(_PREFIX):
+                self._apply(row)
+
+    def _apply(self, row: TableRow) -> None:
+        model = row.key.removeprefix(_PREFIX)
+        self._position_by_model[model] = row.position
+        if row.is_deleted:
+            del self._position_by_model[model]
+            return
+        try:
+            decoded = msgspec.json.decode(row.value, type=ReplacementRow)
+        except msgspec.MsgspecError as error:
+            log.error("replacements: row %s cannot be decoded: %s", row.key, error)
+            return
+        self._row_by_model[model] = decoded
+        self.use_evidence(model)
+
+    def use_evidence(self, model: str) -> bool:
+        """Tell the history what the row of a model says; return whether that helps."""
+        row, time = self._row_by_model.get(model), self._store.time
+        if row is None or time is None:
+            return False
+        times_ms = {**row.last_newest_ms, row.newest: row.confirmed_ms}
+        helps = False
+        for version, store_ms in times_ms.items():
+            if store_ms > time.store_ms:
+                # The store's clock was read before the row was written.
+                continue
+            at_ms = time.to_local_ms(store_ms)
+            helps |= self._history.on_evidence(model, version, at_ms)
+        return helps
+
+    def is_written(self, model: str) -> bool:
+        """Return whether a row says when the newest weights replaced others."""
+        row, newest = self._row_by_model.get(model), self._history.newest(model)
+        return row is not None and newest is not None and row.newest >= newest
+
+    async def write(self, model: str) -> None:
+        """Write what this node knows, unless another node has."""
+        result = await self._write(model)
+        if isinstance(result, Conflict):
+            found = await self._store.rows(self._table)
+            if isinstance(found, Snapshot):
+                self.on_table_update(
+                    TableUpdate(found.rows, True, 0, position=found.position)
+                )
+            if not self.is_written(model):
+                result = await self._write(model)
+        log.info("replacements: row of %s: %s", model, type(result).__name__)
+
+    async def _write(
+        self, model: str
+    ) -> Committed | Conflict | Unavailable | Uncertain | None:
+        newest, time = self._history.newest(model), self._store.time
+        confirmed_ms = self._history.confirmed_ms
+        records = self._history.records(model)
+        if newest is None or time is None or confirmed_ms is None or not records:
+            return None
+        last_newest_ms = {
+            version: time.to_store_ms(at_ms) for version, at_ms in records.items()
+        }
+        row = ReplacementRow(newest, time.to_store_ms(confirmed_ms), last_newest_ms)
+        key = _PREFIX + model
+        position = self._position_by_model.get(model, Position(self._era, 0))
+        result = await self._store.write(
+            table=self._table,
+            part="",
+            expected={key: position},
+            puts={key: msgspec.json.encode(row)},
+        )
+        if isinstance(result, Committed):
+            self._position_by_model[model] = result.position_of(key)
+            self._row_by_model[model] = row
+        return result
--- /dev/null
+++ b/fireflyward/replacements/_task.py
@@ -0,0 +1,154 @@
+"""The task that finds out how long ago weights were replaced."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from typing import Any
+
+from fireflyward.clock import Clock
+from fireflyward.peers import Address, CallFailed, PeerLink
+
+from ._history import VersionHistory
+from ._replacements_structs import (
+    ReplacementAnswer,
+    ReplacementQuestion,
+    VersionAge,
+)
+from ._rows import ReplacementRows
+
+log = logging.getLogger("fireflyward.replacements")
+
+_KIND = "replacements"
+# A node that reads the operators' table all the time knows it this well.
+_USUAL_UNCERTAINTY_MS = 2_500
+# Other nodes may have gone on or started a moment ago too.
+_QUESTION_PAUSES_MS = (0, 200, 400, 800, 1_600)
+_NODES_ASKED = 3
+_CALL_TIMEOUT_S = 0.4
+# The first node for this duty writes the row, the next ones if it does not.
+_WRITE_DELAYS_MS = (0, 1_000, 2_000)
+_MAX_AGE_MS = 2**31 - 1
+
+
+class ReplacementTask:
+    """Asks other nodes when weights were replaced, and writes it down for later ones.
+
+    Nodes that read the operators' table all the time know by themselves within two
+    seconds when a version was named. A node that stood still or has just started asks a
+    few others, as long as there are replicas with older weights: their age decides
+    whether these may serve.
+    """
+
+    def __init__(
+        self,
+        history: VersionHistory,
+        rows: ReplacementRows,
+        *,
+        clock: Clock,
+        addresses: Callable[[], list[Address]],
+        is_among_first: Callable[[int], bool],
+        has_older_weights: Callable[[str], bool],
+    ) -> None:
+        """``addresses`` returns those of the other nodes.
+
+        ``is_among_first`` says whether this node is among the first for this duty, and
+        ``has_older_weights`` whether a replica has an older version of a model.
+        """
+        self._history = history
+        self._rows = rows
+        self._clock = clock
+        self._addresses = addresses
+        self._is_among_first = is_among_first
+        self._has_older_weights = has_older_weights
+        self._link: PeerLink | None = None
+        self._named: asyncio.Queue[str] = asyncio.Queue()
+        self.asked = 0
+
+    def use(self, link: PeerLink) -> None:
+        """Ask and answer other nodes over a link from now on."""
+        self._link = link
+        link.register(_KIND, ReplacementQuestion, self._on_question)
+
+    def on_named(self, model: str) -> None:
+        """Find out when a version was named that this node has just read."""
+        self._named.put_nowait(model)
+
+    async def run(self) -> None:
+        """Work off the versions that are named, until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            while True:
+                model = await self._named.get()
+                group.create_task(self._find_age(model))
+                group.create_task(self._write_row(model))
+
+    async def _find_age(self, model: str) -> None:
+        for pause_ms in _QUESTION_PAUSES_MS:
+            await self._clock.sleep_ms(pause_ms)
+            self._rows.use_evidence(model)
+            if self._is_known(model):
+                return
+            if self._has_older_weights(model):
+                await self._ask(model)
+
+    def _is_known(self, model: str) -> bool:
+        """Return whether the latest replacement is known about as well as usual."""
+        newest = self._history.newest(model)
+        after_ms = newest and self._history.replaced_after_ms(model, newest - 1)
+        if after_ms is None:
+            return False
+        return self._clock.now_ms() - after_ms <= _USUAL_UNCERTAINTY_MS
+
+    async def _ask(self, model: str) -> None:
+        addresses = self._addresses()
+        asked = random.sample(addresses, min(_NODES_ASKED, len(addresses)))
+        self.asked += len(asked)
+        await asyncio.gather(*(self._ask_node(address, model) for address in asked))
+
+    async def _ask_node(self, address: Address, model: str) -> None:
+        if self._link is None:
+            return
+        sent_ms = self._clock.now_ms()
+        answer = await self._link.call(
+            address,
+            _KIND,
+            ReplacementQuestion(model=model),
+            ReplacementAnswer,
+            timeout_s=_CALL_TIMEOUT_S,
+        )
+        if isinstance(answer, CallFailed):
+            return
+        for item in answer.last_newest:
+            # The answer was made after the question was sent.
+            at_ms = sent_ms - item.age_ms
+            if item.age_ms >= 0 and self._history.on_evidence(
+                model, item.version, at_ms
+            ):
+                log.info(
+                    "replacements: version %d of %s was replaced %d ms ago at most, "
+                    "by another node",
+                    item.version,
+                    model,
+                    self._clock.now_ms() - at_ms,
+                )
+
+    async def _on_question(self, sender: str, question: Any) -> Any:
+        now_ms = self._clock.now_ms()
+        times_ms = self._history.records(question.model)
+        if self._history.confirmed_ms is not None:
+            newest = self._history.newest(question.model) or 0
+            times_ms[newest] = self._history.confirmed_ms
+        return ReplacementAnswer(
+            last_newest=[
+                VersionAge(version=version, age_ms=min(now_ms - at_ms, _MAX_AGE_MS))
+                for version, at_ms in times_ms.items()
+            ]
+        )
+
+    async def _write_row(self, model: str) -> None:
+        for count, delay_ms in enumerate(_WRITE_DELAYS_MS, start=1):
+            if self._is_among_first(count):
+                await self._clock.sleep_ms(delay_ms)
+                if not self._rows.is_written(model):
+                    await self._rows.write(model)
+                return
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -4,7 +4,7 @@
 import types
 import unittest
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.feeds import TableRow, TableUpdate
 from fireflyward.fleet._views import OperatorView, ReplicaView
 from fireflyward.forwarding import WeightVersions
@@ -25,6 +25,7 @@
             directory=self.directory,
             failure_domains=("a", "b"),
             on_configuration=lambda configuration: None,
+            standstills=Standstills(clock=self.clock),
         )
 
     def apply(self, *rows, is_snapshot):
--- a/tests/forwarding/test_weights.py
+++ b/tests/forwarding/test_weights.py
@@ -10,14 +10,20 @@
     def setUp(self):
         self.versions = WeightVersions(version_ms=12_000)
 
+    def name(self, version, *, confirmed_ms, heard_ms=None):
+        """Name a version that the table last lacked at ``confirmed_ms``."""
+        self.versions.confirm(confirmed_ms)
+        heard_ms = confirmed_ms if heard_ms is None else heard_ms
+        return self.versions.set_target(heard_ms, WeightTarget("m", version))
+
     def test_a_newer_version_does_not_extend_the_limit_of_the_first(self):
         """Guards against a request that begins on weights that were replaced 12 s ago.
 
         A second version is named before all replicas have loaded the first, and the
         node no longer has the time at which the first was named.
         """
-        self.versions.set_target(0, WeightTarget("m", 2))
-        self.versions.set_target(4_000, WeightTarget("m", 3))
+        self.name(2, confirmed_ms=0)
+        self.name(3, confirmed_ms=4_000)
         self.assertEqual(self.versions.min_version(8_499, "m"), 0)
         self.assertEqual(self.versions.min_version(8_500, "m"), 2)
         self.assertEqual(self.versions.min_version(12_500, "m"), 3)
@@ -28,18 +34,51 @@
         The request was sent in time, but waited more than two seconds in the replica's
         queue.
         """
-        self.versions.set_target(0, WeightTarget("m", 2))
+        self.name(2, confirmed_ms=0)
         self.assertLessEqual(12_000 - 8_500, 3_500)
         self.assertEqual(self.versions.min_version(9_000, "m"), 2)
 
     def test_an_older_version_changes_nothing(self):
-        self.assertTrue(self.versions.set_target(0, WeightTarget("m", 3)))
-        self.assertFalse(self.versions.set_target(0, WeightTarget("m", 2)))
+        self.assertTrue(self.name(3, confirmed_ms=0))
+        self.assertFalse(self.name(2, confirmed_ms=0))
         self.assertEqual(self.versions.newest("m"), 3)
 
     def test_a_version_found_at_startup_may_have_been_named_long_ago(self):
-        self.versions.set_target(0, WeightTarget("m", 2), at_start=True)
-        self.assertEqual(self.versions.min_version(2_500, "m"), 2)
+        self.versions.set_target(0, WeightTarget("m", 2))
+        self.assertEqual(self.versions.min_version(0, "m"), 2)
+
+    def test_a_version_heard_of_late_counts_from_the_last_reading_without_it(self):
+        """Guards against 12 s that begin when a node hears of a version."""
+        self.name(2, confirmed_ms=1_000, heard_ms=9_000)
+        self.assertEqual(self.versions.min_version(9_499, "m"), 0)
+        self.assertEqual(self.versions.min_version(9_500, "m"), 2)
+
+    def test_a_version_that_was_never_read_may_have_been_named_first(self):
+        """Guards against the limit of the last of two versions of one standstill."""
+        self.name(2, confirmed_ms=0)
+        self.versions.confirm(100_000)
+        self.name(4, confirmed_ms=200_000, heard_ms=206_000)
+        self.assertEqual(self.versions.min_version(206_000, "m"), 2)
+        self.assertEqual(self.versions.min_version(208_500, "m"), 4)
+
+    def test_evidence_of_another_node_extends_what_is_known_at_a_start(self):
+        self.versions.set_target(5_000, WeightTarget("m", 2))
+        self.assertEqual(self.versions.min_version(5_000, "m"), 2)
+        self.versions.history.on_evidence("m", 1, 3_000)
+        self.assertEqual(self.versions.min_version(11_499, "m"), 1)
+        self.assertEqual(self.versions.min_version(11_500, "m"), 2)
+
+    def test_older_evidence_changes_nothing(self):
+        self.name(2, confirmed_ms=3_000)
+        self.assertFalse(self.versions.history.on_evidence("m", 1, 2_000))
+        self.assertFalse(self.versions.history.on_evidence("m", 2, 9_000))
+        self.assertEqual(self.versions.min_version(11_500, "m"), 2)
+
+    def test_records_are_forgotten_and_the_limit_stays(self):
+        self.name(2, confirmed_ms=0)
+        self.versions.confirm(61_000)
+        self.assertEqual(self.versions.history.models_being_replaced(), [])
+        self.assertEqual(self.versions.min_version(61_000, "m"), 2)
 
     def test_a_model_without_a_named_version(self):
         self.assertEqual(
--- a/tests/fuzz/test_platform_answers.py
+++ b/tests/fuzz/test_platform_answers.py
@@ -6,7 +6,7 @@
 from hypothesis import given, strategies as st
 
 from fireflyward.backing import Committed, Conflict, Unavailable, Uncertain
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, Standstills
 from fireflyward.deployment import Configuration, Evacuation, ReplicaEntry, WeightTarget
 from fireflyward.feeds import Changes, HistoryLost, Snapshot, TableRow, TableUpdate
 from fireflyward.fleet._peers import NodeRegistry
@@ -158,6 +158,7 @@
             directory=directory,
             failure_domains=("a",),
             on_configuration=lambda configuration: None,
+            standstills=Standstills(clock=clock),
         ).on_table_update(update)
         NodeRegistry(None, "n").on_table_update(update)
 
--- a/tests/weights/test_task.py
+++ b/tests/weights/test_task.py
@@ -68,7 +68,7 @@
         weights = (ModelWeights("m", 1),)
         entry = ReplicaEntry("r1", "s", "r1:80", "a", 4, False, weights=weights)
         self.directory.on_full_read(0, [entry])
-        self.weights.set_target(0, WeightTarget("m", 2), at_start=False)
+        self.weights.set_target(0, WeightTarget("m", 2))
         self.assertEqual(self.task._outdated_models(), {"m"})
         self.directory.on_leaving(self.directory.find("r1"))
         self.assertEqual(self.task._outdated_models(), set())
