Forwarding: requests that wait on replaced weights are withdrawn before the bound

A request sent in time waited at a replica without any limit but its deadline: 3.5 s were kept for queues, and engines twelve times slower used 2.3 s of them; a KV fetch, a tunnel, a second send or a connection opened across a standstill had no limit at all.

While a version is being replaced, a task checks every 100 ms the sends that have no response yet and ends those whose weights may no longer begin, 500 ms before the bound. A repeatable one is sent again, of any other the outcome is unknown: it may have begun. It says nothing about its replica. A choice is checked again once its connection is open.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -334,6 +334,7 @@
             hedging=self._replica_components.hedging,
             connections=self._replica_components.relays.connector,
             streams=self._replica_components.streams,
+            waiting=self._weight_components.waiting,
         )
 
     def _make_lease(self) -> LeaseTask:
--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -5,7 +5,7 @@
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.feeds import TableUpdate
-from fireflyward.forwarding import WeightVersions
+from fireflyward.forwarding import WaitingSends, WeightVersions, WithdrawalTask
 from fireflyward.peers import PeerLink
 from fireflyward.platform import StoreClient
 from fireflyward.replacements import ReplacementRows, ReplacementTask
@@ -31,6 +31,10 @@
     ) -> None:
         self._directory = directory
         self.versions = WeightVersions(version_ms=version_ms)
+        self.waiting = WaitingSends()
+        self._withdrawals = WithdrawalTask(
+            clock=clock, weights=self.versions, sends=self.waiting
+        )
         history = self.versions.history
         self._rows = ReplacementRows(history, store=store, table=NODE_TABLE)
         self._replacements = ReplacementTask(
@@ -48,11 +52,12 @@
 
     def runs(self) -> tuple[Coroutine[None, None, None], ...]:
         """Return what to run, in tasks."""
-        return (self._replacements.run(),)
+        return self._replacements.run(), self._withdrawals.run()
 
     def on_named(self, model: str) -> None:
         """Handle a version that was named."""
         self._replacements.on_named(model)
+        self._withdrawals.on_named()
 
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply changes of the nodes' table."""
@@ -61,6 +66,7 @@
     def gauges(self) -> dict[str, int]:
         """Return the values of the metrics."""
         return {
+            "requests_withdrawn_total": self._withdrawals.withdrawn,
             "replacement_ages_asked_total": self._replacements.asked,
         }
 
--- a/fireflyward/forwarding/__init__.py
+++ b/fireflyward/forwarding/__init__.py
@@ -13,9 +13,11 @@
     TryAgain,
     Unsent,
     WholeAnswer,
+    Withdrawn,
 )
 from ._plan import AttemptPlan
 from ._trace import Trace
+from ._waiting_sends import WaitingSends, WithdrawalTask
 from ._weights import WeightVersions
 
 __all__ = [
@@ -32,6 +34,9 @@
     "Trace",
     "TryAgain",
     "Unsent",
+    "WaitingSends",
     "WeightVersions",
     "WholeAnswer",
+    "WithdrawalTask",
+    "Withdrawn",
 ]
--- a/fireflyward/forwarding/_dependencies.py
+++ b/fireflyward/forwarding/_dependencies.py
@@ -16,6 +16,7 @@
 from ._interfaces import Connections, Notices, QuarantineGate, Reach, Speeds, Streams
 from ._late_limit import LateRequestLimit
 from ._silence_watch import SilenceWatch
+from ._waiting_sends import WaitingSends
 from ._weights import WeightVersions
 
 
@@ -42,3 +43,4 @@
     hedging: Hedging
     watch: SilenceWatch
     streams: Streams
+    waiting: WaitingSends
--- a/fireflyward/forwarding/_forwarder.py
+++ b/fireflyward/forwarding/_forwarder.py
@@ -31,6 +31,7 @@
 from ._request_run import RequestRun
 from ._silence_watch import SilenceWatch
 from ._trace import Trace
+from ._waiting_sends import WaitingSends
 from ._weights import WeightVersions
 
 
@@ -64,6 +65,7 @@
         connections: Connections | None = None,
         streams: Streams | None = None,
         part_gate: PartGate | None = None,
+        waiting: WaitingSends | None = None,
     ) -> None:
         hedging = hedging or Hedging()
         self._deps = Dependencies(
@@ -85,6 +87,7 @@
             speeds=speeds or NoSpeeds(),
             hedging=hedging,
             streams=streams or NoStreams(),
+            waiting=waiting or WaitingSends(),
             watch=SilenceWatch(clock=clock, pool=pool, reach=reach, hedging=hedging),
         )
 
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -65,6 +65,16 @@
     is_late: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class Withdrawn:
+    """The node ended the send, since the replica's weights may no longer serve.
+
+    The replica is healthy. It may have begun just before.
+    """
+
+    detail: str = "the replica's weights were replaced while the request waited"
+
+
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
     """A complete answer that has not been sent to the caller yet."""
@@ -99,7 +109,15 @@
 
 
 SendResult = (
-    Held | NoPath | NoReplica | Unsent | Rejected | Failed | WholeAnswer | Streamed
+    Held
+    | NoPath
+    | NoReplica
+    | Unsent
+    | Rejected
+    | Failed
+    | Withdrawn
+    | WholeAnswer
+    | Streamed
 )
 
 
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -21,6 +21,7 @@
     TryAgain,
     Unsent,
     WholeAnswer,
+    Withdrawn,
 )
 
 # A send that the replica does not run costs little, but each one counts as an arrival
@@ -105,7 +106,7 @@
 
     def on_other_result(self, result: SendResult) -> None:
         """Count the result of one of two sends; the other one is decided on."""
-        if isinstance(result, Failed | WholeAnswer):
+        if isinstance(result, Failed | Withdrawn | WholeAnswer):
             self._possible_runs += 1
         if isinstance(result, WholeAnswer):
             self._fallback = result
@@ -186,6 +187,13 @@
         reason = Reason.DEADLINE if result.is_late else Reason.UPSTREAM_FAILED
         return self.abort(reason, result.detail)
 
+    @_decide.register
+    def _(self, result: Withdrawn, left_ms: float) -> Decision:
+        self._possible_runs += 1
+        if self._may_rerun(left_ms):
+            return TryAgain()
+        return self.abort(Reason.UPSTREAM_FAILED, result.detail)
+
     @_decide.register
     def _(self, result: WholeAnswer, left_ms: float) -> Decision:
         self._possible_runs += 1
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -30,6 +30,7 @@
     Superseded,
     Unsent,
     WholeAnswer,
+    Withdrawn,
 )
 from ._plan import AttemptPlan
 from ._prompt_requirements import PromptRequirements
@@ -42,6 +43,7 @@
 from ._send_race import SendRace
 from ._stream_version import StreamVersion
 from ._trace import Trace
+from ._waiting_sends import WithdrawableSend
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
 _CONNECT_TIMEOUT_MS = 350
@@ -198,11 +200,11 @@
                 # receive a request whose caller no longer waits.
                 self._deps.pool.release(connection)
                 return NoReplica()
-            if backpressure.changes == changes:
+            if backpressure.changes == changes and self._weights_may_serve(choice):
                 self._quarantine_check.on_send(choice)
                 return await self._send_raced(connection, choice)
-            # Meanwhile the replica changed its limit or backoff, or it must get no new
-            # requests, so the choice is no longer valid.
+            # Meanwhile the replica changed its limit or backoff, it must get no new
+            # requests, or its weights may no longer serve: the choice is not valid.
             self._deps.pool.release(connection)
             self._stop_late_wait(None)
 
@@ -300,6 +302,7 @@
                 connection, choice, race, 1
             ),
             left_ms=self._left_ms,
+            is_valid=self._weights_may_serve,
         )
         overdue_ms = self._deps.hedging.times.overdue_ms(
             self._allowed.route.name, choice.first_token_ms
@@ -322,8 +325,13 @@
             self._stop_late_wait(replica)
             self._record_first_token(choice, took_ms)
 
+        withdrawable = WithdrawableSend(
+            self._deps.waiting, self._caller.model, choice.weights
+        )
+
         def claim() -> bool:
             if race is None or race.claim(number):
+                withdrawable.on_begun()
                 self._trace.on_choice(choice)
                 return True
             return False
@@ -351,7 +359,7 @@
             on_unresponsive=race.on_unresponsive if race and number == 0 else None,
         )
         try:
-            result = await send.run(
+            run = send.run(
                 self._caller,
                 headers,
                 self._body,
@@ -364,6 +372,7 @@
                 on_pause=self._trace.on_pause,
                 on_weights=self._trace.on_served_weights,
             )
+            result = await withdrawable.run(run)
         except BaseException:
             self._plan.on_cancelled()
             raise
@@ -379,6 +388,9 @@
             self._trace.sends -= 1
             self._quarantine_check.on_not_sent()
             return result
+        if isinstance(result, Withdrawn):
+            # It says nothing about the replica.
+            return result
         self._quarantine_check.on_result(replica, result)
         return result
 
@@ -417,6 +429,11 @@
             self._trace.first_token_ms = took_ms
             choice.on_first_token(self._clock.now_ms(), took_ms)
 
+    def _weights_may_serve(self, choice: Choice) -> bool:
+        return self._deps.weights.may_get_requests(
+            self._clock.now_ms(), self._caller.model, choice.weights
+        )
+
     def _trace_weights(self, choice: Choice) -> None:
         weights, model = self._deps.weights, self._caller.model
         newest, version = weights.newest(model), choice.weights
--- a/fireflyward/forwarding/_second_send.py
+++ b/fireflyward/forwarding/_second_send.py
@@ -20,6 +20,7 @@
     __slots__ = (
         "_choices",
         "_choose",
+        "_is_valid",
         "_connect",
         "_deps",
         "_is_made",
@@ -47,7 +48,9 @@
         on_unsent: Callable[[ReplicaState, NotConnected], Unsent],
         send: Callable[[HttpConnection, Choice], Awaitable[SendResult | Superseded]],
         left_ms: Callable[[], float],
+        is_valid: Callable[[Choice], bool] = lambda choice: True,
     ) -> None:
+        """``is_valid`` says of a choice whether its weights may still serve."""
         self._deps = deps
         self._plan = plan
         self._trace = trace
@@ -58,6 +61,7 @@
         self._on_unsent = on_unsent
         self._send = send
         self._left_ms = left_ms
+        self._is_valid = is_valid
         self._choices = [first]
         self._is_made = False
         self._started_ms = deps.clock.now_ms()
@@ -143,9 +147,10 @@
         connection = await self._connect(choice)
         if isinstance(connection, NotConnected):
             return self._on_unsent(choice.replica, connection)
-        if backpressure.changes != changes or self._left_ms() < 1:
-            # Meanwhile the replica changed its limit or backoff, or it must get no new
-            # requests, so the choice is no longer valid.
+        has_changed = backpressure.changes != changes or not self._is_valid(choice)
+        if has_changed or self._left_ms() < 1:
+            # Meanwhile the replica changed its limit or backoff, it must get no new
+            # requests, or its weights may no longer serve: the choice is not valid.
             self._deps.pool.release(connection)
             return None
         self._is_made = True
--- a/fireflyward/forwarding/_weights.py
+++ b/fireflyward/forwarding/_weights.py
@@ -6,6 +6,9 @@
 # Subtracted from the allowed time for new sends: a request may wait in a replica's
 # queue for seconds before it begins.
 _QUEUE_MARGIN_MS = 3_500
+# A request that still waits on replaced weights is withdrawn this long before the
+# allowed time ends. The replica has to notice in time.
+_WITHDRAWAL_MARGIN_MS = 500
 
 
 class WeightVersions:
@@ -67,3 +70,15 @@
         """Return the oldest version that may still get a request."""
         limit_ms = self._version_ms - _QUEUE_MARGIN_MS
         return self.history.oldest_replaced_after(model, now_ms - limit_ms)
+
+    def may_get_requests(self, now_ms: int, model: str, version: int | None) -> bool:
+        """Return whether a replica with these weights may still get a request."""
+        newest = self.history.newest(model)
+        if newest is None or version is None or version >= newest:
+            return True
+        return version >= self.min_version(now_ms, model)
+
+    def min_waiting_version(self, now_ms: int, model: str) -> int:
+        """Return the oldest version for which a sent request may still begin."""
+        limit_ms = self._version_ms - _WITHDRAWAL_MARGIN_MS
+        return self.history.oldest_replaced_after(model, now_ms - limit_ms)
--- a/tests/forwarding/test_weights.py
+++ b/tests/forwarding/test_weights.py
@@ -59,14 +59,15 @@
         self.versions.confirm(100_000)
         self.name(4, confirmed_ms=200_000, heard_ms=206_000)
         self.assertEqual(self.versions.min_version(206_000, "m"), 2)
-        self.assertEqual(self.versions.min_version(208_500, "m"), 4)
+        self.assertFalse(self.versions.may_get_requests(208_500, "m", 2))
+        self.assertFalse(self.versions.may_get_requests(208_500, "m", 3))
 
     def test_evidence_of_another_node_extends_what_is_known_at_a_start(self):
         self.versions.set_target(5_000, WeightTarget("m", 2))
-        self.assertEqual(self.versions.min_version(5_000, "m"), 2)
+        self.assertFalse(self.versions.may_get_requests(5_000, "m", 1))
         self.versions.history.on_evidence("m", 1, 3_000)
-        self.assertEqual(self.versions.min_version(11_499, "m"), 1)
-        self.assertEqual(self.versions.min_version(11_500, "m"), 2)
+        self.assertTrue(self.versions.may_get_requests(11_499, "m", 1))
+        self.assertFalse(self.versions.may_get_requests(11_500, "m", 1))
 
     def test_older_evidence_changes_nothing(self):
         self.name(2, confirmed_ms=3_000)
@@ -74,6 +75,11 @@
         self.assertFalse(self.versions.history.on_evidence("m", 2, 9_000))
         self.assertEqual(self.versions.min_version(11_500, "m"), 2)
 
+    def test_a_request_may_wait_longer_than_it_may_be_sent(self):
+        self.name(2, confirmed_ms=0)
+        self.assertEqual(self.versions.min_waiting_version(11_499, "m"), 0)
+        self.assertEqual(self.versions.min_waiting_version(11_500, "m"), 2)
+
     def test_records_are_forgotten_and_the_limit_stays(self):
         self.name(2, confirmed_ms=0)
         self.versions.confirm(61_000)
