Weights: what a node missed in an outage of the store is no evidence for others

A node that could not reach the store counts a version from the end of the outage, as that time does not count for it. It told other nodes, and wrote into the nodes' table, that the older weights were the newest until then: a node that started would have served them too long. Only real readings are told now. Found by reading; tests.fleet.test_views shows both, and that neither a standstill nor a slow node passes for an outage.

--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -87,7 +87,7 @@
         if update.failed_calls < _OUTAGE_CALLS:
             return
         if self._standstills.lost_ms(now_ms, since_ms=before_ms) <= _MAX_LOST_MS:
-            self._weights.confirm(update.as_of_ms)
+            self._weights.on_outage_ended(update.as_of_ms)
 
     def _confirm_weights(self, update: TableUpdate) -> None:
         """Record that the newest versions known now were the newest at the update.
--- a/fireflyward/forwarding/_weights.py
+++ b/fireflyward/forwarding/_weights.py
@@ -48,6 +48,10 @@
         """Record that no newer version had been named at ``as_of_ms``."""
         self.history.confirm(as_of_ms)
 
+    def on_outage_ended(self, at_ms: int) -> None:
+        """Count versions that are read now from ``at_ms`` at the earliest."""
+        self.history.on_outage_ended(at_ms)
+
     def newest(self, model: str) -> int | None:
         """Return the newest named version, None if none has been named yet."""
         return self.history.newest(model)
--- a/fireflyward/replacements/_history.py
+++ b/fireflyward/replacements/_history.py
@@ -25,12 +25,21 @@
     right after that moment, so the same moment counts for the weights before it.
     """
 
-    __slots__ = ("_confirmed_ms", "_last_newest_ms_by_model", "_newest_by_model")
+    __slots__ = (
+        "_confirmed_ms",
+        "_last_newest_ms_by_model",
+        "_newest_by_model",
+        "_outage_ended_ms",
+        "_proven_ms_by_model",
+    )
 
     def __init__(self) -> None:
         self._confirmed_ms: int | None = None
+        self._outage_ended_ms: int | None = None
         self._newest_by_model: dict[str, int] = {}
         self._last_newest_ms_by_model: dict[str, dict[int, int]] = {}
+        # The same without the time of outages; only these are told to other nodes.
+        self._proven_ms_by_model: dict[str, dict[int, int]] = {}
 
     @property
     def confirmed_ms(self) -> int | None:
@@ -44,14 +53,24 @@
             if self._last_newest_ms_by_model:
                 self._forget_before(as_of_ms - _MAX_RECORD_AGE_MS)
 
+    def on_outage_ended(self, at_ms: int) -> None:
+        """Count versions that are read now from ``at_ms`` at the earliest.
+
+        The table could not be read before. That proves nothing to other nodes.
+        """
+        self._outage_ended_ms = at_ms
+
     def set_target(self, target: WeightTarget) -> bool:
         """Record a named version; return whether it is newer than the last one."""
-        before = self._newest_by_model.get(target.model, 0)
+        model, before = target.model, self._newest_by_model.get(target.model, 0)
         if target.version <= before:
             return False
-        self._newest_by_model[target.model] = target.version
+        self._newest_by_model[model] = target.version
         if self._confirmed_ms is not None:
-            self._record(target.model, before, self._confirmed_ms)
+            _record(self._proven_ms_by_model, model, before, self._confirmed_ms)
+            _record(self._last_newest_ms_by_model, model, before, self._confirmed_ms)
+        if self._outage_ended_ms is not None:
+            _record(self._last_newest_ms_by_model, model, before, self._outage_ended_ms)
         return True
 
     def on_evidence(self, model: str, version: int, at_ms: int) -> bool:
@@ -61,10 +80,11 @@
         """
         if version >= self._newest_by_model.get(model, 0):
             return False
-        known_ms = self.replaced_after_ms(model, version)
+        known_ms = _latest(self._proven_ms_by_model.get(model), version)
         if known_ms is not None and at_ms <= known_ms:
             return False
-        self._record(model, version, at_ms)
+        _record(self._proven_ms_by_model, model, version, at_ms)
+        _record(self._last_newest_ms_by_model, model, version, at_ms)
         return True
 
     def newest(self, model: str) -> int | None:
@@ -75,9 +95,9 @@
         """Return the newest version of every model."""
         return dict(self._newest_by_model)
 
-    def records(self, model: str) -> dict[int, int]:
-        """Return when each older version was last known to be the newest."""
-        return dict(self._last_newest_ms_by_model.get(model, {}))
+    def proven(self, model: str) -> dict[int, int]:
+        """Return when each older version was certainly still the newest."""
+        return dict(self._proven_ms_by_model.get(model, {}))
 
     def models_being_replaced(self) -> list[str]:
         """Return the models with a version that was named in the last minute."""
@@ -91,9 +111,7 @@
         records = self._last_newest_ms_by_model.get(model)
         if not records or version >= self._newest_by_model[model]:
             return None
-        return max(
-            (at for each, at in records.items() if each <= version), default=None
-        )
+        return _latest(records, version)
 
     def oldest_replaced_after(self, model: str, since_ms: int) -> int:
         """Return the oldest version that was replaced after ``since_ms``.
@@ -107,14 +125,25 @@
         recent = (version for version, at_ms in records.items() if at_ms > since_ms)
         return min(recent, default=newest)
 
-    def _record(self, model: str, version: int, at_ms: int) -> None:
-        records = self._last_newest_ms_by_model.setdefault(model, {})
-        records[version] = max(records.get(version, at_ms), at_ms)
-
     def _forget_before(self, since_ms: int) -> None:
-        for model, records in list(self._last_newest_ms_by_model.items()):
-            for version, at_ms in list(records.items()):
-                if at_ms < since_ms:
-                    del records[version]
-            if not records:
-                del self._last_newest_ms_by_model[model]
+        for by_model in (self._last_newest_ms_by_model, self._proven_ms_by_model):
+            for model, records in list(by_model.items()):
+                recent = {each: at for each, at in records.items() if at >= since_ms}
+                if recent:
+                    by_model[model] = recent
+                else:
+                    del by_model[model]
+
+
+def _record(
+    by_model: dict[str, dict[int, int]], model: str, version: int, at_ms: int
+) -> None:
+    records = by_model.setdefault(model, {})
+    records[version] = max(records.get(version, at_ms), at_ms)
+
+
+def _latest(records: dict[int, int] | None, version: int) -> int | None:
+    """Return the latest time of a version or of an older one, if there is any."""
+    if not records:
+        return None
+    return max((at for each, at in records.items() if each <= version), default=None)
--- a/fireflyward/replacements/_rows.py
+++ b/fireflyward/replacements/_rows.py
@@ -136,7 +136,7 @@
     ) -> Committed | Conflict | Unavailable | Uncertain | None:
         newest, time = self._history.newest(model), self._store.time
         confirmed_ms = self._history.confirmed_ms
-        records = self._history.records(model)
+        records = self._history.proven(model)
         if newest is None or time is None or confirmed_ms is None or not records:
             return None
         last_newest_ms = {
--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -134,7 +134,7 @@
 
     async def _on_question(self, sender: str, question: Any) -> Any:
         now_ms = self._clock.now_ms()
-        times_ms = self._history.records(question.model)
+        times_ms = self._history.proven(question.model)
         if self._history.confirmed_ms is not None:
             newest = self._history.newest(question.model) or 0
             times_ms[newest] = self._history.confirmed_ms
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -184,3 +184,87 @@
         self.read(self.row("ready", 30, 1), is_new_era=False)
         self.read()
         self.assertEqual((self.listed, self.gone), (["r1"], []))
+
+
+class WeightTargetTests(EvacuationTestCase):
+    """Rows that name versions of weights, read late for one reason or another."""
+
+    def setUp(self):
+        super().setUp()
+        self.weights = self.view._weights
+        self.standstills = self.view._standstills
+        self.read(as_of_ms=0, version=1, is_snapshot=True)
+
+    def read(self, *, as_of_ms, version=None, at_ms=None, **options):
+        self.clock._now_ms = as_of_ms if at_ms is None else at_ms
+        value = json.dumps({"model": "m", "version": version}).encode()
+        position = options.get("position", at(1))
+        rows = (TableRow("version/m", value, position),) if version else ()
+        is_snapshot = options.pop("is_snapshot", False)
+        self.view.on_table_update(TableUpdate(rows, is_snapshot, as_of_ms, **options))
+
+    def replaced_after_ms(self):
+        return self.weights.history.replaced_after_ms("m", 1)
+
+    def test_a_version_counts_from_the_last_reading_without_it(self):
+        self.read(as_of_ms=4_000)
+        self.read(as_of_ms=14_000, version=2)
+        self.assertEqual(self.replaced_after_ms(), 4_000)
+
+    def test_a_version_told_by_an_aggregator_that_stood_still(self):
+        """Guards against counting from an aggregator's answer.
+
+        Its answers stated that the table was read 6 s before they were sent.
+        """
+        self.read(as_of_ms=4_000, at_ms=4_100)
+        self.read(as_of_ms=4_000, at_ms=10_000)
+        self.read(as_of_ms=10_100, version=2, at_ms=10_200)
+        self.assertEqual(self.replaced_after_ms(), 4_000)
+
+    def test_the_time_of_an_outage_of_the_store_does_not_count(self):
+        self.read(as_of_ms=4_000)
+        self.read(as_of_ms=14_000, version=2, failed_calls=7)
+        self.assertEqual(self.replaced_after_ms(), 14_000)
+
+    def test_what_a_node_missed_in_an_outage_proves_nothing_to_others(self):
+        self.read(as_of_ms=4_000)
+        self.read(as_of_ms=14_000, version=2, failed_calls=7)
+        self.assertEqual(self.weights.history.proven("m"), {1: 4_000})
+
+    def test_calls_that_failed_in_a_standstill_are_no_outage(self):
+        """Guards against a standstill that passes for an outage of the store."""
+        self.read(as_of_ms=4_000)
+        self.standstills.on_tick(4_000)
+        self.read(as_of_ms=14_000, version=2, failed_calls=2)
+        self.assertEqual(self.replaced_after_ms(), 4_000)
+
+    def test_calls_of_a_node_that_hardly_runs_are_no_outage(self):
+        """Guards against a slow node's time-outs that pass for an outage."""
+        self.read(as_of_ms=4_000)
+        for now_ms in range(4_000, 14_001, 500):
+            self.standstills.on_tick(now_ms)
+        self.read(as_of_ms=14_000, version=2, failed_calls=3)
+        self.assertEqual(self.replaced_after_ms(), 4_000)
+
+    def test_a_restored_store_does_not_show_that_no_version_was_named(self):
+        """Guards against a version that counts from when its row is written again."""
+        self.read(as_of_ms=4_000)
+        position = at(3, 2)
+        self.read(
+            as_of_ms=6_000,
+            version=1,
+            is_snapshot=True,
+            is_new_era=True,
+            position=position,
+        )
+        self.read(as_of_ms=8_000, position=position)
+        self.read(as_of_ms=9_000, version=2, position=at(4, 2))
+        self.assertEqual(self.replaced_after_ms(), 4_000)
+
+    def test_rows_that_other_nodes_retained_confirm_nothing(self):
+        self.read(as_of_ms=4_000)
+        retained = TableRow("config", b"{}", at(2, 1))
+        update = TableUpdate((retained,), False, 6_000, position=at(9, 2))
+        self.view.on_table_update(update)
+        self.read(as_of_ms=7_000, version=2)
+        self.assertEqual(self.replaced_after_ms(), 4_000)
