Weights: nodes that are not listed yet write the time of a version later

A node that had just started was among the first for no duty when a version was named, and the row with its time was never written. The first nodes look again after 1, 2 and 4 s. Over sockets: a node that starts beside another one learns the age from it and serves older weights; after a restart of the only node the age comes from the row and goes on.

--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -26,8 +26,10 @@
 _QUESTION_PAUSES_MS = (0, 200, 400, 800, 1_600)
 _NODES_ASKED = 3
 _CALL_TIMEOUT_S = 0.4
-# The first node for this duty writes the row, the next ones if it does not.
-_WRITE_DELAYS_MS = (0, 1_000, 2_000)
+# The first node for this duty writes the row at once. After each further pause one more
+# node does, if it knows of no such row.
+_WRITE_PAUSES_MS = (0, 1_000, 1_000, 2_000)
+_MAX_WRITERS = 3
 _MAX_AGE_MS = 2**31 - 1
 
 
@@ -146,9 +148,9 @@
         )
 
     async def _write_row(self, model: str) -> None:
-        for count, delay_ms in enumerate(_WRITE_DELAYS_MS, start=1):
-            if self._is_among_first(count):
-                await self._clock.sleep_ms(delay_ms)
-                if not self._rows.is_written(model):
-                    await self._rows.write(model)
+        for count, pause_ms in enumerate(_WRITE_PAUSES_MS, start=1):
+            await self._clock.sleep_ms(pause_ms)
+            if self._rows.is_written(model):
                 return
+            if self._is_among_first(min(count, _MAX_WRITERS)):
+                await self._rows.write(model)
--- a/tests/fleet/test_replaced_weights.py
+++ b/tests/fleet/test_replaced_weights.py
@@ -5,7 +5,7 @@
 from fireflyward.clock import Clock
 from tests.platform_standins import ReplicaBehavior
 
-from .node_fixtures import STREAM, NodeTestCase
+from .node_fixtures import STREAM, FleetTestCase, NodeTestCase
 
 _VERSION_MS = 12_000
 _PATIENT = {**STREAM, "X-Deadline-Ms": "50000"}
@@ -24,7 +24,7 @@
         self._suspended_ms += duration_ms
 
 
-class ReplacedWeightsTests(NodeTestCase):
+class _ReplacedWeightsCase(NodeTestCase):
     """Two engines that load nothing, so that all weights stay the older ones."""
 
     async def asyncSetUp(self):
@@ -41,9 +41,11 @@
         self.operator.set_weights_version("m", version)
         await self.until(lambda: self.node._weights.newest("m") == version)
 
-    async def post(self):
-        return await self.fetch("POST", "/s/x", headers=_PATIENT, data=b"q")
+    async def post(self, node=None):
+        return await self.fetch("POST", "/s/x", headers=_PATIENT, data=b"q", node=node)
 
+
+class ReplacedWeightsTests(_ReplacedWeightsCase):
     async def test_weights_replaced_during_a_standstill_serve_no_requests(self):
         """Guards against counting a version's time from the end of a standstill."""
         await self.start_ready()
@@ -79,3 +81,39 @@
 
     def withdrawn_count(self):
         return sum(engine.disconnected_callers for engine in self.engines)
+
+
+class KnownReplacementTests(_ReplacedWeightsCase, FleetTestCase):
+    """A node that did not hear of a version in time, beside one that did."""
+
+    node_count = 1
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.operator.set_weights_version("m", 1)
+        await self.start_nodes()
+        await self.name_version(2)
+
+    def replaced_ms(self, node):
+        weights = node._weights
+        return weights.replaced_ms(node._clock.now_ms(), "m", 1)
+
+    async def test_a_node_that_starts_learns_when_the_version_was_named(self):
+        """Guards against rejecting all prompts for a version that was just named."""
+        node = await self.start_additional_node("entry-2")
+        await self.until(lambda: self.is_joined(node))
+        await self.until(lambda: self.replaced_ms(node) is not None)
+        self.assertLess(self.replaced_ms(node), self.replaced_ms(self.node) + 2_000)
+        status, _, _ = await self.post(node)
+        self.assertEqual(status, 200)
+
+    async def test_a_restart_of_all_nodes_keeps_when_the_version_was_named(self):
+        """Guards against counting anew, or against an unknown age, after a restart."""
+        row = ("fireflyward-nodes", "replaced/m")
+        await self.until(lambda: self.store.value(*row) is not None)
+        before_ms = self.replaced_ms(self.node)
+        await self.stop_node()
+        node = await self.start_additional_node("entry-2")
+        await self.until(lambda: node.is_ready and self.replaced_ms(node) is not None)
+        self.assertGreaterEqual(self.replaced_ms(node), before_ms)
+        self.assertLess(self.replaced_ms(node), before_ms + 5_000)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -3,6 +3,7 @@
 import asyncio
 import base64
 import enum
+import time
 
 from ._http import RawServer, json_response, response
 
@@ -198,4 +199,4 @@
         return [] if self.era is None else [(_ERA, self.era)]
 
     def _version_and_time(self):
-        return {"ver": self.version, "now-ms": 0}
+        return {"ver": self.version, "now-ms": int(time.monotonic() * 1_000)}
--- a/tests/replacements/test_task.py
+++ b/tests/replacements/test_task.py
@@ -29,16 +29,32 @@
     time = None
 
 
+class _Rows:
+    """Records the writes; none of them succeeds."""
+
+    def __init__(self):
+        self.writes = 0
+
+    def use_evidence(self, model):
+        return False
+
+    def is_written(self, model):
+        return False
+
+    async def write(self, model):
+        self.writes += 1
+
+
 class _Node:
-    def __init__(self, clock, node_by_address, has_older=True):
+    def __init__(self, clock, node_by_address, has_older=True, rank=9, rows=None):
         self.history = VersionHistory()
-        rows = ReplacementRows(self.history, store=_Store(), table="t")
+        rows = rows or ReplacementRows(self.history, store=_Store(), table="t")
         self.task = ReplacementTask(
             self.history,
             rows,
             clock=clock,
             addresses=lambda: list(node_by_address),
-            is_among_first=lambda count: False,
+            is_among_first=lambda count: rank <= count,
             has_older_weights=lambda model: has_older,
         )
         self.task.use(_Link(node_by_address))
@@ -103,3 +119,13 @@
         node.name(2)
         await self.run_node(node)
         self.assertEqual(node.task.asked, 0)
+
+    async def test_the_first_three_nodes_write_one_after_the_other(self):
+        writes = []
+        for rank in (1, 2, 3, 4):
+            rows = _Rows()
+            node = _Node(self.clock, {}, rank=rank, rows=rows)
+            node.name(2)
+            await self.run_node(node)
+            writes.append(rows.writes)
+        self.assertEqual(writes, [4, 3, 2, 0])
