--- a/tests/forwarding/test_withdrawals.py
+++ b/tests/forwarding/test_withdrawals.py
@@ -152,3 +152,22 @@
         self.assertIsInstance(outcome, NotRun)
         self.assertEqual([each.was_sent for each in case.pool.opened], [False])
         self.assertEqual(len(case.pool.released), 1)
+
+    async def test_a_second_send_is_not_made_on_weights_replaced_meanwhile(self):
+        """Guards against a second send by a choice from before a standstill."""
+        case = _Case([NEVER], replicas=2)
+        acquire = case.pool.acquire
+
+        async def acquire_late(address, **options):
+            connection = await acquire(address, **options)
+            if len(case.pool.opened) == 2:
+                case.name_version(confirmed_ms=-20_000)
+            return connection
+
+        case.pool.acquire = acquire_late
+        serving = case.start()
+        await case.clock.advance_ms(2_000)
+        sent = [connection.was_sent for connection in case.pool.opened]
+        self.assertEqual(sent, [True, False])
+        serving.cancel()
+        await finish(serving)
