--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -21,7 +21,7 @@
 
 _KIND = "replacements"
 # A node that reads the operators' table all the time knows it this well.
-_USUAL_UNCERTAINTY_MS = 2_500
+_USUAL_UNCERTAINTY_MS = 3_500
 # Other nodes may have gone on or started a moment ago too.
 _QUESTION_PAUSES_MS = (0, 200, 400, 800, 1_600)
 _NODES_ASKED = 3
