Weights: a lost order is repeated at once, and a replica that is not reached comes last

Callers of replicas whose orders get no response would see older weights beyond the bounds: an order without response held its place for 6 s, and a replica that could not be reached took each free place again, as it counted as loading while it waited for its retry.

A report that is requested 800 ms after the order, and says that the replica neither loads nor has accepted anything, shows that the order has not begun. The next one has the same expected count, so the replica accepts at most one of the two. After three in a row the place goes to another replica, and the nodes are told to use this one. A replica that is not reached leaves its place at once and comes after the others. An order whose window has closed waits for the renewal (half a second at most) instead of failing.

--- a/fireflyward/weights/_plan.py
+++ b/fireflyward/weights/_plan.py
@@ -7,8 +7,8 @@
 # meanwhile, and loads are slower when more replicas load at once. With this share,
 # three rounds of loads fit into the time that a deployment allows for a version.
 _LOADING_SHARE = 0.4
-# An order counts as lost when the replica has no new version after this time. A load
-# takes one to three seconds after the requests in flight before it have finished.
+# An ordered replica that no longer reports holds its place for this time. A load takes
+# one to three seconds after the requests in flight before it have finished.
 _ORDER_LOST_AFTER_MS = 6_000
 # Delay before the next order to a replica that did not accept one.
 _RETRY_AFTER_MS = 500
@@ -54,16 +54,25 @@
     ['r0']
     """
 
-    __slots__ = ("_next_order_ms_by_incarnation",)
+    __slots__ = (
+        "_failures_by_incarnation",
+        "_next_order_ms_by_incarnation",
+        "_retry_ms_by_incarnation",
+    )
 
     def __init__(self) -> None:
         self._next_order_ms_by_incarnation: dict[int, int] = {}
+        self._retry_ms_by_incarnation: dict[int, int] = {}
+        self._failures_by_incarnation: dict[int, int] = {}
 
     def next(
         self, now_ms: int, model: str, version: int, views: list[ReplicaView]
     ) -> list[Order]:
         """Return the orders to give now: oldest weights first, then the least busy.
 
+        Replicas that orders or reports did not reach come last. Otherwise they would
+        get each free place again, while the others wait.
+
         Only a share of the replicas loads at once, so that the others keep serving. A
         replica whose weights are too old to serve is ordered regardless of the share:
         after the lease holder has changed, a rollout would otherwise continue round by
@@ -79,12 +88,20 @@
             for view in outdated
             if self._may_be_ordered(now_ms, view.incarnation_id)
         ]
-        loading = [view for view in outdated if view not in waiting]
+        loading = [
+            view for view in outdated if self._has_place(now_ms, view.incarnation_id)
+        ]
         evacuated = [view for view in waiting if view.is_evacuated]
         waiting_elsewhere = [view for view in waiting if not view.is_evacuated]
         not_serving = [view for view in waiting_elsewhere if not view.may_serve]
         serving = [view for view in waiting_elsewhere if view.may_serve]
-        serving.sort(key=lambda view: (view.version, view.busy_ms))
+        serving.sort(
+            key=lambda view: (
+                self._failures_by_incarnation.get(view.incarnation_id, 0),
+                view.version,
+                view.busy_ms,
+            )
+        )
         views_elsewhere = [view for view in views if not view.is_evacuated]
         free_slots = min(
             _max_loading(views_elsewhere)
@@ -111,20 +128,39 @@
             now_ms + _RETRY_AFTER_MS
         )
 
+    def on_not_reached(self, now_ms: int, order: Order) -> None:
+        """Record that a replica does not load, and that another may have its place."""
+        incarnation_id = order.incarnation_id
+        failures = self._failures_by_incarnation.get(incarnation_id, 0)
+        self._failures_by_incarnation[incarnation_id] = failures + 1
+        self._retry_ms_by_incarnation[incarnation_id] = now_ms + _RETRY_AFTER_MS
+        self._next_order_ms_by_incarnation.pop(incarnation_id, None)
+
+    def on_withdrawn(self, order: Order) -> None:
+        """Record that an order was not sent, and that another one may be given."""
+        self._next_order_ms_by_incarnation.pop(order.incarnation_id, None)
+
     def on_loaded(self, order: Order) -> None:
         """Record that a replica has loaded the ordered weights."""
         self._next_order_ms_by_incarnation.pop(order.incarnation_id, None)
+        self._failures_by_incarnation.pop(order.incarnation_id, None)
 
     def is_loading(self, now_ms: int, order: Order) -> bool:
         """Return whether an order is still in progress."""
-        return not self._may_be_ordered(now_ms, order.incarnation_id)
+        return self._has_place(now_ms, order.incarnation_id)
 
     def clear(self) -> None:
         """Forget all orders: a new holder starts from the list of replicas alone."""
         self._next_order_ms_by_incarnation.clear()
+        self._retry_ms_by_incarnation.clear()
+        self._failures_by_incarnation.clear()
+
+    def _has_place(self, now_ms: int, incarnation_id: int) -> bool:
+        return now_ms < self._next_order_ms_by_incarnation.get(incarnation_id, 0)
 
     def _may_be_ordered(self, now_ms: int, incarnation_id: int) -> bool:
-        return now_ms >= self._next_order_ms_by_incarnation.get(incarnation_id, 0)
+        retry_ms = self._retry_ms_by_incarnation.get(incarnation_id, 0)
+        return now_ms >= retry_ms and not self._has_place(now_ms, incarnation_id)
 
 
 def _max_loading(views: list[ReplicaView]) -> int:
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -7,12 +7,13 @@
 from fireflyward.clock import Clock
 from fireflyward.forwarding import WeightVersions
 from fireflyward.leases import Gained, LeaseTask, Lost
-from fireflyward.platform import ReplicaApi, ReplicaReport
+from fireflyward.platform import OrderResult, ReplicaApi, ReplicaReport
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
 
 from ._announcer import LoadAnnouncer
 from ._load_times import LoadTimes
 from ._plan import Order, ReplicaView, WeightPlan
+from ._progress import OrderProgress
 
 log = logging.getLogger("fireflyward.weights")
 
@@ -34,6 +35,12 @@
 _LEASE_POLLS_PER_LEASE = 3
 _REPORT_TIMEOUT_MS = 400
 _ORDER_TIMEOUT_MS = 800
+# A replica that leaves this many orders in a row without response gives its place to
+# another one. The nodes avoid it until then.
+_MAX_ORDERS_IN_A_ROW = 3
+# How often an order that waits for a renewed lease checks it, and for how long.
+_RENEWAL_POLL_MS = 50
+_RENEWAL_WAIT_MS = 500
 # Wait for the announcement to reach the other nodes before the order makes the replica
 # reject the requests that they send.
 _ANNOUNCEMENT_DELAY_MS = 40
@@ -81,6 +88,7 @@
         self._node = node
         self._lease_ms = lease_ms
         self._slack_ms = slack_ms
+        self._claims = 0
         self._plan = WeightPlan()
         self._load_times = LoadTimes()
         self._may_order_at_ms = 0
@@ -90,6 +98,7 @@
         """Handle a lease that was gained or lost."""
         if not isinstance(change, Gained):
             return
+        self._claims += 1
         self._plan.clear()
         wait_ms = self._lease_ms + self._slack_ms
         if change.claim.fencing == 1:
@@ -164,13 +173,14 @@
         self, model: str, version: int, orders: list[Order]
     ) -> None:
         """Announce the loads, so that nodes avoid the replicas, then send orders."""
+        claims = self._claims
         replicas = [order.incarnation_id for order in orders]
         await self._announcer.announce_loading(
             replicas, model, version, _LOADING_ASSUMED_MS
         )
         await self._clock.sleep_ms(_ANNOUNCEMENT_DELAY_MS)
         for order in orders:
-            self._spawn(self._load(order))
+            self._spawn(self._load(order, claims))
 
     def _outdated_models(self) -> set[str]:
         """Return the models of which some replica has older weights than the target.
@@ -208,23 +218,80 @@
                 )
         return views
 
-    async def _load(self, order: Order) -> None:
-        """Order one replica to load, and poll it until it has."""
-        report = await self._api.report(
-            order.address, order.incarnation, limit_ms=_REPORT_TIMEOUT_MS
+    async def _load(self, order: Order, claims: int) -> None:
+        """Order one replica to load, and poll it until it has.
+
+        An order that was lost is repeated as soon as the reports show it. ``claims`` is
+        the count of claims under which the order was decided.
+        """
+        for _ in range(_MAX_ORDERS_IN_A_ROW):
+            if claims != self._claims:
+                return
+            report = await self._report(order)
+            if report is None:
+                self._on_not_reached(order, "no load report")
+                return
+            if self._is_replaced(order, report):
+                self._on_order_failed(order, "restarted")
+                return
+            progress = await self._order(order, report, claims)
+            if progress is None:
+                return
+            version = await self._wait_until_loaded(order, progress, claims)
+            if version is None:
+                return
+            self._plan.on_order_started(self._clock.now_ms(), order)
+        # Otherwise the nodes would avoid it although it does not load.
+        await self._announcer.announce_loaded(
+            order.incarnation_id, order.model, version
         )
-        if report is None:
-            self._on_order_failed(order, "no load report")
-            return
-        if self._is_replaced(order, report):
-            self._on_order_failed(order, "restarted")
-            return
+        self._on_not_reached(order, "lost")
+
+    async def _order(
+        self, order: Order, report: ReplicaReport, claims: int
+    ) -> OrderProgress | None:
+        """Send the order unless it is being carried out; return None if that failed."""
+        now_ms = self._clock.now_ms()
         has_version = report.version_by_model.get(order.model) == order.version
-        if not has_version and not report.is_loading:
-            if not await self._send_order(order, report.orders):
-                self._on_order_failed(order, "order not accepted")
-                return
-        await self._wait_until_loaded(order)
+        if has_version or report.is_loading:
+            return OrderProgress(
+                sent_ms=now_ms,
+                orders_seen=report.orders,
+                has_response=True,
+                was_loading=report.is_loading,
+            )
+        fencing = await self._wait_for_fencing(claims)
+        if fencing is None:
+            log.info("weights: order to %s withdrawn", order.incarnation)
+            if claims == self._claims:
+                self._plan.on_withdrawn(order)
+            return None
+        sent_ms = self._clock.now_ms()
+        result = await self._send_order(order, report.orders, fencing)
+        if result.has_response and not result.is_accepted:
+            self._on_order_failed(order, "order not accepted")
+            return None
+        return OrderProgress(
+            sent_ms=sent_ms,
+            orders_seen=report.orders,
+            has_response=result.has_response,
+        )
+
+    async def _wait_for_fencing(self, claims: int) -> int | None:
+        """Renew the claim if need be; return None if it may not be used for orders."""
+        until_ms = self._clock.now_ms() + _RENEWAL_WAIT_MS
+        while claims == self._claims and self._lease.claim() is not None:
+            fencing = self._fencing()
+            if fencing is not None or self._clock.now_ms() >= until_ms:
+                return fencing
+            self._lease.request_renewal()
+            await self._clock.sleep_ms(_RENEWAL_POLL_MS)
+        return None
+
+    async def _report(self, order: Order) -> ReplicaReport | None:
+        return await self._api.report(
+            order.address, order.incarnation, limit_ms=_REPORT_TIMEOUT_MS
+        )
 
     def _is_replaced(self, order: Order, report: ReplicaReport) -> bool:
         """Return whether the incarnation that the order is for no longer exists.
@@ -243,11 +310,13 @@
         log.info("weights: order to %s failed: %s", order.incarnation, reason)
         self._plan.on_order_failed(self._clock.now_ms(), order)
 
-    async def _send_order(self, order: Order, orders_seen: int) -> bool:
-        """Send the order; return False if the replica definitely did not accept it."""
-        fencing = self._fencing()
-        if fencing is None:
-            return False
+    def _on_not_reached(self, order: Order, reason: str) -> None:
+        log.info("weights: %s not reached by orders: %s", order.incarnation, reason)
+        self._plan.on_not_reached(self._clock.now_ms(), order)
+
+    async def _send_order(
+        self, order: Order, orders_seen: int, fencing: int
+    ) -> OrderResult:
         result = await self._api.order_weights(
             order.address,
             order.incarnation,
@@ -267,26 +336,38 @@
             fencing,
             result.detail,
         )
-        return result.is_accepted or not result.has_response
+        return result
+
+    async def _wait_until_loaded(
+        self, order: Order, progress: OrderProgress, claims: int
+    ) -> int | None:
+        """Poll the replica until it has the ordered weights.
 
-    async def _wait_until_loaded(self, order: Order) -> None:
-        """Poll the replica until it reports the ordered weights."""
+        If it does not load them, return the version that it has, else None.
+        """
         ordered_ms = self._clock.now_ms()
-        await self._clock.sleep_ms(self._load_times.first_poll_ms)
+        await self._clock.sleep_ms(
+            progress.first_poll_ms(ordered_ms, self._load_times.first_poll_ms)
+        )
         while self._plan.is_loading(self._clock.now_ms(), order):
             await self._clock.sleep_ms(_REPORT_POLL_MS)
-            report = await self._api.report(
-                order.address, order.incarnation, limit_ms=_REPORT_TIMEOUT_MS
-            )
-            if report is None or report.is_loading:
+            asked_ms = self._clock.now_ms()
+            report = await self._report(order)
+            if claims != self._claims:
+                return None
+            if report is None:
                 continue
             if self._is_replaced(order, report):
-                return
-            if report.version_by_model.get(order.model) == order.version:
+                return None
+            version = report.version_by_model.get(order.model)
+            if version == order.version and not report.is_loading:
                 await self._announcer.announce_loaded(
                     order.incarnation_id, order.model, order.version
                 )
                 self._load_times.on_loaded(self._clock.now_ms() - ordered_ms)
                 self._plan.on_loaded(order)
                 self._give_pending_orders()
-                return
+                return None
+            if progress.has_failed(asked_ms, report):
+                return version or 0
+        return None
--- a/tests/weights/test_incarnations.py
+++ b/tests/weights/test_incarnations.py
@@ -52,7 +52,7 @@
         )
 
     async def test_the_planned_incarnation_is_ordered(self):
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(len(self.api.orders), 1)
 
     async def test_a_later_incarnation_gets_no_order_for_the_former(self):
@@ -63,16 +63,16 @@
         expected.
         """
         self.api.started_ms = 2_000
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(self.api.orders, [])
 
     async def test_an_incarnation_replaced_in_the_list_gets_no_order(self):
         again = entry("r1", version=1, started_ms=2_000)
         self.directory.on_changes(0, [again], [])
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(self.api.orders, [])
 
     async def test_a_replica_that_reports_no_start_time_is_ordered(self):
         self.api.started_ms = 0
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(len(self.api.orders), 1)
