Weights: after a standstill no order goes out by what was decided before it

Replicas would load a version that had been replaced while the holder of the lease stood still: it went on with orders that it had decided before, and repeated lost ones, before it read that a newer version had been named. Each such load keeps a replica from serving for more than a second, and it has to load again.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -199,6 +199,7 @@
             node=settings.node,
             lease_ms=bounds.lease_ms,
             slack_ms=bounds.thaw_slack_ms,
+            standstills=self._standstills,
         )
         self._garbage_collector = GarbageCollector(
             clock=clock,
--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -4,7 +4,7 @@
 import logging
 from collections.abc import Callable, Coroutine
 
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, Standstills
 from fireflyward.forwarding import WeightVersions
 from fireflyward.leases import Gained, LeaseTask, Lost
 from fireflyward.platform import OrderResult, ReplicaApi, ReplicaReport
@@ -62,6 +62,10 @@
     that order within one lease duration of each other could make a replica load two
     versions alternately. So a new holder waits until the last holder's orders are older
     than that, and a holder stops ordering well before its lease expires.
+
+    What a holder knows from before a standstill of its process may be as old as that.
+    It gives no order before it has read what arrived meanwhile, and none that was
+    decided under an earlier claim or for a version that is not the newest any more.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         node: str,
         lease_ms: int,
         slack_ms: int,
+        standstills: Standstills,
     ) -> None:
         self._clock = clock
         self._lease = lease
@@ -88,6 +93,7 @@
         self._node = node
         self._lease_ms = lease_ms
         self._slack_ms = slack_ms
+        self._standstills = standstills
         self._claims = 0
         self._plan = WeightPlan()
         self._load_times = LoadTimes()
@@ -125,6 +131,8 @@
         claim = self._lease.claim()
         if claim is None or now_ms < self._may_order_at_ms:
             return None
+        if self._standstills.has_backlog(now_ms):
+            return None
         if claim.until_ms - now_ms < self._lease_ms - self._order_window_ms:
             return None
         return claim.fencing
@@ -261,7 +269,8 @@
                 was_loading=report.is_loading,
             )
         fencing = await self._wait_for_fencing(claims)
-        if fencing is None:
+        newest = self._weights.newest(order.model) or 0
+        if fencing is None or newest > order.version:
             log.info("weights: order to %s withdrawn", order.incarnation)
             if claims == self._claims:
                 self._plan.on_withdrawn(order)
--- a/tests/weights/engines.py
+++ b/tests/weights/engines.py
@@ -28,6 +28,7 @@
 _REPORT_AGE_MS = 200
 _CALL_MS = 4
 _LIST_PERIOD_MS = 500
+_READING_MS = 40
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,6 +38,16 @@
     late_ms: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class ReceivedOrder:
+    """An order that went out to an engine, also if it was lost."""
+
+    at_ms: int
+    node: str
+    fencing: int
+    version: int
+
+
 @dataclass(frozen=True, slots=True)
 class _Report:
     at_ms: int
@@ -147,7 +158,7 @@
         fleet = self._fleet
         engine = fleet.engine_by_name[incarnation]
         engine.received.append(
-            (fleet.clock.now_ms(), self._node.name, fencing, version)
+            ReceivedOrder(fleet.clock.now_ms(), self._node.name, fencing, version)
         )
         lost = engine.lost_orders.pop(0) if engine.lost_orders else None
         if lost is not None:
@@ -171,10 +182,12 @@
 
     def __init__(self, fleet, name):
         self.name = name
+        self._fleet = fleet
         self.clock = NodeClock(fleet.clock)
         self.directory = ReplicaDirectory()
         self.weights = WeightVersions(version_ms=VERSION_MS)
         self.standstills = Standstills(clock=self.clock)
+        self.heard_ms_by_version = {}
         self.lease = LeaseTask(
             "weights",
             clock=self.clock,
@@ -197,6 +210,7 @@
             node=name,
             lease_ms=LEASE_MS,
             slack_ms=SLACK_MS,
+            standstills=self.standstills,
         )
         self.tasks = [
             fleet.start(self.lease.run()),
@@ -217,7 +231,13 @@
             task.cancel()
 
     def freeze_ms(self, duration_ms):
+        """Stand still, and read soon afterwards what arrived meanwhile."""
         self.clock.frozen_until_ms = self.clock.now_ms() + duration_ms
+        self._fleet.start(self._read_backlog(duration_ms + _READING_MS))
+
+    async def _read_backlog(self, after_ms):
+        await self._fleet.clock.sleep_ms(after_ms)
+        self._fleet.tell(self)
 
 
 class Fleet:
@@ -253,6 +273,9 @@
             engine for engine in self.engines if engine.version != self.targets[MODEL]
         ]
 
+    def alive(self):
+        return [node for node in self.nodes if node.is_alive]
+
     def holder(self):
         held = [node for node in self.nodes if node.lease.claim() is not None]
         return next((node for node in held if node.is_alive), None)
@@ -260,7 +283,7 @@
     def name_version(self, version):
         """Name a version; nodes that run hear of it at once, others when they do."""
         self.targets[MODEL] = version
-        self._tell()
+        self._tell_all()
 
     async def run_until_loaded(self, limit_ms, step_ms=100, may_be_outdated=0):
         """Return after how long enough engines had the target, None if not in time."""
@@ -273,17 +296,20 @@
 
     async def _list(self):
         while True:
-            self._tell()
+            self._tell_all()
             await self.clock.sleep_ms(_LIST_PERIOD_MS)
 
-    def _tell(self):
-        now_ms = self.clock.now_ms()
+    def _tell_all(self):
         for node in self.nodes:
-            if node.is_frozen or not node.is_alive:
-                continue
-            node.directory.on_full_read(
-                now_ms, [engine.entry() for engine in self.engines]
-            )
-            for model, version in self.targets.items():
-                node.weights.set_target(now_ms, WeightTarget(model, version))
-            node.weights.confirm(now_ms)
+            self.tell(node)
+
+    def tell(self, node):
+        """Tell a node that runs of all replicas and versions."""
+        if node.is_frozen or not node.is_alive:
+            return
+        now_ms = self.clock.now_ms()
+        node.directory.on_full_read(now_ms, [engine.entry() for engine in self.engines])
+        for model, version in self.targets.items():
+            if node.weights.set_target(now_ms, WeightTarget(model, version)):
+                node.heard_ms_by_version[version] = now_ms
+        node.weights.confirm(now_ms)
--- a/tests/weights/test_incarnations.py
+++ b/tests/weights/test_incarnations.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.forwarding import WeightVersions
 from fireflyward.leases import Claim
 from fireflyward.platform import OrderResult, ReplicaReport
@@ -49,6 +49,7 @@
             node="entry-1",
             lease_ms=1_000_000,
             slack_ms=0,
+            standstills=Standstills(clock=ManualClock()),
         )
 
     async def test_the_planned_incarnation_is_ordered(self):
--- a/tests/weights/test_task.py
+++ b/tests/weights/test_task.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.deployment import ModelWeights, ReplicaEntry, WeightTarget
 from fireflyward.forwarding import WeightVersions
 from fireflyward.leases import Claim, Gained, Lost
@@ -44,6 +44,7 @@
             node="entry-1",
             lease_ms=LEASE_MS,
             slack_ms=SLACK_MS,
+            standstills=Standstills(clock=ManualClock()),
         )
 
     def gain(self, fencing, *, after_expiry):
