--- a/tests/weights/test_incarnations.py
+++ b/tests/weights/test_incarnations.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.forwarding import WeightVersions
 from fireflyward.leases import Claim
 from fireflyward.platform import OrderResult, ReplicaReport
@@ -49,10 +49,11 @@
             node="entry-1",
             lease_ms=1_000_000,
             slack_ms=0,
+            standstills=Standstills(clock=ManualClock()),
         )
 
     async def test_the_planned_incarnation_is_ordered(self):
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(len(self.api.orders), 1)
 
     async def test_a_later_incarnation_gets_no_order_for_the_former(self):
@@ -63,16 +64,16 @@
         expected.
         """
         self.api.started_ms = 2_000
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(self.api.orders, [])
 
     async def test_an_incarnation_replaced_in_the_list_gets_no_order(self):
         again = entry("r1", version=1, started_ms=2_000)
         self.directory.on_changes(0, [again], [])
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(self.api.orders, [])
 
     async def test_a_replica_that_reports_no_start_time_is_ordered(self):
         self.api.started_ms = 0
-        await self.task._load(self.order)
+        await self.task._load(self.order, 0)
         self.assertEqual(len(self.api.orders), 1)
