Streams: earlier streams are told also if the second version was heard of first

Callers whose streams began before a second software version served, and whose node then ended, would get 503 when they took them up: nobody else knew the version.

Cause: a node tells the streams of its last 30 s when an update of the list brings the second version. A node that had already heard of that version from another node, or read it in the row of the nodes' table, saw two versions before and after the update, and told nothing. Found by reading.

`SoftwareVersions` now remembers which services had several versions at the last update of the list, and reports the others, however it learned of the second one.

The existing test of a single report is unchanged.

--- a/fireflyward/streams/_versions.py
+++ b/fireflyward/streams/_versions.py
@@ -19,16 +19,20 @@
     (['s'], ['v1', 'v2'])
     """
 
-    __slots__ = ("_gone_ms", "_listed")
+    __slots__ = ("_gone_ms", "_listed", "_mixed")
 
     def __init__(self) -> None:
         self._listed: Mapping[str, frozenset[str]] = {}
         # When the last replica of a (service, version) left the list.
         self._gone_ms: dict[tuple[str, str], int] = {}
+        # The services that had several versions at the last update of the list.
+        self._mixed: frozenset[str] = frozenset()
 
     def on_list(self, now_ms: int, listed: Mapping[str, Iterable[str]]) -> list[str]:
-        """Replace the listed versions; return the services that now have several."""
-        before = {service: self.recent(now_ms, service) for service in listed}
+        """Replace the listed versions; return the services that now have several.
+
+        They include those whose second version was told since the last update.
+        """
         old = self._listed
         self._listed = {service: frozenset(names) for service, names in listed.items()}
         for service, names in old.items():
@@ -37,11 +41,8 @@
         for service, names in self._listed.items():
             for name in names:
                 self._gone_ms.pop((service, name), None)
-        return [
-            service
-            for service, versions in before.items()
-            if len(versions) < 2 <= len(self.recent(now_ms, service))
-        ]
+        before, self._mixed = self._mixed, self.mixed(now_ms)
+        return sorted(self._mixed - before)
 
     def on_told(self, now_ms: int, service: str, names: Iterable[str]) -> None:
         """Count versions of which this node knows only by others."""
@@ -58,6 +59,11 @@
         gone = {name for owner, name in self._gone_ms if owner == service}
         return listed | gone
 
+    def mixed(self, now_ms: int) -> frozenset[str]:
+        """Return the services whose streams may have begun at several versions."""
+        services = self.services()
+        return frozenset(x for x in services if len(self.recent(now_ms, x)) > 1)
+
     def services(self) -> frozenset[str]:
         """Return the services with replicas in the list, or with versions gone."""
         return frozenset({*self._listed, *(service for service, _ in self._gone_ms)})
--- a/tests/streams/test_versions.py
+++ b/tests/streams/test_versions.py
@@ -30,6 +30,21 @@
         self.assertEqual(self.versions.on_list(1, listed), ["s"])
         self.assertEqual(self.versions.on_list(2, listed), [])
 
+    def test_a_second_version_that_was_told_before_is_reported(self):
+        """Guards against earlier streams that are told to nobody.
+
+        Another node may tell of the second version before this node's list has it.
+        """
+        self.versions.on_told(1, "s", ["v2"])
+        self.assertEqual(self.versions.on_list(2, {"s": {"v1", "v2"}}), ["s"])
+
+    def test_a_service_is_reported_again_after_it_had_one_version(self):
+        self.assertEqual(self.versions.on_list(1, {"s": {"v1", "v2"}}), ["s"])
+        self.versions.on_list(2, {"s": {"v2"}})
+        late_ms = 3 + STREAM_LIFETIME_MS
+        self.assertEqual(self.versions.on_list(late_ms, {"s": {"v2"}}), [])
+        self.assertEqual(self.versions.on_list(late_ms, {"s": {"v2", "v3"}}), ["s"])
+
     def test_a_version_told_by_another_node_counts(self):
         """Guards against a list that is behind the one of the node that told."""
         self.versions.on_told(5, "s", ["v1", "v2"])
