Peers: messages that expire are dropped if they waited during a standstill

A node that stood still read the datagrams that had waited in its socket as if they had just been sent. It chose replicas by loads of seconds ago, took sums and speeds for new ones, and believed a rate limit that was over; as it counted the limit from its own reading, it would also tell it to others as newer than its end. The kernel keeps the oldest datagrams when the buffer is full, so the ones that end such news may be the ones that are lost.

A kind of message is now registered with expires=True if it says what holds when it is sent: loads, fairness sums, speeds, silent failure domains, limits. The link drops those that it reads while the process has a backlog, and counts them. That a replica leaves holds whenever it was told, and is still taken from such a message; crashes, held parts, streams' starts and store events are handled as before.

The recorders of tests that stand in for the link take the new keywords.

--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable, Collection
 
 from fireflyward.aggregators import Aggregators
-from fireflyward.clock import Clock, within_ms
+from fireflyward.clock import Clock, Standstills, within_ms
 from fireflyward.deployment import FleetSettings
 from fireflyward.feeds import FeedFollower, Pace, SharedTables, TableUpdate
 from fireflyward.peers import Address, PeerCodec, PeerLink, new_incarnation
@@ -38,11 +38,13 @@
         on_nodes: Callable[[Collection[str]], None],
         on_rows: Callable[[TableUpdate], None],
         on_link: Callable[[PeerLink], Callable[[], None]],
+        standstills: Standstills | None = None,
     ) -> None:
         self.link: PeerLink | None = None
         self._codec: PeerCodec | None = None
         self._settings = settings
         self._clock = clock
+        self._standstills = standstills or Standstills(clock=clock)
         self._registry = registry
         self._aggregators = aggregators
         self._on_nodes = on_nodes
@@ -121,6 +123,7 @@
             codec=codec,
             host=self._settings.ip,
             port=self._settings.peer_ports[0],
+            has_backlog=lambda: self._standstills.has_backlog(self._clock.now_ms()),
         )
         on_open = self._on_link(link)
         await link.start()
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -164,6 +164,7 @@
             on_nodes=self._on_nodes,
             on_rows=self._on_rows,
             on_link=self._on_link,
+            standstills=self._standstills,
         )
         # A restored store may lack the rows that nodes wrote about themselves. All
         # nodes read these rows, so this node reads the table at once and writes its
--- a/fireflyward/limits/_sum_reports.py
+++ b/fireflyward/limits/_sum_reports.py
@@ -72,7 +72,7 @@
             _TOTAL: self._peers.on_total,
         }
         for kind, record in handlers.items():
-            link.register(kind, FairnessSums, self._handler(record))
+            link.register(kind, FairnessSums, self._handler(record), expires=True)
 
     def report(self, link: PeerLink) -> None:
         """Send the sums of the short services, to all nodes or to the aggregator."""
--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -65,7 +65,13 @@
     def use(self, link: PeerLink) -> None:
         """Send and receive announcements over a link from now on."""
         self._link = link
-        link.register(_KIND, ReplicaNews, self._on_announcement)
+        link.register(
+            _KIND,
+            ReplicaNews,
+            self._on_announcement,
+            expires=True,
+            handle_delayed=self._on_delayed_announcement,
+        )
 
     def on_response(
         self, replica: ReplicaState, facts: ResponseFacts, *, sent_ms: int
@@ -213,6 +219,10 @@
             ):
                 self._record_limit_change(state, sender)
         self._apply_brittleness(now_ms, sender, message)
+        await self._on_delayed_announcement(sender, message)
+
+    async def _on_delayed_announcement(self, sender: str, message: Any) -> None:
+        """Record what holds whenever the message was sent: which replicas leave."""
         for incarnation_id in message.leaving:
             state = self._directory.find_incarnation(incarnation_id)
             if state is not None and not state.backpressure.is_leaving:
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -4,20 +4,21 @@
 import itertools
 import logging
 from collections import Counter
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 from fireflyward.observe import hop
 
 from ._codec import PeerCodec, pack, unpack
+from ._datagrams import Address, DatagramReader
+from ._handler import Handle, Handler
 from ._node_structs import Behind, Envelope
 from ._replay import Freshness, ReplayGuard
 from ._streams import LENGTH, OpenedStream, StreamReply, request_stream
 
 log = logging.getLogger("fireflyward.peers")
 
-Address = tuple[str, int]
 _CALL_TIMEOUT_S = 2.0
 _MAX_DATAGRAM_BYTES = 1_400
 _MAX_REQUEST_BYTES = 128 << 10
@@ -47,12 +48,6 @@
     is_refused: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class _Handler:
-    struct_type: type
-    handle: Callable[[str, Any], Awaitable[Any]]
-
-
 class PeerLink:
     """Sends and receives the typed messages of all packages.
 
@@ -66,6 +61,9 @@
     Anything above a bound is dropped and counted in ``dropped``; every sender has
     to cope with lost messages anyway.
 
+    ``has_backlog`` returns whether what is read now may have arrived while this process
+    did not run; see ``register``.
+
     ``incarnation`` distinguishes the restarts of a node. When a peer has received a
     higher incarnation from this node, which happens when the wall clock was set back
     before a restart, this node raises its own incarnation above that one and calls
@@ -80,8 +78,10 @@
         codec: PeerCodec,
         host: str = "127.0.0.1",
         port: int = 0,
+        has_backlog: Callable[[], bool] = lambda: False,
     ) -> None:
         self.node_name = node_name
+        self._has_backlog = has_backlog
         self.incarnation = incarnation
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -93,7 +93,7 @@
         self._host = host
         self._port = port
         self._sequence = itertools.count(1)
-        self._handler_by_kind: dict[str, _Handler] = {}
+        self._handler_by_kind: dict[str, Handler] = {}
         self._server: asyncio.Server | None = None
         self._datagram_transport: asyncio.DatagramTransport | None = None
         self._tasks: set[asyncio.Task[Any]] = set()
@@ -107,10 +107,19 @@
         self,
         kind: str,
         struct_type: type,
-        handle: Callable[[str, Any], Awaitable[Any]],
+        handle: Handle,
+        *,
+        expires: bool = False,
+        handle_delayed: Handle | None = None,
     ) -> None:
-        """Call ``handle`` for each message of ``kind``."""
-        self._handler_by_kind[kind] = _Handler(struct_type, handle)
+        """Call ``handle`` for each message of ``kind``.
+
+        With ``expires``, a message says what holds when it is sent, or how old its
+        content is then. A datagram of this kind that may have waited while this process
+        did not run goes to ``handle_delayed``, and without one it is dropped.
+        """
+        delayed = handle_delayed if expires else handle
+        self._handler_by_kind[kind] = Handler(struct_type, handle, delayed)
 
     async def start(self) -> None:
         """Open a TCP and a UDP socket on the same port."""
@@ -122,7 +131,8 @@
         self._port = self._server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
         self._datagram_transport, _ = await loop.create_datagram_endpoint(
-            lambda: _DatagramProtocol(self), local_addr=(self._host, self._port)
+            lambda: DatagramReader(self._datagram_received, self._has_backlog),
+            local_addr=(self._host, self._port),
         )
 
     async def stop(self) -> None:
@@ -277,7 +287,9 @@
         await writer.drain()
         return False
 
-    def _datagram_received(self, frame: bytes, source: Address) -> None:
+    def _datagram_received(
+        self, frame: bytes, source: Address, has_waited: bool
+    ) -> None:
         self.bytes_received += len(frame)
         envelope = self._open_frame(frame)
         if envelope is None:
@@ -288,9 +300,9 @@
         elif freshness is Freshness.NEW and envelope.kind == _BEHIND:
             self._raise_incarnation(unpack(Behind, envelope.body))
         elif freshness is Freshness.NEW:
-            self._start_handler(envelope)
+            self._start_handler(envelope, has_waited)
 
-    def _start_handler(self, envelope: Any) -> None:
+    def _start_handler(self, envelope: Any, has_waited: bool) -> None:
         """Handle a datagram in its own task, unless too many such tasks are running.
 
         Without this bound, handlers that wait, for example for the platform, would
@@ -299,7 +311,8 @@
         if len(self._datagram_tasks) >= _MAX_DATAGRAM_TASKS:
             self._count_dropped("datagrams")
             return
-        task = asyncio.get_running_loop().create_task(self._call_handler(envelope))
+        work = self._call_handler(envelope, has_waited=has_waited)
+        task = asyncio.create_task(work)
         self._datagram_tasks.add(task)
         task.add_done_callback(self._datagram_tasks.discard)
 
@@ -317,16 +330,22 @@
             self._count_dropped(freshness.value)
         return freshness
 
-    async def _call_handler(self, envelope: Any) -> Any | None:
+    async def _call_handler(
+        self, envelope: Any, *, has_waited: bool = False
+    ) -> Any | None:
         handler = self._handler_by_kind.get(envelope.kind)
         if handler is None:
             return None
+        handle = handler.handle_delayed if has_waited else handler.handle
+        if handle is None:
+            self._count_dropped("delayed datagrams")
+            return None
         message = unpack(handler.struct_type, envelope.body)
         if message is None:
             self._count_dropped("messages")
             return None
         try:
-            return await handler.handle(envelope.sender, message)
+            return await handle(envelope.sender, message)
         except Exception:
             log.exception("peers: %s from %s failed", envelope.kind, envelope.sender)
             return None
@@ -379,11 +398,3 @@
         if task:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
-
-
-class _DatagramProtocol(asyncio.DatagramProtocol):
-    def __init__(self, link: PeerLink) -> None:
-        self._link = link
-
-    def datagram_received(self, data: bytes, addr: Address) -> None:
-        self._link._datagram_received(data, addr)
--- a/fireflyward/reach/_task.py
+++ b/fireflyward/reach/_task.py
@@ -76,7 +76,7 @@
     def use(self, link: PeerLink) -> None:
         """Send and receive announcements of silent domains over a link from now on."""
         self._link = link
-        link.register(_SILENCE, SilenceNews, self._on_announcement)
+        link.register(_SILENCE, SilenceNews, self._on_announcement, expires=True)
 
     def on_silent(self, replica: ReplicaState) -> None:
         """Record that a connection to a replica got no answer at all."""
--- a/fireflyward/replicas/_load_reports.py
+++ b/fireflyward/replicas/_load_reports.py
@@ -136,9 +136,9 @@
 
     def register(self, link: PeerLink) -> None:
         """Register the handlers for the other nodes' messages."""
-        link.register(_REPORT, UnderWayNews, self._on_load_report)
-        link.register(_SUM, UnderWayNews, self._on_domain_sum)
-        link.register(_TOTAL, UnderWayNews, self._on_total)
+        link.register(_REPORT, UnderWayNews, self._on_load_report, expires=True)
+        link.register(_SUM, UnderWayNews, self._on_domain_sum, expires=True)
+        link.register(_TOTAL, UnderWayNews, self._on_total, expires=True)
 
     def report(self, link: PeerLink) -> None:
         """Send what changed since the last call."""
--- a/fireflyward/speeds/_task.py
+++ b/fireflyward/speeds/_task.py
@@ -65,9 +65,12 @@
     def use(self, link: PeerLink) -> None:
         """Send and receive announcements over a link from now on."""
         self._link = link
-        link.register(_NEWS, SpeedNews, self._on_news)
-        link.register(_FROM_NODE, SpeedNews, self._on_news_from_node)
-        link.register(_FROM_DOMAIN, SpeedNews, self._on_news_from_domain)
+        for kind, handle in (
+            (_NEWS, self._on_news),
+            (_FROM_NODE, self._on_news_from_node),
+            (_FROM_DOMAIN, self._on_news_from_domain),
+        ):
+            link.register(kind, SpeedNews, handle, expires=True)
 
     def on_response(self, replica: ReplicaState, facts: ResponseFacts) -> None:
         """Record the speed that an answer reports."""
--- a/tests/limits/test_sum_reports.py
+++ b/tests/limits/test_sum_reports.py
@@ -51,7 +51,7 @@
         )
         self.task.register(self)
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         self.handler_by_kind[kind] = handle
 
     def send(self, address, kind, message):
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -21,7 +21,7 @@
         self.sent = []
         self.handle = None
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         self.handle = handle
 
     def send_all(self, addresses, kind, message):
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -4,7 +4,7 @@
 import unittest
 from unittest import mock
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.peers import (
     CallFailed,
     Envelope,
@@ -28,9 +28,12 @@
         self.server = await self.start("entry-1", incarnation=50)
         self.server.register("k", Envelope, self.handle)
 
-    async def start(self, name, *, incarnation=50, key=KEY):
+    async def start(self, name, *, incarnation=50, key=KEY, **options):
         link = PeerLink(
-            node_name=name, incarnation=incarnation, codec=PeerCodec((key,))
+            node_name=name,
+            incarnation=incarnation,
+            codec=PeerCodec((key,)),
+            **options,
         )
         await link.start()
         self.addAsyncCleanup(link.stop)
@@ -227,6 +230,73 @@
         self.assertIsInstance(result, CallFailed)
 
 
+class DelayedDatagramTests(LinkTestCase):
+    """A process that did not run reads what other nodes sent meanwhile."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.clock = ManualClock(100_000)
+        self.standstills = Standstills(clock=self.clock)
+        self.standstills.on_tick(self.clock.now_ms())
+        self.handled = []
+        self.peer = await self.start("entry-2")
+        self.woken = await self.start_woken(
+            lambda: self.standstills.has_backlog(self.clock.now_ms())
+        )
+
+    async def start_woken(self, has_backlog):
+        link = await self.start("entry-3", has_backlog=has_backlog)
+        link.register("load", Envelope, self.record("load"), expires=True)
+        link.register("crash", Envelope, self.record("crash"))
+        link.register(
+            "notice",
+            Envelope,
+            self.record("notice"),
+            expires=True,
+            handle_delayed=self.record("delayed notice"),
+        )
+        return link
+
+    def record(self, name):
+        async def handle(sender, message):
+            self.handled.append(name)
+
+        return handle
+
+    def send(self, *kinds):
+        for kind in kinds:
+            self.peer.send(self.woken.address, kind, MESSAGE)
+
+    def stand_still(self, duration_ms):
+        self.clock._now_ms += duration_ms
+
+    async def test_messages_that_expire_are_dropped_after_a_standstill(self):
+        """Guards against reports from before a standstill that count as new ones."""
+        self.send("load", "crash", "notice")
+        self.stand_still(8_000)
+        await self.wait_until(lambda: len(self.handled) == 2)
+        self.assertEqual(self.handled, ["crash", "delayed notice"])
+        self.assertEqual(self.woken.dropped["delayed datagrams"], 1)
+
+    async def test_all_that_waited_is_recognized_however_long_reading_takes(self):
+        """Guards against a backlog that is read for longer than it is recognized."""
+        first_reads = iter([True])
+        self.woken = await self.start_woken(lambda: next(first_reads, False))
+        self.send(*["load"] * 50, "crash")
+        await self.wait_until(lambda: self.handled)
+        self.assertEqual(self.handled, ["crash"])
+        self.assertEqual(self.woken.dropped["delayed datagrams"], 50)
+
+    async def test_messages_that_arrive_later_are_handled(self):
+        self.stand_still(8_000)
+        self.standstills.on_tick(self.clock.now_ms())
+        self.stand_still(200)
+        self.send("load", "notice")
+        await self.wait_until(lambda: len(self.handled) == 2)
+        self.assertEqual(sorted(self.handled), ["load", "notice"])
+        self.assertEqual(self.woken.dropped["delayed datagrams"], 0)
+
+
 class BacklogTests(unittest.IsolatedAsyncioTestCase):
     async def test_backlog_holds_simultaneous_requests_of_all_neighbours(self):
         """Guards against calls to an aggregator that time out without any load.
--- a/tests/reach/test_task.py
+++ b/tests/reach/test_task.py
@@ -57,7 +57,7 @@
         self.sent = []
         self.handle = None
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         self.handle = handle
 
     def send_all(self, addresses, kind, message):
--- a/tests/replicas/test_load_reports.py
+++ b/tests/replicas/test_load_reports.py
@@ -48,7 +48,7 @@
         self.bytes_sent = 0
         self.handler_by_kind = {}
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         self.handler_by_kind[kind] = handle
 
     def send(self, address, kind, message):
--- a/tests/speeds/mesh.py
+++ b/tests/speeds/mesh.py
@@ -18,7 +18,7 @@
         self.handler_by_kind = {}
         self.sent = []
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         self.handler_by_kind[kind] = handle
 
     def send_all(self, addresses, kind, message):
