Aggregators: a standstill of this node does not make other nodes silent

After a fault in which all nodes stand still, nothing has arrived from anybody when they go on. Each node found that its aggregator and the root had been silent for longer than 450 ms, chose others, or itself, and read the tables from the store: many calls at the moment at which the news of the standstill matters. The time since an unanswered message included the standstill of the process that measured it. It now begins anew if the process did not run for over 200 ms in it. Loads that waited in the socket are not used, but show that their sender was not silent.

--- a/fireflyward/aggregators/_choice.py
+++ b/fireflyward/aggregators/_choice.py
@@ -1,6 +1,6 @@
 """The choice of the aggregator of each failure domain."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from fireflyward.rendezvous import rendezvous_rank
@@ -9,6 +9,9 @@
 # An aggregator sends at least every 200 ms, so this allows for one lost datagram and a
 # delayed next one. It is also the highest age of the loads that a node uses.
 SILENT_AFTER_MS = 450
+# If this process did not run for longer than this, it says nothing that it has received
+# no message.
+_MAX_LOST_MS = 200
 # With fewer other nodes than this, all nodes send their loads to each other. With more,
 # the datagrams, which grow with the square of the number of nodes, cost more than the
 # additional hop through an aggregator.
@@ -43,7 +46,9 @@
     A node is silent if this node sent it a message and has received nothing from it for
     ``SILENT_AFTER_MS``. When anything arrives from it again, it can be selected again.
     A node that was paused sends again as soon as it continues, because a node never
-    considers itself silent.
+    considers itself silent. If this process itself did not run meanwhile, the time of
+    the others begins anew. Otherwise, after a fault in which all nodes stood still,
+    each of them would take the aggregators for silent and read from the store.
 
     >>> nodes = Aggregators("a", "d1", link_mbps=100)
     >>> nodes.set_members([Member("b", "d2", ("10.0.0.2", 77), 100)])
@@ -53,14 +58,24 @@
 
     __slots__ = (
         "_domain",
+        "_lost_ms",
         "_members_by_domain",
         "_name",
         "_own_rank",
         "_unanswered_since_ms_by_name",
     )
 
-    def __init__(self, name: str, failure_domain: str, *, link_mbps: float) -> None:
+    def __init__(
+        self,
+        name: str,
+        failure_domain: str,
+        *,
+        link_mbps: float,
+        lost_ms: Callable[[int], int] = lambda since_ms: 0,
+    ) -> None:
+        """``lost_ms`` returns for how long this process did not run since a time."""
         self._name = name
+        self._lost_ms = lost_ms
         self._own_rank = _rank(name, link_mbps)
         self._domain = failure_domain
         self._members_by_domain: dict[str, list[Member]] = {}
@@ -170,7 +185,12 @@
 
     def _is_silent(self, now_ms: int, name: str) -> bool:
         since_ms = self._unanswered_since_ms_by_name.get(name)
-        return since_ms is not None and now_ms - since_ms >= SILENT_AFTER_MS
+        if since_ms is None or now_ms - since_ms < SILENT_AFTER_MS:
+            return False
+        if self._lost_ms(since_ms) > _MAX_LOST_MS:
+            self._unanswered_since_ms_by_name[name] = now_ms
+            return False
+        return True
 
 
 def _rank_of(member: Member) -> tuple[float, int]:
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -82,7 +82,10 @@
         self._planner = PartPlanner()
         self._api = ReplicaApi(self._pool, clock=clock)
         self._aggregators = Aggregators(
-            settings.node, settings.failure_domain, link_mbps=settings.link_mbps
+            settings.node,
+            settings.failure_domain,
+            link_mbps=settings.link_mbps,
+            lost_ms=self._lost_ms,
         )
         self._replica_components = ReplicaComponents(
             settings, clock=clock, pool=self._pool, aggregators=self._aggregators
@@ -318,6 +321,10 @@
         self._pool.close()
         self._store.close()
 
+    def _lost_ms(self, since_ms: int) -> int:
+        """Return for how long this process did not run since a time."""
+        return self._standstills.lost_ms(self._clock.now_ms(), since_ms=since_ms)
+
     def _make_forwarder(self) -> Forwarder:
         return Forwarder(
             clock=self._clock,
--- a/fireflyward/replicas/_load_reports.py
+++ b/fireflyward/replicas/_load_reports.py
@@ -136,9 +136,19 @@
 
     def register(self, link: PeerLink) -> None:
         """Register the handlers for the other nodes' messages."""
-        link.register(_REPORT, UnderWayNews, self._on_load_report, expires=True)
-        link.register(_SUM, UnderWayNews, self._on_domain_sum, expires=True)
-        link.register(_TOTAL, UnderWayNews, self._on_total, expires=True)
+        handlers = {
+            _REPORT: self._on_load_report,
+            _SUM: self._on_domain_sum,
+            _TOTAL: self._on_total,
+        }
+        for kind, handle in handlers.items():
+            link.register(
+                kind,
+                UnderWayNews,
+                handle,
+                expires=True,
+                handle_delayed=self._on_delayed,
+            )
 
     def report(self, link: PeerLink) -> None:
         """Send what changed since the last call."""
@@ -263,6 +273,10 @@
         for member in others if parts else ():
             self._aggregators.on_sent_to(now_ms, member.name)
 
+    async def _on_delayed(self, sender: str, message: Any) -> None:
+        """Record that the sender was not silent; its loads are out of date."""
+        self._aggregators.on_received_from(sender)
+
     async def _on_load_report(self, sender: str, message: Any) -> None:
         self._aggregators.on_received_from(sender)
         self._peers.on_load_report(self._clock.now_ms(), sender, _decode(message))
