Feeds: retained rows count from the query, not from the arrival of the answer

After the store was restored from an older copy, a node asks others for rows that the store lacks, and its keys count as confirmed at the time of their answers. A node that stood still in between would read answers that had waited, and accept keys that had been withdrawn meanwhile for as long again. The time of the query is a bound that holds whatever happens on the way.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -194,12 +194,12 @@
         others = self._aggregators.all_addresses()
         queried = random.sample(others, min(_MAX_NODES_QUERIED, len(others)))
         cursor = Position(self._era(), _ROWS_OF_EARLIER_ERAS)
+        sent_ms = self._clock.now_ms()
         answers = await asyncio.gather(
             *(self._query_node(address, table, cursor, 0) for address in queried)
         )
-        now_ms = self._clock.now_ms()
         return [
-            _update_from(answer, now_ms)
+            _update_from(answer, sent_ms)
             for answer in answers
             if not _failure_reason(answer) and answer.rows
         ]
@@ -333,10 +333,13 @@
     )
 
 
-def _update_from(answer: Any, now_ms: int) -> TableUpdate:
-    """Return an answer as an update; it is at most ``_ROUND_TRIP_LIMIT_MS`` old."""
+def _update_from(answer: Any, sent_ms: int) -> TableUpdate:
+    """Return the answer to a query that was sent at ``sent_ms`` as an update.
+
+    The time of arrival says nothing of its age: this process may have stood still.
+    """
     position = Position(answer.era, answer.version)
-    as_of_ms = now_ms - answer.age_ms - _ROUND_TRIP_LIMIT_MS
+    as_of_ms = sent_ms - answer.age_ms
     return TableUpdate(_decode_rows(answer), False, as_of_ms, position=position)
 
 
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -218,6 +218,35 @@
             self.assertIsNotNone(node_to_query(now_ms + pause_ms))
             self.clock._now_ms += pause_ms
 
+    async def test_a_standstill_does_not_make_retained_rows_newer(self):
+        """Guards against a withdrawn key that is accepted anew after a standstill.
+
+        The node stood still while other nodes' answers with rows of an earlier era
+        waited to be read, and took the time of reading for the time of the answers.
+        """
+        await self.first.follower.step()
+        self.store.era = 2
+        self.store.version = 0
+        del self.store.rows_by_key["k"]
+        cached = self.first.tables._cached_by_table["t"]
+        cached._retains_rows = True
+        await self.first.follower.step()
+        await self.first.follower.step()
+        for node in self.network.values():
+            node.link.handler = self.first.link.handler
+        call = self.other.link.call
+
+        async def call_and_stand_still(*args, **options):
+            answer = await call(*args, **options)
+            self.clock._now_ms += 3_000
+            return answer
+
+        self.other.link.call = call_and_stand_still
+        self.other.tables._era = lambda: 2
+        updates = await self.other.tables.fetch_retained_rows("t")
+        self.assertEqual([row.key for row in updates[0].rows], ["k"])
+        self.assertLessEqual(max(update.as_of_ms for update in updates), 10_000)
+
     async def test_few_nodes_query_the_store(self):
         self.other.aggregators.set_members([])
         await self.step_both()
