Feeds: a query that fails in a standstill of this node is no aggregator's fault

A node whose query to its aggregator fails reads from the store for 2.5 s. When a node stood still, its query fails in any case, since the time limit passes. After a standstill of all nodes, each of them would read each table from the store for these 2.5 s, at the moment at which the store's answers are needed most. The one read is still made at the store at once, but the next one goes to the aggregator again.

The new test fails without the check (trial on a scratch copy): the second read goes to the store.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -45,6 +45,8 @@
 # After an aggregator has failed, a node reads from the store until the successor has
 # been chosen and has read the tables.
 _FAILED_AGGREGATOR_PAUSE_MS = 2_500
+# If this process did not run for longer than this in a query, that is why it failed.
+_MAX_LOST_MS = 200
 # An aggregator that refuses connections has just started: until the first key has been
 # generated, nodes are listed but cannot open their links. They open them within 500 ms.
 _STARTING_AGGREGATOR_PAUSE_MS = 500
@@ -67,7 +69,8 @@
     partitioned from the others continues with the store.
 
     ``era`` returns the latest era of the store that this node has observed. The node
-    accepts no answer of an earlier era from other nodes.
+    accepts no answer of an earlier era from other nodes. ``lost_ms`` returns for how
+    long this process did not run since a time.
     """
 
     def __init__(
@@ -77,8 +80,10 @@
         clock: Clock,
         aggregators: Aggregators,
         era: Callable[[], int] = lambda: 0,
+        lost_ms: Callable[[int], int] = lambda since_ms: 0,
     ) -> None:
         self._reader = reader
+        self._lost_ms = lost_ms
         self._era = era
         self._clock = clock
         self._aggregators = aggregators
@@ -221,12 +226,7 @@
             log.info(
                 "feeds: could not read %s from %s: %s", table, aggregator.name, reason
             )
-            is_refused = isinstance(answer, CallFailed) and answer.is_refused
-            pause_ms = (
-                _STARTING_AGGREGATOR_PAUSE_MS
-                if is_refused
-                else _FAILED_AGGREGATOR_PAUSE_MS
-            )
+            pause_ms = self._pause_after(answer, sent_ms=now_ms)
             self._store_only_until_ms = self._clock.now_ms() + pause_ms
             return None
         if answer.outcome == _HISTORY_LOST:
@@ -239,6 +239,20 @@
             return Snapshot(rows, position, as_of_ms, aggregator.name)
         return Changes(rows, position, as_of_ms, aggregator.name)
 
+    def _pause_after(self, answer: Any, *, sent_ms: int) -> int:
+        """Return for how long to read from the store after a query has failed.
+
+        After a standstill of all nodes, each of them would otherwise read each table
+        from the store for seconds, which rejects so many calls.
+        """
+        if not isinstance(answer, CallFailed):
+            return _FAILED_AGGREGATOR_PAUSE_MS
+        if answer.is_refused:
+            return _STARTING_AGGREGATOR_PAUSE_MS
+        if self._lost_ms(sent_ms) > _MAX_LOST_MS:
+            return 0
+        return _FAILED_AGGREGATOR_PAUSE_MS
+
     async def _query_node(
         self, address: Address, table: str, after: Position, wait_ms: int
     ) -> FeedAnswer | CallFailed:
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -157,6 +157,7 @@
             clock=clock,
             aggregators=self._aggregators,
             era=lambda: self._store.eras.latest,
+            lost_ms=self._lost_ms,
         )
         self._joining = Joining(
             settings,
--- a/tests/feeds/nodes.py
+++ b/tests/feeds/nodes.py
@@ -2,6 +2,7 @@
 
 from fireflyward.aggregators import Aggregators, Member
 from fireflyward.backing import Position, Unavailable
+from fireflyward.clock import Standstills
 from fireflyward.feeds import (
     Changes,
     FeedFollower,
@@ -86,7 +87,15 @@
             if other != name
         ]
         self.aggregators.set_members(members)
-        self.tables = SharedTables(store, clock=clock, aggregators=self.aggregators)
+        self.standstills = Standstills(clock=clock)
+        self.tables = SharedTables(
+            store,
+            clock=clock,
+            aggregators=self.aggregators,
+            lost_ms=lambda since_ms: self.standstills.lost_ms(
+                clock.now_ms(), since_ms=since_ms
+            ),
+        )
         self.tables.use(self.link)
         self.updates = []
         self.follower = FeedFollower(
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -247,6 +247,24 @@
         self.assertEqual([row.key for row in updates[0].rows], ["k"])
         self.assertLessEqual(max(update.as_of_ms for update in updates), 10_000)
 
+    async def test_a_query_that_fails_in_a_standstill_is_no_fault_of_the_aggregator(
+        self,
+    ):
+        """Guards against nodes that all read from the store after a standstill."""
+        await self.step_both()
+        self.other.standstills.on_tick(self.clock.now_ms())
+        self.first.is_stopped = True
+        self.first.failure_delay_ms = 8_000
+        await self.other.follower.step()
+        self.first.is_stopped = False
+        self.first.tables._cached_by_table["t"].as_of_ms = self.clock.now_ms()
+        self.store.put("k", b"2")
+        await self.first.follower.step()
+        calls = self.store.calls
+        await self.other.follower.step()
+        self.assertEqual(self.store.calls, calls)
+        self.assertEqual(self.other.updates[-1].source, self.first.name)
+
     async def test_few_nodes_query_the_store(self):
         self.other.aggregators.set_members([])
         await self.step_both()
