Hedging: a standstill of this node makes no replica silent

A replica counts as silent if a request waits there for 250 ms without a byte. When this node did not run for a second, the responses had arrived and were not read yet, but the timers found that every replica with a waiting request was silent. If these were few among the replicas heard of in the last 5 s, the node avoided them, closed their idle connections, probed their failure domains and sent the waiting requests a second time. The time for which the process did not run, from 200 ms on, now does not count, and 250 ms follow in which the responses are read.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -88,7 +88,11 @@
             lost_ms=self._lost_ms,
         )
         self._replica_components = ReplicaComponents(
-            settings, clock=clock, pool=self._pool, aggregators=self._aggregators
+            settings,
+            clock=clock,
+            pool=self._pool,
+            aggregators=self._aggregators,
+            lost_ms=self._lost_ms,
         )
         self._directory = self._replica_components.directory
         self._weight_components = WeightComponents(
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -1,11 +1,11 @@
 """The components of a node that track replicas and choose among them."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.deployment import Configuration, FleetSettings
-from fireflyward.hedging import Hedging, SilentReplicaCost
+from fireflyward.hedging import Hedging, SilentReplicaCost, SilentReplicas
 from fireflyward.http1 import ConnectionPool
 from fireflyward.limits import FairAdmission, LocalSums, PeerSums, SumReportTask
 from fireflyward.notices import NoticeTask
@@ -47,7 +47,9 @@
         clock: Clock,
         pool: ConnectionPool,
         aggregators: Aggregators,
+        lost_ms: Callable[[int], int],
     ) -> None:
+        """``lost_ms`` returns for how long this process did not run since a time."""
         self._clock = clock
         self.directory = ReplicaDirectory()
         peer_load = self._peer_load = PeerLoad()
@@ -91,7 +93,7 @@
             failure_domain=settings.failure_domain,
             peers=peer_load,
         )
-        self.hedging = Hedging()
+        self.hedging = Hedging(silent=SilentReplicas(lost_ms=lost_ms))
         self.chooser = Chooser(
             self.directory,
             failure_domain=settings.failure_domain,
--- a/fireflyward/hedging/_silent_replicas.py
+++ b/fireflyward/hedging/_silent_replicas.py
@@ -1,5 +1,7 @@
 """Detects replicas from which no byte arrives while requests wait there."""
 
+from collections.abc import Callable
+
 from fireflyward.replicas import LoadEstimate, ReplicaState, Requirements
 
 # A replica is silent if a send has waited there for this multiple of its overdue time
@@ -14,6 +16,10 @@
 # silent only by sends that wait longer than a second send takes.
 _GIVEN_UP_MS = 1_000
 _FEW_SHARE = 0.4
+# A process that did not run for at least the first time reads within the second what
+# arrived meanwhile. That also covers the inaccuracy of the measured time.
+_STANDSTILL_MS = 200
+_AFTER_STANDSTILL_MS = 250
 # As for a replica to which the last sends failed.
 _SILENT_COST_MS = 5_000.0
 
@@ -36,6 +42,8 @@
     This prevents the following delay: a replica stops responding, and each new request
     is sent there on a kept connection until the kernel closes it after some 3 s. A slow
     replica differs from an unresponsive one by the bytes of its other responses.
+    ``lost_ms`` returns for how long this process did not run since a time: bytes that
+    arrived meanwhile have not been read, so this time does not count.
 
     >>> silent = SilentReplicas()
     >>> send = silent.on_sent(0, 7, overdue_ms=100.0)
@@ -46,9 +54,10 @@
     False
     """
 
-    __slots__ = ("_last_byte_ms_by_id", "_sends_by_id")
+    __slots__ = ("_last_byte_ms_by_id", "_lost_ms", "_sends_by_id")
 
-    def __init__(self) -> None:
+    def __init__(self, *, lost_ms: Callable[[int], int] = lambda since_ms: 0) -> None:
+        self._lost_ms = lost_ms
         self._last_byte_ms_by_id: dict[int, int] = {}
         self._sends_by_id: dict[int, set[WaitingSend]] = {}
 
@@ -88,7 +97,11 @@
         if send.limit_ms is None:
             return None
         heard_ms = self._last_byte_ms_by_id.get(send.replica_id, send.sent_ms)
-        return max(send.sent_ms, heard_ms) + send.limit_ms
+        since_ms = max(send.sent_ms, heard_ms)
+        lost_ms = self._lost_ms(since_ms)
+        if lost_ms >= _STANDSTILL_MS:
+            since_ms += lost_ms + _AFTER_STANDSTILL_MS
+        return since_ms + send.limit_ms
 
     def is_silent(self, now_ms: int, replica_id: int) -> bool:
         """Return whether a send waits for longer than a working replica takes."""
@@ -97,8 +110,12 @@
             given_up_ms = send.given_up_ms
             if given_up_ms is not None and now_ms - given_up_ms >= _GIVEN_UP_MS:
                 self.on_end(send)
-        limits_ms = map(self.silent_at_ms, sends)
-        return any(at_ms is not None and now_ms >= at_ms for at_ms in limits_ms)
+        return any(self._is_overdue(now_ms, send) for send in sends)
+
+    def _is_overdue(self, now_ms: int, send: WaitingSend) -> bool:
+        if send.limit_ms is None or now_ms < send.sent_ms + send.limit_ms:
+            return False
+        return now_ms >= self.silent_at_ms(send)
 
     def count(self, now_ms: int) -> int:
         """Return how many replicas are silent."""
--- a/tests/hedging/test_decisions.py
+++ b/tests/hedging/test_decisions.py
@@ -4,6 +4,7 @@
 
 from hypothesis import given, settings, strategies as st
 
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.hedging import (
     AnswerTimes,
     Refusal,
@@ -57,6 +58,32 @@
             self.silent.on_sent(0, replica_id, overdue_ms=100.0)
             self.assertIs(self.silent.are_few(300), expected)
 
+    def test_a_standstill_of_this_node_makes_no_replica_silent(self):
+        """Guards against requests that are sent twice after a standstill of the node.
+
+        The responses had arrived and were not read yet, and few replicas had requests
+        that waited, so that the silence was taken for the replicas' own.
+        """
+        clock = ManualClock(1_000)
+        standstills = Standstills(clock=clock)
+        standstills.on_tick(1_000)
+        silent = SilentReplicas(
+            lost_ms=lambda since_ms: standstills.lost_ms(
+                clock.now_ms(), since_ms=since_ms
+            )
+        )
+        for replica_id in range(10):
+            silent.on_bytes(1_000, replica_id)
+        sends = [silent.on_sent(1_050, each, overdue_ms=100.0) for each in range(3)]
+        clock._now_ms = 2_300
+        self.assertEqual(silent.count(2_300), 0)
+        self.assertGreater(silent.silent_at_ms(sends[0]), 2_300)
+        standstills.on_tick(2_300)
+        silent.on_bytes(2_310, 0)
+        for clock._now_ms in range(2_500, 2_811, 155):
+            standstills.on_tick(clock.now_ms())
+        self.assertEqual(silent.count(2_810), 3)
+
     def test_new_requests_avoid_a_silent_replica(self):
         """Guards against requests that are sent into a dead connection one by one."""
         directory = ReplicaDirectory()
