Replicas: a delayed report of older weights than the list has changes nothing

A node that stood still may read the list, in which a replica has weights 3, before the announcement that it had loaded weights 2, which had waited. It then believed the older ones until the entry changed, and sent the replica nothing while the older weights may not serve. A report of a version below the listed one is now ignored. If a restored store lets versions go back, the list shows it a heartbeat later.

The new test failed before: version 2 was believed.

--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -217,7 +217,12 @@
         self._loading_until_ms = max(self._loading_until_ms, until_ms)
 
     def on_loaded(self, model: str, version: int) -> None:
-        """Record loaded weights that the replica reported before the list has them."""
+        """Record loaded weights that the replica reported before the list has them.
+
+        A report of older weights than the list has was delayed on its way.
+        """
+        if version < (self.entry.version_of(model) or 0):
+            return
         self._reported_by_model[model] = version
         self.version_by_model = {**self.version_by_model, model: version}
         self._loading_until_ms = 0
--- a/tests/replicas/test_state.py
+++ b/tests/replicas/test_state.py
@@ -32,6 +32,18 @@
         self.state.update_entry(entry("r1", version=3))
         self.assertEqual(self.state.possible_weights(), {("m", 3)})
 
+    def test_a_delayed_report_of_older_weights_changes_nothing(self):
+        """Guards against a replica that is not used for the weights which it has.
+
+        A node that stood still read the list first, and then the announcement of an
+        earlier load, which had waited. The list did not change any more.
+        """
+        self.state.update_entry(entry("r1", version=3))
+        self.state.on_loaded("m", 2)
+        self.assertEqual(self.state.version_by_model, {"m": 3})
+        self.state.update_entry(entry("r1", version=3))
+        self.assertEqual(self.state.version_by_model, {"m": 3})
+
 
 class LoadTests(unittest.TestCase):
     def test_own_late_requests_do_not_count_as_requests_of_other_nodes(self):
