Notices: an answer that waited does not make a limit newer than its end

A node that stood still read a replica's answer with a rate limit, or with the number of rejections that it withstands, seconds after it had arrived. It took the limit for the newest news and announced it to the others with an age of 0 ms, who knew that the limit had ended and believed it again. The time of such an answer is now the earliest at which it may have arrived: the time of reading less the time for which the process did not run since the send.

--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -126,7 +126,10 @@
             is_relayed=self.relays.paths.is_relayed,
         )
         self.notices = NoticeTask(
-            clock=clock, directory=self.directory, peers=aggregators.all_addresses
+            clock=clock,
+            directory=self.directory,
+            peers=aggregators.all_addresses,
+            lost_ms=lost_ms,
         )
         self.streams = StreamTask(
             clock=clock,
--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -53,7 +53,10 @@
         directory: ReplicaDirectory,
         peers: Callable[[], list[Address]],
         seed: int | None = None,
+        lost_ms: Callable[[int], int] = lambda since_ms: 0,
     ) -> None:
+        """``lost_ms`` returns for how long this process did not run since a time."""
+        self._lost_ms = lost_ms
         self._clock = clock
         self._directory = directory
         self._peers = peers
@@ -121,23 +124,33 @@
     def _update_limit(
         self, replica: ReplicaState, facts: ResponseFacts, sent_ms: int
     ) -> bool:
-        now_ms, limit = self._clock.now_ms(), facts.notices.limit
+        known, limit = replica.backpressure.limit, facts.notices.limit
         if isinstance(limit, RateLimit):
-            return replica.backpressure.limit.on_limit_named(now_ms, limit.per_second)
+            as_of_ms = self._answered_ms(sent_ms)
+            return known.on_limit_named(as_of_ms, limit.per_second)
         # Only an answer from the replica itself shows that its limit has ended.
-        if limit is None and facts.is_signed:
-            return replica.backpressure.limit.on_no_limit(now_ms, sent_ms)
+        if limit is None and facts.is_signed and known.per_second is not None:
+            return known.on_no_limit(self._answered_ms(sent_ms), sent_ms)
         return False
 
+    def _answered_ms(self, sent_ms: int) -> int:
+        """Return since when an answer that is read now may have been there.
+
+        Another node may have got a later answer and announced it, while this answer
+        waited because the process did not run.
+        """
+        lost_ms = self._lost_ms(sent_ms)
+        return max(sent_ms, self._clock.now_ms() - lost_ms)
+
     def _update_brittleness(
         self, replica: ReplicaState, facts: ResponseFacts, sent_ms: int
     ) -> bool:
-        now_ms, notice = self._clock.now_ms(), facts.notices.brittle
-        brittle = replica.backpressure.brittle
+        known, notice = replica.backpressure.brittle, facts.notices.brittle
         if isinstance(notice, Brittleness):
-            return brittle.on_limit_named(now_ms, notice.rejections_per_second)
-        if notice is None and facts.is_signed:
-            return brittle.on_no_limit(now_ms, sent_ms)
+            as_of_ms = self._answered_ms(sent_ms)
+            return known.on_limit_named(as_of_ms, notice.rejections_per_second)
+        if notice is None and facts.is_signed and known.per_second is not None:
+            return known.on_no_limit(self._answered_ms(sent_ms), sent_ms)
         return False
 
     def _record_brittleness(self, replica: ReplicaState, source: str) -> None:
--- a/fireflyward/replicas/_backpressure.py
+++ b/fireflyward/replicas/_backpressure.py
@@ -20,12 +20,17 @@
         self.first_ms: float | None = None
         self.granted_ms: int | None = None
 
-    def on_limit_named(self, now_ms: int, per_second: float) -> bool:
-        """Record a limit from an answer; return whether the limit changed."""
-        self.as_of_ms = now_ms
+    def on_limit_named(self, as_of_ms: int, per_second: float) -> bool:
+        """Record a limit from an answer; return whether the limit changed.
+
+        An answer that waited to be read may be older than what other nodes reported.
+        """
+        if self.as_of_ms is not None and as_of_ms < self.as_of_ms:
+            return False
+        self.as_of_ms = as_of_ms
         return self._set(per_second)
 
-    def on_no_limit(self, now_ms: int, sent_ms: int) -> bool:
+    def on_no_limit(self, as_of_ms: int, sent_ms: int) -> bool:
         """Record an answer without a limit; return whether that ends a limit.
 
         An answer to a request from before the last report of the limit is ignored:
@@ -33,7 +38,7 @@
         """
         if self.per_second is None or sent_ms <= self.as_of_ms:
             return False
-        self.as_of_ms = now_ms
+        self.as_of_ms = max(self.as_of_ms, as_of_ms)
         return self._set(None)
 
     def on_limit_update(self, as_of_ms: int, per_second: float | None) -> bool:
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.http1 import Head
 from fireflyward.notices import NoticeTask
 from fireflyward.platform import decode_response
@@ -36,13 +36,17 @@
         self.first = self.node()
         self.second = self.node()
 
-    def node(self):
+    def node(self, **options):
         directory = ReplicaDirectory()
         entries = [entry("r1", started_ms=5), entry("r2", started_ms=5)]
         directory.on_full_read(0, entries)
         link = _Link()
         task = NoticeTask(
-            clock=self.clock, directory=directory, peers=lambda: PEERS, seed=1
+            clock=self.clock,
+            directory=directory,
+            peers=lambda: PEERS,
+            seed=1,
+            **options,
         )
         task.use(link)
         return directory, task, link
@@ -187,6 +191,33 @@
         await self.deliver()
         self.assertIsNone(self.limit(self.second))
 
+    async def test_an_answer_that_waited_does_not_bring_back_a_limit(self):
+        """Guards against a node that tells the others a limit which has ended.
+
+        The node stood still, and read the answer with the limit after another node had
+        got a later answer without one.
+        """
+        standstills = Standstills(clock=self.clock)
+        self.first = self.node(
+            lost_ms=lambda since_ms: standstills.lost_ms(
+                self.clock.now_ms(), since_ms=since_ms
+            )
+        )
+        sent_ms = self.clock.now_ms()
+        standstills.on_tick(sent_ms)
+        await self.clock.advance_ms(100)
+        self.answer(SIGNED, ("server-limit", "3.5"), node=self.second)
+        await self.clock.advance_ms(3_000)
+        self.answer(SIGNED, node=self.second)
+        await self.clock.advance_ms(5_000)
+        self.answer(SIGNED, ("server-limit", "3.5"), sent_ms=sent_ms)
+        await self.deliver()
+        self.assertEqual(self.limit(self.first), 3.5)
+        self.assertIsNone(self.limit(self.second))
+        (_, message) = self.second[2].sent[-1]
+        await self.first[2].handle("n2", message)
+        self.assertIsNone(self.limit(self.first))
+
     async def test_that_a_replica_is_leaving_is_announced_and_never_revoked(self):
         self.answer(SIGNED, ("server-leaving", "1"))
         await self.deliver()
