Peers: a call whose caller has gone is not handled

Calls that arrive while a node stands still wait in the kernel until it goes on, and by then their callers have given up. The node handled all of them: each held one of its 512 connections while its handler waited for changes, and each tunnel that was asked for opened a connection to a replica that nobody used. Before a request is handled, the socket now shows whether the caller has closed the connection, at the cost of one system call for each call between nodes.

The new test failed before: the request of a closed connection was handled.

--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -15,7 +15,7 @@
 from ._handler import Handle, Handler
 from ._node_structs import Behind, Envelope
 from ._replay import Freshness, ReplayGuard
-from ._streams import LENGTH, OpenedStream, StreamReply, request_stream
+from ._streams import LENGTH, OpenedStream, StreamReply, has_hung_up, request_stream
 
 log = logging.getLogger("fireflyward.peers")
 
@@ -269,7 +269,7 @@
         freshness = self._check_freshness(envelope)
         if freshness is Freshness.BEHIND:
             reply, kind = self._make_behind(envelope), _BEHIND
-        elif freshness is Freshness.REPEATED:
+        elif freshness is Freshness.REPEATED or has_hung_up(writer):
             return False
         else:
             reply, kind = await self._call_handler(envelope), _REPLY
--- a/fireflyward/peers/_streams.py
+++ b/fireflyward/peers/_streams.py
@@ -1,6 +1,7 @@
 """Calls between nodes whose connection carries raw bytes after the reply."""
 
 import asyncio
+import select
 import struct
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -37,6 +38,20 @@
     transport: asyncio.Transport
 
 
+def has_hung_up(writer: asyncio.StreamWriter) -> bool:
+    """Return whether the other end has closed a connection.
+
+    A caller closes its connection when its time has passed. The event loop may not have
+    read the end yet, since the request lies before it.
+    """
+    raw = writer.get_extra_info("socket")
+    if raw is None:
+        return True
+    poll = select.poll()
+    poll.register(raw.fileno(), select.POLLRDHUP)
+    return bool(poll.poll(0))
+
+
 async def request_stream(
     address: tuple[str, int], frame: bytes
 ) -> tuple[asyncio.Transport, bytes]:
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -221,6 +221,29 @@
             await self.wait_until(lambda: self.server._connection_count == 0)
             self.assertEqual(await self.call(peer), MESSAGE)
 
+    async def test_a_call_whose_caller_has_gone_is_not_handled(self):
+        """Guards against work for calls that waited while this process stood still.
+
+        Each of them held one of the connections that are served at once, and opened a
+        tunnel to a replica that nobody used.
+        """
+        address = self.server.address
+        frame = PeerCodec((KEY,)).seal(
+            Envelope(
+                sender="entry-2",
+                incarnation=1,
+                sequence=9,
+                kind="k",
+                body=pack(MESSAGE),
+            )
+        )
+        with socket.create_connection(address) as caller:
+            caller.sendall(struct.pack("!I", len(frame)) + frame)
+        served = self.server._tasks
+        await self.wait_until(lambda: self.server.bytes_received)
+        await self.wait_until(lambda: not served)
+        self.assertEqual(self.received_senders, [])
+
     async def test_silent_peer_fails_the_call(self):
         self.gate.clear()
         peer = await self.start("entry-2")
