Prefixes: nothing is fetched from a KV store of which the news is old

After a store has restarted, nodes save parts to it again once every node that runs must have detected the restart, 4.85 s later. A node that stood still has not, and its first requests fetched parts by an index from before: a part that another node is saving at that moment is only half written, and the store does not check that. The updates of its aggregator that had waited in its socket, and an answer of the store that had waited, even counted as new.

An index is now valid for 3.15 s after its last update, within which a node that runs gets another one or finds that the store does not answer. What waited to be read is applied but does not make the index valid for longer, and an aggregator does not answer from an index that is not valid. Until the next update a prompt is read without the store.

--- a/fireflyward/fleet/_kv_stores.py
+++ b/fireflyward/fleet/_kv_stores.py
@@ -34,7 +34,10 @@
         clock: Clock,
         aggregators: Aggregators,
         run_or_exit: Callable[[Run], Run],
+        lost_ms: Callable[[int], int],
     ) -> None:
+        """``lost_ms`` returns for how long this process did not run since a time."""
+        self._lost_ms = lost_ms
         self._planner = planner
         self._clock = clock
         self._run_or_exit = run_or_exit
@@ -87,6 +90,7 @@
             clock=self._clock,
             mode=self._publisher.mode,
             on_read=self._on_read,
+            lost_ms=self._lost_ms,
         )
         self._follower_by_address[address] = follower
         run = self._run_or_exit(follower.run())
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -224,6 +224,7 @@
             clock=clock,
             aggregators=self._aggregators,
             run_or_exit=self._run_or_exit,
+            lost_ms=self._lost_ms,
         )
         self._status_server = StatusServer(
             self._metrics,
--- a/fireflyward/prefixes/_follow.py
+++ b/fireflyward/prefixes/_follow.py
@@ -29,6 +29,14 @@
 # A call to the aggregator and its answer, with one lost packet. The complete list of a
 # store has some 150 KB.
 AGGREGATOR_CALL_LIMIT_MS = 600
+# A node that runs receives an update, or finds that the store does not answer, within
+# this time after its last update.
+_VALID_MS = (
+    _AGGREGATOR_TIMEOUT_MS
+    + AGGREGATOR_CALL_LIMIT_MS
+    + _LISTENER_WAIT_MS
+    + _CALL_OVERHEAD_LIMIT_MS
+)
 # After a store has restarted, nodes save nothing to it until every node has detected
 # the restart. The aggregator detects it by its own call. A listener that misses the
 # aggregator's update calls the aggregator after its timeout, and the store if that call
@@ -79,7 +87,10 @@
         clock: Clock,
         mode: Callable[[], FollowMode],
         on_read: Callable[[str, KvUpdate], None] = lambda address, update: None,
+        lost_ms: Callable[[int], int] = lambda since_ms: 0,
     ) -> None:
+        """``lost_ms`` returns for how long this process did not run since a time."""
+        self._lost_ms = lost_ms
         self._index = index
         self._reader = reader
         self._clock = clock
@@ -114,6 +125,7 @@
         """Make one call; return whether the store answered."""
         index = self._index
         self._gap_detected.clear()
+        sent_ms = self._clock.now_ms()
         waits_long = self._mode() is not FollowMode.FROM_AGGREGATOR
         update = await self._reader.kv_events(
             index.address,
@@ -137,10 +149,16 @@
             index.apply(snapshot)
         self._on_read(index.address, update)
         self._last_update_ms = self._clock.now_ms()
+        # The answer may have waited for as long as this process did not run.
+        answered_ms = max(sent_ms, self._last_update_ms - self._lost_ms(sent_ms))
+        index.valid_until_ms = answered_ms + _VALID_MS
         return True
 
-    def on_update(self, update: KvUpdate) -> None:
-        """Apply an aggregator's update, if it continues this node's own state."""
+    def on_update(self, update: KvUpdate, *, has_waited: bool = False) -> None:
+        """Apply an aggregator's update, if it continues this node's own state.
+
+        One that has waited to be read does not show that the store has not restarted.
+        """
         index = self._index
         if update.epoch != index.epoch and update.since == 0:
             self._begin_epoch(update.epoch)
@@ -148,6 +166,8 @@
             self._gap_detected.set()
             return
         self._last_update_ms = self._clock.now_ms()
+        if not has_waited:
+            index.valid_until_ms = self._last_update_ms + _VALID_MS
         if index.next_event < update.next_event:
             # The update may begin with events that this node already has. Applying them
             # again is harmless, because the update also contains all later ones.
--- a/fireflyward/prefixes/_index.py
+++ b/fireflyward/prefixes/_index.py
@@ -1,5 +1,6 @@
 """Tracks what one KV store holds, from the events that the store reports."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 
@@ -54,6 +55,10 @@
     this. A store that has restarted is empty, so its index is cleared. Nothing is
     fetched from an unreachable store, because each such fetch would delay the caller by
     some hundred ms.
+
+    Nor is anything fetched from ``valid_until_ms`` on. Once all nodes that run have
+    detected a restart of the store, they save parts to it again. A node that stood
+    still and has not detected it would fetch a part that is only half written.
     """
 
     __slots__ = (
@@ -66,6 +71,7 @@
         "epoch",
         "is_up",
         "next_event",
+        "valid_until_ms",
     )
 
     def __init__(self, address: str, capacity_tokens: int) -> None:
@@ -73,6 +79,7 @@
         self.epoch: int | None = None
         self.next_event = 0
         self.is_up = False
+        self.valid_until_ms = math.inf
         self._capacity = capacity_tokens
         self._used = 0
         self._no_saves_until_ms = 0
@@ -132,7 +139,7 @@
         self.is_up = False
 
     def has(self, key: PartKey) -> bool:
-        """Return whether a part can be fetched now."""
+        """Return whether a part can be fetched while the content is valid."""
         return self.is_up and key in self._tokens_by_key
 
     def reserve_save(self, now_ms: int, key: PartKey, tokens: int) -> bool:
--- a/fireflyward/prefixes/_planner.py
+++ b/fireflyward/prefixes/_planner.py
@@ -88,7 +88,7 @@
         stored_tokens = 0
         for part_id, tokens in parts[:-1]:
             key = PartKey(salt, part_id)
-            index = self._find_store(key)
+            index = self._find_store(key, now_ms)
             if index is not None:
                 sources.append(index.address)
                 saves.append(None)
@@ -106,9 +106,11 @@
             if self._find_store(PartKey(salt, part_id)) is not None
         )
 
-    def _find_store(self, key: PartKey) -> StoreIndex | None:
-        """Return a store that has the complete part."""
+    def _find_store(self, key: PartKey, now_ms: int | None = None) -> StoreIndex | None:
+        """Return a store that has the complete part, and may be fetched from now."""
         for index in self._index_by_address.values():
+            if now_ms is not None and now_ms >= index.valid_until_ms:
+                continue
             if index.has(key):
                 return index
         return None
--- a/fireflyward/prefixes/_publisher.py
+++ b/fireflyward/prefixes/_publisher.py
@@ -81,7 +81,13 @@
 
     def use(self, link: PeerLink) -> None:
         """Register the handler for the aggregator's updates on a link."""
-        link.register(_KIND, StoresNews, self._on_store_events)
+        link.register(
+            _KIND,
+            StoresNews,
+            self._on_store_events,
+            expires=True,
+            handle_delayed=self._on_delayed_events,
+        )
 
     def publish(self, link: PeerLink) -> None:
         """Send the neighbours the updates that were read since the last call."""
@@ -92,11 +98,17 @@
             link.send_all(neighbours, _KIND, message)
 
     async def _on_store_events(self, sender: str, message: Any) -> None:
+        self._apply(message, has_waited=False)
+
+    async def _on_delayed_events(self, sender: str, message: Any) -> None:
+        self._apply(message, has_waited=True)
+
+    def _apply(self, message: Any, *, has_waited: bool) -> None:
         follower_by_address = dict(self._followers())
         for store_events in message.stores:
             follower = follower_by_address.get(store_events.address)
             if follower is not None:
-                follower.on_update(decode(store_events))
+                follower.on_update(decode(store_events), has_waited=has_waited)
 
 
 def encoded_bytes(address: str, update: KvUpdate) -> int:
--- a/fireflyward/prefixes/_sharing.py
+++ b/fireflyward/prefixes/_sharing.py
@@ -156,6 +156,8 @@
         index = self._index_of(request.address)
         if index is None or index.epoch is None or not index.is_up:
             return StoreAnswer(outcome=_UNABLE)
+        if self._clock.now_ms() >= index.valid_until_ms:
+            return StoreAnswer(outcome=_UNABLE)
         if request.is_whole:
             return StoreAnswer(
                 outcome=_WHOLE, events=encode(request.address, index.snapshot())
--- a/tests/prefixes/test_follow.py
+++ b/tests/prefixes/test_follow.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from fireflyward.clock import ManualClock
+from fireflyward.clock import ManualClock, Standstills
 from fireflyward.prefixes import (
     FollowMode,
     KvEvent,
@@ -58,7 +58,7 @@
 
 
 class _Node:
-    def __init__(self, store, mode, clock):
+    def __init__(self, store, mode, clock, **options):
         self.index = StoreIndex(ADDRESS, 100_000)
         self.mode = mode
         self.read = []
@@ -68,6 +68,7 @@
             clock=clock,
             mode=lambda: self.mode,
             on_read=lambda address, update: self.read.append(update),
+            **options,
         )
 
 
@@ -205,6 +206,48 @@
         self.assertFalse(self.listener.index.has(key(1)))
         self.assertFalse(self.aggregator.index.reserve_save(1_650, key(1), 400))
 
+    async def test_what_waited_does_not_make_an_index_valid_for_longer(self):
+        """Guards against fetching a part that is half written after a standstill.
+
+        The store restarted while the node stood still, and its last update from before
+        had waited to be read.
+        """
+        await self.listener.follower.step()
+        valid_until_ms = self.listener.index.valid_until_ms
+        self.assertLess(valid_until_ms, 4_850)
+        await self.aggregator.follower.step()
+        (update,) = self.aggregator.read
+        self.clock._now_ms = 8_000
+        self.listener.follower.on_update(update, has_waited=True)
+        self.assertEqual(self.listener.index.valid_until_ms, valid_until_ms)
+        self.listener.follower.on_update(update)
+        self.assertGreater(self.listener.index.valid_until_ms, 8_000)
+
+    async def test_an_answer_that_waited_does_not_make_an_index_valid_for_longer(
+        self,
+    ):
+        """Guards against fetching a part that is half written after a standstill."""
+        standstills = Standstills(clock=self.clock)
+        node = _Node(
+            self.store,
+            FollowMode.INDEPENDENT,
+            self.clock,
+            lost_ms=lambda since_ms: standstills.lost_ms(
+                self.clock.now_ms(), since_ms=since_ms
+            ),
+        )
+        standstills.on_tick(0)
+        answer = self.store.kv_events
+
+        async def answer_and_stand_still(*args, **options):
+            update = await answer(*args, **options)
+            self.clock._now_ms = 8_000
+            return update
+
+        self.store.kv_events = answer_and_stand_still
+        await node.follower.step()
+        self.assertLess(node.index.valid_until_ms, 4_850)
+
     async def test_a_listener_without_an_aggregator_calls_the_store(self):
         await self.enterAsyncContext(_Running(self.listener.follower))
         await self.clock.advance_ms(10)
--- a/tests/prefixes/test_planner.py
+++ b/tests/prefixes/test_planner.py
@@ -35,6 +35,18 @@
             events = tuple(KvEvent(PartKey(salt, name), n) for name, n in PARTS)
             index.apply(KvUpdate(1, events, 0))
 
+    def test_nothing_is_fetched_from_a_store_of_which_the_news_is_old(self):
+        """Guards against fetching a part that is half written after a standstill.
+
+        The store restarted while the node stood still, and other nodes save the part
+        to it again.
+        """
+        self.fill("m~1")
+        for index in self.planner.indexes():
+            index.valid_until_ms = 3_000
+        self.assertNotIn("r1:80", self.plan(now_ms=2_999).sources)
+        self.assertEqual(self.plan(now_ms=3_000).sources, ("r1:80", "r1:80", None))
+
     def test_unstored_parts_are_fetched_from_a_replica_and_saved(self):
         plan = self.plan()
         self.assertEqual(plan.sources, ("r1:80", "r1:80", None))
--- a/tests/prefixes/test_publisher.py
+++ b/tests/prefixes/test_publisher.py
@@ -19,7 +19,7 @@
     def __init__(self):
         self.sent = []
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         self.handle = handle
 
     def send_all(self, addresses, kind, message):
@@ -30,7 +30,7 @@
     def __init__(self):
         self.updates = []
 
-    def on_update(self, update):
+    def on_update(self, update, *, has_waited):
         self.updates.append(update)
 
 
