Replicas: a removed replica is listed again only by a list that is read later

After the store was restored from an older copy, a replica that this node saw leave stays away for the 6 s in which its entry expires unless it renews it; if the store lists it then, it is listed again. A node that stood still did not read the list in that time, and took the passing of the 6 s for the proof: when it went on it sent requests to a replica that was gone. The list must now be known as of the end of that time.

The new test failed before: the replica was listed again at 9,000 ms, with a list last confirmed at 100 ms.

--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -239,13 +239,18 @@
         renewed = [
             unconfirmed.entry
             for unconfirmed in self._unconfirmed_by_name.values()
-            if now_ms >= unconfirmed.until_ms
+            if self._is_list_known_at(now_ms, unconfirmed.until_ms)
         ]
         dropped += self._add(now_ms, renewed)
         if dropped or renewed:
             self._rebuild_indexes()
         return dropped
 
+    def _is_list_known_at(self, now_ms: int, at_ms: int) -> bool:
+        """Return whether a time has passed, and this node knows the list of then."""
+        as_of_ms = self.confirmation.as_of_ms
+        return now_ms >= at_ms and (as_of_ms is None or as_of_ms >= at_ms)
+
     def _new_in_snapshot(
         self, now_ms: int, restored_by_name: Mapping[str, ReplicaEntry]
     ) -> list[ReplicaEntry]:
--- a/tests/replicas/test_older_snapshot.py
+++ b/tests/replicas/test_older_snapshot.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from fireflyward.replicas import ReplicaDirectory
+from fireflyward.replicas import ListConfirmation, ReplicaDirectory
 
 from .makers import entry
 
@@ -51,6 +51,21 @@
         self.directory.expire(6_100)
         self.assertEqual(self.names(), ["r1", "r2"])
 
+    def test_a_replica_is_not_listed_again_before_the_list_is_read_again(self):
+        """Guards against requests to a replica that is gone, after a standstill.
+
+        The time in which its entry would have expired passed while this node did not
+        read the list, which no longer has the entry.
+        """
+        self.change(removed=["r1"])
+        self.restore(100, entry("r1"), entry("r2"))
+        self.directory.confirmation = ListConfirmation(100, "store")
+        self.directory.expire(9_000)
+        self.assertEqual(self.names(), ["r2"])
+        self.directory.confirmation = ListConfirmation(9_100, "store")
+        self.directory.expire(9_100)
+        self.assertEqual(self.names(), ["r1", "r2"])
+
     def test_a_second_read_does_not_restart_the_wait_for_a_renewed_entry(self):
         self.change(removed=["r1"])
         for now_ms in (100, 3_000):
