Replicas: a request to a cold replica that is sent late counts when it is sent

A request to a cold replica is counted up to 400 ms after it was chosen, by when it is sent. One that was chosen before a standstill goes out when the node runs again, and the node sent the replica its whole share besides in the same second. A cold replica crashes under more requests than it sustains. A send whose counted time has passed is now counted again.

The new test failed before: a second request was allowed at once.

--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -135,10 +135,16 @@
         self._cold_request_ms.append(latest_ms)
 
     def on_cold_sent(self, now_ms: int) -> None:
-        """Record that a request which was counted in advance is sent now."""
+        """Record that a request which was counted in advance is sent now.
+
+        It counts again if the time for which it was counted has passed, as when this
+        process did not run.
+        """
         if self._cold_request_ms and self._cold_request_ms[-1] > now_ms:
             self._cold_request_ms[-1] = now_ms
             self._cold_request_ms.sort()
+        elif self.is_cold(now_ms):
+            self._cold_request_ms.append(now_ms)
 
     def cold_sends_since(self, since_ms: int) -> int:
         """Return how many requests may have been sent after ``since_ms``."""
--- a/tests/replicas/test_cold.py
+++ b/tests/replicas/test_cold.py
@@ -268,3 +268,14 @@
         self.shares.on_granted(0, self.state)
         self.assertFalse(self.may_send(1_399))
         self.assertTrue(self.may_send(1_400))
+
+    def test_a_request_that_is_sent_after_a_standstill_counts_then(self):
+        """Guards against two requests that reach a cold replica in one second.
+
+        The node did not run for longer than the replica was counted as used, and sent
+        the request that it had chosen before when it went on.
+        """
+        self.shares.on_granted(0, self.state)
+        self.state.on_cold_sent(2_000)
+        self.assertFalse(self.may_send(2_999))
+        self.assertTrue(self.may_send(3_000))
