--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -82,10 +82,17 @@
         self._planner = PartPlanner()
         self._api = ReplicaApi(self._pool, clock=clock)
         self._aggregators = Aggregators(
-            settings.node, settings.failure_domain, link_mbps=settings.link_mbps
+            settings.node,
+            settings.failure_domain,
+            link_mbps=settings.link_mbps,
+            lost_ms=self._lost_ms,
         )
         self._replica_components = ReplicaComponents(
-            settings, clock=clock, pool=self._pool, aggregators=self._aggregators
+            settings,
+            clock=clock,
+            pool=self._pool,
+            aggregators=self._aggregators,
+            lost_ms=self._lost_ms,
         )
         self._directory = self._replica_components.directory
         self._weight_components = WeightComponents(
@@ -154,6 +161,7 @@
             clock=clock,
             aggregators=self._aggregators,
             era=lambda: self._store.eras.latest,
+            lost_ms=self._lost_ms,
         )
         self._joining = Joining(
             settings,
@@ -164,6 +172,7 @@
             on_nodes=self._on_nodes,
             on_rows=self._on_rows,
             on_link=self._on_link,
+            standstills=self._standstills,
         )
         # A restored store may lack the rows that nodes wrote about themselves. All
         # nodes read these rows, so this node reads the table at once and writes its
@@ -216,6 +225,7 @@
             clock=clock,
             aggregators=self._aggregators,
             run_or_exit=self._run_or_exit,
+            lost_ms=self._lost_ms,
         )
         self._status_server = StatusServer(
             self._metrics,
@@ -319,6 +329,10 @@
         self._pool.close()
         self._store.close()
 
+    def _lost_ms(self, since_ms: int) -> int:
+        """Return for how long this process did not run since a time."""
+        return self._standstills.lost_ms(self._clock.now_ms(), since_ms=since_ms)
+
     def _make_forwarder(self) -> Forwarder:
         return Forwarder(
             clock=self._clock,
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -135,10 +135,16 @@
         self._cold_request_ms.append(latest_ms)
 
     def on_cold_sent(self, now_ms: int) -> None:
-        """Record that a request which was counted in advance is sent now."""
+        """Record that a request which was counted in advance is sent now.
+
+        It counts again if the time for which it was counted has passed, as when this
+        process did not run.
+        """
         if self._cold_request_ms and self._cold_request_ms[-1] > now_ms:
             self._cold_request_ms[-1] = now_ms
             self._cold_request_ms.sort()
+        elif self.is_cold(now_ms):
+            self._cold_request_ms.append(now_ms)
 
     def cold_sends_since(self, since_ms: int) -> int:
         """Return how many requests may have been sent after ``since_ms``."""
@@ -217,7 +223,12 @@
         self._loading_until_ms = max(self._loading_until_ms, until_ms)
 
     def on_loaded(self, model: str, version: int) -> None:
-        """Record loaded weights that the replica reported before the list has them."""
+        """Record loaded weights that the replica reported before the list has them.
+
+        A report of older weights than the list has was delayed on its way.
+        """
+        if version < (self.entry.version_of(model) or 0):
+            return
         self._reported_by_model[model] = version
         self.version_by_model = {**self.version_by_model, model: version}
         self._loading_until_ms = 0
