Soak: nodes stand still or restart while weights are replaced

No soak named a version while nodes stood still, so requests that began on weights that had been replaced longer ago than allowed were found by users first.

Checked with the rule's bounds (8 s or 12 s) is what begins on older weights, by when a node and the store were last disturbed. What nodes sent that were disturbed in the 3 s before is counted apart. 18 s after the last version not more than one engine and a tenth have older weights, and requests are served as before.

The proxies' callers got class attributes for their timeouts and the nodes their settings from the fleet; values of the other modes are unchanged.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -31,6 +31,13 @@
         action="store_true",
         help="replicas of several software versions, and prompts that crash them",
     )
+    parser.add_argument(
+        "--standstills",
+        action="store_true",
+        help="nodes stand still or restart while weights are replaced; a seed lasts "
+        "until the effects can be judged",
+    )
+    parser.add_argument("--logs", help="folder for the nodes' logs of seeds that fail")
     options = parser.parse_args()
     first = options.first
     if first is None:
@@ -44,9 +51,13 @@
                 options.nodes,
                 has_partitions=options.partitions,
                 has_upgrades=options.upgrades,
+                has_standstills=options.standstills,
+                log_folder=options.logs,
             )
         )
         print(f"seed {seed}: {dict(counts)}, {len(history)} faults", flush=True)
+        if options.standstills:
+            print(f"  faults: {', '.join(history)}", flush=True)
         for line in violations[:10]:
             print(f"  violation: {line}", flush=True)
         if violations:
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -5,7 +5,6 @@
 
 import aiohttp
 
-_TIMEOUT_S = 6
 STREAM_EVENTS = 12
 
 
@@ -28,6 +27,9 @@
     A node may have stopped being ready.
     """
 
+    deadline_ms = 4_000
+    timeout_s = 6
+
     def __init__(self, name, random, nodes, keys, results):
         self._name = name
         self._random = random
@@ -37,7 +39,7 @@
         self._count = 0
 
     async def run(self):
-        timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+        timeout = aiohttp.ClientTimeout(total=self.timeout_s)
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 await self._send_request(session)
@@ -58,7 +60,7 @@
             "Host": "h.example",
             "Authorization": f"Bearer {key}",
             "X-Request-Id": request_id,
-            "X-Deadline-Ms": "4000",
+            "X-Deadline-Ms": str(self.deadline_ms),
         }
         if path == "/s/x":
             prefix = f"common:300,{self._random.randrange(9)}:500,{request_id}:100"
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -28,6 +28,8 @@
         self, seed, folder, nodes, *, replica_zones=ZONES, has_node_links=False
     ):
         self.node_count = nodes
+        self.node_settings = {}
+        self.caller_count = 8
         self.replica_zones = replica_zones
         self.random = random.Random(seed)
         self.folder = folder
@@ -60,13 +62,23 @@
             await link.start()
             self.store_links.append(link)
             zone = ZONES[number % len(ZONES)]
-            node = NodeProcess(f"entry-{number}", self.folder, link.address, zone)
+            node = NodeProcess(
+                f"entry-{number}",
+                self.folder,
+                link.address,
+                zone,
+                **self.node_settings,
+            )
             await node.start()
             self.nodes.append(node)
         async with asyncio.timeout(_START_TIMEOUT_S):
             while not all([await node.is_ready() for node in self.nodes]):
                 await asyncio.sleep(0.1)
 
+    async def pass_time(self, seconds):
+        """Wait until the seed ends."""
+        await asyncio.sleep(seconds)
+
     def initial_replicas(self):
         replicas = [ReplicaStandIn(f"p-{n}") for n in (1, 2, 3)]
         return replicas + [_engine(f"e-{n}") for n in (1, 2, 3)]
--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -20,13 +20,14 @@
 class NodeProcess:
     """A ``python -m fireflyward.fleet`` process, connected through proxies."""
 
-    def __init__(self, name, folder, store_address, zone):
+    def __init__(self, name, folder, store_address, zone, **settings):
         self.name = name
         self.ports = _free_ports(3)
         self.is_planned_stop = False
         self._folder = Path(folder)
         self._store_address = store_address
         self._zone = zone
+        self._settings = settings
         self._process = None
 
     @property
@@ -39,8 +40,8 @@
 
     async def start(self):
         path = self._folder / f"{self.name}.json"
-        identity = {"node-name": self.name, "zone": self._zone}
-        path.write_text(settings_text(self._store_address, self.ports, **identity))
+        changes = {"node-name": self.name, "zone": self._zone, **self._settings}
+        path.write_text(settings_text(self._store_address, self.ports, **changes))
         self.is_planned_stop = False
         with self.log.open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -2,16 +2,18 @@
 
 import asyncio
 import random
+import shutil
 import tempfile
+from pathlib import Path
 
 from ._departures import Departures
 from ._faults import AddedFaults, Faults
 from ._fleet import ZONES, SoakFleet
 from ._partitions import Partitions
+from ._standstills import StandstillFleet, Standstills
 from ._upgrades import UpgradeFleet, Upgrades
 
 _NODES = 3
-_CALLERS = 8
 
 
 async def run_seed(
@@ -22,6 +24,8 @@
     is_older_seed=False,
     has_partitions=False,
     has_upgrades=False,
+    has_standstills=False,
+    log_folder=None,
 ):
     """Run one seed; return the violations, counts, and the faults.
 
@@ -31,11 +35,15 @@
     excused by another fault. ``is_older_seed`` leaves out ``AddedFaults`` and
     ``Departures``, which did not exist when the seed was first run. With
     ``has_partitions`` the only faults are those of ``Partitions``, and with
-    ``has_upgrades`` those of ``Upgrades``.
+    ``has_upgrades`` those of ``Upgrades``. With ``has_standstills`` they are those of
+    ``Standstills``, and the seed lasts until their effects can be judged. The logs of
+    nodes are copied to ``log_folder`` if there are violations.
     """
     with tempfile.TemporaryDirectory() as folder:
         zones = ZONES[:1] if is_older_seed else ZONES
         kind = UpgradeFleet if has_upgrades else SoakFleet
+        if has_standstills:
+            kind = StandstillFleet
         fleet = kind(
             seed, folder, nodes, replica_zones=zones, has_node_links=has_partitions
         )
@@ -47,6 +55,8 @@
         fault_kinds = _fault_kinds(seed, is_older_seed, has_partitions)
         if has_upgrades:
             fault_kinds = [(5, Upgrades)]
+        if has_standstills:
+            fault_kinds = [(6, Standstills)]
         faults = [
             kind(random.Random(seed + offset), fleet) for offset, kind in fault_kinds
         ]
@@ -54,10 +64,10 @@
             asyncio.create_task(
                 fleet.make_caller(number, random.Random(f"{seed}/{number}")).run()
             )
-            for number in range(_CALLERS)
+            for number in range(fleet.caller_count)
         ]
         tasks += [asyncio.create_task(injector.run()) for injector in faults]
-        await asyncio.sleep(seconds)
+        await fleet.pass_time(seconds)
         for task in tasks:
             task.cancel()
         results = await asyncio.gather(*tasks, return_exceptions=True)
@@ -80,9 +90,17 @@
         for injector in faults:
             if isinstance(injector, Partitions):
                 violations += injector.violations(fleet.result_by_id.values())
+        if violations and log_folder is not None:
+            _copy_logs(fleet, Path(log_folder) / str(seed))
         return violations, counts, history
 
 
+def _copy_logs(fleet, folder):
+    folder.mkdir(parents=True, exist_ok=True)
+    for node in fleet.nodes:
+        shutil.copy(node.log, folder)
+
+
 def _fault_kinds(seed, is_older_seed, has_partitions):
     """Return the classes of faults of a seed, and what their draws add to it."""
     if has_partitions:
--- a/tests/soak/_withdrawals.py
+++ b/tests/soak/_withdrawals.py
@@ -35,6 +35,10 @@
 
         return end
 
+    def periods(self, subject):
+        """Return the begin and the end of each fault of a subject."""
+        return [tuple(period) for period in self._periods_by_subject.get(subject, ())]
+
     def excuse(self, subjects, at_s):
         """Return whether a subject had a fault shortly before a time."""
         return any(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,6 +25,12 @@
     "and could not be brought to it again; nodes that had been slow to answer were not "
     "asked as relays for up to 4 s",
 }
+_STANDSTILL_REGRESSIONS = {
+    101: "a node counted the time that a version allows to older weights from when it "
+    "heard of the version, so nodes that had stood still sent to them for 8.5 s more",
+    102: "the same, for requests that then waited at an engine",
+    107: "the same, beside engines that ran slowly and orders without a response",
+}
 _DEPARTURE_REGRESSIONS = {
     2: "a failed read of one node counted as an outage of the store, after which a "
     "removed replica stayed in use",
@@ -51,6 +57,20 @@
         for seed in (7001, *_UPGRADE_REGRESSIONS):
             self.check(seed, _UPGRADE_SECONDS, has_upgrades=True)
 
+    def test_standstills(self):
+        async def run_together():
+            return await asyncio.gather(
+                *(
+                    run_seed(seed, 0.0, has_standstills=True)
+                    for seed in _STANDSTILL_REGRESSIONS
+                )
+            )
+
+        results = zip(_STANDSTILL_REGRESSIONS, asyncio.run(run_together()), strict=True)
+        for seed, (violations, counts, _) in results:
+            with self.subTest(seed=seed):
+                self.assertEqual(violations, [], counts)
+
     def test_departures(self):
         for seed in _DEPARTURE_REGRESSIONS:
             self.check(seed, _DEPARTURE_SECONDS)
