--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -44,6 +44,7 @@
 from ._stream_version import StreamVersion
 from ._trace import Trace
 from ._waiting_sends import WithdrawableSend
+from ._weights_check import WeightsCheck
 
 # A replica is a few ms away, and TCP resends a lost packet after 200 ms.
 _CONNECT_TIMEOUT_MS = 350
@@ -73,6 +74,7 @@
         "_stream_version",
         "_trace",
         "_waits_late",
+        "_weights_check",
     )
 
     def __init__(
@@ -120,6 +122,9 @@
         self._replica_choice = ReplicaChoice(
             deps.chooser, self._requirements, self._progress, clock=deps.clock
         )
+        self._weights_check = WeightsCheck(
+            deps.weights, caller.model, trace, clock=deps.clock
+        )
         self._quarantine_check = QuarantineCheck(
             deps.gate,
             trace.fingerprint,
@@ -200,7 +205,9 @@
                 # receive a request whose caller no longer waits.
                 self._deps.pool.release(connection)
                 return NoReplica()
-            if backpressure.changes == changes and self._weights_may_serve(choice):
+            if backpressure.changes == changes and self._weights_check.may_serve(
+                choice
+            ):
                 self._quarantine_check.on_send(choice)
                 return await self._send_raced(connection, choice)
             # Meanwhile the replica changed its limit or backoff, it must get no new
@@ -302,7 +309,7 @@
                 connection, choice, race, 1
             ),
             left_ms=self._left_ms,
-            is_valid=self._weights_may_serve,
+            is_valid=self._weights_check.may_serve,
         )
         overdue_ms = self._deps.hedging.times.overdue_ms(
             self._allowed.route.name, choice.first_token_ms
@@ -342,8 +349,7 @@
             replica.in_flight += 1
         self._trace.sends += 1
         self._trace.sent_after_ms = self._elapsed_ms()
-        if self._caller.model:
-            self._trace_weights(choice)
+        self._weights_check.on_send(choice)
         self._trace.stored_tokens = headers.stored_tokens
         self._replica_choice.on_tried(replica)
         send = ReplicaSend(
@@ -429,22 +435,6 @@
             self._trace.first_token_ms = took_ms
             choice.on_first_token(self._clock.now_ms(), took_ms)
 
-    def _weights_may_serve(self, choice: Choice) -> bool:
-        return self._deps.weights.may_get_requests(
-            self._clock.now_ms(), self._caller.model, choice.weights
-        )
-
-    def _trace_weights(self, choice: Choice) -> None:
-        weights, model = self._deps.weights, self._caller.model
-        newest, version = weights.newest(model), choice.weights
-        if newest is None or version is None or version >= newest:
-            self._trace.on_newest_weights()
-            return
-        now_ms = self._clock.now_ms()
-        heard_ms = weights.heard_ms(now_ms, model)
-        replaced_ms = weights.replaced_ms(now_ms, model, version)
-        self._trace.on_older_weights(newest, heard_ms, replaced_ms)
-
     def _elapsed_ms(self) -> int:
         return self._clock.now_ms() - self._arrived_ms
 
