Weights: an announced load that waited during a standstill is over

A node that went on took the announcement of a load, sent seconds before, as just made, and sent the replica nothing for 5 s although it had loaded.

--- a/fireflyward/weights/_announcer.py
+++ b/fireflyward/weights/_announcer.py
@@ -36,7 +36,7 @@
     def use(self, link: PeerLink) -> None:
         """Send and receive over ``link`` from now on."""
         self._link = link
-        link.register(_LOADING, LoadingNews, self._on_loading)
+        link.register(_LOADING, LoadingNews, self._on_loading, expires=True)
         link.register(_LOADED, LoadedNews, self._on_loaded)
 
     async def announce_loading(
--- a/tests/fleet/test_delayed_news.py
+++ b/tests/fleet/test_delayed_news.py
@@ -62,3 +62,17 @@
         await asyncio.sleep(0.02)
         load = peer_load.at(self.second._clock.now_ms(), replica_id)
         self.assertEqual(load.requests, 0)
+
+    async def test_a_load_of_weights_announced_before_a_standstill_is_over(self):
+        """Guards against replicas that get no requests for 5 s after they loaded.
+
+        That a replica has loaded holds whenever it was announced.
+        """
+        engines = [self.second._directory.find(name) for name in ("e-1", "e-2")]
+        announcer = self.first._load_announcer
+        names = [state.incarnation_id for state in engines]
+        self.second._clock.suspend_ms(8_000)
+        await announcer.announce_loading(names[:1], "m", 2, 5_000)
+        await announcer.announce_loaded(names[1], "m", 2)
+        await self.until(lambda: engines[1].version_by_model == {"m": 2})
+        self.assertFalse(engines[0].is_loading(self.second._clock.now_ms()))
--- a/tests/weights/test_announcer.py
+++ b/tests/weights/test_announcer.py
@@ -13,7 +13,7 @@
     def __init__(self):
         self.sent = []
 
-    def register(self, kind, struct_type, handle):
+    def register(self, kind, struct_type, handle, **options):
         pass
 
     def send_all(self, addresses, kind, message):
