Forwarding: sends that evidence allows after a start are withdrawn as well

A node that starts finds a version without any known age, and its withdrawal task had nothing to check and ended. When another node then told the age, older weights served, and requests that waited on them were never withdrawn. The task goes on whenever an older version gets a time. The test failed before (the request waited for its deadline).

--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -57,7 +57,6 @@
     def on_named(self, model: str) -> None:
         """Handle a version that was named."""
         self._replacements.on_named(model)
-        self._withdrawals.on_named()
 
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply changes of the nodes' table."""
--- a/fireflyward/forwarding/_waiting_sends.py
+++ b/fireflyward/forwarding/_waiting_sends.py
@@ -107,7 +107,7 @@
     time for which the VM is suspended.
     """
 
-    __slots__ = ("_clock", "_named", "_sends", "_weights", "withdrawn")
+    __slots__ = ("_clock", "_is_replaced", "_sends", "_weights", "withdrawn")
 
     def __init__(
         self, *, clock: Clock, weights: WeightVersions, sends: WaitingSends
@@ -115,18 +115,15 @@
         self._clock = clock
         self._weights = weights
         self._sends = sends
-        self._named = asyncio.Event()
+        self._is_replaced = asyncio.Event()
+        weights.history.on_record = self._is_replaced.set
         self.withdrawn = 0
 
-    def on_named(self) -> None:
-        """Check the sends from now on: a version was named."""
-        self._named.set()
-
     async def run(self) -> None:
         """Check the sends while a version is being replaced, until cancelled."""
         while True:
-            await self._named.wait()
-            self._named.clear()
+            await self._is_replaced.wait()
+            self._is_replaced.clear()
             while self.check():
                 await self._clock.sleep_ms(_PERIOD_MS)
 
--- a/fireflyward/replacements/_history.py
+++ b/fireflyward/replacements/_history.py
@@ -1,5 +1,7 @@
 """How long ago the weights of models were replaced by newer ones, at most."""
 
+from collections.abc import Callable
+
 from fireflyward.deployment import WeightTarget
 
 # Records that are older than this allow nothing any more, whatever the bound.
@@ -31,11 +33,14 @@
         "_newest_by_model",
         "_outage_ended_ms",
         "_proven_ms_by_model",
+        "on_record",
     )
 
     def __init__(self) -> None:
         self._confirmed_ms: int | None = None
         self._outage_ended_ms: int | None = None
+        # Called when an older version has a time from which its limit counts.
+        self.on_record: Callable[[], None] = lambda: None
         self._newest_by_model: dict[str, int] = {}
         self._last_newest_ms_by_model: dict[str, dict[int, int]] = {}
         # The same without the time of outages; only these are told to other nodes.
@@ -71,6 +76,7 @@
             _record(self._last_newest_ms_by_model, model, before, self._confirmed_ms)
         if self._outage_ended_ms is not None:
             _record(self._last_newest_ms_by_model, model, before, self._outage_ended_ms)
+        self.on_record()
         return True
 
     def on_evidence(self, model: str, version: int, at_ms: int) -> bool:
@@ -85,6 +91,7 @@
             return False
         _record(self._proven_ms_by_model, model, version, at_ms)
         _record(self._last_newest_ms_by_model, model, version, at_ms)
+        self.on_record()
         return True
 
     def newest(self, model: str) -> int | None:
--- a/tests/forwarding/test_withdrawals.py
+++ b/tests/forwarding/test_withdrawals.py
@@ -171,3 +171,17 @@
         self.assertEqual(sent, [True, False])
         serving.cancel()
         await finish(serving)
+
+    async def test_weights_that_evidence_of_another_node_allows_are_watched_too(self):
+        """Guards against a node that starts and never withdraws what it sends."""
+        case = _Case([NEVER])
+        running = asyncio.create_task(case.withdrawals.run())
+        case.weights.set_target(0, WeightTarget("m", 2))
+        await case.clock.advance_ms(500)
+        case.weights.history.on_evidence("m", 1, 0)
+        serving = case.start()
+        await case.clock.advance_ms(11_100)
+        (outcome,) = await finish(serving)
+        running.cancel()
+        self.assertIsInstance(outcome, Unknown)
+        self.assertEqual(case.withdrawals.withdrawn, 1)
