Weights: four lost orders in a row before a replica gives up its place

With half of all orders lost and carried out late, callers would find up to four of five replicas loading: a replica whose place had gone to another one began by a late order.

The test of the replica that the nodes use again looks 0.9 s later, still within the 5 s for which they would avoid it without the announcement that it guards.

--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -37,7 +37,7 @@
 _ORDER_TIMEOUT_MS = 800
 # A replica that leaves this many orders in a row without response gives its place to
 # another one. The nodes avoid it until then.
-_MAX_ORDERS_IN_A_ROW = 3
+_MAX_ORDERS_IN_A_ROW = 4
 # How often an order that waits for a renewed lease checks it, and for how long.
 _RENEWAL_POLL_MS = 50
 _RENEWAL_WAIT_MS = 500
