Streams: nodes do not remind each other of a software version without end

After a release, callers whose streams no node knows would get 503 although one version had served for longer than streams last, and each new connection would be confirmed as if several served, until all nodes were stopped at once.

Cause: a version that left counts for 30 s, and for a node that is told of it 30 s from then. A node that started within these 30 s read the version in the row, kept it longer than the others, wrote it again after they had removed the row, and so told them anew. Answers to questions passed versions on in the same way (by reading). Found by reading, shown by steps without sockets: three nodes, one of them started 20 s after the last replica of a version left, wrote the row 31 times in 300 s and never forgot the version.

What this node listed, or at which streams began by records with their age, is now kept apart from what it was told. Only the first goes into answers and into a row that lacks it; a row that already lists a version stays until a node has forgotten it.

Measured: in the same steps 2 writes, and the version is forgotten at all nodes.

--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -33,6 +33,9 @@
     take the only version in the list for that of all streams. The rows tell it of the
     others, also if all nodes started at the same moment. A service whose replicas all
     have one version has no row.
+
+    A node adds only versions that it knows at first hand. One that it knows from the
+    row stays there until this node forgets it, and is not written again.
     """
 
     __slots__ = (
@@ -102,9 +105,12 @@
         """Return the services whose rows to write now; an empty row is deleted."""
         due = []
         for service in sorted(self._versions.services() | self._stored.keys()):
-            recent = self._versions.recent(now_ms, service)
-            wanted = recent if len(recent) > 1 else frozenset()
-            if wanted == self._stored.get(service, frozenset()):
+            stored = self._stored.get(service, frozenset())
+            kept = stored & self._versions.recent(now_ms, service)
+            wanted = kept | self._versions.first_hand(now_ms, service)
+            if len(wanted) < 2:
+                wanted = frozenset()
+            if wanted == stored:
                 self._differs_since_ms.pop(service, None)
                 continue
             since_ms = self._differs_since_ms.setdefault(service, now_ms)
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -329,7 +329,7 @@
         answer = StreamAnswer(
             number=message.number,
             software=self.starts.find(now_ms, message.stream),
-            versions=sorted(self.versions.recent(now_ms, message.service_name)),
+            versions=sorted(self.versions.first_hand(now_ms, message.service_name)),
         )
         asker = [item for item in self._members() if item.name == sender]
         if not asker and message.ip is not None and message.port is not None:
--- a/fireflyward/streams/_versions.py
+++ b/fireflyward/streams/_versions.py
@@ -12,6 +12,9 @@
     A version counts until ``STREAM_LIFETIME_MS`` after its last replica left the list,
     because a stream that began there may still be taken up.
 
+    What others told counts here for the same time, and is not passed on: nodes that
+    repeat to each other what they heard would never forget a version.
+
     >>> versions = SoftwareVersions()
     >>> versions.on_list(0, {"s": {"v1"}})
     []
@@ -19,12 +22,15 @@
     (['s'], ['v1', 'v2'])
     """
 
-    __slots__ = ("_gone_ms", "_listed", "_mixed")
+    __slots__ = ("_gone_ms", "_listed", "_mixed", "_told_ms")
 
     def __init__(self) -> None:
         self._listed: Mapping[str, frozenset[str]] = {}
-        # When the last replica of a (service, version) left the list.
+        # When the last replica of a (service, version) left the list, or a stream began
+        # at one that this node does not list.
         self._gone_ms: dict[tuple[str, str], int] = {}
+        # When another node, or a row, told of a (service, version).
+        self._told_ms: dict[tuple[str, str], int] = {}
         # The services that had several versions at the last update of the list.
         self._mixed: frozenset[str] = frozenset()
 
@@ -48,7 +54,7 @@
         """Count versions of which this node knows only by others."""
         for name in names:
             if name not in self._listed.get(service, ()):
-                self._gone_ms.setdefault((service, name), now_ms)
+                self._told_ms.setdefault((service, name), now_ms)
 
     def on_begun(self, began_ms: int, service: str, name: str) -> None:
         """Count the version of a stream that began at another node."""
@@ -58,12 +64,13 @@
 
     def recent(self, now_ms: int, service: str) -> frozenset[str]:
         """Return the versions at which streams of a service may have begun."""
+        first_hand = self.first_hand(now_ms, service)
+        return first_hand | _names(self._told_ms, service, now_ms)
+
+    def first_hand(self, now_ms: int, service: str) -> frozenset[str]:
+        """Return the versions that this node listed, or at which streams began."""
         listed = self._listed.get(service, frozenset())
-        if not self._gone_ms:
-            return listed
-        self._forget(now_ms)
-        gone = {name for owner, name in self._gone_ms if owner == service}
-        return listed | gone
+        return listed | _names(self._gone_ms, service, now_ms)
 
     def mixed(self, now_ms: int) -> frozenset[str]:
         """Return the services whose streams may have begun at several versions."""
@@ -72,10 +79,18 @@
 
     def services(self) -> frozenset[str]:
         """Return the services with replicas in the list, or with versions gone."""
-        return frozenset({*self._listed, *(service for service, _ in self._gone_ms)})
-
-    def _forget(self, now_ms: int) -> None:
-        since_ms = now_ms - STREAM_LIFETIME_MS
-        for key, gone_ms in list(self._gone_ms.items()):
-            if gone_ms < since_ms:
-                del self._gone_ms[key]
+        others = [*self._gone_ms, *self._told_ms]
+        return frozenset({*self._listed, *(service for service, _ in others)})
+
+
+def _names(
+    time_ms_by_version: dict[tuple[str, str], int], service: str, now_ms: int
+) -> frozenset[str]:
+    """Drop versions whose streams have ended; return those left of a service."""
+    if not time_ms_by_version:
+        return frozenset()
+    since_ms = now_ms - STREAM_LIFETIME_MS
+    for key, time_ms in list(time_ms_by_version.items()):
+        if time_ms < since_ms:
+            del time_ms_by_version[key]
+    return frozenset(name for owner, name in time_ms_by_version if owner == service)
--- a/fireflyward/streams/streams.thrift
+++ b/fireflyward/streams/streams.thrift
@@ -31,7 +31,8 @@
 }
 
 /* Answers a question; without "software" the node does not know the stream. "versions"
-   are the versions of the service's replicas that this node lists or listed lately. */
+   are the versions of the service's replicas that this node lists or listed lately, and
+   those at which it was told that a stream began. */
 struct StreamAnswer {
   1: required i32 number,
   2: optional string software,
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -27,6 +27,53 @@
     return TableUpdate(tuple(changed), is_snapshot, 0, position=Position(0, version))
 
 
+class _RowFleet:
+    """Nodes that read and write the row of a service; each change is read 1 s later."""
+
+    def __init__(self):
+        self.clock = ManualClock(0)
+        self.writes = []
+        self.listed = []
+        self.nodes = []
+        self._rows = []
+        self._value = None
+
+    def start(self, listed, *, is_first=False):
+        """Start a node that reads the row, and then the list of replicas."""
+        versions = SoftwareVersions()
+        rows = SoftwareRows(
+            versions,
+            clock=self.clock,
+            store=None,
+            table="t",
+            is_first=lambda: is_first,
+        )
+        self.nodes.append(versions)
+        self._rows.append(rows)
+        self.listed = listed
+        if self._value is not None:
+            self._read(rows)
+
+    def _read(self, rows):
+        rows.on_table_update(update(len(self.writes), ("software/s", self._value)))
+
+    def run_until(self, end_ms):
+        while self.clock.now_ms() < end_ms:
+            now_ms = self.clock.now_ms()
+            due = []
+            for versions, rows in zip(self.nodes, self._rows, strict=True):
+                versions.on_list(now_ms, {"s": set(self.listed)})
+                due += [wanted for _, wanted in rows.due(now_ms)]
+            self.clock._now_ms += 1_000
+            if due:
+                names = sorted(due[0])
+                self.writes.append(names)
+                encoded = msgspec.json.encode({"versions": names})
+                self._value = encoded if names else None
+                for rows in self._rows:
+                    self._read(rows)
+
+
 class SoftwareRowsTests(unittest.IsolatedAsyncioTestCase):
     def setUp(self):
         self.clock = ManualClock(0)
@@ -75,6 +122,33 @@
         self.versions.on_list(0, {"s": {"v2"}})
         self.assertEqual(self.versions.recent(0, "s"), {"v1", "v2"})
 
+    def test_a_version_that_left_is_forgotten_though_nodes_start_meanwhile(self):
+        """Guards against a version that nodes write again for each other without end.
+
+        The last replica of v1 leaves at 5 s. A node that starts at 25 s reads the row.
+        """
+        fleet = _RowFleet()
+        fleet.start(["v1", "v2"], is_first=True)
+        fleet.start(["v1", "v2"])
+        fleet.run_until(5_000)
+        fleet.listed = ["v2"]
+        fleet.run_until(25_000)
+        fleet.start(["v2"])
+        self.assertEqual(fleet.nodes[-1].recent(25_000, "s"), {"v1", "v2"})
+        fleet.run_until(25_000 + 2 * STREAM_LIFETIME_MS)
+        for node in fleet.nodes:
+            self.assertEqual(node.recent(fleet.clock.now_ms(), "s"), {"v2"})
+        self.assertEqual(len(fleet.writes), 2)
+
+    def test_a_node_that_knows_versions_from_the_row_keeps_it(self):
+        """Guards against a row that is lost once all nodes have started anew."""
+        value = msgspec.json.encode({"versions": ["v1", "v2"]})
+        self.rows.on_table_update(update(1, ("software/s", value), is_snapshot=True))
+        self.versions.on_list(0, {"s": {"v2"}})
+        self.assertEqual(self.rows.due(STREAM_LIFETIME_MS), [])
+        late_ms = STREAM_LIFETIME_MS + 1
+        self.assertEqual(self.rows.due(late_ms), [("s", frozenset())])
+
     def test_a_row_of_another_writer_changes_nothing(self):
         with self.assertLogs("fireflyward.streams", "ERROR"):
             self.rows.on_table_update(update(1, ("software/s", b"{}")))
--- a/tests/streams/test_versions.py
+++ b/tests/streams/test_versions.py
@@ -65,6 +65,13 @@
         end_ms = 20_000 + STREAM_LIFETIME_MS
         self.assertEqual(self.versions.recent(end_ms, "s"), {"v1", "v2"})
 
+    def test_what_others_told_is_not_known_at_first_hand(self):
+        """Guards against nodes that remind each other of a version without end."""
+        self.versions.on_told(5, "s", ["v2"])
+        self.versions.on_begun(5, "s", "v3")
+        self.assertEqual(self.versions.first_hand(5, "s"), {"v1", "v3"})
+        self.assertEqual(self.versions.recent(5, "s"), {"v1", "v2", "v3"})
+
     def test_services_do_not_share_versions(self):
         self.assertEqual(self.versions.recent(0, "other"), {"v7"})
         self.assertEqual(self.versions.recent(0, "unlisted"), frozenset())
