Tests: a replica that is removed after an outage of the store

The store refuses all calls for 1,200 ms and a replica is removed 500 ms after that: it gets requests until 2,560 ms after its removal, as found over sockets with three nodes. Traced by steps without sockets, over all phases of a node's calls in steps of 25 ms: 2,575 ms. The fourth refused call comes at 700 ms and the next one 800 ms later, so a node reads the list at most 0.8 s after the store is back; the call before was accepted up to 1.1 s before. So 1.2 s count as up to 2.6 s, in which entries may expire (2.4 s), and the 2.3 s until replicas that expired are back count from the late answer. In all, a removed replica is used until 3,025 ms after the end of an outage of 1.2, 2, 3 or 6 s (steps of 100 ms): 2,925 ms if it is removed 100 ms after the end, 2,525 (500 ms), 2,025 (1,000 ms), 1,525 (1,500 ms), 125 ms (3,000 ms).

The drain time is asked for once the store has been available for 3 s. To count from the last refused call would drop replicas that come back in time.

The new test asserts what is asked for: removed 3 s after an outage, a replica is used for the drain time at most, whatever the phase of the calls. It passes on the unchanged code; it fails (2,500 ms) if the time to return counts from the reading of the removal. It does not fail if pauses double up to 8 s. The other tests of the module are unchanged; their set-up moved into a base class.

--- a/tests/fleet/test_removed_replicas.py
+++ b/tests/fleet/test_removed_replicas.py
@@ -5,8 +5,10 @@
 import types
 import unittest
 
+from fireflyward.backing import Unavailable
 from fireflyward.clock import ManualClock
-from fireflyward.feeds import TableRow, TableUpdate
+from fireflyward.feeds import Changes, FeedFollower, Snapshot, TableRow, TableUpdate
+from fireflyward.fleet._paces import replicas_pace
 from fireflyward.fleet._views import ReplicaView
 from fireflyward.replicas import ReplicaDirectory
 from tests.platform_standins import ReplicaStandIn
@@ -16,9 +18,12 @@
 _UPDATE_INTERVAL_MS = 700
 _LONGEST_MS = 30_000
 _STEP_MS = 100
+# A removal counts once the store has been available for this time.
+_STABLE_MS = 3_000
+_BEGIN_MS = 5_000
 
 
-class RemovedReplicaTests(unittest.IsolatedAsyncioTestCase):
+class _ReplicaListTestCase(unittest.IsolatedAsyncioTestCase):
     """Two replicas of a service are listed, and then i-1 is removed."""
 
     def setUp(self):
@@ -72,6 +77,10 @@
                 self.update()
         return elapsed_ms
 
+
+class RemovedReplicaTests(_ReplicaListTestCase):
+    """The node reads the list through updates that the tests make."""
+
     async def remove_after_failed_read(self):
         self.update(unavailable_ms=40)
         await self.clock.advance_ms(100)
@@ -132,3 +141,78 @@
         await self.remove_after_failed_read()
         unused_ms = await self.time_until_unused_ms(has_updates=False)
         self.assertLessEqual(unused_ms, _DRAIN_MS)
+
+
+class _RefusingStore:
+    """Lists two replicas, refuses calls for a while, and removes i-1 later.
+
+    Calls that wait while it begins to refuse others are still answered.
+    """
+
+    def __init__(self, clock, rows, *, away_ms, removed_ms):
+        self._clock = clock
+        self._rows = rows
+        self._end_ms = _BEGIN_MS + away_ms
+        self._removed_ms = removed_ms
+
+    def _is_away(self):
+        return _BEGIN_MS <= self._clock.now_ms() < self._end_ms
+
+    async def rows(self, table, *, part="", limit_ms=1_000):
+        return Snapshot(self._rows, at(2))
+
+    async def changes(self, table, *, after, wait_ms, limit_ms):
+        await self._clock.sleep_ms(1)
+        if self._is_away():
+            return Unavailable("refused")
+        left_ms = self._removed_ms - self._clock.now_ms()
+        if after >= at(3) or left_ms > wait_ms:
+            await self._clock.sleep_ms(wait_ms)
+            return Changes((), after)
+        await self._clock.sleep_ms(left_ms)
+        return Changes((TableRow("i-1", b"", at(3), is_deleted=True),), at(3))
+
+
+class RemovedAfterOutageTests(_ReplicaListTestCase):
+    """The node follows the list by itself, at a store that refuses calls."""
+
+    async def longest_use_ms(self, *, away_ms, removed_ms):
+        """Return for how long at most i-1 gets requests, whenever the node calls."""
+        longest_ms = 0
+        for phase_ms in range(0, 1_100, 100):
+            self.start()
+            rows = (self.row("i-1"), self.row("i-2"))
+            reader = _RefusingStore(
+                self.clock, rows, away_ms=away_ms, removed_ms=removed_ms
+            )
+            follower = FeedFollower(
+                "servers",
+                reader=reader,
+                clock=self.clock,
+                on_update=self.view.on_table_update,
+                pace=lambda: replicas_pace(
+                    _DRAIN_MS, is_shared=False, serves_other_nodes=False
+                ),
+            )
+            await self.clock.advance_ms(phase_ms)
+            tasks = [asyncio.create_task(x.run()) for x in (follower, self.view)]
+            await self.clock.advance_ms(removed_ms - phase_ms)
+            used_ms = await self.time_until_unused_ms(has_updates=False)
+            longest_ms = max(longest_ms, used_ms)
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        return longest_ms
+
+    async def test_a_replica_removed_after_an_outage_is_used_for_the_drain_time(self):
+        """Guards against a removal that counts as an entry that expired before it."""
+        for away_ms in (1_200, 2_000, 3_000, 6_000):
+            with (
+                self.subTest(away_ms=away_ms),
+                self.assertLogs("fireflyward.feeds", "WARNING"),
+            ):
+                removed_ms = _BEGIN_MS + away_ms + _STABLE_MS
+                used_ms = await self.longest_use_ms(
+                    away_ms=away_ms, removed_ms=removed_ms
+                )
+                self.assertLessEqual(used_ms, _DRAIN_MS)
