Replicas: answers that were read late make no replica slow

When a node stood still, it read the answers to all requests that waited seconds late, and the time counted as the replicas' own. Six answers with 8 s in place of 300 ms made a replica four times as slow in its estimates, the highest factor, and a request seemed to occupy a slot for 5.3 s; 21 usual answers brought the factor below 1.1 again (computed with the class alone). Requests were rejected as late meanwhile, so that such answers were rare. A time of at least 500 ms and twice the usual one now counts only if the process ran in it, but for less than 500 ms.

--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -51,7 +51,11 @@
     ) -> None:
         """``lost_ms`` returns for how long this process did not run since a time."""
         self._clock = clock
-        self.directory = ReplicaDirectory()
+        self.directory = ReplicaDirectory(
+            lost_within_ms=lambda duration_ms: lost_ms(
+                clock.now_ms() - int(duration_ms)
+            )
+        )
         peer_load = self._peer_load = PeerLoad()
         self.kv_room = KvRoom()
         self.load_report_task = LoadReportTask(
--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -1,7 +1,7 @@
 """The replica incarnations that may get new requests."""
 
 import logging
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass
 
 from fireflyward.deployment import ReplicaEntry, Service
@@ -64,6 +64,7 @@
     __slots__ = (
         "_backpressure_by_incarnation_id",
         "_by_service",
+        "_lost_within_ms",
         "_unconfirmed_by_name",
         "_service_by_name",
         "_state_by_name",
@@ -75,7 +76,11 @@
         "without_path",
     )
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, lost_within_ms: Callable[[float], int] = lambda duration_ms: 0
+    ) -> None:
+        """``lost_within_ms`` returns for how long of a time until now no code ran."""
+        self._lost_within_ms = lost_within_ms
         self._state_by_name: dict[str, ReplicaState] = {}
         self._state_by_incarnation_id: dict[int, ReplicaState] = {}
         self._by_service: dict[str, list[ReplicaState]] = {}
@@ -292,7 +297,7 @@
                 kept = self._backpressure_by_incarnation_id.pop(
                     entry.incarnation_id, None
                 )
-                state = ReplicaState(entry, kept)
+                state = ReplicaState(entry, kept, lost_within_ms=self._lost_within_ms)
                 state.on_cold(now_ms, entry.cold_ms)
                 self._state_by_name[entry.incarnation] = state
                 log.info(
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -1,5 +1,7 @@
 """What one node knows about one incarnation of a replica."""
 
+from collections.abc import Callable
+
 from fireflyward.deployment import ReplicaEntry
 
 from ._backpressure import Backpressure
@@ -29,6 +31,10 @@
 _SLOWDOWN_WEIGHT = 0.15
 _MIN_EXPECTED_MS = 40.0
 _INITIAL_RUN_MS = 100.0
+# A time counts as measured only if this process was not stopped for so long in it.
+_MAX_LOST_MS = 500
+# Only longer times than usual are checked for that.
+_CHECKED_MULTIPLE = 2.0
 _LAST_REPORT_MS = 500
 _MIN_SLOWDOWN = 0.5
 _MAX_SLOWDOWN = 4.0
@@ -38,7 +44,9 @@
     """Counters and estimates for one incarnation of a replica.
 
     ``slowdown`` is the measured prefill time relative to the estimate, and
-    ``mean_run_ms`` how long a request occupies a slot; both are moving averages.
+    ``mean_run_ms`` how long a request occupies a slot; both are moving averages. Times
+    in which this process stood still do not count: it read the answers late, and would
+    take every replica with a request for several times as slow.
     """
 
     __slots__ = (
@@ -46,6 +54,7 @@
         "_cold_until_ms",
         "_full_until_ms",
         "_loading_until_ms",
+        "_lost_within_ms",
         "_other_requests",
         "_other_requests_at_ms",
         "_reported_by_model",
@@ -71,8 +80,14 @@
     )
 
     def __init__(
-        self, entry: ReplicaEntry, backpressure: Backpressure | None = None
+        self,
+        entry: ReplicaEntry,
+        backpressure: Backpressure | None = None,
+        *,
+        lost_within_ms: Callable[[float], int] = lambda duration_ms: 0,
     ) -> None:
+        """``lost_within_ms`` returns for how long of a time until now no code ran."""
+        self._lost_within_ms = lost_within_ms
         self.backpressure = backpressure or Backpressure()
         self.entry = entry
         self.incarnation_id = entry.incarnation_id
@@ -185,6 +200,8 @@
         if expected_ms < _MIN_EXPECTED_MS:
             return
         took_ms = max(1.0, took_ms - FIRST_EVENT_MS)
+        if self._is_of_standstill(took_ms, usual_ms=expected_ms):
+            return
         ratio = min(max(took_ms / expected_ms, 1 / _MAX_SLOWDOWN), _MAX_SLOWDOWN)
         self.slowdown += _SLOWDOWN_WEIGHT * (self.slowdown * ratio - self.slowdown)
         self.slowdown = min(max(self.slowdown, _MIN_SLOWDOWN), _MAX_SLOWDOWN)
@@ -205,8 +222,16 @@
 
     def on_run_finished(self, took_ms: float) -> None:
         """Update the mean time that a request occupies a slot."""
+        if self._is_of_standstill(took_ms, usual_ms=self.mean_run_ms):
+            return
         self.mean_run_ms += _SLOWDOWN_WEIGHT * (took_ms - self.mean_run_ms)
 
+    def _is_of_standstill(self, took_ms: float, *, usual_ms: float) -> bool:
+        """Return whether a time that ends now includes a standstill of this process."""
+        if took_ms < max(_MAX_LOST_MS, _CHECKED_MULTIPLE * usual_ms):
+            return False
+        return self._lost_within_ms(took_ms) >= _MAX_LOST_MS
+
     def on_send_failure(self, now_ms: int) -> None:
         """Suspect a replica that broke a connection or could not be reached."""
         length_ms = _FIRST_SUSPICION_MS << min(self._consecutive_failures, 5)
--- a/tests/replicas/test_state.py
+++ b/tests/replicas/test_state.py
@@ -45,6 +45,26 @@
         self.assertEqual(self.state.version_by_model, {"m": 3})
 
 
+class StandstillTests(unittest.TestCase):
+    def test_answers_that_were_read_late_make_no_replica_slow(self):
+        """Guards against a node that rejects requests as late after a standstill.
+
+        It read the answers to all waiting requests seconds late, and took its replicas
+        for four times as slow until each of them had given twenty more answers.
+        """
+        lost_ms = 7_800
+        state = ReplicaState(entry("r1"), lost_within_ms=lambda duration_ms: lost_ms)
+        for _ in range(6):
+            state.on_first_token(expected_ms=355.0, took_ms=8_300.0)
+            state.on_run_finished(8_400.0)
+        self.assertEqual((state.slowdown, state.mean_run_ms), (1.0, 100.0))
+        lost_ms = 0
+        state.on_first_token(expected_ms=355.0, took_ms=8_300.0)
+        state.on_run_finished(8_400.0)
+        self.assertGreater(state.slowdown, 1.0)
+        self.assertGreater(state.mean_run_ms, 100.0)
+
+
 class LoadTests(unittest.TestCase):
     def test_own_late_requests_do_not_count_as_requests_of_other_nodes(self):
         """A replica counts all waiting requests, including this node's late ones."""
