Feeds: after a common standstill the aggregator is soon asked again

An aggregator whose table is too old for an answer says so, and its neighbours then read from the store for 2.5 s, since it may have lost the store. After a standstill of all nodes its table is old for another reason, and it reads the store within some 100 ms. A node that itself stood still for over a second in the last 2.5 s now asks again after 0.5 s, as with an aggregator that has just started.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -47,6 +47,8 @@
 _FAILED_AGGREGATOR_PAUSE_MS = 2_500
 # If this process did not run for longer than this in a query, that is why it failed.
 _MAX_LOST_MS = 200
+# After a longer standstill an aggregator's cached tables are too old for answers.
+_STANDSTILL_MS = 1_000
 # An aggregator that refuses connections has just started: until the first key has been
 # generated, nodes are listed but cannot open their links. They open them within 500 ms.
 _STARTING_AGGREGATOR_PAUSE_MS = 500
@@ -246,6 +248,10 @@
         from the store for seconds, which rejects so many calls.
         """
         if not isinstance(answer, CallFailed):
+            # The aggregator may have stood still too, and reads the tables soon.
+            recently_ms = sent_ms - _FAILED_AGGREGATOR_PAUSE_MS
+            if self._lost_ms(recently_ms) > _STANDSTILL_MS:
+                return _STARTING_AGGREGATOR_PAUSE_MS
             return _FAILED_AGGREGATOR_PAUSE_MS
         if answer.is_refused:
             return _STARTING_AGGREGATOR_PAUSE_MS
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -265,6 +265,20 @@
         self.assertEqual(self.store.calls, calls)
         self.assertEqual(self.other.updates[-1].source, self.first.name)
 
+    async def test_an_aggregator_is_soon_queried_again_if_all_nodes_stood_still(self):
+        """Guards against nodes that all read from the store after a standstill.
+
+        The aggregator had stood still too, and its table was too old for an answer.
+        """
+        await self.step_both()
+        self.other.standstills.on_tick(self.clock.now_ms())
+        self.clock._now_ms += 8_000
+        self.other.standstills.on_tick(self.clock.now_ms())
+        await self.other.follower.step()
+        await self.first.follower.step()
+        now_ms = self.clock.now_ms()
+        self.assertIsNotNone(self.other.tables._node_to_query(now_ms + 500))
+
     async def test_few_nodes_query_the_store(self):
         self.other.aggregators.set_members([])
         await self.step_both()
