Relays: a call that fails in a standstill says nothing of the relay

A node that is cut off from replicas and stood still found that no relay had answered in time, and asked none of them for 0.5 to 1 s after it went on. It now passes over a relay whose call failed while the process did not run, without a pause. A refused connection still counts.

The new test fails without the check (trial on a scratch copy): the only relay is not asked again.

--- a/fireflyward/fleet/_relay_components.py
+++ b/fireflyward/fleet/_relay_components.py
@@ -37,12 +37,15 @@
         directory: ReplicaDirectory,
         aggregators: Aggregators,
         on_silent: Callable[[ReplicaState], None],
+        lost_ms: Callable[[int], int],
     ) -> None:
+        """``lost_ms`` returns for how long this process did not run since a time."""
         self.paths = ReplicaPaths(directory)
         self._client = RelayClient(
             clock=clock,
             failure_domain=settings.failure_domain,
             members=aggregators.responsive_members,
+            lost_ms=lost_ms,
         )
         self.connector = Connector(
             clock=clock,
--- a/fireflyward/fleet/_replica_components.py
+++ b/fireflyward/fleet/_replica_components.py
@@ -120,6 +120,7 @@
             directory=self.directory,
             aggregators=aggregators,
             on_silent=lambda replica: self.reach.on_silent(replica),
+            lost_ms=lost_ms,
         )
         self.reach = ReachTask(
             clock=clock,
--- a/fireflyward/relays/_client.py
+++ b/fireflyward/relays/_client.py
@@ -8,7 +8,7 @@
 from fireflyward.aggregators import Member
 from fireflyward.clock import Clock
 from fireflyward.http1 import HttpConnection, NotConnected
-from fireflyward.peers import CallFailed, PeerLink
+from fireflyward.peers import CallFailed, OpenedStream, PeerLink
 from fireflyward.replicas import ReplicaState
 
 from ._choice import RelayChoice, TunnelStatus
@@ -25,6 +25,8 @@
 _CONNECT_MS = 200
 # The round trip to the relay, beside the connection that it opens.
 _ROUND_TRIP_MS = 300
+# A call in which this process did not run for so long fails by itself.
+_STANDSTILL_MS = 200
 
 
 class RelayClient:
@@ -37,8 +39,13 @@
         failure_domain: str,
         members: Callable[[int], Sequence[Member]],
         seed: int | None = None,
+        lost_ms: Callable[[int], int] = lambda since_ms: 0,
     ) -> None:
-        """``members`` returns the nodes that may be asked at a time."""
+        """``members`` returns the nodes that may be asked at a time.
+
+        ``lost_ms`` returns for how long this process did not run since a time.
+        """
+        self._lost_ms = lost_ms
         self._clock = clock
         self._members = members
         self._choice = RelayChoice(failure_domain, seed=seed)
@@ -82,6 +89,7 @@
         self, relay: Member, replica: ReplicaState, limit_ms: float
     ) -> HttpConnection | TunnelStatus:
         connect_ms = min(_CONNECT_MS, limit_ms)
+        sent_ms = self._clock.now_ms()
         request = OpenTunnel(replica=replica.incarnation_id, connect_ms=int(connect_ms))
         opened = await self._link.open_stream(
             relay.address,
@@ -95,15 +103,22 @@
         else:
             status = _decode_status(opened.reply.status)
         self.answers[status] += 1
-        self._choice.on_status(
-            self._clock.now_ms(), relay.name, status, replica=replica.incarnation_id
-        )
+        if not self._is_own_fault(opened, sent_ms):
+            self._choice.on_status(
+                self._clock.now_ms(), relay.name, status, replica=replica.incarnation_id
+            )
         if status is TunnelStatus.OPENED:
             return self._connect(relay, replica, opened.transport)
         if not isinstance(opened, CallFailed):
             opened.transport.close()
         return status
 
+    def _is_own_fault(self, opened: OpenedStream | CallFailed, sent_ms: int) -> bool:
+        """Return whether a call failed because this process did not run."""
+        if not isinstance(opened, CallFailed) or opened.is_refused:
+            return False
+        return self._lost_ms(sent_ms) >= _STANDSTILL_MS
+
     def _connect(
         self, relay: Member, replica: ReplicaState, transport: asyncio.Transport
     ) -> HttpConnection:
--- a/tests/relays/test_tunnels.py
+++ b/tests/relays/test_tunnels.py
@@ -14,7 +14,7 @@
     HttpConnection,
     NotConnected,
 )
-from fireflyward.peers import PeerCodec, PeerLink
+from fireflyward.peers import CallFailed, PeerCodec, PeerLink
 from fireflyward.relays import (
     RelayClient,
     RelayServer,
@@ -299,6 +299,23 @@
         await self.relay_link.stop()
         await self.check_rejected(TunnelStatus.NO_ANSWER)
 
+    async def test_a_call_that_fails_in_a_standstill_says_nothing_of_the_relay(self):
+        """Guards against a cut node without relays after it stood still."""
+        open_stream = self.link.open_stream
+
+        async def stand_still(*args, **options):
+            return CallFailed("TimeoutError")
+
+        for lost_ms, is_asked_again in ((8_000, True), (0, False)):
+            self.client._lost_ms = lambda since_ms, lost_ms=lost_ms: lost_ms
+            self.link.open_stream = stand_still
+            self.assertIsInstance(await self.open(), NotConnected)
+            self.link.open_stream = open_stream
+            connection = await self.open()
+            self.assertIs(isinstance(connection, HttpConnection), is_asked_again)
+            if is_asked_again:
+                connection.close()
+
 
 class UnsentTests(TunnelTestCase):
     async def test_a_request_on_a_broken_tunnel_was_not_sent(self):
