Weights: the nodes use a replica again whose order was withdrawn

Two of five replicas would get no requests for 5 s: the nodes had heard that they were about to load, and then the lease was not renewed in time or a newer version was named, so that no order went out. The holder now tells the nodes that such a replica serves with the weights that its report had.

--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -271,9 +271,8 @@
         fencing = await self._wait_for_fencing(claims)
         newest = self._weights.newest(order.model) or 0
         if fencing is None or newest > order.version:
-            log.info("weights: order to %s withdrawn", order.incarnation)
             if claims == self._claims:
-                self._plan.on_withdrawn(order)
+                await self._withdraw(order, report)
             return None
         sent_ms = self._clock.now_ms()
         result = await self._send_order(order, report.orders, fencing)
@@ -286,6 +285,16 @@
             has_response=result.has_response,
         )
 
+    async def _withdraw(self, order: Order, report: ReplicaReport) -> None:
+        """Give up an order that was not sent; the nodes may use the replica again."""
+        log.info("weights: order to %s withdrawn", order.incarnation)
+        version = report.version_by_model.get(order.model)
+        if version is not None:
+            await self._announcer.announce_loaded(
+                order.incarnation_id, order.model, version
+            )
+        self._plan.on_withdrawn(order)
+
     async def _wait_for_fencing(self, claims: int) -> int | None:
         """Renew the claim if need be; return None if it may not be used for orders."""
         until_ms = self._clock.now_ms() + _RENEWAL_WAIT_MS
--- a/tests/weights/test_standing_still.py
+++ b/tests/weights/test_standing_still.py
@@ -68,6 +68,22 @@
                     self.assertEqual(self.orders_after(holder, thawed_ms, 2), [])
                     self.assert_one_holder_at_a_time()
 
+    async def test_the_nodes_use_a_replica_again_whose_order_was_withdrawn(self):
+        """Guards against replicas without requests while the lease is not renewed.
+
+        The nodes had heard that two of five replicas were about to load.
+        """
+        await self.start(5)
+        holder, now_ms = self.fleet.holder(), self.fleet.clock.now_ms
+        replicas = holder.directory.all()
+        await self.fleet.clock.advance_ms(140)
+        self.assertEqual(sum(each.is_loading(now_ms()) for each in replicas), 2)
+        holder.tasks[0].cancel()
+        holder.task._may_order_at_ms = now_ms() + _VERSION_ALL_MS
+        await self.fleet.clock.advance_ms(1_000)
+        self.assertEqual(sum(len(each.received) for each in self.fleet.engines), 0)
+        self.assertEqual(sum(each.is_loading(now_ms()) for each in replicas), 0)
+
     async def test_a_holder_that_ends_or_stands_still(self):
         """Guards against a rollout that waits for the loads of a lost holder."""
         for frozen_ms in (None, 2_000, 3_500, 10_000):
