Leases: an announcement that waited during a standstill is not recent

A contender that went on took the holder's datagram from before as just sent, and waited up to a lease for one that had expired: a rollout went on that much later. The test failed before (TimeoutError: nothing was dropped).

--- a/fireflyward/leases/_announcer.py
+++ b/fireflyward/leases/_announcer.py
@@ -34,7 +34,7 @@
     def use(self, link: PeerLink) -> None:
         """Send and receive announcements over a link from now on."""
         self._link = link
-        link.register(_KIND, LeaseHeld, self._on_announcement)
+        link.register(_KIND, LeaseHeld, self._on_announcement, expires=True)
 
     def announce(self, row: LeaseRow, position: Position) -> None:
         """Send the last written row and its position to the contenders."""
--- a/tests/leases/test_announcer.py
+++ b/tests/leases/test_announcer.py
@@ -2,13 +2,16 @@
 
 import asyncio
 import unittest
+from unittest.mock import AsyncMock
 
 from fireflyward.clock import ManualClock
-from fireflyward.leases import LeaseRow, LeaseTask
+from fireflyward.leases import LeaseAnnouncer, LeaseRow, LeaseTask
+from fireflyward.peers import PeerCodec, PeerLink
 from fireflyward.standins import MemoryTable
 from tests.positions import at
 
 _LEASE_MS = 3_000
+_LIMIT_S = 20
 
 
 class _CountingTable(MemoryTable):
@@ -97,3 +100,27 @@
         await self.holder.hand_over()
         await self.clock.advance_ms(100)
         self.assertEqual(self.other.claim().fencing, 2)
+
+
+class DelayedAnnouncementTests(unittest.IsolatedAsyncioTestCase):
+    async def start(self, name, **options):
+        codec = PeerCodec((b"k" * 16,))
+        link = PeerLink(node_name=name, incarnation=1, codec=codec, **options)
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        return link
+
+    async def test_an_announcement_that_waited_in_a_standstill_is_not_recent(self):
+        """Guards against a contender that waits for a lease that has expired."""
+        contender = AsyncMock()
+        contender.name = "orders"
+        sender = await self.start("a")
+        receiver = await self.start("b", has_backlog=lambda: True)
+        LeaseAnnouncer(contender, contenders=list).use(receiver)
+        holder = LeaseAnnouncer(contender, contenders=lambda: [receiver.address])
+        holder.use(sender)
+        holder.announce(LeaseRow("a", "c", 1), at(4))
+        async with asyncio.timeout(_LIMIT_S):
+            while not receiver.dropped["delayed datagrams"]:
+                await asyncio.sleep(0.005)
+        contender.on_row_received.assert_not_called()
