Weights: a node without the lease does not announce that a replica serves

Requests would go to a replica that the next holder has just ordered to load, and be rejected: the former holder withdrew its own order then, or had lost several, and announced that the replica does not load. It does so only while its claim holds. The new test failed before.

--- a/fireflyward/weights/_task.py
+++ b/fireflyward/weights/_task.py
@@ -249,10 +249,7 @@
             if version is None:
                 return
             self._plan.on_order_started(self._clock.now_ms(), order)
-        # Otherwise the nodes would avoid it although it does not load.
-        await self._announcer.announce_loaded(
-            order.incarnation_id, order.model, version
-        )
+        await self._announce_unchanged(order, version)
         self._on_not_reached(order, "lost")
 
     async def _order(
@@ -290,10 +287,18 @@
         log.info("weights: order to %s withdrawn", order.incarnation)
         version = report.version_by_model.get(order.model)
         if version is not None:
+            await self._announce_unchanged(order, version)
+        self._plan.on_withdrawn(order)
+
+    async def _announce_unchanged(self, order: Order, version: int) -> None:
+        """Announce that a replica does not load, unless another node may order it to.
+
+        Otherwise the nodes would avoid it for as long as they assume a load.
+        """
+        if self._lease.claim() is not None:
             await self._announcer.announce_loaded(
                 order.incarnation_id, order.model, version
             )
-        self._plan.on_withdrawn(order)
 
     async def _wait_for_fencing(self, claims: int) -> int | None:
         """Renew the claim if need be; return None if it may not be used for orders."""
--- a/tests/weights/test_standing_still.py
+++ b/tests/weights/test_standing_still.py
@@ -13,6 +13,13 @@
 _LATE_MS = (2_000, 12_000)
 
 
+class LostLease:
+    """A lease that another node holds."""
+
+    def claim(self):
+        return None
+
+
 class StandstillTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         # The debug mode takes four fifths of the time.
@@ -84,6 +91,20 @@
         self.assertEqual(sum(len(each.received) for each in self.fleet.engines), 0)
         self.assertEqual(sum(each.is_loading(now_ms()) for each in replicas), 0)
 
+    async def test_a_lost_lease_leaves_the_announcements_to_the_next_holder(self):
+        """Guards against requests to a replica that the next holder has just ordered.
+
+        The former holder withdrew its order then, and announced that the replica did
+        not load.
+        """
+        await self.start(5)
+        holder, now_ms = self.fleet.holder(), self.fleet.clock.now_ms
+        replicas = holder.directory.all()
+        await self.fleet.clock.advance_ms(140)
+        holder.task._lease = LostLease()
+        await self.fleet.clock.advance_ms(1_000)
+        self.assertEqual(sum(each.is_loading(now_ms()) for each in replicas), 2)
+
     async def test_a_holder_that_ends_or_stands_still(self):
         """Guards against a rollout that waits for the loads of a lost holder."""
         for frozen_ms in (None, 2_000, 3_500, 10_000):
