--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -79,7 +79,7 @@
     def __init__(
         self, *, lost_within_ms: Callable[[float], int] = lambda duration_ms: 0
     ) -> None:
-        """``lost_within_ms`` returns for how long of a time until now no code ran."""
+        """``lost_within_ms`` returns how long no code ran in a time that ends now."""
         self._lost_within_ms = lost_within_ms
         self._state_by_name: dict[str, ReplicaState] = {}
         self._state_by_incarnation_id: dict[int, ReplicaState] = {}
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -86,7 +86,7 @@
         *,
         lost_within_ms: Callable[[float], int] = lambda duration_ms: 0,
     ) -> None:
-        """``lost_within_ms`` returns for how long of a time until now no code ran."""
+        """``lost_within_ms`` returns how long no code ran in a time that ends now."""
         self._lost_within_ms = lost_within_ms
         self.backpressure = backpressure or Backpressure()
         self.entry = entry
