Forwarding: requests that wait are withdrawn also if no age of the weights is known

A node without any confirmed reading, as after a start during a restore, stopped sending to older weights when it read a version, and left what waited there. Found by review; the check did nothing 28 s later. The new test failed before (the request stayed).

--- a/fireflyward/forwarding/_waiting_sends.py
+++ b/fireflyward/forwarding/_waiting_sends.py
@@ -130,8 +130,8 @@
     def check(self) -> bool:
         """Withdraw what may not begin any more; return whether to check again."""
         now_ms = self._clock.now_ms()
-        models = self._weights.history.models_being_replaced()
-        for model in models:
+        # The age of a version may be unknown, and then no older weights may serve.
+        for model in self._weights.targets():
             version = self._weights.min_waiting_version(now_ms, model)
             count = self._sends.withdraw_older(model, version)
             if count:
@@ -143,4 +143,4 @@
                     model,
                     version,
                 )
-        return bool(models)
+        return bool(self._weights.history.models_being_replaced())
--- a/tests/forwarding/test_withdrawals.py
+++ b/tests/forwarding/test_withdrawals.py
@@ -185,3 +185,13 @@
         running.cancel()
         self.assertIsInstance(outcome, Unknown)
         self.assertEqual(case.withdrawals.withdrawn, 1)
+
+    async def test_a_request_on_weights_that_were_replaced_at_an_unknown_time(self):
+        """Guards against requests that wait without a bound if no age is known."""
+        case = _Case([NEVER])
+        serving = case.start()
+        await case.clock.advance_ms(1_000)
+        case.weights.set_target(1_000, WeightTarget("m", 2))
+        await case.check()
+        (outcome,) = await finish(serving)
+        self.assertIsInstance(outcome, Unknown)
