Weights: evidence that contradicts a node's own reading is not used

A node that had read version 2 accepted from any node or row that version 1 was the newest 48 s later, and served it again: one wrong node reopened all. Evidence later than this node's own reading of a newer version is wrong. Found by review; its test failed before. A node that was told an age that is not usual asks nobody again.

--- a/fireflyward/forwarding/_weights.py
+++ b/fireflyward/forwarding/_weights.py
@@ -30,19 +30,15 @@
     [0, 2, 3]
     """
 
-    __slots__ = ("_heard_ms_by_model", "_version_ms", "history")
+    __slots__ = ("_version_ms", "history")
 
     def __init__(self, *, version_ms: int) -> None:
         self.history = VersionHistory()
         self._version_ms = version_ms
-        self._heard_ms_by_model: dict[str, int] = {}
 
     def set_target(self, now_ms: int, target: WeightTarget) -> bool:
         """Record a named version; return whether it is newer than the last one."""
-        if not self.history.set_target(target):
-            return False
-        self._heard_ms_by_model[target.model] = now_ms
-        return True
+        return self.history.set_target(now_ms, target)
 
     def confirm(self, as_of_ms: int) -> None:
         """Record that no newer version had been named at ``as_of_ms``."""
@@ -58,7 +54,7 @@
 
     def heard_ms(self, now_ms: int, model: str) -> int | None:
         """Return how long ago this node heard of the newest version, if of any."""
-        heard_at_ms = self._heard_ms_by_model.get(model)
+        heard_at_ms = self.history.heard_ms(model)
         return None if heard_at_ms is None else now_ms - heard_at_ms
 
     def replaced_ms(self, now_ms: int, model: str, version: int) -> int | None:
--- a/fireflyward/replacements/_history.py
+++ b/fireflyward/replacements/_history.py
@@ -18,7 +18,7 @@
 
     >>> history = VersionHistory()
     >>> history.confirm(1_000)
-    >>> history.set_target(WeightTarget("m", 2))
+    >>> history.set_target(7_000, WeightTarget("m", 2))
     True
     >>> history.replaced_after_ms("m", 1), history.replaced_after_ms("m", 2)
     (1000, None)
@@ -29,6 +29,7 @@
 
     __slots__ = (
         "_confirmed_ms",
+        "_heard_ms_by_model",
         "_last_newest_ms_by_model",
         "_newest_by_model",
         "_outage_ended_ms",
@@ -42,6 +43,8 @@
         # Called when an older version has a time from which its limit counts.
         self.on_record: Callable[[], None] = lambda: None
         self._newest_by_model: dict[str, int] = {}
+        # When this node read each version that it knows; it was named before.
+        self._heard_ms_by_model: dict[str, dict[int, int]] = {}
         self._last_newest_ms_by_model: dict[str, dict[int, int]] = {}
         # The same without the time of outages; only these are told to other nodes.
         self._proven_ms_by_model: dict[str, dict[int, int]] = {}
@@ -65,12 +68,13 @@
         """
         self._outage_ended_ms = at_ms
 
-    def set_target(self, target: WeightTarget) -> bool:
+    def set_target(self, now_ms: int, target: WeightTarget) -> bool:
         """Record a named version; return whether it is newer than the last one."""
         model, before = target.model, self._newest_by_model.get(target.model, 0)
         if target.version <= before:
             return False
         self._newest_by_model[model] = target.version
+        self._heard_ms_by_model.setdefault(model, {})[target.version] = now_ms
         if self._confirmed_ms is not None:
             _record(self._proven_ms_by_model, model, before, self._confirmed_ms)
             _record(self._last_newest_ms_by_model, model, before, self._confirmed_ms)
@@ -82,9 +86,12 @@
     def on_evidence(self, model: str, version: int, at_ms: int) -> bool:
         """Record that a version was the newest at ``at_ms``; return whether that helps.
 
-        ``version`` is 0 if no version of the model had been named.
+        ``version`` is 0 if no version of the model had been named. Evidence that is
+        later than this node's own reading of a newer version is wrong.
         """
-        if version >= self._newest_by_model.get(model, 0):
+        heard_ms = self._heard_ms_by_model.get(model, {})
+        newer_ms = [at for newer, at in heard_ms.items() if newer > version]
+        if not newer_ms or at_ms > min(newer_ms):
             return False
         known_ms = _latest(self._proven_ms_by_model.get(model), version)
         if known_ms is not None and at_ms <= known_ms:
@@ -94,6 +101,10 @@
         self.on_record()
         return True
 
+    def heard_ms(self, model: str) -> int | None:
+        """Return when this node read the newest version, None if there is none."""
+        return max(self._heard_ms_by_model.get(model, {}).values(), default=None)
+
     def newest(self, model: str) -> int | None:
         """Return the newest named version, None if none has been named yet."""
         return self._newest_by_model.get(model)
--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -91,25 +91,33 @@
             if self._is_known(model):
                 return
             if self._has_older_weights(model):
-                await self._ask(model)
+                answered = await self._ask(model)
+                if answered and self._replaced_after_ms(model) is not None:
+                    return
 
     def _is_known(self, model: str) -> bool:
         """Return whether the latest replacement is known about as well as usual."""
-        newest = self._history.newest(model)
-        after_ms = newest and self._history.replaced_after_ms(model, newest - 1)
+        after_ms = self._replaced_after_ms(model)
         if after_ms is None:
             return False
         return self._clock.now_ms() - after_ms <= _USUAL_UNCERTAINTY_MS
 
-    async def _ask(self, model: str) -> None:
+    def _replaced_after_ms(self, model: str) -> int | None:
+        newest = self._history.newest(model)
+        return newest and self._history.replaced_after_ms(model, newest - 1)
+
+    async def _ask(self, model: str) -> int:
+        """Ask a few nodes; return how many answered."""
         addresses = self._addresses()
         asked = random.sample(addresses, min(_NODES_ASKED, len(addresses)))
         self.asked += len(asked)
-        await asyncio.gather(*(self._ask_node(address, model) for address in asked))
+        return sum(
+            await asyncio.gather(*(self._ask_node(address, model) for address in asked))
+        )
 
-    async def _ask_node(self, address: Address, model: str) -> None:
+    async def _ask_node(self, address: Address, model: str) -> bool:
         if self._link is None:
-            return
+            return False
         sent_ms = self._clock.now_ms()
         answer = await self._link.call(
             address,
@@ -119,7 +127,7 @@
             timeout_s=_CALL_TIMEOUT_S,
         )
         if isinstance(answer, CallFailed):
-            return
+            return False
         for item in answer.last_newest:
             # The answer was made after the question was sent.
             at_ms = sent_ms - item.age_ms
@@ -133,6 +141,7 @@
                     model,
                     self._clock.now_ms() - at_ms,
                 )
+        return True
 
     async def _on_question(self, sender: str, question: Any) -> Any:
         now_ms = self._clock.now_ms()
--- a/tests/forwarding/test_weights.py
+++ b/tests/forwarding/test_weights.py
@@ -75,6 +75,12 @@
         self.assertFalse(self.versions.history.on_evidence("m", 2, 9_000))
         self.assertEqual(self.versions.min_version(11_500, "m"), 2)
 
+    def test_evidence_from_after_the_reading_of_a_newer_version_is_wrong(self):
+        """Guards against one node that lets all others serve older weights again."""
+        self.name(2, confirmed_ms=1_000, heard_ms=2_000)
+        self.assertFalse(self.versions.history.on_evidence("m", 1, 50_000))
+        self.assertFalse(self.versions.may_get_requests(50_000, "m", 1))
+
     def test_a_request_may_wait_longer_than_it_may_be_sent(self):
         self.name(2, confirmed_ms=0)
         self.assertEqual(self.versions.min_waiting_version(11_499, "m"), 0)
--- a/tests/replacements/test_rows.py
+++ b/tests/replacements/test_rows.py
@@ -47,7 +47,7 @@
     async def write(self, *, confirmed_ms, version=2):
         history, rows = self.node()
         history.confirm(confirmed_ms)
-        history.set_target(WeightTarget("m", version))
+        history.set_target(0, WeightTarget("m", version))
         await rows.write("m")
 
     def start(self, store_ms):
@@ -55,7 +55,7 @@
         store = _Store(store_ms)
         history, rows = self.node(store)
         rows.on_table_update(TableUpdate((self.store.row,), True, 0))
-        history.set_target(WeightTarget("m", 2))
+        history.set_target(0, WeightTarget("m", 2))
         rows.use_evidence("m")
         return history
 
@@ -69,7 +69,7 @@
         await self.write(confirmed_ms=-9_000)
         history, rows = self.node()
         rows.on_table_update(TableUpdate((self.store.row,), True, 0))
-        history.set_target(WeightTarget("m", 3))
+        history.set_target(0, WeightTarget("m", 3))
         self.assertTrue(rows.use_evidence("m"))
         self.assertEqual(history.replaced_after_ms("m", 2), -9_000)
 
@@ -93,7 +93,7 @@
 
     async def test_a_node_without_a_bound_writes_nothing(self):
         history, rows = self.node()
-        history.set_target(WeightTarget("m", 2))
+        history.set_target(0, WeightTarget("m", 2))
         await rows.write("m")
         self.assertEqual(self.store.writes, 0)
 
--- a/tests/replacements/test_task.py
+++ b/tests/replacements/test_task.py
@@ -47,6 +47,7 @@
 
 class _Node:
     def __init__(self, clock, node_by_address, has_older=True, rank=9, rows=None):
+        self.clock = clock
         self.history = VersionHistory()
         rows = rows or ReplacementRows(self.history, store=_Store(), table="t")
         self.task = ReplacementTask(
@@ -60,7 +61,7 @@
         self.task.use(_Link(node_by_address))
 
     def name(self, version):
-        self.history.set_target(WeightTarget("m", version))
+        self.history.set_target(self.clock.now_ms(), WeightTarget("m", version))
         self.task.on_named("m")
 
 
@@ -92,7 +93,7 @@
 
     async def test_a_node_that_has_not_heard_yet_tells_what_was_the_newest(self):
         other = self.other()
-        other.history.set_target(WeightTarget("m", 1))
+        other.history.set_target(0, WeightTarget("m", 1))
         other.history.confirm(49_500)
         node = _Node(self.clock, self.node_by_address)
         node.name(2)
@@ -129,3 +130,13 @@
             await self.run_node(node)
             writes.append(rows.writes)
         self.assertEqual(writes, [4, 3, 2, 0])
+
+    async def test_a_node_that_was_told_the_age_asks_nobody_again(self):
+        other = self.other()
+        other.history.confirm(30_000)
+        other.name(2)
+        node = _Node(self.clock, self.node_by_address)
+        node.name(2)
+        await self.run_node(node)
+        self.assertEqual(node.history.replaced_after_ms("m", 1), 30_000)
+        self.assertEqual(node.task.asked, 1)
