Weights: failed calls and restored tables at a start prove nothing

A node whose first two calls were refused took its start for the end of an outage and served older weights for 8.5 s; one that started after a restore confirmed the older version, and told it to others as evidence when it then got the newer row. Before the first reading there is no outage now, and for 10 s after a start in a later era nothing is confirmed.

An outage is also told from a standstill by the time that the node ran in it (5 s) in place of the time that it did not: a loaded node with timers 60 ms late refused all prompts at the end of an outage, and two rejected calls passed for one.

--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -29,10 +29,12 @@
 
 log = logging.getLogger("fireflyward.views")
 
-# Fewer failed calls than this are no outage of the store.
+# The store is taken to have been away if at least this many calls failed, while this
+# process ran for at least this time.
 _OUTAGE_CALLS = 2
-# A process that did not run for longer than this may itself be why its calls failed.
-_MAX_LOST_MS = 500
+_OUTAGE_MS = 5_000
+# An era above this one begins with a restore from an older snapshot.
+_FIRST_ERA = 1
 
 
 class OperatorView:
@@ -72,30 +74,34 @@
             if not row.is_deleted:
                 self._apply_row(row, update)
         self._update_evacuations(update)
-        self._has_read_table = True
         self._routes.confirm(update.as_of_ms)
         self._confirm_weights(update)
+        self._has_read_table = True
 
     def _skip_outage(self, update: TableUpdate) -> None:
         """Do not count the time in which the store was not available to this node.
 
         The time that a version allows to older weights does not include disruptions. A
-        standstill of this node makes its calls fail too, and counts.
+        standstill of this node makes its calls fail too, and counts. Before the first
+        reading nothing is known of the time in which a version was named.
         """
         now_ms = self._clock.now_ms()
-        before_ms = self._weights.history.confirmed_ms or 0
-        if update.failed_calls < _OUTAGE_CALLS:
+        before_ms = self._weights.history.confirmed_ms
+        if before_ms is None or update.failed_calls < _OUTAGE_CALLS:
             return
-        if self._standstills.lost_ms(now_ms, since_ms=before_ms) <= _MAX_LOST_MS:
+        lost_ms = self._standstills.lost_ms(now_ms, since_ms=before_ms)
+        if now_ms - before_ms - lost_ms >= _OUTAGE_MS:
             self._weights.on_outage_ended(update.as_of_ms)
 
     def _confirm_weights(self, update: TableUpdate) -> None:
         """Record that the newest versions known now were the newest at the update.
 
         A store that was restored from an older snapshot may lack a version until the
-        operators have written it again.
+        operators have written it again. A node that starts cannot know how long ago the
+        store was restored.
         """
-        if update.is_new_era:
+        is_first = not self._has_read_table and update.position.era > _FIRST_ERA
+        if update.is_new_era or is_first:
             self._unproven_until_ms = self._clock.now_ms() + RETENTION_MS
         retained = any(
             row.position.era < update.position.era and not row.is_restored
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -186,14 +186,11 @@
         self.assertEqual((self.listed, self.gone), (["r1"], []))
 
 
-class WeightTargetTests(EvacuationTestCase):
-    """Rows that name versions of weights, read late for one reason or another."""
-
+class _WeightTargetCase(EvacuationTestCase):
     def setUp(self):
         super().setUp()
         self.weights = self.view._weights
         self.standstills = self.view._standstills
-        self.read(as_of_ms=0, version=1, is_snapshot=True)
 
     def read(self, *, as_of_ms, version=None, at_ms=None, **options):
         self.clock._now_ms = as_of_ms if at_ms is None else at_ms
@@ -206,6 +203,14 @@
     def replaced_after_ms(self):
         return self.weights.history.replaced_after_ms("m", 1)
 
+
+class WeightTargetTests(_WeightTargetCase):
+    """Rows that name versions of weights, read late for one reason or another."""
+
+    def setUp(self):
+        super().setUp()
+        self.read(as_of_ms=0, version=1, is_snapshot=True)
+
     def test_a_version_counts_from_the_last_reading_without_it(self):
         self.read(as_of_ms=4_000)
         self.read(as_of_ms=14_000, version=2)
@@ -268,3 +273,41 @@
         self.view.on_table_update(update)
         self.read(as_of_ms=7_000, version=2)
         self.assertEqual(self.replaced_after_ms(), 4_000)
+
+    def test_a_loaded_node_can_tell_an_outage_from_a_standstill(self):
+        """Guards against refusing all prompts at the end of an outage."""
+        self.read(as_of_ms=10_000)
+        for now_ms in range(10_000, 30_000, 260):
+            self.standstills.on_tick(now_ms)
+        self.read(as_of_ms=30_000, version=2, failed_calls=20)
+        self.assertEqual(self.replaced_after_ms(), 30_000)
+
+    def test_two_rejected_calls_are_no_outage(self):
+        self.read(as_of_ms=4_000)
+        self.read(as_of_ms=6_500, version=2, failed_calls=2)
+        self.assertEqual(self.replaced_after_ms(), 4_000)
+
+
+class FirstReadingTests(_WeightTargetCase):
+    """The first reading of a node that has just started."""
+
+    def may_serve_older(self):
+        return self.weights.may_get_requests(self.clock.now_ms(), "m", 1)
+
+    def test_calls_that_failed_before_the_first_reading_prove_nothing(self):
+        """Guards against a start in a rush of calls that passes for an outage."""
+        self.read(as_of_ms=100_000, version=2, is_snapshot=True, failed_calls=9)
+        self.assertFalse(self.may_serve_older())
+
+    def test_a_restored_table_proves_nothing_to_a_node_that_starts(self):
+        """Guards against false evidence from a version that the store had lost."""
+        position = at(3, 2)
+        self.read(as_of_ms=100_000, version=1, is_snapshot=True, position=position)
+        retained = at(8, 1)
+        value = json.dumps({"model": "m", "version": 2}).encode()
+        row = TableRow("version/m", value, retained)
+        self.view.on_table_update(
+            TableUpdate((row,), False, 100_300, position=position)
+        )
+        self.assertFalse(self.may_serve_older())
+        self.assertEqual(self.weights.history.proven("m"), {})
