--- a/tests/fleet/test_replaced_weights.py
+++ b/tests/fleet/test_replaced_weights.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from fireflyward.clock import Clock
-from tests.platform_standins import ReplicaBehavior
+from tests.platform_standins import ReplicaBehavior, StoreBehavior
 
 from .node_fixtures import STREAM, FleetTestCase, NodeTestCase
 
@@ -65,6 +65,20 @@
         self.assertEqual((status, self.run_count(self.engines)), (503, 0))
         self.assertIn("Retry-After", headers)
 
+    async def test_a_start_while_the_store_rejects_calls_is_no_outage(self):
+        """Guards against counting a version's time from a node's first reading."""
+        self.operator.set_weights_version("m", 2)
+        self.operator.configure()
+        self.store.behavior = StoreBehavior.RATE_LIMITED
+        await self.start_node(self.node, "entry-1")
+        rejected = len(self.store.requests)
+        await self.until(lambda: len(self.store.requests) > rejected + 12)
+        self.store.behavior = StoreBehavior.NORMAL
+        await self.until(lambda: self.node.is_ready)
+        await self.until(lambda: len(self.node._directory) == 4)
+        status, _, _ = await self.post()
+        self.assertEqual((status, self.run_count(self.engines)), (503, 0))
+
     async def test_a_request_that_waits_on_replaced_weights_is_withdrawn(self):
         """Guards against a request that waits in a replica's queue past the bound."""
         for engine in self.engines:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -25,6 +25,7 @@
     has_partitions=False,
     has_upgrades=False,
     has_standstills=False,
+    standstills=Standstills,
     log_folder=None,
 ):
     """Run one seed; return the violations, counts, and the faults.
@@ -36,7 +37,7 @@
     ``Departures``, which did not exist when the seed was first run. With
     ``has_partitions`` the only faults are those of ``Partitions``, and with
     ``has_upgrades`` those of ``Upgrades``. With ``has_standstills`` they are those of
-    ``Standstills``, and the seed lasts until their effects can be judged. The logs of
+    ``standstills``, and the seed lasts until their effects can be judged. The logs of
     nodes are copied to ``log_folder`` if there are violations.
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -56,7 +57,7 @@
         if has_upgrades:
             fault_kinds = [(5, Upgrades)]
         if has_standstills:
-            fault_kinds = [(6, Standstills)]
+            fault_kinds = [(6, standstills)]
         faults = [
             kind(random.Random(seed + offset), fleet) for offset, kind in fault_kinds
         ]
--- a/tests/soak/_standstills.py
+++ b/tests/soak/_standstills.py
@@ -5,10 +5,8 @@
 import signal
 
 from tests.platform_standins import (
-    Operator,
     ReplicaStandIn,
     StoreBehavior,
-    StoreStandIn,
 )
 
 from ._callers import Caller
@@ -33,14 +31,6 @@
 _STORE_FAULTS = (StoreBehavior.SILENT, StoreBehavior.BUSY, StoreBehavior.RATE_LIMITED)
 
 
-class TimedStore(StoreStandIn):
-    """A store whose responses contain its clock."""
-
-    def _version_and_time(self):
-        now_ms = int(asyncio.get_running_loop().time() * 1_000)
-        return {"ver": self.version, "now-ms": now_ms}
-
-
 class PatientCaller(Caller):
     """Sends to one node only, so that a node that stands still holds no other up."""
 
@@ -62,8 +52,6 @@
                 "version-ms": int(self.version_s * 1_000),
             }
         }
-        self.store = TimedStore()
-        self.operator = Operator(self.store)
         self.operator.configuration["routes"][0]["timeout-ms"] = 15_000
         self.caller_count = 4 * self.node_count
         self.named_s_by_version = {}
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,6 +4,7 @@
 import unittest
 
 from ._soak import run_seed
+from ._stopped_senders import StoppedSenders
 
 _SECONDS = 4.0
 # Long enough for replicas that leave and for an evacuation.
@@ -31,6 +32,7 @@
     102: "the same, for requests that then waited at an engine",
     107: "the same, beside engines that ran slowly and orders without a response",
 }
+_STOPPED_SENDER_SEED = 4
 _DEPARTURE_REGRESSIONS = {
     2: "a failed read of one node counted as an outage of the store, after which a "
     "removed replica stayed in use",
@@ -71,6 +73,15 @@
             with self.subTest(seed=seed):
                 self.assertEqual(violations, [], counts)
 
+    def test_a_request_whose_sender_stands_still(self):
+        """Guards against a request that begins late as no node can withdraw it."""
+        self.check(
+            _STOPPED_SENDER_SEED,
+            0.0,
+            has_standstills=True,
+            standstills=StoppedSenders,
+        )
+
     def test_departures(self):
         for seed in _DEPARTURE_REGRESSIONS:
             self.check(seed, _DEPARTURE_SECONDS)
