Log the highest age of replaced weights each second, also while requests' lines are dropped

The line of a request says at which age of its weights it was sent, and may be dropped for hundreds of others; the new line is not. It is written only while a version is replaced.

--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -65,6 +65,7 @@
     def gauges(self) -> dict[str, int]:
         """Return the values of the metrics."""
         return {
+            "sends_on_older_weights_total": self.versions.older_sends.total,
             "requests_withdrawn_total": self._withdrawals.withdrawn,
             "replacement_ages_asked_total": self._replacements.asked,
         }
--- a/fireflyward/forwarding/_waiting_sends.py
+++ b/fireflyward/forwarding/_waiting_sends.py
@@ -16,6 +16,8 @@
 
 _Weights = tuple[str, int]
 _PERIOD_MS = 100
+# How often the sends on replaced weights are logged while there are any.
+_LOG_INTERVAL_MS = 1_000
 
 
 class WaitingSends:
@@ -107,7 +109,14 @@
     time for which the VM is suspended.
     """
 
-    __slots__ = ("_clock", "_is_replaced", "_sends", "_weights", "withdrawn")
+    __slots__ = (
+        "_clock",
+        "_is_replaced",
+        "_logged_ms",
+        "_sends",
+        "_weights",
+        "withdrawn",
+    )
 
     def __init__(
         self, *, clock: Clock, weights: WeightVersions, sends: WaitingSends
@@ -117,6 +126,7 @@
         self._sends = sends
         self._is_replaced = asyncio.Event()
         weights.history.on_record = self._is_replaced.set
+        self._logged_ms = 0
         self.withdrawn = 0
 
     async def run(self) -> None:
@@ -143,4 +153,17 @@
                     model,
                     version,
                 )
+        if now_ms - self._logged_ms >= _LOG_INTERVAL_MS:
+            self._logged_ms = now_ms
+            self._log_older_sends()
         return bool(self._weights.history.models_being_replaced())
+
+    def _log_older_sends(self) -> None:
+        for model, count, highest_ms in self._weights.older_sends.take():
+            log.info(
+                "forwarding: %d requests sent on weights of %s that were replaced "
+                "%d ms before at most",
+                count,
+                model,
+                highest_ms,
+            )
--- a/fireflyward/forwarding/_weights.py
+++ b/fireflyward/forwarding/_weights.py
@@ -3,6 +3,8 @@
 from fireflyward.deployment import WeightTarget
 from fireflyward.replacements import VersionHistory
 
+from ._older_sends import OlderSends
+
 # Subtracted from the allowed time for new sends: a request may wait in a replica's
 # queue for seconds before it begins.
 _QUEUE_MARGIN_MS = 3_500
@@ -30,10 +32,11 @@
     [0, 2, 3]
     """
 
-    __slots__ = ("_version_ms", "history")
+    __slots__ = ("_version_ms", "history", "older_sends")
 
     def __init__(self, *, version_ms: int) -> None:
         self.history = VersionHistory()
+        self.older_sends = OlderSends()
         self._version_ms = version_ms
 
     def set_target(self, now_ms: int, target: WeightTarget) -> bool:
--- a/fireflyward/forwarding/_weights_check.py
+++ b/fireflyward/forwarding/_weights_check.py
@@ -37,3 +37,4 @@
         heard_ms = self._weights.heard_ms(now_ms, self._model)
         replaced_ms = self._weights.replaced_ms(now_ms, self._model, version)
         self._trace.on_older_weights(newest, heard_ms, replaced_ms)
+        self._weights.older_sends.add(self._model, replaced_ms)
--- a/tests/forwarding/test_withdrawals.py
+++ b/tests/forwarding/test_withdrawals.py
@@ -195,3 +195,17 @@
         await case.check()
         (outcome,) = await finish(serving)
         self.assertIsInstance(outcome, Unknown)
+
+    async def test_sends_on_replaced_weights_are_logged_with_their_age(self):
+        """Guards against a log that cannot tell how old replaced weights were."""
+        case = _Case([stream(b"old", 10)])
+        case.name_version()
+        await case.clock.advance_ms(2_000)
+        serving = case.start()
+        await case.clock.advance_ms(100)
+        self.assertEqual(await finish(serving), [Answered()])
+        with self.assertLogs("fireflyward.forwarding", "INFO") as logs:
+            case.withdrawals.check()
+        self.assertIn("1 requests sent on weights of m", logs.output[0])
+        self.assertIn("replaced 2000 ms before", logs.output[0])
+        self.assertEqual(case.trace.replaced_ms, 2_000)
