--- a/review/2/case.py
+++ b/review/2/case.py
@@ -31,6 +31,7 @@
 WORK_S = 0.09
 # Callers' time limit and the route's timeout; neither is reached.
 LIMIT_MS = 15_000
+RUN_LIMIT_S = 90.0
 CALM_S = 6.0
 GRACE_S = SETTINGS["bounds"]["grace-s"]
 SLACK_S = SETTINGS["bounds"]["lost-slack-ms"] / 1_000
@@ -200,10 +201,13 @@
     with tempfile.TemporaryDirectory() as folder:
         case = Case(folder, record)
         try:
-            await case.start()
-            await case.run()
-        except (OSError, TimeoutError) as error:
+            async with asyncio.timeout(RUN_LIMIT_S):
+                await case.start()
+                await case.run()
+        except Exception as error:
+            # Whatever goes wrong in the script itself says nothing of the rule.
             record.add(f"could not run: {error!r}")
+            print(f"could not run: {error!r}")
             return 2
         finally:
             await case.stop()
