Leases: a lease finds a holder though all of its contenders have gone

Cause: only the first seven nodes of a ranking over the table of nodes contend for the lease, and rows of removed nodes stay in the table.

Fix: the holder announces the lease to all nodes (contenders each renewal, all others every second one, a gain or release at once). A node that does not contend polls if it hears nothing for 1.5 leases, or 0.3 leases after a release, later the further down it is in the ranking; so who has gone does not matter. A node that has not read the table is among the first for nothing, and starts to poll when it has.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -11,7 +11,7 @@
 from fireflyward.feeds import SharedTables, TableUpdate
 from fireflyward.forwarding import Forwarder
 from fireflyward.http1 import ConnectionPool
-from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost
+from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost, Standby
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.platform import LeaseTable, ReplicaApi, StoreClient
@@ -39,8 +39,7 @@
 log = logging.getLogger("fireflyward.node")
 
 # The number of nodes that contend for the lease. If all nodes did, each would make one
-# call per second. If all contenders stop at once, the other nodes notice it within a
-# minute.
+# call per second without announcements. The other nodes are on standby.
 _MAX_CONTENDERS = 7
 # The balancer removes a node after two failed readiness checks, which are 1 s apart.
 _BALANCER_NOTICE_MS = 2_600
@@ -196,6 +195,9 @@
             contenders=lambda: self._node_registry.addresses_of_first(
                 _MAX_CONTENDERS, _LEASE
             ),
+            others=lambda: self._node_registry.addresses_after_first(
+                _MAX_CONTENDERS, _LEASE
+            ),
         )
         self._weight_task = WeightTask(
             clock=clock,
@@ -281,7 +283,8 @@
             ),
             self._table_followers.recover_lost_rows(),
             self._replicas.run(),
-            self._lease.run(),
+            # Which nodes contend for the lease is known once the list has been read.
+            self._joining.run_after_joining(self._lease.run),
             self._weight_task.run(),
             self._garbage_collector.run(),
             *self._crashes.runs(),
@@ -361,6 +364,10 @@
             holder=self._settings.node,
             lease_ms=self._settings.bounds.lease_ms,
             contends=self._contends,
+            standby=Standby.with_announcements(
+                self._settings.bounds.lease_ms,
+                place=lambda: self._node_registry.place(_LEASE),
+            ),
             can_act=self._replica_components.relays.may_give_orders,
             on_change=self._on_lease,
             on_row_written=lambda row, position: self._lease_announcer.announce(
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -52,10 +52,11 @@
 
     __slots__ = (
         "_era",
-        "_first_by_duty",
+        "_has_read",
         "_key_missing_since_ms",
         "_name",
         "_own",
+        "_ranked_by_duty",
         "_row_by_name",
         "_store",
         "_position_by_key",
@@ -71,7 +72,8 @@
         self._position_by_key: dict[str, Position] = {}
         self._era = 0
         self._written_ms_by_key: dict[str, int] = {}
-        self._first_by_duty: dict[str, list[str]] = {}
+        self._ranked_by_duty: dict[str, list[str]] = {}
+        self._has_read = False
         self._key_missing_since_ms: int | None = None
         self.key: bytes | None = None
 
@@ -98,30 +100,40 @@
         ]
 
     def is_among_first(self, count: int, duty: str) -> bool:
-        """Return whether this node is among the first for a duty; all nodes agree."""
-        ranked = self._first_by_duty.get(duty)
-        if ranked is None:
-            ranked = self._first_by_duty[duty] = self._rank_nodes(duty)
-        return self._name in ranked[:count]
+        """Return whether this node is among the first for a duty; all nodes agree.
+
+        Before the table has been read this is not known, and False. Nodes of the list
+        may have gone, so a duty must not depend on the first nodes alone.
+        """
+        return self._has_read and self._name in self._ranked(duty)[:count]
+
+    def place(self, duty: str) -> float:
+        """Return this node's place for a duty, from 0 for the first to below 1.
+
+        Before the table has been read this is 1.
+        """
+        ranked = self._ranked(duty)
+        if not self._has_read or self._name not in ranked:
+            return 1.0
+        return ranked.index(self._name) / len(ranked)
 
     def addresses_of_first(self, count: int, duty: str) -> list[tuple[str, int]]:
         """Return the addresses of the first nodes for a duty, except this one."""
-        self.is_among_first(count, duty)
-        rows = [
-            self._row_by_name.get(name)
-            for name in self._first_by_duty[duty][:count]
-            if name != self._name
-        ]
-        return [(row.ip, row.port) for row in rows if row is not None]
+        return self._addresses(self._ranked(duty)[:count])
+
+    def addresses_after_first(self, count: int, duty: str) -> list[tuple[str, int]]:
+        """Return the addresses of all but the first nodes, except this one."""
+        return self._addresses(self._ranked(duty)[count:])
 
     def set_own_row(self, own: NodeRow) -> None:
         """Set the row that the next write publishes for this node."""
         self._own = own
-        self._first_by_duty.clear()
+        self._ranked_by_duty.clear()
 
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply an update of the table."""
         self._era = update.position.era
+        self._has_read = True
         if update.is_snapshot:
             self._position_by_key.clear()
             if update.is_new_era:
@@ -131,7 +143,7 @@
                 self._row_by_name.clear()
         for row in update.rows:
             self._apply_row(row)
-        self._first_by_duty.clear()
+        self._ranked_by_duty.clear()
 
     async def write_missing(self, now_ms: int) -> None:
         """Write this node's row if it is missing, and the key if that is its task.
@@ -152,6 +164,17 @@
         """Return whether the table had a row at the last read."""
         return key in self._position_by_key
 
+    def _ranked(self, duty: str) -> list[str]:
+        """Return the names of all nodes in their order for a duty."""
+        ranked = self._ranked_by_duty.get(duty)
+        if ranked is None:
+            ranked = self._ranked_by_duty[duty] = self._rank_nodes(duty)
+        return ranked
+
+    def _addresses(self, names: list[str]) -> list[tuple[str, int]]:
+        rows = [self._row_by_name.get(name) for name in names if name != self._name]
+        return [(row.ip, row.port) for row in rows if row is not None]
+
     def _rank_nodes(self, duty: str) -> list[str]:
         """Return the nodes in their order for a duty, those with fast links first.
 
--- a/fireflyward/leases/__init__.py
+++ b/fireflyward/leases/__init__.py
@@ -19,6 +19,7 @@
     WriteAnswered,
     WriteRow,
 )
+from ._standby import Standby
 from ._task import DEFAULT_LEASE_MS, KEY_PREFIX, LeaseTask
 
 __all__ = [
@@ -39,6 +40,7 @@
     "Renewed",
     "RowRead",
     "RowReceived",
+    "Standby",
     "Tick",
     "WriteAnswered",
     "WriteRow",
--- a/fireflyward/leases/_task.py
+++ b/fireflyward/leases/_task.py
@@ -30,13 +30,13 @@
     WriteAnswered,
     WriteRow,
 )
+from ._standby import Standby
 
 log = logging.getLogger("fireflyward.leases")
 
 DEFAULT_LEASE_MS = 9_000
 KEY_PREFIX = "lease/"
 _POLLS_PER_LEASE = 3
-_IDLE_POLL_INTERVAL_MS = 60_000
 # A contender that received an announcement from the holder polls the table only after
 # this share of a lease without another announcement. The share covers two renewals, so
 # one announcement may be lost, and the contender is still in time for a lease that
@@ -52,10 +52,10 @@
     ``can_act`` is called before each step: while it returns False, this process neither
     acquires the lease nor renews it, so that another one takes it over.
     ``contends`` is called before each poll. A node that does not contend polls only
-    once a minute, so that the lease gets a holder even if every node assumes that
-    others contend. ``on_change`` is called with ``Gained`` and ``Lost``, and
+    when ``standby`` is due, so that the lease gets a holder even if every node assumes
+    that others contend. ``on_change`` is called with ``Gained`` and ``Lost``, and
     ``on_row_written`` with each row that this holder wrote, so that it can be announced
-    to the contenders. ``poll_interval_ms`` returns the time until the next poll;
+    to the other nodes. ``poll_interval_ms`` returns the time until the next poll;
     without it the task polls three times in the length of a lease.
 
         lease = LeaseTask("sweep/store-1", clock=clock, table=table, holder="entry-1")
@@ -73,12 +73,12 @@
         "_is_released",
         "_key",
         "_last_announcement_ms",
-        "_last_poll_ms",
         "_lease",
         "_observe",
         "_on_change",
         "_on_row_written",
         "_poll_interval_ms",
+        "_standby",
         "_table",
         "_takes_new_fencing",
         "_wake_up",
@@ -94,6 +94,7 @@
         holder: str,
         lease_ms: int = DEFAULT_LEASE_MS,
         contends: Callable[[], bool] = lambda: True,
+        standby: Standby | None = None,
         can_act: Callable[[], bool] = lambda: True,
         on_change: Callable[[Gained | Lost], None] = lambda change: None,
         on_row_written: Callable[[LeaseRow, Position], None] = lambda row, position: (
@@ -113,12 +114,12 @@
         self._takes_new_fencing = False
         self._wake_up = asyncio.Event()
         self._contends = contends
+        self._standby = standby or Standby.without_announcements()
         self._can_act = can_act
         self._on_change = on_change
         self._on_row_written = on_row_written
         self._last_announcement_ms: int | None = None
         self._observe = observe
-        self._last_poll_ms: int | None = None
         self._is_released = False
 
     def __repr__(self) -> str:
@@ -149,23 +150,27 @@
 
     async def on_row_received(self, row: LeaseRow, position: Position) -> None:
         """Handle the holder's announcement of its row and position."""
+        now_ms = self._clock.now_ms()
         if row.released:
             self._last_announcement_ms = None
+            self._standby.on_release(now_ms)
             self._wake_up.set()
             return
-        self._last_announcement_ms = self._clock.now_ms()
+        self._last_announcement_ms = now_ms
+        self._standby.on_announcement(now_ms)
         await self._process(RowReceived(row, position))
 
     async def step(self) -> None:
         """Perform what is due: poll, acquire, renew or check a pending write."""
         now_ms = self._clock.now_ms()
         can_act = self._can_act()
-        polls = (
-            can_act and self._contends() and not self._has_recent_announcement(now_ms)
-        )
-        may_contend = polls or (can_act and self._is_idle_poll_due(now_ms))
+        polls = self._contends() and not self._has_recent_announcement(now_ms)
+        is_standby_due = self._standby.is_due(now_ms)
+        may_contend = can_act and (polls or is_standby_due)
         if may_contend:
-            self._last_poll_ms = now_ms
+            self._standby.on_poll(now_ms)
+            if not polls and self._lease.claim_at(now_ms) is None:
+                log.info("leases: %s is polled without contending for it", self.name)
         renews_now = self._wake_up.is_set()
         takes_new_fencing = self._takes_new_fencing
         self._takes_new_fencing = False
@@ -203,14 +208,6 @@
         if row is not None:
             self._on_row_written(row, position)
 
-    def _is_idle_poll_due(self, now_ms: int) -> bool:
-        if self._last_poll_ms is None:
-            # The first idle poll comes a full interval after the start, as the later
-            # ones do, so the polls of nodes that start together are spread by their
-            # start times.
-            self._last_poll_ms = now_ms
-        return now_ms - self._last_poll_ms >= _IDLE_POLL_INTERVAL_MS
-
     async def _process(self, message: Message) -> None:
         pending = self._lease.decide(self._clock.now_ms(), message)
         while pending:
