Replacements: another node writes the row if the first three have gone

Nodes that start later then find replaced weights of unknown age, and reject prompts.

Every other node now writes the row 9 to 12 s after its own turn would have ended, by its place, if it has not read one by then. The test fails on the code before (no write).

--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -43,6 +43,7 @@
             clock=clock,
             addresses=aggregators.all_addresses,
             is_among_first=lambda count: registry.is_among_first(count, _DUTY),
+            place=lambda: registry.place(_DUTY),
             has_older_weights=self._has_older_weights,
         )
 
--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -30,6 +30,10 @@
 # node does, if it knows of no such row.
 _WRITE_PAUSES_MS = (0, 1_000, 1_000, 2_000)
 _MAX_WRITERS = 3
+# All of these may have gone, since the list of nodes may name nodes that were removed.
+# Other nodes have read a row after this time, and write it if they have not.
+_OTHERS_PAUSE_MS = 9_000
+_OTHERS_SPREAD_MS = 3_000
 _MAX_AGE_MS = 2**31 - 1
 
 
@@ -50,18 +54,21 @@
         clock: Clock,
         addresses: Callable[[], list[Address]],
         is_among_first: Callable[[int], bool],
+        place: Callable[[], float],
         has_older_weights: Callable[[str], bool],
     ) -> None:
         """``addresses`` returns those of the other nodes.
 
-        ``is_among_first`` says whether this node is among the first for this duty, and
-        ``has_older_weights`` whether a replica has an older version of a model.
+        ``is_among_first`` says whether this node is among the first for this duty,
+        ``place`` how far down it is as a share of all nodes, and ``has_older_weights``
+        whether a replica has an older version of a model.
         """
         self._history = history
         self._rows = rows
         self._clock = clock
         self._addresses = addresses
         self._is_among_first = is_among_first
+        self._place = place
         self._has_older_weights = has_older_weights
         self._link: PeerLink | None = None
         self._named: asyncio.Queue[str] = asyncio.Queue()
@@ -163,3 +170,6 @@
                 return
             if self._is_among_first(min(count, _MAX_WRITERS)):
                 await self._rows.write(model)
+        await self._clock.sleep_ms(_OTHERS_PAUSE_MS + _OTHERS_SPREAD_MS * self._place())
+        if not self._rows.is_written(model):
+            await self._rows.write(model)
--- a/tests/replacements/test_task.py
+++ b/tests/replacements/test_task.py
@@ -56,6 +56,7 @@
             clock=clock,
             addresses=lambda: list(node_by_address),
             is_among_first=lambda count: rank <= count,
+            place=lambda: (rank - 1) / 100,
             has_older_weights=lambda model: has_older,
         )
         self.task.use(_Link(node_by_address))
@@ -70,9 +71,9 @@
         self.clock = ManualClock(50_000)
         self.node_by_address = {("b", 1): None}
 
-    async def run_node(self, node):
+    async def run_node(self, node, duration_ms=4_000):
         task = asyncio.create_task(node.task.run())
-        await self.clock.advance_ms(4_000)
+        await self.clock.advance_ms(duration_ms)
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
@@ -131,6 +132,18 @@
             writes.append(rows.writes)
         self.assertEqual(writes, [4, 3, 2, 0])
 
+    async def test_another_node_writes_if_the_first_three_have_gone(self):
+        """Guards against weights of unknown age after many nodes were replaced."""
+        for rank, pause_ms in ((4, 13_090), (100, 15_970)):
+            rows = _Rows()
+            node = _Node(self.clock, {}, rank=rank, rows=rows)
+            node.name(2)
+            await self.run_node(node, pause_ms - 1)
+            self.assertEqual(rows.writes, 0)
+            node.name(2)
+            await self.run_node(node, pause_ms)
+            self.assertEqual(rows.writes, 1)
+
     async def test_a_node_that_was_told_the_age_asks_nobody_again(self):
         other = self.other()
         other.history.confirm(30_000)
