Nodes: the rows of nodes that have gone for good end

Rows of the table of nodes were never removed.

The holder of the lease asks each listed node every 30 s by datagram, spread over that time (12 a second at 350 nodes, none from other nodes). It deletes the row of one that answered nothing for two minutes and four questions while another node answered, if the row is as it was read. A node that was only cut off reads this and writes its row again; one that does not reach the store either serves nobody, so no budget is exceeded for longer than the keys are valid.

What belongs to the lease moves from FleetNode to LeaseComponents.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -11,10 +11,10 @@
 from fireflyward.feeds import SharedTables, TableUpdate
 from fireflyward.forwarding import Forwarder
 from fireflyward.http1 import ConnectionPool
-from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost, Standby
+from fireflyward.leases import Gained, Lost
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
-from fireflyward.platform import LeaseTable, ReplicaApi, StoreClient
+from fireflyward.platform import ReplicaApi, StoreClient
 from fireflyward.prefixes import GarbageCollector, PartPlanner
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
@@ -27,6 +27,7 @@
 from ._gauges import link_gauges
 from ._joining import Joining
 from ._kv_stores import KvStoreFollowers
+from ._lease_components import LeaseComponents
 from ._own_member import own_member
 from ._peers import NODE_TABLE, NodeRegistry
 from ._replica_components import ReplicaComponents
@@ -38,14 +39,10 @@
 
 log = logging.getLogger("fireflyward.node")
 
-# The number of nodes that contend for the lease. If all nodes did, each would make one
-# call per second without announcements. The other nodes are on standby.
-_MAX_CONTENDERS = 7
 # The balancer removes a node after two failed readiness checks, which are 1 s apart.
 _BALANCER_NOTICE_MS = 2_600
 # The part of the grace period that is reserved for the last writes.
 _EXIT_MARGIN_MS = 500
-_LEASE = "weights"
 _SOFTWARE_DUTY = "software"
 _METRICS_PORT_OFFSET = 1
 
@@ -189,16 +186,17 @@
             on_configuration=operators.on_table_update,
             on_replicas=self._replicas.on_table_update,
         )
-        self._lease = self._make_lease()
-        self._lease_announcer = LeaseAnnouncer(
-            self._lease,
-            contenders=lambda: self._node_registry.addresses_of_first(
-                _MAX_CONTENDERS, _LEASE
-            ),
-            others=lambda: self._node_registry.addresses_after_first(
-                _MAX_CONTENDERS, _LEASE
-            ),
+        self._lease_components = LeaseComponents(
+            settings,
+            clock=clock,
+            store=self._store,
+            registry=self._node_registry,
+            is_stopping=lambda: self._is_stopping,
+            can_act=self._replica_components.relays.may_give_orders,
+            on_change=self._on_lease,
+            poll_interval_ms=lambda: self._weight_task.lease_poll_ms(),
         )
+        self._lease = self._lease_components.lease
         self._weight_task = WeightTask(
             clock=clock,
             lease=self._lease,
@@ -289,6 +287,7 @@
             self._garbage_collector.run(),
             *self._crashes.runs(),
             *self._weight_components.runs(),
+            *self._lease_components.runs(),
             self._software_rows.run(),
             self._replica_components.notices.run(),
             self._replica_components.relays.connector.run(),
@@ -356,26 +355,6 @@
             waiting=self._weight_components.waiting,
         )
 
-    def _make_lease(self) -> LeaseTask:
-        return LeaseTask(
-            _LEASE,
-            clock=self._clock,
-            table=LeaseTable(self._store),
-            holder=self._settings.node,
-            lease_ms=self._settings.bounds.lease_ms,
-            contends=self._contends,
-            standby=Standby.with_announcements(
-                self._settings.bounds.lease_ms,
-                place=lambda: self._node_registry.place(_LEASE),
-            ),
-            can_act=self._replica_components.relays.may_give_orders,
-            on_change=self._on_lease,
-            on_row_written=lambda row, position: self._lease_announcer.announce(
-                row, position
-            ),
-            poll_interval_ms=lambda: self._weight_task.lease_poll_ms(),
-        )
-
     def _on_lease(self, change: Gained | Lost) -> None:
         self._weight_task.on_change(change)
 
@@ -394,13 +373,8 @@
         self._software_rows.on_table_update(update)
         self._weight_components.on_table_update(update)
 
-    def _contends(self) -> bool:
-        return not self._is_stopping and self._node_registry.is_among_first(
-            _MAX_CONTENDERS, _LEASE
-        )
-
     def _on_link(self, link: PeerLink) -> Callable[[], None]:
-        senders = (self._load_announcer, self._tables, self._lease_announcer)
+        senders = (self._load_announcer, self._tables, self._lease_components)
         weights = self._weight_components
         for part in (*senders, self._crashes, self._replica_components, weights):
             part.use(link)
@@ -431,6 +405,7 @@
             "in_flight": self._caller_server.in_flight,
             "standstills_total": self._standstills.count,
             **self._weight_components.gauges(),
+            **self._lease_components.gauges(),
             "caller_connections_refused_total": self._caller_server.refused,
             "configuration_age_ms": self._routes.age_ms(now_ms),
             "configuration_version": self._routes.version or 0,
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -40,10 +40,11 @@
 class NodeRegistry:
     """Follows the table of nodes, and writes the rows of this node that it lacks.
 
-    Rows of stopped nodes are not removed, so the number of nodes may be too high, and
-    all nodes together stay within shared budgets. One node creates the key that seals
-    the messages between nodes and stores it in the table: every process that may read
-    the store counts as a node.
+    A node that stops leaves its row, and ``end_rows`` deletes it if the node does not
+    come back. Until then the number of nodes is too high, and all nodes together stay
+    within shared budgets. One node creates the key that seals the messages between
+    nodes and stores it in the table: every process that may read the store counts as a
+    node.
 
     If the store is restored from an older snapshot, each node writes its own row again,
     and any node that has the key writes the key. Until then the known nodes stay in the
@@ -125,6 +126,37 @@
         """Return the addresses of all but the first nodes, except this one."""
         return self._addresses(self._ranked(duty)[count:])
 
+    def listed(self) -> dict[str, tuple[str, int]]:
+        """Return the addresses of all listed nodes except this one, by name."""
+        return {
+            name: (row.ip, row.port)
+            for name, row in self._row_by_name.items()
+            if name != self._name
+        }
+
+    async def end_rows(self, names: list[str]) -> bool:
+        """Delete the rows of nodes that have gone; return whether this succeeded.
+
+        A row that was written since it was read stays, as the others do then.
+        """
+        keys = [_NODE_PREFIX + name for name in names]
+        expected = {
+            key: self._position_by_key[key]
+            for key in keys
+            if key in self._position_by_key
+        }
+        if not expected:
+            return False
+        result = await self._store.write(
+            table=NODE_TABLE, part="", expected=expected, puts={}, deletes=expected
+        )
+        log.info(
+            "peers: rows of nodes that do not answer, %s, are deleted: %s",
+            ", ".join(names),
+            type(result).__name__,
+        )
+        return isinstance(result, Committed)
+
     def set_own_row(self, own: NodeRow) -> None:
         """Set the row that the next write publishes for this node."""
         self._own = own
--- a/tests/fleet/test_peers.py
+++ b/tests/fleet/test_peers.py
@@ -114,6 +114,31 @@
         self.assertEqual(len(keys), len(rows))
 
 
+class EndedRowTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self):
+        self.store = _Store()
+        self.own = NodeRow("10.0.0.1", 7, "a", 100)
+        other = NodeRow("10.0.0.2", 7, "a", 100)
+        table = [KEY, listed("n0", self.own), listed("n1", other, version=5)]
+        self.registry = make_registry("n0", table, own=self.own, store=self.store)
+
+    async def test_a_row_ends_only_as_it_was_read(self):
+        """Guards against a node that is deleted just after it wrote its row again."""
+        self.assertTrue(await self.registry.end_rows(["n1"]))
+        ((expected, puts),) = self.store.writes
+        self.assertEqual((expected, puts), ({"node/n1": at(5)}, {}))
+
+    async def test_a_node_whose_row_ended_writes_it_again(self):
+        """Guards against a node without a part of any budget after a short cut."""
+        ended = TableRow("node/n0", b"", at(6), is_deleted=True)
+        self.registry.on_table_update(TableUpdate((ended,), False, 0))
+        self.assertFalse(self.registry.is_complete)
+        await self.registry.write_missing(10_000)
+        ((expected, puts),) = self.store.writes
+        self.assertEqual(expected, {"node/n0": at(0)})
+        self.assertEqual(msgspec.json.decode(puts["node/n0"], type=NodeRow), self.own)
+
+
 class MalformedRowTests(unittest.IsolatedAsyncioTestCase):
     async def test_malformed_rows_are_ignored(self):
         """Guards against processes that all exit repeatedly.
