Callers: a planned stop reads what has begun to arrive, and answers it

Cause: the drain called pre_shutdown() and shutdown() of the HTTP library on all connections. Both make a connection drop every byte that arrives from then on, also where a handler waits for the rest of a body. They are meant for connections that are to read nothing more. Evidence: the library's data_received returns at once then, and its shutdown() sets the same flag before it waits for the handler. The same holds for bodies in chunks or after 100 Continue, for headers that have arrived in part, and for a second request that was read behind the first, which Connection: close on the first dropped.

Fix: connections know whether a request is arriving, waiting or being served. The drain closes only the others, and waits. A response closes its connection unless a request has been read behind it. For the last two fifths of the time no body is waited for: such a request gets 503, not run, and the rest of its body is read so that the answer is not lost to a reset. A body that has arrived with its headers is read without a timer now, which takes two tasks less for each request.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -4,7 +4,6 @@
 import logging
 from collections.abc import Callable
 
-from aiohttp import web_server
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
@@ -25,6 +24,7 @@
 from fireflyward.routes import Allowed, RouteTable
 
 from ._accept_limit import AcceptLimit, NodeLoads
+from ._caller_connections import CallerConnections, connection_of
 from ._start_gate import StartGate
 
 log = logging.getLogger("fireflyward.callers")
@@ -39,6 +39,12 @@
 # After a fault of the node that hit a request before it was sent to any replica.
 _RETRY_AFTER_MS = 300
 _BODY_TIMEOUT_MS = 10_000
+_DRAIN_POLL_MS = 20
+# The share of the time for a stop that is left to requests that a replica runs. A body
+# that has not arrived by then is not waited for, as its request could be cut.
+_RUN_SHARE = 0.4
+# How long cancelled requests may take to end.
+_CANCEL_TIMEOUT_S = 0.05
 # A request line also has two spaces, the protocol version and a line end. Each header
 # also has a colon, a space and a line end.
 _REQUEST_LINE_OVERHEAD_BYTES = 12
@@ -74,7 +80,7 @@
             headers=CIMultiDict(response_headers(head)),
         )
         self.response.enable_chunked_encoding()
-        self._server.close_if_stopping(self.response)
+        self._server.close_if_stopping(self._request, self.response)
         await self.response.prepare(self._request)
 
     async def send_event(self, data: bytes) -> None:
@@ -113,7 +119,7 @@
         self._forwarder = forwarder
         self._metrics = metrics
         self._gate = gate
-        self._server = web_server.Server(
+        self._server = CallerConnections(
             self._handle,
             handler_cancellation=True,
             access_log=None,
@@ -125,6 +131,7 @@
         )
         self._listener: asyncio.Server | None = None
         self._is_stopping = False
+        self._reading_ends = asyncio.Event()
         self.in_flight = 0
 
     async def listen(self, address: str) -> str:
@@ -167,26 +174,40 @@
     async def drain(self, limit_ms: float) -> None:
         """Close idle connections at once, and each other one after its response.
 
-        ``pre_shutdown`` is necessary for the idle ones. Without it they would stay
-        open until the limit without being read, and requests sent on them be lost.
+        An idle connection would otherwise stay open until the limit, and a request sent
+        on it just before the process exits be lost. What arrives on any other one is
+        still read, since its caller has begun to send a request.
         """
-        self._server.pre_shutdown()
-        await self._server.shutdown(limit_ms / 1_000)
+        end_ms = self._clock.now_ms() + limit_ms
+        self._server.close_idle()
+        await self._wait_for_connections(end_ms - limit_ms * _RUN_SHARE)
+        self._reading_ends.set()
+        await self._wait_for_connections(end_ms)
+        await self._server.shutdown(_CANCEL_TIMEOUT_S)
 
-    def close_if_stopping(self, response: StreamResponse) -> None:
-        """Let a response close its connection if the process is stopping."""
-        if self._is_stopping:
+    async def _wait_for_connections(self, end_ms: float) -> None:
+        while self._server.connections and self._clock.now_ms() < end_ms:
+            await self._clock.sleep_ms(_DRAIN_POLL_MS)
+
+    def close_if_stopping(self, request: BaseRequest, response: StreamResponse) -> None:
+        """Let a response close its connection if the process is stopping.
+
+        A request that has been read behind this one is answered first.
+        """
+        if self._is_stopping and not connection_of(request).has_next_request:
             response.force_close()
 
     async def send(self, request: BaseRequest, response: StreamResponse) -> None:
         """Send a complete response."""
-        self.close_if_stopping(response)
+        self.close_if_stopping(request, response)
         await response.prepare(request)
         await response.write_eof()
 
     async def _handle(self, request: BaseRequest) -> StreamResponse:
         arrived_ms = self._clock.now_ms()
         self.in_flight += 1
+        connection = connection_of(request)
+        connection.begin_request()
         reply = _AiohttpReply(self, request)
         caller: CallerRequest | NotRun | None = None
         outcome: Outcome = Unknown(Reason.CALLER_GONE)
@@ -207,6 +228,7 @@
             return reply.response or Response(status=_CALLER_GONE_STATUS)
         finally:
             self.in_flight -= 1
+            connection.end_request()
             fields = {
                 "status": response.status if response is not None else None,
                 "made_by": "replica" if reply.response is not None else "node",
@@ -247,6 +269,8 @@
         body = await self._read_body(request)
         if isinstance(body, NotRun):
             return body
+        if self._reading_ends.is_set():
+            return _stopping()
         await self._gate.wait_until_open()
         # The key is checked after the body has arrived, so that a key withdrawn during
         # that time is rejected.
@@ -300,15 +324,33 @@
             return NotRun(Reason.TOO_LARGE, "body exceeds the limit")
         if request.headers.get("Expect", "").lower() == "100-continue":
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-        read = await within_ms(
-            self._clock, _BODY_TIMEOUT_MS, _read_up_to(request, limit)
-        )
+        if request.content.is_eof():
+            read = await _read_up_to(request, limit)
+        else:
+            read = await within_ms(
+                self._clock, _BODY_TIMEOUT_MS, self._read_until_stop(request, limit)
+            )
         if isinstance(read, TimedOut):
             return NotRun(Reason.BODY_TIMEOUT, "body did not arrive in time")
+        if isinstance(read, NotRun):
+            return read
         if len(read) > limit:
             return NotRun(Reason.TOO_LARGE, "body exceeds the limit")
         return read
 
+    async def _read_until_stop(
+        self, request: BaseRequest, limit: int
+    ) -> bytes | NotRun:
+        """Return a body that is still arriving, unless this process must stop first."""
+        reading = asyncio.ensure_future(_read_up_to(request, limit))
+        stopping = asyncio.ensure_future(self._reading_ends.wait())
+        try:
+            await asyncio.wait({reading, stopping}, return_when=asyncio.FIRST_COMPLETED)
+            return reading.result() if reading.done() else _stopping()
+        finally:
+            reading.cancel()
+            stopping.cancel()
+
     def _record(
         self,
         caller: CallerRequest | NotRun | None,
@@ -353,6 +395,14 @@
         log.info("callers: %s", outcome.tag, extra={"fields": fields, **PER_REQUEST})
 
 
+def _stopping() -> NotRun:
+    return NotRun(
+        Reason.STOPPING,
+        "this node stops before the request could be served",
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def address_of(listener: asyncio.Server) -> str:
     """Return the ``IP:PORT`` of a listener."""
     host, port = listener.sockets[0].getsockname()[:2]
