Entry: a request behind another one is answered during a planned stop

The same cause on a related path: while a node of the product's own door stops, each response closes its connection, also if the caller has already sent its next request there and the node has read it. That request ran nowhere and got no answer.

A response leaves the connection open if a request has been read behind it, as at the platform's door. Bodies and responses under way were waited for already.

--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from fireflyward.http1 import has_queued_request
 from fireflyward.outcomes import NotRun, Reason, Unknown
 
 from . import _completions, _services
@@ -83,7 +84,8 @@
 async def _close_when_stopping(
     request: web.Request, response: web.StreamResponse
 ) -> None:
-    if request.app[CONTEXT].in_flight.is_closing:
+    is_closing = request.app[CONTEXT].in_flight.is_closing
+    if is_closing and not has_queued_request(request):
         close_connection(response)
 
 
--- a/fireflyward/fleet/_caller_connections.py
+++ b/fireflyward/fleet/_caller_connections.py
@@ -4,6 +4,8 @@
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 
+from fireflyward.http1 import has_queued_request
+
 
 class CallerConnection(RequestHandler):
     """One caller's connection.
@@ -29,19 +31,14 @@
         """Return whether no request is arriving, waiting or being served."""
         return not (self._is_receiving or self._is_serving)
 
-    @property
-    def has_next_request(self) -> bool:
-        """Return whether the headers of one more request have been read."""
-        return bool(self._messages)
-
     def begin_request(self) -> None:
         """Record that the headers of a request have been read."""
         self._is_receiving = False
         self._is_serving = True
 
-    def end_request(self) -> None:
-        """Record that the response has been written."""
-        self._is_receiving = self.has_next_request
+    def end_request(self, request: BaseRequest) -> None:
+        """Record that the response to a request has been written."""
+        self._is_receiving = has_queued_request(request)
         self._is_serving = False
 
 
--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -11,7 +11,7 @@
 from fireflyward.clock import Clock, TimedOut, within_ms
 from fireflyward.deployment import Limits
 from fireflyward.forwarding import Forwarder, Trace
-from fireflyward.http1 import Head
+from fireflyward.http1 import Head, has_queued_request
 from fireflyward.observe import PER_REQUEST, Metrics
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.platform import (
@@ -194,7 +194,7 @@
 
         A request that has been read behind this one is answered first.
         """
-        if self._is_stopping and not connection_of(request).has_next_request:
+        if self._is_stopping and not has_queued_request(request):
             response.force_close()
 
     async def send(self, request: BaseRequest, response: StreamResponse) -> None:
@@ -228,7 +228,7 @@
             return reply.response or Response(status=_CALLER_GONE_STATUS)
         finally:
             self.in_flight -= 1
-            connection.end_request()
+            connection.end_request(request)
             fields = {
                 "status": response.status if response is not None else None,
                 "made_by": "replica" if reply.response is not None else "node",
--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -18,6 +18,7 @@
 )
 from ._full_response import FullResponse, NoResponse, read_full_response
 from ._pool import MAX_IDLE_MS, ConnectionPool, ConnectionUse, NotConnected
+from ._queued import has_queued_request
 
 __all__ = [
     "BodyPart",
@@ -33,5 +34,7 @@
     "NotConnected",
     "FullResponse",
     "enable_dead_peer_detection",
+    "has_queued_request",
+    "has_queued_request",
     "read_full_response",
 ]
--- a/tests/fleet/test_stop_during_requests.py
+++ b/tests/fleet/test_stop_during_requests.py
@@ -34,7 +34,11 @@
         await self.start_ready()
         host, port = self.node.callers_address.split(":")
         self.reader, self.writer = await asyncio.open_connection(host, int(port))
-        self.addCleanup(self.writer.close)
+
+    async def asyncTearDown(self):
+        self.writer.close()
+        await self.stopping
+        await super().asyncTearDown()
 
     async def stop_after(self, sent):
         """Send bytes, and begin to stop the node once its drain has begun."""
