HTTP: responses without end are given up within bounds

What callers saw (10 responses at once from one replica, node of 150 MB): an endless status line, header name or value took the node to 570 to 950 MB and the 95th percentile of the other callers' times from 10 ms to 1.9 to 3.4 s until the route's timeout; with the platform's memory limit all its connections end.

Cause: nothing bounded what precedes a body or stands between its bytes, nor a stream's unfinished event; bodies were bounded one by one (16 MiB), not together; unread bytes were counted without the objects that hold them; and much of it was joined again with each read, or handled in one iteration of the event loop.

Bounds, each with a line of the log that names it and the bytes: 64 KiB for the header with interim responses, and for framing beside twice the body's size; 16 MiB for a response, 64 KiB for a rejection or a report, 4 MiB for KV events and lists, also where the length is declared; an eighth of the memory for all bodies being read, at least 16 MiB, where the largest gives way; 1 MiB for an event; for the events of a stream, twice the tokens that the request allows (X-Token-Usage) and 1,000; 100,000 rows for a table, whose pages must advance. Responses up to these sizes pass whole.

The request ends as one that may have run, the replica counts as failing.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -10,7 +10,7 @@
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import SharedTables, TableUpdate
 from fireflyward.forwarding import Forwarder
-from fireflyward.http1 import ConnectionPool
+from fireflyward.http1 import MAX_BODY_BYTES, ConnectionPool, ReadMemory
 from fireflyward.leases import Gained, Lost
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
@@ -43,6 +43,9 @@
 _BALANCER_NOTICE_MS = 2_600
 # The part of the grace period that is reserved for the last writes.
 _EXIT_MARGIN_MS = 500
+# An eighth of the memory is for bodies that are being read. A body is copied once when
+# it is complete and once when it is written to a caller.
+_READ_BYTES_PER_MB = 1 << 17
 _SOFTWARE_DUTY = "software"
 _METRICS_PORT_OFFSET = 1
 
@@ -63,8 +66,11 @@
         self._clock = clock
         self._metrics = Metrics()
         self._standstills = Standstills(clock=clock)
-        self._pool = ConnectionPool(clock)
-        self._store = StoreClient(settings.store.address, clock=clock)
+        memory = ReadMemory(
+            max_bytes=max(MAX_BODY_BYTES, _READ_BYTES_PER_MB * settings.memory_mb)
+        )
+        self._pool = ConnectionPool(clock, memory=memory)
+        self._store = StoreClient(settings.store.address, clock=clock, memory=memory)
         self._routes = RouteTable(
             revoke_ms=bounds.revoke_ms,
             fails_closed=bounds.fails_closed,
@@ -415,6 +421,7 @@
             "connections_opened_total": self._pool.opened,
             "connections_refused_total": self._pool.refused,
             "connections_timed_out_total": self._pool.timed_out,
+            "bodies_given_up_total": self._pool.memory.given_up,
             **self._replica_components.gauges(),
             **link_gauges(self._joining.link),
         }
--- a/fireflyward/forwarding/_events.py
+++ b/fireflyward/forwarding/_events.py
@@ -17,6 +17,8 @@
 class EventSplitter:
     """Returns complete events only; the incomplete end of a broken stream is dropped.
 
+    ``events`` and ``received_bytes`` count what the stream consists of so far.
+
     If a replica fails in the middle of an event, the caller must not receive half of
     it: another replica then continues the stream after the last complete event.
 
@@ -25,24 +27,55 @@
     [1]
     """
 
-    __slots__ = ("_incomplete",)
+    __slots__ = ("_buffer", "_searched_bytes", "events", "received_bytes")
 
     def __init__(self) -> None:
-        self._incomplete = b""
+        self._buffer = bytearray()
+        # No event ends before this position of the buffer.
+        self._searched_bytes = 0
+        self.events = 0
+        self.received_bytes = 0
 
     @property
     def incomplete(self) -> bytes:
         """Return the bytes of the last event, which is not complete yet."""
-        return self._incomplete
+        return bytes(self._buffer)
+
+    @property
+    def incomplete_bytes(self) -> int:
+        """Return the size of the last event so far."""
+        return len(self._buffer)
+
+    def feed(
+        self, data: bytes = b"", *, max_events: int | None = None
+    ) -> list[StreamEvent]:
+        """Add received bytes; return the events that they complete.
 
-    def feed(self, data: bytes) -> list[StreamEvent]:
-        """Add received bytes; return the events that they complete."""
-        parts = (self._incomplete + data).split(_SEPARATOR)
-        self._incomplete = parts.pop()
-        return [StreamEvent(part + _SEPARATOR, _number(part)) for part in parts]
+        With ``max_events`` the next call returns further ones, also without bytes.
+        """
+        self.received_bytes += len(data)
+        self._buffer += data
+        events: list[StreamEvent] = []
+        begin = 0
+        while max_events is None or len(events) < max_events:
+            found = self._buffer.find(_SEPARATOR, max(begin, self._searched_bytes))
+            if found < 0:
+                self._searched_bytes = len(self._buffer) - len(_SEPARATOR) + 1
+                break
+            end = found + len(_SEPARATOR)
+            events.append(
+                StreamEvent(
+                    bytes(self._buffer[begin:end]), _number(self._buffer[begin:found])
+                )
+            )
+            begin = end
+        self._searched_bytes = max(0, self._searched_bytes - begin)
+        del self._buffer[:begin]
+        self.events += len(events)
+        return events
 
 
-def _number(event: bytes) -> int | None:
+def _number(event: bytearray) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(_ID_PREFIX):
             value = line[len(_ID_PREFIX) :].strip()
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -1,17 +1,22 @@
 """Reads the response of one replica to one send and passes it to the caller."""
 
+import asyncio
+import logging
 from collections.abc import Callable
 from typing import Protocol
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import (
+    MAX_BODY_BYTES,
     BodyPart,
+    BodyTooLarge,
     Broken,
     BrokenAt,
     ConnectionPool,
     End,
     Head,
     HttpConnection,
+    read_body,
 )
 from fireflyward.platform import ResponseFacts, decode_response
 from fireflyward.replicas import ReplicaState
@@ -29,9 +34,18 @@
     WholeAnswer,
 )
 
-# Larger responses are not read into memory. The services' usual responses have a few
-# kilobytes.
-_MAX_RESPONSE_BYTES = 16 * 1_024 * 1_024
+log = logging.getLogger("fireflyward.forwarding")
+
+# A rejection has a few words.
+_MAX_REJECTION_BYTES = 65_536
+_MAX_EVENT_BYTES = 1 << 20
+# An event has one token at least. Events without a token, such as comments, are few.
+_MAX_EVENTS_PER_TOKEN = 2
+_MAX_OTHER_EVENTS = 1_000
+# For a request that does not say how many tokens it asks for.
+_MAX_EVENTS = 100_000
+# Events that are passed on before other tasks run again.
+_EVENTS_AT_ONCE = 500
 
 
 class Reply(Protocol):
@@ -75,6 +89,7 @@
         "_connection",
         "_due_ms",
         "_is_stream",
+        "_max_events",
         "_notices",
         "_on_begun",
         "_on_event",
@@ -102,6 +117,7 @@
         request_id: str,
         due_ms: float,
         is_stream: bool,
+        max_output_tokens: int,
         progress: StreamProgress,
         reply: Reply,
         on_begun: Callable[[], None],
@@ -120,6 +136,10 @@
         self._request_id = request_id
         self._due_ms = due_ms
         self._is_stream = is_stream
+        self._max_events = _MAX_EVENTS
+        if max_output_tokens:
+            tokens = _MAX_EVENTS_PER_TOKEN * max_output_tokens
+            self._max_events = tokens + _MAX_OTHER_EVENTS
         self._progress = progress
         self._reply = reply
         self._on_begun = on_begun
@@ -188,6 +208,10 @@
             else "response is malformed or too large"
         )
 
+    def _give_up(self, problem: str) -> Failed:
+        log.warning("forwarding: response of %s: %s", self._connection.address, problem)
+        return self._fail(problem)
+
     def _fail(self, detail: str) -> Failed:
         self._connection.close()
         self._replica.on_send_failure(self._clock.now_ms())
@@ -205,17 +229,22 @@
         is_usable = head.status < 500 and head.status not in NOT_RUN_STATUSES
         if is_usable and not facts.was_not_run and not self._claim():
             return self._supersede()
-        parts, size = [], 0
-        while not isinstance(event := await self._next_event(), End):
-            if not isinstance(event, BodyPart) or size > _MAX_RESPONSE_BYTES:
-                return self._on_incomplete(event)
-            parts.append(event.data)
-            size += len(event.data)
+        body = await read_body(
+            self._connection,
+            head,
+            self._next_event,
+            memory=self._pool.memory,
+            max_bytes=_MAX_REJECTION_BYTES if facts.was_not_run else MAX_BODY_BYTES,
+        )
+        if isinstance(body, BodyTooLarge):
+            return self._fail(body.detail)
+        if not isinstance(body, bytes):
+            return self._on_incomplete(body)
         if facts.was_not_run:
             self._pool.release(self._connection)
             return NotRunThere(facts)
         self._complete(failed=head.status >= 500)
-        return WholeAnswer(head, b"".join(parts))
+        return WholeAnswer(head, body)
 
     async def _forward_stream(self, head: Head) -> Streamed | Failed | Superseded:
         splitter = EventSplitter()
@@ -231,8 +260,10 @@
             else:
                 self._on_pause(now_ms - last_part_ms)
             last_part_ms = now_ms
-            await self._forward_events(head, splitter.feed(event.data))
-        if splitter.incomplete:
+            problem = await self._forward_part(head, splitter, event.data)
+            if problem:
+                return self._give_up(problem)
+        if splitter.incomplete_bytes:
             return self._fail("stream ended within an event")
         if last_part_ms is None and not self._claim():
             return self._supersede()
@@ -242,16 +273,42 @@
         await self._reply.end_stream()
         return Streamed()
 
+    async def _forward_part(
+        self, head: Head, splitter: EventSplitter, data: bytes
+    ) -> str:
+        """Forward the events that a part completes; return why the stream is none."""
+        events = splitter.feed(data, max_events=_EVENTS_AT_ONCE)
+        while events:
+            if splitter.events > self._max_events:
+                return f"stream of {splitter.events} events, limit {self._max_events}"
+            await self._forward_events(head, events)
+            if len(events) < _EVENTS_AT_ONCE:
+                break
+            await asyncio.sleep(0)
+            events = splitter.feed(max_events=_EVENTS_AT_ONCE)
+        size = splitter.incomplete_bytes
+        if size > _MAX_EVENT_BYTES:
+            return f"event of {size} bytes or more, limit {_MAX_EVENT_BYTES}"
+        size = splitter.received_bytes
+        if size > MAX_BODY_BYTES:
+            return f"stream of {size} bytes or more, limit {MAX_BODY_BYTES}"
+        return ""
+
     async def _forward_events(self, head: Head, events: list[StreamEvent]) -> None:
+        """Forward events in one write, without those that the caller already has."""
         progress = self._progress
+        last_number, new = progress.last_number, []
         for event in events:
-            if event.number is not None and progress.last_number is not None:
-                if event.number <= progress.last_number:
-                    continue
-            if not progress.has_begun:
-                progress.has_begun = True
-                self._on_begun()
-                await self._reply.begin_stream(head)
-            await self._reply.send_event(event.data)
             if event.number is not None:
-                progress.last_number = event.number
+                if last_number is not None and event.number <= last_number:
+                    continue
+                last_number = event.number
+            new.append(event.data)
+        if not new:
+            return
+        if not progress.has_begun:
+            progress.has_begun = True
+            self._on_begun()
+            await self._reply.begin_stream(head)
+        await self._reply.send_event(b"".join(new))
+        progress.last_number = last_number
--- a/fireflyward/forwarding/_replica_send.py
+++ b/fireflyward/forwarding/_replica_send.py
@@ -113,6 +113,7 @@
                 request_id=caller.request_id,
                 due_ms=due_ms,
                 is_stream=is_stream,
+                max_output_tokens=caller.max_output_tokens,
                 progress=progress,
                 reply=reply,
                 on_begun=on_begun,
--- a/fireflyward/forwarding/_stream_version.py
+++ b/fireflyward/forwarding/_stream_version.py
@@ -114,6 +114,7 @@
             entry,
             clock=self._deps.clock,
             limit_ms=min(_REPORT_LIMIT_MS, left_ms),
+            memory=self._deps.pool.memory,
         )
         if is_same:
             connection.confirmed_peer = replica.incarnation_id
--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -7,7 +7,9 @@
 far the request got.
 """
 
+from ._body import MAX_BODY_BYTES, BodyTooLarge, ReadMemory, read_body
 from ._connection import (
+    MAX_HEAD_BYTES,
     BodyPart,
     Broken,
     BrokenAt,
@@ -21,8 +23,11 @@
 from ._queued import has_queued_request
 
 __all__ = [
-    "BodyPart",
+    "MAX_BODY_BYTES",
+    "MAX_HEAD_BYTES",
     "MAX_IDLE_MS",
+    "BodyPart",
+    "BodyTooLarge",
     "Broken",
     "BrokenAt",
     "ConnectionPool",
@@ -32,9 +37,11 @@
     "HttpConnection",
     "NoResponse",
     "NotConnected",
+    "ReadMemory",
     "FullResponse",
     "enable_dead_peer_detection",
     "has_queued_request",
     "has_queued_request",
+    "read_body",
     "read_full_response",
 ]
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import logging
 import select
 import socket
 from collections import deque
@@ -10,10 +11,20 @@
 
 import httptools
 
+log = logging.getLogger("fireflyward.http1")
+
+# The largest header of a response, with the interim responses before it. It also bounds
+# what stands between the bytes of a body, such as chunk sizes, their extensions and
+# trailers, beside a multiple of the body's size.
+MAX_HEAD_BYTES = 65_536
+_FRAMING_PER_BODY_BYTE = 2
 # The connection stops reading from the peer when a response has more unread bytes.
 # Responses in these deployments have a few kilobytes, so only a caller that stopped
 # reading causes this.
 _MAX_UNREAD_BYTES = 262_144
+# Unread parts of a body that are smaller than this are joined. A response may arrive in
+# many parts of a few bytes, each of which needs some 100 bytes of memory.
+_MIN_PART_BYTES = 4_096
 # How long a peer may be silent, with sent bytes unacknowledged or keepalive probes
 # unanswered. A sound peer may fall silent for a second or so. While TCP_USER_TIMEOUT
 # is set, it alone decides for both; the number of probes has no effect.
@@ -78,13 +89,19 @@
     Any byte that arrives while no request is in flight makes the connection unusable:
     it belongs to no request, and the next request would get it as its response.
 
+    A response whose header does not end within ``MAX_HEAD_BYTES``, or that consists
+    mostly of framing, breaks the connection. The size of the body is up to its reader.
+
         connection.send(b"GET", b"/path", headers, b"")
         while not isinstance(event := await connection.next_event(), (End, Broken)):
             ...
     """
 
     __slots__ = (
+        "_body_bytes",
+        "_body_parts",
         "_events",
+        "_framing_bytes",
         "_has_framing",
         "_head_done",
         "_headers",
@@ -239,10 +256,24 @@
         if not self._is_busy:
             self.close()
             return
+        body_bytes_before = self._body_bytes
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"not HTTP: {error}")
+            return
+        self._add_body_parts()
+        self._framing_bytes += len(data) - (self._body_bytes - body_bytes_before)
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Break the connection if it does not carry a response any more."""
+        limit = MAX_HEAD_BYTES + _FRAMING_PER_BODY_BYTE * self._body_bytes
+        if self._is_busy and self._framing_bytes > limit:
+            part = "framing" if self._head_done else "header"
+            detail = f"{part} of {self._framing_bytes} bytes or more, limit {limit}"
+            log.warning("http1: response of %s: %s", self.address, detail)
+            self._fail(detail)
 
     def eof_received(self) -> bool:
         if self._is_busy and self._head_done and not self._has_framing:
@@ -265,6 +296,9 @@
         self._reason += status.decode("latin-1")
 
     def on_header(self, name: bytes, value: bytes) -> None:
+        if self._head_done:
+            # A trailer is not used.
+            return
         self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
 
     def on_headers_complete(self) -> None:
@@ -291,8 +325,21 @@
         if not self._is_busy:
             self.must_close = True
             return
+        self._body_bytes += len(data)
+        self._body_parts.append(data)
+
+    def _add_body_parts(self) -> None:
+        """Add what the parser has found of the body, as one event."""
+        if not self._body_parts:
+            return
+        data = b"".join(self._body_parts)
+        self._body_parts.clear()
         self._unread_bytes += len(data)
-        self._add_event(BodyPart(data))
+        last = self._events[-1] if self._events else None
+        if isinstance(last, BodyPart) and len(last.data) < _MIN_PART_BYTES:
+            self._events[-1] = BodyPart(last.data + data)
+        else:
+            self._add_event(BodyPart(data))
         if self._unread_bytes > _MAX_UNREAD_BYTES and not self._is_paused:
             self._is_paused = True
             self._transport.pause_reading()
@@ -303,6 +350,7 @@
         self._complete(reusable=self._has_framing and self._parser.should_keep_alive())
 
     def _complete(self, *, reusable: bool) -> None:
+        self._add_body_parts()
         self._is_busy = False
         self.served += 1
         if not reusable:
@@ -310,6 +358,7 @@
         self._add_event(End())
 
     def _fail(self, detail: str) -> None:
+        self._add_body_parts()
         at = BrokenAt.HEAD if self._head_done else BrokenAt.SENT
         self._is_busy = False
         self._add_event(Broken(at, detail))
@@ -331,6 +380,9 @@
         self._reason = ""
         self._head_done = False
         self._has_framing = False
+        self._framing_bytes = 0
+        self._body_bytes = 0
+        self._body_parts: list[bytes] = []
 
 
 def enable_dead_peer_detection(raw: socket.socket) -> None:
--- a/fireflyward/http1/_full_response.py
+++ b/fireflyward/http1/_full_response.py
@@ -4,7 +4,8 @@
 
 from fireflyward.clock import Clock
 
-from ._connection import BodyPart, Broken, End, Head, HttpConnection
+from ._body import BodyTooLarge, ReadMemory, read_body
+from ._connection import Broken, Event, Head, HttpConnection
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,25 +25,31 @@
 
 
 async def read_full_response(
-    connection: HttpConnection, *, clock: Clock, limit_ms: float
+    connection: HttpConnection,
+    *,
+    clock: Clock,
+    limit_ms: float,
+    memory: ReadMemory,
+    max_bytes: int,
 ) -> FullResponse | NoResponse:
     """Return the response to the request just sent, if complete within ``limit_ms``.
 
-    Otherwise the connection is closed, because the response may still arrive.
+    Otherwise the connection is closed, because the response may still arrive. The same
+    holds for a body of more than ``max_bytes``.
     """
     deadline_ms = clock.now_ms() + limit_ms
-    status, headers, parts = 0, (), []
-    while True:
-        event = await connection.next_event_within(deadline_ms - clock.now_ms())
-        if isinstance(event, Head):
-            status, headers = event.status, event.headers
-        elif isinstance(event, BodyPart):
-            parts.append(event.data)
-        elif isinstance(event, End):
-            return FullResponse(status, b"".join(parts), headers)
-        else:
-            connection.close()
-            is_broken = isinstance(event, Broken)
-            return NoResponse(
-                event.detail if is_broken else f"no response in {limit_ms:.0f} ms"
-            )
+
+    async def next_event() -> Event | None:
+        return await connection.next_event_within(deadline_ms - clock.now_ms())
+
+    found = head = await next_event()
+    if isinstance(head, Head):
+        found = await read_body(
+            connection, head, next_event, memory=memory, max_bytes=max_bytes
+        )
+        if isinstance(found, bytes):
+            return FullResponse(head.status, found, head.headers)
+    connection.close()
+    if isinstance(found, Broken | BodyTooLarge):
+        return NoResponse(found.detail)
+    return NoResponse(f"no response in {limit_ms:.0f} ms")
--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -6,6 +6,7 @@
 
 from fireflyward.clock import Clock
 
+from ._body import ReadMemory
 from ._connection import HttpConnection
 
 # A connection that was idle for longer is not reused. A non-idempotent request fails if
@@ -58,13 +59,16 @@
         "_idle_by_address",
         "_idle_relayed_by_address",
         "_use_by_address",
+        "memory",
         "opened",
         "refused",
         "timed_out",
     )
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self, clock: Clock, *, memory: ReadMemory | None = None) -> None:
+        """``memory`` bounds the bodies that are read on these connections."""
         self._clock = clock
+        self.memory = memory or ReadMemory()
         self._idle_by_address: dict[str, deque[HttpConnection]] = {}
         self._idle_relayed_by_address: dict[str, deque[HttpConnection]] = {}
         self._use_by_address: dict[str, ConnectionUse] = {}
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -14,6 +14,7 @@
     HttpConnection,
     NoResponse,
     NotConnected,
+    ReadMemory,
     read_full_response,
 )
 from fireflyward.prefixes import KvEvent, KvUpdate, PartKey
@@ -28,6 +29,10 @@
 _KV_LIST_PATH = "/-/kv-list"
 _KV_FREE_PATH = "/-/kv-free"
 T = TypeVar("T")
+# Reports and the answers to orders have a few hundred bytes.
+_MAX_REPORT_BYTES = 65_536
+# Changes and contents of a KV cache store, which may have thousands of parts.
+_MAX_KV_BYTES = 4 << 20
 _ACCEPTED = 202
 _ALREADY_DONE = 200
 _MISDIRECTED = 421
@@ -162,7 +167,9 @@
         headers = [("Host", address), ("Wait-Ms", str(wait_ms))]
         target = f"{_KV_EVENTS_PATH}?since={since}"
         limit_ms += wait_ms
-        response = await self._call(address, "GET", target, headers, b"", limit_ms)
+        response = await self._call(
+            address, "GET", target, headers, b"", limit_ms, max_bytes=_MAX_KV_BYTES
+        )
         if response is None or response.status != 200:
             return None
         raw = _decode_response(response.body, _KvEvents, address)
@@ -178,7 +185,13 @@
         """Return the full content of a KV cache store, None if it did not respond."""
         headers = [("Host", address)]
         response = await self._call(
-            address, "GET", _KV_LIST_PATH, headers, b"", limit_ms
+            address,
+            "GET",
+            _KV_LIST_PATH,
+            headers,
+            b"",
+            limit_ms,
+            max_bytes=_MAX_KV_BYTES,
         )
         if response is None or response.status != 200:
             return None
@@ -212,6 +225,8 @@
         headers: list[tuple[str, str]],
         body: bytes,
         limit_ms: float,
+        *,
+        max_bytes: int = _MAX_REPORT_BYTES,
     ) -> FullResponse | None:
         started_ms = self._clock.now_ms()
         connection = await self._pool.acquire(address, connect_ms=limit_ms)
@@ -220,7 +235,11 @@
         connection.send(method, target, headers, body)
         remaining_ms = limit_ms - (self._clock.now_ms() - started_ms)
         response = await read_full_response(
-            connection, clock=self._clock, limit_ms=remaining_ms
+            connection,
+            clock=self._clock,
+            limit_ms=remaining_ms,
+            memory=self._pool.memory,
+            max_bytes=max_bytes,
         )
         if isinstance(response, NoResponse):
             return self._log_no_response(address, target, response.detail)
@@ -232,7 +251,12 @@
 
 
 async def is_incarnation(
-    connection: HttpConnection, entry: ReplicaEntry, *, clock: Clock, limit_ms: float
+    connection: HttpConnection,
+    entry: ReplicaEntry,
+    *,
+    clock: Clock,
+    limit_ms: float,
+    memory: ReadMemory,
 ) -> bool:
     """Return whether a listed incarnation is at the other end of a connection.
 
@@ -242,7 +266,13 @@
     """
     headers = _report_headers(entry.address, entry.incarnation)
     connection.send("GET", _REPORT_PATH, headers, b"")
-    response = await read_full_response(connection, clock=clock, limit_ms=limit_ms)
+    response = await read_full_response(
+        connection,
+        clock=clock,
+        limit_ms=limit_ms,
+        memory=memory,
+        max_bytes=_MAX_REPORT_BYTES,
+    )
     if isinstance(response, NoResponse) or response.status == _MISDIRECTED:
         return False
     report = _decode_report(response, entry.address)
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -24,6 +24,7 @@
     FullResponse,
     NoResponse,
     NotConnected,
+    ReadMemory,
     read_full_response,
 )
 
@@ -41,6 +42,11 @@
 _READ_PATH = "/-/rows-get"
 _FEED_PATH = "/-/rows-feed"
 _WRITE_PATH = "/-/rows-tx"
+# A read returns rows of 1 MB at most, before their encoding. A call to the feed returns
+# all rows that have changed.
+_MAX_RESPONSE_BYTES = 16 << 20
+# Rows of one part of a table. A deployment's largest table lists its replicas.
+_MAX_ROWS = 100_000
 _GONE = 410
 _CONDITION_FAILED = 412
 _CONNECT_TIMEOUT_MS = 500
@@ -107,10 +113,13 @@
         "time",
     )
 
-    def __init__(self, address: str, *, clock: Clock) -> None:
+    def __init__(
+        self, address: str, *, clock: Clock, memory: ReadMemory | None = None
+    ) -> None:
+        """``memory`` bounds the responses that are read."""
         self._address = address
         self._clock = clock
-        self._pool = ConnectionPool(clock)
+        self._pool = ConnectionPool(clock, memory=memory)
         self._invalid_era_text: str | None = ""
         self.calls = 0
         self.eras = Eras()
@@ -143,7 +152,10 @@
             if not page.has_more or not page.rows:
                 break
             # The next page starts at the smallest key after the last one.
-            start = page.rows[-1].key + "\0"
+            last, start = start, page.rows[-1].key + "\0"
+            if start <= last or len(rows) > _MAX_ROWS:
+                log.warning("platform: %d rows of %s without end", len(rows), table)
+                return Unavailable(f"{len(rows)} rows without end")
         # Later pages may be newer, so the feed continues from the first page's version.
         return Snapshot(tuple(rows), first.position)
 
@@ -254,7 +266,11 @@
         sent_ms = self._clock.now_ms()
         connection.send(method, target, headers, body)
         response = await read_full_response(
-            connection, clock=self._clock, limit_ms=limit_ms
+            connection,
+            clock=self._clock,
+            limit_ms=limit_ms,
+            memory=self._pool.memory,
+            max_bytes=_MAX_RESPONSE_BYTES,
         )
         if isinstance(response, NoResponse):
             # The other idle connections may have become silent at the same time.
--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -7,7 +7,15 @@
 from fireflyward.deployment import Route, RouteKind, ServiceShare
 from fireflyward.forwarding import Forwarder, Trace, WeightVersions
 from fireflyward.hedging import Hedging, SilentReplicaCost
-from fireflyward.http1 import BodyPart, Broken, BrokenAt, End, Head, NotConnected
+from fireflyward.http1 import (
+    BodyPart,
+    Broken,
+    BrokenAt,
+    End,
+    Head,
+    NotConnected,
+    ReadMemory,
+)
 from fireflyward.platform import CallerRequest
 from fireflyward.platform._requests import _SIGNATURE
 from fireflyward.prefixes import PartPlanner
@@ -63,6 +71,7 @@
     def __init__(self, clock, scripts):
         self.clock = clock
         self.scripts = scripts
+        self.memory = ReadMemory()
         self.script_by_address = {}
         self.opened = []
         self.released = []
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -24,6 +24,18 @@
         self.assertEqual(splitter.feed(b"id: 1\ndata: ha"), [])
         self.assertEqual(splitter.incomplete, b"id: 1\ndata: ha")
 
+    @given(st.binary(max_size=30).map(lambda data: data.replace(b"x", b"\n\n")))
+    def test_a_bounded_call_leaves_the_other_events_to_the_next(self, data):
+        whole, splitter = EventSplitter(), EventSplitter()
+        expected = whole.feed(data)
+        found = splitter.feed(data, max_events=1)
+        while more := splitter.feed(max_events=1):
+            found += more
+        self.assertEqual(found, expected)
+        self.assertEqual(splitter.incomplete, whole.incomplete)
+        self.assertEqual(splitter.events, len(expected))
+        self.assertEqual(splitter.received_bytes, len(data))
+
     def test_an_event_without_an_id_has_no_number(self):
         (event,) = EventSplitter().feed(b"data: x\n\n")
         self.assertIsNone(event.number)
--- a/tests/forwarding/test_speed_reports.py
+++ b/tests/forwarding/test_speed_reports.py
@@ -57,6 +57,7 @@
             request_id="q1",
             due_ms=1_000,
             is_stream=True,
+            max_output_tokens=4,
             progress=StreamProgress(),
             reply=AsyncMock(),
             on_begun=lambda: None,
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -3,12 +3,15 @@
 They implement the published protocol over loopback sockets and inject faults on demand.
 """
 
+from ._endless import ENDLESS, EndlessReplica
 from ._http import RawRequest, RawServer
 from ._operator import CONFIGURATION, Operator, settings_text
 from ._replica import CRASHING_BODY, ReplicaBehavior, ReplicaStandIn
 from ._store import StoreBehavior, StoreStandIn
 
 __all__ = [
+    "ENDLESS",
+    "EndlessReplica",
     "CONFIGURATION",
     "CRASHING_BODY",
     "ReplicaBehavior",
--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -34,6 +34,10 @@
     def url(self):
         return f"http://127.0.0.1:{self.ports[0]}"
 
+    @property
+    def pid(self):
+        return self._process.pid
+
     @property
     def log(self):
         return self._folder / f"{self.name}.log"
