Upstreams: bodies without end are given up at the product's own door

The same cause on a related path: the clients of engines, services, KV stores and the platform read a body until it ends or the call's time is over; a line of an engine's stream was collected, and joined anew with each part, without a limit.

The connection is closed, one line of the log names limit and size, and the result is that of a broken response: the call may have run. aiohttp bounds headers itself (tested); interim responses go on until the call's time is over, at little memory.

--- a/fireflyward/backing/_http.py
+++ b/fireflyward/backing/_http.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from fireflyward.connections import read_body
 from fireflyward.observe import hop
 
 from ._messages import (
@@ -27,6 +28,8 @@
 )
 
 _CALL_DEADLINE_S = 2.0
+# The largest object is a snapshot of the bundles, with 5.5 MB at 19,000 accounts.
+_MAX_BODY_BYTES = 64 << 20
 
 
 class RowBody(msgspec.Struct):
@@ -98,7 +101,7 @@
                 async with self._session.get(
                     url, params=query, timeout=self._deadline
                 ) as response:
-                    body = await response.read()
+                    body = await read_body(response, max_bytes=_MAX_BODY_BYTES)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Unavailable(_describe(error))
         if response.status not in (200, 404):
@@ -114,7 +117,7 @@
                 async with self._session.request(
                     method, url, data=body, timeout=self._deadline
                 ) as response:
-                    answer = await response.read()
+                    answer = await read_body(response, max_bytes=_MAX_BODY_BYTES)
         except aiohttp.ClientConnectorError as error:
             return Unavailable(_describe(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/fireflyward/kept/_store_http.py
+++ b/fireflyward/kept/_store_http.py
@@ -5,6 +5,7 @@
 import aiohttp
 import msgspec
 
+from fireflyward.connections import MAX_BODY_BYTES, read_body
 from fireflyward.observe import hop
 from fireflyward.upstreams import BlockRef, Miss, MissReason
 
@@ -181,7 +182,7 @@
                 async with self._session.request(
                     method, self._base + path, data=body, timeout=self._timeout
                 ) as response:
-                    answer = await response.read()
+                    answer = await read_body(response, max_bytes=MAX_BODY_BYTES)
         except aiohttp.ClientConnectorError as error:
             return StoreUnavailable(f"{type(error).__name__}: {error}", False)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/fireflyward/upstreams/_engine_http.py
+++ b/fireflyward/upstreams/_engine_http.py
@@ -7,7 +7,12 @@
 import aiohttp
 import msgspec
 
-from fireflyward.connections import GuardedBody
+from fireflyward.connections import (
+    MAX_REPORT_BYTES,
+    GuardedBody,
+    check_size,
+    read_body,
+)
 from fireflyward.outcomes import Reason, Usage
 
 from ._messages import (
@@ -26,6 +31,8 @@
 _CONNECT_TIMEOUT_S = 2.0
 _BODY_END_TIMEOUT_S = 0.02
 _SHORT_CALL_TIMEOUT_S = 2.0
+# A line of a stream has a few tokens.
+_MAX_LINE_BYTES = 1 << 20
 _DATA_PREFIX = b"data: "
 _COMMENT_PREFIX = b":"
 _STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
@@ -174,7 +181,8 @@
             async with self._unpooled_session.delete(
                 f"{self._base_url}/v1/runs/{run_id}", timeout=_short_timeout()
             ) as response:
-                body = msgspec.json.decode(await response.read(), type=CancelBody)
+                reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
+                body = msgspec.json.decode(reply, type=CancelBody)
                 return CancelState(body.state)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return CancelState.NO_ANSWER
@@ -184,7 +192,8 @@
             async with self._session.get(
                 f"{self._base_url}/load", timeout=_short_timeout()
             ) as response:
-                body = msgspec.json.decode(await response.read(), type=LoadBody)
+                reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
+                body = msgspec.json.decode(reply, type=LoadBody)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             return Broken(False, _describe_error(error))
         return LoadReport(
@@ -205,12 +214,14 @@
         try:
             async with request as response:
                 if response.status != 200:
-                    yield _decode_refusal(response.status, await response.read())
+                    reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
+                    yield _decode_refusal(response.status, reply)
                     return
                 incomplete = b""
                 async for chunk in response.content.iter_any():
                     lines = (incomplete + chunk).split(b"\n")
                     incomplete = lines.pop()
+                    check_size(response, len(incomplete), _MAX_LINE_BYTES)
                     for event in _decode_events(lines, run_id):
                         if isinstance(event, Finished):
                             await _read_to_end(response)
@@ -238,7 +249,7 @@
         return
     try:
         async with asyncio.timeout(_BODY_END_TIMEOUT_S):
-            await response.content.read()
+            await read_body(response, max_bytes=MAX_REPORT_BYTES)
     except (aiohttp.ClientError, TimeoutError, OSError):
         response.close()
 
--- a/fireflyward/upstreams/_kv_http.py
+++ b/fireflyward/upstreams/_kv_http.py
@@ -5,6 +5,8 @@
 import aiohttp
 import msgspec
 
+from fireflyward.connections import MAX_BODY_BYTES, read_body
+
 from ._kv import CacheEvents, ExportOrder, ExportReport, ImportOrder, ImportReport
 from ._messages import Broken
 
@@ -55,7 +57,7 @@
             async with self._session.request(
                 method, self._base_url + path, data=body, timeout=timeout
             ) as response:
-                reply = await response.read()
+                reply = await read_body(response, max_bytes=MAX_BODY_BYTES)
             if response.status != 200:
                 return Broken(True, f"status {response.status}")
             return msgspec.json.decode(reply, type=reply_type)
--- a/fireflyward/upstreams/_orders_http.py
+++ b/fireflyward/upstreams/_orders_http.py
@@ -3,6 +3,8 @@
 import aiohttp
 import msgspec
 
+from fireflyward.connections import MAX_REPORT_BYTES, read_body
+
 from ._messages import Broken, EngineState
 from ._orders import EngineOrder, OrderRefused, OrderResult
 
@@ -40,7 +42,8 @@
             async with self._session.request(
                 method, self._base_url + path, data=body, timeout=timeout
             ) as response:
-                return _decode_result(response.status, await response.read())
+                reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
+                return _decode_result(response.status, reply)
         except aiohttp.ClientConnectorError as error:
             return Broken(False, f"{type(error).__name__}: {error}")
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
--- a/fireflyward/upstreams/_service_http.py
+++ b/fireflyward/upstreams/_service_http.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from fireflyward.connections import GuardedBody
+from fireflyward.connections import MAX_BODY_BYTES, GuardedBody, read_body
 from fireflyward.observe import hop
 from fireflyward.outcomes import Reason
 
@@ -78,7 +78,8 @@
                     timeout=timeout,
                     allow_redirects=False,
                 ) as response:
-                    return _decode_reply(call, response, await response.read())
+                    body = await read_body(response, max_bytes=MAX_BODY_BYTES)
+                    return _decode_reply(call, response, body)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return Broken(False, str(error))
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
