Nodes: the row of a node that came back stays for an hour

A node that the holder of the lease does not reach, and that reaches the store, writes its row again after it ended. Ending it every two minutes would divide shared budgets among too few nodes for some seconds each time. The test (15 minutes in a cut) failed before: the row had ended again.

--- a/fireflyward/presence/_absences.py
+++ b/fireflyward/presence/_absences.py
@@ -9,6 +9,9 @@
 _ROUND_MS = 30_000
 # A node that restarts or is cut off for a short time keeps its row.
 _ABSENT_MS = 120_000
+# A node that wrote its row again after it had ended runs, and is only cut off from the
+# node that asks. Its row must not end every two minutes.
+_RETURNED_ABSENT_MS = 3_600_000
 # Datagrams may be lost, so a few of them without an answer are no proof.
 _MIN_QUESTIONS = 4
 
@@ -36,18 +39,25 @@
     ['b']
     """
 
-    __slots__ = ("_asked_ms_by_name", "_last_answer_ms", "_unanswered_by_name")
+    __slots__ = (
+        "_asked_ms_by_name",
+        "_ended",
+        "_last_answer_ms",
+        "_unanswered_by_name",
+    )
 
     def __init__(self) -> None:
         self._last_answer_ms: int | None = None
         self._asked_ms_by_name: dict[str, int] = {}
         self._unanswered_by_name: dict[str, _Unanswered] = {}
+        self._ended: set[str] = set()
 
     def reset(self) -> None:
         """Forget everything, as after a time in which nobody was asked."""
         self._last_answer_ms = None
         self._asked_ms_by_name.clear()
         self._unanswered_by_name.clear()
+        self._ended.clear()
 
     def to_ask(
         self, now_ms: int, names: Collection[str], *, period_ms: int = _ROUND_MS
@@ -74,6 +84,12 @@
         """Record that a node ran after it was asked."""
         self._last_answer_ms = max(asked_ms, self._last_answer_ms or asked_ms)
         self._unanswered_by_name.pop(name, None)
+        self._ended.discard(name)
+
+    def on_ended(self, name: str) -> None:
+        """Record that the row of an absent node ends."""
+        self.forget(name)
+        self._ended.add(name)
 
     def absent(self, now_ms: int, names: Collection[str]) -> list[str]:
         """Return the names of the absent nodes."""
@@ -90,4 +106,6 @@
         unanswered = self._unanswered_by_name.get(name)
         if unanswered is None or unanswered.count < _MIN_QUESTIONS:
             return False
-        return now_ms - unanswered.first_ms >= _ABSENT_MS
+        has_returned = name in self._ended
+        limit_ms = _RETURNED_ABSENT_MS if has_returned else _ABSENT_MS
+        return now_ms - unanswered.first_ms >= limit_ms
--- a/fireflyward/presence/_task.py
+++ b/fireflyward/presence/_task.py
@@ -27,8 +27,9 @@
     at a time asks, the holder of a lease, so that 350 nodes do not ask each other.
 
     A node that is only cut off from the one that asks reads that its row has ended, and
-    writes it again. One that does not reach the store either cannot prove that keys are
-    valid, and serves nobody, so the others may use its part of the budgets.
+    writes it again; the row then stays for an hour. One that does not reach the store
+    either cannot prove that keys are valid, and serves nobody, so the others may use
+    its part of the budgets.
     """
 
     def __init__(
@@ -82,7 +83,7 @@
     async def _end_absent(self, now_ms: int, listed: Mapping[str, Address]) -> None:
         absent = self._absences.absent(now_ms, listed)[:_MAX_ROWS_AT_ONCE]
         for name in absent:
-            self._absences.forget(name)
+            self._absences.on_ended(name)
         if absent and await self._end_rows(absent):
             self.ended += len(absent)
 
--- a/tests/presence/test_task.py
+++ b/tests/presence/test_task.py
@@ -98,6 +98,7 @@
         self.assertEqual(self.rows.keys(), {"n0", "n1"})
 
     async def test_a_node_that_is_cut_off_is_listed_again_when_it_writes(self):
+        """Guards against budgets that are divided anew every two minutes in a cut."""
         self.add("n1")
         self.add("n2")
         address = self.rows["n2"]
@@ -105,6 +106,8 @@
         await self.run_for(180_000)
         self.assertNotIn("n2", self.rows)
         self.rows["n2"] = address
+        await self.run_for(900_000)
+        self.assertIn("n2", self.rows)
         self.network.cut.clear()
         await self.run_for(300_000)
         self.assertEqual(self.rows.keys(), {"n0", "n1", "n2"})
