--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -41,7 +41,6 @@
     "FullResponse",
     "enable_dead_peer_detection",
     "has_queued_request",
-    "has_queued_request",
     "read_body",
     "read_full_response",
 ]
