Tests: a test of a restored store waits for the link that it uses

Seen once, beside a load of 24 on 8 cores: AttributeError, since the late node had no link yet. A node that has not joined after 1.5 s reads its tables anyway, and knows the others before its own link is open; the test took the one for the other.

--- a/tests/fleet/test_restored_store.py
+++ b/tests/fleet/test_restored_store.py
@@ -196,6 +196,8 @@
         self.store.restore_snapshot(self.snapshot_version)
         late = await self.start_additional_node("entry-4")
         await self.until(lambda: self.is_joined(late))
+        # The others are known from the table before the node has opened its link.
+        await self.until(lambda: late._joining.link is not None)
         link = self.nodes[1]._joining.link
         received_from = []
 
