HTTP, streams: the bounds cost a request less

Splitting a stream's parts and counting framing took 2.2 us more for each event than before the bounds (281 and 454 us for a stream of 80 events, one process). A part that is one whole event is no longer copied to a buffer, and parts of a body are joined as they are found in place of collected for each read.

--- a/fireflyward/forwarding/_events.py
+++ b/fireflyward/forwarding/_events.py
@@ -54,28 +54,34 @@
         With ``max_events`` the next call returns further ones, also without bytes.
         """
         self.received_bytes += len(data)
-        self._buffer += data
+        if not self._buffer and 0 <= data.find(_SEPARATOR) == len(data) - 2:
+            # Most parts are one event.
+            self.events += 1
+            return [StreamEvent(data, _number(data))]
+        buffer: bytes | bytearray = data
+        if self._buffer:
+            self._buffer += data
+            buffer = self._buffer
         events: list[StreamEvent] = []
-        begin = 0
+        begin, searched = 0, self._searched_bytes
         while max_events is None or len(events) < max_events:
-            found = self._buffer.find(_SEPARATOR, max(begin, self._searched_bytes))
+            found = buffer.find(_SEPARATOR, searched)
             if found < 0:
-                self._searched_bytes = len(self._buffer) - len(_SEPARATOR) + 1
+                searched = len(buffer) - len(_SEPARATOR) + 1
                 break
-            end = found + len(_SEPARATOR)
-            events.append(
-                StreamEvent(
-                    bytes(self._buffer[begin:end]), _number(self._buffer[begin:found])
-                )
-            )
-            begin = end
-        self._searched_bytes = max(0, self._searched_bytes - begin)
-        del self._buffer[:begin]
+            event = bytes(buffer[begin : found + len(_SEPARATOR)])
+            events.append(StreamEvent(event, _number(event)))
+            begin = searched = found + len(_SEPARATOR)
+        self._searched_bytes = max(0, searched - begin)
+        if buffer is data:
+            self._buffer += data[begin:]
+        else:
+            del self._buffer[:begin]
         self.events += len(events)
         return events
 
 
-def _number(event: bytearray) -> int | None:
+def _number(event: bytes) -> int | None:
     for line in event.split(b"\n"):
         if line.startswith(_ID_PREFIX):
             value = line[len(_ID_PREFIX) :].strip()
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -99,7 +99,6 @@
 
     __slots__ = (
         "_body_bytes",
-        "_body_parts",
         "_events",
         "_framing_bytes",
         "_has_framing",
@@ -256,15 +255,13 @@
         if not self._is_busy:
             self.close()
             return
-        body_bytes_before = self._body_bytes
+        self._framing_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"not HTTP: {error}")
-            return
-        self._add_body_parts()
-        self._framing_bytes += len(data) - (self._body_bytes - body_bytes_before)
-        self._check_framing()
+        if self._framing_bytes > MAX_HEAD_BYTES:
+            self._check_framing()
 
     def _check_framing(self) -> None:
         """Break the connection if it does not carry a response any more."""
@@ -325,16 +322,10 @@
         if not self._is_busy:
             self.must_close = True
             return
-        self._body_bytes += len(data)
-        self._body_parts.append(data)
-
-    def _add_body_parts(self) -> None:
-        """Add what the parser has found of the body, as one event."""
-        if not self._body_parts:
-            return
-        data = b"".join(self._body_parts)
-        self._body_parts.clear()
-        self._unread_bytes += len(data)
+        size = len(data)
+        self._body_bytes += size
+        self._framing_bytes -= size
+        self._unread_bytes += size
         last = self._events[-1] if self._events else None
         if isinstance(last, BodyPart) and len(last.data) < _MIN_PART_BYTES:
             self._events[-1] = BodyPart(last.data + data)
@@ -350,7 +341,6 @@
         self._complete(reusable=self._has_framing and self._parser.should_keep_alive())
 
     def _complete(self, *, reusable: bool) -> None:
-        self._add_body_parts()
         self._is_busy = False
         self.served += 1
         if not reusable:
@@ -358,7 +348,6 @@
         self._add_event(End())
 
     def _fail(self, detail: str) -> None:
-        self._add_body_parts()
         at = BrokenAt.HEAD if self._head_done else BrokenAt.SENT
         self._is_busy = False
         self._add_event(Broken(at, detail))
@@ -382,7 +371,6 @@
         self._has_framing = False
         self._framing_bytes = 0
         self._body_bytes = 0
-        self._body_parts: list[bytes] = []
 
 
 def enable_dead_peer_detection(raw: socket.socket) -> None:
