Callers: a stopping node closes connections whenever they become idle

Cause: the drain closed idle connections only once, when it began. A stream whose headers were sent before the stop does not say that its connection closes; once it has ended, its caller may send the next request there.

Fix: the drain closes connections whenever they become idle. Requests whose headers come after its first tenth are rejected at once as not run, since their run could be cut.

Tests: the connection is closed after such a stream (fails on the code before: it stayed open until the end of the drain); a late request gets 503.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -40,8 +40,11 @@
 _RETRY_AFTER_MS = 300
 _BODY_TIMEOUT_MS = 10_000
 _DRAIN_POLL_MS = 20
-# The share of the time for a stop that is left to requests that a replica runs. A body
-# that has not arrived by then is not waited for, as its request could be cut.
+# The share of the time for a drain in which requests are still taken whose headers had
+# arrived in part when it began. Later ones could be cut by its end.
+_HEADERS_SHARE = 0.1
+# The share that is left to requests that a replica runs. A body that has not arrived by
+# then is not waited for.
 _RUN_SHARE = 0.4
 # How long cancelled requests may take to end.
 _CANCEL_TIMEOUT_S = 0.05
@@ -131,6 +134,7 @@
         )
         self._listener: asyncio.Server | None = None
         self._is_stopping = False
+        self._takes_requests = True
         self._reading_ends = asyncio.Event()
         self.in_flight = 0
 
@@ -176,17 +180,21 @@
 
         An idle connection would otherwise stay open until the limit, and a request sent
         on it just before the process exits be lost. What arrives on any other one is
-        still read, since its caller has begun to send a request.
+        still read, since its caller has begun to send a request. A stream that began
+        before the stop has not told its caller that its connection closes.
         """
-        end_ms = self._clock.now_ms() + limit_ms
-        self._server.close_idle()
-        await self._wait_for_connections(end_ms - limit_ms * _RUN_SHARE)
+        began_ms = self._clock.now_ms()
+        await self._close_connections(began_ms + limit_ms * _HEADERS_SHARE)
+        self._takes_requests = False
+        await self._close_connections(began_ms + limit_ms * (1 - _RUN_SHARE))
         self._reading_ends.set()
-        await self._wait_for_connections(end_ms)
+        await self._close_connections(began_ms + limit_ms)
         await self._server.shutdown(_CANCEL_TIMEOUT_S)
 
-    async def _wait_for_connections(self, end_ms: float) -> None:
+    async def _close_connections(self, end_ms: float) -> None:
+        """Close connections as they become idle, until none is left or time is up."""
         while self._server.connections and self._clock.now_ms() < end_ms:
+            self._server.close_idle()
             await self._clock.sleep_ms(_DRAIN_POLL_MS)
 
     def close_if_stopping(self, request: BaseRequest, response: StreamResponse) -> None:
@@ -264,6 +272,8 @@
     ) -> Outcome:
         if isinstance(caller, NotRun):
             return caller
+        if not self._takes_requests:
+            return _stopping()
         if _header_bytes(request) > self._limits.max_header_bytes:
             return NotRun(Reason.HEADERS_TOO_LARGE, "headers exceed the limit")
         body = await self._read_body(request)
--- a/tests/fleet/test_stop_during_requests.py
+++ b/tests/fleet/test_stop_during_requests.py
@@ -1,8 +1,9 @@
 """A planned stop owes each connection what has begun on it, and closes the others."""
 
 import asyncio
+from unittest import mock
 
-from .node_fixtures import NodeTestCase
+from .node_fixtures import STREAM, NodeTestCase
 
 _LIMIT_S = 20
 _BODY = b"x" * 900
@@ -31,6 +32,10 @@
 class StopDuringRequestsTests(NodeTestCase):
     async def asyncSetUp(self):
         await super().asyncSetUp()
+        # The rest of the headers arrives in time also on a busy machine.
+        patch = mock.patch("fireflyward.fleet._callers._HEADERS_SHARE", 0.6)
+        patch.start()
+        self.addCleanup(patch.stop)
         await self.start_ready()
         host, port = self.node.callers_address.split(":")
         self.reader, self.writer = await asyncio.open_connection(host, int(port))
@@ -134,3 +139,32 @@
         async with asyncio.timeout(_LIMIT_S):
             self.assertEqual(await self.reader.read(), b"")
             await self.stopping
+
+    async def test_a_connection_is_closed_after_a_stream_that_began_before(self):
+        """Guards against a request that is taken late in a stop and cut at its end.
+
+        The headers of the stream were sent before the stop, and do not say that the
+        connection closes.
+        """
+        for engine in self.engines:
+            engine._pause_s, engine._events = 0.05, 20
+        lines = [f"{name}: {value}" for name, value in STREAM.items()]
+        lines = ["POST /s/x HTTP/1.1", "Host: h.example", "X-Request-Id: q1", *lines]
+        await self.stop_after("\r\n".join([*lines, "", ""]).encode())
+        async with asyncio.timeout(_LIMIT_S):
+            text = await self.reader.readuntil(b"0\r\n\r\n")
+            self.assertNotIn(b"connection: close", text.lower())
+            self.assertIn(b"id: 20\n", text)
+            self.assertEqual(await self.reader.read(), b"")
+        self.assertFalse(self.node._caller_server._reading_ends.is_set())
+
+    async def test_a_request_that_comes_late_in_a_stop_is_rejected_at_once(self):
+        """Guards against a request that is taken late in a stop and cut at its end."""
+        whole = head(WITH_LENGTH) + _BODY
+        with mock.patch("fireflyward.fleet._callers._HEADERS_SHARE", 0.0):
+            await self.stop_after(whole[:40])
+            self.writer.write(whole[40:])
+            status, headers, body = await self.response()
+        self.assertEqual((status, body), (503, b"stopping"))
+        self.assertEqual(headers["connection"], "close")
+        self.assertEqual(self.run_count(self.plain), 0)
