Forwarding: a rejection's log tells its id and its connection

A request's log line said of a rejected send only that the replica was full or had other weights. It could not tell a rejection that names the request from one that names none, nor a connection that had carried the request before, which are the first two hypotheses about requests that ran twice. The line now has the status, the id, the local port and how many responses the connection had before; rejections without an id are counted.

--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -241,8 +241,10 @@
         if not isinstance(body, bytes):
             return self._on_incomplete(body)
         if facts.was_not_run:
+            request_id = facts.request_id or "missing"
+            detail = f"status {head.status}, id {request_id}, {self._connection.label}"
             self._pool.release(self._connection)
-            return NotRunThere(facts)
+            return NotRunThere(facts, detail)
         self._complete(failed=head.status >= 500)
         return WholeAnswer(head, body)
 
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -45,13 +45,18 @@
     """The replica reports that it has not run the request and will not run it."""
 
     reason: RejectionReason
+    detail: str = ""
 
 
 @dataclass(frozen=True, slots=True)
 class NotRunThere:
-    """A response which reports that the request was not run."""
+    """A response which reports that the request was not run.
+
+    ``detail`` says what it was and over which connection it came.
+    """
 
     facts: ResponseFacts
+    detail: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/forwarding/_rejection.py
+++ b/fireflyward/forwarding/_rejection.py
@@ -3,20 +3,20 @@
 from fireflyward.platform import ResponseFacts
 from fireflyward.replicas import Choice, ReplicaState
 
-from ._messages import Rejected, RejectionReason
+from ._messages import NotRunThere, Rejected, RejectionReason
 from ._weights import WeightVersions
 
 
 def on_rejected(
     now_ms: int,
     choice: Choice,
-    facts: ResponseFacts,
+    rejection: NotRunThere,
     *,
     model: str,
     weights: WeightVersions,
 ) -> Rejected:
     """Record a response that reports that the request was not run."""
-    replica = choice.replica
+    replica, facts = choice.replica, rejection.facts
     replica.rejections += 1
     if not facts.is_other_replica:
         newest = weights.newest(model)
@@ -24,13 +24,13 @@
             replica.on_loading(now_ms)
         else:
             replica.on_full(now_ms)
-        return Rejected(RejectionReason.FULL)
+        return Rejected(RejectionReason.FULL, rejection.detail)
     is_same = facts.incarnation == replica.entry.incarnation
     if is_same and choice.weights is not None:
         _correct_weights(replica, choice, facts, model, weights)
-        return Rejected(RejectionReason.OTHER_WEIGHTS)
+        return Rejected(RejectionReason.OTHER_WEIGHTS, rejection.detail)
     replica.on_send_failure(now_ms)
-    return Rejected(RejectionReason.OTHER_REPLICA)
+    return Rejected(RejectionReason.OTHER_REPLICA, rejection.detail)
 
 
 def _correct_weights(
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -6,7 +6,6 @@
 from fireflyward.platform import (
     CallerRequest,
     ReplicaHeaders,
-    ResponseFacts,
 )
 from fireflyward.poison import part_keys
 from fireflyward.quarantine import fingerprint_of
@@ -386,7 +385,7 @@
             self._stop_late_wait(replica)
             replica.in_flight -= 1
         if isinstance(result, NotRunThere):
-            return self._on_rejected(choice, result.facts)
+            return self._on_rejected(choice, result)
         if isinstance(result, Superseded):
             self._plan.on_cancelled()
             return result
@@ -400,11 +399,12 @@
         self._quarantine_check.on_result(replica, result)
         return result
 
-    def _on_rejected(self, choice: Choice, facts: ResponseFacts) -> Rejected:
+    def _on_rejected(self, choice: Choice, rejection: NotRunThere) -> Rejected:
+        self._trace.on_rejection(rejection.facts)
         rejected = on_rejected(
             self._clock.now_ms(),
             choice,
-            facts,
+            rejection,
             model=self._caller.model,
             weights=self._deps.weights,
         )
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -4,6 +4,7 @@
 
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.observe import PER_REQUEST
+from fireflyward.platform import ResponseFacts
 from fireflyward.replicas import Choice
 
 from ._messages import Rejected, SendResult, WholeAnswer
@@ -51,6 +52,8 @@
     ``second_send`` is why a second send was made while the first one was open,
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
     ``second_refused`` is why a due second send was not made.
+
+    ``unnamed_rejections`` counts the rejections that did not name their request.
     """
 
     __slots__ = (
@@ -95,6 +98,7 @@
         "software",
         "stored_tokens",
         "totals_age_ms",
+        "unnamed_rejections",
         "waits_late",
         "weights",
         "work_percent",
@@ -145,6 +149,7 @@
         self.first_token_ms = 0
         self.longest_pause_ms = 0
         self.stored_tokens = 0
+        self.unnamed_rejections = 0
         self.work_percent: int | None = None
         self.work_percent_age_ms = 0
 
@@ -192,6 +197,10 @@
         else:
             self.connects_timed_out += 1
 
+    def on_rejection(self, facts: ResponseFacts) -> None:
+        """Record a response which reports that a send was not run."""
+        self.unnamed_rejections += facts.request_id is None
+
     def on_pause(self, pause_ms: float) -> None:
         """Record the time between two parts of the stream."""
         self.longest_pause_ms = max(self.longest_pause_ms, int(pause_ms))
@@ -237,5 +246,5 @@
     if isinstance(result, WholeAnswer):
         return f"status {result.head.status}"
     if isinstance(result, Rejected):
-        return result.reason.value
+        return f"{result.reason.value}, {result.detail}"
     return getattr(result, "detail", "")
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -171,6 +171,14 @@
         poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @property
+    def label(self) -> str:
+        """Return what tells this connection from others in the logs of both ends."""
+        transport = self._transport
+        name = transport.get_extra_info("sockname") if transport is not None else None
+        port = name[1] if name else "closed"
+        return f"port {port}, {self.served} responses"
+
     @property
     def keep_alive_ms(self) -> float | None:
         """Return for how long the peer keeps an idle connection, None if unknown."""
--- a/tests/forwarding/fakes.py
+++ b/tests/forwarding/fakes.py
@@ -7,6 +7,7 @@
     """Accepts a request, which sets ``sent``, and never returns a response."""
 
     relay = ""
+    label = "port 1, 0 responses"
 
     def __init__(self, address=""):
         self.address = address
--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -40,6 +40,7 @@
     """Returns events at given times after the request; then it stays silent."""
 
     relay = ""
+    label = "port 1, 0 responses"
 
     def __init__(self, clock, script):
         self.clock = clock
--- a/tests/forwarding/test_speed_reports.py
+++ b/tests/forwarding/test_speed_reports.py
@@ -21,6 +21,7 @@
     """Returns one part of the stream every 40 ms."""
 
     relay = ""
+    label = "port 1, 0 responses"
 
     def __init__(self, clock):
         self.clock = clock
