--- /dev/null
+++ b/tests/fleet/test_late_rejections.py
@@ -0,0 +1,60 @@
+"""Rejections that arrive where the response to another send is expected."""
+
+from tests.platform_standins import ReplicaBehavior
+
+from .node_fixtures import KEY, NodeTestCase
+
+_REQUESTS = 6
+_UNSAFE = {**KEY, "X-Deadline-Ms": "2000"}
+
+
+class LateRejectionTests(NodeTestCase):
+    """Routes of which no request may run twice, and one replica or two for them."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        for route in self.operator.configuration["routes"]:
+            if route["kind"] == "streaming":
+                route["resumable"] = False
+
+    def executions(self):
+        """Return how often each request was executed, by its id."""
+        counts = {}
+        for replica in [*self.plain, *self.engines]:
+            for request in replica.executed_requests:
+                request_id = request.headers["x-request-id"]
+                counts[request_id] = counts.get(request_id, 0) + 1
+        return counts
+
+    async def send(self, method="POST", path="/w/x", headers=_UNSAFE):
+        """Send one request; return its status and how often it was executed."""
+        status, _, _ = await self.fetch(method, path, headers=headers)
+        return status, self.executions().get(f"q{self.request_number}", 0)
+
+    def assert_truthful(self, status, executed):
+        self.assertLessEqual(executed, 1)
+        if status in (408, 421, 429, 503):
+            self.assertEqual(executed, 0)
+
+    def copies_sent(self):
+        return sum(replica.copies_sent for replica in [*self.plain, *self.engines])
+
+    async def test_copies_of_a_rejection_by_the_only_replica(self):
+        """Guards against a request that runs twice after its rejection came twice."""
+        removed = self.plain.pop()
+        await removed.stop()
+        self.store.remove("servers", removed.incarnation)
+        await self.start_with_replicas(3)
+        (replica,) = self.plain
+        replica.repeats_rejections = True
+        for _ in range(_REQUESTS):
+            replica.behaviors = [ReplicaBehavior.FULL]
+            with self.subTest(request=self.request_number + 1):
+                self.assert_truthful(*await self.send())
+        self.assertGreater(replica.rejections_sent, 0)
+
+    async def start_with_replicas(self, count):
+        self.operator.configure()
+        await self.start_node(self.node, "entry-1")
+        await self.until(lambda: self.node.is_ready)
+        await self.until(lambda: len(self.node._directory) == count)
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -3,10 +3,12 @@
 import asyncio
 import enum
 import json
+import weakref
 
 from ._http import RawServer, json_response, reset, response
 
 SIGNATURE = ("X-Server-Seal", "3e1b.07.5a2")
+_NOT_EXECUTED = ("X-Not-Executed", "1")
 # How long a replica works on a prompt that crashes it.
 _CRASH_DELAY_S = 0.03
 CRASHING_BODY = b"what no replica survives"
@@ -55,6 +57,10 @@
     ``load_report`` is the report of its load, if any, and ``pause_factor`` prolongs the
     pauses of its streams. A prompt with the part ``crashing_part`` crashes the replica
     when its answer would begin. The events of a stream name ``software``.
+
+    With ``repeats_rejections`` a second copy of each rejection precedes the next
+    response on its connection. ``unnamed_rejections`` is the number of requests before
+    whose response a rejection without a request id is sent.
     """
 
     def __init__(
@@ -84,6 +90,10 @@
         self.crashing_part = None
         self.crashed_by_part = False
         self.loading_s = 0.0
+        self.repeats_rejections = False
+        self.unnamed_rejections = 0
+        self.rejections_sent = self.copies_sent = 0
+        self._copy_by_writer = weakref.WeakKeyDictionary()
         self.started_ms = 1_764_700_000_000
         self._events = events
         self._pause_s = pause_s
@@ -112,6 +122,10 @@
         return json.dumps(value).encode()
 
     async def answer(self, request, writer):
+        copy = self._copy_by_writer.pop(writer, None)
+        if copy is not None:
+            self.copies_sent += 1
+            writer.write(copy)
         if request.path == "/-/report":
             models = [{"name": self.model, "version": self.version, "adapters": []}]
             body = {"models": models, "busy": False, "sequence": len(self.orders)}
@@ -132,24 +146,22 @@
 
     async def _execute(self, request, writer):
         headers = request.headers
-        if headers.get("x-expect-instance") not in (None, self.incarnation):
-            writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
-            return True
-        if headers.get("x-expect-version", str(self.version)) != str(self.version):
-            writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
-            return True
+        is_expected = headers.get("x-expect-instance") in (None, self.incarnation)
+        version = headers.get("x-expect-version", str(self.version))
+        if not is_expected or version != str(self.version):
+            own_headers = [("X-Instance-Id", self.incarnation)]
+            if self.model:
+                own_headers.append(("X-Weight-Versions", str(self.version)))
+            return self._reject(request, writer, 421, own_headers)
         behavior = self.behaviors.pop(0) if self.behaviors else ReplicaBehavior.NORMAL
         if behavior is ReplicaBehavior.FULL:
-            rejection_headers = [("X-Not-Executed", "1"), *self.notices]
-            writer.write(response(503, headers=rejection_headers))
-            return True
+            return self._reject(request, writer, 503, self.notices)
         if behavior is ReplicaBehavior.REQUESTS_BACKOFF:
-            rejection_headers = [
-                ("X-Not-Executed", "1"),
-                ("Retry-After", self.retry_after),
-            ]
-            writer.write(response(503, headers=[*rejection_headers, *self.notices]))
-            return True
+            backoff = ("Retry-After", self.retry_after)
+            return self._reject(request, writer, 503, [backoff, *self.notices])
+        if self.unnamed_rejections:
+            self.unnamed_rejections -= 1
+            writer.write(response(503, headers=[_NOT_EXECUTED]))
         self.executed_requests.append(request)
         parts = headers.get("x-prompt-prefix", "").split(",")[:-1]
         has_crashing_part = self.crashing_part in [
@@ -173,6 +185,15 @@
             return await self._stream(request, writer, behavior, own_headers)
         return await self._plain(request, writer, behavior, own_headers)
 
+    def _reject(self, request, writer, status, headers):
+        own_headers = [("X-Request-Id", request.headers["x-request-id"]), _NOT_EXECUTED]
+        rejection = response(status, headers=[*own_headers, *headers])
+        writer.write(rejection)
+        self.rejections_sent += 1
+        if self.repeats_rejections:
+            self._copy_by_writer[writer] = rejection
+        return True
+
     async def _plain(self, request, writer, behavior, own_headers):
         body = b"answer of " + self.incarnation.encode()
         if behavior is ReplicaBehavior.SILENT:
