Forwarding: a request is never sent twice over one connection

Callers saw requests that may run once run twice, or run after a 503. A replica's late copy of a rejection names the same request as the next send does, since all sends of a request have its id. Over the same connection the copy was therefore taken for the second send's answer: the request went out a third time while the second send ran, or its caller was told that it had not run. Connections are reused last in, first out, so the next send to the same replica nearly always got the connection of the rejected one.

The pool and the relays' connector now leave out the connections over which the request was sent; other requests go on using them, as the id tells their responses from a late copy. A rejection thus costs no connection unless no other one is idle.

--- /dev/null
+++ b/fireflyward/attribution/__init__.py
@@ -0,0 +1,11 @@
+"""To which send of a request a response belongs, and what it proves.
+
+A request that may run once is sent again only after a proof that it has not run. A
+response proves that if it names the request and came over a connection which has
+carried the request once. Both HTTP clients, for replicas and for the product's own
+upstreams, take these decisions from here.
+"""
+
+from ._connections import UsedConnections
+
+__all__ = ["UsedConnections"]
--- /dev/null
+++ b/fireflyward/attribution/_connections.py
@@ -0,0 +1,27 @@
+"""The connections over which one request was sent."""
+
+
+class UsedConnections:
+    """The connections over which one request was sent; none carries it again.
+
+    All sends of a request have the same id. If two of them used one connection, a late
+    copy of the first one's response could not be told from the second one's response.
+
+    >>> used = UsedConnections()
+    >>> used.add("connection 1")
+    >>> "connection 1" in used, "connection 2" in used
+    (True, False)
+    """
+
+    __slots__ = ("_connections",)
+
+    def __init__(self) -> None:
+        # Connections are compared by identity. A request has a few sends at most.
+        self._connections: list[object] = []
+
+    def __contains__(self, connection: object) -> bool:
+        return connection in self._connections
+
+    def add(self, connection: object) -> None:
+        """Record the connection of a send that is about to be made."""
+        self._connections.append(connection)
--- a/fireflyward/forwarding/_interfaces.py
+++ b/fireflyward/forwarding/_interfaces.py
@@ -1,5 +1,6 @@
 """The methods of other packages that a request calls."""
 
+from collections.abc import Container
 from contextlib import AbstractContextManager
 from typing import Protocol
 
@@ -44,7 +45,13 @@
     def has_path(self, replica: ReplicaState) -> bool: ...
 
     async def connect(
-        self, replica: ReplicaState, *, connect_ms: float, limit_ms: float, fresh: bool
+        self,
+        replica: ReplicaState,
+        *,
+        connect_ms: float,
+        limit_ms: float,
+        fresh: bool,
+        without: Container[HttpConnection] = (),
     ) -> HttpConnection | NotConnected: ...
 
 
@@ -61,11 +68,20 @@
         return True
 
     async def connect(
-        self, replica: ReplicaState, *, connect_ms: float, limit_ms: float, fresh: bool
+        self,
+        replica: ReplicaState,
+        *,
+        connect_ms: float,
+        limit_ms: float,
+        fresh: bool,
+        without: Container[HttpConnection] = (),
     ) -> HttpConnection | NotConnected:
         """Return a connection on which a request can be sent."""
         return await self._pool.acquire(
-            replica.entry.address, connect_ms=min(connect_ms, limit_ms), fresh=fresh
+            replica.entry.address,
+            connect_ms=min(connect_ms, limit_ms),
+            fresh=fresh,
+            without=without,
         )
 
 
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -1,5 +1,6 @@
 """Runs one request: sends it to replicas until it has an outcome."""
 
+from fireflyward.attribution import UsedConnections
 from fireflyward.deployment import RouteKind
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
@@ -72,6 +73,7 @@
         "_service",
         "_stream_version",
         "_trace",
+        "_used_connections",
         "_waits_late",
         "_weights_check",
     )
@@ -112,6 +114,7 @@
         self._is_late = False
         self._waits_late = False
         self._progress = StreamProgress()
+        self._used_connections = UsedConnections()
         self._stream_version = StreamVersion(
             deps, caller, allowed, self._progress, trace
         )
@@ -227,6 +230,7 @@
             connect_ms=_CONNECT_TIMEOUT_MS,
             limit_ms=left_ms,
             fresh=replica.is_suspect(started_ms),
+            without=self._used_connections,
         )
         if not isinstance(connection, NotConnected):
             connection = await self._stream_version.confirm(
@@ -346,6 +350,7 @@
             replica.waiting_late += 1
         else:
             replica.in_flight += 1
+        self._used_connections.add(connection)
         self._trace.sends += 1
         self._trace.sent_after_ms = self._elapsed_ms()
         self._weights_check.on_send(choice)
--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import deque
+from collections.abc import Container
 from dataclasses import dataclass
 
 from fireflyward.clock import Clock
@@ -77,15 +78,21 @@
         self.timed_out = 0
 
     async def acquire(
-        self, address: str, *, connect_ms: float, fresh: bool = False
+        self,
+        address: str,
+        *,
+        connect_ms: float,
+        fresh: bool = False,
+        without: Container[HttpConnection] = (),
     ) -> HttpConnection | NotConnected:
         """Return an idle connection or open one within ``connect_ms``.
 
         With ``fresh`` it always opens one: after one connection to an address has
-        become silent, the idle ones may be silent too.
+        become silent, the idle ones may be silent too. The idle connections in
+        ``without`` are left to other requests.
         """
         idle = self._idle_by_address.get(address)
-        connection = None if fresh else self._pop_idle(idle)
+        connection = None if fresh else self._pop_idle(idle, without)
         use = self._use_by_address.setdefault(address, ConnectionUse())
         if connection is not None:
             use.reused += 1
@@ -93,9 +100,14 @@
         use.opened += 1
         return await self._open(address, connect_ms)
 
-    def acquire_relayed(self, address: str) -> HttpConnection | None:
-        """Return an idle connection through a relay, if there is one."""
-        return self._pop_idle(self._idle_relayed_by_address.get(address))
+    def acquire_relayed(
+        self, address: str, *, without: Container[HttpConnection] = ()
+    ) -> HttpConnection | None:
+        """Return an idle connection through a relay, if there is one.
+
+        It is none of those in ``without``.
+        """
+        return self._pop_idle(self._idle_relayed_by_address.get(address), without)
 
     def use_of(self, address: str) -> ConnectionUse:
         """Return the counts of an address; they restart after ``close_idle``."""
@@ -142,14 +154,26 @@
         for address in [*self._idle_by_address, *self._idle_relayed_by_address]:
             self.close_idle(address)
 
-    def _pop_idle(self, idle: deque[HttpConnection] | None) -> HttpConnection | None:
-        while idle:
+    def _pop_idle(
+        self, idle: deque[HttpConnection] | None, without: Container[HttpConnection]
+    ) -> HttpConnection | None:
+        passed_over: list[HttpConnection] = []
+        found = None
+        while idle and found is None:
             connection = idle.pop()
-            is_open = connection.is_usable and not connection.has_input()
-            if is_open and not self._is_stale(connection):
-                return connection
-            connection.close()
-        return None
+            if connection in without:
+                passed_over.append(connection)
+            elif self._can_reuse(connection):
+                found = connection
+            else:
+                connection.close()
+        if passed_over:
+            idle.extend(reversed(passed_over))
+        return found
+
+    def _can_reuse(self, connection: HttpConnection) -> bool:
+        is_open = connection.is_usable and not connection.has_input()
+        return is_open and not self._is_stale(connection)
 
     def _is_stale(self, connection: HttpConnection) -> bool:
         limit_ms = MAX_IDLE_MS
--- a/fireflyward/relays/_connector.py
+++ b/fireflyward/relays/_connector.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Container
 
 from fireflyward.clock import Clock
 from fireflyward.http1 import ConnectionPool, HttpConnection, NotConnected
@@ -50,16 +50,25 @@
         return self._paths.path_to(replica) is not Path.NONE
 
     async def connect(
-        self, replica: ReplicaState, *, connect_ms: float, limit_ms: float, fresh: bool
+        self,
+        replica: ReplicaState,
+        *,
+        connect_ms: float,
+        limit_ms: float,
+        fresh: bool,
+        without: Container[HttpConnection] = (),
     ) -> HttpConnection | NotConnected:
         """Return a connection on which a request can be sent.
 
         A direct one is opened within ``connect_ms``; all of it takes at most
-        ``limit_ms``. With ``fresh`` no idle connection is used.
+        ``limit_ms``. With ``fresh`` no idle connection is used, and none of those in
+        ``without`` is used in any case.
         """
         started_ms = self._clock.now_ms()
         if self._paths.path_to(replica) is Path.RELAYED:
-            connection = await self._connect_relayed(replica, limit_ms, fresh=fresh)
+            connection = await self._connect_relayed(
+                replica, limit_ms, fresh=fresh, without=without
+            )
             if not isinstance(connection, NotConnected) or connection.is_refused:
                 return connection
             # No node relays any more. The cut may have ended since the last probe.
@@ -70,7 +79,10 @@
                 fresh=True,
             )
         connection = await self._pool.acquire(
-            replica.entry.address, connect_ms=min(connect_ms, limit_ms), fresh=fresh
+            replica.entry.address,
+            connect_ms=min(connect_ms, limit_ms),
+            fresh=fresh,
+            without=without,
         )
         if not isinstance(connection, NotConnected):
             return connection
@@ -80,7 +92,9 @@
         left_ms = started_ms + limit_ms - now_ms
         if left_ms < 1 or not self._paths.may_relay(now_ms, replica):
             return connection
-        relayed = await self._connect_relayed(replica, left_ms, fresh=fresh)
+        relayed = await self._connect_relayed(
+            replica, left_ms, fresh=fresh, without=without
+        )
         if isinstance(relayed, NotConnected):
             self._paths.on_relay_failure(self._clock.now_ms(), replica)
             return connection
@@ -119,10 +133,16 @@
                 await self._clock.sleep_ms(_PROBE_INTERVAL_MS)
 
     async def _connect_relayed(
-        self, replica: ReplicaState, limit_ms: float, *, fresh: bool
+        self,
+        replica: ReplicaState,
+        limit_ms: float,
+        *,
+        fresh: bool,
+        without: Container[HttpConnection],
     ) -> HttpConnection | NotConnected:
         if not fresh:
-            connection = self._pool.acquire_relayed(replica.entry.address)
+            address = replica.entry.address
+            connection = self._pool.acquire_relayed(address, without=without)
             if connection is not None:
                 return connection
         limit_ms = min(limit_ms, _MAX_OPEN_MS)
--- a/tests/fleet/test_late_rejections.py
+++ b/tests/fleet/test_late_rejections.py
@@ -2,7 +2,7 @@
 
 from tests.platform_standins import ReplicaBehavior
 
-from .node_fixtures import KEY, NodeTestCase
+from .node_fixtures import KEY, STREAM, NodeTestCase
 
 _REQUESTS = 6
 _UNSAFE = {**KEY, "X-Deadline-Ms": "2000"}
@@ -36,9 +36,6 @@
         if status in (408, 421, 429, 503):
             self.assertEqual(executed, 0)
 
-    def copies_sent(self):
-        return sum(replica.copies_sent for replica in [*self.plain, *self.engines])
-
     async def test_copies_of_a_rejection_by_the_only_replica(self):
         """Guards against a request that runs twice after its rejection came twice."""
         removed = self.plain.pop()
@@ -53,6 +50,28 @@
                 self.assert_truthful(*await self.send())
         self.assertGreater(replica.rejections_sent, 0)
 
+    async def test_copies_of_rejections_by_all_replicas(self):
+        """Guards against a request that runs though its caller was told otherwise."""
+        await self.start_with_replicas(4)
+        for replica in self.plain:
+            replica.repeats_rejections = True
+        for _ in range(_REQUESTS):
+            for replica in self.plain:
+                replica.behaviors = [ReplicaBehavior.FULL]
+            with self.subTest(request=self.request_number + 1):
+                self.assert_truthful(*await self.send())
+
+    async def test_copies_of_a_rejection_for_other_weights(self):
+        """Guards against a stream that runs twice at a replica with other weights."""
+        await self.start_with_replicas(4)
+        for replica in self.engines:
+            replica.repeats_rejections = True
+        for version in range(2, 2 + _REQUESTS):
+            for replica in self.engines:
+                replica.version = version
+            with self.subTest(version=version):
+                self.assert_truthful(*await self.send("POST", "/s/x", STREAM))
+
     async def start_with_replicas(self, count):
         self.operator.configure()
         await self.start_node(self.node, "entry-1")
--- a/tests/fleet/test_relayed_requests.py
+++ b/tests/fleet/test_relayed_requests.py
@@ -35,6 +35,21 @@
         for pipe in tuple(self.pipes):
             pipe._node.abort()
 
+    async def test_copies_of_rejections_through_another_node(self):
+        """Guards against a relayed request that runs though it was answered 503."""
+        for replica in self.plain:
+            replica.repeats_rejections = True
+        for _ in range(6):
+            for replica in self.plain:
+                replica.behaviors = [ReplicaBehavior.FULL]
+                replica.executed_requests.clear()
+            status, _, _ = await self.fetch("POST", "/w/x", headers=_UNSAFE)
+            executed = self.run_count(self.plain)
+            self.assertLessEqual(executed, 1)
+            if status == 503:
+                self.assertEqual(executed, 0)
+        self.assertGreater(sum(replica.rejections_sent for replica in self.plain), 0)
+
     async def test_the_replica_gets_the_same_request(self):
         status, headers, body = await self.fetch(
             "POST", "/w/x?y=1", headers=_UNSAFE, data=b"body"
--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -78,7 +78,7 @@
         self.released = []
         self.addresses = []
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         script = self.scripts[min(len(self.addresses), len(self.scripts) - 1)]
         script = self.script_by_address.get(address, script)
         self.addresses.append(address)
--- a/tests/forwarding/test_kv_memory.py
+++ b/tests/forwarding/test_kv_memory.py
@@ -83,7 +83,7 @@
             notices=MagicMock(),
         )
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         self.connections.append(SilentConnection(address))
         return self.connections[-1]
 
--- a/tests/forwarding/test_late_requests.py
+++ b/tests/forwarding/test_late_requests.py
@@ -37,7 +37,7 @@
         self.connection = connection
         self.was_asked = asyncio.Event()
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         self.was_asked.set()
         if self.connection is None:
             await asyncio.Event().wait()
--- a/tests/forwarding/test_plain_services.py
+++ b/tests/forwarding/test_plain_services.py
@@ -30,7 +30,7 @@
     def __init__(self):
         self.connections = []
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         self.connections.append(SilentConnection(address))
         return self.connections[-1]
 
--- a/tests/forwarding/test_unresponsive_replicas.py
+++ b/tests/forwarding/test_unresponsive_replicas.py
@@ -51,7 +51,7 @@
     def __init__(self, connection):
         self._connection = connection
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         return self._connection
 
     def release(self, connection):
@@ -148,7 +148,7 @@
         self.assertFalse(connection.sent.is_set())
         self.assertIs(self.pool.released, connection)
 
-    async def acquire_late(self, address, *, connect_ms, fresh=False):
+    async def acquire_late(self, address, *, connect_ms, fresh=False, without=()):
         await self.clock.advance_ms(3_000)
         return self.late_connection
 
--- a/tests/forwarding/test_waiting_sends.py
+++ b/tests/forwarding/test_waiting_sends.py
@@ -47,7 +47,7 @@
         self.taken = []
         self.given_back = []
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         self.taken.append(SilentConnection(address))
         await self.may_open.wait()
         return self.taken[-1]
--- a/tests/quarantine/fakes.py
+++ b/tests/quarantine/fakes.py
@@ -69,7 +69,7 @@
         self.silent = set()
         self.opened = []
 
-    async def acquire(self, address, *, connect_ms, fresh=False):
+    async def acquire(self, address, *, connect_ms, fresh=False, without=()):
         self.opened.append(address)
         if address in self.refused:
             return NotConnected("refused", is_refused=True)
