Forwarding: a rejection proves nothing unless it names the request

Callers could see a request run several times: a rejection without a request id was taken for an answer to whatever had been sent last. A late response to a call that has no id (a report, an order, a health check) on a pooled connection is one; so is a replica's rejection that is followed by the answer of the run. Each such response sent the request on to the next replica.

Before, a late 503 where the report was expected confirmed the listed incarnation, as a report without a start does, so a stream could have gone on at other software. Responses that do not name the request are counted (unattributed_responses_total).

Replicas echo the id in all their responses; only a request without an id has a rejection without one.

--- a/fireflyward/attribution/__init__.py
+++ b/fireflyward/attribution/__init__.py
@@ -7,5 +7,6 @@
 """
 
 from ._connections import UsedConnections
+from ._origin import Origin, origin_of, proves_not_run
 
-__all__ = ["UsedConnections"]
+__all__ = ["Origin", "UsedConnections", "origin_of", "proves_not_run"]
--- a/fireflyward/attribution/_connections.py
+++ b/fireflyward/attribution/_connections.py
@@ -16,11 +16,11 @@
     __slots__ = ("_connections",)
 
     def __init__(self) -> None:
-        # Connections are compared by identity. A request has a few sends at most.
+        # A request has a few sends at most.
         self._connections: list[object] = []
 
     def __contains__(self, connection: object) -> bool:
-        return connection in self._connections
+        return any(used is connection for used in self._connections)
 
     def add(self, connection: object) -> None:
         """Record the connection of a send that is about to be made."""
--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -391,9 +391,8 @@
             self._metrics.observe_ms("first_token_ms", trace.first_token_ms)
         if trace.sends > 1:
             self._metrics.count("repeated_sends_total", trace.sends - 1)
-        if trace.unnamed_rejections:
-            count = trace.unnamed_rejections
-            self._metrics.count("rejections_without_id_total", count)
+        if trace.unattributed:
+            self._metrics.count("unattributed_responses_total", trace.unattributed)
         request_id = caller.request_id if isinstance(caller, CallerRequest) else "none"
         fields = {
             **trace.fields(),
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from fireflyward.attribution import Origin, origin_of
 from fireflyward.clock import Clock
 from fireflyward.http1 import (
     MAX_BODY_BYTES,
@@ -159,7 +160,10 @@
         if not isinstance(event, Head):
             return self._on_incomplete(event)
         facts = decode_response(event)
-        problem = self._find_problem(event, facts)
+        origin = origin_of(self._request_id, facts.request_id)
+        if origin is not Origin.OWN:
+            return self._on_unattributed(event, facts)
+        problem = _find_problem(event, facts)
         if problem:
             return self._fail(problem)
         self._notices.on_response(self._replica, facts, sent_ms=self._sent_ms)
@@ -180,19 +184,14 @@
             self._on_event()
         return event
 
-    def _find_problem(self, head: Head, facts: ResponseFacts) -> str:
-        """Describe what is wrong with a response; empty if it may be used."""
-        if facts.request_id not in (None, self._request_id):
-            return f"response to another request, {facts.request_id}"
-        if facts.was_not_run:
-            return ""
-        if facts.request_id is None:
-            return "response without a request id"
-        if head.status < 300 and not facts.is_signed:
-            return "response without a signature"
-        if facts.is_encoded:
-            return "response in an encoding that was not requested"
-        return ""
+    def _on_unattributed(self, head: Head, facts: ResponseFacts) -> Failed:
+        """Give up a send, since the next response on its connection is not its own.
+
+        The request may have run, whatever that response reports.
+        """
+        whose = "no request" if facts.request_id is None else facts.request_id
+        self._fail(detail := f"response to {whose}, status {head.status}")
+        return Failed(detail, is_unattributed=True)
 
     def _supersede(self) -> Superseded:
         self._connection.close()
@@ -241,8 +240,7 @@
         if not isinstance(body, bytes):
             return self._on_incomplete(body)
         if facts.was_not_run:
-            request_id = facts.request_id or "missing"
-            detail = f"status {head.status}, id {request_id}, {self._connection.label}"
+            detail = f"status {head.status}, {self._connection.label}"
             self._pool.release(self._connection)
             return NotRunThere(facts, detail)
         self._complete(failed=head.status >= 500)
@@ -314,3 +312,14 @@
             await self._reply.begin_stream(head)
         await self._reply.send_event(b"".join(new))
         progress.last_number = last_number
+
+
+def _find_problem(head: Head, facts: ResponseFacts) -> str:
+    """Describe what is wrong with a request's own response; empty if it may be used."""
+    if facts.was_not_run:
+        return ""
+    if head.status < 300 and not facts.is_signed:
+        return "response without a signature"
+    if facts.is_encoded:
+        return "response in an encoding that was not requested"
+    return ""
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -63,11 +63,13 @@
 class Failed:
     """No usable response arrived; the request may have run.
 
-    With ``is_late`` the deadline passed first; the replica may be healthy.
+    With ``is_late`` the deadline passed first; the replica may be healthy. With
+    ``is_unattributed`` a response arrived that does not name the request.
     """
 
     detail: str
     is_late: bool = False
+    is_unattributed: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -19,6 +19,7 @@
 from ._fair_check import FairCheck
 from ._messages import (
     Deliver,
+    Failed,
     Finish,
     NoPath,
     NoReplica,
@@ -401,11 +402,12 @@
         if isinstance(result, Withdrawn):
             # It says nothing about the replica.
             return result
+        if isinstance(result, Failed):
+            self._trace.unattributed += result.is_unattributed
         self._quarantine_check.on_result(replica, result)
         return result
 
     def _on_rejected(self, choice: Choice, rejection: NotRunThere) -> Rejected:
-        self._trace.on_rejection(rejection.facts)
         rejected = on_rejected(
             self._clock.now_ms(),
             choice,
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -4,7 +4,6 @@
 
 from fireflyward.http1 import HttpConnection, NotConnected
 from fireflyward.observe import PER_REQUEST
-from fireflyward.platform import ResponseFacts
 from fireflyward.replicas import Choice
 
 from ._messages import Rejected, SendResult, WholeAnswer
@@ -53,7 +52,7 @@
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
     ``second_refused`` is why a due second send was not made.
 
-    ``unnamed_rejections`` counts the rejections that did not name their request.
+    ``unattributed`` counts the responses that did not name the request.
     """
 
     __slots__ = (
@@ -98,7 +97,7 @@
         "software",
         "stored_tokens",
         "totals_age_ms",
-        "unnamed_rejections",
+        "unattributed",
         "waits_late",
         "weights",
         "work_percent",
@@ -149,7 +148,7 @@
         self.first_token_ms = 0
         self.longest_pause_ms = 0
         self.stored_tokens = 0
-        self.unnamed_rejections = 0
+        self.unattributed = 0
         self.work_percent: int | None = None
         self.work_percent_age_ms = 0
 
@@ -197,10 +196,6 @@
         else:
             self.connects_timed_out += 1
 
-    def on_rejection(self, facts: ResponseFacts) -> None:
-        """Record a response which reports that a send was not run."""
-        self.unnamed_rejections += facts.request_id is None
-
     def on_pause(self, pause_ms: float) -> None:
         """Record the time between two parts of the stream."""
         self.longest_pause_ms = max(self.longest_pause_ms, int(pause_ms))
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from fireflyward.attribution import Origin, origin_of
 from fireflyward.clock import Clock
 from fireflyward.deployment import ReplicaEntry
 from fireflyward.http1 import (
@@ -20,6 +21,7 @@
 from fireflyward.prefixes import KvEvent, KvUpdate, PartKey
 
 from ._decoding import decode_json
+from ._requests import REQUEST_ID
 
 log = logging.getLogger("fireflyward.platform")
 
@@ -234,7 +236,7 @@
             return self._log_no_response(address, target, connection.detail)
         connection.send(method, target, headers, body)
         remaining_ms = limit_ms - (self._clock.now_ms() - started_ms)
-        response = await read_full_response(
+        response = await _read_response(
             connection,
             clock=self._clock,
             limit_ms=remaining_ms,
@@ -266,7 +268,7 @@
     """
     headers = _report_headers(entry.address, entry.incarnation)
     connection.send("GET", _REPORT_PATH, headers, b"")
-    response = await read_full_response(
+    response = await _read_response(
         connection,
         clock=clock,
         limit_ms=limit_ms,
@@ -279,6 +281,30 @@
     return report is None or report.started_ms in (0, entry.started_ms)
 
 
+async def _read_response(
+    connection: HttpConnection,
+    *,
+    clock: Clock,
+    limit_ms: float,
+    memory: ReadMemory,
+    max_bytes: int,
+) -> FullResponse | NoResponse:
+    """Return the response to the call just sent, which has no request id.
+
+    A late response to a request that was sent over the connection before names that
+    request. The call's own response would follow it, so the connection is closed.
+    """
+    response = await read_full_response(
+        connection, clock=clock, limit_ms=limit_ms, memory=memory, max_bytes=max_bytes
+    )
+    if isinstance(response, FullResponse):
+        named_id = dict(response.headers).get(REQUEST_ID)
+        if origin_of(None, named_id) is not Origin.OWN:
+            connection.close()
+            return NoResponse(f"response to request {named_id}")
+    return response
+
+
 def _report_headers(address: str, incarnation: str) -> list[tuple[str, str]]:
     return [("Host", address), ("X-Expect-Instance", incarnation)]
 
--- a/fireflyward/platform/_requests.py
+++ b/fireflyward/platform/_requests.py
@@ -9,7 +9,7 @@
 
 from ._notices import InvalidHeader, ReplicaNotices, decode_notices
 
-_REQUEST_ID = "x-request-id"
+REQUEST_ID = "x-request-id"
 _DEADLINE = "x-deadline-ms"
 _KEY = "authorization"
 _KEY_SCHEME = "bearer "
@@ -191,7 +191,7 @@
     """Decode a caller's request; return the reason if it is malformed."""
     headers = tuple(headers)
     by_name = {name.lower(): value for name, value in reversed(headers)}
-    request_id, host = by_name.get(_REQUEST_ID), by_name.get("host")
+    request_id, host = by_name.get(REQUEST_ID), by_name.get("host")
     if not request_id or not host:
         return NotRun(Reason.BAD_REQUEST, "request id or host is missing")
     try:
@@ -239,7 +239,7 @@
     weights = head.get(_WEIGHTS)
     load = _load(head.get(_LOAD))
     return ResponseFacts(
-        request_id=head.get(_REQUEST_ID),
+        request_id=head.get(REQUEST_ID),
         is_signed=head.get(_SIGNATURE) is not None,
         was_not_run=head.get(_NOT_EXECUTED) is not None or head.status == _MISDIRECTED,
         is_other_replica=head.status == _MISDIRECTED,
--- a/tests/fleet/test_late_rejections.py
+++ b/tests/fleet/test_late_rejections.py
@@ -72,6 +72,17 @@
             with self.subTest(version=version):
                 self.assert_truthful(*await self.send("POST", "/s/x", STREAM))
 
+    async def test_a_rejection_without_a_request_id(self):
+        """Guards against a rejection that is taken for the answer to any request."""
+        await self.start_with_replicas(4)
+        for _ in range(_REQUESTS):
+            for replica in self.plain:
+                replica.unnamed_rejections = 1
+            with self.subTest(request=self.request_number + 1):
+                status, executed = await self.send()
+                self.assert_truthful(status, executed)
+                self.assertEqual(status, 502)
+
     async def start_with_replicas(self, count):
         self.operator.configure()
         await self.start_node(self.node, "entry-1")
