Plain services: the HTTP library does not repeat a call by itself

aiohttp sends a call with GET, PUT or DELETE again if its connection breaks after it was sent. A plain service got 3 arrivals for 2 calls, and neither the retry budget nor the trace knew of the third. A middleware of one call lets it be sent once; the task that owns the call decides on repeats, on a new connection and within the budget. The test counts arrivals by real sockets for the three methods: 3 before, 2 now.

--- a/fireflyward/connections/__init__.py
+++ b/fireflyward/connections/__init__.py
@@ -8,6 +8,7 @@
     read_body,
 )
 from ._guard import GuardedBody, PermitExpired
+from ._send_once import SendOnce
 from ._sessions import Sessions, make_socket
 from ._watch import SilenceLimits, SilenceTimer, timed_out, was_silent, within
 
@@ -18,6 +19,7 @@
     "SilenceTimer",
     "PermitExpired",
     "ResponseTooLarge",
+    "SendOnce",
     "Sessions",
     "SilenceLimits",
     "check_size",
--- a/fireflyward/upstreams/_service_http.py
+++ b/fireflyward/upstreams/_service_http.py
@@ -5,7 +5,7 @@
 
 import aiohttp
 
-from fireflyward.connections import MAX_BODY_BYTES, GuardedBody, read_body
+from fireflyward.connections import MAX_BODY_BYTES, GuardedBody, SendOnce, read_body
 from fireflyward.observe import hop
 from fireflyward.outcomes import Reason
 
@@ -77,6 +77,7 @@
                     headers=headers | _make_headers(call),
                     timeout=timeout,
                     allow_redirects=False,
+                    middlewares=(SendOnce(),),
                 ) as response:
                     body = await read_body(response, max_bytes=MAX_BODY_BYTES)
                     return _decode_reply(call, response, body)
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from ._endless import ENDLESS, EndlessReplica
-from ._http import RawRequest, RawServer
+from ._http import RawRequest, RawServer, response
 from ._operator import CONFIGURATION, Operator, settings_text
 from ._replica import CRASHING_BODY, ReplicaBehavior, ReplicaStandIn
 from ._store import StoreBehavior, StoreStandIn
@@ -21,5 +21,6 @@
     "ReplicaStandIn",
     "StoreBehavior",
     "StoreStandIn",
+    "response",
     "settings_text",
 ]
--- a/tests/upstreams/test_service_http.py
+++ b/tests/upstreams/test_service_http.py
@@ -5,6 +5,9 @@
 from fireflyward.connections import Sessions
 from fireflyward.standins import ServiceServer
 from fireflyward.upstreams import Broken, HttpService, Refused, ServiceCall
+from tests.platform_standins import response
+
+from .raw_upstream import RawUpstream
 
 
 class ServiceHttpTests(unittest.IsolatedAsyncioTestCase):
@@ -40,6 +43,22 @@
         self.assertIsInstance(await self.service.call(self.call()), Refused)
         self.assertEqual(self.server.bodies, [])
 
+    async def test_a_call_whose_connection_breaks_is_sent_once(self):
+        """Guards against repeats that neither the retry budget nor the trace counts."""
+        for method in ("GET", "PUT", "DELETE"):
+            with self.subTest(method):
+                upstream = RawUpstream()
+                await upstream.start()
+                self.addAsyncCleanup(upstream.stop)
+                url = f"http://{upstream.address}"
+                service = HttpService(self.sessions.pooled, url)
+                upstream.answers = [response(200)]
+                call = ServiceCall(method, "/revisions/7", run_id="r1")
+                await service.call(call)
+                result = await service.call(call)
+                self.assertEqual((type(result), result.may_have_run), (Broken, True))
+                self.assertEqual(len(upstream.requests), 2)
+
     async def test_redirect_is_returned_and_not_followed(self):
         """Guards against a revision that is recorded twice.
 
