Upstreams: a refusal proves nothing unless it names the run

At the product's own door a refusal by an engine named no run at all, and a plain service's refusal without X-Run-Id was taken for one of the current call. A late refusal of an earlier run on a pooled connection thus told callers "not run" of a call that ran, and it was repeated outside the retry budget. Both clients now ask the same function as the platform's door (attribution.proves_not_run); engines name the run in a refusal (docs/platform/runs.md).

A run is never sent twice over one connection here: a repeat goes to another replica, or uses a new connection. Tests by real sockets: four fail on the code before, none now.

--- a/fireflyward/standins/_engine_server.py
+++ b/fireflyward/standins/_engine_server.py
@@ -69,7 +69,7 @@
         result = self.model.submit(self._clock.now_ms(), call)
         if isinstance(result, Refused):
             refusal = RefusalBody(
-                result.reason.value, result.detail, result.retry_after_ms
+                result.reason.value, result.detail, result.retry_after_ms, call.run_id
             )
             return web.Response(status=409, body=msgspec.json.encode(refusal))
         await self.fault_injector.on_submitted()
--- a/fireflyward/standins/_service_server.py
+++ b/fireflyward/standins/_service_server.py
@@ -28,9 +28,10 @@
         body = await request.read()
         if self.faults.consume("lost_requests"):
             await hang()
-        if self.faults.consume("refusals"):
-            return web.Response(status=503, headers={"X-Not-Run": "1"})
         run_id = request.headers.get("X-Run-Id", "")
+        if self.faults.consume("refusals"):
+            headers = {"X-Not-Run": "1", "X-Run-Id": run_id}
+            return web.Response(status=503, headers=headers)
         self.times_by_run[run_id] += 1
         self.bodies.append(body)
         if self.faults.consume("lost_answers"):
--- a/fireflyward/upstreams/_engine_http.py
+++ b/fireflyward/upstreams/_engine_http.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from fireflyward.attribution import proves_not_run
 from fireflyward.connections import (
     MAX_REPORT_BYTES,
     GuardedBody,
@@ -76,6 +77,7 @@
     reason: str
     detail: str = ""
     retry_after_ms: int = 0
+    run_id: str | None = None
 
 
 class LoadBody(msgspec.Struct):
@@ -215,7 +217,7 @@
             async with request as response:
                 if response.status != 200:
                     reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
-                    yield _decode_refusal(response.status, reply)
+                    yield _decode_refusal(response.status, reply, run_id)
                     return
                 incomplete = b""
                 async for chunk in response.content.iter_any():
@@ -316,13 +318,18 @@
     return Piece(line.offset, line.tokens, line.text)
 
 
-def _decode_refusal(status: int, body: bytes) -> EngineEvent:
-    """Decode a refusal; any other body leaves open whether the call has run."""
+def _decode_refusal(status: int, body: bytes, run_id: str) -> EngineEvent:
+    """Decode a refusal; any other body leaves open whether the call has run.
+
+    A refusal of another run may arrive late, on a connection that carried that run.
+    """
     try:
         refusal = msgspec.json.decode(body, type=RefusalBody)
         reason = Reason(refusal.reason)
     except ValueError:
         return Broken(True, f"status {status}")
+    if not proves_not_run(run_id, refusal.run_id):
+        return Broken(True, f"received a refusal of run {refusal.run_id!r} instead")
     return Refused(reason, refusal.detail, refusal.retry_after_ms)
 
 
--- a/fireflyward/upstreams/_service_http.py
+++ b/fireflyward/upstreams/_service_http.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 
+from fireflyward.attribution import Origin, origin_of, proves_not_run
 from fireflyward.connections import MAX_BODY_BYTES, GuardedBody, SendOnce, read_body
 from fireflyward.observe import hop
 from fireflyward.outcomes import Reason
@@ -99,11 +100,17 @@
 def _decode_reply(
     call: ServiceCall, response: aiohttp.ClientResponse, body: bytes
 ) -> ServiceReply | Refused | Broken:
-    """Decode a reply; a reply with another run id does not belong to this call."""
-    reply_run_id = response.headers.get(_RUN_HEADER, call.run_id)
-    if reply_run_id != call.run_id:
-        return Broken(True, f"received a reply to run {reply_run_id!r} instead")
+    """Decode a reply; a reply with another run id does not belong to this call.
+
+    A service need not name the run in its answers, but a refusal without it proves
+    nothing: it may be a late one of an earlier call on the same connection.
+    """
+    named_id = response.headers.get(_RUN_HEADER)
+    if origin_of(call.run_id, named_id) is Origin.OTHER:
+        return Broken(True, f"received a reply to run {named_id!r} instead")
     if response.status == 503 and _NOT_RUN_HEADER in response.headers:
-        return Refused(Reason.OVERLOADED, "the service did not run it")
+        if proves_not_run(call.run_id, named_id):
+            return Refused(Reason.OVERLOADED, "the service did not run it")
+        return Broken(True, "received a refusal that names no run")
     content_type = response.headers.get("Content-Type", "")
     return ServiceReply(response.status, body, content_type)
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from ._endless import ENDLESS, EndlessReplica
-from ._http import RawRequest, RawServer, response
+from ._http import RawRequest, RawServer, json_response, response
 from ._operator import CONFIGURATION, Operator, settings_text
 from ._replica import CRASHING_BODY, ReplicaBehavior, ReplicaStandIn
 from ._store import StoreBehavior, StoreStandIn
@@ -21,6 +21,7 @@
     "ReplicaStandIn",
     "StoreBehavior",
     "StoreStandIn",
+    "json_response",
     "response",
     "settings_text",
 ]
--- a/tests/upstreams/test_engine_http.py
+++ b/tests/upstreams/test_engine_http.py
@@ -15,7 +15,11 @@
     HttpEngine,
     KeepAlive,
     Piece,
+    Refused,
 )
+from tests.platform_standins import json_response
+
+from .raw_upstream import RawUpstream
 
 CALL = EngineCall("r1", "m", "v1", "beam 7?", 6)
 EXPECTED_TEXT = answer_text("m", "v1", "", "beam 7?", 6)
@@ -66,6 +70,24 @@
         events = await self.events(self.engine.generate(CALL))
         self.assertEqual([type(event) for event in events], [Broken])
 
+    async def test_a_refusal_of_another_run_proves_nothing(self):
+        """Guards against a run that goes on though a late refusal says otherwise."""
+        upstream = RawUpstream()
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        engine = HttpEngine(self.sessions.pooled, f"http://{upstream.address}")
+        for named in ({}, {"run_id": "r0"}):
+            with self.subTest(named):
+                body = {"reason": "overloaded", **named}
+                upstream.answers = [json_response(body, status=409)]
+                (event,) = await self.events(engine.generate(CALL))
+                self.assertEqual((type(event), event.may_have_run), (Broken, True))
+
+    async def test_a_refusal_that_names_the_run_is_a_proof(self):
+        self.server.model.leaving = True
+        (event,) = await self.events(self.engine.generate(CALL))
+        self.assertIsInstance(event, Refused)
+
     async def test_slow_prefill_sends_keepalives(self):
         costs = EngineCosts(prefill_ms_per_token=500.0)
         self.server.model = EngineModel({"m": "v1"}, costs)
--- a/tests/upstreams/test_service_http.py
+++ b/tests/upstreams/test_service_http.py
@@ -43,6 +43,18 @@
         self.assertIsInstance(await self.service.call(self.call()), Refused)
         self.assertEqual(self.server.bodies, [])
 
+    async def test_a_refusal_of_another_run_proves_nothing(self):
+        """Guards against a call that runs though a late refusal says otherwise."""
+        upstream = RawUpstream()
+        await upstream.start()
+        self.addAsyncCleanup(upstream.stop)
+        service = HttpService(self.sessions.pooled, f"http://{upstream.address}")
+        for named in ((), (("X-Run-Id", "r0"),)):
+            with self.subTest(named):
+                upstream.answers = [response(503, headers=[("X-Not-Run", "1"), *named])]
+                result = await service.call(self.call())
+                self.assertEqual((type(result), result.may_have_run), (Broken, True))
+
     async def test_a_call_whose_connection_breaks_is_sent_once(self):
         """Guards against repeats that neither the retry budget nor the trace counts."""
         for method in ("GET", "PUT", "DELETE"):
