Soak: replicas as processes that repeat rejections and are killed

The soak's replicas sent every rejection without an id and none twice, and all lived in its own process. They name requests in their rejections, send copies of some after a drawn time or before the next response, repeat reports, and answer before they have read a long body. Neither uploads nor streams may run twice, and no rejected request may run; replicas compare bodies with what callers sent. Seeds 1 and 4 stay as regression cases.

--- a/tests/platform_standins/_http.py
+++ b/tests/platform_standins/_http.py
@@ -67,18 +67,30 @@
     async def answer(self, request, writer):
         """Write the response to a request; each stand-in overrides this."""
 
+    async def answer_before_body(self, request, writer):
+        """Return whether a request was answered before its body is read."""
+        return False
+
+    def on_late_body(self, request):
+        """Handle a request whose body was read after its answer."""
+
     async def _serve(self, reader, writer):
         self.connections += 1
         self._writers.add(writer)
         task = asyncio.current_task()
         self._tasks.add(task)
         try:
-            while (request := await _read(reader)) is not None:
+            while (request := await _read_head(reader)) is not None:
+                is_answered = await self.answer_before_body(request, writer)
+                size = int(request.headers.get("content-length", 0))
+                request.body = await reader.readexactly(size)
                 self.requests.append(request)
-                if await self.answer(request, writer) is False:
+                if is_answered:
+                    self.on_late_body(request)
+                elif await self.answer(request, writer) is False:
                     break
                 await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
@@ -108,7 +120,7 @@
     return response(status, body, all_headers)
 
 
-async def _read(reader):
+async def _read_head(reader):
     try:
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
@@ -119,8 +131,7 @@
     for line in lines:
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
     parts = urlsplit(target)
     query = {key: values[0] for key, values in parse_qs(parts.query).items()}
     now_s = asyncio.get_running_loop().time()
-    return RawRequest(method, target, headers, body, query, parts.path, reader, now_s)
+    return RawRequest(method, target, headers, b"", query, parts.path, reader, now_s)
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -130,7 +130,9 @@
             models = [{"name": self.model, "version": self.version, "adapters": []}]
             body = {"models": models, "busy": False, "sequence": len(self.orders)}
             body["born"] = self.started_ms
-            writer.write(json_response(body))
+            report = json_response(body)
+            writer.write(report)
+            self._after_report(writer, report)
             return True
         if request.path == "/-/order":
             self.orders.append(request.json())
@@ -146,13 +148,8 @@
 
     async def _execute(self, request, writer):
         headers = request.headers
-        is_expected = headers.get("x-expect-instance") in (None, self.incarnation)
-        version = headers.get("x-expect-version", str(self.version))
-        if not is_expected or version != str(self.version):
-            own_headers = [("X-Instance-Id", self.incarnation)]
-            if self.model:
-                own_headers.append(("X-Weight-Versions", str(self.version)))
-            return self._reject(request, writer, 421, own_headers)
+        if not self._is_expected(headers):
+            return self._reject_other(request, writer)
         behavior = self.behaviors.pop(0) if self.behaviors else ReplicaBehavior.NORMAL
         if behavior is ReplicaBehavior.FULL:
             return self._reject(request, writer, 503, self.notices)
@@ -185,14 +182,32 @@
             return await self._stream(request, writer, behavior, own_headers)
         return await self._plain(request, writer, behavior, own_headers)
 
-    def _reject(self, request, writer, status, headers):
+    def _is_expected(self, headers):
+        """Return whether a request is for this incarnation and its weights."""
+        version = headers.get("x-expect-version", str(self.version))
+        is_same = headers.get("x-expect-instance") in (None, self.incarnation)
+        return is_same and version == str(self.version)
+
+    def _reject_other(self, request, writer):
+        own_headers = [("X-Instance-Id", self.incarnation)]
+        if self.model:
+            own_headers.append(("X-Weight-Versions", str(self.version)))
+        return self._reject(request, writer, 421, own_headers)
+
+    def _reject(self, request, writer, status, headers=()):
         own_headers = [("X-Request-Id", request.headers["x-request-id"]), _NOT_EXECUTED]
         rejection = response(status, headers=[*own_headers, *headers])
         writer.write(rejection)
         self.rejections_sent += 1
+        self._after_rejection(writer, rejection)
+        return True
+
+    def _after_report(self, writer, report):
+        """Handle a report that was written; a subclass may send it again."""
+
+    def _after_rejection(self, writer, rejection):
         if self.repeats_rejections:
             self._copy_by_writer[writer] = rejection
-        return True
 
     async def _plain(self, request, writer, behavior, own_headers):
         body = b"answer of " + self.incarnation.encode()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -37,6 +37,11 @@
         help="nodes stand still or restart while weights are replaced; a seed lasts "
         "until the effects can be judged",
     )
+    parser.add_argument(
+        "--rejections",
+        action="store_true",
+        help="replicas are processes that repeat rejections; they are killed",
+    )
     parser.add_argument("--logs", help="folder for the nodes' logs of seeds that fail")
     options = parser.parse_args()
     first = options.first
@@ -52,6 +57,7 @@
                 has_partitions=options.partitions,
                 has_upgrades=options.upgrades,
                 has_standstills=options.standstills,
+                has_rejections=options.rejections,
                 log_folder=options.logs,
             )
         )
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -45,6 +45,10 @@
                 await self._send_request(session)
                 await asyncio.sleep(self._random.uniform(0.0, 0.04))
 
+    def body(self, path, request_id):
+        """Return the body of a request."""
+        return None
+
     async def _send_request(self, session):
         self._count += 1
         node = self._random.choice(self._nodes)
@@ -68,7 +72,10 @@
             headers["X-Prompt-Prefix"] = prefix
         try:
             url = node.url + path
-            async with session.request(method, url, headers=headers) as response:
+            sent = self.body(path, request_id)
+            async with session.request(
+                method, url, headers=headers, data=sent
+            ) as response:
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError):
             return
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -24,6 +24,9 @@
 class SoakFleet:
     """The nodes, stand-ins and proxies of one seed, and the observed results."""
 
+    # The paths whose requests may be executed once.
+    single_run_paths = ("/w/x",)
+
     def __init__(
         self, seed, folder, nodes, *, replica_zones=ZONES, has_node_links=False
     ):
@@ -186,7 +189,7 @@
                 violations.append(
                     f"{result.request_id} {result.path} was executed {executions} times"
                 )
-            if result.path == "/w/x" and executions > 1:
+            if result.path in self.single_run_paths and executions > 1:
                 violations.append(
                     f"{result.request_id} was executed {executions} times"
                 )
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -10,6 +10,7 @@
 from ._faults import AddedFaults, Faults
 from ._fleet import ZONES, SoakFleet
 from ._partitions import Partitions
+from ._rejections import RejectionFaults, RejectionFleet
 from ._standstills import StandstillFleet, Standstills
 from ._upgrades import UpgradeFleet, Upgrades
 
@@ -25,6 +26,7 @@
     has_partitions=False,
     has_upgrades=False,
     has_standstills=False,
+    has_rejections=False,
     standstills=Standstills,
     log_folder=None,
 ):
@@ -37,7 +39,8 @@
     ``Departures``, which did not exist when the seed was first run. With
     ``has_partitions`` the only faults are those of ``Partitions``, and with
     ``has_upgrades`` those of ``Upgrades``. With ``has_standstills`` they are those of
-    ``standstills``, and the seed lasts until their effects can be judged. The logs of
+    ``standstills``, and the seed lasts until their effects can be judged. With
+    ``has_rejections`` they are those of ``RejectionFaults``. The logs of
     nodes are copied to ``log_folder`` if there are violations.
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -45,6 +48,8 @@
         kind = UpgradeFleet if has_upgrades else SoakFleet
         if has_standstills:
             kind = StandstillFleet
+        if has_rejections:
+            kind = RejectionFleet
         fleet = kind(
             seed, folder, nodes, replica_zones=zones, has_node_links=has_partitions
         )
@@ -58,6 +63,8 @@
             fault_kinds = [(5, Upgrades)]
         if has_standstills:
             fault_kinds = [(6, standstills)]
+        if has_rejections:
+            fault_kinds = [(7, RejectionFaults)]
         faults = [
             kind(random.Random(seed + offset), fleet) for offset, kind in fault_kinds
         ]
--- a/tests/soak/_weights_engine.py
+++ b/tests/soak/_weights_engine.py
@@ -103,18 +103,12 @@
         self._on_loaded(self)
 
     async def _execute(self, request, writer):
-        headers = request.headers
-        if headers.get("x-expect-instance") not in (None, self.incarnation):
-            writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
-            return True
-        if headers.get("x-expect-version", str(self.version)) != str(self.version):
-            writer.write(response(421, headers=[("X-Instance-Id", self.incarnation)]))
-            return True
+        if not self._is_expected(request.headers):
+            return self._reject_other(request, writer)
         if not await self._wait_for_slot(request, writer):
             return False
         if self._is_loading:
-            writer.write(response(503, headers=[("X-Not-Executed", "1")]))
-            return True
+            return self._reject(request, writer, 503)
         self._running += 1
         try:
             return await self._run(request, writer)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -32,6 +32,12 @@
     102: "the same, for requests that then waited at an engine",
     107: "the same, beside engines that ran slowly and orders without a response",
 }
+_REJECTION_SECONDS = 8.0
+_REJECTION_REGRESSIONS = {
+    1: "a second copy of a rejection was taken for the answer to the next send of the "
+    "same request, which was executed; requests ran twice or after a 503",
+    4: "the same",
+}
 _STOPPED_SENDER_SEED = 4
 _DEPARTURE_REGRESSIONS = {
     2: "a failed read of one node counted as an outage of the store, after which a "
@@ -59,6 +65,10 @@
         for seed in (7001, *_UPGRADE_REGRESSIONS):
             self.check(seed, _UPGRADE_SECONDS, has_upgrades=True)
 
+    def test_rejections(self):
+        for seed in _REJECTION_REGRESSIONS:
+            self.check(seed, _REJECTION_SECONDS, has_rejections=True)
+
     def test_standstills(self):
         async def run_together():
             return await asyncio.gather(
