--- a/tests/fleet/test_late_rejections.py
+++ b/tests/fleet/test_late_rejections.py
@@ -53,14 +53,26 @@
     async def test_copies_of_rejections_by_all_replicas(self):
         """Guards against a request that runs though its caller was told otherwise."""
         await self.start_with_replicas(4)
-        for replica in self.plain:
-            replica.repeats_rejections = True
-        for _ in range(_REQUESTS):
+        for number in range(2 * _REQUESTS):
             for replica in self.plain:
+                replica.repeats_rejections = True
+                replica.rejection_status = (503, 429)[number % 2]
                 replica.behaviors = [ReplicaBehavior.FULL]
             with self.subTest(request=self.request_number + 1):
                 self.assert_truthful(*await self.send())
 
+    async def test_copies_of_rejections_of_a_request_that_may_be_repeated(self):
+        """Guards against a 503 to a request that a replica is executing."""
+        await self.start_with_replicas(4)
+        for _ in range(_REQUESTS):
+            for replica in self.plain:
+                replica.repeats_rejections = True
+                replica.behaviors = [ReplicaBehavior.FULL]
+            with self.subTest(request=self.request_number + 1):
+                status, executed = await self.send("GET", "/r/x", KEY)
+                if status == 503:
+                    self.assertEqual(executed, 0)
+
     async def test_copies_of_a_rejection_for_other_weights(self):
         """Guards against a stream that runs twice at a replica with other weights."""
         await self.start_with_replicas(4)
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -90,6 +90,7 @@
         self.crashing_part = None
         self.crashed_by_part = False
         self.loading_s = 0.0
+        self.rejection_status = 503
         self.repeats_rejections = False
         self.unnamed_rejections = 0
         self.rejections_sent = self.copies_sent = 0
@@ -152,7 +153,7 @@
             return self._reject_other(request, writer)
         behavior = self.behaviors.pop(0) if self.behaviors else ReplicaBehavior.NORMAL
         if behavior is ReplicaBehavior.FULL:
-            return self._reject(request, writer, 503, self.notices)
+            return self._reject(request, writer, self.rejection_status, self.notices)
         if behavior is ReplicaBehavior.REQUESTS_BACKOFF:
             backoff = ("Retry-After", self.retry_after)
             return self._reject(request, writer, 503, [backoff, *self.notices])
