--- a/tests/soak/_departures.py
+++ b/tests/soak/_departures.py
@@ -73,11 +73,13 @@
         return self._random.sample(links, self._random.randint(1, min(2, len(links))))
 
     async def _keep_machine_busy(self):
-        processes = [
-            await asyncio.create_subprocess_exec(sys.executable, "-c", _BUSY_PROGRAM)
-            for _ in range(self._random.randint(2, 8))
-        ]
+        processes = []
         try:
+            for _ in range(self._random.randint(2, 8)):
+                process = await asyncio.create_subprocess_exec(
+                    sys.executable, "-c", _BUSY_PROGRAM
+                )
+                processes.append(process)
             await self._sleep_during_fault()
         finally:
             for process in processes:
