--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -41,7 +41,7 @@
     ``has_upgrades`` those of ``Upgrades``. With ``has_standstills`` they are those of
     ``standstills``, and the seed lasts until their effects can be judged. With
     ``has_rejections`` they are those of ``RejectionFaults``. The logs of
-    nodes are copied to ``log_folder`` if there are violations.
+    nodes are copied to ``log_folder`` if there are violations, or if they do not start.
     """
     with tempfile.TemporaryDirectory() as folder:
         zones = ZONES[:1] if is_older_seed else ZONES
@@ -57,6 +57,8 @@
             await fleet.start()
         except BaseException:
             await fleet.stop()
+            if log_folder is not None:
+                _copy_logs(fleet, Path(log_folder) / str(seed))
             raise
         fault_kinds = _fault_kinds(seed, is_older_seed, has_partitions)
         if has_upgrades:
