--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -6,7 +6,7 @@
 from ._endless import ENDLESS, EndlessReplica
 from ._http import RawRequest, RawServer, json_response, response
 from ._operator import CONFIGURATION, Operator, settings_text
-from ._replica import CRASHING_BODY, ReplicaBehavior, ReplicaStandIn
+from ._replica import CRASHING_BODY, Listed, ReplicaBehavior, ReplicaStandIn
 from ._store import StoreBehavior, StoreStandIn
 
 __all__ = [
@@ -14,6 +14,7 @@
     "EndlessReplica",
     "CONFIGURATION",
     "CRASHING_BODY",
+    "Listed",
     "ReplicaBehavior",
     "Operator",
     "RawRequest",
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -47,7 +47,28 @@
 )
 
 
-class ReplicaStandIn(RawServer):
+class Listed:
+    """Anything that is listed as a replica, by the row that replicas write."""
+
+    def entry(self, service, state="ready", zone="a"):
+        """Return the row that a replica writes about itself."""
+        models = [{"name": self.model, "version": self.version, "adapters": []}]
+        value = {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": self.software,
+            "slots": 4,
+            "state": state,
+            "cold-remaining-ms": 0,
+            "models": models if self.model else [],
+            "sequence": 1,
+            "born": self.started_ms,
+        }
+        return json.dumps(value).encode()
+
+
+class ReplicaStandIn(Listed, RawServer):
     """Executes the requests that it receives and records them.
 
     Each request consumes one entry of ``behaviors``; when the list is empty, the
@@ -105,23 +126,6 @@
         self.software = software or self.software
         self.executed_requests, self.orders, self.behaviors = [], [], []
 
-    def entry(self, service, state="ready", zone="a"):
-        """Return the row that a replica writes about itself."""
-        models = [{"name": self.model, "version": self.version, "adapters": []}]
-        value = {
-            "service": service,
-            "address": self.address,
-            "zone": zone,
-            "version": self.software,
-            "slots": 4,
-            "state": state,
-            "cold-remaining-ms": 0,
-            "models": models if self.model else [],
-            "sequence": 1,
-            "born": self.started_ms,
-        }
-        return json.dumps(value).encode()
-
     async def answer(self, request, writer):
         copy = self._copy_by_writer.pop(writer, None)
         if copy is not None:
--- a/tests/soak/_rejections.py
+++ b/tests/soak/_rejections.py
@@ -11,6 +11,8 @@
 
 import aiohttp
 
+from tests.platform_standins import Listed
+
 from ._callers import Caller
 from ._faults import Faults
 from ._fleet import KEYS, SoakFleet
@@ -31,13 +33,14 @@
     headers: dict
 
 
-class ReplicaProcess:
+class ReplicaProcess(Listed):
     """A replica in a process of its own; see ``_replica_process``."""
 
     def __init__(self, incarnation, folder, seed, *, model=None):
         self.incarnation = incarnation
         self.model = model
         self.version = 1
+        self.software = "v1"
         self.address = ""
         self.started_ms = 0
         self._records = Path(folder) / f"{incarnation}.records"
@@ -71,23 +74,6 @@
         self.signal(signal.SIGKILL)
         await self._process.wait()
 
-    def entry(self, service, state="ready", zone="a"):
-        """Return the row that the replica writes about itself."""
-        models = [{"name": self.model, "version": self.version, "adapters": []}]
-        value = {
-            "service": service,
-            "address": self.address,
-            "zone": zone,
-            "version": "v1",
-            "slots": 4,
-            "state": state,
-            "cold-remaining-ms": 0,
-            "models": models if self.model else [],
-            "sequence": 1,
-            "born": self.started_ms,
-        }
-        return json.dumps(value).encode()
-
     def records(self, kind):
         """Return what the processes of this replica have recorded."""
         if not self._records.exists():
