Attribution: the example compares connections by identity

The example used equal texts, while connections are compared by identity since a rejection must name its request.

--- a/fireflyward/attribution/_connections.py
+++ b/fireflyward/attribution/_connections.py
@@ -7,9 +7,9 @@
     All sends of a request have the same id. If two of them used one connection, a late
     copy of the first one's response could not be told from the second one's response.
 
-    >>> used = UsedConnections()
-    >>> used.add("connection 1")
-    >>> "connection 1" in used, "connection 2" in used
+    >>> used, first, second = UsedConnections(), object(), object()
+    >>> used.add(first)
+    >>> first in used, second in used
     (True, False)
     """
 
