--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -42,6 +42,11 @@
         action="store_true",
         help="replicas are processes that repeat rejections; they are killed",
     )
+    parser.add_argument(
+        "--flapping",
+        action="store_true",
+        help="three replicas as processes, which crash, flap and are replaced",
+    )
     parser.add_argument("--logs", help="folder for the nodes' logs of seeds that fail")
     options = parser.parse_args()
     first = options.first
@@ -58,6 +63,7 @@
                 has_upgrades=options.upgrades,
                 has_standstills=options.standstills,
                 has_rejections=options.rejections,
+                has_flapping=options.flapping,
                 log_folder=options.logs,
             )
         )
--- a/tests/soak/_callers.py
+++ b/tests/soak/_callers.py
@@ -49,12 +49,16 @@
         """Return the body of a request."""
         return None
 
+    def draw_route(self):
+        """Return the method and the path of the next request."""
+        return self._random.choice(
+            (("GET", "/r/x"), ("POST", "/w/x"), ("POST", "/s/x"))
+        )
+
     async def _send_request(self, session):
         self._count += 1
         node = self._random.choice(self._nodes)
-        method, path = self._random.choice(
-            (("GET", "/r/x"), ("POST", "/w/x"), ("POST", "/s/x"))
-        )
+        method, path = self.draw_route()
         request_id = f"{self._name}-{self._count}"
         key = self._random.choice(self._keys)
         now_s = asyncio.get_running_loop().time()
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -18,7 +18,7 @@
 _REVOCATION_LIMIT_S = 5.0
 # Of the repeatable routes; see ``Operator``.
 _MAX_ATTEMPTS = 2
-_NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 
 
 class SoakFleet:
@@ -157,6 +157,10 @@
         for server in [*self.replicas, self.store]:
             await server.stop()
 
+    def executed_requests(self):
+        """Return what all replicas have executed."""
+        return [sent for item in self.replicas for sent in item.executed_requests]
+
     def counts(self):
         """Return the requests by status, and the withdrawals that could be judged."""
         counts = Counter(str(item.status) for item in self.result_by_id.values())
@@ -175,9 +179,7 @@
         """
         violations = list(self.violations)
         execution_counts = Counter(
-            sent.headers["x-request-id"]
-            for replica in self.replicas
-            for sent in replica.executed_requests
+            sent.headers["x-request-id"] for sent in self.executed_requests()
         )
         for result in self.result_by_id.values():
             executions = execution_counts[result.request_id]
@@ -193,7 +195,7 @@
                 violations.append(
                     f"{result.request_id} was executed {executions} times"
                 )
-            if result.status in _NOT_EXECUTED_STATUSES and executions:
+            if result.status in NOT_EXECUTED_STATUSES and executions:
                 violations.append(f"{result.request_id} was rejected and executed")
             since_s = result.sent_s - self.withdrawn_s_by_key.get(
                 result.key, result.sent_s
--- a/tests/soak/_rejections.py
+++ b/tests/soak/_rejections.py
@@ -36,11 +36,15 @@
 class ReplicaProcess(Listed):
     """A replica in a process of its own; see ``_replica_process``."""
 
-    def __init__(self, incarnation, folder, seed, *, model=None):
+    def __init__(
+        self, incarnation, folder, seed, *, model=None, software="v1", slots=0
+    ):
+        """With ``slots`` it rejects what exceeds them and a queue as long."""
         self.incarnation = incarnation
         self.model = model
         self.version = 1
-        self.software = "v1"
+        self.software = software
+        self._slots = slots
         self.address = ""
         self.started_ms = 0
         self._records = Path(folder) / f"{incarnation}.records"
@@ -55,6 +59,7 @@
             "model": self.model,
             "version": self.version,
             "started_ms": self.started_ms,
+            "slots": self._slots,
             "seed": self._random.randrange(2**32),
             "records": str(self._records),
         }
@@ -71,6 +76,8 @@
             self._process.send_signal(number)
 
     async def stop(self):
+        if self._process is None:
+            return
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         await self._process.wait()
--- a/tests/soak/_replica_process.py
+++ b/tests/soak/_replica_process.py
@@ -49,6 +49,8 @@
         )
         self.started_ms = settings["started_ms"]
         self._random = random.Random(settings["seed"])
+        self._max_requests = 2 * settings["slots"]
+        self._requests = 0
         self._records = os.open(
             settings["records"], os.O_WRONLY | os.O_APPEND | os.O_CREAT, 0o600
         )
@@ -79,9 +81,14 @@
     async def _execute(self, request, writer):
         if request.body:
             self._check_body(request)
-        if self._random.random() < _REJECTED:
+        is_full = 0 < self._max_requests <= self._requests
+        if is_full or self._random.random() < _REJECTED:
             self.behaviors = [ReplicaBehavior.FULL]
-        return await super()._execute(request, writer)
+        self._requests += 1
+        try:
+            return await super()._execute(request, writer)
+        finally:
+            self._requests -= 1
 
     def _after_report(self, writer, report):
         if self._random.random() < _REPORT_REPEATED:
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -8,6 +8,7 @@
 
 from ._departures import Departures
 from ._faults import AddedFaults, Faults
+from ._flapping import Flapping, FlappingFleet
 from ._fleet import ZONES, SoakFleet
 from ._partitions import Partitions
 from ._rejections import RejectionFaults, RejectionFleet
@@ -27,6 +28,7 @@
     has_upgrades=False,
     has_standstills=False,
     has_rejections=False,
+    has_flapping=False,
     standstills=Standstills,
     log_folder=None,
 ):
@@ -40,7 +42,8 @@
     ``has_partitions`` the only faults are those of ``Partitions``, and with
     ``has_upgrades`` those of ``Upgrades``. With ``has_standstills`` they are those of
     ``standstills``, and the seed lasts until their effects can be judged. With
-    ``has_rejections`` they are those of ``RejectionFaults``. The logs of
+    ``has_rejections`` they are those of ``RejectionFaults``, and with ``has_flapping``
+    those of ``Flapping``. The logs of
     nodes are copied to ``log_folder`` if there are violations, or if they do not start.
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -50,6 +53,8 @@
             kind = StandstillFleet
         if has_rejections:
             kind = RejectionFleet
+        if has_flapping:
+            kind = FlappingFleet
         fleet = kind(
             seed, folder, nodes, replica_zones=zones, has_node_links=has_partitions
         )
@@ -67,6 +72,8 @@
             fault_kinds = [(6, standstills)]
         if has_rejections:
             fault_kinds = [(7, RejectionFaults)]
+        if has_flapping:
+            fault_kinds = [(8, Flapping)]
         faults = [
             kind(random.Random(seed + offset), fleet) for offset, kind in fault_kinds
         ]
