Streams: a stream begins only at a software version that is stored

Callers saw streams answered 200 with the first part of one software version and the rest of another, after all nodes had been killed at once around a change of software.

Cause: what outlives all nodes is the row software/SERVICE, which existed only while several versions were known and was written once a second. If the second version came less than a second before the kill, or while no node ran, nodes that started knew of one version and took it for that of every stream. If the row existed, all streams were rejected for 30 s, since it did not say at which version they may have begun.

Now the row exists for every service and is written at once when a version appears; a stream that may be resumed begins only at a stored version. A stream that nobody knows goes on at the version that was stored before the nodes started, if it was a single one.

tests.streams.test_rows and tests.fleet.test_software_versions asserted that a service with one version has no row. That absence is the fault. They now assert that it has one row, written once, and that nothing more is written or told while one version serves.

--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -8,6 +8,7 @@
 from fireflyward.deployment import FleetSettings
 from fireflyward.feeds import FeedFollower, Pace, SharedTables, TableUpdate
 from fireflyward.peers import Address, PeerCodec, PeerLink, new_incarnation
+from fireflyward.streams import is_software_row
 
 from ._paces import nodes_pace
 from ._peers import MAX_LIST_AGE_MS, NODE_TABLE, NodeRegistry, NodeRow
@@ -50,6 +51,7 @@
         self._on_nodes = on_nodes
         self._on_rows = on_rows
         self._poll_requested = asyncio.Event()
+        self._has_only_software = False
         self._on_link = on_link
         self._joined = asyncio.Event()
         self._follower = FeedFollower(
@@ -70,7 +72,10 @@
         while True:
             if await self._follower.step():
                 await self._apply_node_table()
-            await self._pause(self._follower.pause_ms)
+            # A row of software says nothing of nodes, which may just be joining.
+            if not self._has_only_software:
+                await self._pause(self._follower.pause_ms)
+            self._has_only_software = False
 
     def poll_soon(self) -> None:
         """Read the table again at once, or after the read that is in flight."""
@@ -86,6 +91,9 @@
         self._poll_requested.clear()
 
     def _on_table_update(self, update: TableUpdate) -> None:
+        self._has_only_software = bool(update.rows) and all(
+            is_software_row(row.key) for row in update.rows
+        )
         self._registry.on_table_update(update)
         self._on_rows(update)
 
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -29,7 +29,7 @@
 from ._kv_stores import KvStoreFollowers
 from ._lease_components import LeaseComponents
 from ._own_member import own_member
-from ._peers import NODE_TABLE, NodeRegistry
+from ._peers import NODE_TABLE, NodeRegistry, node_row_key
 from ._replica_components import ReplicaComponents
 from ._start_gate import StartGate
 from ._status_server import StatusServer
@@ -149,14 +149,19 @@
             pool=self._pool,
             heartbeat_ms=settings.heartbeat_ms,
             on_removed=self._crashes.quarantine.on_removed,
-            on_updated=self._replica_components.streams.on_list,
+            on_updated=self._on_replica_list,
         )
+        streams = self._replica_components.streams
         self._software_rows = SoftwareRows(
-            self._replica_components.streams.versions,
+            streams.versions,
+            streams.stored,
             clock=clock,
             store=self._store,
             table=NODE_TABLE,
-            is_first=lambda: self._node_registry.is_among_first(1, _SOFTWARE_DUTY),
+            node_row=node_row_key(settings.node),
+            place=self._place_for_software,
+            on_written=streams.on_written,
+            poll_soon=lambda: self._joining.poll_soon(),
         )
         self._tables = SharedTables(
             self._store,
@@ -369,6 +374,18 @@
         self._replica_components.set_configuration(configuration)
         self._kv_store_followers.set_configuration(configuration)
 
+    def _place_for_software(self) -> float:
+        """Return this node's place for writing the rows of software; 1 is the last.
+
+        A node that has not joined does not know the others, and would be the first.
+        """
+        registry = self._node_registry
+        return registry.place(_SOFTWARE_DUTY) if registry.is_complete else 1.0
+
+    def _on_replica_list(self) -> None:
+        self._replica_components.streams.on_list()
+        self._software_rows.on_list()
+
     def _on_nodes(self, names: Collection[str]) -> None:
         self._budget.set_nodes(len(names))
         self._forwarder.set_nodes(len(names))
--- a/fireflyward/forwarding/_interfaces.py
+++ b/fireflyward/forwarding/_interfaces.py
@@ -98,6 +98,8 @@
 
     def has_several_versions(self, service: str) -> bool: ...
 
+    def begins_at(self, service: str) -> frozenset[str] | None: ...
+
 
 class NoStreams:
     """Takes all replicas for alike."""
@@ -119,6 +121,10 @@
         """Return False."""
         return False
 
+    def begins_at(self, service: str) -> frozenset[str] | None:
+        """Return None: a stream may begin at any replica."""
+        return None
+
 
 class Notices(Protocol):
     """Receives facts about replicas from responses; see ``notices.NoticeTask``."""
--- a/fireflyward/forwarding/_prompt_requirements.py
+++ b/fireflyward/forwarding/_prompt_requirements.py
@@ -31,10 +31,12 @@
         """Return the tokens in a replica's KV memory at the end of the request."""
         return self._caller.prompt_tokens + self._caller.max_output_tokens
 
-    def criteria(self, now_ms: int, software: str | None = None) -> Requirements:
+    def criteria(
+        self, now_ms: int, software: frozenset[str] | None = None
+    ) -> Requirements:
         """Return the criteria by which a replica is chosen.
 
-        ``software`` is the software version at which the request's stream began.
+        ``software`` has the only software versions that may serve the request.
         """
         caller = self._caller
         if not caller.model:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -123,7 +123,7 @@
             caller, allowed, planner=deps.planner, weights=deps.weights
         )
         self._replica_choice = ReplicaChoice(
-            deps.chooser, self._requirements, self._progress, clock=deps.clock
+            deps.chooser, self._requirements, self._stream_version, clock=deps.clock
         )
         self._weights_check = WeightsCheck(
             deps.weights, caller.model, trace, clock=deps.clock
--- a/fireflyward/forwarding/_stream_version.py
+++ b/fireflyward/forwarding/_stream_version.py
@@ -83,6 +83,23 @@
         self.is_bound = origin.has_others
         return None
 
+    def software(self) -> frozenset[str] | None:
+        """Return the software versions at which the next send may run, None for any.
+
+        A stream that has begun goes on at its version. A new one begins only at a
+        version that is stored, so that it is known after a loss of all nodes.
+        """
+        if self._progress.software is not None:
+            return frozenset((self._progress.software,))
+        if not self._is_stream:
+            return None
+        return self._deps.streams.begins_at(self._allowed.service)
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether the stream can continue at one version only."""
+        return self._progress.software is not None
+
     def on_begun(self, replica: ReplicaState) -> None:
         """Record the version of a stream whose first event is about to be forwarded."""
         if self._progress.software is not None:
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -388,7 +388,8 @@
 
 def _fits(state: ReplicaState, requirements: Requirements) -> bool:
     """Return whether a replica's software and weights may serve the request."""
-    if requirements.software not in (None, state.entry.software):
+    software = requirements.software
+    if software is not None and state.entry.software not in software:
         return False
     if not requirements.model:
         return True
--- a/fireflyward/replicas/_requirements.py
+++ b/fireflyward/replicas/_requirements.py
@@ -18,8 +18,8 @@
     once, however many of its runs share it. ``version`` is the newest version of the
     weights and ``least_version`` the oldest one that may serve the request.
     ``pause_ms`` is the route's target for the longest pause between two events of a
-    stream, 0 if the route has none. ``software`` is the only software version that may
-    serve the request, None if any may.
+    stream, 0 if the route has none. ``software`` has the only software versions that
+    may serve the request, None if any may.
     """
 
     service: str
@@ -33,7 +33,7 @@
     least_version: int = 0
     pause_ms: int = 0
     shared_prefix: SharedPrefix | None = None
-    software: str | None = None
+    software: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/streams/_lookup.py
+++ b/fireflyward/streams/_lookup.py
@@ -14,9 +14,19 @@
     >>> lookup.on_answer("b", "v1", ["v1"])
     >>> lookup.done.is_set(), lookup.software, lookup.source
     (True, 'v1', 'b')
+
+    ``before_starts`` are the versions at which the nodes that answered may have begun
+    the stream before they started, None if one of them cannot say.
     """
 
-    __slots__ = ("_asked", "done", "software", "source", "versions")
+    __slots__ = (
+        "_asked",
+        "before_starts",
+        "done",
+        "software",
+        "source",
+        "versions",
+    )
 
     def __init__(self, asked: Iterable[str]) -> None:
         self._asked = set(asked)
@@ -24,6 +34,7 @@
         self.software: str | None = None
         self.source = ""
         self.versions: set[str] = set()
+        self.before_starts: frozenset[str] | None = frozenset()
         self._check()
 
     def ask_more(self, names: Iterable[str]) -> None:
@@ -33,15 +44,27 @@
         self._check()
 
     def on_answer(
-        self, node: str, software: str | None, versions: Iterable[str]
+        self,
+        node: str,
+        software: str | None,
+        versions: Iterable[str],
+        before_start: Iterable[str] | None = None,
     ) -> None:
         """Record the answer of one node; ``software`` is None if it knows nothing."""
         self._asked.discard(node)
         self.versions.update(versions)
+        self.on_before_start(before_start)
         if software is not None and self.software is None:
             self.software, self.source = software, node
         self._check()
 
+    def on_before_start(self, versions: Iterable[str] | None) -> None:
+        """Add where a node may have begun the stream before it started."""
+        if versions is None or self.before_starts is None:
+            self.before_starts = None
+        else:
+            self.before_starts |= frozenset(versions)
+
     def is_awaited(self, node: str) -> bool:
         """Return whether a node was asked and has not answered."""
         return node in self._asked
--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -1,25 +1,38 @@
 """Rows of the nodes' table that list a service's software versions."""
 
+import asyncio
 import logging
 from collections.abc import Callable
 
 import msgspec
 
 from fireflyward.backing import Committed, Position
-from fireflyward.clock import Clock
+from fireflyward.clock import Clock, within_ms
 from fireflyward.feeds import TableUpdate
 from fireflyward.platform import StoreClient
 
+from ._stored import StoredVersions
 from ._versions import SoftwareVersions
 
 log = logging.getLogger("fireflyward.streams")
 
 _PREFIX = "software/"
 _PERIOD_MS = 1_000
-# How long the other nodes leave a write to the one that is first for this duty.
+# How often it is checked whether a write is due, while a row differs.
+_CHECK_MS = 20
+# How long the node that is last for this duty leaves a write to the others.
 _DUTY_TIMEOUT_MS = 3_000
 
 
+def is_software_row(key: str) -> bool:
+    """Return whether a row of the nodes' table lists software versions.
+
+    >>> is_software_row("software/engines"), is_software_row("node/entry-1")
+    (True, False)
+    """
+    return key.startswith(_PREFIX)
+
+
 class SoftwareRow(msgspec.Struct, frozen=True):
     """The versions at which streams of a service may have begun."""
 
@@ -27,101 +40,131 @@
 
 
 class SoftwareRows:
-    """Stores the versions of each service that has several, now or lately.
+    """Stores the versions of each service's replicas, those of now and of lately.
+
+    A row is written at once when a version appears, since no stream begins there
+    before, and again when its streams have ended. Nothing is written in between.
 
-    A node that has just started has not seen the replicas that left before. It would
-    take the only version in the list for that of all streams. The rows tell it of the
-    others, also if all nodes started at the same moment. A service whose replicas all
-    have one version has no row.
+    A node that has just started has not seen the replicas that left before, and if all
+    nodes started at the same moment, nobody has. The rows tell them.
 
     A node adds only versions that it knows at first hand. One that it knows from the
     row stays there until this node forgets it, and is not written again.
     """
 
     __slots__ = (
+        "_changed",
         "_clock",
         "_differs_since_ms",
         "_era",
-        "_is_first",
-        "_position_by_service",
+        "_node_row",
+        "_on_written",
+        "_place",
+        "_poll_soon",
         "_store",
         "_stored",
         "_table",
+        "_tried_ms_by_service",
         "_versions",
     )
 
     def __init__(
         self,
         versions: SoftwareVersions,
+        stored: StoredVersions,
         *,
         clock: Clock,
         store: StoreClient,
         table: str,
-        is_first: Callable[[], bool],
+        node_row: str,
+        place: Callable[[], float],
+        on_written: Callable[[str, frozenset[str], Position], None],
+        poll_soon: Callable[[], None],
     ) -> None:
-        """``is_first`` returns whether this node is to write the rows."""
+        """``node_row`` is the key of the row that a node with this node's name writes.
+
+        ``place`` returns this node's place for the duty, from 0 for the first to 1.
+
+        ``on_written`` is called after each write of a row by this node. ``poll_soon``
+        lets the table be read at once, if another node was faster with a write.
+        """
         self._versions = versions
+        self._stored = stored
         self._clock = clock
         self._store = store
         self._table = table
-        self._is_first = is_first
-        self._stored: dict[str, frozenset[str]] = {}
-        self._position_by_service: dict[str, Position] = {}
+        self._node_row = node_row
+        self._place = place
+        self._on_written = on_written
+        self._poll_soon = poll_soon
+        self._changed = asyncio.Event()
         self._differs_since_ms: dict[str, int] = {}
+        self._tried_ms_by_service: dict[str, int] = {}
         self._era = 0
 
+    def on_list(self) -> None:
+        """Check soon whether a row differs: the list of replicas has changed."""
+        self._changed.set()
+
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply changes of the table."""
         now_ms = self._clock.now_ms()
         self._era = max(self._era, update.position.era)
         if update.is_snapshot:
-            self._stored.clear()
-            self._position_by_service.clear()
+            has_run_before = any(row.key == self._node_row for row in update.rows)
+            self._stored.on_first_read(has_run_before=has_run_before)
+        versions_by_service: dict[str, frozenset[str]] = {}
+        position_by_service: dict[str, Position] = {}
         for row in update.rows:
-            if not row.key.startswith(_PREFIX):
+            if not is_software_row(row.key):
                 continue
             service = row.key.removeprefix(_PREFIX)
-            self._position_by_service[service] = row.position
-            self._stored.pop(service, None)
+            position_by_service[service] = row.position
             if row.is_deleted:
-                del self._position_by_service[service]
+                versions_by_service.pop(service, None)
                 continue
             try:
                 stored = msgspec.json.decode(row.value, type=SoftwareRow)
             except msgspec.MsgspecError as error:
                 log.error("streams: row %s cannot be decoded: %s", row.key, error)
                 continue
-            self._stored[service] = frozenset(stored.versions)
+            versions_by_service[service] = frozenset(stored.versions)
             self._versions.on_told(now_ms, service, stored.versions)
+        self._stored.on_read(
+            versions_by_service, position_by_service, is_full=update.is_snapshot
+        )
 
     async def run(self) -> None:
         """Write rows that differ from what this node knows, until cancelled."""
         while True:
-            await self._clock.sleep_ms(_PERIOD_MS)
+            pause_ms = _CHECK_MS if self._differs_since_ms else _PERIOD_MS
+            await within_ms(self._clock, pause_ms, self._changed.wait())
+            self._changed.clear()
             for service, wanted in self.due(self._clock.now_ms()):
                 await self._write(service, wanted)
 
     def due(self, now_ms: int) -> list[tuple[str, frozenset[str]]]:
         """Return the services whose rows to write now; an empty row is deleted."""
         due = []
-        for service in sorted(self._versions.services() | self._stored.keys()):
-            stored = self._stored.get(service, frozenset())
+        for service in sorted(self._versions.services() | self._stored.services()):
+            stored = self._stored.of(service)
             kept = stored & self._versions.recent(now_ms, service)
             wanted = kept | self._versions.first_hand(now_ms, service)
-            if len(wanted) < 2:
-                wanted = frozenset()
             if wanted == stored:
                 self._differs_since_ms.pop(service, None)
                 continue
             since_ms = self._differs_since_ms.setdefault(service, now_ms)
-            if self._is_first() or now_ms - since_ms >= _DUTY_TIMEOUT_MS:
-                due.append((service, wanted))
+            if now_ms - since_ms >= self._place() * _DUTY_TIMEOUT_MS:
+                tried_ms = self._tried_ms_by_service.get(service)
+                if tried_ms is None or now_ms - tried_ms >= _PERIOD_MS:
+                    due.append((service, wanted))
         return due
 
     async def _write(self, service: str, wanted: frozenset[str]) -> None:
         key = _PREFIX + service
-        position = self._position_by_service.get(service, Position(self._era, 0))
+        position = self._stored.position_of(service) or Position(self._era, 0)
         row = msgspec.json.encode(SoftwareRow(tuple(sorted(wanted))))
+        self._tried_ms_by_service[service] = self._clock.now_ms()
         result = await self._store.write(
             table=self._table,
             part="",
@@ -129,11 +172,10 @@
             puts={key: row} if wanted else {},
             deletes=() if wanted else (key,),
         )
-        if isinstance(result, Committed):
-            self._stored[service] = wanted
-            if wanted:
-                self._position_by_service[service] = result.position_of(key)
-            else:
-                self._position_by_service.pop(service, None)
+        if isinstance(result, Committed) and wanted:
+            del self._tried_ms_by_service[service]
+            self._on_written(service, wanted, result.position_of(key))
+        else:
+            self._poll_soon()
         names = ", ".join(sorted(wanted))
         log.info("streams: row %s [%s]: %s", key, names, type(result).__name__)
--- a/fireflyward/streams/_streams_structs.py
+++ b/fireflyward/streams/_streams_structs.py
@@ -76,6 +76,7 @@
         1: (TType.I32, "number", True),
         2: (TType.STRING, "software", False),
         3: (TType.LIST, "versions", TType.STRING, True),
+        4: (TType.LIST, "before_start", TType.STRING, False),
     }
 
     def __init__(
@@ -83,7 +84,30 @@
         number: Any = None,
         software: Any = None,
         versions: Any = None,
+        before_start: Any = None,
     ) -> None:
         self.number = number
         self.software = software
         self.versions = versions
+        self.before_start = before_start
+
+
+class VersionsStored(TPayload):
+    thrift_spec = {
+        1: (TType.STRING, "service_name", True),
+        2: (TType.LIST, "versions", TType.STRING, True),
+        3: (TType.I32, "era", True),
+        4: (TType.I64, "version", True),
+    }
+
+    def __init__(
+        self,
+        service_name: Any = None,
+        versions: Any = None,
+        era: Any = None,
+        version: Any = None,
+    ) -> None:
+        self.service_name = service_name
+        self.versions = versions
+        self.era = era
+        self.version = version
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from fireflyward.aggregators import Member
+from fireflyward.backing import Position
 from fireflyward.clock import Clock, within_ms
 from fireflyward.peers import PeerLink
 from fireflyward.replicas import ReplicaDirectory
@@ -16,18 +17,20 @@
 from ._holders import choose_holders
 from ._lookup import Lookup
 from ._starts import StreamRecord, StreamStarts, stream_key
+from ._stored import StoredVersions
 from ._streams_structs import (
     StreamAnswer,
     StreamQuestion,
     StreamsBegan,
     StreamsWanted,
+    VersionsStored,
 )
 from ._versions import STREAM_LIFETIME_MS, SoftwareVersions
 
 log = logging.getLogger("fireflyward.streams")
 
 _BEGAN, _ASK, _ANSWER = "streams.began", "streams.ask", "streams.answer"
-_WANTED = "streams.wanted"
+_WANTED, _STORED = "streams.wanted", "streams.stored"
 # Streams that begin within this time are told together.
 _BATCH_MS = 4
 # The holders of a record answer within a round trip; a datagram may be lost.
@@ -44,6 +47,7 @@
 
 OWN_RECORD = "own record"
 ONLY_VERSION = "only version"
+BEFORE_STARTS = "only version before the nodes started"
 
 
 class StreamTask:
@@ -58,6 +62,8 @@
 
     Records outlive a restart of all nodes one by one: a node that stops hands over its
     records, and in small fleets a node that has started asks for those it is to hold.
+    If all nodes end at once, a stream can have begun only at a version that was stored
+    before, see ``StoredVersions``. It goes on if that was a single one.
 
     ``unknown`` counts the streams whose version could not be found.
     """
@@ -89,6 +95,7 @@
         self._numbers = itertools.count(1)
         self.starts = StreamStarts()
         self.versions = SoftwareVersions()
+        self.stored = StoredVersions(started_ms=self._started_ms)
         self.asked = 0
         self.unknown = 0
 
@@ -99,6 +106,7 @@
         link.register(_ASK, StreamQuestion, self._on_question)
         link.register(_ANSWER, StreamAnswer, self._on_answer)
         link.register(_WANTED, StreamsWanted, self._on_wanted)
+        link.register(_STORED, VersionsStored, self._on_stored)
 
     def on_list(self) -> None:
         """Apply a change of the list of replicas.
@@ -109,6 +117,7 @@
         listed: dict[str, set[str]] = {}
         for state in self._directory.all():
             listed.setdefault(state.entry.service, set()).add(state.entry.software)
+        self.stored.on_list(listed)
         mixed = self.versions.on_list(now_ms, listed)
         if mixed:
             log.info("streams: several software versions serve %s", ", ".join(mixed))
@@ -164,15 +173,26 @@
             return Began(
                 lookup.software, lookup.source, self.has_several_versions(service)
             )
-        return self._without_record(
-            service, f"no node knows the stream, {lookup.unanswered} did not answer"
-        )
+        lookup.on_before_start(self.stored.before_start(now_ms, service))
+        if lookup.before_starts and not lookup.unanswered:
+            if len(lookup.before_starts) == 1:
+                (software,) = lookup.before_starts
+                return Began(
+                    software, BEFORE_STARTS, self.has_several_versions(service)
+                )
+        detail = f"no node knows the stream, {lookup.unanswered} did not answer"
+        if lookup.before_starts:
+            detail += f", it began at one of {sorted(lookup.before_starts)}"
+        return self._without_record(service, detail)
 
     def _without_record(self, service: str, detail: str) -> StreamOrigin | None:
-        versions = self.versions.recent(self._clock.now_ms(), service)
+        now_ms = self._clock.now_ms()
+        versions = self.versions.recent(now_ms, service)
         if not versions:
             return None
-        if len(versions) == 1:
+        if self.stored.before_start(now_ms, service) is None:
+            detail += ", the stored versions have not been read"
+        elif len(versions) == 1:
             return Began(next(iter(versions)), ONLY_VERSION)
         self.unknown += 1
         return UnknownStream(detail)
@@ -181,6 +201,23 @@
         """Return whether streams of a service may have begun at several versions."""
         return len(self.versions.recent(self._clock.now_ms(), service)) > 1
 
+    def begins_at(self, service: str) -> frozenset[str] | None:
+        """Return the only versions at which streams may begin now, None for any."""
+        return self.stored.begins_at(service)
+
+    def on_written(
+        self, service: str, versions: frozenset[str], position: Position
+    ) -> None:
+        """Tell all nodes of versions that this node has stored."""
+        if self.stored.on_written(service, versions, position):
+            message = VersionsStored(
+                service_name=service,
+                versions=sorted(versions),
+                era=position.era,
+                version=position.version,
+            )
+            self._send(self._members(), _STORED, message)
+
     async def _ask(self, service: str, key: int) -> Lookup:
         """Ask the holders, and all nodes if these do not know the stream."""
         members = self._members()
@@ -326,10 +363,12 @@
     async def _on_question(self, sender: str, message: Any) -> None:
         self._learn_address(sender, message)
         now_ms = self._clock.now_ms()
+        before_start = self.stored.before_start(now_ms, message.service_name)
         answer = StreamAnswer(
             number=message.number,
             software=self.starts.find(now_ms, message.stream),
             versions=sorted(self.versions.first_hand(now_ms, message.service_name)),
+            before_start=None if before_start is None else sorted(before_start),
         )
         asker = [item for item in self._members() if item.name == sender]
         if not asker and message.ip is not None and message.port is not None:
@@ -340,4 +379,12 @@
     async def _on_answer(self, sender: str, message: Any) -> None:
         lookup = self._lookup_by_number.get(message.number)
         if lookup is not None:
-            lookup.on_answer(sender, message.software, message.versions)
+            lookup.on_answer(
+                sender, message.software, message.versions, message.before_start
+            )
+
+    async def _on_stored(self, sender: str, message: Any) -> None:
+        position = Position(message.era, message.version)
+        versions = frozenset(message.versions)
+        if self.stored.on_written(message.service_name, versions, position):
+            self.versions.on_told(self._clock.now_ms(), message.service_name, versions)
--- a/fireflyward/streams/streams.thrift
+++ b/fireflyward/streams/streams.thrift
@@ -32,9 +32,20 @@
 
 /* Answers a question; without "software" the node does not know the stream. "versions"
    are the versions of the service's replicas that this node lists or listed lately, and
-   those at which it was told that a stream began. */
+   those at which it was told that a stream began. A stream that it does not know may have
+   begun there before it started, at one of "before_start"; without that field it cannot
+   say. */
 struct StreamAnswer {
   1: required i32 number,
   2: optional string software,
   3: required list<string> versions,
+  4: optional list<string> before_start,
+}
+
+/* The sender has stored these versions of a service at a position of the store. */
+struct VersionsStored {
+  1: required string service_name,
+  2: required list<string> versions,
+  3: required i32 era,
+  4: required i64 version,
 }
--- a/tests/fleet/test_software_versions.py
+++ b/tests/fleet/test_software_versions.py
@@ -1,6 +1,7 @@
 """Streams that a second replica continues while two software versions serve."""
 
 import asyncio
+import json
 import time
 
 import aiohttp
@@ -18,6 +19,8 @@
 _AT_ONCE_S = 0.5
 # A record is told to other nodes some ms after the first event.
 _TOLD_S = 0.05
+# A version is stored and told to all nodes some ms after it is listed.
+_STORED_S = 0.5
 _ALL_EVENTS = list(range(1, _EVENTS + 1))
 # Half of the streams must go on where new ones begin; here all new ones do.
 _MIN_CONTINUED = _STREAMS // 2
@@ -265,6 +268,75 @@
         self.assertEqual({software for _, software in begun}, {"v2"})
 
 
+class StoredVersionTests(SoftwareVersionTestCase):
+    """The second version appears while the nodes run."""
+
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        self.engines, self.late = self.engines[:3], self.engines[3:]
+        for engine in self.late:
+            self.store.remove("servers", engine.incarnation)
+
+    async def start_nodes(self):
+        await super().start_nodes()
+        streams = [node._replica_components.streams for node in self.nodes]
+        await self.until(
+            lambda: all(each.stored.of("engines") == {"v1"} for each in streams)
+        )
+
+    async def list_late(self):
+        """List the second version, and wait until all nodes have read that."""
+        self.engines += self.late
+        self.list_replicas()
+        await self.until(lambda: all(self.is_joined(node) for node in self.nodes))
+
+    async def test_a_version_is_stored_before_a_stream_begins_there(self):
+        """Guards against a version that is forgotten with all nodes."""
+        await self.start_nodes()
+        begun_unstored = []
+
+        def check(service, account, request_id, software):
+            stored = json.loads(self.store.value(NODE_TABLE, f"software/{service}"))
+            if software not in stored["versions"]:
+                begun_unstored.append(software)
+
+        for node in self.nodes:
+            node._replica_components.streams.on_begun = check
+        self.engines += self.late
+        self.list_replicas()
+        begun = [software for _, software in await self.begin_all()]
+        while "v2" not in begun:
+            begun += [software for _, software in await self.begin_all()]
+        self.assertEqual(begun_unstored, [])
+
+    async def test_streams_begin_at_old_versions_while_the_store_is_away(self):
+        """Guards against a version of which no row tells, since no write succeeds."""
+        await self.start_nodes()
+        self.store.refuses_writes = True
+        await self.list_late()
+        begun = await self.begin_all()
+        self.assertEqual({software for _, software in begun}, {"v1"})
+
+    async def test_streams_begin_anywhere_if_no_stored_version_is_left(self):
+        """Guards against callers that are rejected for as long as the store is away."""
+        await self.start_nodes()
+        self.store.refuses_writes = True
+        old, self.engines = self.engines, []
+        await self.list_late()
+        await self.unlist(*old)
+        begun = await self.begin_all()
+        self.assertEqual({software for _, software in begun}, {"v2"})
+
+    async def test_all_nodes_use_a_new_version_within_a_moment(self):
+        """Guards against a version that is unused until the nodes' table is read."""
+        await self.start_nodes()
+        await self.list_late()
+        await asyncio.sleep(_STORED_S)
+        for node in self.nodes:
+            streams = node._replica_components.streams
+            self.assertIsNone(streams.begins_at("engines"))
+
+
 class RollingRestartTests(SoftwareVersionTestCase):
     """Nine nodes, of which eight are started anew one by one."""
 
@@ -310,14 +382,19 @@
         self.assertEqual(status, 200)
         self.assertEqual(event_numbers(body), _ALL_EVENTS[3:])
 
-    async def test_nothing_is_told_or_stored(self):
+    async def test_nothing_is_told_and_one_row_is_stored_once(self):
         """Guards against messages and calls while one version serves."""
         await self.start_nodes()
+        key = "software/engines"
+        await self.until(lambda: self.store.value(NODE_TABLE, key) is not None)
+        written = self.store._rows[NODE_TABLE, "", key]["ver"]
         await self.begin_all()
         self.assertFalse(
             any(node._replica_components.streams._untold for node in self.nodes)
         )
-        self.assertIsNone(self.store.value(NODE_TABLE, "software/engines"))
+        row = self.store._rows[NODE_TABLE, "", key]
+        self.assertEqual(self.store.value(NODE_TABLE, key), b'{"versions":["v1"]}')
+        self.assertEqual(row["ver"], written)
         for node in self.nodes:
             self.assertEqual(node._replica_components.streams.asked, 0)
 
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -25,6 +25,7 @@
     def __init__(self, origin):
         self.origin = origin
         self.begun = []
+        self.stored = None
 
     async def find(self, service, account, first_request_id):
         return self.origin
@@ -35,6 +36,9 @@
     def has_several_versions(self, service):
         return True
 
+    def begins_at(self, service):
+        return self.stored
+
 
 class StreamVersionTests(unittest.IsolatedAsyncioTestCase):
     def case(self, scripts, origin=None):
@@ -100,6 +104,35 @@
             self.assertEqual(request_id, "q1")
             self.assertEqual(self.versions_tried(case), {software})
 
+    async def test_a_stream_begins_at_a_stored_version(self):
+        """Guards against a version that is forgotten with all nodes."""
+        for seed in range(10):
+            case = self.case([stream(b"b", 1, 2)])
+            self.streams.stored = frozenset({"v2"})
+            case.forwarder._deps.chooser._random.seed(seed)
+            self.assertEqual(await case.run(RouteKind.STREAM), Answered())
+            self.assertEqual(self.versions_tried(case), {"v2"})
+
+    async def test_a_retry_does_not_leave_the_stored_versions(self):
+        """Guards against a version that is not stored, for want of untried replicas."""
+        case = self.case([None, None, stream(b"b", 1, 2)])
+        self.streams.stored = frozenset({"v2"})
+        self.assertEqual(await case.run(RouteKind.STREAM), Answered())
+        self.assertEqual(self.versions_tried(case), {"v2"})
+
+    async def test_a_stream_begins_elsewhere_if_no_stored_version_serves(self):
+        """Guards against callers that are rejected though replicas serve."""
+        case = self.case([stream(b"b", 1, 2)])
+        self.streams.stored = frozenset({"v0"})
+        self.assertEqual(await case.run(RouteKind.STREAM), Answered())
+
+    async def test_a_resumed_stream_stays_at_its_version(self):
+        """Guards against a choice that is widened for a stream that has begun."""
+        case = self.case([stream(b"b", 5)], Began("v0", "node", True))
+        self.streams.stored = frozenset({"v2"})
+        self.assertIsInstance(await self.run_resumed(case), NotRun)
+        self.assertEqual(case.pool.addresses, [])
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -29,7 +29,7 @@
     """Keeps rows in memory; the operator and the replicas write with ``put``.
 
     ``era`` grows with each restore from an older snapshot. If it is None, no answer
-    contains the era header.
+    contains the era header. With ``refuses_writes`` only reads are served.
     """
 
     def __init__(self, page_rows=_PAGE_ROWS):
@@ -37,6 +37,7 @@
         self.behavior = StoreBehavior.NORMAL
         self.version = 0
         self.era = 1
+        self.refuses_writes = False
         self._rows = {}
         self._lost_rows = {}
         self._log = []
@@ -118,6 +119,9 @@
         if behavior is StoreBehavior.BUSY:
             writer.write(response(503, headers=self._headers()))
             return True
+        if self.refuses_writes and request.path == "/-/rows-tx":
+            writer.write(response(503, headers=self._headers()))
+            return True
         if behavior is StoreBehavior.RATE_LIMITED:
             writer.write(response(429, headers=self._headers()))
             return True
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -4,19 +4,22 @@
 
 import msgspec
 
-from fireflyward.backing import Committed, Position
+from fireflyward.backing import Committed, Conflict, Position
 from fireflyward.clock import ManualClock
 from fireflyward.feeds import TableRow, TableUpdate
-from fireflyward.streams import SoftwareRows, SoftwareVersions
+from fireflyward.streams import SoftwareRows, SoftwareVersions, StoredVersions
 from fireflyward.streams._versions import STREAM_LIFETIME_MS
 
 
 class _Store:
     def __init__(self):
         self.writes = []
+        self.result = None
 
     async def write(self, *, table, part, expected, puts, deletes=()):
         self.writes.append((dict(puts), tuple(deletes)))
+        if self.result is not None:
+            return self.result
         return Committed({key: len(self.writes) for key in puts}, 1)
 
 
@@ -27,6 +30,23 @@
     return TableUpdate(tuple(changed), is_snapshot, 0, position=Position(0, version))
 
 
+def software_rows(versions, clock, store, *, is_first, polls=None):
+    """Return rows with the stored versions that they apply reads and writes to."""
+    stored = StoredVersions(started_ms=clock.now_ms())
+    rows = SoftwareRows(
+        versions,
+        stored,
+        clock=clock,
+        store=store,
+        table="t",
+        node_row="node/n",
+        place=lambda: 0.0 if is_first() else 1.0,
+        on_written=stored.on_written,
+        poll_soon=lambda: None if polls is None else polls.append(clock.now_ms()),
+    )
+    return rows, stored
+
+
 class _RowFleet:
     """Nodes that read and write the row of a service; each change is read 1 s later."""
 
@@ -41,13 +61,7 @@
     def start(self, listed, *, is_first=False):
         """Start a node that reads the row, and then the list of replicas."""
         versions = SoftwareVersions()
-        rows = SoftwareRows(
-            versions,
-            clock=self.clock,
-            store=None,
-            table="t",
-            is_first=lambda: is_first,
-        )
+        rows, _ = software_rows(versions, self.clock, None, is_first=lambda: is_first)
         self.nodes.append(versions)
         self._rows.append(rows)
         self.listed = listed
@@ -80,17 +94,33 @@
         self.versions = SoftwareVersions()
         self.store = _Store()
         self.is_first = True
-        self.rows = SoftwareRows(
+        self.polls = []
+        self.rows, self.stored = software_rows(
             self.versions,
-            clock=self.clock,
-            store=self.store,
-            table="t",
+            self.clock,
+            self.store,
             is_first=lambda: self.is_first,
+            polls=self.polls,
         )
 
-    def test_a_service_with_one_version_has_no_row(self):
+    async def test_a_single_version_is_written_once(self):
+        """Guards against a version that nobody knows after a loss of all nodes."""
         self.versions.on_list(0, {"s": {"v1"}})
-        self.assertEqual(self.rows.due(0), [])
+        self.assertEqual(self.rows.due(0), [("s", {"v1"})])
+        await self.rows._write(*self.rows.due(0)[0])
+        for now_ms in range(0, 3 * STREAM_LIFETIME_MS, 1_000):
+            self.assertEqual(self.rows.due(now_ms), [])
+        self.assertEqual((len(self.store.writes), self.polls), (1, []))
+
+    async def test_a_row_that_another_node_wrote_is_read_at_once(self):
+        """Guards against a version that is not used for as long as a row is unread."""
+        self.versions.on_list(0, {"s": {"v1"}})
+        self.store.result = Conflict({"software/s": 9})
+        await self.rows._write(*self.rows.due(0)[0])
+        self.assertEqual(self.polls, [0])
+        # The write is not repeated before the read can have ended.
+        self.assertEqual(self.rows.due(900), [])
+        self.assertEqual(self.rows.due(1_000), [("s", {"v1"})])
 
     def test_several_versions_are_due_until_they_are_stored(self):
         self.versions.on_list(0, {"s": {"v1", "v2"}})
@@ -105,15 +135,27 @@
         self.assertEqual(self.rows.due(0), [])
         self.assertEqual(len(self.rows.due(3_000)), 1)
 
-    async def test_the_row_goes_once_one_version_is_left(self):
+    async def test_a_version_goes_once_its_streams_have_ended(self):
         self.versions.on_list(0, {"s": {"v1", "v2"}})
         await self.rows._write(*self.rows.due(0)[0])
         self.versions.on_list(10, {"s": {"v2"}})
         self.assertEqual(self.rows.due(10), [])
         late_ms = 11 + STREAM_LIFETIME_MS
+        self.assertEqual(self.rows.due(late_ms), [("s", {"v2"})])
+        await self.rows._write("s", frozenset({"v2"}))
+        self.assertEqual(self.rows.due(late_ms), [])
+
+    async def test_the_row_goes_with_the_last_version(self):
+        self.versions.on_list(0, {"s": {"v1"}})
+        await self.rows._write(*self.rows.due(0)[0])
+        self.versions.on_list(10, {})
+        self.assertEqual(self.rows.due(10), [])
+        late_ms = 11 + STREAM_LIFETIME_MS
         self.assertEqual(self.rows.due(late_ms), [("s", frozenset())])
         await self.rows._write("s", frozenset())
         self.assertEqual(self.store.writes[-1], ({}, ("software/s",)))
+        deleted = update(9, ("software/s", None))
+        self.rows.on_table_update(deleted)
         self.assertEqual(self.rows.due(late_ms), [])
 
     def test_a_node_that_starts_learns_versions_from_the_row(self):
@@ -147,7 +189,27 @@
         self.versions.on_list(0, {"s": {"v2"}})
         self.assertEqual(self.rows.due(STREAM_LIFETIME_MS), [])
         late_ms = STREAM_LIFETIME_MS + 1
-        self.assertEqual(self.rows.due(late_ms), [("s", frozenset())])
+        self.assertEqual(self.rows.due(late_ms), [("s", {"v2"})])
+
+    def read_at_start(self, *rows):
+        self.rows.on_table_update(update(1, *rows, is_snapshot=True))
+        return self.stored.before_start(0, "s")
+
+    def test_a_node_that_ran_before_may_have_begun_streams_at_stored_versions(self):
+        value = msgspec.json.encode({"versions": ["v1"]})
+        before = self.read_at_start(("node/n", b"{}"), ("software/s", value))
+        self.assertEqual(before, {"v1"})
+        late_ms = STREAM_LIFETIME_MS + 1
+        self.assertEqual(self.stored.before_start(late_ms, "s"), frozenset())
+
+    def test_a_node_that_never_ran_has_begun_no_streams(self):
+        value = msgspec.json.encode({"versions": ["v1"]})
+        before = self.read_at_start(("node/m", b"{}"), ("software/s", value))
+        self.assertEqual(before, frozenset())
+
+    def test_a_node_that_ran_before_its_service_was_stored_cannot_say(self):
+        """Guards against streams that began before the first row was written."""
+        self.assertIsNone(self.read_at_start(("node/n", b"{}")))
 
     def test_a_row_of_another_writer_changes_nothing(self):
         with self.assertLogs("fireflyward.streams", "ERROR"):
--- a/tests/streams/test_task.py
+++ b/tests/streams/test_task.py
@@ -6,9 +6,11 @@
 from collections import Counter
 
 from fireflyward.aggregators import Member
+from fireflyward.backing import Position
 from fireflyward.clock import ManualClock
 from fireflyward.peers._codec import pack
 from fireflyward.streams import Began, StreamTask, UnknownStream
+from fireflyward.streams._task import BEFORE_STARTS
 from fireflyward.streams._versions import STREAM_LIFETIME_MS
 
 _STREAMS = 40
@@ -40,12 +42,15 @@
 class _Fleet:
     """Nodes with tasks of streams; no node reads the list of nodes again.
 
-    Each node sees the addresses as they were when it started.
+    Each node sees the addresses as they were when it started, and reads the versions in
+    ``stored``, unless that is None.
     """
 
     def __init__(self, count, *, versions=("v1", "v2")):
         self.clock = ManualClock()
         self.versions = versions
+        self.stored = frozenset(versions)
+        self.has_run = set()
         self.sent = Counter()
         self.longest_body = 0
         self.link_by_address = {}
@@ -91,8 +96,22 @@
         link = self.link_by_address[own.address] = _Link(self, name, own.address)
         task.use(link)
         self.task_by_name[name] = task
+        if self.stored is not None:
+            task.versions.on_told(self.clock.now_ms(), "s", self.stored)
+            task.stored.on_first_read(has_run_before=name in self.has_run)
+            self.has_run.add(name)
+            task.stored.on_read({"s": self.stored}, {"s": Position(0, 1)}, is_full=True)
         task.on_list()
 
+    async def end_all(self, *, versions, stored):
+        """End all nodes at once, and start them again with other versions listed."""
+        for name in self.names:
+            self.end(name)
+        self.versions, self.stored = versions, stored
+        for name in self.names:
+            self.start(name)
+        await self.settle()
+
     async def stop(self, name):
         await self.task_by_name[name].hand_over()
         await self.settle()
@@ -230,5 +249,64 @@
         self.assertEqual(len(records), len(begun))
 
 
+class LossOfAllNodesTests(unittest.IsolatedAsyncioTestCase):
+    """All nodes end at once, and their records with them."""
+
+    async def find_after(self, *, versions, stored, before=("v1", "v1")):
+        fleet = _Fleet(9, versions=before)
+        begun = await fleet.begin(9)
+        await fleet.end_all(versions=versions, stored=stored)
+        return fleet, [
+            await fleet.find(name, request_id)
+            for name, request_id in zip(fleet.names, begun, strict=True)
+        ]
+
+    async def test_versions_that_came_meanwhile_do_not_count(self):
+        """Guards against streams that are lost though they began at one version."""
+        listed = ("v1", "v2")
+        _, origins = await self.find_after(versions=listed, stored=frozenset({"v1"}))
+        for origin in origins:
+            self.assertEqual((origin.software, origin.source), ("v1", BEFORE_STARTS))
+            self.assertTrue(origin.has_others)
+
+    async def test_the_version_before_counts_though_another_one_is_listed(self):
+        """Guards against a stream that goes on at software that came meanwhile."""
+        listed = ("v2", "v2")
+        _, origins = await self.find_after(versions=listed, stored=frozenset({"v1"}))
+        self.assertEqual({origin.software for origin in origins}, {"v1"})
+
+    async def test_streams_of_two_stored_versions_are_unknown(self):
+        stored = frozenset({"v1", "v2"})
+        _, origins = await self.find_after(versions=("v2", "v2"), stored=stored)
+        for origin in origins:
+            self.assertIsInstance(origin, UnknownStream)
+
+    async def test_a_stream_is_unknown_before_the_rows_are_read(self):
+        """Guards against a node that serves before it knows what was stored."""
+        _, origins = await self.find_after(versions=("v2", "v2"), stored=None)
+        for origin in origins:
+            self.assertIsInstance(origin, UnknownStream)
+
+    async def test_a_node_that_does_not_answer_may_know_the_stream(self):
+        """Guards against a stream that goes on while its record may exist."""
+        fleet = _Fleet(9, versions=("v1", "v1"))
+        await fleet.end_all(versions=("v1", "v2"), stored=frozenset({"v1"}))
+        fleet.end("n8")
+        self.assertIsInstance(await fleet.find("n0", "q"), UnknownStream)
+
+    async def test_nodes_that_outlived_others_do_not_count_what_came_since(self):
+        """Guards against a version of a lost node that the others never stored."""
+        fleet = _Fleet(9, versions=("v1", "v1"))
+        await fleet.clock.advance_ms(STREAM_LIFETIME_MS + 1)
+        fleet.versions, fleet.stored = ("v1", "v2"), frozenset({"v1", "v2"})
+        for name in fleet.names[:6]:
+            fleet.end(name)
+        for name in fleet.names[:6]:
+            fleet.start(name)
+        await fleet.settle()
+        for name in fleet.names:
+            self.assertIsInstance(await fleet.find(name, f"q-{name}"), UnknownStream)
+
+
 if __name__ == "__main__":
     unittest.main()
