Logs: why a request is believed not to have run, and its lines are kept under load

What on-call could not tell from the incident's record: a request whose outcome the node determined itself names the results of its earlier sends, but not of the last one, on which its caller's "not run" rests; and lines of single requests above 60 a second are dropped, whichever they are.

last_result has the result of the last send: status, connection, responses on it before. The lines of requests that are told "not run" after a send, or that got a response of another request, have a limit of their own (60 a second).

test_proofs_are_logged_among_hundreds_of_requests fails without it: none of 100 lines is kept.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -12,7 +12,7 @@
 from fireflyward.deployment import Limits
 from fireflyward.forwarding import Forwarder, Trace
 from fireflyward.http1 import Head, has_queued_request
-from fireflyward.observe import PER_REQUEST, Metrics
+from fireflyward.observe import PER_REQUEST, PROOF, Metrics
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.platform import (
     CallerRequest,
@@ -404,7 +404,9 @@
             "took_ms": took_ms,
             "configuration_age_ms": self._routes.age_ms(now_ms),
         }
-        log.info("callers: %s", outcome.tag, extra={"fields": fields, **PER_REQUEST})
+        rests_on_proof = trace.sends > 0 and isinstance(outcome, NotRun)
+        marks = PROOF if rests_on_proof or trace.unattributed else PER_REQUEST
+        log.info("callers: %s", outcome.tag, extra={"fields": fields, **marks})
 
 
 def _stopping() -> NotRun:
--- a/fireflyward/fleet/_logs.py
+++ b/fireflyward/fleet/_logs.py
@@ -2,22 +2,23 @@
 
 import logging
 import os
-from collections import deque
+from collections import Counter, deque
 
 import msgspec
 
 from fireflyward.clock import Clock
-from fireflyward.observe import PER_REQUEST
+from fireflyward.observe import PROOF
 
-# Lines of single requests above this rate are dropped. A full pipe and the processor
-# time of logging must not add to the callers' latency at peak load.
+# Lines of single requests above this rate are dropped, and those of requests whose
+# outcome rests on a proof above the same rate again. A full pipe and the processor time
+# of logging must not add to the callers' latency at peak load.
 _MAX_REQUEST_LINES_PER_SECOND = 60
 # Other lines that a full pipe did not accept, until it does.
 _MAX_WAITING_LINES = 2_000
 _STANDARD_ATTRIBUTES = (
     frozenset(logging.makeLogRecord({}).__dict__)
     | {"message", "asctime"}
-    | PER_REQUEST.keys()
+    | PROOF.keys()
 )
 
 
@@ -34,7 +35,8 @@
         self._descriptor = descriptor
         self._clock = clock
         self._second = 0
-        self._lines = 0
+        # The lines of this second by whether they are about a proof.
+        self._lines: Counter[bool] = Counter()
         self._dropped = 0
         self._waiting: deque[bytes] = deque()
         os.set_blocking(descriptor, False)
@@ -43,12 +45,15 @@
         """Write a record, or count it as dropped."""
         now_ms = self._clock.now_ms()
         if now_ms // 1_000 != self._second:
-            self._second, self._lines = now_ms // 1_000, 0
+            self._second = now_ms // 1_000
+            self._lines.clear()
         may_drop = _is_per_request(record)
-        self._lines += may_drop
-        if may_drop and self._lines > _MAX_REQUEST_LINES_PER_SECOND:
-            self._dropped += 1
-            return
+        if may_drop:
+            is_proof = hasattr(record, "is_proof")
+            self._lines[is_proof] += 1
+            if self._lines[is_proof] > _MAX_REQUEST_LINES_PER_SECOND:
+                self._dropped += 1
+                return
         self._write(self._line(record, now_ms), may_drop=may_drop)
 
     def _line(self, record: logging.LogRecord, now_ms: int) -> bytes:
@@ -84,9 +89,7 @@
 
 
 def _is_per_request(record: logging.LogRecord) -> bool:
-    return record.levelno < logging.WARNING and not PER_REQUEST.keys().isdisjoint(
-        record.__dict__
-    )
+    return record.levelno < logging.WARNING and hasattr(record, "is_per_request")
 
 
 def _extra(record: logging.LogRecord) -> dict[str, object]:
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -167,6 +167,7 @@
             if isinstance(decision, Deliver):
                 return await self._deliver(decision.answer)
             if isinstance(decision, Finish):
+                self._trace.on_finish(result)
                 return decision.outcome
             self._trace.on_retry(self._caller.request_id, result, self._left_ms())
             if decision.pause_ms:
--- a/fireflyward/forwarding/_trace.py
+++ b/fireflyward/forwarding/_trace.py
@@ -52,7 +52,9 @@
     ``second_after_ms`` when, and ``second_winner`` which of the two was forwarded.
     ``second_refused`` is why a due second send was not made.
 
-    ``unattributed`` counts the responses that did not name the request.
+    ``unattributed`` counts the responses that did not name the request. ``last_result`` is the
+    result of the last send, if the node made the response: what it is that shows that
+    the request has not run, or that it may have.
     """
 
     __slots__ = (
@@ -69,6 +71,7 @@
         "fingerprint",
         "first_token_ms",
         "is_returning",
+        "last_result",
         "list_age_ms",
         "list_source",
         "longest_pause_ms",
@@ -129,6 +132,7 @@
         self.second_winner = ""
         self.second_after_ms = 0
         self.earlier: list[str] = []
+        self.last_result = ""
         self.waits_late = False
         self.fair_reason = ""
         self.fair_percent = 0
@@ -218,6 +222,10 @@
             },
         )
 
+    def on_finish(self, result: SendResult) -> None:
+        """Record the result after which the node determined the outcome itself."""
+        self.last_result = f"{type(result).__name__} {_detail(result)}".rstrip()
+
     def on_other_result(self, choice: Choice, result: SendResult) -> None:
         """Record how the other one of two sends ended."""
         entry = choice.replica.entry
--- a/fireflyward/observe/_logs.py
+++ b/fireflyward/observe/_logs.py
@@ -8,6 +8,9 @@
 # Marks a record of a single request, ``log.info(..., extra={**PER_REQUEST})``. Only the
 # number of these grows with the load, so a handler may drop some of them.
 PER_REQUEST = {"is_per_request": True}
+# The same for a request whose outcome rests on what a replica said of it. These are
+# rarer, and are dropped apart from the others.
+PROOF = {**PER_REQUEST, "is_proof": True}
 _EXTRA_FIELDS = ("request", "account", "upstream", "bundle")
 
 
--- a/tests/fleet/test_logs.py
+++ b/tests/fleet/test_logs.py
@@ -8,7 +8,7 @@
 
 from fireflyward.clock import ManualClock
 from fireflyward.fleet._logs import LineHandler
-from fireflyward.observe import PER_REQUEST
+from fireflyward.observe import PER_REQUEST, PROOF
 
 
 class LineHandlerTests(unittest.TestCase):
@@ -46,6 +46,16 @@
         self.assertEqual(lines[-1]["message"], "last")
         self.assertEqual(lines[-1]["dropped_before"], 100 - (len(lines) - 1))
 
+    def test_proofs_are_logged_among_hundreds_of_requests(self):
+        """Guards against a log without the reason of a caller's "not run"."""
+        for number in range(300):
+            self.logger.info("callers: answered %d", number, extra=PER_REQUEST)
+        for number in range(100):
+            self.logger.info("callers: not_run %d", number, extra=PROOF)
+        messages = [line["message"] for line in self.lines()]
+        self.assertIn("not_run 50", messages)
+        self.assertLess(len(messages), 130)
+
     def test_a_changed_belief_is_logged_among_hundreds_of_requests(self):
         """Guards against a log without the line of a version that was named."""
         for number in range(300):
