--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -13,8 +13,11 @@
 from tests.platform_standins import settings_text
 
 _PORT_RANGE = (12_000, 30_000)
-# Ports of nodes that may not listen yet.
-_given_ports = set()
+_BLOCK_PORTS = 500
+# Sockets bound to the first ports of the blocks that this process has taken, and the
+# ports in them that were not given to a node yet.
+_owners = []
+_free = []
 
 
 class NodeProcess:
@@ -82,19 +85,38 @@
 def _free_ports(count):
     """Return free ports for a node.
 
-    The port above each of them is free too; the node serves metrics there. The range
-    lies below the ephemeral ports, so that an outgoing connection of a caller does not
-    get the port of a node that is down.
+    The port above each of them is free too; the node serves metrics there. They lie
+    below the ephemeral ports, so that an outgoing connection of a caller does not get
+    the port of a node that is down, and in blocks that no other process takes.
     """
     ports = []
     while len(ports) < count:
-        port = random.randrange(*_PORT_RANGE, 2)
-        if port not in _given_ports and _is_free(port) and _is_free(port + 1):
-            _given_ports.add(port)
+        if not _free:
+            _free.extend(_take_block())
+        port = _free.pop()
+        if _is_free(port) and _is_free(port + 1):
             ports.append(port)
     return ports
 
 
+def _take_block():
+    """Return the ports of a block; its first port stays bound while this process runs.
+
+    A port that is only probed may be another process's by the time the node starts.
+    """
+    starts = range(*_PORT_RANGE, _BLOCK_PORTS)
+    for first in random.sample(starts, len(starts)):
+        owner = socket.socket()
+        try:
+            owner.bind(("127.0.0.1", first))
+        except OSError:
+            owner.close()
+            continue
+        _owners.append(owner)
+        return list(range(first + 2, first + _BLOCK_PORTS, 2))
+    raise OSError("all blocks of ports are taken")
+
+
 def _is_free(port):
     with socket.socket() as probe:
         try:
