Connections: late responses have a module of their own

No change of behaviour: what a connection skips and the bounds of it move from HttpConnection to LateResponses, the head of a response to a module that both use.

--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -14,11 +14,11 @@
     Broken,
     BrokenAt,
     End,
-    Head,
     HttpConnection,
     enable_dead_peer_detection,
 )
 from ._full_response import FullResponse, NoResponse, read_full_response
+from ._head import Head
 from ._pool import MAX_IDLE_MS, ConnectionPool, ConnectionUse, NotConnected
 from ._queued import has_queued_request
 
--- a/fireflyward/http1/_body.py
+++ b/fireflyward/http1/_body.py
@@ -4,7 +4,8 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from ._connection import BodyPart, End, Event, Head, HttpConnection
+from ._connection import BodyPart, End, Event, HttpConnection
+from ._head import Head
 
 log = logging.getLogger("fireflyward.http1")
 
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -6,12 +6,13 @@
 import select
 import socket
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 import httptools
 
-from fireflyward.attribution import CarriedRequests
+from ._head import Head
+from ._late_responses import LateResponses, NamedBy
 
 log = logging.getLogger("fireflyward.http1")
 
@@ -27,11 +28,6 @@
 # Unread parts of a body that are smaller than this are joined. A response may arrive in
 # many parts of a few bytes, each of which needs some 100 bytes of memory.
 _MIN_PART_BYTES = 4_096
-# A replica sends a response again once. The copy is a rejection, or as large as a small
-# answer, and arrives whole.
-_MAX_SKIPPED = 2
-_MAX_SKIPPED_BYTES = 65_536
-_MAX_SKIP_MS = 1_000
 # How long a peer may be silent, with sent bytes unacknowledged or keepalive probes
 # unanswered. A sound peer may fall silent for a second or so. While TCP_USER_TIMEOUT
 # is set, it alone decides for both; the number of probes has no effect.
@@ -51,22 +47,6 @@
     HEAD = "head"
 
 
-@dataclass(frozen=True, slots=True)
-class Head:
-    """Status and headers of a response; header names are in lower case."""
-
-    status: int
-    reason: str
-    headers: tuple[tuple[str, str], ...]
-
-    def get(self, name: str) -> str | None:
-        """Return the first header of this name, in lower case."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
-
-
 @dataclass(frozen=True, slots=True)
 class BodyPart:
     """A part of the response body."""
@@ -117,26 +97,21 @@
         "_headers",
         "_is_busy",
         "_is_paused",
-        "_is_skipping",
         "_keep_alive_s",
+        "_late",
         "_method",
-        "_named_by",
         "_parser",
         "_reason",
-        "_skip_timer",
-        "_skipped_bytes",
         "_transport",
         "_unread_bytes",
         "_waiter",
         "address",
-        "carried",
         "confirmed_peer",
         "idle_since_ms",
         "must_close",
         "received_bytes",
         "relay",
         "served",
-        "skipped",
     )
 
     def __init__(self, address: str, *, relay: str = "") -> None:
@@ -152,13 +127,7 @@
         self.idle_since_ms = 0
         self.must_close = False
         self.served = 0
-        # Responses to earlier requests that preceded the last one.
-        self.skipped = 0
-        self.carried = CarriedRequests()
-        self._named_by: Callable[[Head], str | None] | None = None
-        self._is_skipping = False
-        self._skipped_bytes = 0
-        self._skip_timer: asyncio.TimerHandle | None = None
+        self._late = LateResponses()
         self._transport: asyncio.Transport | None = None
         self._events: deque[Event] = deque()
         self._waiter: asyncio.Future[None] | None = None
@@ -195,6 +164,11 @@
         poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @property
+    def skipped(self) -> int:
+        """Return how many late responses preceded that to the last request."""
+        return self._late.skipped
+
     @property
     def label(self) -> str:
         """Return what tells this connection from others in the logs of both ends."""
@@ -216,7 +190,7 @@
         body: bytes = b"",
         *,
         request_id: str | None = None,
-        named_by: Callable[[Head], str | None] | None = None,
+        named_by: NamedBy | None = None,
     ) -> None:
         """Write one request; a body is sent with a ``Content-Length`` header.
 
@@ -229,9 +203,7 @@
         self._reset_parser()
         self._is_busy = True
         self._method = method
-        self._named_by = named_by
-        self.carried.begin(request_id)
-        self.skipped = self._skipped_bytes = 0
+        self._late.on_request(request_id, named_by)
         self._events.clear()
         if self._transport is None or self._transport.is_closing():
             self._fail_unsent("connection closed before the request")
@@ -275,7 +247,7 @@
 
     def close(self) -> None:
         """Close the connection at once; a response still to come is discarded."""
-        self._stop_skipping()
+        self._late.cancel_skip()
         self.must_close = True
         if self._transport is not None:
             self._transport.abort()
@@ -357,8 +329,9 @@
             or status in (204, 304)
             or self._method == "HEAD"
         )
-        if self._may_skip(head):
-            self._begin_skip()
+        if self._has_framing and self._late.may_skip(head):
+            detail = "a response to an earlier request did not end"
+            self._late.begin_skip(lambda: self._fail(detail))
             return
         self._keep_alive_s = _keep_alive_s(head.get("keep-alive"))
         self._add_event(head)
@@ -368,9 +341,8 @@
             self.must_close = True
             return
         size = len(data)
-        if self._is_skipping:
-            self._skipped_bytes += size
-            if self._skipped_bytes > _MAX_SKIPPED_BYTES:
+        if self._late.is_skipping:
+            if not self._late.on_body(size):
                 self._fail("a response to an earlier request is too large")
             return
         self._body_bytes += size
@@ -388,45 +360,19 @@
     def on_message_complete(self) -> None:
         if not self._is_busy or not self._head_done:
             return
-        if self._is_skipping:
+        if self._late.is_skipping:
             self._end_skip()
             return
         self._complete(reusable=self._has_framing and self._parser.should_keep_alive())
 
-    def _may_skip(self, head: Head) -> bool:
-        """Return whether a response belongs to an earlier request."""
-        return (
-            self._named_by is not None
-            and self._has_framing
-            and self.skipped < _MAX_SKIPPED
-            and self.carried.is_late(self._named_by(head))
-        )
-
-    def _begin_skip(self) -> None:
-        self._is_skipping = True
-        self._skip_timer = asyncio.get_running_loop().call_later(
-            _MAX_SKIP_MS / 1_000,
-            self._fail,
-            "a response to an earlier request did not end",
-        )
-
     def _end_skip(self) -> None:
         """Expect the response to the request in flight next."""
-        self._stop_skipping()
         if not self._parser.should_keep_alive():
             self._fail("a response to an earlier request closes the connection")
             return
-        self.skipped += 1
+        self._late.end_skip()
         self._headers, self._reason = [], ""
-        self._has_framing = False
-
-    def _stop_skipping(self) -> None:
-        """Leave the response that is skipped; its head was not that of this request."""
-        if self._skip_timer is not None:
-            self._skip_timer.cancel()
-            self._skip_timer = None
-        if self._is_skipping:
-            self._is_skipping = self._head_done = False
+        self._head_done = self._has_framing = False
 
     def _complete(self, *, reusable: bool) -> None:
         self._is_busy = False
@@ -436,8 +382,9 @@
         self._add_event(End())
 
     def _fail(self, detail: str) -> None:
-        self._stop_skipping()
-        at = BrokenAt.HEAD if self._head_done else BrokenAt.SENT
+        has_own_head = self._head_done and not self._late.is_skipping
+        self._late.cancel_skip()
+        at = BrokenAt.HEAD if has_own_head else BrokenAt.SENT
         self._is_busy = False
         self._add_event(Broken(at, detail))
         self.close()
--- a/fireflyward/http1/_full_response.py
+++ b/fireflyward/http1/_full_response.py
@@ -5,7 +5,8 @@
 from fireflyward.clock import Clock
 
 from ._body import BodyTooLarge, ReadMemory, read_body
-from ._connection import Broken, Event, Head, HttpConnection
+from ._connection import Broken, Event, HttpConnection
+from ._head import Head
 
 
 @dataclass(frozen=True, slots=True)
