Streams: a lost row of software is not taken for a single version

A node that starts where a node of its name ran before, and finds no row of software at all, does not know what was stored: unknown streams are rejected there and by those that ask it.

A row that was read late does not undo what another node has told since.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -29,7 +29,7 @@
 from ._kv_stores import KvStoreFollowers
 from ._lease_components import LeaseComponents
 from ._own_member import own_member
-from ._peers import NODE_TABLE, NodeRegistry
+from ._peers import NODE_TABLE, NodeRegistry, node_row_key
 from ._replica_components import ReplicaComponents
 from ._start_gate import StartGate
 from ._status_server import StatusServer
@@ -158,6 +158,7 @@
             clock=clock,
             store=self._store,
             table=NODE_TABLE,
+            node_row=node_row_key(settings.node),
             place=self._place_for_software,
             on_written=streams.on_written,
             poll_soon=lambda: self._joining.poll_soon(),
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -28,6 +28,15 @@
 _REWRITE_DELAY_MS = 2_000
 
 
+def node_row_key(name: str) -> str:
+    """Return the key of a node's own row.
+
+    >>> node_row_key("entry-1")
+    'node/entry-1'
+    """
+    return _NODE_PREFIX + name
+
+
 class NodeRow(msgspec.Struct, frozen=True):
     """A node's own row: its address, its failure domain and its link's bandwidth."""
 
@@ -88,7 +97,7 @@
         return (
             self.key is not None
             and self._is_listed(_KEY_ROW)
-            and self._is_listed(_NODE_PREFIX + self._name)
+            and self._is_listed(node_row_key(self._name))
             and self._row_by_name.get(self._name) == self._own
         )
 
@@ -139,7 +148,7 @@
 
         A row that was written since it was read stays, as the others do then.
         """
-        keys = [_NODE_PREFIX + name for name in names]
+        keys = [node_row_key(name) for name in names]
         expected = {
             key: self._position_by_key[key]
             for key in keys
@@ -183,7 +192,7 @@
         Only the table shows whether a write took effect. A write whose response was
         lost is repeated with the same condition.
         """
-        own_key = _NODE_PREFIX + self._name
+        own_key = node_row_key(self._name)
         is_row_current = self._row_by_name.get(self._name) == self._own
         if self._own is not None and not (is_row_current and self._is_listed(own_key)):
             await self._write(now_ms, own_key, msgspec.json.encode(self._own))
--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -60,11 +60,12 @@
         "_clock",
         "_differs_since_ms",
         "_era",
+        "_node_row",
         "_on_written",
         "_place",
         "_poll_soon",
-        "_store",
         "_started_ms",
+        "_store",
         "_stored",
         "_table",
         "_tried_ms_by_service",
@@ -79,11 +80,14 @@
         clock: Clock,
         store: StoreClient,
         table: str,
+        node_row: str,
         place: Callable[[], float],
         on_written: Callable[[str, frozenset[str], Position], None],
         poll_soon: Callable[[], None],
     ) -> None:
-        """``place`` returns this node's place for the duty, from 0 for the first to 1.
+        """``node_row`` is the key of the row that a node with this node's name writes.
+
+        ``place`` returns this node's place for the duty, from 0 for the first to 1.
 
         ``on_written`` is called after each write of a row by this node. ``poll_soon``
         lets the table be read at once, if another node was faster with a write.
@@ -94,6 +98,7 @@
         self._started_ms = clock.now_ms()
         self._store = store
         self._table = table
+        self._node_row = node_row
         self._place = place
         self._on_written = on_written
         self._poll_soon = poll_soon
@@ -128,7 +133,10 @@
             versions_by_service[service] = frozenset(stored.versions)
             self._versions.on_told(now_ms, service, stored.versions)
         self._stored.on_read(
-            versions_by_service, position_by_service, is_full=update.is_snapshot
+            versions_by_service,
+            position_by_service,
+            is_full=update.is_snapshot,
+            has_run=any(row.key == self._node_row for row in update.rows),
         )
 
     async def run(self) -> None:
--- a/fireflyward/streams/_stored.py
+++ b/fireflyward/streams/_stored.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         "_at_start",
+        "_has_read",
         "_held_since_ms",
         "_position_by_service",
         "_started_ms",
@@ -41,7 +42,8 @@
     def __init__(self, *, started_ms: int) -> None:
         """``started_ms`` is when this node started."""
         self._started_ms = started_ms
-        # What the first full read gave, None before it.
+        # What the first full read gave, None before it or if rows had been lost.
+        self._has_read = False
         self._at_start: dict[str, frozenset[str]] | None = None
         self._versions_by_service: dict[str, frozenset[str]] = {}
         self._position_by_service: dict[str, Position] = {}
@@ -57,15 +59,25 @@
         position_by_service: Mapping[str, Position],
         *,
         is_full: bool,
+        has_run: bool = False,
     ) -> None:
-        """Apply rows that were read; one that was deleted has a position only."""
+        """Apply rows that were read; one that was deleted has a position only.
+
+        A change that is older than what another node told is left out.
+        With ``has_run`` a node of this node's name ran before. Then some row exists,
+        unless the store has lost it.
+        """
         if is_full:
             self._versions_by_service.clear()
             self._position_by_service.clear()
         for service, position in position_by_service.items():
-            self._set(service, versions_by_service.get(service, _NONE), position)
-        if is_full and self._at_start is None:
-            self._at_start = dict(self._versions_by_service)
+            known = self._position_by_service.get(service)
+            if known is None or position >= known:
+                self._set(service, versions_by_service.get(service, _NONE), position)
+        if is_full and not self._has_read:
+            self._has_read = True
+            if versions_by_service or not has_run:
+                self._at_start = dict(self._versions_by_service)
         self._compare()
 
     def on_written(
@@ -113,7 +125,8 @@
     def before_start(self, now_ms: int, service: str) -> frozenset[str] | None:
         """Return where streams may have begun that this node forgot when it started.
 
-        It is empty once they have ended, and None before the rows have been read.
+        It is empty once they have ended. It is None if that is unknown: the rows have
+        not been read, or were lost.
         """
         if now_ms - self._started_ms > STREAM_LIFETIME_MS:
             return _NONE
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -165,7 +165,11 @@
     ) -> StreamOrigin | None:
         """Return where a stream began, None if the service has no known replica."""
         if first_request_id is None:
-            return self._without_record(service, "the request names no first request")
+            before = self.stored.before_start(self._clock.now_ms(), service)
+            detail = "the request names no first request"
+            if before is not None:
+                before = frozenset()
+            return self._without_record(service, before, detail)
         key = stream_key(account, first_request_id)
         own = self.starts.find(self._clock.now_ms(), key)
         if own is not None:
@@ -179,24 +183,30 @@
                 lookup.software, lookup.source, self.has_several_versions(service)
             )
         lookup.on_before_start(self.stored.before_start(now_ms, service))
-        if lookup.before_starts and not lookup.unanswered:
-            if len(lookup.before_starts) == 1:
-                (software,) = lookup.before_starts
-                return Began(
-                    software, BEFORE_STARTS, self.has_several_versions(service)
-                )
+        before = lookup.before_starts
         detail = f"no node knows the stream, {lookup.unanswered} did not answer"
-        if lookup.before_starts:
-            detail += f", it began at one of {sorted(lookup.before_starts)}"
-        return self._without_record(service, detail)
+        if before:
+            detail += f"; it began at one of {', '.join(sorted(before))}"
+        is_complete = before is None or not lookup.unanswered
+        return self._without_record(
+            service, before if is_complete else frozenset(), detail
+        )
 
-    def _without_record(self, service: str, detail: str) -> StreamOrigin | None:
-        now_ms = self._clock.now_ms()
-        versions = self.versions.recent(now_ms, service)
+    def _without_record(
+        self, service: str, before: frozenset[str] | None, detail: str
+    ) -> StreamOrigin | None:
+        """Return where a stream began that no node knows.
+
+        It can have begun only at the versions in ``before``. That is empty if nothing
+        is known beyond the list, and None if a node may have forgotten other versions.
+        """
+        versions = self.versions.recent(self._clock.now_ms(), service)
         if not versions:
             return None
-        if self.stored.before_start(now_ms, service) is None:
-            detail += ", the stored versions have not been read"
+        if before is None:
+            detail += "; the versions stored before a node started are unknown"
+        elif len(before) == 1:
+            return Began(next(iter(before)), BEFORE_STARTS, len(versions) > 1)
         elif len(versions) == 1:
             return Began(next(iter(versions)), ONLY_VERSION)
         self.unknown += 1
--- a/tests/soak/_power_loss.py
+++ b/tests/soak/_power_loss.py
@@ -134,6 +134,11 @@
             while until_stored and self.store.value(*_SOFTWARE_ROW) is None:
                 await asyncio.sleep(0.02)
 
+    def remove_stored_versions(self):
+        """Remove the row of the engines' versions, and that of any other service."""
+        for service in ("engines", "plain"):
+            self.store.remove(_SOFTWARE_ROW[0], f"software/{service}")
+
     async def start_again(self):
         """Start all nodes at the same moment, and wait until they are ready."""
         await asyncio.gather(*(node.start() for node in self._nodes))
--- a/tests/soak/test_power_loss.py
+++ b/tests/soak/test_power_loss.py
@@ -44,6 +44,15 @@
         self.loss.unlist_engines("v1")
         await self.resume()
 
+    async def test_the_store_has_lost_the_versions(self):
+        """Guards against a missing row that is taken for a single version."""
+        await self.begin()
+        await self.loss.kill_all()
+        self.loss.remove_stored_versions()
+        await self.loss.list_engines("v2")
+        self.loss.unlist_engines("v1")
+        await self.resume()
+
     async def test_replicas_are_replaced_just_before_the_kill(self):
         """Guards against a change of software that was not stored yet."""
         for listed_s, unlisted_s in ((0.3, 0.1), (0.1, 0.05), (0.7, 0.2)):
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -23,11 +23,10 @@
         return Committed({key: len(self.writes) for key in puts}, 1)
 
 
-def update(version, *rows, is_snapshot=False):
-    changed = [
-        TableRow(key, value, Position(0, version), value is None) for key, value in rows
-    ]
-    return TableUpdate(tuple(changed), is_snapshot, 0, position=Position(0, version))
+def update(version, *rows, is_snapshot=False, era=0):
+    position = Position(era, version)
+    changed = [TableRow(key, value, position, value is None) for key, value in rows]
+    return TableUpdate(tuple(changed), is_snapshot, 0, position=position)
 
 
 def software_rows(versions, clock, store, *, is_first, polls=None):
@@ -39,6 +38,7 @@
         clock=clock,
         store=store,
         table="t",
+        node_row="node/n",
         place=lambda: 0.0 if is_first() else 1.0,
         on_written=stored.on_written,
         poll_soon=lambda: None if polls is None else polls.append(clock.now_ms()),
@@ -153,7 +153,7 @@
         self.assertEqual(self.rows.due(late_ms), [("s", frozenset())])
         await self.rows._write("s", frozenset())
         self.assertEqual(self.store.writes[-1], ({}, ("software/s",)))
-        deleted = update(9, ("software/s", None))
+        deleted = update(9, ("software/s", None), era=1)
         self.rows.on_table_update(deleted)
         self.assertEqual(self.rows.due(late_ms), [])
 
@@ -218,6 +218,24 @@
         late_ms = STREAM_LIFETIME_MS + 1
         self.assertEqual(self.stored.before_start(late_ms, "s"), frozenset())
 
+    def test_a_node_that_ran_before_and_finds_no_row_cannot_say(self):
+        """Guards against a lost row that is taken for no streams."""
+        self.rows.on_table_update(update(1, ("node/n", b"{}"), is_snapshot=True))
+        self.assertIsNone(self.stored.before_start(0, "s"))
+        value = msgspec.json.encode({"versions": ["v2"]})
+        self.rows.on_table_update(update(2, ("software/s", value), is_snapshot=True))
+        self.assertIsNone(self.stored.before_start(0, "s"))
+        late_ms = STREAM_LIFETIME_MS + 1
+        self.assertEqual(self.stored.before_start(late_ms, "s"), frozenset())
+
+    def test_a_change_that_was_read_late_does_not_undo_a_newer_one(self):
+        """Guards against a version that is unused again for a while."""
+        value = msgspec.json.encode({"versions": ["v1"]})
+        self.rows.on_table_update(update(1, is_snapshot=True))
+        self.stored.on_written("s", frozenset({"v1", "v2"}), Position(0, 9))
+        self.rows.on_table_update(update(8, ("software/s", value)))
+        self.assertEqual(self.stored.of("s"), {"v1", "v2"})
+
     def test_streams_wait_for_the_first_stored_version_but_not_forever(self):
         """Guards against callers that are rejected for as long as the store is away."""
         self.stored.on_list({"s": {"v1"}})
