--- a/tests/soak/_nodes.py
+++ b/tests/soak/_nodes.py
@@ -1,6 +1,7 @@
 """Fleet nodes as processes, which are killed and paused by their pids only."""
 
 import asyncio
+import atexit
 import os
 import random
 import signal
@@ -14,9 +15,7 @@
 
 _PORT_RANGE = (12_000, 30_000)
 _BLOCK_PORTS = 500
-# Sockets bound to the first ports of the blocks that this process has taken, and the
-# ports in them that were not given to a node yet.
-_owners = []
+# The ports of the blocks that this process has taken which no node has yet.
 _free = []
 
 
@@ -112,7 +111,7 @@
         except OSError:
             owner.close()
             continue
-        _owners.append(owner)
+        atexit.register(owner.close)
         return list(range(first + 2, first + _BLOCK_PORTS, 2))
     raise OSError("all blocks of ports are taken")
 
