--- a/tests/fleet/node_fixtures.py
+++ b/tests/fleet/node_fixtures.py
@@ -90,9 +90,6 @@
         await self.start_node(self.node, "entry-1")
         await self.until(lambda: self.node.is_ready)
         await self.until(lambda: len(self.node._directory) == 4)
-        # New streams wait for the first row of software, once in a deployment's life.
-        streams = self.node._replica_components.streams
-        await self.until(lambda: streams.begins_at("engines") is None)
 
     async def start_node(self, node, name):
         await node.start()
--- a/tests/fleet/test_replaced_weights.py
+++ b/tests/fleet/test_replaced_weights.py
@@ -8,6 +8,7 @@
 from .node_fixtures import STREAM, FleetTestCase, NodeTestCase
 
 _VERSION_MS = 12_000
+_RUNNING_S = 3.0
 _PATIENT = {**STREAM, "X-Deadline-Ms": "50000"}
 
 
@@ -57,6 +58,17 @@
         self.assertEqual((status, self.run_count(self.engines)), (503, 0))
         self.assertIn("Retry-After", headers)
 
+    async def test_weights_replaced_during_a_later_standstill_serve_no_requests(self):
+        """Guards against the same in a node that has run for some seconds."""
+        await self.start_ready()
+        await asyncio.sleep(_RUNNING_S)
+        await self.name_version(1)
+        self.clock.suspend_ms(_VERSION_MS)
+        await self.name_version(2)
+        await self.until(lambda: self.node.is_ready)
+        status, _, _ = await self.post()
+        self.assertEqual((status, self.run_count(self.engines)), (503, 0))
+
     async def test_weights_replaced_at_an_unknown_time_before_the_start(self):
         """Guards against counting a version's time from the start of a node."""
         self.operator.set_weights_version("m", 2)
--- a/tests/fleet/test_stop_during_requests.py
+++ b/tests/fleet/test_stop_during_requests.py
@@ -37,6 +37,9 @@
         patch.start()
         self.addCleanup(patch.stop)
         await self.start_ready()
+        # New streams wait for the first row of software, once in a deployment's life.
+        streams = self.node._replica_components.streams
+        await self.until(lambda: streams.begins_at("engines") is None)
         host, port = self.node.callers_address.split(":")
         self.reader, self.writer = await asyncio.open_connection(host, int(port))
 
