--- a/tests/fleet/test_replaced_weights.py
+++ b/tests/fleet/test_replaced_weights.py
@@ -38,6 +38,11 @@
     def make_clock(self):
         return SuspendedClock()
 
+    def suspend(self):
+        """Suspend the node; the store's clock goes on meanwhile."""
+        self.clock.suspend_ms(_VERSION_MS)
+        self.store.passed_ms += _VERSION_MS
+
     async def name_version(self, version):
         self.operator.set_weights_version("m", version)
         await self.until(lambda: self.node._weights.newest("m") == version)
@@ -51,7 +56,7 @@
         """Guards against counting a version's time from the end of a standstill."""
         await self.start_ready()
         await self.name_version(1)
-        self.clock.suspend_ms(_VERSION_MS)
+        self.suspend()
         await self.name_version(2)
         await self.until(lambda: self.node.is_ready)
         status, headers, _ = await self.post()
@@ -63,7 +68,7 @@
         await self.start_ready()
         await asyncio.sleep(_RUNNING_S)
         await self.name_version(1)
-        self.clock.suspend_ms(_VERSION_MS)
+        self.suspend()
         await self.name_version(2)
         await self.until(lambda: self.node.is_ready)
         status, _, _ = await self.post()
@@ -100,7 +105,7 @@
         request = asyncio.create_task(self.post())
         await self.until(lambda: self.run_count(self.engines) > 0)
         await self.name_version(2)
-        self.clock.suspend_ms(_VERSION_MS)
+        self.suspend()
         await self.until(lambda: self.withdrawn_count() == self.run_count(self.engines))
         status, _, _ = await request
         self.assertEqual(status, 502)
--- a/tests/platform_standins/_store.py
+++ b/tests/platform_standins/_store.py
@@ -30,6 +30,7 @@
 
     ``era`` grows with each restore from an older snapshot. If it is None, no answer
     contains the era header. With ``refuses_writes`` only reads are served.
+    ``passed_ms`` is time that passes at once, while nodes are suspended.
     """
 
     def __init__(self, page_rows=_PAGE_ROWS):
@@ -38,6 +39,7 @@
         self.version = 0
         self.era = 1
         self.refuses_writes = False
+        self.passed_ms = 0
         self._rows = {}
         self._lost_rows = {}
         self._log = []
@@ -202,5 +204,8 @@
     def _headers(self):
         return [] if self.era is None else [(_ERA, self.era)]
 
+    def _now_ms(self):
+        return int(time.monotonic() * 1_000) + self.passed_ms
+
     def _version_and_time(self):
-        return {"ver": self.version, "now-ms": int(time.monotonic() * 1_000)}
+        return {"ver": self.version, "now-ms": self._now_ms()}
