Streams: a new stream waits for a third of its time until it may begin

Cause: a new stream waits until its software version is stored.

Change: the wait may take a third of the request's time, as other waits do.

The new test failed before: a stream with 9 s, which may begin after 2.9 s, was rejected.

--- a/fireflyward/forwarding/_stream_version.py
+++ b/fireflyward/forwarding/_stream_version.py
@@ -18,8 +18,6 @@
 _REPORT_LIMIT_MS = 350
 # Nodes that did not answer may do so when the caller comes back.
 _RETRY_AFTER_MS = 300
-# A version is stored some ms after the first of its replicas is listed.
-_MAX_HOLD_MS = 1_000
 
 
 class StreamVersion:
@@ -97,7 +95,7 @@
 
     async def _wait_to_begin(self, left_ms: float) -> NotRun | None:
         service = self._allowed.service
-        limit_ms = min(_MAX_HOLD_MS, MAX_WAIT_SHARE * left_ms)
+        limit_ms = MAX_WAIT_SHARE * left_ms
         if await self._deps.streams.until_may_begin(service, limit_ms):
             return None
         return _not_run("no software version of the replicas is stored yet", left_ms)
--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -188,13 +188,21 @@
             hedging=self.hedging,
         )
 
-    def start(self, kind=RouteKind.IDEMPOTENT, *, attempts=2, arrived_ms=0):
-        shares = (ServiceShare("s", 1),)
-        route = Route("r", "h", "/", kind, 3_000, 200, 0, attempts, shares)
-        if kind is RouteKind.STREAM:
-            route = Route(
-                "r", "h", "/", kind, 3_000, 200, 0, attempts, shares, is_resumable=True
-            )
+    def start(
+        self, kind=RouteKind.IDEMPOTENT, *, attempts=2, arrived_ms=0, timeout_ms=3_000
+    ):
+        route = Route(
+            "r",
+            "h",
+            "/",
+            kind,
+            timeout_ms,
+            200,
+            0,
+            attempts,
+            (ServiceShare("s", 1),),
+            is_resumable=kind is RouteKind.STREAM,
+        )
         serving = self.forwarder.serve(
             CALLER,
             b"",
--- a/tests/forwarding/test_stream_versions.py
+++ b/tests/forwarding/test_stream_versions.py
@@ -26,6 +26,8 @@
         self.origin = origin
         self.begun = []
         self.stored = None
+        # How long new streams wait until they may begin.
+        self.hold_ms = 0
 
     async def find(self, service, account, first_request_id):
         return self.origin
@@ -40,7 +42,7 @@
         return self.stored
 
     async def until_may_begin(self, service, limit_ms):
-        return self.stored != frozenset()
+        return self.stored != frozenset() and self.hold_ms <= limit_ms
 
 
 class StreamVersionTests(unittest.IsolatedAsyncioTestCase):
@@ -59,11 +61,14 @@
         return case
 
     async def run_resumed(self, case):
-        caller, send_case.CALLER = send_case.CALLER, RESUMED
+        return await self.run_for(case, RESUMED)
+
+    async def run_for(self, case, caller, **options):
+        usual, send_case.CALLER = send_case.CALLER, caller
         try:
-            return await case.run(RouteKind.STREAM, attempts=3)
+            return await case.run(RouteKind.STREAM, attempts=3, **options)
         finally:
-            send_case.CALLER = caller
+            send_case.CALLER = usual
 
     def versions_tried(self, case):
         return {self.software[address] for address in case.pool.addresses}
@@ -131,6 +136,15 @@
         self.assertGreater(outcome.retry_after_ms, 0)
         self.assertEqual(case.pool.addresses, [])
 
+    async def test_a_new_stream_may_wait_for_a_third_of_its_time(self):
+        """Guards against a rejection of a stream that could begin in time."""
+        caller = dataclasses.replace(send_case.CALLER, deadline_ms=9_000.0)
+        for hold_ms, outcome_class in ((2_900, Answered), (3_100, NotRun)):
+            case = self.case([stream(b"b", 1, 2)])
+            self.streams.hold_ms = hold_ms
+            outcome = await self.run_for(case, caller, timeout_ms=9_000)
+            self.assertIsInstance(outcome, outcome_class)
+
     async def test_a_resumed_stream_stays_at_its_version(self):
         """Guards against a choice that is widened for a stream that has begun."""
         case = self.case([stream(b"b", 5)], Began("v0", "node", True))
