--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -15,6 +15,10 @@
 ZONES = ("a", "b")
 KEYS = [f"key-{n}" for n in range(1, 9)]
 _START_TIMEOUT_S = 20
+# How often it is measured whether the stand-ins run.
+_SAMPLE_S = 0.05
+# A replica renews its entry in each such interval.
+_RENEWAL_S = 1.2
 _REVOCATION_LIMIT_S = 5.0
 # Of the repeatable routes; see ``Operator``.
 _MAX_ATTEMPTS = 2
@@ -47,6 +51,7 @@
         self.withdrawals = Withdrawals(self)
         self.result_by_id = {}
         self.withdrawn_s_by_key = {}
+        self.stalled_s = 0.0
         self.version = 1
         self._added_replicas = 0
 
@@ -80,8 +85,27 @@
 
     async def pass_time(self, seconds):
         """Wait until the seed ends."""
+        watch = asyncio.create_task(self._watch_stalls())
+        await self._until_end(seconds)
+        watch.cancel()
+
+    async def _until_end(self, seconds):
         await asyncio.sleep(seconds)
 
+    async def _watch_stalls(self):
+        """Measure how late the stand-ins run: what they see is later by as much.
+
+        The store is one of them. While it stands still, no replica renews its entry.
+        """
+        now_s = asyncio.get_running_loop().time
+        while True:
+            before_s = now_s()
+            await asyncio.sleep(_SAMPLE_S)
+            stalled_s = now_s() - before_s - _SAMPLE_S
+            self.stalled_s = max(self.stalled_s, stalled_s)
+            if stalled_s >= _RENEWAL_S:
+                self.disturbances.record(self.store, before_s, now_s())
+
     def initial_replicas(self):
         replicas = [ReplicaStandIn(f"p-{n}") for n in (1, 2, 3)]
         return replicas + [_engine(f"e-{n}") for n in (1, 2, 3)]
@@ -165,6 +189,7 @@
         """Return the requests by status, and the withdrawals that could be judged."""
         counts = Counter(str(item.status) for item in self.result_by_id.values())
         counts["withdrawals judged"] = len(self.withdrawals.judged())
+        counts["stand-ins stalled, ms"] = int(self.stalled_s * 1_000)
         return counts
 
     def check(self):
