Streams: each wait for a stored version counts from its own begin

What callers could see: a stream over two versions after a loss of all nodes. Found by reading, not seen in a run.

Cause: streams of a service wait for up to 4 s until one of its versions is stored, and begin at any afterwards. The time from which that counts was kept until a version was stored, also if the service had no replica any more. A version listed a minute later was then used at once, before it was stored, though the store was back.

Change: the time is forgotten with the last replica. The new test failed before.

--- a/fireflyward/streams/_stored.py
+++ b/fireflyward/streams/_stored.py
@@ -148,5 +148,6 @@
             if not usable <= self.of(service)
         }
         for service in list(self._held_since_ms):
-            if self.of(service) & self._usable.get(service, _NONE):
+            usable = self._usable.get(service, _NONE)
+            if not usable or self.of(service) & usable:
                 del self._held_since_ms[service]
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -247,6 +247,16 @@
         self.stored.on_list({"s": {"v2"}})
         self.assertEqual(self.stored.begins_at(6_000, "s"), frozenset())
 
+    def test_each_wait_for_a_stored_version_counts_from_its_own_begin(self):
+        """Guards against unstored streams, as others waited for a version now gone."""
+        self.stored.on_list({"s": {"v1"}})
+        self.assertIsNotNone(self.stored.begins_at(0, "s"))
+        self.assertIsNone(self.stored.begins_at(4_000, "s"))
+        self.stored.on_list({})
+        self.stored.on_list({"s": {"v2"}})
+        self.assertEqual(self.stored.begins_at(60_000, "s"), frozenset())
+        self.assertIsNone(self.stored.begins_at(64_000, "s"))
+
     def test_a_row_of_another_writer_changes_nothing(self):
         with self.assertLogs("fireflyward.streams", "ERROR"):
             self.rows.on_table_update(update(1, ("software/s", b"{}")))
