Soak: links between nodes and replicas keep their ports while they are cut

A link gives up its port while it refuses connections, and the port was one that the kernel gives to outgoing connections too.

Change: links get ports as nodes do, from blocks that no other process takes and that lie below those of outgoing connections. Partitions, passes.

--- a/tests/soak/_partitions.py
+++ b/tests/soak/_partitions.py
@@ -8,6 +8,7 @@
 
 from tests.platform_standins import RawServer
 
+from ._ports import free_ports
 from ._proxy import Link, Proxy
 
 # From this time after the begin of a partition on, its nodes are compared with others.
@@ -32,14 +33,13 @@
 
     def __init__(self, target):
         super().__init__(target)
-        self._port = 0
+        self._port = free_ports(1)[0]
         self._blocker = None
 
     async def start(self):
         self._server = await asyncio.start_server(
             self._handle_connection, "127.0.0.1", self._port
         )
-        self._port = self._server.sockets[0].getsockname()[1]
 
     @property
     def address(self):
