--- a/tests/soak/_departures.py
+++ b/tests/soak/_departures.py
@@ -1,7 +1,7 @@
 """Faults that withdraw replicas, beside small failures that excuse no late request."""
 
 import asyncio
-import signal
+import subprocess
 import sys
 
 from ._faults import Faults
@@ -73,18 +73,17 @@
         return self._random.sample(links, self._random.randint(1, min(2, len(links))))
 
     async def _keep_machine_busy(self):
-        processes = []
+        command = [sys.executable, "-c", _BUSY_PROGRAM]
+        # Started without awaiting: a cancelled start would leave its process running.
+        processes = [
+            subprocess.Popen(command) for _ in range(self._random.randint(2, 8))
+        ]
         try:
-            for _ in range(self._random.randint(2, 8)):
-                process = await asyncio.create_subprocess_exec(
-                    sys.executable, "-c", _BUSY_PROGRAM
-                )
-                processes.append(process)
             await self._sleep_during_fault()
         finally:
             for process in processes:
-                process.send_signal(signal.SIGKILL)
-                await process.wait()
+                process.kill()
+                process.wait()
 
     async def _evacuate(self):
         if self._fleet.is_evacuated:
