Streams: nodes of older software do not make streams unknown in an upgrade

What callers could see: while the nodes are replaced one by one by this software, streams that are taken up at a node which does not know them are rejected (503), though one version serves. Found by reading.

Cause: an answer without the field for the time before a node's start meant that the node cannot say. A node of the software from before this field never sends it.

Change: a node that cannot say tells so in a field of its own; one that sends neither counts as it did before. The new test failed before (20 streams, two of nine nodes of older software). Nothing changes between nodes of the same software.

Left: the first node of the new software finds its own row and no row of software, and cannot say for 30 s.

--- a/fireflyward/streams/_lookup.py
+++ b/fireflyward/streams/_lookup.py
@@ -48,9 +48,13 @@
         node: str,
         software: str | None,
         versions: Iterable[str],
-        before_start: Iterable[str] | None = None,
+        before_start: Iterable[str] | None = (),
     ) -> None:
-        """Record the answer of one node; ``software`` is None if it knows nothing."""
+        """Record the answer of one node; ``software`` is None if it knows nothing.
+
+        ``before_start`` is None if the node cannot say where it may have begun streams
+        before it started.
+        """
         self._asked.discard(node)
         self.versions.update(versions)
         self.on_before_start(before_start)
--- a/fireflyward/streams/_streams_structs.py
+++ b/fireflyward/streams/_streams_structs.py
@@ -77,6 +77,7 @@
         2: (TType.STRING, "software", False),
         3: (TType.LIST, "versions", TType.STRING, True),
         4: (TType.LIST, "before_start", TType.STRING, False),
+        5: (TType.BOOL, "forgot_before_start", False),
     }
 
     def __init__(
@@ -85,11 +86,13 @@
         software: Any = None,
         versions: Any = None,
         before_start: Any = None,
+        forgot_before_start: Any = None,
     ) -> None:
         self.number = number
         self.software = software
         self.versions = versions
         self.before_start = before_start
+        self.forgot_before_start = forgot_before_start
 
 
 class VersionsStored(TPayload):
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -392,7 +392,8 @@
             number=message.number,
             software=self.starts.find(now_ms, message.stream),
             versions=sorted(self.versions.first_hand(now_ms, message.service_name)),
-            before_start=None if before_start is None else sorted(before_start),
+            before_start=sorted(before_start or ()),
+            forgot_before_start=before_start is None,
         )
         asker = [item for item in self._members() if item.name == sender]
         if not asker and message.ip is not None and message.port is not None:
@@ -403,9 +404,9 @@
     async def _on_answer(self, sender: str, message: Any) -> None:
         lookup = self._lookup_by_number.get(message.number)
         if lookup is not None:
-            lookup.on_answer(
-                sender, message.software, message.versions, message.before_start
-            )
+            forgot = message.forgot_before_start
+            before_start = None if forgot else message.before_start or ()
+            lookup.on_answer(sender, message.software, message.versions, before_start)
 
     async def _on_stored(self, sender: str, message: Any) -> None:
         position = Position(message.era, message.version)
--- a/fireflyward/streams/streams.thrift
+++ b/fireflyward/streams/streams.thrift
@@ -33,13 +33,14 @@
 /* Answers a question; without "software" the node does not know the stream. "versions"
    are the versions of the service's replicas that this node lists or listed lately, and
    those at which it was told that a stream began. A stream that it does not know may have
-   begun there before it started, at one of "before_start"; without that field it cannot
-   say. */
+   begun there before it started, at one of "before_start"; with "forgot_before_start" it
+   cannot say. A node whose software stores no versions sends neither. */
 struct StreamAnswer {
   1: required i32 number,
   2: optional string software,
   3: required list<string> versions,
   4: optional list<string> before_start,
+  5: optional bool forgot_before_start,
 }
 
 /* The sender has stored these versions of a service at a position of the store. */
--- a/tests/streams/test_task.py
+++ b/tests/streams/test_task.py
@@ -10,6 +10,7 @@
 from fireflyward.clock import ManualClock
 from fireflyward.peers._codec import pack
 from fireflyward.streams import Began, StreamTask, UnknownStream
+from fireflyward.streams._streams_structs import StreamAnswer
 from fireflyward.streams._task import BEFORE_STARTS
 from fireflyward.streams._versions import STREAM_LIFETIME_MS
 
@@ -30,6 +31,8 @@
         self.handler_by_kind[kind] = handle
 
     def send_all(self, addresses, kind, message):
+        if self.name in self.fleet.older and isinstance(message, StreamAnswer):
+            message = StreamAnswer(message.number, message.software, message.versions)
         self.fleet.longest_body = max(self.fleet.longest_body, len(pack(message)))
         for address in addresses:
             self.fleet.sent[kind] += 1
@@ -43,13 +46,15 @@
     """Nodes with tasks of streams; no node reads the list of nodes again.
 
     Each node sees the addresses as they were when it started, and reads the versions in
-    ``stored``, unless that is None.
+    ``stored``, unless that is None. Nodes that are ``older`` answer as those of the
+    software that stored no versions.
     """
 
     def __init__(self, count, *, versions=("v1", "v2")):
         self.clock = ManualClock()
         self.versions = versions
         self.stored = frozenset(versions)
+        self.older = set()
         self.sent = Counter()
         self.longest_body = 0
         self.link_by_address = {}
@@ -294,6 +299,13 @@
         fleet.end("n8")
         self.assertIsInstance(await fleet.find("n0", "q"), UnknownStream)
 
+    async def test_nodes_of_older_software_do_not_hide_a_single_version(self):
+        """Guards against streams that are lost while the nodes are upgraded."""
+        fleet = _Fleet(9, versions=("v1", "v1"))
+        fleet.older = {"n7", "n8"}
+        origins = [await fleet.find("n0", f"q-{number}") for number in range(20)]
+        self.assertEqual({origin.software for origin in origins}, {"v1"})
+
     async def test_nodes_that_outlived_others_do_not_count_what_came_since(self):
         """Guards against a version of a lost node that the others never stored."""
         fleet = _Fleet(9, versions=("v1", "v1"))
