Soak: cuts of one link may overlap

Cause: two cuts of the same link at once. The end of each started a listener, and two cuts that let new connections hang made two of what blocks the port.

Change: a link counts its cuts and works again after the last one.

--- a/tests/soak/_partitions.py
+++ b/tests/soak/_partitions.py
@@ -35,6 +35,8 @@
         super().__init__(target)
         self._port = free_ports(1)[0]
         self._blocker = None
+        # Cuts may overlap; the link works again after the last one.
+        self._cuts = 0
 
     async def start(self):
         self._server = await asyncio.start_server(
@@ -46,6 +48,7 @@
         return f"127.0.0.1:{self._port}"
 
     def cut(self, cut):
+        self._cuts += 1
         open_mode, new = cut.value
         if self._server is not None:
             self._server.close()
@@ -54,10 +57,15 @@
             self.reset_all()
         else:
             self.mode = open_mode
-        if new == "hang":
+        if new == "hang" and self._blocker is None:
             self._blocker = _Blocker(self._port)
 
     async def restore(self):
+        self._cuts -= 1
+        if self._cuts == 0:
+            await self._accept_again()
+
+    async def _accept_again(self):
         if self._blocker is not None:
             self._blocker.close()
             self._blocker = None
@@ -66,7 +74,7 @@
             await self.start()
 
     async def stop(self):
-        await self.restore()
+        await self._accept_again()
         await super().stop()
 
 
