--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -16,6 +16,7 @@
 }
 # Long enough for what follows six seconds after the fifth crash.
 _UPGRADE_SECONDS = 16.0
+_UPGRADE_SEED = 7001
 _UPGRADE_REGRESSIONS = {
     530141: "all engines were down, so the first part of all prompts had no answers "
     "for 2 s; five crashes whose cause ended with its node held it back",
@@ -68,7 +69,11 @@
             self.check(seed, _PARTITION_SECONDS, has_partitions=True)
 
     def test_upgrades(self):
-        for seed in (7001, *_UPGRADE_REGRESSIONS):
+        self.check(_UPGRADE_SEED, _UPGRADE_SECONDS, has_upgrades=True)
+
+    def test_crashes_around_restarts_of_nodes(self):
+        """Guards against crashes that are forgotten with the nodes that saw them."""
+        for seed in _UPGRADE_REGRESSIONS:
             self.check(seed, _UPGRADE_SECONDS, has_upgrades=True)
 
     def test_rejections(self):
