--- a/tests/soak/_partitions.py
+++ b/tests/soak/_partitions.py
@@ -63,19 +63,19 @@
     async def restore(self):
         self._cuts -= 1
         if self._cuts == 0:
-            await self._accept_again()
+            self._unblock()
+            self.mode = Link.NORMAL
+            if self._server is None:
+                await self.start()
 
-    async def _accept_again(self):
+    async def stop(self):
+        self._unblock()
+        await super().stop()
+
+    def _unblock(self):
         if self._blocker is not None:
             self._blocker.close()
             self._blocker = None
-        self.mode = Link.NORMAL
-        if self._server is None:
-            await self.start()
-
-    async def stop(self):
-        await self._accept_again()
-        await super().stop()
 
 
 class _Blocker:
--- a/tests/soak/_proxy.py
+++ b/tests/soak/_proxy.py
@@ -53,7 +53,8 @@
         self._silenced |= self._tasks
 
     async def stop(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
