--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -72,7 +72,7 @@
         self.check(_UPGRADE_SEED, _UPGRADE_SECONDS, has_upgrades=True)
 
     def test_crashes_around_restarts_of_nodes(self):
-        """Guards against crashes that are forgotten with the nodes that saw them."""
+        """Guards against a part that is held late while nodes restart."""
         for seed in _UPGRADE_REGRESSIONS:
             self.check(seed, _UPGRADE_SECONDS, has_upgrades=True)
 
