Incident: timeline, hypotheses, and log lines that tell them apart

A process that is ended by a signal, by a failed start or at its memory limit left no line in the log's format, so these could not be told from each other, nor from a kill from outside.

The process now logs its start, signals, end and what ended it, a failed task's name, errors of the event loop, and memory near its limit; gauges of memory, descriptors and uptime. No change of logic.

Tests: tests.supervision (2 passed), tests.fleet.test_start_and_stop and test_light_imports (6 passed).

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -19,6 +19,7 @@
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
 from fireflyward.streams import SoftwareRows
+from fireflyward.supervision import MemoryWatch, read_resource_use
 from fireflyward.weights import LoadAnnouncer, WeightTask
 
 from ._accept_limit import AcceptLimit
@@ -65,10 +66,12 @@
         self._settings = settings
         self._clock = clock
         self._metrics = Metrics()
+        self._created_ms = clock.now_ms()
         self._standstills = Standstills(clock=clock)
         memory = ReadMemory(
             max_bytes=max(MAX_BODY_BYTES, _READ_BYTES_PER_MB * settings.memory_mb)
         )
+        self._memory_watch = MemoryWatch(settings.memory_mb, clock=clock)
         self._pool = ConnectionPool(clock, memory=memory)
         self._store = StoreClient(settings.store.address, clock=clock, memory=memory)
         self._routes = RouteTable(
@@ -285,6 +288,7 @@
         )
         self._start(
             self._standstills.run(),
+            self._memory_watch.run(),
             self._joining.run(),
             *(
                 self._joining.run_after_joining(run)
@@ -419,13 +423,20 @@
         try:
             await run
         except Exception:
-            log.exception("node: a task failed, so the process exits")
+            log.exception(
+                "node: a task failed, so the process exits",
+                extra={"task": run.__qualname__},
+            )
             os._exit(3)
 
     def _update_gauges(self) -> None:
         now_ms = self._clock.now_ms()
         gauges = {
             "in_flight": self._caller_server.in_flight,
+            "process_uptime_ms": now_ms - self._created_ms,
+            "process_memory_limit_mb": self._settings.memory_mb,
+            "process_descriptor_limit": self._settings.max_descriptors,
+            **read_resource_use().gauges(),
             "standstills_total": self._standstills.count,
             **self._weight_components.gauges(),
             **self._lease_components.gauges(),
