Supervision: a failed task starts anew and does not end its process

Callers got no answer at all: one row that every node reads made one task raise, and the policy of the platform's door was to exit on any exception of any task, so all nodes ended within a second, and again after each restart while the row stood. At the product's own door a failed task ended for good, without a line, and its process went on without it.

Both doors now share supervision.BackgroundTasks: a task that fails starts anew after a growing pause, with a log line and a counter by task; a broken invariant still ends the process, at both doors. A follower whose listener fails keeps its position and reads the table in full.

--- a/fireflyward/daemon/_bundle_duty.py
+++ b/fireflyward/daemon/_bundle_duty.py
@@ -42,8 +42,10 @@
 )
 from fireflyward.clock import Clock
 from fireflyward.membership import Members
+from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.settings import Settings
+from fireflyward.supervision import BackgroundTasks
 
 from ._bundle_peers import BundlePeers, observation_of_state
 
@@ -62,6 +64,7 @@
     *,
     link: PeerLink,
     clock: Clock,
+    metrics: Metrics,
     table: Table,
     objects: Objects,
     members: Members,
@@ -77,6 +80,7 @@
     return BundleDuty(
         link=link,
         clock=clock,
+        metrics=metrics,
         follower=BundleFollower(poll_ms=settings["bundle_poll_ms"]),
         store=store,
         loader=loader,
@@ -98,6 +102,7 @@
         *,
         link: PeerLink,
         clock: Clock,
+        metrics: Metrics,
         follower: BundleFollower,
         store: BundleStore,
         loader: BundleLoader,
@@ -119,7 +124,7 @@
         self._head: Head | None = None
         self._unanswered: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._ticker: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(clock=clock, metrics=metrics)
         link.register(ANNOUNCEMENT_KIND, BundleNews, self._on_announcement)
         link.register(CHANGES_KIND, ChangesRequest, self._on_changes_request)
         link.register(WHOLE_KIND, WholeRequest, self._on_whole_request)
@@ -137,7 +142,7 @@
         outside its domain, so it uses the bundle with the highest number that any of
         these nodes has.
         """
-        self._ticker = asyncio.create_task(self._run_ticks())
+        self._background.start("bundles", self._run_ticks)
         try:
             async with asyncio.timeout(_START_TIMEOUT_S):
                 await self._read_head()
@@ -149,10 +154,11 @@
 
     async def stop(self) -> None:
         """Stop the periodic task and every call in flight."""
-        tasks = [*self._tasks, *([self._ticker] if self._ticker else [])]
-        for task in tasks:
+        for task in self._tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(
+            self._background.cancel(), *self._tasks, return_exceptions=True
+        )
 
     async def catch_up(self, number: int) -> bool:
         """Wait briefly for the bundle ``number``, which another node has served."""
--- a/fireflyward/daemon/_kept_duty.py
+++ b/fireflyward/daemon/_kept_duty.py
@@ -2,12 +2,10 @@
 
 import asyncio
 import logging
-from collections.abc import Awaitable, Callable
 
 from fireflyward.backing import Objects, Table
 from fireflyward.bundles import Bundle, BundleHolder
 from fireflyward.clock import Clock
-from fireflyward.invariants import InvariantBroken
 from fireflyward.kept import (
     INDEX_STRIDE,
     BlockNames,
@@ -29,6 +27,7 @@
 from fireflyward.routing import Router
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
+from fireflyward.supervision import BackgroundTasks
 from fireflyward.upstreams import Broken, KvEngine
 
 from ._kept_work import KeptWork
@@ -82,7 +81,7 @@
         self._engine_reader_by_name: dict[str, EngineReader] = {}
         self._lease_by_store: dict[str, LeaseTask] = {}
         self._lease_run_by_store: dict[str, asyncio.Task[None]] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks(clock=clock, metrics=metrics)
         self.work = KeptWork(
             clock=clock,
             router=router,
@@ -99,20 +98,17 @@
 
     def start(self) -> None:
         """Start the periodic tasks."""
-        for period_ms, step in (
-            (_LISTING_PERIOD_MS, self.read_listings),
-            (_EVENTS_PERIOD_MS, self.read_events),
-            (_EXPORT_PERIOD_MS, self.work.export_due),
-            (_SWEEP_PERIOD_MS, self.sweep),
+        for name, period_ms, step in (
+            ("kept listings", _LISTING_PERIOD_MS, self.read_listings),
+            ("kept events", _EVENTS_PERIOD_MS, self.read_events),
+            ("kept exports", _EXPORT_PERIOD_MS, self.work.export_due),
+            ("kept sweep", _SWEEP_PERIOD_MS, self.sweep),
         ):
-            self._tasks.append(asyncio.create_task(self._run_periodic(period_ms, step)))
+            self._tasks.start_periodic(name, period_ms, step)
 
     async def stop(self) -> None:
         """Stop the periodic tasks; a later sweep frees what they left unfinished."""
-        tasks = [*self._tasks, *self._lease_run_by_store.values()]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._tasks.cancel()
 
     def apply(self, bundle: Bundle) -> None:
         """Use the stores and the engines of a bundle from now on."""
@@ -203,7 +199,9 @@
             observe=self._observe,
         )
         self._lease_by_store[name] = lease
-        self._lease_run_by_store[name] = asyncio.create_task(lease.run())
+        self._lease_run_by_store[name] = self._tasks.start(
+            f"lease sweep/{name}", lease.run
+        )
 
     def _remove_store(self, name: str) -> None:
         """Remove a store that the bundle no longer has, without a request to it."""
@@ -246,21 +244,6 @@
             return False
         return version in _versions_of(bundle, model)
 
-    async def _run_periodic(
-        self, period_ms: int, step: Callable[[], Awaitable[None]]
-    ) -> None:
-        while True:
-            await self._clock.sleep_ms(period_ms)
-            try:
-                await step()
-            except InvariantBroken:
-                raise
-            except Exception:
-                # If the loop stopped here, the index would never be updated again.
-                # The share of reused tokens would drop slowly without any error.
-                self._metrics.count("kept_errors_total")
-                log.exception("daemon: kept work goes on after an error")
-
 
 def _versions_of(bundle: Bundle, model: str) -> set[str]:
     versions = {bundle.models[model].version}
--- a/fireflyward/daemon/_limits_duty.py
+++ b/fireflyward/daemon/_limits_duty.py
@@ -1,6 +1,5 @@
 """The duty that divides the accounts' limits among the nodes of a failure domain."""
 
-import asyncio
 from functools import singledispatchmethod
 from typing import Any
 
@@ -15,7 +14,9 @@
     Tally,
 )
 from fireflyward.membership import Members, owner_of
+from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
+from fireflyward.supervision import BackgroundTasks
 
 _DEMAND_KIND = "demand"
 _TALLY_KIND = "tally"
@@ -26,7 +27,13 @@
     """Sends and receives the datagrams; ``AccountShares`` decides what to send."""
 
     def __init__(
-        self, *, link: PeerLink, clock: Clock, members: Members, gate: AdmissionGate
+        self,
+        *,
+        link: PeerLink,
+        clock: Clock,
+        members: Members,
+        gate: AdmissionGate,
+        metrics: Metrics,
     ) -> None:
         own = members.own
         self.shares = AccountShares(own.name, owner_of=self._owner_of)
@@ -36,19 +43,17 @@
         self._clock = clock
         self._members = members
         self._live = members.live_in(own.failure_domain)
-        self._ticker: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(clock=clock, metrics=metrics)
         link.register(_DEMAND_KIND, Demand, self._on_demand)
         link.register(_TALLY_KIND, Tally, self._on_tally)
 
     async def start(self) -> None:
         """Start the periodic task."""
-        self._ticker = asyncio.create_task(self._run_ticks())
+        self._background.start("account limits", self._run_ticks)
 
     async def stop(self) -> None:
         """Stop the periodic task."""
-        if self._ticker:
-            self._ticker.cancel()
-            await asyncio.gather(self._ticker, return_exceptions=True)
+        await self._background.cancel()
 
     async def _run_ticks(self) -> None:
         while True:
--- a/fireflyward/daemon/_load_duty.py
+++ b/fireflyward/daemon/_load_duty.py
@@ -9,6 +9,7 @@
 from fireflyward.bundles import Bundle
 from fireflyward.clock import Clock
 from fireflyward.membership import Members
+from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.routing import (
     LoadEntry,
@@ -20,6 +21,7 @@
     SharingAction,
     WatchedReplica,
 )
+from fireflyward.supervision import BackgroundTasks
 from fireflyward.upstreams import Broken, Engine, LoadReport
 
 log = logging.getLogger("fireflyward.routing")
@@ -42,6 +44,7 @@
         *,
         link: PeerLink,
         clock: Clock,
+        metrics: Metrics,
         router: Router,
         members: Members,
         engine_by_name: Mapping[str, Engine],
@@ -55,7 +58,7 @@
         self._members = members
         self._engine_by_name = engine_by_name
         self._without_loading_models = without_loading_models
-        self._ticker: asyncio.Task[None] | None = None
+        self._background = BackgroundTasks(clock=clock, metrics=metrics)
         self._polls: dict[str, asyncio.Task[None]] = {}
         link.register(_LOADS_KIND, LoadNews, self._on_load_update)
 
@@ -74,14 +77,14 @@
     async def start(self) -> None:
         """Poll every watched replica once, then start the periodic task."""
         await asyncio.gather(*(self._poll(name) for name in self.sharing.watched))
-        self._ticker = asyncio.create_task(self._run_ticks())
+        self._background.start("loads", self._run_ticks)
 
     async def stop(self) -> None:
         """Stop the periodic task and the polls in flight."""
-        tasks = [*self._polls.values(), *([self._ticker] if self._ticker else [])]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        polls = list(self._polls.values())
+        for poll in polls:
+            poll.cancel()
+        await asyncio.gather(self._background.cancel(), *polls, return_exceptions=True)
 
     async def _run_ticks(self) -> None:
         while True:
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Awaitable, Callable
+from functools import partial
 
 from fireflyward.backing import Vms
 from fireflyward.bundles import Bundle, BundleHolder
@@ -20,6 +20,7 @@
 from fireflyward.runs import RunIds, RunRecords, Sweeper, finish_detached
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
+from fireflyward.supervision import BackgroundTasks
 from fireflyward.upstreams import Broken, Engine, PlainService
 
 from ._admin_duty import AdminDuty
@@ -78,6 +79,7 @@
         self.rollout = RolloutDuty(
             settings,
             clock=self.clock,
+            metrics=self.metrics,
             members=self.members,
             holder=self.holder,
             router=self.router,
@@ -87,10 +89,11 @@
         self.handovers: list[Handover] = [self.rollout.hand_over]
         self._planned_stop: PlannedStop | None = None
         self._stopping = False
-        self._tasks: list[asyncio.Task[None]] = []
+        self.tasks = BackgroundTasks(clock=self.clock, metrics=self.metrics)
         self.loads = LoadDuty(
             link=self.link,
             clock=self.clock,
+            metrics=self.metrics,
             router=self.router,
             members=self.members,
             engine_by_name=self.engine_by_name,
@@ -99,6 +102,7 @@
         self.account_limits = LimitsDuty(
             link=self.link,
             clock=self.clock,
+            metrics=self.metrics,
             members=self.members,
             gate=self.admission,
         )
@@ -122,6 +126,7 @@
             self.settings,
             link=self.link,
             clock=self.clock,
+            metrics=self.metrics,
             table=table,
             objects=objects,
             members=self.members,
@@ -161,6 +166,7 @@
         self.leaving = LeavingTask(
             upstreams=self.leaving_upstreams,
             clock=self.clock,
+            metrics=self.metrics,
             link=self.link,
             members=self.members,
             vms=vms,
@@ -172,9 +178,11 @@
         await self.admin.start()
         await self.rollout.start(table)
         self.kept.start()
-        self._start_periodic(_CERTIFICATE_CHECK_PERIOD_MS, self._renew_certificate)
+        self.tasks.start_periodic(
+            "certificate", _CERTIFICATE_CHECK_PERIOD_MS, self._renew_certificate
+        )
         sweeper = Sweeper(table, self.clock, observe=self.observe)
-        self._tasks.append(asyncio.create_task(run_sweeper(sweeper, self.clock)))
+        self.tasks.start("sweeper", partial(run_sweeper, sweeper, self.clock))
         self.observe(StartStep.DUTIES_BEGUN)
         await self.loads.start()
         await self.account_limits.start()
@@ -215,9 +223,7 @@
 
     async def close(self) -> None:
         """Close everything immediately."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self.tasks.cancel()
         await self.rollout.stop()
         if self.kept:
             await self.kept.stop()
@@ -321,18 +327,6 @@
         if not isinstance(report, Broken):
             self.router.on_report(self.clock.now_ms(), name, report)
 
-    def _start_periodic(
-        self, period_ms: int, step: Callable[[], Awaitable[None]]
-    ) -> None:
-        self._tasks.append(asyncio.create_task(self._run_periodic(period_ms, step)))
-
-    async def _run_periodic(
-        self, period_ms: int, step: Callable[[], Awaitable[None]]
-    ) -> None:
-        while True:
-            await self.clock.sleep_ms(period_ms)
-            await step()
-
     def apply(self, bundle: Bundle) -> None:
         """Bring ``bundle`` into force, if it is newer than the current one."""
         if not self.holder.update(bundle):
--- a/fireflyward/daemon/_rollout_duty.py
+++ b/fireflyward/daemon/_rollout_duty.py
@@ -1,6 +1,5 @@
 """The duty that rolls out weight versions and selects them for new requests."""
 
-import asyncio
 import logging
 from dataclasses import replace
 
@@ -9,6 +8,7 @@
 from fireflyward.clock import Clock
 from fireflyward.leases import LeaseTask, contenders
 from fireflyward.membership import Members
+from fireflyward.observe import Metrics
 from fireflyward.rollout import (
     LEASE_NAME,
     ROLLOUT_KEY,
@@ -25,6 +25,7 @@
 from fireflyward.routing import Router
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver
+from fireflyward.supervision import BackgroundTasks
 from fireflyward.upstreams import Engine, LoadReport, OrderedEngine
 
 from ._node_io import NodeIO
@@ -66,6 +67,7 @@
         settings: Settings,
         *,
         clock: Clock,
+        metrics: Metrics,
         members: Members,
         holder: BundleHolder,
         router: Router,
@@ -84,7 +86,7 @@
         self._cached_versions: dict[str, frozenset[str]] = {}
         self._cache_expires_ms = 0
         self._cached_at_change = 0
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks(clock=clock, metrics=metrics)
         self._table: Table | None = None
         self._lease: LeaseTask | None = None
         self._driver: RolloutTask | None = None
@@ -132,8 +134,9 @@
             observe=self._observe,
         )
         await self._read_row()
-        for run in (self._lease.run(), self._driver.run(), self._follow_row()):
-            self._tasks.append(asyncio.create_task(run))
+        self._tasks.start("lease rollout", self._lease.run)
+        self._tasks.start("rollout", self._driver.run)
+        self._tasks.start("rollout row", self._follow_row)
 
     async def hand_over(self) -> None:
         """Hand the rollout over to another node during a planned stop."""
@@ -142,9 +145,7 @@
 
     async def stop(self) -> None:
         """Stop the tasks; a lease that this node still holds expires."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.cancel()
         if self._driver:
             await self._driver.close()
 
--- a/fireflyward/feeds/_follower.py
+++ b/fireflyward/feeds/_follower.py
@@ -96,7 +96,7 @@
         pace: Callable[[], Pace],
     ) -> None:
         self.as_of_ms: int | None = None
-        self._table = table
+        self.table = table
         self._reader = reader
         self._clock = clock
         self._on_update = on_update
@@ -142,7 +142,7 @@
             elapsed_ms = self._clock.now_ms() - sent_ms
             self._call_limit.on_answer(max(0, elapsed_ms - wait_ms))
         if isinstance(result, HistoryLost):
-            log.info("feeds: %s lost its history after %s", self._table, self._position)
+            log.info("feeds: %s lost its history after %s", self.table, self._position)
             return self._request_full_read()
         if result.position < self._position:
             # A store replica that lags behind sent this answer. Applying it would bring
@@ -152,7 +152,7 @@
             )
         era = result.position.era
         if isinstance(result, Changes) and era != self._position.era:
-            log.info("feeds: full read of %s in new era %d", self._table, era)
+            log.info("feeds: full read of %s in new era %d", self.table, era)
             return self._request_full_read()
         as_of_ms = self._valid_as_of_ms(result, sent_ms, wait_ms)
         # A call that waits may still be answered while the store accepts no other.
@@ -164,9 +164,9 @@
         self, wait_ms: int
     ) -> Snapshot | Changes | HistoryLost | Unavailable:
         if self._needs_full_read:
-            return await self._reader.rows(self._table)
+            return await self._reader.rows(self.table)
         return await self._reader.changes(
-            self._table,
+            self.table,
             after=self._position,
             wait_ms=wait_ms,
             limit_ms=self._call_limit.overhead_ms(failures=self._failures),
@@ -190,7 +190,7 @@
         if self._failures:
             log.info(
                 "feeds: %s is back after %d ms, %d failed calls, read from %s",
-                self._table,
+                self.table,
                 unavailable_ms,
                 self._failures,
                 result.source,
@@ -211,18 +211,21 @@
         )
         if update.is_new_era:
             self._log_new_era(update)
-        self._failures = 0
+        # If the listener fails, the rows of this update may be applied in part. They
+        # are read again in full, as if this result had not arrived.
+        self._needs_full_read = True
+        self._on_update(update)
         self._needs_full_read = False
+        self._failures = 0
         self._position = result.position
         self._has_read = True
         self._accepted_ms = max(self._accepted_ms, accepted_ms)
         self.as_of_ms = as_of_ms
-        self._on_update(update)
 
     def _log_new_era(self, update: TableUpdate) -> None:
         log.info(
             "feeds: %s read at %s: %d rows, %d of them as in an earlier era",
-            self._table,
+            self.table,
             update.position,
             len(update.rows),
             sum(row.is_restored for row in update.rows),
@@ -235,7 +238,7 @@
 
     def _record_failure(self, result: Unavailable) -> bool:
         if not self._failures or result.detail != self._failure:
-            log.warning("feeds: %s is away: %s", self._table, result.detail)
+            log.warning("feeds: %s is away: %s", self.table, result.detail)
         self._failure = result.detail
         self._failures += 1
         return False
--- a/fireflyward/fleet/_crash_components.py
+++ b/fireflyward/fleet/_crash_components.py
@@ -1,6 +1,6 @@
 """The components of a node for requests that crash replicas."""
 
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 from typing import Any
 
 from fireflyward.aggregators import Aggregators, Member
@@ -12,6 +12,7 @@
 from fireflyward.poison import PoisonTask
 from fireflyward.quarantine import Quarantine
 from fireflyward.replicas import ReplicaDirectory, ReplicaState
+from fireflyward.supervision import Run
 
 
 class CrashComponents:
@@ -63,9 +64,9 @@
         self.quarantine.on_table_update(update)
         self.poison.on_table_update(update)
 
-    def runs(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the tasks to run until the node stops."""
-        return [self.quarantine.run(), self.poison.run()]
+    def runs(self) -> tuple[tuple[str, Run], ...]:
+        """Return what to run until the node stops, with the names of the tasks."""
+        return ("quarantine", self.quarantine.run), ("poison", self.poison.run)
 
     @property
     def tasks(self) -> list[Any]:
--- a/fireflyward/fleet/_kv_stores.py
+++ b/fireflyward/fleet/_kv_stores.py
@@ -1,7 +1,7 @@
 """Followers of the KV cache stores that the configuration names."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
@@ -16,15 +16,11 @@
     StoreIndex,
     StorePublisher,
 )
-
-Run = Coroutine[None, None, None]
+from fireflyward.supervision import BackgroundTasks
 
 
 class KvStoreFollowers:
-    """Starts and stops the follower of each KV cache store as configurations change.
-
-    ``run_or_exit`` wraps each coroutine that runs as a task.
-    """
+    """Starts and stops the follower of each KV cache store as configurations change."""
 
     def __init__(
         self,
@@ -33,14 +29,14 @@
         api: ReplicaApi,
         clock: Clock,
         aggregators: Aggregators,
-        run_or_exit: Callable[[Run], Run],
+        tasks: BackgroundTasks,
         lost_ms: Callable[[int], int],
     ) -> None:
         """``lost_ms`` returns for how long this process did not run since a time."""
         self._lost_ms = lost_ms
         self._planner = planner
         self._clock = clock
-        self._run_or_exit = run_or_exit
+        self._tasks = tasks
         self._follower_by_address: dict[str, StoreFollower] = {}
         self._task_by_address: dict[str, asyncio.Task[None]] = {}
         self._shared = SharedStoreReader(
@@ -52,11 +48,6 @@
             followers=lambda: self._follower_by_address.items(),
         )
 
-    @property
-    def tasks(self) -> list[asyncio.Task[None]]:
-        """Return the tasks of the current followers."""
-        return list(self._task_by_address.values())
-
     async def run(self, link: PeerLink) -> None:
         """Publish what the followers read to other nodes, and receive their updates."""
         self._shared.use(link)
@@ -93,5 +84,5 @@
             lost_ms=self._lost_ms,
         )
         self._follower_by_address[address] = follower
-        run = self._run_or_exit(follower.run())
-        self._task_by_address[address] = asyncio.create_task(run)
+        name = f"KV store {address}"
+        self._task_by_address[address] = self._tasks.start(name, follower.run)
--- a/fireflyward/fleet/_lease_components.py
+++ b/fireflyward/fleet/_lease_components.py
@@ -1,6 +1,6 @@
 """The lease of the node that orders weights, and the duties that come with it."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 from fireflyward.clock import Clock
 from fireflyward.deployment import FleetSettings
@@ -8,6 +8,7 @@
 from fireflyward.peers import PeerLink
 from fireflyward.platform import LeaseTable, StoreClient
 from fireflyward.presence import PresenceTask
+from fireflyward.supervision import Run
 
 from ._peers import NodeRegistry
 
@@ -69,9 +70,9 @@
         self._announcer.use(link)
         self._presence.use(link)
 
-    def runs(self) -> tuple[Coroutine[None, None, None], ...]:
-        """Return what to run, in tasks, besides the lease."""
-        return (self._presence.run(),)
+    def runs(self) -> tuple[tuple[str, Run], ...]:
+        """Return what to run besides the lease, with the names of the tasks."""
+        return (("presence", self._presence.run),)
 
     def gauges(self) -> dict[str, int]:
         """Return the values of the metrics."""
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import logging
-import os
-from collections.abc import Callable, Collection, Coroutine
+from collections.abc import Callable, Collection, Iterable
+from functools import partial
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock, Standstills
@@ -19,7 +19,12 @@
 from fireflyward.retries import RetryBudget
 from fireflyward.routes import RouteTable
 from fireflyward.streams import SoftwareRows
-from fireflyward.supervision import MemoryWatch, read_resource_use
+from fireflyward.supervision import (
+    BackgroundTasks,
+    MemoryWatch,
+    Run,
+    read_resource_use,
+)
 from fireflyward.weights import LoadAnnouncer, WeightTask
 
 from ._accept_limit import AcceptLimit
@@ -66,6 +71,7 @@
         self._settings = settings
         self._clock = clock
         self._metrics = Metrics()
+        self.tasks = BackgroundTasks(clock=clock, metrics=self._metrics)
         self._created_ms = clock.now_ms()
         self._standstills = Standstills(clock=clock)
         memory = ReadMemory(
@@ -232,13 +238,12 @@
             newest_by_model=self._weights.targets,
             may_act=lambda: self._lease.claim() is not None,
         )
-        self._tasks: list[asyncio.Task[None]] = []
         self._kv_store_followers = KvStoreFollowers(
             self._planner,
             api=self._api,
             clock=clock,
             aggregators=self._aggregators,
-            run_or_exit=self._run_or_exit,
+            tasks=self.tasks,
             lost_ms=self._lost_ms,
         )
         self._status_server = StatusServer(
@@ -286,29 +291,30 @@
         self.callers_address = await self._caller_server.listen(
             settings.callers_address
         )
-        self._start(
-            self._standstills.run(),
-            self._memory_watch.run(),
-            self._joining.run(),
-            *(
-                self._joining.run_after_joining(run)
-                for run in self._table_followers.runs_after_joining()
-            ),
-            self._table_followers.recover_lost_rows(),
-            self._replicas.run(),
-            # Which nodes contend for the lease is known once the list has been read.
-            self._joining.run_after_joining(self._lease.run),
-            self._weight_task.run(),
-            self._garbage_collector.run(),
-            *self._crashes.runs(),
-            *self._weight_components.runs(),
-            *self._lease_components.runs(),
-            self._software_rows.run(),
-            self._replica_components.notices.run(),
-            self._replica_components.relays.connector.run(),
-        )
+        for name, run in self._runs():
+            self.tasks.start(name, run)
         log.info("node: %s listens at %s", settings.node, settings.callers_address)
 
+    def _runs(self) -> Iterable[tuple[str, Run]]:
+        """Return what to run until the node stops, with the names of the tasks."""
+        yield "standstills", self._standstills.run
+        yield "memory", self._memory_watch.run
+        yield "joining", self._joining.run
+        for name, run in self._table_followers.runs_after_joining():
+            yield name, partial(self._joining.run_after_joining, run)
+        yield "lost rows", self._table_followers.recover_lost_rows
+        yield "replica list", self._replicas.run
+        # Which nodes contend for the lease is known once the list has been read.
+        yield "lease", partial(self._joining.run_after_joining, self._lease.run)
+        yield "weights", self._weight_task.run
+        yield "garbage collection", self._garbage_collector.run
+        yield from self._crashes.runs()
+        yield from self._weight_components.runs()
+        yield from self._lease_components.runs()
+        yield "software rows", self._software_rows.run
+        yield "notices", self._replica_components.notices.run
+        yield "connector", self._replica_components.relays.connector.run
+
     async def stop(self) -> None:
         """Stop without cutting requests: first leave the balancer, then drain.
 
@@ -330,11 +336,11 @@
         await asyncio.gather(
             self._caller_server.drain(left_ms), relay_server.drain(left_ms)
         )
-        tasks = [lease_handover, *self._tasks, *self._kv_store_followers.tasks]
-        tasks += [*self._crashes.tasks, *self._replica_components.reach.tasks]
+        tasks = [lease_handover, *self._crashes.tasks]
+        tasks += self._replica_components.reach.tasks
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await asyncio.gather(self.tasks.cancel(), *tasks, return_exceptions=True)
         await self._close()
         log.info("node: stopped, %d requests in flight", self._caller_server.in_flight)
 
@@ -405,29 +411,13 @@
         weights = self._weight_components
         for part in (*senders, self._crashes, self._replica_components, weights):
             part.use(link)
-        return lambda: self._start(
-            self._replica_components.load_report_task.run(link),
-            self._replica_components.sum_report_task.run(link),
-            self._kv_store_followers.run(link),
-        )
+        return partial(self._start_link_tasks, link)
 
-    def _start(self, *runs: Coroutine[None, None, None]) -> None:
-        self._tasks += [asyncio.create_task(self._run_or_exit(run)) for run in runs]
-
-    async def _run_or_exit(self, run: Coroutine[None, None, None]) -> None:
-        """Exit the process if one of its tasks fails with an unexpected exception.
-
-        A node without its feed would continue with an ever older configuration. A
-        restarted node has read the current state within a second.
-        """
-        try:
-            await run
-        except Exception:
-            log.exception(
-                "node: a task failed, so the process exits",
-                extra={"task": run.__qualname__},
-            )
-            os._exit(3)
+    def _start_link_tasks(self, link: PeerLink) -> None:
+        components = self._replica_components
+        self.tasks.start("load reports", partial(components.load_report_task.run, link))
+        self.tasks.start("sum reports", partial(components.sum_report_task.run, link))
+        self.tasks.start("KV updates", partial(self._kv_store_followers.run, link))
 
     def _update_gauges(self) -> None:
         now_ms = self._clock.now_ms()
--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -10,10 +10,12 @@
 import signal
 import sys
 from collections.abc import Callable
+from functools import partial
 
 from fireflyward import __version__
 from fireflyward.clock import Clock
 from fireflyward.deployment import FleetSettings
+from fireflyward.invariants import InvariantBroken, add_listener
 from fireflyward.platform import SETTINGS_VARIABLE, BadSettings, load_settings
 from fireflyward.supervision import log_loop_errors, log_uncaught_error
 
@@ -24,10 +26,16 @@
 log = logging.getLogger("fireflyward.process")
 
 _BAD_SETTINGS = 2
+# The state of the process cannot be trusted, so it is not stopped in order.
+_BROKEN_INVARIANT = 3
 
 
 def run_process() -> int:
-    """Run a node until SIGTERM; return 0, or 2 if the settings are invalid."""
+    """Run a node until SIGTERM; return the exit status.
+
+    It is 0 after a planned stop, 2 if the settings are invalid and 3 after a broken
+    invariant.
+    """
     clock = Clock()
     set_up_logging(clock)
     # A fault in a native extension leaves a traceback on standard error.
@@ -40,9 +48,9 @@
         log.critical("process: ends with status %d: %s", _BAD_SETTINGS, error)
         print(f"fireflyward: settings: {error}", file=sys.stderr)
         return _BAD_SETTINGS
-    asyncio.run(_run(settings, path))
-    log.info("process: ends with status 0")
-    return 0
+    status = asyncio.run(_run(settings, path))
+    log.info("process: ends with status %d", status)
+    return status
 
 
 def _log_start() -> None:
@@ -57,8 +65,16 @@
     )
 
 
-async def _run(settings: FleetSettings, path: str) -> None:
+async def _run(settings: FleetSettings, path: str) -> int:
+    """Run a node until it is to stop; return the exit status of the process."""
     stop = asyncio.Event()
+    broken: list[InvariantBroken] = []
+
+    def on_broken(found: InvariantBroken) -> None:
+        broken.append(found)
+        stop.set()
+
+    add_listener(on_broken)
     settings_watch = SettingsWatch(path, clock=Clock())
     loop = asyncio.get_running_loop()
     log_loop_errors(loop)
@@ -73,11 +89,13 @@
     except Exception as error:
         log_uncaught_error("start", error)
         raise
-    reload_task = asyncio.create_task(settings_watch.run(node.reload))
+    node.tasks.start("settings", partial(settings_watch.run, node.reload))
     await stop.wait()
-    reload_task.cancel()
+    if broken:
+        return _BROKEN_INVARIANT
     with contextlib.suppress(asyncio.CancelledError):
         await node.stop()
+    return 0
 
 
 def _logged_signal(
--- a/fireflyward/fleet/_table_followers.py
+++ b/fireflyward/fleet/_table_followers.py
@@ -1,11 +1,12 @@
 """Follows the platform's tables that a node serves requests by."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.feeds import FeedFollower, Pace, SharedTables, TableUpdate
 from fireflyward.platform import CONFIGURATION_TABLE, REPLICA_TABLE, StoreClient
+from fireflyward.supervision import Run
 
 from ._lost_rows import LostRowRecovery
 from ._paces import configuration_pace, replicas_pace
@@ -66,9 +67,9 @@
             ),
         )
 
-    def runs_after_joining(self) -> list[Callable[[], Coroutine[None, None, None]]]:
-        """Return what to run, in tasks, once this node has joined the others."""
-        return [follower.run for follower in self._followers]
+    def runs_after_joining(self) -> list[tuple[str, Run]]:
+        """Return what to run once this node has joined, with the names of the tasks."""
+        return [(f"table {item.table}", item.run) for item in self._followers]
 
     async def recover_lost_rows(self) -> None:
         """Restore rows that a restored store lacks, until cancelled."""
--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -1,7 +1,5 @@
 """The components of a node that decide which weights may serve."""
 
-from collections.abc import Coroutine
-
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock
 from fireflyward.feeds import TableUpdate
@@ -10,6 +8,7 @@
 from fireflyward.platform import StoreClient
 from fireflyward.replacements import ReplacementRows, ReplacementTask
 from fireflyward.replicas import ReplicaDirectory
+from fireflyward.supervision import Run
 
 from ._peers import NODE_TABLE, NodeRegistry
 
@@ -51,9 +50,12 @@
         """Ask and answer other nodes over a link from now on."""
         self._replacements.use(link)
 
-    def runs(self) -> tuple[Coroutine[None, None, None], ...]:
-        """Return what to run, in tasks."""
-        return self._replacements.run(), self._withdrawals.run()
+    def runs(self) -> tuple[tuple[str, Run], ...]:
+        """Return what to run until the node stops, with the names of the tasks."""
+        return (
+            ("replacements", self._replacements.run),
+            ("withdrawals", self._withdrawals.run),
+        )
 
     def on_named(self, model: str) -> None:
         """Handle a version that was named."""
--- a/fireflyward/leaving/_task.py
+++ b/fireflyward/leaving/_task.py
@@ -1,6 +1,5 @@
 """The task that polls the platform's VM list and announces leaving upstreams."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from typing import Any
@@ -8,7 +7,9 @@
 from fireflyward.backing import VmList, Vms
 from fireflyward.clock import Clock
 from fireflyward.membership import Members, owners_of
+from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
+from fireflyward.supervision import BackgroundTasks
 
 from ._leaving_structs import LeavingNews
 from ._upstreams import LeavingUpstreams
@@ -36,6 +37,7 @@
         *,
         upstreams: LeavingUpstreams,
         clock: Clock,
+        metrics: Metrics,
         link: PeerLink,
         members: Members,
         vms: Vms,
@@ -47,18 +49,16 @@
         self._members = members
         self._vms = vms
         self._on_leaving = on_leaving
-        self._polling: asyncio.Task[None] | None = None
+        self._tasks = BackgroundTasks(clock=clock, metrics=metrics)
         link.register(_KIND, LeavingNews, self._on_announcement)
 
     def start(self) -> None:
         """Start polling."""
-        self._polling = asyncio.create_task(self._poll_forever())
+        self._tasks.start("list of VMs", self._poll_forever)
 
     async def stop(self) -> None:
         """Stop polling."""
-        if self._polling:
-            self._polling.cancel()
-            await asyncio.gather(self._polling, return_exceptions=True)
+        await self._tasks.cancel()
 
     async def _poll_forever(self) -> None:
         last_poll_ms = self._clock.now_ms() - _RARE_POLL_MS
--- a/fireflyward/membership/_task.py
+++ b/fireflyward/membership/_task.py
@@ -1,6 +1,5 @@
 """The task that executes the decisions of membership."""
 
-import asyncio
 import logging
 from collections.abc import Callable
 from functools import singledispatchmethod
@@ -10,6 +9,7 @@
 from fireflyward.clock import Clock
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
+from fireflyward.supervision import BackgroundTasks
 
 from ._members import Address, Members, MemberState
 from ._membership import Membership
@@ -67,7 +67,8 @@
         self._on_number = on_bundle_number
         self._seeds = seeds
         self._vms = vms
-        self._tasks: list[asyncio.Task[None]] = []
+        self._tasks = BackgroundTasks(clock=clock, metrics=metrics)
+        self._is_started = False
         link.register(KIND, PacketStruct, self._on_datagram)
         link.on_incarnation_raised = lambda number: self._decide(
             IncarnationRaised(number)
@@ -81,11 +82,10 @@
         """Start; call this once the peer link is open."""
         self._decide(LinkOpened(self._link.address))
         self._decide(SeedsFound(self._seeds))
-        self._tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(self._poll_seeds()),
-            asyncio.create_task(self._update_metrics()),
-        ]
+        self._is_started = True
+        self._tasks.start("membership", self._tick)
+        self._tasks.start("seeds", self._poll_seeds)
+        self._tasks.start("membership metrics", self._update_metrics)
 
     def add_seeds(self, addresses: tuple[Address, ...]) -> None:
         """Look for nodes at these addresses, besides the seeds of the settings."""
@@ -97,12 +97,10 @@
 
     async def stop(self) -> None:
         """Announce that this node exits now, and stop."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._tasks:
+        await self._tasks.cancel()
+        if self._is_started:
             self._decide(LeaveDone())
-        self._tasks = []
+        self._is_started = False
 
     async def _tick(self) -> None:
         while True:
--- a/tests/daemon/test_bundle_duty.py
+++ b/tests/daemon/test_bundle_duty.py
@@ -13,6 +13,7 @@
 from fireflyward.daemon._bundle_duty import BundleDuty
 from fireflyward.daemon._bundle_peers import BundlePeers
 from fireflyward.membership import Member, Members, MemberState
+from fireflyward.observe import Metrics
 from fireflyward.peers import CallFailed, pack, unpack
 from fireflyward.standins import MemoryObjects, MemoryTable
 from tests.bundles.makers import (
@@ -112,6 +113,7 @@
         self.duty = BundleDuty(
             link=self.link,
             clock=world.clock,
+            metrics=Metrics(),
             follower=BundleFollower(poll_ms=2_000, seed=port),
             store=store,
             loader=BundleLoader(store, roots=ROOTS, deployment=DEPLOYMENT),
--- a/tests/faults/_simulation.py
+++ b/tests/faults/_simulation.py
@@ -198,7 +198,7 @@
         await asyncio.wait({starting})
         if not starting.cancelled():
             starting.result()
-        process.tasks.update(node._tasks)
+        process.tasks.update(node.tasks.running)
         return node
 
     def next_ready_node(self) -> Node | None:
@@ -249,7 +249,7 @@
         self.observe(NodeLost(self.clock.now_ms(), node.settings["node_name"]))
         node.io.is_listening = False
         node.process.crash()
-        for task in node._tasks:
+        for task in node.tasks.running:
             task.cancel()
 
     async def restart_node(self, name: str) -> None:
@@ -287,7 +287,7 @@
         """Crash all processes and cancel all tasks."""
         for node in self.node_by_name.values():
             node.process.crash()
-            for task in node._tasks:
+            for task in node.tasks.running:
                 task.cancel()
         for task in self._tasks:
             task.cancel()
--- a/tests/leaving/test_task.py
+++ b/tests/leaving/test_task.py
@@ -4,6 +4,7 @@
 from fireflyward.clock import ManualClock
 from fireflyward.leaving import LeavingTask, LeavingUpstreams
 from fireflyward.membership import Member, Members, owners_of
+from fireflyward.observe import Metrics
 from fireflyward.standins import MemoryVms
 
 NAMES = [f"entry-{index}" for index in range(6)]
@@ -58,6 +59,7 @@
             task = LeavingTask(
                 upstreams=upstreams,
                 clock=self.clock,
+                metrics=Metrics(),
                 link=self.links.make(row.name),
                 members=members,
                 vms=self.vms,
