--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -53,6 +53,11 @@
         action="store_true",
         help="all nodes are killed at once around changes of software",
     )
+    parser.add_argument(
+        "--odd-input",
+        action="store_true",
+        help="malformed entries, cut settings files, and signals during starts",
+    )
     parser.add_argument("--logs", help="folder for the nodes' logs of seeds that fail")
     options = parser.parse_args()
     first = options.first
@@ -84,6 +89,7 @@
         has_standstills=options.standstills,
         has_rejections=options.rejections,
         has_flapping=options.flapping,
+        has_odd_input=options.odd_input,
         log_folder=options.logs,
     )
 
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -171,6 +171,11 @@
 
     async def stop(self):
         for node in self.nodes:
+            node.note_unexpected_exit()
+            self.violations += [
+                f"{node.name} ended by itself with {code}"
+                for code in node.unexpected_exits
+            ]
             await node.kill()
         node_links = [
             link for view in self._views for link in view.link_by_replica.values()
--- a/tests/soak/_soak.py
+++ b/tests/soak/_soak.py
@@ -10,6 +10,7 @@
 from ._faults import AddedFaults, Faults
 from ._flapping import Flapping, FlappingFleet
 from ._fleet import ZONES, SoakFleet
+from ._odd_input import OddInput
 from ._partitions import Partitions
 from ._rejections import RejectionFaults, RejectionFleet
 from ._standstills import StandstillFleet, Standstills
@@ -29,6 +30,7 @@
     has_standstills=False,
     has_rejections=False,
     has_flapping=False,
+    has_odd_input=False,
     standstills=Standstills,
     log_folder=None,
 ):
@@ -43,7 +45,7 @@
     ``has_upgrades`` those of ``Upgrades``. With ``has_standstills`` they are those of
     ``standstills``, and the seed lasts until their effects can be judged. With
     ``has_rejections`` they are those of ``RejectionFaults``, and with ``has_flapping``
-    those of ``Flapping``. The logs of
+    those of ``Flapping``, and with ``has_odd_input`` those of ``OddInput``. The logs of
     nodes are copied to ``log_folder`` if there are violations, or if they do not start.
     """
     with tempfile.TemporaryDirectory() as folder:
@@ -74,6 +76,8 @@
             fault_kinds = [(7, RejectionFaults)]
         if has_flapping:
             fault_kinds = [(8, Flapping)]
+        if has_odd_input:
+            fault_kinds = [(9, OddInput)]
         faults = [
             kind(random.Random(seed + offset), fleet) for offset, kind in fault_kinds
         ]
