Tasks: work that a failed run had begun is done by the next one

A task that starts anew must not have dropped what it was woken for. By reading every run(): withdrawals of requests on replaced weights, the fetch of rows that a restored store lacks, and the age of replaced weights cleared their event, or took the model from their queue, before the work was done; a KV store's index took the number of events that it had not applied; the rows of the quarantine and of parts waited for other work, up to ten minutes.

--- a/fireflyward/fleet/_lost_rows.py
+++ b/fireflyward/fleet/_lost_rows.py
@@ -48,10 +48,13 @@
         """Fetch lost rows after each new era, until cancelled."""
         while True:
             await self._is_fetch_pending.wait()
-            self._is_fetch_pending.clear()
+            era = self._era
             for pause_ms in _FETCH_PAUSES_MS:
                 await self._clock.sleep_ms(pause_ms)
                 await self._fetch()
+            # A fetch that fails leaves the event set, so that the next run repeats it.
+            if era == self._era:
+                self._is_fetch_pending.clear()
 
     async def _fetch(self) -> None:
         for update in await self._tables.fetch_retained_rows(self._table):
--- a/fireflyward/forwarding/_waiting_sends.py
+++ b/fireflyward/forwarding/_waiting_sends.py
@@ -133,9 +133,10 @@
         """Check the sends while a version is being replaced, until cancelled."""
         while True:
             await self._is_replaced.wait()
-            self._is_replaced.clear()
             while self.check():
                 await self._clock.sleep_ms(_PERIOD_MS)
+            # A check that fails leaves the event set, so that the next run repeats it.
+            self._is_replaced.clear()
 
     def check(self) -> bool:
         """Withdraw what may not begin any more; return whether to check again."""
--- a/fireflyward/poison/_task.py
+++ b/fireflyward/poison/_task.py
@@ -177,6 +177,8 @@
     async def run(self) -> None:
         """Write the rows of held parts until cancelled."""
         forgot_ms = self._clock.now_ms()
+        # A run that failed may have left work.
+        self._has_work.set()
         while True:
             await within_ms(self._clock, _FORGET_PERIOD_MS, self._has_work.wait())
             self._has_work.clear()
--- a/fireflyward/prefixes/_index.py
+++ b/fireflyward/prefixes/_index.py
@@ -99,9 +99,9 @@
         if update.is_snapshot:
             self._clear()
         self.is_up = True
-        self.next_event = update.next_event
         for event in update.events:
             self._apply_event(event)
+        self.next_event = update.next_event
         return True
 
     def difference(self, snapshot: KvUpdate) -> KvUpdate:
--- a/fireflyward/quarantine/_task.py
+++ b/fireflyward/quarantine/_task.py
@@ -193,6 +193,8 @@
     async def run(self) -> None:
         """Write missing and changed rows to the table, until cancelled."""
         last_expiry_ms = self._clock.now_ms()
+        # A run that failed may have left work.
+        self._has_work.set()
         while True:
             await within_ms(self._clock, _EXPIRY_PERIOD_MS, self._has_work.wait())
             self._has_work.clear()
--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -74,6 +74,7 @@
         self._has_older_weights = has_older_weights
         self._link: PeerLink | None = None
         self._named: asyncio.Queue[str] = asyncio.Queue()
+        self._unfinished: set[str] = set()
         self.asked = 0
 
     def use(self, link: PeerLink) -> None:
@@ -87,11 +88,28 @@
 
     async def run(self) -> None:
         """Work off the versions that are named, until cancelled."""
+        try:
+            await self._work_off_all()
+        except Exception:
+            # The steps for all models were cancelled; the next run takes them again.
+            for model in self._unfinished:
+                self._named.put_nowait(model)
+            raise
+        finally:
+            self._unfinished.clear()
+
+    async def _work_off_all(self) -> None:
         async with asyncio.TaskGroup() as group:
             while True:
                 model = await self._named.get()
-                group.create_task(self._find_age(model))
-                group.create_task(self._write_row(model))
+                self._unfinished.add(model)
+                group.create_task(self._work_off(model))
+
+    async def _work_off(self, model: str) -> None:
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._find_age(model))
+            group.create_task(self._write_row(model))
+        self._unfinished.discard(model)
 
     async def _find_age(self, model: str) -> None:
         asked: set[Address] = set()
