Replica entries: an address is a host's IPv4 address and a port

Cause: the address was checked by hand with int() on digits of any length, and any text before the last colon passed for a host. Python refuses to convert more than 4,300 digits, and the ValueError passed the decoder. The platform's network knows IPv4 addresses only, so the type of the field now says so: a pattern for IPv4:PORT with port 1 to 65535 that excludes what no host can have (this network, multicast, broadcast). Such an entry is malformed and names no replica; the others hold. The checks are in a package of their own, decoding, since rows of this system's own tables need the same.

test_removed_replicas listed replicas at 'i-1:80', a name; it lists them at 10.0.0.1:80 now. What it checks is unchanged.

--- /dev/null
+++ b/fireflyward/decoding/_addresses.py
@@ -0,0 +1,18 @@
+"""Addresses on the platform's network, which knows IPv4 addresses and no names."""
+
+from typing import Annotated
+
+import msgspec
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_IP = rf"({_OCTET}\.){{3}}{_OCTET}"
+_PORT = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
+    r"|[1-9][0-9]{0,3})"
+)
+# No host has an address of these: this network, multicast and broadcast.
+_NOT_A_HOST = r"(0\.|22[4-9]\.|23[0-9]\.|255\.255\.255\.255:)"
+
+ReplicaAddress = Annotated[
+    str, msgspec.Meta(pattern=rf"\A(?!{_NOT_A_HOST}){_IP}:{_PORT}\Z")
+]
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from fireflyward.decoding import NonNegativeNumber, decode_json, to_int
 from fireflyward.deployment import (
     ClientAccount,
     Configuration,
@@ -18,9 +19,6 @@
     WeightTarget,
 )
 
-from ._decoding import decode_json
-from ._numbers import NonNegativeNumber, to_int
-
 log = logging.getLogger("fireflyward.platform")
 
 _MS_PER_S = 1_000
--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -8,6 +8,7 @@
 
 from fireflyward.attribution import Origin, origin_of
 from fireflyward.clock import Clock
+from fireflyward.decoding import decode_json
 from fireflyward.deployment import ReplicaEntry
 from fireflyward.http1 import (
     ConnectionPool,
@@ -20,7 +21,6 @@
 )
 from fireflyward.prefixes import KvEvent, KvUpdate, PartKey
 
-from ._decoding import decode_json
 from ._requests import REQUEST_ID, named_request
 
 log = logging.getLogger("fireflyward.platform")
--- a/fireflyward/platform/_replica_list.py
+++ b/fireflyward/platform/_replica_list.py
@@ -4,11 +4,14 @@
 
 import msgspec
 
+from fireflyward.decoding import (
+    NonNegativeNumber,
+    ReplicaAddress,
+    decode_json,
+    to_int,
+)
 from fireflyward.deployment import ModelWeights, ReplicaEntry
 
-from ._decoding import decode_json
-from ._numbers import NonNegativeNumber, to_int
-
 
 class _State(enum.Enum):
     READY = "ready"
@@ -24,7 +27,7 @@
     """A replica's entry; replicas always write the fields that have no default."""
 
     service: str
-    address: str
+    address: ReplicaAddress
     zone: str
     # Version of the replica's software; its weights have their own versions.
     version: str
@@ -44,7 +47,7 @@
     The row's key names a replica; ``started_ms`` distinguishes its incarnations.
     """
     raw = decode_json(value, _Entry)
-    if raw is None or not _is_address(raw.address) or not raw.service:
+    if raw is None or not raw.service:
         return None
     return ReplicaEntry(
         incarnation=name,
@@ -58,13 +61,3 @@
         started_ms=raw.born,
         software=raw.version,
     )
-
-
-def _is_address(text: str) -> bool:
-    """Return whether a text is ``IP:PORT``.
-
-    >>> _is_address("10.2.64.17:8729"), _is_address("10.2.64.17"), _is_address(":1")
-    (True, False, False)
-    """
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isascii() and port.isdigit() and 0 < int(port) < 65_536
--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -4,10 +4,9 @@
 
 import msgspec
 
+from fireflyward.decoding import NonNegativeNumber, to_int
 from fireflyward.deployment import Bounds, FleetSettings, StoreLimits
 
-from ._numbers import NonNegativeNumber, to_int
-
 SETTINGS_VARIABLE = "FIREFLYWARD_BOOT"
 _MS_PER_S = 1_000
 
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -18,6 +18,7 @@
     Uncertain,
 )
 from fireflyward.clock import Clock
+from fireflyward.decoding import decode_json
 from fireflyward.feeds import Changes, HistoryLost, Snapshot, TableRow
 from fireflyward.http1 import (
     ConnectionPool,
@@ -28,8 +29,6 @@
     read_full_response,
 )
 
-from ._decoding import decode_json
-
 log = logging.getLogger("fireflyward.platform")
 
 CONFIGURATION_TABLE = "op"
--- a/tests/fleet/test_removed_replicas.py
+++ b/tests/fleet/test_removed_replicas.py
@@ -43,7 +43,7 @@
 
     def row(self, name, **changes):
         entry = json.loads(ReplicaStandIn(name).entry("s", **changes))
-        entry["address"] = f"{name}:80"
+        entry["address"] = f"10.0.0.{name.removeprefix('i-')}:80"
         return TableRow(name, json.dumps(entry).encode(), at(1))
 
     def update(self, *rows, is_snapshot=False, unavailable_ms=0):
