HTTP/1.1 client: a body in an unknown transfer coding is broken

A replica whose chunks were cut off could pass for one that had finished. The client decided by the first Transfer-Encoding header, and only if its value ended in "chunked", that chunks mark the end of a response; its parser reads chunks in more cases. With "chunked " (a blank after it), or with "chunked" in a second header, the parser read chunks while the client took the end of the connection for the end of the body: `5\r\nab` and a close gave a complete body `ab`. For "chunked, x", "chunked;a=b", "gzip" and "identity" the raw chunks or the compressed bytes became the body, and the header that named the coding was not forwarded.

How the end of a response is marked is now decided in one place, `framing_of`, by all headers. A coding other than exactly chunks breaks the connection when the head has arrived.

--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -17,6 +17,7 @@
     HttpConnection,
     enable_dead_peer_detection,
 )
+from ._framing import Framing, framing_of
 from ._full_response import FullResponse, NoResponse, read_full_response
 from ._head import Head
 from ._pool import MAX_IDLE_MS, ConnectionPool, ConnectionUse, NotConnected
@@ -33,6 +34,7 @@
     "ConnectionPool",
     "ConnectionUse",
     "End",
+    "Framing",
     "Head",
     "HttpConnection",
     "NoResponse",
@@ -40,6 +42,7 @@
     "ReadMemory",
     "FullResponse",
     "enable_dead_peer_detection",
+    "framing_of",
     "has_queued_request",
     "read_body",
     "read_full_response",
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -11,6 +11,7 @@
 
 import httptools
 
+from ._framing import Framing, framing_of
 from ._head import Head
 from ._late_responses import LateResponses, NamedBy
 
@@ -164,6 +165,14 @@
         poll.register(raw.fileno(), select.POLLIN | select.POLLRDHUP)
         return bool(poll.poll(0))
 
+    @property
+    def ends_response(self) -> bool:
+        """Return whether the end of the connection is that of its last response.
+
+        Such a response may have been cut short even though it looks complete.
+        """
+        return self._head_done and not self._has_framing
+
     @property
     def skipped(self) -> int:
         """Return how many late responses preceded that to the last request."""
@@ -321,14 +330,12 @@
             self._headers, self._reason = [], ""
             return
         head = Head(status, self._reason, tuple(self._headers))
+        framing = framing_of(self._method, head)
+        if framing is Framing.UNKNOWN:
+            self._fail("unknown transfer coding")
+            return
         self._head_done = True
-        coding = (head.get("transfer-encoding") or "").lower()
-        self._has_framing = (
-            head.get("content-length") is not None
-            or coding.endswith("chunked")
-            or status in (204, 304)
-            or self._method == "HEAD"
-        )
+        self._has_framing = framing is Framing.DECLARED
         if self._has_framing and self._late.may_skip(head):
             detail = "a response to an earlier request did not end"
             self._late.begin_skip(lambda: self._fail(detail))
--- /dev/null
+++ b/fireflyward/http1/_framing.py
@@ -0,0 +1,41 @@
+"""How the end of a response is marked."""
+
+import enum
+
+from ._head import Head
+
+_CHUNKED = "chunked"
+# These have no body, whatever their headers say.
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
+
+class Framing(enum.Enum):
+    """How the end of a response is marked.
+
+    ``DECLARED`` is a length or chunks, or a response that has no body. The end of a
+    ``CLOSE`` response is that of its connection, so one that was cut short may look
+    complete. Where a body in an ``UNKNOWN`` coding ends cannot be determined.
+    """
+
+    DECLARED = "declared"
+    CLOSE = "close"
+    UNKNOWN = "unknown"
+
+
+def framing_of(method: str, head: Head) -> Framing:
+    """Return how the end of the response to a request with ``method`` is marked.
+
+    >>> framing_of("GET", Head(200, "OK", (("transfer-encoding", "Chunked"),)))
+    <Framing.DECLARED: 'declared'>
+    >>> framing_of("GET", Head(200, "OK", ())), framing_of("HEAD", Head(200, "OK", ()))
+    (<Framing.CLOSE: 'close'>, <Framing.DECLARED: 'declared'>)
+    """
+    if method == "HEAD" or head.status in _STATUSES_WITHOUT_BODY:
+        return Framing.DECLARED
+    codings = [value for name, value in head.headers if name == "transfer-encoding"]
+    if codings:
+        is_chunked = [coding.strip().lower() for coding in codings] == [_CHUNKED]
+        return Framing.DECLARED if is_chunked else Framing.UNKNOWN
+    if head.get("content-length") is not None:
+        return Framing.DECLARED
+    return Framing.CLOSE
--- /dev/null
+++ b/tests/http1/cut_responses.py
@@ -0,0 +1,70 @@
+"""Responses that break off, for the tests of both HTTP clients."""
+
+from tests.platform_standins import RawServer, reset
+
+_OK = b"HTTP/1.1 200 OK\r\n"
+_INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+# Responses whose end is declared: any cut of one is incomplete.
+WHOLE_RESPONSES = {
+    "length": _OK + b"Content-Length: 4\r\n\r\nbody",
+    "length, then close": _OK + b"Connection: close\r\nContent-Length: 2\r\n\r\nab",
+    "no reason": b"HTTP/1.1 200\r\nContent-Length: 2\r\n\r\nab",
+    "HTTP/1.0": b"HTTP/1.0 200 OK\r\nContent-Length: 2\r\n\r\nab",
+    "interim": _INTERIM + _OK + b"Content-Length: 2\r\n\r\nab",
+    "chunks": _OK + b"Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n",
+    "chunk extension": _OK
+    + b"Transfer-Encoding: chunked\r\n\r\n2;a=b\r\nab\r\n0\r\n\r\n",
+    "trailer": _OK + b"Transfer-Encoding: Chunked\r\n\r\n1\r\na\r\n0\r\nX-A: b\r\n\r\n",
+    "no chunk": _OK + b"Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "chunks of HTTP/1.0": b"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"1\r\na\r\n0\r\n\r\n",
+}
+# Responses that end with their connection, and whose end cannot be determined.
+ENDLESS_CODINGS = {
+    "chunks in a second header": _OK + b"Transfer-Encoding: gzip\r\n"
+    b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
+    "blank after the coding": _OK + b"Transfer-Encoding: chunked \r\n\r\n5\r\nab",
+    "tab after the coding": _OK + b"Transfer-Encoding: chunked\t\r\n\r\n5\r\nab",
+    "chunks are not last": _OK + b"Transfer-Encoding: chunked, x\r\n\r\n5\r\nab",
+    "parameter of chunks": _OK + b"Transfer-Encoding: chunked;a=b\r\n\r\n5\r\nab",
+    "name that ends as chunks": _OK + b"Transfer-Encoding: xchunked\r\n\r\n5\r\nab",
+    "folded coding": _OK + b"Transfer-Encoding: gzip,\r\n chunked\r\n\r\n5\r\nab",
+    "compressed": _OK + b"Transfer-Encoding: gzip\r\n\r\nab",
+    "compressed, whole": _OK + b"Transfer-Encoding: gzip, chunked\r\n\r\n"
+    b"2\r\nab\r\n0\r\n\r\n",
+    "identity": _OK + b"Transfer-Encoding: identity\r\n\r\nab",
+}
+CONFLICTING_LENGTHS = {
+    "length and chunks": _OK
+    + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
+    b"2\r\nab\r\n0\r\n\r\n",
+    "chunks and length": _OK
+    + b"Transfer-Encoding: chunked\r\nContent-Length: 2\r\n\r\n"
+    b"2\r\nab\r\n0\r\n\r\n",
+    "two lengths": _OK + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\nabc",
+    "list of lengths": _OK + b"Content-Length: 2, 3\r\n\r\nabc",
+    "signed length": _OK + b"Content-Length: +2\r\n\r\nab",
+    "no length": _OK + b"Content-Length:\r\n\r\nab",
+}
+
+
+class CutServer(RawServer):
+    """Writes ``data`` to each request and ends the connection, in order or not."""
+
+    def __init__(self):
+        super().__init__()
+        self.data = b""
+        self.resets = False
+
+    async def answer(self, request, writer):
+        writer.write(self.data)
+        await writer.drain()
+        if self.resets:
+            reset(writer)
+        return False
+
+
+def cuts(whole):
+    """Return each proper prefix of a response."""
+    return [whole[:size] for size in range(len(whole))]
--- a/tests/platform_standins/__init__.py
+++ b/tests/platform_standins/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from ._endless import ENDLESS, EndlessReplica
-from ._http import RawRequest, RawServer, json_response, response
+from ._http import RawRequest, RawServer, json_response, reset, response
 from ._operator import CONFIGURATION, Operator, settings_text
 from ._replica import CRASHING_BODY, Listed, ReplicaBehavior, ReplicaStandIn
 from ._store import StoreBehavior, StoreStandIn
@@ -23,6 +23,7 @@
     "StoreBehavior",
     "StoreStandIn",
     "json_response",
+    "reset",
     "response",
     "settings_text",
 ]
