HTTP/1.1 client: a head that continues with another response is broken

A replica that stops in the middle of its answer's head, on a connection on which further bytes arrive (a late or repeated response of it), gave one head from two: the status and request id of the first, the length and body of the second. After `X-Server-Seal: 3e1b` the next status line became the rest of the header's value.

A head is now broken, as if it had not arrived, if its reason or one of its headers contains a status line. A cut at any other place of a head (in a name, a length, the status, between two headers) was rejected by the parser before, too.

No run of a whole node has shown it: nothing here sends such bytes but the test.

--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -17,7 +17,7 @@
     HttpConnection,
     enable_dead_peer_detection,
 )
-from ._framing import Framing, framing_of
+from ._framing import Framing, framing_of, has_second_status_line
 from ._full_response import FullResponse, NoResponse, read_full_response
 from ._head import Head
 from ._pool import MAX_IDLE_MS, ConnectionPool, ConnectionUse, NotConnected
@@ -44,6 +44,7 @@
     "enable_dead_peer_detection",
     "framing_of",
     "has_queued_request",
+    "has_second_status_line",
     "read_body",
     "read_full_response",
 ]
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -11,7 +11,7 @@
 
 import httptools
 
-from ._framing import Framing, framing_of
+from ._framing import Framing, framing_of, has_second_status_line
 from ._head import Head
 from ._late_responses import LateResponses, NamedBy
 
@@ -330,6 +330,9 @@
             self._headers, self._reason = [], ""
             return
         head = Head(status, self._reason, tuple(self._headers))
+        if has_second_status_line(head):
+            self._fail("header continues with another response")
+            return
         framing = framing_of(self._method, head)
         if framing is Framing.UNKNOWN:
             self._fail("unknown transfer coding")
--- a/fireflyward/http1/_framing.py
+++ b/fireflyward/http1/_framing.py
@@ -1,12 +1,14 @@
-"""How the end of a response is marked."""
+"""How the end of a response is marked, and heads that are no response's own."""
 
 import enum
+import re
 
 from ._head import Head
 
 _CHUNKED = "chunked"
 # These have no body, whatever their headers say.
 _STATUSES_WITHOUT_BODY = frozenset((204, 304))
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] \d{3}(?: |$)")
 
 
 class Framing(enum.Enum):
@@ -39,3 +41,13 @@
     if head.get("content-length") is not None:
         return Framing.DECLARED
     return Framing.CLOSE
+
+
+def has_second_status_line(head: Head) -> bool:
+    """Return whether a head was cut off and continues with that of another response.
+
+    >>> has_second_status_line(Head(200, "OK", (("x-a", "1HTTP/1.1 503 Full"),)))
+    True
+    """
+    texts = (head.reason, *(value for _, value in head.headers))
+    return any("HTTP/1." in text and _STATUS_LINE.search(text) for text in texts)
--- a/tests/http1/cut_responses.py
+++ b/tests/http1/cut_responses.py
@@ -35,6 +35,19 @@
     b"2\r\nab\r\n0\r\n\r\n",
     "identity": _OK + b"Transfer-Encoding: identity\r\n\r\nab",
 }
+# A head that was cut off, followed by another response.
+_OTHER = b"HTTP/1.1 503 Full\r\nContent-Length: 2\r\n\r\nno"
+MERGED_HEADS = {
+    "in a value": _OK + b"X-Request-Id: q1\r\nX-Server-Seal: 3e1b" + _OTHER,
+    "before a value": _OK + b"X-Request-Id: q1\r\nX-Server-Seal:" + _OTHER,
+    "in a name": _OK + b"X-Request-Id: q1\r\nX-Ser" + _OTHER,
+    "between headers": _OK + b"X-Request-Id: q1\r\n" + _OTHER,
+    "in a length": _OK + b"X-Request-Id: q1\r\nContent-Length: 3" + _OTHER,
+    "in the reason": b"HTTP/1.1 200 O" + _OTHER,
+    "in the status": b"HTTP/1.1 20" + _OTHER,
+    "without a reason": _OK
+    + b"X-Request-Id: qHTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
+}
 CONFLICTING_LENGTHS = {
     "length and chunks": _OK
     + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -3,11 +3,12 @@
 import unittest
 
 from fireflyward.clock import Clock
-from fireflyward.http1 import BodyPart, Broken, ConnectionPool, End
+from fireflyward.http1 import BodyPart, Broken, BrokenAt, ConnectionPool, End
 
 from .cut_responses import (
     CONFLICTING_LENGTHS,
     ENDLESS_CODINGS,
+    MERGED_HEADS,
     WHOLE_RESPONSES,
     CutServer,
     cuts,
@@ -50,6 +51,13 @@
                 events = await self.exchange(data)
                 self.assertIsInstance(events[-1], Broken)
 
+    async def test_a_head_that_continues_with_another_response_is_broken(self):
+        """Guards against a cut head that gets the length and body of another."""
+        for name, data in MERGED_HEADS.items():
+            with self.subTest(name):
+                (event,) = await self.exchange(data)
+                self.assertIs(event.at, BrokenAt.SENT)
+
     async def test_conflicting_lengths_break_the_response(self):
         for name, data in CONFLICTING_LENGTHS.items():
             with self.subTest(name):
