HTTP/1.1 client: responses to HEAD and switches of protocol end

The response to a HEAD request with a Content-Length waited for a body that never comes: until the replica closed, or the deadline, and then counted as broken (502 or 504 for the caller). The parser does not know the request's method. The client now ends such a response at its head, and the connection can be reused.

A 101 response raised out of the protocol's callback: asyncio logged a traceback and closed the connection. It is now a broken response with a reason of its own.

Before: HEAD gave Head, Broken; 101 gave "connection lost: 51" and the traceback.

--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -283,6 +283,8 @@
             self._parser.feed_data(data)
         except httptools.HttpParserError as error:
             self._fail(f"not HTTP: {error}")
+        except httptools.HttpParserUpgrade:
+            self._fail("response switches to another protocol")
         if self._framing_bytes > MAX_HEAD_BYTES:
             self._check_framing()
 
@@ -345,6 +347,9 @@
             return
         self._keep_alive_s = _keep_alive_s(head.get("keep-alive"))
         self._add_event(head)
+        if self._method == "HEAD":
+            # The parser does not know the method, and may wait for a body.
+            self._complete(reusable=self._parser.should_keep_alive())
 
     def on_body(self, data: bytes) -> None:
         if not self._is_busy:
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -3,7 +3,7 @@
 import unittest
 
 from fireflyward.clock import Clock
-from fireflyward.http1 import BodyPart, Broken, BrokenAt, ConnectionPool, End
+from fireflyward.http1 import BodyPart, Broken, BrokenAt, ConnectionPool, End, Head
 
 from .cut_responses import (
     CONFLICTING_LENGTHS,
@@ -64,6 +64,11 @@
                 events = await self.exchange(data)
                 self.assertIsInstance(events[-1], Broken)
 
+    async def test_a_switch_to_another_protocol_is_broken(self):
+        data = b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nab"
+        (event,) = await self.exchange(data)
+        self.assertEqual(event.detail, "response switches to another protocol")
+
     async def test_bytes_beyond_the_length_are_not_delivered(self):
         data = b"HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nab"
         events = await self.exchange(data)
@@ -74,3 +79,6 @@
         for status in (204, 304):
             events = await self.exchange(b"HTTP/1.1 %d X\r\n\r\n" % status)
             self.assertEqual(events[1:], [End()])
+        data = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+        events = await self.exchange(data, method="HEAD")
+        self.assertEqual([type(event) for event in events], [Head, End])
