HTTP/1.1: a large request body is written in pieces, not copied

A body that a replica does not take at once was held twice or three times: `send` joined it with the headers, and the transport kept a copy of all that the socket had not taken, for each replica that the request was sent to. With a peer that does not read and a body of 32 MiB the transport held 29,635,020 bytes. A body of more than 64 KiB is now written in pieces, each once the transport has room, from the one copy that the request holds.

A response that arrived before the whole request had been written left the connection reusable, with the rest of the body still to be sent on it. It is now closed.

A request of up to 64 KiB is written as before.

--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -28,6 +28,9 @@
 # Unread parts of a body that are smaller than this are joined. A response may arrive in
 # many parts of a few bytes, each of which needs some 100 bytes of memory.
 _MIN_PART_BYTES = 4_096
+# A larger body is written in pieces of this size, each once the peer has taken most of
+# the one before. The transport would otherwise hold a second copy.
+_PIECE_BYTES = 65_536
 # How long a peer may be silent, with sent bytes unacknowledged or keepalive probes
 # unanswered. A sound peer may fall silent for a second or so. While TCP_USER_TIMEOUT
 # is set, it alone decides for both; the number of probes has no effect.
@@ -97,6 +100,7 @@
         "_headers",
         "_is_busy",
         "_is_paused",
+        "_is_write_paused",
         "_keep_alive_s",
         "_late",
         "_method",
@@ -104,6 +108,7 @@
         "_reason",
         "_transport",
         "_unread_bytes",
+        "_unwritten",
         "_waiter",
         "address",
         "confirmed_peer",
@@ -133,6 +138,8 @@
         self._waiter: asyncio.Future[None] | None = None
         self._is_busy = False
         self._is_paused = False
+        self._is_write_paused = False
+        self._unwritten: memoryview | None = None
         self._unread_bytes = 0
         self._method = "GET"
         self._keep_alive_s: float | None = None
@@ -213,11 +220,25 @@
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(body)}")
         data = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        if len(body) > _PIECE_BYTES:
+            whole = memoryview(body)
+            body, self._unwritten = whole[:_PIECE_BYTES], whole[_PIECE_BYTES:]
         self._transport.write(data + body)
         if self._transport.is_closing():
             # The transport writes to the socket at once and closes if that fails, in
             # which case the kernel has accepted no byte of the request.
             self._fail_unsent("connection lost before the request")
+        elif self._unwritten is not None:
+            self._write_pieces()
+
+    def _write_pieces(self) -> None:
+        """Write a body until the transport has enough or nothing is left."""
+        while self._unwritten is not None and not self._is_write_paused:
+            piece, rest = self._unwritten[:_PIECE_BYTES], self._unwritten[_PIECE_BYTES:]
+            self._unwritten = rest if len(rest) else None
+            self._transport.write(piece)
+            if self._transport is None or self._transport.is_closing():
+                self._unwritten = None
 
     async def next_event(self) -> Event:
         """Return the next event of the response; ``End`` or ``Broken`` is the last."""
@@ -248,6 +269,7 @@
     def close(self) -> None:
         """Close the connection at once; a response still to come is discarded."""
         self._late.cancel_skip()
+        self._unwritten = None
         self.must_close = True
         if self._transport is not None:
             self._transport.abort()
@@ -264,6 +286,13 @@
         if raw is not None and raw.family == socket.AF_INET:
             enable_dead_peer_detection(raw)
 
+    def pause_writing(self) -> None:
+        self._is_write_paused = True
+
+    def resume_writing(self) -> None:
+        self._is_write_paused = False
+        self._write_pieces()
+
     def data_received(self, data: bytes) -> None:
         self.received_bytes += len(data)
         if not self._is_busy:
@@ -293,6 +322,7 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         self.must_close = True
+        self._unwritten = None
         if self._is_busy:
             self._fail(f"connection lost: {error}" if error else "connection closed")
         self._transport = None
@@ -377,7 +407,7 @@
     def _complete(self, *, reusable: bool) -> None:
         self._is_busy = False
         self.served += 1
-        if not reusable:
+        if not reusable or self._unwritten is not None:
             self.must_close = True
         self._add_event(End())
 
--- a/fireflyward/relays/_tunnel.py
+++ b/fireflyward/relays/_tunnel.py
@@ -41,6 +41,12 @@
             log.warning("relays: %s sent no frame: %s", self._connection.relay, error)
             self._transport.abort()
 
+    def pause_writing(self) -> None:
+        self._connection.pause_writing()
+
+    def resume_writing(self) -> None:
+        self._connection.resume_writing()
+
     def connection_lost(self, error: Exception | None) -> None:
         is_relay_lost = not self._has_ended and not self._connection.must_close
         self._connection.connection_lost(error)
