Callers: one account for the memory of requests and responses

Callers saw their connections close without an answer: the platform kills a process that exceeds memory-mb, and nothing bounded the bodies of all callers together. `_read_body` collected each in parts and joined them, and a large response was copied when it was complete and again into the transport of a caller that reads slowly, uncounted.

`http1.ReadMemory` now counts both. A request reserves its declared size, or the largest one as soon as a body of unknown size is no longer small, before it is read. Without room it is rejected with 503 and Retry-After, and has certainly not run. Bodies of more than 64 KiB may use three quarters of the share of requests, so small requests have room beside any number of uploads. A request in flight counts 32 KiB beside its body. A response counts until its caller has taken it; as before the largest one gives way. Both bodies are held once. The share of requests is half of what memory-mb leaves to the process, and that of responses an eighth of memory-mb, as before.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -11,7 +11,13 @@
 from fireflyward.clock import Clock, TimedOut, within_ms
 from fireflyward.deployment import Limits
 from fireflyward.forwarding import Forwarder, Trace
-from fireflyward.http1 import Head, has_queued_request
+from fireflyward.http1 import (
+    SMALL_REQUEST_BYTES,
+    Head,
+    ReadMemory,
+    RequestMemory,
+    has_queued_request,
+)
 from fireflyward.observe import PER_REQUEST, PROOF, Metrics
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.platform import (
@@ -39,6 +45,11 @@
 # After a fault of the node that hit a request before it was sent to any replica.
 _RETRY_AFTER_MS = 300
 _BODY_TIMEOUT_MS = 10_000
+# The HTTP library buffers up to twice this before it stops reading a connection.
+_READ_BUFFER_BYTES = 65_536
+# A larger response is written in pieces of this size, each once the caller has taken
+# most of the one before. The transport would otherwise hold a second copy.
+_PIECE_BYTES = 65_536
 _DRAIN_POLL_MS = 20
 # The share of the time for a drain in which requests are still taken whose headers had
 # arrived in part when it began. Later ones could be cut by its end.
@@ -66,7 +77,20 @@
         self._request = request
         self.response: StreamResponse | None = None
 
-    async def send_response(self, head: Head, body: bytes) -> None:
+    @property
+    def address(self) -> str:
+        """Return the caller's address, for the log."""
+        return str(self._request.remote)
+
+    def close(self) -> None:
+        """Break the caller's connection."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def send_response(self, head: Head, body: bytes | bytearray) -> None:
+        if len(body) > _PIECE_BYTES:
+            await self._send_large(head, body)
+            return
         response = Response(
             status=head.status,
             reason=head.reason,
@@ -76,6 +100,21 @@
         self.response = response
         await self._server.send(self._request, response)
 
+    async def _send_large(self, head: Head, body: bytes | bytearray) -> None:
+        self.response = response = StreamResponse(
+            status=head.status,
+            reason=head.reason,
+            headers=CIMultiDict(response_headers(head)),
+        )
+        response.content_length = len(body)
+        with self._server.memory.writing(self, body):
+            self._server.close_if_stopping(self._request, response)
+            await response.prepare(self._request)
+            whole = memoryview(body)
+            for first in range(0, len(whole), _PIECE_BYTES):
+                await response.write(whole[first : first + _PIECE_BYTES])
+            await response.write_eof()
+
     async def begin_stream(self, head: Head) -> None:
         self.response = StreamResponse(
             status=head.status,
@@ -113,8 +152,13 @@
         gate: StartGate,
         accept_limit: AcceptLimit,
         loads: Callable[[], NodeLoads],
+        memory: ReadMemory | None = None,
     ) -> None:
-        """``loads`` returns the requests in flight here and at other nodes."""
+        """``loads`` returns the requests in flight here and at other nodes.
+
+        ``memory`` bounds the bodies of requests and of responses.
+        """
+        self.memory = memory or ReadMemory()
         self._accept_limit = accept_limit
         self._loads = loads
         self._clock = clock
@@ -130,6 +174,7 @@
             max_line_size=_MAX_LINE_BYTES,
             max_field_size=_MAX_LINE_BYTES,
             keepalive_timeout=_KEEP_ALIVE_S,
+            read_bufsize=_READ_BUFFER_BYTES,
             auto_decompress=False,
         )
         self._listener: asyncio.Server | None = None
@@ -276,7 +321,22 @@
             return _stopping()
         if _header_bytes(request) > self._limits.max_header_bytes:
             return NotRun(Reason.HEADERS_TOO_LARGE, "headers exceed the limit")
-        body = await self._read_body(request)
+        with self.memory.request() as memory:
+            return await self._serve_body(
+                request, caller, reply, arrived_ms, trace, memory
+            )
+
+    async def _serve_body(
+        self,
+        request: BaseRequest,
+        caller: CallerRequest,
+        reply: _AiohttpReply,
+        arrived_ms: int,
+        trace: Trace,
+        memory: RequestMemory,
+    ) -> Outcome:
+        """Read the body and forward the request, within ``memory``."""
+        body = await self._read_body(request, memory)
         if isinstance(body, NotRun):
             return body
         if self._reading_ends.is_set():
@@ -326,19 +386,26 @@
         configuration = self._routes.configuration
         return configuration.limits if configuration else Limits()
 
-    async def _read_body(self, request: BaseRequest) -> bytes | NotRun:
-        limit = self._limits.max_body_bytes
+    async def _read_body(
+        self, request: BaseRequest, memory: RequestMemory
+    ) -> bytes | bytearray | NotRun:
+        limit = min(self._limits.max_body_bytes, self.memory.largest_request_bytes)
+        declared = request.content_length or 0
+        if declared > limit:
+            return NotRun(Reason.TOO_LARGE, "body exceeds the limit")
+        if not memory.has_room_for(declared):
+            return _no_memory()
         if not request.body_exists:
             return b""
-        if (request.content_length or 0) > limit:
-            return NotRun(Reason.TOO_LARGE, "body exceeds the limit")
         if request.headers.get("Expect", "").lower() == "100-continue":
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if request.content.is_eof():
-            read = await _read_up_to(request, limit)
+            read = await _read_up_to(request, limit, memory)
         else:
             read = await within_ms(
-                self._clock, _BODY_TIMEOUT_MS, self._read_until_stop(request, limit)
+                self._clock,
+                _BODY_TIMEOUT_MS,
+                self._read_until_stop(request, limit, memory),
             )
         if isinstance(read, TimedOut):
             return NotRun(Reason.BODY_TIMEOUT, "body did not arrive in time")
@@ -349,10 +416,10 @@
         return read
 
     async def _read_until_stop(
-        self, request: BaseRequest, limit: int
-    ) -> bytes | NotRun:
+        self, request: BaseRequest, limit: int, memory: RequestMemory
+    ) -> bytes | bytearray | NotRun:
         """Return a body that is still arriving, unless this process must stop first."""
-        reading = asyncio.ensure_future(_read_up_to(request, limit))
+        reading = asyncio.ensure_future(_read_up_to(request, limit, memory))
         stopping = asyncio.ensure_future(self._reading_ends.wait())
         try:
             await asyncio.wait({reading, stopping}, return_when=asyncio.FIRST_COMPLETED)
@@ -419,6 +486,14 @@
     )
 
 
+def _no_memory() -> NotRun:
+    return NotRun(
+        Reason.OVERLOADED,
+        "this node has no memory for the request",
+        retry_after_ms=_RETRY_AFTER_MS,
+    )
+
+
 def address_of(listener: asyncio.Server) -> str:
     """Return the ``IP:PORT`` of a listener."""
     host, port = listener.sockets[0].getsockname()[:2]
@@ -432,11 +507,31 @@
     return line + fields + _HEADER_OVERHEAD_BYTES * len(request.raw_headers)
 
 
-async def _read_up_to(request: BaseRequest, limit: int) -> bytes:
-    parts, size = [], 0
-    async for part in request.content.iter_any():
-        parts.append(part)
+async def _read_up_to(
+    request: BaseRequest, limit: int, memory: RequestMemory
+) -> bytes | bytearray | NotRun:
+    """Return the body, or the beginning of one that exceeds ``limit``."""
+    first = await request.content.readany()
+    if request.content.at_eof() or not first:
+        return first
+    if request.content_length is not None:
+        return await _read_declared(request, first)
+    body = bytearray(first)
+    while len(body) <= limit and (part := await request.content.readany()):
+        body += part
+        # Several bodies that grow together would otherwise all run out of memory.
+        reserved = len(body) if len(body) <= SMALL_REQUEST_BYTES else limit
+        if not memory.has_room_for(reserved):
+            return _no_memory()
+    return body
+
+
+async def _read_declared(request: BaseRequest, first: bytes) -> bytearray:
+    """Return a body of a known size, whose parts are put into their places."""
+    body = bytearray(request.content_length)
+    size = len(first)
+    body[:size] = first
+    while part := await request.content.readany():
+        memoryview(body)[size : size + len(part)] = part
         size += len(part)
-        if size > limit:
-            break
-    return b"".join(parts)
+    return body
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -49,8 +49,12 @@
 _BALANCER_NOTICE_MS = 2_600
 # The part of the grace period that is reserved for the last writes.
 _EXIT_MARGIN_MS = 500
-# An eighth of the memory is for bodies that are being read. A body is copied once when
-# it is complete and once when it is written to a caller.
+# What the process itself uses, with the tables of a large fleet. Half of the remaining
+# memory is for requests with their bodies, an eighth of the whole is for responses, and
+# the rest for idle connections and what the allocator does not give back.
+_OWN_MB = 56
+_REQUEST_BYTES_PER_MB = 1 << 19
+_MIN_REQUEST_BYTES = 8 << 20
 _READ_BYTES_PER_MB = 1 << 17
 _SOFTWARE_DUTY = "software"
 _METRICS_PORT_OFFSET = 1
@@ -75,7 +79,11 @@
         self._created_ms = clock.now_ms()
         self._standstills = Standstills(clock=clock)
         memory = ReadMemory(
-            max_bytes=max(MAX_BODY_BYTES, _READ_BYTES_PER_MB * settings.memory_mb)
+            max_bytes=max(MAX_BODY_BYTES, _READ_BYTES_PER_MB * settings.memory_mb),
+            max_request_bytes=max(
+                _MIN_REQUEST_BYTES,
+                _REQUEST_BYTES_PER_MB * (settings.memory_mb - _OWN_MB),
+            ),
         )
         self._memory_watch = MemoryWatch(settings.memory_mb, clock=clock)
         self._pool = ConnectionPool(clock, memory=memory)
@@ -141,6 +149,7 @@
             gate=self._gate,
             accept_limit=AcceptLimit(max_descriptors=settings.max_descriptors),
             loads=self._replica_components.node_loads,
+            memory=memory,
         )
         operators = OperatorView(
             clock=clock,
@@ -440,6 +449,9 @@
             "connections_refused_total": self._pool.refused,
             "connections_timed_out_total": self._pool.timed_out,
             "bodies_given_up_total": self._pool.memory.given_up,
+            "request_memory_bytes": self._pool.memory.request_bytes,
+            "response_memory_bytes": self._pool.memory.used_bytes,
+            "requests_without_memory_total": self._pool.memory.refused_requests,
             **self._replica_components.gauges(),
             **link_gauges(self._joining.link),
         }
--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -52,7 +52,7 @@
 class Reply(Protocol):
     """Writes the response to the caller."""
 
-    async def send_response(self, head: Head, body: bytes) -> None: ...
+    async def send_response(self, head: Head, body: bytes | bytearray) -> None: ...
 
     async def begin_stream(self, head: Head) -> None: ...
 
@@ -237,7 +237,7 @@
         )
         if isinstance(body, BodyTooLarge):
             return self._fail(body.detail)
-        if not isinstance(body, bytes):
+        if not isinstance(body, bytes | bytearray):
             return self._on_incomplete(body)
         if facts.was_not_run:
             detail = f"status {head.status}, {self._connection.label}"
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -87,7 +87,7 @@
     """A complete answer that has not been sent to the caller yet."""
 
     head: Head
-    body: bytes
+    body: bytes | bytearray
 
     @property
     def is_forwardable(self) -> bool:
--- a/fireflyward/http1/__init__.py
+++ b/fireflyward/http1/__init__.py
@@ -7,7 +7,7 @@
 far the request got.
 """
 
-from ._body import MAX_BODY_BYTES, BodyTooLarge, ReadMemory, read_body
+from ._body import BodyTooLarge, read_body
 from ._connection import (
     MAX_HEAD_BYTES,
     BodyPart,
@@ -19,6 +19,7 @@
 )
 from ._full_response import FullResponse, NoResponse, read_full_response
 from ._head import Head
+from ._memory import MAX_BODY_BYTES, SMALL_REQUEST_BYTES, ReadMemory, RequestMemory
 from ._pool import MAX_IDLE_MS, ConnectionPool, ConnectionUse, NotConnected
 from ._queued import has_queued_request
 
@@ -26,6 +27,7 @@
     "MAX_BODY_BYTES",
     "MAX_HEAD_BYTES",
     "MAX_IDLE_MS",
+    "SMALL_REQUEST_BYTES",
     "BodyPart",
     "BodyTooLarge",
     "Broken",
@@ -38,6 +40,7 @@
     "NoResponse",
     "NotConnected",
     "ReadMemory",
+    "RequestMemory",
     "FullResponse",
     "enable_dead_peer_detection",
     "has_queued_request",
--- a/fireflyward/http1/_full_response.py
+++ b/fireflyward/http1/_full_response.py
@@ -4,9 +4,10 @@
 
 from fireflyward.clock import Clock
 
-from ._body import BodyTooLarge, ReadMemory, read_body
+from ._body import BodyTooLarge, read_body
 from ._connection import Broken, Event, HttpConnection
 from ._head import Head
+from ._memory import ReadMemory
 
 
 @dataclass(frozen=True, slots=True)
@@ -14,7 +15,7 @@
     """A response with its complete body; header names are in lower case."""
 
     status: int
-    body: bytes
+    body: bytes | bytearray
     headers: tuple[tuple[str, str], ...] = ()
 
 
@@ -48,7 +49,7 @@
         found = await read_body(
             connection, head, next_event, memory=memory, max_bytes=max_bytes
         )
-        if isinstance(found, bytes):
+        if isinstance(found, bytes | bytearray):
             return FullResponse(head.status, found, head.headers)
     connection.close()
     if isinstance(found, Broken | BodyTooLarge):
--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -7,8 +7,8 @@
 
 from fireflyward.clock import Clock
 
-from ._body import ReadMemory
 from ._connection import HttpConnection
+from ._memory import ReadMemory
 
 # A connection that was idle for longer is not reused. A non-idempotent request fails if
 # the peer closes the connection just as the request is sent. A peer may announce a
--- a/tests/http1/test_memory.py
+++ b/tests/http1/test_memory.py
@@ -1,9 +1,11 @@
-"""The memory that a connection uses for the body of a request."""
+"""The memory that the bodies of requests and responses use."""
 
 import asyncio
+import contextlib
+import itertools
 import unittest
 
-from fireflyward.http1 import End, Head, HttpConnection
+from fireflyward.http1 import End, Head, HttpConnection, ReadMemory
 
 # What a transport holds while its peer does not read: its high-water mark and a write.
 _MAX_WRITE_BUFFER_BYTES = 256 << 10
@@ -63,3 +65,66 @@
         self.assertEqual((await connection.next_event()).status, 413)
         self.assertIsInstance(await connection.next_event(), End)
         self.assertFalse(connection.is_usable)
+
+
+class RequestMemoryTests(unittest.TestCase):
+    def setUp(self):
+        self.memory = ReadMemory(max_request_bytes=16 << 20)
+
+    def fill(self, stack, body_bytes):
+        """Admit requests of a size until one has no room; return their number."""
+        for count in itertools.count():
+            if not stack.enter_context(self.memory.request()).has_room_for(body_bytes):
+                return count
+
+    def test_small_bodies_have_room_beside_large_ones(self):
+        """Guards against uploads that keep a node from all other requests."""
+        with contextlib.ExitStack() as stack:
+            self.assertEqual(self.fill(stack, 4 << 20), 2)
+            self.assertGreater(self.fill(stack, 12_000), 100)
+            self.assertLessEqual(self.memory.request_bytes, 16 << 20)
+        self.assertEqual(self.memory.request_bytes, 0)
+
+    def test_small_bodies_do_not_exceed_the_memory_either(self):
+        with contextlib.ExitStack() as stack:
+            self.fill(stack, 0)
+            self.assertLessEqual(self.memory.request_bytes, 16 << 20)
+        self.assertEqual(self.memory.refused_requests, 1)
+
+    def test_a_request_that_fails_gives_its_memory_back(self):
+        with self.assertRaises(ConnectionError):
+            with self.memory.request() as request:
+                self.assertTrue(request.has_room_for(1_000))
+                self.assertTrue(request.has_room_for(900_000))
+                self.assertGreater(self.memory.request_bytes, 900_000)
+                raise ConnectionError
+        self.assertEqual(self.memory.request_bytes, 0)
+
+    def test_the_largest_body_has_room_in_an_idle_process(self):
+        largest = self.memory.largest_request_bytes
+        with self.memory.request() as request:
+            self.assertTrue(request.has_room_for(largest))
+            self.assertFalse(request.has_room_for(largest + 1))
+
+
+class _Caller:
+    address = "caller"
+    closed = False
+
+    def close(self):
+        self.closed = True
+
+
+class ResponseMemoryTests(unittest.TestCase):
+    def test_the_largest_response_that_is_not_taken_is_given_up(self):
+        """Guards against callers that do not read and hold a node's memory."""
+        memory = ReadMemory(max_bytes=100)
+        slow, other = _Caller(), _Caller()
+        with memory.writing(slow, b"x" * 60), memory.writing(other, b"x" * 30):
+            body = memory.begin(HttpConnection("a"))
+            with self.assertLogs("fireflyward.http1", "WARNING"):
+                self.assertTrue(memory.add(body, b"x" * 20))
+            self.assertEqual((slow.closed, other.closed), (True, False))
+            self.assertEqual(memory.used_bytes, 50)
+            memory.end(body)
+        self.assertEqual(memory.used_bytes, 0)
--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -77,7 +77,8 @@
     answer. Rejections that request a backoff have ``retry_after`` as Retry-After.
     ``load_report`` is the report of its load, if any, and ``pause_factor`` prolongs the
     pauses of its streams. A prompt with the part ``crashing_part`` crashes the replica
-    when its answer would begin. The events of a stream name ``software``.
+    when its answer would begin. The events of a stream name ``software``. A plain
+    answer has ``plain_body``, if that is not empty.
 
     With ``repeats_rejections`` a second copy of each rejection precedes the next
     response on its connection. ``unnamed_rejections`` is the number of requests before
@@ -111,6 +112,7 @@
         self.crashing_part = None
         self.crashed_by_part = False
         self.loading_s = 0.0
+        self.plain_body = b""
         self.rejection_status = 503
         self.repeats_rejections = False
         self.unnamed_rejections = 0
@@ -215,7 +217,7 @@
             self._copy_by_writer[writer] = rejection
 
     async def _plain(self, request, writer, behavior, own_headers):
-        body = b"answer of " + self.incarnation.encode()
+        body = self.plain_body or b"answer of " + self.incarnation.encode()
         if behavior is ReplicaBehavior.SILENT:
             await request.wait_for_disconnect()
             self.disconnected_callers += 1
