Nodes: a row of no node closes no datagram socket and ends no task

A row in the table of nodes whose port is out of range, or whose address holds a NUL or a label of 300 characters, closed the UDP socket of every node for good: asyncio answers any error of sendto() but an OSError by closing the transport. From then on every send raised AttributeError, and the tasks 'presence', 'lease' and others failed again and again; loads, limits and leases were told to nobody. A host name cost a look-up on the event loop for each datagram. A deeply nested row raised RecursionError, which is no MsgspecError, and the task that follows the table failed again and again.

A node's row is now decoded into an IPv4 address, a port of 1 to 65535 and a bounded figure, by the same decoder as the platform's rows. Addresses also arrive in messages of other nodes (questions about streams and presence), so the link itself leaves out what a socket does not take, counts it, and sends to the addresses after it.

--- a/fireflyward/decoding/__init__.py
+++ b/fireflyward/decoding/__init__.py
@@ -1,7 +1,40 @@
 """Decoding of bytes from other writers into bounded types, without exceptions."""
 
-from ._addresses import ReplicaAddress
+from ._addresses import IPv4, ListenAddress, PeerPort, ReplicaAddress
 from ._json import decode_json
-from ._numbers import NonNegativeNumber, to_int
+from ._numbers import (
+    MAX_INT32,
+    MAX_INT64,
+    Count,
+    Int32Count,
+    Int64,
+    NonNegativeNumber,
+    Port,
+    SmallNumber,
+    decimal,
+    to_int,
+    whole_number,
+)
+from ._texts import HeaderText, Name, is_header_text
 
-__all__ = ["NonNegativeNumber", "ReplicaAddress", "decode_json", "to_int"]
+__all__ = [
+    "MAX_INT32",
+    "MAX_INT64",
+    "Count",
+    "HeaderText",
+    "IPv4",
+    "Int32Count",
+    "Int64",
+    "ListenAddress",
+    "Name",
+    "NonNegativeNumber",
+    "PeerPort",
+    "Port",
+    "ReplicaAddress",
+    "SmallNumber",
+    "decimal",
+    "decode_json",
+    "is_header_text",
+    "to_int",
+    "whole_number",
+]
--- a/fireflyward/decoding/_addresses.py
+++ b/fireflyward/decoding/_addresses.py
@@ -13,6 +13,11 @@
 # No host has an address of these: this network, multicast and broadcast.
 _NOT_A_HOST = r"(0\.|22[4-9]\.|23[0-9]\.|255\.255\.255\.255:)"
 
+# The port of a node's link to the others.
+PeerPort = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+IPv4 = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}\Z")]
+# Port 0 has the kernel choose one.
+ListenAddress = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}:(0|{_PORT})\Z")]
 ReplicaAddress = Annotated[
     str, msgspec.Meta(pattern=rf"\A(?!{_NOT_A_HOST}){_IP}:{_PORT}\Z")
 ]
--- a/fireflyward/fleet/_peers.py
+++ b/fireflyward/fleet/_peers.py
@@ -7,6 +7,7 @@
 
 from fireflyward.aggregators import Member
 from fireflyward.backing import Committed, Position
+from fireflyward.decoding import IPv4, Name, NonNegativeNumber, PeerPort, decode_json
 from fireflyward.feeds import TableRow, TableUpdate
 from fireflyward.platform import StoreClient
 from fireflyward.rendezvous import rendezvous_rank
@@ -40,10 +41,10 @@
 class NodeRow(msgspec.Struct, frozen=True):
     """A node's own row: its address, its failure domain and its link's bandwidth."""
 
-    ip: str
-    port: int
-    failure_domain: str
-    link_mbps: float
+    ip: IPv4
+    port: PeerPort
+    failure_domain: Name
+    link_mbps: NonNegativeNumber
 
 
 class NodeRegistry:
@@ -246,11 +247,12 @@
         self._row_by_name.pop(name, None)
         if row.is_deleted:
             return
-        try:
-            self._row_by_name[name] = msgspec.json.decode(row.value, type=NodeRow)
-        except msgspec.MsgspecError as error:
+        decoded = decode_json(row.value, NodeRow)
+        if decoded is None:
             # Another writer wrote this row. The other rows are still used.
-            log.error("peers: row %s cannot be decoded: %s", row.key, error)
+            log.error("peers: row %s cannot be decoded", row.key)
+            return
+        self._row_by_name[name] = decoded
 
     def _apply_key(self, row: TableRow) -> None:
         if len(row.value) == _KEY_BYTES:
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -1,6 +1,7 @@
 """The sockets between nodes: UDP for small messages, TCP for calls with a reply."""
 
 import asyncio
+import functools
 import itertools
 import logging
 from collections import Counter
@@ -32,6 +33,7 @@
 # caller has timed out. The default of 100 caused 1,437 timeouts in 40 s at 35 nodes.
 _BACKLOG = 1_024
 _MAX_DATAGRAM_TASKS = 256
+_MAX_PORT = 65_535
 _BEHIND = "peers.behind"
 _REPLY = "reply"
 
@@ -161,6 +163,9 @@
         if self._datagram_transport is None:
             return False
         for address in addresses:
+            if not _is_sendable(address):
+                self._count_dropped("datagrams to invalid addresses")
+                continue
             self._datagram_transport.sendto(frame, address)
             self.bytes_sent += len(frame)
         return True
@@ -200,6 +205,8 @@
 
         The handler of ``kind`` returns a ``StreamReply``.
         """
+        if not _is_sendable(address):
+            return CallFailed(f"invalid address {address}")
         try:
             async with asyncio.timeout(timeout_s):
                 opened = await self._open_stream(address, kind, message)
@@ -398,3 +405,20 @@
         if task:
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
+
+
+@functools.lru_cache(maxsize=1_024)
+def _is_sendable(address: Address) -> bool:
+    """Return whether a socket takes an address.
+
+    asyncio closes a datagram socket for good after any error but an ``OSError``.
+
+    >>> _is_sendable(("10.0.0.1", 80)), _is_sendable(("10.0.0.1", 70_000))
+    (True, False)
+    """
+    host, port = address
+    try:
+        host.encode("idna")
+    except UnicodeError:
+        return False
+    return bool(host) and "\0" not in host and 0 < port <= _MAX_PORT
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -106,6 +106,26 @@
         self.assertFalse(peer.send(self.server.address, "k", long))
         self.assertEqual(peer.dropped["oversized datagrams of kind k"], 1)
 
+    async def test_an_invalid_address_closes_no_socket(self):
+        """Guards against a node whose datagram socket is closed for good."""
+        peer = await self.start("entry-2")
+        invalid = [
+            ("127.0.0.1", 70_000),
+            ("127.0.0.1", 0),
+            ("127.0.0.1", -1),
+            ("a\0b", 80),
+            ("h" * 300, 80),
+            ("..", 80),
+            ("", 80),
+        ]
+        peer.send_all([*invalid, self.server.address], "k", MESSAGE)
+        await self.wait_until(lambda: self.received_senders)
+        self.assertEqual(peer.dropped["datagrams to invalid addresses"], len(invalid))
+        for address in invalid:
+            answer = await peer.call(address, "k", MESSAGE, Envelope)
+            self.assertIsInstance(answer, CallFailed)
+        self.assertEqual(await self.call(peer), MESSAGE)
+
     async def test_nothing_is_sent_after_the_link_has_stopped(self):
         """Guards against a traceback in the log of a node that stops as planned.
 
