Rows of nodes: every kind is decoded without exceptions, within bounds

A deeply nested row under suspect/, poison/, poison-suspect/, replaced/, software/ or of a lease raised RecursionError in the task that follows the table (the list of nodes stood still) or in the lease's. Part numbers beyond 64 bits were taken from keys and failed later, when a message with them was packed; a key such as poison/01f stood for the row poison/1f, whose writes then could never succeed. Numbers of replacement and lease rows had no bound.

All these rows go through decode_json and bounded types now. A lease whose row cannot be decoded counts as held, as before.

--- a/fireflyward/leases/_lease.py
+++ b/fireflyward/leases/_lease.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from fireflyward.backing import Committed, Missing, Position, Row, Unavailable
+from fireflyward.decoding import decode_json
 
 from ._messages import (
     Action,
@@ -335,12 +336,12 @@
 def _parse(result: Row | Missing) -> LeaseRow | None:
     if isinstance(result, Missing):
         return None
-    try:
-        return msgspec.json.decode(result.value, type=LeaseRow)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        # A foreign program wrote the row. The holder may still assume for the length of
-        # a lease that it holds it, so the lease counts as held. The row's version
-        # serves as the fencing number: every write increased it, so no holder can have
-        # had a higher number.
-        log.error("leases: the row %s could not be decoded", result.key)
-        return LeaseRow("", "", result.version, era=result.era)
+    row = decode_json(result.value, LeaseRow)
+    if row is not None:
+        return row
+    # A foreign program wrote the row. The holder may still assume for the length of a
+    # lease that it holds it, so the lease counts as held. The row's version serves as
+    # the fencing number: every write increased it, so no holder can have had a higher
+    # number.
+    log.error("leases: the row %s could not be decoded", result.key)
+    return LeaseRow("", "", result.version, era=result.era)
--- a/fireflyward/leases/_messages.py
+++ b/fireflyward/leases/_messages.py
@@ -13,6 +13,7 @@
     Unavailable,
     Uncertain,
 )
+from fireflyward.decoding import Count
 from fireflyward.steps import Step
 
 
@@ -41,10 +42,10 @@
 
     holder: str
     claim: str
-    fencing: int
-    beat: int = 0
+    fencing: Count
+    beat: Count = 0
     released: bool = False
-    era: int = 0
+    era: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/poison/_rows.py
+++ b/fireflyward/poison/_rows.py
@@ -7,6 +7,7 @@
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock
+from fireflyward.decoding import decode_json
 from fireflyward.feeds import TableRow, TableUpdate
 from fireflyward.platform import StoreClient
 
@@ -130,10 +131,9 @@
         self._position_by_part[part] = row.position
         if row.is_restored:
             return
-        try:
-            stored = msgspec.json.decode(row.value, type=HeldPartRow)
-        except msgspec.MsgspecError as error:
-            log.error("poison: row %s cannot be decoded: %s", row.key, error)
+        stored = decode_json(row.value, HeldPartRow)
+        if stored is None:
+            log.error("poison: row %s cannot be decoded", row.key)
             return
         self._held.hold(
             self._clock.now_ms(),
--- a/fireflyward/poison/_suspect_rows.py
+++ b/fireflyward/poison/_suspect_rows.py
@@ -1,18 +1,21 @@
 """Parts with two crashes or more as rows of a table that all nodes follow."""
 
 import logging
+import re
 from typing import Annotated
 
 import msgspec
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock
+from fireflyward.decoding import MAX_INT64, decode_json
 from fireflyward.feeds import TableUpdate
 from fireflyward.platform import StoreClient
 
 log = logging.getLogger("fireflyward.poison")
 
 _PREFIX = "poison-suspect/"
+_PART = re.compile(r"0|-?[1-9a-f][0-9a-f]{0,15}")
 # A replica's incarnation id, as messages between nodes encode it.
 _IncarnationId = Annotated[int, msgspec.Meta(ge=-(2**31), lt=2**31)]
 _MAX_ENDS = 16
@@ -68,10 +71,9 @@
             if row.is_deleted:
                 continue
             self._position_by_part[part] = row.position
-            try:
-                stored = msgspec.json.decode(row.value, type=SuspectPartRow)
-            except msgspec.MsgspecError as error:
-                log.error("poison: row %s cannot be decoded: %s", row.key, error)
+            stored = decode_json(row.value, SuspectPartRow)
+            if stored is None:
+                log.error("poison: row %s cannot be decoded", row.key)
                 continue
             self.ends[part] = frozenset(stored.ends)
             self.read_ms[part] = self._clock.now_ms()
@@ -127,10 +129,16 @@
 
     >>> part_of("poison/-1f", "poison/"), part_of("node/a", "poison/")
     (-31, None)
+
+    Messages carry a part in 64 bits, and each part has one key only.
+
+    >>> part_of("poison/" + "f" * 16, "poison/"), part_of("poison/01f", "poison/")
+    (None, None)
     """
     if not key.startswith(prefix):
         return None
-    try:
-        return int(key.removeprefix(prefix), 16)
-    except ValueError:
+    digits = key.removeprefix(prefix)
+    if not _PART.fullmatch(digits):
         return None
+    part = int(digits, 16)
+    return part if -MAX_INT64 - 1 <= part <= MAX_INT64 else None
--- a/fireflyward/quarantine/_rows.py
+++ b/fireflyward/quarantine/_rows.py
@@ -13,6 +13,7 @@
     Uncertain,
 )
 from fireflyward.clock import Clock
+from fireflyward.decoding import decode_json
 from fireflyward.feeds import TableRow, TableUpdate
 from fireflyward.platform import StoreClient
 
@@ -192,11 +193,10 @@
         if row.key == _TRIAL_KEY:
             self._trial_until_ms = now_ms + _TRIAL_MS
             return
-        try:
-            suspect = msgspec.json.decode(row.value, type=SuspectRow)
-        except msgspec.MsgspecError as error:
+        suspect = decode_json(row.value, SuspectRow)
+        if suspect is None:
             # An unreadable row is ignored; the other rows still take effect.
-            log.error("quarantine: row %s is not understood: %s", row.key, error)
+            log.error("quarantine: row %s is not understood", row.key)
             return
         self._suspects.on_row(now_ms, row.key.removeprefix(_SUSPECT_PREFIX), suspect)
 
--- a/fireflyward/replacements/_rows.py
+++ b/fireflyward/replacements/_rows.py
@@ -13,6 +13,7 @@
     Unavailable,
     Uncertain,
 )
+from fireflyward.decoding import Count, Int64, decode_json
 from fireflyward.feeds import Snapshot, TableRow, TableUpdate
 
 from ._history import VersionHistory
@@ -46,9 +47,9 @@
     ``last_newest_ms`` was the newest at its time, and has been replaced since.
     """
 
-    newest: int
-    confirmed_ms: int
-    last_newest_ms: dict[int, int]
+    newest: Count
+    confirmed_ms: Int64
+    last_newest_ms: dict[Count, Int64]
 
 
 class ReplacementRows:
@@ -90,10 +91,9 @@
         if row.is_deleted:
             del self._position_by_model[model]
             return
-        try:
-            decoded = msgspec.json.decode(row.value, type=ReplacementRow)
-        except msgspec.MsgspecError as error:
-            log.error("replacements: row %s cannot be decoded: %s", row.key, error)
+        decoded = decode_json(row.value, ReplacementRow)
+        if decoded is None:
+            log.error("replacements: row %s cannot be decoded", row.key)
             return
         self._row_by_model[model] = decoded
         self.use_evidence(model)
--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -8,6 +8,7 @@
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock, within_ms
+from fireflyward.decoding import Name, decode_json
 from fireflyward.feeds import TableUpdate
 from fireflyward.platform import StoreClient
 
@@ -39,7 +40,7 @@
 class SoftwareRow(msgspec.Struct, frozen=True):
     """The versions at which streams of a service may have begun."""
 
-    versions: tuple[str, ...]
+    versions: tuple[Name, ...]
 
 
 class SoftwareRows:
@@ -125,10 +126,9 @@
             if row.is_deleted:
                 versions_by_service.pop(service, None)
                 continue
-            try:
-                stored = msgspec.json.decode(row.value, type=SoftwareRow)
-            except msgspec.MsgspecError as error:
-                log.error("streams: row %s cannot be decoded: %s", row.key, error)
+            stored = decode_json(row.value, SoftwareRow)
+            if stored is None:
+                log.error("streams: row %s cannot be decoded", row.key)
                 continue
             versions_by_service[service] = frozenset(stored.versions)
             self._versions.on_told(now_ms, service, stored.versions)
