Forwarding: a success that ended right after its head is incomplete

A replica that stopped after the head of an answer with neither a length nor chunks closed its connection as one that had finished does.

Such a success (2xx) without a body, or a stream without an event, now counts as broken off: what may be repeated or resumed goes to another replica, the rest is answered 502, and a stream that had begun gets no end mark. A replica that has nothing to send says so with a length of 0 or a last chunk, and that is passed on as before; so are 204, and failures, whose status tells all. A stream is only begun with its first token, so one without an event that ends with its connection is hardly one that its replica finished. The price: a service that answers an empty 200 and marks no end gets 502.

--- a/fireflyward/forwarding/_exchange.py
+++ b/fireflyward/forwarding/_exchange.py
@@ -47,6 +47,7 @@
 _MAX_EVENTS = 100_000
 # Events that are passed on before other tasks run again.
 _EVENTS_AT_ONCE = 500
+_NO_BODY = "connection closed after the header"
 
 
 class Reply(Protocol):
@@ -239,6 +240,8 @@
             return self._fail(body.detail)
         if not isinstance(body, bytes):
             return self._on_incomplete(body)
+        if not body and self._ended_after_head(head):
+            return self._fail(_NO_BODY)
         if facts.was_not_run:
             detail = f"status {head.status}, {self._connection.label}"
             self._pool.release(self._connection)
@@ -246,6 +249,14 @@
         self._complete(failed=head.status >= 500)
         return WholeAnswer(head, body)
 
+    def _ended_after_head(self, head: Head) -> bool:
+        """Return whether a success with no body ended with its connection.
+
+        A replica that has nothing to send declares so; one that stopped after its head
+        leaves the same bytes as one that closes a response without a length.
+        """
+        return 200 <= head.status < 300 and self._connection.ends_response
+
     async def _forward_stream(self, head: Head) -> Streamed | Failed | Superseded:
         splitter = EventSplitter()
         last_part_ms: int | None = None
@@ -265,6 +276,8 @@
                 return self._give_up(problem)
         if splitter.incomplete_bytes:
             return self._fail("stream ended within an event")
+        if not splitter.events and self._ended_after_head(head):
+            return self._fail(_NO_BODY)
         if last_part_ms is None and not self._claim():
             return self._supersede()
         self._complete(failed=False)
