Streams: an old list does not decide where a stream began

What callers saw: a stream that began at v2 through one node broke, was taken up at a node that was cut off while v2 joined, and went on at v1.

Cause: without a record, and without the answers of other nodes, a node concluded 'only version' from its own list of replicas, however old that was. The stream may be younger than the list. A request without Resumes was decided by the list alone.

Fix: the conclusion needs knowledge that is not older than the request: either all holders answered and the list was confirmed within 3 s (what the feed does anyway), or the rows of software are read at the store, after the request came. Each version is stored before streams begin at it, and the store is linearizable, so such a read is never older than the stream. Reads are shared, and there is none while all holders answer and the node is in step. If the read fails all nodes are asked, and without a record the caller gets 503. Versions that are still stored count too.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -172,6 +172,7 @@
             on_written=streams.on_written,
             poll_soon=lambda: self._joining.poll_soon(),
         )
+        streams.read_stored = self._software_rows.read_now
         self._tables = SharedTables(
             self._store,
             clock=clock,
--- a/fireflyward/streams/_lookup.py
+++ b/fireflyward/streams/_lookup.py
@@ -16,13 +16,15 @@
     (True, 'v1', 'b')
 
     ``before_starts`` are the versions at which the nodes that answered may have begun
-    the stream before they started, None if one of them cannot say.
+    the stream before they started, None if one of them cannot say. ``is_single`` says
+    that without a record the stream can have begun at one version only.
     """
 
     __slots__ = (
         "_asked",
         "before_starts",
         "done",
+        "is_single",
         "software",
         "source",
         "versions",
@@ -31,6 +33,7 @@
     def __init__(self, asked: Iterable[str]) -> None:
         self._asked = set(asked)
         self.done = asyncio.Event()
+        self.is_single = False
         self.software: str | None = None
         self.source = ""
         self.versions: set[str] = set()
@@ -73,6 +76,11 @@
         """Return whether a node was asked and has not answered."""
         return node in self._asked
 
+    @property
+    def has_answers_of_all(self) -> bool:
+        """Return whether each node that was asked answered, and knows the service."""
+        return not self._asked and bool(self.versions)
+
     @property
     def unanswered(self) -> int:
         """Return how many nodes have not answered."""
--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock, within_ms
-from fireflyward.feeds import TableUpdate
+from fireflyward.feeds import Changes, TableRow, TableUpdate
 from fireflyward.platform import StoreClient
 
 from ._stored import StoredVersions
@@ -25,6 +25,8 @@
 _START_PAUSE_MS = 3_000
 # How long the node that is last for this duty leaves a write to the others.
 _DUTY_TIMEOUT_MS = 3_000
+# A caller waits for this read of the rows.
+_READ_LIMIT_MS = 300
 
 
 def is_software_row(key: str) -> bool:
@@ -60,11 +62,16 @@
         "_clock",
         "_differs_since_ms",
         "_era",
+        "_last_read",
+        "_last_sent",
         "_node_row",
         "_on_written",
         "_place",
         "_poll_soon",
+        "_position",
+        "_reading",
         "_started_ms",
+        "_succeeded",
         "_store",
         "_stored",
         "_table",
@@ -106,6 +113,13 @@
         self._differs_since_ms: dict[str, int] = {}
         self._tried_ms_by_service: dict[str, int] = {}
         self._era = 0
+        # The position of the table at the last update of the feed.
+        self._position: Position | None = None
+        # Reads are numbered: the last one that was sent, and the last one that ended.
+        self._reading = asyncio.Lock()
+        self._last_sent = 0
+        self._last_read = 0
+        self._succeeded = False
 
     def on_list(self) -> None:
         """Check soon whether a row differs: the list of replicas has changed."""
@@ -113,11 +127,21 @@
 
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply changes of the table."""
-        now_ms = self._clock.now_ms()
         self._era = max(self._era, update.position.era)
+        self._position = update.position
+        self._apply(
+            update.rows,
+            is_full=update.is_snapshot,
+            has_run=any(row.key == self._node_row for row in update.rows),
+        )
+
+    def _apply(
+        self, rows: Iterable[TableRow], *, is_full: bool, has_run: bool = False
+    ) -> None:
+        now_ms = self._clock.now_ms()
         versions_by_service: dict[str, frozenset[str]] = {}
         position_by_service: dict[str, Position] = {}
-        for row in update.rows:
+        for row in rows:
             if not is_software_row(row.key):
                 continue
             service = row.key.removeprefix(_PREFIX)
@@ -133,11 +157,38 @@
             versions_by_service[service] = frozenset(stored.versions)
             self._versions.on_told(now_ms, service, stored.versions)
         self._stored.on_read(
-            versions_by_service,
-            position_by_service,
-            is_full=update.is_snapshot,
-            has_run=any(row.key == self._node_row for row in update.rows),
+            versions_by_service, position_by_service, is_full=is_full, has_run=has_run
+        )
+
+    async def read_now(self) -> bool:
+        """Read what changed; return whether the rows are known as of this call.
+
+        A read is shared by all calls that came before it was sent. The store answers
+        itself: what another node cached is older than the call.
+        """
+        first = self._last_sent + 1
+        async with self._reading:
+            if self._last_read < first:
+                self._last_sent += 1
+                number = self._last_sent
+                self._succeeded = await self._read_changes()
+                self._last_read = number
+            return self._succeeded
+
+    async def _read_changes(self) -> bool:
+        if self._position is None:
+            return False
+        result = await self._store.changes(
+            self._table, after=self._position, wait_ms=0, limit_ms=_READ_LIMIT_MS
         )
+        if not isinstance(result, Changes):
+            log.info("streams: rows of software could not be read: %s", result)
+            return False
+        if result.position.era != self._position.era:
+            # The store may have lost rows.
+            return False
+        self._apply(result.rows, is_full=False)
+        return True
 
     async def run(self) -> None:
         """Write rows that differ from what this node knows, until cancelled."""
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -2,7 +2,14 @@
 
 import itertools
 import logging
-from collections.abc import AsyncIterator, Callable, Iterable, Sequence
+from collections.abc import (
+    AsyncIterator,
+    Awaitable,
+    Callable,
+    Collection,
+    Iterable,
+    Sequence,
+)
 from typing import Any
 
 from fireflyward.aggregators import Member
@@ -37,6 +44,8 @@
 _HOLDERS_WAIT_MS = 40
 _ASK_AGAIN_MS = 60
 _ALL_WAIT_MS = 150
+# The feed of replicas confirms its list more often than this.
+_MAX_LIST_AGE_MS = 3_000
 # The holders of a record are computed in 35 us at 9 nodes, 350 us at 100 and 1.2 ms at
 # 350. Nodes of larger fleets do not ask all others for records when they start.
 _MAX_NODES_ASKED = 16
@@ -60,7 +69,8 @@
     compute from the stream's key, so that the record outlives this node. A node that is
     to resume a stream it does not know asks the holders and then all nodes. Without an
     answer it resumes the stream only if the service had a single version for as long
-    as streams last.
+    as streams last. Its own list says nothing of that alone: the stream may be younger,
+    see ``_is_single``.
 
     Records outlive a restart of all nodes one by one: a node that stops hands over its
     records, and in small fleets a node that has started asks for those it is to hold.
@@ -98,6 +108,8 @@
         self.starts = StreamStarts()
         self.versions = SoftwareVersions()
         self.stored = StoredVersions(started_ms=self._started_ms)
+        # Reads the stored versions; returns whether they are known as of the call.
+        self.read_stored: Callable[[], Awaitable[bool]] = _cannot_read
         self.asked = 0
         self.unknown = 0
 
@@ -165,18 +177,13 @@
     ) -> StreamOrigin | None:
         """Return where a stream began, None if the service has no known replica."""
         if first_request_id is None:
-            before = self.stored.before_start(self._clock.now_ms(), service)
-            detail = "the request names no first request"
-            if before is not None:
-                before = frozenset()
-            return self._without_record(service, before, detail)
+            return await self._find_unnamed(service)
         key = stream_key(account, first_request_id)
         own = self.starts.find(self._clock.now_ms(), key)
         if own is not None:
             return Began(own, OWN_RECORD, self.has_several_versions(service))
         lookup = await self._ask(service, key)
         now_ms = self._clock.now_ms()
-        self.versions.on_told(now_ms, service, lookup.versions)
         if lookup.software is not None:
             self.starts.add(now_ms, service, lookup.software, key, is_own=False)
             return Began(
@@ -189,26 +196,70 @@
             detail += f"; it began at one of {', '.join(sorted(before))}"
         is_complete = before is None or not lookup.unanswered
         return self._without_record(
-            service, before if is_complete else frozenset(), detail
+            service,
+            before if is_complete else frozenset(),
+            detail,
+            is_single=lookup.is_single,
         )
 
+    async def _find_unnamed(self, service: str) -> StreamOrigin | None:
+        """Return where a stream began if the request does not name its first one."""
+        before = self.stored.before_start(self._clock.now_ms(), service)
+        return self._without_record(
+            service,
+            None if before is None else frozenset(),
+            "the request names no first request",
+            is_single=await self._is_single(service, are_holders_in_step=False),
+        )
+
+    async def _is_single(self, service: str, *, are_holders_in_step: bool) -> bool:
+        """Return whether a stream that no node knows can have begun at one version.
+
+        This node's list may be older than the stream. If several versions served when
+        the stream began, its holders were told, unless they are out of step as well. A
+        read of the stored versions that is sent now is never older than the stream.
+        """
+        if len(self._possible(service)) != 1:
+            return False
+        if are_holders_in_step and self._has_recent_list():
+            return True
+        return await self.read_stored() and len(self._possible(service)) == 1
+
+    def _possible(self, service: str) -> frozenset[str]:
+        """Return the versions at which a stream may have begun, by what is known."""
+        recent = self.versions.recent(self._clock.now_ms(), service)
+        return recent | self.stored.of(service)
+
+    def _has_recent_list(self) -> bool:
+        confirmation = self._directory.confirmation
+        age_ms = confirmation.age_ms(self._clock.now_ms())
+        return confirmation.as_of_ms is not None and age_ms <= _MAX_LIST_AGE_MS
+
     def _without_record(
-        self, service: str, before: frozenset[str] | None, detail: str
+        self,
+        service: str,
+        before: Collection[str] | None,
+        detail: str,
+        *,
+        is_single: bool,
     ) -> StreamOrigin | None:
         """Return where a stream began that no node knows.
 
         It can have begun only at the versions in ``before``. That is empty if nothing
         is known beyond the list, and None if a node may have forgotten other versions.
+        With ``is_single`` no version can be unknown to this node.
         """
-        versions = self.versions.recent(self._clock.now_ms(), service)
+        versions = self._possible(service)
         if not versions:
             return None
         if before is None:
             detail += "; the versions stored before a node started are unknown"
         elif len(before) == 1:
             return Began(next(iter(before)), BEFORE_STARTS, len(versions) > 1)
-        elif len(versions) == 1:
+        elif is_single and len(versions) == 1:
             return Began(next(iter(versions)), ONLY_VERSION)
+        elif len(versions) == 1:
+            detail += "; versions that came lately may be unknown to this node"
         self.unknown += 1
         return UnknownStream(detail)
 
@@ -249,6 +300,7 @@
         number = next(self._numbers) % _MAX_NUMBER
         lookup = Lookup(member.name for member in holders)
         if self._link is None:
+            lookup.is_single = await self._is_single(service, are_holders_in_step=False)
             return lookup
         self.asked += 1
         self._lookup_by_number[number] = lookup
@@ -259,21 +311,25 @@
         try:
             self._send(holders, _ASK, question)
             await within_ms(self._clock, _HOLDERS_WAIT_MS, lookup.done.wait())
-            if lookup.software is None and self._may_be_elsewhere(service, lookup):
+            if lookup.software is None:
+                self._learn_versions(service, lookup)
+                lookup.is_single = await self._is_single(
+                    service, are_holders_in_step=lookup.has_answers_of_all
+                )
+            if lookup.software is None and not lookup.is_single:
                 lookup.ask_more(item.name for item in members if item not in holders)
                 self._send(members, _ASK, question)
                 self._clock.call_later_ms(
                     _ASK_AGAIN_MS, lambda: self._ask_again(number, members, question)
                 )
                 await within_ms(self._clock, _ALL_WAIT_MS, lookup.done.wait())
+            self._learn_versions(service, lookup)
         finally:
             del self._lookup_by_number[number]
         return lookup
 
-    def _may_be_elsewhere(self, service: str, lookup: Lookup) -> bool:
-        """Return whether several versions are possible, or no node has answered."""
-        known = self.versions.recent(self._clock.now_ms(), service) | lookup.versions
-        return len(known) > 1 or not lookup.versions
+    def _learn_versions(self, service: str, lookup: Lookup) -> None:
+        self.versions.on_told(self._clock.now_ms(), service, lookup.versions)
 
     def _ask_again(
         self, number: int, members: Sequence[Member], question: StreamQuestion
@@ -413,3 +469,7 @@
         versions = frozenset(message.versions)
         if self.stored.on_written(message.service_name, versions, position):
             self.versions.on_told(self._clock.now_ms(), message.service_name, versions)
+
+
+async def _cannot_read() -> bool:
+    return False
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -1,12 +1,13 @@
 """The stored list of a service's software versions."""
 
+import asyncio
 import unittest
 
 import msgspec
 
-from fireflyward.backing import Committed, Conflict, Position
+from fireflyward.backing import Committed, Conflict, Position, Unavailable
 from fireflyward.clock import ManualClock
-from fireflyward.feeds import TableRow, TableUpdate
+from fireflyward.feeds import Changes, HistoryLost, TableRow, TableUpdate
 from fireflyward.streams import SoftwareRows, SoftwareVersions, StoredVersions
 from fireflyward.streams._versions import STREAM_LIFETIME_MS
 
@@ -15,6 +16,18 @@
     def __init__(self):
         self.writes = []
         self.result = None
+        # Answers to reads of changes, by the order of the reads.
+        self.changes_read = []
+        self.reads = 0
+        self.after = []
+
+    async def changes(self, table, *, after, wait_ms, limit_ms):
+        self.reads += 1
+        self.after.append(after)
+        answer = self.changes_read[self.reads - 1]
+        for _ in range(5):
+            await asyncio.sleep(0)
+        return answer
 
     async def write(self, *, table, part, expected, puts, deletes=()):
         self.writes.append((dict(puts), tuple(deletes)))
@@ -263,5 +276,66 @@
         self.assertEqual(self.versions.recent(0, "s"), frozenset())
 
 
+class ReadNowTests(unittest.IsolatedAsyncioTestCase):
+    """Reads for callers who wait, beside those of the feed."""
+
+    def setUp(self):
+        self.store = _Store()
+        versions = SoftwareVersions()
+        self.rows, self.stored = software_rows(
+            versions, ManualClock(0), self.store, is_first=lambda: True
+        )
+        value = msgspec.json.encode({"versions": ["v1"]})
+        self.rows.on_table_update(update(3, ("software/s", value), is_snapshot=True))
+
+    def changes(self, version, *names, era=0):
+        value = msgspec.json.encode({"versions": names})
+        position = Position(era, version)
+        return Changes((TableRow("software/s", value, position),), position)
+
+    async def test_a_read_continues_at_the_last_update(self):
+        self.store.changes_read = [self.changes(9, "v1", "v2")]
+        self.assertTrue(await self.rows.read_now())
+        self.assertEqual(self.stored.of("s"), {"v1", "v2"})
+        self.assertEqual(self.store.after, [Position(0, 3)])
+
+    async def test_a_read_that_was_sent_before_does_not_count(self):
+        """Guards against an answer that is older than a caller's stream."""
+        first, second = self.changes(8, "v1"), self.changes(9, "v1", "v2")
+        self.store.changes_read = [first, second]
+        reading = asyncio.create_task(self.rows.read_now())
+        await asyncio.sleep(0)
+        results = await asyncio.gather(*(self.rows.read_now() for _ in range(20)))
+        self.assertEqual((await reading, set(results)), (True, {True}))
+        self.assertEqual((self.store.reads, self.stored.of("s")), (2, {"v1", "v2"}))
+
+    async def test_a_read_whose_caller_left_does_not_count_for_others(self):
+        """Guards against the result of an earlier read."""
+        self.store.changes_read = [Changes((), Position(0, 3))] * 2
+        self.store.changes_read += [Unavailable("away")]
+        self.assertTrue(await self.rows.read_now())
+        leaving = asyncio.create_task(self.rows.read_now())
+        await asyncio.sleep(0)
+        waiting = asyncio.create_task(self.rows.read_now())
+        await asyncio.sleep(0)
+        leaving.cancel()
+        self.assertFalse(await waiting)
+
+    async def test_reads_that_prove_nothing(self):
+        """Guards against rows that the store has lost, or an answer that is missing."""
+        self.store.changes_read = [
+            Unavailable("away"),
+            HistoryLost(),
+            self.changes(9, "v1", era=1),
+        ]
+        for _ in range(3):
+            self.assertFalse(await self.rows.read_now())
+        rows, _ = software_rows(
+            SoftwareVersions(), ManualClock(0), self.store, is_first=lambda: True
+        )
+        self.assertFalse(await rows.read_now())
+        self.assertEqual(self.store.reads, 3)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/streams/test_task.py
+++ b/tests/streams/test_task.py
@@ -1,6 +1,7 @@
 """Records of streams while nodes stop, end and start, over links in memory."""
 
 import asyncio
+import functools
 import types
 import unittest
 from collections import Counter
@@ -9,9 +10,16 @@
 from fireflyward.backing import Position
 from fireflyward.clock import ManualClock
 from fireflyward.peers._codec import pack
-from fireflyward.streams import Began, StreamTask, UnknownStream
+from fireflyward.replicas import ListConfirmation
+from fireflyward.streams import (
+    Began,
+    StreamTask,
+    UnknownStream,
+    choose_holders,
+    stream_key,
+)
 from fireflyward.streams._streams_structs import StreamAnswer
-from fireflyward.streams._task import BEFORE_STARTS
+from fireflyward.streams._task import BEFORE_STARTS, ONLY_VERSION
 from fireflyward.streams._versions import STREAM_LIFETIME_MS
 
 _STREAMS = 40
@@ -37,7 +45,7 @@
         for address in addresses:
             self.fleet.sent[kind] += 1
             link = self.fleet.link_by_address.get(address)
-            if link is not None:
+            if link is not None and not self.fleet.is_lost(self.name, link.name):
                 self.fleet.deliver(link.handler_by_kind[kind](self.name, message))
         return True
 
@@ -47,7 +55,8 @@
 
     Each node sees the addresses as they were when it started, and reads the versions in
     ``stored``, unless that is None. Nodes that are ``older`` answer as those of the
-    software that stored no versions.
+    software that stored no versions. Nodes that are ``out_of_step`` neither reach the
+    store nor exchange messages with the others.
     """
 
     def __init__(self, count, *, versions=("v1", "v2")):
@@ -55,6 +64,10 @@
         self.versions = versions
         self.stored = frozenset(versions)
         self.older = set()
+        self.out_of_step = set()
+        self.reads = 0
+        self._directory_by_name = {}
+        self._stored_writes = 1
         self.sent = Counter()
         self.longest_body = 0
         self.link_by_address = {}
@@ -81,16 +94,8 @@
         """Start a node that has no records."""
         own = self.member_by_name[name]
         others = [item for item in self.member_by_name.values() if item is not own]
-        entries = [
-            types.SimpleNamespace(service="s", software=version)
-            for version in self.versions
-        ]
-        directory = types.SimpleNamespace(
-            all=lambda: [
-                types.SimpleNamespace(entry=entry, is_leaving=False)
-                for entry in entries
-            ]
-        )
+        directory = self._directory_by_name[name] = types.SimpleNamespace()
+        self._read_list(name)
         task = StreamTask(
             clock=self.clock,
             directory=directory,
@@ -105,9 +110,47 @@
         self.task_by_name[name] = task
         if self.stored is not None:
             task.versions.on_told(self.clock.now_ms(), "s", self.stored)
-            task.stored.on_read({"s": self.stored}, {"s": Position(0, 1)}, is_full=True)
+            position = Position(0, self._stored_writes)
+            task.stored.on_read({"s": self.stored}, {"s": position}, is_full=True)
+        task.read_stored = functools.partial(self._read_stored, task, name)
         task.on_list()
 
+    def _read_list(self, name):
+        entries = [
+            types.SimpleNamespace(service="s", software=version)
+            for version in self.versions
+        ]
+        directory = self._directory_by_name[name]
+        directory.confirmation = ListConfirmation(self.clock.now_ms())
+        directory.all = lambda: [
+            types.SimpleNamespace(entry=entry, is_leaving=False) for entry in entries
+        ]
+
+    async def _read_stored(self, task, name):
+        self.reads += 1
+        if name in self.out_of_step or self.stored is None:
+            return False
+        position = Position(0, self._stored_writes)
+        task.versions.on_told(self.clock.now_ms(), "s", self.stored)
+        task.stored.on_read({"s": self.stored}, {"s": position}, is_full=False)
+        return True
+
+    def is_lost(self, sender, receiver):
+        """Return whether a message between two nodes is lost."""
+        return (sender in self.out_of_step) != (receiver in self.out_of_step)
+
+    def list_versions(self, *versions):
+        """List and store other versions; nodes that are out of step read neither."""
+        self.versions = versions
+        self.stored |= set(versions)
+        self._stored_writes += 1
+        position = Position(0, self._stored_writes)
+        for name, task in self.task_by_name.items():
+            if name not in self.out_of_step:
+                self._read_list(name)
+                task.stored.on_written("s", self.stored, position)
+                task.on_list()
+
     async def end_all(self, *, versions, stored):
         """End all nodes at once, and start them again with other versions listed."""
         for name in self.names:
@@ -320,5 +363,91 @@
             self.assertIsInstance(await fleet.find(name, f"q-{name}"), UnknownStream)
 
 
+class OutOfStepTests(unittest.IsolatedAsyncioTestCase):
+    """Some nodes miss that a second version joins."""
+
+    def setUp(self):
+        self.fleet = _Fleet(9, versions=("v1", "v1"))
+
+    async def find_late(self, *, out_of_step, asked, began_at="n8", after_ms=0):
+        """Return where a stream began at v2, by the answer of a node out of step."""
+        await self.fleet.clock.advance_ms(STREAM_LIFETIME_MS + 1)
+        self.fleet.list_versions("v1", "v1")
+        self.fleet.out_of_step = set(out_of_step)
+        await self.fleet.clock.advance_ms(after_ms)
+        self.fleet.list_versions("v1", "v2")
+        request_id = self.id_held_by(out_of_step)
+        task = self.fleet.task_by_name[began_at]
+        task.on_begun("s", "acme", request_id, "v2")
+        await self.fleet.clock.advance_ms(10)
+        return await self.fleet.find(asked, request_id)
+
+    def id_held_by(self, names):
+        """Return a request id whose holders are among some nodes, if there are any."""
+        members = list(self.fleet.member_by_name.values())
+        for number in range(1_000):
+            key = stream_key("acme", f"q{number}")
+            if {item.name for item in choose_holders(key, members)} <= set(names):
+                return f"q{number}"
+        return "q"
+
+    async def test_a_node_that_nobody_answers(self):
+        """Guards against the only version of a list that is older than the stream."""
+        origin = await self.find_late(out_of_step=["n0"], asked="n0")
+        self.assertIsInstance(origin, UnknownStream)
+
+    async def test_a_node_whose_holders_are_out_of_step_too(self):
+        """Guards against answers that are as old as the node's own list."""
+        names = ["n0", "n1", "n2", "n3", "n4"]
+        origin = await self.find_late(out_of_step=names, asked="n0", after_ms=4_000)
+        self.assertIsInstance(origin, UnknownStream)
+
+    async def test_a_node_that_has_returned_and_not_read_its_list(self):
+        """Guards against an old list though holders know the stream."""
+        await self.find_late(out_of_step=["n0"], asked="n0", after_ms=8_000)
+        self.fleet.out_of_step = set()
+        self.fleet.task_by_name["n8"].on_begun("s", "acme", "q-late", "v2")
+        await self.fleet.clock.advance_ms(10)
+        origin = await self.fleet.find("n0", "q-late")
+        self.assertEqual(origin.software, "v2")
+
+    async def test_a_version_that_comes_back_within_the_time_of_a_stream(self):
+        """Guards against a version that was told before it left and counts no more."""
+        await self.fleet.clock.advance_ms(STREAM_LIFETIME_MS + 1)
+        task = self.fleet.task_by_name["n0"]
+        task.versions.on_told(self.fleet.clock.now_ms(), "s", ["v2"])
+        task.stored.on_written("s", frozenset({"v1", "v2"}), Position(0, 7))
+        self.fleet.stored = frozenset({"v1", "v2"})
+        self.fleet.out_of_step = {"n0"}
+        await self.fleet.clock.advance_ms(STREAM_LIFETIME_MS + 1)
+        self.assertIsInstance(await self.fleet.find("n0", "q"), UnknownStream)
+
+    async def test_a_stream_of_a_lost_node_goes_on_after_one_read(self):
+        """Guards against streams that are lost with their node without need."""
+        await self.fleet.clock.advance_ms(STREAM_LIFETIME_MS + 1)
+        self.fleet.end("n8")
+        for number in range(20):
+            origin = await self.fleet.find("n0", f"q{number}")
+            self.assertEqual((origin.software, origin.source), ("v1", ONLY_VERSION))
+
+    async def test_nothing_is_read_while_the_holders_are_in_step(self):
+        """Guards against a call to the store for each stream that is taken up."""
+        await self.fleet.clock.advance_ms(STREAM_LIFETIME_MS + 1)
+        self.fleet.list_versions("v1", "v1")
+        for number in range(20):
+            origin = await self.fleet.find("n0", f"q{number}")
+            self.assertEqual((origin.software, origin.source), ("v1", ONLY_VERSION))
+            self.fleet.list_versions("v1", "v1")
+        self.assertEqual(self.fleet.reads, 0)
+
+    async def test_a_request_without_a_first_one_is_never_decided_by_the_list(self):
+        """Guards against an old list where nobody can be asked."""
+        self.fleet.out_of_step = {"n0"}
+        self.assertIsInstance(await self.fleet.find("n0", None), UnknownStream)
+        self.fleet.out_of_step = set()
+        origin = await self.fleet.find("n0", None)
+        self.assertEqual((origin.software, origin.source), ("v1", ONLY_VERSION))
+
+
 if __name__ == "__main__":
     unittest.main()
