Known red: a cut node records a stream at the version of an old list

Confirming each new connection while the list is old was weighed and not built: while the store is away for all, a replica that restarts under its id could then begin no stream.

--- a/tests/fleet/test_nodes_out_of_step.py
+++ b/tests/fleet/test_nodes_out_of_step.py
@@ -145,5 +145,26 @@
         self.assertEqual(continued, _STREAMS)
 
 
+class RestartedReplicaTests(OutOfStepTestCase):
+    """Replicas restart with other software under their names."""
+
+    async def test_a_node_with_an_old_list_begins_at_the_version_it_records(self):
+        """Guards against a stream of v2 that is recorded as one of v1."""
+        await self.start_nodes()
+        patch = mock.patch("fireflyward.streams._task._MAX_LIST_AGE_MS", 500)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.cut_from_store()
+        directory = self.odd_node._directory
+        clock = self.odd_node._clock
+        await self.until(lambda: directory.confirmation.age_ms(clock.now_ms()) > 500)
+        for engine in self.engines[:2]:
+            for writer in engine._writers:
+                writer.transport.abort()
+            engine.restart(software="v2")
+        begun = [await self.begin(self.odd_node) for _ in range(_STREAMS)]
+        self.assertEqual({software for _, software in begun}, {"v1"})
+
+
 if __name__ == "__main__":
     unittest.main()
