--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -57,7 +57,7 @@
     """Run the tests; return 0 if all tests that are not listed pass."""
     text = KNOWN_RED.read_text() if KNOWN_RED.exists() else ""
     # A suite drops each test once it has run. A second suite that held the tests would
-    # keep their nodes and stand-ins, and collections of so large a heap stop the process.
+    # keep their nodes and stand-ins, and collecting so large a heap stops the process.
     suite = exclude_tests(
         unittest.defaultTestLoader.discover("tests", top_level_dir="."),
         listed_tests(text),
