Platform rows: numbers and texts of every field have bounds

Slots of 1e308 made the largest replica of the fleet, a start of 2^64 an incarnation that no message can carry, a name with a line break or a letter beyond Latin-1 failed each request when its headers were encoded, and a tenant's name with a line break added headers of its own to a request. Nothing bounded what a row may say, so that the fault appeared far from the decode, at a conversion, a packed message or an encoded header.

Types say now what a field may hold: counts and versions 63 bits, which messages between nodes carry; durations, slots and connections 31 bits; other figures what a float holds exactly, with fractions as before; names 200 characters, as the keys of rows; a tenant's name no control characters; a replica's name visible ASCII, since its requests name it in a header. A row beyond them is malformed: it names no replica, or the current configuration stays in force.

The table test's last row sorts behind the odd ones now: a full read goes by key, and had passed over the failure.

--- a/fireflyward/decoding/__init__.py
+++ b/fireflyward/decoding/__init__.py
@@ -1,10 +1,11 @@
 """Decoding of bytes from other writers into bounded types, without exceptions."""
 
-from ._addresses import IPv4, ListenAddress, PeerPort, ReplicaAddress
+from ._addresses import IPv4, ListenAddress, OptionalAddress, PeerPort, ReplicaAddress
 from ._json import decode_json
 from ._numbers import (
     MAX_INT32,
     MAX_INT64,
+    BoundedNumber,
     Count,
     Int32Count,
     Int64,
@@ -20,6 +21,7 @@
 __all__ = [
     "MAX_INT32",
     "MAX_INT64",
+    "BoundedNumber",
     "Count",
     "HeaderText",
     "IPv4",
@@ -28,6 +30,7 @@
     "ListenAddress",
     "Name",
     "NonNegativeNumber",
+    "OptionalAddress",
     "PeerPort",
     "Port",
     "ReplicaAddress",
--- a/fireflyward/decoding/_addresses.py
+++ b/fireflyward/decoding/_addresses.py
@@ -18,6 +18,6 @@
 IPv4 = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}\Z")]
 # Port 0 has the kernel choose one.
 ListenAddress = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}:(0|{_PORT})\Z")]
-ReplicaAddress = Annotated[
-    str, msgspec.Meta(pattern=rf"\A(?!{_NOT_A_HOST}){_IP}:{_PORT}\Z")
-]
+_HOST_AND_PORT = rf"(?!{_NOT_A_HOST}){_IP}:{_PORT}"
+ReplicaAddress = Annotated[str, msgspec.Meta(pattern=rf"\A{_HOST_AND_PORT}\Z")]
+OptionalAddress = Annotated[str, msgspec.Meta(pattern=rf"\A({_HOST_AND_PORT})?\Z")]
--- a/fireflyward/decoding/_numbers.py
+++ b/fireflyward/decoding/_numbers.py
@@ -30,6 +30,7 @@
 # 430. A field that accepted only integers would keep every process of such a
 # deployment from starting. Text and negative numbers are still errors.
 NonNegativeNumber = Annotated[float, msgspec.Meta(ge=0, le=_MAX_NUMBER)]
+BoundedNumber = Annotated[float, msgspec.Meta(ge=-_MAX_NUMBER, le=_MAX_NUMBER)]
 SmallNumber = Annotated[float, msgspec.Meta(ge=0, le=MAX_INT32)]
 Port = Annotated[float, msgspec.Meta(ge=0, le=65_535)]
 
--- a/fireflyward/platform/_configuration.py
+++ b/fireflyward/platform/_configuration.py
@@ -4,7 +4,17 @@
 
 import msgspec
 
-from fireflyward.decoding import NonNegativeNumber, decode_json, to_int
+from fireflyward.decoding import (
+    BoundedNumber,
+    Count,
+    HeaderText,
+    Name,
+    NonNegativeNumber,
+    OptionalAddress,
+    SmallNumber,
+    decode_json,
+    to_int,
+)
 from fireflyward.deployment import (
     ClientAccount,
     Configuration,
@@ -37,8 +47,8 @@
 
 
 class _Share(_KebabStruct):
-    service: str
-    weight: NonNegativeNumber = 1
+    service: Name
+    weight: SmallNumber = 1
 
 
 class _Route(_KebabStruct):
@@ -46,65 +56,66 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: NonNegativeNumber
-    service: str = ""
+    timeout_ms: SmallNumber
+    service: Name = ""
     traffic_split: list[_Share] = []
-    target_latency_ms: NonNegativeNumber = 0
-    priority: NonNegativeNumber = 5
-    max_attempts: NonNegativeNumber = 1
+    target_latency_ms: SmallNumber = 0
+    priority: SmallNumber = 5
+    max_attempts: SmallNumber = 1
     allow_anonymous: bool = False
     # Despite its name, this doesn't bind a caller to one replica: it means that the
     # requests list the parts of their prompt.
     sticky: bool = False
     resumable: bool = False
-    gap_target_ms: NonNegativeNumber = 0
+    gap_target_ms: SmallNumber = 0
 
 
 class _Model(_KebabStruct):
-    name: str
+    name: Name
 
 
 class _Engine(_KebabStruct):
-    slots: NonNegativeNumber
+    slots: SmallNumber
     kv_capacity_tokens: NonNegativeNumber
     kv_token_bytes: NonNegativeNumber = 0
     models: list[_Model] = []
 
 
 class _Service(_KebabStruct):
-    name: str
-    max_connections: NonNegativeNumber = 0
+    name: Name
+    max_connections: SmallNumber = 0
     # How long a replica is cold after its start, and how many requests per second
     # it sustains during that time.
-    cold_start_s: NonNegativeNumber = 0
-    cold_per_s: NonNegativeNumber = 0
+    cold_start_s: SmallNumber = 0
+    cold_per_s: SmallNumber = 0
     engine: _Engine | None = None
     # A service with this address is a KV cache store and has no replicas.
-    kv_store_addr: str = ""
-    zone: str = ""
+    kv_store_addr: OptionalAddress = ""
+    zone: Name = ""
     kv_capacity_tokens: NonNegativeNumber = 0
-    link_mbps: NonNegativeNumber = 0
+    link_mbps: SmallNumber = 0
     managed: bool = False
-    first_ms: NonNegativeNumber = msgspec.field(default=0, name="first_ms")
+    first_ms: SmallNumber = msgspec.field(default=0, name="first_ms")
 
 
 class _Limits(_KebabStruct):
     max_header_bytes: NonNegativeNumber = 16_384
     max_body_bytes: NonNegativeNumber = 4_194_304
-    header_timeout_ms: NonNegativeNumber = 3_000
-    idle_timeout_ms: NonNegativeNumber = 15_000
+    header_timeout_ms: SmallNumber = 3_000
+    idle_timeout_ms: SmallNumber = 15_000
 
 
 class _Account(_KebabStruct):
-    name: str
+    name: HeaderText
     api_keys: list[str] = []
-    priority: NonNegativeNumber | None = None
+    priority: SmallNumber | None = None
     isolated: bool = False
-    weight: float | None = None
+    # Fair admission handles weights that are not positive.
+    weight: BoundedNumber | None = None
 
 
 class _Configuration(_KebabStruct):
-    version: int
+    version: Count
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = msgspec.field(default_factory=_Limits)
@@ -112,8 +123,8 @@
 
 
 class _WeightTarget(_KebabStruct):
-    model: str
-    version: int
+    model: Name
+    version: Count
 
 
 class _Evacuation(_KebabStruct):
--- a/fireflyward/platform/_replica_list.py
+++ b/fireflyward/platform/_replica_list.py
@@ -5,9 +5,12 @@
 import msgspec
 
 from fireflyward.decoding import (
-    NonNegativeNumber,
+    Count,
+    Name,
     ReplicaAddress,
+    SmallNumber,
     decode_json,
+    is_header_text,
     to_int,
 )
 from fireflyward.deployment import ModelWeights, ReplicaEntry
@@ -19,25 +22,25 @@
 
 
 class _Model(msgspec.Struct, rename="kebab"):
-    name: str
-    version: int
+    name: Name
+    version: Count
 
 
 class _Entry(msgspec.Struct, rename="kebab"):
     """A replica's entry; replicas always write the fields that have no default."""
 
-    service: str
+    service: Name
     address: ReplicaAddress
-    zone: str
+    zone: Name
     # Version of the replica's software; its weights have their own versions.
-    version: str
-    slots: NonNegativeNumber
+    version: Name
+    slots: SmallNumber
     state: _State
     # How often this incarnation has renewed its entry; unrelated to feed versions.
-    sequence: int
-    cold_remaining_ms: NonNegativeNumber
+    sequence: Count
+    cold_remaining_ms: SmallNumber
     # Start of the replica by its wall clock, in ms. Some platforms don't report it.
-    born: int = 0
+    born: Count = 0
     models: list[_Model] = []
 
 
@@ -47,7 +50,7 @@
     The row's key names a replica; ``started_ms`` distinguishes its incarnations.
     """
     raw = decode_json(value, _Entry)
-    if raw is None or not raw.service:
+    if raw is None or not raw.service or not is_header_text(name):
         return None
     return ReplicaEntry(
         incarnation=name,
--- a/tests/fleet/test_odd_rows.py
+++ b/tests/fleet/test_odd_rows.py
@@ -37,9 +37,9 @@
         """Write rows, and a node's last; wait until all nodes have read it."""
         for key, value in rows.items():
             self.store.put(NODE_TABLE, key, value)
-        self.store.put(NODE_TABLE, "node/last", json.dumps(NODE).encode())
+        self.store.put(NODE_TABLE, "node/zz-last", json.dumps(NODE).encode())
         for node in self.nodes:
-            await self.until(lambda node=node: "last" in node._node_registry.names())
+            await self.until(lambda node=node: "zz-last" in node._node_registry.names())
 
     async def test_a_row_of_no_node_closes_no_socket(self):
         """Guards against one row that closes the datagram sockets of all nodes."""
