Headers: numbers of callers and replicas are decoded strictly, within bounds

X-Weight-Versions of superscript digits or of 5,000 digits raised ValueError while the response was read, and the caller lost it. X-Token-Usage and X-Prompt-Prefix took negative numbers, and ones of up to 4,300 digits, which then failed in arithmetic or when the loads of this node were packed; a deadline of 1e300 ms went to the replica with 301 digits. A header that is no UTF-8, which the callers' server escapes, raised UnicodeEncodeError for its request wherever the text was hashed.

One parser for numbers in headers: ASCII digits, nine, or eighteen for versions, which 64 bits hold. What a caller sends beyond it is a bad request; a deadline of more than 31 bits of ms counts as the longest; a replica's header counts as absent or invalid, as before.

--- a/fireflyward/decoding/__init__.py
+++ b/fireflyward/decoding/__init__.py
@@ -13,10 +13,11 @@
     Port,
     SmallNumber,
     decimal,
+    long_number,
     to_int,
     whole_number,
 )
-from ._texts import HeaderText, Name, is_header_text
+from ._texts import HeaderText, Name, is_header_text, is_utf8
 
 __all__ = [
     "MAX_INT32",
@@ -38,6 +39,8 @@
     "decimal",
     "decode_json",
     "is_header_text",
+    "is_utf8",
+    "long_number",
     "to_int",
     "whole_number",
 ]
--- a/fireflyward/decoding/_numbers.py
+++ b/fireflyward/decoding/_numbers.py
@@ -16,7 +16,9 @@
 # milliseconds.
 _MAX_NUMBER = 2**53
 _MAX_DIGITS = 9
+_MAX_LONG_DIGITS = 18
 _WHOLE_NUMBER = re.compile(rf"[0-9]{{1,{_MAX_DIGITS}}}")
+_LONG_NUMBER = re.compile(rf"[0-9]{{1,{_MAX_LONG_DIGITS}}}")
 _DECIMAL = re.compile(
     rf"[0-9]{{1,{_MAX_DIGITS}}}(\.[0-9]{{1,{_MAX_DIGITS}}})?"
     rf"|\.[0-9]{{1,{_MAX_DIGITS}}}"
@@ -54,6 +56,16 @@
     return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
 
 
+def long_number(text: str) -> int | None:
+    """Return the value of an unsigned number that fits into 64 bits, as above.
+
+    >>> long_number("1764700000000"), long_number("9" * 19)
+    (1764700000000, None)
+    """
+    text = text.strip()
+    return int(text) if _LONG_NUMBER.fullmatch(text) else None
+
+
 def decimal(text: str) -> float | None:
     """Return the value of an unsigned decimal number in a header, None if it is none.
 
--- a/fireflyward/decoding/_texts.py
+++ b/fireflyward/decoding/_texts.py
@@ -17,6 +17,19 @@
 ]
 
 
+def is_utf8(text: str) -> bool:
+    r"""Return whether a text has no escaped bytes, so that it can be encoded.
+
+    >>> is_utf8("caf\u00e9"), is_utf8("caf\udce9")
+    (True, False)
+    """
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        return False
+    return True
+
+
 def is_header_text(text: str) -> bool:
     r"""Return whether a text can be sent in a header and be read back unchanged.
 
--- a/fireflyward/platform/_notices.py
+++ b/fireflyward/platform/_notices.py
@@ -1,8 +1,8 @@
 """Response headers with which replicas limit or stop the requests they get."""
 
-import re
 from dataclasses import dataclass
 
+from fireflyward.decoding import decimal
 from fireflyward.http1 import Head
 
 # Requests per second, from all nodes together.
@@ -14,7 +14,6 @@
 _UNAVAILABLE = 503
 _LEAVING = "server-leaving"
 _FLAGS = {"1": True, "0": False}
-_DECIMAL = re.compile(r"\d{1,9}(\.\d{1,9})?|\.\d{1,9}")
 
 
 @dataclass(frozen=True, slots=True)
@@ -78,14 +77,14 @@
 def _limit(value: str | None) -> RateLimit | InvalidHeader | None:
     if value is None:
         return None
-    number = _decimal(value)
+    number = decimal(value)
     return InvalidHeader(_LIMIT, value) if number is None else RateLimit(number)
 
 
 def _brittle(value: str | None) -> Brittleness | InvalidHeader | None:
     if value is None:
         return None
-    number = _decimal(value)
+    number = decimal(value)
     return InvalidHeader(_BRITTLE, value) if number is None else Brittleness(number)
 
 
@@ -99,15 +98,5 @@
     value = head.get(_RETRY_AFTER)
     if value is None or head.status != _UNAVAILABLE:
         return 0.0
-    seconds = _decimal(value)
+    seconds = decimal(value)
     return InvalidHeader(_RETRY_AFTER, value) if seconds is None else 1_000 * seconds
-
-
-def _decimal(value: str) -> float | None:
-    """Return the value of an unsigned decimal number, None for anything else.
-
-    >>> _decimal(" 4.5 "), _decimal("nan"), _decimal("-1")
-    (4.5, None, None)
-    """
-    text = value.strip()
-    return float(text) if _DECIMAL.fullmatch(text) else None
--- a/fireflyward/platform/_requests.py
+++ b/fireflyward/platform/_requests.py
@@ -1,9 +1,11 @@
 """Headers of callers' requests, of requests to replicas, and of responses."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import dataclass
 from functools import singledispatch
 
+from fireflyward.decoding import MAX_INT32, is_utf8, long_number, whole_number
 from fireflyward.http1 import Head
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 
@@ -21,12 +23,22 @@
 # The id of the request that brought the first event of the stream that is resumed.
 _RESUMES = "resumes"
 _LENGTH_HINT = "x-length-hint"
+# Headers that are used here; the others are only forwarded.
+_READ_HEADERS = (
+    REQUEST_ID,
+    "host",
+    _KEY,
+    _MODEL,
+    _TOKENS,
+    _PARTS,
+    _LAST_EVENT,
+    _RESUMES,
+)
 _SIGNATURE = "x-server-seal"
 _NOT_EXECUTED = "x-not-executed"
 # Running requests, waiting requests, slots, and optionally how long work takes on the
 # replica's machine at this moment, in percent of the usual time.
 _LOAD = "x-server-load"
-_MAX_LOAD_DIGITS = 9
 _WEIGHTS = "x-weight-versions"
 _ENCODING = "content-encoding"
 _INCARNATION = "x-instance-id"
@@ -194,6 +206,10 @@
     request_id, host = by_name.get(REQUEST_ID), by_name.get("host")
     if not request_id or not host:
         return NotRun(Reason.BAD_REQUEST, "request id or host is missing")
+    # The parser of the callers' server escapes bytes that are no UTF-8.
+    texts = (target, *(by_name.get(name, "") for name in _READ_HEADERS))
+    if not all(map(is_utf8, texts)):
+        return NotRun(Reason.BAD_REQUEST, "request has a text that is no UTF-8")
     try:
         return CallerRequest(
             request_id=request_id,
@@ -246,7 +262,7 @@
         is_encoded=head.get(_ENCODING) is not None,
         load=load if isinstance(load, ReplicaLoad) else None,
         invalid_load=load if isinstance(load, InvalidHeader) else None,
-        weights=int(weights) if weights and weights.isdigit() else None,
+        weights=long_number(weights) if weights else None,
         incarnation=head.get(_INCARNATION),
         notices=decode_notices(head),
     )
@@ -320,10 +336,10 @@
 def _deadline_ms(value: str | None) -> float | None:
     if value is None:
         return None
-    number = float(value)
-    if not 0 <= number < float("inf"):
-        raise ValueError(f"deadline {value!r} is not a valid time in ms")
-    return number
+    number = float(value) if value.isascii() and "_" not in value else math.nan
+    if not 0 <= number < math.inf:
+        raise ValueError(f"deadline {value[:80]!r} is not a valid time in ms")
+    return min(number, MAX_INT32)
 
 
 def _bearer_key(value: str | None) -> str | None:
@@ -336,7 +352,14 @@
     if not value:
         return 0
     numbers = value.split(",")
-    return int(numbers[index]) if index < len(numbers) else 0
+    return _tokens(numbers[index]) if index < len(numbers) else 0
+
+
+def _tokens(text: str) -> int:
+    tokens = whole_number(text)
+    if tokens is None:
+        raise ValueError(f"{text[:80]!r} is not a number of tokens")
+    return tokens
 
 
 def _parts(value: str | None) -> tuple[PromptPart, ...]:
@@ -350,7 +373,7 @@
     parts = []
     for entry in value.split(","):
         part_id, _, tokens = entry.strip().partition(":")
-        parts.append(PromptPart(part_id, int(tokens)))
+        parts.append(PromptPart(part_id, _tokens(tokens)))
     return tuple(parts)
 
 
@@ -362,12 +385,9 @@
     """
     if value is None:
         return None
-    items = [item.strip() for item in value.split(",")]
-    if len(items) not in (3, 4) or not all(map(_is_load_number, items)):
+    items = value.split(",")
+    numbers = [whole_number(item) for item in items]
+    if len(numbers) not in (3, 4) or None in numbers:
         return InvalidHeader(_LOAD, value)
-    load = ReplicaLoad(*map(int, items))
+    load = ReplicaLoad(*numbers)
     return load if load.work_percent != 0 else InvalidHeader(_LOAD, value)
-
-
-def _is_load_number(item: str) -> bool:
-    return item.isascii() and item.isdigit() and len(item) <= _MAX_LOAD_DIGITS
--- a/tests/platform/test_requests.py
+++ b/tests/platform/test_requests.py
@@ -52,6 +52,41 @@
         rejected = decode(("X-Prompt-Prefix", "a:b"), without=("X-Prompt-Prefix",))
         self.assertIsInstance(rejected, NotRun)
 
+    def test_numbers_that_no_message_carries_are_rejected(self):
+        """Guards against a request whose numbers fail tasks that count its tokens."""
+        odd = {
+            "X-Token-Usage": ("-1,5", "9" * 5_000, "5," + "9" * 400, "1_000,1", "²"),
+            "X-Prompt-Prefix": ("5c:-800", "5c:" + "9" * 5_000, "5c:4294967296", "5c:"),
+            "X-Deadline-Ms": ("1_000", "inf", "1e400", "9" * 5_000, "\u0663"),
+        }
+        for name, values in odd.items():
+            for value in values:
+                with self.subTest(name=name, value=value[:20]):
+                    rejected = decode((name, value), without=(name,))
+                    self.assertEqual(rejected.reason, Reason.BAD_REQUEST)
+
+    def test_a_long_deadline_is_as_good_as_none(self):
+        """Guards against a header with a number of 300 digits."""
+        for value in ("1e300", "99999999999999", "4294967296"):
+            with self.subTest(value=value):
+                caller = decode(("X-Deadline-Ms", value), without=("X-Deadline-Ms",))
+                self.assertEqual(caller.deadline_ms, 2**31 - 1)
+
+    def test_deadlines_are_decoded_with_fractions(self):
+        for value, deadline_ms in ((" 1500.5 ", 1500.5), ("1.5e3", 1_500), ("0", 0)):
+            with self.subTest(value=value):
+                caller = decode(("X-Deadline-Ms", value), without=("X-Deadline-Ms",))
+                self.assertEqual(caller.deadline_ms, deadline_ms)
+
+    def test_texts_that_are_no_utf_8_are_rejected(self):
+        """Guards against an exception for each request with such a text."""
+        for name in ("X-Request-Id", "Host", "X-Model", "X-Prompt-Prefix", "Resumes"):
+            with self.subTest(name=name):
+                rejected = decode((name, "a\udce9:1"), without=(name,))
+                self.assertEqual(rejected.reason, Reason.BAD_REQUEST)
+        rejected = decode_request("GET", "/a\udce9", HEADERS)
+        self.assertEqual(rejected.reason, Reason.BAD_REQUEST)
+
     def test_a_caller_cannot_set_the_headers_of_the_system(self):
         """Guards against a caller that acts as another account or reads its KV cache.
 
@@ -123,6 +158,25 @@
             self.assertIsNotNone(self.facts(200, ("x-server-load", bad)).invalid_load)
         self.assertIsNone(self.facts(200).invalid_load)
 
+    def test_the_weights_header_is_decoded_strictly(self):
+        """Guards against a response that is lost because of one of its headers."""
+        self.assertEqual(self.facts(200, ("x-weight-versions", "12")).weights, 12)
+        version = 2**59
+        facts = self.facts(200, ("x-weight-versions", str(version)))
+        self.assertEqual(facts.weights, version)
+        for bad in ("\u00b2", "9" * 5_000, "-1", "1.5", "", "1,2", "\u0661"):
+            with self.subTest(bad=bad[:20]):
+                facts = self.facts(200, ("x-weight-versions", bad))
+                self.assertIsNone(facts.weights)
+
+    def test_no_header_of_a_response_raises(self):
+        """Guards against a response that is lost because of one of its headers."""
+        names = ("x-server-load", "server-limit", "server-brittle", "retry-after")
+        for name in (*names, "server-leaving", "x-weight-versions", "x-instance-id"):
+            for value in ("\u00b2", "9" * 5_000, "1" * 400 + ".5", "\xe9", "nan", ""):
+                with self.subTest(name=name, value=value[:20]):
+                    self.assertIsNotNone(self.facts(503, (name, value)))
+
     def test_the_rate_limit_header_is_decoded(self):
         notices = self.facts(200, ("server-limit", "3.5")).notices
         self.assertEqual(notices.limit, RateLimit(3.5))
