--- a/fireflyward/decoding/__init__.py
+++ b/fireflyward/decoding/__init__.py
@@ -1,10 +1,11 @@
 """Decoding of bytes from other writers into bounded types, without exceptions."""
 
-from ._addresses import IPv4, ListenAddress, PeerPort, ReplicaAddress
+from ._addresses import IPv4, ListenAddress, OptionalAddress, PeerPort, ReplicaAddress
 from ._json import decode_json
 from ._numbers import (
     MAX_INT32,
     MAX_INT64,
+    BoundedNumber,
     Count,
     Int32Count,
     Int64,
@@ -12,14 +13,16 @@
     Port,
     SmallNumber,
     decimal,
+    long_number,
     to_int,
     whole_number,
 )
-from ._texts import HeaderText, Name, is_header_text
+from ._texts import HeaderText, Name, is_header_text, is_utf8
 
 __all__ = [
     "MAX_INT32",
     "MAX_INT64",
+    "BoundedNumber",
     "Count",
     "HeaderText",
     "IPv4",
@@ -28,6 +31,7 @@
     "ListenAddress",
     "Name",
     "NonNegativeNumber",
+    "OptionalAddress",
     "PeerPort",
     "Port",
     "ReplicaAddress",
@@ -35,6 +39,8 @@
     "decimal",
     "decode_json",
     "is_header_text",
+    "is_utf8",
+    "long_number",
     "to_int",
     "whole_number",
 ]
