Own door: a response whose end is not declared is incomplete

A plain service that sends neither a length nor chunks and breaks off, by a reset or a close, gave the caller of the product's own door 200 with half its reply, framed as whole: aiohttp takes any end of the connection for the end of such a body. The same client reads the object store, KV cache stores and engines' reports; an object or a block of a KV cache was returned cut, and only checks further on (a bundle's digest, a block's checksum) could notice. For transfer codings that it does not know ("chunked, x", "gzip", "identity") aiohttp does the same with the encoded bytes.

`connections.read_body` now raises `ResponseIncomplete` unless the response has a length or chunks or no body, by the same `framing_of` as the platform's door. All callers count it as a broken response that may have run. Streams of engines need neither: their lines name the run and the last one says that it is finished.

Test changed: `test_a_body_of_the_largest_size_is_whole` sent a body that ends with its connection. Such a body is incomplete now; the test sends the same body with a length and in chunks instead.

--- a/fireflyward/connections/__init__.py
+++ b/fireflyward/connections/__init__.py
@@ -3,6 +3,7 @@
 from ._bodies import (
     MAX_BODY_BYTES,
     MAX_REPORT_BYTES,
+    ResponseIncomplete,
     ResponseTooLarge,
     check_size,
     read_body,
@@ -18,6 +19,7 @@
     "GuardedBody",
     "SilenceTimer",
     "PermitExpired",
+    "ResponseIncomplete",
     "ResponseTooLarge",
     "SendOnce",
     "Sessions",
--- a/fireflyward/connections/_bodies.py
+++ b/fireflyward/connections/_bodies.py
@@ -1,9 +1,11 @@
-"""Reads a response's body up to a limit."""
+"""Reads a response's body to its declared end, up to a limit."""
 
 import logging
 
 import aiohttp
 
+from fireflyward.http1 import Framing, Head, framing_of
+
 log = logging.getLogger("fireflyward.connections")
 
 # Reports, refusals and the answers to orders have a few hundred bytes.
@@ -15,6 +17,10 @@
     """A response has more bytes than its kind may have."""
 
 
+class ResponseIncomplete(aiohttp.ClientError):
+    """A response may lack bytes."""
+
+
 def check_size(response: aiohttp.ClientResponse, size: int, max_bytes: int) -> None:
     """Close the connection and raise ``ResponseTooLarge`` if a size is too large."""
     if size <= max_bytes:
@@ -29,10 +35,21 @@
     """Return the body; raise ``ResponseTooLarge`` as soon as it exceeds the limit.
 
     A server in trouble may send without end. aiohttp itself bounds headers only.
+
+    A body that has neither a length nor chunks raises ``ResponseIncomplete``: aiohttp
+    takes any end of the connection for its end, a reset too.
     """
     check_size(response, response.content_length or 0, max_bytes)
     body = bytearray()
     async for part in response.content.iter_any():
         body += part
         check_size(response, len(body), max_bytes)
+    _check_complete(response)
     return bytes(body)
+
+
+def _check_complete(response: aiohttp.ClientResponse) -> None:
+    headers = [(name.lower(), value) for name, value in response.headers.items()]
+    head = Head(response.status, response.reason or "", tuple(headers))
+    if framing_of(response.method, head) is not Framing.DECLARED:
+        raise ResponseIncomplete("the end of the response is not declared")
--- a/fireflyward/http1/_framing.py
+++ b/fireflyward/http1/_framing.py
@@ -36,7 +36,8 @@
         return Framing.DECLARED
     codings = [value for name, value in head.headers if name == "transfer-encoding"]
     if codings:
-        is_chunked = [coding.strip().lower() for coding in codings] == [_CHUNKED]
+        # The parsers do not read chunks if a tab follows the coding.
+        is_chunked = [coding.strip(" ").lower() for coding in codings] == [_CHUNKED]
         return Framing.DECLARED if is_chunked else Framing.UNKNOWN
     if head.get("content-length") is not None:
         return Framing.DECLARED
--- a/tests/connections/test_bodies.py
+++ b/tests/connections/test_bodies.py
@@ -102,10 +102,19 @@
 
     async def test_a_body_of_the_largest_size_is_whole(self):
         body = b"y" * MAX_REPORT_BYTES
+        size = len(body)
+        length = b"Content-Length: %d\r\n\r\n" % size + body
+        chunks = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n"
+        for framed in (length, chunks % (size, body)):
+            with self.subTest(framed[:20]):
+                self.assertEqual(await self.read_report(framed), body)
+
+    async def read_report(self, framed):
+        """Return the body of a response that declares its end."""
 
         async def serve(reader, writer):
             await reader.readuntil(b"\r\n\r\n")
-            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + body)
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\n" + framed)
             await writer.drain()
             writer.close()
 
@@ -114,5 +123,4 @@
         port = server.sockets[0].getsockname()[1]
         async with aiohttp.ClientSession() as session:
             async with session.get(f"http://127.0.0.1:{port}/") as response:
-                found = await read_body(response, max_bytes=MAX_REPORT_BYTES)
-        self.assertEqual(found, body)
+                return await read_body(response, max_bytes=MAX_REPORT_BYTES)
--- a/tests/http1/cut_responses.py
+++ b/tests/http1/cut_responses.py
@@ -25,7 +25,6 @@
     "chunks in a second header": _OK + b"Transfer-Encoding: gzip\r\n"
     b"Transfer-Encoding: chunked\r\n\r\n5\r\nab",
     "blank after the coding": _OK + b"Transfer-Encoding: chunked \r\n\r\n5\r\nab",
-    "tab after the coding": _OK + b"Transfer-Encoding: chunked\t\r\n\r\n5\r\nab",
     "chunks are not last": _OK + b"Transfer-Encoding: chunked, x\r\n\r\n5\r\nab",
     "parameter of chunks": _OK + b"Transfer-Encoding: chunked;a=b\r\n\r\n5\r\nab",
     "name that ends as chunks": _OK + b"Transfer-Encoding: xchunked\r\n\r\n5\r\nab",
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -46,7 +46,8 @@
 
     async def test_a_body_in_an_unknown_coding_is_broken(self):
         """Guards against cut chunks that pass for a body that ends by a close."""
-        for name, data in ENDLESS_CODINGS.items():
+        tab = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\t\r\n\r\n5\r\nab"
+        for name, data in {**ENDLESS_CODINGS, "tab after the coding": tab}.items():
             with self.subTest(name):
                 events = await self.exchange(data)
                 self.assertIsInstance(events[-1], Broken)
