--- a/fireflyward/connections/_bodies.py
+++ b/fireflyward/connections/_bodies.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from fireflyward.http1 import Framing, Head, framing_of
+from fireflyward.http1 import Framing, Head, framing_of, has_second_status_line
 
 log = logging.getLogger("fireflyward.connections")
 
@@ -18,7 +18,7 @@
 
 
 class ResponseIncomplete(aiohttp.ClientError):
-    """A response may lack bytes."""
+    """A response may lack bytes, or contains those of another one."""
 
 
 def check_size(response: aiohttp.ClientResponse, size: int, max_bytes: int) -> None:
@@ -51,5 +51,7 @@
 def _check_complete(response: aiohttp.ClientResponse) -> None:
     headers = [(name.lower(), value) for name, value in response.headers.items()]
     head = Head(response.status, response.reason or "", tuple(headers))
+    if has_second_status_line(head):
+        raise ResponseIncomplete("header continues with another response")
     if framing_of(response.method, head) is not Framing.DECLARED:
         raise ResponseIncomplete("the end of the response is not declared")
--- a/tests/connections/test_cut_responses.py
+++ b/tests/connections/test_cut_responses.py
@@ -11,6 +11,7 @@
 from tests.http1.cut_responses import (
     CONFLICTING_LENGTHS,
     ENDLESS_CODINGS,
+    MERGED_HEADS,
     WHOLE_RESPONSES,
     CutServer,
     cuts,
@@ -59,6 +60,12 @@
             with self.subTest(name):
                 self.assertIsNone(await self.read(data))
 
+    async def test_a_head_that_continues_with_another_response_is_malformed(self):
+        """Guards against a cut head that gets the length and body of another."""
+        for name, data in MERGED_HEADS.items():
+            with self.subTest(name):
+                self.assertIsNone(await self.read(data))
+
     async def test_conflicting_lengths_are_malformed(self):
         for name, data in CONFLICTING_LENGTHS.items():
             with self.subTest(name):
--- a/tests/entry/test_cut_replies.py
+++ b/tests/entry/test_cut_replies.py
@@ -8,7 +8,7 @@
 from fireflyward.connections import Sessions
 from fireflyward.demo import DemoDeployment
 from fireflyward.upstreams import HttpService
-from tests.http1.cut_responses import CutServer
+from tests.http1.cut_responses import MERGED_HEADS, CutServer
 
 _HALF = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf"
 _PATH = "/services/drafting/notes"
@@ -33,8 +33,8 @@
         )
 
     async def test_no_caller_gets_a_part_of_a_reply(self):
-        """Guards against 200 with half a reply."""
-        for data in (_HALF,):
+        """Guards against 200 with half a reply, or with that to another call."""
+        for data in (_HALF, *MERGED_HEADS.values()):
             for resets in (False, True):
                 with self.subTest(data=data, resets=resets):
                     self.server.data, self.server.resets = data, resets
