Streams: a node with an old list removes no stored version

By reading, shown with tasks: a node that hears messages of other nodes but has not read the list of replicas for 30 s forgot a version that was told to it, and its next write would have removed that version from the row while others serve it. A node that starts then, or reads the row to decide where a stream began, would take the older version for the only one.

Now a node removes versions only while its list was confirmed within 3 s, as the feed does.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -168,6 +168,7 @@
             store=self._store,
             table=NODE_TABLE,
             node_row=node_row_key(settings.node),
+            has_recent_list=streams.has_recent_list,
             place=self._place_for_software,
             on_written=streams.on_written,
             poll_soon=lambda: self._joining.poll_soon(),
--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -62,6 +62,7 @@
         "_clock",
         "_differs_since_ms",
         "_era",
+        "_has_recent_list",
         "_last_read",
         "_last_sent",
         "_node_row",
@@ -88,12 +89,16 @@
         store: StoreClient,
         table: str,
         node_row: str,
+        has_recent_list: Callable[[], bool],
         place: Callable[[], float],
         on_written: Callable[[str, frozenset[str], Position], None],
         poll_soon: Callable[[], None],
     ) -> None:
         """``node_row`` is the key of the row that a node with this node's name writes.
 
+        ``has_recent_list`` returns whether the list of replicas was confirmed lately.
+        Without that nothing is removed from a row: others may serve what is missing.
+
         ``place`` returns this node's place for the duty, from 0 for the first to 1.
 
         ``on_written`` is called after each write of a row by this node. ``poll_soon``
@@ -106,6 +111,7 @@
         self._store = store
         self._table = table
         self._node_row = node_row
+        self._has_recent_list = has_recent_list
         self._place = place
         self._on_written = on_written
         self._poll_soon = poll_soon
@@ -209,6 +215,8 @@
             stored = self._stored.of(service)
             kept = stored & self._versions.recent(now_ms, service)
             wanted = kept | self._versions.first_hand(now_ms, service)
+            if stored - wanted and not self._has_recent_list():
+                wanted |= stored
             if wanted == stored:
                 self._differs_since_ms.pop(service, None)
                 self._tried_ms_by_service.pop(service, None)
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -221,7 +221,7 @@
         """
         if len(self._possible(service)) != 1:
             return False
-        if are_holders_in_step and self._has_recent_list():
+        if are_holders_in_step and self.has_recent_list():
             return True
         return await self.read_stored() and len(self._possible(service)) == 1
 
@@ -230,11 +230,6 @@
         recent = self.versions.recent(self._clock.now_ms(), service)
         return recent | self.stored.of(service)
 
-    def _has_recent_list(self) -> bool:
-        confirmation = self._directory.confirmation
-        age_ms = confirmation.age_ms(self._clock.now_ms())
-        return confirmation.as_of_ms is not None and age_ms <= _MAX_LIST_AGE_MS
-
     def _without_record(
         self,
         service: str,
@@ -267,6 +262,12 @@
         """Return whether streams of a service may have begun at several versions."""
         return len(self.versions.recent(self._clock.now_ms(), service)) > 1
 
+    def has_recent_list(self) -> bool:
+        """Return whether the list of replicas was confirmed lately."""
+        confirmation = self._directory.confirmation
+        age_ms = confirmation.age_ms(self._clock.now_ms())
+        return confirmation.as_of_ms is not None and age_ms <= _MAX_LIST_AGE_MS
+
     def begins_at(self, service: str) -> frozenset[str] | None:
         """Return the only versions at which streams may begin now, None for any."""
         return self.stored.begins_at(self._clock.now_ms(), service)
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -42,7 +42,9 @@
     return TableUpdate(tuple(changed), is_snapshot, 0, position=position)
 
 
-def software_rows(versions, clock, store, *, is_first, polls=None):
+def software_rows(
+    versions, clock, store, *, is_first, polls=None, has_recent_list=True
+):
     """Return rows with the stored versions that they apply reads and writes to."""
     stored = StoredVersions(started_ms=clock.now_ms())
     rows = SoftwareRows(
@@ -52,6 +54,7 @@
         store=store,
         table="t",
         node_row="node/n",
+        has_recent_list=lambda: has_recent_list,
         place=lambda: 0.0 if is_first() else 1.0,
         on_written=stored.on_written,
         poll_soon=lambda: None if polls is None else polls.append(clock.now_ms()),
@@ -223,6 +226,25 @@
         self.rows.on_table_update(update(1, ("software/s", value), is_snapshot=True))
         self.assertEqual(self.rows.due(STREAM_LIFETIME_MS + 1), [])
 
+    def test_a_version_stays_while_the_list_of_replicas_is_old(self):
+        """Guards against a node out of step that deletes what others serve."""
+        late_ms = 1_001 + STREAM_LIFETIME_MS
+        for has_recent_list, due in ((False, []), (True, [("s", {"v1"})])):
+            with self.subTest(has_recent_list=has_recent_list):
+                versions = SoftwareVersions()
+                rows, stored = software_rows(
+                    versions,
+                    self.clock,
+                    self.store,
+                    is_first=lambda: True,
+                    has_recent_list=has_recent_list,
+                )
+                versions.on_list(0, {"s": {"v1"}})
+                # Another node tells what it has stored.
+                versions.on_told(1_000, "s", {"v1", "v2"})
+                stored.on_written("s", frozenset({"v1", "v2"}), Position(0, 2))
+                self.assertEqual(rows.due(late_ms), due)
+
     def test_streams_from_before_the_start_may_have_begun_at_stored_versions(self):
         value = msgspec.json.encode({"versions": ["v1"]})
         self.assertIsNone(self.stored.before_start(0, "s"))
