Forwarding: a request's body is released when the request ends

The body stayed in memory until the garbage collector's oldest generation ran, which happens every some ten thousand requests: `RequestRun` refers to its `AttemptPlan`, which refers back through a bound method.

The run drops the body at its end, whatever still refers to the run.

--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -151,6 +151,8 @@
             # The caller may close its connection before its request was sent.
             self._stop_late_wait(None)
             self._quarantine_check.close()
+            # The run is part of reference cycles, which are found long after its end.
+            self._body = b""
 
     async def _send_until_done(self) -> Outcome:
         self._deps.budget.on_request(self._clock.now_ms(), self._service)
--- a/tests/fleet/test_memory.py
+++ b/tests/fleet/test_memory.py
@@ -1,8 +1,10 @@
 """The memory that a node uses for the bodies of requests and responses."""
 
 import asyncio
+import gc
+import tracemalloc
 
-from .node_fixtures import NodeTestCase
+from .node_fixtures import KEY, STREAM, NodeTestCase
 
 _MEMORY_MB = 32
 _BODY_BYTES = 1 << 20
@@ -14,6 +16,9 @@
 # Bytes that a transport takes while its peer does not read: its high-water mark and
 # one write.
 _MAX_WRITE_BUFFER_BYTES = 256 << 10
+_HELD_BYTES = 1_000_000
+# Each replica's stand-in keeps the last request of its connection.
+_STAND_IN_BODIES = 3
 
 
 class _Caller:
@@ -165,3 +170,48 @@
         caller.writer.transport.abort()
         await self.until(lambda: self.node._caller_server.in_flight == 0)
         self.assert_nothing_held()
+
+
+class ReleasedBodyTests(MemoryTestCase):
+    async def asyncSetUp(self):
+        await super().asyncSetUp()
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+
+    async def held_after(self, path, **options):
+        """Return the bytes that are allocated by the end of some requests."""
+        await self.fetch("POST", path, **options)
+        self.forget()
+        before, _ = tracemalloc.get_traced_memory()
+        for _ in range(2 * _STAND_IN_BODIES):
+            status, _, _ = await self.fetch("POST", path, **options)
+            self.assertEqual(status, 200)
+        self.forget()
+        await self.until(lambda: self.node._caller_server.in_flight == 0)
+        after, _ = tracemalloc.get_traced_memory()
+        return after - before
+
+    def forget(self):
+        for replica in (*self.plain, *self.engines):
+            replica.executed_requests.clear()
+            replica.requests.clear()
+
+    async def test_the_body_of_a_request_that_ended(self):
+        """Guards against bodies that stay until the garbage collector runs."""
+        body = b"x" * _HELD_BYTES
+        for path, headers in (("/r/x", KEY), ("/w/x", KEY), ("/s/x", STREAM)):
+            with self.subTest(path):
+                held = await self.held_after(headers=headers, path=path, data=body)
+                self.assertLess(held, _STAND_IN_BODIES * len(body))
+
+    async def test_the_body_of_a_response_that_was_delivered(self):
+        """Guards against responses that stay until the garbage collector runs."""
+        for replica in self.plain:
+            replica.plain_body = b"x" * _HELD_BYTES
+        for path in ("/r/x", "/w/x"):
+            with self.subTest(path):
+                held = await self.held_after(path=path)
+                self.assertLess(held, _STAND_IN_BODIES * _HELD_BYTES)
