Loads and headers: no caller's number or text fails a task or a request

One streaming request with X-Token-Usage '900,3000000000' (or three with 999,999,999) made the sum of the tokens at a replica larger than the 32 bits of a load report. Packing it raised TDecodeException in the task 'load reports', for as long as the request ran: no other node heard of this node's loads, and before tasks were supervised the process ended. Sums are cut to what a message carries, and negative ones of other nodes count as nothing.

A header beyond Latin-1 could not be encoded for the replica, and its request failed with 502 each time; one within Latin-1 reached the replica as other bytes. Texts are UTF-8 now on both sides, with bytes that are none restored as they came. A Keep-Alive time of superscript digits broke its response.

--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -11,6 +11,8 @@
 
 import httptools
 
+from fireflyward.decoding import whole_number
+
 from ._head import Head
 from ._late_responses import LateResponses, NamedBy
 
@@ -212,7 +214,7 @@
         lines += [f"{name}: {value}" for name, value in headers]
         if body or method not in ("GET", "HEAD", "DELETE"):
             lines.append(f"Content-Length: {len(body)}")
-        data = "\r\n".join([*lines, "", ""]).encode("latin-1")
+        data = "\r\n".join([*lines, "", ""]).encode("utf-8", "surrogateescape")
         self._transport.write(data + body)
         if self._transport.is_closing():
             # The transport writes to the socket at once and closes if that fails, in
@@ -310,7 +312,7 @@
         if self._head_done:
             # A trailer is not used.
             return
-        self._headers.append((name.decode("latin-1").lower(), value.decode("latin-1")))
+        self._headers.append((name.decode("latin-1").lower(), _text(value)))
 
     def on_headers_complete(self) -> None:
         if not self._is_busy or self._head_done:
@@ -424,14 +426,22 @@
     raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _PROBE_INTERVAL_S)
 
 
-def _keep_alive_s(value: str | None) -> float | None:
+def _keep_alive_s(value: str | None) -> int | None:
     """Return the timeout in a ``Keep-Alive`` header, in seconds.
 
     >>> _keep_alive_s("timeout=5, max=100")
-    5.0
+    5
     """
     for part in (value or "").split(","):
         name, _, number = part.strip().partition("=")
-        if name.lower() == "timeout" and number.strip().isdigit():
-            return float(number)
+        if name.lower() == "timeout":
+            return whole_number(number)
     return None
+
+
+def _text(value: bytes) -> str:
+    """Return a header's value, which is UTF-8 or else Latin-1."""
+    try:
+        return value.decode()
+    except UnicodeDecodeError:
+        return value.decode("latin-1")
--- a/fireflyward/replicas/_load_reports.py
+++ b/fireflyward/replicas/_load_reports.py
@@ -5,6 +5,7 @@
 
 from fireflyward.aggregators import Aggregators, Member
 from fireflyward.clock import Clock
+from fireflyward.decoding import MAX_INT32
 from fireflyward.peers import PeerLink
 
 from ._directory import ReplicaDirectory
@@ -315,16 +316,23 @@
 
 
 def _encode(loads: LoadByReplica) -> Any:
-    """Return the message for loads, with one column for each field."""
+    """Return the message for loads, with one column for each field.
+
+    Tokens come from callers, and their sum may be larger than a message carries.
+    """
     return UnderWayNews(
         replicas=list(loads),
-        unread=[item.unprefilled for item in loads.values()],
-        held=[item.resident for item in loads.values()],
-        requests=[item.requests for item in loads.values()],
+        unread=[_to_int32(item.unprefilled) for item in loads.values()],
+        held=[_to_int32(item.resident) for item in loads.values()],
+        requests=[_to_int32(item.requests) for item in loads.values()],
     )
 
 
+def _to_int32(number: int) -> int:
+    return max(0, min(number, MAX_INT32))
+
+
 def _decode(message: Any) -> dict[int, InFlightLoad]:
     counts = zip(message.unread, message.held, message.requests, strict=False)
-    items = [InFlightLoad(*item) for item in counts]
+    items = [InFlightLoad(*(max(0, number) for number in item)) for item in counts]
     return dict(zip(message.replicas, items, strict=False))
--- a/tests/platform_standins/_http.py
+++ b/tests/platform_standins/_http.py
@@ -111,7 +111,7 @@
     """Return the bytes of a response that has a Content-Length header."""
     lines = [f"HTTP/1.1 {status} {reason}", f"Content-Length: {len(body)}"]
     lines += [f"{name}: {value}" for name, value in headers]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    return "\r\n".join([*lines, "", ""]).encode("utf-8", "surrogateescape") + body
 
 
 def json_response(value, status=200, headers=()):
@@ -125,7 +125,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
     except (asyncio.IncompleteReadError, ConnectionError):
         return None
-    first, *lines = head.decode("latin-1").rstrip().split("\r\n")
+    first, *lines = head.decode("utf-8", "surrogateescape").rstrip().split("\r\n")
     method, target, _ = first.split(" ")
     headers = {}
     for line in lines:
