Streams: an event id of more digits than 64 bits hold is no id

An event with an id of 5,000 digits raised ValueError (Python converts 4,300) and ended its stream; one of 400 digits made all later events of the stream seem to be repeated, and the caller got none of them. An id has 18 digits at most now; an event with a longer one is forwarded as one without.

test_an_id_that_no_stream_reaches_is_no_id raised ValueError before.

--- a/fireflyward/forwarding/_events.py
+++ b/fireflyward/forwarding/_events.py
@@ -4,6 +4,8 @@
 
 _SEPARATOR = b"\n\n"
 _ID_PREFIX = b"id:"
+# A longer id would make all later events seem to be repeated.
+_MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,5 +87,6 @@
     for line in event.split(b"\n"):
         if line.startswith(_ID_PREFIX):
             value = line[len(_ID_PREFIX) :].strip()
-            return int(value) if value.isdigit() else None
+            is_number = value.isdigit() and len(value) <= _MAX_ID_DIGITS
+            return int(value) if is_number else None
     return None
--- a/tests/forwarding/test_events.py
+++ b/tests/forwarding/test_events.py
@@ -19,6 +19,12 @@
         self.assertEqual([e.number for e in events], list(range(1, count + 1)))
         self.assertEqual(splitter.incomplete, b"")
 
+    def test_an_id_that_no_stream_reaches_is_no_id(self):
+        """Guards against a stream that ends, or skips its events, for one long id."""
+        data = b"id: %s\n\nid: %s\n\nid: 7\n\n" % (b"9" * 5_000, b"9" * 19)
+        numbers = [event.number for event in EventSplitter().feed(data)]
+        self.assertEqual(numbers, [None, None, 7])
+
     def test_an_incomplete_event_is_not_returned(self):
         splitter = EventSplitter()
         self.assertEqual(splitter.feed(b"id: 1\ndata: ha"), [])
