Connections: an address that raises is one to which nothing connects

create_connection raises ValueError, UnicodeError or OverflowError for addresses that no socket takes, and the exception ended the request, or the call of a task. It is a failed connection like any other now, for requests, for calls to the store and for tunnels that other nodes open.

test_an_address_that_raises_is_not_connected: 8 errors in 8 addresses before.

--- a/fireflyward/http1/_pool.py
+++ b/fireflyward/http1/_pool.py
@@ -199,4 +199,6 @@
             is_refused = isinstance(error, ConnectionRefusedError)
             self.refused += is_refused
             return NotConnected(f"no connection to {address}: {error}", is_refused)
+        except (ValueError, OverflowError) as error:
+            return NotConnected(f"no connection to {address[:80]!r}: {error}")
         return connection
--- a/fireflyward/relays/_server.py
+++ b/fireflyward/relays/_server.py
@@ -152,6 +152,9 @@
         except OSError as error:
             is_refused = isinstance(error, ConnectionRefusedError)
             status = TunnelStatus.REFUSED if is_refused else TunnelStatus.SILENT
+        except (ValueError, OverflowError) as error:
+            log.warning("relays: no connection to %r: %s", replica, error)
+            status = TunnelStatus.SILENT
         except BaseException:
             pipe.stop(PipeEnd.ABANDONED)
             raise
--- a/tests/http1/test_pool.py
+++ b/tests/http1/test_pool.py
@@ -1,7 +1,7 @@
 import unittest
 
 from fireflyward.clock import Clock
-from fireflyward.http1 import ConnectionPool
+from fireflyward.http1 import ConnectionPool, NotConnected
 from tests.platform_standins import ReplicaStandIn
 
 _CONNECT_MS = 5_000
@@ -40,3 +40,20 @@
         self.assertNotIn(connection, self.idle)
         self.assertEqual(self.pool.opened, 4)
         self.assertIs(await self.acquire(), self.idle[-1])
+
+    async def test_an_address_that_raises_is_not_connected(self):
+        """Guards against an exception for each request to an invalid address."""
+        for address in (
+            "127.0.0.1:99999",
+            "127.0.0.1:" + "1" * 5_000,
+            "127.0.0.1:x",
+            "127.0.0.1",
+            "a\0b:80",
+            "h" * 300 + ":80",
+            "..:80",
+            "",
+        ):
+            with self.subTest(address=address[:20]):
+                found = await self.pool.acquire(address, connect_ms=_CONNECT_MS)
+                self.assertIsInstance(found, NotConnected)
+                self.assertFalse(found.is_refused)
