Own door: compressed bodies are neither requested nor taken

aiohttp asks upstreams for compressed bodies and decompresses what comes.

The sessions for upstreams ask for `identity`, and `read_body` takes no other encoding, as the platform's door does already.

--- a/fireflyward/commands/_rollout.py
+++ b/fireflyward/commands/_rollout.py
@@ -55,9 +55,10 @@
     import aiohttp
 
     from fireflyward.backing import HttpTable, Missing, Unavailable
+    from fireflyward.connections import UNENCODED
     from fireflyward.rollout import ROLLOUT_KEY, RolloutRow, decode_row
 
-    async with aiohttp.ClientSession() as session:
+    async with aiohttp.ClientSession(headers=UNENCODED) as session:
         found = await HttpTable(session, table_url).get(ROLLOUT_KEY)
     if isinstance(found, Unavailable):
         return found
--- a/fireflyward/connections/__init__.py
+++ b/fireflyward/connections/__init__.py
@@ -3,6 +3,7 @@
 from ._bodies import (
     MAX_BODY_BYTES,
     MAX_REPORT_BYTES,
+    UNENCODED,
     ResponseIncomplete,
     ResponseTooLarge,
     check_size,
@@ -16,6 +17,7 @@
 __all__ = [
     "MAX_BODY_BYTES",
     "MAX_REPORT_BYTES",
+    "UNENCODED",
     "GuardedBody",
     "SilenceTimer",
     "PermitExpired",
--- a/fireflyward/connections/_bodies.py
+++ b/fireflyward/connections/_bodies.py
@@ -11,6 +11,9 @@
 # Reports, refusals and the answers to orders have a few hundred bytes.
 MAX_REPORT_BYTES = 65_536
 MAX_BODY_BYTES = 16 << 20
+_IDENTITY = "identity"
+# aiohttp otherwise asks for compressed bodies, and takes one that is cut for whole.
+UNENCODED = {"Accept-Encoding": _IDENTITY}
 
 
 class ResponseTooLarge(aiohttp.ClientError):
@@ -18,7 +21,7 @@
 
 
 class ResponseIncomplete(aiohttp.ClientError):
-    """A response may lack bytes, or contains those of another one."""
+    """A response may lack bytes, or its body is not the one that was requested."""
 
 
 def check_size(response: aiohttp.ClientResponse, size: int, max_bytes: int) -> None:
@@ -53,5 +56,7 @@
     head = Head(response.status, response.reason or "", tuple(headers))
     if has_second_status_line(head):
         raise ResponseIncomplete("header continues with another response")
+    if head.get("content-encoding") not in (None, _IDENTITY):
+        raise ResponseIncomplete("response in an encoding that was not requested")
     if framing_of(response.method, head) is not Framing.DECLARED:
         raise ResponseIncomplete("the end of the response is not declared")
--- a/fireflyward/connections/_sessions.py
+++ b/fireflyward/connections/_sessions.py
@@ -4,6 +4,8 @@
 
 import aiohttp
 
+from ._bodies import UNENCODED
+
 _MAX_CONNECTIONS = 2_000
 # A network device between two hosts may drop the state of an idle connection without
 # notice. A connection that was idle for longer than this is closed instead of reused,
@@ -31,12 +33,14 @@
                 limit=_MAX_CONNECTIONS,
                 keepalive_timeout=_MAX_IDLE_S,
                 socket_factory=make_socket,
-            )
+            ),
+            headers=UNENCODED,
         )
         self.fresh = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(
                 limit=_MAX_CONNECTIONS, force_close=True, socket_factory=make_socket
-            )
+            ),
+            headers=UNENCODED,
         )
 
     async def close(self) -> None:
--- a/tests/connections/test_cut_responses.py
+++ b/tests/connections/test_cut_responses.py
@@ -1,5 +1,6 @@
 """A response that breaks off does not look complete to the clients of the own door."""
 
+import gzip
 import unittest
 
 import aiohttp
@@ -71,6 +72,16 @@
             with self.subTest(name):
                 self.assertIsNone(await self.read(data))
 
+    async def test_a_compressed_body_that_was_not_requested_is_malformed(self):
+        """Guards against a part of a body: aiohttp takes cut gzip data for whole."""
+        data = gzip.compress(b"a clause. " * 20, mtime=0)
+        for encoded in (data[:-12], data):
+            head = b"HTTP/1.1 200 OK\r\nContent-Encoding: gzip\r\nContent-Length: %d"
+            response = head % len(encoded) + b"\r\n\r\n" + encoded
+            self.assertIsNone(await self.read(response))
+            request = self.server.requests[-1]
+            self.assertEqual(request.headers["accept-encoding"], "identity")
+
     async def test_responses_without_a_body_are_complete(self):
         for status in (204, 304):
             data = b"HTTP/1.1 %d X\r\n\r\n" % status
