Callers: a stream for a caller of HTTP/1.0 is rejected before it runs

HTTP/1.0 has no chunks, so the node could not begin the response: the replica had run the stream, the log got a traceback ("Using chunked encoding is forbidden"), and the caller an ended connection without a byte. Sent without chunks, a broken stream would look like a finished one. Such a request is now answered 400 and does not run. Plain answers to HTTP/1.0 have a length, as before.

Before: `test_a_stream_for_a_caller_of_http_1_0_does_not_run` read b"". The other tests of `tests.fleet.test_unfinished_responses` passed: no last chunk after a replica that broke off, at the end of a stop, or after an unexpected exception in the middle.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -4,12 +4,13 @@
 import logging
 from collections.abc import Callable
 
+from aiohttp.http import HttpVersion11
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response, StreamResponse
 from multidict import CIMultiDict
 
 from fireflyward.clock import Clock, TimedOut, within_ms
-from fireflyward.deployment import Limits
+from fireflyward.deployment import Limits, RouteKind
 from fireflyward.forwarding import Forwarder, Trace
 from fireflyward.http1 import Head, has_queued_request
 from fireflyward.observe import PER_REQUEST, PROOF, Metrics
@@ -293,6 +294,9 @@
         )
         if not isinstance(allowed, Allowed):
             return allowed
+        if allowed.route.kind is RouteKind.STREAM and request.version < HttpVersion11:
+            # Without chunks the caller could not tell the end from a broken stream.
+            return NotRun(Reason.BAD_REQUEST, "a stream needs HTTP/1.1")
         return await self._forwarder.serve(
             caller, body, allowed, arrived_ms=arrived_ms, reply=reply, trace=trace
         )
