Forwarding: a send that lost its race releases its body

A request that was sent twice kept its body until the garbage collector ran: the race refers to the cancelled task, its exception to the frames of the send, and these to the body and to the race. The race now forgets its tasks at its end.

Before: the test failed; the cancelled send's object was still alive.

--- a/fireflyward/forwarding/_send_race.py
+++ b/fireflyward/forwarding/_send_race.py
@@ -75,6 +75,8 @@
                 if isinstance(error, Exception) and error is not sys.exception():
                     message = "forwarding: a send failed with an unexpected exception"
                     log.error(message, exc_info=error)
+            # The traceback of a cancelled send refers to its body and to this race.
+            self._tasks.clear()
 
     async def _collect(
         self, begin_second: Callable[[SecondSendReason], _Send | None]
--- a/tests/forwarding/test_send_race.py
+++ b/tests/forwarding/test_send_race.py
@@ -1,7 +1,9 @@
 """A race of two sends when one of them ends with an unexpected exception."""
 
 import asyncio
+import gc
 import unittest
+import weakref
 
 from fireflyward.clock import ManualClock
 from fireflyward.forwarding._messages import Streamed
@@ -60,6 +62,36 @@
         self.assertIn("RuntimeError: first", logs.output[0])
         self.assertEqual(len(logs.output), 1)
 
+    async def test_a_cancelled_send_releases_what_it_holds(self):
+        """Guards against bodies that stay until the garbage collector runs."""
+
+        class Body:
+            pass
+
+        bodies = []
+
+        async def send(race, clock, number, delay_ms):
+            body = Body()
+            bodies.append(weakref.ref(body))
+            # As a send does that refers to its race.
+            claim = race.claim
+            await clock.sleep_ms(delay_ms)
+            claim(number)
+            return Streamed()
+
+        def first(race, clock):
+            return send(race, clock, 0, 500)
+
+        def second(race, clock):
+            return send(race, clock, 1, 50)
+
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        results = await self.race(first, second)
+        self.assertEqual(results, [(1, Streamed())])
+        self.assertEqual([body() for body in bodies], [None, None])
+
 
 class DisconnectedCallerTests(unittest.IsolatedAsyncioTestCase):
     async def test_a_write_to_a_caller_that_left_is_not_logged_as_a_failure(self):
