Reach: entries of silent hosts do not cut off their failure domain

Each request to such an entry began another check.

A check now probes replicas first to which this node has connected before. Only where there are none, as at the start, are others drawn, and the first sound one that is reached is known from then on. A domain that is really cut off is found by the same two probes as before.

Entries at which connections are refused, or to which there is no route, cost no request before or after.

--- a/fireflyward/reach/_check.py
+++ b/fireflyward/reach/_check.py
@@ -48,11 +48,15 @@
         """Return the replicas to probe now, of those listed in the domain.
 
         Replicas that are known to be reached only through other nodes say nothing
-        about the others, and are probed only if there are no others.
+        about the others, and are probed only if there are no others. An entry may name
+        a host that does not exist: those to which this node has connected come first.
         """
         listed = [state for state in states if not state.is_leaving]
         listed = [state for state in listed if not is_relayed(state)] or listed
-        return self._random.sample(listed, min(_PROBED_REPLICAS, len(listed)))
+        self._random.shuffle(listed)
+        # False sorts first.
+        listed.sort(key=lambda state: not state.has_connected)
+        return listed[:_PROBED_REPLICAS]
 
     def is_unreachable(self, probed: int, *, reached: int) -> bool:
         """Return whether a domain is unreachable, by the number of successful probes.
--- a/fireflyward/reach/_task.py
+++ b/fireflyward/reach/_task.py
@@ -295,5 +295,6 @@
         if isinstance(connection, NotConnected):
             # The host of a refused connection has answered, so the domain is reachable.
             return connection.is_refused
+        replica.has_connected = True
         self._pool.release(connection)
         return True
--- a/fireflyward/relays/_connector.py
+++ b/fireflyward/relays/_connector.py
@@ -85,6 +85,7 @@
             without=without,
         )
         if not isinstance(connection, NotConnected):
+            replica.has_connected = True
             return connection
         if not connection.is_refused:
             self._on_silent(replica)
--- a/fireflyward/replicas/_state.py
+++ b/fireflyward/replicas/_state.py
@@ -63,6 +63,7 @@
         "backpressure",
         "entry",
         "failed_share",
+        "has_connected",
         "expires_at_ms",
         "in_flight",
         "resident_tokens",
@@ -103,6 +104,8 @@
         self.speed = ReplicaSpeed()
         self.mean_run_ms = _INITIAL_RUN_MS
         self.failed_share = 0.0
+        # Whether this node ever connected to it.
+        self.has_connected = False
         self.expires_at_ms: int | None = None
         self.version_by_model = _versions(entry)
         self.rejections = 0
--- a/tests/reach/test_task.py
+++ b/tests/reach/test_task.py
@@ -111,6 +111,34 @@
         self.assertEqual(self.directory.unreachable, {"b"})
         self.assertEqual(self.chosen_domains(), {"a"})
 
+    async def test_entries_of_no_replica_do_not_cut_their_domain(self):
+        """Guards against rejections because entries name hosts that do not answer.
+
+        Two of them were probed, so that the domain of all sound replicas seemed to be
+        cut off.
+        """
+        for name in ("b0", "b1"):
+            self.directory.find(name).has_connected = True
+        self.silence(*(f"b{n}" for n in range(2, 6)))
+        for _ in range(20):
+            self.on_silent("b2")
+            await self.clock.advance_ms(151)
+            self.assertEqual(self.directory.unreachable, frozenset())
+
+    async def test_a_domain_is_found_again_beside_entries_of_no_replica(self):
+        """Guards against a node that starts among such entries and rejects all."""
+        self.silence(*(f"b{n}" for n in range(1, 6)))
+        self.on_silent("b1")
+        async with asyncio.timeout(20):
+            while not self.directory.find("b0").has_connected:
+                self.on_silent("b1")
+                await self.clock.advance_ms(451)
+        await self.clock.advance_ms(451)
+        for _ in range(20):
+            self.on_silent("b1")
+            await self.clock.advance_ms(151)
+            self.assertEqual(self.directory.unreachable, frozenset())
+
     async def test_idempotent_requests_do_not_wait_for_an_unreachable_domain(self):
         """Guards against requests that hang for three seconds after a network fault.
 
