Notices: an announced limit that is no number is not used

Another node's message may carry an infinite limit, NaN or 1e300 as a replica's limit. An infinite one raised OverflowError in the choice of a replica, for every request of the service, and the node repeated it to others; NaN ended a limit that was in force, so that a brittle replica counted as sound. Limits that no replica can have reported are left out; a negative one still means that there is none.

test_an_announced_number_that_is_none_is_not_used failed for all three.

--- a/fireflyward/notices/_task.py
+++ b/fireflyward/notices/_task.py
@@ -1,11 +1,13 @@
 """The task that records notices in replicas' answers and announces them to nodes."""
 
 import logging
+import math
 import random
 from collections.abc import Callable, Iterator, Sequence
 from typing import Any
 
 from fireflyward.clock import Clock
+from fireflyward.decoding import MAX_INT32
 from fireflyward.peers import Address, PeerLink
 from fireflyward.platform import (
     Brittleness,
@@ -226,6 +228,8 @@
             state = self._directory.find_incarnation(incarnation_id)
             if state is None:
                 continue
+            if not _is_usable(limit):
+                continue
             per_second = limit if limit >= 0 else None
             if state.backpressure.limit.on_limit_update(
                 now_ms - max(0, age_ms), per_second
@@ -252,6 +256,8 @@
             state = self._directory.find_incarnation(incarnation_id)
             if state is None:
                 continue
+            if not _is_usable(rejections):
+                continue
             number = rejections if rejections >= 0 else None
             as_of_ms = now_ms - max(0, age_ms)
             if state.backpressure.brittle.on_limit_update(as_of_ms, number):
@@ -262,6 +268,11 @@
                 state.rejected.add(now_ms)
 
 
+def _is_usable(number: float) -> bool:
+    """Return whether a replica can have reported a number; a negative one is none."""
+    return math.isfinite(number) and number <= MAX_INT32
+
+
 def _is_announced(now_ms: int, state: ReplicaState) -> bool:
     """Return whether a replica has notices that other nodes may not know."""
     if state.backpressure.is_leaving:
--- a/tests/notices/test_task.py
+++ b/tests/notices/test_task.py
@@ -71,6 +71,29 @@
 
 
 class NoticeTests(NoticeTestCase):
+    async def test_an_announced_number_that_is_none_is_not_used(self):
+        """Guards against a limit with which no replica can be chosen any more."""
+        self.answer(SIGNED, ("server-limit", "3.5"), ("server-brittle", "2"))
+        for message in await self.first_messages():
+            await self.second[2].handle("n1", message)
+        for number in (float("inf"), float("nan"), 1e300):
+            message = (await self.first_messages())[0]
+            message.limits = message.withstood = [number]
+            message.ages_ms = message.brittle_ages_ms = [0]
+            with self.subTest(number=number):
+                await self.second[2].handle("n1", message)
+                self.assertEqual(self.limit(self.second), 3.5)
+                state = self.second[0].find("r1")
+                self.assertEqual(state.backpressure.brittle.per_second, 2.0)
+
+    async def first_messages(self):
+        """Return what the first node announces, each as a message of its own."""
+        self.answer(SIGNED, ("server-limit", "4.5"), ("server-brittle", "3"))
+        self.answer(SIGNED, ("server-limit", "3.5"), ("server-brittle", "2"))
+        await self.clock.advance_ms(30)
+        sent, self.first[2].sent = self.first[2].sent, []
+        return [message for _, message in sent]
+
     async def test_a_limit_is_announced_to_all_other_nodes(self):
         self.answer(SIGNED, ("server-limit", "3.5"))
         sent = await self.deliver()
