Feeds and KV stores: an answer of another build is not used

An answer of another node with a negative age, or a wait longer than the call, counted as newer than now, so that a table seemed current for as long; one with an outcome that this build does not know counted as 'no changes'. Answers about a KV store whose lists differ in length, or whose salts are out of range, raised IndexError or ValueError in the task that follows the store.

Such answers are malformed: the store is asked, or the follower tries again, and no answer is valid for a time after its arrival.

--- a/fireflyward/feeds/_sharing.py
+++ b/fireflyward/feeds/_sharing.py
@@ -23,6 +23,7 @@
 _KIND = "feed"
 _CHANGES, _WHOLE = "changes", "whole"
 _HISTORY_LOST, _UNABLE = "history lost", "unable"
+_USABLE = (_CHANGES, _WHOLE, _HISTORY_LOST)
 # In place of a version: requests the full table. Nodes that start together query each
 # other before they have read anything; the queried node answers when it has read it.
 _FULL_READ = -1
@@ -237,6 +238,7 @@
         rows = _decode_rows(answer)
         # The answer was made at least `waited_ms` after the request was sent.
         as_of_ms = now_ms + answer.waited_ms - answer.age_ms
+        as_of_ms = min(as_of_ms, self._clock.now_ms())
         if answer.outcome == _WHOLE:
             return Snapshot(rows, position, as_of_ms, aggregator.name)
         return Changes(rows, position, as_of_ms, aggregator.name)
@@ -384,6 +386,9 @@
     """Return why the answer cannot be used, or "" if it can."""
     if isinstance(answer, CallFailed):
         return answer.detail
-    return (
-        "its cached table is missing or outdated" if answer.outcome == _UNABLE else ""
-    )
+    if answer.outcome == _UNABLE:
+        return "its cached table is missing or outdated"
+    numbers = (answer.era, answer.version, answer.age_ms, answer.waited_ms)
+    if answer.outcome not in _USABLE or min(numbers) < 0:
+        return f"its answer {answer.outcome[:20]!r} is not understood"
+    return ""
--- a/fireflyward/prefixes/_encoding.py
+++ b/fireflyward/prefixes/_encoding.py
@@ -24,13 +24,18 @@
 
 def decode(
     struct: Any, *, is_snapshot: bool = False, has_gap: bool = False
-) -> KvUpdate:
-    """Return the update that a struct contains."""
+) -> KvUpdate | None:
+    """Return the update that a struct contains, None if it is malformed."""
+    columns = (struct.salt_of, struct.part_ids, struct.tokens)
+    is_even = len({len(column) for column in columns}) == 1
+    salts = range(len(struct.salts))
+    if not is_even or not all(salt in salts for salt in struct.salt_of):
+        return None
+    if min(struct.since, struct.next_event, *struct.tokens) < 0:
+        return None
     events = tuple(
         KvEvent(PartKey(struct.salts[salt], part_id), tokens)
-        for salt, part_id, tokens in zip(
-            struct.salt_of, struct.part_ids, struct.tokens, strict=True
-        )
+        for salt, part_id, tokens in zip(*columns, strict=True)
     )
     return KvUpdate(
         struct.epoch,
--- a/fireflyward/prefixes/_publisher.py
+++ b/fireflyward/prefixes/_publisher.py
@@ -107,8 +107,9 @@
         follower_by_address = dict(self._followers())
         for store_events in message.stores:
             follower = follower_by_address.get(store_events.address)
-            if follower is not None:
-                follower.on_update(decode(store_events), has_waited=has_waited)
+            update = decode(store_events)
+            if follower is not None and update is not None:
+                follower.on_update(update, has_waited=has_waited)
 
 
 def encoded_bytes(address: str, update: KvUpdate) -> int:
--- a/fireflyward/prefixes/_sharing.py
+++ b/fireflyward/prefixes/_sharing.py
@@ -18,6 +18,7 @@
 
 _KIND = "store events"
 _EVENTS, _LOST, _WHOLE, _UNABLE = "events", "lost", "whole", "unable"
+_USABLE = (_EVENTS, _LOST, _WHOLE)
 # For each store, a node keeps the events of its last calls. At 150 ms or more per call
 # these cover about ten seconds, which is longer than any delayed datagram or any pause
 # that a node survives.
@@ -171,7 +172,7 @@
 
 
 def _decode_answer(answer: Any) -> KvUpdate | None:
-    if answer.outcome == _UNABLE or answer.events is None:
+    if answer.outcome not in _USABLE or answer.events is None:
         return None
     return decode(
         answer.events,
--- a/tests/feeds/test_sharing.py
+++ b/tests/feeds/test_sharing.py
@@ -52,6 +52,37 @@
         self.assertEqual(self.first.updates[-1].source, "store")
         self.assertEqual(self.other.updates[-1].source, self.first.name)
 
+    async def test_an_answer_of_another_build_is_not_used(self):
+        """Guards against a table that seems current, or is followed no more."""
+        await self.step_both()
+        self.store.put("k", b"2")
+        odd = [
+            {"age_ms": -60_000},
+            {"waited_ms": 60_000},
+            {"waited_ms": -1},
+            {"version": -1},
+            {"era": -1},
+            {"outcome": "novel"},
+        ]
+        handle = self.first.link.handler
+        for changes in odd:
+
+            async def answer(sender, query, changes=changes):
+                found = await handle(sender, query)
+                for name, value in changes.items():
+                    setattr(found, name, value)
+                return found
+
+            with self.subTest(changes=changes):
+                self.first.link.handler = answer
+                self.other.tables._store_only_until_ms = 0
+                await self.first.follower.step()
+                await self.other.follower.step()
+                update = self.other.updates[-1]
+                self.assertLessEqual(update.as_of_ms, self.clock.now_ms())
+                self.assertEqual(self.other.received_rows, {"k": b"2"})
+                self.assertGreaterEqual(update.position.version, 0)
+
     async def test_deletions_are_sent_too(self):
         await self.step_both()
         self.store.put("k", is_deleted=True)
--- a/tests/prefixes/test_sharing.py
+++ b/tests/prefixes/test_sharing.py
@@ -125,6 +125,38 @@
         self.assertEqual(self.listener.held, {"p0", "p2", "p9"})
         self.assertEqual(self.store.calls, calls + 1)
 
+    async def test_an_answer_of_another_build_is_not_used(self):
+        """Guards against a store that is followed no more after one odd answer."""
+        self.store.events = [event(n) for n in range(3)]
+        await self.aggregator.follower.step()
+        handle = self.aggregator.link.handle
+        odd = [
+            {"salt_of": [0, 1, 0]},
+            {"salt_of": [0, -1, 0]},
+            {"part_ids": ["p0"]},
+            {"tokens": [32, -32, 32]},
+            {"next_event": -1},
+            {"outcome": "novel"},
+        ]
+        for changes in odd:
+
+            async def answer(sender, request, changes=changes):
+                found = await handle(sender, request)
+                for name, value in changes.items():
+                    part = found if name == "outcome" else found.events
+                    setattr(part, name, value)
+                return found
+
+            with self.subTest(changes=changes):
+                self.aggregator.link.handle = answer
+                await self.listener.follower.step()
+                await self.listener.follower.step()
+                self.assertEqual(self.listener.held, set())
+        self.aggregator.link.handle = handle
+        await self.listener.follower.step()
+        await self.listener.follower.step()
+        self.assertEqual(self.listener.held, {"p0", "p1", "p2"})
+
     async def test_a_node_that_is_far_behind_reads_the_aggregators_snapshot(self):
         await self.aggregator.follower.step()
         await self.listener.follower.step()
