Answers: numbers of the store, of replicas and of KV stores have bounds

A version below zero in an answer of the store was taken for a position, and -1 asks another node for the full table; one beyond 63 bits failed when it was sent to other nodes. A clock beyond bounds went into rows that other nodes read. Numbers in a replica's report had no bounds. One odd event of a KV store made its whole answer malformed, so that the store was not followed while the event stood.

The types say now what a field may hold. An odd event or entry of a KV store is left out with a log line, and the events count as having a gap, so that the full list replaces what is missing.

--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -2,13 +2,13 @@
 
 import logging
 from dataclasses import dataclass
-from typing import TypeVar
+from typing import Any, TypeVar
 
 import msgspec
 
 from fireflyward.attribution import Origin, origin_of
 from fireflyward.clock import Clock
-from fireflyward.decoding import decode_json
+from fireflyward.decoding import Count, Int32Count, Int64, Name, decode_json
 from fireflyward.deployment import ReplicaEntry
 from fireflyward.http1 import (
     ConnectionPool,
@@ -67,38 +67,53 @@
 
 
 class _Model(msgspec.Struct):
-    name: str
-    version: int
+    name: Name
+    version: Count
 
 
 class _Report(msgspec.Struct):
     busy: bool = False
-    sequence: int = 0
-    queued: int = 0
-    active: int = 0
+    sequence: Count = 0
+    queued: Int32Count = 0
+    active: Int32Count = 0
     models: list[_Model] = []
     # Start of the replica by its wall clock, in ms.
-    born: int = 0
+    born: Count = 0
 
 
-class _KvEvents(msgspec.Struct, rename="kebab"):
-    """Changes of a KV cache store.
+# Number, + or -, salt, part, tokens stored now, model.
+_KvChange = tuple[Int64, str, str, str, Int32Count, str]
+# Salt, part, tokens, model.
+_KvHeld = tuple[str, str, Int32Count, str]
 
-    Each event consists of number, + or -, salt, part, tokens stored now, model.
-    """
 
-    boot_epoch: int
-    next: int
+class _KvEvents(msgspec.Struct, rename="kebab"):
+    """Changes of a KV cache store."""
+
+    boot_epoch: Int64
+    next: Count
     lost: bool = False
-    events: list[tuple[int, str, str, str, int, str]] = []
+    events: list[_KvChange] = []
+
+
+class _AnyKvEvents(_KvEvents):
+    """The same with events of any kind."""
+
+    events: list[Any] = []
 
 
 class _KvList(msgspec.Struct, rename="kebab"):
-    """All entries of a KV cache store; each consists of salt, part, tokens, model."""
+    """All entries of a KV cache store."""
 
-    boot_epoch: int
-    next: int
-    held: list[tuple[str, str, int, str]] = []
+    boot_epoch: Int64
+    next: Count
+    held: list[_KvHeld] = []
+
+
+class _AnyKvList(_KvList):
+    """The same with entries of any kind."""
+
+    held: list[Any] = []
 
 
 class ReplicaApi:
@@ -174,9 +189,13 @@
         )
         if response is None or response.status != 200:
             return None
-        raw = _decode_response(response.body, _KvEvents, address)
+        raw = decode_json(response.body, _KvEvents)
         if raw is None:
-            return None
+            raw = _decode_response(response.body, _AnyKvEvents, address)
+            if raw is None:
+                return None
+            # The full list, which is read after a gap, replaces what was left out.
+            raw.events, raw.lost = _valid(raw.events, _KvChange, address), True
         events = tuple(
             KvEvent(PartKey(salt, part), tokens)
             for _, _, salt, part, tokens, _ in raw.events
@@ -197,9 +216,12 @@
         )
         if response is None or response.status != 200:
             return None
-        raw = _decode_response(response.body, _KvList, address)
+        raw = decode_json(response.body, _KvList)
         if raw is None:
-            return None
+            raw = _decode_response(response.body, _AnyKvList, address)
+            if raw is None:
+                return None
+            raw.held = _valid(raw.held, _KvHeld, address)
         events = tuple(
             KvEvent(PartKey(salt, part), tokens) for salt, part, tokens, _ in raw.held
         )
@@ -326,3 +348,14 @@
     if found is None:
         log.warning("platform: response of %s cannot be decoded", address)
     return found
+
+
+def _valid(items: list[Any], kind: type[T], address: str) -> list[T]:
+    """Return the items of a type; the others are left out."""
+    valid = []
+    for item in items:
+        try:
+            valid.append(msgspec.convert(item, kind))
+        except msgspec.ValidationError as error:
+            log.warning("platform: %.80r of %s is not used: %s", item, address, error)
+    return valid
--- a/fireflyward/platform/_store.py
+++ b/fireflyward/platform/_store.py
@@ -18,7 +18,7 @@
     Uncertain,
 )
 from fireflyward.clock import Clock
-from fireflyward.decoding import decode_json
+from fireflyward.decoding import Count, NonNegativeNumber, decode_json
 from fireflyward.feeds import Changes, HistoryLost, Snapshot, TableRow
 from fireflyward.http1 import (
     ConnectionPool,
@@ -59,15 +59,15 @@
     table: str = ""
     part: str = ""
     value: str = ""
-    ver: int = 0
+    ver: Count = 0
     deleted: bool = False
 
 
 class _Rows(msgspec.Struct, rename="kebab"):
     rows: list[_Row] = []
     has_more: bool = False
-    ver: int = 0
-    now_ms: float = 0
+    ver: Count = 0
+    now_ms: NonNegativeNumber = 0
 
 
 @dataclass(frozen=True, slots=True)
