Settings: addresses and ports are those that sockets take

A port of 70,000, an address without a port or one of a name was taken over and ended the start with a traceback when the process listened. The types of the fields refuse them now, and the error names the field, as for other fields.

--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -4,7 +4,15 @@
 
 import msgspec
 
-from fireflyward.decoding import NonNegativeNumber, to_int
+from fireflyward.decoding import (
+    IPv4,
+    ListenAddress,
+    Name,
+    NonNegativeNumber,
+    Port,
+    ReplicaAddress,
+    to_int,
+)
 from fireflyward.deployment import Bounds, FleetSettings, StoreLimits
 
 SETTINGS_VARIABLE = "FIREFLYWARD_BOOT"
@@ -23,8 +31,8 @@
 
 
 class _Listen(_KebabStruct):
-    front: str
-    readiness: str
+    front: ListenAddress
+    readiness: ListenAddress
 
 
 class _MachineLimits(_KebabStruct):
@@ -53,19 +61,19 @@
 
 
 class _Platform(_KebabStruct):
-    address: str
+    address: ReplicaAddress
     writes_per_s: NonNegativeNumber
     reads_per_s: NonNegativeNumber
     history_s: NonNegativeNumber
 
 
 class _Settings(_KebabStruct):
-    node_name: str
-    ip: str
-    zone: str
+    node_name: Name
+    ip: IPv4
+    zone: Name
     zones: dict[str, str]
     listen: _Listen
-    internal_ports: tuple[NonNegativeNumber, NonNegativeNumber]
+    internal_ports: tuple[Port, Port]
     limits: _MachineLimits
     heartbeat_ms: NonNegativeNumber
     bounds: _Bounds
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -87,6 +87,26 @@
             (found.lease_ms, found.retry_extra, found.grace_ms), (2_400, 35, 2_500)
         )
 
+    def test_the_error_names_an_address_or_port_that_no_socket_takes(self):
+        """Guards against a process that ends with a traceback when it listens."""
+        raw = json.loads(settings_text("10.0.0.1:80", (1, 2, 3)))
+        odd = {
+            ("ip",): ("host.example", "10.0.0", ""),
+            ("listen", "front"): ("10.0.0.1", "10.0.0.1:99999", "host.example:80"),
+            ("listen", "readiness"): ("10.0.0.1:x", "10.0.0.1:" + "1" * 5_000),
+            ("internal-ports", 0): (70_000, 2**64),
+            ("platform", "address"): ("store.example:80", "10.0.0.1:0", "0.0.0.0:80"),
+            ("heartbeat-ms",): (1e300,),
+        }
+        for where, values in odd.items():
+            for value in values:
+                with self.subTest(where=where, value=value):
+                    text = json.dumps(
+                        with_changed_number(raw, where, lambda old, to=value: to)
+                    )
+                    with self.assertRaisesRegex(BadSettings, str(where[0])):
+                        self.load(text)
+
     def test_the_error_names_a_missing_file(self):
         with self.assertRaisesRegex(BadSettings, "nowhere"):
             load_settings("/nowhere/settings")
