Replica list: an entry with another address is another process

An entry that changes its address at each read left the connections and the counts of every former address in the pool for good. A replica keeps its address for its life, so such an entry describes another process: the former one is dropped like one that restarted, and its connections are closed.

test_no_connection_stays_at_an_address_that_an_entry_left failed (none closed).

--- a/fireflyward/replicas/_directory.py
+++ b/fireflyward/replicas/_directory.py
@@ -284,7 +284,7 @@
         for entry in entries:
             self._unconfirmed_by_name.pop(entry.incarnation, None)
             known = self._state_by_name.get(entry.incarnation)
-            if known is not None and known.entry.started_ms != entry.started_ms:
+            if known is not None and not _is_same_process(known.entry, entry):
                 # The replica restarted under the same name and is empty. Its old
                 # weights, slowdown and in-flight requests no longer exist: with the old
                 # state it would get requests for a cache that it lacks, and would be
@@ -369,6 +369,10 @@
     return domains | {domain} if is_member else domains - {domain}
 
 
+def _is_same_process(known: ReplicaEntry, entry: ReplicaEntry) -> bool:
+    return known.started_ms == entry.started_ms and known.address == entry.address
+
+
 def _update(now_ms: int, known: ReplicaState, entry: ReplicaEntry) -> None:
     if entry.is_leaving and not known.is_leaving:
         log.info("replicas: %s of %s is leaving", entry.incarnation, entry.service)
--- a/tests/fleet/test_views.py
+++ b/tests/fleet/test_views.py
@@ -311,3 +311,60 @@
         )
         self.assertFalse(self.may_serve_older())
         self.assertEqual(self.weights.history.proven("m"), {})
+
+
+class ChangingEntryTests(unittest.TestCase):
+    """An entry of another writer under a replica's name, beside a sound one."""
+
+    def setUp(self):
+        self.clock = ManualClock(0)
+        self.directory = ReplicaDirectory()
+        self.closed = []
+        self.view = ReplicaView(
+            clock=self.clock,
+            directory=self.directory,
+            pool=types.SimpleNamespace(close_idle=self.closed.append),
+            heartbeat_ms=1_200,
+            on_removed=lambda state: None,
+        )
+
+    def read(self, version, *, is_snapshot=False, **values_by_name):
+        rows = [
+            TableRow(name, value, at(version)) for name, value in values_by_name.items()
+        ]
+        update = TableUpdate(tuple(rows), is_snapshot, 0, position=at(version))
+        self.view.on_table_update(update)
+
+    def entry(self, **changes):
+        entry = json.loads(ReplicaStandIn("r1").entry("s"))
+        return json.dumps(entry | {"address": "10.0.0.1:80"} | changes).encode()
+
+    def test_no_connection_stays_at_an_address_that_an_entry_left(self):
+        """Guards against connections and counts that grow with each change."""
+        for number in range(100):
+            value = self.entry(address=f"10.0.1.{number}:80")
+            self.read(number + 1, r1=value, r2=self.entry())
+        self.assertEqual(self.closed, [f"10.0.1.{n}:80" for n in range(99)])
+        self.assertEqual(self.directory.find("r2").entry.address, "10.0.0.1:80")
+        self.assertEqual(len(self.directory.all()), 2)
+
+    def test_a_replica_is_listed_again_after_an_odd_entry_under_its_name(self):
+        """Guards against a sound replica that stays out of use."""
+        self.read(1, is_snapshot=True, r1=self.entry(), r2=self.entry())
+        other = self.directory.find("r2")
+        odd = [
+            b"",
+            b"{" * 100_000,
+            self.entry(slots=10**400),
+            self.entry(address="10.0.0.1:" + "1" * 5_000),
+            self.entry(models=[{"name": "m"}]),
+            self.entry(born=2**64),
+        ]
+        for number, value in enumerate(odd):
+            version = 2 * number + 2
+            self.read(version, r1=value)
+            self.assertIsNone(self.directory.find("r1"))
+            self.assertEqual(self.directory.of_service("s"), [other])
+            self.read(version + 1, r1=self.entry())
+            self.assertEqual(len(self.directory.of_service("s")), 2)
+        self.assertIs(self.directory.find("r2"), other)
