Signals: a process keeps them from its first line to its end

What callers saw: a reload (SIGHUP) or a planned stop (SIGTERM) in the first 400 ms of a process ended it by that signal, in place of a reload or status 0. A signal that arrived after the event loop had closed did the same, as did SIGUSR1, SIGUSR2 and SIGALRM at any time.

Cause: handlers existed only while the loop ran. Imports take most of a start, and closing a loop, like the interpreter's own end, restores the defaults.

Change: the program's first line holds its signals, and the loop takes them over, those that arrived before included. Handlers rather than a blocked mask, since handlers are what any environment supports, and a mask is inherited by threads. The start is a task that a stop cancels. SIGINT is a planned stop.

Evidence: tests.fleet.test_process_signals sends the signals at chosen imports and after the loop.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -9,15 +9,18 @@
 import platform
 import signal
 import sys
-from collections.abc import Callable
 from functools import partial
 
 from fireflyward import __version__
+from fireflyward._held_signals import STOP_SIGNALS, HeldSignals
 from fireflyward.clock import Clock
-from fireflyward.deployment import FleetSettings
 from fireflyward.invariants import InvariantBroken, add_listener
 from fireflyward.platform import SETTINGS_VARIABLE, BadSettings, load_settings
-from fireflyward.supervision import log_loop_errors, log_uncaught_error
+from fireflyward.supervision import (
+    SignalHandlers,
+    log_loop_errors,
+    log_uncaught_error,
+)
 
 from ._logs import set_up_logging
 from ._node import FleetNode
@@ -25,16 +28,18 @@
 
 log = logging.getLogger("fireflyward.process")
 
+_FAILED_START = 1
 _BAD_SETTINGS = 2
 # The state of the process cannot be trusted, so it is not stopped in order.
 _BROKEN_INVARIANT = 3
 
 
-def run_process() -> int:
+def run_process(held: HeldSignals) -> int:
     """Run a node until SIGTERM; return the exit status.
 
-    It is 0 after a planned stop, 2 if the settings are invalid and 3 after a broken
-    invariant.
+    It is 0 after a planned stop, 1 if the start cannot be completed, 2 if the settings
+    are invalid and 3 after a broken invariant. ``held`` are the signals that arrived
+    before.
     """
     clock = Clock()
     set_up_logging(clock)
@@ -42,13 +47,7 @@
     faulthandler.enable()
     _log_start()
     path = os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        settings = load_settings(path)
-    except BadSettings as error:
-        log.critical("process: ends with status %d: %s", _BAD_SETTINGS, error)
-        print(f"fireflyward: settings: {error}", file=sys.stderr)
-        return _BAD_SETTINGS
-    status = asyncio.run(_run(settings, path))
+    status = asyncio.run(_run(path, held, clock))
     log.info("process: ends with status %d", status)
     return status
 
@@ -65,7 +64,7 @@
     )
 
 
-async def _run(settings: FleetSettings, path: str) -> int:
+async def _run(path: str, held: HeldSignals, clock: Clock) -> int:
     """Run a node until it is to stop; return the exit status of the process."""
     stop = asyncio.Event()
     broken: list[InvariantBroken] = []
@@ -75,34 +74,55 @@
         stop.set()
 
     add_listener(on_broken)
-    settings_watch = SettingsWatch(path, clock=Clock())
-    loop = asyncio.get_running_loop()
-    log_loop_errors(loop)
-    loop.add_signal_handler(signal.SIGTERM, _logged_signal(signal.SIGTERM, stop.set))
-    loop.add_signal_handler(
-        signal.SIGHUP, _logged_signal(signal.SIGHUP, settings_watch.request_reload)
-    )
+    log_loop_errors(asyncio.get_running_loop())
+    settings_watch = SettingsWatch(path, clock=clock)
+    handler_by_number = dict.fromkeys(STOP_SIGNALS, stop.set)
+    handler_by_number[signal.SIGHUP] = settings_watch.request_reload
+    with SignalHandlers(held, handler_by_number):
+        try:
+            node = await _start_unless(stop, path, clock)
+        except BadSettings as error:
+            return _log_failed_start(error)
+        except Exception as error:
+            log_uncaught_error("start", error)
+            return _FAILED_START
+        if node is None:
+            log.info("process: stopped during the start")
+            return _BROKEN_INVARIANT if broken else 0
+        node.tasks.start("settings", partial(settings_watch.run, node.reload))
+        await stop.wait()
+        if broken:
+            return _BROKEN_INVARIANT
+        with contextlib.suppress(asyncio.CancelledError):
+            await node.stop()
+        return 0
+
+
+async def _start_unless(
+    stop: asyncio.Event, path: str, clock: Clock
+) -> FleetNode | None:
+    """Return a node that has started, or None if it is to stop before."""
+    starting = asyncio.create_task(_start(path, clock), name="start")
+    stopping = asyncio.create_task(stop.wait())
+    tasks = {starting, stopping}
+    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+    stopping.cancel()
+    if not starting.done():
+        starting.cancel()
+        await asyncio.wait(tasks)
+    return None if starting.cancelled() else starting.result()
+
+
+async def _start(path: str, clock: Clock) -> FleetNode:
+    settings = load_settings(path)
     gc.freeze()
-    try:
-        node = FleetNode(settings, clock=Clock())
-        await node.start()
-    except Exception as error:
-        log_uncaught_error("start", error)
-        raise
-    node.tasks.start("settings", partial(settings_watch.run, node.reload))
-    await stop.wait()
-    if broken:
-        return _BROKEN_INVARIANT
-    with contextlib.suppress(asyncio.CancelledError):
-        await node.stop()
-    return 0
-
-
-def _logged_signal(
-    number: signal.Signals, handle: Callable[[], None]
-) -> Callable[[], None]:
-    def log_and_handle() -> None:
-        log.info("process: %s received", number.name)
-        handle()
-
-    return log_and_handle
+    node = FleetNode(settings, clock=clock)
+    await node.start()
+    return node
+
+
+def _log_failed_start(error: BadSettings) -> int:
+    """Log why a start failed; return the exit status."""
+    log.critical("process: ends with status %d: %s", _BAD_SETTINGS, error)
+    print(f"fireflyward: settings: {error}", file=sys.stderr)
+    return _BAD_SETTINGS
