Settings: an incomplete file is read again, at a start and at a reload

What callers saw: a process that was started while its settings were empty, cut or not there yet ended with status 2. A node whose reload met such a file went on with its old settings until the file's time changed once more.

Cause: an unfinished write was taken for a wrong field, and the time of the file was recorded before its content had been read with success.

A wrong field still ends the start at once.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -15,7 +15,7 @@
 from fireflyward._held_signals import STOP_SIGNALS, HeldSignals
 from fireflyward.clock import Clock
 from fireflyward.invariants import InvariantBroken, add_listener
-from fireflyward.platform import SETTINGS_VARIABLE, BadSettings, load_settings
+from fireflyward.platform import SETTINGS_VARIABLE, BadSettings
 from fireflyward.supervision import (
     SignalHandlers,
     log_loop_errors,
@@ -80,7 +80,7 @@
     handler_by_number[signal.SIGHUP] = settings_watch.request_reload
     with SignalHandlers(held, handler_by_number):
         try:
-            node = await _start_unless(stop, path, clock)
+            node = await _start_unless(stop, settings_watch, clock)
         except BadSettings as error:
             return _log_failed_start(error)
         except Exception as error:
@@ -99,10 +99,10 @@
 
 
 async def _start_unless(
-    stop: asyncio.Event, path: str, clock: Clock
+    stop: asyncio.Event, settings_watch: SettingsWatch, clock: Clock
 ) -> FleetNode | None:
     """Return a node that has started, or None if it is to stop before."""
-    starting = asyncio.create_task(_start(path, clock), name="start")
+    starting = asyncio.create_task(_start(settings_watch, clock), name="start")
     stopping = asyncio.create_task(stop.wait())
     tasks = {starting, stopping}
     await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
@@ -113,8 +113,8 @@
     return None if starting.cancelled() else starting.result()
 
 
-async def _start(path: str, clock: Clock) -> FleetNode:
-    settings = load_settings(path)
+async def _start(settings_watch: SettingsWatch, clock: Clock) -> FleetNode:
+    settings = await settings_watch.load_first()
     gc.freeze()
     node = FleetNode(settings, clock=clock)
     await node.start()
--- a/fireflyward/platform/__init__.py
+++ b/fireflyward/platform/__init__.py
@@ -30,7 +30,7 @@
     response_headers,
     status_of,
 )
-from ._settings import SETTINGS_VARIABLE, BadSettings, load_settings
+from ._settings import SETTINGS_VARIABLE, BadSettings, IncompleteSettings, load_settings
 from ._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -53,6 +53,7 @@
     "SETTINGS_VARIABLE",
     "WEIGHTS_PREFIX",
     "BadSettings",
+    "IncompleteSettings",
     "CallerRequest",
     "LeaseTable",
     "OrderResult",
--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -16,6 +16,10 @@
     """The settings file is missing, or a field is missing or wrong."""
 
 
+class IncompleteSettings(BadSettings):
+    """The settings file is missing, empty or cut, as while it is being written."""
+
+
 class _KebabStruct(msgspec.Struct, rename="kebab"):
     """A struct whose field names on the wire are in kebab case.
 
@@ -78,8 +82,12 @@
     try:
         raw = msgspec.json.decode(Path(path).read_bytes(), type=_Settings)
     except OSError as error:
-        raise BadSettings(f"{path}: {error.strerror}") from error
-    except msgspec.MsgspecError as error:
+        raise IncompleteSettings(f"{path}: {error.strerror}") from error
+    except msgspec.ValidationError as error:
+        raise BadSettings(f"{path}: {error}") from error
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        raise IncompleteSettings(f"{path}: {error}") from error
+    except (ValueError, RecursionError) as error:
         raise BadSettings(f"{path}: {error}") from error
     first_port, last_port = raw.internal_ports
     return FleetSettings(
