--- a/tests/forwarding/send_case.py
+++ b/tests/forwarding/send_case.py
@@ -37,11 +37,15 @@
 
 
 class _Connection:
-    """Returns events at given times after the request; then it stays silent."""
+    """Returns events at given times after the request; then it stays silent.
+
+    Responses have a length, unless ``ends_response``.
+    """
 
     relay = ""
     label = "port 1, 0 responses"
 
+    ends_response = False
     skipped = 0
 
     def __init__(self, clock, script):
--- a/tests/forwarding/test_second_sends.py
+++ b/tests/forwarding/test_second_sends.py
@@ -10,7 +10,7 @@
 
 from fireflyward.deployment import RouteKind
 from fireflyward.forwarding import Trace
-from fireflyward.http1 import Head
+from fireflyward.http1 import End, Head
 from fireflyward.outcomes import Answered, NotRun, Unknown
 from fireflyward.quarantine import Free, Trial
 from fireflyward.replicas import Chooser
@@ -157,6 +157,21 @@
         self.assertNotIn(b"data: c", case.reply.stream)
         self.assert_counters_released(case)
 
+    async def test_an_answer_that_ended_after_its_head_is_not_the_answer(self):
+        """Guards against an empty 200 from the replica that began first."""
+        empty = [(50, OK_HEAD), (50, End())]
+        for kind, name in ((RouteKind.IDEMPOTENT, b"c"), (RouteKind.STREAM, b"a")):
+            case = Case([stream(b"a", 400)[1:], empty, stream(b"c", 10)])
+            case.pool.scripts[0][:0] = [(390, OK_HEAD)]
+            serving = case.start(kind, attempts=3)
+            await case.clock.advance_ms(110)
+            case.pool.opened[1].ends_response = True
+            await case.clock.advance_ms(3_000)
+            self.assertEqual(serving.result(), Answered(), kind)
+            received = case.reply.stream or b"".join(case.reply.bodies)
+            self.assertEqual(received, b"id: 0\ndata: %s\n\n" % name)
+            self.assert_counters_released(case)
+
     async def test_a_second_send_that_cannot_connect_leaves_the_first_one(self):
         case = Case([answer(b"a", 400), None])
         self.assertEqual(await case.run(), Answered())
