Engines: numbers and texts of their answers have bounds

At the product's own door one engine's load report failed all callers. With queued_prefill_tokens of 400 digits every choice of a replica raised OverflowError: 502 for each caller of the model, also where other engines were sound. A negative number, an epoch such as "~x" or "~999", or blocks beyond 64 bits ended the task "loads" again and again, so that no load was shared; a deeply nested report raised RecursionError past the client, and a report with a negative age ("of the future") made each later one count as older: the engine's `leaving` was not noticed any more.

Load reports, lines of a stream, refusals and answers to cancels are decoded with the bounds of `fireflyward.decoding`, as at the platform's door; one outside them is no report, a broken stream, or a status that proves nothing. Only the 64 short forms of an epoch are taken for short forms.

--- /dev/null
+++ b/fireflyward/decoding/_addresses.py
@@ -0,0 +1,23 @@
+"""Addresses on the platform's network, which knows IPv4 addresses and no names."""
+
+from typing import Annotated
+
+import msgspec
+
+_OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
+_IP = rf"({_OCTET}\.){{3}}{_OCTET}"
+_PORT = (
+    r"(6553[0-5]|655[0-2][0-9]|65[0-4][0-9]{2}|6[0-4][0-9]{3}|[1-5][0-9]{4}"
+    r"|[1-9][0-9]{0,3})"
+)
+# No host has an address of these: this network, multicast and broadcast.
+_NOT_A_HOST = r"(0\.|22[4-9]\.|23[0-9]\.|255\.255\.255\.255:)"
+
+# The port of a node's link to the others.
+PeerPort = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
+IPv4 = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}\Z")]
+# Port 0 has the kernel choose one.
+ListenAddress = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}:(0|{_PORT})\Z")]
+_HOST_AND_PORT = rf"(?!{_NOT_A_HOST}){_IP}:{_PORT}"
+ReplicaAddress = Annotated[str, msgspec.Meta(pattern=rf"\A{_HOST_AND_PORT}\Z")]
+OptionalAddress = Annotated[str, msgspec.Meta(pattern=rf"\A({_HOST_AND_PORT})?\Z")]
--- a/fireflyward/routing/_load_codec.py
+++ b/fireflyward/routing/_load_codec.py
@@ -19,6 +19,7 @@
 _UNREACHABLE_BIT = 2
 _EPOCH_SHIFT = 2
 _EPOCH_VALUES = 64
+_SHORT_EPOCHS = frozenset(f"~{value}" for value in range(_EPOCH_VALUES))
 
 
 @dataclass(frozen=True, slots=True)
@@ -147,7 +148,7 @@
 
 def _epoch_hash(epoch: str) -> int:
     """Return a six-bit hash of an epoch; a short form already contains it."""
-    if epoch.startswith("~"):
+    if epoch in _SHORT_EPOCHS:
         return int(epoch[1:])
     return _hash(epoch, 4) % _EPOCH_VALUES
 
--- a/fireflyward/standins/_engine_server.py
+++ b/fireflyward/standins/_engine_server.py
@@ -69,7 +69,7 @@
         result = self.model.submit(self._clock.now_ms(), call)
         if isinstance(result, Refused):
             refusal = RefusalBody(
-                result.reason.value, result.detail, result.retry_after_ms, call.run_id
+                result.reason, result.detail, result.retry_after_ms, call.run_id
             )
             return web.Response(status=409, body=msgspec.json.encode(refusal))
         await self.fault_injector.on_submitted()
@@ -85,7 +85,7 @@
     async def _cancel(self, request: web.Request) -> web.Response:
         await self.fault_injector.on_read()
         state = self.model.cancel(self._clock.now_ms(), request.match_info["run_id"])
-        return web.Response(body=msgspec.json.encode(CancelBody(state.value)))
+        return web.Response(body=msgspec.json.encode(CancelBody(state)))
 
     async def _load(self, request: web.Request) -> web.Response:
         await self.fault_injector.on_read()
--- a/fireflyward/upstreams/_engine_http.py
+++ b/fireflyward/upstreams/_engine_http.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import AbstractAsyncContextManager
+from typing import Annotated
 
 import aiohttp
 import msgspec
@@ -14,6 +15,7 @@
     check_size,
     read_body,
 )
+from fireflyward.decoding import MAX_INT32, HeaderText, Int32Count, Name, decode_json
 from fireflyward.outcomes import Reason, Usage
 
 from ._messages import (
@@ -60,43 +62,43 @@
     response of another run before any of it reaches a caller.
     """
 
-    offset: int = -1
-    tokens: int = 0
+    offset: Annotated[int, msgspec.Meta(ge=-1, le=MAX_INT32)] = -1
+    tokens: Int32Count = 0
     text: str = ""
     version: str = ""
-    cached_tokens: int = 0
+    cached_tokens: Int32Count = 0
     done: bool = False
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
+    prompt_tokens: Int32Count = 0
+    completion_tokens: Int32Count = 0
     run_id: str = ""
 
 
 class RefusalBody(msgspec.Struct):
     """The JSON body of a response to a call that the engine did not run."""
 
-    reason: str
+    reason: Reason
     detail: str = ""
-    retry_after_ms: int = 0
+    retry_after_ms: Int32Count = 0
     run_id: str | None = None
 
 
 class LoadBody(msgspec.Struct):
-    """A load report as JSON."""
+    """A load report as JSON; nodes pass it on to each other."""
 
-    queued: int
-    running: int
-    queued_prefill_tokens: int
-    free_blocks: int
-    version_by_model: dict[str, str]
+    queued: Int32Count
+    running: Int32Count
+    queued_prefill_tokens: Int32Count
+    free_blocks: Int32Count
+    version_by_model: dict[HeaderText, HeaderText]
     leaving: bool
-    epoch: str
-    age_ms: int
+    epoch: Name
+    age_ms: Int32Count
 
 
 class CancelBody(msgspec.Struct):
     """The response to a cancel request as JSON."""
 
-    state: str
+    state: CancelState
 
 
 _decode_line = msgspec.json.Decoder(StreamLine).decode
@@ -184,8 +186,8 @@
                 f"{self._base_url}/v1/runs/{run_id}", timeout=_short_timeout()
             ) as response:
                 reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
-                body = msgspec.json.decode(reply, type=CancelBody)
-                return CancelState(body.state)
+                body = decode_json(reply, CancelBody)
+                return CancelState.NO_ANSWER if body is None else body.state
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return CancelState.NO_ANSWER
 
@@ -195,9 +197,11 @@
                 f"{self._base_url}/load", timeout=_short_timeout()
             ) as response:
                 reply = await read_body(response, max_bytes=MAX_REPORT_BYTES)
-                body = msgspec.json.decode(reply, type=LoadBody)
+                body = decode_json(reply, LoadBody)
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             return Broken(False, _describe_error(error))
+        if body is None:
+            return Broken(False, "the load report cannot be decoded")
         return LoadReport(
             body.queued,
             body.running,
@@ -233,7 +237,13 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             yield Broken(False, _describe_error(error))
             return
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+            RecursionError,
+        ) as error:
             yield Broken(True, _describe_error(error))
             return
         yield Broken(True, "stream ended without its end marker")
@@ -323,14 +333,12 @@
 
     A refusal of another run may arrive late, on a connection that carried that run.
     """
-    try:
-        refusal = msgspec.json.decode(body, type=RefusalBody)
-        reason = Reason(refusal.reason)
-    except ValueError:
+    refusal = decode_json(body, RefusalBody)
+    if refusal is None:
         return Broken(True, f"status {status}")
     if not proves_not_run(run_id, refusal.run_id):
         return Broken(True, f"received a refusal of run {refusal.run_id!r} instead")
-    return Refused(reason, refusal.detail, refusal.retry_after_ms)
+    return Refused(refusal.reason, refusal.detail, refusal.retry_after_ms)
 
 
 def _describe_error(error: BaseException) -> str:
