Membership: odd addresses in the platform's list hide no other one

A VM whose address has a port of 5,000 digits, or of superscript digits, raised ValueError in the task "seeds" of each node of the product's own door, again at each start of the task: no node found another one by the list while the entry stood.

A port is now a number from 1 to 65,535; any other entry is no seed.

Before: `test_odd_addresses_in_the_platform_list_hide_no_other_one` did not join within 30 s.

--- a/fireflyward/membership/_task.py
+++ b/fireflyward/membership/_task.py
@@ -7,6 +7,7 @@
 
 from fireflyward.backing import VmList, Vms
 from fireflyward.clock import Clock
+from fireflyward.decoding import whole_number
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
 from fireflyward.supervision import BackgroundTasks
@@ -37,6 +38,7 @@
 KIND = "membership"
 _SEED_PERIOD_MS = 10_000
 _METRICS_PERIOD_MS = 5_000
+_MAX_PORT = 65_535
 
 
 class MembershipTask:
@@ -157,5 +159,11 @@
 
 
 def _address(text: str) -> Address | None:
-    host, _, port = text.rpartition(":")
-    return (host, int(port)) if host and port.isdigit() else None
+    """Return the address that an entry names, None if it names none.
+
+    >>> _address("10.0.0.1:80"), _address("10.0.0.1:70000")
+    (('10.0.0.1', 80), None)
+    """
+    host, _, port_text = text.rpartition(":")
+    port = whole_number(port_text) or 0
+    return (host, port) if host and 0 < port <= _MAX_PORT else None
--- a/tests/membership/test_task.py
+++ b/tests/membership/test_task.py
@@ -62,6 +62,21 @@
         second, _ = await self.start("entry-2", vms=vms)
         await self.until(lambda: len(second.members.all_live()) == 2)
 
+    async def test_odd_addresses_in_the_platform_list_hide_no_other_one(self):
+        """Guards against a node that finds no others because of one entry."""
+        first, address = await self.start("entry-1")
+        vms = MemoryVms()
+        ports = ("9" * 5_000, "\u00b2", "99999", "0", "-1", "")
+        for number, port in enumerate(ports):
+            name = f"odd-{number}"
+            vms.entry_by_name[name] = VmEntry(name, "live", "d1", f"127.0.0.1:{port}")
+        vms.entry_by_name["entry-1"] = VmEntry(
+            "entry-1", "live", "d1", f"{address[0]}:{address[1]}"
+        )
+        second, _ = await self.start("entry-2", vms=vms)
+        with self.assertNoLogs("fireflyward.process", "ERROR"):
+            await self.until(lambda: len(second.members.all_live()) == 2)
+
     async def test_node_starts_alone_while_the_platform_is_unavailable(self):
         vms = MemoryVms()
         vms.unavailable = True
