Own door: answers of stores, engines' orders and the platform have bounds

Deeply nested JSON raised RecursionError past each client of the product's own door: the table service, weights, VMs, stores of KV caches, KV calls and orders. Whatever task had called, failed. Numbers were taken over as they stood: a row version or a fencing number of 400 digits, a negative count of blocks or of slots, a sequence beyond the 64 bits of the messages between nodes.

All of these clients decode with `decode_json` and the bounded numbers of `fireflyward.decoding`; an answer outside them counts as one that cannot be decoded.

--- a/fireflyward/backing/_http.py
+++ b/fireflyward/backing/_http.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from fireflyward.connections import read_body
+from fireflyward.decoding import Count, decode_json
 from fireflyward.observe import hop
 
 from ._messages import (
@@ -37,7 +38,7 @@
 
     key: str
     value: bytes
-    version: int
+    version: Count
 
 
 class CommitBody(msgspec.Struct):
@@ -51,7 +52,7 @@
 class VersionsBody(msgspec.Struct):
     """Row versions as JSON, after a commit or in a conflict."""
 
-    versions: dict[str, int]
+    versions: dict[str, Count]
 
 
 class VmBody(msgspec.Struct):
@@ -67,7 +68,7 @@
     """The list of VMs as JSON."""
 
     entries: list[VmBody]
-    as_of_ms: int
+    as_of_ms: Count
 
 
 class _HttpService:
@@ -230,10 +231,8 @@
     body: bytes, body_type: Any, failure: type[Unavailable] | type[Uncertain]
 ) -> Any:
     """Decode an answer; return a failure, not an exception, if that is impossible."""
-    try:
-        return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return failure(f"the answer could not be decoded: {error}")
+    found = decode_json(body, body_type)
+    return failure("the answer could not be decoded") if found is None else found
 
 
 def _describe(error: BaseException) -> str:
--- a/fireflyward/kept/_store_http.py
+++ b/fireflyward/kept/_store_http.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fireflyward.connections import MAX_BODY_BYTES, read_body
+from fireflyward.decoding import Count, decode_json
 from fireflyward.observe import hop
 from fireflyward.upstreams import BlockRef, Miss, MissReason
 
@@ -28,6 +29,7 @@
 _MS_PER_SECOND = 1_000
 FENCED_STATUS = 412
 MISS_STATUS = 409
+_UNREADABLE = StoreUnavailable("answer could not be decoded")
 
 
 class RefsBody(msgspec.Struct):
@@ -59,7 +61,7 @@
 class FenceBody(msgspec.Struct):
     """A fencing number: the new one in a request, or the highest one in an answer."""
 
-    fencing: int
+    fencing: Count
 
 
 class MissBody(msgspec.Struct):
@@ -123,10 +125,8 @@
         status, body = result
         if status != MISS_STATUS:
             return body
-        try:
-            return Miss(ref.key, msgspec.json.decode(body, type=MissBody).reason)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return StoreUnavailable(f"answer could not be read: {error}")
+        miss = decode_json(body, MissBody)
+        return _UNREADABLE if miss is None else Miss(ref.key, miss.reason)
 
     async def abandon(
         self, refs: tuple[BlockRef, ...]
@@ -167,12 +167,11 @@
         if isinstance(result, StoreUnavailable):
             return result
         status, answer = result
-        try:
-            if status == FENCED_STATUS:
-                return Fenced(msgspec.json.decode(answer, type=FenceBody).fencing)
-            return msgspec.json.decode(answer, type=answer_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return StoreUnavailable(f"answer could not be read: {error}")
+        if status == FENCED_STATUS:
+            fence = decode_json(answer, FenceBody)
+            return _UNREADABLE if fence is None else Fenced(fence.fencing)
+        found = decode_json(answer, answer_type)
+        return _UNREADABLE if found is None else found
 
     async def _exchange(
         self, method: str, path: str, body: bytes
--- a/fireflyward/kept/_stores.py
+++ b/fireflyward/kept/_stores.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from fireflyward.decoding import Count
 from fireflyward.upstreams import BlockRef, Miss
 
 SHARDS = 256
@@ -84,9 +85,9 @@
     """One line of a store's listing: a block that was stored or removed."""
 
     key: str
-    position: int
+    position: Count
     is_kept: bool
-    shard: int = 0
+    shard: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -123,12 +124,12 @@
     ``next_sequence``, and ``has_more`` means that more changes are already available.
     """
 
-    epoch: int
-    next_sequence: int
+    epoch: Count
+    next_sequence: Count
     changes: tuple[StoreChange, ...]
     is_whole: bool = False
     has_more: bool = False
-    next_slot: int = 0
+    next_slot: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,16 +138,16 @@
 
     ref: BlockRef
     state: SlotState
-    age_ms: int
+    age_ms: Count
 
 
 @dataclass(frozen=True, slots=True)
 class StoreUsage:
     """The number of used slots of a store, in total and by owner."""
 
-    used: int
-    capacity: int
-    used_by_owner: dict[str, int]
+    used: Count
+    capacity: Count
+    used_by_owner: dict[str, Count]
 
     def is_nearly_full(self) -> bool:
         """Return whether blocks should be evicted before the store rejects writes."""
@@ -163,8 +164,8 @@
 
     ref: BlockRef
     owner: str
-    reads: int
-    idle_ms: int
+    reads: Count
+    idle_ms: Count
 
 
 class StoreClient(Protocol):
--- a/fireflyward/upstreams/_kv.py
+++ b/fireflyward/upstreams/_kv.py
@@ -10,6 +10,8 @@
 import hashlib
 from dataclasses import dataclass
 
+from fireflyward.decoding import Count, Int64
+
 _CHECKSUM_BYTES = 16
 _NUMBER_BYTES = 8
 
@@ -25,11 +27,11 @@
 
     key: str
     store: str
-    slot: int
-    generation: int
-    length: int = 0
+    slot: Count
+    generation: Count
+    length: Count = 0
     checksum: str = ""
-    position: int = 0
+    position: Count = 0
 
 
 class MissReason(enum.StrEnum):
@@ -102,8 +104,8 @@
 class ImportReport:
     """How many blocks, counted from the first, the engine has in its cache now."""
 
-    blocks: int
-    bytes_read: int = 0
+    blocks: Count
+    bytes_read: Count = 0
     misses: tuple[Miss, ...] = ()
 
 
@@ -121,10 +123,10 @@
     ``first_key`` is the key of the first block of the same prompt.
     """
 
-    sequence: int
+    sequence: Int64
     change: CacheChange
     key: str
-    position: int = 0
+    position: Count = 0
     first_key: str = ""
 
 
@@ -141,10 +143,10 @@
     """
 
     epoch: str
-    newest: int
+    newest: Int64
     events: tuple[CacheEvent, ...] = ()
-    last: int = 0
-    skipped: int = 0
+    last: Int64 = 0
+    skipped: Int64 = 0
     is_whole: bool = False
 
 
--- a/fireflyward/upstreams/_kv_http.py
+++ b/fireflyward/upstreams/_kv_http.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fireflyward.connections import MAX_BODY_BYTES, read_body
+from fireflyward.decoding import decode_json
 
 from ._kv import CacheEvents, ExportOrder, ExportReport, ImportOrder, ImportReport
 from ._messages import Broken
@@ -15,6 +16,7 @@
 _EXPORT_TIMEOUT_MS = 10_000
 _REPLY_MARGIN_MS = 250
 _MS_PER_SECOND = 1_000
+_UNREADABLE = "the answer cannot be decoded"
 
 
 class HttpKvEngine:
@@ -60,8 +62,9 @@
                 reply = await read_body(response, max_bytes=MAX_BODY_BYTES)
             if response.status != 200:
                 return Broken(True, f"status {response.status}")
-            return msgspec.json.decode(reply, type=reply_type)
+            found = decode_json(reply, reply_type)
+            return Broken(True, _UNREADABLE) if found is None else found
         except aiohttp.ClientConnectorError as error:
             return Broken(False, f"{type(error).__name__}: {error}")
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Broken(True, f"{type(error).__name__}: {error}")
--- a/fireflyward/upstreams/_messages.py
+++ b/fireflyward/upstreams/_messages.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from fireflyward.decoding import Count
 from fireflyward.outcomes import Reason, Usage
 
 
@@ -119,10 +120,10 @@
     version_by_model: dict[str, str]
     loading: dict[str, str] = field(default_factory=dict)
     adapters: tuple[str, ...] = ()
-    fencing: int = 0
+    fencing: Count = 0
     order_id: str = ""
     failed: str = ""
-    running_by_model: dict[str, int] = field(default_factory=dict)
+    running_by_model: dict[str, Count] = field(default_factory=dict)
     role: str = ""
 
 
--- a/fireflyward/upstreams/_orders.py
+++ b/fireflyward/upstreams/_orders.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from fireflyward.decoding import Count
+
 from ._messages import Broken, EngineState
 
 
@@ -39,7 +41,7 @@
 
     reason: OrderReason
     detail: str = ""
-    fencing: int = 0
+    fencing: Count = 0
 
 
 OrderResult = EngineState | OrderRefused | Broken
--- a/fireflyward/upstreams/_orders_http.py
+++ b/fireflyward/upstreams/_orders_http.py
@@ -4,6 +4,7 @@
 import msgspec
 
 from fireflyward.connections import MAX_REPORT_BYTES, read_body
+from fireflyward.decoding import decode_json
 
 from ._messages import Broken, EngineState
 from ._orders import EngineOrder, OrderRefused, OrderResult
@@ -46,13 +47,13 @@
                 return _decode_result(response.status, reply)
         except aiohttp.ClientConnectorError as error:
             return Broken(False, f"{type(error).__name__}: {error}")
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return Broken(True, f"{type(error).__name__}: {error}")
 
 
 def _decode_result(status: int, reply: bytes) -> OrderResult:
-    if status == _CONFLICT_STATUS:
-        return msgspec.json.decode(reply, type=OrderRefused)
-    if status != 200:
+    if status not in (200, _CONFLICT_STATUS):
         return Broken(True, f"status {status}")
-    return msgspec.json.decode(reply, type=EngineState)
+    kind = OrderRefused if status == _CONFLICT_STATUS else EngineState
+    found = decode_json(reply, kind)
+    return Broken(True, "the answer cannot be decoded") if found is None else found
