--- a/tests/entry/test_cut_replies.py
+++ b/tests/entry/test_cut_replies.py
@@ -1,5 +1,6 @@
-"""Plain services that break off in the middle of a reply, through a whole node."""
+"""Plain services and callers that break off, through a whole node."""
 
+import asyncio
 import json
 import unittest
 
@@ -12,6 +13,12 @@
 
 _HALF = b"HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\nhalf"
 _PATH = "/services/drafting/notes"
+_LIMIT_S = 20
+_WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+_BODIES = (
+    ("Content-Length: 6", b"whole!"),
+    ("Transfer-Encoding: chunked", b"3\r\nwho\r\n3\r\nle!\r\n0\r\n\r\n"),
+)
 
 
 class CutReplyTests(unittest.IsolatedAsyncioTestCase):
@@ -46,3 +53,29 @@
                         body = await response.read()
                     self.assertEqual(response.headers["X-Outcome"], "unknown", body)
                     self.assertEqual(json.loads(body)["error"]["type"], "unknown")
+
+    async def test_no_service_gets_a_part_of_a_request(self):
+        """Guards against a call that runs with half of its body."""
+        self.server.data = _WHOLE
+        port = int(self.url.split(":")[2].split("/")[0])
+        for field, body in _BODIES:
+            lines = [f"POST {_PATH} HTTP/1.1", "Host: h", field]
+            lines += ["Authorization: Bearer key-bridge", "", ""]
+            for size in range(len(body)):
+                for is_half_closed in (False, True):
+                    with self.subTest(field, size=size, half=is_half_closed):
+                        reader, writer = await asyncio.open_connection(
+                            "127.0.0.1", port
+                        )
+                        writer.write("\r\n".join(lines).encode() + body[:size])
+                        await writer.drain()
+                        if is_half_closed:
+                            writer.write_eof()
+                            async with asyncio.timeout(_LIMIT_S):
+                                await reader.read()
+                        writer.close()
+        async with self.session.post(
+            self.url, data=b"whole!", headers={"Authorization": "Bearer key-bridge"}
+        ) as response:
+            self.assertEqual(await response.read(), b"ok")
+        self.assertEqual([item.body for item in self.server.requests], [b"whole!"])
