Streams: a node that dropped records says so

By reading, shown with tasks: if all nodes started within the last 30 s and one version was stored then, a stream of a newer version whose records were dropped everywhere went on at the older one, since each node answered that it knew nothing and had forgotten nothing.

A node that has dropped a record of a stream that may still be taken up now answers that it cannot say.

--- a/fireflyward/streams/_starts.py
+++ b/fireflyward/streams/_starts.py
@@ -53,10 +53,12 @@
     The oldest records are dropped first, also if there are too many.
     """
 
-    __slots__ = ("_start_by_key",)
+    __slots__ = ("_dropped_ms", "_start_by_key")
 
     def __init__(self) -> None:
         self._start_by_key: dict[int, _Start] = {}
+        # When the youngest stream began whose record was dropped for lack of room.
+        self._dropped_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self._start_by_key)
@@ -85,6 +87,11 @@
             return None
         return start.software
 
+    def has_dropped(self, now_ms: int) -> bool:
+        """Return whether streams may be taken up whose records were dropped."""
+        dropped_ms = self._dropped_ms
+        return dropped_ms is not None and now_ms - dropped_ms <= STREAM_LIFETIME_MS
+
     def records(self, now_ms: int, services: Iterable[str]) -> list[StreamRecord]:
         """Return the streams of some services, wherever they began."""
         self._forget(now_ms)
@@ -117,6 +124,9 @@
         starts = self._start_by_key
         while starts:
             oldest = next(iter(starts))
-            if starts[oldest].at_ms >= since_ms and len(starts) < _MAX_STREAMS:
+            at_ms = starts[oldest].at_ms
+            if at_ms >= since_ms and len(starts) < _MAX_STREAMS:
                 return
+            if at_ms >= since_ms:
+                self._dropped_ms = max(at_ms, self._dropped_ms or at_ms)
             del starts[oldest]
--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -189,7 +189,7 @@
             return Began(
                 lookup.software, lookup.source, self.has_several_versions(service)
             )
-        lookup.on_before_start(self.stored.before_start(now_ms, service))
+        lookup.on_before_start(self._before_start(now_ms, service))
         before = lookup.before_starts
         detail = f"no node knows the stream, {lookup.unanswered} did not answer"
         if before:
@@ -204,7 +204,7 @@
 
     async def _find_unnamed(self, service: str) -> StreamOrigin | None:
         """Return where a stream began if the request does not name its first one."""
-        before = self.stored.before_start(self._clock.now_ms(), service)
+        before = self._before_start(self._clock.now_ms(), service)
         return self._without_record(
             service,
             None if before is None else frozenset(),
@@ -212,6 +212,15 @@
             is_single=await self._is_single(service, are_holders_in_step=False),
         )
 
+    def _before_start(self, now_ms: int, service: str) -> frozenset[str] | None:
+        """Return where streams may have begun that this node has forgotten.
+
+        It is None if that is unknown.
+        """
+        if self.starts.has_dropped(now_ms):
+            return None
+        return self.stored.before_start(now_ms, service)
+
     async def _is_single(self, service: str, *, are_holders_in_step: bool) -> bool:
         """Return whether a stream that no node knows can have begun at one version.
 
@@ -248,7 +257,9 @@
         if not versions:
             return None
         if before is None:
-            detail += "; the versions stored before a node started are unknown"
+            detail += (
+                "; a node cannot say where it may have begun streams that it forgot"
+            )
         elif len(before) == 1:
             return Began(next(iter(before)), BEFORE_STARTS, len(versions) > 1)
         elif is_single and len(versions) == 1:
@@ -444,7 +455,7 @@
     async def _on_question(self, sender: str, message: Any) -> None:
         self._learn_address(sender, message)
         now_ms = self._clock.now_ms()
-        before_start = self.stored.before_start(now_ms, message.service_name)
+        before_start = self._before_start(now_ms, message.service_name)
         answer = StreamAnswer(
             number=message.number,
             software=self.starts.find(now_ms, message.stream),
--- a/tests/streams/test_task.py
+++ b/tests/streams/test_task.py
@@ -5,6 +5,7 @@
 import types
 import unittest
 from collections import Counter
+from unittest import mock
 
 from fireflyward.aggregators import Member
 from fireflyward.backing import Position
@@ -449,5 +450,19 @@
         self.assertEqual((origin.software, origin.source), ("v1", ONLY_VERSION))
 
 
+class DroppedRecordTests(unittest.IsolatedAsyncioTestCase):
+    """Nodes that drop records of streams that may still be taken up."""
+
+    async def test_a_stream_whose_records_were_dropped_is_unknown(self):
+        """Guards against the version before the starts for streams from after them."""
+        with mock.patch("fireflyward.streams._starts._MAX_STREAMS", 8):
+            fleet = _Fleet(3, versions=("v1", "v1"))
+            fleet.list_versions("v1", "v2")
+            fleet.task_by_name["n1"].on_begun("s", "acme", "q-dropped", "v2")
+            await fleet.begin(_STREAMS)
+            origin = await fleet.find("n2", "q-dropped")
+        self.assertIsInstance(origin, UnknownStream)
+
+
 if __name__ == "__main__":
     unittest.main()
