Feeds: a cached table forgets its oldest deletions

A node keeps the rows of a table and marks deleted ones, until it reads the whole table again, which a node that is well does not do. Each replica or record that ever went stayed in memory, and was sorted through for each reader. More than 1,000 deletions are now halved from the oldest on; a reader whose position lies before them gets HistoryLost and reads the whole table. Deletions of an earlier era stay for their retention time.

--- a/fireflyward/feeds/_cached_table.py
+++ b/fireflyward/feeds/_cached_table.py
@@ -9,6 +9,8 @@
 # older snapshot. Their writers write them again within this time; a row that is still
 # missing afterwards was removed before the writer could read it.
 RETENTION_MS = 10_000
+# A reader that lacks a deletion which is no longer known reads the full table.
+_MAX_DELETIONS = 1_000
 
 
 class CachedTable:
@@ -28,6 +30,7 @@
 
     __slots__ = (
         "_changes_known_since",
+        "_deletions",
         "_restored_by_key",
         "_retained_until_ms",
         "_retains_rows",
@@ -43,6 +46,8 @@
         # Rows of the restored store that are older than the retained row.
         self._restored_by_key: dict[str, TableRow] = {}
         self._changes_known_since = Position(0, 0)
+        # At least the number of cached rows that are marked as deleted.
+        self._deletions = 0
         self.position: Position | None = None
         self.as_of_ms = 0
 
@@ -63,10 +68,31 @@
             else:
                 self._restored_by_key.pop(row.key, None)
                 self._row_by_key[row.key] = row
+                self._deletions += row.is_deleted
         self.position = update.position
         self.as_of_ms = update.as_of_ms
         if self._retains_rows and update.as_of_ms >= self._retained_until_ms:
             self._drop_retained_rows()
+        if self._deletions > _MAX_DELETIONS:
+            self._forget_deletions()
+
+    def _forget_deletions(self) -> None:
+        """Forget the older half of the deletions, if there are too many."""
+        era = self.position.era
+        deleted = sorted(
+            (row for row in self._row_by_key.values() if row.is_deleted),
+            key=lambda row: row.position,
+        )
+        if len(deleted) > _MAX_DELETIONS:
+            # A deletion of an earlier era hides the restored row.
+            older = [row for row in deleted if row.position.era == era]
+            older = older[: len(deleted) // 2]
+            for row in older:
+                del self._row_by_key[row.key]
+                known_since = max(self._changes_known_since, row.position)
+                self._changes_known_since = known_since
+            deleted = deleted[len(older) :]
+        self._deletions = len(deleted)
 
     def _retained_rows(self, era: int) -> dict[str, TableRow]:
         """Return the cached rows of earlier eras, which the store may have lost."""
