--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -45,6 +45,12 @@
     "the same request, at the replicas that were left; requests ran twice or after 503",
     101: "the same",
 }
+_ODD_INPUT_SECONDS = 8.0
+_ODD_INPUT_REGRESSIONS = {
+    100: "SIGHUP and SIGTERM ended nodes that had not started yet; an entry with a "
+    "long port failed the task that follows the list of replicas",
+    101: "the same",
+}
 _STOPPED_SENDER_SEED = 4
 _DEPARTURE_REGRESSIONS = {
     2: "a failed read of one node counted as an outage of the store, after which a "
@@ -86,6 +92,10 @@
                 seed, _REJECTION_SECONDS, nodes=_FLAPPING_NODES, has_flapping=True
             )
 
+    def test_odd_input(self):
+        for seed in _ODD_INPUT_REGRESSIONS:
+            self.check(seed, _ODD_INPUT_SECONDS, has_odd_input=True)
+
     def test_standstills(self):
         async def run_together():
             return await asyncio.gather(
