Start: addresses that are in use are waited for

What callers saw: a node whose address for callers, readiness or metrics was still held, as by the last process of its VM, ended with status 1 and a bare traceback.

Cause: each listener was opened once.

Metrics are served once their address is free, and do not hold the node back. A start that fails closes the listeners that it had opened.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -22,6 +22,7 @@
     status_of,
 )
 from fireflyward.routes import Allowed, RouteTable
+from fireflyward.supervision import listen_when_free
 
 from ._accept_limit import AcceptLimit, NodeLoads
 from ._caller_connections import CallerConnections, connection_of
@@ -139,11 +140,17 @@
         self.in_flight = 0
 
     async def listen(self, address: str) -> str:
-        """Accept connections at ``IP:PORT``; return that with the real port."""
+        """Accept connections at ``IP:PORT``; return that with the real port.
+
+        Raise ``CannotListen`` if the address stays in use.
+        """
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(
-            self._accept, host, int(port), backlog=1_024
+        self._listener = await listen_when_free(
+            "callers",
+            address,
+            lambda: loop.create_server(self._accept, host, int(port), backlog=1_024),
+            clock=self._clock,
         )
         return address_of(self._listener)
 
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -248,6 +248,7 @@
         )
         self._status_server = StatusServer(
             self._metrics,
+            clock=clock,
             is_ready=lambda: self.is_ready,
             update_gauges=self._update_gauges,
         )
@@ -281,24 +282,35 @@
         log.info("node: settings reloaded")
 
     async def start(self) -> None:
-        """Start to listen and to follow the store."""
+        """Start to listen and to follow the store.
+
+        Raise ``CannotListen`` if the address for callers or readiness stays in use.
+        """
         settings = self._settings
-        port = settings.peer_ports[0]
-        port += _METRICS_PORT_OFFSET if port else 0
-        self.readiness_address = await self._status_server.listen(
-            settings.readiness_address, f"{settings.ip}:{port}"
-        )
-        self.callers_address = await self._caller_server.listen(
-            settings.callers_address
-        )
+        try:
+            self.readiness_address = await self._status_server.listen_for_readiness(
+                settings.readiness_address
+            )
+            self.callers_address = await self._caller_server.listen(
+                settings.callers_address
+            )
+        except BaseException:
+            await self._status_server.close()
+            raise
         for name, run in self._runs():
             self.tasks.start(name, run)
         log.info("node: %s listens at %s", settings.node, settings.callers_address)
 
+    async def _listen_for_metrics(self) -> None:
+        port = self._settings.peer_ports[0]
+        port += _METRICS_PORT_OFFSET if port else 0
+        await self._status_server.listen_for_metrics(f"{self._settings.ip}:{port}")
+
     def _runs(self) -> Iterable[tuple[str, Run]]:
         """Return what to run until the node stops, with the names of the tasks."""
         yield "standstills", self._standstills.run
         yield "memory", self._memory_watch.run
+        yield "metrics", self._listen_for_metrics
         yield "joining", self._joining.run
         for name, run in self._table_followers.runs_after_joining():
             yield name, partial(self._joining.run_after_joining, run)
--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -17,6 +17,7 @@
 from fireflyward.invariants import InvariantBroken, add_listener
 from fireflyward.platform import SETTINGS_VARIABLE, BadSettings
 from fireflyward.supervision import (
+    CannotListen,
     SignalHandlers,
     log_loop_errors,
     log_uncaught_error,
@@ -32,6 +33,7 @@
 _BAD_SETTINGS = 2
 # The state of the process cannot be trusted, so it is not stopped in order.
 _BROKEN_INVARIANT = 3
+_EXPECTED_ERRORS = (BadSettings, CannotListen)
 
 
 def run_process(held: HeldSignals) -> int:
@@ -81,7 +83,7 @@
     with SignalHandlers(held, handler_by_number):
         try:
             node = await _start_unless(stop, settings_watch, clock)
-        except BadSettings as error:
+        except _EXPECTED_ERRORS as error:
             return _log_failed_start(error)
         except Exception as error:
             log_uncaught_error("start", error)
@@ -121,8 +123,10 @@
     return node
 
 
-def _log_failed_start(error: BadSettings) -> int:
+def _log_failed_start(error: BadSettings | CannotListen) -> int:
     """Log why a start failed; return the exit status."""
-    log.critical("process: ends with status %d: %s", _BAD_SETTINGS, error)
-    print(f"fireflyward: settings: {error}", file=sys.stderr)
-    return _BAD_SETTINGS
+    is_settings = isinstance(error, BadSettings)
+    status = _BAD_SETTINGS if is_settings else _FAILED_START
+    log.critical("process: ends with status %d: %s", status, error)
+    print(f"fireflyward: {error}", file=sys.stderr)
+    return status
--- a/fireflyward/fleet/_status_server.py
+++ b/fireflyward/fleet/_status_server.py
@@ -1,17 +1,23 @@
 """The HTTP server for the balancer's readiness checks and for metrics."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
 from aiohttp import web_server
 from aiohttp.web_request import BaseRequest
 from aiohttp.web_response import Response
 
+from fireflyward.clock import Clock
 from fireflyward.observe import Metrics
 from fireflyward.platform import READINESS_PATH
+from fireflyward.supervision import describe_error, listen_when_free
 
 from ._callers import address_of
 
+log = logging.getLogger("fireflyward.process")
+
+_METRICS_RETRY_MS = 5_000
 _METRICS_PATH = "/metrics"
 _Handler = Callable[[BaseRequest], Awaitable[Response]]
 
@@ -26,20 +32,42 @@
         self,
         metrics: Metrics,
         *,
+        clock: Clock,
         is_ready: Callable[[], bool],
         update_gauges: Callable[[], None],
     ) -> None:
         self._metrics = metrics
+        self._clock = clock
         self._is_ready = is_ready
         self._update_gauges = update_gauges
         self._listeners: list[asyncio.Server] = []
         self._servers: list[web_server.Server] = []
 
-    async def listen(self, readiness_address: str, metrics_address: str) -> str:
-        """Listen at both addresses; return the readiness address with the real port."""
-        address = await self._open_listener(readiness_address, self._serve_readiness)
-        await self._open_listener(metrics_address, self._serve_metrics)
-        return address
+    async def listen_for_readiness(self, address: str) -> str:
+        """Return the address with the real port; raise ``CannotListen``."""
+        return await listen_when_free(
+            "readiness",
+            address,
+            lambda: self._open_listener(address, self._serve_readiness),
+            clock=self._clock,
+        )
+
+    async def listen_for_metrics(self, address: str) -> None:
+        """Serve metrics as soon as the address is free, however long it takes."""
+        is_first = True
+        while True:
+            try:
+                await self._open_listener(address, self._serve_metrics)
+            except OSError as error:
+                if is_first:
+                    reason = describe_error(error)
+                    log.error(
+                        "process: cannot serve metrics at %s: %s", address, reason
+                    )
+                is_first = False
+                await self._clock.sleep_ms(_METRICS_RETRY_MS)
+            else:
+                return
 
     async def close(self) -> None:
         """Close the listeners and all connections."""
--- a/fireflyward/supervision/__init__.py
+++ b/fireflyward/supervision/__init__.py
@@ -2,15 +2,19 @@
 
 from ._background import BackgroundTasks, Run
 from ._exits import log_loop_errors, log_uncaught_error
+from ._listening import CannotListen, describe_error, listen_when_free
 from ._resources import MemoryWatch, ResourceUse, read_resource_use
 from ._signals import SignalHandlers
 
 __all__ = [
     "BackgroundTasks",
+    "CannotListen",
     "MemoryWatch",
     "ResourceUse",
     "Run",
     "SignalHandlers",
+    "describe_error",
+    "listen_when_free",
     "log_loop_errors",
     "log_uncaught_error",
     "read_resource_use",
--- a/tests/fleet/test_process_start.py
+++ b/tests/fleet/test_process_start.py
@@ -1,5 +1,9 @@
 """What a start needs, what it waits for, and how it ends without it."""
 
+import socket
+
+from tests.soak._ports import free_ports
+
 from .process_fixtures import ProcessTestCase
 
 
@@ -7,6 +11,52 @@
     return "{}:{}".format(*owner.getsockname())
 
 
+class TakenPortTests(ProcessTestCase):
+    def listen_fields(self, **addresses):
+        return self.settings()["listen"] | addresses
+
+    async def test_a_port_that_becomes_free_is_used(self):
+        """Guards against a start that ends since the last process holds its port."""
+        for field in ("front", "readiness"):
+            with self.subTest(field):
+                owner = self.taken_port()
+                address = address_of(owner)
+                self.write_settings(listen=self.listen_fields(**{field: address}))
+                node = await self.start()
+                self.assertIn(address, await node.line("in use"))
+                owner.close()
+                await node.line("listens")
+
+    async def test_a_stop_while_a_port_is_taken_is_a_planned_stop(self):
+        """Guards against a start that cannot be stopped while it waits for a port."""
+        owner = self.taken_port()
+        self.write_settings(listen=self.listen_fields(front=address_of(owner)))
+        node = await self.start()
+        await node.line("in use")
+        self.assertEqual(await self.stop(node), 0)
+
+    async def test_a_port_that_stays_taken_ends_the_start_with_its_address(self):
+        """Guards against a start that ends without naming the address."""
+        owner = self.taken_port()
+        self.write_settings(listen=self.listen_fields(front=address_of(owner)))
+        node = await self.start()
+        self.assertIn(address_of(owner), await node.line("ends with status 1"))
+        self.assertEqual(await node.status(), 1)
+        self.assertNotIn("Traceback", "".join(node.lines))
+
+    async def test_a_taken_metrics_port_does_not_keep_a_node_from_serving(self):
+        """Guards against a node that does not start for the sake of its metrics."""
+        (port,) = free_ports(1)
+        owner = socket.socket()
+        self.addCleanup(owner.close)
+        owner.bind(("127.0.0.1", port + 1))
+        owner.listen()
+        self.write_settings(ports=(0, 0, port))
+        node = await self.start()
+        await node.line("listens")
+        self.assertIn(address_of(owner), await node.line("metrics"))
+
+
 class IncompleteSettingsTests(ProcessTestCase):
     async def test_settings_that_are_completed_are_read_again(self):
         """Guards against a start that ends since its settings are being written."""
