Start: closed standard streams do not end it

What callers saw: a process that was started with its standard output or its standard error closed ended with status 1 before it listened.

Cause: setting up the log, and the traceback of faults, need both descriptors. Without these errors the log would have been worse: the next socket gets the free descriptor 1, and log lines would be written to a peer.

Change: the null device is opened in place of a standard stream that is closed, first of all. The traceback of faults is written to the descriptor, since the stream object stays missing.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -21,6 +21,7 @@
     SignalHandlers,
     log_loop_errors,
     log_uncaught_error,
+    open_standard_streams,
 )
 
 from ._logs import set_up_logging
@@ -34,6 +35,7 @@
 # The state of the process cannot be trusted, so it is not stopped in order.
 _BROKEN_INVARIANT = 3
 _EXPECTED_ERRORS = (BadSettings, CannotListen)
+_STANDARD_ERROR = 2
 
 
 def run_process(held: HeldSignals) -> int:
@@ -43,10 +45,12 @@
     are invalid and 3 after a broken invariant. ``held`` are the signals that arrived
     before.
     """
+    open_standard_streams()
     clock = Clock()
     set_up_logging(clock)
-    # A fault in a native extension leaves a traceback on standard error.
-    faulthandler.enable()
+    # A fault in a native extension leaves a traceback on standard error. The stream
+    # itself is missing if the process was started without it.
+    faulthandler.enable(_STANDARD_ERROR)
     _log_start()
     path = os.environ.get(SETTINGS_VARIABLE, "")
     status = asyncio.run(_run(path, held, clock))
--- a/fireflyward/supervision/__init__.py
+++ b/fireflyward/supervision/__init__.py
@@ -5,6 +5,7 @@
 from ._listening import CannotListen, describe_error, listen_when_free
 from ._resources import MemoryWatch, ResourceUse, read_resource_use
 from ._signals import SignalHandlers
+from ._streams import open_standard_streams
 
 __all__ = [
     "BackgroundTasks",
@@ -17,5 +18,6 @@
     "listen_when_free",
     "log_loop_errors",
     "log_uncaught_error",
+    "open_standard_streams",
     "read_resource_use",
 ]
--- a/tests/fleet/test_process_start.py
+++ b/tests/fleet/test_process_start.py
@@ -1,6 +1,9 @@
 """What a start needs, what it waits for, and how it ends without it."""
 
+import asyncio
+import signal
 import socket
+import stat
 
 from tests.soak._ports import free_ports
 
@@ -83,3 +86,39 @@
         node = await self.start()
         self.assertEqual(await node.status(), 2)
         self.assertIn("ends with status 2", "".join(node.lines))
+
+
+class EnvironmentTests(ProcessTestCase):
+    async def wait_until_alive(self, node, port):
+        """Wait until the readiness address responds; its status may be 503."""
+        while not node.has_ended:
+            try:
+                _, writer = await asyncio.open_connection("127.0.0.1", port)
+            except OSError:
+                await asyncio.sleep(0.01)
+            else:
+                writer.close()
+                return
+        self.fail("the process ended")
+
+    async def test_closed_standard_streams_do_not_end_a_start(self):
+        """Guards against a start that needs somewhere to write its log to."""
+        for redirect in ("2>&-", ">&-", "<&- >&- 2>&-"):
+            with self.subTest(redirect):
+                (port,) = free_ports(1)
+                address = f"127.0.0.1:{port}"
+                listen = self.settings()["listen"] | {"readiness": address}
+                self.write_settings(listen=listen)
+                node = await self.start(redirect=redirect)
+                await self.wait_until_alive(node, port)
+                self.assertEqual(await self.stop(node), 0)
+
+    async def test_neither_a_home_nor_a_writable_folder_is_needed(self):
+        """Guards against a start that fails on a machine with a bare environment."""
+        folder = self.folder / "read-only"
+        folder.mkdir()
+        folder.chmod(stat.S_IRUSR | stat.S_IXUSR)
+        node = await self.start(HOME="", TMPDIR=str(folder))
+        await node.line("listens")
+        node.signal(signal.SIGTERM)
+        self.assertEqual(await node.status(), 0)
