Peers: a link whose port is taken is opened later, and as a whole

What would be seen: a node at whose start the UDP or TCP port of its link was taken served without a link to the other nodes for the rest of its life, with one failed task in the log.

Cause: the key of the link counted as in use before the link was open, so that the next read of the table only rotated the key. Besides, a link whose TCP socket was open and whose UDP port was taken kept the TCP socket, and would have found its own port taken.

Change: a link that could not be opened is kept and tried after each read of the table, at least each 500 ms while the table is not long-polled; its messages are registered once. A start that fails leaves no socket, and a port that was chosen by it is chosen anew.

Evidence: by tests, not seen at a fleet. Before: tests.peers.test_link.HalfOpenLinkTests 2 of 2 failed (address in use; the failed start's port kept), tests.fleet.test_joining: no second attempt. Now they pass.

--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -1,7 +1,9 @@
 """How a node joins the fleet: it finds the others, is listed and opens its link."""
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable, Collection
+from dataclasses import dataclass
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import Clock, Standstills, within_ms
@@ -9,14 +11,26 @@
 from fireflyward.feeds import FeedFollower, Pace, SharedTables, TableUpdate
 from fireflyward.peers import Address, PeerCodec, PeerLink, new_incarnation
 from fireflyward.streams import is_software_row
+from fireflyward.supervision import describe_error
 
 from ._paces import nodes_pace
 from ._peers import MAX_LIST_AGE_MS, NODE_TABLE, NodeRegistry, NodeRow
 
+log = logging.getLogger("fireflyward.peers")
+
 # A node reads the tables from an aggregator, over the link between nodes. The link is
 # normally open, and the other nodes are listed, some 300 ms after the start. After this
 # timeout the node starts to read anyway, from the store if necessary.
 _JOIN_TIMEOUT_MS = 1_500
+_LINK_RETRY_MS = 500
+
+
+@dataclass(frozen=True, slots=True)
+class _UnopenedLink:
+    """A link that is not open yet, and what is called once it is."""
+
+    link: PeerLink
+    on_open: Callable[[], None]
 
 
 class Joining:
@@ -43,6 +57,8 @@
     ) -> None:
         self.link: PeerLink | None = None
         self._codec: PeerCodec | None = None
+        self._unopened: _UnopenedLink | None = None
+        self._has_link_failed = False
         self._settings = settings
         self._clock = clock
         self._standstills = standstills or Standstills(clock=clock)
@@ -72,9 +88,11 @@
         while True:
             if await self._follower.step():
                 await self._apply_node_table()
+            elif self._unopened is not None:
+                await self._start_link(self._unopened)
             # A row of software says nothing of nodes, which may just be joining.
             if not self._has_only_software:
-                await self._pause(self._follower.pause_ms)
+                await self._pause(self._pause_ms())
             self._has_only_software = False
 
     def poll_soon(self) -> None:
@@ -90,6 +108,11 @@
         await within_ms(self._clock, pause_ms, self._poll_requested.wait())
         self._poll_requested.clear()
 
+    def _pause_ms(self) -> int:
+        if self._unopened is None:
+            return self._follower.pause_ms
+        return min(_LINK_RETRY_MS, self._follower.pause_ms)
+
     def _on_table_update(self, update: TableUpdate) -> None:
         self._has_only_software = bool(update.rows) and all(
             is_software_row(row.key) for row in update.rows
@@ -120,11 +143,13 @@
         """
         if self._codec is None:
             self._codec = PeerCodec((key,))
-            await self._open_link(self._codec)
+            self._unopened = self._make_link(self._codec)
         else:
             self._codec.rotate_key(key)
+        if self._unopened is not None:
+            await self._start_link(self._unopened)
 
-    async def _open_link(self, codec: PeerCodec) -> None:
+    def _make_link(self, codec: PeerCodec) -> _UnopenedLink:
         link = PeerLink(
             node_name=self._settings.node,
             incarnation=new_incarnation(self._clock),
@@ -133,11 +158,31 @@
             port=self._settings.peer_ports[0],
             has_backlog=lambda: self._standstills.has_backlog(self._clock.now_ms()),
         )
-        on_open = self._on_link(link)
-        await link.start()
-        self.link = link
-        self._registry.set_own_row(self._own_row(link.address))
-        on_open()
+        return _UnopenedLink(link, self._on_link(link))
+
+    async def _start_link(self, unopened: _UnopenedLink) -> None:
+        """Open the link, or leave it to be opened after the next read of the table.
+
+        Without it the node serves by what the store tells, but has no news of others.
+        """
+        try:
+            await unopened.link.start()
+        except OSError as error:
+            if not self._has_link_failed:
+                address = "{}:{}".format(*unopened.link.address)
+                log.error(
+                    "peers: cannot listen at %s, will be tried again: %s",
+                    address,
+                    describe_error(error),
+                )
+            self._has_link_failed = True
+            return
+        if self._has_link_failed:
+            log.info("peers: the link to other nodes is open")
+        self._unopened = None
+        self.link = unopened.link
+        self._registry.set_own_row(self._own_row(unopened.link.address))
+        unopened.on_open()
 
     def _own_row(self, address: Address) -> NodeRow:
         settings = self._settings
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -122,18 +122,26 @@
         self._handler_by_kind[kind] = Handler(struct_type, handle, delayed)
 
     async def start(self) -> None:
-        """Open a TCP and a UDP socket on the same port."""
+        """Open a TCP and a UDP socket on the same port.
+
+        Raise ``OSError`` if either cannot be opened; then neither is open.
+        """
         if self._codec.is_unauthenticated:
             log.warning("peers: no key is set, any process may speak as a peer")
-        self._server = await asyncio.start_server(
+        server = await asyncio.start_server(
             self._serve_connection, self._host, self._port, backlog=_BACKLOG
         )
-        self._port = self._server.sockets[0].getsockname()[1]
+        port = server.sockets[0].getsockname()[1]
         loop = asyncio.get_running_loop()
-        self._datagram_transport, _ = await loop.create_datagram_endpoint(
-            lambda: DatagramReader(self._datagram_received, self._has_backlog),
-            local_addr=(self._host, self._port),
-        )
+        try:
+            self._datagram_transport, _ = await loop.create_datagram_endpoint(
+                lambda: DatagramReader(self._datagram_received, self._has_backlog),
+                local_addr=(self._host, port),
+            )
+        except BaseException:
+            server.close()
+            raise
+        self._server, self._port = server, port
 
     async def stop(self) -> None:
         """Close both sockets and cancel the handlers that still run."""
--- a/tests/fleet/test_joining.py
+++ b/tests/fleet/test_joining.py
@@ -3,13 +3,14 @@
 import asyncio
 import types
 import unittest
+from unittest import mock
 
 from fireflyward.aggregators import Aggregators
 from fireflyward.clock import ManualClock
 from fireflyward.feeds import Changes, Snapshot, TableRow
 from fireflyward.fleet._joining import Joining
 from fireflyward.fleet._peers import NodeRegistry
-from fireflyward.peers import Envelope, PeerCodec
+from fireflyward.peers import Envelope, PeerCodec, PeerLink
 from tests.positions import at
 
 _ENVELOPE = Envelope(sender="n1", incarnation=1, sequence=1, kind="k", body=b"b")
@@ -44,6 +45,7 @@
 class JoiningTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
         self.clock, self.tables, self.updates = ManualClock(0), _Tables(), []
+        self.links = []
         settings = types.SimpleNamespace(
             node="n1",
             failure_domain="a",
@@ -59,11 +61,15 @@
             aggregators=Aggregators("n1", "a", link_mbps=100),
             on_nodes=lambda names: None,
             on_rows=self.updates.append,
-            on_link=lambda link: lambda: None,
+            on_link=self.on_link,
         )
         self.running = asyncio.create_task(self.joining.run())
         await self.clock.advance_ms(0)
 
+    def on_link(self, link):
+        self.links.append(link)
+        return lambda: None
+
     async def asyncTearDown(self):
         self.running.cancel()
         await asyncio.gather(self.running, return_exceptions=True)
@@ -110,3 +116,21 @@
             await self.read_key(key, version)
             sealed = self.joining._codec.seal(_ENVELOPE)
             self.assertIsNotNone(PeerCodec((key,)).open(sealed))
+
+    async def test_a_link_whose_port_is_taken_is_opened_later(self):
+        """Guards against a node that stays without a link to the others."""
+        with mock.patch.object(PeerLink, "start", side_effect=OSError) as start:
+            with self.assertLogs("fireflyward.peers", "ERROR") as logs:
+                await self.read_key(b"k" * 32, 5)
+                await self.clock.advance_ms(1_000)
+        self.assertGreater(start.call_count, 2)
+        self.assertEqual(len(logs.output), 1)
+        self.assertIsNone(self.joining.link)
+        self.assertFalse(self.running.done())
+        await self.clock.advance_ms(500)
+        for _ in range(200):
+            await asyncio.sleep(0.01)
+            if self.joining.link is not None:
+                break
+        self.assertIsNotNone(self.joining.link)
+        self.assertEqual(len(self.links), 1)
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -333,3 +333,36 @@
             await link.start()
         self.addAsyncCleanup(link.stop)
         self.assertGreaterEqual(start.call_args.kwargs["backlog"], 38 * 15)
+
+
+class HalfOpenLinkTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_link_whose_second_port_is_taken_holds_no_socket(self):
+        """Guards against a link that takes its own TCP port from its next start."""
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as owner:
+            owner.bind(("127.0.0.1", 0))
+            address = owner.getsockname()
+            link = PeerLink(
+                node_name="entry-1",
+                incarnation=1,
+                codec=PeerCodec((KEY,)),
+                port=address[1],
+            )
+            for _ in range(2):
+                with self.assertRaises(OSError):
+                    await link.start()
+                with socket.create_server(address):
+                    pass
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        self.assertEqual(link.address, address)
+
+    async def test_a_free_port_is_chosen_anew_after_a_failed_start(self):
+        """Guards against a link that insists on a port that it chose itself."""
+        link = PeerLink(node_name="entry-1", incarnation=1, codec=PeerCodec((KEY,)))
+        loop = asyncio.get_running_loop()
+        with mock.patch.object(loop, "create_datagram_endpoint", side_effect=OSError):
+            with self.assertRaises(OSError):
+                await link.start()
+        self.assertEqual(link.address[1], 0)
+        await link.start()
+        self.addAsyncCleanup(link.stop)
