Both doors: a status below 200 is no final response

A replica's status line "HTTP/1.1 099" or "000" was parsed, and its response would have been sent to the caller as it stood: bytes that a caller's parser rejects, on a connection that stays open. aiohttp also returns statuses below 100, and 101 as a final response, to the product's own door.

The platform's client breaks such a response (1xx are skipped as interim ones, and a switch of protocols breaks it already); `read_body` rejects any status below 200.

--- a/fireflyward/connections/_bodies.py
+++ b/fireflyward/connections/_bodies.py
@@ -11,6 +11,7 @@
 # Reports, refusals and the answers to orders have a few hundred bytes.
 MAX_REPORT_BYTES = 65_536
 MAX_BODY_BYTES = 16 << 20
+_FIRST_FINAL_STATUS = 200
 _IDENTITY = "identity"
 # aiohttp otherwise asks for compressed bodies, and takes one that is cut for whole.
 UNENCODED = {"Accept-Encoding": _IDENTITY}
@@ -54,6 +55,8 @@
 def _check_complete(response: aiohttp.ClientResponse) -> None:
     headers = [(name.lower(), value) for name, value in response.headers.items()]
     head = Head(response.status, response.reason or "", tuple(headers))
+    if head.status < _FIRST_FINAL_STATUS:
+        raise ResponseIncomplete(f"status {head.status} is that of no final response")
     if has_second_status_line(head):
         raise ResponseIncomplete("header continues with another response")
     if head.get("content-encoding") not in (None, _IDENTITY):
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -331,6 +331,9 @@
         if 100 <= status < 200:
             self._headers, self._reason = [], ""
             return
+        if status < 100:
+            self._fail(f"status {status}")
+            return
         head = Head(status, self._reason, tuple(self._headers))
         if has_second_status_line(head):
             self._fail("header continues with another response")
--- a/tests/connections/test_cut_responses.py
+++ b/tests/connections/test_cut_responses.py
@@ -13,6 +13,7 @@
     CONFLICTING_LENGTHS,
     ENDLESS_CODINGS,
     MERGED_HEADS,
+    ODD_STATUSES,
     WHOLE_RESPONSES,
     CutServer,
     cuts,
@@ -82,6 +83,12 @@
             request = self.server.requests[-1]
             self.assertEqual(request.headers["accept-encoding"], "identity")
 
+    async def test_a_status_of_no_final_response_is_malformed(self):
+        """Guards against a caller that receives bytes that are no response."""
+        for name, data in ODD_STATUSES.items():
+            with self.subTest(name):
+                self.assertIsNone(await self.read(data))
+
     async def test_responses_without_a_body_are_complete(self):
         for status in (204, 304):
             data = b"HTTP/1.1 %d X\r\n\r\n" % status
--- a/tests/http1/cut_responses.py
+++ b/tests/http1/cut_responses.py
@@ -47,6 +47,12 @@
     "without a reason": _OK
     + b"X-Request-Id: qHTTP/1.1 200\r\nContent-Length: 0\r\n\r\n",
 }
+# No status of a final response; callers could not read it.
+ODD_STATUSES = {
+    "below 100": b"HTTP/1.1 099 X\r\nContent-Length: 2\r\n\r\nab",
+    "zero": b"HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n",
+    "other protocol": b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\n",
+}
 CONFLICTING_LENGTHS = {
     "length and chunks": _OK
     + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n"
--- a/tests/http1/test_cut_responses.py
+++ b/tests/http1/test_cut_responses.py
@@ -9,6 +9,7 @@
     CONFLICTING_LENGTHS,
     ENDLESS_CODINGS,
     MERGED_HEADS,
+    ODD_STATUSES,
     WHOLE_RESPONSES,
     CutServer,
     cuts,
@@ -65,6 +66,13 @@
                 events = await self.exchange(data)
                 self.assertIsInstance(events[-1], Broken)
 
+    async def test_a_status_of_no_final_response_breaks_it(self):
+        """Guards against a caller that receives bytes that are no response."""
+        for name, data in ODD_STATUSES.items():
+            with self.subTest(name):
+                (event,) = await self.exchange(data)
+                self.assertIs(event.at, BrokenAt.SENT)
+
     async def test_a_switch_to_another_protocol_is_broken(self):
         data = b"HTTP/1.1 101 X\r\nUpgrade: x\r\nConnection: upgrade\r\n\r\nab"
         (event,) = await self.exchange(data)
