--- a/tests/daemon/test_stopping.py
+++ b/tests/daemon/test_stopping.py
@@ -182,6 +182,34 @@
 
 
 class StepTests(StoppingTestCase):
+    async def test_a_stream_that_is_cut_does_not_look_complete(self):
+        """Guards against a last chunk or an end marker from a node that stops."""
+        for is_stream in (True, False):
+            with self.subTest(is_stream=is_stream):
+                rest = await self.cut_completion(is_stream=is_stream)
+                self.assertNotIn(b"[DONE]", rest)
+                self.assertNotIn(b"\r\n0\r\n\r\n", rest)
+                self.assertNotIn(b"200 OK", rest)
+
+    async def cut_completion(self, *, is_stream):
+        """Return what a caller receives after its run has been cut."""
+        body = {"model": "clauses", "prompt": f"beam {is_stream}?"}
+        body = {**body, "stream": is_stream, "max_tokens": 1_000}
+        encoded = json.dumps(body).encode()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.node.port)
+        self.addCleanup(writer.close)
+        lines = ["POST /v1/completions HTTP/1.1", "Host: h"]
+        lines += ["Authorization: Bearer key-bridge"]
+        lines += [f"Content-Length: {len(encoded)}", "", ""]
+        writer.write("\r\n".join(lines).encode() + encoded)
+        async with asyncio.timeout(LIMIT_S):
+            if is_stream:
+                await reader.readuntil(b"data: ")
+            while not self.node.in_flight.count:
+                await asyncio.sleep(0.01)
+            self.node.in_flight.cut()
+            return await reader.read()
+
     async def test_steps_are_reached_in_order(self):
         await self.node.stop()
         wanted = [step for step in StopStep if step is not StopStep.CUT]
