Decoding: bytes that are nested too deeply are malformed at both doors

msgspec raises RecursionError for nesting that is too deep in a field it skips, and that is no msgspec error. At the product's own door a request with such a body got 502 ('the request may have run') instead of 400; answers of the platform, rows of bundles and peers' parts raised it in their tasks.

Every place that decodes bytes of others names the same errors now, decoding.DECODE_ERRORS.

test_each_invalid_body_is_rejected_with_an_error_body has a body of this kind: 502 before, 400 now.

--- a/fireflyward/admin/_app.py
+++ b/fireflyward/admin/_app.py
@@ -9,6 +9,7 @@
 
 from fireflyward.bundles import SignedBundle, decode_signed, encode_signed
 from fireflyward.clock import Clock
+from fireflyward.decoding import DECODE_ERRORS
 
 from ._auth import RequestAuthenticator
 from ._bundle_admin import BundleAdmin
@@ -130,7 +131,7 @@
     ) -> web.Response:
         try:
             signed = decode_signed(await request.read())
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return _make_response(ErrorReply("unreadable", str(error)))
         return _make_response(await operation(signed))
 
--- a/fireflyward/admin/_bundle_admin.py
+++ b/fireflyward/admin/_bundle_admin.py
@@ -4,8 +4,6 @@
 from collections.abc import Mapping
 from typing import Protocol
 
-import msgspec
-
 from fireflyward.backing import Committed, Conflict, Unavailable, Uncertain, Weights
 from fireflyward.bundles import (
     Bundle,
@@ -29,6 +27,7 @@
     verify_snapshot,
     weight_errors,
 )
+from fireflyward.decoding import DECODE_ERRORS
 
 from ._messages import (
     CheckReply,
@@ -145,7 +144,7 @@
         """Accept a bundle that two people signed, unless its number is already used."""
         try:
             statement = statement_of(signed)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             problem = Problem("unreadable", "statement", str(error))
             return SubmitReply(SubmitOutcome.REFUSED, 0, "", problems=(problem,))
         await self._catch_up_with_head()
--- a/fireflyward/admin/_client.py
+++ b/fireflyward/admin/_client.py
@@ -9,6 +9,7 @@
 
 from fireflyward.bundles import SignedBundle, SigningKey, decode_signed, encode_signed
 from fireflyward.clock import Clock
+from fireflyward.decoding import DECODE_ERRORS
 
 from ._app import ABOUT_PATH
 from ._auth import sign_request
@@ -157,5 +158,5 @@
         if reply_type is SignedBundle:
             return decode_signed(body)
         return msgspec.json.decode(body, type=reply_type)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return AdminFailed("unreadable", f"the response could not be decoded: {error}")
--- a/fireflyward/admin/_proposals.py
+++ b/fireflyward/admin/_proposals.py
@@ -15,6 +15,7 @@
     statement_of,
 )
 from fireflyward.clock import Clock
+from fireflyward.decoding import DECODE_ERRORS
 
 from ._messages import ErrorReply, Proposal, ProposalsReply
 
@@ -46,7 +47,7 @@
         """Store a bundle that one person signed."""
         try:
             statement = statement_of(signed)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return ErrorReply("unreadable", str(error))
         if len(signed.signatures) != 1:
             return ErrorReply(
--- a/fireflyward/backing/_http.py
+++ b/fireflyward/backing/_http.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from fireflyward.connections import read_body
+from fireflyward.decoding import DECODE_ERRORS
 from fireflyward.observe import hop
 
 from ._messages import (
@@ -232,7 +233,7 @@
     """Decode an answer; return a failure, not an exception, if that is impossible."""
     try:
         return msgspec.json.decode(body, type=body_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return failure(f"the answer could not be decoded: {error}")
 
 
--- a/fireflyward/bundles/_exchange.py
+++ b/fireflyward/bundles/_exchange.py
@@ -5,7 +5,7 @@
 from collections.abc import Awaitable, Callable
 from typing import Any
 
-import msgspec
+from fireflyward.decoding import DECODE_ERRORS
 
 from ._bundle import BundleError
 from ._bundle_structs import (
@@ -91,7 +91,7 @@
     """Decode the changes in a peer's reply."""
     try:
         return tuple(decode_signed(body) for body in reply.changes)
-    except msgspec.DecodeError as error:
+    except DECODE_ERRORS as error:
         return BundleError("changes", str(error), code="unreadable")
 
 
@@ -112,7 +112,7 @@
         try:
             page = decode_signed(reply.page)
             links = tuple(decode_signed(body) for body in reply.links)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return BundleError("whole", str(error), code="unreadable")
         if reply.digest != digest:
             digest, parts = reply.digest, {}
--- a/fireflyward/bundles/_parts.py
+++ b/fireflyward/bundles/_parts.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from fireflyward.decoding import DECODE_ERRORS
+
 from ._bundle import Account, Bundle, BundleError, Model, Person, Service, Upstream
 
 _ACCOUNTS_PER_CHUNK = 16
@@ -121,7 +123,7 @@
         return BundleError(name, "is not a part of a bundle", code="unknown_part")
     try:
         table = msgspec.json.decode(body, type=kind)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return BundleError(name, str(error), code="unreadable")
     if canonical_bytes(table) != body:
         return BundleError(name, "bytes are not canonical", code="not_canonical")
--- a/fireflyward/bundles/_store.py
+++ b/fireflyward/bundles/_store.py
@@ -13,6 +13,7 @@
     Uncertain,
 )
 from fireflyward.clock import Clock
+from fireflyward.decoding import DECODE_ERRORS
 from fireflyward.steps import Step, StepObserver, ignore_step
 
 from ._bundle import Bundle
@@ -198,7 +199,7 @@
             return body
         try:
             return decode_signed(body)
-        except msgspec.DecodeError as error:
+        except DECODE_ERRORS as error:
             return Unavailable(f"{name} is unreadable: {error}")
 
     async def _store_change(
--- a/fireflyward/bundles/_verify.py
+++ b/fireflyward/bundles/_verify.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from fireflyward.decoding import DECODE_ERRORS
+
 from ._bundle import Bundle, BundleError, Person
 from ._parts import TRUST, canonical_bytes, digest_of, root_of, section_of
 from ._signing import SignedBundle, Statement, root_people, signers_of
@@ -84,7 +86,7 @@
 def _decode_statement(document: bytes, deployment: str) -> Statement | BundleError:
     try:
         statement = msgspec.json.decode(document, type=Statement)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return BundleError("statement", str(error), code="unreadable")
     if canonical_bytes(statement) != document:
         detail = "bytes are not canonical"
--- a/fireflyward/decoding/__init__.py
+++ b/fireflyward/decoding/__init__.py
@@ -1,7 +1,7 @@
 """Decoding of bytes from other writers into bounded types, without exceptions."""
 
 from ._addresses import IPv4, ListenAddress, OptionalAddress, PeerPort, ReplicaAddress
-from ._json import decode_json
+from ._json import DECODE_ERRORS, decode_json
 from ._numbers import (
     MAX_INT32,
     MAX_INT64,
@@ -20,6 +20,7 @@
 from ._texts import HeaderText, Name, is_header_text, is_utf8
 
 __all__ = [
+    "DECODE_ERRORS",
     "MAX_INT32",
     "MAX_INT64",
     "BoundedNumber",
--- a/fireflyward/decoding/_json.py
+++ b/fireflyward/decoding/_json.py
@@ -5,6 +5,8 @@
 import msgspec
 
 T = TypeVar("T")
+# What decoding bytes raises; nesting that is too deep is no error of msgspec.
+DECODE_ERRORS = (msgspec.MsgspecError, UnicodeDecodeError, RecursionError)
 
 
 def decode_json(value: bytes, kind: type[T]) -> T | None:
@@ -19,5 +21,5 @@
     """
     try:
         return msgspec.json.decode(value, type=kind)
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
+    except DECODE_ERRORS:
         return None
--- a/fireflyward/entry/_requests.py
+++ b/fireflyward/entry/_requests.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from fireflyward.decoding import DECODE_ERRORS
 from fireflyward.outcomes import NotRun, Reason, Usage
 
 _MAX_TOKENS = 32_768
@@ -67,7 +68,7 @@
     request_type = ChatRequest if is_chat else CompletionRequest
     try:
         request = msgspec.json.decode(body, type=request_type)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODE_ERRORS as error:
         return NotRun(Reason.BAD_REQUEST, str(error))
     if not 1 <= request.max_tokens <= _MAX_TOKENS:
         detail = f"max_tokens is {request.max_tokens}; allowed: 1 to {_MAX_TOKENS}"
--- a/fireflyward/kept/_prefix_texts.py
+++ b/fireflyward/kept/_prefix_texts.py
@@ -10,6 +10,7 @@
 from cryptography.hazmat.primitives.ciphers.aead import ChaCha20Poly1305
 
 from fireflyward.backing import Missing, Objects, Stored, Unavailable
+from fireflyward.decoding import DECODE_ERRORS
 
 _NONCE_BYTES = 12
 _KEY_BYTES = 32
@@ -115,7 +116,7 @@
             sealed = base64.b64decode(ref.encode(), altchars=b"-_", validate=True)
             data = self._open(scope, b"ref", sealed)
             return data and msgspec.msgpack.decode(data, type=_Ref)
-        except (ValueError, msgspec.DecodeError):
+        except (ValueError, *DECODE_ERRORS):
             return None
 
     def _cache_text(self, object_name: str, text: str) -> None:
--- a/fireflyward/kept/_store_http.py
+++ b/fireflyward/kept/_store_http.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from fireflyward.connections import MAX_BODY_BYTES, read_body
+from fireflyward.decoding import DECODE_ERRORS
 from fireflyward.observe import hop
 from fireflyward.upstreams import BlockRef, Miss, MissReason
 
@@ -125,7 +126,7 @@
             return body
         try:
             return Miss(ref.key, msgspec.json.decode(body, type=MissBody).reason)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return StoreUnavailable(f"answer could not be read: {error}")
 
     async def abandon(
@@ -171,7 +172,7 @@
             if status == FENCED_STATUS:
                 return Fenced(msgspec.json.decode(answer, type=FenceBody).fencing)
             return msgspec.json.decode(answer, type=answer_type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODE_ERRORS as error:
             return StoreUnavailable(f"answer could not be read: {error}")
 
     async def _exchange(
--- a/fireflyward/load/_caller.py
+++ b/fireflyward/load/_caller.py
@@ -15,6 +15,7 @@
     RequestSent,
 )
 from fireflyward.clock import Clock
+from fireflyward.decoding import DECODE_ERRORS
 
 from ._plan import LoadPlan, LoadRequest, RequestMode
 
@@ -242,7 +243,7 @@
 def _error_code(data: bytes) -> str:
     try:
         return msgspec.json.decode(data, type=_Error).error.code
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         return ""
 
 
--- a/fireflyward/runs/_sweep.py
+++ b/fireflyward/runs/_sweep.py
@@ -13,6 +13,7 @@
     Unavailable,
 )
 from fireflyward.clock import Clock
+from fireflyward.decoding import DECODE_ERRORS
 from fireflyward.steps import Step, StepObserver, ignore_step
 
 from ._periods import PERIOD_KEY, SHARDS, Period, period_of, shard_prefix
@@ -191,6 +192,6 @@
     """
     try:
         return msgspec.json.decode(row.value, type=Record).period <= period
-    except msgspec.DecodeError:
+    except DECODE_ERRORS:
         log.warning("runs: %s is no record, left in place", row.key)
         return False
--- a/tests/entry/test_app.py
+++ b/tests/entry/test_app.py
@@ -48,6 +48,7 @@
             "not utf-8": b'{"model": "clauses", "prompt": "\xff\xfe"}',
             "a list": b"[1]",
             "deep": b"[" * 100_000,
+            "deep in an unknown field": b'{"x":' + b"[" * 100_000,
             "no prompt": b'{"model": "clauses"}',
             "empty prompt": b'{"model": "clauses", "prompt": ""}',
             "no tokens": json.dumps(GOOD | {"max_tokens": 0}).encode(),
