--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -58,6 +58,8 @@
         "--odd-input",
         action="store_true",
         help="malformed entries, cut settings files, and signals during starts",
+    )
+    parser.add_argument(
         "--out-of-step",
         action="store_true",
         help="one node stands still or is cut from the store while new software joins",
