Streams: an answer lists no more versions than a datagram carries

Eight entries with software versions of 200 characters made every answer to the question where a stream began longer than a datagram, and it was not sent: with six nodes 16 of 24 streams went on after they were taken up at another node, and the others got 503. An answer names as many versions as fit now, and two of several at least: whether there is a single one is all that the asker derives from the list.

--- a/fireflyward/streams/_task.py
+++ b/fireflyward/streams/_task.py
@@ -45,6 +45,9 @@
 # How often a stream that waits for its software version to be stored checks that.
 _HOLD_POLL_MS = 10
 _MS_PER_SECOND = 1_000
+# Of each of the two lists of an answer; a datagram has room for 1,400 bytes.
+_MAX_NAMES_BYTES = 400
+_MIN_NAMES = 2
 _MAX_NUMBER = 2**31 - 1
 
 OWN_RECORD = "own record"
@@ -391,8 +394,8 @@
         answer = StreamAnswer(
             number=message.number,
             software=self.starts.find(now_ms, message.stream),
-            versions=sorted(self.versions.first_hand(now_ms, message.service_name)),
-            before_start=sorted(before_start or ()),
+            versions=_brief(self.versions.first_hand(now_ms, message.service_name)),
+            before_start=_brief(before_start or ()),
             forgot_before_start=before_start is None,
         )
         asker = [item for item in self._members() if item.name == sender]
@@ -413,3 +416,21 @@
         versions = frozenset(message.versions)
         if self.stored.on_written(message.service_name, versions, position):
             self.versions.on_told(self._clock.now_ms(), message.service_name, versions)
+
+
+def _brief(names: Iterable[str]) -> list[str]:
+    """Return as many names as an answer has room for, and two of several at least.
+
+    The asker has to know whether there is a single one.
+
+    >>> _brief(["v2", "v1"]), len(_brief("v" * size for size in range(150, 200)))
+    (['v1', 'v2'], 2)
+    """
+    kept: list[str] = []
+    size = 0
+    for name in sorted(names):
+        size += len(name.encode())
+        if size > _MAX_NAMES_BYTES and len(kept) >= _MIN_NAMES:
+            break
+        kept.append(name)
+    return kept
