--- a/fireflyward/decoding/_numbers.py
+++ b/fireflyward/decoding/_numbers.py
@@ -17,8 +17,6 @@
 _MAX_NUMBER = 2**53
 _MAX_DIGITS = 9
 _MAX_LONG_DIGITS = 18
-_WHOLE_NUMBER = re.compile(rf"[0-9]{{1,{_MAX_DIGITS}}}")
-_LONG_NUMBER = re.compile(rf"[0-9]{{1,{_MAX_LONG_DIGITS}}}")
 _DECIMAL = re.compile(
     rf"[0-9]{{1,{_MAX_DIGITS}}}(\.[0-9]{{1,{_MAX_DIGITS}}})?"
     rf"|\.[0-9]{{1,{_MAX_DIGITS}}}"
@@ -52,8 +50,7 @@
     >>> whole_number(" 12 "), whole_number("-1"), whole_number("9" * 5_000)
     (12, None, None)
     """
-    text = text.strip()
-    return int(text) if _WHOLE_NUMBER.fullmatch(text) else None
+    return _digits(text.strip(), _MAX_DIGITS)
 
 
 def long_number(text: str) -> int | None:
@@ -62,8 +59,7 @@
     >>> long_number("1764700000000"), long_number("9" * 19)
     (1764700000000, None)
     """
-    text = text.strip()
-    return int(text) if _LONG_NUMBER.fullmatch(text) else None
+    return _digits(text.strip(), _MAX_LONG_DIGITS)
 
 
 def decimal(text: str) -> float | None:
@@ -74,3 +70,8 @@
     """
     text = text.strip()
     return float(text) if _DECIMAL.fullmatch(text) else None
+
+
+def _digits(text: str, max_digits: int) -> int | None:
+    is_number = text.isascii() and text.isdigit() and len(text) <= max_digits
+    return int(text) if is_number else None
--- a/fireflyward/decoding/_texts.py
+++ b/fireflyward/decoding/_texts.py
@@ -23,6 +23,8 @@
     >>> is_utf8("caf\u00e9"), is_utf8("caf\udce9")
     (True, False)
     """
+    if text.isascii():
+        return True
     try:
         text.encode()
     except UnicodeEncodeError:
--- a/fireflyward/platform/_requests.py
+++ b/fireflyward/platform/_requests.py
@@ -207,8 +207,7 @@
     if not request_id or not host:
         return NotRun(Reason.BAD_REQUEST, "request id or host is missing")
     # The parser of the callers' server escapes bytes that are no UTF-8.
-    texts = (target, *(by_name.get(name, "") for name in _READ_HEADERS))
-    if not all(map(is_utf8, texts)):
+    if not is_utf8(target + "".join(by_name.get(name, "") for name in _READ_HEADERS)):
         return NotRun(Reason.BAD_REQUEST, "request has a text that is no UTF-8")
     try:
         return CallerRequest(
