fireflyward serve: signals and taken ports as at the platform's door

What callers saw: SIGTERM or SIGINT while `fireflyward serve` imported its modules ended it by that signal, or by a traceback; so did SIGTERM after its loop had closed, SIGHUP, SIGUSR1, SIGUSR2 and SIGALRM at any time; a taken port of callers or peers ended the start at once.

Cause: as at the platform's door: handlers only while the loop runs, listeners opened once.

Change: the same parts are used: HeldSignals, SignalHandlers, listen_when_free and open_standard_streams. SIGHUP is a planned stop, as nothing is reloaded here and a closed terminal sends it; it stays ignored where it was, as under nohup. A stop, or a broken invariant, during the start closes what was opened.

Evidence: tests.daemon.test_process_signals.

--- a/fireflyward/__main__.py
+++ b/fireflyward/__main__.py
@@ -1,14 +1,19 @@
 """The ``fireflyward`` command."""
 
-import argparse
-import importlib
+import signal
 import sys
 from collections.abc import Sequence
+from typing import TYPE_CHECKING
 
 from fireflyward import __version__
+from fireflyward._held_signals import HELD_SIGNALS, STOP_SIGNALS, UNUSED_SIGNALS
 
+if TYPE_CHECKING:
+    import argparse
+
+_SERVE = "serve"
 _COMMANDS = (
-    "serve",
+    _SERVE,
     "settings",
     "demo",
     "bench",
@@ -31,12 +36,31 @@
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run one subcommand and return its exit code."""
+    if arguments is None and sys.argv[1:2] == [_SERVE]:
+        return _serve()
     options = build_parser().parse_args(arguments)
     return options.run(options)
 
 
-def build_parser() -> argparse.ArgumentParser:
+def _serve() -> int:
+    """Run the subcommand for a node, which handles signals from here to its end."""
+    HELD_SIGNALS.hold((*STOP_SIGNALS, *UNUSED_SIGNALS))
+    # A program that runs without a terminal is told so by an ignored signal.
+    if signal.getsignal(signal.SIGHUP) is not signal.SIG_IGN:
+        HELD_SIGNALS.hold((signal.SIGHUP,))
+    try:
+        options = build_parser().parse_args()
+        return options.run(options)
+    finally:
+        HELD_SIGNALS.ignore()
+
+
+def build_parser() -> "argparse.ArgumentParser":
     """Return the parser of the command and of all its subcommands."""
+    # These imports take most of the time before a subcommand runs.
+    import argparse
+    import importlib
+
     parser = argparse.ArgumentParser(
         prog="fireflyward", description=_DESCRIPTION, epilog=_EXIT_CODES
     )
--- a/fireflyward/_held_signals.py
+++ b/fireflyward/_held_signals.py
@@ -28,6 +28,11 @@
         self._received: list[signal.Signals] = []
         self._previous_by_number: dict[signal.Signals, object] = {}
 
+    @property
+    def numbers(self) -> frozenset[signal.Signals]:
+        """Return the signals that are held."""
+        return frozenset(self._previous_by_number)
+
     def hold(self, numbers: Iterable[signal.Signals]) -> None:
         """Keep these signals from now on, besides those that are held already."""
         for number in numbers:
--- a/fireflyward/commands/_serve.py
+++ b/fireflyward/commands/_serve.py
@@ -2,6 +2,7 @@
 
 import argparse
 
+from fireflyward._held_signals import HELD_SIGNALS
 from fireflyward.settings import SERVE_SETTINGS, add_flags
 
 from ._common import (
@@ -35,11 +36,13 @@
 
     from fireflyward.daemon import serve
     from fireflyward.observe import set_up_logs
+    from fireflyward.supervision import CannotListen, open_standard_streams
 
+    open_standard_streams()
     set_up_logs(settings["log_level"], settings["log_format"])
     try:
-        stopped_as_planned = asyncio.run(serve(settings))
-    except (OSError, ValueError) as error:
+        stopped_as_planned = asyncio.run(serve(settings, HELD_SIGNALS))
+    except (CannotListen, OSError, ValueError) as error:
         print_error(f"cannot serve: {error}")
         return EXIT_FAILED
     return EXIT_OK if stopped_as_planned else EXIT_BROKEN
--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -20,7 +20,7 @@
 from fireflyward.runs import RunIds, RunRecords, Sweeper, finish_detached
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
-from fireflyward.supervision import BackgroundTasks
+from fireflyward.supervision import BackgroundTasks, listen_when_free
 from fireflyward.upstreams import Broken, Engine, PlainService
 
 from ._admin_duty import AdminDuty
@@ -157,9 +157,19 @@
             observe=self.observe,
         )
         app = build_app(self._entry_context(self.records))
-        self.port = await self.io.listen(app)
+        self.port = await listen_when_free(
+            "callers",
+            "{host}:{port}".format_map(self.settings),
+            partial(self.io.listen, app),
+            clock=self.clock,
+        )
         self.observe(StartStep.PORT_OPEN)
-        await self.link.start()
+        await listen_when_free(
+            "peers",
+            "{peer_host}:{peer_port}".format_map(self.settings),
+            self.link.start,
+            clock=self.clock,
+        )
         vms = self.guards.vms(self.io.make_vms())
         self.membership = self._make_membership(self.bundles, vms)
         self.membership.start()
--- a/fireflyward/daemon/_node_io.py
+++ b/fireflyward/daemon/_node_io.py
@@ -66,10 +66,11 @@
         A connection on which no complete request arrives within the idle timeout is
         closed, whether it never sent a request or its last one is finished.
         """
-        self._runner = web.AppRunner(
-            app, access_log=None, keepalive_timeout=_IDLE_TIMEOUT_S
-        )
-        await self._runner.setup()
+        if self._runner is None:
+            self._runner = web.AppRunner(
+                app, access_log=None, keepalive_timeout=_IDLE_TIMEOUT_S
+            )
+            await self._runner.setup()
         host, port = self._settings["host"], self._settings["port"]
         site = web.TCPSite(self._runner, host, port, ssl_context=self.tls.context)
         await site.start()
--- a/fireflyward/daemon/_serve.py
+++ b/fireflyward/daemon/_serve.py
@@ -5,9 +5,11 @@
 import logging
 import signal
 
+from fireflyward._held_signals import STOP_SIGNALS, HeldSignals
 from fireflyward.connections import within
 from fireflyward.invariants import InvariantBroken, add_listener
 from fireflyward.settings import Settings
+from fireflyward.supervision import SignalHandlers
 
 from ._node import Node
 
@@ -16,10 +18,14 @@
 _CLOSE_TIMEOUT_MS = 2_000
 
 
-async def serve(settings: Settings) -> bool:
+async def serve(settings: Settings, held: HeldSignals | None = None) -> bool:
     """Run a node until SIGTERM or SIGINT; a second signal cuts open requests.
 
+    ``held`` are the signals that arrived before; without it, signals have the same
+    effect after this call as before. SIGHUP, if it is held, stops the node too.
+
     Return whether the node stopped as planned. A broken invariant stops it at once.
+    Raise ``CannotListen`` if one of its addresses stays in use.
     """
     node = Node(settings)
     broken = asyncio.Event()
@@ -29,24 +35,50 @@
         broken.set()
 
     stop_listening = add_listener(on_broken)
+    own_signals = HeldSignals()
     try:
-        return await _serve(node, broken)
+        return await _serve(node, broken, held or own_signals)
     finally:
         stop_listening()
+        own_signals.release()
 
 
-async def _serve(node: Node, broken: asyncio.Event) -> bool:
+async def _serve(node: Node, broken: asyncio.Event, held: HeldSignals) -> bool:
     stop_requested = asyncio.Event()
     cut_requested = asyncio.Event()
 
     def on_signal() -> None:
         (cut_requested if stop_requested.is_set() else stop_requested).set()
 
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, on_signal)
-    await node.start()
-    await _wait_for_any(stop_requested, broken)
+    numbers = {*STOP_SIGNALS, *(held.numbers & {signal.SIGHUP})}
+    with SignalHandlers(held, dict.fromkeys(numbers, on_signal)):
+        if not await _start(node, stop_requested, broken):
+            return not broken.is_set()
+        await _wait_for_any(stop_requested, broken)
+        return await _stop(node, cut_requested, broken)
+
+
+async def _start(node: Node, *events: asyncio.Event) -> bool:
+    """Start the node; if one of ``events`` is set first, close it and return False."""
+    started = asyncio.Event()
+    starting = asyncio.create_task(node.start())
+    starting.add_done_callback(lambda task: started.set())
+    await _wait_for_any(started, *events)
+    if starting.done() and not starting.cancelled() and starting.exception() is None:
+        return True
+    starting.cancel()
+    await asyncio.gather(starting, return_exceptions=True)
+    await _close_within_limit(node)
+    if not starting.cancelled():
+        starting.result()
+    log.info("daemon: stopped during the start")
+    return False
+
+
+async def _stop(
+    node: Node, cut_requested: asyncio.Event, broken: asyncio.Event
+) -> bool:
+    """Stop the node; return whether it stopped as planned."""
     if not broken.is_set():
         draining = asyncio.create_task(node.stop())
         drained = asyncio.Event()
