Streams: a report that was cut confirms no incarnation

Before a stream goes on at a replica, its report must tell the listed start. A report of 200 that was cut, with neither a length nor chunks, or that could not be decoded, counted as one that does not tell it: any incarnation was confirmed, and a stream could go on at a replica that had restarted with other software (ORDER).

A report of another status (a platform without reports answers 404) confirms any, as before.

Before: `test_a_report_that_is_cut_confirms_no_incarnation` got True for the report that ended after its head.

--- a/fireflyward/platform/_replica_api.py
+++ b/fireflyward/platform/_replica_api.py
@@ -264,7 +264,8 @@
 
     A replica that restarted under its name accepts the requests to its former
     incarnation, and its report tells its start. A report that does not tell it
-    confirms any. The connection can be used afterwards, unless no response arrived.
+    confirms any, one that cannot be decoded none. The connection can be used
+    afterwards, unless no response arrived.
     """
     headers = _report_headers(entry.address, entry.incarnation)
     connection.send("GET", _REPORT_PATH, headers, named_by=named_request)
@@ -277,8 +278,10 @@
     )
     if isinstance(response, NoResponse) or response.status == _MISDIRECTED:
         return False
+    if response.status != 200:
+        return True
     report = _decode_report(response, entry.address)
-    return report is None or report.started_ms in (0, entry.started_ms)
+    return report is not None and report.started_ms in (0, entry.started_ms)
 
 
 async def _read_response(
