Load runs: an event counts once it is complete

The caller of a load run took an event's id when its line arrived, and the text before the event had ended. After a stream that broke off in between it resumed behind a piece that it had not received, or received one twice, and reported a violation that the nodes had not caused. It now waits for the empty line that ends an event.

--- a/fireflyward/load/_caller.py
+++ b/fireflyward/load/_caller.py
@@ -215,10 +215,15 @@
         self, response: aiohttp.ClientResponse, result: AttemptResult
     ) -> None:
         is_error = False
+        # An event counts once the empty line after it has arrived.
+        event_id, text = result.event_id, ""
         async for line in response.content:
             name, _, value = line.strip().partition(b": ")
-            if name == b"id":
-                result.event_id = value.decode()
+            if not name:
+                result.event_id, result.text = event_id, result.text + text
+                text = ""
+            elif name == b"id":
+                event_id = value.decode()
             elif name == b"event":
                 is_error = value == b"error"
             elif name == b"data" and is_error:
@@ -231,7 +236,7 @@
                 return
             elif name == b"data":
                 result.first_ms = result.first_ms or self.clock.now_ms()
-                result.text += _answer_text(value)
+                text += _answer_text(value)
 
 
 def _answer_text(data: bytes) -> str:
