Streams: the task that reads the stored versions is not the caller's

By reading: a caller that left while its request waited for the read cancelled a call to the store, whose connection was then neither used again nor closed. A task of the node reads now, and a request waits for at most 400 ms. tests.streams.test_rows ReadNowTests cover both.

--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -314,6 +314,7 @@
         yield from self._weight_components.runs()
         yield from self._lease_components.runs()
         yield "software rows", self._software_rows.run
+        yield "software reads", self._software_rows.run_reads
         yield "notices", self._replica_components.notices.run
         yield "connector", self._replica_components.relays.connector.run
 
--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -25,8 +25,9 @@
 _START_PAUSE_MS = 3_000
 # How long the node that is last for this duty leaves a write to the others.
 _DUTY_TIMEOUT_MS = 3_000
-# A caller waits for this read of the rows.
+# A caller waits for this read of the rows, and perhaps for the end of an earlier one.
 _READ_LIMIT_MS = 300
+_READ_WAIT_MS = 400
 
 
 def is_software_row(key: str) -> bool:
@@ -63,16 +64,14 @@
         "_differs_since_ms",
         "_era",
         "_has_recent_list",
-        "_last_read",
-        "_last_sent",
         "_node_row",
         "_on_written",
         "_place",
         "_poll_soon",
         "_position",
-        "_reading",
+        "_read_requested",
+        "_readers",
         "_started_ms",
-        "_succeeded",
         "_store",
         "_stored",
         "_table",
@@ -121,11 +120,9 @@
         self._era = 0
         # The position of the table at the last update of the feed.
         self._position: Position | None = None
-        # Reads are numbered: the last one that was sent, and the last one that ended.
-        self._reading = asyncio.Lock()
-        self._last_sent = 0
-        self._last_read = 0
-        self._succeeded = False
+        # Callers that wait for the next read.
+        self._readers: list[asyncio.Future[bool]] = []
+        self._read_requested = asyncio.Event()
 
     def on_list(self) -> None:
         """Check soon whether a row differs: the list of replicas has changed."""
@@ -172,14 +169,25 @@
         A read is shared by all calls that came before it was sent. The store answers
         itself: what another node cached is older than the call.
         """
-        first = self._last_sent + 1
-        async with self._reading:
-            if self._last_read < first:
-                self._last_sent += 1
-                number = self._last_sent
-                self._succeeded = await self._read_changes()
-                self._last_read = number
-            return self._succeeded
+        reader = asyncio.get_running_loop().create_future()
+        self._readers.append(reader)
+        self._read_requested.set()
+        result = await within_ms(self._clock, _READ_WAIT_MS, _result_of(reader))
+        return result is True
+
+    async def run_reads(self) -> None:
+        """Read for callers who wait, until cancelled.
+
+        A caller that leaves does not end a call to the store.
+        """
+        while True:
+            await self._read_requested.wait()
+            self._read_requested.clear()
+            readers, self._readers = self._readers, []
+            has_read = await self._read_changes()
+            for reader in readers:
+                if not reader.done():
+                    reader.set_result(has_read)
 
     async def _read_changes(self) -> bool:
         if self._position is None:
@@ -255,3 +263,7 @@
             self._poll_soon()
         names = ", ".join(sorted(wanted))
         log.info("streams: row %s [%s]: %s", key, names, type(result).__name__)
+
+
+async def _result_of(reader: asyncio.Future[bool]) -> bool:
+    return await reader
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -18,7 +18,7 @@
         self.result = None
         # Answers to reads of changes, by the order of the reads.
         self.changes_read = []
-        self.reads = 0
+        self.reads = self.ended = 0
         self.after = []
 
     async def changes(self, table, *, after, wait_ms, limit_ms):
@@ -27,6 +27,7 @@
         answer = self.changes_read[self.reads - 1]
         for _ in range(5):
             await asyncio.sleep(0)
+        self.ended += 1
         return answer
 
     async def write(self, *, table, part, expected, puts, deletes=()):
@@ -301,15 +302,21 @@
 class ReadNowTests(unittest.IsolatedAsyncioTestCase):
     """Reads for callers who wait, beside those of the feed."""
 
-    def setUp(self):
+    async def asyncSetUp(self):
         self.store = _Store()
-        versions = SoftwareVersions()
-        self.rows, self.stored = software_rows(
-            versions, ManualClock(0), self.store, is_first=lambda: True
-        )
+        self.clock = ManualClock(0)
+        self.rows, self.stored = self.start(SoftwareVersions())
         value = msgspec.json.encode({"versions": ["v1"]})
         self.rows.on_table_update(update(3, ("software/s", value), is_snapshot=True))
 
+    def start(self, versions):
+        rows, stored = software_rows(
+            versions, self.clock, self.store, is_first=lambda: True
+        )
+        task = asyncio.create_task(rows.run_reads())
+        self.addCleanup(task.cancel)
+        return rows, stored
+
     def changes(self, version, *names, era=0):
         value = msgspec.json.encode({"versions": names})
         position = Position(era, version)
@@ -331,17 +338,24 @@
         self.assertEqual((await reading, set(results)), (True, {True}))
         self.assertEqual((self.store.reads, self.stored.of("s")), (2, {"v1", "v2"}))
 
-    async def test_a_read_whose_caller_left_does_not_count_for_others(self):
-        """Guards against the result of an earlier read."""
-        self.store.changes_read = [Changes((), Position(0, 3))] * 2
-        self.store.changes_read += [Unavailable("away")]
-        self.assertTrue(await self.rows.read_now())
+    async def test_a_caller_that_leaves_does_not_end_a_read(self):
+        """Guards against a connection to the store that is never closed."""
+        self.store.changes_read = [self.changes(9, "v1", "v2")]
         leaving = asyncio.create_task(self.rows.read_now())
         await asyncio.sleep(0)
-        waiting = asyncio.create_task(self.rows.read_now())
         await asyncio.sleep(0)
+        staying = asyncio.create_task(self.rows.read_now())
         leaving.cancel()
-        self.assertFalse(await waiting)
+        self.store.changes_read.append(Changes((), Position(0, 9)))
+        self.assertTrue(await staying)
+        self.assertEqual((self.store.ended, self.store.reads), (2, 2))
+
+    async def test_callers_do_not_wait_without_end(self):
+        """Guards against callers that wait for a store that does not answer."""
+        self.store.changes = lambda *args, **options: asyncio.Event().wait()
+        reading = asyncio.create_task(self.rows.read_now())
+        await self.clock.advance_ms(1_000)
+        self.assertFalse(await reading)
 
     async def test_reads_that_prove_nothing(self):
         """Guards against rows that the store has lost, or an answer that is missing."""
@@ -352,9 +366,7 @@
         ]
         for _ in range(3):
             self.assertFalse(await self.rows.read_now())
-        rows, _ = software_rows(
-            SoftwareVersions(), ManualClock(0), self.store, is_first=lambda: True
-        )
+        rows, _ = self.start(SoftwareVersions())
         self.assertFalse(await rows.read_now())
         self.assertEqual(self.store.reads, 3)
 
