Callers: the body of a caller that disconnects is released at once

The HTTP library's reader keeps the error with which reading failed, the error its traceback, and the traceback the frames that hold the body. So a body that its caller broke off stayed until the garbage collector's oldest generation ran, while its memory counted as free. The frames are now cleared when the error passes.

A caller that breaks off while a replica runs its request released its body before as well; the second test guards that.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import traceback
 from collections.abc import Callable
 
 from aiohttp.web_request import BaseRequest
@@ -419,7 +420,7 @@
         self, request: BaseRequest, limit: int, memory: RequestMemory
     ) -> bytes | bytearray | NotRun:
         """Return a body that is still arriving, unless this process must stop first."""
-        reading = asyncio.ensure_future(_read_up_to(request, limit, memory))
+        reading = asyncio.ensure_future(_read_in_task(request, limit, memory))
         stopping = asyncio.ensure_future(self._reading_ends.wait())
         try:
             await asyncio.wait({reading, stopping}, return_when=asyncio.FIRST_COMPLETED)
@@ -507,6 +508,18 @@
     return line + fields + _HEADER_OVERHEAD_BYTES * len(request.raw_headers)
 
 
+async def _read_in_task(
+    request: BaseRequest, limit: int, memory: RequestMemory
+) -> bytes | bytearray | NotRun:
+    """Return the body; if reading fails, release what has been read."""
+    try:
+        return await _read_up_to(request, limit, memory)
+    except BaseException as error:
+        # The library's reader keeps the error, whose frames refer to the body.
+        traceback.clear_frames(error.__traceback__)
+        raise
+
+
 async def _read_up_to(
     request: BaseRequest, limit: int, memory: RequestMemory
 ) -> bytes | bytearray | NotRun:
--- a/tests/fleet/memory_run.py
+++ b/tests/fleet/memory_run.py
@@ -2,7 +2,7 @@
 
     python -m tests.fleet.memory_run connections
     python -m tests.fleet.memory_run streams
-    python -m tests.fleet.memory_run bursts
+    python -m tests.fleet.memory_run bursts [CALLERS] [BYTES]
     python -m tests.fleet.memory_run steady [SECONDS]
 
 ``steady`` sends requests whose ids, bodies, prompts and keys are all new, while
@@ -31,7 +31,7 @@
 _ACCOUNTS = 2_000
 _CALLERS = 16
 _PERIOD_S = 10.0
-_BURST_CALLERS = 17
+_WATCH_S = 0.005
 _BURSTS = 10
 
 
@@ -49,6 +49,7 @@
         self.node = None
         self.served = 0
         self.statuses = {}
+        self.peak_mb = 0.0
 
     async def start(self):
         await self.store.start()
@@ -137,23 +138,36 @@
         await asyncio.sleep(2.0)
         self.report("closed")
 
-    async def bursts(self):
+    async def bursts(self, callers=17, size=_BODY_BYTES):
+        """Let callers send large bodies at once, again and again."""
         self.report("ready")
         for number in range(_BURSTS):
-            self.statuses = {}
+            self.statuses, self.peak_mb = {}, 0.0
+            watching = asyncio.create_task(self.watch())
+            body = b"x" * int(size)
             await asyncio.gather(
-                *(self.upload(f"b{number}-{each}") for each in range(_BURST_CALLERS))
+                *(
+                    self.upload(f"b{number}-{each}", body)
+                    for each in range(int(callers))
+                )
             )
-            self.report(f"after burst {number}: {self.statuses}")
+            watching.cancel()
+            peak = f"peak {self.peak_mb:.1f} MB"
+            self.report(f"after burst {number}: {peak}, {self.statuses}")
             for replica in self.plain:
                 replica.executed_requests.clear()
                 replica.requests.clear()
         await asyncio.sleep(5.0)
         self.report("5 s later")
 
-    async def upload(self, request_id):
+    async def watch(self):
+        while True:
+            self.peak_mb = max(self.peak_mb, self.memory_mb())
+            await asyncio.sleep(_WATCH_S)
+
+    async def upload(self, request_id, body):
         reader, writer = await self.open()
-        writer.write(head("POST", "/r/x", request_id, "key-1", (), b"x" * _BODY_BYTES))
+        writer.write(head("POST", "/r/x", request_id, "key-1", (), body))
         status = (await reader.readuntil(b"\r\n\r\n")).split()[1].decode()
         self.statuses[status] = self.statuses.get(status, 0) + 1
         writer.close()
--- a/tests/fleet/test_memory.py
+++ b/tests/fleet/test_memory.py
@@ -4,6 +4,8 @@
 import gc
 import tracemalloc
 
+from tests.platform_standins import ReplicaBehavior
+
 from .node_fixtures import KEY, STREAM, NodeTestCase
 
 _MEMORY_MB = 32
@@ -208,6 +210,42 @@
                 held = await self.held_after(headers=headers, path=path, data=body)
                 self.assertLess(held, _STAND_IN_BODIES * len(body))
 
+    async def held_after_disconnects(self, **begun):
+        before, _ = tracemalloc.get_traced_memory()
+        for number in range(2 * _STAND_IN_BODIES):
+            await self.open_callers(1)
+            caller = self.callers.pop()
+            caller.begin(f"d{number}", f"Content-Length: {_HELD_BYTES}")
+            await self.leave(caller, number, **begun)
+        self.forget()
+        after, _ = tracemalloc.get_traced_memory()
+        return after - before
+
+    async def leave(self, caller, number, *, sent_bytes, is_run):
+        """Disconnect a caller once its request is as far as it shall come."""
+        caller.writer.write(b"x" * sent_bytes)
+        server = self.node._caller_server
+        await self.until(lambda: server.in_flight == 1)
+        if is_run:
+            await self.until(lambda: self.run_count(self.plain) == number + 1)
+        else:
+            await asyncio.sleep(0.1)
+        caller.writer.transport.abort()
+        await self.until(lambda: server.in_flight == 0)
+
+    async def test_the_body_of_a_caller_that_disconnected(self):
+        """Guards against bodies of callers that gave up, which nothing counts."""
+        half = _HELD_BYTES // 2
+        held = await self.held_after_disconnects(sent_bytes=half, is_run=False)
+        self.assertLess(held, _STAND_IN_BODIES * _HELD_BYTES)
+
+    async def test_the_body_of_a_caller_that_disconnected_from_a_replica(self):
+        """Guards against bodies of requests that were cancelled at a replica."""
+        for replica in self.plain:
+            replica.behaviors = [ReplicaBehavior.SILENT] * 20
+        held = await self.held_after_disconnects(sent_bytes=_HELD_BYTES, is_run=True)
+        self.assertLess(held, _STAND_IN_BODIES * _HELD_BYTES)
+
     async def test_the_body_of_a_response_that_was_delivered(self):
         """Guards against responses that stay until the garbage collector runs."""
         for replica in self.plain:
