Logs: a line that cannot be encoded fails nobody

A log call whose fields hold a text with escaped bytes, an integer of more digits than Python converts, or an object raised in the task or the request that it tells of. Such items are written as Python shows them, so that the line is not lost.

No path on which such a field is logged was found; this is for those not found.

--- a/fireflyward/fleet/_logs.py
+++ b/fireflyward/fleet/_logs.py
@@ -1,5 +1,6 @@
 """Writes structured log lines to standard output without blocking the process."""
 
+import json
 import logging
 import os
 from collections import Counter, deque
@@ -15,6 +16,7 @@
 _MAX_REQUEST_LINES_PER_SECOND = 60
 # Other lines that a full pipe did not accept, until it does.
 _MAX_WAITING_LINES = 2_000
+_MAX_INT_BITS = 64
 _STANDARD_ATTRIBUTES = (
     frozenset(logging.makeLogRecord({}).__dict__)
     | {"message", "asctime"}
@@ -65,7 +67,7 @@
             line["error"] = logging.Formatter().formatException(record.exc_info)
         if self._dropped:
             line["dropped_before"] = self._dropped
-        return msgspec.json.encode(line) + b"\n"
+        return _encode(line) + b"\n"
 
     def _write(self, line: bytes, *, may_drop: bool) -> None:
         while self._waiting and self._try_write(self._waiting[0]):
@@ -88,6 +90,24 @@
         return True
 
 
+def _encode(line: dict[str, object]) -> bytes:
+    """Encode a line; items that JSON cannot carry are written as Python shows them."""
+    try:
+        return msgspec.json.encode(line)
+    except (TypeError, ValueError, ArithmeticError, RecursionError):
+        shown = {key: _shown(item) for key, item in line.items()}
+        return json.dumps(shown).encode()
+
+
+def _shown(item: object) -> int | str:
+    if isinstance(item, str):
+        return item.encode("ascii", "backslashreplace").decode()
+    if isinstance(item, int):
+        is_long = item.bit_length() > _MAX_INT_BITS
+        return f"integer of {item.bit_length()} bits" if is_long else item
+    return ascii(item)
+
+
 def _is_per_request(record: logging.LogRecord) -> bool:
     return record.levelno < logging.WARNING and hasattr(record, "is_per_request")
 
--- a/tests/fleet/test_logs.py
+++ b/tests/fleet/test_logs.py
@@ -37,6 +37,23 @@
         self.assertNotIn("detail", line)
         self.assertEqual(line["ms"], 5_000)
 
+    def test_a_line_that_cannot_be_encoded_fails_no_caller(self):
+        """Guards against a log call that ends the task or request it tells of."""
+        for value in (
+            "\ud800",
+            2**70,
+            10**5_000,
+            float("inf"),
+            object(),
+            {1: object()},
+            b"\xff",
+        ):
+            with self.subTest(kind=type(value)):
+                self.logger.info("x: %s", "y", extra={"fields": {"value": value}})
+                (line,) = self.lines()
+                self.assertEqual(line["part"], "x")
+                self.assertIn("value", line)
+
     def test_lines_above_the_limit_are_counted_except_warnings(self):
         for number in range(100):
             self.logger.info("x: %d", number, extra=PER_REQUEST)
