Settings: values with which no node can run end the start with their field

What would be seen: settings without memory, without time between heartbeats or with fewer than two ports between nodes were accepted; the second of these ports, for metrics, then lay outside the range.

Evidence: tests.platform.test_settings; before, all 4 cases were accepted.

--- a/fireflyward/platform/_settings.py
+++ b/fireflyward/platform/_settings.py
@@ -89,6 +89,9 @@
         raise IncompleteSettings(f"{path}: {error}") from error
     except (ValueError, RecursionError) as error:
         raise BadSettings(f"{path}: {error}") from error
+    problem = _find_problem(raw)
+    if problem is not None:
+        raise BadSettings(f"{path}: {problem}")
     first_port, last_port = raw.internal_ports
     return FleetSettings(
         node=raw.node_name,
@@ -129,3 +132,16 @@
         reuse_window_ms=to_int(raw.reuse_window_s * _MS_PER_S),
         requires_fencing=raw.require_fencing,
     )
+
+
+def _find_problem(raw: _Settings) -> str | None:
+    """Return what is wrong with the values of valid types, with the field's name."""
+    first_port, last_port = raw.internal_ports
+    # The second port is for metrics.
+    if first_port >= last_port:
+        return f"at least two ports are needed - at `$.internal-ports`: {first_port}"
+    if raw.limits.memory_mb < 1:
+        return "a node cannot run without memory - at `$.limits.memory-mb`"
+    if raw.heartbeat_ms < 1:
+        return "replicas need time between heartbeats - at `$.heartbeat-ms`"
+    return None
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -5,7 +5,7 @@
 import unittest
 from pathlib import Path
 
-from fireflyward.platform import BadSettings, load_settings
+from fireflyward.platform import BadSettings, IncompleteSettings, load_settings
 from tests.platform.json_numbers import number_paths, with_changed_number
 from tests.platform_standins import settings_text
 
@@ -90,3 +90,27 @@
     def test_the_error_names_a_missing_file(self):
         with self.assertRaisesRegex(BadSettings, "nowhere"):
             load_settings("/nowhere/settings")
+
+    def test_the_error_names_a_value_with_which_no_node_can_run(self):
+        """Guards against a node that starts and fails later, far from the cause."""
+        limits = {"memory-mb": 0, "link-mbps": 1000.0}
+        for field, value in (
+            ("internal-ports", [7700, 7700]),
+            ("internal-ports", [7701, 7700]),
+            ("limits", limits),
+            ("heartbeat-ms", 0),
+        ):
+            with self.subTest(field, value=value):
+                text = settings_text("10.0.0.1:80", (1, 2, 3), **{field: value})
+                with self.assertRaisesRegex(BadSettings, field):
+                    self.load(text)
+
+    def test_an_unfinished_write_is_told_from_a_wrong_field(self):
+        """Guards against a start that ends while its settings are being written."""
+        text = settings_text("10.0.0.1:80", (1, 2, 3))
+        for size in (0, 1, len(text) // 2, len(text) - 1):
+            with self.subTest(size=size), self.assertRaises(IncompleteSettings):
+                self.load(text[:size])
+        with self.assertRaises(BadSettings) as caught:
+            self.load("{}")
+        self.assertNotIsInstance(caught.exception, IncompleteSettings)
