Start: a closed standard error does not change the exit status

What callers saw: with invalid settings and a standard error whose reader had closed, a process ended with status 1 in place of 2.

Cause: the line for a person on standard error raised. The log already has the reason.

Change: that line is written if it can be.

Evidence: tests.fleet.test_process_start, test_a_log_that_nobody_reads_changes_no_status: before 1 in place of 2 for a closed reader; a full pipe was no fault. The test for a bare environment now names a temporary folder that cannot exist, since permissions do not bind every user that runs it.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -132,5 +132,7 @@
     is_settings = isinstance(error, BadSettings)
     status = _BAD_SETTINGS if is_settings else _FAILED_START
     log.critical("process: ends with status %d: %s", status, error)
-    print(f"fireflyward: {error}", file=sys.stderr)
+    # The log has the reason too, if nobody reads standard error.
+    with contextlib.suppress(OSError):
+        print(f"fireflyward: {error}", file=sys.stderr, flush=True)
     return status
--- a/tests/fleet/process_fixtures.py
+++ b/tests/fleet/process_fixtures.py
@@ -67,9 +67,11 @@
 
     async def status(self):
         """Wait for the end of the process and return its exit status."""
-        output = await asyncio.wait_for(self._process.stdout.read(), _LINE_TIMEOUT_S)
-        self.lines += output.decode().splitlines(keepends=True)
-        return await self._process.wait()
+        async with asyncio.timeout(_LINE_TIMEOUT_S):
+            if self._process.stdout is not None:
+                output = await self._process.stdout.read()
+                self.lines += output.decode().splitlines(keepends=True)
+            return await self._process.wait()
 
     async def kill(self):
         with contextlib.suppress(ProcessLookupError):
@@ -97,8 +99,14 @@
     def settings(self, **changes):
         return json.loads(self.settings_text(**changes))
 
-    async def start(self, *, signal_at=None, numbers=(), redirect="", **changes):
-        """Start a process; ``redirect`` is added to its shell command."""
+    async def start(
+        self, *, signal_at=None, numbers=(), redirect="", output=None, **changes
+    ):
+        """Start a process, with changes of its environment.
+
+        ``redirect`` is added to its shell command. ``output`` is the descriptor for its
+        standard output and standard error, in place of a pipe that is read.
+        """
         command = [sys.executable, "-m", "fireflyward.fleet"]
         if signal_at is not None:
             command = [sys.executable, "-c", _SIGNAL_AT, signal_at]
@@ -107,7 +115,7 @@
         process = await asyncio.create_subprocess_shell(
             f"exec {shlex.join(command)} {redirect}",
             env={name: value for name, value in environment.items() if value},
-            stdout=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE if output is None else output,
             stderr=asyncio.subprocess.STDOUT,
             limit=1 << 20,
         )
--- a/tests/fleet/test_process_start.py
+++ b/tests/fleet/test_process_start.py
@@ -1,9 +1,10 @@
 """What a start needs, what it waits for, and how it ends without it."""
 
 import asyncio
+import contextlib
+import os
 import signal
 import socket
-import stat
 
 from tests.soak._ports import free_ports
 
@@ -113,12 +114,40 @@
                 await self.wait_until_alive(node, port)
                 self.assertEqual(await self.stop(node), 0)
 
-    async def test_neither_a_home_nor_a_writable_folder_is_needed(self):
+    async def test_neither_a_home_nor_a_temporary_folder_is_needed(self):
         """Guards against a start that fails on a machine with a bare environment."""
-        folder = self.folder / "read-only"
-        folder.mkdir()
-        folder.chmod(stat.S_IRUSR | stat.S_IXUSR)
+        # No file can be created below another file, whoever runs this test.
+        folder = self.path / "none"
         node = await self.start(HOME="", TMPDIR=str(folder))
         await node.line("listens")
         node.signal(signal.SIGTERM)
         self.assertEqual(await node.status(), 0)
+
+    async def test_a_log_that_nobody_reads_changes_no_status(self):
+        """Guards against a start that fails, or waits, for the sake of its log."""
+        for is_closed in (False, True):
+            with self.subTest(is_closed=is_closed):
+                output = self.full_pipe(is_closed=is_closed)
+                (port,) = free_ports(1)
+                listen = self.settings()["listen"] | {"readiness": f"127.0.0.1:{port}"}
+                self.write_settings(listen=listen)
+                node = await self.start(output=output)
+                await self.wait_until_alive(node, port)
+                self.assertEqual(await self.stop(node), 0)
+                self.write_settings(zone=7)
+                node = await self.start(output=output)
+                self.assertEqual(await node.status(), 2)
+
+    def full_pipe(self, *, is_closed):
+        """Return a descriptor to write to, whose reader waits or is closed."""
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, writer)
+        if is_closed:
+            os.close(reader)
+            return writer
+        self.addCleanup(os.close, reader)
+        os.set_blocking(writer, False)
+        with contextlib.suppress(BlockingIOError):
+            while True:
+                os.write(writer, bytes(1_024))
+        return writer
