Runs: a replica's retry delay is bounded

At the product's own door the Retry-After of one replica's refusal reached the caller as it stood, when the retry budget was used up: a caller could be told to wait for weeks, though other replicas serve. It is cut to the longest time that admission names, 30 s.

Before: `test_a_replica_does_not_send_callers_away_for_long` got 2,147,483,647 ms.

--- a/fireflyward/limits/__init__.py
+++ b/fireflyward/limits/__init__.py
@@ -15,7 +15,7 @@
 from ._group_sums import LocalSums
 from ._peer_sums import PeerSums
 from ._request_cost import request_cost
-from ._retry_after import bounded_retry_after_ms
+from ._retry_after import MAX_RETRY_AFTER_MS, bounded_retry_after_ms
 from ._sum_reports import SumReportTask
 from ._window import Window
 
@@ -39,6 +39,7 @@
     "Ticket",
     "Waiter",
     "Window",
+    "MAX_RETRY_AFTER_MS",
     "bounded_retry_after_ms",
     "request_cost",
 ]
--- a/fireflyward/limits/_admission.py
+++ b/fireflyward/limits/_admission.py
@@ -8,11 +8,10 @@
 
 from ._fair_queue import FairQueue, Waiter
 from ._fair_share import share_of_weights
-from ._retry_after import bounded_retry_after_ms
+from ._retry_after import MAX_RETRY_AFTER_MS, bounded_retry_after_ms
 from ._window import Window
 
 _MIN_RETRY_AFTER_MS = 1_000
-_MAX_RETRY_AFTER_MS = 30_000
 _MAX_WAITING_REQUESTS = 4_096
 _RATE_SAMPLES = 64
 _MAX_WINDOW_SHARE = 0.8
@@ -327,5 +326,5 @@
 
 def _retry_after_ms(wait_ms: float) -> int:
     return bounded_retry_after_ms(
-        wait_ms, min_ms=_MIN_RETRY_AFTER_MS, max_ms=_MAX_RETRY_AFTER_MS
+        wait_ms, min_ms=_MIN_RETRY_AFTER_MS, max_ms=MAX_RETRY_AFTER_MS
     )
--- a/fireflyward/limits/_retry_after.py
+++ b/fireflyward/limits/_retry_after.py
@@ -1,5 +1,8 @@
 """When a rejected caller should retry."""
 
+# Load further ahead than this is unknown.
+MAX_RETRY_AFTER_MS = 30_000
+
 
 def bounded_retry_after_ms(
     capacity_ms: float, *, min_ms: float, max_ms: float, position_ms: float = 0.0
--- a/fireflyward/runs/_run.py
+++ b/fireflyward/runs/_run.py
@@ -2,6 +2,7 @@
 
 from functools import singledispatch
 
+from fireflyward.limits import MAX_RETRY_AFTER_MS
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.upstreams import (
     Accepted,
@@ -207,6 +208,7 @@
         if self._refusal is None:
             return self._fail(Reason.UPSTREAM_FAILED, detail)
         wait_ms = self._refusal.retry_after_ms or _RETRY_AFTER_MS
+        wait_ms = min(wait_ms, MAX_RETRY_AFTER_MS)
         return self._fail(self._refusal.reason, detail, retry_after_ms=wait_ms)
 
     def _fail(
--- a/tests/runs/test_run.py
+++ b/tests/runs/test_run.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from fireflyward.limits import MAX_RETRY_AFTER_MS
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown, Usage
 from fireflyward.runs import (
     AttemptEvent,
@@ -272,6 +273,13 @@
         self.assertEqual(end.outcome.reason, Reason.OVERLOADED)
         self.assertEqual(end.outcome.retry_after_ms, 700)
 
+    def test_a_replica_does_not_send_callers_away_for_long(self):
+        """Guards against callers that one replica tells to wait for weeks."""
+        self.begin_run(budget=RetryBudget(capacity=0.5))
+        overloaded = Refused(Reason.OVERLOADED, "queue full", 2**31 - 1)
+        (end,) = self.send_event(self.place("a"), overloaded)
+        self.assertEqual(end.outcome.retry_after_ms, MAX_RETRY_AFTER_MS)
+
     def test_retry_of_a_dispatch_that_never_arrived_uses_no_budget(self):
         self.begin_run(budget=RetryBudget(capacity=0.5))
         (wait,) = self.send_event(self.place("a"), Broken(False, "refused"))
