Bundles: a malformed head is unreadable, and fails no task

A row `bundle/head` that another writer had spoilt (no JSON, deep nesting, a negative number) raised in each node's read of the head: "Task exception was never retrieved" every few seconds, no line that names the row, and an exception in the administration API. Nodes went on with the bundle in force. Such a head now counts as unavailable, with a log line that names its row and version; a malformed row of the history is left out of the list.

Before: `test_malformed_heads_are_unreadable_and_hide_no_other` raised for three of four values and returned the number -1 for the fourth.

--- a/fireflyward/bundles/_store.py
+++ b/fireflyward/bundles/_store.py
@@ -16,6 +16,7 @@
 from fireflyward.steps import Step, StepObserver, ignore_step
 
 from ._bundle import Bundle
+from ._heads import Head, decode_head
 from ._parts import digest_of
 from ._signing import SignedBundle, Statement, TrustRef
 from ._state import BundleState
@@ -29,6 +30,9 @@
 _SETTLE_PAUSE_MS = 250
 
 
+_UNREADABLE_HEAD = Unavailable("the head is unreadable")
+
+
 class AcceptStep(Step):
     """The steps of one acceptance, in order."""
 
@@ -40,24 +44,6 @@
     SETTLED = "accept: settled"
 
 
-class Head(msgspec.Struct, frozen=True):
-    """The number in force, the digest of its statement, and who signed it.
-
-    ``snapshot_number`` and ``snapshot_digest`` name the newest number of which a
-    snapshot is stored; a starting node reads that and the changes after it.
-    ``note`` is the author's remark on the change.
-    """
-
-    number: int
-    digest: str
-    author: str = ""
-    approver: str = ""
-    accepted_wall_ms: int = 0
-    snapshot_number: int = 0
-    snapshot_digest: str = ""
-    note: str = ""
-
-
 class Whole(msgspec.Struct, frozen=True):
     """What a node without a bundle needs: trust links, a snapshot and changes."""
 
@@ -89,21 +75,23 @@
         row = await self._table.get(HEAD_KEY)
         if not isinstance(row, Row):
             return row
-        return msgspec.json.decode(row.value, type=Head), row.version
+        head = decode_head(row)
+        return _UNREADABLE_HEAD if head is None else (head, row.version)
 
     async def history(self) -> tuple[Head, ...] | Unavailable:
         """Return the last accepted numbers, oldest first."""
         rows = await self._table.scan(HISTORY_PREFIX)
         if isinstance(rows, Unavailable):
             return rows
-        return tuple(msgspec.json.decode(row.value, type=Head) for row in rows)
+        heads = [decode_head(row) for row in rows]
+        return tuple(head for head in heads if head is not None)
 
     async def accepted_head(self, number: int) -> Head | Missing | Unavailable:
         """Return the head that was written when ``number`` was accepted."""
         row = await self._table.get(history_key(number))
         if not isinstance(row, Row):
             return row
-        return msgspec.json.decode(row.value, type=Head)
+        return decode_head(row) or _UNREADABLE_HEAD
 
     async def accept(
         self, bundle: Bundle, signed: SignedBundle, *, base: BundleState | None = None
--- a/tests/bundles/test_store.py
+++ b/tests/bundles/test_store.py
@@ -12,6 +12,7 @@
     verify_change,
     verify_snapshot,
 )
+from fireflyward.bundles._store import HEAD_KEY, history_key
 from fireflyward.clock import Clock
 from fireflyward.standins import MemoryObjects, MemoryTable
 
@@ -109,6 +110,22 @@
         self.assertEqual([head.number for head in heads], [1, 2])
         self.assertEqual((heads[0].author, heads[0].approver), ("ana", "bruno"))
 
+    async def test_malformed_heads_are_unreadable_and_hide_no_other(self):
+        """Guards against an exception in each node that reads the head."""
+        await self.store().accept(*signed(1))
+        for value in (b"[[", b"[" * 50_000, b'{"number": -1, "digest": ""}', b"\xff"):
+            with self.subTest(value[:30]):
+                puts = {HEAD_KEY: value, history_key(2): value}
+                row = await self.table.get(HEAD_KEY)
+                expected = {HEAD_KEY: row.version}
+                await self.table.commit(expected=expected, puts=puts)
+                with self.assertLogs("fireflyward.bundles", "WARNING"):
+                    self.assertIsInstance(await self.store().head(), Unavailable)
+                found = await self.store().accepted_head(2)
+                self.assertIsInstance(found, Unavailable)
+                heads = await self.store().history()
+                self.assertEqual([head.number for head in heads], [1])
+
     async def test_one_of_two_racing_operators_wins(self):
         """Guards against two changes under one number.
 
