Callers: what is read before a request is admitted, and idle connections

A connection read up to 256 KiB at once and more until the request's headers had been parsed, which nothing counts: at a node of 88 MB, 400 callers that sent 100,000 bytes each at the same moment used 90.4 MB although 94 requests were admitted. A caller's connection now reads 64 KiB at once.

--- a/fireflyward/fleet/_accept_limit.py
+++ b/fireflyward/fleet/_accept_limit.py
@@ -1,5 +1,6 @@
 """Decides whether a node accepts one more connection of a caller."""
 
+import math
 from dataclasses import dataclass
 
 # The event loop of a node that keeps up runs everything that is ready within a few ms.
@@ -13,6 +14,8 @@
 # Of the descriptors, some are for files, and some for replicas and other nodes.
 _FILE_DESCRIPTORS = 200
 _CALLERS_SHARE = 0.75
+# An idle connection has some 10 kB of protocol, parser, task and timer.
+_IDLE_CONNECTION_BYTES = 12_288
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,9 +41,11 @@
 
     __slots__ = ("_lag_ms", "_max_connections", "_measured_ms", "refused")
 
-    def __init__(self, *, max_descriptors: int) -> None:
+    def __init__(self, *, max_descriptors: int, memory_bytes: float = math.inf) -> None:
+        """``memory_bytes`` is what idle connections may use."""
         usable = max(0, max_descriptors - _FILE_DESCRIPTORS)
-        self._max_connections = int(_CALLERS_SHARE * usable)
+        in_memory = memory_bytes / _IDLE_CONNECTION_BYTES
+        self._max_connections = int(min(_CALLERS_SHARE * usable, in_memory))
         self._lag_ms = 0.0
         self._measured_ms = 0
         self.refused = 0
--- a/fireflyward/fleet/_caller_connections.py
+++ b/fireflyward/fleet/_caller_connections.py
@@ -1,11 +1,17 @@
 """Callers' connections, which know whether a request is arriving on them."""
 
+import asyncio
+
 from aiohttp import web_server
 from aiohttp.web_protocol import RequestHandler
 from aiohttp.web_request import BaseRequest
 
 from fireflyward.http1 import has_queued_request
 
+# The most that is read from a socket at once. Until its headers have been read and its
+# body admitted, this is what a request holds that no account counts.
+_READ_BYTES = 65_536
+
 
 class CallerConnection(RequestHandler):
     """One caller's connection.
@@ -22,6 +28,10 @@
         self._is_receiving = False
         self._is_serving = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport.max_size = _READ_BYTES
+        super().connection_made(transport)
+
     def data_received(self, data: bytes) -> None:
         self._is_receiving = True
         super().data_received(data)
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -10,7 +10,7 @@
 from fireflyward.deployment import Configuration, FleetSettings
 from fireflyward.feeds import SharedTables, TableUpdate
 from fireflyward.forwarding import Forwarder
-from fireflyward.http1 import MAX_BODY_BYTES, ConnectionPool, ReadMemory
+from fireflyward.http1 import ConnectionPool, ReadMemory
 from fireflyward.leases import Gained, Lost
 from fireflyward.observe import Metrics
 from fireflyward.peers import PeerLink
@@ -50,13 +50,17 @@
 _BALANCER_NOTICE_MS = 2_600
 # The part of the grace period that is reserved for the last writes.
 _EXIT_MARGIN_MS = 500
-# What the process itself uses, with the tables of a large fleet. Half of the remaining
-# memory is for requests with their bodies, an eighth of the whole is for responses, and
-# the rest for idle connections and what the allocator does not give back.
-_OWN_MB = 56
+# What the process itself uses, with the tables of a large fleet and all that it records
+# about requests. Half of the remaining memory is for requests with their bodies, an
+# eighth for idle connections, and an eighth of the whole is for responses. The rest is
+# for what is read before it is admitted and for what the allocator does not give back.
+_OWN_MB = 60
 _REQUEST_BYTES_PER_MB = 1 << 19
 _MIN_REQUEST_BYTES = 8 << 20
-_READ_BYTES_PER_MB = 1 << 17
+_CONNECTION_BYTES_PER_MB = 1 << 17
+_MIN_CONNECTION_BYTES = 4 << 20
+_RESPONSE_BYTES_PER_MB = 1 << 17
+_MIN_RESPONSE_BYTES = 8 << 20
 _SOFTWARE_DUTY = "software"
 _METRICS_PORT_OFFSET = 1
 
@@ -79,12 +83,12 @@
         self.tasks = BackgroundTasks(clock=clock, metrics=self._metrics)
         self._created_ms = clock.now_ms()
         self._standstills = Standstills(clock=clock)
+        free_mb = settings.memory_mb - _OWN_MB
         memory = ReadMemory(
-            max_bytes=max(MAX_BODY_BYTES, _READ_BYTES_PER_MB * settings.memory_mb),
-            max_request_bytes=max(
-                _MIN_REQUEST_BYTES,
-                _REQUEST_BYTES_PER_MB * (settings.memory_mb - _OWN_MB),
+            max_bytes=max(
+                _MIN_RESPONSE_BYTES, _RESPONSE_BYTES_PER_MB * settings.memory_mb
             ),
+            max_request_bytes=max(_MIN_REQUEST_BYTES, _REQUEST_BYTES_PER_MB * free_mb),
         )
         self._memory_watch = MemoryWatch(settings.memory_mb, clock=clock)
         self._pool = ConnectionPool(clock, memory=memory)
@@ -148,7 +152,12 @@
             forwarder=self._forwarder,
             metrics=self._metrics,
             gate=self._gate,
-            accept_limit=AcceptLimit(max_descriptors=settings.max_descriptors),
+            accept_limit=AcceptLimit(
+                max_descriptors=settings.max_descriptors,
+                memory_bytes=max(
+                    _MIN_CONNECTION_BYTES, _CONNECTION_BYTES_PER_MB * free_mb
+                ),
+            ),
             loads=self._replica_components.node_loads,
             memory=memory,
         )
--- a/tests/fleet/test_accept_limit.py
+++ b/tests/fleet/test_accept_limit.py
@@ -33,6 +33,13 @@
         self.assertFalse(self.limit.may_accept(20, 100, _SKEWED))
         self.assertEqual(self.limit.refused, 1)
 
+    def test_idle_connections_stay_within_their_memory(self):
+        """Guards against a node that idle callers fill until it is killed."""
+        limit = AcceptLimit(max_descriptors=100_000, memory_bytes=12 << 20)
+        self.assertTrue(limit.may_accept(0, 1_000))
+        self.assertFalse(limit.may_accept(0, 1_100))
+        self.assertEqual(limit.refused, 1)
+
     def test_nodes_that_are_all_busy_accept_all(self):
         """Guards against callers that no node accepts."""
         self.lag(400.0)
