Streams: a store that was just restored does not prove a single version

A node that missed the version would read the row in between and take the older version for the only one.

--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -8,7 +8,7 @@
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock, within_ms
-from fireflyward.feeds import Changes, TableRow, TableUpdate
+from fireflyward.feeds import RETENTION_MS, Changes, TableRow, TableUpdate
 from fireflyward.platform import StoreClient
 
 from ._stored import StoredVersions
@@ -76,6 +76,7 @@
         "_stored",
         "_table",
         "_tried_ms_by_service",
+        "_unproven_until_ms",
         "_versions",
     )
 
@@ -120,6 +121,8 @@
         self._era = 0
         # The position of the table at the last update of the feed.
         self._position: Position | None = None
+        # A store restored from an older snapshot may lack rows until then.
+        self._unproven_until_ms = 0
         # Callers that wait for the next read.
         self._readers: list[asyncio.Future[bool]] = []
         self._read_requested = asyncio.Event()
@@ -132,6 +135,8 @@
         """Apply changes of the table."""
         self._era = max(self._era, update.position.era)
         self._position = update.position
+        if update.is_new_era:
+            self._unproven_until_ms = self._clock.now_ms() + RETENTION_MS
         self._apply(
             update.rows,
             is_full=update.is_snapshot,
@@ -199,10 +204,10 @@
             log.info("streams: rows of software could not be read: %s", result)
             return False
         if result.position.era != self._position.era:
-            # The store may have lost rows.
+            # The store was restored, and changes may be missing.
             return False
         self._apply(result.rows, is_full=False)
-        return True
+        return self._clock.now_ms() >= self._unproven_until_ms
 
     async def run(self) -> None:
         """Write rows that differ from what this node knows, until cancelled."""
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -1,13 +1,20 @@
 """The stored list of a service's software versions."""
 
 import asyncio
+import dataclasses
 import unittest
 
 import msgspec
 
 from fireflyward.backing import Committed, Conflict, Position, Unavailable
 from fireflyward.clock import ManualClock
-from fireflyward.feeds import Changes, HistoryLost, TableRow, TableUpdate
+from fireflyward.feeds import (
+    RETENTION_MS,
+    Changes,
+    HistoryLost,
+    TableRow,
+    TableUpdate,
+)
 from fireflyward.streams import SoftwareRows, SoftwareVersions, StoredVersions
 from fireflyward.streams._versions import STREAM_LIFETIME_MS
 
@@ -350,6 +357,17 @@
         self.assertTrue(await staying)
         self.assertEqual((self.store.ended, self.store.reads), (2, 2))
 
+    async def test_a_store_that_was_just_restored_proves_nothing(self):
+        """Guards against a version whose row is lost until a node writes it again."""
+        unchanged = Changes((), Position(1, 4))
+        self.store.changes_read = [unchanged, unchanged]
+        value = msgspec.json.encode({"versions": ["v1"]})
+        restored = update(4, ("software/s", value), is_snapshot=True, era=1)
+        self.rows.on_table_update(dataclasses.replace(restored, is_new_era=True))
+        self.assertFalse(await self.rows.read_now())
+        self.clock._now_ms += RETENTION_MS
+        self.assertTrue(await self.rows.read_now())
+
     async def test_callers_do_not_wait_without_end(self):
         """Guards against callers that wait for a store that does not answer."""
         self.store.changes = lambda *args, **options: asyncio.Event().wait()
