Records: a transaction that raises resolves the requests that wait for it

At the product's own door all requests with a record wait for one task that writes their rows together. It is no supervised task. If it raised, it ended, its batch was gone, and each of its requests waited without end, on a shielded result with no limit of its own. One odd row of the retention period, which all nodes read, was enough: every claim that met it hung, at every node, and only a line of asyncio told so.

Before: `test_an_odd_period_of_another_writer_leaves_no_request_waiting` (three rows) and `test_a_write_that_raises_leaves_no_request_waiting` failed, as the claims had not ended after the time that an unavailable table takes.

A batch whose transaction raises now resolves as one that may have been written, which is true at any step: a claim is rejected before its request is dispatched, and a record that was to be settled stays as it was. Later batches are tried as usual.

--- a/fireflyward/runs/_group_commit.py
+++ b/fireflyward/runs/_group_commit.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import logging
 from collections import deque
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
@@ -14,6 +15,8 @@
 
 from ._periods import PERIOD_KEY, Period, marker_key, period_of
 
+log = logging.getLogger("fireflyward.runs")
+
 _MAX_WRITES = 128
 _MIN_INTERVAL_MS = 30
 _MAX_LAZY_DELAY_MS = 500
@@ -182,7 +185,17 @@
                 continue
             writes = self.queue.take_batch(now_ms)
             if writes:
-                await self._commit(Batch(self._next_marker(), writes, now_ms))
+                await self._commit_or_resolve(
+                    Batch(self._next_marker(), writes, now_ms)
+                )
+
+    async def _commit_or_resolve(self, batch: Batch) -> None:
+        """Commit a batch; if that raises, nobody waits for its writes any more."""
+        try:
+            await self._commit(batch)
+        except Exception as error:
+            log.exception("runs: a transaction of %d writes failed", len(batch.writes))
+            _resolve_all(batch, MaybeWritten(f"{type(error).__name__}: {error}"))
 
     async def _wait(self, limit_ms: int) -> None:
         """Wait for ``limit_ms`` or until another write is added."""
--- a/tests/runs/test_records.py
+++ b/tests/runs/test_records.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from fireflyward.backing import Uncertain
+from fireflyward.backing import Row, Uncertain
 from fireflyward.clock import ManualClock
 from fireflyward.outcomes import Answered, NotRun, Reason, Unknown, Usage
 from fireflyward.runs import (
@@ -13,6 +13,7 @@
     RequestRecord,
     RunRecords,
 )
+from fireflyward.runs._periods import PERIOD_KEY
 from fireflyward.standins import MemoryTable
 
 
@@ -211,6 +212,31 @@
         result = await self.await_within(self.record(0).claim("r"), 6_500)
         self.assertIsInstance(result, NotRun)
 
+    async def test_a_write_that_raises_leaves_no_request_waiting(self):
+        """Guards against requests that wait for ever for a task that has failed."""
+
+        async def commit(**_):
+            raise KeyError("row")
+
+        working_commit, self.table.commit = self.table.commit, commit
+        with self.assertLogs("fireflyward.runs", "ERROR"):
+            result = await self.await_within(self.record(0).claim("r"))
+        self.assertIsInstance(result, NotRun)
+        self.table.commit = working_commit
+        result = await self.await_within(self.record(0, key="other").claim("r"))
+        self.assertIsInstance(result, Permit)
+
+    async def test_an_odd_period_of_another_writer_leaves_no_request_waiting(self):
+        """Guards against a row that all nodes read and at which all requests hang."""
+        for value in (b'"seven"', b"[" * 100_000, b""):
+            self.table.row_by_key[PERIOD_KEY] = Row(PERIOD_KEY, value, 1)
+            with (
+                self.subTest(value[:8]),
+                self.assertLogs("fireflyward.runs", "ERROR"),
+            ):
+                result = await self.await_within(self.record(0).claim("r"))
+                self.assertIsInstance(result, NotRun)
+
     async def test_validity_of_a_permit_starts_before_the_write(self):
         """Guards against running a request twice, a long time apart.
 
