HTTP/1.1 client: an id that reads like a status line breaks no response

Replicas echo the id that a caller chose. Since a head that contains a status line is taken for two heads, a request with the id `HTTP/1.1 200 OK` made each replica that answered it look broken: the caller got no answer to a request that had run, and the copy of such an answer failed the next request on the connection.

The value that is the whole id of a request which the connection has carried is not searched any more. An id that was cut and continues with another response is none of these, and stays broken.

Before: `test_an_own_id_that_reads_like_a_status_line_breaks_nothing` got a broken response in place of its head.

--- a/fireflyward/attribution/_carried.py
+++ b/fireflyward/attribution/_carried.py
@@ -39,3 +39,9 @@
     def is_late(self, named_id: str | None) -> bool:
         """Return whether a response belongs to a request before the current one."""
         return named_id != self._current and named_id in self._earlier
+
+    def has(self, named_id: str | None) -> bool:
+        """Return whether a response belongs to the current request or one before."""
+        if named_id is None:
+            return False
+        return named_id == self._current or named_id in self._earlier
--- a/fireflyward/http1/_connection.py
+++ b/fireflyward/http1/_connection.py
@@ -367,7 +367,9 @@
             self._fail(f"status {status}")
             return
         head = Head(status, self._reason, tuple(self._headers))
-        if has_second_status_line(head):
+        if has_second_status_line(head) and has_second_status_line(
+            head, except_text=self._late.carried_id(head)
+        ):
             self._fail("header continues with another response")
             return
         framing = framing_of(self._method, head)
--- a/fireflyward/http1/_framing.py
+++ b/fireflyward/http1/_framing.py
@@ -44,11 +44,16 @@
     return Framing.CLOSE
 
 
-def has_second_status_line(head: Head) -> bool:
+def has_second_status_line(head: Head, *, except_text: str | None = None) -> bool:
     """Return whether a head was cut off and continues with that of another response.
 
+    ``except_text`` is a whole value that the head may have.
+
     >>> has_second_status_line(Head(200, "OK", (("x-a", "1HTTP/1.1 503 Full"),)))
     True
     """
     texts = (head.reason, *(value for _, value in head.headers))
-    return any("HTTP/1." in text and _STATUS_LINE.search(text) for text in texts)
+    return any(
+        "HTTP/1." in text and text != except_text and _STATUS_LINE.search(text)
+        for text in texts
+    )
--- a/fireflyward/http1/_late_responses.py
+++ b/fireflyward/http1/_late_responses.py
@@ -50,6 +50,14 @@
             and self._carried.is_late(self._named_by(head))
         )
 
+    def carried_id(self, head: Head) -> str | None:
+        """Return the id that a response names, if the connection has carried it.
+
+        Callers choose the ids, so one may read like a part of a response.
+        """
+        named_id = self._named_by(head) if self._named_by is not None else None
+        return named_id if self._carried.has(named_id) else None
+
     def begin_skip(self, on_timeout: Callable[[], None]) -> None:
         """Skip the response whose header has arrived; it must end in time."""
         loop = asyncio.get_running_loop()
--- a/tests/http1/test_connection.py
+++ b/tests/http1/test_connection.py
@@ -318,6 +318,23 @@
         self.assertEqual(events[1:], [BodyPart(b"ok"), End()])
         self.assertEqual(self.connection.skipped, 1)
 
+    async def test_an_own_id_that_reads_like_a_status_line_breaks_nothing(self):
+        """Guards against a caller whose id makes sound replicas look broken."""
+        own_id = "HTTP/1.1 200 OK"
+        server = ScriptedServer(response_to(own_id))
+        pool = ConnectionPool(Clock())
+        connection = await pool.acquire(await server.start(), connect_ms=1_000)
+        connection.send("GET", "/", [], request_id=own_id, named_by=named)
+        events = [await connection.next_event_within(3_000) for _ in range(3)]
+        connection.close()
+        server.server.close()
+        self.assertEqual(events[1:], [BodyPart(b"ok"), End()])
+
+    async def test_an_id_of_another_request_that_reads_like_one_is_broken(self):
+        """Guards against a cut id that gets the length and body of another response."""
+        events = await self.events(response_to("qHTTP/1.1 503 Full"))
+        self.assertEqual([type(event) for event in events], [Broken])
+
     async def test_a_copy_in_chunks_with_a_trailer_is_skipped(self):
         copy = (
             b"HTTP/1.1 503 Full\r\nX-Request-Id: q1\r\n"
