Streams: a read older than what is known confirms no stored versions

A caller whose stream nobody knows is served by the only version that the store names, after a read that is newer than the stream. That read checked the era of its answer but not its position, which the followers of tables check: an answer from before the last update counted as confirmation.

Before: the added case of `test_reads_that_prove_nothing` counted as read.

--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -198,7 +198,8 @@
         if not isinstance(result, Changes):
             log.info("streams: rows of software could not be read: %s", result)
             return False
-        if result.position.era != self._position.era:
+        is_older = result.position < self._position
+        if is_older or result.position.era != self._position.era:
             # The store may have lost rows.
             return False
         self._apply(result.rows, is_full=False)
--- a/tests/streams/test_rows.py
+++ b/tests/streams/test_rows.py
@@ -358,17 +358,18 @@
         self.assertFalse(await reading)
 
     async def test_reads_that_prove_nothing(self):
-        """Guards against rows that the store has lost, or an answer that is missing."""
+        """Guards against rows that the store has lost, and answers that are older."""
         self.store.changes_read = [
             Unavailable("away"),
             HistoryLost(),
             self.changes(9, "v1", era=1),
+            Changes((), Position(0, 2)),
         ]
-        for _ in range(3):
+        for _ in range(4):
             self.assertFalse(await self.rows.read_now())
         rows, _ = self.start(SoftwareVersions())
         self.assertFalse(await rows.read_now())
-        self.assertEqual(self.store.reads, 3)
+        self.assertEqual(self.store.reads, 4)
 
 
 if __name__ == "__main__":
