Supervision: a task whose awaited work was cancelled has failed

A task that awaits work which something else cancels (a call whose client is closed, a read that several callers share) ends with the same exception as one that is cancelled itself. It ended for good, without a line in the log and without a count, while the process went on: what the common supervision is there to prevent.

A cancellation that nobody asked this task for now counts as a failure. No task of a node is known to meet it; the test cancels what a task awaits.

Before: `test_a_task_whose_awaited_work_is_cancelled_starts_anew` found no line and one run in place of three.

--- a/fireflyward/supervision/_background.py
+++ b/fireflyward/supervision/_background.py
@@ -75,14 +75,16 @@
             started_ms = self._clock.now_ms()
             try:
                 return await run()
-            except Exception as error:
+            except (Exception, asyncio.CancelledError) as error:
+                if _is_cancelled(error):
+                    raise
                 ran_ms = self._clock.now_ms() - started_ms
                 pause_ms = pauses.next_ms(ran_ms=ran_ms)
                 self._log_failure(name, error, ran_ms=ran_ms, pause_ms=pause_ms)
             await self._clock.sleep_ms(pause_ms)
 
     def _log_failure(
-        self, name: str, error: Exception, *, ran_ms: int, pause_ms: int
+        self, name: str, error: BaseException, *, ran_ms: int, pause_ms: int
     ) -> None:
         self._metrics.count("task_failures_total", task=name)
         log.error(
@@ -93,3 +95,13 @@
             exc_info=error,
             extra={"task": name},
         )
+
+
+def _is_cancelled(error: BaseException) -> bool:
+    """Return whether an error ends the current task because it was cancelled.
+
+    If only what the task awaited was cancelled, the task has failed.
+    """
+    task = asyncio.current_task()
+    is_own = task is not None and task.cancelling() > 0
+    return isinstance(error, asyncio.CancelledError) and is_own
--- a/tests/supervision/test_background.py
+++ b/tests/supervision/test_background.py
@@ -1,5 +1,6 @@
 """Background tasks that fail."""
 
+import asyncio
 import unittest
 
 from fireflyward.clock import ManualClock
@@ -63,6 +64,23 @@
         self.assertEqual(len(runs), 1)
         self.assertIsInstance(task.exception(), InvariantBroken)
 
+    async def test_a_task_whose_awaited_work_is_cancelled_starts_anew(self):
+        """Guards against a task that ends for good, and without a line in the log."""
+
+        async def run():
+            self.runs += 1
+            work = asyncio.get_running_loop().create_future()
+            work.cancel()
+            await work
+
+        with self.assertLogs("fireflyward.process", "ERROR"):
+            task = self.tasks.start("feed", run)
+            await self.clock.advance_ms(300)
+        self.assertEqual(self.runs, 3)
+        task.cancel()
+        await self.clock.advance_ms(10_000)
+        self.assertEqual((self.runs, task.cancelled()), (3, True))
+
     async def test_a_cancelled_task_does_not_start_anew(self):
         with self.assertLogs("fireflyward.process", "ERROR"):
             task = self.tasks.start("feed", self.fail)
