Memory: a body in chunks keeps no more memory than it has

Callers send bodies with a length or in chunks. One in chunks reserved the memory of the largest body (4 MB) as soon as it had more than 64 KB, and kept it while its request ran. On a VM with 150 MB eight such requests of 70 KB were all that large bodies had room for, for as long as their replicas took; others got 503. Site files have bodies of up to 200 KB, whose requests run for seconds.

What is reserved beyond the body is given back once the body has arrived. Giving back never fails, also while small requests use the rest.

Before: `test_bodies_of_unknown_size_that_have_arrived` ran five of ten requests or fewer, with the others refused, and timed out.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -547,6 +547,8 @@
         reserved = len(body) if len(body) <= SMALL_REQUEST_BYTES else limit
         if not memory.has_room_for(reserved):
             return _no_memory()
+    # What is reserved beyond the body is free for others while the request runs.
+    memory.has_room_for(len(body))
     return body
 
 
--- a/fireflyward/http1/_memory.py
+++ b/fireflyward/http1/_memory.py
@@ -115,11 +115,14 @@
             self.request_bytes -= request.size
 
     def grow(self, request: RequestMemory, body_bytes: int) -> bool:
-        """Reserve the memory of a request with a body of a size, if there is room."""
+        """Reserve the memory of a request with a body of a size, if there is room.
+
+        If more is reserved already, the rest is given back.
+        """
         is_small = body_bytes <= SMALL_REQUEST_BYTES
         limit = self._max_request_bytes if is_small else self._max_large_request_bytes
         more = REQUEST_OVERHEAD_BYTES + body_bytes - request.size
-        if self.request_bytes + more > limit:
+        if more > 0 and self.request_bytes + more > limit:
             self.refused_requests += 1
             return False
         request.size += more
--- a/tests/fleet/test_memory.py
+++ b/tests/fleet/test_memory.py
@@ -142,6 +142,22 @@
             self.assertEqual((await caller.read_response())[0], 200)
         self.assert_nothing_held()
 
+    async def test_bodies_of_unknown_size_that_have_arrived(self):
+        """Guards against refused requests while some of moderate size are run."""
+        count = 2 * _ROOM
+        for replica in self.plain:
+            replica.behaviors = [ReplicaBehavior.SILENT] * count
+        await self.open_callers(count)
+        piece = b"10000\r\n" + b"x" * 65_536 + b"\r\n"
+        for number, caller in enumerate(self.callers):
+            caller.begin(f"b{number}", "Transfer-Encoding: chunked")
+            caller.writer.write(piece)
+            await asyncio.sleep(0.05)
+            caller.writer.write(b"400\r\n" + b"x" * 1_024 + b"\r\n0\r\n\r\n")
+            await asyncio.sleep(0.05)
+        await self.until(lambda: self.run_count(self.plain) == count)
+        self.assertEqual(self.node._pool.memory.refused_requests, 0)
+
     async def test_callers_that_disconnect_give_their_memory_back(self):
         """Guards against memory that stays counted after its request has ended."""
         refused = await self.begin_bodies(f"Content-Length: {_BODY_BYTES}")
