--- a/fireflyward/streams/_rows.py
+++ b/fireflyward/streams/_rows.py
@@ -203,7 +203,8 @@
         if not isinstance(result, Changes):
             log.info("streams: rows of software could not be read: %s", result)
             return False
-        if result.position.era != self._position.era:
+        is_older = result.position < self._position
+        if is_older or result.position.era != self._position.era:
             # The store was restored, and changes may be missing.
             return False
         self._apply(result.rows, is_full=False)
