Rollouts: nodes start beside a malformed row

A row of the rollout that another writer had spoilt raised in the start of each node of the product's own door: no node started while it stood, and the task that follows it failed again and again. Such a row is now reported in the log and left out of the decision: nodes start and serve the versions of their bundle, and the driver changes nothing until the row can be read.

--- a/fireflyward/commands/_rollout.py
+++ b/fireflyward/commands/_rollout.py
@@ -62,4 +62,6 @@
         found = await HttpTable(session, table_url).get(ROLLOUT_KEY)
     if isinstance(found, Unavailable):
         return found
-    return RolloutRow() if isinstance(found, Missing) else decode_row(found.value)
+    if isinstance(found, Missing):
+        return RolloutRow()
+    return decode_row(found.value) or Unavailable("the rollout's row is unreadable")
--- a/fireflyward/daemon/_rollout_duty.py
+++ b/fireflyward/daemon/_rollout_duty.py
@@ -170,8 +170,9 @@
 
     async def _read_row(self) -> None:
         row = await self._table.get(ROLLOUT_KEY)
-        if isinstance(row, Row):
-            self.versions.update(row.version, decode_row(row.value))
+        found = decode_row(row.value) if isinstance(row, Row) else None
+        if found is not None:
+            self.versions.update(row.version, found)
 
     def _confirmed_versions(self, model: str) -> frozenset[str]:
         """Return the versions of a model that replicas report as loaded.
--- a/fireflyward/rollout/_row.py
+++ b/fireflyward/rollout/_row.py
@@ -1,7 +1,13 @@
 """The table row of a rollout: the state that the next driver needs."""
 
+import logging
+
 import msgspec
 
+from fireflyward.decoding import Count, decode_json
+
+log = logging.getLogger("fireflyward.rollout")
+
 ROLLOUT_KEY = "rollout/state"
 
 
@@ -45,15 +51,15 @@
 class RolloutRow(msgspec.Struct, frozen=True):
     """The state of the one current rollout; rollouts never overlap."""
 
-    fencing: int = 0
-    bundle_number: int = 0
+    fencing: Count = 0
+    bundle_number: Count = 0
     phase: str = Phase.IDLE
     claims: tuple[LoadClaim, ...] = ()
     shares_by_model: dict[str, tuple[VersionShare, ...]] = {}
     held_because: str = ""
     next_step: str = ""
-    confirmed: int = 0
-    total: int = 0
+    confirmed: Count = 0
+    total: Count = 0
     unreachable: tuple[str, ...] = ()
 
     def changed(self, **changes: object) -> "RolloutRow":
@@ -66,6 +72,9 @@
     return msgspec.json.encode(row)
 
 
-def decode_row(value: bytes) -> RolloutRow:
-    """Return the row that ``encode_row`` encoded."""
-    return msgspec.json.decode(value, type=RolloutRow)
+def decode_row(value: bytes) -> RolloutRow | None:
+    """Return the row that ``encode_row`` encoded, None if another writer spoilt it."""
+    row = decode_json(value, RolloutRow)
+    if row is None:
+        log.warning("rollout: the row of %d bytes is unreadable", len(value))
+    return row
--- a/fireflyward/rollout/_row_tracker.py
+++ b/fireflyward/rollout/_row_tracker.py
@@ -104,6 +104,8 @@
             return None
         is_row = isinstance(result, Row)
         row = decode_row(result.value) if is_row else RolloutRow()
+        if row is None:
+            return None
         version = result.version if is_row else 0
         pending = self._pending
         if pending is None:
