--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -20,7 +20,7 @@
 from fireflyward.runs import RunIds, RunRecords, Sweeper, finish_detached
 from fireflyward.settings import Settings
 from fireflyward.steps import StepObserver, ignore_step
-from fireflyward.supervision import BackgroundTasks
+from fireflyward.supervision import BackgroundTasks, return_freed_memory
 from fireflyward.upstreams import Broken, Engine, PlainService
 
 from ._admin_duty import AdminDuty
@@ -119,6 +119,7 @@
 
     async def start(self) -> None:
         """Open the sockets and start the periodic tasks."""
+        return_freed_memory()
         await self.io.open()
         table = self.guards.table(self.io.make_table())
         objects = self.guards.objects(self.io.make_objects())
