Rollout: a step that fails is followed by a new start under a new fencing number

`RolloutTask` stores the exception of such a call for its next step, and never cleared it: each new start of the task raised the same error at once, every five seconds, for as long as the process lived and held the lease. An exception between a decision and its write had another end: the message was lost, and the rollout waited for the answer to a write that nobody had made.

A step that raises now stops driving, and asks the lease for a new fencing number, again every two seconds until it is assigned. With that number the rollout starts over from the row and from what replicas report, as a successor does after a crash, so that orders of the failed step which arrive late are fenced off or waited for.

--- a/fireflyward/rollout/_task.py
+++ b/fireflyward/rollout/_task.py
@@ -40,6 +40,7 @@
 
 LEASE_NAME = "rollout"
 _TICK_MS = 250
+_NEW_FENCING_RETRY_MS = 2_000
 _HAND_OVER_POLL_MS = 100
 _HAND_OVER_TIMEOUT_MS = 10_000
 _NO_LONGER_UPSTREAM = Broken(False, "no longer an upstream")
@@ -75,6 +76,9 @@
         self._watch = watch
         self._observe = observe
         self._driving_fencing = 0
+        # The number under which a step failed, until the lease has another one.
+        self._failed_fencing = 0
+        self._new_fencing_due_ms = 0
         self._calls: set[asyncio.Task[None]] = set()
         self._inbox: list[Message] = []
         self._is_processing = False
@@ -90,17 +94,47 @@
             await self._clock.sleep_ms(_TICK_MS)
 
     async def step(self) -> None:
-        """Run one step; raise an exception that a call raised since the last step."""
+        """Run one step; raise an exception that a call raised since the last step.
+
+        After an exception it is unknown what was done, so driving begins anew.
+        """
+        try:
+            await self._step()
+        except Exception:
+            self._begin_anew()
+            raise
+
+    async def _step(self) -> None:
         if self._call_error:
-            raise self._call_error
+            error, self._call_error = self._call_error, None
+            raise error
         self._update_driving()
         plan = self._plan()
         if plan is not None:
             await self._process(PlanUpdated(plan))
-        if self._driving_fencing:
+        if self._failed_fencing:
+            self._request_new_fencing()
+        elif self._driving_fencing:
             await self._process(HealthUpdated(self._watch.health_by_version))
             await self._process(Tick())
 
+    def _begin_anew(self) -> None:
+        """Stop driving until the lease has a new fencing number.
+
+        Orders with the present number may still arrive.
+        """
+        self._inbox.clear()
+        self._rollout.decide(self._clock.now_ms(), DriverStopped())
+        self._failed_fencing = self._driving_fencing
+        self._new_fencing_due_ms = self._clock.now_ms()
+
+    def _request_new_fencing(self) -> None:
+        """Request a new number, again after a while if it has not been assigned."""
+        now_ms = self._clock.now_ms()
+        if now_ms >= self._new_fencing_due_ms:
+            self._new_fencing_due_ms = now_ms + _NEW_FENCING_RETRY_MS
+            self._lease.request_new_fencing()
+
     async def hand_over(self) -> bool:
         """Wait for the calls in flight, then hand the lease to the next driver.
 
@@ -135,6 +169,7 @@
         if claim:
             self._inbox.append(DriverStarted(claim))
         self._driving_fencing = fencing
+        self._failed_fencing = 0
 
     def _holds_lease(self) -> bool:
         """Return whether the claim is still valid by the clock, just before a send."""
--- a/tests/rollout/test_task.py
+++ b/tests/rollout/test_task.py
@@ -1,5 +1,7 @@
-from fireflyward.leases import LeaseStep
-from fireflyward.rollout import Phase, RolloutStep, Target
+from unittest import mock
+
+from fireflyward.leases import LeaseStep, LeaseTask
+from fireflyward.rollout import ROLLOUT_KEY, Phase, RolloutStep, Target
 from fireflyward.upstreams import OrderReason, OrderRefused
 
 from .rollout_fixtures import MODEL, REPLICAS, Crash, RolloutCase
@@ -75,6 +77,72 @@
         self.assertEqual(simulation.row.bundle_number, 3)
 
 
+class FailedStepTests(RolloutCase):
+    """Steps that raise, after each of which the task starts anew."""
+
+    async def run_with_failure(self, fail):
+        """Run a rollout during which ``fail`` makes one call raise an exception."""
+        simulation = self.make_simulation(names=REPLICAS[:3])
+        driver = await self.begin(simulation)
+        step, self.failures = driver.task.step, 0
+
+        async def step_anew():
+            try:
+                await step()
+            except ValueError:
+                self.failures += 1
+
+        driver.task.step = step_anew
+        fail(simulation)
+        await simulation.finish()
+        self.assertEqual(self.failures, 1)
+        self.assertEqual(simulation.row.phase, Phase.DONE, simulation.row)
+        self.assertEqual(simulation.versions, {"v2"})
+
+    async def test_a_call_that_raises_does_not_end_the_rollout(self):
+        """Guards against a rollout that fails again and again with an old error."""
+
+        def fail(simulation):
+            engine = simulation.fleet.engine_by_name[REPLICAS[0]]
+            self.fail_once(engine, "send_order")
+
+        await self.run_with_failure(fail)
+
+    async def test_a_write_that_raises_does_not_end_the_rollout(self):
+        """Guards against a rollout that waits for a write which nobody makes."""
+        await self.run_with_failure(
+            lambda simulation: self.fail_once(simulation.table, "commit", ROLLOUT_KEY)
+        )
+
+    async def test_a_new_fencing_number_is_requested_until_it_is_assigned(self):
+        """Guards against a rollout that stands still under a lease that it holds."""
+        request, requests = LeaseTask.request_new_fencing, []
+
+        def lose_first(lease):
+            requests.append(lease)
+            if len(requests) > 1:
+                request(lease)
+
+        with mock.patch.object(LeaseTask, "request_new_fencing", lose_first):
+            await self.run_with_failure(
+                lambda simulation: self.fail_once(
+                    simulation.fleet.engine_by_name[REPLICAS[0]], "send_order"
+                )
+            )
+        self.assertGreater(len(requests), 1)
+
+    def fail_once(self, target, name, key=None):
+        method, calls = getattr(target, name), []
+
+        async def call(*arguments, **options):
+            if not calls and (key is None or key in options["expected"]):
+                calls.append(name)
+                raise ValueError("unexpected")
+            return await method(*arguments, **options)
+
+        setattr(target, name, call)
+
+
 class CrashTests(RolloutCase):
     async def test_successor_finishes_a_rollout_after_a_crash_at_any_step(self):
         """Guards against a rollout that stops, and against replicas that load twice.
