--- a/fireflyward/runs/_sweep.py
+++ b/fireflyward/runs/_sweep.py
@@ -13,7 +13,7 @@
     Unavailable,
 )
 from fireflyward.clock import Clock
-from fireflyward.decoding import DECODE_ERRORS
+from fireflyward.decoding import DECODE_ERRORS, decode_json
 from fireflyward.steps import Step, StepObserver, ignore_step
 
 from ._periods import PERIOD_KEY, SHARDS, Period, period_of, shard_prefix
@@ -153,9 +153,13 @@
         A record that was claimed again, after its first request was not run, belongs
         to a later batch and stays.
         """
+        keys = decode_json(batch.value, list[str])
+        if keys is None:
+            log.warning("runs: %s is no marker, left in place", batch.key)
+            return True
         self._observe(SweepStep.BATCH_DELETING)
         expected = {batch.key: batch.version}
-        for key in msgspec.json.decode(batch.value, type=list[str]):
+        for key in keys:
             row = await self._table.get(key)
             if isinstance(row, Unavailable):
                 return False
--- a/tests/runs/test_sweep.py
+++ b/tests/runs/test_sweep.py
@@ -4,6 +4,7 @@
 import unittest
 from unittest import mock
 
+from fireflyward.backing import Row
 from fireflyward.clock import ManualClock
 from fireflyward.outcomes import NotRun, Reason
 from fireflyward.runs import (
@@ -15,6 +16,7 @@
     _periods,
     _sweep,
 )
+from fireflyward.runs._periods import PERIOD_KEY
 from fireflyward.standins import MemoryTable
 
 PERIOD_MS = 1_000
@@ -124,6 +126,19 @@
         await self.finish(other.poll())
         self.assertEqual(self.rows(), [])
 
+    async def test_an_odd_marker_does_not_keep_later_batches(self):
+        """Guards against one row of another writer that ends the sweep of all nodes."""
+        for number, value in enumerate((b"7", b"[" * 100_000, b"", b"[7]")):
+            key = _periods.marker_key(0, f"odd-{number}")
+            self.table.row_by_key[key] = Row(key, value, 1)
+        await self.finish(self.record().claim("r"))
+        keys = set(self.table.row_by_key)
+        with self.assertLogs("fireflyward.runs", "WARNING"):
+            await self.pass_periods(RETAINED + 3)
+        left = set(self.table.row_by_key) & keys
+        self.assertEqual({key for key in left if "odd" not in key}, {PERIOD_KEY} & keys)
+        self.assertEqual(len([key for key in left if "odd" in key]), 4)
+
     async def test_unavailable_table_causes_no_deletion_and_no_error(self):
         await self.finish(self.record().claim("r"))
         self.table.unavailable = True
