Stop: an error in a planned stop has a line in the log and a status

The start logs an error with its stage.

Before: `test_a_stop_that_raises_is_logged_and_has_a_status` ended with the exception itself.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -30,7 +30,7 @@
 
 log = logging.getLogger("fireflyward.process")
 
-_FAILED_START = 1
+_FAILED = 1
 _BAD_SETTINGS = 2
 # The state of the process cannot be trusted, so it is not stopped in order.
 _BROKEN_INVARIANT = 3
@@ -41,9 +41,9 @@
 def run_process(held: HeldSignals) -> int:
     """Run a node until SIGTERM; return the exit status.
 
-    It is 0 after a planned stop, 1 if the start cannot be completed, 2 if the settings
-    are invalid and 3 after a broken invariant. ``held`` are the signals that arrived
-    before.
+    It is 0 after a planned stop, 1 if the start or the stop cannot be completed, 2 if
+    the settings are invalid and 3 after a broken invariant. ``held`` are the signals
+    that arrived before.
     """
     open_standard_streams()
     clock = Clock()
@@ -91,7 +91,7 @@
             return _log_failed_start(error)
         except Exception as error:
             log_uncaught_error("start", error)
-            return _FAILED_START
+            return _FAILED
         if node is None:
             log.info("process: stopped during the start")
             return _BROKEN_INVARIANT if broken else 0
@@ -99,8 +99,13 @@
         await stop.wait()
         if broken:
             return _BROKEN_INVARIANT
-        with contextlib.suppress(asyncio.CancelledError):
+        try:
             await node.stop()
+        except asyncio.CancelledError:
+            return 0
+        except Exception as error:
+            log_uncaught_error("stop", error)
+            return _FAILED
         return 0
 
 
@@ -130,7 +135,7 @@
 def _log_failed_start(error: BadSettings | CannotListen) -> int:
     """Log why a start failed; return the exit status."""
     is_settings = isinstance(error, BadSettings)
-    status = _BAD_SETTINGS if is_settings else _FAILED_START
+    status = _BAD_SETTINGS if is_settings else _FAILED
     log.critical("process: ends with status %d: %s", status, error)
     # The log has the reason too, if nobody reads standard error.
     with contextlib.suppress(OSError):
