--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import logging
-import traceback
 from collections.abc import Callable
 
 from aiohttp.http import HttpVersion11
@@ -13,27 +12,22 @@
 from fireflyward.clock import Clock, TimedOut, within_ms
 from fireflyward.deployment import Limits, RouteKind
 from fireflyward.forwarding import Forwarder, Trace
-from fireflyward.http1 import (
-    SMALL_REQUEST_BYTES,
-    Head,
-    ReadMemory,
-    RequestMemory,
-    has_queued_request,
-)
+from fireflyward.http1 import ReadMemory, RequestMemory, has_queued_request
 from fireflyward.observe import PER_REQUEST, PROOF, Metrics
 from fireflyward.outcomes import Answered, NotRun, Outcome, Reason, Unknown
 from fireflyward.platform import (
     CallerRequest,
     decode_request,
     rejection_headers,
-    response_headers,
     status_of,
 )
 from fireflyward.routes import Allowed, RouteTable
 from fireflyward.supervision import listen_when_free
 
 from ._accept_limit import AcceptLimit, NodeLoads
+from ._caller_bodies import RETRY_AFTER_MS, no_memory, read_in_task, read_up_to
 from ._caller_connections import CallerConnections, connection_of
+from ._caller_reply import CallerReply
 from ._start_gate import StartGate
 
 log = logging.getLogger("fireflyward.callers")
@@ -45,14 +39,9 @@
 # The server starts before the node has the first configuration, so this value is
 # fixed and must be at least as long.
 _KEEP_ALIVE_S = 75.0
-# After a fault of the node that hit a request before it was sent to any replica.
-_RETRY_AFTER_MS = 300
 _BODY_TIMEOUT_MS = 10_000
 # The HTTP library buffers up to twice this before it stops reading a connection.
 _READ_BUFFER_BYTES = 65_536
-# A larger response is written in pieces of this size, each once the caller has taken
-# most of the one before. The transport would otherwise hold a second copy.
-_PIECE_BYTES = 65_536
 _DRAIN_POLL_MS = 20
 # The share of the time for a drain in which requests are still taken whose headers had
 # arrived in part when it began. Later ones could be cut by its end.
@@ -70,71 +59,6 @@
 _CALLER_GONE_STATUS = 499
 
 
-class _AiohttpReply:
-    """Sends the response to one caller; a stream's headers precede its first event."""
-
-    __slots__ = ("_request", "_server", "response")
-
-    def __init__(self, server: "CallerServer", request: BaseRequest) -> None:
-        self._server = server
-        self._request = request
-        self.response: StreamResponse | None = None
-
-    @property
-    def address(self) -> str:
-        """Return the caller's address, for the log."""
-        return str(self._request.remote)
-
-    def close(self) -> None:
-        """Break the caller's connection."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
-
-    async def send_response(self, head: Head, body: bytes | bytearray) -> None:
-        if len(body) > _PIECE_BYTES:
-            await self._send_large(head, body)
-            return
-        response = Response(
-            status=head.status,
-            reason=head.reason,
-            headers=CIMultiDict(response_headers(head)),
-            body=body,
-        )
-        self.response = response
-        await self._server.send(self._request, response)
-
-    async def _send_large(self, head: Head, body: bytes | bytearray) -> None:
-        self.response = response = StreamResponse(
-            status=head.status,
-            reason=head.reason,
-            headers=CIMultiDict(response_headers(head)),
-        )
-        response.content_length = len(body)
-        with self._server.memory.writing(self, body):
-            self._server.close_if_stopping(self._request, response)
-            await response.prepare(self._request)
-            whole = memoryview(body)
-            for first in range(0, len(whole), _PIECE_BYTES):
-                await response.write(whole[first : first + _PIECE_BYTES])
-            await response.write_eof()
-
-    async def begin_stream(self, head: Head) -> None:
-        self.response = StreamResponse(
-            status=head.status,
-            reason=head.reason,
-            headers=CIMultiDict(response_headers(head)),
-        )
-        self.response.enable_chunked_encoding()
-        self._server.close_if_stopping(self._request, self.response)
-        await self.response.prepare(self._request)
-
-    async def send_event(self, data: bytes) -> None:
-        await self.response.write(data)
-
-    async def end_stream(self) -> None:
-        await self.response.write_eof()
-
-
 class _RefusedConnection(asyncio.Protocol):
     """Closes a connection before anything was read from it."""
 
@@ -270,7 +194,7 @@
         self.in_flight += 1
         connection = connection_of(request)
         connection.begin_request()
-        reply = _AiohttpReply(self, request)
+        reply = CallerReply(self, request)
         caller: CallerRequest | NotRun | None = None
         outcome: Outcome = Unknown(Reason.CALLER_GONE)
         trace = Trace()
@@ -301,7 +225,7 @@
         self,
         request: BaseRequest,
         caller: CallerRequest | NotRun,
-        reply: _AiohttpReply,
+        reply: CallerReply,
         arrived_ms: int,
         trace: Trace,
     ) -> Outcome:
@@ -313,14 +237,14 @@
         except Exception:
             log.exception("callers: a request failed with an unexpected exception")
             if trace.sends == 0:
-                return NotRun(Reason.INTERNAL, retry_after_ms=_RETRY_AFTER_MS)
+                return NotRun(Reason.INTERNAL, retry_after_ms=RETRY_AFTER_MS)
             return Unknown(Reason.INTERNAL)
 
     async def _serve(
         self,
         request: BaseRequest,
         caller: CallerRequest | NotRun,
-        reply: _AiohttpReply,
+        reply: CallerReply,
         arrived_ms: int,
         trace: Trace,
     ) -> Outcome:
@@ -339,7 +263,7 @@
         self,
         request: BaseRequest,
         caller: CallerRequest,
-        reply: _AiohttpReply,
+        reply: CallerReply,
         arrived_ms: int,
         trace: Trace,
         memory: RequestMemory,
@@ -373,7 +297,7 @@
         self,
         request: BaseRequest,
         caller: CallerRequest | NotRun,
-        reply: _AiohttpReply,
+        reply: CallerReply,
         outcome: Outcome,
     ) -> StreamResponse:
         if isinstance(outcome, Answered):
@@ -406,13 +330,13 @@
         if declared > limit:
             return NotRun(Reason.TOO_LARGE, "body exceeds the limit")
         if not memory.has_room_for(declared):
-            return _no_memory()
+            return no_memory()
         if not request.body_exists:
             return b""
         if request.headers.get("Expect", "").lower() == "100-continue":
             request.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         if request.content.is_eof():
-            read = await _read_up_to(request, limit, memory)
+            read = await read_up_to(request, limit, memory)
         else:
             read = await within_ms(
                 self._clock,
@@ -431,7 +355,7 @@
         self, request: BaseRequest, limit: int, memory: RequestMemory
     ) -> bytes | bytearray | NotRun:
         """Return a body that is still arriving, unless this process must stop first."""
-        reading = asyncio.ensure_future(_read_in_task(request, limit, memory))
+        reading = asyncio.ensure_future(read_in_task(request, limit, memory))
         stopping = asyncio.ensure_future(self._reading_ends.wait())
         try:
             await asyncio.wait({reading, stopping}, return_when=asyncio.FIRST_COMPLETED)
@@ -494,15 +418,7 @@
     return NotRun(
         Reason.STOPPING,
         "this node stops before the request could be served",
-        retry_after_ms=_RETRY_AFTER_MS,
-    )
-
-
-def _no_memory() -> NotRun:
-    return NotRun(
-        Reason.OVERLOADED,
-        "this node has no memory for the request",
-        retry_after_ms=_RETRY_AFTER_MS,
+        retry_after_ms=RETRY_AFTER_MS,
     )
 
 
@@ -517,47 +433,3 @@
     line = len(request.method) + len(request.raw_path) + _REQUEST_LINE_OVERHEAD_BYTES
     fields = sum(len(name) + len(value) for name, value in request.raw_headers)
     return line + fields + _HEADER_OVERHEAD_BYTES * len(request.raw_headers)
-
-
-async def _read_in_task(
-    request: BaseRequest, limit: int, memory: RequestMemory
-) -> bytes | bytearray | NotRun:
-    """Return the body; if reading fails, release what has been read."""
-    try:
-        return await _read_up_to(request, limit, memory)
-    except BaseException as error:
-        # The library's reader keeps the error, whose frames refer to the body.
-        traceback.clear_frames(error.__traceback__)
-        raise
-
-
-async def _read_up_to(
-    request: BaseRequest, limit: int, memory: RequestMemory
-) -> bytes | bytearray | NotRun:
-    """Return the body, or the beginning of one that exceeds ``limit``."""
-    first = await request.content.readany()
-    if request.content.at_eof() or not first:
-        return first
-    if request.content_length is not None:
-        return await _read_declared(request, first)
-    body = bytearray(first)
-    while len(body) <= limit and (part := await request.content.readany()):
-        body += part
-        # Several bodies that grow together would otherwise all run out of memory.
-        reserved = len(body) if len(body) <= SMALL_REQUEST_BYTES else limit
-        if not memory.has_room_for(reserved):
-            return _no_memory()
-    # What is reserved beyond the body is free for others while the request runs.
-    memory.has_room_for(len(body))
-    return body
-
-
-async def _read_declared(request: BaseRequest, first: bytes) -> bytearray:
-    """Return a body of a known size, whose parts are put into their places."""
-    body = bytearray(request.content_length)
-    size = len(first)
-    body[:size] = first
-    while part := await request.content.readany():
-        memoryview(body)[size : size + len(part)] = part
-        size += len(part)
-    return body
--- a/tests/fleet/test_unfinished_responses.py
+++ b/tests/fleet/test_unfinished_responses.py
@@ -12,7 +12,7 @@
 
 _LIMIT_S = 20
 _LAST_CHUNK = b"0\r\n\r\n"
-_SEND_EVENT = "fireflyward.fleet._callers._AiohttpReply.send_event"
+_SEND_EVENT = "fireflyward.fleet._caller_reply.CallerReply.send_event"
 
 
 class RawCallerCase(NodeTestCase):
