Stop: a broken invariant ends the process during a start and a stop too

What would be seen: an invariant that broke during a planned stop let the node serve on until the stop was over, and the process ended with status 0.

Cause: the event of a broken invariant was that of the stop, which was set already.

Change: the start, the run and the stop are each cut by a broken invariant, with status 3.

In tests.fleet.test_failed_stop the patched function has another name; what it checks is the same.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -9,7 +9,9 @@
 import platform
 import signal
 import sys
+from collections.abc import Coroutine
 from functools import partial
+from typing import Any, TypeVar
 
 from fireflyward import __version__
 from fireflyward._held_signals import STOP_SIGNALS, HeldSignals
@@ -30,6 +32,8 @@
 
 log = logging.getLogger("fireflyward.process")
 
+T = TypeVar("T")
+
 _FAILED = 1
 _BAD_SETTINGS = 2
 # The state of the process cannot be trusted, so it is not stopped in order.
@@ -41,9 +45,9 @@
 def run_process(held: HeldSignals) -> int:
     """Run a node until SIGTERM; return the exit status.
 
-    It is 0 after a planned stop, 1 if the start or the stop cannot be completed, 2 if
-    the settings are invalid and 3 after a broken invariant. ``held`` are the signals
-    that arrived before.
+    It is 0 after a planned stop, 1 if the start or the stop failed, 2 if the settings
+    are invalid and 3 after a broken invariant. ``held`` are the signals that arrived
+    before.
     """
     open_standard_streams()
     clock = Clock()
@@ -72,56 +76,53 @@
 
 async def _run(path: str, held: HeldSignals, clock: Clock) -> int:
     """Run a node until it is to stop; return the exit status of the process."""
-    stop = asyncio.Event()
-    broken: list[InvariantBroken] = []
+    stop, broken = asyncio.Event(), asyncio.Event()
 
     def on_broken(found: InvariantBroken) -> None:
-        broken.append(found)
-        stop.set()
+        broken.set()
 
-    add_listener(on_broken)
+    stop_listening = add_listener(on_broken)
     log_loop_errors(asyncio.get_running_loop())
     settings_watch = SettingsWatch(path, clock=clock)
     handler_by_number = dict.fromkeys(STOP_SIGNALS, stop.set)
     handler_by_number[signal.SIGHUP] = settings_watch.request_reload
-    with SignalHandlers(held, handler_by_number):
-        try:
-            node = await _start_unless(stop, settings_watch, clock)
-        except _EXPECTED_ERRORS as error:
-            return _log_failed_start(error)
-        except Exception as error:
-            log_uncaught_error("start", error)
-            return _FAILED
-        if node is None:
-            log.info("process: stopped during the start")
-            return _BROKEN_INVARIANT if broken else 0
-        node.tasks.start("settings", partial(settings_watch.run, node.reload))
-        await stop.wait()
-        if broken:
-            return _BROKEN_INVARIANT
-        try:
-            await node.stop()
-        except asyncio.CancelledError:
-            return 0
-        except Exception as error:
-            log_uncaught_error("stop", error)
-            return _FAILED
-        return 0
-
-
-async def _start_unless(
-    stop: asyncio.Event, settings_watch: SettingsWatch, clock: Clock
-) -> FleetNode | None:
-    """Return a node that has started, or None if it is to stop before."""
-    starting = asyncio.create_task(_start(settings_watch, clock), name="start")
-    stopping = asyncio.create_task(stop.wait())
-    tasks = {starting, stopping}
-    await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
-    stopping.cancel()
-    if not starting.done():
-        starting.cancel()
-        await asyncio.wait(tasks)
-    return None if starting.cancelled() else starting.result()
+    stage = "start"
+    try:
+        with SignalHandlers(held, handler_by_number):
+            starting = _start(settings_watch, clock)
+            node = await _unless_set(starting, stop, broken)
+            if node is None:
+                log.info("process: stopped during the start")
+            else:
+                node.tasks.start("settings", partial(settings_watch.run, node.reload))
+                stage = "run"
+                await _unless_set(stop.wait(), broken)
+                stage = "stop"
+                await _unless_set(node.stop(), broken)
+    except _EXPECTED_ERRORS as error:
+        return _log_failed_start(error)
+    except Exception as error:
+        log_uncaught_error(stage, error)
+        return _FAILED
+    finally:
+        stop_listening()
+    return _BROKEN_INVARIANT if broken.is_set() else 0
+
+
+async def _unless_set(work: Coroutine[Any, Any, T], *events: asyncio.Event) -> T | None:
+    """Return what ``work`` returns, or None if an event is set before; it is cancelled.
+
+    None is also returned if the work is cancelled from within.
+    """
+    task = asyncio.ensure_future(work)
+    waits = [asyncio.ensure_future(event.wait()) for event in events]
+    try:
+        await asyncio.wait([task, *waits], return_when=asyncio.FIRST_COMPLETED)
+    finally:
+        for other in (task, *waits):
+            other.cancel()
+        await asyncio.wait([task, *waits])
+    return None if task.cancelled() else task.result()
 
 
 async def _start(settings_watch: SettingsWatch, clock: Clock) -> FleetNode:
--- a/tests/fleet/test_failed_stop.py
+++ b/tests/fleet/test_failed_stop.py
@@ -17,9 +17,7 @@
         node.stop = mock.AsyncMock(side_effect=ValueError("unexpected"))
         held = HeldSignals()
         self.addCleanup(held.release)
-        with mock.patch.object(
-            _process, "_start_unless", mock.AsyncMock(return_value=node)
-        ):
+        with mock.patch.object(_process, "_start", mock.AsyncMock(return_value=node)):
             running = asyncio.create_task(_process._run("", held, Clock()))
             while not node.tasks.start.called:
                 await asyncio.sleep(0.01)
