Stop: an invariant that breaks during a planned stop ends the process

A broken invariant ends the process at once with status 3, since its state cannot be trusted. Once a planned stop had begun, that was noticed no more: the node went on to drain, hand over its lease and its records of streams, and ended with status 0. The product's own door ends at once in that case too.

Before: `test_an_invariant_that_breaks_during_a_stop_ends_it_at_once` got status 0.

--- a/fireflyward/fleet/_process.py
+++ b/fireflyward/fleet/_process.py
@@ -73,10 +73,10 @@
 async def _run(path: str, held: HeldSignals, clock: Clock) -> int:
     """Run a node until it is to stop; return the exit status of the process."""
     stop = asyncio.Event()
-    broken: list[InvariantBroken] = []
+    broken = asyncio.Event()
 
     def on_broken(found: InvariantBroken) -> None:
-        broken.append(found)
+        broken.set()
         stop.set()
 
     add_listener(on_broken)
@@ -94,19 +94,28 @@
             return _FAILED
         if node is None:
             log.info("process: stopped during the start")
-            return _BROKEN_INVARIANT if broken else 0
+            return _BROKEN_INVARIANT if broken.is_set() else 0
         node.tasks.start("settings", partial(settings_watch.run, node.reload))
         await stop.wait()
-        if broken:
+        if broken.is_set():
             return _BROKEN_INVARIANT
-        try:
-            await node.stop()
-        except asyncio.CancelledError:
-            return 0
-        except Exception as error:
-            log_uncaught_error("stop", error)
-            return _FAILED
+        return await _stop_unless(broken, node)
+
+
+async def _stop_unless(broken: asyncio.Event, node: FleetNode) -> int:
+    """Stop a node in order, unless an invariant is broken; return the exit status."""
+    stopping = asyncio.create_task(node.stop(), name="stop")
+    breaking = asyncio.create_task(broken.wait())
+    await asyncio.wait({stopping, breaking}, return_when=asyncio.FIRST_COMPLETED)
+    breaking.cancel()
+    if broken.is_set():
+        stopping.cancel()
+        return _BROKEN_INVARIANT
+    error = None if stopping.cancelled() else stopping.exception()
+    if error is None:
         return 0
+    log_uncaught_error("stop", error)
+    return _FAILED
 
 
 async def _start_unless(
