Peers: a link between nodes of a fleet looks up no host names

A message of another node carries its address. A text that is no address was looked up by each datagram sent there, on the event loop. Nodes of a fleet have IPv4 addresses only, so the link counts others as invalid.

Before: test_a_link_without_names_looks_none_up (the option did not exist, and names were looked up).

--- a/fireflyward/decoding/__init__.py
+++ b/fireflyward/decoding/__init__.py
@@ -1,6 +1,13 @@
 """Decoding of bytes from other writers into bounded types, without exceptions."""
 
-from ._addresses import IPv4, ListenAddress, OptionalAddress, PeerPort, ReplicaAddress
+from ._addresses import (
+    IPv4,
+    ListenAddress,
+    OptionalAddress,
+    PeerPort,
+    ReplicaAddress,
+    is_ipv4,
+)
 from ._json import DECODE_ERRORS, decode_json
 from ._numbers import (
     MAX_INT32,
@@ -40,6 +47,7 @@
     "decimal",
     "decode_json",
     "is_header_text",
+    "is_ipv4",
     "is_utf8",
     "long_number",
     "to_int",
--- a/fireflyward/decoding/_addresses.py
+++ b/fireflyward/decoding/_addresses.py
@@ -1,5 +1,6 @@
 """Addresses on the platform's network, which knows IPv4 addresses and no names."""
 
+import re
 from typing import Annotated
 
 import msgspec
@@ -13,6 +14,7 @@
 # No host has an address of these: this network, multicast and broadcast.
 _NOT_A_HOST = r"(0\.|22[4-9]\.|23[0-9]\.|255\.255\.255\.255:)"
 
+_is_ipv4 = re.compile(_IP).fullmatch
 # The port of a node's link to the others.
 PeerPort = Annotated[int, msgspec.Meta(ge=1, le=65_535)]
 IPv4 = Annotated[str, msgspec.Meta(pattern=rf"\A{_IP}\Z")]
@@ -21,3 +23,12 @@
 _HOST_AND_PORT = rf"(?!{_NOT_A_HOST}){_IP}:{_PORT}"
 ReplicaAddress = Annotated[str, msgspec.Meta(pattern=rf"\A{_HOST_AND_PORT}\Z")]
 OptionalAddress = Annotated[str, msgspec.Meta(pattern=rf"\A({_HOST_AND_PORT})?\Z")]
+
+
+def is_ipv4(text: str) -> bool:
+    """Return whether a text is an IPv4 address.
+
+    >>> is_ipv4("10.2.64.17"), is_ipv4("entry-1.example"), is_ipv4("1")
+    (True, False, False)
+    """
+    return _is_ipv4(text) is not None
--- a/fireflyward/fleet/_joining.py
+++ b/fireflyward/fleet/_joining.py
@@ -157,6 +157,7 @@
             host=self._settings.ip,
             port=self._settings.peer_ports[0],
             has_backlog=lambda: self._standstills.has_backlog(self._clock.now_ms()),
+            allows_names=False,
         )
         return _UnopenedLink(link, self._on_link(link))
 
--- a/fireflyward/peers/_link.py
+++ b/fireflyward/peers/_link.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from fireflyward.decoding import is_ipv4
 from fireflyward.observe import hop
 
 from ._codec import PeerCodec, pack, unpack
@@ -66,6 +67,9 @@
     ``has_backlog`` returns whether what is read now may have arrived while this process
     did not run; see ``register``.
 
+    ``allows_names`` is for peers whose addresses may be host names. Each datagram to a
+    name looks it up and holds up the event loop meanwhile.
+
     ``incarnation`` distinguishes the restarts of a node. When a peer has received a
     higher incarnation from this node, which happens when the wall clock was set back
     before a restart, this node raises its own incarnation above that one and calls
@@ -81,8 +85,10 @@
         host: str = "127.0.0.1",
         port: int = 0,
         has_backlog: Callable[[], bool] = lambda: False,
+        allows_names: bool = True,
     ) -> None:
         self.node_name = node_name
+        self._allows_names = allows_names
         self._has_backlog = has_backlog
         self.incarnation = incarnation
         self.bytes_sent = 0
@@ -171,7 +177,7 @@
         if self._datagram_transport is None:
             return False
         for address in addresses:
-            if not _is_sendable(address):
+            if not _is_sendable(address, self._allows_names):
                 self._count_dropped("datagrams to invalid addresses")
                 continue
             self._datagram_transport.sendto(frame, address)
@@ -213,7 +219,7 @@
 
         The handler of ``kind`` returns a ``StreamReply``.
         """
-        if not _is_sendable(address):
+        if not _is_sendable(address, self._allows_names):
             return CallFailed(f"invalid address {address}")
         try:
             async with asyncio.timeout(timeout_s):
@@ -416,7 +422,7 @@
 
 
 @functools.lru_cache(maxsize=1_024)
-def _is_sendable(address: Address) -> bool:
+def _is_sendable(address: Address, allows_names: bool = True) -> bool:
     """Return whether a socket takes an address.
 
     asyncio closes a datagram socket for good after any error but an ``OSError``.
@@ -425,6 +431,8 @@
     (True, False)
     """
     host, port = address
+    if not allows_names and not is_ipv4(host):
+        return False
     try:
         host.encode("idna")
     except UnicodeError:
--- a/tests/fleet/test_unreachable_entries.py
+++ b/tests/fleet/test_unreachable_entries.py
@@ -7,8 +7,8 @@
 
 from .node_fixtures import NodeTestCase
 
-# Nothing listens at the first two; there is no route to the last.
-_NOT_LISTENING = ("127.0.0.1:1", "127.0.0.2:1", "255.255.255.254:80")
+# Nothing listens at these.
+_NOT_LISTENING = ("127.0.0.1:1", "127.0.0.2:1", "127.255.255.254:1")
 _SILENT = 12
 _REQUESTS = 60
 
--- a/tests/peers/test_link.py
+++ b/tests/peers/test_link.py
@@ -126,6 +126,14 @@
             self.assertIsInstance(answer, CallFailed)
         self.assertEqual(await self.call(peer), MESSAGE)
 
+    async def test_a_link_without_names_looks_none_up(self):
+        """Guards against an event loop that waits for look-ups of a message's text."""
+        peer = await self.start("entry-2", allows_names=False)
+        with mock.patch.object(socket, "getaddrinfo", side_effect=AssertionError):
+            self.assertTrue(peer.send(("127.0.0.1", 9), "k", MESSAGE))
+            peer.send_all([("localhost", 9), ("1", 9)], "k", MESSAGE)
+        self.assertEqual(peer.dropped["datagrams to invalid addresses"], 2)
+
     async def test_nothing_is_sent_after_the_link_has_stopped(self):
         """Guards against a traceback in the log of a node that stops as planned.
 
