--- a/tests/fleet/test_memory.py
+++ b/tests/fleet/test_memory.py
@@ -16,7 +16,6 @@
 # Large bodies may use three quarters of the 8 MiB for requests, and each needs a little
 # more than its size.
 _ROOM = 5
-_LIMIT_S = 5.0
 # Bytes that a transport takes while its peer does not read: its high-water mark and
 # one write.
 _MAX_WRITE_BUFFER_BYTES = 256 << 10
