--- a/tests/fuzz/test_odd_entries.py
+++ b/tests/fuzz/test_odd_entries.py
@@ -206,6 +206,7 @@
             store=None,
             table="t",
             node_row="node/n1",
+            has_recent_list=lambda: True,
             place=lambda: 0.0,
             on_written=lambda *written: None,
             poll_soon=lambda: None,
