fireflyward serve: one account for the bodies of all callers

Requests with their bodies are counted by the account of the platform's door (http1.ReadMemory), within the new setting request_memory_bytes; one without room gets 503 before its body is read, and small requests keep a part that large bodies cannot use. Errors of the event loop go to the log as at the other door.

--- a/fireflyward/daemon/_node.py
+++ b/fireflyward/daemon/_node.py
@@ -10,6 +10,7 @@
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits, within
 from fireflyward.entry import EntryContext, InFlightRequests, build_app
+from fireflyward.http1 import ReadMemory
 from fireflyward.kept import BlockNames
 from fireflyward.leaving import LeavingTask, LeavingUpstreams
 from fireflyward.limits import AdmissionGate
@@ -80,6 +81,7 @@
             settings, clock=self.clock, members=self.members, metrics=self.metrics
         )
         self.in_flight = InFlightRequests()
+        self.memory = ReadMemory(max_request_bytes=settings["request_memory_bytes"])
         self.rollout = RolloutDuty(
             settings,
             clock=self.clock,
@@ -301,6 +303,7 @@
             metrics=self.metrics,
             tracing=self.tracing,
             request_limit_bytes=self.settings["request_limit_bytes"],
+            memory=self.memory,
             deadline_ms=self.settings["request_deadline_ms"],
             is_ready=self.is_ready,
             observe=self.observe,
--- a/fireflyward/daemon/_serve.py
+++ b/fireflyward/daemon/_serve.py
@@ -9,7 +9,7 @@
 from fireflyward.connections import within
 from fireflyward.invariants import InvariantBroken, add_listener
 from fireflyward.settings import Settings
-from fireflyward.supervision import SignalHandlers
+from fireflyward.supervision import SignalHandlers, log_loop_errors
 
 from ._node import Node
 
@@ -35,6 +35,7 @@
         broken.set()
 
     stop_listening = add_listener(on_broken)
+    log_loop_errors(asyncio.get_running_loop())
     own_signals = HeldSignals()
     try:
         return await _serve(node, broken, held or own_signals)
--- a/fireflyward/entry/_app.py
+++ b/fireflyward/entry/_app.py
@@ -11,6 +11,7 @@
 from fireflyward.outcomes import NotRun, Reason, Unknown
 
 from . import _completions, _services
+from ._body import MEMORY
 from ._bundle_check import reject_if_behind
 from ._context import (
     CONTEXT,
@@ -33,7 +34,9 @@
 def build_app(context: EntryContext) -> web.Application:
     """Return the application that serves callers."""
     app = web.Application(
-        client_max_size=context.request_limit_bytes,
+        client_max_size=min(
+            context.request_limit_bytes, context.memory.largest_request_bytes
+        ),
         middlewares=[_track_in_flight, _convert_errors, reject_if_behind],
     )
     app[CONTEXT] = context
@@ -74,9 +77,10 @@
     request_id = request[REQUEST_ID] = new_request_id()
     in_flight.enter(request_id, f"{request.method} {request.path}")
     try:
-        response = await handler(request)
-        await write_response(request, response)
-        return response
+        with request.app[CONTEXT].memory.request() as request[MEMORY]:
+            response = await handler(request)
+            await write_response(request, response)
+            return response
     finally:
         in_flight.leave(request_id)
 
--- a/fireflyward/entry/_context.py
+++ b/fireflyward/entry/_context.py
@@ -10,6 +10,7 @@
 from fireflyward.bundles import BundleHolder
 from fireflyward.clock import Clock
 from fireflyward.connections import SilenceLimits
+from fireflyward.http1 import ReadMemory
 from fireflyward.kept import BlockNames, PrefixTexts
 from fireflyward.leaving import LeavingUpstreams
 from fireflyward.limits import AdmissionGate
@@ -48,6 +49,7 @@
     metrics: Metrics
     tracing: Tracing
     request_limit_bytes: int
+    memory: ReadMemory
     deadline_ms: int
     is_ready: Callable[[], bool]
     catch_up: Callable[[int], Awaitable[bool]]
--- a/fireflyward/settings/_serve.py
+++ b/fireflyward/settings/_serve.py
@@ -199,6 +199,13 @@
         "1024 to 1073741824",
         "Maximum size in bytes of a request body.",
     ),
+    Setting(
+        "request_memory_bytes",
+        "268435456",
+        parse_number(1 << 20, 1 << 40),
+        "1048576 to 1099511627776",
+        "Memory in bytes for all requests in flight with their bodies.",
+    ),
     Setting(
         "request_deadline_ms",
         "120000",
--- a/tests/entry/test_app.py
+++ b/tests/entry/test_app.py
@@ -10,6 +10,7 @@
 from fireflyward.demo import DemoDeployment
 from fireflyward.entry import _completions
 
+_TIMEOUT_S = 30
 GOOD = {"model": "clauses", "prompt": "beam 7?", "max_tokens": 4}
 
 
@@ -42,6 +43,27 @@
         for engine in self.deployment.engine_by_name.values():
             self.assertEqual(engine.model.run_by_id, {})
 
+    async def test_uploads_that_do_not_end_leave_room_for_small_requests(self):
+        """Guards against a node that is killed since its callers' bodies fill it."""
+        size = self.node.settings["request_limit_bytes"]
+        count = 2 * self.node.settings["request_memory_bytes"] // size
+        uploads = []
+        for _ in range(count):
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.node.port)
+            self.addCleanup(writer.close)
+            lines = ["POST /v1/completions HTTP/1.1", "Host: h"]
+            lines += ["Authorization: Bearer key-bridge", f"Content-Length: {size}"]
+            writer.write("\r\n".join([*lines, "", "{"]).encode())
+            uploads.append(reader)
+        async with asyncio.timeout(_TIMEOUT_S):
+            while self.node.memory.refused_requests < count // 2:
+                await asyncio.sleep(0.01)
+        self.assertIn(b" 503 ", await uploads[-1].readline())
+        await self.assert_still_serves()
+        self.assertLess(
+            self.node.memory.request_bytes, self.node.settings["request_memory_bytes"]
+        )
+
     async def test_each_invalid_body_is_rejected_with_an_error_body(self):
         cases = {
             "broken": b"{",
