--- a/tests/platform_standins/_replica.py
+++ b/tests/platform_standins/_replica.py
@@ -113,6 +113,8 @@
         self.crashed_by_part = False
         self.loading_s = 0.0
         self.plain_body = b""
+        # Requests without an id, which none of the nodes sends.
+        self.unnamed_requests = []
         self.rejection_status = 503
         self.repeats_rejections = False
         self.unnamed_rejections = 0
@@ -155,6 +157,10 @@
 
     async def _execute(self, request, writer):
         headers = request.headers
+        if "x-request-id" not in headers:
+            self.unnamed_requests.append(f"{request.method} {request.target}")
+            writer.write(response(400))
+            return True
         if not self._is_expected(headers):
             return self._reject_other(request, writer)
         behavior = self.behaviors.pop(0) if self.behaviors else ReplicaBehavior.NORMAL
--- a/tests/soak/_fleet.py
+++ b/tests/soak/_fleet.py
@@ -235,6 +235,11 @@
                     f"{result.request_id} executed {since_s:.1f} s after revocation"
                 )
         violations += self.withdrawals.violations()
+        violations += [
+            f"{replica.incarnation} got {name} without an id"
+            for replica in self.replicas
+            for name in getattr(replica, "unnamed_requests", ())
+        ]
         for replica in self.replicas:
             fences = [order["fence"] for order in replica.orders]
             holders = {(order["fence"], order["holder"]) for order in replica.orders}
