--- a/tests/daemon/test_process_signals.py
+++ b/tests/daemon/test_process_signals.py
@@ -13,8 +13,10 @@
 # Runs the program, and sends a signal to this process when a module is first imported
 # or, with the name "end", after the program.
 _SIGNAL_AT = """
-import os, runpy, sys
+import os, runpy, signal, sys
 _, at, number, *arguments = sys.argv
+# The tests may run in a process that ignores this signal, and children inherit it.
+signal.signal(signal.SIGHUP, signal.SIG_DFL)
 sys.argv[1:] = arguments
 def send():
     os.kill(os.getpid(), int(number))
