Logs: what a verdict on a prompt part knew, and weights of unknown age

After service had not come back, the log showed that a part was held and not how many answers the decision knew of, whether rows brought the crashes from before the start, or that a version's age was unknown and older weights served nobody. The line of a held part has the answers that were known and the nodes that did not tell theirs, a node's first reading of the table says how many parts rows hold or suspect, and a warning and the gauge replacement_ages_unknown name versions of unknown age. No decision changes; the tests of poison and replacements pass.

--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -71,6 +71,9 @@
             "sends_on_older_weights_total": self.versions.older_sends.total,
             "requests_withdrawn_total": self._withdrawals.withdrawn,
             "replacement_ages_asked_total": self._replacements.asked,
+            "replacement_ages_unknown": sum(
+                map(self._replacements.is_unknown, self.versions.targets())
+            ),
         }
 
     def _has_older_weights(self, model: str) -> bool:
--- a/fireflyward/poison/_task.py
+++ b/fireflyward/poison/_task.py
@@ -87,6 +87,7 @@
         self._untold: dict[int, Counter[int]] = {}
         self._has_news = asyncio.Event()
         self._decision: asyncio.Task[None] | None = None
+        self._has_read_table = False
         self.cut = 0
         self.rejected = 0
 
@@ -115,6 +116,13 @@
             new = sum(self._crashes.add_part(now_ms, end, part) for end in ends)
             if new:
                 self._decide_soon()
+        if not self._has_read_table:
+            self._has_read_table = True
+            log.info(
+                "poison: %d parts held and %d suspect by rows from before the start",
+                len(self._held),
+                len(self._suspect_rows.ends),
+            )
 
     async def admit(self, parts: tuple[int, ...]) -> Free | Held | PartOnTrial:
         """Decide whether a prompt with these parts may be sent to a replica."""
@@ -287,7 +295,7 @@
             suspects = [item for item in found if item.part in evidence.parts]
             if not suspects or not suspects[0].explains:
                 break
-            self._hold(suspects[0], others=len(suspects) - 1)
+            self._hold(suspects[0], evidence, others=len(suspects) - 1)
         for suspect in suspects[:_MAX_STORED_SUSPECTS]:
             self._untold_ends[suspect.part] = suspect.ends
             self._has_work.set()
@@ -319,7 +327,7 @@
             recent_answers=recent_answers,
         )
 
-    def _hold(self, suspect: Suspect, *, others: int) -> None:
+    def _hold(self, suspect: Suspect, evidence: Evidence, *, others: int) -> None:
         part = suspect.part
         had_answers = suspect.had_answers
         self._held.hold(
@@ -338,6 +346,8 @@
                     "requests": suspect.requests,
                     "had_answers": had_answers,
                     "other_suspects": others,
+                    "answers": self._completions.answers + evidence.answers,
+                    "nodes_silent": len(evidence.missing),
                 }
             },
         )
--- a/fireflyward/replacements/_task.py
+++ b/fireflyward/replacements/_task.py
@@ -125,6 +125,19 @@
                     return
                 if not answered:
                     count *= 2
+        if self.is_unknown(model):
+            log.warning(
+                "replacements: when version %d of %s was named is unknown; replicas "
+                "with older weights get no requests",
+                self._history.newest(model),
+                model,
+            )
+
+    def is_unknown(self, model: str) -> bool:
+        """Return whether older weights get no requests, as their age is unknown."""
+        return self._has_older_weights(model) and (
+            self._replaced_after_ms(model) is None
+        )
 
     def _is_known(self, model: str) -> bool:
         """Return whether the latest replacement is known about as well as usual."""
