Poison: a verdict with little knowledge of answers is provisional

Callers saw all streams that share a part of their prompt rejected after all replicas had crashed together beside a return of all nodes: none of them was served for as long as was looked.

Crashes outlive nodes and answers do not. A node that has just started knew of no answer to any part, took that for "never had one", and held the part in most crashes, the first part of a route; at five crashes its first trial came after ten minutes. The row carried the verdict, and the wait began anew at each start. The rows of suspect parts stayed, though the parts had thousands of answers since.

A part without answers is now provisional unless nodes have completed 20 answers, the first 3 s before the crashes began; before, 20 answers were enough, which short streams alone give in a fraction of a second. It takes five crashes, as with few answers before, and is tried 2 s later, once no replica has crashed for 2 s, since a trial shows little while others end anyway; then after 5 s and after 10 min, and no more: three late requests are what users allow for a part that does crash replicas. Rows say when a part was held or suspected by the store's clock, so waits go on while no node runs, and an answer ends the suspicion in the table. A node asks the table for a trial every 0.5 s, not for each prompt.

--- a/fireflyward/poison/_completions.py
+++ b/fireflyward/poison/_completions.py
@@ -17,8 +17,8 @@
     >>> completions.add(5, (1, 2))
     >>> completions.last_ms(1), completions.last_ms(3), completions.answers
     (5, None, 1)
-    >>> completions.recent(2_000), completions.recent(9_000)
-    (1, 0)
+    >>> completions.recent(2_000), completions.recent(9_000), completions.first_ms
+    (1, 0, 5)
     """
 
     __slots__ = (
@@ -27,17 +27,22 @@
         "_period_answers",
         "_previous_answers",
         "answers",
+        "first_ms",
     )
 
     def __init__(self) -> None:
         self._last_ms_by_part: OrderedDict[int, int] = OrderedDict()
         self.answers = 0
+        # When the first answer was completed, None if none was.
+        self.first_ms: int | None = None
         self._period = 0
         self._period_answers = self._previous_answers = 0
 
     def add(self, now_ms: int, parts: Iterable[int]) -> None:
         """Record a completed answer."""
         self.answers += 1
+        if self.first_ms is None:
+            self.first_ms = now_ms
         self._begin_period(now_ms)
         self._period_answers += 1
         last_ms_by_part = self._last_ms_by_part
--- a/fireflyward/poison/_duty.py
+++ b/fireflyward/poison/_duty.py
@@ -47,9 +47,14 @@
     >>> min(delays), max(delays)
     (1500, 2490)
     """
+    return _STANDBY_MS + spread_delay_ms(node, others)
+
+
+def spread_delay_ms(node: Member, others: Iterable[Member]) -> int:
+    """Return a delay that differs from node to node, for what one of them should do."""
     names = {node.name, *(item.name for item in others)}
     place = sorted(names, key=_rank).index(node.name)
-    return _STANDBY_MS + _STANDBY_SPREAD_MS * place // len(names)
+    return _STANDBY_SPREAD_MS * place // len(names)
 
 
 def _rank(name: str) -> int:
--- a/fireflyward/poison/_evidence.py
+++ b/fireflyward/poison/_evidence.py
@@ -16,6 +16,7 @@
     __slots__ = (
         "_last_ms_by_part",
         "answers",
+        "first_ms",
         "is_complete",
         "missing",
         "parts",
@@ -27,6 +28,8 @@
         self._last_ms_by_part: dict[int, int] = {}
         self.missing = set(nodes)
         self.answers = 0
+        # When the first of all these answers was completed, if that is known.
+        self.first_ms: int | None = None
         self.recent = 0
         self.is_complete = asyncio.Event()
 
@@ -37,16 +40,22 @@
         ages_ms: Sequence[int],
         answers: int,
         recent: int,
+        first_age_ms: int = -1,
     ) -> None:
         """Record a node's answer: ages of its last answers, -1 if it has none.
 
-        ``recent`` is how many of its ``answers`` were completed in the last seconds.
+        ``recent`` is how many of its ``answers`` were completed in the last seconds,
+        and ``first_age_ms`` is how long ago the first of them was, -1 if unknown.
         """
         if node not in self.missing:
             return
         self.missing.discard(node)
         self.answers += max(0, answers)
         self.recent += max(0, recent)
+        if first_age_ms >= 0:
+            first_ms = now_ms - first_age_ms
+            if self.first_ms is None or first_ms < self.first_ms:
+                self.first_ms = first_ms
         for part, age_ms in zip(self.parts, ages_ms, strict=False):
             if age_ms >= 0:
                 at_ms = now_ms - age_ms
--- a/fireflyward/poison/_held_parts.py
+++ b/fireflyward/poison/_held_parts.py
@@ -8,6 +8,11 @@
 # A part that was held with little evidence is tried again soon, one with more later,
 # and each trial that crashes a replica makes the next wait longer.
 _TRIAL_WAITS_MS = (20_000, 600_000, 3_600_000)
+# A provisional hold may be wrong for a part that everybody uses.
+_PROVISIONAL_TRIAL_WAITS_MS = (2_000, 5_000, 600_000)
+# A trial shows little while replicas crash anyway, so it waits for calm.
+_CALM_MS = 2_000
+_MAX_WAIT_FOR_CALM_MS = 20_000
 _STRONG_EVIDENCE_CRASHES = 5
 # Held parts that no request had for this long are forgotten.
 _UNUSED_MS = 24 * 3_600_000
@@ -27,7 +32,8 @@
 class PartHold:
     """Why and since when a part is held, and how often it was tried since.
 
-    ``had_answers`` is set if prompts with it had answers before the crashes.
+    ``had_answers`` is set if prompts with it had answers before the crashes, and
+    ``is_provisional`` if the nodes knew too little of answers to tell.
     """
 
     crashes: int
@@ -35,6 +41,7 @@
     used_ms: int
     trials: int = 0
     had_answers: bool = False
+    is_provisional: bool = False
 
 
 class HeldParts:
@@ -49,10 +56,11 @@
     Held(detail='3 replicas ended under a part of its prompt', retry_after_ms=20000)
     """
 
-    __slots__ = ("by_part",)
+    __slots__ = ("_last_crash_ms", "by_part")
 
     def __init__(self) -> None:
         self.by_part: dict[int, PartHold] = {}
+        self._last_crash_ms: int | None = None
 
     def __len__(self) -> int:
         return len(self.by_part)
@@ -82,20 +90,34 @@
         crashes: int,
         trials: int = 0,
         had_answers: bool = False,
+        is_provisional: bool = False,
+        held_ms: int | None = None,
     ) -> bool:
-        """Hold a part back; return whether this is new or another trial began."""
+        """Hold a part back; return whether this is new or another trial began.
+
+        ``held_ms`` is when it was held, or tried last, if that was not now. A verdict
+        that is not provisional replaces one that is.
+        """
         hold = self.by_part.get(part)
+        held_ms = now_ms if held_ms is None else held_ms
         if hold is None:
             while len(self.by_part) >= _MAX_PARTS:
                 del self.by_part[min(self.by_part, key=self._used_ms)]
-            self.by_part[part] = PartHold(crashes, now_ms, now_ms, trials, had_answers)
+            self.by_part[part] = PartHold(
+                crashes, held_ms, now_ms, trials, had_answers, is_provisional
+            )
             return True
         has_new_trial = trials > hold.trials
         if has_new_trial:
-            hold.held_ms, hold.trials = now_ms, trials
+            hold.held_ms, hold.trials = held_ms, trials
         hold.crashes = max(hold.crashes, crashes)
+        hold.is_provisional &= is_provisional
         return has_new_trial
 
+    def on_crash(self, now_ms: int) -> None:
+        """Record that a replica crashed, whatever was in flight there."""
+        self._last_crash_ms = now_ms
+
     def clear(self, part: int) -> bool:
         """Let prompts with a part pass again; return whether it was held."""
         return self.by_part.pop(part, None) is not None
@@ -111,9 +133,10 @@
     def _used_ms(self, part: int) -> int:
         return self.by_part[part].used_ms
 
-    @staticmethod
-    def _trial_left_ms(now_ms: int, hold: PartHold) -> int | None:
+    def _trial_left_ms(self, now_ms: int, hold: PartHold) -> int | None:
         """Return the time until the next trial, None if there is none any more."""
+        if hold.is_provisional:
+            return self._provisional_left_ms(now_ms, hold)
         step = hold.trials
         is_strong = hold.crashes >= _STRONG_EVIDENCE_CRASHES and not hold.had_answers
         if step == 0 and is_strong:
@@ -121,3 +144,14 @@
         if step >= len(_TRIAL_WAITS_MS):
             return None
         return hold.held_ms + _TRIAL_WAITS_MS[step] - now_ms
+
+    def _provisional_left_ms(self, now_ms: int, hold: PartHold) -> int | None:
+        if hold.trials >= len(_PROVISIONAL_TRIAL_WAITS_MS):
+            return None
+        at_ms = hold.held_ms + _PROVISIONAL_TRIAL_WAITS_MS[hold.trials]
+        if self._last_crash_ms is not None:
+            calm_ms = min(
+                self._last_crash_ms + _CALM_MS, hold.held_ms + _MAX_WAIT_FOR_CALM_MS
+            )
+            at_ms = max(at_ms, calm_ms)
+        return at_ms - now_ms
--- a/fireflyward/poison/_inference.py
+++ b/fireflyward/poison/_inference.py
@@ -10,15 +10,18 @@
 MIN_CRASHES = 3
 # With fewer crashes a part without answers is not told to nodes without a link.
 MIN_TOLD_CRASHES = 2
-# A part that had answers before is more often beside the cause than it is the cause.
+# Asked for while little is known of answers, and for a part that had answers before,
+# which is more often beside the cause than it is the cause.
 # While no prompt has answers, the crashes of others explain that it has none.
-_MIN_CRASHES_AFTER_ANSWERS = 5
+_MIN_UNCERTAIN_CRASHES = 5
 _MIN_SILENCE_MS = 5_000
 _MIN_RECENT_ANSWERS = 10
 # Replicas that end at the same moment may have one cause that is no prompt.
 _MIN_SPAN_MS = 200
-# With fewer answers in all, a part without one says nothing.
+# With fewer answers in all, a part without one says nothing. Neither does it if answers
+# have been completed for less time than one may take.
 _MIN_ANSWERS = 20
+_MIN_REMEMBERED_MS = 3_000
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,7 +30,8 @@
 
     ``ends`` are the incarnation ids of the replicas, and ``requests`` is how many
     requests with the part were cut there. ``explains`` is set if the part may be held
-    back; another one has too few crashes.
+    back; another one has too few crashes. ``is_provisional`` is set if the nodes know
+    of too few answers, or for too short a time, to conclude that it has none.
     """
 
     part: int
@@ -35,6 +39,7 @@
     requests: int
     had_answers: bool
     explains: bool = True
+    is_provisional: bool = False
 
     @property
     def crashes(self) -> int:
@@ -50,6 +55,7 @@
     *,
     answers: int,
     recent_answers: int,
+    first_answer_ms: int | None,
 ) -> list[Suspect]:
     """Return the parts that are suspect, the most suspect first; no I/O.
 
@@ -63,9 +69,11 @@
     held already are explained by it.
 
     ``last_completed_ms`` returns when an answer to a prompt with a part was last
-    completed, ``answers`` is how many answers were completed in all, and
-    ``recent_answers`` how many of these in the last seconds. Before there are enough,
-    the part in the fewest requests of each crash comes first.
+    completed, ``answers`` is how many answers were completed in all, ``recent_answers``
+    how many of these in the last seconds, and ``first_answer_ms`` when the first was.
+    Nodes forget answers when they end, so a part without any shows little at first:
+    more crashes are needed then, and the part in the fewest requests of each crash
+    comes first.
     """
     held_parts = frozenset(held)
     unexplained = [
@@ -93,9 +101,14 @@
             continue
         if len(since) < (MIN_CRASHES if had_answers else MIN_TOLD_CRASHES):
             continue
+        is_provisional = not had_answers and (
+            answers < _MIN_ANSWERS
+            or first_answer_ms is None
+            or since[0].at_ms - first_answer_ms < _MIN_REMEMBERED_MS
+        )
         needed = MIN_CRASHES
-        if had_answers or answers < _MIN_ANSWERS:
-            needed = _MIN_CRASHES_AFTER_ANSWERS
+        if had_answers or is_provisional:
+            needed = _MIN_UNCERTAIN_CRASHES
         span_ms = since[-1].at_ms - since[0].at_ms
         suspect = Suspect(
             part,
@@ -103,6 +116,7 @@
             sum(crash.requests_by_part[part] for crash in since),
             had_answers,
             explains=len(since) >= needed and span_ms >= _MIN_SPAN_MS,
+            is_provisional=is_provisional,
         )
         found.append(suspect)
     return sorted(
@@ -110,7 +124,7 @@
         key=lambda item: (
             not item.explains,
             item.had_answers,
-            item.requests / item.crashes if answers < _MIN_ANSWERS else 0.0,
+            item.requests / item.crashes if item.is_provisional else 0.0,
             -item.crashes,
             item.requests,
         ),
--- a/fireflyward/poison/_messages.py
+++ b/fireflyward/poison/_messages.py
@@ -37,7 +37,13 @@
     def on_told_cut(self, incarnation_id: int, counts: Counter[int]) -> None: ...
 
     def on_told_held(
-        self, node: str, part: int, crashes: int, *, had_answers: bool
+        self,
+        node: str,
+        part: int,
+        crashes: int,
+        *,
+        had_answers: bool,
+        is_provisional: bool,
     ) -> None: ...
 
     def on_told_cleared(self, node: str, part: int) -> None: ...
@@ -91,9 +97,16 @@
             )
             self._tell(_CUT, message)
 
-    def tell_held(self, part: int, crashes: int, *, had_answers: bool) -> None:
+    def tell_held(
+        self, part: int, crashes: int, *, had_answers: bool, is_provisional: bool
+    ) -> None:
         """Tell that prompts with a part are held back."""
-        message = PartHeld(part=part, crashes=crashes, had_answers=had_answers)
+        message = PartHeld(
+            part=part,
+            crashes=crashes,
+            had_answers=had_answers,
+            is_provisional=is_provisional,
+        )
         self._tell(_HELD, message)
 
     def tell_cleared(self, part: int) -> None:
@@ -150,14 +163,13 @@
     async def _on_question(self, sender: str, message: Any) -> None:
         now_ms = self._clock.now_ms()
         self.last_asked_ms = now_ms
-        last = [self._completions.last_ms(part) for part in message.parts]
+        last_ms = self._completions.last_ms
         answer = CompletionAnswer(
             number=message.number,
-            ages_ms=[
-                -1 if at is None else min(now_ms - at, _MAX_NUMBER) for at in last
-            ],
+            ages_ms=[_age_ms(now_ms, last_ms(part)) for part in message.parts],
             answers=min(self._completions.answers, _MAX_NUMBER),
             recent=min(self._completions.recent(now_ms), _MAX_NUMBER),
+            first_age_ms=_age_ms(now_ms, self._completions.first_ms),
         )
         asker = [member for member in self._members() if member.name == sender]
         self._send(asker, _ANSWER, answer)
@@ -171,6 +183,7 @@
                 message.ages_ms,
                 message.answers,
                 message.recent or 0,
+                -1 if message.first_age_ms is None else message.first_age_ms,
             )
 
     async def _on_held(self, sender: str, message: Any) -> None:
@@ -179,7 +192,13 @@
             message.part,
             message.crashes,
             had_answers=bool(message.had_answers),
+            is_provisional=message.is_provisional is not False,
         )
 
     async def _on_cleared(self, sender: str, message: Any) -> None:
         self._listener.on_told_cleared(sender, message.part)
+
+
+def _age_ms(now_ms: int, at_ms: int | None) -> int:
+    """Return how long ago a time was, -1 if there is none."""
+    return -1 if at_ms is None else min(now_ms - at_ms, _MAX_NUMBER)
--- a/fireflyward/poison/_poison_structs.py
+++ b/fireflyward/poison/_poison_structs.py
@@ -44,6 +44,7 @@
         2: (TType.LIST, "ages_ms", TType.I32, True),
         3: (TType.I32, "answers", True),
         4: (TType.I32, "recent", False),
+        5: (TType.I32, "first_age_ms", False),
     }
 
     def __init__(
@@ -52,11 +53,13 @@
         ages_ms: Any = None,
         answers: Any = None,
         recent: Any = None,
+        first_age_ms: Any = None,
     ) -> None:
         self.number = number
         self.ages_ms = ages_ms
         self.answers = answers
         self.recent = recent
+        self.first_age_ms = first_age_ms
 
 
 class PartHeld(TPayload):
@@ -64,6 +67,7 @@
         1: (TType.I64, "part", True),
         2: (TType.I32, "crashes", True),
         3: (TType.BOOL, "had_answers", False),
+        4: (TType.BOOL, "is_provisional", False),
     }
 
     def __init__(
@@ -71,10 +75,12 @@
         part: Any = None,
         crashes: Any = None,
         had_answers: Any = None,
+        is_provisional: Any = None,
     ) -> None:
         self.part = part
         self.crashes = crashes
         self.had_answers = had_answers
+        self.is_provisional = is_provisional
 
 
 class PartCleared(TPayload):
--- a/fireflyward/poison/_rows.py
+++ b/fireflyward/poison/_rows.py
@@ -1,13 +1,14 @@
 """Held parts as rows of a table that all nodes follow."""
 
 import logging
+from dataclasses import replace
 from typing import Annotated
 
 import msgspec
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock
-from fireflyward.decoding import decode_json
+from fireflyward.decoding import Count, decode_json
 from fireflyward.feeds import TableRow, TableUpdate
 from fireflyward.platform import StoreClient
 
@@ -21,20 +22,26 @@
 
 
 class HeldPartRow(msgspec.Struct, frozen=True):
-    """How many replicas ended under a part, and how often it was tried since."""
+    """How many replicas ended under a part, and how often it was tried since.
+
+    ``held_store_ms`` is when it was held, or tried last, by the store's clock; 0 if
+    that is unknown. A row that does not say so counts as provisional.
+    """
 
     crashes: _Count
     trials: _Count = 0
     had_answers: bool = False
+    is_provisional: bool = True
+    held_store_ms: Count = 0
 
 
 class HeldPartRows:
     """Writes held parts, each if its row is still as this node read it.
 
     The row keeps a part held when nodes restart, or when they cannot reach each other.
-    A trial is a write too, so that only one node makes it. A store that was restored
-    from an older snapshot takes no hold back; the node that wrote a lost row writes it
-    again.
+    A trial is a write too, so that only one node makes it. The time until the next
+    trial goes on while no node runs. A store that was restored from an older snapshot
+    takes no hold back; the node that wrote a lost row writes it again.
     """
 
     __slots__ = (
@@ -85,17 +92,23 @@
             if part not in self._position_by_part:
                 return True
             return await self._commit(part, None)
-        return await self._commit(part, _row_of(hold, hold.trials))
+        return await self._commit(part, self._row_of(hold))
 
     async def begin_trial(self, part: int) -> bool:
         """Count a trial of a part; return whether this node may make it."""
         hold = self._held.by_part.get(part)
         if hold is None:
             return False
-        trials = hold.trials + 1
-        if not await self._commit(part, _row_of(hold, trials)):
+        tried = replace(hold, trials=hold.trials + 1, held_ms=self._clock.now_ms())
+        if not await self._commit(part, self._row_of(tried)):
             return False
-        self._held.hold(self._clock.now_ms(), part, crashes=hold.crashes, trials=trials)
+        self._held.hold(
+            tried.held_ms,
+            part,
+            crashes=hold.crashes,
+            trials=tried.trials,
+            is_provisional=hold.is_provisional,
+        )
         return True
 
     async def _commit(self, part: int, row: HeldPartRow | None) -> bool:
@@ -141,8 +154,24 @@
             crashes=stored.crashes,
             trials=stored.trials,
             had_answers=stored.had_answers,
+            is_provisional=stored.is_provisional,
+            held_ms=self._held_ms(stored),
         )
 
+    def _row_of(self, hold: PartHold) -> HeldPartRow:
+        time = self._store.time
+        held_store_ms = 0 if time is None else max(0, time.to_store_ms(hold.held_ms))
+        return HeldPartRow(
+            hold.crashes,
+            hold.trials,
+            hold.had_answers,
+            hold.is_provisional,
+            held_store_ms,
+        )
 
-def _row_of(hold: PartHold, trials: int) -> HeldPartRow:
-    return HeldPartRow(hold.crashes, trials, hold.had_answers)
+    def _held_ms(self, row: HeldPartRow) -> int | None:
+        """Return when a part was held by this node's clock, None if unknown."""
+        time = self._store.time
+        if time is None or not 0 < row.held_store_ms <= time.store_ms:
+            return None
+        return time.to_local_ms(row.held_store_ms)
--- a/fireflyward/poison/_suspect_rows.py
+++ b/fireflyward/poison/_suspect_rows.py
@@ -8,7 +8,7 @@
 
 from fireflyward.backing import Committed, Position
 from fireflyward.clock import Clock
-from fireflyward.decoding import MAX_INT64, decode_json
+from fireflyward.decoding import MAX_INT64, Count, decode_json
 from fireflyward.feeds import TableUpdate
 from fireflyward.platform import StoreClient
 
@@ -23,10 +23,14 @@
 _KEPT_MS = 300_000
 
 
-class SuspectPartRow(msgspec.Struct, frozen=True):
-    """The incarnation ids of replicas that crashed with a part in flight."""
+class SuspectPartRow(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The incarnation ids of replicas that crashed with a part in flight.
+
+    ``written_ms`` is when the row was written by the store's clock, 0 if unknown.
+    """
 
     ends: Annotated[tuple[_IncarnationId, ...], msgspec.Meta(max_length=_MAX_ENDS)]
+    written_ms: Count = 0
 
 
 class SuspectPartRows:
@@ -43,7 +47,7 @@
         "_store",
         "_table",
         "ends",
-        "read_ms",
+        "written_ms",
     )
 
     def __init__(self, *, clock: Clock, store: StoreClient, table: str) -> None:
@@ -53,7 +57,7 @@
         self._position_by_part: dict[int, Position] = {}
         self._era = 0
         self.ends: dict[int, frozenset[int]] = {}
-        self.read_ms: dict[int, int] = {}
+        self.written_ms: dict[int, int] = {}
 
     def on_table_update(self, update: TableUpdate) -> list[int]:
         """Apply changes of the table; return the parts whose crashes are news."""
@@ -76,14 +80,15 @@
                 log.error("poison: row %s cannot be decoded", row.key)
                 continue
             self.ends[part] = frozenset(stored.ends)
-            self.read_ms[part] = self._clock.now_ms()
-            changed.append(part)
+            self.written_ms[part] = written_ms = self._written_ms(stored)
+            if self._clock.now_ms() - written_ms <= _KEPT_MS:
+                changed.append(part)
         # A later row of the same update may have deleted an earlier one.
         return [part for part in changed if part in self.ends]
 
     def old(self, now_ms: int) -> list[int]:
-        """Return the parts whose rows did not change for a long time."""
-        return [part for part in self.ends if now_ms - self.read_ms[part] > _KEPT_MS]
+        """Return the parts whose rows were written a long time ago."""
+        return [part for part in self.ends if now_ms - self.written_ms[part] > _KEPT_MS]
 
     async def add(self, part: int, ends: frozenset[int]) -> bool:
         """Add crashes to the row of a part; return whether it has them."""
@@ -91,10 +96,14 @@
         if ends <= known or len(known) >= _MAX_ENDS:
             return True
         merged = frozenset(sorted(known | ends)[:_MAX_ENDS])
-        if not await self._commit(part, SuspectPartRow(tuple(sorted(merged)))):
+        now_ms, time = self._clock.now_ms(), self._store.time
+        store_ms = 0 if time is None else max(0, time.to_store_ms(now_ms))
+        if not await self._commit(
+            part, SuspectPartRow(tuple(sorted(merged)), store_ms)
+        ):
             return False
         self.ends[part] = merged
-        self.read_ms[part] = self._clock.now_ms()
+        self.written_ms[part] = now_ms
         return True
 
     async def delete(self, part: int) -> bool:
@@ -103,6 +112,13 @@
             return True
         return await self._commit(part, None)
 
+    def _written_ms(self, row: SuspectPartRow) -> int:
+        """Return when a row was written by this node's clock, now if unknown."""
+        time = self._store.time
+        if time is None or not 0 < row.written_ms <= time.store_ms:
+            return self._clock.now_ms()
+        return time.to_local_ms(row.written_ms)
+
     async def _commit(self, part: int, row: SuspectPartRow | None) -> bool:
         key = f"{_PREFIX}{part:x}"
         position = self._position_by_part.get(part, Position(self._era, 0))
--- a/fireflyward/poison/_task.py
+++ b/fireflyward/poison/_task.py
@@ -16,7 +16,7 @@
 
 from ._completions import Completions
 from ._crash_log import CrashLog, count_parts
-from ._duty import duty_delay_ms, standby_delay_ms
+from ._duty import duty_delay_ms, spread_delay_ms, standby_delay_ms
 from ._evidence import Evidence
 from ._held_parts import HeldParts, PartOnTrial
 from ._inference import MIN_TOLD_CRASHES, Suspect, find_suspects
@@ -83,11 +83,14 @@
         self._suspect_rows = SuspectPartRows(clock=clock, store=store, table=table)
         self._unwritten: set[int] = set()
         self._untold_ends: dict[int, frozenset[int]] = {}
+        # Parts with a row of crashes that had an answer since.
+        self._answered_suspects: set[int] = set()
         self._has_work = asyncio.Event()
         self._untold: dict[int, Counter[int]] = {}
         self._has_news = asyncio.Event()
         self._decision: asyncio.Task[None] | None = None
         self._has_read_table = False
+        self._next_trial_ms = 0
         self.cut = 0
         self.rejected = 0
 
@@ -128,7 +131,7 @@
         """Decide whether a prompt with these parts may be sent to a replica."""
         verdict = self._held.verdict(self._clock.now_ms(), parts)
         if isinstance(verdict, PartOnTrial):
-            if not await self._rows.begin_trial(verdict.part):
+            if not await self._begin_trial(verdict.part):
                 verdict = _NO_TRIAL
         if isinstance(verdict, Held):
             self.rejected += 1
@@ -148,8 +151,9 @@
 
     def on_crash(self, replica: ReplicaState) -> None:
         """Record that a replica crashed; the prompts that it cut were in flight."""
-        incarnation_id = replica.incarnation_id
-        found = self._cuts.on_crash(self._clock.now_ms(), incarnation_id)
+        now_ms, incarnation_id = self._clock.now_ms(), replica.incarnation_id
+        self._held.on_crash(now_ms)
+        found = self._cuts.on_crash(now_ms, incarnation_id)
         cut = [self._parts_by_cut.pop(name) for name in found]
         if cut:
             self._record(incarnation_id, cut)
@@ -159,6 +163,9 @@
         if not parts:
             return
         self._completions.add(self._clock.now_ms(), parts)
+        for part in parts if self._suspect_rows.ends else ():
+            if part in self._suspect_rows.ends:
+                self._end_suspicion_later(part)
         for part in parts if len(self._held) else ():
             if self._held.clear(part):
                 log.info("poison: part %x cleared by an answer", part)
@@ -170,11 +177,23 @@
         self._add_crash(incarnation_id, counts)
 
     def on_told_held(
-        self, node: str, part: int, crashes: int, *, had_answers: bool
+        self,
+        node: str,
+        part: int,
+        crashes: int,
+        *,
+        had_answers: bool,
+        is_provisional: bool,
     ) -> None:
         """Hold a part that another node holds."""
-        now_ms = self._clock.now_ms()
-        if self._held.hold(now_ms, part, crashes=crashes, had_answers=had_answers):
+        is_new = self._held.hold(
+            self._clock.now_ms(),
+            part,
+            crashes=crashes,
+            had_answers=had_answers,
+            is_provisional=is_provisional,
+        )
+        if is_new:
             log.info("poison: part %x held, told by %s", part, node)
 
     def on_told_cleared(self, node: str, part: int) -> None:
@@ -195,11 +214,25 @@
                 forgot_ms = now_ms
                 self._forget_unused(now_ms)
             await self._write()
-            if self._unwritten or self._untold_ends:
+            if self._unwritten or self._untold_ends or self._answered_suspects:
                 self._poll_soon()
                 await self._clock.sleep_ms(_RETRY_MS)
                 self._has_work.set()
 
+    async def _begin_trial(self, part: int) -> bool:
+        """Return whether this node may try a part; the table is not asked each time.
+
+        All prompts with the part ask until the table shows another node's trial.
+        """
+        now_ms = self._clock.now_ms()
+        if now_ms < self._next_trial_ms:
+            return False
+        self._next_trial_ms = now_ms + _RETRY_MS
+        if await self._rows.begin_trial(part):
+            return True
+        self._poll_soon()
+        return False
+
     async def _write(self) -> None:
         """Write what changed; what could not be written is tried again."""
         for part in list(self._unwritten):
@@ -212,6 +245,9 @@
                 is_done = await self._suspect_rows.add(part, ends)
             if is_done and self._untold_ends.get(part) == ends:
                 del self._untold_ends[part]
+        for part in list(self._answered_suspects):
+            if await self._suspect_rows.delete(part):
+                self._answered_suspects.discard(part)
         if duty_delay_ms(self._node, self._members()) == 0:
             for part in self._suspect_rows.old(self._clock.now_ms()):
                 await self._suspect_rows.delete(part)
@@ -244,6 +280,7 @@
     def _add_crash(self, incarnation_id: int, counts: Counter[int]) -> None:
         now_ms = self._clock.now_ms()
         if self._crashes.add(now_ms, incarnation_id, counts):
+            self._held.on_crash(now_ms)
             for part in counts.keys() & self._held.by_part.keys():
                 self._held.by_part[part].crashes += 1
         self._decide_soon()
@@ -315,9 +352,12 @@
 
         answers = self._completions.answers
         recent_answers = self._completions.recent(now_ms)
+        first_ms = self._completions.first_ms
         if evidence is not None:
             answers += evidence.answers
             recent_answers += evidence.recent
+            known_ms = [at for at in (first_ms, evidence.first_ms) if at is not None]
+            first_ms = min(known_ms, default=None)
         return find_suspects(
             now_ms,
             crashes,
@@ -325,6 +365,7 @@
             last_completed_ms,
             answers=answers,
             recent_answers=recent_answers,
+            first_answer_ms=first_ms,
         )
 
     def _hold(self, suspect: Suspect, evidence: Evidence, *, others: int) -> None:
@@ -335,6 +376,7 @@
             part,
             crashes=suspect.crashes,
             had_answers=had_answers,
+            is_provisional=suspect.is_provisional,
         )
         # A warning, so that the limit on log lines does not drop it.
         log.warning(
@@ -345,6 +387,7 @@
                     "crashes": suspect.crashes,
                     "requests": suspect.requests,
                     "had_answers": had_answers,
+                    "is_provisional": suspect.is_provisional,
                     "other_suspects": others,
                     "answers": self._completions.answers + evidence.answers,
                     "nodes_silent": len(evidence.missing),
@@ -353,10 +396,26 @@
         )
         if part in self._suspect_rows.ends:
             self._untold_ends[part] = suspect.ends
-        self._messages.tell_held(part, suspect.crashes, had_answers=had_answers)
+        self._messages.tell_held(
+            part,
+            suspect.crashes,
+            had_answers=had_answers,
+            is_provisional=suspect.is_provisional,
+        )
         self._write_soon(part)
         self._poll_soon()
 
+    def _end_suspicion_later(self, part: int) -> None:
+        """Delete the row of a part that had an answer, unless another node does first.
+
+        Otherwise nodes that start would count its crashes without knowing the answer.
+        """
+        if part in self._answered_suspects:
+            return
+        self._answered_suspects.add(part)
+        delay_ms = spread_delay_ms(self._node, self._members())
+        self._clock.call_later_ms(delay_ms, self._has_work.set)
+
     def _write_soon(self, *parts: int) -> None:
         self._unwritten.update(parts)
         self._has_work.set()
--- a/tests/fuzz/test_odd_entries.py
+++ b/tests/fuzz/test_odd_entries.py
@@ -6,6 +6,7 @@
 
 from hypothesis import given, strategies as st
 
+from fireflyward.backing import StoreTime
 from fireflyward.clock import ManualClock, Standstills
 from fireflyward.feeds import TableRow, TableUpdate
 from fireflyward.fleet._peers import NodeRegistry, NodeRow
@@ -171,8 +172,14 @@
 OWN_ROWS = {
     "node/n2": NODE,
     "suspect/f": {"ends": [1, 2], "trials": 1},
-    "poison/1f": {"crashes": 2, "trials": 1, "had_answers": True},
-    "poison-suspect/1f": {"ends": [1, 2]},
+    "poison/1f": {
+        "crashes": 2,
+        "trials": 1,
+        "had_answers": True,
+        "is_provisional": False,
+        "held_store_ms": 5,
+    },
+    "poison-suspect/1f": {"ends": [1, 2], "written_ms": 5},
     "replaced/m": {"newest": 2, "confirmed_ms": 5, "last_newest_ms": {"1": 4}},
     "software/s": {"versions": ["v1"]},
 }
@@ -195,9 +202,9 @@
         registry = NodeRegistry(None, "n1")
         held, versions = HeldParts(), SoftwareVersions()
         stored = StoredVersions(started_ms=0)
-        parts = HeldPartRows(held, clock=clock, store=None, table="t")
-        suspects = SuspectPartRows(clock=clock, store=None, table="t")
-        store = mock.Mock(time=None)
+        store = mock.Mock(time=StoreTime(store_ms=9_000, sent_ms=0, received_ms=0))
+        parts = HeldPartRows(held, clock=clock, store=store, table="t")
+        suspects = SuspectPartRows(clock=clock, store=store, table="t")
         replaced = ReplacementRows(VersionHistory(), store=store, table="t")
         software = SoftwareRows(
             versions,
--- a/tests/poison/test_held_parts.py
+++ b/tests/poison/test_held_parts.py
@@ -49,6 +49,26 @@
             self.assertIsInstance(self.verdict(now_ms), Held)
         self.assertIsInstance(self.verdict(now_ms + _DAY_MS), Held)
 
+    def test_a_provisional_hold_is_tried_at_once(self):
+        """Guards against ten minutes without a route for crashes that nobody knows."""
+        self.held.hold(0, BAD, crashes=9, is_provisional=True)
+        self.assertIsInstance(self.verdict(1_999), Held)
+        self.assertEqual(self.verdict(2_000), PartOnTrial(BAD))
+
+    def test_a_trial_waits_for_calm_for_a_limited_time(self):
+        """Guards against a part that is held for as long as some replica crashes."""
+        self.held.hold(0, BAD, crashes=9, is_provisional=True)
+        for now_ms in range(0, 20_000, 500):
+            self.held.on_crash(now_ms)
+            self.assertIsInstance(self.verdict(now_ms), Held)
+        self.held.on_crash(20_000)
+        self.assertEqual(self.verdict(20_000), PartOnTrial(BAD))
+
+    def test_a_verdict_with_knowledge_replaces_a_provisional_one(self):
+        self.held.hold(0, BAD, crashes=5, is_provisional=True)
+        self.held.hold(0, BAD, crashes=5)
+        self.assertIsInstance(self.verdict(_SOON_MS), Held)
+
     def test_a_part_that_no_request_has_is_forgotten(self):
         self.held.hold(0, BAD, crashes=3)
         self.assertEqual(self.held.unused(_DAY_MS), [])
--- a/tests/poison/test_inference.py
+++ b/tests/poison/test_inference.py
@@ -17,7 +17,15 @@
 
 class FindSuspectsTests(unittest.TestCase):
     def find(
-        self, log, answered=None, *, now_ms=2_000, held=(), answers=100, recent=50
+        self,
+        log,
+        answered=None,
+        *,
+        now_ms=2_000,
+        held=(),
+        answers=100,
+        recent=50,
+        first_answer_ms=-60_000,
     ):
         found = find_suspects(
             now_ms,
@@ -26,6 +34,7 @@
             (answered or {}).get,
             answers=answers,
             recent_answers=recent,
+            first_answer_ms=first_answer_ms,
         )
         return [item.part for item in found if item.explains]
 
@@ -53,7 +62,13 @@
     def test_two_crashes_are_told_to_nodes_without_a_link(self):
         log = crashes((BAD, COMMON), (BAD, COMMON))
         found = find_suspects(
-            900, log, (), {COMMON: 850}.get, answers=100, recent_answers=9
+            900,
+            log,
+            (),
+            {COMMON: 850}.get,
+            answers=100,
+            recent_answers=9,
+            first_answer_ms=-60_000,
         )
         self.assertEqual([item.part for item in found], [BAD])
         self.assertEqual((found[0].ends, found[0].explains), ({0, 1}, False))
@@ -101,6 +116,23 @@
         log = crashes((BAD,), (BAD,), (BAD,))
         self.assertEqual(self.find(log, answers=3), [])
 
+    def test_a_part_without_answers_shows_little_soon_after_the_first_answer(self):
+        """Guards against parts of long answers held since short ones were sooner."""
+        log = crashes((BAD,), (BAD,), (BAD,))
+        self.assertEqual(self.find(log, first_answer_ms=-2_000), [])
+        self.assertEqual(self.find(log, first_answer_ms=-3_000), [BAD])
+        log = crashes(*[(BAD,)] * 5)
+        (suspect,) = find_suspects(
+            2_000,
+            log,
+            (),
+            lambda part: None,
+            answers=100,
+            recent_answers=50,
+            first_answer_ms=-2_000,
+        )
+        self.assertEqual((suspect.explains, suspect.is_provisional), (True, True))
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/poison/test_rows.py
+++ b/tests/poison/test_rows.py
@@ -2,11 +2,12 @@
 
 import unittest
 
-from fireflyward.backing import Committed, Conflict, Position
+from fireflyward.backing import Committed, Conflict, Position, StoreTime
 from fireflyward.clock import ManualClock
 from fireflyward.feeds import TableRow, TableUpdate
-from fireflyward.poison import HeldPartRows, HeldParts
+from fireflyward.poison import HeldPartRows, HeldParts, PartOnTrial
 from fireflyward.poison._suspect_rows import SuspectPartRows
+from fireflyward.quarantine import Held
 
 BAD = -7
 HELD_KEY, SUSPECT_KEY = "poison/-7", "poison-suspect/-7"
@@ -14,6 +15,7 @@
 
 class _Store:
     def __init__(self):
+        self.time = None
         self.writes = []
         self.is_conflicting = False
 
@@ -69,6 +71,29 @@
         self.assertFalse(await self.rows.begin_trial(BAD))
         self.assertEqual(self.held.by_part[BAD].trials, 1)
 
+    async def test_the_time_until_a_trial_goes_on_while_no_node_runs(self):
+        """Guards against a part that is held anew by each restart of all nodes."""
+        self.store.time = StoreTime(store_ms=50_000, sent_ms=0, received_ms=0)
+        self.held.hold(0, BAD, crashes=3)
+        await self.rows.write(BAD)
+        ((puts, _),) = self.store.writes
+        self.assertIsInstance(self.verdict_of_a_restarted_node(puts, 60_000), Held)
+        self.assertEqual(
+            self.verdict_of_a_restarted_node(puts, 70_000), PartOnTrial(BAD)
+        )
+
+    def verdict_of_a_restarted_node(self, puts, store_ms):
+        """Return the verdict at the store's time by a node that has just started."""
+        held, store = HeldParts(), _Store()
+        store.time = StoreTime(store_ms, sent_ms=0, received_ms=0)
+        rows = HeldPartRows(held, clock=ManualClock(0), store=store, table="t")
+        rows.on_table_update(update(row(HELD_KEY, puts[HELD_KEY], 1)))
+        return held.verdict(0, [BAD])
+
+    def test_a_row_that_does_not_tell_is_provisional(self):
+        self.rows.on_table_update(update(row(HELD_KEY, b'{"crashes":3}', 1)))
+        self.assertTrue(self.held.by_part[BAD].is_provisional)
+
     def test_a_row_of_another_writer_holds_nothing(self):
         with self.assertLogs("fireflyward.poison", "ERROR"):
             self.rows.on_table_update(update(row(HELD_KEY, b"[]", 1)))
@@ -88,6 +113,15 @@
         ((puts, _),) = self.store.writes
         self.assertEqual(puts[SUSPECT_KEY], b'{"ends":[1,2,3]}')
 
+    def test_crashes_of_a_row_count_for_some_minutes_only(self):
+        """Guards against crashes that count anew at each start of all nodes."""
+        self.store.time = StoreTime(store_ms=400_000, sent_ms=0, received_ms=0)
+        for written_ms, news in ((99_999, []), (100_000, [BAD])):
+            value = b'{"ends":[1,2],"written_ms":%d}' % written_ms
+            rows = SuspectPartRows(clock=self.clock, store=self.store, table="t")
+            found = rows.on_table_update(update(row(SUSPECT_KEY, value, 1)))
+            self.assertEqual(found, news)
+
     async def test_known_crashes_are_not_written_again(self):
         self.rows.on_table_update(update(row(SUSPECT_KEY, b'{"ends":[1,2]}', 1)))
         self.assertTrue(await self.rows.add(BAD, frozenset((1, 2))))
--- a/tests/poison/test_task.py
+++ b/tests/poison/test_task.py
@@ -13,6 +13,8 @@
 from .test_rows import _Store, row, update
 
 BAD, COMMON = 7, 8
+# For so long prompts had answers before the first crash.
+_SERVED_MS = 4_000
 
 
 class PoisonTaskTests(unittest.IsolatedAsyncioTestCase):
@@ -29,6 +31,10 @@
             counts_as_crash=lambda replica: self.counts,
             poll_soon=lambda: None,
         )
+
+    async def asyncSetUp(self):
+        self.task.on_answered((COMMON,))
+        await self.clock.advance_ms(_SERVED_MS)
         for _ in range(30):
             self.task.on_answered((COMMON,))
 
@@ -127,5 +133,70 @@
             await asyncio.gather(task, return_exceptions=True)
 
 
+class ProvisionalHoldTests(unittest.IsolatedAsyncioTestCase):
+    """A node that has just started, and replicas that crash all together."""
+
+    crash = PoisonTaskTests.crash
+    setUp = PoisonTaskTests.setUp
+    asyncTearDown = PoisonTaskTests.asyncTearDown
+
+    async def hold(self):
+        for number in range(6):
+            await self.crash(number, (COMMON,))
+        self.assertIsInstance(await self.task.admit((COMMON,)), Held)
+
+    async def test_a_shared_part_passes_soon_after_crashes_of_all_replicas(self):
+        """Guards against a route that is rejected since no answer is known yet."""
+        await self.hold()
+        await self.clock.advance_ms(2_000)
+        self.assertEqual(await self.task.admit((COMMON,)), PartOnTrial(COMMON))
+        self.assertIsInstance(await self.task.admit((COMMON,)), Held)
+        self.task.on_answered((COMMON,))
+        self.assertEqual(await self.task.admit((COMMON,)), Free())
+
+    async def test_a_part_is_not_tried_while_replicas_crash_without_it(self):
+        """Guards against a trial that is cut by a crash that it did not cause."""
+        await self.hold()
+        for number in range(10, 16):
+            await self.crash(number, ())
+            self.assertIsInstance(await self.task.admit((COMMON,)), Held)
+        await self.clock.advance_ms(2_000)
+        self.assertEqual(await self.task.admit((COMMON,)), PartOnTrial(COMMON))
+
+    async def test_a_trial_that_another_node_makes_is_asked_for_seldom(self):
+        """Guards against a write to the store for each prompt with the part."""
+        await self.hold()
+        await self.clock.advance_ms(2_000)
+        before = len(self.store.writes)
+        self.store.is_conflicting = True
+        for _ in range(100):
+            self.assertIsInstance(await self.task.admit((COMMON,)), Held)
+            await self.clock.advance_ms(10)
+        self.assertEqual(len(self.store.writes) - before, 2)
+
+    async def test_a_part_that_crashes_its_trials_is_tried_three_times(self):
+        """Guards against more late crashes than the users allow."""
+        await self.hold()
+        trials = 0
+        for number in range(100, 4_000):
+            if isinstance(await self.task.admit((COMMON,)), PartOnTrial):
+                trials += 1
+                await self.crash(number, (COMMON,))
+            await self.clock.advance_ms(600)
+        self.assertEqual(trials, 3)
+
+    async def test_an_answer_ends_the_suspicion_in_the_table(self):
+        """Guards against old crashes that nodes count when they start later."""
+        writing = asyncio.create_task(self.task.run())
+        for number in range(3):
+            await self.crash(number, (COMMON,))
+        key = f"poison-suspect/{COMMON:x}"
+        self.assertEqual({key}, {key for puts, _ in self.store.writes for key in puts})
+        self.task.on_answered((COMMON,))
+        await self.clock.advance_ms(1_000)
+        self.assertEqual(self.store.writes[-1], ({}, (key,)))
+        writing.cancel()
+
+
 if __name__ == "__main__":
     unittest.main()
