Replacements: a version named while no node ran is dated by the lease's row

Callers got 503 for every stream after all nodes had returned, if a version of weights was named while none ran: until the first replica had loaded it, or for good if loads do not end.

The operators' row has no time, no node had read it before, and the rows of nodes told nothing of it: its age was unknown, and unknown was taken for too old. The store counts all rows with one counter and tells its clock with each answer. The holder of the lease now writes that clock into the row that it renews each second anyway. A version whose row has a later position was named after that time, so older weights serve until the usual bound counted from there: the version rule holds as it did, with an age that is never below the true one. Nothing is concluded from positions after a restore, nor if a row of the nodes tells of the version itself.

No call to the store is added; a renewal has some 25 bytes more.

--- a/fireflyward/backing/__init__.py
+++ b/fireflyward/backing/__init__.py
@@ -17,7 +17,7 @@
 )
 from ._position import Position
 from ._protocols import Objects, Table, Vms, Weights
-from ._store_time import StoreTime
+from ._store_time import StoreTime, read_ms, stored_ms
 
 if TYPE_CHECKING:
     from ._breaker import Breaker
@@ -84,4 +84,6 @@
     "VmList",
     "Vms",
     "Weights",
+    "read_ms",
+    "stored_ms",
 ]
--- a/fireflyward/backing/_store_time.py
+++ b/fireflyward/backing/_store_time.py
@@ -38,3 +38,29 @@
     @property
     def _uncertainty_ms(self) -> int:
         return self.received_ms - self.sent_ms
+
+
+def stored_ms(time: StoreTime | None, local_ms: int) -> int:
+    """Return the store's time for a row, at a moment of this node's clock or earlier.
+
+    It is 0, which stands for unknown, if the store's clock was not read yet.
+
+    >>> stored_ms(StoreTime(50_000, 1_000, 1_010), 910), stored_ms(None, 910)
+    (49900, 0)
+    """
+    return 0 if time is None else max(0, time.to_store_ms(local_ms))
+
+
+def read_ms(time: StoreTime | None, store_ms: int) -> int | None:
+    """Return this node's time for the store's time in a row, or an earlier time.
+
+    It is None if the row has none, or one that is later than the reading: the store's
+    clock was read before the row was written, or has begun anew since.
+
+    >>> reading = StoreTime(50_000, 1_000, 1_010)
+    >>> [read_ms(reading, store_ms) for store_ms in (49_900, 0, 50_001)]
+    [900, None, None]
+    """
+    if time is None or not 0 < store_ms <= time.store_ms:
+        return None
+    return time.to_local_ms(store_ms)
--- a/fireflyward/fleet/_lease_components.py
+++ b/fireflyward/fleet/_lease_components.py
@@ -2,9 +2,17 @@
 
 from collections.abc import Callable
 
+from fireflyward.backing import Position, stored_ms
 from fireflyward.clock import Clock
 from fireflyward.deployment import FleetSettings
-from fireflyward.leases import Gained, LeaseAnnouncer, LeaseTask, Lost, Standby
+from fireflyward.leases import (
+    Gained,
+    LeaseAnnouncer,
+    LeaseRow,
+    LeaseTask,
+    Lost,
+    Standby,
+)
 from fireflyward.peers import PeerLink
 from fireflyward.platform import LeaseTable, StoreClient
 from fireflyward.presence import PresenceTask
@@ -31,9 +39,10 @@
         is_stopping: Callable[[], bool],
         can_act: Callable[[], bool],
         on_change: Callable[[Gained | Lost], None],
+        on_row_read: Callable[[LeaseRow, Position], None],
         poll_interval_ms: Callable[[], float],
     ) -> None:
-        """The last four are called by the lease; see ``LeaseTask``."""
+        """The last five are called by the lease; see ``LeaseTask``."""
         self._registry = registry
         self._is_stopping = is_stopping
         self.lease = LeaseTask(
@@ -51,6 +60,8 @@
             on_row_written=lambda row, position: self._announcer.announce(
                 row, position
             ),
+            on_row_read=on_row_read,
+            store_ms=lambda: stored_ms(store.time, clock.now_ms()),
             poll_interval_ms=poll_interval_ms,
         )
         self._announcer = LeaseAnnouncer(
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -236,6 +236,7 @@
             is_stopping=lambda: self._is_stopping,
             can_act=self._replica_components.relays.may_give_orders,
             on_change=self._on_lease,
+            on_row_read=self._weight_components.on_lease_row,
             poll_interval_ms=lambda: self._weight_task.lease_poll_ms(),
         )
         self._lease = self._lease_components.lease
--- a/fireflyward/fleet/_views.py
+++ b/fireflyward/fleet/_views.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from fireflyward.backing import Position
 from fireflyward.clock import Clock, Standstills
 from fireflyward.deployment import Configuration, ReplicaEntry
 from fireflyward.feeds import RETENTION_MS, TableRow, TableUpdate
@@ -50,9 +51,9 @@
         failure_domains: tuple[str, ...],
         on_configuration: Callable[[Configuration], None],
         standstills: Standstills,
-        on_named: Callable[[str], None] = lambda model: None,
+        on_named: Callable[[str, Position], None] = lambda model, position: None,
     ) -> None:
-        """``on_named`` gets a model of which a version was named."""
+        """``on_named`` gets a model with a newer version, and its row's position."""
         self._on_configuration = on_configuration
         self._on_named = on_named
         self._standstills = standstills
@@ -193,7 +194,7 @@
                 "failed_calls": update.failed_calls,
             },
         )
-        self._on_named(target.model)
+        self._on_named(target.model, row.position)
 
 
 class ReplicaView:
--- a/fireflyward/fleet/_weight_components.py
+++ b/fireflyward/fleet/_weight_components.py
@@ -1,9 +1,11 @@
 """The components of a node that decide which weights may serve."""
 
 from fireflyward.aggregators import Aggregators
+from fireflyward.backing import Position
 from fireflyward.clock import Clock
 from fireflyward.feeds import TableUpdate
 from fireflyward.forwarding import WaitingSends, WeightVersions, WithdrawalTask
+from fireflyward.leases import LeaseRow
 from fireflyward.peers import PeerLink
 from fireflyward.platform import StoreClient
 from fireflyward.replacements import ReplacementRows, ReplacementTask
@@ -57,10 +59,15 @@
             ("withdrawals", self._withdrawals.run),
         )
 
-    def on_named(self, model: str) -> None:
-        """Handle a version that was named."""
+    def on_named(self, model: str, position: Position) -> None:
+        """Handle a version that was named by a row at a position."""
+        self._rows.on_named(model, position)
         self._replacements.on_named(model)
 
+    def on_lease_row(self, row: LeaseRow, position: Position) -> None:
+        """Use the time in the row of the lease."""
+        self._rows.on_dated_row(position, row.store_ms)
+
     def on_table_update(self, update: TableUpdate) -> None:
         """Apply changes of the nodes' table."""
         self._rows.on_table_update(update)
--- a/fireflyward/leases/_lease.py
+++ b/fireflyward/leases/_lease.py
@@ -87,6 +87,7 @@
         "_position",
         "_row",
         "_stopping",
+        "_store_ms",
         "_unchanged_since_ms",
     )
 
@@ -101,6 +102,7 @@
         self._unchanged_since_ms = 0
         self._last_renewal_ms = 0
         self._stopping = False
+        self._store_ms = 0
 
     def __repr__(self) -> str:
         return f"Lease({self._holder!r}, {self._claim})"
@@ -140,6 +142,7 @@
     @_on.register
     def _(self, message: Tick, now_ms: int) -> list[Action]:
         actions = self._expire(now_ms)
+        self._store_ms = message.store_ms
         if self._pending:
             self._pending.may_resend = True
             return [*actions, ReadRow()]
@@ -260,7 +263,9 @@
         # The table may have been restored with an earlier row and its lower number.
         fencing = max(fencing, self._position.ordinal + 1)
         era = self._position.era
-        row = LeaseRow(self._holder, self._claim_id, fencing, era=era)
+        row = LeaseRow(
+            self._holder, self._claim_id, fencing, era=era, store_ms=self._store_ms
+        )
         after_expiry = self._is_from_earlier_era or not (
             previous is None or previous.released
         )
@@ -269,7 +274,7 @@
         )
 
     def _renew(self, now_ms: int) -> Action:
-        row = _changed(self._row, beat=self._row.beat + 1)
+        row = _changed(self._row, beat=self._row.beat + 1, store_ms=self._store_ms)
         # If the claim expires before the outcome of this write is known, the write
         # results in a new claim, while orders of the old one may still be in flight.
         return self._send(now_ms, row, LeaseStep.RENEW_SENT, after_expiry=True)
--- a/fireflyward/leases/_messages.py
+++ b/fireflyward/leases/_messages.py
@@ -37,7 +37,9 @@
     ``claim`` identifies the process that acquired the lease, and ``beat`` counts its
     renewals. ``released`` says that the holder released the lease with no operation
     left in flight. ``era`` is the table's era when the row was written; if the table is
-    in a later era, newer rows of the lease may have been lost.
+    in a later era, newer rows of the lease may have been lost. ``store_ms`` is a time
+    of the store's clock before the write, 0 if unknown: a row that the store wrote
+    later did not exist then.
     """
 
     holder: str
@@ -46,6 +48,7 @@
     beat: Count = 0
     released: bool = False
     era: Count = 0
+    store_ms: Count = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -68,12 +71,14 @@
     Without ``may_renew`` a claim is not renewed and expires.
     With ``renews_now`` a claim is renewed although its renewal is not due. With
     ``takes_new_fencing`` a claim is replaced by one with a higher fencing number.
+    ``store_ms`` is the time of the store's clock or an earlier one, 0 if unknown.
     """
 
     may_contend: bool = True
     renews_now: bool = False
     takes_new_fencing: bool = False
     may_renew: bool = True
+    store_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/leases/_task.py
+++ b/fireflyward/leases/_task.py
@@ -7,8 +7,9 @@
 
 import msgspec
 
-from fireflyward.backing import Position, Table, Uncertain
+from fireflyward.backing import Position, Row, Table, Uncertain
 from fireflyward.clock import Clock, within_ms
+from fireflyward.decoding import decode_json
 from fireflyward.steps import StepObserver, ignore_step
 
 from ._lease import Lease
@@ -56,7 +57,9 @@
     that others contend. ``on_change`` is called with ``Gained`` and ``Lost``, and
     ``on_row_written`` with each row that this holder wrote, so that it can be announced
     to the other nodes. ``poll_interval_ms`` returns the time until the next poll;
-    without it the task polls three times in the length of a lease.
+    without it the task polls three times in the length of a lease. ``store_ms`` returns
+    the time of the table's clock or an earlier one, 0 if unknown, for the row, and
+    ``on_row_read`` is called with each row that was read from the table.
 
         lease = LeaseTask("sweep/store-1", clock=clock, table=table, holder="entry-1")
         asyncio.create_task(lease.run())
@@ -76,9 +79,11 @@
         "_lease",
         "_observe",
         "_on_change",
+        "_on_row_read",
         "_on_row_written",
         "_poll_interval_ms",
         "_standby",
+        "_store_ms",
         "_table",
         "_takes_new_fencing",
         "_wake_up",
@@ -100,6 +105,8 @@
         on_row_written: Callable[[LeaseRow, Position], None] = lambda row, position: (
             None
         ),
+        on_row_read: Callable[[LeaseRow, Position], None] = lambda row, position: None,
+        store_ms: Callable[[], int] = lambda: 0,
         poll_interval_ms: Callable[[], float] | None = None,
         observe: StepObserver = ignore_step,
     ) -> None:
@@ -118,6 +125,8 @@
         self._can_act = can_act
         self._on_change = on_change
         self._on_row_written = on_row_written
+        self._on_row_read = on_row_read
+        self._store_ms = store_ms
         self._last_announcement_ms: int | None = None
         self._observe = observe
         self._is_released = False
@@ -176,7 +185,13 @@
         self._takes_new_fencing = False
         self._wake_up.clear()
         await self._process(
-            Tick(may_contend, renews_now, takes_new_fencing, may_renew=can_act)
+            Tick(
+                may_contend,
+                renews_now,
+                takes_new_fencing,
+                may_renew=can_act,
+                store_ms=self._store_ms(),
+            )
         )
 
     async def hand_over(self) -> bool:
@@ -223,6 +238,9 @@
     async def _(self, action: ReadRow) -> Message | None:
         result = await self._table.get(self._key)
         self._observe(LeaseStep.ROW_SEEN)
+        row = decode_json(result.value, LeaseRow) if isinstance(result, Row) else None
+        if row is not None:
+            self._on_row_read(row, result.position)
         return RowRead(result)
 
     @_perform.register
--- a/fireflyward/poison/_rows.py
+++ b/fireflyward/poison/_rows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from fireflyward.backing import Committed, Position
+from fireflyward.backing import Committed, Position, read_ms, stored_ms
 from fireflyward.clock import Clock
 from fireflyward.decoding import Count, decode_json
 from fireflyward.feeds import TableRow, TableUpdate
@@ -155,23 +155,14 @@
             trials=stored.trials,
             had_answers=stored.had_answers,
             is_provisional=stored.is_provisional,
-            held_ms=self._held_ms(stored),
+            held_ms=read_ms(self._store.time, stored.held_store_ms),
         )
 
     def _row_of(self, hold: PartHold) -> HeldPartRow:
-        time = self._store.time
-        held_store_ms = 0 if time is None else max(0, time.to_store_ms(hold.held_ms))
         return HeldPartRow(
             hold.crashes,
             hold.trials,
             hold.had_answers,
             hold.is_provisional,
-            held_store_ms,
+            stored_ms(self._store.time, hold.held_ms),
         )
-
-    def _held_ms(self, row: HeldPartRow) -> int | None:
-        """Return when a part was held by this node's clock, None if unknown."""
-        time = self._store.time
-        if time is None or not 0 < row.held_store_ms <= time.store_ms:
-            return None
-        return time.to_local_ms(row.held_store_ms)
--- a/fireflyward/poison/_suspect_rows.py
+++ b/fireflyward/poison/_suspect_rows.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from fireflyward.backing import Committed, Position
+from fireflyward.backing import Committed, Position, read_ms, stored_ms
 from fireflyward.clock import Clock
 from fireflyward.decoding import MAX_INT64, Count, decode_json
 from fireflyward.feeds import TableUpdate
@@ -26,11 +26,12 @@
 class SuspectPartRow(msgspec.Struct, frozen=True, omit_defaults=True):
     """The incarnation ids of replicas that crashed with a part in flight.
 
-    ``written_ms`` is when the row was written by the store's clock, 0 if unknown.
+    ``written_store_ms`` is when the row was written by the store's clock, 0 if that is
+    unknown.
     """
 
     ends: Annotated[tuple[_IncarnationId, ...], msgspec.Meta(max_length=_MAX_ENDS)]
-    written_ms: Count = 0
+    written_store_ms: Count = 0
 
 
 class SuspectPartRows:
@@ -80,8 +81,10 @@
                 log.error("poison: row %s cannot be decoded", row.key)
                 continue
             self.ends[part] = frozenset(stored.ends)
-            self.written_ms[part] = written_ms = self._written_ms(stored)
-            if self._clock.now_ms() - written_ms <= _KEPT_MS:
+            now_ms = self._clock.now_ms()
+            written_ms = read_ms(self._store.time, stored.written_store_ms)
+            self.written_ms[part] = now_ms if written_ms is None else written_ms
+            if now_ms - self.written_ms[part] <= _KEPT_MS:
                 changed.append(part)
         # A later row of the same update may have deleted an earlier one.
         return [part for part in changed if part in self.ends]
@@ -96,11 +99,10 @@
         if ends <= known or len(known) >= _MAX_ENDS:
             return True
         merged = frozenset(sorted(known | ends)[:_MAX_ENDS])
-        now_ms, time = self._clock.now_ms(), self._store.time
-        store_ms = 0 if time is None else max(0, time.to_store_ms(now_ms))
-        if not await self._commit(
-            part, SuspectPartRow(tuple(sorted(merged)), store_ms)
-        ):
+        now_ms = self._clock.now_ms()
+        store_ms = stored_ms(self._store.time, now_ms)
+        row = SuspectPartRow(tuple(sorted(merged)), store_ms)
+        if not await self._commit(part, row):
             return False
         self.ends[part] = merged
         self.written_ms[part] = now_ms
@@ -112,13 +114,6 @@
             return True
         return await self._commit(part, None)
 
-    def _written_ms(self, row: SuspectPartRow) -> int:
-        """Return when a row was written by this node's clock, now if unknown."""
-        time = self._store.time
-        if time is None or not 0 < row.written_ms <= time.store_ms:
-            return self._clock.now_ms()
-        return time.to_local_ms(row.written_ms)
-
     async def _commit(self, part: int, row: SuspectPartRow | None) -> bool:
         key = f"{_PREFIX}{part:x}"
         position = self._position_by_part.get(part, Position(self._era, 0))
--- a/fireflyward/replacements/_rows.py
+++ b/fireflyward/replacements/_rows.py
@@ -1,6 +1,7 @@
 """Rows of the nodes' table that say when weights were replaced."""
 
 import logging
+from dataclasses import dataclass
 from typing import Protocol
 
 import msgspec
@@ -21,6 +22,8 @@
 log = logging.getLogger("fireflyward.replacements")
 
 _PREFIX = "replaced/"
+# A later era begins with a restore from an older snapshot.
+_FIRST_ERA = 1
 
 
 class RowStore(Protocol):
@@ -52,16 +55,28 @@
     last_newest_ms: dict[Count, Int64]
 
 
+@dataclass(frozen=True, slots=True)
+class _DatedRow:
+    """A row that was written at a position, after a time of the store's clock."""
+
+    position: Position
+    store_ms: int
+
+
 class ReplacementRows:
     """Reads and writes one row for each model with a version that was named lately.
 
     The operators' row has no time. A node that starts cannot know when the version was
-    named that it finds there, unless a node that was up then has written it down.
+    named that it finds there, unless a node that was up then has written it down. If
+    none was, a row with a time that the store wrote before shows that the version had
+    not been named then: the positions of all rows come from one counter.
     """
 
     __slots__ = (
+        "_dated_row",
         "_era",
         "_history",
+        "_named_at_by_model",
         "_position_by_model",
         "_row_by_model",
         "_store",
@@ -73,6 +88,8 @@
         self._store = store
         self._table = table
         self._era = 0
+        self._dated_row: _DatedRow | None = None
+        self._named_at_by_model: dict[str, Position] = {}
         self._row_by_model: dict[str, ReplacementRow] = {}
         self._position_by_model: dict[str, Position] = {}
 
@@ -98,13 +115,29 @@
         self._row_by_model[model] = decoded
         self.use_evidence(model)
 
+    def on_named(self, model: str, position: Position) -> None:
+        """Record where the operators' row is that names the newest version."""
+        self._named_at_by_model[model] = position
+
+    def on_dated_row(self, position: Position, store_ms: int) -> None:
+        """Use a row that was written at a position, after a time of the store's clock.
+
+        Only the first one that this node reads can be from before its start.
+        """
+        if store_ms and self._dated_row is None:
+            self._dated_row = _DatedRow(position, store_ms)
+            for model in list(self._named_at_by_model):
+                self.use_evidence(model)
+
     def use_evidence(self, model: str) -> bool:
-        """Tell the history what the row of a model says; return whether that helps."""
+        """Tell the history what rows say of a model; return whether that helps."""
         row, time = self._row_by_model.get(model), self._store.time
-        if row is None or time is None:
+        if time is None:
             return False
+        helps = not self.is_written(model) and self._use_dated_row(model, time)
+        if row is None:
+            return helps
         times_ms = {**row.last_newest_ms, row.newest: row.confirmed_ms}
-        helps = False
         for version, store_ms in times_ms.items():
             if store_ms > time.store_ms:
                 # The store's clock was read before the row was written.
@@ -113,6 +146,22 @@
             helps |= self._history.on_evidence(model, version, at_ms)
         return helps
 
+    def _use_dated_row(self, model: str, time: StoreTime) -> bool:
+        """Use a row from before the version, if no row says when it was named.
+
+        After a restore, operators write an old version again at a new position.
+        """
+        dated, named_at = self._dated_row, self._named_at_by_model.get(model)
+        newest = self._history.newest(model)
+        if dated is None or named_at is None or newest is None:
+            return False
+        is_first_era = dated.position.era == named_at.era <= _FIRST_ERA
+        is_before = dated.position < named_at and dated.store_ms <= time.store_ms
+        if not is_first_era or not is_before:
+            return False
+        at_ms = time.to_local_ms(dated.store_ms)
+        return self._history.on_evidence(model, newest - 1, at_ms)
+
     def is_written(self, model: str) -> bool:
         """Return whether a row says when the newest weights replaced others."""
         row, newest = self._row_by_model.get(model), self._history.newest(model)
--- a/tests/fleet/test_return.py
+++ b/tests/fleet/test_return.py
@@ -22,6 +22,8 @@
 # What the users allow for the return of service.
 _RECOVERY_S = 12.0
 _MEASURED_S = 3.0
+# Long enough for a node to hold the lease and renew it.
+_RUNNING_S = 2.0
 _KEY = {"Authorization": "Bearer key-1", "Host": "h.example"}
 
 
@@ -140,6 +142,21 @@
         from_s = returned_s + _RECOVERY_S
         self.assertGreaterEqual(self.share_served(from_s, from_s + _MEASURED_S), 0.9)
 
+    async def test_streams_are_served_if_a_version_was_named_while_no_node_ran(self):
+        """Guards against older weights that serve nobody until loads have ended."""
+        self.operator.set_weights_version("m", 1)
+        for engine in self.engines:
+            engine.loading_s = 3_600
+        await self.start()
+        await asyncio.sleep(_RUNNING_S)
+        await self.kill_nodes()
+        self.operator.set_weights_version("m", 2)
+        await self.start()
+        returned_s = time.monotonic()
+        await self.send_for(_MEASURED_S)
+        from_s, to_s = returned_s + 1.0, returned_s + _MEASURED_S
+        self.assertGreaterEqual(self.share_served(from_s, to_s), 0.9)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/fuzz/test_odd_entries.py
+++ b/tests/fuzz/test_odd_entries.py
@@ -179,7 +179,7 @@
         "is_provisional": False,
         "held_store_ms": 5,
     },
-    "poison-suspect/1f": {"ends": [1, 2], "written_ms": 5},
+    "poison-suspect/1f": {"ends": [1, 2], "written_store_ms": 5},
     "replaced/m": {"newest": 2, "confirmed_ms": 5, "last_newest_ms": {"1": 4}},
     "software/s": {"versions": ["v1"]},
 }
--- a/tests/leases/test_lease.py
+++ b/tests/leases/test_lease.py
@@ -72,6 +72,15 @@
         self.assertEqual(gained.claim.fencing, 1)
         self.assertFalse(gained.claim.after_expiry)
 
+    def test_the_row_says_when_it_was_written(self):
+        drive(self.first, self.table, 0, Tick(store_ms=500))
+        self.assertEqual(self.stored().store_ms, 500)
+        drive(self.first, self.table, 5_000, Tick(store_ms=5_500))
+        self.assertEqual((self.stored().beat, self.stored().store_ms), (1, 5_500))
+
+    def stored(self):
+        return msgspec.json.decode(self.table.row.value, type=LeaseRow)
+
     def test_contender_waits_the_full_lease_by_its_own_clock(self):
         drive(self.first, self.table, 0, Tick())
         for now_ms in (1_000_000, 1_000_000 + LEASE_MS):
--- a/tests/poison/test_rows.py
+++ b/tests/poison/test_rows.py
@@ -117,7 +117,7 @@
         """Guards against crashes that count anew at each start of all nodes."""
         self.store.time = StoreTime(store_ms=400_000, sent_ms=0, received_ms=0)
         for written_ms, news in ((99_999, []), (100_000, [BAD])):
-            value = b'{"ends":[1,2],"written_ms":%d}' % written_ms
+            value = b'{"ends":[1,2],"written_store_ms":%d}' % written_ms
             rows = SuspectPartRows(clock=self.clock, store=self.store, table="t")
             found = rows.on_table_update(update(row(SUSPECT_KEY, value, 1)))
             self.assertEqual(found, news)
--- a/tests/replacements/test_rows.py
+++ b/tests/replacements/test_rows.py
@@ -79,6 +79,47 @@
         history = self.start(store_ms=90_000)
         self.assertIsNone(history.replaced_after_ms("m", 1))
 
+    def start_after(self, *, dated, named_at, store_ms=97_000):
+        """Start a node that finds a version, and a row that says when it was written.
+
+        Its clock is 0 when that of the store is 100,000.
+        """
+        history, rows = self.node()
+        history.set_target(0, WeightTarget("m", 2))
+        rows.on_named("m", named_at)
+        rows.on_dated_row(dated, store_ms)
+        return history.replaced_after_ms("m", 1)
+
+    def test_a_version_was_named_after_a_row_that_was_written_before(self):
+        """Guards against an unknown age of versions named while no node ran."""
+        self.assertEqual(self.start_after(dated=at(7), named_at=at(8)), -3_000)
+
+    def test_a_row_that_was_written_after_the_version_tells_nothing(self):
+        """Guards against older weights that serve for longer than is allowed."""
+        self.assertIsNone(self.start_after(dated=at(9), named_at=at(8)))
+
+    def test_positions_after_a_restore_tell_nothing(self):
+        """Guards against a version that operators wrote again after a restore."""
+        dated, named_at = Position(2, 7), Position(2, 8)
+        self.assertIsNone(self.start_after(dated=dated, named_at=named_at))
+
+    def test_a_row_without_a_time_or_with_a_later_one_tells_nothing(self):
+        for store_ms in (0, 100_001):
+            self.assertIsNone(
+                self.start_after(dated=at(7), named_at=at(8), store_ms=store_ms)
+            )
+
+    async def test_a_row_of_replacements_goes_before_the_position(self):
+        """Guards against a version that operators have written twice."""
+        await self.write(confirmed_ms=-9_000)
+        history, rows = self.node()
+        rows.on_table_update(TableUpdate((self.store.row,), True, 0))
+        history.set_target(0, WeightTarget("m", 2))
+        rows.on_named("m", at(8))
+        rows.on_dated_row(at(7), 97_000)
+        rows.use_evidence("m")
+        self.assertEqual(history.replaced_after_ms("m", 1), -9_000)
+
     async def test_a_second_node_does_not_write_the_row_again(self):
         await self.write(confirmed_ms=-3_000)
         await self.write(confirmed_ms=-2_000)
