--- a/tests/fleet/test_return.py
+++ b/tests/fleet/test_return.py
@@ -123,9 +123,6 @@
         statuses = [status for at_s, status in self.statuses if from_s <= at_s < to_s]
         return statuses.count(200) / max(1, len(statuses))
 
-    def held(self):
-        return [key for table, _, key in self.store._rows if key.startswith("poison/")]
-
 
 class ReturnTests(ReturnTestCase):
     async def test_replicas_that_crash_beside_the_return_hold_no_shared_part(self):
