Logs: a route that answers nobody any more, why, since when and until when

After all nodes had returned, on-call could not tell from one node that streams had stopped while plain requests went on: requests were counted by route, and nothing said that none of a route was answered any more.

A node warns once no request of a route was answered for 1 s, with the number that failed and the most frequent cause, and again when the route answers after how long; the gauge route_unanswered_ms has the time. Requests that fail through their callers do not count. A rejection for want of a replica names weights that replicas have not loaded, and how long ago they were named.

The cost for a request is one look-up in a table that is empty without failures. Tests: tests.fleet.test_route_outages.

--- a/fireflyward/fleet/_callers.py
+++ b/fireflyward/fleet/_callers.py
@@ -28,6 +28,7 @@
 from ._caller_bodies import RETRY_AFTER_MS, no_memory, read_in_task, read_up_to
 from ._caller_connections import CallerConnections, connection_of
 from ._caller_reply import CallerReply
+from ._route_outages import OutageBegan, OutageEnded, RouteOutages
 from ._start_gate import StartGate
 
 log = logging.getLogger("fireflyward.callers")
@@ -109,6 +110,7 @@
         self._takes_requests = True
         self._reading_ends = asyncio.Event()
         self.in_flight = 0
+        self.outages = RouteOutages()
 
     async def listen(self, address: str) -> str:
         """Accept connections at ``IP:PORT``; return that with the real port.
@@ -382,6 +384,7 @@
         reason = "" if isinstance(outcome, Answered) else outcome.reason.value
         labels = {"outcome": outcome.tag, "reason": reason, "route": trace.route}
         self._metrics.count("requests_total", **labels)
+        self._log_outage(self.outages.on_end(now_ms, trace.route, outcome))
         self._metrics.observe_ms("request_ms", took_ms)
         if trace.fair_reason:
             self._metrics.count(
@@ -413,6 +416,26 @@
         marks = PROOF if rests_on_proof or trace.unattributed else PER_REQUEST
         log.info("callers: %s", outcome.tag, extra={"fields": fields, **marks})
 
+    def _log_outage(self, change: OutageBegan | OutageEnded | None) -> None:
+        if isinstance(change, OutageBegan):
+            log.warning(
+                "callers: no request of route %s answered for %d ms, %d failed, "
+                "most of them: %s",
+                change.route,
+                change.duration_ms,
+                change.requests,
+                change.cause,
+            )
+        elif change is not None:
+            log.warning(
+                "callers: route %s answers again after %d ms, %d failed, "
+                "most of them: %s",
+                change.route,
+                change.duration_ms,
+                change.requests,
+                change.cause,
+            )
+
 
 def _stopping() -> NotRun:
     return NotRun(
--- a/fireflyward/fleet/_node.py
+++ b/fireflyward/fleet/_node.py
@@ -31,7 +31,7 @@
 from ._accept_limit import AcceptLimit
 from ._callers import CallerServer
 from ._crash_components import CrashComponents
-from ._gauges import link_gauges
+from ._gauges import link_gauges, pool_gauges
 from ._joining import Joining
 from ._kv_stores import KvStoreFollowers
 from ._lease_components import LeaseComponents
@@ -473,13 +473,7 @@
             **self._crashes.gauges(),
             "store_calls_total": self._store.calls,
             "store_era": self._store.eras.latest,
-            "connections_opened_total": self._pool.opened,
-            "connections_refused_total": self._pool.refused,
-            "connections_timed_out_total": self._pool.timed_out,
-            "bodies_given_up_total": self._pool.memory.given_up,
-            "request_memory_bytes": self._pool.memory.request_bytes,
-            "response_memory_bytes": self._pool.memory.used_bytes,
-            "requests_without_memory_total": self._pool.memory.refused_requests,
+            **pool_gauges(self._pool),
             **self._replica_components.gauges(),
             **link_gauges(self._joining.link),
         }
@@ -489,3 +483,6 @@
         for name, values in by_service.items():
             for service, value in values.items():
                 self._metrics.gauge(name, value, service=service)
+        duration_ms_by_route = self._caller_server.outages.durations_ms(now_ms)
+        for route, duration_ms in duration_ms_by_route.items():
+            self._metrics.gauge("route_unanswered_ms", duration_ms, route=route)
--- a/fireflyward/forwarding/_messages.py
+++ b/fireflyward/forwarding/_messages.py
@@ -26,6 +26,7 @@
     """No replica may take the request now; one may in ``wait_ms``, if that is known."""
 
     wait_ms: int = 0
+    detail: str = "no replica may take the request"
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyward/forwarding/_plan.py
+++ b/fireflyward/forwarding/_plan.py
@@ -137,7 +137,7 @@
     def _(self, result: NoReplica, left_ms: float) -> Decision:
         return self.abort(
             Reason.NO_UPSTREAM,
-            "no replica may take the request",
+            result.detail,
             retry_after_ms=max(_RETRY_AFTER_MS, result.wait_ms),
         )
 
--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -225,8 +225,10 @@
             self._stop_late_wait(None)
 
     def _no_replica(self) -> NoReplica:
-        now_ms = self._clock.now_ms()
-        return NoReplica(int(self._deps.chooser.wait_ms(now_ms, self._service)))
+        now_ms, chooser = self._clock.now_ms(), self._deps.chooser
+        wait_ms = int(chooser.wait_ms(now_ms, self._service))
+        detail = self._weights_check.why_none(chooser, self._service)
+        return NoReplica(wait_ms, detail) if detail else NoReplica(wait_ms)
 
     async def _connect(
         self, replica: ReplicaState, left_ms: float
--- a/fireflyward/forwarding/_weights_check.py
+++ b/fireflyward/forwarding/_weights_check.py
@@ -1,7 +1,7 @@
 """Checks whether the weights of a chosen replica may serve one request."""
 
 from fireflyward.clock import Clock
-from fireflyward.replicas import Choice
+from fireflyward.replicas import Choice, Chooser
 
 from ._trace import Trace
 from ._weights import WeightVersions
@@ -27,6 +27,18 @@
             self._clock.now_ms(), self._model, choice.weights
         )
 
+    def why_none(self, chooser: Chooser, service: str) -> str:
+        """Return how weights keep replicas from serving, empty if they do not."""
+        now_ms, model = self._clock.now_ms(), self._model
+        newest = self._weights.newest(model)
+        if newest is None or self._weights.may_get_requests(now_ms, model, newest - 1):
+            return ""
+        if not chooser.has_older_weights(service, model, newest):
+            return ""
+        replaced_ms = self._weights.replaced_ms(now_ms, model, newest - 1)
+        age = "at an unknown time" if replaced_ms is None else f"{replaced_ms} ms ago"
+        return f"replicas have not loaded version {newest} of {model}, named {age}"
+
     def on_send(self, choice: Choice) -> None:
         """Record at which age of its weights the request is sent to a replica."""
         newest, version = self._weights.newest(self._model), choice.weights
--- a/fireflyward/replicas/_chooser.py
+++ b/fireflyward/replicas/_chooser.py
@@ -205,6 +205,13 @@
             return True
         return self._directory.is_suspect(now_ms, state)
 
+    def has_older_weights(self, service: str, model: str, version: int) -> bool:
+        """Return whether a replica of a service has weights older than a version."""
+        return any(
+            state.version_by_model.get(model, version) < version
+            for state in self._directory.of_service(service)
+        )
+
     def wait_ms(self, now_ms: int, service: str) -> float:
         """Return when a replica of a service accepts a request again, 0 if unknown.
 
