Quarantine: prompts that differ only in their parts are different requests

Callers got 503 for every stream of a route, for an hour that began anew at each start, after all engines had crashed together three times while nine nodes returned at 130 requests a second: "6 replicas ended under it".

The fingerprint of a request was of its account, target and body. Prompts whose bodies are alike, or empty, were one request, whatever their parts say, so requests of all callers added up as one that crashes each replica. The fingerprint now has the model and the ids of the prompt's parts too, all of them: the last part is of the request itself, and a repetition has it again.

--- a/fireflyward/forwarding/_request_run.py
+++ b/fireflyward/forwarding/_request_run.py
@@ -92,7 +92,13 @@
         self._trace = trace
         trace.route = allowed.route.name
         trace.account = allowed.account.name if allowed.account else ""
-        trace.fingerprint = fingerprint_of(trace.account, caller.target, body)
+        trace.fingerprint = fingerprint_of(
+            trace.account,
+            caller.target,
+            body,
+            model=caller.model,
+            parts=(part.part_id for part in caller.parts),
+        )
         trace.service = allowed.service
         trace.shared_parts = ",".join(part.part_id for part in caller.parts[:-1])
         trace.resumed_from = caller.first_request_id or ""
